--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; see docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/egretspur/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, fair queueing and the retry budget."""
--- /dev/null
+++ b/egretspur/admission/limits.py
@@ -0,0 +1,55 @@
+"""Each router's share of a workspace's limit: pure.
+
+All routers of a data centre compute the same division from the demand they
+tell each other: those that need less than an even share keep what they need,
+the rest is divided evenly among the others. Without news each assumes that
+all listed routers want their even share, so a cut-off one stays within it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+
+def compute_share(
+    limit: int,
+    me: str,
+    demand: Mapping[str, int],
+    listed: int,
+    informed: bool,
+) -> int:
+    """Returns how many requests at once this router may serve.
+
+    Args:
+        limit: Limit of the workspace in this data centre.
+        me: Name of this router's host.
+        demand: Requests at once, running and waiting, by host; this one's
+            included. Hosts that state none need none.
+        listed: Routers in the data centre by the platform's list.
+        informed: Whether news of peers is current.
+    """
+    if limit <= 0:
+        return 0
+    if not informed:
+        # Rounded up to one so that a small limit does not shut out a
+        # workspace altogether; the excess is at most one per router.
+        return max(1, limit // max(1, listed))
+    left = limit
+    open_hosts = {h: d for h, d in demand.items() if d > 0}
+    shares = dict.fromkeys(open_hosts, 0)
+    while left > 0 and open_hosts:
+        even = left // len(open_hosts)
+        if even == 0:
+            for host in sorted(open_hosts)[:left]:
+                shares[host] += 1
+            break
+        for host, wanted in list(open_hosts.items()):
+            given = min(even, wanted - shares[host])
+            shares[host] += given
+            left -= given
+            if shares[host] >= wanted:
+                del open_hosts[host]
+    # What nobody asked for is left open to this router's next arrivals, in
+    # an even part, so that a burst needn't wait for the next exchange.
+    spare = left // max(1, listed) if not open_hosts else 0
+    return shares.get(me, 0) + spare
--- /dev/null
+++ b/egretspur/claims/calls.py
@@ -0,0 +1,226 @@
+"""Calls to plain services, repeatable or not.
+
+A repeatable call is tried at another replica while the budget of tries lasts.
+One that must not be repeated is claimed in the log first and sent once; if its
+answer is lost, the service is asked for the outcome, where it can tell.
+"""
+
+from __future__ import annotations
+
+import logging
+import uuid
+from typing import Final
+
+import attrs
+
+from egretspur import errors, settings, transport
+from egretspur.claims import actor as claim_actor
+from egretspur.claims import table
+from egretspur.platform import service as services
+from egretspur.routing import actor as traffics
+from egretspur.routing import tables
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Replicas a repeatable call is tried at.
+TRIES: Final = 2
+
+
+@attrs.frozen
+class Call:
+    """A caller's call with who it is from."""
+
+    workspace: str
+    service: str
+    # The caller's id, or one made for it.
+    request_id: str
+    # False if the id was made here: nothing can arrive twice under it.
+    has_own_id: bool
+    call: services.ServiceCall
+
+
+@attrs.frozen
+class Answered:
+    """The service's answer and the replica it came from."""
+
+    reply: transport.Reply
+    upstream: str
+
+
+Result = Answered | errors.Refusal
+
+
+class CallRunner:
+    """Runs calls to plain services."""
+
+    def __init__(
+        self,
+        name: str,
+        opts: tuple[settings.ServiceSettings, ...],
+        traffic: traffics.Traffic,
+        claims: claim_actor.Claims,
+        client: services.ServiceClient,
+    ) -> None:
+        self._name = name
+        self._opts = {o.name: o for o in opts}
+        self._traffic = traffic
+        self._claims = claims
+        self._client = client
+
+    def run(self, call: Call) -> Result:
+        """Runs one call and returns its answer or why there is none."""
+        opts = self._opts.get(call.service)
+        if opts is None:
+            return errors.Refusal(
+                errors.ErrorKind.UNKNOWN_SERVICE, repr(call.service)
+            )
+        if is_never_repeated(opts, call.call.method, call.call.path):
+            return self._run_once(call, opts)
+        return self._run_repeatable(call)
+
+    def _run_repeatable(self, call: Call) -> Result:
+        last: transport.Failed | None = None
+        for upstream in self._traffic.get_services(call.service)[:TRIES]:
+            res = self._client.call(upstream.address, call.call)
+            self._note(upstream, res)
+            if not isinstance(res, transport.Failed):
+                return Answered(res, upstream.name)
+            last = res
+        if last is None:
+            return _refuse_no_replica(call)
+        return errors.Refusal(
+            errors.ErrorKind.UPSTREAM_FAILED
+            if last.maybe_sent
+            else errors.ErrorKind.NO_ROUTE,
+            last.reason,
+            retry_after_s=1.0,
+        )
+
+    def _run_once(self, call: Call, opts: settings.ServiceSettings) -> Result:
+        replicas = self._traffic.get_services(call.service)
+        if not replicas:
+            return _refuse_no_replica(call)
+        claim = table.Claim(
+            f"{self._name}-{uuid.uuid4().hex}",
+            f"{call.workspace}/{call.service}/{call.request_id}",
+            self._name,
+        )
+        verdict = self._claims.claim(claim)
+        if isinstance(verdict, table.Taken):
+            return self._answer_taken(call, opts, replicas, verdict)
+        if isinstance(verdict, errors.Refusal):
+            if opts.log_outage != "run":
+                # The claim may stand in the log although its answer was
+                # lost. Nothing was sent under it and nothing will be.
+                self._claims.drop(claim)
+                return verdict
+            _LOG.warning(
+                "call sent without a claim",
+                extra={"request": call.request_id, "service": call.service},
+            )
+        return self._send_once(call, opts, replicas, claim)
+
+    def _send_once(
+        self,
+        call: Call,
+        opts: settings.ServiceSettings,
+        replicas: list[tables.Upstream],
+        claim: table.Claim,
+    ) -> Result:
+        for upstream in replicas:
+            res = self._client.call(upstream.address, call.call)
+            self._note(upstream, res)
+            if not isinstance(res, transport.Failed):
+                return Answered(res, upstream.name)
+            if res.maybe_sent:
+                return self._answer_lost(call, opts, upstream, res)
+        self._claims.drop(claim)
+        return errors.Refusal(
+            errors.ErrorKind.NO_ROUTE,
+            "no replica accepts connections",
+            retry_after_s=1.0,
+        )
+
+    def _answer_lost(
+        self,
+        call: Call,
+        opts: settings.ServiceSettings,
+        upstream: tables.Upstream,
+        failed: transport.Failed,
+    ) -> Result:
+        """Asks for the outcome of a call whose answer was lost.
+
+        The replica it was sent to is asked first, then the others: replicas
+        of one service usually share what they know. It is never sent again,
+        even if none has seen it: it may still be on its way.
+        """
+        others = self._traffic.get_services(call.service)
+        asked = [upstream, *(u for u in others if u.name != upstream.name)]
+        found = self._ask_outcome(call, opts, asked)
+        if found is not None:
+            return found
+        return errors.Refusal(
+            errors.ErrorKind.OUTCOME_UNKNOWN,
+            failed.reason,
+            ask_for=call.request_id,
+        )
+
+    def _answer_taken(
+        self,
+        call: Call,
+        opts: settings.ServiceSettings,
+        replicas: list[tables.Upstream],
+        taken: table.Taken,
+    ) -> Result:
+        found = self._ask_outcome(call, opts, replicas)
+        if found is not None:
+            return found
+        return errors.Refusal(
+            errors.ErrorKind.ALREADY_CLAIMED,
+            f"accepted by {taken.by}",
+            ask_for=call.request_id,
+        )
+
+    def _ask_outcome(
+        self,
+        call: Call,
+        opts: settings.ServiceSettings,
+        replicas: list[tables.Upstream],
+    ) -> Answered | None:
+        if not opts.outcome_path:
+            return None
+        for upstream in replicas:
+            res = self._client.get_outcome(
+                upstream.address, opts.outcome_path, call.request_id
+            )
+            if isinstance(res, transport.Failed) or res.status != 200:
+                continue
+            return Answered(res, upstream.name)
+        return None
+
+    def _note(
+        self,
+        upstream: tables.Upstream,
+        res: transport.Reply | transport.Failed,
+    ) -> None:
+        self._traffic.tell(
+            traffics.NoteService(
+                upstream.name, not isinstance(res, transport.Failed)
+            )
+        )
+
+
+def is_never_repeated(
+    opts: settings.ServiceSettings, method: str, path: str
+) -> bool:
+    """Tells whether settings name a call as one not to be repeated."""
+    call = f"{method} {path.partition('?')[0]}"
+    return any(call.startswith(prefix) for prefix in opts.never_repeat)
+
+
+def _refuse_no_replica(call: Call) -> errors.Refusal:
+    return errors.Refusal(
+        errors.ErrorKind.NO_ROUTE,
+        f"service {call.service!r} has no live replica",
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/egretspur/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/egretspur/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin mains of the long-running processes."""
--- /dev/null
+++ b/egretspur/daemons/router.py
@@ -0,0 +1,376 @@
+"""``egretspur-router``: callers' HTTP on an entry host.
+
+Joins the slices; holds no decisions. Requests go through
+`egretspur.delivery.completions` or `egretspur.claims.calls`.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import sys
+import threading
+import time
+from collections.abc import Sequence
+from typing import Any, Final
+
+import attrs
+import urllib3
+from aioprometheus import collectors
+
+from egretspur import codec, errors, settings, web
+from egretspur.claims import actor as claim_actor
+from egretspur.claims import calls
+from egretspur.daemons import base
+from egretspur.delivery import completions, relay
+from egretspur.platform import engine, service
+from egretspur.platform import log as logs
+from egretspur.routing import actor as traffics
+from egretspur.routing import dispatch, link, tables
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Seconds between two looks at deadlines and probes.
+TICK_S: Final = 0.1
+
+# Threads kept free for diagnostics and peers while all streams are taken.
+SPARE_THREADS: Final = 8
+
+# Threads share the interpreter's lock; a stream's wake-up waits for whoever
+# holds it at most this long.
+STACK_BYTES: Final = 256 * 1024
+
+# Header fields that belong to one connection and are not passed on.
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class Router:
+    """One router process."""
+
+    def __init__(self, cfg: settings.RouterSettings) -> None:
+        self._cfg = cfg
+        threading.stack_size(STACK_BYTES)
+        timing = cfg.timing
+        dispatcher = dispatch.Dispatcher(
+            cfg.node.name,
+            cfg.node.data_centre,
+            cfg.limits,
+            timing,
+            cfg.retries,
+            random.Random(),
+        )
+        self._traffic = traffics.Traffic(dispatcher, self._report_now)
+        self._engines = engine.EngineClient(
+            timing.connect_s, timing.first_event_s, timing.between_events_s
+        )
+        self._canceller = relay.Canceller(self._engines)
+        self._services = service.ServiceClient(
+            timing.connect_s, timing.service_s
+        )
+        self._claims = claim_actor.Claims(
+            cfg.node.name, logs.LogClient(cfg.log, 1.0)
+        )
+        self._calls = calls.CallRunner(
+            cfg.node.name,
+            cfg.services,
+            self._traffic,
+            self._claims,
+            self._services,
+        )
+        self._link = link.Link(cfg.control, self._traffic, self._note_update)
+        self._stop = threading.Event()
+        self._draining = threading.Event()
+        self._has_table = threading.Event()
+        self._in_flight = 0
+        self._lock = threading.Lock()
+        self._registry = collectors.Registry()
+        self._requests = collectors.Counter(
+            "egretspur_requests_total",
+            "Requests by result kind",
+            registry=self._registry,
+        )
+        self._gauges = {
+            name: collectors.Gauge(
+                f"egretspur_{name}", text, registry=self._registry
+            )
+            for name, text in _GAUGES.items()
+        }
+        self._completions = completions.Completions(self._make_relay)
+        self._server = web.Server(
+            self._make_app(),
+            cfg.node.listen,
+            cfg.limits.streams + SPARE_THREADS,
+            cfg.limits.body_bytes,
+            cfg.limits.header_bytes,
+            cfg.limits.send_s,
+        )
+        self._ticker = threading.Thread(
+            target=self._tick, name="tick", daemon=True
+        )
+        self.address = self._server.address
+
+    def start(self) -> None:
+        """Starts to serve."""
+        self._server.start()
+        self._link.start(self.address)
+        self._ticker.start()
+
+    def drain(self) -> None:
+        """Finishes all that is in flight.
+
+        The balancer still sends for a while after `/ready` says no; refusing
+        then would fail callers, so requests are served until it has noticed.
+        """
+        self._draining.set()
+        self._server.drain()
+        time.sleep(self._cfg.timing.linger_s)
+        end = time.monotonic() + self._cfg.timing.drain_s
+        while time.monotonic() < end:
+            with self._lock:
+                if not self._in_flight:
+                    break
+            time.sleep(0.05)
+        # The last answers are in the server's buffers; it flushes them.
+        time.sleep(0.2)
+
+    def close(self) -> None:
+        """Stops everything."""
+        self._stop.set()
+        self._link.close()
+        self._server.close()
+        self._canceller.close()
+        self._claims.close()
+        self._traffic.close()
+        self._engines.close()
+        self._services.close()
+
+    def _make_app(self) -> web.App:
+        app = web.App()
+        app.add("POST", "/v1/completions", self._complete)
+        app.add("*", "/services/{service}/{rest*}", self._call_service)
+        app.add("POST", "/claims", self._claim)
+        web.add_diagnostics(
+            app, self._registry, self._dump_state, self._is_ready
+        )
+        return app
+
+    def _complete(self, req: web.Request) -> web.Response:
+        problem = self._check_request(req)
+        if problem is not None:
+            return web.reply_refusal(problem)
+        self._enter()
+        try:
+            res = self._completions.handle(req)
+        except BaseException:
+            self._leave(500)
+            raise
+        if isinstance(res.body, bytes):
+            self._leave(res.status)
+        else:
+            res.body = _CountedBody(res.body, self._leave)
+        return res
+
+    def _make_relay(
+        self, prompt: relay.Prompt, req: web.Request
+    ) -> relay.Relay:
+        return relay.Relay(
+            prompt,
+            self._traffic,
+            self._engines,
+            self._canceller,
+            req.is_caller_gone,
+        )
+
+    def _call_service(self, req: web.Request) -> web.Response:
+        problem = self._check_request(req)
+        if problem is not None:
+            return web.reply_refusal(problem)
+        self._enter()
+        try:
+            res = self._run_call(req)
+        except BaseException:
+            self._leave(500)
+            raise
+        self._leave(res.status)
+        return res
+
+    def _run_call(self, req: web.Request) -> web.Response:
+        given = req.get_header(completions.REQUEST_ID)
+        request_id = completions.get_request_id(req)
+        workspace = req.get_header(completions.WORKSPACE)
+        if not workspace:
+            return web.reply_refusal(
+                errors.Refusal(
+                    errors.ErrorKind.BAD_REQUEST,
+                    f"header {completions.WORKSPACE} is missing",
+                )
+            )
+        query = req.environ.get("QUERY_STRING", "")
+        path = "/" + req.parts["rest"] + (f"?{query}" if query else "")
+        headers = _get_passed_headers(req)
+        headers[completions.REQUEST_ID] = request_id
+        call = calls.Call(
+            workspace,
+            req.parts["service"],
+            request_id,
+            given == request_id,
+            service.ServiceCall(req.method, path, headers, req.read_body()),
+        )
+        result = self._calls.run(call)
+        if isinstance(result, errors.Refusal):
+            res = web.reply_refusal(result)
+        else:
+            reply = result.reply
+            res = web.Response(
+                reply.status,
+                {
+                    k: v
+                    for k, v in reply.headers.items()
+                    if k.lower() not in HOP_BY_HOP
+                },
+                reply.body,
+            )
+            res.headers[completions.PIPELINE] = result.upstream
+        res.headers[completions.REQUEST_ID] = request_id
+        return res
+
+    def _claim(self, req: web.Request) -> web.Response:
+        message = codec.load(req.read_body(), claim_actor.ClaimCall)
+        verdict = self._claims.claim_here(message.claim)
+        return web.reply_json(claim_actor.describe_verdict(verdict))
+
+    def _check_request(self, req: web.Request) -> errors.Refusal | None:
+        """Returns why a request is refused before it is read, if it is."""
+        count = sum(1 for k in req.environ if k.startswith("HTTP_"))
+        if count > self._cfg.limits.header_count:
+            return errors.Refusal(
+                errors.ErrorKind.TOO_LARGE,
+                f"{count} header fields, {self._cfg.limits.header_count}"
+                " are allowed",
+            )
+        with self._lock:
+            full = self._in_flight >= self._cfg.limits.streams
+        if full:
+            return errors.Refusal(
+                errors.ErrorKind.QUEUE_FULL,
+                f"{self._cfg.limits.streams} requests are open here",
+                retry_after_s=1.0,
+            )
+        return None
+
+    def _enter(self) -> None:
+        with self._lock:
+            self._in_flight += 1
+
+    def _leave(self, status: int) -> None:
+        with self._lock:
+            self._in_flight -= 1
+        self._requests.inc({"status": str(status)})
+
+    def _note_update(self, update: tables.RoutingUpdate) -> None:
+        self._has_table.set()
+        self._claims.set_routers(
+            {
+                r.name: r.address
+                for r in update.routers
+                if r.name != self._cfg.node.name
+            }
+        )
+
+    def _report_now(self) -> None:
+        self._link.report_now()
+
+    def _is_ready(self) -> bool:
+        return self._has_table.is_set() and not self._draining.is_set()
+
+    def _dump_state(self) -> Any:
+        return {
+            "settings": codec.encode(self._cfg),
+            "address": self.address,
+            "draining": self._draining.is_set(),
+            "in_flight": self._in_flight,
+            "traffic": codec.encode(self._traffic.get_dump()),
+        }
+
+    def _tick(self) -> None:
+        while not self._stop.wait(TICK_S):
+            self._traffic.tell(traffics.Tick())
+            self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        self._gauges["in_flight"].set({}, self._in_flight)
+
+    def get_dump(self) -> traffics.Dump:
+        """Returns the state of the router's decisions."""
+        return self._traffic.get_dump()
+
+
+_GAUGES: Final = {"in_flight": "Requests being served"}
+
+
+@attrs.define
+class _CountedBody:
+    """A streamed body that says when it is over."""
+
+    body: Any
+    leave: Any
+    is_open: bool = True
+
+    def __iter__(self) -> Any:
+        return self
+
+    def __next__(self) -> Any:
+        return next(self.body)
+
+    def close(self) -> None:
+        """Closes the body; called by the server in any case."""
+        if self.is_open:
+            self.is_open = False
+            try:
+                self.body.close()
+            finally:
+                self.leave(200)
+
+
+def _get_passed_headers(req: web.Request) -> dict[str, str]:
+    headers = {}
+    for key, value in req.environ.items():
+        if not key.startswith("HTTP_"):
+            continue
+        name = key[5:].replace("_", "-").title()
+        if name.lower() not in HOP_BY_HOP:
+            headers[name] = value
+    if req.environ.get("CONTENT_TYPE"):
+        headers["Content-Type"] = req.environ["CONTENT_TYPE"]
+    return headers
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Entry point of ``egretspur-router``."""
+    cfg = base.read_settings(
+        "egretspur-router",
+        "Routes callers' requests to pipelines and services.",
+        argv,
+        settings.RouterSettings,
+    )
+    if isinstance(cfg, int):
+        return cfg
+    # Sub-millisecond switches between the threads of hundreds of streams.
+    sys.setswitchinterval(0.001)
+    urllib3.disable_warnings()
+    return base.run_daemon(Router(cfg), cfg.node)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/egretspur/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of a request and the relay of its events."""
--- /dev/null
+++ b/egretspur/delivery/completions.py
@@ -0,0 +1,207 @@
+"""The callers' completions API: JSON in, JSON or server-sent events out.
+
+The form is the OpenAI-style one that callers' clients already speak; two
+headers are ours, `WORKSPACE` and `PIPELINE`.
+"""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+import orjson
+
+from egretspur import codec, errors, web
+from egretspur.delivery import relay
+
+WORKSPACE: Final = "X-Workspace"
+REQUEST_ID: Final = "X-Request-Id"
+PIPELINE: Final = "X-Pipeline"
+
+DEFAULT_MAX_TOKENS: Final = 256
+
+# Longest request id taken from a caller.
+MAX_ID_CHARS: Final = 128
+
+EVENTS_TYPE: Final = "text/event-stream"
+
+RunPrompt = Callable[[relay.Prompt, web.Request], relay.Relay]
+
+
+class Completions:
+    """Handler of ``POST /v1/completions``."""
+
+    def __init__(self, make_relay: RunPrompt) -> None:
+        self._make_relay = make_relay
+
+    def handle(self, req: web.Request) -> web.Response:
+        """Serves one completion."""
+        request_id = get_request_id(req)
+        parsed = parse_prompt(req, request_id)
+        if isinstance(parsed, errors.Refusal):
+            return _add_id(web.reply_refusal(parsed), request_id)
+        prompt, is_stream = parsed
+        job = self._make_relay(prompt, req)
+        pieces = job.run()
+        # The first piece decides the status: nothing is sent before it, so a
+        # request that fails before its first token gets an honest status.
+        first = next(pieces)
+        if isinstance(first, errors.Refusal):
+            return _add_id(web.reply_refusal(first), request_id)
+        if is_stream:
+            headers = {
+                "Content-Type": EVENTS_TYPE,
+                "Cache-Control": "no-store",
+                REQUEST_ID: request_id,
+                PIPELINE: job.pipeline,
+            }
+            return web.Response(
+                200, headers, EventBody(prompt, job, first, pieces)
+            )
+        return _collect(prompt, job, first, pieces)
+
+
+class EventBody:
+    """Server-sent events of one answer; closing it cancels the work."""
+
+    def __init__(
+        self,
+        prompt: relay.Prompt,
+        job: relay.Relay,
+        first: relay.Piece,
+        pieces: Iterator[relay.Piece],
+    ) -> None:
+        self._job = job
+        self._first: relay.Piece | None = first
+        self._pieces = pieces
+        head = orjson.dumps(
+            {
+                "id": prompt.id,
+                "object": "text_completion",
+                "model": prompt.model,
+            }
+        )
+        # Built once: per token only the text is encoded.
+        self._head = b"data: " + head[:-1] + b',"choices":[{"index":0,"text":'
+        self._tail = b',"finish_reason":null}]}\n\n'
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Returns itself, as WSGI asks."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Returns the events of the next piece."""
+        if self._first is not None:
+            piece, self._first = self._first, None
+        else:
+            piece = next(self._pieces)
+        if isinstance(piece, list):
+            # One event a piece: tokens that arrived together leave together.
+            text = piece[0] if len(piece) == 1 else "".join(piece)
+            return self._head + orjson.dumps(text) + self._tail
+        if isinstance(piece, relay.Whole):
+            return self._format_end(piece)
+        error = codec.dump_json(web.describe_refusal(piece))
+        return b"event: error\ndata: " + error + b"\n\n"
+
+    def close(self) -> None:
+        """Cancels what is under way; called by the server in any case."""
+        close = getattr(self._pieces, "close", None)
+        if close is not None:
+            close()
+
+    def _format_end(self, whole: relay.Whole) -> bytes:
+        last = {
+            "choices": [{"index": 0, "text": "", "finish_reason": "stop"}],
+            "usage": {"completion_tokens": whole.count},
+            "pipeline": whole.pipeline,
+        }
+        return b"data: " + orjson.dumps(last) + b"\n\ndata: [DONE]\n\n"
+
+
+def get_request_id(req: web.Request) -> str:
+    """Returns the caller's request id, or a new one."""
+    given = req.get_header(REQUEST_ID)
+    if given and len(given) <= MAX_ID_CHARS and given.isprintable():
+        return given
+    return uuid.uuid4().hex
+
+
+def parse_prompt(
+    req: web.Request, request_id: str
+) -> tuple[relay.Prompt, bool] | errors.Refusal:
+    """Returns the prompt and whether to stream, or what is wrong."""
+    workspace = req.get_header(WORKSPACE)
+    if not workspace:
+        return errors.Refusal(
+            errors.ErrorKind.BAD_REQUEST, f"header {WORKSPACE} is missing"
+        )
+    try:
+        data = codec.load_json(req.read_body())
+    except codec.DecodeError as exc:
+        return errors.Refusal(errors.ErrorKind.BAD_REQUEST, str(exc))
+    problem = find_problem(data)
+    if problem:
+        return errors.Refusal(errors.ErrorKind.BAD_REQUEST, problem)
+    prompt = relay.Prompt(
+        # The caller's id names the answer; the internal one must be unique
+        # even if a caller sends two requests with the same id at once.
+        f"{request_id}.{uuid.uuid4().hex[:8]}",
+        workspace,
+        data["model"],
+        data["prompt"],
+        data.get("max_tokens", DEFAULT_MAX_TOKENS),
+    )
+    return prompt, data.get("stream", False)
+
+
+def find_problem(data: Any) -> str:
+    """Tells what is wrong with a completion's body; empty if nothing."""
+    if not isinstance(data, dict):
+        return "the body is not a JSON object"
+    for name in ("model", "prompt"):
+        if not isinstance(data.get(name), str):
+            return f"{name!r} must be a string"
+    tokens = data.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if type(tokens) is not int or tokens < 1:
+        return "'max_tokens' must be a whole number of at least 1"
+    if not isinstance(data.get("stream", False), bool):
+        return "'stream' must be true or false"
+    return ""
+
+
+def _collect(
+    prompt: relay.Prompt,
+    job: relay.Relay,
+    first: relay.Piece,
+    pieces: Iterator[relay.Piece],
+) -> web.Response:
+    request_id = prompt.id.rpartition(".")[0]
+    texts: list[str] = []
+    piece = first
+    while isinstance(piece, list):
+        texts.extend(piece)
+        piece = next(pieces)
+    if isinstance(piece, errors.Refusal):
+        return _add_id(web.reply_refusal(piece), request_id)
+    body = {
+        "id": request_id,
+        "object": "text_completion",
+        "model": prompt.model,
+        "choices": [
+            {"index": 0, "text": "".join(texts), "finish_reason": "stop"}
+        ],
+        "usage": {"completion_tokens": piece.count},
+    }
+    headers = {
+        "Content-Type": web.JSON_TYPE,
+        REQUEST_ID: request_id,
+        PIPELINE: job.pipeline,
+    }
+    return web.Response(200, headers, codec.dump_json(body))
+
+
+def _add_id(res: web.Response, request_id: str) -> web.Response:
+    res.headers[REQUEST_ID] = request_id
+    return res
--- /dev/null
+++ b/egretspur/delivery/relay.py
@@ -0,0 +1,295 @@
+"""The relay: runs the attempts of one request and passes its tokens on.
+
+One instance per request, in the thread of its caller's connection. It decides
+nothing: `egretspur.delivery.attempts` says what an event means and
+`egretspur.routing.dispatch` where the next attempt goes.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import logging
+import time
+from collections.abc import Callable, Generator, Iterator
+from typing import Final
+
+import attrs
+
+from egretspur import errors
+from egretspur.delivery import attempts
+from egretspur.platform import engine
+from egretspur.routing import actor as traffics
+from egretspur.routing import dispatch
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Seconds between two looks at whether a waiting caller is gone.
+GONE_CHECK_S: Final = 0.1
+
+# Seconds of a stream after which its progress is reported, so that a link
+# that turned slow loses work while long answers still run.
+PROGRESS_S: Final = 1.0
+
+
+@attrs.frozen
+class Prompt:
+    """A caller's request for a model."""
+
+    id: str
+    workspace: str
+    model: str
+    text: str
+    max_tokens: int
+
+
+@attrs.frozen
+class Whole:
+    """The answer is complete."""
+
+    count: int
+    pipeline: str
+
+
+Piece = list[str] | Whole | errors.Refusal
+
+
+class Canceller:
+    """Tells stages to drop an attempt, in the background."""
+
+    def __init__(self, engines: engine.EngineClient) -> None:
+        self._engines = engines
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            4, thread_name_prefix="cancel"
+        )
+
+    def close(self) -> None:
+        """Sends what is queued and stops."""
+        self._pool.shutdown(wait=True)
+
+    def cancel(self, grant: dispatch.Grant, attempt: int) -> None:
+        """Cancels an attempt at every stage of its path."""
+        for hop in grant.hops:
+            self._pool.submit(
+                self._engines.cancel, hop.address, grant.id, attempt
+            )
+
+
+class Relay:
+    """Attempts and answer of one request."""
+
+    def __init__(
+        self,
+        prompt: Prompt,
+        traffic: traffics.Traffic,
+        engines: engine.EngineClient,
+        canceller: Canceller,
+        is_caller_gone: Callable[[], bool],
+    ) -> None:
+        self._prompt = prompt
+        self._traffic = traffic
+        self._engines = engines
+        self._canceller = canceller
+        self._is_caller_gone = is_caller_gone
+        self._merge = attempts.Merge(prompt.id)
+        # The attempt under way, to be cancelled if the caller leaves.
+        self._grant: dispatch.Grant | None = None
+        self._stream: engine.EventStream | None = None
+        self._marked_s = 0.0
+        self._marked_tokens = 0
+        self.pipeline = ""
+
+    def run(self) -> Iterator[Piece]:
+        """Yields new tokens, then `Whole` or a refusal as the last piece.
+
+        Closing the iterator cancels whatever is under way at every stage.
+        """
+        prompt = self._prompt
+        arrival = dispatch.Arrival(prompt.id, prompt.workspace, prompt.model)
+        fut = self._traffic.arrive(arrival)
+        try:
+            while True:
+                decision = self._wait(fut)
+                if isinstance(decision, errors.Refusal):
+                    yield decision
+                    return
+                failure = yield from self._run_attempt(decision)
+                if failure is None:
+                    yield Whole(len(self._merge.tokens), self.pipeline)
+                    return
+                fut = self._traffic.fail(failure)
+        finally:
+            self._drop_attempt()
+            self._traffic.finish(prompt.id)
+
+    def _wait(
+        self, fut: traffics.DecisionFuture
+    ) -> dispatch.Grant | errors.Refusal:
+        while True:
+            try:
+                return fut.result(GONE_CHECK_S)
+            except concurrent.futures.TimeoutError:
+                if self._is_caller_gone():
+                    return errors.Refusal(
+                        errors.ErrorKind.CALLER_GONE, "while waiting"
+                    )
+
+    def _run_attempt(
+        self, grant: dispatch.Grant
+    ) -> Generator[Piece, None, dispatch.Failure | None]:
+        """Runs one attempt; returns its failure, or None if it is whole."""
+        call = self._begin(grant)
+        self._grant = grant
+        opened = self._engines.run(call)
+        if isinstance(opened, engine.Broken):
+            return self._end_broken(grant, opened)
+        self._stream = opened
+        self._marked_s = time.monotonic()
+        self._marked_tokens = len(self._merge.tokens)
+        for events in opened.read_events():
+            if isinstance(events, engine.Broken):
+                return self._end_broken(grant, events)
+            texts: list[str] = []
+            fault = self._accept(events, texts)
+            if texts:
+                yield texts
+                self._report_progress(-1)
+            if fault is not None:
+                return self._end_fault(grant, fault)
+            if self._merge.finished:
+                self._grant = None
+                self._stream = None
+                opened.finish()
+                return None
+        return self._end_fault(
+            grant, attempts.Fault(attempts.Why.BROKEN, "no end")
+        )
+
+    def _begin(self, grant: dispatch.Grant) -> engine.RunCall:
+        hops = tuple(
+            engine.Hop(e.upstream, u.address, e.first, e.last)
+            for e, u in zip(grant.path.edges, grant.hops, strict=True)
+        )
+        trail = engine.format_trail(hops)
+        attempt = attempts.begin(self._merge, trail)
+        self.pipeline = trail
+        prompt = self._prompt
+        return engine.RunCall(
+            prompt.id,
+            attempt,
+            prompt.model,
+            grant.deployment.adapter,
+            grant.deployment.version,
+            prompt.text,
+            tuple(self._merge.tokens),
+            prompt.max_tokens,
+            grant.binding.priority,
+            hops,
+        )
+
+    def _accept(
+        self, events: list[engine.Event], texts: list[str]
+    ) -> attempts.Fault | None:
+        for event in events:
+            decision = attempts.accept(self._merge, event)
+            if isinstance(decision, attempts.Deliver):
+                texts.append(decision.text)
+            elif isinstance(decision, attempts.Fault):
+                return decision
+            elif isinstance(decision, attempts.Finish):
+                self._report_progress(decision.load)
+                return None
+        return None
+
+    def _report_progress(self, load: int) -> None:
+        now = time.monotonic()
+        passed = now - self._marked_s
+        if load < 0 and passed < PROGRESS_S:
+            return
+        count = len(self._merge.tokens)
+        self._traffic.tell(
+            dispatch.Progress(
+                self._prompt.id, count - self._marked_tokens, passed, load
+            )
+        )
+        self._marked_s = now
+        self._marked_tokens = count
+
+    def _end_broken(
+        self, grant: dispatch.Grant, broken: engine.Broken
+    ) -> dispatch.Failure:
+        """Describes an attempt whose connection failed.
+
+        Refused or reset, the last stage is at fault. Silent, any stage may
+        be: the last one has nothing to say when an earlier one is dead.
+        """
+        blamed: tuple[str, ...] = ()
+        if broken.upstream_failed:
+            blamed = (grant.path.edges[-1].upstream,)
+        if broken.refusal:
+            return self._end_refused(grant, broken)
+        if broken.maybe_started:
+            self._drop_attempt()
+        self._grant = None
+        self._stream = None
+        return self._make_failure(broken.reason, blamed, broken.maybe_started)
+
+    def _end_refused(
+        self, grant: dispatch.Grant, broken: engine.Broken
+    ) -> dispatch.Failure:
+        self._grant = None
+        refusal = broken.refusal
+        assert refusal is not None
+        upstream = refusal.upstream or grant.path.edges[-1].upstream
+        return attrs.evolve(
+            self._make_failure(
+                f"{upstream}: {refusal.kind}", (upstream,), maybe_started=False
+            ),
+            busy=refusal.kind == engine.BUSY,
+            leaving=upstream if refusal.kind == engine.LEAVING else "",
+        )
+
+    def _end_fault(
+        self, grant: dispatch.Grant, fault: attempts.Fault
+    ) -> dispatch.Failure:
+        _LOG.info(
+            "attempt failed",
+            extra={
+                "request": self._prompt.id,
+                "attempt": self._merge.attempt,
+                "why": fault.why.value,
+                "reason": fault.reason,
+                "position": len(self._merge.tokens),
+            },
+        )
+        self._drop_attempt()
+        blamed = (fault.upstream,) if fault.upstream else ()
+        failure = self._make_failure(
+            f"{fault.why.value}: {fault.reason}", blamed, maybe_started=True
+        )
+        if fault.reason == engine.LEAVING:
+            return attrs.evolve(failure, leaving=fault.upstream)
+        if fault.reason == engine.BUSY:
+            return attrs.evolve(failure, busy=True)
+        return failure
+
+    def _make_failure(
+        self, reason: str, blamed: tuple[str, ...], maybe_started: bool
+    ) -> dispatch.Failure:
+        return dispatch.Failure(
+            self._prompt.id,
+            reason,
+            blamed,
+            busy=False,
+            leaving="",
+            maybe_started=maybe_started,
+            delivered=len(self._merge.tokens),
+        )
+
+    def _drop_attempt(self) -> None:
+        """Closes the stream of an unfinished attempt and cancels its work."""
+        if self._stream is not None:
+            self._stream.discard()
+            self._stream = None
+        if self._grant is not None:
+            self._canceller.cancel(self._grant, self._merge.attempt)
+            self._grant = None
--- /dev/null
+++ b/egretspur/errors.py
@@ -0,0 +1,144 @@
+"""The closed list of error kinds and the answer each kind gives.
+
+Every refusal in the product is a `Refusal` with one of these kinds, so that the
+HTTP status, the "not run" promise and the user's message are decided in one
+table. Decision code returns a `Refusal` instead of raising. Read next:
+`egretspur.web`, which turns a refusal into an HTTP response.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Final
+
+import attrs
+
+
+class ErrorKind(enum.Enum):
+    """Every way in which a request or a command can be refused."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    NOT_FOUND = "not_found"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    LIMIT_REACHED = "limit_reached"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_ROUTE = "no_route"
+    NOT_CONFIGURED = "not_configured"
+    UPSTREAM_FAILED = "upstream_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ALREADY_CLAIMED = "already_claimed"
+    CLAIMS_UNAVAILABLE = "claims_unavailable"
+    LOG_UNAVAILABLE = "log_unavailable"
+    CONFLICT = "conflict"
+    WRONG_STATE = "wrong_state"
+    CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Answer:
+    """What a caller or operator is told for one error kind."""
+
+    # HTTP status code.
+    status: int
+    # True only if no upstream can have started the request.
+    not_run: bool
+    # True if the caller may send the same request again.
+    may_repeat: bool
+    # Text for the user; the refusal's reason follows it.
+    message: str
+
+
+ANSWERS: Final[dict[ErrorKind, Answer]] = {
+    ErrorKind.BAD_REQUEST: Answer(
+        400, True, False, "The request is malformed; correct it."
+    ),
+    ErrorKind.TOO_LARGE: Answer(
+        413, True, False, "The request exceeds a size limit; make it smaller."
+    ),
+    ErrorKind.NOT_FOUND: Answer(
+        404, True, False, "There is nothing by this name; check the name."
+    ),
+    ErrorKind.UNKNOWN_MODEL: Answer(
+        404,
+        True,
+        False,
+        "No confirmed intent serves this model for this workspace.",
+    ),
+    ErrorKind.UNKNOWN_SERVICE: Answer(
+        404, True, False, "No service by this name is configured."
+    ),
+    ErrorKind.LIMIT_REACHED: Answer(
+        429, True, True, "The workspace is at its limit; try again later."
+    ),
+    ErrorKind.QUEUE_FULL: Answer(
+        503, True, True, "All upstreams are busy and the queue is full."
+    ),
+    ErrorKind.DEADLINE: Answer(
+        503, True, True, "The request can't be started before its deadline."
+    ),
+    ErrorKind.NO_ROUTE: Answer(
+        503, True, True, "No complete chain of upstreams is available."
+    ),
+    ErrorKind.NOT_CONFIGURED: Answer(
+        503, True, True, "This process has not read its configuration yet."
+    ),
+    ErrorKind.UPSTREAM_FAILED: Answer(
+        502, False, True, "Upstreams failed after the request was sent."
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        504,
+        False,
+        False,
+        "The request was sent once and its outcome is unknown; look it up"
+        " by its id before sending it again.",
+    ),
+    ErrorKind.ALREADY_CLAIMED: Answer(
+        409,
+        False,
+        False,
+        "A request with this id was accepted before; it is not run again.",
+    ),
+    ErrorKind.CLAIMS_UNAVAILABLE: Answer(
+        503,
+        True,
+        True,
+        "Calls that must not be repeated are refused while the log is out.",
+    ),
+    ErrorKind.LOG_UNAVAILABLE: Answer(
+        503, False, True, "The platform's log service does not answer."
+    ),
+    ErrorKind.CONFLICT: Answer(
+        409, True, False, "Another change came first; make a new plan."
+    ),
+    ErrorKind.WRONG_STATE: Answer(
+        409, True, False, "The plan is not in a state that allows this."
+    ),
+    ErrorKind.CALLER_GONE: Answer(
+        499, False, True, "The caller closed the connection."
+    ),
+    ErrorKind.INTERNAL: Answer(
+        500, False, True, "Internal error; see the log of this process."
+    ),
+}
+
+
+@attrs.frozen
+class Refusal:
+    """Sentinel that a decision returns in place of a result."""
+
+    kind: ErrorKind
+    # What happened, with the names and numbers at hand.
+    reason: str
+    # Seconds after which a new try makes sense; 0 if unknown.
+    retry_after_s: float = 0.0
+    # Id under which the outcome can be looked up; empty if there is none.
+    ask_for: str = ""
+
+    @property
+    def answer(self) -> Answer:
+        """The row of the answer table for this kind."""
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/egretspur/hostview.py
@@ -0,0 +1,78 @@
+"""The platform's host list as one daemon knows it.
+
+Shared by orders, planning and the routing table; it keeps what it last read
+while the platform does not answer.
+"""
+
+from __future__ import annotations
+
+import threading
+
+from egretspur import errors
+from egretspur.platform import hosts as hostlist
+
+
+class HostView:
+    """Hosts of one data centre, and all entry hosts."""
+
+    def __init__(self, client: hostlist.HostsClient, data_centre: str) -> None:
+        self._client = client
+        self._data_centre = data_centre
+        self._lock = threading.Lock()
+        self._local: dict[str, hostlist.Host] = {}
+        self._entry: dict[str, hostlist.Host] = {}
+        # Hosts of other data centres that some routing table needs.
+        self._remote: dict[str, dict[str, hostlist.Host]] = {}
+        self._versions: dict[str, int] = {}
+        self.reachable = False
+
+    def refresh(self, remote: frozenset[str] = frozenset()) -> bool:
+        """Reads what changed; tells whether anything did.
+
+        Args:
+            remote: Other data centres whose hosts are needed.
+        """
+        changed = self._refresh_part(self._data_centre, "", "local")
+        changed |= self._refresh_part("", hostlist.Role.ENTRY.value, "entry")
+        for name in sorted(remote - {self._data_centre}):
+            changed |= self._refresh_part(
+                name, hostlist.Role.ENGINE.value, name
+            )
+        return changed
+
+    def get_local(self) -> dict[str, hostlist.Host]:
+        """Returns the hosts of this data centre by name."""
+        with self._lock:
+            return self._local
+
+    def get_entry(self) -> dict[str, hostlist.Host]:
+        """Returns all entry hosts by name."""
+        with self._lock:
+            return self._entry
+
+    def get_remote(self) -> dict[str, hostlist.Host]:
+        """Returns known engines of other data centres by name."""
+        with self._lock:
+            return {
+                n: h for part in self._remote.values() for n, h in part.items()
+            }
+
+    def _refresh_part(self, data_centre: str, role: str, part: str) -> bool:
+        since = self._versions.get(part, 0)
+        res = self._client.read(data_centre, role, since)
+        if isinstance(res, errors.Refusal):
+            self.reachable = False
+            return False
+        self.reachable = True
+        if res.version == since:
+            return False
+        with self._lock:
+            self._versions[part] = res.version
+            if part == "local":
+                self._local = hostlist.apply_changes(self._local, res)
+            elif part == "entry":
+                self._entry = hostlist.apply_changes(self._entry, res)
+            else:
+                known = self._remote.get(part, {})
+                self._remote[part] = hostlist.apply_changes(known, res)
+        return True
--- /dev/null
+++ b/egretspur/intents/follow.py
@@ -0,0 +1,78 @@
+"""Following the stream: what to do with a batch read from the log or a peer.
+
+Pure. The state is only ever replaced by one with a higher offset, so a stale
+peer or a log read from behind can't revert it.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from egretspur.intents import checkpoints, fold, records
+from egretspur.intents import state as states
+
+
+@attrs.frozen
+class Batch:
+    """Records read from one source."""
+
+    # Offset of the oldest record the source still has.
+    first: int
+    # Offset after the last record of the batch.
+    next: int
+    # Offset after the last record of the source.
+    head: int
+    entries: tuple[records.Entry, ...]
+
+
+@attrs.frozen
+class Followed:
+    """Result of a batch."""
+
+    state: states.State
+    # Offset to read from next.
+    next: int
+    # True if records were folded or a snapshot adopted.
+    changed: bool
+    # True if records between the state and the batch have lapsed and no
+    # snapshot fills the gap.
+    gap: bool
+
+
+@attrs.define
+class Reader:
+    """Checkpoint parts met while the state is behind the source's records."""
+
+    parts: list[records.CheckpointPart] = attrs.Factory(list)
+
+
+def follow(state: states.State, batch: Batch, reader: Reader) -> Followed:
+    """Folds a batch into the state, or adopts a checkpoint found in it."""
+    if batch.first <= state.offset + 1:
+        before = state.offset
+        fold.apply_all(state, batch.entries)
+        reader.parts.clear()
+        return Followed(
+            state, state.offset + 1, state.offset > before, gap=False
+        )
+    reader.parts.extend(
+        e.record
+        for e in batch.entries
+        if isinstance(e.record, records.CheckpointPart)
+    )
+    found = checkpoints.join(reader.parts)
+    if found is None or found.offset <= state.offset:
+        return Followed(state, batch.next, changed=False, gap=True)
+    if found.offset + 1 < batch.first:
+        # The snapshot is complete but the records after it have lapsed too:
+        # adopting it would leave out changes. A newer one may follow.
+        return Followed(state, batch.next, changed=False, gap=True)
+    reader.parts.clear()
+    return Followed(found, found.offset + 1, changed=True, gap=False)
+
+
+def adopt(state: states.State, offered: states.State | None) -> states.State:
+    """Returns the state with the higher offset."""
+    if offered is None or offered.offset <= state.offset:
+        return state
+    return offered
--- /dev/null
+++ b/egretspur/intents/follower.py
@@ -0,0 +1,272 @@
+"""Threads that bring records to a control daemon, from the log or from peers.
+
+The first few hosts of a data centre, by rank, hold a long poll open at the
+log; the others hear from peers and look at the log only now and then. Any of
+them can do without peers, and any can do without the log.
+"""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+
+from egretspur import codec, errors, settings, transport
+from egretspur.intents import actor as configs
+from egretspur.intents import checkpoints, follow, records
+from egretspur.intents import state as states
+from egretspur.platform import log as logs
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Longest wait of a poll at the log.
+POLL_S: Final = 5.0
+
+# Pause after the log did not answer; doubles up to the longest.
+PAUSE_S: Final = 0.2
+LONGEST_PAUSE_S: Final = 5.0
+
+
+@attrs.frozen
+class Snapshot:
+    """A peer's whole state."""
+
+    offset: int
+    packed: str
+
+
+@attrs.frozen
+class _Ahead:
+    """A peer that has a higher offset."""
+
+    address: str
+    offset: int
+
+
+class Follower:
+    """Keeps a `configs.Config` up to date."""
+
+    def __init__(
+        self,
+        name: str,
+        config: configs.Config,
+        client: logs.LogClient,
+        platform: settings.PlatformSettings,
+        peers: settings.PeerSettings,
+        get_rank: Callable[[], int],
+    ) -> None:
+        self._name = name
+        self._config = config
+        self._client = client
+        self._retention_s = platform.retention_s
+        self._peers = peers
+        self._get_rank = get_rank
+        self._transport = transport.Transport(0.5, 3.0)
+        self._ahead: queue.Queue[_Ahead | None] = queue.Queue(64)
+        self._stop = threading.Event()
+        self._next = 1
+        self._log_first = 1
+        self._checkpoint = 0
+        self._checkpoint_at_s = time.monotonic()
+        self._lapsed_at_s = 0.0
+        # True while the log answers.
+        self.log_reachable = False
+        self._threads = [
+            threading.Thread(target=self._follow, name="follow", daemon=True),
+            threading.Thread(target=self._pull, name="pull", daemon=True),
+        ]
+
+    def start(self) -> None:
+        """Starts to follow."""
+        for thread in self._threads:
+            thread.start()
+
+    def close(self) -> None:
+        """Stops following."""
+        self._stop.set()
+        try:
+            self._ahead.put_nowait(None)
+        except queue.Full:
+            pass
+        self._transport.close()
+
+    def note_ahead(self, address: str, offset: int) -> None:
+        """Takes notice of a peer with a higher offset."""
+        try:
+            self._ahead.put_nowait(_Ahead(address, offset))
+        except queue.Full:
+            _LOG.debug("too many peers ahead; one is passed over")
+
+    def read_now(self) -> None:
+        """Reads what the log has, at once; after an append of our own."""
+        self._read_log(0.0)
+
+    def _follow(self) -> None:
+        pause = PAUSE_S
+        while not self._stop.is_set():
+            is_follower = self._get_rank() < self._peers.followers
+            if self._read_log(POLL_S if is_follower else 0.0):
+                pause = PAUSE_S
+                self._write_checkpoint()
+                if not is_follower:
+                    self._stop.wait(self._peers.fallback_s)
+                continue
+            self._stop.wait(pause)
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+
+    def _read_log(self, wait_s: float) -> bool:
+        """Reads to the head of the log; tells whether it answered."""
+        while not self._stop.is_set():
+            res = self._client.read(records.STREAM, self._next, wait_s)
+            if isinstance(res, errors.Refusal):
+                self.log_reachable = False
+                return False
+            self.log_reachable = True
+            self._log_first = res.first
+            position = self._config.take(make_batch(res))
+            self._next = position.next
+            if position.next >= res.head or not res.records:
+                if position.offset + 1 > res.head:
+                    _LOG.warning("the log's head is behind this host's state")
+                return True
+        return True
+
+    def _write_checkpoint(self) -> None:
+        now = time.monotonic()
+        offset, checkpoint = self._config.read(
+            lambda s: (s.offset, s.checkpoint)
+        )
+        if checkpoint != self._checkpoint:
+            self._checkpoint = checkpoint
+            self._checkpoint_at_s = now
+        if self._log_first <= checkpoint + 1:
+            self._lapsed_at_s = now
+        due = checkpoints.Due(
+            offset,
+            checkpoint,
+            now - self._checkpoint_at_s,
+            self._retention_s,
+            self._get_rank(),
+            self._log_first,
+            now - self._lapsed_at_s,
+        )
+        if not checkpoints.is_due(due):
+            return
+        parts = self._config.read(
+            lambda s: checkpoints.split(s, self._name, _get_wall_ms())
+        )
+        for part in parts:
+            # Each part is an append of its own, so that one lost answer
+            # repeats one part; the id makes a repeat harmless.
+            value = records.CODEC.encode(part)
+            res = logs.append_until(
+                lambda v=value: self._client.append(  # type: ignore[misc]
+                    records.STREAM, [v]
+                ),
+                deadline_s=5.0,
+            )
+            if isinstance(res, errors.Refusal):
+                _LOG.warning("checkpoint not written: %s", res.reason)
+                return
+        _LOG.info(
+            "checkpoint written",
+            extra={"offset": offset, "parts": len(parts)},
+        )
+
+    def _pull(self) -> None:
+        while not self._stop.is_set():
+            ahead = self._ahead.get()
+            if ahead is None:
+                return
+            try:
+                self._pull_from(ahead)
+            except codec.DecodeError as exc:
+                _LOG.warning("peer's records are malformed: %s", exc)
+
+    def _pull_from(self, ahead: _Ahead) -> None:
+        offset = self._config.read(lambda s: s.offset)
+        if ahead.offset <= offset:
+            return
+        res = self._transport.call(
+            "GET", ahead.address, f"/peer/records?from={offset + 1}"
+        )
+        if isinstance(res, transport.Failed) or res.status != 200:
+            return
+        batch = load_batch(res.body)
+        if batch.first <= offset + 1:
+            self._config.take(batch)
+            return
+        res = self._transport.call("GET", ahead.address, "/peer/snapshot")
+        if isinstance(res, transport.Failed) or res.status != 200:
+            return
+        snapshot = codec.load(res.body, Snapshot)
+        self._config.offer(checkpoints.unpack(snapshot.packed))
+
+
+def make_batch(read: logs.Slice) -> follow.Batch:
+    """Returns records read from the log, decoded.
+
+    A record that can't be decoded was written by a newer version or by
+    someone else. It still takes its place, or every reader would ask for it
+    again for ever; it changes nothing, in every process of this version.
+    """
+    entries = []
+    for offset, value in read.records:
+        record: records.Record
+        try:
+            record = records.CODEC.decode(value)
+        except codec.DecodeError as exc:
+            _LOG.error("record %d is malformed: %s", offset, exc)
+            record = records.Unreadable(f"unreadable-{offset}", str(exc))
+        entries.append(records.Entry(offset, record))
+    return follow.Batch(read.first, read.next, read.head, tuple(entries))
+
+
+def dump_batch(batch: follow.Batch) -> bytes:
+    """Returns a batch as JSON bytes for a peer."""
+    value: list[Any] = [
+        batch.first,
+        batch.next,
+        batch.head,
+        [
+            [e.offset, records.CODEC.encode(e.record)]
+            for e in batch.entries
+            if not isinstance(e.record, records.Unreadable)
+        ],
+    ]
+    return codec.dump_json(value)
+
+
+def load_batch(data: bytes) -> follow.Batch:
+    """Returns a batch from a peer.
+
+    Raises:
+        codec.DecodeError: The bytes have another form.
+    """
+    try:
+        first, following, head, entries = codec.load_json(data)
+        return follow.Batch(
+            first,
+            following,
+            head,
+            tuple(
+                records.Entry(offset, records.CODEC.decode(value))
+                for offset, value in entries
+            ),
+        )
+    except (TypeError, ValueError) as exc:
+        raise codec.DecodeError(f"not a batch: {exc}") from exc
+
+
+def make_snapshot(state: states.State) -> Snapshot:
+    """Returns the state for a peer."""
+    return Snapshot(state.offset, checkpoints.pack(state))
+
+
+def _get_wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/egretspur/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What entry hosts tell each other: liveness, marks, demand, offsets."""
--- /dev/null
+++ b/egretspur/membership/news.py
@@ -0,0 +1,131 @@
+"""Messages between control daemons, and their compact JSON form.
+
+Entries are written as lists without field names: at 24 entries a message the
+names would be two thirds of the bytes.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from egretspur import codec
+from egretspur.membership import entries
+
+
+@attrs.frozen
+class NodeNews:
+    """What an entry host says of itself."""
+
+    # Address of its control daemon.
+    control: str
+    data_centre: str
+    # Address of its router; empty until it has reported.
+    router: str
+    # Offset of the configuration it has folded.
+    offset: int
+    # Offset that its router has in force.
+    in_force: int
+    # False if it can't read the platform's log.
+    log_reachable: bool
+
+
+@attrs.frozen
+class Exchange:
+    """One message of the periodic exchange, or an urgent push."""
+
+    sender: str
+    address: str
+    offset: int
+    told: tuple[entries.Told, ...]
+
+
+def pack_node(news: NodeNews) -> str:
+    """Returns the news as the value of an entry."""
+    flag = "1" if news.log_reachable else "0"
+    return (
+        f"{news.control}|{news.data_centre}|{news.router}|{news.offset}"
+        f"|{news.in_force}|{flag}"
+    )
+
+
+def unpack_node(text: str) -> NodeNews:
+    """Returns the news from the value of an entry.
+
+    Raises:
+        codec.DecodeError: The text has another form.
+    """
+    parts = text.split("|")
+    if len(parts) != 6:
+        raise codec.DecodeError(f"not node news: {text!r}")
+    try:
+        return NodeNews(
+            parts[0],
+            parts[1],
+            parts[2],
+            int(parts[3]),
+            int(parts[4]),
+            parts[5] == "1",
+        )
+    except ValueError as exc:
+        raise codec.DecodeError(f"not node news: {text!r}") from exc
+
+
+def pack_exchange(message: Exchange) -> bytes:
+    """Returns a message as JSON bytes."""
+    return codec.dump_json(
+        [
+            message.sender,
+            message.address,
+            message.offset,
+            [_pack_told(t) for t in message.told],
+        ]
+    )
+
+
+def unpack_exchange(data: bytes) -> Exchange:
+    """Returns a message from JSON bytes.
+
+    Raises:
+        codec.DecodeError: The bytes have another form.
+    """
+    value = codec.load_json(data)
+    try:
+        sender, address, offset, told = value
+        return Exchange(
+            str(sender),
+            str(address),
+            int(offset),
+            tuple(_unpack_told(t) for t in told),
+        )
+    except (TypeError, ValueError) as exc:
+        raise codec.DecodeError(f"not an exchange: {exc}") from exc
+
+
+def _pack_told(told: entries.Told) -> list[Any]:
+    entry = told.entry
+    # A node's own news repeats its name as origin; it is left out.
+    origin = "" if entry.origin == entry.name else entry.origin
+    return [
+        entry.kind.value,
+        entry.name,
+        origin,
+        entry.incarnation,
+        entry.sequence,
+        entry.value,
+        round(told.age_s, 1),
+    ]
+
+
+def _unpack_told(value: list[Any]) -> entries.Told:
+    kind, name, origin, incarnation, sequence, text, age_s = value
+    entry = entries.Entry(
+        entries.Kind(kind),
+        str(name),
+        str(origin or name),
+        int(incarnation),
+        int(sequence),
+        str(text),
+    )
+    return entries.Told(entry, float(age_s))
--- /dev/null
+++ b/egretspur/membership/sender.py
@@ -0,0 +1,92 @@
+"""Threads that carry messages to peers outside the actor.
+
+Were the actor to wait for a peer's answer itself, two hosts that send to each
+other at the same moment would both wait until their time-outs: each one's
+actor is needed to answer the other.
+"""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from egretspur import codec, transport
+from egretspur.membership import news
+
+_LOG: Final = logging.getLogger(__name__)
+
+THREADS: Final = 2
+
+# Messages waiting at most; more are dropped, later exchanges make up for them.
+QUEUE_LENGTH: Final = 64
+
+
+@attrs.frozen
+class Parcel:
+    """A message for a peer."""
+
+    address: str
+    path: str
+    message: news.Exchange
+
+
+class Sender:
+    """Sends messages and hands the answers on."""
+
+    def __init__(self, answered: Callable[[news.Exchange], None]) -> None:
+        self._answered = answered
+        self._transport = transport.Transport(0.5, 1.0)
+        self._queue: queue.Queue[Parcel | None] = queue.Queue(QUEUE_LENGTH)
+        self._threads = [
+            threading.Thread(target=self._run, name="peers", daemon=True)
+            for _ in range(THREADS)
+        ]
+        # Bytes sent and received in bodies, for the metrics.
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def start(self) -> None:
+        """Starts the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def close(self) -> None:
+        """Stops the threads after what they are sending."""
+        for _ in self._threads:
+            try:
+                self._queue.put_nowait(None)
+            except queue.Full:
+                break
+        self._transport.close()
+
+    def send(self, parcel: Parcel) -> None:
+        """Queues a message; drops it if too many wait."""
+        try:
+            self._queue.put_nowait(parcel)
+        except queue.Full:
+            _LOG.debug("message dropped", extra={"peer": parcel.address})
+
+    def _run(self) -> None:
+        while True:
+            parcel = self._queue.get()
+            if parcel is None:
+                return
+            self._carry(parcel)
+
+    def _carry(self, parcel: Parcel) -> None:
+        data = news.pack_exchange(parcel.message)
+        res = self._transport.call("POST", parcel.address, parcel.path, data)
+        self.sent_bytes += len(data)
+        if isinstance(res, transport.Failed) or res.status != 200:
+            _LOG.debug("peer does not answer", extra={"peer": parcel.address})
+            return
+        self.received_bytes += len(res.body)
+        try:
+            self._answered(news.unpack_exchange(res.body))
+        except codec.DecodeError as exc:
+            _LOG.warning("peer's answer is malformed: %s", exc)
--- /dev/null
+++ b/egretspur/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Leases and orders to engines, from one holder per data centre."""
--- /dev/null
+++ b/egretspur/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of layer ranges per upstream; pure planning."""
--- /dev/null
+++ b/egretspur/placement/grouping.py
@@ -0,0 +1,146 @@
+"""Which machines form a chain together.
+
+A chain of equal machines in one rack splits well and has the best links, so
+for each rack and kind the smallest group that fits is a candidate; where none
+fits, machines are mixed, fastest links first. The candidate that gets most of
+its machines' speed wins; see `docs/design/placement.md` for the comparison.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import attrs
+
+from egretspur.placement import split
+
+# Racks looked at for one chain, least used first. Looking at all costs time in
+# proportion to the data centre and gained nothing measurable.
+RACKS_TRIED: Final = 4
+
+# Longest chain; each stage adds a hop to every token.
+MAX_STAGES: Final = 8
+
+
+@attrs.frozen
+class Group:
+    """Machines of one chain with their layers."""
+
+    machines: tuple[split.Machine, ...]
+    split: split.Split
+    # Share of the machines' joint speed that the chain gets.
+    efficiency: float
+
+
+class Pool:
+    """Machines of one data centre that are free for new chains."""
+
+    def __init__(self, machines: Iterable[split.Machine]) -> None:
+        self._racks: dict[str, dict[str, list[split.Machine]]] = {}
+        self._cache: dict[tuple[object, ...], split.Split | None] = {}
+        for machine in sorted(machines, key=lambda m: m.name):
+            if machine.room > 0:
+                kinds = self._racks.setdefault(machine.rack, {})
+                kinds.setdefault(machine.accelerator, []).append(machine)
+
+    def take_chain(
+        self, layers: int, used_racks: dict[str, int], spread: bool
+    ) -> Group | None:
+        """Removes the machines of the best chain from the pool.
+
+        Args:
+            layers: Layers of the model.
+            used_racks: Chains already in each rack; updated.
+            spread: Whether to prefer racks with fewer chains.
+        """
+        group = self._find_in_racks(layers, used_racks, spread)
+        if group is None:
+            group = self._find_mixed(layers)
+        if group is None:
+            return None
+        for machine in group.machines:
+            self._racks[machine.rack][machine.accelerator].remove(machine)
+        rack = group.machines[0].rack
+        used_racks[rack] = used_racks.get(rack, 0) + 1
+        return group
+
+    def _find_in_racks(
+        self, layers: int, used_racks: dict[str, int], spread: bool
+    ) -> Group | None:
+        racks = list(self._racks)
+        if spread:
+            racks.sort(key=lambda r: (used_racks.get(r, 0), r))
+        best: Group | None = None
+        tried = 0
+        for rack in racks:
+            found = self._find_in_rack(rack, layers)
+            if found is None:
+                continue
+            if best is None or _rank(found) > _rank(best):
+                best = found
+            tried += 1
+            if tried >= RACKS_TRIED:
+                break
+        return best
+
+    def _find_in_rack(self, rack: str, layers: int) -> Group | None:
+        kinds = self._racks[rack]
+        candidates = [self._take_fitting(ms, layers) for ms in kinds.values()]
+        mixed = [m for ms in kinds.values() for m in ms[:MAX_STAGES]]
+        mixed.sort(key=lambda m: (-m.link_tokens_s, -m.layers_per_s, m.name))
+        candidates.append(self._take_fitting(mixed, layers))
+        found = [c for c in candidates if c is not None]
+        return max(found, key=_rank) if found else None
+
+    def _find_mixed(self, layers: int) -> Group | None:
+        machines = [
+            m
+            for kinds in self._racks.values()
+            for ms in kinds.values()
+            for m in ms[:MAX_STAGES]
+        ]
+        machines.sort(key=lambda m: (-m.link_tokens_s, -m.room, m.name))
+        return self._take_fitting(machines, layers)
+
+    def _take_fitting(
+        self, machines: Sequence[split.Machine], layers: int
+    ) -> Group | None:
+        chosen: list[split.Machine] = []
+        room = 0
+        for machine in machines[:MAX_STAGES]:
+            chosen.append(machine)
+            room += machine.room
+            if room >= layers:
+                return self._make_group(chosen, layers)
+        return None
+
+    def _make_group(
+        self, machines: list[split.Machine], layers: int
+    ) -> Group | None:
+        key = (
+            layers,
+            *((m.room, m.layers_per_s, m.link_tokens_s) for m in machines),
+        )
+        if key not in self._cache:
+            self._cache[key] = split.split_layers(machines, layers)
+        result = self._cache[key]
+        if result is None or result.tokens_per_s <= 0:
+            return None
+        used = [
+            (m, n)
+            for m, n in zip(machines, result.counts, strict=True)
+            if n > 0
+        ]
+        bound = split.compute_bound([m for m, _ in used], layers)
+        return Group(
+            tuple(m for m, _ in used),
+            split.Split(tuple(n for _, n in used), result.tokens_per_s),
+            result.tokens_per_s / bound,
+        )
+
+
+def _rank(group: Group) -> tuple[float, float]:
+    # Rounded, so that a chain is not preferred for a thousandth of efficiency
+    # over one that is twice as fast.
+    return round(group.efficiency, 1), group.split.tokens_per_s
--- /dev/null
+++ b/egretspur/platform/engine.py
@@ -0,0 +1,353 @@
+r"""Client of model engines: orders, status, and token streams.
+
+Assumed wire form (the only place that knows it)::
+
+    PUT  /holdings  {"fence": n, "holdings": [...], "priority": n}
+         -> 200, or 409 when the engine checks fencing numbers and n is old
+    GET  /status    -> fields of `EngineStatus`
+    POST /run       to the last stage of the route -> NDJSON events
+    POST /cancel    {"request": id, "attempt": n}
+
+The last stage hands the prompt to the first, and stages pass activations on
+directly. Events are ``{"r": request, "a": attempt, "p": position, "t": text,
+"l": layers}``; the last is ``{"r", "a", "end": count, "load": n}``, or
+``{"r", "a", "error": kind}``. ``l`` is the trail of layers the token went
+through, written by the stages: ``u1:0-12>u2:12-32``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+import orjson
+import urllib3
+from urllib3 import exceptions
+
+from egretspur import codec, errors, transport
+from egretspur.intents import records
+
+_MAX_READ: Final = 65_536
+
+# Kinds of `ErrorEvent` that mean more than a failure.
+BUSY: Final = "busy"
+LEAVING: Final = "leaving"
+
+
+@attrs.frozen
+class Holding:
+    """Layers of one model version that an engine holds or should hold."""
+
+    model: str
+    adapter: str
+    version: str
+    first: int
+    last: int
+
+
+@attrs.frozen
+class Order:
+    """The whole wanted set of holdings; repeating it changes nothing."""
+
+    # Offset of the lease under which the order is given.
+    fence: int
+    holdings: tuple[Holding, ...]
+    # Priority of its loads at the weight store.
+    priority: int
+
+
+@attrs.frozen
+class EngineStatus:
+    """What an engine says of itself."""
+
+    name: str
+    incarnation: str
+    # Fully loaded.
+    holdings: tuple[Holding, ...]
+    # Ordered and still loading.
+    loading: tuple[Holding, ...]
+    # Fencing number of the order in effect.
+    fence: int
+    # Requests it works on.
+    running: int
+    leaving: bool
+
+
+@attrs.frozen
+class Hop:
+    """One stage of a route as engines see it."""
+
+    upstream: str
+    address: str
+    first: int
+    last: int
+
+
+@attrs.frozen
+class RunCall:
+    """One attempt of a request."""
+
+    request: str
+    attempt: int
+    model: str
+    adapter: str
+    version: str
+    prompt: str
+    # Tokens delivered by earlier attempts; the engine recomputes or imports
+    # their KV cache and goes on at this position.
+    done: tuple[str, ...]
+    max_tokens: int
+    priority: int
+    route: tuple[Hop, ...]
+
+
+@attrs.frozen
+class TokenEvent:
+    """One token."""
+
+    request: str
+    attempt: int
+    position: int
+    text: str
+    layers: str
+
+
+@attrs.frozen
+class EndEvent:
+    """The explicit end of an answer."""
+
+    request: str
+    attempt: int
+    # Tokens of the whole answer, those of earlier attempts included.
+    count: int
+    # Requests the last stage works on, to be counted as a load report.
+    load: int
+
+
+@attrs.frozen
+class ErrorEvent:
+    """The engine gave up."""
+
+    request: str
+    attempt: int
+    # `BUSY`, `LEAVING`, ``not_loaded``, ``stage`` or ``malformed``.
+    kind: str
+    # Upstream at fault, if the engine can tell.
+    upstream: str
+
+
+Event = TokenEvent | EndEvent | ErrorEvent
+
+
+@attrs.frozen
+class Broken:
+    """The stream ended without its explicit end, or fell silent."""
+
+    reason: str
+    # False only if no engine can have started the attempt.
+    maybe_started: bool
+    # True if the connection was refused or reset, which the last stage is to
+    # blame for; false if it fell silent, which any stage may have caused.
+    upstream_failed: bool = False
+    # The engine's own refusal, if it gave one.
+    refusal: ErrorEvent | None = None
+
+
+class EngineClient:
+    """Calls engines by address."""
+
+    def __init__(
+        self, connect_s: float, first_event_s: float, between_events_s: float
+    ) -> None:
+        self._first_s = first_event_s
+        self._between_s = between_events_s
+        self._transport = transport.Transport(connect_s, first_event_s)
+
+    def put_holdings(self, address: str, order: Order) -> None | errors.Refusal:
+        """Gives an order; a conflict means a newer lease holder exists."""
+        res = self._transport.call(
+            "PUT", address, "/holdings", codec.dump(order)
+        )
+        if isinstance(res, transport.Failed):
+            return errors.Refusal(errors.ErrorKind.UPSTREAM_FAILED, res.reason)
+        if res.status == 409:
+            return errors.Refusal(
+                errors.ErrorKind.CONFLICT, f"{address} knows a newer lease"
+            )
+        if res.status != 200:
+            return errors.Refusal(
+                errors.ErrorKind.UPSTREAM_FAILED, f"status {res.status}"
+            )
+        return None
+
+    def get_status(self, address: str) -> EngineStatus | errors.Refusal:
+        """Reads back what an engine holds."""
+        res = self._transport.call("GET", address, "/status")
+        if isinstance(res, transport.Failed):
+            return errors.Refusal(errors.ErrorKind.UPSTREAM_FAILED, res.reason)
+        try:
+            return codec.load(res.body, EngineStatus)
+        except codec.DecodeError as exc:
+            return errors.Refusal(errors.ErrorKind.UPSTREAM_FAILED, str(exc))
+
+    def run(self, call: RunCall) -> EventStream | Broken:
+        """Starts an attempt at the last stage of its route."""
+        address = call.route[-1].address
+        res = self._transport.open(
+            "POST",
+            address,
+            "/run",
+            codec.dump(call),
+            {"Content-Type": "application/json"},
+            self._first_s,
+        )
+        if isinstance(res, transport.Failed):
+            return Broken(
+                res.reason, res.maybe_sent, upstream_failed=not res.is_silent
+            )
+        if res.status == 503:
+            # The engine's word that it has not taken the request.
+            return self._read_refusal(address, res)
+        if res.status != 200:
+            self._transport.discard(address, res)
+            return Broken(f"{address}: status {res.status}", maybe_started=True)
+        return EventStream(res, address, self._transport, self._between_s)
+
+    def _read_refusal(
+        self, address: str, res: urllib3.BaseHTTPResponse
+    ) -> Broken:
+        try:
+            event = parse_event(res.read(_MAX_READ))
+        except (exceptions.HTTPError, OSError) as exc:
+            self._transport.discard(address, res)
+            return Broken(f"{address}: {exc}", maybe_started=False)
+        res.release_conn()
+        refusal = event if isinstance(event, ErrorEvent) else None
+        return Broken(
+            f"{address} refused", maybe_started=False, refusal=refusal
+        )
+
+    def cancel(self, address: str, request: str, attempt: int) -> None:
+        """Tells one stage to drop an attempt; failure is left to its bound."""
+        body = codec.dump_json({"request": request, "attempt": attempt})
+        self._transport.call("POST", address, "/cancel", body, read_s=1.0)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._transport.close()
+
+
+class EventStream:
+    """Events of one attempt, in the order they arrive."""
+
+    def __init__(
+        self,
+        res: urllib3.BaseHTTPResponse,
+        address: str,
+        conns: transport.Transport,
+        between_s: float,
+    ) -> None:
+        self._res = res
+        self._address = address
+        self._transport = conns
+        self._between_s = between_s
+        self._rest = b""
+        self._ended = False
+
+    def read_events(self) -> Iterator[list[Event] | Broken]:
+        """Yields the events of each read; `Broken` is the last thing, if any.
+
+        Stops after an `EndEvent` or `ErrorEvent`.
+        """
+        first = True
+        while not self._ended:
+            data = self._read()
+            if isinstance(data, Broken):
+                self.discard()
+                yield data
+                return
+            if first:
+                self._bound_silence()
+                first = False
+            events = self._parse(data)
+            if events:
+                yield events
+
+    def _read(self) -> bytes | Broken:
+        try:
+            data = self._res.read1(_MAX_READ)
+        except (exceptions.ReadTimeoutError, TimeoutError) as exc:
+            return Broken(f"{self._address}: {exc}", maybe_started=True)
+        except (exceptions.HTTPError, OSError) as exc:
+            return Broken(
+                f"{self._address}: {exc}",
+                maybe_started=True,
+                upstream_failed=True,
+            )
+        if not data:
+            return Broken(
+                f"{self._address}: ended without its end", maybe_started=True
+            )
+        return data
+
+    def _parse(self, data: bytes) -> list[Event]:
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        events = [parse_event(line) for line in lines if line]
+        if events and not isinstance(events[-1], TokenEvent):
+            self._ended = True
+        return events
+
+    def _bound_silence(self) -> None:
+        """Sets the bound between events once the first has come.
+
+        A prefill may take long; after it, silence means a dead stage or a
+        connection that something in between has forgotten.
+        """
+        conn = self._res.connection
+        sock = getattr(conn, "sock", None)
+        if sock is not None:
+            sock.settimeout(self._between_s)
+
+    def finish(self) -> None:
+        """Returns the connection for reuse after the explicit end."""
+        try:
+            if self._rest or self._res.read(1):
+                # Bytes after the end belong to nobody; were the connection
+                # reused, they would stand before another request's answer.
+                self.discard()
+                return
+        except (exceptions.HTTPError, OSError):
+            self.discard()
+            return
+        self._res.release_conn()
+
+    def discard(self) -> None:
+        """Closes the connection so that it is never reused."""
+        self._transport.discard(self._address, self._res)
+
+
+def parse_event(line: bytes) -> Event:
+    """Returns the event on one line; anything malformed is an error event."""
+    try:
+        data = orjson.loads(line)
+        if "t" in data:
+            return TokenEvent(
+                data["r"], data["a"], data["p"], data["t"], data["l"]
+            )
+        if "end" in data:
+            return EndEvent(data["r"], data["a"], data["end"], data["load"])
+        return ErrorEvent(
+            data["r"], data["a"], data["error"], data.get("upstream", "")
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return ErrorEvent("", -1, "malformed", "")
+
+
+def format_trail(stages: tuple[records.Stage, ...] | tuple[Hop, ...]) -> str:
+    """Returns the trail a token must carry to count.
+
+    Example: ``u1:0-12>u2:12-32``.
+    """
+    return ">".join(f"{s.upstream}:{s.first}-{s.last}" for s in stages)
--- /dev/null
+++ b/egretspur/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a chain of upstreams for each attempt."""
--- /dev/null
+++ b/egretspur/routing/actor.py
@@ -0,0 +1,267 @@
+"""Actor that owns a router's `Dispatcher` and runs its effects.
+
+Request threads talk to it through `Traffic`. Tokens never pass through it;
+a request costs it a few messages in all.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import functools
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+
+from egretspur import actors, errors
+from egretspur.routing import dispatch, tables
+
+_LOG: Final = logging.getLogger(__name__)
+
+Decision = dispatch.Grant | errors.Refusal
+DecisionFuture = concurrent.futures.Future[Decision]
+
+
+@attrs.frozen
+class Arrive:
+    """A request with the future that its thread waits on."""
+
+    arrival: dispatch.Arrival
+    fut: DecisionFuture
+
+
+@attrs.frozen
+class Fail:
+    """A failed attempt with the future for what comes next."""
+
+    failure: dispatch.Failure
+    fut: DecisionFuture
+
+
+@attrs.frozen
+class Finish:
+    """A request is over."""
+
+    id: str
+
+
+@attrs.frozen
+class Tick:
+    """Time passed."""
+
+
+@attrs.frozen
+class GetService:
+    """Asks for the replicas of a plain service."""
+
+    name: str
+
+
+@attrs.frozen
+class NoteService:
+    """A plain service answered or did not."""
+
+    upstream: str
+    is_ok: bool
+
+
+@attrs.frozen
+class GetReport:
+    """Asks for a `Report`."""
+
+
+@attrs.frozen
+class Report:
+    """What the control daemon is told."""
+
+    in_force: int
+    leaving: tuple[tables.LeavingMark, ...]
+    demand: dict[str, int]
+
+
+@attrs.frozen
+class GetDump:
+    """Asks for a `Dump`."""
+
+
+@attrs.frozen
+class UpstreamDump:
+    """One upstream in the state dump."""
+
+    name: str
+    health: str
+    own: int
+    estimate: float
+
+
+@attrs.frozen
+class Dump:
+    """Full state of the router's decisions."""
+
+    offset: int
+    counts: dispatch.Counts
+    waiting: int
+    running: dict[str, int]
+    saved_retries: float
+    upstreams: tuple[UpstreamDump, ...]
+    leaving: dict[str, tuple[str, ...]]
+
+
+class TrafficActor(actors.Actor):
+    """Holds the dispatcher; see the messages above."""
+
+    def __init__(
+        self, dispatcher: dispatch.Dispatcher, marked: Callable[[], None]
+    ) -> None:
+        super().__init__()
+        self._dispatcher = dispatcher
+        self._marked = marked
+        self._futures: dict[str, DecisionFuture] = {}
+
+    @functools.singledispatchmethod
+    def handle(self, message: object) -> Any:
+        """Handles one message."""
+        raise actors.make_unknown(message)
+
+    @handle.register
+    def _(self, message: Arrive) -> None:
+        self._futures[message.arrival.id] = message.fut
+        now = time.monotonic()
+        self._run(self._dispatcher.arrive(message.arrival, now))
+
+    @handle.register
+    def _(self, message: Fail) -> None:
+        self._futures[message.failure.id] = message.fut
+        now = time.monotonic()
+        self._run(self._dispatcher.fail(message.failure, now))
+        if message.failure.leaving:
+            self._marked()
+
+    @handle.register
+    def _(self, message: Finish) -> None:
+        self._futures.pop(message.id, None)
+        self._run(self._dispatcher.finish(message.id, time.monotonic()))
+
+    @handle.register
+    def _(self, message: dispatch.Progress) -> None:
+        self._dispatcher.progress(message, time.monotonic())
+
+    @handle.register
+    def _(self, message: tables.RoutingUpdate) -> None:
+        self._run(self._dispatcher.update(message, time.monotonic()))
+
+    @handle.register
+    def _(self, message: Tick) -> None:
+        self._run(self._dispatcher.tick(time.monotonic()))
+
+    @handle.register
+    def _(self, message: GetService) -> list[tables.Upstream]:
+        return self._dispatcher.get_services(message.name, time.monotonic())
+
+    @handle.register
+    def _(self, message: NoteService) -> None:
+        self._dispatcher.note_service(
+            message.upstream, message.is_ok, time.monotonic()
+        )
+
+    @handle.register
+    def _(self, message: GetReport) -> Report:
+        marks = tuple(
+            tables.LeavingMark(name, incarnation)
+            for name, found in sorted(self._dispatcher.leaving.items())
+            for incarnation in sorted(found)
+        )
+        return Report(
+            self._dispatcher.offset, marks, self._dispatcher.get_demand()
+        )
+
+    @handle.register
+    def _(self, message: GetDump) -> Dump:
+        now = time.monotonic()
+        state = self._dispatcher
+        return Dump(
+            state.offset,
+            attrs.evolve(state.counts),
+            len(state.queue.waiting),
+            dict(state.running),
+            round(state.budget.saved, 2),
+            tuple(
+                UpstreamDump(
+                    name,
+                    load.health.value,
+                    load.own,
+                    round(load.estimate(now), 1),
+                )
+                for name, load in sorted(state.loads.items())
+            ),
+            {n: tuple(sorted(f)) for n, f in state.leaving.items()},
+        )
+
+    def _run(self, effects: list[dispatch.Effect]) -> None:
+        for effect in effects:
+            fut = self._futures.pop(effect.id, None)
+            if fut is None or fut.done():
+                continue
+            if isinstance(effect, dispatch.Refuse):
+                fut.set_result(effect.refusal)
+            else:
+                fut.set_result(effect)
+
+
+class Traffic:
+    """Typed front of the actor for request threads."""
+
+    def __init__(
+        self, dispatcher: dispatch.Dispatcher, marked: Callable[[], None]
+    ) -> None:
+        """Starts the actor.
+
+        Args:
+            dispatcher: Owned by the actor from now on.
+            marked: Called when an upstream said that it is leaving.
+        """
+        self._ref = TrafficActor.start(dispatcher, marked)
+
+    def close(self) -> None:
+        """Stops the actor."""
+        self._ref.stop()
+
+    def arrive(self, arrival: dispatch.Arrival) -> DecisionFuture:
+        """Hands in a request; the future gives its first path or refusal."""
+        fut: DecisionFuture = concurrent.futures.Future()
+        self._ref.tell(Arrive(arrival, fut))
+        return fut
+
+    def fail(self, failure: dispatch.Failure) -> DecisionFuture:
+        """Reports a failed attempt; the future gives the next path."""
+        fut: DecisionFuture = concurrent.futures.Future()
+        self._ref.tell(Fail(failure, fut))
+        return fut
+
+    def finish(self, request_id: str) -> None:
+        """Reports that a request is over."""
+        self._ref.tell(Finish(request_id))
+
+    def tell(
+        self,
+        message: dispatch.Progress | tables.RoutingUpdate | Tick | NoteService,
+    ) -> None:
+        """Sends a message that needs no answer."""
+        self._ref.tell(message)
+
+    def get_services(self, name: str) -> list[tables.Upstream]:
+        """Returns a plain service's replicas, least busy first."""
+        found: list[tables.Upstream] = actors.ask(self._ref, GetService(name))
+        return found
+
+    def get_report(self) -> Report:
+        """Returns what the control daemon is to be told."""
+        report: Report = actors.ask(self._ref, GetReport())
+        return report
+
+    def get_dump(self) -> Dump:
+        """Returns the state dump."""
+        dump: Dump = actors.ask(self._ref, GetDump())
+        return dump
--- /dev/null
+++ b/egretspur/routing/link.py
@@ -0,0 +1,93 @@
+"""The router's standing request to the control daemon of its host.
+
+While the daemon is away the router serves by its last table.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from egretspur import codec, transport
+from egretspur.routing import actor as traffics
+from egretspur.routing import tables
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Longest time the daemon holds a report before it answers.
+WAIT_S: Final = 1.0
+
+# Pause after a report that was not answered.
+PAUSE_S: Final = 0.25
+
+
+class Link:
+    """Reports to the control daemon and takes its updates."""
+
+    def __init__(
+        self,
+        control: str,
+        traffic: traffics.Traffic,
+        updated: Callable[[tables.RoutingUpdate], None],
+    ) -> None:
+        self._control = control
+        self._traffic = traffic
+        self._updated = updated
+        self._transport = transport.Transport(0.5, WAIT_S + 2.0)
+        self._stop = threading.Event()
+        self._version = 0
+        self._table_version = 0
+        self.address = ""
+        self._thread = threading.Thread(
+            target=self._run, name="link", daemon=True
+        )
+
+    def start(self, address: str) -> None:
+        """Starts to report; `address` is this router's own."""
+        self.address = address
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops reporting."""
+        self._stop.set()
+        self._transport.close()
+
+    def report_now(self) -> None:
+        """Sends a report besides the standing one, for urgent marks."""
+        threading.Thread(
+            target=self._send, args=(0,), name="mark", daemon=True
+        ).start()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            update = self._send(self._version)
+            if update is None:
+                self._stop.wait(PAUSE_S)
+                continue
+            self._version = update.version
+            self._table_version = update.table_version
+            self._updated(update)
+            self._traffic.tell(update)
+
+    def _send(self, version: int) -> tables.RoutingUpdate | None:
+        report = self._traffic.get_report()
+        message = tables.RouterReport(
+            self.address,
+            version,
+            self._table_version,
+            report.in_force,
+            report.leaving,
+            report.demand,
+        )
+        res = self._transport.call(
+            "POST", self._control, "/router/report", codec.dump(message)
+        )
+        if isinstance(res, transport.Failed) or res.status != 200:
+            return None
+        try:
+            return codec.load(res.body, tables.RoutingUpdate)
+        except codec.DecodeError as exc:
+            _LOG.error("update is malformed: %s", exc)
+            return None
--- /dev/null
+++ b/egretspur/transport.py
@@ -0,0 +1,166 @@
+"""HTTP calls to other processes, with bounded silence.
+
+Thin over urllib3: a call gives the answer or a `Failed` that tells whether the
+other side can have received it. A connection that goes silent takes its whole
+pool with it, since whatever lost track of that one (a restarted middlebox, for
+example) has usually lost track of the others too.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
+import urllib3
+from urllib3 import exceptions
+
+from egretspur import codec
+
+# Idle connections kept to one address.
+POOL_SIZE: Final = 64
+
+
+@attrs.frozen
+class Reply:
+    """An answer with any HTTP status."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def read_json(self) -> Any:
+        """Returns the body as plain values.
+
+        Raises:
+            codec.DecodeError: The body is not JSON.
+        """
+        return codec.load_json(self.body)
+
+
+@attrs.frozen
+class Failed:
+    """No answer came."""
+
+    reason: str
+    # False only if the other side can't have received the call.
+    maybe_sent: bool
+    # True if the connection was there but said nothing in time.
+    is_silent: bool = False
+
+
+class Transport:
+    """Pools of connections by address; shared between threads."""
+
+    def __init__(self, connect_s: float, read_s: float) -> None:
+        self._timeout = urllib3.Timeout(connect=connect_s, read=read_s)
+        self._lock = threading.Lock()
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        read_s: float | None = None,
+    ) -> Reply | Failed:
+        """Sends one request and reads the whole answer.
+
+        Args:
+            method: HTTP method.
+            address: IP and port.
+            path: Path with query.
+            body: Bytes to send.
+            headers: Header fields to send.
+            read_s: Longest silence in seconds; the transport's if None.
+        """
+        res = self.open(method, address, path, body, headers, read_s)
+        if isinstance(res, Failed):
+            return res
+        try:
+            data = res.read()
+        except (exceptions.HTTPError, OSError) as exc:
+            self.discard(address, res)
+            return Failed(f"{address}: {exc}", maybe_sent=True)
+        res.release_conn()
+        return Reply(res.status, res.headers, data)
+
+    def open(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        read_s: float | None = None,
+    ) -> urllib3.BaseHTTPResponse | Failed:
+        """Sends one request and returns its answer, body unread."""
+        timeout = self._timeout
+        if read_s is not None:
+            timeout = urllib3.Timeout(
+                connect=timeout.connect_timeout, read=read_s
+            )
+        try:
+            return self._get_pool(address).urlopen(
+                method,
+                path,
+                body=body,
+                headers=dict(headers or {}),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                timeout=timeout,
+            )
+        except (
+            exceptions.NewConnectionError,
+            exceptions.ConnectTimeoutError,
+            exceptions.ClosedPoolError,
+            exceptions.EmptyPoolError,
+        ) as exc:
+            return Failed(f"{address}: {exc}", maybe_sent=False)
+        except (exceptions.HTTPError, OSError) as exc:
+            # Bytes were on their way when the connection broke or fell
+            # silent. The other side may be at work on them, so this can't be
+            # told to a caller as "not run".
+            is_silent = isinstance(exc, exceptions.ReadTimeoutError)
+            if is_silent:
+                self.empty_pool(address)
+            return Failed(f"{address}: {exc}", True, is_silent)
+
+    def discard(self, address: str, res: urllib3.BaseHTTPResponse) -> None:
+        """Closes a connection that broke mid-answer, and its pool."""
+        res.close()
+        self.empty_pool(address)
+
+    def empty_pool(self, address: str) -> None:
+        """Closes the idle connections to an address.
+
+        Symptom without it: after a middlebox forgets its connections, each
+        pooled one costs another timeout before a new one is opened.
+        """
+        with self._lock:
+            pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        with self._lock:
+            pools = list(self._pools.values())
+            self._pools.clear()
+        for pool in pools:
+            pool.close()
+
+    def _get_pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        with self._lock:
+            pool = self._pools.get(address)
+            if pool is None:
+                host, _, port = address.rpartition(":")
+                pool = urllib3.HTTPConnectionPool(
+                    host, int(port), maxsize=POOL_SIZE, block=False
+                )
+                self._pools[address] = pool
+            return pool
--- /dev/null
+++ b/egretspur/web.py
@@ -0,0 +1,323 @@
+"""Small WSGI base of every daemon: paths, JSON, errors, drain.
+
+Waitress speaks HTTP; this module only maps a method and a path to a handler
+and a result to a response. Read next: `egretspur.errors` for the answer table.
+"""
+
+from __future__ import annotations
+
+import logging
+import socket
+import threading
+import urllib.parse
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final
+
+import attrs
+import waitress
+import waitress.channel
+import waitress.server
+import waitress.task
+from aioprometheus import collectors, renderer
+
+from egretspur import codec, errors
+
+_LOG: Final = logging.getLogger(__name__)
+
+JSON_TYPE: Final = "application/json"
+
+
+@attrs.define
+class Request:
+    """One HTTP request."""
+
+    method: str
+    path: str
+    # Decoded query; the last of equal names wins.
+    query: Mapping[str, str]
+    environ: dict[str, Any]
+    # Path parts matched by ``{name}`` in the route.
+    parts: dict[str, str] = attrs.Factory(dict)
+
+    def get_header(self, name: str) -> str:
+        """Returns a header field; empty if it is absent."""
+        key = name.upper().replace("-", "_")
+        if key in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            return str(self.environ.get(key, ""))
+        return str(self.environ.get(f"HTTP_{key}", ""))
+
+    def read_body(self) -> bytes:
+        """Returns the whole body."""
+        data: bytes = self.environ["wsgi.input"].read()
+        return data
+
+    def is_caller_gone(self) -> bool:
+        """Tells whether the caller has closed the connection."""
+        check = self.environ.get("waitress.client_disconnected")
+        return bool(check and check())
+
+
+@attrs.define
+class Response:
+    """One HTTP response; the body may be a stream."""
+
+    status: int = 200
+    headers: dict[str, str] = attrs.Factory(dict)
+    body: bytes | Iterable[bytes] = b""
+
+
+Handler = Callable[[Request], Response]
+
+
+def reply_json(message: Any, status: int = 200) -> Response:
+    """Returns a response with a message or plain values as JSON."""
+    return Response(status, {"Content-Type": JSON_TYPE}, codec.dump(message))
+
+
+def reply_refusal(refusal: errors.Refusal) -> Response:
+    """Returns the response of the answer table for a refusal."""
+    answer = refusal.answer
+    headers = {"Content-Type": JSON_TYPE}
+    if refusal.retry_after_s > 0:
+        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
+    return Response(
+        answer.status, headers, codec.dump_json(describe_refusal(refusal))
+    )
+
+
+def describe_refusal(refusal: errors.Refusal) -> dict[str, Any]:
+    """Returns the error object that callers and operators read."""
+    answer = refusal.answer
+    return {
+        "error": {
+            "kind": refusal.kind.value,
+            "message": f"{answer.message} ({refusal.reason})",
+            "not_run": answer.not_run,
+            "may_repeat": answer.may_repeat,
+            "retry_after_s": refusal.retry_after_s,
+            "ask_for": refusal.ask_for,
+        }
+    }
+
+
+class App:
+    """A WSGI application built from routes."""
+
+    def __init__(self) -> None:
+        self._routes: list[tuple[str, list[str], Handler]] = []
+
+    def add(self, method: str, pattern: str, handler: Handler) -> None:
+        """Adds a route.
+
+        Args:
+            method: HTTP method, or ``*`` for any.
+            pattern: Path such as ``/v1/plans/{plan}/confirm``; a last part
+                ``{rest*}`` matches everything that follows.
+            handler: Called with the request.
+        """
+        self._routes.append((method, pattern.strip("/").split("/"), handler))
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Serves one request, as WSGI asks."""
+        req = _make_request(environ)
+        res = self._handle(req)
+        headers = list(res.headers.items())
+        body = res.body
+        if isinstance(body, bytes):
+            headers.append(("Content-Length", str(len(body))))
+            body = [body]
+        start_response(f"{res.status} {_phrase(res.status)}", headers)
+        return body
+
+    def _handle(self, req: Request) -> Response:
+        handler = self._find(req)
+        if handler is None:
+            return reply_refusal(
+                errors.Refusal(
+                    errors.ErrorKind.NOT_FOUND, f"{req.method} {req.path}"
+                )
+            )
+        try:
+            return handler(req)
+        except codec.DecodeError as exc:
+            return reply_refusal(
+                errors.Refusal(errors.ErrorKind.BAD_REQUEST, str(exc))
+            )
+        except Exception as exc:
+            _LOG.exception("request failed", extra={"path": req.path})
+            return reply_refusal(
+                errors.Refusal(errors.ErrorKind.INTERNAL, repr(exc))
+            )
+
+    def _find(self, req: Request) -> Handler | None:
+        have = req.path.strip("/").split("/")
+        for method, want, handler in self._routes:
+            if method in ("*", req.method):
+                parts = _match(want, have)
+                if parts is not None:
+                    req.parts = parts
+                    return handler
+        return None
+
+
+class _DrainingTask(waitress.task.WSGITask):  # type: ignore[misc]
+    """Tells keep-alive callers to close once the server drains."""
+
+    def build_response_header(self) -> Any:
+        # Without this a balancer keeps its connections to a process that is
+        # going away, and its next request on one meets a closed socket.
+        if self.channel.server.adj.egretspur_draining.is_set():
+            self.set_close_on_finish()
+        return super().build_response_header()
+
+
+class _DrainingChannel(waitress.channel.HTTPChannel):  # type: ignore[misc]
+    task_class = _DrainingTask
+
+
+class Server:
+    """A waitress server in a thread of its own."""
+
+    def __init__(
+        self,
+        app: App,
+        listen: str,
+        threads: int,
+        body_bytes: int = 10_000_000,
+        header_bytes: int = 65_536,
+        idle_s: float = 120.0,
+    ) -> None:
+        host, _, port = listen.rpartition(":")
+        self._draining = threading.Event()
+        self._server = waitress.server.create_server(
+            app,
+            host=host,
+            port=int(port),
+            threads=threads,
+            connection_limit=threads * 4 + 100,
+            channel_request_lookahead=1,
+            channel_timeout=max(1, int(idle_s)),
+            cleanup_interval=max(1, int(idle_s / 4)),
+            max_request_body_size=body_bytes,
+            max_request_header_size=header_bytes,
+            ident="egretspur",
+            clear_untrusted_proxy_headers=True,
+            asyncore_use_poll=True,
+        )
+        self._server.adj.egretspur_draining = self._draining
+        self._server.channel_class = _DrainingChannel
+        self._thread = threading.Thread(
+            target=self._run, name="http", daemon=True
+        )
+        self.address = f"{host}:{self._server.effective_port}"
+
+    def start(self) -> None:
+        """Starts to serve."""
+        self._thread.start()
+
+    def drain(self) -> None:
+        """Tells callers, from now on, to close their connections."""
+        self._draining.set()
+
+    def close(self) -> None:
+        """Stops serving; open connections are closed."""
+        self._server.close()
+        self._server.task_dispatcher.shutdown()
+        self._server.pull_trigger()
+        self._thread.join(timeout=2)
+
+    def _run(self) -> None:
+        try:
+            self._server.run()
+        except OSError:
+            # The listening socket was closed by `close` under the poll.
+            _LOG.debug("server closed")
+
+
+def add_diagnostics(
+    app: App,
+    registry: collectors.Registry,
+    dump_state: Callable[[], Any],
+    is_ready: Callable[[], bool],
+) -> None:
+    """Adds the pages every daemon has: metrics, state, ready, live."""
+
+    def get_metrics(req: Request) -> Response:
+        body, headers = renderer.render(registry, [])
+        return Response(200, dict(headers), body)
+
+    def get_ready(req: Request) -> Response:
+        ready = is_ready()
+        return reply_json({"ready": ready}, 200 if ready else 503)
+
+    app.add("GET", "/metrics", get_metrics)
+    app.add("GET", "/state", lambda req: reply_json(dump_state()))
+    app.add("GET", "/ready", get_ready)
+    app.add("GET", "/live", lambda req: reply_json({"live": True}))
+
+
+def get_query_int(req: Request, name: str, default: int) -> int:
+    """Returns a number from the query.
+
+    Raises:
+        codec.DecodeError: It is not a number.
+    """
+    text = req.query.get(name)
+    if text is None:
+        return default
+    try:
+        return int(text)
+    except ValueError as exc:
+        raise codec.DecodeError(f"{name}: not a number: {text!r}") from exc
+
+
+def find_free_address(host: str) -> str:
+    """Returns an address nothing listens on, for tests and the demo."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return f"{host}:{sock.getsockname()[1]}"
+
+
+def _make_request(environ: dict[str, Any]) -> Request:
+    query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+    return Request(
+        environ["REQUEST_METHOD"], environ["PATH_INFO"], query, environ
+    )
+
+
+def _match(want: list[str], have: list[str]) -> dict[str, str] | None:
+    parts: dict[str, str] = {}
+    for i, part in enumerate(want):
+        if part.startswith("{") and part.endswith("*}"):
+            parts[part[1:-2]] = "/".join(have[i:])
+            return parts
+        if i >= len(have):
+            return None
+        if part.startswith("{"):
+            parts[part[1:-1]] = urllib.parse.unquote(have[i])
+        elif part != have[i]:
+            return None
+    return parts if len(want) == len(have) else None
+
+
+_PHRASES: Final = {
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    499: "Client Closed Request",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def _phrase(status: int) -> str:
+    return _PHRASES.get(status, "Status")
--- /dev/null
+++ b/tests/fakes/service.py
@@ -0,0 +1,72 @@
+"""Stand-in of a plain service: counts how often each id ran.
+
+``POST /orders`` runs an order; ``GET /outcomes/<id>`` tells its outcome.
+Faults: ``lose_answers`` (that many run and then hang past any time-out),
+``reset`` (that many close the connection before running).
+"""
+
+from __future__ import annotations
+
+import sys
+import threading
+import time
+from typing import Any
+
+from egretspur import web
+from tests.fakes import base
+
+
+class Service:
+    """Runs by request id."""
+
+    def __init__(self) -> None:
+        self.faults: dict[str, Any] = {"lose_answers": 0, "hang_s": 5.0}
+        self.runs: dict[str, int] = {}
+        self.lock = threading.Lock()
+
+    def run(self, request_id: str) -> bool:
+        """Counts a run; False if its answer is to be lost."""
+        with self.lock:
+            self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            if self.faults["lose_answers"] > 0:
+                self.faults["lose_answers"] -= 1
+                return False
+        return True
+
+
+def make_app(service: Service) -> web.App:
+    """Returns the service's pages."""
+    app = web.App()
+
+    def run(req: web.Request) -> web.Response:
+        request_id = req.get_header("X-Request-Id")
+        req.read_body()
+        if not service.run(request_id):
+            time.sleep(service.faults["hang_s"])
+        return base.reply({"order": request_id})
+
+    def outcome(req: web.Request) -> web.Response:
+        request_id = req.parts["id"]
+        if request_id in service.runs:
+            return base.reply({"order": request_id})
+        return base.reply({}, 404)
+
+    def echo(req: web.Request) -> web.Response:
+        return base.reply({"method": req.method, "path": req.path})
+
+    app.add("POST", "/orders", run)
+    app.add("GET", "/outcomes/{id}", outcome)
+    app.add("GET", "/runs", lambda r: base.reply(service.runs))
+    base.add_faults(app, service.faults)
+    app.add("*", "/{rest*}", echo)
+    return app
+
+
+def main() -> int:
+    """Entry point."""
+    args = base.make_parser(__doc__ or "").parse_args()
+    return base.run(make_app(Service()), args.listen, 32)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/scene.py
@@ -0,0 +1,351 @@
+"""A whole small system: platform, engines, entry hosts, callers, operators."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+
+from egretspur import transport
+from egretspur.cli import main as cli
+from tests import stage
+
+MODEL: Final = "tailor-llm"
+VERSION: Final = "v1"
+LAYERS: Final = 32
+
+# Speeds of unlike accelerators, in layers per second.
+KINDS: Final = {"fast": 16_000.0, "slow": 8_000.0}
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got."""
+
+    status: int
+    text: str
+    # True if the explicit end came.
+    whole: bool
+    headers: dict[str, str]
+    pipeline: str
+    error: dict[str, Any]
+
+
+@attrs.define
+class Scene(stage.Stage):
+    """Processes by name; see the methods."""
+
+    # Settings merged into those of every control daemon and router.
+    control_cfg: dict[str, Any] = attrs.Factory(dict)
+    router_cfg: dict[str, Any] = attrs.Factory(dict)
+
+    def start_platform(
+        self,
+        *log_args: str,
+        lag_s: float = 0.0,
+        bytes_per_s: float = 1e9,
+    ) -> None:
+        """Starts log, host list and weight store."""
+        self.start("log", "tests.fakes.log", *log_args)
+        self.start("hosts", "tests.fakes.hosts", "--lag-s", str(lag_s))
+        self.start(
+            "weights", "tests.fakes.weights", "--bytes-per-s", str(bytes_per_s)
+        )
+        self.put_model(MODEL)
+
+    def put_model(self, model: str, layer_bytes: int = 1_000_000) -> None:
+        """Puts a model into the weight store."""
+        spec = {
+            "layers": LAYERS,
+            "layer_bytes": layer_bytes,
+            "adapter_layer_bytes": 10_000,
+            "activation_bytes": 16_384,
+            "versions": ["v1", "v2"],
+            "adapters": ["wedding"],
+        }
+        self.call("PUT", "weights", f"/models/{model}", spec)
+
+    def start_engine(
+        self,
+        name: str,
+        data_centre: str,
+        kind: str = "fast",
+        room: int = LAYERS,
+        rack: str = "r1",
+        slots: int = 16,
+        checks_fence: bool = True,
+    ) -> None:
+        """Starts an engine and lists it."""
+        args = ["--name", name, "--layers-per-s", str(KINDS[kind])]
+        args += ["--slots", str(slots)]
+        args += ["--weights", self.processes["weights"].address]
+        if checks_fence:
+            args.append("--checks-fence")
+        self.start(name, "tests.fakes.engine", *args)
+        status = self.call("GET", name, "/status")
+        self.list_host(
+            name,
+            data_centre,
+            "engine",
+            incarnation=status["incarnation"],
+            rack=rack,
+            accelerator=kind,
+            memory_bytes=room * 1_000_000,
+            layers_per_s=KINDS[kind],
+            slots=slots,
+            link_bytes_s=1e9,
+            checks_fence=checks_fence,
+        )
+
+    def start_service(self, name: str, data_centre: str, service: str) -> None:
+        """Starts a plain service and lists it."""
+        self.start(name, "tests.fakes.service")
+        self.list_host(name, data_centre, "service", service=service)
+
+    def list_host(
+        self, name: str, data_centre: str, role: str, **fields: Any
+    ) -> None:
+        """Puts a process into the platform's host list."""
+        host = {
+            "name": name,
+            "role": role,
+            "address": self.processes[name].address,
+            "data_centre": data_centre,
+            "incarnation": "1",
+            **fields,
+        }
+        self.call("PUT", "hosts", f"/hosts/{name}", host)
+
+    def start_entry(self, name: str, data_centre: str) -> None:
+        """Starts an entry host: ``<name>`` its control, ``<name>-router``."""
+        self.start_control(name, data_centre)
+        self.start_router(name, data_centre)
+
+    def start_control(
+        self, name: str, data_centre: str, listen: str = "127.0.0.1:0"
+    ) -> None:
+        """Starts a control daemon and lists it."""
+        cfg: dict[str, Any] = {
+            "node": {
+                "name": name,
+                "data_centre": data_centre,
+                "listen": listen,
+            },
+            "platform": {
+                "log": self.processes["log"].address,
+                "hosts": self.processes["hosts"].address,
+                "weights": self.processes["weights"].address,
+            },
+            "lease": {
+                "duration_s": 2.0,
+                "margin_s": 0.4,
+                "flight_s": 0.6,
+                "drain_s": 1.0,
+                "dead_after_s": 2.0,
+                "audit_per_s": 20,
+                "period_s": 0.1,
+            },
+            "peers": {"period_s": 0.3, "gone_after_s": 4.0, "fallback_s": 2.0},
+        }
+        _merge(cfg, self.control_cfg)
+        self.start_daemon(name, "egretspur.daemons.control", cfg)
+        self.list_host(name, data_centre, "entry")
+
+    def start_router(
+        self, name: str, data_centre: str, listen: str = "127.0.0.1:0"
+    ) -> None:
+        """Starts the router of an entry host."""
+        cfg: dict[str, Any] = {
+            "node": {
+                "name": name,
+                "data_centre": data_centre,
+                "listen": listen,
+            },
+            "control": self.processes[name].address,
+            "log": self.processes["log"].address,
+            "limits": {"streams": 128},
+            "timing": {
+                "first_event_s": 2.0,
+                "between_events_s": 0.6,
+                "service_s": 1.0,
+                "linger_s": 0.5,
+                "deadline_s": 6.0,
+            },
+        }
+        _merge(cfg, self.router_cfg)
+        self.start_daemon(f"{name}-router", "egretspur.daemons.router", cfg)
+
+    # Operators.
+
+    def run_cli(
+        self, control: str, *args: str, operator: str = "ann"
+    ) -> tuple[int, str, str]:
+        """Runs the command line; returns its exit code and output."""
+        argv = ["--control", self.processes[control].address]
+        argv += ["--operator", operator, *args]
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = cli.main(argv)
+        return code, out.getvalue(), err.getvalue()
+
+    def make_intent(
+        self,
+        control: str,
+        workspace: str,
+        data_centres: list[str],
+        operator: str = "ann",
+        **fields: Any,
+    ) -> dict[str, Any]:
+        """Creates an intent; returns its plan."""
+        wish = {
+            "workspace": workspace,
+            "model": MODEL,
+            "version": VERSION,
+            "data_centres": data_centres,
+            "priority": 5,
+            "replicas": 1,
+            **fields,
+        }
+        path = self.folder / "intent.toml"
+        path.write_text(stage.format_toml(wish), encoding="utf-8")
+        code, out, err = self.run_cli(
+            control, "--json", "intent", "create", str(path), operator=operator
+        )
+        if code:
+            raise RuntimeError(err)
+        plan: dict[str, Any] = json.loads(out)
+        return plan
+
+    def put_in_force(
+        self,
+        control: str,
+        workspace: str,
+        data_centres: list[str],
+        **fields: Any,
+    ) -> dict[str, Any]:
+        """Creates an intent, confirms its plan, waits until it is in force."""
+        plan = self.make_intent(control, workspace, data_centres, **fields)
+        code, _, err = self.run_cli(control, "plan", "confirm", plan["id"])
+        if code:
+            raise RuntimeError(err)
+        return self.wait_active(control, plan["id"])
+
+    def wait_active(self, control: str, plan_id: str) -> dict[str, Any]:
+        """Waits until a plan is in force in every router."""
+
+        def is_active() -> dict[str, Any] | None:
+            plan = self.call("GET", control, f"/v1/plans/{plan_id}")
+            return plan if plan["status"] == "active" else None
+
+        plan: dict[str, Any] = stage.wait_until(is_active, 30, plan_id)
+        self.wait_in_force(plan["active_offset"])
+        return plan
+
+    def wait_in_force(self, offset: int, wait_s: float = 10.0) -> None:
+        """Waits until every live router has an offset in force."""
+        for name, process in self.processes.items():
+            if name.endswith("-router") and process.popen.poll() is None:
+                stage.wait_until(
+                    lambda n=name: self.get_in_force(n) >= offset,
+                    wait_s,
+                    f"{name} at {offset}",
+                )
+
+    def get_in_force(self, router: str) -> int:
+        """Returns the offset a router routes by."""
+        offset: int = self.call("GET", router, "/state")["traffic"]["offset"]
+        return offset
+
+    # Callers.
+
+    def complete(
+        self,
+        router: str,
+        workspace: str,
+        prompt: str,
+        max_tokens: int = 16,
+        request_id: str = "",
+    ) -> Answer:
+        """Sends a streaming completion and reads its answer."""
+        return read_answer(
+            self.open_completion(
+                router, workspace, prompt, max_tokens, request_id
+            )
+        )
+
+    def open_completion(
+        self,
+        router: str,
+        workspace: str,
+        prompt: str,
+        max_tokens: int = 16,
+        request_id: str = "",
+    ) -> Any:
+        """Sends a streaming completion; returns the open response."""
+        body = {
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        headers = {"X-Workspace": workspace, "Content-Type": "application/json"}
+        if request_id:
+            headers["X-Request-Id"] = request_id
+        res = self.conns.open(
+            "POST",
+            self.processes[router].address,
+            "/v1/completions",
+            json.dumps(body).encode(),
+            headers,
+        )
+        if isinstance(res, transport.Failed):
+            raise RuntimeError(res.reason)
+        return res
+
+
+def read_lines(res: Any) -> Iterator[str]:
+    """Yields the lines of an open response as they come."""
+    rest = b""
+    while True:
+        data = res.read1(65_536)
+        if not data:
+            return
+        *lines, rest = (rest + data).split(b"\n")
+        for line in lines:
+            yield line.decode()
+
+
+def read_answer(res: Any) -> Answer:
+    """Reads an open completion to its end."""
+    headers = {k.lower(): v for k, v in res.headers.items()}
+    if res.status != 200:
+        data = json.loads(res.read())
+        return Answer(res.status, "", False, headers, "", data["error"])
+    text = ""
+    whole = False
+    pipeline = ""
+    error: dict[str, Any] = {}
+    for line in read_lines(res):
+        if line == "data: [DONE]":
+            whole = True
+        elif line.startswith("data: "):
+            data = json.loads(line[6:])
+            if "error" in data:
+                error = data["error"]
+                continue
+            text += data["choices"][0]["text"]
+            pipeline = data.get("pipeline", pipeline)
+    res.release_conn()
+    return Answer(200, text, whole, headers, pipeline, error)
+
+
+def _merge(cfg: dict[str, Any], more: dict[str, Any]) -> None:
+    for key, value in more.items():
+        if isinstance(value, dict) and isinstance(cfg.get(key), dict):
+            _merge(cfg[key], value)
+        else:
+            cfg[key] = value
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,149 @@
+"""Starts stand-ins and daemons as processes, for tests, demo and bench."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+
+from egretspur import codec, transport
+
+START_S: Final = 20.0
+
+
+@attrs.define
+class Process:
+    """A started process."""
+
+    name: str
+    popen: subprocess.Popen[str]
+    address: str
+    # Lines it wrote to standard error, the newest last.
+    lines: list[str] = attrs.Factory(list)
+
+    def kill(self) -> None:
+        """Ends it at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def terminate(self) -> None:
+        """Asks it to drain and stop."""
+        self.popen.terminate()
+
+    def pause(self) -> None:
+        """Stops it where it is."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets it go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+
+@attrs.define
+class Stage:
+    """All processes of one scene."""
+
+    folder: pathlib.Path = attrs.Factory(
+        lambda: pathlib.Path(tempfile.mkdtemp(prefix="egretspur-"))
+    )
+    processes: dict[str, Process] = attrs.Factory(dict)
+    conns: transport.Transport = attrs.Factory(
+        lambda: transport.Transport(1.0, 30.0)
+    )
+
+    def close(self) -> None:
+        """Ends all processes."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+        self.conns.close()
+        for file in self.folder.glob("*"):
+            file.unlink()
+        self.folder.rmdir()
+
+    def start(self, name: str, module: str, *args: str) -> Process:
+        """Starts a module and waits for its address."""
+        popen = subprocess.Popen(
+            [sys.executable, "-m", module, *args],
+            stderr=subprocess.PIPE,
+            stdout=subprocess.DEVNULL,
+            text=True,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        process = Process(name, popen, "")
+        self.processes[name] = process
+        found = threading.Event()
+        threading.Thread(
+            target=_read_lines, args=(process, found), daemon=True
+        ).start()
+        if not found.wait(START_S) or not process.address:
+            raise RuntimeError(f"{name} did not start: {process.lines}")
+        return process
+
+    def start_daemon(
+        self, name: str, module: str, cfg: dict[str, Any]
+    ) -> Process:
+        """Starts a daemon with settings given as nested dicts."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(format_toml(cfg), encoding="utf-8")
+        return self.start(name, module, str(path))
+
+    def call(self, method: str, name: str, path: str, value: Any = None) -> Any:
+        """Calls a process with JSON; returns the JSON answer."""
+        body = json.dumps(value).encode() if value is not None else None
+        address = self.processes[name].address
+        res = self.conns.call(method, address, path, body)
+        if isinstance(res, transport.Failed):
+            raise RuntimeError(res.reason)
+        return codec.load_json(res.body)
+
+
+def _read_lines(process: Process, found: threading.Event) -> None:
+    assert process.popen.stderr is not None
+    for line in process.popen.stderr:
+        process.lines.append(line.rstrip())
+        if not process.address and '"started"' in line:
+            process.address = json.loads(line)["address"]
+            found.set()
+    found.set()
+
+
+def format_toml(cfg: dict[str, Any], prefix: str = "") -> str:
+    """Returns nested dicts as TOML; lists of dicts become table arrays."""
+    lines = []
+    tables = []
+    for key, value in cfg.items():
+        if isinstance(value, dict):
+            tables.append(f"[{prefix}{key}]\n{format_toml(value)}")
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            tables += [f"[[{prefix}{key}]]\n{format_toml(v)}" for v in value]
+        else:
+            lines.append(f"{key} = {json.dumps(value)}")
+    return "\n".join(lines + tables) + "\n"
+
+
+def wait_until(
+    check: Callable[[], Any], wait_s: float = 20.0, what: str = ""
+) -> Any:
+    """Waits until a check gives something true; returns that."""
+    end = time.monotonic() + wait_s
+    while True:
+        result = check()
+        if result:
+            return result
+        if time.monotonic() > end:
+            raise AssertionError(f"not within {wait_s} s: {what or check}")
+        time.sleep(0.05)
