--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -28,24 +28,7 @@
 from egretspur import transport, web
 from tests.fakes import base
 
-WORDS: Final = [
-    "chest",
-    "waist",
-    "sleeve",
-    "collar",
-    "lapel",
-    "seam",
-    "hem",
-    "cuff",
-    "vent",
-    "dart",
-    "lining",
-    "pocket",
-    "button",
-    "canvas",
-    "yoke",
-    "inseam",
-]
+WORDS: Final = ("chest", "waist", "sleeve", "collar", "lapel", "seam", "hem")
 
 # Prefixes remembered for the cache events.
 PREFIXES: Final = 64
--- /dev/null
+++ b/tests/fuzz.py
@@ -0,0 +1,32 @@
+"""Runs a hypothesis state machine from a step, seeded or for longer."""
+
+from __future__ import annotations
+
+import os
+from typing import Final
+
+import hypothesis
+from hypothesis import stateful
+
+# Set by ``make fuzz``.
+IS_LONG: Final = os.environ.get("EGRETSPUR_FUZZ") == "long"
+
+LONG_FACTOR: Final = 30
+
+
+def run_machine(
+    machine: type[stateful.RuleBasedStateMachine], histories: int, steps: int
+) -> None:
+    """Runs histories of a machine; the same ones each time unless long."""
+    stateful.run_state_machine_as_test(
+        machine,
+        settings=hypothesis.settings(
+            max_examples=histories * (LONG_FACTOR if IS_LONG else 1),
+            stateful_step_count=steps,
+            derandomize=not IS_LONG,
+            database=None,
+            deadline=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+            print_blob=IS_LONG,
+        ),
+    )
--- /dev/null
+++ b/tests/routing/world.py
@@ -0,0 +1,228 @@
+"""A pure world of routers and engines for the fuzzing.
+
+Dispatchers and merges are the ones that serve; engines, connections and time
+are simulated here. The oracle is in `machine`.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import attrs
+
+from egretspur import settings
+from egretspur.delivery import attempts
+from egretspur.intents import records
+from egretspur.platform import engine
+from egretspur.routing import dispatch, tables
+
+LAYERS: Final = 8
+TOKENS: Final = 5
+UPSTREAMS: Final = ("a1", "a2", "b1", "b2", "c1", "c2")
+LIMIT: Final = 4
+
+DEPLOYMENT: Final = records.Deployment(
+    "d",
+    "m",
+    "",
+    "v",
+    "dc",
+    LAYERS,
+    tuple(
+        records.Chain(
+            row,
+            (
+                records.Stage(f"{row}1", 0, 4),
+                records.Stage(f"{row}2", 4, LAYERS),
+            ),
+            1.0,
+        )
+        for row in "abc"
+    ),
+)
+
+
+@attrs.define
+class Attempt:
+    """An attempt as an engine's side sees it."""
+
+    grant: dispatch.Grant
+    number: int
+    trail: str
+    position: int
+    # Whether the engines took it, and whether they still work on it.
+    started: bool = True
+    alive: bool = True
+
+
+@attrs.define
+class Request:
+    """A caller's request and all that happened to it."""
+
+    id: str
+    router: int
+    merge: attempts.Merge
+    current: Attempt | None = None
+    # All attempts ever started, for late events.
+    attempts: list[Attempt] = attrs.Factory(list)
+    texts: list[str] = attrs.Factory(list)
+    answers: int = 0
+    refusal: dispatch.Refuse | None = None
+    gone: bool = False
+
+
+@attrs.define
+class World:
+    """Several routers before the same engines."""
+
+    now: float = 100.0
+    incarnations: dict[str, int] = attrs.Factory(
+        lambda: dict.fromkeys(UPSTREAMS, 1)
+    )
+    # Upstreams that each router was told are leaving, by incarnation.
+    told_leaving: list[set[tuple[str, str]]] = attrs.Factory(list)
+    requests: dict[str, Request] = attrs.Factory(dict)
+    routers: list[dispatch.Dispatcher] = attrs.Factory(list)
+    # Upstreams given to an attempt while known as leaving; must stay empty.
+    wrong_grants: list[str] = attrs.Factory(list)
+    offset: int = 1
+
+    def start(self, routers: int, limit: int) -> None:
+        """Makes the routers and gives them the table."""
+        for number in range(routers):
+            self.routers.append(self._make_router(number))
+            self.told_leaving.append(set())
+        self.limit = limit
+        for number in range(routers):
+            self.update(number)
+
+    limit: int = 0
+
+    def _make_router(self, number: int) -> dispatch.Dispatcher:
+        return dispatch.Dispatcher(
+            f"r{number}",
+            "dc",
+            settings.LimitSettings(queue_length=4),
+            settings.TimingSettings(deadline_s=10.0),
+            settings.RetrySettings(burst=3.0, attempts=4),
+            random.Random(number),
+        )
+
+    def update(self, number: int) -> None:
+        """Gives a router the present table."""
+        table = tables.RoutingTable(
+            self.offset,
+            (DEPLOYMENT,),
+            (records.Binding("w", "m", ("d",), 5, self.limit),),
+            {},
+            tuple(
+                tables.Upstream(
+                    n, n, str(self.incarnations[n]), "dc", False, "", 100.0, 3
+                )
+                for n in UPSTREAMS
+            ),
+        )
+        leaving: dict[str, tuple[str, ...]] = {}
+        for name, incarnation in sorted(self.told_leaving[number]):
+            leaving[name] = (*leaving.get(name, ()), incarnation)
+        demand = {
+            f"r{i}": r.running.get("binding/w/m", 0)
+            for i, r in enumerate(self.routers)
+            if i != number
+        }
+        update = tables.RoutingUpdate(
+            1,
+            table,
+            1,
+            leaving,
+            {"binding/w/m": demand},
+            (),
+            len(self.routers),
+        )
+        self.run(number, self.routers[number].update(update, self.now))
+
+    def arrive(self, number: int) -> None:
+        """Lets a caller's request arrive."""
+        name = f"q{len(self.requests)}"
+        self.requests[name] = Request(name, number, attempts.Merge(name))
+        arrival = dispatch.Arrival(name, "w", "m")
+        self.run(number, self.routers[number].arrive(arrival, self.now))
+
+    def run(self, number: int, effects: list[dispatch.Effect]) -> None:
+        """Runs effects as the actor and the relay would."""
+        for effect in effects:
+            request = self.requests[effect.id]
+            if isinstance(effect, dispatch.Refuse):
+                request.refusal = effect
+                request.answers += 1
+                request.current = None
+                continue
+            self._start_attempt(request, number, effect)
+
+    def _start_attempt(
+        self, request: Request, number: int, grant: dispatch.Grant
+    ) -> None:
+        for edge in grant.path.edges:
+            mark = (edge.upstream, str(self.incarnations[edge.upstream]))
+            if mark in self.told_leaving[number]:
+                self.wrong_grants.append(edge.upstream)
+        hops = tuple(
+            engine.Hop(e.upstream, e.upstream, e.first, e.last)
+            for e in grant.path.edges
+        )
+        trail = engine.format_trail(hops)
+        attempt = attempts.begin(request.merge, trail)
+        request.current = Attempt(
+            grant, attempt, trail, len(request.merge.tokens)
+        )
+        request.attempts.append(request.current)
+
+    def deliver(self, request: Request, event: engine.Event) -> None:
+        """Lets an event arrive on the request's present connection."""
+        if request.current is None:
+            return
+        decision = attempts.accept(request.merge, event)
+        if isinstance(decision, attempts.Deliver):
+            request.texts.append(decision.text)
+        elif isinstance(decision, attempts.Finish):
+            request.answers += 1
+            request.current = None
+            number = request.router
+            self.run(number, self.routers[number].finish(request.id, self.now))
+        elif isinstance(decision, attempts.Fault):
+            self.break_attempt(request, decision.upstream, started=True)
+
+    def break_attempt(
+        self, request: Request, blamed: str, started: bool, busy: bool = False
+    ) -> None:
+        """Ends the present attempt without the whole answer."""
+        if request.current is None:
+            return
+        request.current.started = started
+        request.current = None
+        failure = dispatch.Failure(
+            request.id,
+            "broken",
+            (blamed,) if blamed else (),
+            busy,
+            "",
+            started,
+            len(request.merge.tokens),
+        )
+        number = request.router
+        self.run(number, self.routers[number].fail(failure, self.now))
+
+    def make_event(self, attempt: Attempt, request: Request) -> engine.Event:
+        """Returns the next event that the engines send for an attempt."""
+        if attempt.position == TOKENS:
+            return engine.EndEvent(request.id, attempt.number, TOKENS, 0)
+        event = engine.TokenEvent(
+            request.id,
+            attempt.number,
+            attempt.position,
+            f"t{attempt.position}",
+            attempt.trail,
+        )
+        attempt.position += 1
+        return event
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -249,11 +249,14 @@
         """Waits until every live router has an offset in force."""
         for name, process in self.processes.items():
             if name.endswith("-router") and process.popen.poll() is None:
-                stage.wait_until(
-                    lambda n=name: self.get_in_force(n) >= offset,
-                    wait_s,
-                    f"{name} at {offset}",
-                )
+                self._wait_router(name, offset, wait_s)
+
+    def _wait_router(self, name: str, offset: int, wait_s: float) -> None:
+        stage.wait_until(
+            lambda: self.get_in_force(name) >= offset,
+            wait_s,
+            f"{name} at {offset}",
+        )
 
     def get_in_force(self, router: str) -> int:
         """Returns the offset a router routes by."""
