Bring about the failures of requests, calls, intents and orders in processes

Cause: the decisions were fuzzed, the processes around them were not. Found and mended: closing the HTTP server touched its own closed trigger, so a drained router exited with a traceback instead of 0.

--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -223,9 +223,8 @@
 
     def close(self) -> None:
         """Stops serving; open connections are closed."""
-        self._server.close()
         self._server.task_dispatcher.shutdown()
-        self._server.pull_trigger()
+        self._server.close()
         self._thread.join(timeout=2)
 
     def _run(self) -> None:
--- /dev/null
+++ b/tests/claims/calls.feature
@@ -0,0 +1,48 @@
+Feature: Calls that must not be repeated
+
+  Background:
+    Given a data centre with a service and two entry hosts
+
+  Scenario: The answer is lost and the service can tell
+    # Symptom: a doubled order confirmation. Sequence: the service runs the
+    # call, its answer never comes. Cause: a router that sends it again.
+    When the service "desk" loses 1 answer
+    And a caller sends order "o-1" to service "desk" at router 1
+    Then the order is answered with its outcome
+    And order "o-1" ran once
+
+  Scenario: The answer is lost and the service can't tell
+    When the service "mute" loses 1 answer
+    And a caller sends order "o-2" to service "mute" at router 1
+    Then the order is answered "outcome_unknown" and may have run
+    And order "o-2" ran once
+
+  Scenario: The same id arrives at two entry hosts at once
+    # Symptom: two sitters before one house. Sequence: a caller's client and
+    # its retry reach two entry hosts together. Cause: each host decides alone.
+    When 4 callers send order "o-3" to service "desk" at both routers at once
+    Then order "o-3" ran once
+
+  Scenario: The answer to the claim's append is lost
+    When the log loses the answers to 2 appends
+    And a caller sends order "o-4" to service "desk" at router 1
+    Then the order is answered with its outcome
+    And order "o-4" ran once
+
+  Scenario: The entry host is replaced between two arrivals
+    When a caller sends order "o-5" to service "mute" at router 1
+    And entry host 1 is replaced
+    And a caller sends order "o-5" to service "mute" at router 1
+    Then the order is answered "already_claimed" and may have run
+    And order "o-5" ran once
+
+  Scenario: The log is out
+    When the log is down
+    And a caller sends order "o-6" to service "desk" at router 1
+    Then the order is answered "claims_unavailable" and did not run
+    And order "o-6" ran 0 times
+
+  Scenario: A call that may be repeated needs no log
+    When the log is down
+    And a caller reads from service "desk" at router 1
+    Then the read is answered
--- /dev/null
+++ b/tests/delivery/callers.feature
@@ -0,0 +1,50 @@
+Feature: What callers are told, and work that nobody waits for
+
+  Scenario: A caller that is gone has its work cancelled at every stage
+    # Symptom: engines full of work for callers that left. Sequence: a caller
+    # closes its connection mid-answer. Cause: stages that are not told.
+    Given a data centre with two chains of two engines in force
+    When a caller reads 10 tokens of 4000 and closes its connection
+    Then within 5 s no engine works on anything
+    And some first stage was told to cancel
+
+  Scenario: Nothing can have started the request
+    # Symptom: a caller repeats nothing although it could. Sequence: every
+    # engine's process is gone before the request. Cause: one kind of error
+    # for all failures.
+    Given a data centre with two chains of two engines in force
+    When all engines are killed
+    And a caller asks for 5 tokens
+    Then the caller is refused and told that it was not run
+
+  Scenario: A request that may have started is not called "not run"
+    # Symptom: a caller repeats what was already at work. Sequence: engines
+    # take the request and say nothing. Cause: a time-out taken for a refusal.
+    Given a data centre with two chains of two engines in force
+    When all engines have fault "hang" set to true
+    And a caller asks for 5 tokens
+    Then the caller is refused and not told that it was not run
+
+  Scenario: Connections that something in between forgot are replaced
+    # Symptom: requests hang one after the other although engines are well.
+    # Sequence: a middlebox forgets its open connections, new ones work.
+    # Cause: pooled connections are trusted without bound.
+    Given a data centre whose engines are behind middleboxes
+    When 4 callers ask for 10 tokens each
+    And the middleboxes forget their connections
+    And 4 callers ask for 10 tokens each
+    Then every answer is whole and in order
+    And the last answers took less than 9 s
+
+  Scenario Outline: Bad input gets a clear error
+    Given a data centre with two chains of two engines in force
+    When a caller sends the body <body> with workspace "<workspace>"
+    Then the caller gets status <status> with "<text>"
+
+    Examples:
+      | body                                         | workspace | status | text             |
+      | {                                            | grooms    | 400    | not JSON         |
+      | {"model": 1, "prompt": "x"}                  | grooms    | 400    | must be a string |
+      | {"model": "m", "prompt": "x"}                | grooms    | 404    | No confirmed     |
+      | {"model": "m", "prompt": "x", "max_tokens":0} | grooms   | 400    | at least 1       |
+      | {"model": "m", "prompt": "x"}                |           | 400    | X-Workspace      |
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -5,6 +5,7 @@
 import contextlib
 import io
 import json
+import time
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -42,6 +43,8 @@
     # Settings merged into those of every control daemon and router.
     control_cfg: dict[str, Any] = attrs.Factory(dict)
     router_cfg: dict[str, Any] = attrs.Factory(dict)
+    # Address of a middlebox before the log, if the scene has one.
+    box_address: str = ""
 
     def start_platform(
         self,
@@ -69,6 +72,15 @@
         }
         self.call("PUT", "weights", f"/models/{model}", spec)
 
+    def grow_engines(self, memory_bytes: int) -> None:
+        """Lists all engines with more memory and waits until that shows."""
+        listed = self.call("GET", "hosts", "/hosts?role=engine")
+        for host in listed["changed"]:
+            host["memory_bytes"] = memory_bytes
+            self.call("PUT", "hosts", f"/hosts/{host['name']}", host)
+        # Control daemons look at the list once a second.
+        time.sleep(1.5)
+
     def start_engine(
         self,
         name: str,
@@ -78,20 +90,28 @@
         rack: str = "r1",
         slots: int = 16,
         checks_fence: bool = True,
+        behind: bool = False,
     ) -> None:
-        """Starts an engine and lists it."""
+        """Starts an engine and lists it, behind a middlebox if asked to."""
         args = ["--name", name, "--layers-per-s", str(KINDS[kind])]
         args += ["--slots", str(slots)]
         args += ["--weights", self.processes["weights"].address]
         if checks_fence:
             args.append("--checks-fence")
         self.start(name, "tests.fakes.engine", *args)
+        address = self.processes[name].address
+        if behind:
+            self.start(
+                f"{name}-box", "tests.fakes.middlebox", "--target", address
+            )
+            address = self.call("GET", f"{name}-box", "/address")["address"]
         status = self.call("GET", name, "/status")
         self.list_host(
             name,
             data_centre,
             "engine",
             incarnation=status["incarnation"],
+            address=address,
             rack=rack,
             accelerator=kind,
             memory_bytes=room * 1_000_000,
