--- a/tests/steps/intents_steps.py
+++ b/tests/steps/intents_steps.py
@@ -52,13 +52,17 @@
 ) -> None:
     """Waits until control daemons know the holders of all leases."""
     for name in controls:
-        stage.wait_until(
-            lambda n=name: (
-                len(play.call("GET", n, "/v1/status")["leases"]) == count
-            ),
-            30,
-            f"leases known to {name}",
-        )
+        wait_lease(play, name, count)
+
+
+def wait_lease(play: scene.Scene, control: str, count: int) -> None:
+    """Waits until one control daemon knows the holders of all leases."""
+
+    def is_known() -> bool:
+        status = play.call("GET", control, "/v1/status")
+        return len(status["leases"]) == count
+
+    stage.wait_until(is_known, 30, f"leases known to {control}")
 
 
 @given("an intent in force in both")
