--- /dev/null
+++ b/egretspur/daemons/controller.py
@@ -0,0 +1,506 @@
+"""The control daemon: follows the log, talks to peers, gives orders.
+
+One on every entry host, all alike. Joins the slices; holds no decisions of
+its own.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+import urllib.parse
+from collections.abc import Callable
+from typing import Any, Final
+
+from aioprometheus import collectors
+
+from egretspur import actors, codec, errors, hostview, settings, transport, web
+from egretspur.daemons import status as statuses
+from egretspur.intents import actor as configs
+from egretspur.intents import desk as desks
+from egretspur.intents import follower as followers
+from egretspur.intents import records
+from egretspur.intents import state as states
+from egretspur.membership import actor as members
+from egretspur.membership import news
+from egretspur.orders import actor as orders
+from egretspur.platform import hosts as hostlist
+from egretspur.platform import log as logs
+from egretspur.platform import weights
+from egretspur.routing import tables
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Request threads: one is held by the router's standing report.
+THREADS: Final = 6
+
+# Longest hold of a router's report.
+REPORT_WAIT_S: Final = 1.0
+
+# Seconds between two reads of the platform's host list.
+HOSTS_S: Final = 1.0
+
+# History lines returned by default.
+HISTORY_LINES: Final = 200
+
+
+class Control:
+    """One control process."""
+
+    def __init__(self, cfg: settings.ControlSettings) -> None:
+        self._cfg = cfg
+        self._incarnation = time.time_ns() // 1_000_000
+        self._me = f"{cfg.node.name}/{self._incarnation}"
+        platform = cfg.platform
+        self._log = logs.LogClient(platform.log, platform.timeout_s)
+        self._weights = weights.WeightsClient(
+            platform.weights, platform.timeout_s
+        )
+        self._hosts_client = hostlist.HostsClient(
+            platform.hosts, platform.timeout_s
+        )
+        self._hosts = hostview.HostView(
+            self._hosts_client, cfg.node.data_centre
+        )
+        self._changes = _Versions()
+        self._config = configs.Config(self._note_config)
+        self._stop = threading.Event()
+        self._draining = threading.Event()
+        self._router = tables.RouterReport("", 0, 0, 0, (), {})
+        self._server = web.Server(self._make_app(), cfg.node.listen, THREADS)
+        self.address = self._server.address
+        self._members = members.MembershipActor.start(
+            cfg.node,
+            self.address,
+            cfg.peers,
+            self._incarnation,
+            members.Events(self._note_ahead, self._changes.bump),
+        )
+        self._follower = followers.Follower(
+            cfg.node.name,
+            self._config,
+            self._log,
+            platform,
+            cfg.peers,
+            self._get_rank,
+        )
+        self._orders = orders.OrdersActor.start(
+            self._me,
+            cfg.node.data_centre,
+            cfg.lease,
+            self._config,
+            self._hosts,
+            orders.Effects(self._append, self._note_leaving),
+        )
+        self._desk = desks.Desk(
+            cfg.node.name,
+            desks.Sources(
+                self._config,
+                self._log,
+                self._weights,
+                self._list_hosts,
+                self._follower.read_now,
+            ),
+        )
+        self._transport = transport.Transport(0.5, 2.0)
+        self._threads = [
+            _Periodic("hosts", HOSTS_S, self._refresh_hosts),
+            _Periodic("exchange", cfg.peers.period_s, self._exchange),
+            _Periodic("orders", cfg.lease.period_s, self._tick_orders),
+        ]
+
+    def start(self) -> None:
+        """Starts to serve."""
+        self._server.start()
+        self._refresh_hosts()
+        self._follower.start()
+        for thread in self._threads:
+            thread.start()
+
+    def drain(self) -> None:
+        """Stops being ready; operators' commands are answered at once."""
+        self._draining.set()
+        self._server.drain()
+
+    def close(self) -> None:
+        """Stops everything."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.close()
+        self._follower.close()
+        self._orders.stop(block=False)
+        self._members.stop(block=False)
+        self._server.close()
+        self._config.close()
+        self._log.close()
+        self._weights.close()
+        self._hosts_client.close()
+
+    # Pages.
+
+    def _make_app(self) -> web.App:
+        app = web.App()
+        app.add("POST", "/v1/intents", self._create_intent)
+        app.add("GET", "/v1/intents", self._get_intents)
+        app.add("POST", "/v1/intents/{intent}/plan", self._make_plan)
+        app.add("GET", "/v1/plans/{plan}", self._get_plan)
+        app.add("POST", "/v1/plans/{plan}/confirm", self._confirm)
+        app.add("POST", "/v1/plans/{plan}/reject", self._reject)
+        app.add("GET", "/v1/records/{record}", self._get_record)
+        app.add("GET", "/v1/status", self._get_status)
+        app.add("GET", "/v1/history", self._get_history)
+        app.add("POST", "/router/report", self._take_report)
+        app.add("POST", "/peer/exchange", self._take_exchange)
+        app.add("POST", "/peer/push", self._take_push)
+        app.add("GET", "/peer/records", self._get_records)
+        app.add("GET", "/peer/snapshot", self._get_snapshot)
+        registry = collectors.Registry()
+        self._offset_gauge = collectors.Gauge(
+            "egretspur_offset", "Offset folded", registry=registry
+        )
+        self._log_gauge = collectors.Gauge(
+            "egretspur_log_reachable",
+            "1 if the platform's log answers",
+            registry=registry,
+        )
+        web.add_diagnostics(app, registry, self._dump_state, self._is_ready)
+        return app
+
+    def _create_intent(self, req: web.Request) -> web.Response:
+        new = codec.load(req.read_body(), desks.NewIntent)
+        return _reply(self._desk.create_intent(new), 201)
+
+    def _get_intents(self, req: web.Request) -> web.Response:
+        return web.reply_json(self._desk.get_intents())
+
+    def _make_plan(self, req: web.Request) -> web.Response:
+        return _reply(
+            self._desk.make_plan(req.parts["intent"], _get_operator(req)), 201
+        )
+
+    def _get_plan(self, req: web.Request) -> web.Response:
+        return _reply(self._desk.get_plan(req.parts["plan"]))
+
+    def _confirm(self, req: web.Request) -> web.Response:
+        return _reply(self._desk.confirm(req.parts["plan"], _get_operator(req)))
+
+    def _reject(self, req: web.Request) -> web.Response:
+        return _reply(self._desk.reject(req.parts["plan"], _get_operator(req)))
+
+    def _get_record(self, req: web.Request) -> web.Response:
+        offset = self._desk.get_record(req.parts["record"])
+        return web.reply_json({"offset": offset, "in_log": offset > 0})
+
+    def _get_status(self, req: web.Request) -> web.Response:
+        view = self._get_view()
+        offset, holders, plans = self._config.read(_read_status)
+        listed = self._hosts.get_entry()
+        hosts = [
+            statuses.HostStatus(
+                n.name,
+                n.news.data_centre,
+                n.news.offset,
+                n.news.in_force,
+                n.news.log_reachable,
+            )
+            for n in view.nodes
+        ]
+        heard = {h.name for h in hosts}
+        missing = sorted(
+            h.name
+            for h in listed.values()
+            if h.data_centre == self._cfg.node.data_centre
+            and h.name not in heard
+        )
+        return web.reply_json(
+            statuses.Status(
+                self._cfg.node.data_centre,
+                self._cfg.node.name,
+                offset,
+                tuple(hosts),
+                holders,
+                tuple(plans),
+                self._describe_trouble(missing),
+                view.remote,
+            )
+        )
+
+    def _describe_trouble(self, missing: list[str]) -> str:
+        parts = []
+        if not self._follower.log_reachable and not self._is_fed():
+            parts.append(
+                "cut off from the platform's log; serving by the last"
+                " configuration"
+            )
+        if not self._hosts.reachable:
+            parts.append("the platform's host list does not answer")
+        if missing:
+            parts.append("no news from: " + ", ".join(missing))
+        return "; ".join(parts)
+
+    def _is_fed(self) -> bool:
+        """Tells whether any host of the data centre reads the log."""
+        return any(n.news.log_reachable for n in self._get_view().nodes)
+
+    def _get_history(self, req: web.Request) -> web.Response:
+        count = web.get_query_int(req, "limit", HISTORY_LINES)
+        lines = self._config.read(lambda s: list(s.history[-count:]))
+        return web.reply_json(lines)
+
+    def _take_report(self, req: web.Request) -> web.Response:
+        report = codec.load(req.read_body(), tables.RouterReport)
+        self._router = report
+        for mark in report.leaving:
+            self._note_leaving(mark.upstream, mark.incarnation)
+        self._members.tell(members.SetDemand(report.demand))
+        self._tell_node(self._config.read(lambda s: s.offset))
+        # A report of version 0 wants its answer at once: it only carries an
+        # urgent mark, or the router has just started.
+        if report.version:
+            self._changes.wait(report.version, REPORT_WAIT_S)
+        return web.reply_json(self._make_update(report))
+
+    def _make_update(self, report: tables.RouterReport) -> tables.RoutingUpdate:
+        version = self._changes.version
+        view = self._get_view()
+        offset = self._config.read(lambda s: s.offset)
+        table_version = self._changes.table_version
+        table = None
+        if offset and table_version != report.table_version:
+            table = self._make_table()
+        return tables.RoutingUpdate(
+            version,
+            table,
+            table_version,
+            view.leaving,
+            view.demand,
+            tuple(
+                tables.RouterNode(n.name, n.news.router)
+                for n in view.nodes
+                if n.news.router
+            ),
+            len(
+                [
+                    h
+                    for h in self._hosts.get_entry().values()
+                    if h.data_centre == self._cfg.node.data_centre
+                ]
+            ),
+        )
+
+    def _make_table(self) -> tables.RoutingTable:
+        local = self._hosts.get_local()
+        remote = self._hosts.get_remote()
+        return self._config.read(
+            lambda s: tables.make_table(
+                s, self._cfg.node.data_centre, local, remote
+            )
+        )
+
+    def _take_exchange(self, req: web.Request) -> web.Response:
+        return self._receive(req, urgent=False)
+
+    def _take_push(self, req: web.Request) -> web.Response:
+        return self._receive(req, urgent=True)
+
+    def _receive(self, req: web.Request, urgent: bool) -> web.Response:
+        message = news.unpack_exchange(req.read_body())
+        answer: news.Exchange = actors.ask(
+            self._members, members.Received(message, urgent)
+        )
+        return web.Response(
+            200,
+            {"Content-Type": web.JSON_TYPE},
+            news.pack_exchange(answer),
+        )
+
+    def _get_records(self, req: web.Request) -> web.Response:
+        start = web.get_query_int(req, "from", 1)
+        batch = self._config.get_recent(start)
+        return web.Response(
+            200,
+            {"Content-Type": web.JSON_TYPE},
+            followers.dump_batch(batch),
+        )
+
+    def _get_snapshot(self, req: web.Request) -> web.Response:
+        return web.reply_json(self._config.read(followers.make_snapshot))
+
+    def _dump_state(self) -> Any:
+        summary: orders.Summary = actors.ask(self._orders, orders.GetSummary())
+        return {
+            "settings": codec.encode(self._cfg),
+            "address": self.address,
+            "incarnation": self._incarnation,
+            "log_reachable": self._follower.log_reachable,
+            "orders": codec.encode(summary),
+            "membership": codec.encode(self._get_view()),
+            "router": codec.encode(self._router),
+            "config": self._config.read(codec.encode),
+        }
+
+    def _is_ready(self) -> bool:
+        has_state = self._config.read(lambda s: s.offset) > 0
+        return has_state and not self._draining.is_set()
+
+    # Events.
+
+    def _note_config(self, offset: int) -> None:
+        self._changes.bump_table()
+        self._offset_gauge.set({}, offset)
+        # Runs in the config actor's thread: asking that actor for anything
+        # here would wait for ever.
+        self._tell_node(offset)
+
+    def _note_ahead(self, address: str, offset: int) -> None:
+        self._follower.note_ahead(address, offset)
+
+    def _note_leaving(self, upstream: str, incarnation: str) -> None:
+        self._members.tell(members.AddLeaving(upstream, incarnation))
+
+    def _append(self, record: records.Record) -> bool:
+        res = self._log.append(records.STREAM, [records.CODEC.encode(record)])
+        if isinstance(res, errors.Refusal):
+            _LOG.warning("append not answered: %s", res.reason)
+            return False
+        return True
+
+    def _list_hosts(
+        self, data_centre: str
+    ) -> list[hostlist.Host] | errors.Refusal:
+        if data_centre == self._cfg.node.data_centre:
+            return list(self._hosts.get_local().values())
+        res = self._hosts_client.read(data_centre)
+        if isinstance(res, errors.Refusal):
+            return res
+        return list(res.changed)
+
+    def _refresh_hosts(self) -> None:
+        remote = self._config.read(
+            lambda s: tables.find_remote(s, self._cfg.node.data_centre)
+        )
+        if not self._hosts.refresh(remote):
+            return
+        self._changes.bump_table()
+        hosts = tuple(self._hosts.get_entry().values())
+        self._members.tell(members.SetEntryHosts(hosts))
+
+    def _exchange(self) -> None:
+        self._log_gauge.set({}, int(self._follower.log_reachable))
+        self._tell_node(self._config.read(lambda s: s.offset))
+        self._members.tell(members.Tick())
+
+    def _tick_orders(self) -> None:
+        # Asked, not told: ticks must not pile up behind a slow engine.
+        actors.ask(self._orders, orders.Tick())
+
+    def _tell_node(self, offset: int) -> None:
+        self._members.tell(
+            members.SetNode(
+                news.NodeNews(
+                    self.address,
+                    self._cfg.node.data_centre,
+                    self._router.address,
+                    offset,
+                    self._router.in_force,
+                    self._follower.log_reachable,
+                )
+            )
+        )
+
+    def _get_view(self) -> members.PeerView:
+        view: members.PeerView = actors.ask(self._members, members.GetView())
+        return view
+
+    def _get_rank(self) -> int:
+        return self._get_view().rank
+
+
+class _Versions:
+    """Numbers of what routers are told, to be waited for."""
+
+    def __init__(self) -> None:
+        self._condition = threading.Condition()
+        self.version = 1
+        self.table_version = 1
+
+    def bump(self) -> None:
+        """Counts a change of marks or demand."""
+        with self._condition:
+            self.version += 1
+            self._condition.notify_all()
+
+    def bump_table(self) -> None:
+        """Counts a change of the table."""
+        with self._condition:
+            self.table_version += 1
+        self.bump()
+
+    def wait(self, version: int, wait_s: float) -> None:
+        """Waits until the version is another one."""
+        with self._condition:
+            self._condition.wait_for(
+                lambda: self.version != version, timeout=wait_s
+            )
+
+
+class _Periodic:
+    """A thread that does one thing again and again."""
+
+    def __init__(
+        self, name: str, period_s: float, work: Callable[[], None]
+    ) -> None:
+        self._period_s = period_s
+        self._work = work
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops it after what it is doing."""
+        self._stop.set()
+
+    def _run(self) -> None:
+        while not self._stop.wait(self._period_s):
+            try:
+                self._work()
+            except Exception:
+                if self._stop.is_set():
+                    return
+                _LOG.exception("periodic work failed")
+
+
+def _read_status(
+    state: states.State,
+) -> tuple[int, dict[str, str], list[desks.PlanView]]:
+    open_plans = [
+        p
+        for p, plan in state.plans.items()
+        if plan.status
+        in (states.PlanStatus.PROPOSED, states.PlanStatus.PREPARING)
+    ]
+    views = [desks.view_plan(state, p) for p in open_plans]
+    return (
+        state.offset,
+        {d: lease.holder for d, lease in sorted(state.leases.items())},
+        [v for v in views if v is not None],
+    )
+
+
+def _reply(result: Any, status: int = 200) -> web.Response:
+    if isinstance(result, errors.Refusal):
+        return web.reply_refusal(result)
+    return web.reply_json(result, status)
+
+
+def _get_operator(req: web.Request) -> str:
+    name = req.get_header("X-Operator")
+    if not name:
+        raise codec.DecodeError("header X-Operator is missing")
+    return urllib.parse.unquote(name)
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -2,7 +2,7 @@
 
 ``POST /orders`` runs an order; ``GET /outcomes/<id>`` tells its outcome.
 Faults: ``lose_answers`` (that many run and then hang past any time-out),
-``reset`` (that many close the connection before running).
+``delay_s`` (seconds before other calls are answered).
 """
 
 from __future__ import annotations
@@ -20,7 +20,11 @@
     """Runs by request id."""
 
     def __init__(self) -> None:
-        self.faults: dict[str, Any] = {"lose_answers": 0, "hang_s": 5.0}
+        self.faults: dict[str, Any] = {
+            "lose_answers": 0,
+            "hang_s": 5.0,
+            "delay_s": 0.0,
+        }
         self.runs: dict[str, int] = {}
         self.lock = threading.Lock()
 
@@ -52,6 +56,7 @@
         return base.reply({}, 404)
 
     def echo(req: web.Request) -> web.Response:
+        time.sleep(service.faults["delay_s"])
         return base.reply({"method": req.method, "path": req.path})
 
     app.add("POST", "/orders", run)
--- a/tests/steps/callers_steps.py
+++ b/tests/steps/callers_steps.py
@@ -77,9 +77,12 @@
 
 @when("{count:d} calls at once have filled the pool")
 def step_fill(context: Any, count: int) -> None:
+    # Slow answers, so that each call needs a connection of its own.
+    context.play.call("POST", "desk-1", "/faults", {"delay_s": 0.4})
     with concurrent.futures.ThreadPoolExecutor(count) as pool:
         found = list(pool.map(lambda _: call_desk(context), range(count)))
     assert found == [200] * count, found
+    context.play.call("POST", "desk-1", "/faults", {"delay_s": 0})
 
 
 @when("the middlebox of the service forgets")
