Measure slopes; plan in linear time; tell routers only what they need

Cause: the first run of the slopes showed three mechanisms that grow badly: a plan's time quadratic in the replicas (2.90 s at 2,600), 3.4 ms of the control daemon for each record because every lease made a new routing table, and a state whose plans kept their confirmation keys for ever. Change: racks that can't hold a chain any more are not looked at again; a table is made only when bindings or deployments change; an active plan drops its keys; strings that recur in records are shared.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 $(VENV)/.ready: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --requirement requirements.txt
-	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable .
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation \
+		--config-settings editable_mode=compat --editable .
 	touch $@
 
 demo: $(VENV)/.ready
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,193 @@
+"""Routing policies compared on one small queueing model, seeded.
+
+Engines share their speed among the requests they work on; a chain runs at the
+speed of its slowest stage. Load reports are half a second old, and four
+routers choose without knowing of each other. It drives the real choice.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from egretspur.intents import records
+from egretspur.routing import graph, loads
+
+ROUTERS: Final = 4
+CHAINS: Final = 12
+TOKENS: Final = 40
+REPORT_S: Final = 0.5
+SECONDS: Final = 30.0
+LOAD: Final = 0.7
+
+Choose = Callable[["Model", int, float], tuple[graph.Edge, ...]]
+
+
+@attrs.define
+class Job:
+    """A request in service: tokens left."""
+
+    path: tuple[graph.Edge, ...]
+    router: int
+    left: float
+    begun_s: float
+
+
+@attrs.frozen
+class Outcome:
+    """What a policy achieved."""
+
+    # Mean and 95th percentile of seconds per request.
+    mean_s: float
+    p95_s: float
+    # Tokens done as a share of what arrived.
+    done: float
+
+
+class Model:
+    """Chains of two unlike stages, and four routers."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.deployment = records.Deployment(
+            "d",
+            "m",
+            "",
+            "v",
+            "dc",
+            32,
+            tuple(
+                records.Chain(
+                    str(c),
+                    (
+                        records.Stage(f"{c}a", 0, 16),
+                        records.Stage(f"{c}b", 16, 32),
+                    ),
+                    1.0,
+                )
+                for c in range(CHAINS)
+            ),
+        )
+        # Speeds eightfold apart, from chain to chain and within chains.
+        self.speeds = {
+            s.upstream: 1600.0 * self.rng.choice((1, 2, 4, 8))
+            for c in self.deployment.chains
+            for s in c.stages
+        }
+        self.graph = graph.Graph(
+            "d", 32, [self.deployment], self.speeds, lambda name: True
+        )
+        self.running: dict[str, int] = dict.fromkeys(self.speeds, 0)
+        self.known = [
+            {n: loads.UpstreamLoad(0) for n in self.speeds}
+            for _ in range(ROUTERS)
+        ]
+        self.turn = [self.rng.randrange(CHAINS) for _ in range(ROUTERS)]
+
+    def get_rate(self, path: tuple[graph.Edge, ...]) -> float:
+        """Returns tokens per second of one request on a path."""
+        return min(
+            e.tokens_per_s / max(1, self.running[e.upstream]) for e in path
+        )
+
+    def get_bound(self) -> float:
+        """Returns tokens per second that both layers of stages can do."""
+        first = sum(e.tokens_per_s for e in self.graph.get_edges(0))
+        last = sum(e.tokens_per_s for e in self.graph.get_edges(16))
+        return min(first, last)
+
+    def make_chain(self, number: int) -> tuple[graph.Edge, ...]:
+        """Returns the stages of one planned chain."""
+        edges = {
+            e.upstream: e for b in (0, 16) for e in self.graph.get_edges(b)
+        }
+        chain = self.deployment.chains[number]
+        return tuple(edges[s.upstream] for s in chain.stages)
+
+
+def choose_random(model: Model, router: int, now_s: float) -> Path:
+    """Any chain, equally."""
+    return model.make_chain(model.rng.randrange(CHAINS))
+
+
+def choose_in_turn(model: Model, router: int, now_s: float) -> Path:
+    """Round robin over the chains."""
+    model.turn[router] = (model.turn[router] + 1) % CHAINS
+    return model.make_chain(model.turn[router])
+
+
+def choose_shorter(model: Model, router: int, now_s: float) -> Path:
+    """The chain with fewer requests of two, speeds unseen."""
+    pair = [model.make_chain(model.rng.randrange(CHAINS)) for _ in range(2)]
+    known = model.known[router]
+    return min(
+        pair, key=lambda p: max(known[e.upstream].estimate(now_s) for e in p)
+    )
+
+
+def choose_ours(model: Model, router: int, now_s: float) -> Path:
+    """The product's choice: sampled by speed, cheapest expected time."""
+    known = graph.Known(model.known[router], {}, now_s)
+    path = graph.choose_path(model.graph, known, model.rng)
+    assert path is not None
+    return path.edges
+
+
+Path = tuple[graph.Edge, ...]
+
+POLICIES: Final[dict[str, Choose]] = {
+    "random": choose_random,
+    "round robin": choose_in_turn,
+    "shorter of two": choose_shorter,
+    "cheapest of two by speed": choose_ours,
+}
+
+
+def run(choose: Choose, load: float = LOAD, seed: int = 7) -> Outcome:
+    """Runs one policy; the same arrivals for each."""
+    model = Model(seed)
+    arrivals = random.Random(seed + 1)
+    rate = load * model.get_bound() / TOKENS
+    step = 0.02
+    jobs: list[Job] = []
+    times: list[float] = []
+    now = 0.0
+    due = arrivals.expovariate(rate)
+    report = 0.0
+    arrived = 0
+    while now < SECONDS:
+        while due <= now:
+            router = arrivals.randrange(ROUTERS)
+            path = choose(model, router, now)
+            for edge in path:
+                model.running[edge.upstream] += 1
+                model.known[router][edge.upstream].own += 1
+            jobs.append(Job(path, router, TOKENS, due))
+            arrived += 1
+            due += arrivals.expovariate(rate)
+        if now >= report:
+            report += REPORT_S
+            for known in model.known:
+                for name, item in known.items():
+                    loads.note_report(item, model.running[name], now)
+        now += step
+        going = []
+        for job in jobs:
+            job.left -= model.get_rate(job.path) * step
+            if job.left > 0:
+                going.append(job)
+                continue
+            times.append(now - job.begun_s)
+            for edge in job.path:
+                model.running[edge.upstream] -= 1
+                model.known[job.router][edge.upstream].own -= 1
+        jobs = going
+    times.sort()
+    worst = heapq.nlargest(max(1, len(times) // 20), times)
+    return Outcome(
+        sum(times) / len(times), worst[-1], len(times) / max(1, arrived)
+    )
--- a/egretspur/claims/actor.py
+++ b/egretspur/claims/actor.py
@@ -197,7 +197,7 @@
     ) -> table.Granted | table.Taken | errors.Refusal:
         """Decides a claim on this host, whoever serves its partition."""
         number = table.find_partition(claim.key, PARTITIONS)
-        fut: VerdictFuture = concurrent.futures.Future()
+        fut = make_future()
         self._get_actor(number).tell(Submit(claim, fut))
         verdict = fut.result()
         if verdict is None:
@@ -241,6 +241,11 @@
             return actor
 
 
+def make_future() -> VerdictFuture:
+    """Returns a future for a claim's verdict; None means undecided."""
+    return concurrent.futures.Future()
+
+
 def describe_verdict(
     verdict: table.Granted | table.Taken | errors.Refusal,
 ) -> ClaimReply:
--- a/egretspur/codec.py
+++ b/egretspur/codec.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import types
 from collections.abc import Mapping
 from typing import Any, Final, TypeVar
@@ -25,8 +26,27 @@
     """A JSON value does not have the form of the expected message."""
 
 
+# Recent strings that are shared between messages; few, since ids never recur.
+STRINGS_SHARED: Final = 1024
+
+
 def _make_converter() -> cattrs.Converter:
-    return cattrs.Converter(forbid_extra_keys=True, detailed_validation=False)
+    found = cattrs.Converter(forbid_extra_keys=True, detailed_validation=False)
+    found.register_structure_hook(str, _read_string)
+    return found
+
+
+def _read_string(value: Any, _: Any) -> str:
+    if type(value) is not str:
+        raise TypeError(f"expected a string, got {value!r}")
+    # Names of models, hosts and operators stand in thousands of records; read
+    # from JSON, each would be a string of its own.
+    return _share(value)
+
+
+@functools.lru_cache(STRINGS_SHARED)
+def _share(value: str) -> str:
+    return value
 
 
 _CONVERTER: Final = _make_converter()
--- a/egretspur/daemons/controller.py
+++ b/egretspur/daemons/controller.py
@@ -64,6 +64,7 @@
             self._hosts_client, cfg.node.data_centre
         )
         self._changes = _Versions()
+        self._routing_offset = 0
         self._config = configs.Config(self._note_config)
         self._stop = threading.Event()
         self._draining = threading.Event()
@@ -267,7 +268,9 @@
         offset = self._config.read(lambda s: s.offset)
         table_version = self._changes.table_version
         table = None
-        if offset and table_version != report.table_version:
+        if offset and (
+            table_version != report.table_version or not report.in_force
+        ):
             table = self._make_table()
         return tables.RoutingUpdate(
             version,
@@ -346,8 +349,13 @@
 
     # Events.
 
-    def _note_config(self, offset: int) -> None:
-        self._changes.bump_table()
+    def _note_config(self, state: states.State) -> None:
+        offset = state.offset
+        if state.routing_offset != self._routing_offset:
+            # Leases and plans under way are most of the records and no news
+            # to routers; a table for each would be most of the work.
+            self._routing_offset = state.routing_offset
+            self._changes.bump_table()
         self._offset_gauge.set({}, offset)
         # Runs in the config actor's thread: asking that actor for anything
         # here would wait for ever.
--- a/egretspur/intents/actor.py
+++ b/egretspur/intents/actor.py
@@ -70,7 +70,7 @@
 class ConfigActor(actors.Actor):
     """Holds the state; see the messages above."""
 
-    def __init__(self, changed: Callable[[int], None]) -> None:
+    def __init__(self, changed: Callable[[states.State], None]) -> None:
         super().__init__()
         self._changed = changed
         self._state = states.State()
@@ -101,7 +101,7 @@
             if before < entry.offset <= self._state.offset:
                 self._recent.append(entry)
         if found.changed:
-            self._changed(self._state.offset)
+            self._changed(self._state)
         return self._get_position()
 
     @handle.register
@@ -113,7 +113,7 @@
             self._next = state.offset + 1
             self._gap = False
             self._recent.clear()
-            self._changed(state.offset)
+            self._changed(state)
         return self._get_position()
 
     @handle.register
@@ -130,7 +130,13 @@
 class Config:
     """Typed front of the actor, shared by the slices of a daemon."""
 
-    def __init__(self, changed: Callable[[int], None]) -> None:
+    def __init__(self, changed: Callable[[states.State], None]) -> None:
+        """Starts the actor.
+
+        Args:
+            changed: Called in the actor's thread after each change; it must
+                neither change the state nor ask this object for anything.
+        """
         self._changed = changed
         self._condition = threading.Condition()
         self._offset = 0
@@ -171,8 +177,8 @@
                 self._condition.wait(left)
             return True
 
-    def _note(self, offset: int) -> None:
+    def _note(self, state: states.State) -> None:
         with self._condition:
-            self._offset = offset
+            self._offset = state.offset
             self._condition.notify_all()
-        self._changed(offset)
+        self._changed(state)
--- a/egretspur/intents/fold.py
+++ b/egretspur/intents/fold.py
@@ -188,6 +188,7 @@
     state.deployments[deployment.id] = replace_upstream(
         deployment, record.dead, record.spare
     )
+    state.routing_offset = offset
     # Repairs are counted as changes of the two upstreams, so that a plan that
     # read either is told so at its confirmation instead of loading both.
     keys = [records.upstream_key(n) for n in (record.dead, record.spare)]
@@ -288,8 +289,12 @@
     else:
         state.bindings.pop(key, None)
     state.active_plans[key] = made.plan_id
+    state.routing_offset = offset
     plan.status = states.PlanStatus.ACTIVE
     plan.active_offset = offset
+    # Keys are for the confirmation; kept in each of thousands of plans they
+    # would be half of this process's state.
+    plan.plan = attrs.evolve(made, reads=(), writes=())
     if previous is not None and previous is not plan:
         _end(
             state,
--- a/egretspur/intents/state.py
+++ b/egretspur/intents/state.py
@@ -121,6 +121,9 @@
     bindings: dict[str, records.Binding] = attrs.Factory(dict)
     # Plan in force for each binding key.
     active_plans: dict[str, str] = attrs.Factory(dict)
+    # Offset of the last change of `bindings` or `deployments`; routers need
+    # nothing new until it changes.
+    routing_offset: int = 0
     # Confirmed plans, in preparation or in force, that use a deployment.
     uses: dict[str, int] = attrs.Factory(dict)
     # Last change of each key, oldest first; equal offsets by key.
--- a/egretspur/placement/grouping.py
+++ b/egretspur/placement/grouping.py
@@ -39,6 +39,9 @@
     def __init__(self, machines: Iterable[split.Machine]) -> None:
         self._racks: dict[str, dict[str, list[split.Machine]]] = {}
         self._cache: dict[tuple[object, ...], split.Split | None] = {}
+        # Racks that can't hold a chain of so many layers any more; machines
+        # only leave a pool, so looking again would be in vain.
+        self._exhausted: set[tuple[str, int]] = set()
         for machine in sorted(machines, key=lambda m: m.name):
             if machine.room > 0:
                 kinds = self._racks.setdefault(machine.rack, {})
@@ -74,8 +77,11 @@
         best: Group | None = None
         tried = 0
         for rack in racks:
+            if (rack, layers) in self._exhausted:
+                continue
             found = self._find_in_rack(rack, layers)
             if found is None:
+                self._exhausted.add((rack, layers))
                 continue
             if best is None or _rank(found) > _rank(best):
                 best = found
