Test fairness, limits, ramps, links and plans; part messages from decisions

Change: data-driven scenarios on the pure decisions; messages of the dispatcher in routing/requests.py.

--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -22,7 +22,7 @@
 from egretspur.delivery import pump as pumps
 from egretspur.platform import engine
 from egretspur.routing import actor as traffics
-from egretspur.routing import dispatch
+from egretspur.routing import requests
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -70,7 +70,7 @@
         """Sends what is queued and stops."""
         self._pool.shutdown(wait=True)
 
-    def cancel(self, grant: dispatch.Grant, attempt: int) -> None:
+    def cancel(self, grant: requests.Grant, attempt: int) -> None:
         """Cancels an attempt at every stage of its path."""
         for hop in grant.hops:
             self._pool.submit(
@@ -114,7 +114,7 @@
         self._is_caller_gone = is_caller_gone
         self._merge = attempts.Merge(prompt.id)
         # The attempt under way, to be cancelled if the caller leaves.
-        self._grant: dispatch.Grant | None = None
+        self._grant: requests.Grant | None = None
         self._stream: engine.EventStream | None = None
         # Where tokens go; set while the pump runs a stream.
         self._write: Write | None = None
@@ -123,13 +123,13 @@
         self._marked_s = 0.0
         self._marked_tokens = 0
         # Failure that followed the tokens which `begin` returned.
-        self._pending: dispatch.Failure | None = None
+        self._pending: requests.Failure | None = None
         self.pipeline = ""
 
     def begin(self) -> list[str] | Result:
         """Returns the first tokens, or the result if there are none."""
         prompt = self._prompt
-        arrival = dispatch.Arrival(prompt.id, prompt.workspace, prompt.model)
+        arrival = requests.Arrival(prompt.id, prompt.workspace, prompt.model)
         fut = self._traffic.arrive(arrival)
         while True:
             decision = self._wait(fut)
@@ -184,7 +184,7 @@
 
     def _wait(
         self, fut: traffics.DecisionFuture
-    ) -> dispatch.Grant | errors.Refusal:
+    ) -> requests.Grant | errors.Refusal:
         while True:
             try:
                 return fut.result(GONE_CHECK_S)
@@ -194,7 +194,7 @@
                         errors.ErrorKind.CALLER_GONE, "while waiting"
                     )
 
-    def _open(self, grant: dispatch.Grant) -> dispatch.Failure | None:
+    def _open(self, grant: requests.Grant) -> requests.Failure | None:
         """Starts an attempt; returns its failure if it can't be."""
         call = self._make_call(grant)
         self._grant = grant
@@ -207,8 +207,8 @@
         return None
 
     def _read_first(
-        self, grant: dispatch.Grant, texts: list[str]
-    ) -> dispatch.Failure | None:
+        self, grant: requests.Grant, texts: list[str]
+    ) -> requests.Failure | None:
         """Reads until the first tokens or the end of the attempt."""
         stream = self._stream
         assert stream is not None
@@ -224,7 +224,7 @@
                 return None
         return None
 
-    def _run_stream(self) -> dispatch.Failure | None:
+    def _run_stream(self) -> requests.Failure | None:
         """Lets the pump run the stream; returns the attempt's failure."""
         grant, stream = self._grant, self._stream
         assert grant is not None and stream is not None
@@ -244,7 +244,7 @@
         if stream is not None:
             stream.finish()
 
-    def _make_call(self, grant: dispatch.Grant) -> engine.RunCall:
+    def _make_call(self, grant: requests.Grant) -> engine.RunCall:
         hops = tuple(
             engine.Hop(e.upstream, u.address, e.first, e.last)
             for e, u in zip(grant.path.edges, grant.hops, strict=True)
@@ -287,7 +287,7 @@
             return
         count = len(self._merge.tokens)
         self._traffic.tell(
-            dispatch.Progress(
+            requests.Progress(
                 self._prompt.id, count - self._marked_tokens, passed, load
             )
         )
@@ -295,8 +295,8 @@
         self._marked_tokens = count
 
     def _end_broken(
-        self, grant: dispatch.Grant, broken: engine.Broken
-    ) -> dispatch.Failure:
+        self, grant: requests.Grant, broken: engine.Broken
+    ) -> requests.Failure:
         """Describes an attempt whose connection failed.
 
         Refused or reset, the last stage is at fault. Silent, any stage may
@@ -314,8 +314,8 @@
         return self._make_failure(broken.reason, blamed, broken.maybe_started)
 
     def _end_refused(
-        self, grant: dispatch.Grant, broken: engine.Broken
-    ) -> dispatch.Failure:
+        self, grant: requests.Grant, broken: engine.Broken
+    ) -> requests.Failure:
         self._grant = None
         refusal = broken.refusal
         assert refusal is not None
@@ -329,8 +329,8 @@
         )
 
     def _end_fault(
-        self, grant: dispatch.Grant, fault: attempts.Fault
-    ) -> dispatch.Failure:
+        self, grant: requests.Grant, fault: attempts.Fault
+    ) -> requests.Failure:
         _LOG.info(
             "attempt failed",
             extra={
@@ -354,8 +354,8 @@
 
     def _make_failure(
         self, reason: str, blamed: tuple[str, ...], maybe_started: bool
-    ) -> dispatch.Failure:
-        return dispatch.Failure(
+    ) -> requests.Failure:
+        return requests.Failure(
             self._prompt.id,
             reason,
             blamed,
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -16,11 +16,11 @@
 import attrs
 
 from egretspur import actors, errors
-from egretspur.routing import dispatch, tables
+from egretspur.routing import dispatch, requests, tables
 
 _LOG: Final = logging.getLogger(__name__)
 
-Decision = dispatch.Grant | errors.Refusal
+Decision = requests.Grant | errors.Refusal
 DecisionFuture = concurrent.futures.Future[Decision]
 
 
@@ -28,7 +28,7 @@
 class Arrive:
     """A request with the future that its thread waits on."""
 
-    arrival: dispatch.Arrival
+    arrival: requests.Arrival
     fut: DecisionFuture
 
 
@@ -36,7 +36,7 @@
 class Fail:
     """A failed attempt with the future for what comes next."""
 
-    failure: dispatch.Failure
+    failure: requests.Failure
     fut: DecisionFuture
 
 
@@ -101,7 +101,7 @@
     """Full state of the router's decisions."""
 
     offset: int
-    counts: dispatch.Counts
+    counts: requests.Counts
     waiting: int
     running: dict[str, int]
     saved_retries: float
@@ -145,7 +145,7 @@
         self._run(self._dispatcher.finish(message.id, time.monotonic()))
 
     @handle.register
-    def _(self, message: dispatch.Progress) -> None:
+    def _(self, message: requests.Progress) -> None:
         self._dispatcher.progress(message, time.monotonic())
 
     @handle.register
@@ -199,12 +199,12 @@
             {n: tuple(sorted(f)) for n, f in state.leaving.items()},
         )
 
-    def _run(self, effects: list[dispatch.Effect]) -> None:
+    def _run(self, effects: list[requests.Effect]) -> None:
         for effect in effects:
             fut = self._futures.pop(effect.id, None)
             if fut is None or fut.done():
                 continue
-            if isinstance(effect, dispatch.Refuse):
+            if isinstance(effect, requests.Refuse):
                 fut.set_result(effect.refusal)
             else:
                 fut.set_result(effect)
@@ -228,13 +228,13 @@
         """Stops the actor."""
         self._ref.stop()
 
-    def arrive(self, arrival: dispatch.Arrival) -> DecisionFuture:
+    def arrive(self, arrival: requests.Arrival) -> DecisionFuture:
         """Hands in a request; the future gives its first path or refusal."""
         fut: DecisionFuture = concurrent.futures.Future()
         self._ref.tell(Arrive(arrival, fut))
         return fut
 
-    def fail(self, failure: dispatch.Failure) -> DecisionFuture:
+    def fail(self, failure: requests.Failure) -> DecisionFuture:
         """Reports a failed attempt; the future gives the next path."""
         fut: DecisionFuture = concurrent.futures.Future()
         self._ref.tell(Fail(failure, fut))
@@ -246,7 +246,7 @@
 
     def tell(
         self,
-        message: dispatch.Progress | tables.RoutingUpdate | Tick | NoteService,
+        message: requests.Progress | tables.RoutingUpdate | Tick | NoteService,
     ) -> None:
         """Sends a message that needs no answer."""
         self._ref.tell(message)
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -19,7 +19,7 @@
 from egretspur.admission import queue as queues
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
-from egretspur.routing import loads, tables
+from egretspur.routing import loads, requests, tables
 
 # A marked incarnation is remembered this long; far above the platform's lag.
 LEAVING_KEPT_S: Final = 3600.0
@@ -28,99 +28,6 @@
 BUSY_TRIES: Final = 20
 
 
-@attrs.frozen
-class Arrival:
-    """A caller's request."""
-
-    id: str
-    workspace: str
-    model: str
-
-
-@attrs.frozen
-class Failure:
-    """An attempt that ended without the whole answer."""
-
-    id: str
-    reason: str
-    # Upstreams known to be at fault; empty if any of the path could be.
-    blamed: tuple[str, ...]
-    # The engine refused it as busy and has not started it.
-    busy: bool
-    # Upstream that said it is leaving; empty if none did.
-    leaving: str
-    # False only if no engine can have started it.
-    maybe_started: bool
-    # Tokens already delivered to the caller.
-    delivered: int
-
-
-@attrs.frozen
-class Progress:
-    """Tokens that came over a path; also a proof of life of its stages."""
-
-    id: str
-    tokens: int
-    seconds: float
-    # Requests the last stage works on, or -1 if it has not said.
-    load: int
-
-
-@attrs.frozen
-class Grant:
-    """Effect: start an attempt over this path."""
-
-    id: str
-    path: graphs.Path
-    binding: records.Binding
-    hops: tuple[tables.Upstream, ...]
-    deployment: records.Deployment
-
-
-@attrs.frozen
-class Refuse:
-    """Effect: give the caller its final answer."""
-
-    id: str
-    refusal: errors.Refusal
-
-
-Effect = Grant | Refuse
-
-
-@attrs.define
-class Ticket:
-    """A request this router has accepted."""
-
-    arrival: Arrival
-    key: str
-    graph: str
-    deadline_s: float
-    priority: int
-    attempts: int = 0
-    busy_tries: int = 0
-    # Tokens were delivered: it must be resumed, whatever the budget.
-    begun: bool = False
-    maybe_started: bool = False
-    path: graphs.Path | None = None
-    # Upstreams that failed it for sure, and those that may have.
-    failed: set[str] = attrs.Factory(set)
-    suspected: set[str] = attrs.Factory(set)
-
-
-@attrs.define
-class Counts:
-    """Totals since the start, for metrics and measurements."""
-
-    arrived: int = 0
-    attempts: int = 0
-    retries: int = 0
-    resumes: int = 0
-    busy: int = 0
-    refused: int = 0
-    finished: int = 0
-
-
 class Dispatcher:
     """State of one router; see the module's docstring."""
 
@@ -142,9 +49,9 @@
         self.budget = budgets.Budget(retries.ratio, retries.burst)
         self.loads: dict[str, loads.UpstreamLoad] = {}
         self.links: dict[tuple[str, str], loads.LinkSpeed] = {}
-        self.tickets: dict[str, Ticket] = {}
+        self.tickets: dict[str, requests.Ticket] = {}
         self.running: dict[str, int] = {}
-        self.counts = Counts()
+        self.counts = requests.Counts()
         self.offset = 0
         self.leaving: dict[str, dict[str, float]] = {}
         self._upstreams: dict[str, tables.Upstream] = {}
@@ -160,7 +67,9 @@
 
     # Messages from callers.
 
-    def arrive(self, arrival: Arrival, now_s: float) -> list[Effect]:
+    def arrive(
+        self, arrival: requests.Arrival, now_s: float
+    ) -> list[requests.Effect]:
         """Admits, queues or refuses a request."""
         self._now_s = now_s
         self.counts.arrived += 1
@@ -183,7 +92,7 @@
                     f"workspace {arrival.workspace!r}, model {arrival.model!r}",
                 ),
             )
-        ticket = Ticket(
+        ticket = requests.Ticket(
             arrival,
             key,
             make_graph_key(binding),
@@ -194,7 +103,9 @@
         budgets.earn(self.budget)
         return self._admit(ticket, now_s)
 
-    def fail(self, failure: Failure, now_s: float) -> list[Effect]:
+    def fail(
+        self, failure: requests.Failure, now_s: float
+    ) -> list[requests.Effect]:
         """Decides what follows a failed attempt."""
         self._now_s = now_s
         ticket = self.tickets.get(failure.id)
@@ -216,7 +127,7 @@
             return self._give_up(ticket, failure, "no retries left", now_s)
         return [*self._admit(ticket, now_s), *self._start_waiting(now_s)]
 
-    def progress(self, message: Progress, now_s: float) -> None:
+    def progress(self, message: requests.Progress, now_s: float) -> None:
         """Learns from tokens that came."""
         ticket = self.tickets.get(message.id)
         if ticket is None or ticket.path is None:
@@ -237,7 +148,7 @@
         if changed:
             self._rebuild()
 
-    def finish(self, request_id: str, now_s: float) -> list[Effect]:
+    def finish(self, request_id: str, now_s: float) -> list[requests.Effect]:
         """Ends a request, whole or given up by its caller."""
         self._now_s = now_s
         ticket = self.tickets.pop(request_id, None)
@@ -252,7 +163,7 @@
 
     def update(
         self, message: tables.RoutingUpdate, now_s: float
-    ) -> list[Effect]:
+    ) -> list[requests.Effect]:
         """Takes a new table, marks and demand."""
         self._now_s = now_s
         if message.table is not None:
@@ -266,10 +177,10 @@
         self._rebuild()
         return self._start_waiting(now_s)
 
-    def tick(self, now_s: float) -> list[Effect]:
+    def tick(self, now_s: float) -> list[requests.Effect]:
         """Refuses what came due, lets probes begin, starts what can."""
         self._now_s = now_s
-        effects: list[Effect] = []
+        effects: list[requests.Effect] = []
         for item in queues.expire(self.queue, now_s):
             effects += self._refuse_ticket(
                 item.id, errors.ErrorKind.DEADLINE, "waited too long", now_s
@@ -330,7 +241,9 @@
 
     # Decisions.
 
-    def _admit(self, ticket: Ticket, now_s: float) -> list[Effect]:
+    def _admit(
+        self, ticket: requests.Ticket, now_s: float
+    ) -> list[requests.Effect]:
         item = self._make_waiting(ticket, now_s)
         graph = self._graphs.get(ticket.graph)
         if graph is None or not graph.size:
@@ -368,8 +281,8 @@
         )
 
     def _wait_begun(
-        self, ticket: Ticket, item: queues.Waiting, now_s: float
-    ) -> list[Effect]:
+        self, ticket: requests.Ticket, item: queues.Waiting, now_s: float
+    ) -> list[requests.Effect]:
         """Queues a request whose caller has a part of the answer.
 
         It is queued even where a new one would be refused: a probe, a spare
@@ -381,8 +294,8 @@
         )
         return []
 
-    def _start_waiting(self, now_s: float) -> list[Effect]:
-        effects: list[Effect] = []
+    def _start_waiting(self, now_s: float) -> list[requests.Effect]:
+        effects: list[requests.Effect] = []
         stuck: set[str] = set()
         while self.queue.waiting:
             started = False
@@ -400,7 +313,9 @@
                 break
         return effects
 
-    def _try_start(self, ticket: Ticket, now_s: float) -> Grant | None:
+    def _try_start(
+        self, ticket: requests.Ticket, now_s: float
+    ) -> requests.Grant | None:
         graph = self._graphs.get(ticket.graph)
         binding = self._bindings.get(ticket.key)
         if graph is None or binding is None:
@@ -420,7 +335,7 @@
         ticket.attempts += 1
         self.counts.attempts += 1
         self.running[ticket.key] = self.running.get(ticket.key, 0) + 1
-        return Grant(
+        return requests.Grant(
             ticket.arrival.id,
             path,
             binding,
@@ -428,7 +343,7 @@
             self._deployments[graph.label],
         )
 
-    def _release(self, ticket: Ticket) -> graphs.Path | None:
+    def _release(self, ticket: requests.Ticket) -> graphs.Path | None:
         path = ticket.path
         if path is None:
             return None
@@ -445,11 +360,11 @@
 
     def _handle_busy(
         self,
-        ticket: Ticket,
+        ticket: requests.Ticket,
         path: graphs.Path | None,
-        failure: Failure,
+        failure: requests.Failure,
         now_s: float,
-    ) -> list[Effect]:
+    ) -> list[requests.Effect]:
         """Sends a request that an engine had no slot for back to the queue.
 
         The engine has not started it, so this is no retry; the refusal also
@@ -473,9 +388,9 @@
 
     def _blame(
         self,
-        ticket: Ticket,
+        ticket: requests.Ticket,
         path: graphs.Path | None,
-        failure: Failure,
+        failure: requests.Failure,
         now_s: float,
     ) -> None:
         changed = False
@@ -508,8 +423,12 @@
             self._rebuild()
 
     def _give_up(
-        self, ticket: Ticket, failure: Failure, why: str, now_s: float
-    ) -> list[Effect]:
+        self,
+        ticket: requests.Ticket,
+        failure: requests.Failure,
+        why: str,
+        now_s: float,
+    ) -> list[requests.Effect]:
         return [
             *self._refuse_ticket(
                 ticket.arrival.id,
@@ -528,7 +447,7 @@
         reason: str,
         now_s: float,
         retry_after_s: float = 0.0,
-    ) -> list[Effect]:
+    ) -> list[requests.Effect]:
         ticket = self.tickets.pop(request_id, None)
         if ticket is not None and ticket.maybe_started:
             # The row of this kind may promise "not run", which no longer is
@@ -538,9 +457,11 @@
             request_id, errors.Refusal(kind, reason, retry_after_s)
         )
 
-    def _refuse(self, request_id: str, refusal: errors.Refusal) -> list[Effect]:
+    def _refuse(
+        self, request_id: str, refusal: errors.Refusal
+    ) -> list[requests.Effect]:
         self.counts.refused += 1
-        return [Refuse(request_id, refusal)]
+        return [requests.Refuse(request_id, refusal)]
 
     def _has_rivals(self, item: queues.Waiting) -> bool:
         """Tells whether others of its graph wait and may start."""
@@ -573,7 +494,9 @@
             local, self._name, demand, self._listed, informed
         )
 
-    def _make_waiting(self, ticket: Ticket, now_s: float) -> queues.Waiting:
+    def _make_waiting(
+        self, ticket: requests.Ticket, now_s: float
+    ) -> queues.Waiting:
         return queues.Waiting(
             ticket.arrival.id,
             ticket.arrival.workspace,
--- /dev/null
+++ b/tests/routing/dispatch.feature
@@ -0,0 +1,38 @@
+Feature: Routing under failures and slow links
+
+  Scenario: Half the upstreams fail
+    # Symptom: a storm multiplied by its own retries. Sequence: half of the
+    # upstreams break every attempt. Cause: retries without a budget.
+    Given 8 upstreams of which 4 break every attempt
+    When 1000 requests arrive at 100 a second
+    Then attempts per request are at most 1.1
+
+  Scenario: The first upstream to return is not run over
+    # Symptom: an upstream that came back goes down again at once. Sequence:
+    # seven of eight are busy, one returns idle. Cause: its emptiness makes it
+    # the cheapest for everyone at the same moment.
+    Given 8 upstreams with 6 requests each, one of which was down and is back
+    When 40 requests arrive within 0.2 s
+    Then the one that is back gets at most 8 of them
+    And 5 s later it gets its share again
+
+  Scenario: A link that degrades tenfold loses work and gets it back
+    # Symptom: every second answer crawls. Sequence: the link between two
+    # stages slows down tenfold; streams over it show it. Cause: choosing by
+    # the stages alone.
+    Given two chains of two stages of equal speed
+    When streams over the link of the first chain take ten times as long for 3 s
+    Then at most 5 in 100 choices go over that link
+    And after 12 s without news at least 3 in 100 choices try that link
+    When streams over it are as fast as before
+    Then at least 15 in 100 choices go over that link
+
+  Scenario Outline: Load reports fade
+    Given an upstream that reported 10 others <age> s ago and has 2 of ours
+    Then its load is estimated at <estimate>
+
+    Examples:
+      | age | estimate |
+      | 0   | 12.0     |
+      | 2   | 5.7      |
+      | 20  | 2.0      |
--- a/tests/routing/world.py
+++ b/tests/routing/world.py
@@ -16,6 +16,7 @@
 from egretspur.intents import records
 from egretspur.platform import engine
 from egretspur.routing import dispatch, tables
+from egretspur.routing import requests as messages
 
 LAYERS: Final = 8
 TOKENS: Final = 3
@@ -49,7 +50,7 @@
 class Attempt:
     """An attempt as an engine's side sees it."""
 
-    grant: dispatch.Grant
+    grant: messages.Grant
     number: int
     trail: str
     # Where it began, and the position of its next event.
@@ -72,7 +73,7 @@
     attempts: list[Attempt] = attrs.Factory(list)
     texts: list[str] = attrs.Factory(list)
     answers: int = 0
-    refusal: dispatch.Refuse | None = None
+    refusal: messages.Refuse | None = None
     gone: bool = False
 
 
@@ -160,14 +161,14 @@
         """Lets a caller's request arrive."""
         name = f"q{len(self.requests)}"
         self.requests[name] = Request(name, number, attempts.Merge(name))
-        arrival = dispatch.Arrival(name, workspace, "m")
+        arrival = messages.Arrival(name, workspace, "m")
         self.run(number, self.routers[number].arrive(arrival, self.now))
 
-    def run(self, number: int, effects: list[dispatch.Effect]) -> None:
+    def run(self, number: int, effects: list[messages.Effect]) -> None:
         """Runs effects as the actor and the relay would."""
         for effect in effects:
             request = self.requests[effect.id]
-            if isinstance(effect, dispatch.Refuse):
+            if isinstance(effect, messages.Refuse):
                 request.refusal = effect
                 request.answers += 1
                 request.current = None
@@ -175,7 +176,7 @@
             self._start_attempt(request, number, effect)
 
     def _start_attempt(
-        self, request: Request, number: int, grant: dispatch.Grant
+        self, request: Request, number: int, grant: messages.Grant
     ) -> None:
         for edge in grant.path.edges:
             mark = (edge.upstream, str(self.incarnations[edge.upstream]))
@@ -225,7 +226,7 @@
             return
         request.current.started = started
         request.current = None
-        failure = dispatch.Failure(
+        failure = messages.Failure(
             request.id,
             "broken",
             (blamed,) if blamed else (),
