Bound a stream's first gap by the short silence once tokens came

Cause: read while going through the relay as a newcomer: a stream was handed to the pump with the bound for the prefill although its first token had come, so a stage that fell silent right after it was noticed after 5 s instead of 2 s. Change: the long bound holds only while the attempt has given no token. Test: the relay with stubs; before the change the bound was 5 s at one token. Conclusion: recovery from a silent stage is the same at every position.

--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -122,6 +122,8 @@
         self._caller_error: Exception | None = None
         self._marked_s = 0.0
         self._marked_tokens = 0
+        # Position at which the attempt under way began.
+        self._first_position = 0
         # Failure that followed the tokens which `begin` returned.
         self._pending: requests.Failure | None = None
         self.pipeline = ""
@@ -204,6 +206,7 @@
         self._stream = opened
         self._marked_s = time.monotonic()
         self._marked_tokens = len(self._merge.tokens)
+        self._first_position = len(self._merge.tokens)
         return None
 
     def _read_first(
@@ -228,7 +231,12 @@
         """Lets the pump run the stream; returns the attempt's failure."""
         grant, stream = self._grant, self._stream
         assert grant is not None and stream is not None
-        broken = self._tools.pump.run(stream, self, self._tools.first_event_s)
+        # The long bound is for the prefill; once this attempt has given a
+        # token, a stage that falls silent must be noticed by the short one.
+        bound_s = stream.between_s
+        if len(self._merge.tokens) == self._first_position:
+            bound_s = self._tools.first_event_s
+        broken = self._tools.pump.run(stream, self, bound_s)
         if self._caller_error is not None:
             raise self._caller_error
         if broken is not None:
--- /dev/null
+++ b/tests/steps/relay_steps.py
@@ -0,0 +1,96 @@
+"""Steps on a relay with stubs for everything around it."""
+
+from __future__ import annotations
+
+import concurrent.futures
+from typing import Any
+
+import attrs
+from behave import given, then, when
+
+from egretspur.delivery import relay
+from egretspur.intents import records
+from egretspur.platform import engine
+from egretspur.routing import graph, requests, tables
+
+FIRST_S = 5.0
+BETWEEN_S = 2.0
+
+
+@attrs.define
+class Stub:
+    """Traffic, engines, canceller, pump and stream in one."""
+
+    tokens: int
+    between_s: float = BETWEEN_S
+    bound_s: float = 0.0
+    sent: int = 0
+    request: str = ""
+
+    def arrive(self, arrival: requests.Arrival) -> Any:
+        """Grants a path at once."""
+        fut: concurrent.futures.Future[Any] = concurrent.futures.Future()
+        fut.set_result(make_grant(arrival.id))
+        return fut
+
+    def fail(self, failure: requests.Failure) -> Any:
+        """Grants another path."""
+        return self.arrive(requests.Arrival(failure.id, "w", "m"))
+
+    def run(self, *args: Any) -> Any:
+        """As engine: a stream. As pump: remembers the bound and stops."""
+        if len(args) == 1:
+            self.request = args[0].request
+            return self
+        self.bound_s = args[2]
+        raise StopIteration
+
+    def read(self) -> Any:
+        """Gives the first tokens, or breaks without any."""
+        if self.sent < self.tokens:
+            self.sent += 1
+            return [engine.TokenEvent(self.request, 1, 0, "t", "u:0-4")]
+        return engine.Broken("reset", maybe_started=True)
+
+    def discard(self) -> None:
+        """Does nothing."""
+
+    def cancel(self, *args: Any) -> None:
+        """Does nothing."""
+
+
+def make_grant(request_id: str) -> requests.Grant:
+    """Returns a path of one stage."""
+    return requests.Grant(
+        request_id,
+        graph.Path((graph.Edge("u", 0, 4, 1.0),), "d"),
+        records.Binding("w", "m", ("d",), 1, 0),
+        (tables.Upstream("u", "u", "1", "dc", False, "", 1.0, 1),),
+        records.Deployment("d", "m", "", "v", "dc", 4, ()),
+    )
+
+
+@given("an attempt that has given {tokens:d} tokens")
+def step_attempt(context: Any, tokens: int) -> None:
+    context.stub = Stub(tokens=1)
+    stub: Any = context.stub
+    tools = relay.Tools(stub, stub, stub, stub, FIRST_S)
+    prompt = relay.Prompt("q", "w", "m", "text", 10)
+    context.relay = relay.Relay(prompt, tools, lambda: False)
+    assert context.relay.begin() == ["t"]
+    if not tokens:
+        # A second attempt, which has given none yet.
+        context.relay._open(make_grant("q"))
+
+
+@when("its stream is handed to the pump")
+def step_pump(context: Any) -> None:
+    try:
+        context.relay.run(lambda texts: None)
+    except StopIteration:
+        pass
+
+
+@then("the bound on its silence is {bound:g} s")
+def step_bound(context: Any, bound: float) -> None:
+    assert context.stub.bound_s == bound, context.stub
