--- a/bench/page.py
+++ b/bench/page.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from bench import target
+from bench import fits, target
 
 FILE: Final = pathlib.Path("docs/capacity.jsonl")
 PAGE: Final = pathlib.Path("docs/CAPACITY.md")
@@ -17,22 +17,14 @@
 MILLI: Final = 1000.0
 
 
-@attrs.frozen
-class Measured:
-    """A slope read from the file."""
+@attrs.frozen(kw_only=True)
+class Measured(fits.Fit):
+    """A slope read from the file: its fit and what was fitted."""
 
     name: str
     size_unit: str
     value_unit: str
     points: tuple[tuple[float, float], ...]
-    slope: float
-    intercept: float
-    r2: float
-    residual: float
-
-    def predict(self, size: float) -> float:
-        """Returns the value at a size by the line."""
-        return self.intercept + self.slope * size
 
     @property
     def largest(self) -> float:
