Move the clients of the product's own interface to egretspur/clients

Cause: the adapter for the users' platform needs the name egretspur/platform for code that only translates. Today's modules of that name are clients of the product's own outside interface and of its stand-ins; they stay, under a name that says so.

Change: a rename of the package and of its mentions; no behaviour changes.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,11 +21,11 @@
 from egretspur import codec, errors, settings, transport
 from egretspur.claims import actor as claim_actor
 from egretspur.claims import table as claim_table
+from egretspur.clients import log as logs
 from egretspur.intents import checkpoints, fold, records
 from egretspur.intents import state as states
 from egretspur.membership import entries, news
 from egretspur.placement import planner
-from egretspur.platform import log as logs
 from egretspur.routing import dispatch, tables
 from tests import scene, stage
 
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 
 from egretspur import codec
+from egretspur.clients import hosts as hostlist
+from egretspur.clients import weights
 from egretspur.intents import fold, records
 from egretspur.intents import state as states
-from egretspur.platform import hosts as hostlist
-from egretspur.platform import weights
 from egretspur.routing import tables
 
 LAYERS = 32
--- a/egretspur/claims/actor.py
+++ b/egretspur/claims/actor.py
@@ -19,7 +19,7 @@
 
 from egretspur import actors, codec, errors, transport
 from egretspur.claims import table
-from egretspur.platform import log as logs
+from egretspur.clients import log as logs
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -16,7 +16,7 @@
 from egretspur import errors, settings, transport
 from egretspur.claims import actor as claim_actor
 from egretspur.claims import table
-from egretspur.platform import service as services
+from egretspur.clients import service as services
 from egretspur.routing import actor as traffics
 from egretspur.routing import tables
 
--- a/egretspur/daemons/controller.py
+++ b/egretspur/daemons/controller.py
@@ -16,6 +16,9 @@
 from aioprometheus import collectors
 
 from egretspur import actors, codec, errors, hostview, settings, web
+from egretspur.clients import hosts as hostlist
+from egretspur.clients import log as logs
+from egretspur.clients import weights
 from egretspur.daemons import status as statuses
 from egretspur.intents import actor as configs
 from egretspur.intents import desk as desks
@@ -25,9 +28,6 @@
 from egretspur.membership import actor as members
 from egretspur.membership import news
 from egretspur.orders import actor as orders
-from egretspur.platform import hosts as hostlist
-from egretspur.platform import log as logs
-from egretspur.platform import weights
 from egretspur.routing import tables
 
 _LOG: Final = logging.getLogger(__name__)
--- a/egretspur/daemons/router.py
+++ b/egretspur/daemons/router.py
@@ -21,10 +21,10 @@
 from egretspur import codec, errors, settings, web
 from egretspur.claims import actor as claim_actor
 from egretspur.claims import calls
+from egretspur.clients import engine, service
+from egretspur.clients import log as logs
 from egretspur.daemons import base
 from egretspur.delivery import completions, pump, relay
-from egretspur.platform import engine, service
-from egretspur.platform import log as logs
 from egretspur.routing import actor as traffics
 from egretspur.routing import dispatch, link, tables
 
--- a/egretspur/delivery/attempts.py
+++ b/egretspur/delivery/attempts.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from egretspur.platform import engine
+from egretspur.clients import engine
 
 
 class Why(enum.Enum):
--- a/egretspur/delivery/pump.py
+++ b/egretspur/delivery/pump.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from egretspur.platform import engine
+from egretspur.clients import engine
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -18,9 +18,9 @@
 import attrs
 
 from egretspur import errors, web
+from egretspur.clients import engine
 from egretspur.delivery import attempts
 from egretspur.delivery import pump as pumps
-from egretspur.platform import engine
 from egretspur.routing import actor as traffics
 from egretspur.routing import requests
 
--- a/egretspur/hostview.py
+++ b/egretspur/hostview.py
@@ -9,7 +9,7 @@
 import threading
 
 from egretspur import errors
-from egretspur.platform import hosts as hostlist
+from egretspur.clients import hosts as hostlist
 
 
 class HostView:
--- a/egretspur/intents/desk.py
+++ b/egretspur/intents/desk.py
@@ -15,13 +15,13 @@
 import attrs
 
 from egretspur import errors
+from egretspur.clients import hosts as hostlist
+from egretspur.clients import log as logs
+from egretspur.clients import weights
 from egretspur.intents import actor as configs
 from egretspur.intents import records
 from egretspur.intents import state as states
 from egretspur.placement import planner
-from egretspur.platform import hosts as hostlist
-from egretspur.platform import log as logs
-from egretspur.platform import weights
 
 # Seconds an append is repeated before the operator is told that its outcome
 # is unknown.
--- a/egretspur/intents/follower.py
+++ b/egretspur/intents/follower.py
@@ -17,10 +17,10 @@
 import attrs
 
 from egretspur import codec, errors, settings, transport
+from egretspur.clients import log as logs
 from egretspur.intents import actor as configs
 from egretspur.intents import checkpoints, follow, records
 from egretspur.intents import state as states
-from egretspur.platform import log as logs
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/egretspur/membership/actor.py
+++ b/egretspur/membership/actor.py
@@ -19,8 +19,8 @@
 import attrs
 
 from egretspur import actors, settings
+from egretspur.clients import hosts as hostlist
 from egretspur.membership import entries, news, sender
-from egretspur.platform import hosts as hostlist
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/egretspur/orders/actor.py
+++ b/egretspur/orders/actor.py
@@ -17,13 +17,13 @@
 import attrs
 
 from egretspur import actors, errors, hostview, settings
+from egretspur.clients import engine
+from egretspur.clients import hosts as hostlist
 from egretspur.intents import actor as configs
 from egretspur.intents import records
 from egretspur.intents import state as states
 from egretspur.orders import lease as leases
 from egretspur.orders import steps
-from egretspur.platform import engine
-from egretspur.platform import hosts as hostlist
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/egretspur/orders/steps.py
+++ b/egretspur/orders/steps.py
@@ -12,9 +12,9 @@
 
 import attrs
 
+from egretspur.clients import engine
 from egretspur.intents import records
 from egretspur.intents import state as states
-from egretspur.platform import engine
 
 # Priority at the weight store of loads nobody asked for by intent.
 REPAIR_PRIORITY: Final = 100
--- a/egretspur/placement/planner.py
+++ b/egretspur/placement/planner.py
@@ -11,11 +11,11 @@
 
 import attrs
 
+from egretspur.clients import hosts as hostlist
+from egretspur.clients import weights
 from egretspur.intents import records
 from egretspur.intents import state as states
 from egretspur.placement import grouping, split
-from egretspur.platform import hosts as hostlist
-from egretspur.platform import weights
 
 
 @attrs.frozen
--- a/egretspur/routing/tables.py
+++ b/egretspur/routing/tables.py
@@ -11,9 +11,9 @@
 
 import attrs
 
+from egretspur.clients import hosts as hostlist
 from egretspur.intents import records
 from egretspur.intents import state as states
-from egretspur.platform import hosts as hostlist
 
 
 @attrs.frozen
--- a/tests/routing/world.py
+++ b/tests/routing/world.py
@@ -12,9 +12,9 @@
 import attrs
 
 from egretspur import settings
+from egretspur.clients import engine
 from egretspur.delivery import attempts
 from egretspur.intents import records
-from egretspur.platform import engine
 from egretspur.routing import dispatch, tables
 from egretspur.routing import requests as messages
 
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -8,9 +8,9 @@
 import attrs
 from behave import given, then, when
 
+from egretspur.clients import engine
 from egretspur.delivery import relay
 from egretspur.intents import records
-from egretspur.platform import engine
 from egretspur.routing import graph, requests, tables
 
 FIRST_S = 5.0
--- a/tests/steps/steps_steps.py
+++ b/tests/steps/steps_steps.py
@@ -6,8 +6,8 @@
 
 from behave import given, then, when
 
+from egretspur.clients import engine
 from egretspur.orders import steps
-from egretspur.platform import engine
 
 DRAIN_S = 5.0
 
