Read the range of layers where the list of upstreams has it

Cause: the list carries layer_count beside models, not within each model, so every engine looked empty: 316 orders, no path, all model requests refused. Order numbers also came from the heartbeat's counter, which is another field of the same name; they now come from the engine's report.

--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -43,8 +43,6 @@
     accelerator: str
     # Layers it holds of its service's model; None if it holds none.
     layers: Layers | None
-    # Orders it has begun since its start.
-    orders: int
 
 
 @attrs.frozen
@@ -52,7 +50,9 @@
     """An engine's own word on its load, some hundred milliseconds old."""
 
     layers: Layers | None
+    # An order is being carried out.
     is_busy: bool
+    # Orders begun since its start.
     orders: int
     # Request memory in use and in all, in tokens times layers.
     used: float
--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -11,7 +11,7 @@
 import logging
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, Protocol
 
 import attrs
@@ -32,9 +32,17 @@
 # still lack what the last holder ordered.
 SETTLE_S: Final = 1.0
 
+# The first layout waits until no engine has been added for so long. Engines
+# enter the list one by one within a heartbeat; a layout made from a few of
+# them would crowd the layers on those.
+COMPLETE_S: Final = 1.6
+
 
 class Engines(Protocol):
-    """Sends orders to engines."""
+    """Reports of engines and orders to them."""
+
+    def get_report(self, address: str) -> upstreams.EngineReport | str:
+        """Returns a report, or why there is none."""
 
     def place(
         self, address: str, layers: upstreams.Layers, expected: int
@@ -75,6 +83,8 @@
         self._look = look
         self._given: dict[str, _Given] = {}
         self._held_since_s: float | None = None
+        # Engines of each service and when that set last changed.
+        self._seen: dict[str, tuple[frozenset[str], float]] = {}
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="ranges", daemon=True
@@ -126,19 +136,33 @@
             for e in found.values()
             if e.accelerator in spec.accelerators
         ]
+        if not self._is_complete(service, engines, now_s):
+            return
         for engine_id, layers in ranges.plan_orders(engines, spec).items():
             # Looked at before each order: the thread may have been paused.
             if not self._duty.is_held():
                 return
             self._order(found[engine_id], layers, spec)
 
+    def _is_complete(
+        self, service: str, engines: Sequence[ranges.Engine], now_s: float
+    ) -> bool:
+        """Tells whether the list suffices to plan from."""
+        ids = frozenset(e.id for e in engines)
+        seen, since_s = self._seen.get(service, (frozenset(), now_s))
+        if ids != seen:
+            seen, since_s = ids, now_s
+            self._seen[service] = (ids, now_s)
+        is_first = all(e.held is None for e in engines)
+        return not is_first or now_s - since_s >= COMPLETE_S
+
     def _order(
         self,
         entry: upstreams.Upstream,
         layers: upstreams.Layers,
         spec: config.EngineSpec,
     ) -> None:
-        problem = self._engines.place(entry.address, layers, entry.orders)
+        problem = self._place(entry, layers)
         load_s = 2 * spec.load_s * layers.count / spec.layers
         self._given[entry.id] = _Given(
             layers, time.monotonic() + load_s + LIST_LAG_S
@@ -153,6 +177,25 @@
             },
         )
 
+    def _place(
+        self, entry: upstreams.Upstream, layers: upstreams.Layers
+    ) -> str:
+        """Sends one order; returns why it may not have been taken.
+
+        It names the orders the engine has begun so far: one that is delayed
+        on its way then fails instead of undoing a later one.
+        """
+        report = self._engines.get_report(entry.address)
+        if isinstance(report, str):
+            return report
+        if report.layers == layers:
+            return ""
+        if report.is_busy:
+            return "busy with another order"
+        if not self._duty.is_held():
+            return "duty lapsed"
+        return self._engines.place(entry.address, layers, report.orders)
+
     def _get_held(
         self, entry: upstreams.Upstream, now_s: float
     ) -> upstreams.Layers | None:
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -46,8 +46,7 @@
             slots=int(data.get("slots", 0)),
             # Here the route's field of this name holds the accelerator.
             accelerator=data.get("route_kind") or "",
-            layers=_decode_layers(data.get("models") or ()),
-            orders=int(data.get("seq_no", 0)),
+            layers=_decode_layers(data),
         )
     except (KeyError, IndexError, TypeError, ValueError) as exc:
         raise MalformedError(f"upstream {upstream_id}: {exc!r}") from exc
@@ -65,7 +64,7 @@
             for s in data.get("stalled_servers") or ()
         )
         return upstreams.EngineReport(
-            layers=_decode_layers(data.get("models") or ()),
+            layers=_decode_layers(data),
             is_busy=bool(data.get("busy")),
             orders=int(data.get("seq_no", 0)),
             used=float(data.get("kv_in_use", 0)),
@@ -77,13 +76,12 @@
         raise MalformedError(f"report: {exc!r}") from exc
 
 
-def _decode_layers(models: Any) -> upstreams.Layers | None:
-    for model in models:
-        # Named as a count, but holds the range of layers.
-        part = model.get("layer_count")
-        if part and part["to"] > part["source"]:
-            return upstreams.Layers(int(part["source"]), int(part["to"]))
-    return None
+def _decode_layers(data: Mapping[str, Any]) -> upstreams.Layers | None:
+    # Named as a count, but holds the range of layers.
+    part = data.get("layer_count")
+    if not part or part["to"] <= part["source"]:
+        return None
+    return upstreams.Layers(int(part["source"]), int(part["to"]))
 
 
 def _decode_config(data: Mapping[str, Any]) -> config.Configuration:
