Find dead upstreams early, share what hosts know, repair layers by twins

Change: seeds and the store's group give peers; probes decide whether an upstream is back; hosts of a data centre share dead ones; plans use empty engines, then twins, slowest first, and extend both neighbours last.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -22,7 +22,7 @@
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
-from egretspur.routing import broker, desk, jobs
+from egretspur.routing import broker, desk, jobs, probes
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -120,6 +120,7 @@
         )
         self._engines = upstream.EngineClient()
         self._watch = watch.StreamWatch(self._desk, self._engines)
+        self._prober = probes.Prober(self._desk, self._probe)
         self._intake = intake.Intake(
             self._desk, upstream.UpstreamClient(), self._watch, rng
         )
@@ -141,10 +142,6 @@
                 UPSTREAMS_PERIOD_S,
             ),
         )
-        self._duty = duty.Duty(
-            store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip)
-        )
-        self._keeper = ranges.RangeKeeper(self._duty, self._engines, self._look)
         self._exchange = exchange.Exchange(
             cfg.ip,
             cfg.exchange_port,
@@ -152,6 +149,11 @@
             self._make_news,
             self._take_news,
         )
+        self._duty = duty.Duty(
+            store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip),
+            self._exchange.note_members,
+        )
+        self._keeper = ranges.RangeKeeper(self._duty, self._engines, self._look)
         self._configuration: config.Configuration | None = None
         self._draining = threading.Event()
         self._stop = threading.Event()
@@ -177,6 +179,7 @@
         self._ready_server.start()
         self._ticker.start()
         self._watch.start()
+        self._prober.start()
         self._exchange.start()
         self._duty.start()
         self._keeper.start()
@@ -205,6 +208,7 @@
             feed.close()
         self._exchange.close()
         self._watch.close()
+        self._prober.close()
         self._server.close()
         self._ready_server.close()
 
@@ -264,22 +268,39 @@
             return tuple(
                 e
                 for e in state.fleet.roster.entries.values()
-                if e.data_centre == self._cfg.data_centre and not e.is_draining
+                if e.data_centre == self._cfg.data_centre
+                and not e.is_draining
+                and not state.fleet.is_dead(e.id, time.monotonic())
             )
 
         return ranges.Scene(self._configuration, self._desk.look(read))
 
+    def _probe(self, entry: upstreams.Upstream) -> bool:
+        cfg = self._configuration
+        service = cfg.services.get(entry.service) if cfg else None
+        if service is None or service.engine is not None:
+            return self._engines.is_alive(entry.address, "")
+        return self._engines.is_alive(entry.address, service.health_path)
+
     def _make_news(self, heard: tuple[str, ...]) -> exchange.News:
         def read(
             state: broker.Broker,
-        ) -> tuple[dict[str, jobs.Usage], dict[str, float]]:
-            return dict(state.fleet.own), {}
-
-        usage, pace = self._desk.look(read)
-        return exchange.News(self._cfg.ip, usage, pace, heard)
+        ) -> tuple[dict[str, jobs.Usage], tuple[str, ...]]:
+            now_s = time.monotonic()
+            fleet = state.fleet
+            dead = tuple(i for i in fleet.health if fleet.is_dead(i, now_s))
+            return dict(fleet.own), dead
+
+        usage, dead = self._desk.look(read)
+        return exchange.News(
+            self._cfg.ip, usage, {}, dead, self._cfg.data_centre, heard
+        )
 
     def _take_news(self, news: exchange.News, hosts: int) -> None:
-        self._desk.tell(desk.PeerNews(news.host, news.usage, news.pace))
+        is_near = news.data_centre == self._cfg.data_centre
+        self._desk.tell(
+            desk.PeerNews(news.host, news.usage, news.pace, news.dead, is_near)
+        )
         self._desk.tell(desk.Hosts(max(hosts, len(self._cfg.seeds))))
 
     def _tick(self) -> None:
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -61,8 +61,11 @@
     def read_some(self) -> bytes | Lost:
         """Returns the next bytes, waiting for them; empty at the end."""
 
+    def abort(self) -> None:
+        """Ends the connection and wakes whoever reads; from any thread."""
+
     def close(self) -> None:
-        """Closes the connection; safe from any thread."""
+        """Closes the connection; from the thread that reads."""
 
 
 class Upstreams(Protocol):
@@ -162,7 +165,7 @@
         """Ends the attempt under way, so that another one goes on."""
         answer = self._answer
         if answer is not None:
-            answer.close()
+            answer.abort()
 
     def begin(self) -> Whole | Answer | errors.Refusal:
         """Returns the whole answer, the head of a stream, or a refusal."""
@@ -236,7 +239,7 @@
         if isinstance(res, Lost):
             return res
         self._answer = res
-        self._abort.arm(res.close)
+        self._abort.arm(res.abort)
         if self._watch is not None and start.parts:
             self._watch.add(self)
         return res
--- a/egretspur/membership/duty.py
+++ b/egretspur/membership/duty.py
@@ -12,6 +12,7 @@
 import logging
 import threading
 import time
+from collections.abc import Callable
 from typing import Final, Protocol
 
 import attrs
@@ -48,6 +49,9 @@
     def leave(self) -> None:
         """Gives the duty up."""
 
+    def list_members(self) -> tuple[str, ...] | feeds.Unavailable:
+        """Returns the members that have any part of the duty topic."""
+
 
 @attrs.define
 class Lease:
@@ -71,8 +75,19 @@
 class Duty:
     """Keeps this host in the group and its lease up to date."""
 
-    def __init__(self, group: Group) -> None:
+    def __init__(
+        self, group: Group, note_members: Callable[[tuple[str, ...]], None]
+    ) -> None:
+        """Makes a member.
+
+        Args:
+            group: Where the duty is dealt.
+            note_members: Told who is in the group, each time that changes.
+        """
         self._group = group
+        self._note_members = note_members
+        # Generation of which the members were read.
+        self._listed = -1
         self._lease = Lease()
         self._stop = threading.Event()
         self._thread = threading.Thread(
@@ -104,4 +119,9 @@
                     "duty taken" if res.is_held else "duty passed on",
                     extra={"generation": res.generation},
                 )
+            if isinstance(res, Held) and res.generation != self._listed:
+                members = self._group.list_members()
+                if not isinstance(members, feeds.Unavailable):
+                    self._listed = res.generation
+                    self._note_members(members)
             self._stop.wait(PERIOD_S)
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -44,6 +44,9 @@
     host: str
     usage: Mapping[str, jobs.Usage]
     pace: Mapping[str, float]
+    # Upstreams it found dead.
+    dead: tuple[str, ...]
+    data_centre: str
     # Hosts it has heard of late.
     peers: tuple[str, ...]
 
@@ -56,6 +59,8 @@
             news.host,
             {i: [u.count, int(u.room)] for i, u in rows},
             dict(news.pace),
+            list(news.dead),
+            news.data_centre,
             list(news.peers),
         ]
     )
@@ -64,7 +69,7 @@
 def decode_news(data: bytes) -> News | None:
     """Returns the news in a datagram; None if it is malformed."""
     try:
-        host, usage, pace, peers = orjson.loads(data)
+        host, usage, pace, dead, place, peers = orjson.loads(data)
         return News(
             str(host),
             {
@@ -72,6 +77,8 @@
                 for i, (c, r) in usage.items()
             },
             {str(i): float(p) for i, p in pace.items()},
+            tuple(str(d) for d in dead),
+            str(place),
             tuple(str(p) for p in peers),
         )
     except (orjson.JSONDecodeError, TypeError, ValueError, AttributeError):
@@ -94,6 +101,12 @@
             if host != self._me:
                 self._known[host] = now_s
 
+    def note_members(self, hosts: Iterable[str], now_s: float) -> None:
+        """Takes hosts that the store knows, heard or not."""
+        for host in hosts:
+            if host != self._me:
+                self._known[host] = now_s
+
     def list_targets(self, now_s: float) -> list[str]:
         """Returns the hosts to send to."""
         self._known = {
@@ -151,6 +164,11 @@
         self._stop.set()
         self._sock.close()
 
+    def note_members(self, hosts: tuple[str, ...]) -> None:
+        """Takes hosts that the store knows."""
+        with self._lock:
+            self._peers.note_members(hosts, time.monotonic())
+
     def _send(self) -> None:
         while not self._stop.wait(PERIOD_S):
             now_s = time.monotonic()
--- a/egretspur/placement/ranges.py
+++ b/egretspur/placement/ranges.py
@@ -53,8 +53,7 @@
     gaps = _find_gaps(held.values(), spec.layers)
     if gaps:
         return _close_gaps(ordered, held, gaps, spec)
-    empty = [e for e in ordered if e.held is None]
-    return _make_twins(empty, held, spec)
+    return _make_twins(ordered, held, spec)
 
 
 def compute_most(
@@ -65,6 +64,14 @@
     return min(spec.layers, int(accelerator.memory_bytes / each))
 
 
+def compute_room(
+    accelerator: config.Accelerator, spec: config.EngineSpec, count: int
+) -> float:
+    """Returns the tokens of room on each layer of a card that holds so many."""
+    left = accelerator.memory_bytes - count * spec.layer_bytes
+    return left / (count * spec.token_layer_bytes)
+
+
 def _find_gaps(
     held: Iterable[upstreams.Layers], layers: int
 ) -> list[upstreams.Layers]:
@@ -100,32 +107,48 @@
 ) -> tuple[dict[str, upstreams.Layers], bool]:
     """Returns orders, and whether some layers are left without a holder."""
     orders: dict[str, upstreams.Layers] = {}
-    is_first = not held
     have = dict(held)
     left = False
     for gap in gaps:
         at = gap.first
         while at < gap.last:
-            free = [e for e in engines if _is_free(e.id, have, orders)]
+            free = _list_free(engines, have, orders)
             if not free:
                 break
-            engine = free[0]
-            count = compute_most(engine.accelerator, spec, room)
-            if not is_first:
+            count = compute_most(free[0].accelerator, spec, room)
+            if held:
                 fair = math.ceil((gap.last - at) / len(free))
                 count = min(count, max(fair, FEWEST))
             count = min(count, gap.last - at)
             if count <= 0:
                 break
             part = upstreams.Layers(at, at + count)
-            orders[engine.id] = have[engine.id] = part
+            orders[free[0].id] = have[free[0].id] = part
             at += count
-        if at < gap.last:
-            at = _extend(engines, have, orders, at, gap.last, spec, room)
-        left |= at < gap.last
+        rest = upstreams.Layers(at, gap.last)
+        left |= not _extend(engines, have, orders, rest, spec, room)
     return orders, left
 
 
+def _list_free(
+    engines: Sequence[Engine],
+    have: Mapping[str, upstreams.Layers],
+    orders: Mapping[str, upstreams.Layers],
+) -> list[Engine]:
+    """Returns the engines that can be given other layers, best first.
+
+    Empty ones, fastest first; then those whose layers all have other holders,
+    slowest first, since the fast ones serve most requests.
+    """
+    empty = [e for e in engines if e.id not in have]
+    twins = [
+        e
+        for e in reversed(engines)
+        if e.id in have and _is_free(e.id, have, orders)
+    ]
+    return empty + twins
+
+
 def _is_free(
     engine_id: str,
     have: Mapping[str, upstreams.Layers],
@@ -139,67 +162,92 @@
         return True
     others = [(h.first, h.last) for i, h in have.items() if i != engine_id]
     gaps = paths.find_gaps(others, mine.last)
-    return not any(last > mine.first for _, last in gaps)
+    return not any(a < mine.last and b > mine.first for a, b in gaps)
 
 
 def _extend(
     engines: Sequence[Engine],
     have: dict[str, upstreams.Layers],
     orders: dict[str, upstreams.Layers],
-    first: int,
-    last: int,
+    gap: upstreams.Layers,
     spec: config.EngineSpec,
     room: float,
-) -> int:
-    """Lets the neighbours of a gap hold more; returns where it now begins."""
-    for engine in engines:
-        mine = have.get(engine.id)
-        if mine is None or first >= last:
-            continue
-        more = compute_most(engine.accelerator, spec, room) - mine.count
-        more = min(more, last - first)
-        if more <= 0 or mine.last != first:
-            continue
-        part = upstreams.Layers(mine.first, mine.last + more)
-        orders[engine.id] = have[engine.id] = part
-        first += more
-    return first
+) -> bool:
+    """Lets the neighbours of a gap hold more; tells whether that closes it.
+
+    Layer by layer, the neighbour that keeps more room takes the next one.
+    """
+    first, last = gap.first, gap.last
+    while first < last:
+        best: tuple[float, Engine, upstreams.Layers] | None = None
+        for engine in engines:
+            mine = have.get(engine.id)
+            if mine is None:
+                continue
+            if mine.last == first:
+                more = upstreams.Layers(mine.first, first + 1)
+            elif mine.first == last:
+                more = upstreams.Layers(last - 1, mine.last)
+            else:
+                continue
+            left = compute_room(engine.accelerator, spec, more.count)
+            if left >= room and (best is None or left > best[0]):
+                best = (left, engine, more)
+        if best is None:
+            return False
+        _, engine, more = best
+        orders[engine.id] = have[engine.id] = more
+        if more.last == first + 1:
+            first += 1
+        else:
+            last -= 1
+    return True
 
 
 def _make_twins(
-    empty: Sequence[Engine],
+    engines: Sequence[Engine],
     held: Mapping[str, upstreams.Layers],
     spec: config.EngineSpec,
 ) -> dict[str, upstreams.Layers]:
-    """Gives empty engines the layers that the fewest others hold."""
+    """Gives empty engines the layers with the least room for requests."""
     orders: dict[str, upstreams.Layers] = {}
-    have = dict(held)
-    for engine in empty:
+    rooms = [0.0] * spec.layers
+    for engine in engines:
+        if engine.held is not None:
+            _add_room(rooms, engine, engine.held, spec)
+    for engine in engines:
+        if engine.id in held:
+            continue
         count = compute_most(engine.accelerator, spec, ROOMS[0])
         if count <= 0:
             continue
-        part = _find_scarcest(have.values(), count, spec.layers)
-        orders[engine.id] = have[engine.id] = part
+        part = _find_scarcest(rooms, held.values(), count)
+        orders[engine.id] = part
+        _add_room(rooms, engine, part, spec)
     return orders
 
 
+def _add_room(
+    rooms: list[float],
+    engine: Engine,
+    part: upstreams.Layers,
+    spec: config.EngineSpec,
+) -> None:
+    room = compute_room(engine.accelerator, spec, part.count)
+    for layer in range(part.first, min(part.last, len(rooms))):
+        rooms[layer] += room
+
+
 def _find_scarcest(
-    held: Iterable[upstreams.Layers], count: int, layers: int
+    rooms: Sequence[float], held: Iterable[upstreams.Layers], count: int
 ) -> upstreams.Layers:
-    """Returns the range of so many layers that has the fewest holders."""
-    holders = [0] * layers
-    starts = {0}
+    """Returns the range of so many layers with the least room in all."""
+    last = len(rooms) - count
+    starts = {0, last}
     for part in held:
-        starts.add(part.first)
-        starts.add(part.last)
-        for layer in range(part.first, min(part.last, layers)):
-            holders[layer] += 1
+        starts.update((part.first, part.last - count))
     found = [
-        (sum(holders[s : s + count]) / count, s)
-        for s in sorted(starts)
-        if s + count <= layers
+        (sum(rooms[s : s + count]), s) for s in sorted(starts) if 0 <= s <= last
     ]
-    last = layers - count
-    found.append((sum(holders[last:]) / count, last))
     _, start = min(found)
     return upstreams.Layers(start, start + count)
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -33,6 +33,8 @@
     # Addresses for callers and for the balancer's question.
     listen: str
     listen_ready: str
+    # Address for operators: metrics and the state dump.
+    listen_control: str
     # UDP port for the exchange between hosts, the same on all of them.
     exchange_port: int
     # Addresses of a few hosts to begin with; may be stale.
@@ -79,6 +81,7 @@
         data_centres=tuple(sorted(data["zones"])),
         listen=data["listen"]["frontend"],
         listen_ready=data["listen"]["ready"],
+        listen_control=data["listen"]["control_plane"],
         exchange_port=int(data["port_range"][0]),
         seeds=tuple(data.get("seeds") or ()),
         store=store["address"],
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -232,6 +232,16 @@
         )
         return duty.Held(holds, self._generation)
 
+    def list_members(self) -> tuple[str, ...] | feeds.Unavailable:
+        """Returns the members that hold partitions of the duty topic."""
+        res = self._store.get("/egretspur/log-owners", {"group": self._group})
+        if isinstance(res, feeds.Unavailable):
+            return res
+        rows = orjson.loads(res.body)
+        if isinstance(rows, dict):
+            rows = rows.get("parts") or rows.get("owners") or []
+        return tuple(sorted({str(row[2]) for row in rows if row[2]}))
+
     def leave(self) -> None:
         """Gives the duty up; if the call is lost, it lapses."""
         self._store.post(
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -71,7 +71,7 @@
         if isinstance(conn, forward.Lost):
             return conn
         handle = _Handle(conn)
-        abort.arm(handle.close)
+        abort.arm(handle.abort)
         left_s = job.deadline_s - time.monotonic()
         headers = _make_headers(call, job, start, resume_after, left_s)
         handle.set_timeout(max(0.01, min(left_s, _get_patience(start))))
@@ -99,32 +99,35 @@
 
 
 class _Handle:
-    """A connection that any thread may close."""
+    """A connection that one thread reads and any thread may abort."""
 
     def __init__(self, conn: urllib3.connection.HTTPConnection) -> None:
         self._conn = conn
-        self._sock: socket.socket | None = conn.sock
+        # Kept besides: the library forgets it once the answer's head is read.
+        self._sock: socket.socket = conn.sock
         self._lock = threading.Lock()
+        self._is_closed = False
 
     def set_timeout(self, seconds: float) -> None:
         """Sets the longest wait of one read or write."""
-        sock = self._sock
-        if sock is not None:
-            sock.settimeout(seconds)
+        self._sock.settimeout(seconds)
+
+    def abort(self) -> None:
+        """Ends the connection and wakes the thread that reads from it."""
+        with self._lock:
+            if self._is_closed:
+                return
+            try:
+                self._sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                _LOG.debug("connection was closed by the other side")
 
     def close(self) -> None:
-        """Closes the connection and wakes whoever reads from it."""
+        """Closes the connection; only the thread that reads may do so."""
         with self._lock:
-            sock, self._sock = self._sock, None
-        if sock is None:
-            return
-        try:
-            # The thread that reads holds the file open; only this wakes it.
-            sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            _LOG.debug("connection was closed before")
-        self._conn.close()
-        sock.close()
+            self._is_closed = True
+            self._conn.close()
+            self._sock.close()
 
 
 class UpstreamAnswer:
@@ -157,9 +160,14 @@
         except Exception as exc:  # http.client's own errors
             return forward.Lost(jobs.Why.CUT, repr(exc))
 
+    def abort(self) -> None:
+        """Ends the connection and wakes whoever reads; from any thread."""
+        self._handle.abort()
+
     def close(self) -> None:
         """Closes the connection; the upstream then stops its work."""
         self._handle.close()
+        self._res.close()
 
 
 def _connect(
@@ -275,6 +283,18 @@
         except (orjson.JSONDecodeError, decode.MalformedError) as exc:
             return f"{address}: {exc}"
 
+    def is_alive(self, address: str, health_path: str) -> bool:
+        """Tells whether an upstream answers at all.
+
+        Args:
+            address: Its address.
+            health_path: Where a plain service answers; empty for an engine.
+        """
+        path = health_path or names.REPORT_PATH
+        res = self._transport.call("GET", address, path)
+        # One that is full or leaving answers too; the list tells of those.
+        return not isinstance(res, transport.Failed)
+
     def place(
         self, address: str, layers: upstreams.Layers, expected: int
     ) -> str:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -130,9 +130,9 @@
             return
         if ticket.parts:
             for part in ticket.parts:
-                self.fleet.note_success(part.id)
+                self.fleet.note_success(part.id, now_s)
             return
-        self.fleet.note_success(ticket.upstream_id)
+        self.fleet.note_success(ticket.upstream_id, now_s)
         self.fleet.note_time(ticket.upstream_id, now_s - ticket.started_s)
 
     def repath(
@@ -361,11 +361,11 @@
         if not blamed and failure.why is not jobs.Why.REFUSED and was_at:
             blamed.add(was_at)
         ticket.failed |= blamed
-        if failure.why in (jobs.Why.UNREACHABLE, jobs.Why.CUT) or (
-            failure.why is jobs.Why.REFUSED and failure.blamed
-        ):
-            for upstream_id in blamed:
-                self.fleet.note_failure(upstream_id, now_s)
+        for upstream_id in blamed:
+            if failure.why is jobs.Why.UNREACHABLE:
+                self.fleet.note_down(upstream_id, now_s)
+            elif failure.why is jobs.Why.CUT or failure.blamed:
+                self.fleet.note_fault(upstream_id, now_s)
 
     def _check_repeat(
         self, ticket: _Ticket, failure: jobs.Failure, now_s: float
@@ -389,10 +389,6 @@
             return self._make_final(ticket, f"no attempts left; {reason}")
         if ticket.refusals > MAX_REFUSALS:
             return self._make_final(ticket, f"refused too often; {reason}")
-        if failure.why is jobs.Why.UNREACHABLE:
-            # It has not arrived anywhere and costs no repeat; connections
-            # are bounded by the upstreams that are left to try.
-            return None
         if not self._get_budget(job.service).spend(self.hosts, now_s):
             return self._make_final(ticket, f"no repeats left; {reason}")
         self.counts.repeats += 1
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -94,6 +94,10 @@
     usage: Mapping[str, jobs.Usage]
     # Engines that run slower than their kind.
     pace: Mapping[str, float]
+    # Upstreams that it found dead.
+    dead: tuple[str, ...]
+    # Whether it is in the same data centre and so sees what this host sees.
+    is_near: bool
 
 
 @attrs.frozen
@@ -110,6 +114,19 @@
     upstream_id: str
 
 
+@attrs.frozen
+class TakeProbes:
+    """Asks for the upstreams to probe now."""
+
+
+@attrs.frozen
+class Probed:
+    """The result of a probe."""
+
+    upstream_id: str
+    is_ok: bool
+
+
 @attrs.frozen
 class NotePace:
     """An engine's own word on its speed."""
@@ -202,6 +219,9 @@
             time.monotonic(), message.usage
         )
         state.pace.update(message.pace)
+        if message.is_near:
+            for upstream_id in message.dead:
+                state.note_down(upstream_id, time.monotonic())
 
     @handle.register
     def _(self, message: Hosts) -> None:
@@ -209,7 +229,17 @@
 
     @handle.register
     def _(self, message: NoteFailed) -> None:
-        self._broker.fleet.note_failure(message.upstream_id, time.monotonic())
+        self._broker.fleet.note_down(message.upstream_id, time.monotonic())
+
+    @handle.register
+    def _(self, message: TakeProbes) -> list[upstreams.Upstream]:
+        return self._broker.fleet.take_probes(time.monotonic())
+
+    @handle.register
+    def _(self, message: Probed) -> None:
+        now_s = time.monotonic()
+        self._broker.fleet.note_probe(message.upstream_id, message.is_ok, now_s)
+        self._run(self._broker.refresh(now_s))
 
     @handle.register
     def _(self, message: NotePace) -> None:
@@ -270,6 +300,11 @@
         )
         return found
 
+    def take_probes(self) -> list[upstreams.Upstream]:
+        """Returns the upstreams to probe now."""
+        found: list[upstreams.Upstream] = actors.ask(self._ref, TakeProbes())
+        return found
+
     def look(self, read: Callable[[broker.Broker], Any]) -> Any:
         """Returns what a function reads from the broker."""
         return actors.ask(self._ref, Look(read))
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -15,9 +16,25 @@
 from egretspur.catalog import config, upstreams
 from egretspur.routing import jobs, paths
 
-# Pause after a failure of an upstream; doubles with each in a row.
-FIRST_PAUSE_S: Final = 1.0
-LONGEST_PAUSE_S: Final = 8.0
+# Pauses between two probes of an upstream that is down; the first doubles
+# with each probe that fails.
+FIRST_PROBE_S: Final = 0.15
+LONGEST_PROBE_S: Final = 1.6
+
+# An upstream that is down for so long and has failed so many probes counts as
+# dead: its layers are given to others. Less would move layers for a lost
+# packet; each further second costs the answers of a data centre.
+DEAD_S: Final = 0.6
+DEAD_PROBES: Final = 2
+
+# Weight of a new sample in the share of attempts that fail, and the seconds
+# over which that share is forgiven.
+FAULT_WEIGHT: Final = 0.25
+FAULT_FORGIVEN_S: Final = 6.0
+
+# How much slower an upstream counts for the attempts that fail there: a
+# failed one costs a repeat, and its caller the time until the failure shows.
+FAULT_COST: Final = 6.0
 
 # What another host said counts for so long. Hosts tell several times a
 # second; one that fell silent has lost its callers too.
@@ -32,11 +49,34 @@
 
 @attrs.define
 class Health:
-    """Failures of one upstream, as this host saw them."""
+    """An upstream that failed; it is probed until it answers."""
 
+    since_s: float
+    # Given no work until a probe succeeds.
+    is_down: bool
+    next_probe_s: float
+    # Probes that failed in a row.
     failures: int = 0
-    # Given no work before this monotonic time.
-    down_until_s: float = 0.0
+    is_probing: bool = False
+
+
+@attrs.define
+class Faults:
+    """Share of attempts that failed at one upstream, forgiven with time."""
+
+    share: float = 0.0
+    at_s: float = 0.0
+
+    def get(self, now_s: float) -> float:
+        """Returns the share as it counts now."""
+        age_s = max(0.0, now_s - self.at_s)
+        return self.share * math.exp(-age_s / FAULT_FORGIVEN_S)
+
+    def note(self, is_fault: bool, now_s: float) -> None:
+        """Takes the end of an attempt."""
+        old = self.get(now_s)
+        self.share = old + FAULT_WEIGHT * (float(is_fault) - old)
+        self.at_s = now_s
 
 
 @attrs.frozen
@@ -56,6 +96,7 @@
         self.own: dict[str, jobs.Usage] = {}
         self.peers: dict[str, PeerUsage] = {}
         self.health: dict[str, Health] = {}
+        self.faults: dict[str, Faults] = {}
         # Factor by which an engine runs slower than its kind.
         self.pace: dict[str, float] = {}
         # Smoothed seconds of a plain service's answers.
@@ -66,7 +107,17 @@
         if entry.is_draining:
             return False
         health = self.health.get(entry.id)
-        return health is None or now_s >= health.down_until_s
+        return health is None or not health.is_down
+
+    def is_dead(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether an upstream is down for good, as far as one can see."""
+        health = self.health.get(upstream_id)
+        return (
+            health is not None
+            and health.is_down
+            and health.failures >= DEAD_PROBES
+            and now_s - health.since_s >= DEAD_S
+        )
 
     def list_usable(
         self, service: str, now_s: float
@@ -98,18 +149,63 @@
                 used += usage.room
         return jobs.Usage(count, used)
 
-    def note_failure(self, upstream_id: str, now_s: float) -> None:
-        """Gives an upstream no work for a while."""
-        health = self.health.setdefault(upstream_id, Health())
-        if now_s < health.down_until_s:
+    def note_fault(self, upstream_id: str, now_s: float) -> None:
+        """Takes an attempt that failed and may be the upstream's fault.
+
+        It keeps its work, though less of it, until a probe fails too: one
+        answer may be lost where the next one comes.
+        """
+        self.faults.setdefault(upstream_id, Faults()).note(True, now_s)
+        self.health.setdefault(upstream_id, Health(now_s, False, now_s))
+
+    def note_down(self, upstream_id: str, now_s: float) -> None:
+        """Gives an upstream no work until a probe succeeds."""
+        health = self.health.get(upstream_id)
+        if health is None:
+            health = Health(now_s, True, now_s + FIRST_PROBE_S)
+            self.health[upstream_id] = health
+        if not health.is_down:
+            health.is_down = True
+            health.since_s = now_s
+
+    def note_success(self, upstream_id: str, now_s: float) -> None:
+        """Takes an answer."""
+        faults = self.faults.get(upstream_id)
+        if faults is not None:
+            faults.note(False, now_s)
+
+    def take_probes(self, now_s: float) -> list[upstreams.Upstream]:
+        """Returns the upstreams to probe now; each once until its result."""
+        due = []
+        for upstream_id, health in self.health.items():
+            entry = self.roster.entries.get(upstream_id)
+            if entry is None or health.is_probing:
+                continue
+            if now_s >= health.next_probe_s:
+                health.is_probing = True
+                due.append(entry)
+        return due
+
+    def note_probe(self, upstream_id: str, is_ok: bool, now_s: float) -> None:
+        """Takes the result of a probe."""
+        health = self.health.get(upstream_id)
+        if health is None:
+            return
+        if is_ok:
+            del self.health[upstream_id]
             return
+        health.is_probing = False
+        if not health.is_down:
+            health.is_down = True
+            health.since_s = now_s
+        pause_s = FIRST_PROBE_S * 2**health.failures
         health.failures += 1
-        pause = FIRST_PAUSE_S * 2 ** (health.failures - 1)
-        health.down_until_s = now_s + min(pause, LONGEST_PAUSE_S)
+        health.next_probe_s = now_s + min(pause_s, LONGEST_PROBE_S)
 
-    def note_success(self, upstream_id: str) -> None:
-        """Takes an upstream's proof of life."""
-        self.health.pop(upstream_id, None)
+    def get_slowdown(self, upstream_id: str, now_s: float) -> float:
+        """Returns how much slower an upstream counts for its faults."""
+        faults = self.faults.get(upstream_id)
+        return 1.0 + FAULT_COST * faults.get(now_s) if faults else 1.0
 
     def note_time(self, upstream_id: str, seconds: float) -> None:
         """Takes the time of a plain service's answer."""
@@ -119,7 +215,11 @@
     def forget_gone(self) -> None:
         """Drops what is known of upstreams that are no longer listed."""
         known = self.roster.entries
-        for table in (self.health, self.pace, self.times):
+        for upstream_id in set(self.health) - set(known):
+            del self.health[upstream_id]
+        for upstream_id in set(self.faults) - set(known):
+            del self.faults[upstream_id]
+        for table in (self.pace, self.times):
             for upstream_id in set(table) - set(known):
                 del table[upstream_id]
 
@@ -139,6 +239,7 @@
                 spec.per_request_s + spec.per_token_s * context
             )
             pace = kind.pace * self.pace.get(entry.id, 1.0)
+            pace *= self.get_slowdown(entry.id, now_s)
             cards.append(
                 paths.Card(
                     entry.id,
@@ -164,6 +265,7 @@
             waiting = self.get_usage(entry.id, now_s).count
             turns = 1 + waiting / max(1, entry.slots)
             near = 1.0 if entry.data_centre == self.data_centre else 1.2
-            return time_s * turns * near
+            slowdown = self.get_slowdown(entry.id, now_s)
+            return time_s * turns * near * slowdown
 
         return min(fresh, key=expect_s, default=None)
