Refuse requests late in a stop instead of beginning what must be cut

Idle connections were closed only at the end. Change: once the balancer has noticed, idle connections are closed and requests are refused as not run, for another host.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -192,14 +192,12 @@
         self._keeper.close()
         self._duty.close()
         self._server.drain()
-        while time.monotonic() < end_s:
-            if (
-                time.monotonic() - began_s > UNREADY_S
-                and not self._intake.in_flight
-            ):
-                break
-            time.sleep(0.05)
+        # Until the balancer has noticed, new callers still come.
+        time.sleep(min(UNREADY_S, self._cfg.grace_s / 2))
+        self._intake.stop()
         self._server.close_idle()
+        while self._intake.in_flight and time.monotonic() < end_s:
+            time.sleep(0.05)
 
     def close(self) -> None:
         """Stops everything."""
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -23,6 +23,9 @@
 # Seconds after which to ask again a host that has just started.
 STARTING_S: Final = 0.5
 
+# Seconds after which to come back to another host; it is ready now.
+STOPPING_S: Final = 0.05
+
 
 @attrs.frozen
 class Inbound:
@@ -62,12 +65,21 @@
         self._rng = rng
         self._cfg: config.Configuration | None = None
         self._lock = threading.Lock()
+        self._is_stopping = False
         self.in_flight = 0
 
     def configure(self, cfg: config.Configuration) -> None:
         """Takes a configuration; it holds for requests that come later."""
         self._cfg = cfg
 
+    def stop(self) -> None:
+        """Refuses requests from now on; those under way go on.
+
+        Symptom without it: a request that comes on a kept connection late in
+        a stop is begun, and cut when the process must end.
+        """
+        self._is_stopping = True
+
     def serve(self, inbound: Inbound, req: web.Request) -> web.Response:
         """Answers one request."""
         job = self.make_job(inbound, time.monotonic())
@@ -97,6 +109,10 @@
         self, inbound: Inbound, now_s: float
     ) -> jobs.Job | errors.Refusal:
         """Returns the job of a request, or why there is none."""
+        if self._is_stopping:
+            return errors.Refusal(
+                errors.ErrorKind.STOPPING, "stop signal", STOPPING_S
+            )
         cfg = self._cfg
         if cfg is None:
             return errors.Refusal(
--- a/egretspur/errors.py
+++ b/egretspur/errors.py
@@ -29,6 +29,7 @@
     DEADLINE = "deadline"
     NO_ROUTE = "no_route"
     NOT_CONFIGURED = "not_configured"
+    STOPPING = "stopping"
     UPSTREAM_FAILED = "upstream_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ALREADY_CLAIMED = "already_claimed"
@@ -94,6 +95,9 @@
     ErrorKind.NOT_CONFIGURED: Answer(
         503, True, True, "This process has not read its configuration yet."
     ),
+    ErrorKind.STOPPING: Answer(
+        503, True, True, "This process is stopping; other hosts serve."
+    ),
     ErrorKind.UPSTREAM_FAILED: Answer(
         502, False, True, "Upstreams failed after the request was sent."
     ),
