Watch streams from before they are sent; pause engines that refuse a part

Engines that left while the store was down refused again and again: probes found them alive. Change: watched from before the send, asked after 0.25 s; a refusal with a blamed engine pauses it, doubling to 2 s.

--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -98,6 +98,13 @@
         if close is not None:
             close()
 
+    def fire(self) -> None:
+        """Ends what is under way; a later attempt is not affected."""
+        with self._lock:
+            close = self._close
+        if close is not None:
+            close()
+
     def arm(self, close: Callable[[], None] | None) -> None:
         """Sets what is to be closed on an abort."""
         with self._lock:
@@ -163,9 +170,7 @@
 
     def interrupt(self) -> None:
         """Ends the attempt under way, so that another one goes on."""
-        answer = self._answer
-        if answer is not None:
-            answer.abort()
+        self._abort.fire()
 
     def begin(self) -> Whole | Answer | errors.Refusal:
         """Returns the whole answer, the head of a stream, or a refusal."""
@@ -233,6 +238,10 @@
         self.stalled = set()
         self.has_begun = False
         self._merge.begin()
+        # Watched from before it is sent: an answer's head comes with its
+        # first event, so a stage that is dead already holds up both.
+        if self._watch is not None and start.parts:
+            self._watch.add(self)
         res = self._upstreams.open(
             self.call, self.job, start, after, self._abort
         )
@@ -240,8 +249,6 @@
             return res
         self._answer = res
         self._abort.arm(res.abort)
-        if self._watch is not None and start.parts:
-            self._watch.add(self)
         return res
 
     def _read_first(self, answer: Answer) -> Whole | Answer | Lost:
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -25,10 +25,11 @@
 
 # A stream without an event for so long is asked about. Events come every few
 # tens of milliseconds; a pause beyond 0.2 s counts as late already.
-SILENT_S: Final = 0.4
+SILENT_S: Final = 0.3
 
-# Before the first event the prompt is read, which takes longer.
-SILENT_FIRST_S: Final = 0.9
+# Before the first event the prompt is read: 50 ms as a rule, 200 ms in a
+# burst. A request moved by then still has its first event within 0.5 s.
+SILENT_FIRST_S: Final = 0.25
 
 # A stream that can't be moved is ended after so long without an event, so
 # that it goes on over another path before its caller turns away.
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -364,7 +364,11 @@
         for upstream_id in blamed:
             if failure.why is jobs.Why.UNREACHABLE:
                 self.fleet.note_down(upstream_id, now_s)
-            elif failure.why is jobs.Why.CUT or failure.blamed:
+            elif failure.why is jobs.Why.CUT:
+                self.fleet.note_fault(upstream_id, now_s)
+            elif failure.blamed:
+                # It may also be dead; the probe tells.
+                self.fleet.note_refused(upstream_id, now_s)
                 self.fleet.note_fault(upstream_id, now_s)
 
     def _check_repeat(
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -27,6 +27,11 @@
 DEAD_S: Final = 0.6
 DEAD_PROBES: Final = 2
 
+# Pauses after an engine refused a part of a path: it leaves, gives up layers
+# or lacks memory. Doubles with each refusal in a row.
+FIRST_REFUSED_S: Final = 0.25
+LONGEST_REFUSED_S: Final = 2.0
+
 # Weight of a new sample in the share of attempts that fail, and the seconds
 # over which that share is forgiven.
 FAULT_WEIGHT: Final = 0.25
@@ -60,6 +65,14 @@
     is_probing: bool = False
 
 
+@attrs.define
+class Refusals:
+    """An upstream that refuses work, though it is alive."""
+
+    count: int = 0
+    until_s: float = 0.0
+
+
 @attrs.define
 class Faults:
     """Share of attempts that failed at one upstream, forgiven with time."""
@@ -97,6 +110,7 @@
         self.peers: dict[str, PeerUsage] = {}
         self.health: dict[str, Health] = {}
         self.faults: dict[str, Faults] = {}
+        self.refusals: dict[str, Refusals] = {}
         # Factor by which an engine runs slower than its kind.
         self.pace: dict[str, float] = {}
         # Smoothed seconds of a plain service's answers.
@@ -106,6 +120,9 @@
         """Tells whether an upstream may be given work."""
         if entry.is_draining:
             return False
+        refusals = self.refusals.get(entry.id)
+        if refusals is not None and now_s < refusals.until_s:
+            return False
         health = self.health.get(entry.id)
         return health is None or not health.is_down
 
@@ -158,6 +175,15 @@
         self.faults.setdefault(upstream_id, Faults()).note(True, now_s)
         self.health.setdefault(upstream_id, Health(now_s, False, now_s))
 
+    def note_refused(self, upstream_id: str, now_s: float) -> None:
+        """Takes that an engine refused its part of a path."""
+        refusals = self.refusals.setdefault(upstream_id, Refusals())
+        if now_s < refusals.until_s:
+            return
+        pause_s = FIRST_REFUSED_S * 2**refusals.count
+        refusals.count += 1
+        refusals.until_s = now_s + min(pause_s, LONGEST_REFUSED_S)
+
     def note_down(self, upstream_id: str, now_s: float) -> None:
         """Gives an upstream no work until a probe succeeds."""
         health = self.health.get(upstream_id)
@@ -170,6 +196,7 @@
 
     def note_success(self, upstream_id: str, now_s: float) -> None:
         """Takes an answer."""
+        self.refusals.pop(upstream_id, None)
         faults = self.faults.get(upstream_id)
         if faults is not None:
             faults.note(False, now_s)
@@ -219,6 +246,8 @@
             del self.health[upstream_id]
         for upstream_id in set(self.faults) - set(known):
             del self.faults[upstream_id]
+        for upstream_id in set(self.refusals) - set(known):
+            del self.refusals[upstream_id]
         for table in (self.pace, self.times):
             for upstream_id in set(table) - set(known):
                 del table[upstream_id]
