--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -74,7 +74,9 @@
         abort.arm(handle.abort)
         left_s = job.deadline_s - time.monotonic()
         headers = _make_headers(call, job, start, resume_after, left_s)
-        handle.set_timeout(max(0.01, min(left_s, _get_patience(start))))
+        # The library applies this to its socket before it sends and again
+        # before it reads the head; a timeout set on the socket would be lost.
+        conn.timeout = max(0.01, min(left_s, _get_patience(start)))
         try:
             conn.request(
                 call.method,
