Repair layers by their neighbours first, and never crowd a card

Where upstreams are replaced, the new one loaded a twin's layers just before the old one's were needed. A request cut by its own deadline was answered 502 in place of 504.

--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -35,6 +35,10 @@
 COMPLETE_S: Final = 1.6
 
 
+# An empty engine counts as new for so long.
+NEW_S: Final = 3.0
+
+
 class Engines(Protocol):
     """Reports of engines and orders to them."""
 
@@ -98,6 +102,8 @@
         self._clock = clock
         self._given: dict[str, _Given] = {}
         self._held_since_s: float | None = None
+        # When each engine was first seen.
+        self._first_seen: dict[str, float] = {}
         # Engines of each service and when that set last changed.
         self._seen: dict[str, tuple[frozenset[str], float]] = {}
         self._stop = threading.Event()
@@ -151,7 +157,10 @@
             self._read_back(entry, now_s)
         engines = [
             ranges.Engine(
-                e.id, spec.accelerators[e.accelerator], self._get_held(e)
+                e.id,
+                spec.accelerators[e.accelerator],
+                self._get_held(e),
+                self._is_new(e.id, now_s),
             )
             for e in found.values()
         ]
@@ -239,6 +248,9 @@
             )
         )
 
+    def _is_new(self, engine_id: str, now_s: float) -> bool:
+        return now_s - self._first_seen.setdefault(engine_id, now_s) < NEW_S
+
     def _get_held(self, entry: upstreams.Upstream) -> upstreams.Layers | None:
         """Returns what an engine holds once its last order is done."""
         given = self._given.get(entry.id)
--- a/egretspur/placement/ranges.py
+++ b/egretspur/placement/ranges.py
@@ -21,8 +21,14 @@
 from egretspur.routing import paths
 
 # Room for requests that a layout leaves on every layer, in tokens; the first
-# with which all layers can be held is taken.
-ROOMS: Final = (45_000, 30_000, 20_000, 12_000, 6_000, 2_000)
+# with which all layers can be held is taken. With less than the last, a card
+# would hold up its whole data centre; the layers of another are better.
+ROOMS: Final = (45_000, 30_000, 20_000, 12_000)
+
+# Part of that room which an engine must keep that holds some layers more
+# because its neighbour is lost. It loads only those, so this is the quickest
+# repair, and leaves the twins where they are.
+EXTENDED: Final = 0.65
 
 # Fewest layers an engine is given in a repair; loading takes as long as the
 # layers of the engine that loads most.
@@ -37,6 +43,10 @@
     accelerator: config.Accelerator
     # What it holds, or has been ordered to hold.
     held: upstreams.Layers | None
+    # It has just come. Where an upstream is replaced, the new one comes first
+    # and the old one leaves a moment later; the new one is kept free for its
+    # layers instead of loading a twin's.
+    is_new: bool = False
 
 
 def plan_orders(
@@ -110,6 +120,10 @@
     have = dict(held)
     left = False
     for gap in gaps:
+        trial, tried = dict(have), dict(orders)
+        if held and _extend(engines, trial, tried, gap, spec, EXTENDED * room):
+            have, orders = trial, tried
+            continue
         at = gap.first
         while at < gap.last:
             free = _list_free(engines, have, orders)
@@ -216,7 +230,7 @@
         if engine.held is not None:
             _add_room(rooms, engine, engine.held, spec)
     for engine in engines:
-        if engine.id in held:
+        if engine.id in held or engine.is_new:
             continue
         count = compute_most(engine.accelerator, spec, ROOMS[0])
         if count <= 0:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -429,7 +429,9 @@
         reason = f"{failure.why.value}: {failure.reason}"
         may_have_run = ticket.runs > 0
         if now_s >= job.deadline_s:
-            return self._make_final(ticket, reason)
+            return self._make_refusal(
+                ticket, errors.ErrorKind.TIMED_OUT, reason
+            )
         if may_have_run and (
             route.kind is config.RouteKind.NON_IDEMPOTENT
             or (
