--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -281,16 +281,26 @@
     def look(self) -> ranges.Scene:
         """Returns what the keeper of layers looks at."""
 
-        def read(state: broker.Broker) -> tuple[upstreams.Upstream, ...]:
-            return tuple(
+        def read(state: broker.Broker) -> ranges.Scene:
+            now_s = time.monotonic()
+            fleet = state.fleet
+            live = [
                 e
-                for e in state.fleet.roster.entries.values()
-                if e.data_centre == self._cfg.data_centre
-                and not e.is_draining
-                and not state.fleet.is_dead(e.id, time.monotonic())
+                for e in fleet.roster.entries.values()
+                if not e.is_draining and not fleet.is_dead(e.id, now_s)
+            ]
+            home = self._cfg.data_centre
+            return ranges.Scene(
+                self._configuration,
+                tuple(e for e in live if e.data_centre == home),
+                tuple(e for e in live if e.data_centre != home),
+                frozenset(
+                    e.id for e in live if not fleet.get_usage(e.id, now_s).count
+                ),
             )
 
-        return ranges.Scene(self._configuration, self._desk.look(read))
+        scene: ranges.Scene = self._desk.look(read)
+        return scene
 
     def _probe(self, entry: upstreams.Upstream) -> bool:
         cfg = self._configuration
--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -73,8 +73,12 @@
     """What a round looks at."""
 
     cfg: config.Configuration | None
-    # Engines of this data centre that are neither leaving nor dead.
+    # Engines that are neither leaving nor dead, of this data centre and of
+    # the others.
     engines: tuple[upstreams.Upstream, ...]
+    elsewhere: tuple[upstreams.Upstream, ...]
+    # Those that no request uses, by id.
+    idle: frozenset[str]
 
 
 @attrs.frozen
@@ -161,12 +165,19 @@
                 spec.accelerators[e.accelerator],
                 self._get_held(e),
                 self._is_new(e.id, now_s),
+                e.id in scene.idle,
             )
             for e in found.values()
         ]
         if not self._is_complete(service, engines, now_s):
             return
-        for engine_id, layers in ranges.plan_orders(engines, spec).items():
+        others = [
+            e.layers
+            for e in scene.elsewhere
+            if e.service == service and e.layers is not None
+        ]
+        orders = ranges.plan_orders(engines, spec, others)
+        for engine_id, layers in orders.items():
             # Looked at before each order: the thread may have been paused.
             if not self._duty.is_held():
                 return
--- a/egretspur/placement/ranges.py
+++ b/egretspur/placement/ranges.py
@@ -47,23 +47,34 @@
     # and the old one leaves a moment later; the new one is kept free for its
     # layers instead of loading a twin's.
     is_new: bool = False
+    # No request uses it; layers that are in use can be given up only once
+    # those requests are done, and new ones are refused until then.
+    is_idle: bool = True
 
 
 def plan_orders(
-    engines: Sequence[Engine], spec: config.EngineSpec
+    engines: Sequence[Engine],
+    spec: config.EngineSpec,
+    elsewhere: Sequence[upstreams.Layers] = (),
 ) -> dict[str, upstreams.Layers]:
     """Returns the ranges that engines are to hold, where that changes.
 
     Args:
         engines: Live engines of one data centre.
         spec: Sizes of the model.
+        elsewhere: Ranges that live engines of other data centres hold.
     """
     ordered = sorted(engines, key=lambda e: (e.accelerator.pace, e.id))
     held = {e.id: e.held for e in ordered if e.held is not None}
     gaps = _find_gaps(held.values(), spec.layers)
-    if gaps:
-        return _close_gaps(ordered, held, gaps, spec)
-    return _make_twins(ordered, held, spec)
+    if not gaps:
+        return _make_twins(ordered, held, spec)
+    movable = frozenset(e.id for e in ordered)
+    if held and not _find_gaps(elsewhere, spec.layers):
+        # Paths go over the other data centres meanwhile, so it can wait for
+        # engines that no request uses.
+        movable = frozenset(e.id for e in ordered if e.is_idle)
+    return _close_gaps(ordered, held, gaps, spec, movable)
 
 
 def compute_most(
@@ -94,6 +105,7 @@
     held: Mapping[str, upstreams.Layers],
     gaps: Sequence[upstreams.Layers],
     spec: config.EngineSpec,
+    movable: frozenset[str],
 ) -> dict[str, upstreams.Layers]:
     """Finds holders for layers that nobody holds, with as much room as can be.
 
@@ -102,7 +114,7 @@
     """
     orders: dict[str, upstreams.Layers] = {}
     for room in ROOMS:
-        orders, left = _try_close(engines, held, gaps, spec, room)
+        orders, left = _try_close(engines, held, gaps, spec, movable, room)
         if not left:
             break
     return orders
@@ -113,6 +125,7 @@
     held: Mapping[str, upstreams.Layers],
     gaps: Sequence[upstreams.Layers],
     spec: config.EngineSpec,
+    movable: frozenset[str],
     room: float,
 ) -> tuple[dict[str, upstreams.Layers], bool]:
     """Returns orders, and whether some layers are left without a holder."""
@@ -126,7 +139,9 @@
             continue
         at = gap.first
         while at < gap.last:
-            free = _list_free(engines, have, orders)
+            free = [
+                e for e in _list_free(engines, have, orders) if e.id in movable
+            ]
             if not free:
                 break
             count = compute_most(free[0].accelerator, spec, room)
