--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -302,23 +302,25 @@
         scene: ranges.Scene = self._desk.look(read)
         return scene
 
-    def _probe(self, entry: upstreams.Upstream) -> bool:
+    def _probe(self, entry: upstreams.Upstream) -> float | None:
         cfg = self._configuration
         service = cfg.services.get(entry.service) if cfg else None
         if service is None or service.engine is not None:
-            return self._engines.is_alive(entry.address, "")
-        return self._engines.is_alive(entry.address, service.health_path)
+            report = self._engines.get_report(entry.address)
+            return None if isinstance(report, str) else report.pace
+        is_alive = self._engines.is_alive(entry.address, service.health_path)
+        return 1.0 if is_alive else None
 
     def _make_news(self, heard: tuple[str, ...]) -> exchange.News:
         def read(
             state: broker.Broker,
-        ) -> tuple[dict[str, jobs.Usage], tuple[str, ...]]:
+        ) -> tuple[dict[str, jobs.Usage], dict[str, float], tuple[str, ...]]:
             now_s = time.monotonic()
             fleet = state.fleet
             dead = tuple(i for i in fleet.health if fleet.is_dead(i, now_s))
-            return dict(fleet.own), dead
+            return dict(fleet.own), fleet.paces.list_slow(), dead
 
-        usage, dead = self._desk.look(read)
+        usage, pace, dead = self._desk.look(read)
         now_s = time.monotonic()
         store_age_s = now_s - self._upstreams_sink.answered_s
         if store_age_s < exchange.STORE_AWAY_S:
@@ -332,7 +334,7 @@
             self._cfg.data_centre,
             store_age_s,
             usage,
-            {},
+            pace,
             dead,
             {i: layers for i, (layers, _) in self._learned.items()},
             heard,
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -19,7 +19,7 @@
 from egretspur import decisions, errors
 from egretspur.catalog import config
 from egretspur.delivery import events
-from egretspur.routing import desk, jobs, paths
+from egretspur.routing import desk, jobs, paces, paths
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -362,7 +362,11 @@
         if not self._first_s:
             self._first_s = now_s
         else:
-            self._gap_s = max(self._gap_s, now_s - self._last_s)
+            gap_s = now_s - self._last_s
+            self._gap_s = max(self._gap_s, gap_s)
+            if gap_s > paces.SUSPICIOUS_GAP_S:
+                ids = tuple(p.id for p in self.parts)
+                self._desk.tell(desk.Suspect(ids))
         self._last_s = now_s
 
     def _pump(self, write: Write) -> Lost | None:
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -286,14 +286,8 @@
             return f"{address}: {exc}"
 
     def is_alive(self, address: str, health_path: str) -> bool:
-        """Tells whether an upstream answers at all.
-
-        Args:
-            address: Its address.
-            health_path: Where a plain service answers; empty for an engine.
-        """
-        path = health_path or names.REPORT_PATH
-        res = self._transport.call("GET", address, path)
+        """Tells whether a plain service answers at all."""
+        res = self._transport.call("GET", address, health_path)
         # One that is full or leaving answers too; the list tells of those.
         return not isinstance(res, transport.Failed)
 
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -138,14 +138,15 @@
 
     upstream_id: str
     is_ok: bool
+    # Factor by which an engine is slower than its kind.
+    pace: float
 
 
 @attrs.frozen
-class NotePace:
-    """An engine's own word on its speed."""
+class Suspect:
+    """An answer over these engines paused."""
 
-    upstream_id: str
-    pace: float
+    upstream_ids: tuple[str, ...]
 
 
 @attrs.frozen
@@ -234,7 +235,7 @@
         state.peers[message.host] = fleet.PeerUsage(
             time.monotonic(), message.usage
         )
-        state.pace.update(message.pace)
+        state.paces.hear(message.pace, time.monotonic())
         if message.is_near:
             for upstream_id in message.dead:
                 state.note_down(upstream_id, time.monotonic())
@@ -263,12 +264,14 @@
     @handle.register
     def _(self, message: Probed) -> None:
         now_s = time.monotonic()
-        self._broker.fleet.note_probe(message.upstream_id, message.is_ok, now_s)
+        self._broker.fleet.note_probe(
+            message.upstream_id, message.is_ok, message.pace, now_s
+        )
         self._run(self._broker.refresh(now_s))
 
     @handle.register
-    def _(self, message: NotePace) -> None:
-        self._broker.fleet.pace[message.upstream_id] = message.pace
+    def _(self, message: Suspect) -> None:
+        self._broker.fleet.paces.suspect(message.upstream_ids)
 
     @handle.register
     def _(self, message: Tick) -> None:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -15,7 +15,7 @@
 from egretspur import decisions
 from egretspur.admission import room
 from egretspur.catalog import config, upstreams
-from egretspur.routing import jobs, paths
+from egretspur.routing import jobs, paces, paths
 
 # Pauses between two probes of an upstream that is down; the first doubles
 # with each probe that fails.
@@ -112,8 +112,7 @@
         self.health: dict[str, Health] = {}
         self.faults: dict[str, Faults] = {}
         self.refusals: dict[str, Refusals] = {}
-        # Factor by which an engine runs slower than its kind.
-        self.pace: dict[str, float] = {}
+        self.paces = paces.Paces()
         # Smoothed seconds of a plain service's answers.
         self.times: dict[str, float] = {}
         # What changed in the beliefs about upstreams, for the log.
@@ -211,8 +210,12 @@
             faults.note(False, now_s)
 
     def take_probes(self, now_s: float) -> list[upstreams.Upstream]:
-        """Returns the upstreams to probe now; each once until its result."""
-        due = []
+        """Returns the upstreams to ask now, for their health or pace."""
+        due = [
+            self.roster.entries[i]
+            for i in self.paces.take_due(now_s)
+            if i in self.roster.entries and i not in self.health
+        ]
         for upstream_id, health in self.health.items():
             entry = self.roster.entries.get(upstream_id)
             if entry is None or health.is_probing:
@@ -222,8 +225,15 @@
                 due.append(entry)
         return due
 
-    def note_probe(self, upstream_id: str, is_ok: bool, now_s: float) -> None:
+    def note_probe(
+        self, upstream_id: str, is_ok: bool, pace: float, now_s: float
+    ) -> None:
         """Takes the result of a probe."""
+        if is_ok and self.paces.note(upstream_id, pace):
+            is_slow = pace > paces.USUAL
+            self._note(
+                upstream_id, "slow" if is_slow else "back", f"pace {pace}"
+            )
         health = self.health.get(upstream_id)
         if health is None:
             return
@@ -262,9 +272,9 @@
             del self.faults[upstream_id]
         for upstream_id in set(self.refusals) - set(known):
             del self.refusals[upstream_id]
-        for table in (self.pace, self.times):
-            for upstream_id in set(table) - set(known):
-                del table[upstream_id]
+        for upstream_id in set(self.times) - set(known):
+            del self.times[upstream_id]
+        self.paces.forget(known)
 
     def make_cards(
         self, service: str, spec: config.EngineSpec, now_s: float
@@ -281,7 +291,7 @@
             step_s = spec.step_s + usage.count * (
                 spec.per_request_s + spec.per_token_s * context
             )
-            pace = kind.pace * self.pace.get(entry.id, 1.0)
+            pace = kind.pace * self.paces.get(entry.id, now_s)
             pace *= self.get_slowdown(entry.id, now_s)
             cards.append(
                 paths.Card(
--- a/egretspur/routing/probes.py
+++ b/egretspur/routing/probes.py
@@ -21,8 +21,8 @@
 # of a data centre may be dark.
 THREADS: Final = 4
 
-# Asks an upstream; tells whether it answered.
-Probe = Callable[[upstreams.Upstream], bool]
+# Asks an upstream; returns its pace, or None if it did not answer.
+Probe = Callable[[upstreams.Upstream], float | None]
 
 
 class Prober:
@@ -54,4 +54,5 @@
                 self._pool.submit(self._ask, entry)
 
     def _ask(self, entry: upstreams.Upstream) -> None:
-        self._desk.tell(desk.Probed(entry.id, self._probe(entry)))
+        pace = self._probe(entry)
+        self._desk.tell(desk.Probed(entry.id, pace is not None, pace or 1.0))
