--- a/egretspur/catalog/config.py
+++ b/egretspur/catalog/config.py
@@ -163,6 +163,20 @@
         ]
 
 
+@attrs.define
+class Versions:
+    """The newest configuration that was read; it never goes back."""
+
+    newest: Configuration | None = None
+
+    def take(self, cfg: Configuration) -> bool:
+        """Takes a configuration; tells whether it is newer than before."""
+        if self.newest is not None and self.newest.version >= cfg.version:
+            return False
+        self.newest = cfg
+        return True
+
+
 def choose_service(route: Route, rng: random.Random) -> str:
     """Returns a service of the route, in proportion to the weights."""
     if len(route.targets) == 1:
--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -124,6 +124,10 @@
         """Starts to follow."""
         self._thread.start()
 
+    def join(self, wait_s: float) -> None:
+        """Waits for the end after a `close`."""
+        self._thread.join(wait_s)
+
     def close(self) -> None:
         """Stops; a read that waits is left to its bound."""
         self._stop.set()
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -164,7 +164,7 @@
         # Layers that engines reported after an order, told to other hosts
         # until their list has it, with the time.
         self._learned: dict[str, tuple[upstreams.Layers, float]] = {}
-        self._configuration: config.Configuration | None = None
+        self._versions = config.Versions()
         self._draining = threading.Event()
         self._stop = threading.Event()
         self._server = web.Server(
@@ -224,10 +224,8 @@
 
     def configure(self, cfg: config.Configuration) -> None:
         """Puts a configuration in force, unless a newer one is."""
-        before = self._configuration
-        if before is not None and before.version >= cfg.version:
+        if not self._versions.take(cfg):
             return
-        self._configuration = cfg
         # Requests are made by the intake's version and sent by the broker's:
         # the broker must know a service before a request names it.
         self._desk.look(lambda state: state.configure(cfg))
@@ -248,7 +246,7 @@
         """Tells whether this host should be given new callers."""
         return (
             not self._draining.is_set()
-            and self._configuration is not None
+            and self._versions.newest is not None
             and self._upstreams_sink.has_list
         )
 
@@ -291,7 +289,7 @@
             ]
             home = self._cfg.data_centre
             return ranges.Scene(
-                self._configuration,
+                self._versions.newest,
                 tuple(e for e in live if e.data_centre == home),
                 tuple(e for e in live if e.data_centre != home),
                 frozenset(
@@ -303,7 +301,7 @@
         return scene
 
     def _probe(self, entry: upstreams.Upstream) -> float | None:
-        cfg = self._configuration
+        cfg = self._versions.newest
         service = cfg.services.get(entry.service) if cfg else None
         if service is None or service.engine is not None:
             report = self._engines.get_report(entry.address)
--- /dev/null
+++ b/tests/catalog/catalog.feature
@@ -0,0 +1,66 @@
+Feature: What a host knows of configuration and upstreams
+
+  Scenario Outline: The route of a request
+    Given routes "/a/, /a/b/, /a/b/c/" of host "desk.example"
+    Then the route for "<host>" and "<path>" is "<route>"
+
+    Examples:
+      | host              | path      | route   |
+      | desk.example      | /a/x      | /a/     |
+      | desk.example      | /a/b/x    | /a/b/   |
+      | DESK.example      | /a/b/c/   | /a/b/c/ |
+      | desk.example:8080 | /a/b/c/d  | /a/b/c/ |
+      | desk.example      | /ab/x     | none    |
+      | desk.example      | /a        | none    |
+      | other.example     | /a/x      | none    |
+
+  Scenario: Weights of a split
+    Given a route split 90 to 10
+    When 2000 services are chosen
+    Then between 1720 and 1880 are the first
+
+  Scenario: An upstream that leaves
+    # Symptom: work reaches an upstream long after it said that it leaves.
+    # Sequence: an entry from before arrives after the one that says so.
+    Given an upstream "u" that is listed
+    When it is listed as draining
+    And it is listed as ready again
+    Then it is still draining
+
+  Scenario: Entries that lapsed while the store was away
+    # Symptom: a data centre without upstreams for two seconds. Sequence: the
+    # store was away and comes back; the entries follow within two seconds.
+    Given an upstream "u" that is listed
+    When the store returns and the entry is missing
+    Then it is kept for 1.9 s and gone after 2.1 s
+    When the entry is removed while the store is stable
+    Then it is gone at once
+
+  Scenario: Layers that an engine reported itself
+    # Symptom: requests go to layers that are no longer there. Sequence: an
+    # engine reports new layers; its entry from before is read after.
+    Given an upstream "u" that is listed
+    When it reports layers "20-31" and an older entry says "0-20"
+    Then it holds "20-31"
+    When its entry says "0-20" 5 s later
+    Then it holds "0-20"
+
+  Scenario: History that is no longer kept
+    # Symptom: an upstream that has left stays on the list. Sequence: its
+    # removal was dropped from the history before it was read.
+    Given a feed whose source forgot its history and an entry
+    When it reads on
+    Then it takes the newest state as a whole, without the entry
+
+  Scenario: A store that does not answer
+    Given a feed whose source fails 6 times
+    When it runs until the source answers
+    Then its pauses grow from 0.1 s to at most 0.5 s
+    And the sink is told that the source is back
+
+  Scenario: An older configuration
+    # Symptom: a route that was removed works again. Sequence: a read that was
+    # under way for long brings an older version.
+    Given a host that has configuration 7 in force
+    When configuration 6 is read
+    Then configuration 7 is in force
