Go on over a suspected engine where there is no way around it; pass a service's failure on

Cause (new scenarios, failed first): a stream cut for an unknown reason suspected its first engine; with no other engine for those layers it waited 1.4 s and was given up, though the engine was alive. A call whose attempts all failed got 502 in place of the service's own 500. Change: suspected engines are avoided first and used second; the last whole answer of a failing service is passed on with its receipt.

--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -150,6 +150,9 @@
         self._fut: desk.DecisionFuture | None = None
         self._merge = events.Merge()
         self._answer: Answer | None = None
+        # An upstream's own word that it failed, passed on if no other attempt
+        # brings anything better.
+        self._failed: Whole | None = None
         # Events read before the caller's answer began.
         self._first = b""
         self.is_gone = False
@@ -184,7 +187,7 @@
         while True:
             decision = self._wait()
             if isinstance(decision, errors.Refusal):
-                return decision
+                return self._failed or decision
             opened = self._open(decision, self.call.resume_after)
             res: Whole | Answer | Lost = opened
             if not isinstance(opened, Lost):
@@ -299,9 +302,11 @@
             body = self._read_whole(answer)
             if isinstance(body, Lost):
                 return body
+            whole = Whole(answer.status, answer.headers, body)
             if answer.status == 200 or not self._may_repeat(answer):
                 self._desk.tell(desk.Answered(self.job.id))
-                return Whole(answer.status, answer.headers, body)
+                return whole
+            self._failed = whole
             return Lost(jobs.Why.FAILED, f"status {answer.status}")
         while not self._first:
             res = self._read_events(answer)
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -316,27 +316,39 @@
         return effects
 
     def _try_start(self, ticket: _Ticket, now_s: float) -> jobs.Start | None:
-        """Finds a path, in the own data centre if there is one."""
-        job = ticket.job
-        spec = self._get_spec(job.service)
+        """Finds a path, without engines that failed the request if it can.
+
+        Which stage broke an answer often isn't known; the first is suspected.
+        Where there is no way around it, it is tried again if it is alive.
+        """
+        spec = self._get_spec(ticket.job.service)
         if spec is None:
             return None
-        cards = [
-            c
-            for c in self.fleet.make_cards(job.service, spec, now_s)
-            if c.id not in ticket.failed
-        ]
-        home = self.fleet.data_centre
-        near = [c for c in cards if c.data_centre == home]
-        parts = paths.find_path(near, spec.layers, job.tokens, home)
-        if parts is None:
-            parts = paths.find_path(cards, spec.layers, job.tokens, home)
+        cards = self.fleet.make_cards(ticket.job.service, spec, now_s)
+        others = [c for c in cards if c.id not in ticket.failed]
+        parts = self._find_path(ticket.job, spec, others)
+        if parts is None and ticket.failed:
+            parts = self._find_path(ticket.job, spec, cards)
         if parts is None:
             return None
         entry = self.fleet.roster.entries[parts[0].id]
         ticket.parts = parts
         return self._start(ticket, entry, now_s)
 
+    def _find_path(
+        self,
+        job: jobs.Job,
+        spec: config.EngineSpec,
+        cards: Sequence[paths.Card],
+    ) -> tuple[paths.Part, ...] | None:
+        """Finds a path, in the own data centre if there is one."""
+        home = self.fleet.data_centre
+        near = [c for c in cards if c.data_centre == home]
+        parts = paths.find_path(near, spec.layers, job.tokens, home)
+        if parts is None and len(near) < len(cards):
+            parts = paths.find_path(cards, spec.layers, job.tokens, home)
+        return parts
+
     def _start_plain(self, ticket: _Ticket, now_s: float) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
             ticket.job.service, ticket.failed, now_s
--- /dev/null
+++ b/tests/delivery/events.feature
@@ -0,0 +1,29 @@
+Feature: Events of one answer, joined over several attempts
+
+  Scenario Outline: What is passed on
+    # Symptom: a caller gets an event twice, half of one, or misses one.
+    When the bytes "<bytes>" come
+    Then "<passed>" is passed on and the rest is "<rest>"
+
+    Examples: an event is written as its id, | is its end
+      | bytes         | passed | rest  |
+      | 1\| 2\| 3\|   | 1 2 3  |       |
+      | 1\| 2         | 1      | 2     |
+      | 1\| 1\| 2\|   | 1 2    |       |
+      | 1\| 3\|       | gap    |       |
+      | 5\| 6\|       | 5 6    |       |
+
+  Scenario: A run that goes on where another broke off
+    When the bytes "1| 2| 3" come
+    And another attempt begins
+    And the bytes "2| 3| 4|" come
+    Then "1 2 3 4" is passed on and the rest is ""
+
+  Scenario: Bytes arrive one by one
+    When the bytes "1| 2| 3|" come one by one
+    Then "1 2 3" is passed on and the rest is ""
+
+  @fuzz
+  Scenario: Any cuts and repeats
+    When answers are cut and gone on with at random
+    Then each event is passed on once, whole and in order
