--- a/egretspur/logs.py
+++ b/egretspur/logs.py
@@ -123,11 +123,11 @@
         return super().process_log_record(log_data)
 
 
-def start_logging(
-    name: str, level: str, stream: IO[str] | None = None
+def make_handler(
+    name: str, stream: IO[str], capacity: int = CAPACITY
 ) -> BoundedHandler:
-    """Sends all log records to standard output, one JSON object a line."""
-    handler = BoundedHandler(stream or sys.stdout)
+    """Returns a handler that writes JSON lines for a process."""
+    handler = BoundedHandler(stream, capacity)
     handler.setFormatter(
         _Formatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
@@ -135,6 +135,12 @@
             static_fields={"process": name},
         )
     )
+    return handler
+
+
+def start_logging(name: str, level: str) -> BoundedHandler:
+    """Sends all log records to standard output, one JSON object a line."""
+    handler = make_handler(name, sys.stdout)
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
