--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -15,8 +15,9 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from egretspur import decisions, errors, logs, web
-from egretspur.catalog import config, feeds, upstreams
+from egretspur import decisions, errors, logs, transport, web
+from egretspur.catalog import config, feeds, handover, upstreams
+from egretspur.daemons import pages
 from egretspur.delivery import intake, watch
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
@@ -109,7 +110,17 @@
 class Host:
     """One host's process."""
 
-    def __init__(self, cfg: node.HostSettings) -> None:
+    def __init__(
+        self,
+        cfg: node.HostSettings,
+        handler: logs.BoundedHandler | None = None,
+    ) -> None:
+        """Makes a host.
+
+        Args:
+            cfg: Its settings.
+            handler: Where it logs, for the metrics.
+        """
         self._cfg = cfg
         rng = random.Random()
         self._desk = desk.Desk(
@@ -129,33 +140,40 @@
         )
         self._store = store.Store(cfg.store)
         self._upstreams_sink = _UpstreamsSink(self._desk)
+        self._exchange = exchange.Exchange(
+            exchange.Peers(
+                cfg.ip,
+                cfg.data_centre,
+                [s.rpartition(":")[0] for s in cfg.seeds],
+            ),
+            cfg.ip,
+            cfg.exchange_port,
+            self._make_news,
+            self._take_news,
+        )
+        self._pages_client = transport.Transport(0.3, 1.0)
+        configs = store.make_config_topic(self._store)
+        listed = store.make_upstreams_topic(self._store)
         self._feeds = (
             feeds.Feed(
                 "config",
-                store.make_config_topic(self._store),
+                handover.HandoverSource(
+                    configs, self._exchange.list_alive, self._ask_host
+                ),
                 _ConfigSink(self),
                 CONFIG_WAIT_S,
                 0.0,
             ),
             feeds.Feed(
                 "upstreams",
-                store.make_upstreams_topic(self._store),
+                handover.HandoverSource(
+                    listed, self._exchange.list_alive, self._ask_host
+                ),
                 self._upstreams_sink,
                 0.0,
                 UPSTREAMS_PERIOD_S,
             ),
         )
-        self._exchange = exchange.Exchange(
-            exchange.Peers(
-                cfg.ip,
-                cfg.data_centre,
-                [s.rpartition(":")[0] for s in cfg.seeds],
-            ),
-            cfg.ip,
-            cfg.exchange_port,
-            self._make_news,
-            self._take_news,
-        )
         self._duty = duty.Duty(
             store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip),
             self._exchange,
@@ -177,6 +195,17 @@
         self._ready_server = web.Server(
             self._make_ready_app(), cfg.listen_ready, 1
         )
+        self._pages_server = web.Server(
+            pages.make_pages(
+                self._desk,
+                handler,
+                self._get_version,
+                self.is_ready,
+                {configs.name: configs, listed.name: listed},
+            ),
+            cfg.listen_control,
+            1,
+        )
         self._ticker = threading.Thread(
             target=self._tick, name="tick", daemon=True
         )
@@ -187,6 +216,7 @@
             feed.start()
         self._server.start()
         self._ready_server.start()
+        self._pages_server.start()
         self._ticker.start()
         self._watch.start()
         self._prober.start()
@@ -220,6 +250,8 @@
         self._prober.close()
         self._server.close()
         self._ready_server.close()
+        self._pages_server.close()
+        self._pages_client.close()
         decisions.record(decisions.Stopped(self._intake.in_flight))
 
     def configure(self, cfg: config.Configuration) -> None:
@@ -250,6 +282,20 @@
             and self._upstreams_sink.has_list
         )
 
+    def _get_version(self) -> int:
+        cfg = self._versions.newest
+        return cfg.version if cfg else 0
+
+    def _ask_host(self, host: str, topic: str) -> bytes | None:
+        """Returns another host's snapshot of a topic, if it has one."""
+        port = self._cfg.listen_control.rpartition(":")[2]
+        res = self._pages_client.call(
+            "GET", f"{host}:{port}", f"/v1/snapshot/{topic}"
+        )
+        if isinstance(res, transport.Failed) or res.status != 200:
+            return None
+        return res.body
+
     def _make_app(self) -> web.App:
         app = web.App()
         for method in ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"):
@@ -339,14 +385,13 @@
         )
 
     def _take_news(self, news: exchange.News, hosts: int) -> None:
-        is_near = news.data_centre == self._cfg.data_centre
         self._desk.tell(
             desk.PeerNews(
                 news.host,
+                news.data_centre,
                 news.usage,
                 news.pace,
                 news.dead,
-                is_near,
                 news.layers,
             )
         )
@@ -370,7 +415,7 @@
     signal.signal(signal.SIGTERM, lambda signum, frame: stop.set())
     signal.signal(signal.SIGINT, lambda signum, frame: stop.set())
     signal.signal(signal.SIGHUP, lambda signum, frame: None)
-    host = Host(cfg)
+    host = Host(cfg, handler)
     host.start()
     decisions.record(decisions.Started(cfg.listen))
     stop.wait()
--- /dev/null
+++ b/egretspur/daemons/pages.py
@@ -0,0 +1,160 @@
+"""Pages of a host for operators and for other hosts: metrics, state, snapshot.
+
+Figures are read from the broker when a page is asked for, so that they cost
+nothing otherwise.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, Final, Protocol
+
+import attrs
+from aioprometheus import collectors
+
+from egretspur import codec, logs, web
+from egretspur.routing import broker, desk
+
+# Gauges by name, each prefixed with ``egretspur_``.
+_GAUGES: Final = {
+    "requests_arrived": "Requests that named a route",
+    "requests_started": "Attempts given to an upstream",
+    "requests_queued": "Requests that waited for request memory",
+    "requests_repeated": "Attempts beyond a request's first",
+    "requests_refused": "Requests answered without an upstream's answer",
+    "requests_finished": "Requests that are over",
+    "requests_in_flight": "Requests at upstreams now",
+    "requests_waiting": "Requests that wait now",
+    "upstreams_listed": "Upstreams on the list",
+    "upstreams_down": "Upstreams that are given no work",
+    "hosts_sharing": "Hosts that share the retry budget",
+    "list_age_seconds": "Seconds since the list of upstreams was read",
+    "configuration_version": "Version of the configuration in force",
+    "log_lines_dropped": "Log lines dropped because nobody read them",
+}
+
+_BY_UPSTREAM: Final = {
+    "upstream_in_flight": "Requests of all known hosts at an upstream",
+    "upstream_memory_tokens": "Request memory given out, in tokens x layers",
+}
+
+
+class Snapshots(Protocol):
+    """Topics whose state can be handed to another host."""
+
+    def export(self) -> bytes | None:
+        """Returns the newest state; None if there is none yet."""
+
+
+@attrs.frozen
+class Figures:
+    """What the pages show."""
+
+    plain: Mapping[str, float]
+    # By name and upstream.
+    by_upstream: Mapping[str, Mapping[str, float]]
+
+
+def make_pages(
+    to: desk.Desk,
+    handler: logs.BoundedHandler | None,
+    get_version: Callable[[], int],
+    is_ready: Callable[[], bool],
+    topics: Mapping[str, Snapshots],
+) -> web.App:
+    """Returns the application that serves the pages."""
+    registry = collectors.Registry()
+    gauges = {
+        name: collectors.Gauge(f"egretspur_{name}", text, registry=registry)
+        for name, text in {**_GAUGES, **_BY_UPSTREAM}.items()
+    }
+
+    def refresh() -> None:
+        figures: Figures = to.look(read_figures)
+        dropped = handler.dropped if handler else 0
+        own = {
+            "configuration_version": get_version(),
+            "log_lines_dropped": dropped,
+        }
+        for name, value in {**figures.plain, **own}.items():
+            gauges[name].set({}, value)
+        for name, values in figures.by_upstream.items():
+            for upstream, value in values.items():
+                gauges[name].set({"upstream": upstream}, value)
+
+    def get_snapshot(req: web.Request) -> web.Response:
+        topic = topics.get(req.parts["topic"])
+        data = topic.export() if topic else None
+        return (
+            web.Response(404) if data is None else web.Response(200, {}, data)
+        )
+
+    app = web.App()
+    web.add_diagnostics(
+        app, registry, lambda: to.look(dump_state), is_ready, refresh
+    )
+    app.add("GET", "/v1/snapshot/{topic}", get_snapshot)
+    return app
+
+
+def read_figures(state: broker.Broker) -> Figures:
+    """Returns the figures of a broker."""
+    now_s = time.monotonic()
+    fleet = state.fleet
+    usages = {i: fleet.get_usage(i, now_s) for i in fleet.roster.entries}
+    counts = state.counts
+    return Figures(
+        {
+            "requests_arrived": counts.arrived,
+            "requests_started": counts.started,
+            "requests_queued": counts.queued,
+            "requests_repeated": counts.repeats,
+            "requests_refused": counts.refused,
+            "requests_finished": counts.finished,
+            "requests_in_flight": sum(
+                1 for t in state.tickets.values() if t.upstream_id
+            ),
+            "requests_waiting": len(state.queue.waiting),
+            "upstreams_listed": len(fleet.roster.entries),
+            "upstreams_down": sum(h.is_down for h in fleet.health.values()),
+            "hosts_sharing": state.hosts,
+            "list_age_seconds": now_s - state.listed_s,
+        },
+        {
+            "upstream_in_flight": {i: u.count for i, u in usages.items()},
+            "upstream_memory_tokens": {i: u.room for i, u in usages.items()},
+        },
+    )
+
+
+def dump_state(state: broker.Broker) -> dict[str, Any]:
+    """Returns a broker's state as plain values."""
+    now_s = time.monotonic()
+    fleet = state.fleet
+    return {
+        "counts": codec.encode(state.counts),
+        "hosts": state.hosts,
+        "list_age_s": round(now_s - state.listed_s, 3),
+        "waiting": [codec.encode(w) for w in state.queue.waiting.values()],
+        "running": {
+            t.job.id: [f"{p.id}:{p.first}-{p.last}" for p in t.parts]
+            or [t.upstream_id]
+            for t in state.tickets.values()
+            if t.upstream_id
+        },
+        "upstreams": {
+            i: {
+                **codec.encode(e),
+                "usage": codec.encode(fleet.get_usage(i, now_s)),
+                "usable": fleet.is_usable(e, now_s),
+                "pace": fleet.paces.get(i, now_s),
+            }
+            for i, e in sorted(fleet.roster.entries.items())
+        },
+        "health": {i: codec.encode(h) for i, h in fleet.health.items()},
+        "peers": {
+            h: {"heard_s": round(now_s - p.heard_s, 3), "count": len(p.usage)}
+            for h, p in sorted(fleet.peers.items())
+        },
+    }
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -153,6 +153,15 @@
             h for h, t in self._heard.items() if now_s - t.at_s < within_s
         )
 
+    def list_near_first(self, now_s: float) -> list[str]:
+        """Returns the hosts that are alive, of this data centre first."""
+        alive = {
+            h: t for h, t in self._heard.items() if now_s - t.at_s < ALIVE_S
+        }
+        return sorted(
+            alive, key=lambda h: alive[h].data_centre != self._data_centre
+        )
+
     def is_first_cut_off(self, now_s: float) -> bool:
         """Tells whether this is the first of a data centre without store."""
         near = {
@@ -222,10 +231,10 @@
         with self._lock:
             return self._peers.is_first_cut_off(time.monotonic())
 
-    def count_alive(self) -> int:
-        """Returns how many other hosts are heard now."""
+    def list_alive(self) -> list[str]:
+        """Returns the hosts that are heard now, those near by first."""
         with self._lock:
-            return len(self._peers.list_heard(time.monotonic(), ALIVE_S))
+            return self._peers.list_near_first(time.monotonic())
 
     def _send(self) -> None:
         while not self._stop.wait(PERIOD_S):
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -94,10 +94,15 @@
         self._store = store
         self._topic = topic
         self._decode = decode_value
+        self.name = topic
+        # Newest records as they came, for other hosts, and the next offset.
+        self._raw: dict[str, bytes] = {}
+        self._next = -1
 
     def read_newest(self) -> feeds.Whole[T] | feeds.Unavailable:
         """Reads all pages; changes made meanwhile are read again after."""
         values: dict[str, T] = {}
+        self._raw = {}
         query: dict[str, Any] = {"topic": self._topic, "part": 0}
         offset = -1
         while True:
@@ -115,6 +120,7 @@
                 if value is not None:
                     values[entry["key"]] = value
             if not page.get("has_more") or not page["entries"]:
+                self._next = offset
                 return feeds.Whole(values, offset)
             query["after"] = page["entries"][-1]["key"]
 
@@ -141,20 +147,52 @@
         for record in records:
             key, raw = split_keyed(record)
             value = self._read_value(key, raw) if raw else None
+            if not raw:
+                self._raw.pop(key, None)
             # A record that can't be read changes nothing; an empty one drops.
             if value is not None or not raw:
                 values.append((key, value))
-        return feeds.Changes(tuple(values), first + len(records))
+        self._next = first + len(records)
+        return feeds.Changes(tuple(values), self._next)
+
+    def export(self) -> bytes | None:
+        """Returns the newest state for another host; None without any."""
+        if self._next < 0:
+            return None
+        records = {
+            key: base64.b64encode(raw).decode()
+            for key, raw in list(self._raw.items())
+        }
+        return orjson.dumps({"next": self._next, "records": records})
+
+    def read_snapshot(self, data: bytes) -> feeds.Whole[T] | feeds.Unavailable:
+        """Returns the state that another host exported."""
+        try:
+            snapshot = orjson.loads(data)
+            offset = int(snapshot["next"])
+            records = {
+                str(key): base64.b64decode(raw)
+                for key, raw in snapshot["records"].items()
+            }
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as exc:
+            return feeds.Unavailable(f"snapshot not understood: {exc!r}")
+        self._raw, self._next = {}, offset
+        values = {k: self._read_value(k, raw) for k, raw in records.items()}
+        found = {k: v for k, v in values.items() if v is not None}
+        return feeds.Whole(found, offset)
 
     def _read_value(self, key: str, raw: bytes) -> T | None:
         try:
-            return self._decode(key, orjson.loads(raw))
+            value = self._decode(key, orjson.loads(raw))
         except (orjson.JSONDecodeError, decode.MalformedError) as exc:
             _LOG.error(
                 "record not understood; left out",
                 extra={"topic": self._topic, "key": key, "reason": str(exc)},
             )
             return None
+        if value is not None:
+            self._raw[key] = raw
+        return value
 
 
 def parse_records(data: bytes, offset: int) -> tuple[int, list[bytes]]:
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -29,7 +29,7 @@
 
 # A connection within a region opens in a few milliseconds; one that takes
 # longer leads to a host that is dark.
-CONNECT_S: Final = 0.4
+CONNECT_S: Final = 0.3
 
 # Unacknowledged bytes for so long mean that the other side is gone; without
 # it a write to a dark host would wait for minutes.
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -326,9 +326,10 @@
             return None
         cards = self.fleet.make_cards(ticket.job.service, spec, now_s)
         others = [c for c in cards if c.id not in ticket.failed]
-        parts = self._find_path(ticket.job, spec, others)
+        cut_off = self.fleet.list_cut_off(now_s)
+        parts = self._find_path(ticket.job, spec, others, cut_off)
         if parts is None and ticket.failed:
-            parts = self._find_path(ticket.job, spec, cards)
+            parts = self._find_path(ticket.job, spec, cards, cut_off)
         if parts is None:
             return None
         entry = self.fleet.roster.entries[parts[0].id]
@@ -340,14 +341,25 @@
         job: jobs.Job,
         spec: config.EngineSpec,
         cards: Sequence[paths.Card],
+        cut_off: set[str],
     ) -> tuple[paths.Part, ...] | None:
-        """Finds a path, in the own data centre if there is one."""
+        """Finds a path as near as there is one.
+
+        In the own data centre, else over those whose hosts are heard, else
+        over any: where only the hosts are down, the engines still serve.
+        """
         home = self.fleet.data_centre
         near = [c for c in cards if c.data_centre == home]
-        parts = paths.find_path(near, spec.layers, job.tokens, home)
-        if parts is None and len(near) < len(cards):
-            parts = paths.find_path(cards, spec.layers, job.tokens, home)
-        return parts
+        heard = [c for c in cards if c.data_centre not in cut_off]
+        tried = -1
+        for choice in (near, heard, cards):
+            if len(choice) == tried:
+                continue
+            tried = len(choice)
+            parts = paths.find_path(choice, spec.layers, job.tokens, home)
+            if parts is not None:
+                return parts
+        return None
 
     def _start_plain(self, ticket: _Ticket, now_s: float) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -94,13 +94,12 @@
     """What another host has in flight."""
 
     host: str
+    data_centre: str
     usage: Mapping[str, jobs.Usage]
     # Engines that run slower than their kind.
     pace: Mapping[str, float]
     # Upstreams that it found dead.
     dead: tuple[str, ...]
-    # Whether it is in the same data centre and so sees what this host sees.
-    is_near: bool
     # Layers that engines reported to it.
     layers: Mapping[str, upstreams.Layers]
 
@@ -233,10 +232,11 @@
     def _(self, message: PeerNews) -> None:
         state = self._broker.fleet
         state.peers[message.host] = fleet.PeerUsage(
-            time.monotonic(), message.usage
+            time.monotonic(), message.usage, message.data_centre
         )
         state.paces.hear(message.pace, time.monotonic())
-        if message.is_near:
+        # A host in the same data centre sees what this one would see.
+        if message.data_centre == state.data_centre:
             for upstream_id in message.dead:
                 state.note_down(upstream_id, time.monotonic())
         for upstream_id, layers in message.layers.items():
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -46,9 +46,17 @@
 # second; one that fell silent has lost its callers too.
 USAGE_KEPT_S: Final = 2.0
 
+# A data centre none of whose hosts was heard for so long is cut off from this
+# one, or its hosts are down; its engines are used only if no others do. Four
+# datagrams of every host there would have to be lost.
+CUT_OFF_S: Final = 1.0
+
 # Weight of a new sample in the smoothed time of a plain service's answer.
 TIME_WEIGHT: Final = 0.2
 
+# How much slower a replica counts that stands in a data centre that is cut off.
+CUT_OFF_COST: Final = 20.0
+
 # Answer time assumed of a plain service before the first sample, in seconds.
 FIRST_TIME_S: Final = 0.05
 
@@ -99,6 +107,7 @@
 
     heard_s: float
     usage: Mapping[str, jobs.Usage]
+    data_centre: str = ""
 
 
 class Fleet:
@@ -168,6 +177,18 @@
                 used += usage.room
         return jobs.Usage(count, used)
 
+    def list_cut_off(self, now_s: float) -> set[str]:
+        """Returns the data centres whose hosts fell silent, all of them."""
+        last: dict[str, float] = {}
+        for peer in self.peers.values():
+            known = last.get(peer.data_centre, 0.0)
+            last[peer.data_centre] = max(known, peer.heard_s)
+        return {
+            place
+            for place, heard_s in last.items()
+            if place != self.data_centre and now_s - heard_s > CUT_OFF_S
+        }
+
     def note_fault(self, upstream_id: str, now_s: float) -> None:
         """Takes an attempt that failed and may be the upstream's fault.
 
@@ -337,12 +358,15 @@
         """Returns a plain service's replica with the shortest expected wait."""
         usable = self.list_usable(service, now_s)
         fresh = [e for e in usable if e.id not in avoid] or usable
+        cut_off = self.list_cut_off(now_s)
 
         def expect_s(entry: upstreams.Upstream) -> float:
             time_s = self.times.get(entry.id, FIRST_TIME_S)
             waiting = self.get_usage(entry.id, now_s).count
             turns = 1 + waiting / max(1, entry.slots)
             near = 1.0 if entry.data_centre == self.data_centre else 1.2
+            if entry.data_centre in cut_off:
+                near = CUT_OFF_COST
             slowdown = self.get_slowdown(entry.id, now_s)
             return time_s * turns * near * slowdown
 
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -332,6 +332,10 @@
             clear_untrusted_proxy_headers=False,
             backlog=1024,
             asyncore_use_poll=True,
+            # An answer that is cut ends with an error on purpose, and one
+            # that its caller leaves ends with one too; both are logged as
+            # decisions.
+            log_socket_errors=False,
         )
         self._server.adj.egretspur_draining = self._draining
         self._server.channel_class = _DrainingChannel
@@ -384,10 +388,21 @@
     registry: collectors.Registry,
     dump_state: Callable[[], Any],
     is_ready: Callable[[], bool],
+    refresh: Callable[[], None] | None = None,
 ) -> None:
-    """Adds the pages every daemon has: metrics, state, ready, live."""
+    """Adds the pages every daemon has: metrics, state, ready, live.
+
+    Args:
+        app: Gets the pages.
+        registry: Metrics to show.
+        dump_state: Returns the state as plain values.
+        is_ready: Tells whether new callers may be sent here.
+        refresh: Called before the metrics are shown.
+    """
 
     def get_metrics(req: Request) -> Response:
+        if refresh is not None:
+            refresh()
         body, headers = renderer.render(registry, [])
         return Response(200, dict(headers), body)
 
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -198,7 +198,12 @@
 
 @given("broken lines in it")
 def step_broken(context: Any) -> None:
-    context.log_texts += ["{half a line", "no json at all", "", '{"event": "x"}']
+    context.log_texts += [
+        "{half a line",
+        "no json at all",
+        "",
+        '{"event": "x"}',
+    ]
 
 
 @when('request "{request}" is explained')
