--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -431,7 +431,7 @@
         elif failure.why in (jobs.Why.CUT, jobs.Why.FAILED):
             ticket.runs += 1
         blamed = set(failure.blamed)
-        if not blamed and failure.why is not jobs.Why.REFUSED and was_at:
+        if not blamed and was_at:
             blamed.add(was_at)
         ticket.failed |= blamed
         for upstream_id in blamed:
--- /dev/null
+++ b/tests/fakes/replica.py
@@ -0,0 +1,162 @@
+"""Stand-in of a replica of the platform: a model engine or a plain service.
+
+An engine sends events at a steady pace if the path of a request covers all
+layers and its own part is held. Faults: ``events`` and ``pause_s`` of a
+stream, ``cut_after`` (events after which a stream breaks off), ``status`` of a
+plain answer, ``refuse`` (answers that it has not run), ``delay_s``.
+"""
+
+from __future__ import annotations
+
+import sys
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from egretspur import web
+from tests.fakes import base
+
+
+class Replica:
+    """State of one replica."""
+
+    def __init__(self, name: str, layers: int) -> None:
+        self.name = name
+        self.layers = layers
+        self.faults: dict[str, Any] = {
+            "events": 5,
+            "pause_s": 0.02,
+            "cut_after": -1,
+            "status": 200,
+            "refuse": False,
+            "delay_s": 0.0,
+        }
+        self.held: dict[str, int] | None = None
+        self.orders = 0
+        # Requests that were begun, with the fields that the product sets.
+        self.runs: list[dict[str, str]] = []
+        # Streams whose connection was closed before their end.
+        self.left = 0
+        self.lock = threading.Lock()
+
+    def report(self) -> dict[str, Any]:
+        """Returns the report page."""
+        return {
+            "busy": False,
+            "seq_no": self.orders,
+            "layer_count": self.held,
+            "pace": 1.0,
+            "kv_in_use": 0,
+            "kv_size": 1,
+            "stalled_servers": [],
+        }
+
+    def order(self, data: dict[str, Any]) -> int:
+        """Takes an order; returns the status."""
+        if data["operation"] != "place":
+            return 404
+        if data.get("expected", self.orders) != self.orders:
+            return 409
+        self.orders += 1
+        self.held = {"source": data["source"], "to": data["to"], "version": 1}
+        return 202
+
+    def covers(self, path: str) -> bool:
+        """Tells whether a path covers the model once and starts here."""
+        at = 0
+        for i, part in enumerate(path.split(",")):
+            first, last = part.partition("=")[2].split("-")
+            held = self.held
+            if i == 0 and (
+                held is None
+                or int(first) < held["source"]
+                or int(last) > held["to"]
+            ):
+                return False
+            if int(first) != at:
+                return False
+            at = int(last)
+        return at == self.layers
+
+
+class Events:
+    """A stream; see `web.PushedBody`."""
+
+    def __init__(self, replica: Replica, after: int) -> None:
+        self._replica = replica
+        self._after = after
+
+    def push(self, write: Callable[[bytes], Any]) -> None:
+        """Writes events."""
+        faults = self._replica.faults
+        sent = 0
+        try:
+            for number in range(self._after + 1, faults["events"] + 1):
+                if sent == faults["cut_after"]:
+                    faults["cut_after"] = -1
+                    write(b"id: 9")
+                    raise ConnectionAbortedError("cut on request")
+                write(f"id: {number}\ndata: text {number}\n\n".encode())
+                sent += 1
+                time.sleep(faults["pause_s"])
+        except web.CallerGone:
+            self._replica.left += 1
+            raise
+
+
+def make_app(replica: Replica) -> web.App:
+    """Returns the replica's pages."""
+    app = web.App()
+
+    def order(req: web.Request) -> web.Response:
+        return base.reply({}, replica.order(base.read_json(req)))
+
+    def run(req: web.Request) -> web.Response:
+        fields = req.get_headers()
+        req.read_body()
+        head = {
+            "Attempt-Id": fields.get("Attempt-Id", ""),
+            "Replica-Signature": f"sig-{replica.name}",
+        }
+        if replica.faults["refuse"]:
+            return web.Response(503, {"Not-Executed": "1"}, b"")
+        if fields.get("Target-Replica") != replica.name:
+            return web.Response(421, {"Replica-Id": replica.name}, b"")
+        path = fields.get("Hop-Count", "")
+        if replica.layers and not replica.covers(path):
+            return web.Response(421, {"Replica-Id": replica.name}, b"")
+        with replica.lock:
+            replica.runs.append({**fields, "target": req.get_target()})
+        time.sleep(replica.faults["delay_s"])
+        if not replica.layers:
+            status = replica.faults["status"]
+            return web.Response(status, head, replica.name.encode())
+        after = int(fields.get("Last-Event-Id") or 0)
+        head["Content-Type"] = "text/event-stream"
+        return web.Response(200, head, Events(replica, after))
+
+    app.add("GET", "/egretspur/report", lambda r: base.reply(replica.report()))
+    app.add("POST", "/egretspur/order", order)
+    app.add("GET", "/healthz", lambda r: base.reply({}))
+    app.add("GET", "/runs", lambda r: base.reply(replica.runs))
+    app.add("GET", "/left", lambda r: base.reply(replica.left))
+    base.add_faults(app, replica.faults)
+    app.add("*", "/{rest*}", run)
+    return app
+
+
+def main() -> int:
+    """Entry point."""
+    parser = base.make_parser(__doc__ or "")
+    parser.add_argument("--name", required=True, help="id of this start")
+    parser.add_argument(
+        "--layers", type=int, default=0, help="of the model; 0 for a service"
+    )
+    args = parser.parse_args()
+    replica = Replica(args.name, args.layers)
+    return base.run(make_app(replica), args.listen, 64)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/fakes/store.py
@@ -0,0 +1,165 @@
+"""Stand-in of the platform's store: keyed topics, reads, groups.
+
+``POST /write`` with topic, key and value (null removes) is the operator's and
+the upstreams' way in. Faults: ``down`` (answers 503), ``keep`` (records kept
+for reads; older ones are answered with 410).
+"""
+
+from __future__ import annotations
+
+import base64
+import struct
+import sys
+import threading
+import time
+from typing import Any
+
+import orjson
+
+from egretspur import web
+from tests.fakes import base
+
+
+class Store:
+    """Topics of one partition, and groups, in memory."""
+
+    def __init__(self) -> None:
+        self.faults: dict[str, Any] = {"down": False, "keep": 10_000}
+        self._records: dict[str, list[tuple[str, bytes]]] = {}
+        self._changed = threading.Condition()
+        # Members by group, with when each lapses.
+        self._members: dict[str, dict[str, float]] = {}
+        self._generations: dict[str, int] = {}
+
+    def write(self, topic: str, key: str, value: Any) -> int:
+        """Appends a record; returns the end."""
+        raw = b"" if value is None else orjson.dumps(value)
+        with self._changed:
+            records = self._records.setdefault(topic, [])
+            records.append((key, raw))
+            self._changed.notify_all()
+            return len(records)
+
+    def read_newest(self, topic: str) -> dict[str, Any]:
+        """Returns the newest record of each key."""
+        with self._changed:
+            records = self._records.get(topic, [])
+            newest = dict(records)
+            return {
+                "entries": [
+                    {"key": k, "value": base64.b64encode(v).decode()}
+                    for k, v in newest.items()
+                    if v
+                ],
+                "has_more": False,
+                "end_offset": len(records),
+            }
+
+    def read(self, topic: str, offset: int, wait_s: float) -> bytes | None:
+        """Returns records from an offset; None if they are gone."""
+        end_s = time.monotonic() + wait_s
+        with self._changed:
+            while True:
+                records = self._records.get(topic, [])
+                if offset < len(records) - self.faults["keep"]:
+                    return None
+                if len(records) > offset or time.monotonic() >= end_s:
+                    break
+                self._changed.wait(min(0.1, end_s - time.monotonic()))
+            data = struct.pack(">QQ", len(records), 0)
+            for key, raw in records[offset:]:
+                body = bytes([len(key)]) + key.encode() + raw
+                data += struct.pack(">I", len(body)) + body
+            return data
+
+    def join(self, group: str, member: str, ttl_s: float) -> dict[str, Any]:
+        """Joins a member; the one that joined first has partition 0."""
+        now_s = time.monotonic()
+        with self._changed:
+            members = self._members.setdefault(group, {})
+            before = list(members)
+            for name, until_s in list(members.items()):
+                if now_s >= until_s:
+                    del members[name]
+            members[member] = now_s + ttl_s
+            if list(members) != before:
+                self._generations[group] = self._generations.get(group, 0) + 1
+            holds = next(iter(members)) == member
+            parts = [["duty", 0, 0]] if holds else []
+            return {"generation": self._generations[group], "parts": parts}
+
+    def leave(self, group: str, member: str) -> None:
+        """Takes a member out."""
+        with self._changed:
+            self._members.get(group, {}).pop(member, None)
+
+    def list_owners(self, group: str) -> dict[str, Any]:
+        """Returns who holds which partition."""
+        with self._changed:
+            names = list(self._members.get(group, {}))
+            rows = [["duty", i, name, 0] for i, name in enumerate(names)]
+            return {"generation": 0, "parts": rows}
+
+
+def make_app(store: Store) -> web.App:
+    """Returns the store's pages."""
+    app = web.App()
+
+    def guard(handler: base.Handler) -> base.Handler:
+        def handle(req: web.Request) -> web.Response:
+            return base.reply({}, 503) if store.faults["down"] else handler(req)
+
+        return handle
+
+    def read(req: web.Request) -> web.Response:
+        offset = web.get_query_int(req, "source", 0)
+        wait_s = web.get_query_int(req, "wait_ms", 0) / 1000
+        data = store.read(req.query["topic"], offset, wait_s)
+        if data is None:
+            return base.reply({"start_offset": 0}, 410)
+        return web.Response(200, {}, data)
+
+    def join(req: web.Request) -> web.Response:
+        data = base.read_json(req)
+        ttl_s = data["ttl_ms"] / 1000
+        return base.reply(store.join(data["group"], data["member_id"], ttl_s))
+
+    def leave(req: web.Request) -> web.Response:
+        data = base.read_json(req)
+        store.leave(data["group"], data["member_id"])
+        return base.reply({})
+
+    def write(req: web.Request) -> web.Response:
+        data = base.read_json(req)
+        end = store.write(data["topic"], data["key"], data["value"])
+        return base.reply({"end_offset": end})
+
+    for method, path, handler in (
+        (
+            "GET",
+            "/egretspur/log-newest",
+            lambda r: base.reply(store.read_newest(r.query["topic"])),
+        ),
+        ("GET", "/egretspur/log-read", read),
+        ("POST", "/egretspur/log-join", join),
+        ("POST", "/egretspur/log-leave", leave),
+        (
+            "GET",
+            "/egretspur/log-owners",
+            lambda r: base.reply(store.list_owners(r.query["group"])),
+        ),
+    ):
+        app.add(method, path, guard(handler))
+    app.add("POST", "/write", write)
+    base.add_faults(app, store.faults)
+    return app
+
+
+def main() -> int:
+    """Entry point."""
+    args = base.make_parser(__doc__ or "").parse_args()
+    return base.run(make_app(Store()), args.listen, 32)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
