--- a/egretspur/placement/ranges.py
+++ b/egretspur/placement/ranges.py
@@ -23,7 +23,7 @@
 # Room for requests that a layout leaves on every layer, in tokens; the first
 # with which all layers can be held is taken. With less than the last, a card
 # would hold up its whole data centre; the layers of another are better.
-ROOMS: Final = (45_000, 30_000, 20_000, 12_000)
+ROOMS: Final = (36_000, 28_000, 20_000, 12_000)
 
 # The same where other data centres hold the missing layers meanwhile.
 PATIENT_ROOMS: Final = ROOMS[:2]
