--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -110,3 +110,16 @@
     Then nothing is left in flight once all requests are over
     And no request runs more often than its kind allows
     And every request gets exactly one start or refusal for each question
+
+  Scenario: A data centre whose hosts all fell silent
+    # Symptom: at a cut, each request finds out anew that engines are out of
+    # reach, 0.3 s and a repeat each. Sequence: a data centre is cut off; paths
+    # from a tight one go there all the same.
+    Given a chain of engines that lacks its last layers
+    And whole chains in "pg-hall" and "cj-hall", of which "pg-hall" is nearer
+    When the hosts of both are heard
+    Then requests go over "pg-hall"
+    When the hosts of "pg-hall" have been silent for 1.2 s
+    Then requests go over "cj-hall"
+    When the engines of "cj-hall" are gone as well
+    Then requests go over "pg-hall"
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -482,6 +482,59 @@
     assert len(started) == few, started
 
 
+@given("a chain of engines that lacks its last layers")
+def step_lacks(context: Any) -> None:
+    make_chain(context)
+    upstreams.drop(context.broker.fleet.roster, "l40s-1", context.now_s)
+
+
+@given(
+    'whole chains in "{first}" and "{second}", of which "{nearer}" is nearer'
+)
+def step_chains(context: Any, first: str, second: str, nearer: str) -> None:
+    for place in (first, second):
+        # The nearer one is the faster one: accelerators stand for distance.
+        kind = "a100" if place == nearer else "l40s"
+        for name, layers in CHAIN.items():
+            entry = fleets.make_upstream(f"{kind}-{place}-{name}", layers)
+            entry = attrs.evolve(entry, data_centre=place)
+            if kind == "l40s" and entry.layers and entry.layers.count > 20:
+                entry = attrs.evolve(entry, accelerator="a100")
+            upstreams.put(context.broker.fleet.roster, entry, context.now_s)
+
+
+def hear(context: Any, place: str) -> None:
+    """Hears a host of a data centre now."""
+    peers = context.broker.fleet.peers
+    peers[place] = fleet.PeerUsage(context.now_s, {}, place)
+
+
+@when("the hosts of both are heard")
+def step_both_heard(context: Any) -> None:
+    hear(context, "pg-hall")
+    hear(context, "cj-hall")
+
+
+@when('the hosts of "{place}" have been silent for {seconds:g} s')
+def step_place_silent(context: Any, place: str, seconds: float) -> None:
+    context.now_s += seconds
+    hear(context, "cj-hall")
+
+
+@when('the engines of "{place}" are gone as well')
+def step_place_gone(context: Any, place: str) -> None:
+    roster = context.broker.fleet.roster
+    for name, entry in list(roster.entries.items()):
+        if entry.data_centre == place:
+            upstreams.drop(roster, name, context.now_s)
+
+
+@then('requests go over "{place}"')
+def step_over_place(context: Any, place: str) -> None:
+    parts = send_one(context, f"r{context.now_s}{place}").parts
+    assert place in parts[-1].id, parts
+
+
 # Random histories.
 
 
