Have one host a data centre read the store for the others

Change: the host with the lowest address whose list is fresh reads; the others read when it tells of another list or version, at once when it falls silent. Listed, draining and gone upstreams are logged.

--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -27,7 +27,10 @@
 # First and longest pause after a call that failed, in seconds. Short, since a
 # host that was cut off is held to its bounds again three seconds after.
 FIRST_PAUSE_S: Final = 0.1
-LONGEST_PAUSE_S: Final = 0.5
+LONGEST_PAUSE_S: Final = 1.0
+
+# Shortest time between two reads, however often a feed is poked.
+SHORTEST_S: Final = 0.4
 
 
 @attrs.frozen
@@ -86,6 +89,16 @@
         """Notes an answer; `is_back` if the one before it failed."""
 
 
+@attrs.frozen
+class Pace:
+    """How a feed reads."""
+
+    # How long a read may wait for a change, in seconds.
+    wait_s: float
+    # Shortest time between two reads; bounds the calls.
+    period_s: float
+
+
 class Feed(Generic[T]):
     """Follows one source."""
 
@@ -94,9 +107,8 @@
         name: str,
         source: Source[T],
         sink: Sink[T],
-        wait_s: float,
-        period_s: float,
-        sleep: Callable[[float], bool] | None = None,
+        get_pace: Callable[[], Pace],
+        sleep: Callable[[float], object] | None = None,
     ) -> None:
         """Makes a feed.
 
@@ -104,17 +116,16 @@
             name: For logs and the thread.
             source: Where it reads.
             sink: Where it hands on.
-            wait_s: How long a read may wait for a change.
-            period_s: Shortest time between two reads; bounds the calls.
-            sleep: Waits so many seconds and tells whether to stop.
+            get_pace: Returns how to read; asked before each read.
+            sleep: Waits so many seconds, or until there is reason to read.
         """
         self._name = name
         self._source = source
         self._sink = sink
-        self._wait_s = wait_s
-        self._period_s = period_s
+        self._get_pace = get_pace
         self._stop = threading.Event()
-        self._sleep = sleep or self._stop.wait
+        self._poked = threading.Event()
+        self._sleep = sleep or self._rest
         self._rng = random.Random()
         self._thread = threading.Thread(
             target=self._run, name=f"feed-{name}", daemon=True
@@ -131,6 +142,15 @@
     def close(self) -> None:
         """Stops; a read that waits is left to its bound."""
         self._stop.set()
+        self._poked.set()
+
+    def poke(self) -> None:
+        """Has it read soon: another host knows something newer."""
+        self._poked.set()
+
+    def _rest(self, seconds: float) -> None:
+        if self._poked.wait(seconds):
+            self._poked.clear()
 
     def _run(self) -> None:
         offset = -1
@@ -138,7 +158,8 @@
         lost_s: float | None = None
         while not self._stop.is_set():
             began_s = time.monotonic()
-            res = self.read_once(offset)
+            pace = self._get_pace()
+            res = self.read_once(offset, pace.wait_s)
             if isinstance(res, Unavailable):
                 if lost_s is None:
                     decisions.record(
@@ -155,17 +176,22 @@
                 decisions.record(decisions.StoreBack(self._name, away_s))
             lost_s, pause_s = None, FIRST_PAUSE_S
             offset = self.hand_on(res)
-            rest_s = began_s + self._period_s - time.monotonic()
+            period_s = self._get_pace().period_s
+            rest_s = began_s + period_s - time.monotonic()
             if rest_s > 0:
                 self._sleep(rest_s)
+            early_s = began_s + min(period_s, SHORTEST_S) - time.monotonic()
+            if early_s > 0:
+                # Several hosts may poke for one change.
+                self._stop.wait(early_s)
 
     def read_once(
-        self, offset: int
+        self, offset: int, wait_s: float
     ) -> Whole[T] | Changes[T] | Expired | Unavailable:
         """Reads the newest state (offset below 0) or the changes."""
         if offset < 0:
             return self._source.read_newest()
-        return self._source.read_changes(offset, self._wait_s)
+        return self._source.read_changes(offset, wait_s)
 
     def hand_on(self, res: Whole[T] | Changes[T] | Expired) -> int:
         """Hands a result to the sink; returns the offset to read next."""
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import signal
 import sys
@@ -16,13 +17,13 @@
 from typing import Final
 
 from egretspur import decisions, errors, logs, transport, web
-from egretspur.catalog import config, feeds, handover, upstreams
+from egretspur.catalog import config, feeds, handover, reading, upstreams
 from egretspur.daemons import pages
 from egretspur.delivery import intake, watch
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
-from egretspur.routing import broker, desk, jobs, probes
+from egretspur.routing import broker, desk, probes
 
 # Requests at once; each keeps a thread, started when it is needed.
 THREADS: Final = 600
@@ -34,14 +35,6 @@
 # Seconds between two looks at what came due.
 TICK_S: Final = 0.05
 
-# How long a read of the configuration waits for a change. A connection that
-# went silent is noticed after it.
-CONFIG_WAIT_S: Final = 1.5
-
-# Seconds between two reads of the list of upstreams. Work to one that leaves
-# must end two seconds after its report.
-UPSTREAMS_PERIOD_S: Final = 0.9
-
 # After a stop signal the balancer takes up to two seconds to notice; until
 # then new connections are served.
 UNREADY_S: Final = 2.6
@@ -87,8 +80,6 @@
     def __init__(self, to: desk.Desk) -> None:
         self._desk = to
         self.has_list = False
-        # When the store last answered.
-        self.answered_s = time.monotonic()
 
     def take_whole(self, values: Mapping[str, upstreams.Upstream]) -> None:
         """Takes the whole list."""
@@ -103,7 +94,6 @@
 
     def note_contact(self, is_back: bool) -> None:
         """Starts the grace for entries that lapsed during an outage."""
-        self.answered_s = time.monotonic()
         self._desk.tell(desk.StoreAnswered(is_back))
 
 
@@ -161,8 +151,7 @@
                     configs, self._exchange.list_alive, self._ask_host
                 ),
                 _ConfigSink(self),
-                CONFIG_WAIT_S,
-                0.0,
+                self._get_config_pace,
             ),
             feeds.Feed(
                 "upstreams",
@@ -170,8 +159,7 @@
                     listed, self._exchange.list_alive, self._ask_host
                 ),
                 self._upstreams_sink,
-                0.0,
-                UPSTREAMS_PERIOD_S,
+                self._get_list_pace,
             ),
         )
         self._duty = duty.Duty(
@@ -183,6 +171,9 @@
         # until their list has it, with the time.
         self._learned: dict[str, tuple[upstreams.Layers, float]] = {}
         self._versions = config.Versions()
+        # As it was last told to others.
+        self._known = reading.Known(0, 0, math.inf)
+        self._was_reader = True
         self._draining = threading.Event()
         self._stop = threading.Event()
         self._server = web.Server(
@@ -356,35 +347,56 @@
         return 1.0 if is_alive else None
 
     def _make_news(self, heard: tuple[str, ...]) -> exchange.News:
-        def read(
-            state: broker.Broker,
-        ) -> tuple[dict[str, jobs.Usage], dict[str, float], tuple[str, ...]]:
-            now_s = time.monotonic()
-            fleet = state.fleet
-            dead = tuple(i for i in fleet.health if fleet.is_dead(i, now_s))
-            return dict(fleet.own), fleet.paces.list_slow(), dead
-
-        usage, pace, dead = self._desk.look(read)
         now_s = time.monotonic()
-        store_age_s = now_s - self._upstreams_sink.answered_s
+        store_age_s = now_s - self._store.answered_s
         if store_age_s < exchange.STORE_AWAY_S:
             self._learned = {
                 i: (layers, at_s)
                 for i, (layers, at_s) in self._learned.items()
                 if now_s - at_s < LEARNED_TOLD_S
             }
-        return exchange.News(
-            self._cfg.ip,
-            self._cfg.data_centre,
-            store_age_s,
-            usage,
-            pace,
-            dead,
-            {i: layers for i, (layers, _) in self._learned.items()},
-            heard,
-        )
+
+        def read(state: broker.Broker) -> exchange.News:
+            fleet = state.fleet
+            self._known = reading.Known(
+                self._get_version(),
+                fleet.compute_digest(),
+                now_s - state.listed_s,
+            )
+            return exchange.News(
+                self._cfg.ip,
+                self._cfg.data_centre,
+                store_age_s,
+                self._known,
+                dict(fleet.own),
+                fleet.paces.list_slow(),
+                tuple(i for i in fleet.health if fleet.is_dead(i, now_s)),
+                {i: layers for i, (layers, _) in self._learned.items()},
+                heard,
+            )
+
+        news: exchange.News = self._desk.look(read)
+        return news
+
+    def _get_config_pace(self) -> feeds.Pace:
+        return reading.get_config_pace(self._exchange.is_reader())
+
+    def _get_list_pace(self) -> feeds.Pace:
+        return reading.get_list_pace(self._exchange.is_reader())
+
+    def _poke_feeds(self, news: exchange.News) -> None:
+        """Has the feeds read what another host has read already."""
+        is_reader = self._exchange.is_reader()
+        is_new_role = is_reader != self._was_reader
+        self._was_reader = is_reader
+        configs, listed = self._feeds
+        if is_new_role or reading.is_config_due(self._known, news.known):
+            configs.poke()
+        if is_new_role or reading.is_list_due(self._known, news.known):
+            listed.poke()
 
     def _take_news(self, news: exchange.News, hosts: int) -> None:
+        self._poke_feeds(news)
         self._desk.tell(
             desk.PeerNews(
                 news.host,
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -19,7 +19,7 @@
 import attrs
 import orjson
 
-from egretspur.catalog import upstreams
+from egretspur.catalog import reading, upstreams
 from egretspur.routing import jobs
 
 _LOG: Final = logging.getLogger(__name__)
@@ -56,6 +56,8 @@
     data_centre: str
     # Seconds since the store last answered it.
     store_age_s: float
+    # What it has read of the store's topics.
+    known: reading.Known
     usage: Mapping[str, jobs.Usage]
     # Engines that run slower than their kind.
     pace: Mapping[str, float]
@@ -75,6 +77,11 @@
             news.host,
             news.data_centre,
             round(news.store_age_s, 2),
+            [
+                news.known.version,
+                news.known.digest,
+                round(news.known.list_age_s, 2),
+            ],
             {i: [u.count, int(u.room)] for i, u in rows},
             dict(news.pace),
             list(news.dead),
@@ -87,13 +94,22 @@
 def decode_news(data: bytes) -> News | None:
     """Returns the news in a datagram; None if it is malformed."""
     try:
-        host, place, age_s, usage, pace, dead, layers, peers = orjson.loads(
-            data
-        )
+        (
+            host,
+            place,
+            age_s,
+            (version, digest, list_age_s),
+            usage,
+            pace,
+            dead,
+            layers,
+            peers,
+        ) = orjson.loads(data)
         return News(
             str(host),
             str(place),
             float(age_s),
+            reading.Known(int(version), int(digest), float(list_age_s)),
             {
                 str(i): jobs.Usage(int(count), float(used))
                 for i, (count, used) in usage.items()
@@ -115,6 +131,7 @@
     at_s: float
     data_centre: str
     store_age_s: float
+    list_age_s: float
 
 
 class Peers:
@@ -130,7 +147,10 @@
     def note(self, news: News, now_s: float) -> None:
         """Takes news of a host."""
         self._heard[news.host] = _Heard(
-            now_s, news.data_centre, news.store_age_s
+            now_s,
+            news.data_centre,
+            news.store_age_s,
+            news.known.list_age_s,
         )
         self.note_members((news.host, *news.peers), now_s)
 
@@ -162,6 +182,21 @@
             alive, key=lambda h: alive[h].data_centre != self._data_centre
         )
 
+    def is_reader(self, now_s: float) -> bool:
+        """Tells whether this host reads the store for its data centre.
+
+        That is the first of those whose list is fresh. Where none is, all
+        hosts read at once: whoever read before them may be stuck in a call.
+        """
+        me = ipaddress.IPv4Address(self._me)
+        return not any(
+            ipaddress.IPv4Address(host) < me
+            for host, heard in self._heard.items()
+            if heard.data_centre == self._data_centre
+            and now_s - heard.at_s < ALIVE_S
+            and heard.list_age_s + now_s - heard.at_s < reading.FRESH_S
+        )
+
     def is_first_cut_off(self, now_s: float) -> bool:
         """Tells whether this is the first of a data centre without store."""
         near = {
@@ -231,6 +266,11 @@
         with self._lock:
             return self._peers.is_first_cut_off(time.monotonic())
 
+    def is_reader(self) -> bool:
+        """Tells whether this host reads the store for its data centre."""
+        with self._lock:
+            return self._peers.is_reader(time.monotonic())
+
     def list_alive(self) -> list[str]:
         """Returns the hosts that are heard now, those near by first."""
         with self._lock:
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 import logging
 import struct
+import time
 import urllib.parse
 from collections.abc import Callable, Mapping
 from typing import Any, Final, Generic, TypeVar
@@ -35,6 +36,8 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._transport = transport.Transport(CONNECT_S, CALL_S)
+        # When it last answered, on the monotonic clock.
+        self.answered_s = time.monotonic()
 
     def close(self) -> None:
         """Closes idle connections."""
@@ -71,6 +74,7 @@
             return feeds.Unavailable(res.reason)
         if res.status not in good:
             return feeds.Unavailable(f"{target}: status {res.status}")
+        self.answered_s = time.monotonic()
         return res
 
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -200,6 +200,29 @@
         """Takes a new configuration."""
         self._services = cfg.services
 
+    def replace_list(
+        self, entries: dict[str, upstreams.Upstream], now_s: float
+    ) -> list[jobs.Effect]:
+        """Takes the whole list of upstreams."""
+        self.listed_s = now_s
+        with self.fleet.noting_changes():
+            upstreams.replace(self.fleet.roster, entries, now_s)
+        return self.refresh(now_s)
+
+    def change_list(
+        self,
+        entries: Sequence[tuple[str, upstreams.Upstream | None]],
+        now_s: float,
+    ) -> list[jobs.Effect]:
+        """Takes changes of the list of upstreams; None for a removal."""
+        with self.fleet.noting_changes():
+            for upstream_id, entry in entries:
+                if entry is None:
+                    upstreams.drop(self.fleet.roster, upstream_id, now_s)
+                else:
+                    upstreams.put(self.fleet.roster, entry, now_s)
+        return self.refresh(now_s)
+
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts what can, after the list of upstreams changed."""
         self.fleet.forget_gone()
@@ -207,7 +230,8 @@
 
     def tick(self, now_s: float) -> list[jobs.Effect]:
         """Refuses what came due and starts what can."""
-        upstreams.expire(self.fleet.roster, now_s)
+        with self.fleet.noting_changes():
+            upstreams.expire(self.fleet.roster, now_s)
         effects: list[jobs.Effect] = []
         for item in queues.expire(self.queue, now_s):
             ticket = self.tickets[item.id]
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -205,21 +205,12 @@
     @handle.register
     def _(self, message: ReplaceUpstreams) -> None:
         now_s = time.monotonic()
-        roster = self._broker.fleet.roster
-        upstreams.replace(roster, dict(message.entries), now_s)
-        self._broker.listed_s = now_s
-        self._run(self._broker.refresh(now_s))
+        self._run(self._broker.replace_list(dict(message.entries), now_s))
 
     @handle.register
     def _(self, message: ChangeUpstreams) -> None:
         now_s = time.monotonic()
-        roster = self._broker.fleet.roster
-        for upstream_id, entry in message.entries:
-            if entry is None:
-                upstreams.drop(roster, upstream_id, now_s)
-            else:
-                upstreams.put(roster, entry, now_s)
-        self._run(self._broker.refresh(now_s))
+        self._run(self._broker.change_list(message.entries, now_s))
 
     @handle.register
     def _(self, message: StoreAnswered) -> None:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
-from collections.abc import Mapping, Sequence
+import zlib
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -284,6 +286,31 @@
         old = self.times.get(upstream_id, seconds)
         self.times[upstream_id] = old + TIME_WEIGHT * (seconds - old)
 
+    @contextlib.contextmanager
+    def noting_changes(self) -> Iterator[None]:
+        """Notes for the log what changes on the list within the block."""
+        before = {i: e.is_draining for i, e in self.roster.entries.items()}
+        yield
+        for upstream_id, entry in self.roster.entries.items():
+            if upstream_id not in before:
+                self._note(upstream_id, "listed", entry.address)
+            if entry.is_draining and not before.get(upstream_id):
+                self._note(upstream_id, "draining", "reported that it leaves")
+        for upstream_id in set(before) - set(self.roster.entries):
+            self._note(upstream_id, "gone", "no longer listed")
+
+    def compute_digest(self) -> int:
+        """Returns a number that differs where the list differs.
+
+        Layers are left out: hosts tell each other of those at once, and their
+        entries follow at different times.
+        """
+        rows = sorted(
+            f"{e.id} {e.address} {e.is_draining}"
+            for e in self.roster.entries.values()
+        )
+        return zlib.crc32("\n".join(rows).encode())
+
     def forget_gone(self) -> None:
         """Drops what is known of upstreams that are no longer listed."""
         known = self.roster.entries
