Count decisions by kind and cause, and their times by bucket

Cause: the metrics told totals, not why (issue on explaining failures). Change: a handler on the decisions' logger feeds aioprometheus counters and histograms of first events, pauses, waits, orders and calls to the store.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -16,9 +16,11 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
+from aioprometheus import collectors
+
 from egretspur import decisions, errors, logs, transport, web
 from egretspur.catalog import config, feeds, handover, reading, upstreams
-from egretspur.daemons import pages
+from egretspur.daemons import meters, pages
 from egretspur.delivery import intake, watch
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
@@ -128,7 +130,10 @@
         self._intake = intake.Intake(
             self._desk, upstream.UpstreamClient(), self._watch, rng
         )
-        self._store = store.Store(cfg.store)
+        registry = collectors.Registry()
+        self._meters = meters.Meters(registry)
+        decisions.LOGGER.addHandler(self._meters)
+        self._store = store.Store(cfg.store, self._meters.note_store_call)
         self._upstreams_sink = _UpstreamsSink(self._desk)
         self._exchange = exchange.Exchange(
             exchange.Peers(
@@ -189,6 +194,7 @@
         self._pages_server = web.Server(
             pages.make_pages(
                 self._desk,
+                registry,
                 handler,
                 self._get_version,
                 self.is_ready,
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -58,13 +58,13 @@
 
 def make_pages(
     to: desk.Desk,
+    registry: collectors.Registry,
     handler: logs.BoundedHandler | None,
     get_version: Callable[[], int],
     is_ready: Callable[[], bool],
     topics: Mapping[str, Snapshots],
 ) -> web.App:
     """Returns the application that serves the pages."""
-    registry = collectors.Registry()
     gauges = {
         name: collectors.Gauge(f"egretspur_{name}", text, registry=registry)
         for name, text in {**_GAUGES, **_BY_UPSTREAM}.items()
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -15,7 +15,8 @@
 
 import attrs
 
-_LOG: Final = logging.getLogger("egretspur.decisions")
+# Every decision goes through it; the metrics listen to it.
+LOGGER: Final = logging.getLogger("egretspur.decisions")
 
 # Field of a log record that says whether the line is dropped first.
 ROUTINE_KEY: Final = "is_routine"
@@ -298,4 +299,4 @@
     """Writes a line."""
     fields = describe(decision)
     fields[ROUTINE_KEY] = isinstance(decision, ROUTINE)
-    _LOG.info(fields[EVENT_KEY].replace("_", " "), extra=fields)
+    LOGGER.info(fields[EVENT_KEY].replace("_", " "), extra=fields)
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -33,8 +33,19 @@
 class Store:
     """Calls to the store; shared by the feeds and the duty."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        note_call: Callable[[float], None] = lambda seconds: None,
+    ) -> None:
+        """Makes a client.
+
+        Args:
+            address: IP address and port.
+            note_call: Told how long each call took, in seconds.
+        """
         self._address = address
+        self._note_call = note_call
         self._transport = transport.Transport(CONNECT_S, CALL_S)
         # When it last answered, on the monotonic clock.
         self.answered_s = time.monotonic()
@@ -64,10 +75,13 @@
         read_s: float,
         good: tuple[int, ...],
     ) -> transport.Reply | feeds.Unavailable:
+        began_s = time.monotonic()
         headers = {"Content-Type": "application/json"} if body else {}
         res = self._transport.call(
             method, self._address, target, body, headers, read_s
         )
+        if read_s <= CALL_S:
+            self._note_call(time.monotonic() - began_s)
         if isinstance(res, transport.Failed):
             # Whatever lost track of one connection may have lost the others.
             self._transport.empty_pool(self._address)
--- a/tests/daemons/host.feature
+++ b/tests/daemons/host.feature
@@ -74,4 +74,7 @@
   Scenario: What operators can ask for
     When a stream is asked for with key "key-1"
     Then the metrics count 1 started request
+    And they show "egretspur_decisions_total" of "request_answered"
+    And they show "egretspur_first_event_seconds_count" of ""
+    And they show "egretspur_store_call_seconds_count" of ""
     And the state dump names the four engines
--- a/tests/steps/host_steps.py
+++ b/tests/steps/host_steps.py
@@ -499,3 +499,11 @@
     held = {n: u["layers"] for n, u in dump["upstreams"].items() if n[0] == "e"}
     assert set(held) == {"e0", "e1", "e2", "e3"}, dump["upstreams"]
     assert all(held.values()), held
+
+
+@then('they show "{name}" of "{event}"')
+@then('they show "{name}" of ""')
+def step_show(context: Any, name: str, event: str = "") -> None:
+    text = get_page(context, "/metrics").decode()
+    found = [n for n in text.splitlines() if n.startswith(name) and event in n]
+    assert found and float(found[0].split()[-1]) > 0, text
