--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -16,7 +16,7 @@
 import attrs
 
 from egretspur import actors, errors
-from egretspur.routing import dispatch, requests, tables
+from egretspur.routing import dispatch, questions, requests, tables
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -118,7 +118,7 @@
         super().__init__()
         self._dispatcher = dispatcher
         self._marked = marked
-        self._futures: dict[str, DecisionFuture] = {}
+        self._questions: questions.Questions[Decision] = questions.Questions()
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> Any:
@@ -127,13 +127,13 @@
 
     @handle.register
     def _(self, message: Arrive) -> None:
-        self._futures[message.arrival.id] = message.fut
+        self._questions.ask(message.arrival.id, message.fut)
         now = time.monotonic()
         self._run(self._dispatcher.arrive(message.arrival, now))
 
     @handle.register
     def _(self, message: Fail) -> None:
-        self._futures[message.failure.id] = message.fut
+        self._questions.ask(message.failure.id, message.fut)
         now = time.monotonic()
         self._run(self._dispatcher.fail(message.failure, now))
         if message.failure.leaving:
@@ -141,7 +141,7 @@
 
     @handle.register
     def _(self, message: Finish) -> None:
-        self._futures.pop(message.id, None)
+        self._questions.forget(message.id)
         self._run(self._dispatcher.finish(message.id, time.monotonic()))
 
     @handle.register
@@ -201,13 +201,10 @@
 
     def _run(self, effects: list[requests.Effect]) -> None:
         for effect in effects:
-            fut = self._futures.pop(effect.id, None)
-            if fut is None or fut.done():
-                continue
             if isinstance(effect, requests.Refuse):
-                fut.set_result(effect.refusal)
+                self._questions.answer(effect.id, effect.refusal)
             else:
-                fut.set_result(effect)
+                self._questions.answer(effect.id, effect)
 
 
 class Traffic:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -16,7 +16,7 @@
 
 from egretspur import actors, decisions, errors
 from egretspur.catalog import config, upstreams
-from egretspur.routing import broker, fleet, jobs, paths
+from egretspur.routing import broker, fleet, jobs, paths, questions
 
 Decision = jobs.Start | errors.Refusal
 DecisionFuture = concurrent.futures.Future[Decision]
@@ -166,7 +166,7 @@
     def __init__(self, state: broker.Broker) -> None:
         super().__init__()
         self._broker = state
-        self._futures: dict[str, DecisionFuture] = {}
+        self._questions: questions.Questions[Decision] = questions.Questions()
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> Any:
@@ -175,17 +175,17 @@
 
     @handle.register
     def _(self, message: Arrive) -> None:
-        self._futures[message.job.id] = message.fut
+        self._questions.ask(message.job.id, message.fut)
         self._run(self._broker.arrive(message.job, time.monotonic()))
 
     @handle.register
     def _(self, message: Fail) -> None:
-        self._futures[message.failure.id] = message.fut
+        self._questions.ask(message.failure.id, message.fut)
         self._run(self._broker.fail(message.failure, time.monotonic()))
 
     @handle.register
     def _(self, message: Finish) -> None:
-        self._futures.pop(message.id, None)
+        self._questions.forget(message.id)
         self._run(self._broker.finish(message.id, time.monotonic()))
 
     @handle.register
@@ -281,13 +281,10 @@
 
     def _run(self, effects: list[jobs.Effect]) -> None:
         for effect in effects:
-            fut = self._futures.pop(effect.id, None)
-            if fut is None or fut.done():
-                continue
             if isinstance(effect, jobs.Refuse):
-                fut.set_result(effect.refusal)
+                self._questions.answer(effect.id, effect.refusal)
             else:
-                fut.set_result(effect)
+                self._questions.answer(effect.id, effect)
 
 
 class Desk:
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -7,19 +7,18 @@
 
 from __future__ import annotations
 
+import collections
 import random
-from collections.abc import Mapping
 from typing import Final
 
 import attrs
 
 from egretspur import errors, settings
 from egretspur.admission import budget as budgets
-from egretspur.admission import limits
 from egretspur.admission import queue as queues
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
-from egretspur.routing import loads, requests, tables
+from egretspur.routing import loads, requests, shares, tables
 
 # A marked incarnation is remembered this long; far above the platform's lag.
 LEAVING_KEPT_S: Final = 3600.0
@@ -57,14 +56,10 @@
         self._upstreams: dict[str, tables.Upstream] = {}
         self._deployments: dict[str, records.Deployment] = {}
         self._bindings: dict[str, records.Binding] = {}
-        self._shares: dict[str, int] = {}
         self._graphs: dict[str, graphs.Graph] = {}
-        self._demand: Mapping[str, Mapping[str, int]] = {}
-        self._listed = 1
-        self._informed_at_s = -1e9
-        self._settle_s = limit_opts.settle_s
-        # Since when a workspace wants more than an even share, by key.
-        self._wanting_since_s: dict[str, float] = {}
+        self._shares = shares.WorkspaceShares(
+            name, limit_opts.settle_s, timing.deadline_s
+        )
         # Time of the message being handled.
         self._now_s = 0.0
 
@@ -175,9 +170,7 @@
         for name, incarnations in message.leaving.items():
             for incarnation in incarnations:
                 self.leaving.setdefault(name, {}).setdefault(incarnation, now_s)
-        self._demand = message.demand
-        self._listed = max(1, message.listed)
-        self._informed_at_s = now_s
+        self._shares.note(message.demand, message.listed, now_s)
         self._rebuild()
         return self._start_waiting(now_s)
 
@@ -198,7 +191,7 @@
             # Spread over the routers: each lets a probe begin with a chance
             # that makes about one in all routers a second.
             if loads.is_probe_due(load, now_s) and (
-                self._rng.random() < 1.0 / self._listed
+                self._rng.random() < 1.0 / self._shares.listed
             ):
                 load.health = loads.Health.PROBING
                 probing = True
@@ -263,7 +256,8 @@
                 "no upstreams hold all layers",
                 now_s,
             )
-        if not self._has_rivals(item) and not self._is_held(item):
+        hold = self._make_hold()
+        if not self._has_rivals(item, hold) and not self._is_held(item, hold):
             grant = self._try_start(ticket, now_s)
             if grant is not None:
                 queues.note_start(self.queue, item.workspace)
@@ -273,7 +267,7 @@
             if ticket.begun:
                 return self._wait_begun(ticket, item, now_s)
             kind = offered.kind
-            if self._is_held(item):
+            if self._is_held(item, hold):
                 kind = errors.ErrorKind.LIMIT_REACHED
             return self._refuse_ticket(
                 item.id, kind, offered.reason, now_s, offered.retry_after_s
@@ -283,7 +277,7 @@
         return self._refuse_ticket(
             offered.evicted.id,
             errors.ErrorKind.QUEUE_FULL,
-            "gave way to a request of higher priority",
+            "gave way to a more urgent request or a smaller workspace's",
             now_s,
             1.0,
         )
@@ -305,9 +299,12 @@
     def _start_waiting(self, now_s: float) -> list[requests.Effect]:
         effects: list[requests.Effect] = []
         stuck: set[str] = set()
+        hold = self._make_hold()
         while self.queue.waiting:
             started = False
-            for item in queues.order(self.queue, self._is_held):
+            for item in queues.order(
+                self.queue, lambda waiting: self._is_held(waiting, hold)
+            ):
                 if item.graph in stuck:
                     continue
                 grant = self._try_start(self.tickets[item.id], now_s)
@@ -469,50 +466,32 @@
         self.counts.refused += 1
         return [requests.Refuse(request_id, refusal)]
 
-    def _has_rivals(self, item: queues.Waiting) -> bool:
+    def _has_rivals(self, item: queues.Waiting, hold: shares.Hold) -> bool:
         """Tells whether others of its graph wait and may start."""
         return any(
-            w.graph == item.graph and not self._is_held(w)
+            w.graph == item.graph and not self._is_held(w, hold)
             for w in self.queue.waiting.values()
         )
 
-    def _is_held(self, item: queues.Waiting) -> bool:
-        """Tells whether the request's workspace is at its limit here."""
-        ticket = self.tickets[item.id]
-        binding = self._bindings.get(ticket.key)
-        if binding is None or not binding.limit or ticket.begun:
-            return False
-        share = self.compute_share(ticket.key, binding)
-        return self.running.get(ticket.key, 0) >= share
-
-    def compute_share(self, key: str, binding: records.Binding) -> int:
-        """Returns how many requests of a workspace may run here at once."""
-        local = max(1, binding.limit // self._shares.get(key, 1))
-        demand = dict(self._demand.get(key, {}))
-        waiting = sum(
-            1
-            for w in self.queue.waiting.values()
-            if self.tickets[w.id].key == key
-        )
-        mine = self.running.get(key, 0) + waiting + 1
-        demand[self._name] = mine
-        informed = self._now_s - self._informed_at_s < self._timing.deadline_s
-        return limits.compute_share(
-            local,
-            self._name,
-            demand,
-            self._listed,
-            informed,
-            self._is_settled(key, mine, local),
+    def _make_hold(self) -> shares.Hold:
+        """Returns what limits hold back, as of now."""
+        waiting = collections.Counter(
+            self.tickets[w.id].key for w in self.queue.waiting.values()
         )
 
-    def _is_settled(self, key: str, wanted: int, limit: int) -> bool:
-        """Tells whether a workspace has wanted more than its part for long."""
-        if wanted * self._listed <= limit:
-            self._wanting_since_s.pop(key, None)
-            return False
-        since = self._wanting_since_s.setdefault(key, self._now_s)
-        return self._now_s - since >= self._settle_s
+        def compute_share(key: str) -> int | None:
+            binding = self._bindings.get(key)
+            if binding is None or not binding.limit:
+                return None
+            wanted = self.running.get(key, 0) + waiting[key] + 1
+            return self._shares.compute(key, binding, wanted, self._now_s)
+
+        return shares.Hold(compute_share, self.running)
+
+    def _is_held(self, item: queues.Waiting, hold: shares.Hold) -> bool:
+        """Tells whether a limit holds a request back; never one begun."""
+        ticket = self.tickets[item.id]
+        return not ticket.begun and hold.is_held(ticket.key)
 
     def _make_waiting(
         self, ticket: requests.Ticket, now_s: float
@@ -537,7 +516,7 @@
         self._bindings = {
             records.binding_key(b.workspace, b.model): b for b in table.bindings
         }
-        self._shares = table.shares
+        self._shares.divisors = table.shares
         for upstream in table.upstreams:
             old = self._upstreams.get(upstream.name)
             load = self.loads.get(upstream.name)
