--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := .
 
-.PHONY: demo test fuzz bench capacity check clean
+.PHONY: demo test fuzz bench load capacity check clean
 
 $(VENV)/.ready: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -24,6 +24,9 @@
 bench: $(VENV)/.ready
 	$(PY) -m bench.main
 
+load: $(VENV)/.ready
+	$(PY) -m bench.fleet --plot docs/load.svg
+
 capacity: $(VENV)/.ready
 	$(PY) -m bench.capacity
 	$(PY) -m bench.page
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,284 @@
+"""Compares policies of placement and admission on the model of engines.
+
+``python -m bench.fleet`` prints the worth of each policy by load as JSON lines;
+``--plot FILE`` draws it. ``--site FILE --journal FOLDER`` plays the standard
+days of a deployment's file, as far as the model knows their troubles, beside
+the worth that the journal's newest score measured, and prints how well the
+model ranks them.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import sys
+import tomllib
+from collections.abc import Mapping, Sequence
+from typing import Any, Final
+
+from bench import figures, fleetplay
+from egretspur.catalog import config
+from egretspur.placement import ranges
+
+# Engines and traffic of a deployment of today's size; requests a second.
+CARDS: Final = {
+    "kl-hall": {"a100": 1, "l40s": 6, "l4": 5},
+    "pg-hall": {"a100": 2, "l40s": 2, "l4": 5},
+    "cj-hall": {"a100": 1, "l40s": 3, "l4": 8},
+}
+RATES: Final = {"kl-hall": 9.3, "pg-hall": 11.2, "cj-hall": 11.4}
+
+SPEC: Final = config.EngineSpec(
+    model="m",
+    layers=80,
+    layer_bytes=1.75e9,
+    token_layer_bytes=22_950,
+    slots=96,
+    step_s=0.00102,
+    per_request_s=0.00001428,
+    per_token_s=1.912e-8,
+    read_tokens_per_s=105_000,
+    stride=3,
+    usual_prompt=774,
+    usual_answer=203,
+    load_s=14.0,
+    loads_at_once=5,
+    accelerators={
+        "a100": config.Accelerator("a100", 72e9, 2.4, 3.2),
+        "l40s": config.Accelerator("l40s", 43.2e9, 5.6, 2.7),
+        "l4": config.Accelerator("l4", 21.6e9, 16.0, 8.2),
+    },
+)
+
+LOADS: Final = (0.75, 1.0, 1.25, 1.5, 2.0, 2.5, 3.0)
+SEEDS: Final = (1, 2, 3)
+
+
+def make_room(tokens: int) -> fleetplay.Policy:
+    """Returns the policy that leaves so much room on a layer."""
+    rooms = (float(tokens), *[r for r in ranges.ROOMS if r < tokens])
+    return fleetplay.Policy(f"room {tokens // 1000}k", rooms)
+
+
+POLICIES: Final = (
+    fleetplay.Policy("even split", is_even=True),
+    make_room(24_000),
+    make_room(36_000),
+    make_room(60_000),
+)
+
+# Two engines die for good and one for a while, as on a bad day.
+TROUBLES: Final = (
+    fleetplay.Trouble("crash", 6.0, 4.0, "kl-hall"),
+    fleetplay.Trouble("crash", 15.0, 0.0, "cj-hall", is_gone=True),
+    fleetplay.Trouble("crash", 24.0, 3.0),
+)
+
+
+def compare(loads: Sequence[float]) -> dict[str, list[float]]:
+    """Returns the mean worth of each policy at each load."""
+    found: dict[str, list[float]] = {}
+    for policy in POLICIES:
+        worths = []
+        for load in loads:
+            rates = {place: rate * load for place, rate in RATES.items()}
+            outcomes = [
+                fleetplay.Play(
+                    SPEC,
+                    CARDS,
+                    fleetplay.Day("load", rates, TROUBLES, seed=seed),
+                    policy,
+                ).run()
+                for seed in SEEDS
+            ]
+            worths.append(sum(o.worth for o in outcomes) / len(outcomes))
+        found[policy.name] = worths
+    return found
+
+
+def emit(loads: Sequence[float], found: Mapping[str, Sequence[float]]) -> None:
+    """Prints the comparison, the even split as baseline."""
+    baseline = POLICIES[0].name
+    for name, worths in found.items():
+        for load, worth, other in zip(
+            loads, worths, found[baseline], strict=True
+        ):
+            figures.emit(
+                figures.Figure(
+                    f"model worth ({name}, load {load})",
+                    worth,
+                    "of what is owed",
+                    baseline,
+                    other,
+                )
+            )
+
+
+def plot(
+    path: pathlib.Path,
+    loads: Sequence[float],
+    found: Mapping[str, Sequence[float]],
+) -> None:
+    """Draws worth against load; matplotlib is a development dependency."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    # Set before drawing, so that the same figures give the same file.
+    matplotlib.rcParams["svg.hashsalt"] = "egretspur"
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(7, 4))
+    for name, worths in found.items():
+        axes.plot(loads, worths, marker="o", label=name)
+    axes.set_xlabel("load, in parts of a usual day's")
+    axes.set_ylabel("worth earned of what is owed (model)")
+    axes.set_title("Room left on every layer, three engines lost")
+    axes.set_ylim(0, 1)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+
+
+# A deployment's days.
+
+_KINDS: Final = {"srv_crash": "crash", "srv_slow": "slow", "scale_in": "leave"}
+
+
+def read_day(site: Mapping[str, Any], day: Mapping[str, Any]) -> fleetplay.Day:
+    """Returns a standard day, as far as the model knows its troubles."""
+    thin = float(site.get("thin", 1.0))
+    rates = {}
+    for row in day.get("traffic", site["traffic"]):
+        mix = row["mix"]
+        streams = sum(
+            share
+            for name, share in mix.items()
+            if _find_class(site, name).get("kind") == "stream"
+        )
+        part = streams / sum(mix.values())
+        rates[row["zone"]] = row["per_s"] * thin * part
+    entries = [*day.get("faults", ()), *day.get("plan", ())]
+    troubles = [t for e in entries if (t := _read_trouble(site, e))]
+    return fleetplay.Day(
+        day["name"], rates, tuple(troubles), day.get("length_s", 34.0)
+    )
+
+
+def _find_class(site: Mapping[str, Any], name: str) -> Mapping[str, Any]:
+    found: Mapping[str, Any] = next(
+        c for c in site["classes"] if c["name"] == name
+    )
+    return found
+
+
+def _read_trouble(
+    site: Mapping[str, Any], entry: Mapping[str, Any]
+) -> fleetplay.Trouble | None:
+    engines = sum(
+        s["count"]
+        for service in site["services"]
+        if service.get("model")
+        for s in service["servers"]
+    )
+    if entry["kind"] == "burst":
+        return fleetplay.Trouble(
+            "burst", entry["at"], entry.get("for_s", 5), factor=entry["x"]
+        )
+    kind = _KINDS.get(entry["kind"])
+    if kind is None:
+        return None
+    count = entry.get("count") or round(entry.get("share", 0.1) * engines)
+    return fleetplay.Trouble(
+        kind,
+        entry["at"],
+        entry.get("for_s", 5.0),
+        entry.get("zone", ""),
+        max(1, count),
+        entry.get("x", 4.0),
+        kind == "leave" or "gone" in entry.get("how", ""),
+    )
+
+
+def read_cards(site: Mapping[str, Any]) -> dict[str, dict[str, int]]:
+    """Returns a deployment's engines by data centre and accelerator."""
+    cards: dict[str, dict[str, int]] = {}
+    for service in site["services"]:
+        for row in service["servers"] if service.get("model") else ():
+            kinds = cards.setdefault(row["zone"], {})
+            kinds[row["kind"]] = kinds.get(row["kind"], 0) + row["count"]
+    return cards
+
+
+def read_measured(folder: pathlib.Path, site: str) -> dict[str, float]:
+    """Returns the worth by day of the journal's newest score of a site."""
+    for path in sorted(folder.glob("*.json"), reverse=True):
+        entry = json.loads(path.read_text("utf-8"))
+        if entry.get("cmd") == "score" and entry.get("site") == site:
+            return {d["name"]: d["G"] for d in entry["days"]}
+    return {}
+
+
+def compare_days(path: pathlib.Path, journal: pathlib.Path) -> None:
+    """Prints modelled and measured worth of a deployment's days."""
+    site = tomllib.loads(path.read_text("utf-8"))
+    measured = read_measured(journal, site["name"])
+    cards = read_cards(site)
+    pairs = []
+    for entry in site["day"]:
+        if entry["name"] not in measured:
+            continue
+        day = read_day(site, entry)
+        worth = fleetplay.Play(SPEC, cards, day, POLICIES[2]).run().worth
+        pairs.append((worth, measured[entry["name"]]))
+        figures.emit(
+            figures.Figure(
+                f"model worth ({site['name']}, {day.name})",
+                worth,
+                "of what is owed",
+                "measured, less prices",
+                measured[entry["name"]],
+            )
+        )
+    if len(pairs) > 1:
+        figures.emit(
+            figures.Figure("rank correlation", compute_rank(pairs), "of 1")
+        )
+        # The model knows no cuts and no closing loss of all hosts, so what
+        # it is off by on average is left out.
+        offset = sum(m - w for w, m in pairs) / len(pairs)
+        error = sum(abs(m - w - offset) for w, m in pairs) / len(pairs)
+        figures.emit(figures.Figure("mean error beside offset", error, ""))
+        figures.emit(figures.Figure("offset", offset, ""))
+
+
+def compute_rank(pairs: Sequence[tuple[float, float]]) -> float:
+    """Returns Spearman's rank correlation of pairs, ties left as they come."""
+    count = len(pairs)
+    ranks = []
+    for side in (0, 1):
+        order = sorted(range(count), key=lambda i: pairs[i][side])
+        ranks.append({index: rank for rank, index in enumerate(order)})
+    squares = sum((ranks[0][i] - ranks[1][i]) ** 2 for i in range(count))
+    return 1 - 6 * squares / (count * (count * count - 1))
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Entry point."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--plot", type=pathlib.Path, help="SVG to draw")
+    parser.add_argument("--site", type=pathlib.Path, help="deployment's file")
+    parser.add_argument("--journal", type=pathlib.Path, help="folder of scores")
+    args = parser.parse_args(argv)
+    if args.site:
+        compare_days(args.site, args.journal or pathlib.Path("journal"))
+        return 0
+    found = compare(LOADS)
+    emit(LOADS, found)
+    if args.plot:
+        plot(args.plot, LOADS, found)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/fleetplay.py
@@ -0,0 +1,494 @@
+"""Plays a day's load on the model of engines with the real decisions.
+
+The broker of each data centre, the plan of layers, admission and the choice of
+paths are the product's own; the engines are those of `bench.passes`. A day is
+traffic by data centre, and troubles of a few kinds.
+"""
+
+from __future__ import annotations
+
+import functools
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Final
+
+import attrs
+
+from bench import passes
+from egretspur.admission import room
+from egretspur.catalog import config, upstreams
+from egretspur.placement import ranges
+from egretspur.routing import broker, fleet, jobs, paths
+
+# A pause or first event beyond these is late.
+OBJECTIVE_S: Final = 0.5
+GAP_S: Final = 0.2
+
+# What a late answer earns of a prompt one.
+LATE: Final = 0.26
+
+# From a stage's death until its requests are moved.
+NOTICED_S: Final = 0.4
+
+# From a stage's death until its layers are planned anew.
+DEAD_S: Final = 0.9
+
+# Callers turn away after so long without an event.
+PATIENCE_S: Final = 2.0
+
+TICK_S: Final = 0.05
+NEWS_S: Final = 0.25
+
+
+@attrs.frozen
+class Policy:
+    """What a comparison varies."""
+
+    name: str
+    # Least room of a layout, in tokens, best first.
+    rooms: tuple[float, ...] = ranges.ROOMS
+    # Whether layers are spread evenly over all cards, the baseline.
+    is_even: bool = False
+
+
+@attrs.frozen
+class Trouble:
+    """Something that happens to engines or traffic."""
+
+    # One of: crash, slow, burst, leave.
+    kind: str
+    at_s: float
+    for_s: float = 5.0
+    # Data centre; empty for all, or any.
+    place: str = ""
+    count: int = 1
+    # How much more traffic, or how much slower.
+    factor: float = 1.0
+    # An engine that is in use is taken, as in a chain that serves.
+    is_gone: bool = False
+
+
+@attrs.frozen
+class Day:
+    """What is played."""
+
+    name: str
+    # Requests a second by data centre.
+    rates: Mapping[str, float]
+    troubles: tuple[Trouble, ...] = ()
+    length_s: float = 34.0
+    seed: int = 1
+
+
+@attrs.define
+class Outcome:
+    """What a day came to."""
+
+    asked: int = 0
+    prompt: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    preempted: int = 0
+
+    @property
+    def worth(self) -> float:
+        """Earned of what was owed, from 0 to 1."""
+        return (self.prompt + LATE * self.late) / max(1, self.asked)
+
+
+@attrs.define(eq=False)
+class _Request:
+    job: jobs.Job
+    place: str
+    prompt: int
+    answer: int
+    run: passes.Run | None = None
+    written: int = 0
+    first_s: float = 0.0
+    last_s: float = 0.0
+    gap_s: float = 0.0
+    is_over: bool = False
+
+
+class Play:
+    """One day under one policy."""
+
+    def __init__(
+        self,
+        spec: config.EngineSpec,
+        cards: Mapping[str, Mapping[str, int]],
+        day: Day,
+        policy: Policy,
+    ) -> None:
+        """Makes a play.
+
+        Args:
+            spec: Sizes and speeds of the engines.
+            cards: Engines by data centre and accelerator.
+            day: Traffic and troubles.
+            policy: What is compared.
+        """
+        self._spec = spec
+        self._day = day
+        self._policy = policy
+        self._rng = random.Random(day.seed)
+        self._timeline = passes.Timeline()
+        self._engines = passes.Engines(spec, self._timeline)
+        for place, kinds in cards.items():
+            for kind, count in kinds.items():
+                for i in range(count):
+                    self._engines.add(
+                        passes.Engine(
+                            f"{place}/{kind}-{i}",
+                            place,
+                            spec.accelerators[kind],
+                        )
+                    )
+        options = broker.BudgetOptions(0.2, 200.0, 10.0)
+        self._brokers = {
+            place: broker.Broker(place, options, random.Random(day.seed))
+            for place in cards
+        }
+        self._requests: dict[str, _Request] = {}
+        self._loading: dict[str, ranges.Engine] = {}
+        self._dead_since_s: dict[str, float] = {}
+        self._outcome = Outcome()
+
+    def run(self) -> Outcome:
+        """Plays the day."""
+        cfg = self._make_config()
+        for place, state in self._brokers.items():
+            state.configure(cfg)
+            state.hosts = 8
+            if self._policy.is_even:
+                self._hold_evenly(place)
+            else:
+                self._plan(place, load_factor=0.0)
+                self._plan(place, load_factor=0.0)
+        self._list_engines()
+        for place, rate in self._day.rates.items():
+            self._arrive_next(place, rate)
+        for trouble in self._day.troubles:
+            self._timeline.after(trouble.at_s, self._make_trouble(trouble))
+        self._timeline.after(TICK_S, self._tick)
+        self._timeline.after(NEWS_S, self._exchange)
+        # What was asked for within the day may still end after it.
+        self._timeline.run(self._day.length_s + 20.0)
+        for req in list(self._requests.values()):
+            self._close(req, "failed")
+        self._outcome.preempted = sum(
+            e.preempted for e in self._engines.engines.values()
+        )
+        return self._outcome
+
+    # Layers.
+
+    def _plan(self, place: str, load_factor: float = 1.0) -> None:
+        """Lets engines of a data centre hold what the plan says."""
+        engines, elsewhere = [], []
+        for engine in self._engines.engines.values():
+            if self._is_known_dead(engine.id):
+                continue
+            held = upstreams.Layers(*engine.held) if engine.held else None
+            loading = self._loading.get(engine.id)
+            if engine.data_centre == place:
+                engines.append(
+                    loading
+                    or ranges.Engine(
+                        engine.id,
+                        engine.accelerator,
+                        held,
+                        is_idle=not engine.resident,
+                    )
+                )
+            elif held:
+                elsewhere.append(held)
+        orders = ranges.plan_orders(
+            engines, self._spec, elsewhere, self._policy.rooms
+        )
+        for engine_id, layers in orders.items():
+            self._load(engine_id, layers, load_factor)
+
+    def _load(
+        self, engine_id: str, layers: upstreams.Layers, load_factor: float
+    ) -> None:
+        engine = self._engines.engines[engine_id]
+        before = range(*engine.held) if engine.held else range(0)
+        new = sum(
+            1 for i in range(layers.first, layers.last) if i not in before
+        )
+        load_s = load_factor * self._spec.load_s * new / self._spec.layers
+        self._loading[engine_id] = ranges.Engine(
+            engine_id, engine.accelerator, layers
+        )
+
+        def finish() -> None:
+            engine.held = (layers.first, layers.last)
+            self._loading.pop(engine_id, None)
+            self._list_engines()
+
+        if load_s:
+            self._timeline.after(load_s, finish)
+        else:
+            finish()
+
+    def _hold_evenly(self, place: str) -> None:
+        """Spreads the layers over all cards by their memory; the baseline."""
+        engines = [
+            e for e in self._engines.engines.values() if e.data_centre == place
+        ]
+        total = sum(e.accelerator.memory_bytes for e in engines)
+        at = 0.0
+        for engine in engines:
+            share = engine.accelerator.memory_bytes / total
+            first, at = round(at), at + share * self._spec.layers
+            if round(at) > first:
+                engine.held = (first, round(at))
+
+    def _list_engines(self) -> None:
+        """Gives the brokers the engines' list as it is."""
+        for state in self._brokers.values():
+            for engine in self._engines.engines.values():
+                if engine.id in self._dead_since_s:
+                    continue
+                held = upstreams.Layers(*engine.held) if engine.held else None
+                entry = upstreams.Upstream(
+                    engine.id,
+                    "llm",
+                    engine.id,
+                    engine.data_centre,
+                    False,
+                    self._spec.slots,
+                    engine.accelerator.name,
+                    held,
+                )
+                upstreams.put(state.fleet.roster, entry, self._timeline.now_s)
+
+    def _is_known_dead(self, engine_id: str) -> bool:
+        since_s = self._dead_since_s.get(engine_id)
+        return since_s is not None and self._timeline.now_s - since_s > DEAD_S
+
+    # Traffic.
+
+    def _arrive_next(self, place: str, rate: float) -> None:
+        now_s = self._timeline.now_s
+        factor = 1.0
+        for trouble in self._day.troubles:
+            lasts = trouble.at_s <= now_s < trouble.at_s + trouble.for_s
+            if trouble.kind == "burst" and lasts:
+                factor *= trouble.factor
+        pause_s = self._rng.expovariate(rate * factor)
+        if now_s + pause_s > self._day.length_s:
+            return
+
+        def act() -> None:
+            self._arrive(place)
+            self._arrive_next(place, rate)
+
+        self._timeline.after(pause_s, act)
+
+    def _arrive(self, place: str) -> None:
+        now_s = self._timeline.now_s
+        prompt = min(2300, int(40 + self._rng.lognormvariate(6.3, 0.8)))
+        answer = max(3, min(591, int(self._rng.expovariate(1 / 203))))
+        hint = max(3, int(answer * self._rng.lognormvariate(0.0, 0.5)))
+        tokens = room.estimate_tokens(
+            prompt, 591, hint, self._spec.usual_answer
+        )
+        self._outcome.asked += 1
+        job = jobs.Job(
+            f"r{self._outcome.asked}",
+            _ROUTE,
+            "llm",
+            "w",
+            1,
+            tokens,
+            now_s,
+            now_s + _ROUTE.timeout_s,
+        )
+        req = _Request(job, place, prompt, answer, last_s=now_s)
+        self._requests[job.id] = req
+        self._act(place, self._brokers[place].arrive(job, now_s))
+
+    def _act(self, place: str, effects: Sequence[jobs.Effect]) -> None:
+        for effect in effects:
+            req = self._requests.get(effect.id)
+            if req is None:
+                continue
+            if isinstance(effect, jobs.Refuse):
+                self._close(req, "failed" if req.written else "refused")
+            else:
+                self._start(req, effect)
+        self._brokers[place].take_notes()
+
+    def _start(self, req: _Request, start: jobs.Start) -> None:
+        run = passes.Run(
+            req.job.id,
+            start.parts,
+            req.prompt + req.written,
+            req.answer - req.written,
+        )
+        run.on_event = lambda: self._note_event(req)
+        run.on_end = lambda: self._close(req, "answered")
+        req.run = run
+        if not self._engines.start(run):
+            req.run = None
+            self._timeline.after(
+                0.002, lambda: self._fail(req, jobs.Why.REFUSED)
+            )
+
+    def _fail(self, req: _Request, why: jobs.Why) -> None:
+        if req.is_over:
+            return
+        if req.run is not None:
+            self._engines.end(req.run)
+            req.run = None
+        failure = jobs.Failure(req.job.id, why, "model", (), req.written > 0)
+        state = self._brokers[req.place]
+        self._act(req.place, state.fail(failure, self._timeline.now_s))
+
+    def _note_event(self, req: _Request) -> None:
+        now_s = self._timeline.now_s
+        if not req.first_s:
+            req.first_s = now_s
+        else:
+            req.gap_s = max(req.gap_s, now_s - req.last_s)
+        req.last_s = now_s
+        req.written += self._spec.stride
+
+    def _close(self, req: _Request, how: str) -> None:
+        if req.is_over:
+            return
+        req.is_over = True
+        del self._requests[req.job.id]
+        if req.run is not None:
+            self._engines.end(req.run)
+        if how == "answered":
+            first_s = req.first_s - req.job.arrived_s
+            if first_s <= OBJECTIVE_S and req.gap_s <= GAP_S:
+                self._outcome.prompt += 1
+            else:
+                self._outcome.late += 1
+        elif how == "refused":
+            self._outcome.refused += 1
+        else:
+            self._outcome.failed += 1
+        state = self._brokers[req.place]
+        effects = state.finish(req.job.id, self._timeline.now_s)
+        self._act(req.place, effects)
+
+    # The passing of time.
+
+    def _tick(self) -> None:
+        now_s = self._timeline.now_s
+        for place, state in self._brokers.items():
+            self._act(place, state.tick(now_s))
+            if not self._policy.is_even:
+                self._plan(place)
+        for req in list(self._requests.values()):
+            if req.run is not None and now_s - req.last_s > PATIENCE_S:
+                self._close(req, "failed")
+        self._timeline.after(TICK_S, self._tick)
+
+    def _exchange(self) -> None:
+        now_s = self._timeline.now_s
+        for place, state in self._brokers.items():
+            for other, peer in self._brokers.items():
+                if other != place:
+                    state.fleet.peers[other] = fleet.PeerUsage(
+                        now_s, dict(peer.fleet.own), other
+                    )
+        self._timeline.after(NEWS_S, self._exchange)
+
+    # Troubles.
+
+    def _make_trouble(self, trouble: Trouble) -> Callable[[], None]:
+        def act() -> None:
+            for engine in self._choose(trouble):
+                if trouble.kind == "slow":
+                    engine.pace = trouble.factor
+                    self._timeline.after(
+                        trouble.for_s,
+                        functools.partial(self._set_pace, engine),
+                    )
+                elif trouble.kind in ("crash", "leave"):
+                    self._crash(engine, trouble)
+
+        return act
+
+    def _choose(self, trouble: Trouble) -> list[passes.Engine]:
+        if trouble.kind == "burst":
+            return []
+        found = [
+            e
+            for e in self._engines.engines.values()
+            if e.resident
+            and not e.is_dead
+            and trouble.place in ("", e.data_centre)
+        ]
+        return self._rng.sample(found, min(trouble.count, len(found)))
+
+    def _set_pace(self, engine: passes.Engine) -> None:
+        engine.pace = 1.0
+
+    def _crash(self, engine: passes.Engine, trouble: Trouble) -> None:
+        now_s = self._timeline.now_s
+        engine.is_dead = True
+        self._dead_since_s[engine.id] = now_s
+        self._timeline.after(NOTICED_S, lambda: self._move_off(engine))
+        if trouble.is_gone:
+            return
+
+        def back() -> None:
+            # A restarted engine is empty.
+            engine.is_dead = False
+            engine.held = None
+            engine.waiting.clear()
+            engine.resident.clear()
+            del self._dead_since_s[engine.id]
+            self._list_engines()
+
+        self._timeline.after(max(trouble.for_s, DEAD_S + 0.1), back)
+
+    def _move_off(self, engine: passes.Engine) -> None:
+        """Moves requests off a dead engine, as the watch does."""
+        now_s = self._timeline.now_s
+        for state in self._brokers.values():
+            upstreams.drop(state.fleet.roster, engine.id, now_s)
+        for run in list(engine.resident):
+            req = self._requests.get(run.id)
+            if req is None or req.run is not run:
+                continue
+            state = self._brokers[req.place]
+            parts = state.repath(run.id, frozenset([engine.id]), now_s)
+            if parts is not None and self._can_run(parts):
+                self._engines.move(run, parts)
+            else:
+                self._fail(req, jobs.Why.CUT)
+
+    def _can_run(self, parts: Sequence[paths.Part]) -> bool:
+        return not any(self._engines.engines[p.id].is_dead for p in parts)
+
+    def _make_config(self) -> config.Configuration:
+        service = config.Service("llm", "/", 1000, self._spec)
+        limits = config.Limits(16384, 1 << 22, 3.0, 15.0)
+        return config.Configuration(
+            1, (_ROUTE,), {"llm": service}, limits, None
+        )
+
+
+_ROUTE: Final = config.Route(
+    name="model",
+    host="",
+    prefix="/",
+    kind=config.RouteKind.STREAMING,
+    timeout_s=20.0,
+    objective_s=OBJECTIVE_S,
+    priority=1,
+    targets=(config.Target("llm", 1.0),),
+    max_attempts=2,
+    is_public=True,
+    is_resumable=True,
+    gap_s=GAP_S,
+)
--- a/bench/main.py
+++ b/bench/main.py
@@ -6,7 +6,16 @@
 import time
 from typing import Final
 
-from bench import choice, figures, policies, relay, saturation, slopes, worlds
+from bench import (
+    choice,
+    figures,
+    fleet,
+    policies,
+    relay,
+    saturation,
+    slopes,
+    worlds,
+)
 from egretspur.placement import grouping, planner, split
 from tests import scene, stage
 
@@ -18,6 +27,7 @@
     emit_policies()
     emit_choice()
     emit_placement()
+    emit_fleet()
     emit_fold()
     relay.main()
     saturation.run()
@@ -57,6 +67,13 @@
         )
 
 
+def emit_fleet() -> None:
+    """Policies of placement on the model of engines, at three loads."""
+    figures.say("policies on the model of engines")
+    loads = (1.0, 2.0, 3.0)
+    fleet.emit(loads, fleet.compare(loads))
+
+
 def emit_placement() -> None:
     """Joint rate of all chains, against the bound and an even split."""
     hosts = [worlds.make_host(f"h{i}", i) for i in range(1484)]
--- /dev/null
+++ b/bench/passes.py
@@ -0,0 +1,258 @@
+"""Model of engines that hold ranges of layers: passes and request memory.
+
+Event-driven and seeded; seconds a run. An engine takes all waiting work into a
+pass; a pass runs a few token steps for every request that is writing and reads
+a bounded piece of waiting prompts. A request's tokens take memory on every
+layer of its path; when that runs out, the newest request is put back. What is
+left out: the network's bandwidth and the processor time of hosts.
+Read next: `bench.fleetplay`, which drives it with the real decisions.
+"""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from egretspur.catalog import config
+from egretspur.routing import paths
+
+# Seconds on the way from one stage to the next, within a data centre.
+HOP_S: Final = 0.0004
+
+# Prompt tokens read with each token step of a pass.
+CHUNK: Final = 512
+
+
+# Seconds until a run that was put back begins anew.
+RESTART_S: Final = 0.05
+
+
+class Timeline:
+    """Events in order of time."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self.now_s = 0.0
+
+    def after(self, seconds: float, act: Callable[[], None]) -> None:
+        """Has something done later."""
+        entry = (self.now_s + seconds, next(self._numbers), act)
+        heapq.heappush(self._heap, entry)
+
+    def run(self, until_s: float) -> None:
+        """Does everything that is due until a time."""
+        while self._heap and self._heap[0][0] <= until_s:
+            self.now_s, _, act = heapq.heappop(self._heap)
+            act()
+        self.now_s = until_s
+
+
+@attrs.define(eq=False)
+class Run:
+    """One attempt of a request at the engines."""
+
+    id: str
+    parts: tuple[paths.Part, ...]
+    prompt: int
+    # Tokens to write, and written so far.
+    answer: int
+    written: int = 0
+    # Tokens still to be read at the stage it is at.
+    unread: int = 0
+    stage: int = 0
+    # Over, or gone on with elsewhere.
+    is_over: bool = False
+    started_s: float = 0.0
+    on_event: Callable[[], None] = attrs.field(default=lambda: None)
+    on_end: Callable[[], None] = attrs.field(default=lambda: None)
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that take memory on every layer of the path."""
+        return self.prompt + self.written
+
+
+@attrs.define(eq=False)
+class Engine:
+    """One engine."""
+
+    id: str
+    data_centre: str
+    accelerator: config.Accelerator
+    held: tuple[int, int] | None = None
+    pace: float = 1.0
+    is_dead: bool = False
+    is_busy: bool = False
+    waiting: list[Run] = attrs.Factory(list)
+    # Runs whose path it is on, with the layers they use.
+    resident: dict[Run, int] = attrs.Factory(dict)
+    # Requests put back for want of memory.
+    preempted: int = 0
+
+
+class Engines:
+    """All engines and the runs over them."""
+
+    def __init__(self, spec: config.EngineSpec, timeline: Timeline) -> None:
+        self.spec = spec
+        self.timeline = timeline
+        self.engines: dict[str, Engine] = {}
+
+    def add(self, engine: Engine) -> None:
+        """Adds an engine."""
+        self.engines[engine.id] = engine
+
+    def start(self, run: Run) -> bool:
+        """Begins a run; False if a stage lacks its layers or is dead."""
+        for part in run.parts:
+            engine = self.engines[part.id]
+            if engine.is_dead or engine.held is None:
+                return False
+            if part.first < engine.held[0] or part.last > engine.held[1]:
+                return False
+        run.started_s = self.timeline.now_s
+        run.unread = run.tokens
+        for part in run.parts:
+            layers = part.last - part.first
+            self.engines[part.id].resident[run] = layers
+        self._arrive(run)
+        return True
+
+    def move(self, run: Run, parts: tuple[paths.Part, ...]) -> None:
+        """Has a run go on over other stages, which read its tokens first."""
+        self._leave(run)
+        run.parts = parts
+        run.stage = 0
+        run.unread = run.tokens
+        for part in parts:
+            self.engines[part.id].resident[run] = part.last - part.first
+        self._arrive(run)
+
+    def end(self, run: Run) -> None:
+        """Ends a run, whole or not."""
+        run.is_over = True
+        self._leave(run)
+
+    def compute_used(self, engine: Engine) -> float:
+        """Returns the request memory in use, in tokens times layers."""
+        return sum(r.tokens * n for r, n in engine.resident.items())
+
+    def compute_size(self, engine: Engine) -> float:
+        """Returns an engine's request memory, in tokens times layers."""
+        if engine.held is None:
+            return 0.0
+        layers = engine.held[1] - engine.held[0]
+        left = engine.accelerator.memory_bytes - layers * self.spec.layer_bytes
+        return left / self.spec.token_layer_bytes
+
+    def _leave(self, run: Run) -> None:
+        for part in run.parts:
+            engine = self.engines[part.id]
+            engine.resident.pop(run, None)
+            if run in engine.waiting:
+                engine.waiting.remove(run)
+
+    def _arrive(self, run: Run) -> None:
+        if run.is_over:
+            return
+        engine = self.engines[run.parts[run.stage].id]
+        engine.waiting.append(run)
+        self._begin_pass(engine)
+
+    def _begin_pass(self, engine: Engine) -> None:
+        if engine.is_busy or engine.is_dead or not engine.waiting:
+            return
+        self._make_room(engine)
+        writers = [r for r in engine.waiting if not r.unread]
+        steps = self.spec.stride if writers else 1
+        seconds = 0.0
+        if writers:
+            seconds = steps * self._compute_step_s(engine, writers)
+        done = list(writers)
+        budget = steps * CHUNK
+        for run in [r for r in engine.waiting if r.unread]:
+            read = min(run.unread, budget)
+            if not read:
+                break
+            budget -= read
+            seconds += self._compute_read_s(engine, run, read)
+            run.unread -= read
+            if not run.unread:
+                done.append(run)
+        engine.waiting = [r for r in engine.waiting if r not in done]
+        engine.is_busy = True
+        self.timeline.after(seconds, lambda: self._end_pass(engine, done))
+
+    def _end_pass(self, engine: Engine, done: list[Run]) -> None:
+        engine.is_busy = False
+        if engine.is_dead:
+            return
+        for run in done:
+            if not run.is_over and run in engine.resident:
+                self._pass_on(run)
+        self._begin_pass(engine)
+
+    def _pass_on(self, run: Run) -> None:
+        """Hands a run to its next stage, or takes the tokens it has written."""
+        run.stage += 1
+        if run.stage < len(run.parts):
+            # A prompt is read at each stage; a token step runs at each.
+            run.unread = run.tokens if run.written == 0 else 0
+            self.timeline.after(HOP_S, lambda: self._arrive(run))
+            return
+        run.stage = 0
+        run.written += self.spec.stride
+        run.on_event()
+        if run.written >= run.answer:
+            self.end(run)
+            run.on_end()
+            return
+        self.timeline.after(HOP_S, lambda: self._arrive(run))
+
+    def _make_room(self, engine: Engine) -> None:
+        """Puts the newest runs back while memory is short."""
+        size = self.compute_size(engine)
+        while engine.resident and self.compute_used(engine) > size:
+            newest = max(engine.resident, key=lambda r: r.started_s)
+            if len(engine.resident) == 1:
+                return
+            engine.preempted += 1
+            self._leave(newest)
+            restart = functools.partial(self._restart, newest)
+            self.timeline.after(RESTART_S, restart)
+
+    def _restart(self, run: Run) -> None:
+        if run.is_over:
+            return
+        run.started_s = self.timeline.now_s
+        run.stage = 0
+        run.unread = run.tokens
+        for part in run.parts:
+            self.engines[part.id].resident[run] = part.last - part.first
+        self._arrive(run)
+
+    def _compute_step_s(self, engine: Engine, writers: list[Run]) -> float:
+        """Returns the seconds of one token step of a pass."""
+        spec = self.spec
+        total = 0.0
+        # Layers used differ by run; the base is paid for the widest.
+        widest = max(engine.resident.get(r, 0) for r in writers)
+        total += spec.step_s * widest / spec.layers
+        for run in writers:
+            layers = engine.resident.get(run, 0)
+            each = spec.per_request_s + spec.per_token_s * run.tokens
+            total += each * layers / spec.layers
+        return total * engine.accelerator.pace * engine.pace
+
+    def _compute_read_s(self, engine: Engine, run: Run, read: int) -> float:
+        """Returns the seconds of reading a piece of a prompt."""
+        layers = engine.resident.get(run, 0)
+        seconds = read / self.spec.read_tokens_per_s
+        factor = engine.accelerator.read_factor * engine.pace
+        return seconds * factor * layers / self.spec.layers
--- a/egretspur/placement/ranges.py
+++ b/egretspur/placement/ranges.py
@@ -25,8 +25,8 @@
 # would hold up its whole data centre; the layers of another are better.
 ROOMS: Final = (36_000, 28_000, 20_000, 12_000)
 
-# The same where other data centres hold the missing layers meanwhile.
-PATIENT_ROOMS: Final = ROOMS[:2]
+# So many of these are tried where other data centres hold the missing layers.
+PATIENT: Final = 2
 
 # Part of that room which an engine must keep that holds some layers more
 # because its neighbour is lost. It loads only those, so this is the quickest
@@ -59,6 +59,7 @@
     engines: Sequence[Engine],
     spec: config.EngineSpec,
     elsewhere: Sequence[upstreams.Layers] = (),
+    rooms: Sequence[float] = ROOMS,
 ) -> dict[str, upstreams.Layers]:
     """Returns the ranges that engines are to hold, where that changes.
 
@@ -66,22 +67,25 @@
         engines: Live engines of one data centre.
         spec: Sizes of the model.
         elsewhere: Ranges that live engines of other data centres hold.
+        rooms: Least room to leave on every layer, in tokens, best first.
     """
     ordered = sorted(engines, key=lambda e: (e.accelerator.pace, e.id))
     held = {e.id: e.held for e in ordered if e.held is not None}
     gaps = _find_gaps(held.values(), spec.layers)
     if not gaps:
-        return _make_twins(ordered, held, spec)
+        return _make_twins(ordered, held, spec, rooms[0])
     if held and not _find_gaps(elsewhere, spec.layers):
         # Paths go over the other data centres meanwhile, so it can wait for
         # engines that no request uses, and needn't crowd any card.
         movable = frozenset(e.id for e in ordered if e.is_idle)
-        repair = _close_gaps(ordered, held, gaps, spec, movable, PATIENT_ROOMS)
+        repair = _close_gaps(
+            ordered, held, gaps, spec, movable, rooms[:PATIENT]
+        )
         return repair.orders if repair.is_whole else {}
     movable = frozenset(e.id for e in ordered)
     # What can be held is held, though some layers are left without a holder:
     # it may complete those of another data centre.
-    return _close_gaps(ordered, held, gaps, spec, movable, ROOMS).orders
+    return _close_gaps(ordered, held, gaps, spec, movable, rooms).orders
 
 
 def compute_most(
@@ -251,6 +255,7 @@
     engines: Sequence[Engine],
     held: Mapping[str, upstreams.Layers],
     spec: config.EngineSpec,
+    least: float,
 ) -> dict[str, upstreams.Layers]:
     """Gives empty engines the layers with the least room for requests."""
     orders: dict[str, upstreams.Layers] = {}
@@ -261,7 +266,7 @@
     for engine in engines:
         if engine.id in held or engine.is_new:
             continue
-        count = compute_most(engine.accelerator, spec, ROOMS[0])
+        count = compute_most(engine.accelerator, spec, least)
         if count <= 0:
             continue
         part = _find_scarcest(rooms, held.values(), count)
