Let a restarted engine's entry take the place of its former one

Change: the newer entry of an address drops the older one; newest records are taken in the order they were written.

--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -72,6 +72,8 @@
     """The list of upstreams as one host knows it."""
 
     entries: dict[str, Upstream] = attrs.Factory(dict)
+    # Id of the newest entry of each address.
+    by_address: dict[str, str] = attrs.Factory(dict)
     # Monotonic time at which a missing entry counts as gone, by id.
     missing: dict[str, float] = attrs.Factory(dict)
     # Ids that have reported that they leave; never taken back.
@@ -88,7 +90,16 @@
 
 
 def put(roster: Roster, entry: Upstream, now_s: float) -> None:
-    """Takes one entry."""
+    """Takes one entry, newer than those taken before.
+
+    A server that restarts keeps its address under another id, and its old
+    entry stays on the list for a while. A path with both would name one
+    engine twice.
+    """
+    older = roster.by_address.get(entry.address)
+    if older is not None and older != entry.id:
+        _forget(roster, older)
+    roster.by_address[entry.address] = entry.id
     layers, until_s = roster.learned.get(entry.id, (None, 0.0))
     if layers is not None and now_s < until_s and layers != entry.layers:
         entry = attrs.evolve(entry, layers=layers)
@@ -138,6 +149,8 @@
 
 
 def _forget(roster: Roster, upstream_id: str) -> None:
-    roster.entries.pop(upstream_id, None)
+    entry = roster.entries.pop(upstream_id, None)
+    if entry and roster.by_address.get(entry.address) == upstream_id:
+        del roster.by_address[entry.address]
     roster.learned.pop(upstream_id, None)
     roster.missing.pop(upstream_id, None)
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -119,8 +119,7 @@
 
     def read_newest(self) -> feeds.Whole[T] | feeds.Unavailable:
         """Reads all pages; changes made meanwhile are read again after."""
-        values: dict[str, T] = {}
-        self._raw = {}
+        rows: list[tuple[int, str, bytes]] = []
         query: dict[str, Any] = {"topic": self._topic, "part": 0}
         offset = -1
         while True:
@@ -132,14 +131,20 @@
             page = orjson.loads(res.body)
             if offset < 0:
                 offset = int(page["end_offset"])
-            for entry in page["entries"]:
-                raw = base64.b64decode(entry["value"])
-                value = self._read_value(entry["key"], raw)
-                if value is not None:
-                    values[entry["key"]] = value
+            rows += [
+                (
+                    int(e["offset"]),
+                    e["key"],
+                    base64.b64decode(e["value"]),
+                )
+                for e in page["entries"]
+            ]
             if not page.get("has_more") or not page["entries"]:
-                self._next = offset
-                return feeds.Whole(values, offset)
+                # In the order they were written: of two entries that speak
+                # of one address, the later one counts.
+                return self._take_whole(
+                    {key: raw for _, key, raw in sorted(rows)}, offset
+                )
             query["after"] = page["entries"][-1]["key"]
 
     def read_changes(
@@ -194,6 +199,12 @@
             }
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as exc:
             return feeds.Unavailable(f"snapshot not understood: {exc!r}")
+        return self._take_whole(records, offset)
+
+    def _take_whole(
+        self, records: Mapping[str, bytes], offset: int
+    ) -> feeds.Whole[T]:
+        """Keeps and decodes the newest records, in the order they came."""
         self._raw, self._next = {}, offset
         values = {k: self._read_value(k, raw) for k, raw in records.items()}
         found = {k: v for k, v in values.items() if v is not None}
--- a/tests/catalog/catalog.feature
+++ b/tests/catalog/catalog.feature
@@ -36,6 +36,15 @@
     When the entry is removed while the store is stable
     Then it is gone at once
 
+  Scenario: A server that restarts at its address
+    # Symptom: an engine answers 400. Sequence: it restarts under another id,
+    # both entries are listed for a while, and a path names both.
+    Given an upstream "u" that is listed
+    When upstream "v" is listed at the address of "u"
+    Then only "v" is listed
+    When the entry of "u" is removed
+    Then only "v" is listed
+
   Scenario: Layers that an engine reported itself
     # Symptom: requests go to layers that are no longer there. Sequence: an
     # engine reports new layers; its entry from before is read after.
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -44,11 +44,15 @@
         """Returns the newest record of each key."""
         with self._changed:
             records = self._records.get(topic, [])
-            newest = dict(records)
+            newest = {k: (i, v) for i, (k, v) in enumerate(records)}
             return {
                 "entries": [
-                    {"key": k, "value": base64.b64encode(v).decode()}
-                    for k, v in newest.items()
+                    {
+                        "key": k,
+                        "value": base64.b64encode(v).decode(),
+                        "offset": i,
+                    }
+                    for k, (i, v) in newest.items()
                     if v
                 ],
                 "has_more": False,
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -59,6 +59,22 @@
     upstreams.put(context.roster, context.entry, 10.0)
 
 
+@when('upstream "{other}" is listed at the address of "u"')
+def step_same_address(context: Any, other: str) -> None:
+    entry = attrs.evolve(context.entry, id=other)
+    upstreams.put(context.roster, entry, 11.0)
+
+
+@when('the entry of "u" is removed')
+def step_removal(context: Any) -> None:
+    upstreams.drop(context.roster, "u", 12.0)
+
+
+@then('only "{name}" is listed')
+def step_only(context: Any, name: str) -> None:
+    assert set(context.roster.entries) == {name}, context.roster.entries
+
+
 @when("it is listed as draining")
 def step_draining(context: Any) -> None:
     entry = attrs.evolve(context.entry, is_draining=True)
