--- /dev/null
+++ b/tests/platform/upstream.feature
@@ -0,0 +1,40 @@
+Feature: Answers as upstreams may send them
+
+  Scenario Outline: A plain answer
+    # Symptom: a caller gets 500 though the service answered (an answer that
+    # ends with its connection), or half an answer that looks whole.
+    When an upstream answers with "<bytes>" and then <end>
+    Then it is taken as "<outcome>"
+
+    Examples: \n ends a line of the head, ID is the request's id
+      | bytes                                                                     | end    | outcome       |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 2\n\nok | closes | 200 ok        |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nConnection: close\nContent-Length: 2\n\nok | closes | 200 ok |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\n\nok               | closes | 200 ok        |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\n\nok               | resets | cut           |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 9\n\nok | closes | cut           |
+      | HTTP/1.1 500 Oh\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 2\n\nno | closes | 500 no        |
+      | HTTP/1.1 200 OK\nAttempt-Id: other\nReplica-Signature: s\nContent-Length: 2\n\nok | closes | cut         |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nContent-Length: 2\n\nok                  | closes | failed        |
+      | HTTP/1.1 503 No\nNot-Executed: 1\nContent-Length: 0\n\n                   | closes | refused       |
+      | HTTP/1.1 421 No\nReplica-Id: i-2\nContent-Length: 0\n\n                   | closes | misdirected   |
+      | what is this\n                                                           | closes | cut           |
+      |                                                                          | closes | cut           |
+      |                                                                          | waits  | cut           |
+
+  Scenario: Nobody listens
+    When an upstream's port has no listener
+    Then it is taken as "unreachable"
+
+  Scenario: The stage that is at fault
+    When an upstream answers with "HTTP/1.1 503 No\nNot-Executed: 1\nAt-Server: b:80\nContent-Length: 0\n\n" and then closes
+    Then it is taken as "refused"
+    And stage "b" is to blame
+
+  Scenario: What an upstream is sent
+    When an upstream answers with "HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 2\n\nok" and then closes
+    Then it was sent the target as it came, its own id, the workspace and what time is left
+
+  Scenario: The caller leaves while the head is awaited
+    When an upstream that waits is left after 0.2 s
+    Then it is taken as "cut" within 1 s
--- /dev/null
+++ b/tests/steps/upstream_steps.py
@@ -0,0 +1,149 @@
+"""Steps on answers of upstreams, from a socket that follows a script."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+import time
+from typing import Any
+
+import attrs
+from behave import then, when
+
+from egretspur.delivery import forward
+from egretspur.platform import upstream
+from egretspur.routing import jobs, paths
+from tests import fleets
+
+CALL = forward.Call(
+    "ID", "POST", "/x/a%20b?q=1", {"X-Own": "kept"}, b"body", ""
+)
+
+# Seconds that a request has to live, and what a silent upstream is given.
+LIVE_S = 1.0
+
+
+@attrs.define
+class Listener:
+    """Takes one connection and follows a script on it."""
+
+    data: bytes
+    end: str
+    sock: socket.socket = attrs.Factory(socket.socket)
+    received: bytes = b""
+
+    def start(self) -> str:
+        """Starts; returns the address."""
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen()
+        threading.Thread(target=self.run, daemon=True).start()
+        return f"127.0.0.1:{self.sock.getsockname()[1]}"
+
+    def run(self) -> None:
+        """Reads a request, sends the bytes and ends as told."""
+        conn, _ = self.sock.accept()
+        while b"body" not in self.received:
+            self.received += conn.recv(65536)
+        conn.sendall(self.data)
+        if self.end == "waits":
+            time.sleep(3.0)
+        if self.end == "resets":
+            # Read first, else the reset overtakes the bytes.
+            time.sleep(0.1)
+            linger = struct.pack("ii", 1, 0)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        conn.close()
+
+    def close(self) -> None:
+        """Stops listening."""
+        self.sock.close()
+
+
+def send(context: Any, address: str) -> None:
+    """Sends a call to an address and reads the answer whole."""
+    entry = attrs.evolve(fleets.make_upstream("app-0"), address=address)
+    parts = (paths.Part("a", "a:80", 0, 40), paths.Part("b", "b:80", 40, 80))
+    now_s = time.monotonic()
+    job = attrs.evolve(
+        fleets.make_job("ID", "non_idempotent", now_s=now_s),
+        deadline_s=now_s + LIVE_S,
+    )
+    context.leaving = forward.Abort()
+    context.outcome_of = None
+    answer = upstream.UpstreamClient().open(
+        CALL, job, jobs.Start("ID", entry, parts), "", context.leaving
+    )
+    body = b""
+    while not isinstance(answer, forward.Lost):
+        data = answer.read_some()
+        if isinstance(data, forward.Lost):
+            answer.close()
+            answer = data
+            break
+        body += data
+        if not data:
+            answer.close()
+            context.outcome_of = f"{answer.status} {body.decode()}"
+            return
+    context.lost = answer
+    context.outcome_of = answer.why.value
+
+
+@when('an upstream answers with "{data}" and then {end}')
+@when('an upstream answers with "" and then {end}')
+def step_answers(context: Any, end: str, data: str = "") -> None:
+    raw = data.replace("\\n", "\r\n").encode()
+    context.play = Listener(raw, end)
+    send(context, context.play.start())
+
+
+@when("an upstream's port has no listener")
+def step_no_listener(context: Any) -> None:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+    send(context, f"127.0.0.1:{port}")
+
+
+@when("an upstream that waits is left after {seconds:g} s")
+def step_left(context: Any, seconds: float) -> None:
+    context.play = Listener(b"", "waits")
+    address = context.play.start()
+    thread = threading.Thread(target=send, args=(context, address))
+    context.began_s = time.monotonic()
+    thread.start()
+    time.sleep(seconds)
+    context.leaving.set()
+    thread.join(5.0)
+    context.took_s = time.monotonic() - context.began_s
+
+
+@then('it is taken as "{outcome}"')
+def step_taken(context: Any, outcome: str) -> None:
+    assert context.outcome_of == outcome, context.outcome_of
+
+
+@then('it is taken as "{outcome}" within {seconds:g} s')
+def step_taken_within(context: Any, outcome: str, seconds: float) -> None:
+    step_taken(context, outcome)
+    assert context.took_s < seconds, context.took_s
+
+
+@then('stage "{name}" is to blame')
+def step_blame(context: Any, name: str) -> None:
+    assert context.lost.blamed == (name,), context.lost
+
+
+@then(
+    "it was sent the target as it came, its own id, the workspace and what"
+    " time is left"
+)
+def step_sent(context: Any) -> None:
+    lines = context.play.received.decode().split("\r\n")
+    assert lines[0] == "POST /x/a%20b?q=1 HTTP/1.1", lines
+    fields = dict(n.split(": ", 1) for n in lines[1:] if ": " in n)
+    assert fields["Target-Replica"] == "app-0" and fields["X-Own"] == "kept"
+    assert fields["Tenant"] == "tailors"
+    assert fields["Hop-Count"] == "a:80=0-40,b:80=40-80"
+    assert 0 < int(fields["Deadline-Ms"]) <= LIVE_S * 1000
