Read changed settings again, by signal or without

Cause: SIGHUP was ignored, and a file that changed without a signal too. Change: the file is looked at once a second; seeds and the grace hold at once; a broken file changes nothing and is logged.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -37,6 +37,9 @@
 # Seconds between two looks at what came due.
 TICK_S: Final = 0.05
 
+# Seconds between two looks whether the settings file has changed.
+SETTINGS_PERIOD_S: Final = 1.0
+
 # After a stop signal the balancer takes up to two seconds to notice; until
 # then new connections are served.
 UNREADY_S: Final = 2.6
@@ -139,7 +142,7 @@
             exchange.Peers(
                 cfg.ip,
                 cfg.data_centre,
-                [s.rpartition(":")[0] for s in cfg.seeds],
+                _list_hosts(cfg.seeds),
             ),
             cfg.ip,
             cfg.exchange_port,
@@ -179,6 +182,8 @@
         # As it was last told to others.
         self._known = reading.Known(0, 0, math.inf)
         self._was_reader = True
+        self._file = node.SettingsFile()
+        self._is_reload_due = False
         self._draining = threading.Event()
         self._stop = threading.Event()
         self._server = web.Server(
@@ -415,9 +420,37 @@
         )
         self._desk.tell(desk.Hosts(max(hosts, len(self._cfg.seeds))))
 
+    def reload(self) -> None:
+        """Has the settings read again soon; safe in a signal handler."""
+        self._is_reload_due = True
+
+    def _reload(self) -> None:
+        """Puts changed settings in force, as far as that needs no restart."""
+        try:
+            cfg = node.load_settings()
+        except node.SettingsError as exc:
+            # The former ones stay in force; nothing is lost.
+            decisions.record(decisions.Reloaded(str(exc)))
+            return
+        self._cfg = cfg
+        self._exchange.set_seeds(_list_hosts(cfg.seeds))
+        decisions.record(decisions.Reloaded(""))
+
     def _tick(self) -> None:
+        looked_s = time.monotonic()
         while not self._stop.wait(TICK_S):
             self._desk.tell(desk.Tick())
+            if time.monotonic() - looked_s < SETTINGS_PERIOD_S:
+                continue
+            looked_s = time.monotonic()
+            if self._file.is_changed() or self._is_reload_due:
+                self._is_reload_due = False
+                self._reload()
+
+
+def _list_hosts(addresses: Sequence[str]) -> list[str]:
+    """Returns the hosts of addresses."""
+    return [a.rpartition(":")[0] for a in addresses]
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -432,8 +465,8 @@
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda signum, frame: stop.set())
     signal.signal(signal.SIGINT, lambda signum, frame: stop.set())
-    signal.signal(signal.SIGHUP, lambda signum, frame: None)
     host = Host(cfg, handler)
+    signal.signal(signal.SIGHUP, lambda signum, frame: host.reload())
     host.start()
     decisions.record(decisions.Started(cfg.listen))
     stop.wait()
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -144,6 +144,10 @@
         self._known: dict[str, float] = {}
         self._heard: dict[str, _Heard] = {}
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Takes other hosts to begin with."""
+        self._seeds = frozenset(s for s in seeds if s != self._me)
+
     def note(self, news: News, now_s: float) -> None:
         """Takes news of a host."""
         self._heard[news.host] = _Heard(
@@ -256,6 +260,11 @@
         self._stop.set()
         self._sock.close()
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Takes other hosts to begin with."""
+        with self._lock:
+            self._peers.set_seeds(seeds)
+
     def note_members(self, hosts: tuple[str, ...]) -> None:
         """Takes hosts that the store knows."""
         with self._lock:
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -70,6 +70,25 @@
         raise SettingsError(f"{path}: missing or wrong: {exc!r}") from exc
 
 
+class SettingsFile:
+    """The settings file, read again when it has changed."""
+
+    def __init__(self) -> None:
+        self._stamp = self._get_stamp()
+
+    def is_changed(self) -> bool:
+        """Tells whether the file is another one since it was last asked."""
+        before, self._stamp = self._stamp, self._get_stamp()
+        return before != self._stamp
+
+    def _get_stamp(self) -> tuple[float, int]:
+        try:
+            stat = os.stat(os.environ.get(names.SETTINGS_VARIABLE, ""))
+        except OSError:
+            return 0.0, 0
+        return stat.st_mtime, stat.st_ino
+
+
 def decode_settings(data: dict[str, Any]) -> HostSettings:
     """Returns the product's settings for the platform's."""
     bounds = {**_DEFAULT_BOUNDS, **data.get("bounds", {})}
--- /dev/null
+++ b/tests/daemons/life.feature
@@ -0,0 +1,38 @@
+Feature: A host on the platform, from its start to its stop
+
+  Background:
+    Given a store, four engines, two plain replicas and a host
+
+  Scenario: A key is taken away
+    When a configuration without key "key-1" is written
+    Then within 2 s "/notes/x" with key "key-1" is answered 401
+
+  Scenario: A stop while a stream runs
+    # Symptom: a stop cuts answers, or begins some that it must cut.
+    Given streams of 60 events
+    When a stream is asked for with key "key-1" and the host is stopped meanwhile
+    Then the host is not ready within 0.5 s
+    And all 60 events come
+    And a request late in the stop is refused as not run
+    And the host ends by itself within 8 s
+
+  Scenario: What operators can ask for
+    When a stream is asked for with key "key-1"
+    Then the metrics count 1 started request
+    And they show "egretspur_decisions_total" of "request_answered"
+    And they show "egretspur_first_event_seconds_count" of ""
+    And they show "egretspur_store_call_seconds_count" of ""
+    And the state dump names the four engines
+
+  Scenario Outline: The settings change
+    # Symptom: a host without neighbours. Sequence: its seeds are replaced and
+    # the settings say so; nobody tells the process.
+    When the settings are changed <how>
+    Then within 3 s the log says "reloaded" with "<problem>"
+    And for 0.3 s streams with key "key-1" are answered
+
+    Examples:
+      | how                      | problem          |
+      | and it gets SIGHUP       |                  |
+      | without a signal         |                  |
+      | to something broken      | missing or wrong |
--- a/tests/steps/host_steps.py
+++ b/tests/steps/host_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -181,15 +182,23 @@
     path.write_text(json.dumps(cfg), "utf-8")
     popen = subprocess.Popen(
         [sys.executable, "-m", "egretspur.daemons.host"],
-        stdout=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
         env={**os.environ, "EGRETSPUR_NODE_FILE": str(path)},
         text=True,
     )
     process = stage.Process(ip, popen, listen["frontend"])
+    threading.Thread(target=keep_lines, args=(process,), daemon=True).start()
     platform.stage.processes[ip] = process
     platform.hosts.append(ip)
 
 
+def keep_lines(process: stage.Process) -> None:
+    """Keeps what a host logs."""
+    assert process.popen.stdout is not None
+    for line in process.popen.stdout:
+        process.lines.append(line)
+
+
 def is_ready(platform: Platform, ip: str = "127.0.0.1") -> bool:
     """Tells whether a host is ready."""
     url = f"http://{ip}:{platform.ports['ready']}/egretspur/readyz"
@@ -507,3 +516,35 @@
     text = get_page(context, "/metrics").decode()
     found = [n for n in text.splitlines() if n.startswith(name) and event in n]
     assert found and float(found[0].split()[-1]) > 0, text
+
+
+@when("the settings are changed {how}")
+def step_settings(context: Any, how: str) -> None:
+    path = context.play.stage.folder / "127.0.0.1.json"
+    cfg = json.loads(path.read_text("utf-8"))
+    if "broken" in how:
+        del cfg["listen"]
+    cfg["seeds"] = ["127.0.0.9:1"]
+    changed = path.with_suffix(".new")
+    changed.write_text(json.dumps(cfg), "utf-8")
+    changed.replace(path)
+    if "SIGHUP" in how:
+        popen = context.play.stage.processes["127.0.0.1"].popen
+        popen.send_signal(signal.SIGHUP)
+
+
+@then('within {seconds:g} s the log says "{event}" with "{problem}"')
+@then('within {seconds:g} s the log says "{event}" with ""')
+def step_logged(
+    context: Any, seconds: float, event: str, problem: str = ""
+) -> None:
+    process = context.play.stage.processes["127.0.0.1"]
+
+    def is_logged() -> bool:
+        lines = [json.loads(n) for n in process.lines if f'"{event}"' in n]
+        return any(
+            problem in n["problem"] and bool(problem) == bool(n["problem"])
+            for n in lines
+        )
+
+    stage.wait_until(is_logged, seconds, f"{event} with {problem!r}")
