Have one speaker a data centre tell the others what is in flight

Change: hosts tell their data centre, its speaker tells the others the sum; the members are read only by a host that hears nobody; hosts that don't read for the others read every 12 s besides.

--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -22,7 +22,7 @@
 LIST_PERIOD_S: Final = 0.8
 
 # A host that doesn't read for the others reads both topics so rarely.
-SPARE_PERIOD_S: Final = 6.0
+SPARE_PERIOD_S: Final = 12.0
 
 # A list that was read so long ago is no reason for others to read theirs, and
 # its host is no reader: with the period, a datagram that was lost and one that
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -357,7 +357,9 @@
         is_alive = self._engines.is_alive(entry.address, service.health_path)
         return 1.0 if is_alive else None
 
-    def _make_news(self, heard: tuple[str, ...]) -> exchange.News:
+    def _make_news(
+        self, peers: Mapping[str, str], speaks: bool
+    ) -> exchange.News:
         now_s = time.monotonic()
         store_age_s = now_s - self._store.answered_s
         if store_age_s < exchange.STORE_AWAY_S:
@@ -379,11 +381,11 @@
                 self._cfg.data_centre,
                 store_age_s,
                 self._known,
-                dict(fleet.own),
+                fleet.sum_near(now_s) if speaks else dict(fleet.own),
                 fleet.paces.list_slow(),
                 tuple(i for i in fleet.health if fleet.is_dead(i, now_s)),
                 {i: layers for i, (layers, _) in self._learned.items()},
-                heard,
+                peers,
             )
 
         news: exchange.News = self._desk.look(read)
--- a/egretspur/membership/duty.py
+++ b/egretspur/membership/duty.py
@@ -79,6 +79,9 @@
     def note_members(self, hosts: tuple[str, ...]) -> None:
         """Told who is in the group, each time that changes."""
 
+    def is_alone(self) -> bool:
+        """Tells whether no host near by was heard of late."""
+
     def is_first_cut_off(self) -> bool:
         """Tells whether no host near by reaches the store, and this is first.
 
@@ -170,7 +173,9 @@
         self._answered_s = self._clock()
         if self._lease.note(res, asked_s):
             _record(res)
-        if res.generation == self._listed:
+        if res.generation == self._listed or not self._peers.is_alone():
+            # Hosts that hear each other need no list; were each to read it
+            # at each change, calls would grow with the square of the hosts.
             return
         members = self.group.list_members()
         if not isinstance(members, feeds.Unavailable):
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -1,9 +1,12 @@
 """What hosts tell each other of their requests in flight, by datagram.
 
-Every host sends its whole state a few times a second, so a lost datagram costs
-a fraction of a second and nothing has to be repeated. A host knows others from
-its settings, from the store's group and from what it hears; one that isn't
-heard drops out.
+Every host sends its whole state a few times a second to the others of its data
+centre, so a lost datagram costs a fraction of a second and nothing has to be
+repeated. One host of a data centre, its speaker, tells all hosts of the others
+what its data centre has in flight in all: were every host to tell every other,
+the bytes between data centres would grow with the square of the hosts. A host
+knows others from its settings, from the store's group and from what it hears;
+one that isn't heard drops out.
 """
 
 from __future__ import annotations
@@ -27,6 +30,11 @@
 # Seconds between two datagrams to each host.
 PERIOD_S: Final = 0.25
 
+# Datagrams within the data centre to one of a speaker's to the others, and to
+# one that lists the hosts that are heard.
+FAR_EVERY: Final = 1
+PEERS_EVERY: Final = 8
+
 # A host that hasn't been heard for so long is sent no more; seeds always are.
 FORGET_S: Final = 20.0
 
@@ -34,6 +42,9 @@
 # that is cut off does not take over the parts of the others.
 SHARE_S: Final = 30.0
 
+# A host heard within this time is named to others.
+TOLD_S: Final = 2.0
+
 # A host heard within this time counts as alive: four datagrams may be lost.
 ALIVE_S: Final = 1.2
 
@@ -65,8 +76,8 @@
     dead: tuple[str, ...]
     # Layers that engines reported to it after its orders.
     layers: Mapping[str, upstreams.Layers]
-    # Hosts it hears.
-    peers: tuple[str, ...]
+    # Hosts it hears, with their data centres; in some datagrams only.
+    peers: Mapping[str, str]
 
 
 def encode_news(news: News) -> bytes:
@@ -86,7 +97,7 @@
             dict(news.pace),
             list(news.dead),
             {i: [p.first, p.last] for i, p in news.layers.items()},
-            list(news.peers),
+            dict(news.peers),
         ]
     )
 
@@ -120,7 +131,7 @@
                 str(i): upstreams.Layers(int(first), int(last))
                 for i, (first, last) in layers.items()
             },
-            tuple(str(p) for p in peers),
+            {str(h): str(p) for h, p in peers.items()},
         )
     except (orjson.JSONDecodeError, TypeError, ValueError, AttributeError):
         return None
@@ -141,7 +152,10 @@
         self._me = me
         self._data_centre = data_centre
         self._seeds = frozenset(s for s in seeds if s != me)
+        # When each host was last heard or named by one that was.
         self._known: dict[str, float] = {}
+        # Data centre of each host that was ever heard, or listed by one.
+        self._places: dict[str, str] = {}
         self._heard: dict[str, _Heard] = {}
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
@@ -156,6 +170,9 @@
             news.store_age_s,
             news.known.list_age_s,
         )
+        self._places[news.host] = news.data_centre
+        for host, place in news.peers.items():
+            self._places.setdefault(host, place)
         self.note_members((news.host, *news.peers), now_s)
 
     def note_members(self, hosts: Iterable[str], now_s: float) -> None:
@@ -164,19 +181,60 @@
             if host != self._me:
                 self._known[host] = now_s
 
-    def list_targets(self, now_s: float) -> list[str]:
-        """Returns the hosts to send to."""
+    def list_near(self, now_s: float) -> list[str]:
+        """Returns the hosts to send to: those near by, and unheard ones."""
         self._known = {
-            h: t for h, t in self._known.items() if now_s - t < FORGET_S
+            h: t for h, t in self._known.items() if now_s - t < SHARE_S
+        }
+        hosts = self._seeds | {
+            h for h, t in self._known.items() if now_s - t < FORGET_S
         }
-        return sorted(self._seeds | set(self._known))
+        return sorted(h for h in hosts if not self._is_far(h))
 
-    def list_heard(self, now_s: float, within_s: float) -> list[str]:
-        """Returns the hosts that were heard of late."""
+    def list_far(self, now_s: float) -> list[str]:
+        """Returns the hosts of other data centres."""
         return sorted(
-            h for h, t in self._heard.items() if now_s - t.at_s < within_s
+            h
+            for h, t in self._known.items()
+            if now_s - t < FORGET_S and self._is_far(h)
+        )
+
+    def _is_far(self, host: str) -> bool:
+        place = self._places.get(host)
+        return place is not None and place != self._data_centre
+
+    def count_sharing(self, now_s: float) -> int:
+        """Returns how many hosts share the retry budget, this one included.
+
+        Hosts of other data centres are known by their speakers' lists.
+        """
+        return 1 + sum(1 for t in self._known.values() if now_s - t < SHARE_S)
+
+    def is_alone(self, now_s: float) -> bool:
+        """Tells whether no host of this data centre was heard of late."""
+        return not any(
+            t.data_centre == self._data_centre and now_s - t.at_s < FORGET_S
+            for t in self._heard.values()
+        )
+
+    def is_speaker(self, now_s: float) -> bool:
+        """Tells whether this host tells the other data centres."""
+        me = ipaddress.IPv4Address(self._me)
+        return not any(
+            ipaddress.IPv4Address(host) < me
+            for host, heard in self._heard.items()
+            if heard.data_centre == self._data_centre
+            and now_s - heard.at_s < ALIVE_S
         )
 
+    def list_places(self, now_s: float) -> dict[str, str]:
+        """Returns the hosts that were heard of late, with data centres."""
+        return {
+            h: t.data_centre
+            for h, t in sorted(self._heard.items())
+            if now_s - t.at_s < TOLD_S
+        }
+
     def list_near_first(self, now_s: float) -> list[str]:
         """Returns the hosts that are alive, of this data centre first."""
         alive = {
@@ -223,7 +281,7 @@
         peers: Peers,
         ip: str,
         port: int,
-        make_news: Callable[[tuple[str, ...]], News],
+        make_news: Callable[[Mapping[str, str], bool], News],
         take_news: Callable[[News, int], None],
     ) -> None:
         """Makes an exchange.
@@ -232,7 +290,8 @@
             peers: What is known of other hosts; used by this from now on.
             ip: This host's address.
             port: UDP port of all hosts.
-            make_news: Returns this host's news, given the hosts it hears.
+            make_news: Returns this host's news, given the hosts to name in
+                it and whether it speaks for its data centre.
             take_news: Takes another's news and the hosts that share a budget.
         """
         self._ip = ip
@@ -285,18 +344,33 @@
         with self._lock:
             return self._peers.list_near_first(time.monotonic())
 
+    def is_alone(self) -> bool:
+        """Tells whether no host of this data centre was heard of late."""
+        with self._lock:
+            return self._peers.is_alone(time.monotonic())
+
     def _send(self) -> None:
+        turn = 0
         while not self._stop.wait(PERIOD_S):
+            turn += 1
             now_s = time.monotonic()
             with self._lock:
-                targets = self._peers.list_targets(now_s)
-                heard = self._peers.list_heard(now_s, 2.0)
-            data = encode_news(self._make_news(tuple(heard)))
-            for host in targets:
-                try:
-                    self._sock.sendto(data, (host, self._port))
-                except OSError as exc:
-                    _LOG.debug("news not sent", extra={"reason": str(exc)})
+                near = self._peers.list_near(now_s)
+                far = self._peers.list_far(now_s)
+                is_speaker = self._peers.is_speaker(now_s)
+                named = self._peers.list_places(now_s)
+            peers = named if turn % PEERS_EVERY == 0 else {}
+            self._tell(near, self._make_news(peers, False))
+            if is_speaker and far and turn % FAR_EVERY == 0:
+                self._tell(far, self._make_news(peers, True))
+
+    def _tell(self, hosts: Iterable[str], news: News) -> None:
+        data = encode_news(news)
+        for host in hosts:
+            try:
+                self._sock.sendto(data, (host, self._port))
+            except OSError as exc:
+                _LOG.debug("news not sent", extra={"reason": str(exc)})
 
     def _receive(self) -> None:
         while not self._stop.is_set():
@@ -312,5 +386,5 @@
             now_s = time.monotonic()
             with self._lock:
                 self._peers.note(news, now_s)
-                shared = len(self._peers.list_heard(now_s, SHARE_S)) + 1
+                shared = self._peers.count_sharing(now_s)
             self._take_news(news, shared)
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -49,9 +49,9 @@
 USAGE_KEPT_S: Final = 2.0
 
 # A data centre none of whose hosts was heard for so long is cut off from this
-# one, or its hosts are down; its engines are used only if no others do. Four
-# datagrams of every host there would have to be lost.
-CUT_OFF_S: Final = 1.0
+# one, or its hosts are down; its engines are used only if no others do. Its
+# speaker is heard four times a second; another speaks 1.2 s after it stopped.
+CUT_OFF_S: Final = 1.3
 
 # Weight of a new sample in the smoothed time of a plain service's answer.
 TIME_WEIGHT: Final = 0.2
@@ -179,6 +179,23 @@
                 used += usage.room
         return jobs.Usage(count, used)
 
+    def sum_near(self, now_s: float) -> dict[str, jobs.Usage]:
+        """Returns what the hosts of this data centre have in flight."""
+        near = [
+            p.usage
+            for p in self.peers.values()
+            if p.data_centre == self.data_centre
+            and now_s - p.heard_s < USAGE_KEPT_S
+        ]
+        total = dict(self.own)
+        for usage in near:
+            for upstream_id, more in usage.items():
+                old = total.get(upstream_id, jobs.Usage())
+                total[upstream_id] = jobs.Usage(
+                    old.count + more.count, old.room + more.room
+                )
+        return total
+
     def list_cut_off(self, now_s: float) -> set[str]:
         """Returns the data centres whose hosts fell silent, all of them."""
         last: dict[str, float] = {}
