--- a/egretspur/cli/explain.py
+++ b/egretspur/cli/explain.py
@@ -56,6 +56,9 @@
     changes: list[Line] = attrs.Factory(list)
     # Lines that are no JSON or lack a field.
     skipped: int = 0
+    # When the host of the last line next started, in seconds after that line;
+    # None if it did not.
+    restarted_s: float | None = None
 
 
 def read_lines(texts: Iterable[str], story: Story) -> list[Line]:
@@ -90,6 +93,15 @@
     )
     if not story.lines:
         return story
+    last = story.lines[-1]
+    starts = [
+        n.time_s - last.time_s
+        for n in lines
+        if n.event == "started"
+        and n.process == last.process
+        and n.time_s > last.time_s
+    ]
+    story.restarted_s = min(starts, default=None)
     upstreams = _find_upstreams(story.lines)
     first_s = story.lines[0].time_s - BEFORE_S
     last_s = story.lines[-1].time_s
@@ -99,6 +111,7 @@
             for n in lines
             if n.fields.get("upstream") in upstreams
             and "request" not in n.fields
+            and n.fields.get("state") != "listed"
             and first_s <= n.time_s <= last_s
         ),
         key=lambda n: n.time_s,
@@ -132,7 +145,7 @@
     names = {decisions.make_event_name(c.__name__) for c in _ENDS}
     ends = [n for n in story.lines if n.event in names]
     if not ends:
-        return "not in these logs; the host may have been killed"
+        return _explain_silence(story)
     last = ends[-1]
     fields = last.fields
     if last.event == "request_answered":
@@ -152,6 +165,16 @@
     )
 
 
+def _explain_silence(story: Story) -> str:
+    """Returns why a request has no end in the logs."""
+    if story.restarted_s is None:
+        return "not in these logs; the host may have been killed"
+    return (
+        "its host ended without a word, killed or without power, and started"
+        f" again {story.restarted_s:.1f} s after the last line"
+    )
+
+
 def _explain_late(story: Story, fields: dict[str, Any]) -> str:
     """Returns what held an answer up, if anything did."""
     failed = [n for n in story.lines if n.event == "attempt_failed"]
--- a/tests/cli/explain.feature
+++ b/tests/cli/explain.feature
@@ -35,6 +35,15 @@
       | request_left    | events=2 silent_s=2 total_s=3          | its caller left after 3 s, having 2 events and waited 2 s for the next |
       | path_chosen     | upstream=e1 path=                      | not in these logs; the host may have been killed                       |
 
+  Scenario: The host is killed
+    Given the log of host "kl-1"
+      | at    | event            | request | fields           |
+      | 10.00 | request_admitted | r1      | route=notes      |
+      | 10.40 | path_chosen      | r1      | upstream=e1 path= |
+      | 11.90 | started          |         | address=a        |
+    When request "r1" is explained
+    Then it ends with "its host ended without a word, killed or without power, and started again 1.5 s after the last line"
+
   Scenario: Lines that can't be read
     Given the log of host "kl-1"
       | at    | event            | request | fields      |
