Drop a datagram whose host is not an address

Cause: a well-formed datagram with a host that is no IPv4 address was taken; the next look for the speaker or the reader raised in the sending thread and the host fell silent for good. Change: addresses are checked as it is read. Three rows of exchange.feature; two fail without it. A constant that said "every one" is gone.

--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -30,9 +30,7 @@
 # Seconds between two datagrams to each host.
 PERIOD_S: Final = 0.25
 
-# Datagrams within the data centre to one of a speaker's to the others, and to
-# one that lists the hosts that are heard.
-FAR_EVERY: Final = 1
+# Datagrams to one that also lists the hosts that are heard.
 PEERS_EVERY: Final = 8
 
 # A host that hasn't been heard for so long is sent no more; seeds always are.
@@ -117,7 +115,7 @@
             peers,
         ) = orjson.loads(data)
         return News(
-            str(host),
+            _check_address(host),
             str(place),
             float(age_s),
             reading.Known(int(version), int(digest), float(list_age_s)),
@@ -131,12 +129,17 @@
                 str(i): upstreams.Layers(int(first), int(last))
                 for i, (first, last) in layers.items()
             },
-            {str(h): str(p) for h, p in peers.items()},
+            {_check_address(h): str(p) for h, p in peers.items()},
         )
-    except (orjson.JSONDecodeError, TypeError, ValueError, AttributeError):
+    except (TypeError, ValueError, AttributeError, OverflowError):
         return None
 
 
+def _check_address(host: Any) -> str:
+    """Returns an address as written; raises ValueError if it is none."""
+    return str(ipaddress.IPv4Address(str(host)))
+
+
 @attrs.frozen
 class _Heard:
     at_s: float
@@ -361,7 +364,7 @@
                 named = self._peers.list_places(now_s)
             peers = named if turn % PEERS_EVERY == 0 else {}
             self._tell(near, self._make_news(peers, False))
-            if is_speaker and far and turn % FAR_EVERY == 0:
+            if is_speaker and far:
                 self._tell(far, self._make_news(peers, True))
 
     def _tell(self, hosts: Iterable[str], news: News) -> None:
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -15,6 +15,9 @@
       | []                             |
       | ["a","b",0,[1,2,3],{"x":1},{},[],{},{}]|
       | {"host": "a"}                  |
+      | ["a","b",0,[1,2,3],{},{},[],{},{}]|
+      | ["10.1.0.1","b",0,[1,2,3],{},{},[],{},{"a":"b"}]|
+      | ["10.1.0.1","b",0,[1e999,2,3],{},{},[],{},{}]|
 
   Scenario: Hosts that know one seed find each other
     # Symptom: request memory is given out several times over. Cause: hosts
