--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -50,7 +50,8 @@
 
 # A data centre none of whose hosts was heard for so long is cut off from this
 # one, or its hosts are down; its engines are used only if no others do. Its
-# speaker is heard four times a second; another speaks 1.2 s after it stopped.
+# speaker is heard four times a second; where that dies another speaks within
+# 1.5 s, so its data centre may come last in the choice for some 0.2 s.
 CUT_OFF_S: Final = 1.3
 
 # Weight of a new sample in the smoothed time of a plain service's answer.
