Tell the other hosts of layers that the list shows first

Where the list showed the order done before the giver had asked the engine, nobody was told; the other hosts had no path until their own read, up to 12 s later. The same after a change of the giver. Change: layers that change in a host's list are told like those an engine reports. They are now kept by the fleet, in the actor; they were a dict that two threads changed. Tests: routing/fleet.feature; three of five fail without the change.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -47,9 +47,9 @@
 # A stop ends so long before the platform kills the process.
 STOP_MARGIN_S: Final = 0.6
 
-# What an engine reported after an order is told to other hosts for so long,
-# and until the store is back if it is away: they may not see it in their list.
-LEARNED_TOLD_S: Final = 2.0
+# Layers that an engine has taken are told to other hosts for so long, and
+# until the store is back if it is away: they may not see it in their list.
+LAYERS_TOLD_S: Final = 2.0
 
 # Kept connections are closed later than callers may reuse them, so that no
 # request crosses the close.
@@ -175,9 +175,6 @@
             self._exchange,
         )
         self._keeper = ranges.RangeKeeper(self._duty, self._engines, self)
-        # Layers that engines reported after an order, told to other hosts
-        # until their list has it, with the time.
-        self._learned: dict[str, tuple[upstreams.Layers, float]] = {}
         self._versions = config.Versions()
         # As it was last told to others.
         self._known = reading.Known(0, 0, math.inf)
@@ -321,7 +318,6 @@
 
     def learn(self, upstream_id: str, layers: upstreams.Layers) -> None:
         """Takes what an engine reports to hold after an order."""
-        self._learned[upstream_id] = (layers, time.monotonic())
         self._desk.tell(desk.Learn(upstream_id, layers))
 
     def look(self) -> ranges.Scene:
@@ -362,12 +358,9 @@
     ) -> exchange.News:
         now_s = time.monotonic()
         store_age_s = now_s - self._store.answered_s
+        told_s = math.inf
         if store_age_s < exchange.STORE_AWAY_S:
-            self._learned = {
-                i: (layers, at_s)
-                for i, (layers, at_s) in self._learned.items()
-                if now_s - at_s < LEARNED_TOLD_S
-            }
+            told_s = LAYERS_TOLD_S
 
         def read(state: broker.Broker) -> exchange.News:
             fleet = state.fleet
@@ -384,7 +377,7 @@
                 fleet.sum_near(now_s) if speaks else dict(fleet.own),
                 fleet.paces.list_slow(),
                 tuple(i for i in fleet.health if fleet.is_dead(i, now_s)),
-                {i: layers for i, (layers, _) in self._learned.items()},
+                fleet.list_moved(told_s, now_s),
                 peers,
             )
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -205,7 +205,7 @@
     ) -> list[jobs.Effect]:
         """Takes the whole list of upstreams."""
         self.listed_s = now_s
-        with self.fleet.noting_changes():
+        with self.fleet.noting_changes(now_s):
             upstreams.replace(self.fleet.roster, entries, now_s)
         return self.refresh(now_s)
 
@@ -215,7 +215,7 @@
         now_s: float,
     ) -> list[jobs.Effect]:
         """Takes changes of the list of upstreams; None for a removal."""
-        with self.fleet.noting_changes():
+        with self.fleet.noting_changes(now_s):
             for upstream_id, entry in entries:
                 if entry is None:
                     upstreams.drop(self.fleet.roster, upstream_id, now_s)
@@ -230,7 +230,7 @@
 
     def tick(self, now_s: float) -> list[jobs.Effect]:
         """Refuses what came due and starts what can."""
-        with self.fleet.noting_changes():
+        with self.fleet.noting_changes(now_s):
             upstreams.expire(self.fleet.roster, now_s)
         effects: list[jobs.Effect] = []
         for item in queues.expire(self.queue, now_s):
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -244,8 +244,9 @@
     @handle.register
     def _(self, message: Learn) -> None:
         now_s = time.monotonic()
-        roster = self._broker.fleet.roster
-        upstreams.learn(roster, message.upstream_id, message.layers, now_s)
+        self._broker.fleet.learn_layers(
+            message.upstream_id, message.layers, now_s
+        )
         self._run(self._broker.refresh(now_s))
 
     @handle.register
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -127,6 +127,9 @@
         self.paces = paces.Paces()
         # Smoothed seconds of a plain service's answers.
         self.times: dict[str, float] = {}
+        # Layers that engines took of late, with the time, for other hosts:
+        # only one of them reads the list as often.
+        self._moved: dict[str, tuple[upstreams.Layers, float]] = {}
         # What changed in the beliefs about upstreams, for the log.
         self.notes: list[decisions.Decision] = []
 
@@ -305,18 +308,42 @@
         self.times[upstream_id] = old + TIME_WEIGHT * (seconds - old)
 
     @contextlib.contextmanager
-    def noting_changes(self) -> Iterator[None]:
-        """Notes for the log what changes on the list within the block."""
-        before = {i: e.is_draining for i, e in self.roster.entries.items()}
+    def noting_changes(self, now_s: float) -> Iterator[None]:
+        """Notes what changes on the list within the block.
+
+        For the log, and layers for the other hosts.
+        """
+        before = dict(self.roster.entries)
         yield
         for upstream_id, entry in self.roster.entries.items():
-            if upstream_id not in before:
+            old = before.get(upstream_id)
+            if old is None:
                 self._note(upstream_id, "listed", entry.address)
-            if entry.is_draining and not before.get(upstream_id):
+            elif entry.layers is not None and entry.layers != old.layers:
+                self._moved[upstream_id] = (entry.layers, now_s)
+            if entry.is_draining and not (old and old.is_draining):
                 self._note(upstream_id, "draining", "reported that it leaves")
         for upstream_id in set(before) - set(self.roster.entries):
             self._note(upstream_id, "gone", "no longer listed")
 
+    def learn_layers(
+        self, upstream_id: str, layers: upstreams.Layers, now_s: float
+    ) -> None:
+        """Takes what an engine reported to hold, and has others told."""
+        upstreams.learn(self.roster, upstream_id, layers, now_s)
+        self._moved[upstream_id] = (layers, now_s)
+
+    def list_moved(
+        self, kept_s: float, now_s: float
+    ) -> dict[str, upstreams.Layers]:
+        """Returns layers that engines took within `kept_s`; drops others."""
+        self._moved = {
+            i: (layers, at_s)
+            for i, (layers, at_s) in self._moved.items()
+            if now_s - at_s < kept_s
+        }
+        return {i: layers for i, (layers, _) in self._moved.items()}
+
     def compute_digest(self) -> int:
         """Returns a number that differs where the list differs.
 
--- /dev/null
+++ b/tests/routing/fleet.feature
@@ -0,0 +1,28 @@
+Feature: What a host knows of upstreams beyond their list
+
+  Scenario Outline: Layers that an engine took are told to the other hosts
+    # Symptom: for five seconds of a calm day half the hosts found no path.
+    # Cause: the list showed an order done before its giver had asked the
+    # engine; the giver then told nobody, and only it read the list that often.
+    Given a host whose list has engine "a100-0" without layers
+    When <source> that it holds "0-25"
+    Then within 2 s it tells the others "a100-0 0-25"
+    And 2.1 s later it tells them nothing
+
+    Examples:
+      | source                       |
+      | its list read whole shows    |
+      | a change of its list shows   |
+      | the engine reports           |
+
+  Scenario: A host that only hears of new layers has them in its paths
+    Given a host whose list has engine "a100-0" without layers
+    And another host with the same list
+    When its list read whole shows that it holds "0-25"
+    And it tells the other host
+    Then the other host has "a100-0" with "0-25"
+
+  Scenario: While the store is away layers are told until it is back
+    Given a host whose list has engine "a100-0" without layers
+    When the engine reports that it holds "0-25"
+    Then 30 s later, without the store, it tells the others "a100-0 0-25"
--- /dev/null
+++ b/tests/steps/fleet_steps.py
@@ -0,0 +1,90 @@
+"""Steps on what one host knows of upstreams, and tells others of them."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Any
+
+from behave import given, then, when
+
+from egretspur.catalog import upstreams
+from egretspur.routing import broker
+from tests import fleets
+
+
+def make_broker(entry: upstreams.Upstream) -> broker.Broker:
+    """Returns a host that has just read a list with one engine."""
+    made = broker.Broker(
+        "kl-hall", broker.BudgetOptions(0.2, 10.0, 10.0), random.Random(1)
+    )
+    made.replace_list({entry.id: entry}, 0.0)
+    return made
+
+
+@given('a host whose list has engine "{name}" without layers')
+def step_host(context: Any, name: str) -> None:
+    context.name = name
+    context.now_s = 10.0
+    context.host = make_broker(fleets.make_upstream(name))
+
+
+@given("another host with the same list")
+def step_other(context: Any) -> None:
+    context.other = make_broker(fleets.make_upstream(context.name))
+
+
+@when('its list read whole shows that it holds "{layers}"')
+def step_whole(context: Any, layers: str) -> None:
+    entry = fleets.make_upstream(context.name, layers)
+    context.host.replace_list({entry.id: entry}, context.now_s)
+
+
+@when('a change of its list shows that it holds "{layers}"')
+def step_change(context: Any, layers: str) -> None:
+    entry = fleets.make_upstream(context.name, layers)
+    context.host.change_list([(entry.id, entry)], context.now_s)
+
+
+@when('the engine reports that it holds "{layers}"')
+def step_reports(context: Any, layers: str) -> None:
+    held = fleets.make_upstream(context.name, layers).layers
+    assert held is not None
+    context.host.fleet.learn_layers(context.name, held, context.now_s)
+
+
+@when("it tells the other host")
+def step_tells(context: Any) -> None:
+    told = context.host.fleet.list_moved(2.0, context.now_s)
+    for name, layers in told.items():
+        roster = context.other.fleet.roster
+        upstreams.learn(roster, name, layers, context.now_s)
+
+
+@then('within 2 s it tells the others "{told}"')
+def step_told(context: Any, told: str) -> None:
+    found = context.host.fleet.list_moved(2.0, context.now_s + 1.9)
+    assert describe(found) == told, found
+
+
+@then("2.1 s later it tells them nothing")
+def step_told_nothing(context: Any) -> None:
+    found = context.host.fleet.list_moved(2.0, context.now_s + 2.1)
+    assert not found, found
+
+
+@then('30 s later, without the store, it tells the others "{told}"')
+def step_told_away(context: Any, told: str) -> None:
+    found = context.host.fleet.list_moved(math.inf, context.now_s + 30.0)
+    assert describe(found) == told, found
+
+
+@then('the other host has "{name}" with "{layers}"')
+def step_has(context: Any, name: str, layers: str) -> None:
+    held = context.other.fleet.roster.entries[name].layers
+    assert held == fleets.make_upstream(name, layers).layers, held
+
+
+def describe(moved: dict[str, upstreams.Layers]) -> str:
+    """Returns ``name first-last`` of each engine."""
+    return " ".join(f"{i} {p.first}-{p.last}" for i, p in moved.items())
