Tell what the list showed for two seconds only, store or no store

Cause, seen when the last change was read again: what the list showed before the store went away was told until it is back, against what the deputy's orders did since; two hosts would tell different layers of one engine in turn. Change: only what an engine itself reported is told through an outage, as before. Test: routing/fleet.feature, last scenario, fails without it.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -47,8 +47,8 @@
 # A stop ends so long before the platform kills the process.
 STOP_MARGIN_S: Final = 0.6
 
-# Layers that an engine has taken are told to other hosts for so long, and
-# until the store is back if it is away: they may not see it in their list.
+# Layers that an engine reported after an order are told to other hosts for so
+# long, and until the store is back if it is away: their list won't show them.
 LAYERS_TOLD_S: Final = 2.0
 
 # Kept connections are closed later than callers may reuse them, so that no
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -54,6 +54,10 @@
 # 1.5 s, so its data centre may come last in the choice for some 0.2 s.
 CUT_OFF_S: Final = 1.3
 
+# Layers that the list showed are told to other hosts for so long: some eight
+# datagrams.
+LISTED_TOLD_S: Final = 2.0
+
 # Weight of a new sample in the smoothed time of a plain service's answer.
 TIME_WEIGHT: Final = 0.2
 
@@ -104,6 +108,16 @@
         self.at_s = now_s
 
 
+@attrs.frozen
+class Moved:
+    """Layers that an engine took, as other hosts are told."""
+
+    layers: upstreams.Layers
+    at_s: float
+    # The engine told this host itself; else its list showed it.
+    is_reported: bool
+
+
 @attrs.frozen
 class PeerUsage:
     """What another host has in flight, by upstream."""
@@ -129,7 +143,7 @@
         self.times: dict[str, float] = {}
         # Layers that engines took of late, with the time, for other hosts:
         # only one of them reads the list as often.
-        self._moved: dict[str, tuple[upstreams.Layers, float]] = {}
+        self._moved: dict[str, Moved] = {}
         # What changed in the beliefs about upstreams, for the log.
         self.notes: list[decisions.Decision] = []
 
@@ -320,7 +334,7 @@
             if old is None:
                 self._note(upstream_id, "listed", entry.address)
             elif entry.layers is not None and entry.layers != old.layers:
-                self._moved[upstream_id] = (entry.layers, now_s)
+                self._moved[upstream_id] = Moved(entry.layers, now_s, False)
             if entry.is_draining and not (old and old.is_draining):
                 self._note(upstream_id, "draining", "reported that it leaves")
         for upstream_id in set(before) - set(self.roster.entries):
@@ -331,18 +345,25 @@
     ) -> None:
         """Takes what an engine reported to hold, and has others told."""
         upstreams.learn(self.roster, upstream_id, layers, now_s)
-        self._moved[upstream_id] = (layers, now_s)
+        self._moved[upstream_id] = Moved(layers, now_s, True)
 
     def list_moved(
         self, kept_s: float, now_s: float
     ) -> dict[str, upstreams.Layers]:
-        """Returns layers that engines took within `kept_s`; drops others."""
+        """Returns layers that engines took of late; drops the others.
+
+        Args:
+            kept_s: How long those are told that an engine reported to this
+                host. What the list showed is told for `LISTED_TOLD_S`, however
+                long the store is away: others may have given orders since.
+            now_s: Monotonic time.
+        """
         self._moved = {
-            i: (layers, at_s)
-            for i, (layers, at_s) in self._moved.items()
-            if now_s - at_s < kept_s
+            i: m
+            for i, m in self._moved.items()
+            if now_s - m.at_s < (kept_s if m.is_reported else LISTED_TOLD_S)
         }
-        return {i: layers for i, (layers, _) in self._moved.items()}
+        return {i: m.layers for i, m in self._moved.items()}
 
     def compute_digest(self) -> int:
         """Returns a number that differs where the list differs.
--- a/tests/routing/fleet.feature
+++ b/tests/routing/fleet.feature
@@ -26,3 +26,10 @@
     Given a host whose list has engine "a100-0" without layers
     When the engine reports that it holds "0-25"
     Then 30 s later, without the store, it tells the others "a100-0 0-25"
+
+  Scenario: What the list showed before the store went away is soon told no more
+    # Symptom: two hosts tell different layers of one engine in turn. Sequence:
+    # the list shows an order done, the store goes away, another host orders.
+    Given a host whose list has engine "a100-0" without layers
+    When its list read whole shows that it holds "0-25"
+    Then 30 s later, without the store, it tells the others "nothing"
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -86,5 +86,7 @@
 
 
 def describe(moved: dict[str, upstreams.Layers]) -> str:
-    """Returns ``name first-last`` of each engine."""
+    """Returns ``name first-last`` of each engine, or ``nothing``."""
+    if not moved:
+        return "nothing"
     return " ".join(f"{i} {p.first}-{p.last}" for i, p in moved.items())
