--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -18,7 +18,7 @@
 from egretspur.admission import room
 from egretspur.catalog import config, upstreams
 from egretspur.placement import ranges
-from egretspur.routing import broker, fleet, jobs, paths
+from egretspur.routing import broker, fleet, jobs, paths, questions
 
 # A pause or first event beyond these is late.
 OBJECTIVE_S: Final = 0.5
@@ -316,7 +316,7 @@
             req = self._requests.get(effect.id)
             if req is None:
                 continue
-            if isinstance(effect, jobs.Refuse):
+            if isinstance(effect, questions.Refuse):
                 self._close(req, "failed" if req.written else "refused")
             else:
                 self._start(req, effect)
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -25,7 +25,7 @@
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
-from egretspur.routing import broker, desk, probes
+from egretspur.routing import broker, desk, jobs, probes
 
 # Requests at once; each keeps a thread, started when it is needed.
 THREADS: Final = 600
@@ -147,6 +147,7 @@
             cfg.ip,
             cfg.exchange_port,
             self._make_news,
+            self._sum_near,
             self._take_news,
         )
         self._pages_client = transport.Transport(0.3, 1.0)
@@ -259,7 +260,7 @@
             return
         # Requests are made by the intake's version and sent by the broker's:
         # the broker must know a service before a request names it.
-        self._desk.look(lambda state: state.configure(cfg))
+        self._desk.configure(cfg)
         self._intake.configure(cfg)
         self._server.set_limits(
             cfg.limits.header_bytes,
@@ -353,9 +354,7 @@
         is_alive = self._engines.is_alive(entry.address, service.health_path)
         return 1.0 if is_alive else None
 
-    def _make_news(
-        self, peers: Mapping[str, str], speaks: bool
-    ) -> exchange.News:
+    def _make_news(self, peers: Mapping[str, str]) -> exchange.News:
         now_s = time.monotonic()
         store_age_s = now_s - self._store.answered_s
         told_s = math.inf
@@ -374,7 +373,7 @@
                 self._cfg.data_centre,
                 store_age_s,
                 self._known,
-                fleet.sum_near(now_s) if speaks else dict(fleet.own),
+                dict(fleet.own),
                 fleet.paces.list_slow(),
                 tuple(i for i in fleet.health if fleet.is_dead(i, now_s)),
                 fleet.list_moved(told_s, now_s),
@@ -384,6 +383,12 @@
         news: exchange.News = self._desk.look(read)
         return news
 
+    def _sum_near(self) -> Mapping[str, jobs.Usage]:
+        usage: Mapping[str, jobs.Usage] = self._desk.look(
+            lambda state: state.fleet.sum_near(time.monotonic())
+        )
+        return usage
+
     def _get_config_pace(self) -> feeds.Pace:
         return reading.get_config_pace(self._exchange.is_reader())
 
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -396,24 +396,20 @@
             self._answer.close()
             self._answer = None
         self._abort.arm(None)
+        blamed = lost.blamed or tuple(self.stalled)
+        count = self._merge.count
         decisions.record(
             decisions.AttemptFailed(
                 self.job.id,
                 self._attempts,
                 lost.why.value,
                 lost.reason,
-                lost.blamed or tuple(self.stalled),
-                self._merge.count,
+                blamed,
+                count,
             )
         )
         self._fut = self._desk.fail(
-            jobs.Failure(
-                self.job.id,
-                lost.why,
-                lost.reason,
-                lost.blamed or tuple(self.stalled),
-                self._merge.count > 0,
-            )
+            jobs.Failure(self.job.id, lost.why, lost.reason, blamed, count > 0)
         )
 
 
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -222,13 +222,7 @@
 
     def is_speaker(self, now_s: float) -> bool:
         """Tells whether this host tells the other data centres."""
-        me = ipaddress.IPv4Address(self._me)
-        return not any(
-            ipaddress.IPv4Address(host) < me
-            for host, heard in self._heard.items()
-            if heard.data_centre == self._data_centre
-            and now_s - heard.at_s < ALIVE_S
-        )
+        return self._is_before(self._find_near(now_s))
 
     def list_places(self, now_s: float) -> dict[str, str]:
         """Returns the hosts that were heard of late, with data centres."""
@@ -253,27 +247,32 @@
         That is the first of those whose list is fresh. Where none is, all
         hosts read at once: whoever read before them may be stuck in a call.
         """
-        me = ipaddress.IPv4Address(self._me)
-        return not any(
-            ipaddress.IPv4Address(host) < me
-            for host, heard in self._heard.items()
-            if heard.data_centre == self._data_centre
-            and now_s - heard.at_s < ALIVE_S
-            and heard.list_age_s + now_s - heard.at_s < reading.FRESH_S
+        return self._is_before(
+            host
+            for host, heard in self._find_near(now_s).items()
+            if heard.list_age_s + now_s - heard.at_s < reading.FRESH_S
         )
 
     def is_first_cut_off(self, now_s: float) -> bool:
         """Tells whether this is the first of a data centre without store."""
-        near = {
+        near = self._find_near(now_s)
+        if any(h.store_age_s < STORE_AWAY_S for h in near.values()):
+            return False
+        return self._is_before(near)
+
+    def _find_near(self, now_s: float) -> dict[str, _Heard]:
+        """Returns the hosts of this data centre that are alive."""
+        return {
             host: heard
             for host, heard in self._heard.items()
             if heard.data_centre == self._data_centre
             and now_s - heard.at_s < ALIVE_S
         }
-        if any(h.store_age_s < STORE_AWAY_S for h in near.values()):
-            return False
+
+    def _is_before(self, hosts: Iterable[str]) -> bool:
+        """Tells whether this host's address comes before all of these."""
         me = ipaddress.IPv4Address(self._me)
-        return all(ipaddress.IPv4Address(h) > me for h in near)
+        return all(me <= ipaddress.IPv4Address(h) for h in hosts)
 
 
 class Exchange:
@@ -284,7 +283,8 @@
         peers: Peers,
         ip: str,
         port: int,
-        make_news: Callable[[Mapping[str, str], bool], News],
+        make_news: Callable[[Mapping[str, str]], News],
+        sum_near: Callable[[], Mapping[str, jobs.Usage]],
         take_news: Callable[[News, int], None],
     ) -> None:
         """Makes an exchange.
@@ -293,13 +293,15 @@
             peers: What is known of other hosts; used by this from now on.
             ip: This host's address.
             port: UDP port of all hosts.
-            make_news: Returns this host's news, given the hosts to name in
-                it and whether it speaks for its data centre.
+            make_news: Returns this host's news, given the hosts to name.
+            sum_near: Returns what the whole data centre has in flight; for
+                the speaker's news to the others.
             take_news: Takes another's news and the hosts that share a budget.
         """
         self._ip = ip
         self._port = port
         self._make_news = make_news
+        self._sum_near = sum_near
         self._take_news = take_news
         self._lock = threading.Lock()
         self._peers = peers
@@ -363,9 +365,10 @@
                 is_speaker = self._peers.is_speaker(now_s)
                 named = self._peers.list_places(now_s)
             peers = named if turn % PEERS_EVERY == 0 else {}
-            self._tell(near, self._make_news(peers, False))
+            news = self._make_news(peers)
+            self._tell(near, news)
             if is_speaker and far:
-                self._tell(far, self._make_news(peers, True))
+                self._tell(far, attrs.evolve(news, usage=self._sum_near()))
 
     def _tell(self, hosts: Iterable[str], news: News) -> None:
         data = encode_news(news)
--- a/egretspur/platform/ingress.py
+++ b/egretspur/platform/ingress.py
@@ -13,15 +13,8 @@
 _NOT_PASSED: Final = frozenset(
     n.title()
     for n in (
-        "Connection",
-        "Content-Length",
-        "Expect",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Te",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
+        *names.CONNECTION_FIELDS,
+        "expect",
         names.KEY,
         names.DEADLINE,
         names.EXPECTED_UPSTREAM,
--- a/egretspur/platform/names.py
+++ b/egretspur/platform/names.py
@@ -7,12 +7,24 @@
 # Variable with the path of the settings file.
 SETTINGS_VARIABLE: Final = "EGRETSPUR_NODE_FILE"
 
+# Fields of one connection, in lower case; never passed on.
+CONNECTION_FIELDS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
 # Header fields of a request.
 REQUEST_ID: Final = "Attempt-Id"
 RESUME_AFTER: Final = "Last-Event-Id"
-MODEL: Final = "Model"
 TOKENS: Final = "Token-Usage"
-PROMPT_PARTS: Final = "Prefix-Hash"
 LENGTH_ESTIMATE: Final = "Length-Hint"
 DEADLINE: Final = "Deadline-Ms"
 KEY: Final = "Authorization"
@@ -26,7 +38,6 @@
 # Header fields of an upstream's answer.
 RECEIPT: Final = "Replica-Signature"
 NOT_RUN: Final = "Not-Executed"
-UPSTREAM_ID: Final = "Replica-Id"
 AT_FAULT: Final = "At-Server"
 
 # Paths on an upstream.
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -41,19 +41,6 @@
 
 _MAX_READ: Final = 65536
 
-_HOP_BY_HOP: Final = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 
 class UpstreamClient:
     """Sends callers' requests; see `forward.Upstreams`."""
@@ -87,10 +74,7 @@
                 decode_content=False,
             )
             res = conn.getresponse()
-        except (exceptions.HTTPError, OSError, ValueError) as exc:
-            handle.close()
-            return forward.Lost(jobs.Why.CUT, f"{start.upstream.id}: {exc!r}")
-        except Exception as exc:  # http.client's own errors
+        except Exception as exc:  # the library's, the socket's, http.client's
             handle.close()
             return forward.Lost(jobs.Why.CUT, f"{start.upstream.id}: {exc!r}")
         lost = _check_head(call, start, res)
@@ -153,7 +137,7 @@
         self.headers: Mapping[str, str] = {
             name: value
             for name, value in res.headers.items()
-            if name.lower() not in _HOP_BY_HOP
+            if name.lower() not in names.CONNECTION_FIELDS
         }
 
     def read_some(self) -> bytes | forward.Lost:
@@ -162,9 +146,7 @@
         self._handle.set_timeout(max(0.01, min(left_s, SILENCE_S)))
         try:
             return self._res.read1(_MAX_READ)
-        except (exceptions.HTTPError, OSError, ValueError) as exc:
-            return forward.Lost(jobs.Why.CUT, repr(exc))
-        except Exception as exc:  # http.client's own errors
+        except Exception as exc:  # the library's, the socket's, http.client's
             return forward.Lost(jobs.Why.CUT, repr(exc))
 
     def abort(self) -> None:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -18,7 +18,7 @@
 from egretspur.admission import shared
 from egretspur.catalog import config, upstreams
 from egretspur.routing import fleet as fleets
-from egretspur.routing import jobs, paths
+from egretspur.routing import jobs, paths, questions
 
 # Part of the objective that a request may wait for request memory. What is
 # left must do for reading its prompt, else it is late as well as slow.
@@ -119,7 +119,7 @@
         self._blame(ticket, was_at, failure, now_s)
         refusal = self._check_repeat(ticket, failure, now_s)
         if refusal is not None:
-            effects: list[jobs.Effect] = [self._refuse(ticket, now_s, refusal)]
+            effects: list[jobs.Effect] = [self._end(ticket, now_s, refusal)]
         else:
             effects = self._admit(ticket, now_s)
         return effects + self._start_waiting(now_s)
@@ -237,11 +237,7 @@
             ticket = self.tickets[item.id]
             effects.append(
                 self._refuse(
-                    ticket,
-                    now_s,
-                    self._make_refusal(
-                        ticket, errors.ErrorKind.DEADLINE, "no room in time"
-                    ),
+                    ticket, now_s, errors.ErrorKind.DEADLINE, "no room in time"
                 )
             )
         return effects + self._start_waiting(now_s)
@@ -253,11 +249,7 @@
         if service is None:
             return [
                 self._refuse(
-                    ticket,
-                    now_s,
-                    self._make_refusal(
-                        ticket, errors.ErrorKind.NO_ROUTE, "no such service"
-                    ),
+                    ticket, now_s, errors.ErrorKind.NO_ROUTE, "no such service"
                 )
             ]
         if service.engine is None:
@@ -302,8 +294,7 @@
         )
         offered = queues.offer(self.queue, item, now_s)
         if isinstance(offered, errors.Refusal):
-            refusal = self._make_refusal(ticket, offered.kind, offered.reason)
-            return [self._refuse(ticket, now_s, refusal)]
+            return [self._refuse(ticket, now_s, offered.kind, offered.reason)]
         if offered.evicted is None:
             return []
         loser = self.tickets[offered.evicted.id]
@@ -311,11 +302,8 @@
             self._refuse(
                 loser,
                 now_s,
-                self._make_refusal(
-                    loser,
-                    errors.ErrorKind.QUEUE_FULL,
-                    "gave way to a more urgent or less served request",
-                ),
+                errors.ErrorKind.QUEUE_FULL,
+                "gave way to a more urgent or less served request",
             )
         ]
 
@@ -358,7 +346,7 @@
             return None
         entry = self.fleet.roster.entries[parts[0].id]
         ticket.parts = parts
-        return self._start(ticket, entry, now_s)
+        return self._start(ticket, entry, cards, now_s)
 
     def _find_path(
         self,
@@ -390,25 +378,37 @@
             ticket.job.service, ticket.failed, now_s
         )
         if entry is None:
-            refusal = self._make_refusal(
-                ticket, errors.ErrorKind.NO_ROUTE, "no upstream is usable"
-            )
-            return [self._refuse(ticket, now_s, refusal)]
-        return [self._start(ticket, entry, now_s)]
+            return [
+                self._refuse(
+                    ticket,
+                    now_s,
+                    errors.ErrorKind.NO_ROUTE,
+                    "no upstream is usable",
+                )
+            ]
+        return [self._start(ticket, entry, (), now_s)]
 
     def _start(
-        self, ticket: _Ticket, entry: upstreams.Upstream, now_s: float
+        self,
+        ticket: _Ticket,
+        entry: upstreams.Upstream,
+        cards: Sequence[paths.Card],
+        now_s: float,
     ) -> jobs.Start:
         ticket.upstream_id = entry.id
         ticket.started_s = now_s
         ticket.attempts += 1
-        self._notes.append(self._describe_start(ticket, entry, now_s))
+        self._notes.append(self._describe_start(ticket, entry, cards, now_s))
         self._take_room(ticket, 1)
         self.counts.started += 1
         return jobs.Start(ticket.job.id, entry, ticket.parts)
 
     def _describe_start(
-        self, ticket: _Ticket, entry: upstreams.Upstream, now_s: float
+        self,
+        ticket: _Ticket,
+        entry: upstreams.Upstream,
+        cards: Sequence[paths.Card],
+        now_s: float,
     ) -> decisions.PathChosen:
         peers = sum(
             1
@@ -418,7 +418,7 @@
         spec = self._get_spec(ticket.job.service)
         step_s, free = 0.0, 1.0
         if spec is not None and ticket.parts:
-            step_s, free = self.fleet.describe_path(spec, ticket.parts, now_s)
+            step_s, free = self.fleet.describe_path(spec, ticket.parts, cards)
         return decisions.PathChosen(
             ticket.job.id,
             ticket.attempts,
@@ -516,8 +516,19 @@
         return errors.Refusal(kind, reason, after_s)
 
     def _refuse(
+        self,
+        ticket: _Ticket,
+        now_s: float,
+        kind: errors.ErrorKind,
+        reason: str,
+    ) -> questions.Refuse:
+        refusal = self._make_refusal(ticket, kind, reason)
+        return self._end(ticket, now_s, refusal)
+
+    def _end(
         self, ticket: _Ticket, now_s: float, refusal: errors.Refusal
-    ) -> jobs.Refuse:
+    ) -> questions.Refuse:
+        """Ends a request with its final answer."""
         self.tickets.pop(ticket.job.id, None)
         queues.remove(self.queue, ticket.job.id)
         self._release(ticket)
@@ -531,7 +542,7 @@
                 now_s - ticket.job.arrived_s,
             )
         )
-        return jobs.Refuse(ticket.job.id, refusal)
+        return questions.Refuse(ticket.job.id, refusal)
 
     def _get_spec(self, service: str) -> config.EngineSpec | None:
         found = self._services.get(service)
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -18,7 +18,7 @@
 from egretspur.admission import queue as queues
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
-from egretspur.routing import loads, requests, shares, tables
+from egretspur.routing import loads, questions, requests, shares, tables
 
 # A marked incarnation is remembered this long; far above the platform's lag.
 LEAVING_KEPT_S: Final = 3600.0
@@ -464,7 +464,7 @@
         self, request_id: str, refusal: errors.Refusal
     ) -> list[requests.Effect]:
         self.counts.refused += 1
-        return [requests.Refuse(request_id, refusal)]
+        return [questions.Refuse(request_id, refusal)]
 
     def _has_rivals(self, item: queues.Waiting, hold: shares.Hold) -> bool:
         """Tells whether others of its graph wait and may start."""
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -10,7 +10,7 @@
 import math
 import zlib
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -247,15 +247,18 @@
 
     def note_down(self, upstream_id: str, now_s: float) -> None:
         """Gives an upstream no work until a probe succeeds."""
-        health = self.health.get(upstream_id)
-        if health is None:
-            health = Health(now_s, True, now_s + FIRST_PROBE_S)
-            self.health[upstream_id] = health
-            self._note(upstream_id, "down", "failed")
+        health = self.health.setdefault(
+            upstream_id, Health(now_s, False, now_s + FIRST_PROBE_S)
+        )
+        self._mark_down(upstream_id, health, "failed", now_s)
+
+    def _mark_down(
+        self, upstream_id: str, health: Health, reason: str, now_s: float
+    ) -> None:
         if not health.is_down:
             health.is_down = True
             health.since_s = now_s
-            self._note(upstream_id, "down", "failed")
+            self._note(upstream_id, "down", reason)
 
     def _note(self, upstream_id: str, state: str, reason: str) -> None:
         self.notes.append(decisions.UpstreamChanged(upstream_id, state, reason))
@@ -301,10 +304,7 @@
             del self.health[upstream_id]
             return
         health.is_probing = False
-        if not health.is_down:
-            health.is_down = True
-            health.since_s = now_s
-            self._note(upstream_id, "down", "does not answer probes")
+        self._mark_down(upstream_id, health, "does not answer probes", now_s)
         pause_s = FIRST_PROBE_S * 2**health.failures
         health.failures += 1
         if health.failures == DEAD_PROBES:
@@ -379,29 +379,30 @@
 
     def forget_gone(self) -> None:
         """Drops what is known of upstreams that are no longer listed."""
-        known = self.roster.entries
-        for upstream_id in set(self.health) - set(known):
-            del self.health[upstream_id]
-        for upstream_id in set(self.faults) - set(known):
-            del self.faults[upstream_id]
-        for upstream_id in set(self.refusals) - set(known):
-            del self.refusals[upstream_id]
-        for upstream_id in set(self.times) - set(known):
-            del self.times[upstream_id]
-        self.paces.forget(known)
+        listed = self.roster.entries
+        tables: tuple[dict[str, Any], ...] = (
+            self.health,
+            self.faults,
+            self.refusals,
+            self.times,
+        )
+        for table in tables:
+            for upstream_id in set(table) - set(listed):
+                del table[upstream_id]
+        self.paces.forget(listed)
 
     def make_cards(
         self, service: str, spec: config.EngineSpec, now_s: float
     ) -> list[paths.Card]:
         """Returns a service's usable engines that hold layers."""
         cards = []
+        context = spec.usual_prompt + spec.usual_answer / 2
         for entry in self.list_usable(service, now_s):
             kind = spec.accelerators.get(entry.accelerator)
             if entry.layers is None or kind is None:
                 continue
             usage = self.get_usage(entry.id, now_s)
             size = room.compute_size(spec, entry) * room.USABLE
-            context = spec.usual_prompt + spec.usual_answer / 2
             step_s = spec.step_s + usage.count * (
                 spec.per_request_s + spec.per_token_s * context
             )
@@ -424,21 +425,25 @@
         self,
         spec: config.EngineSpec,
         parts: Sequence[paths.Part],
-        now_s: float,
+        cards: Sequence[paths.Card],
     ) -> tuple[float, float]:
         """Returns a path's expected step and its tightest stage.
 
+        Args:
+            spec: Of the path's service.
+            parts: The path.
+            cards: From which it was chosen.
+
         Returns:
             Seconds of one step, and the least free part of a stage's request
             memory, from 0 to 1.
         """
-        service = self.roster.entries[parts[0].id].service
-        cards = {c.id: c for c in self.make_cards(service, spec, now_s)}
-        step_s = paths.compute_path_s(parts, cards.values())
+        step_s = paths.compute_path_s(parts, cards)
+        known = {c.id: c for c in cards}
         free = 1.0
         for part in parts:
             entry = self.roster.entries.get(part.id)
-            card = cards.get(part.id)
+            card = known.get(part.id)
             if entry is None or card is None:
                 continue
             size = room.compute_size(spec, entry) * room.USABLE
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -6,9 +6,8 @@
 
 import attrs
 
-from egretspur import errors
 from egretspur.catalog import config, upstreams
-from egretspur.routing import paths
+from egretspur.routing import paths, questions
 
 
 @attrs.frozen
@@ -66,15 +65,7 @@
     parts: tuple[paths.Part, ...]
 
 
-@attrs.frozen
-class Refuse:
-    """Effect: give the caller its final answer."""
-
-    id: str
-    refusal: errors.Refusal
-
-
-Effect = Start | Refuse
+Effect = Start | questions.Refuse
 
 
 @attrs.define
--- a/egretspur/routing/questions.py
+++ b/egretspur/routing/questions.py
@@ -3,18 +3,46 @@
 from __future__ import annotations
 
 import concurrent.futures
-from typing import Generic, TypeVar
+from collections.abc import Iterable
+from typing import Generic, Protocol, TypeVar
 
-D = TypeVar("D")
+import attrs
 
+from egretspur import errors
 
-class Questions(Generic[D]):
+
+class Start(Protocol):
+    """An effect that starts an attempt; the answer to its question."""
+
+    @property
+    def id(self) -> str:
+        """Request."""
+
+
+@attrs.frozen
+class Refuse:
+    """Effect: give the caller its final answer."""
+
+    id: str
+    refusal: errors.Refusal
+
+
+S = TypeVar("S", bound=Start)
+
+
+class Questions(Generic[S]):
     """Open questions of requests, one each; owned by an actor."""
 
     def __init__(self) -> None:
-        self._futures: dict[str, concurrent.futures.Future[D]] = {}
+        self._futures: dict[
+            str, concurrent.futures.Future[S | errors.Refusal]
+        ] = {}
 
-    def ask(self, request_id: str, fut: concurrent.futures.Future[D]) -> None:
+    def ask(
+        self,
+        request_id: str,
+        fut: concurrent.futures.Future[S | errors.Refusal],
+    ) -> None:
         """Takes a request's question, in place of an older one."""
         self._futures[request_id] = fut
 
@@ -22,7 +50,15 @@
         """Drops the question of a request that is over."""
         self._futures.pop(request_id, None)
 
-    def answer(self, request_id: str, decision: D) -> None:
+    def run(self, effects: Iterable[S | Refuse]) -> None:
+        """Answers the questions that were decided."""
+        for effect in effects:
+            if isinstance(effect, Refuse):
+                self._answer(effect.id, effect.refusal)
+            else:
+                self._answer(effect.id, effect)
+
+    def _answer(self, request_id: str, decision: S | errors.Refusal) -> None:
         """Answers a question, unless it was dropped or its thread gave up."""
         fut = self._futures.pop(request_id, None)
         if fut is None or fut.done():
--- a/egretspur/routing/requests.py
+++ b/egretspur/routing/requests.py
@@ -4,10 +4,9 @@
 
 import attrs
 
-from egretspur import errors
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
-from egretspur.routing import tables
+from egretspur.routing import questions, tables
 
 
 @attrs.frozen
@@ -59,15 +58,7 @@
     deployment: records.Deployment
 
 
-@attrs.frozen
-class Refuse:
-    """Effect: give the caller its final answer."""
-
-    id: str
-    refusal: errors.Refusal
-
-
-Effect = Grant | Refuse
+Effect = Grant | questions.Refuse
 
 
 @attrs.define
