Have hosts ask each other for the list before they call the store

The failed ones came from hosts that the store turned away: neighbours poke a feed several times a second, and a poke ended the pause after a failed read. The reads of the list were those of hosts that don't read for their data centre: each reads again whenever the list differs.

Change: a poke no longer shortens the pause after a failure. A host that is not its data centre's reader asks the reader for what changed since its offset; it asks others also in place of a store that doesn't answer, not only at its start. What is handed on is what changed: an entry that is written anew and says the same is left out. So a host's list is not written anew as often, and an engine's own word on its layers now ends by itself after its 4 s.

Ruled out: handing the configuration on the same way; a host with a link of 20 Mbit/s would need seconds to hand a large one to 25 others.

--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -40,6 +40,10 @@
     values: Mapping[str, T]
     # Offset from which changes are to be read.
     next: int
+    # Another host handed it over.
+    is_handed: bool = False
+    # Why the store did not answer, where it was asked first.
+    failure: str = ""
 
 
 @attrs.frozen
@@ -48,6 +52,10 @@
 
     values: tuple[tuple[str, T | None], ...]
     next: int
+    # Another host handed them over.
+    is_handed: bool = False
+    # Why the store did not answer, where it was asked first.
+    failure: str = ""
 
 
 @attrs.frozen
@@ -62,15 +70,16 @@
     reason: str
 
 
+Result = Whole[T] | Changes[T] | Expired | Unavailable
+
+
 class Source(Protocol[T]):
     """One followed topic of the store."""
 
-    def read_newest(self) -> Whole[T] | Unavailable:
+    def read_newest(self) -> Whole[T] | Changes[T] | Unavailable:
         """Returns the newest value of every key."""
 
-    def read_changes(
-        self, offset: int, wait_s: float
-    ) -> Changes[T] | Expired | Unavailable:
+    def read_changes(self, offset: int, wait_s: float) -> Result[T]:
         """Returns what was written since, waiting for it at most so long."""
 
 
@@ -86,7 +95,7 @@
         """Takes changes, oldest first."""
 
     def note_contact(self, is_back: bool) -> None:
-        """Notes an answer; `is_back` if the one before it failed."""
+        """Notes the store's answer; `is_back` if the one before it failed."""
 
 
 @attrs.frozen
@@ -123,9 +132,15 @@
         self._source = source
         self._sink = sink
         self._get_pace = get_pace
+        # Since when the store has not answered.
+        self._lost_s: float | None = None
         self._stop = threading.Event()
         self._poked = threading.Event()
+        # A poke ends the rest between two reads, never the pause after a
+        # failed one: neighbours poke several times a second, and a host that
+        # the store turns away would call it as often.
         self._sleep = sleep or self._rest
+        self._pause = sleep or self._stop.wait
         self._rng = random.Random()
         self._thread = threading.Thread(
             target=self._run, name=f"feed-{name}", daemon=True
@@ -155,27 +170,21 @@
     def _run(self) -> None:
         offset = -1
         pause_s = FIRST_PAUSE_S
-        lost_s: float | None = None
         while not self._stop.is_set():
             began_s = time.monotonic()
             pace = self._get_pace()
             res = self.read_once(offset, pace.wait_s)
-            if isinstance(res, Unavailable):
-                if lost_s is None:
-                    decisions.record(
-                        decisions.StoreLost(self._name, res.reason)
-                    )
-                    lost_s = began_s
+            if not isinstance(res, Unavailable):
+                offset = self.hand_on(res)
+            if isinstance(res, Unavailable) or _get_failure(res):
+                self._note_lost(_get_failure(res), began_s)
                 # Spread, so that all hosts do not come back in one moment.
-                self._sleep(pause_s * self._rng.uniform(0.5, 1.0))
+                self._pause(pause_s * self._rng.uniform(0.5, 1.0))
                 pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
                 continue
-            self._sink.note_contact(lost_s is not None)
-            if lost_s is not None:
-                away_s = time.monotonic() - lost_s
-                decisions.record(decisions.StoreBack(self._name, away_s))
-            lost_s, pause_s = None, FIRST_PAUSE_S
-            offset = self.hand_on(res)
+            if isinstance(res, Expired) or not res.is_handed:
+                self._note_answer()
+                pause_s = FIRST_PAUSE_S
             period_s = self._get_pace().period_s
             rest_s = began_s + period_s - time.monotonic()
             if rest_s > 0:
@@ -185,9 +194,20 @@
                 # Several hosts may poke for one change.
                 self._stop.wait(early_s)
 
-    def read_once(
-        self, offset: int, wait_s: float
-    ) -> Whole[T] | Changes[T] | Expired | Unavailable:
+    def _note_lost(self, reason: str, began_s: float) -> None:
+        if self._lost_s is None:
+            decisions.record(decisions.StoreLost(self._name, reason))
+            self._lost_s = began_s
+
+    def _note_answer(self) -> None:
+        """Notes that the store itself answered."""
+        self._sink.note_contact(self._lost_s is not None)
+        if self._lost_s is not None:
+            away_s = time.monotonic() - self._lost_s
+            decisions.record(decisions.StoreBack(self._name, away_s))
+        self._lost_s = None
+
+    def read_once(self, offset: int, wait_s: float) -> Result[T]:
         """Reads the newest state (offset below 0) or the changes."""
         if offset < 0:
             return self._source.read_newest()
@@ -202,6 +222,13 @@
             return -1
         if isinstance(res, Whole):
             self._sink.take_whole(res.values)
-        elif res.values:
+        else:
             self._sink.take_changes(res.values)
         return res.next
+
+
+def _get_failure(res: Result[T]) -> str:
+    """Returns why the store did not answer; empty if it did or wasn't asked."""
+    if isinstance(res, Unavailable):
+        return res.reason
+    return "" if isinstance(res, Expired) else res.failure
--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -1,17 +1,26 @@
-"""State from other hosts, for one that starts while the store is away.
+"""State from other hosts, in place of the store or when it does not answer.
 
-Symptom without it: a host that is restarted during an outage knows no
-configuration and refuses every caller until the store is back, while its
-neighbours serve. What they know may be old, but never older than what they
-serve by.
+One host of a data centre reads the list of upstreams for all of it; the others
+ask that host for what they miss. Were each to read the store, its calls would
+grow with the hosts and the changes: a few hundred hosts read a list that
+changes some times a second.
+
+A host that is restarted or turned away while the store is in trouble would
+refuse every caller, or serve by an old configuration, while its neighbours
+serve well. It asks them as well.
 """
 
 from __future__ import annotations
 
+import base64
 import logging
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Iterable
 from typing import Final, Generic, Protocol, TypeVar
 
+import attrs
+import orjson
+
 from egretspur.catalog import feeds
 
 _LOG: Final = logging.getLogger(__name__)
@@ -22,59 +31,188 @@
 HOSTS_ASKED: Final = 3
 
 
+@attrs.frozen
+class Record:
+    """A record of a topic as the store has it."""
+
+    offset: int
+    key: str
+    # Empty where the record drops its key.
+    raw: bytes
+
+
+@attrs.frozen
+class Snapshot:
+    """What a host hands to another."""
+
+    # Oldest first.
+    records: tuple[Record, ...]
+    # Offset from which the store's records are to be read.
+    next: int
+    # These are all keys; else what changed since the offset asked for.
+    is_whole: bool
+
+
+class Newest:
+    """The newest record of each key; used by several threads.
+
+    A record that says what the one before it said is not put: of a hundred
+    entries that are written anew every second, those that changed are few.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._records: dict[str, Record] = {}
+        # Since this offset every key that was dropped is still known.
+        self._complete_from = 0
+        self._next = -1
+
+    def replace(self, records: Iterable[Record], end: int) -> None:
+        """Takes all keys, read anew."""
+        with self._lock:
+            self._records = {r.key: r for r in records}
+            self._complete_from = self._next = end
+
+    def put(self, record: Record) -> None:
+        """Takes a record that changes what its key says, or drops it."""
+        with self._lock:
+            self._records[record.key] = record
+
+    def move_on(self, end: int) -> None:
+        """Takes that all records before an offset were read."""
+        with self._lock:
+            self._next = max(self._next, end)
+
+    def list_since(self, offset: int) -> Snapshot | None:
+        """Returns what a host misses that has read up to an offset.
+
+        Args:
+            offset: Below 0 for a host that knows nothing.
+
+        Returns:
+            None if nothing was read yet, or the other one has read more.
+        """
+        with self._lock:
+            if self._next < 0 or offset > self._next:
+                return None
+            is_whole = offset < self._complete_from
+            found = [
+                r
+                for r in self._records.values()
+                if (r.raw if is_whole else r.offset >= offset)
+            ]
+            found.sort(key=lambda r: r.offset)
+            return Snapshot(tuple(found), self._next, is_whole)
+
+
+def pack_snapshot(snapshot: Snapshot) -> bytes:
+    """Returns a snapshot as JSON bytes."""
+    rows = [
+        [r.offset, r.key, base64.b64encode(r.raw).decode()]
+        for r in snapshot.records
+    ]
+    return orjson.dumps([snapshot.next, snapshot.is_whole, rows])
+
+
+def unpack_snapshot(data: bytes) -> Snapshot | feeds.Unavailable:
+    """Returns a snapshot from JSON bytes, or why it can't be read."""
+    try:
+        end, is_whole, rows = orjson.loads(data)
+        records = tuple(
+            Record(int(offset), str(key), base64.b64decode(raw))
+            for offset, key, raw in rows
+        )
+        return Snapshot(records, int(end), bool(is_whole))
+    except (TypeError, ValueError) as exc:
+        return feeds.Unavailable(f"snapshot not understood: {exc!r}")
+
+
 class Topic(feeds.Source[T], Protocol[T]):
     """A source whose newest state can be carried between hosts."""
 
     name: str
 
-    def read_snapshot(self, data: bytes) -> feeds.Whole[T] | feeds.Unavailable:
-        """Returns the state that another host's snapshot holds."""
+    def read_newest(self) -> feeds.Whole[T] | feeds.Unavailable:
+        """Returns the newest value of every key."""
+
+    def read_snapshot(
+        self, data: bytes
+    ) -> feeds.Whole[T] | feeds.Changes[T] | feeds.Unavailable:
+        """Takes what another host handed over."""
 
 
-# Returns hosts that are alive, the nearest first.
+# Returns hosts that are alive, the best to ask first.
 ListHosts = Callable[[], list[str]]
 
-# Returns a host's snapshot of a topic, or None if it gave none.
-AskHost = Callable[[str, str], bytes | None]
+# Returns what a host has of a topic since an offset, or None if it gave none.
+AskHost = Callable[[str, str, int], bytes | None]
 
 
 class HandoverSource(Generic[T]):
-    """A topic that falls back on other hosts; see `feeds.Source`."""
+    """A topic that is read from other hosts too; see `feeds.Source`."""
 
     def __init__(
-        self, topic: Topic[T], list_hosts: ListHosts, ask: AskHost
+        self,
+        topic: Topic[T],
+        list_hosts: ListHosts,
+        ask: AskHost,
+        is_asking_first: Callable[[], bool],
     ) -> None:
         """Makes a source.
 
         Args:
-            topic: Read first.
-            list_hosts: Hosts to ask when it does not answer.
+            topic: The store's.
+            list_hosts: Hosts to ask.
             ask: Asks one of them.
+            is_asking_first: Tells whether they are asked before the store,
+                or only when it does not answer.
         """
         self._topic = topic
         self._list_hosts = list_hosts
         self._ask = ask
+        self._is_asking_first = is_asking_first
 
-    def read_newest(self) -> feeds.Whole[T] | feeds.Unavailable:
+    def read_newest(
+        self,
+    ) -> feeds.Whole[T] | feeds.Changes[T] | feeds.Unavailable:
         """Returns the newest state, from the store or from another host."""
         res = self._topic.read_newest()
         if isinstance(res, feeds.Whole):
             return res
+        return self._ask_instead(-1, res)
+
+    def read_changes(self, offset: int, wait_s: float) -> feeds.Result[T]:
+        """Returns what was written since."""
+        is_first = self._is_asking_first()
+        found = self._ask_hosts(offset) if is_first else None
+        if found is not None:
+            return found
+        res = self._topic.read_changes(offset, wait_s)
+        if is_first or not isinstance(res, feeds.Unavailable):
+            return res
+        return self._ask_instead(offset, res)
+
+    def _ask_instead(
+        self, offset: int, res: feeds.Unavailable
+    ) -> feeds.Whole[T] | feeds.Changes[T] | feeds.Unavailable:
+        found = self._ask_hosts(offset)
+        if found is None:
+            return res
+        return attrs.evolve(found, failure=res.reason)
+
+    def _ask_hosts(
+        self, offset: int
+    ) -> feeds.Whole[T] | feeds.Changes[T] | None:
+        """Returns what another host has, None if none has as much."""
         for host in self._list_hosts()[:HOSTS_ASKED]:
-            data = self._ask(host, self._topic.name)
+            data = self._ask(host, self._topic.name, offset)
             if data is None:
                 continue
             found = self._topic.read_snapshot(data)
-            if isinstance(found, feeds.Whole):
-                _LOG.info(
-                    "state taken from another host",
-                    extra={"host": host, "topic": self._topic.name},
-                )
+            if not isinstance(found, feeds.Unavailable):
                 return found
-        return res
-
-    def read_changes(
-        self, offset: int, wait_s: float
-    ) -> feeds.Changes[T] | feeds.Expired | feeds.Unavailable:
-        """Returns what was written since."""
-        return self._topic.read_changes(offset, wait_s)
+            _LOG.warning(
+                "another host's state was not taken",
+                extra={"host": host, "reason": found.reason},
+            )
+        return None
--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -1,8 +1,10 @@
 """How often a host reads the store, so that calls don't grow with hosts: pure.
 
 In each data centre one host reads both topics all the time and tells the
-others what it has: the configuration's version and a digest of the list. The
-others read when that differs from their own, and now and then all the same.
+others what it has: the configuration's version and a digest of the list. When
+that differs from their own, the others read the configuration from the store
+and ask that host for the list (`egretspur.catalog.handover`); now and then they
+do so all the same.
 """
 
 from __future__ import annotations
@@ -21,7 +23,8 @@
 # must end two seconds after its report.
 LIST_PERIOD_S: Final = 0.8
 
-# A host that doesn't read for the others reads both topics so rarely.
+# A host that doesn't read for the others reads both topics so rarely, unless
+# it is told of something newer.
 SPARE_PERIOD_S: Final = 12.0
 
 # A list that was read so long ago is no reason for others to read theirs, and
--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -72,6 +72,8 @@
     """The list of upstreams as one host knows it."""
 
     entries: dict[str, Upstream] = attrs.Factory(dict)
+    # Layers by the list where an engine's own word goes before it, by id.
+    listed: dict[str, Layers | None] = attrs.Factory(dict)
     # Id of the newest entry of each address.
     by_address: dict[str, str] = attrs.Factory(dict)
     # Monotonic time at which a missing entry counts as gone, by id.
@@ -101,7 +103,8 @@
         _forget(roster, older)
     roster.by_address[entry.address] = entry.id
     layers, until_s = roster.learned.get(entry.id, (None, 0.0))
-    if layers is not None and now_s < until_s and layers != entry.layers:
+    if layers is not None and now_s < until_s:
+        roster.listed[entry.id] = entry.layers
         entry = attrs.evolve(entry, layers=layers)
     if entry.is_draining:
         roster.draining.add(entry.id)
@@ -118,6 +121,7 @@
     entry = roster.entries.get(upstream_id)
     if entry is None:
         return
+    roster.listed.setdefault(upstream_id, entry.layers)
     roster.learned[upstream_id] = (layers, now_s + LEARNED_S)
     roster.entries[upstream_id] = attrs.evolve(entry, layers=layers)
 
@@ -141,11 +145,21 @@
 
 
 def expire(roster: Roster, now_s: float) -> bool:
-    """Drops entries that did not come back; tells whether any was."""
+    """Drops what came due; tells whether the list changed.
+
+    Entries that did not come back, and engines' own words on their layers:
+    the list counts again, also where it is not written anew.
+    """
     late = [i for i, due_s in roster.missing.items() if now_s >= due_s]
     for upstream_id in late:
         _forget(roster, upstream_id)
-    return bool(late)
+    old = [i for i, (_, until_s) in roster.learned.items() if now_s >= until_s]
+    for upstream_id in old:
+        del roster.learned[upstream_id]
+        entry = roster.entries[upstream_id]
+        layers = roster.listed.pop(upstream_id)
+        roster.entries[upstream_id] = attrs.evolve(entry, layers=layers)
+    return bool(late or old)
 
 
 def _forget(roster: Roster, upstream_id: str) -> None:
@@ -153,4 +167,5 @@
     if entry and roster.by_address.get(entry.address) == upstream_id:
         del roster.by_address[entry.address]
     roster.learned.pop(upstream_id, None)
+    roster.listed.pop(upstream_id, None)
     roster.missing.pop(upstream_id, None)
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -51,6 +51,9 @@
 # long, and until the store is back if it is away: their list won't show them.
 LAYERS_TOLD_S: Final = 2.0
 
+# Age told of a list that was never read.
+NEVER_S: Final = 1e6
+
 # Kept connections are closed later than callers may reuse them, so that no
 # request crosses the close.
 IDLE_SLACK_S: Final = 5.0
@@ -85,6 +88,8 @@
     def __init__(self, to: desk.Desk) -> None:
         self._desk = to
         self.has_list = False
+        # When the store itself last answered, on the monotonic clock.
+        self.answered_s = -math.inf
 
     def take_whole(self, values: Mapping[str, upstreams.Upstream]) -> None:
         """Takes the whole list."""
@@ -99,6 +104,7 @@
 
     def note_contact(self, is_back: bool) -> None:
         """Starts the grace for entries that lapsed during an outage."""
+        self.answered_s = time.monotonic()
         self._desk.tell(desk.StoreAnswered(is_back))
 
 
@@ -156,8 +162,13 @@
         self._feeds = (
             feeds.Feed(
                 "config",
+                # Large where there are many routes: a host that handed it
+                # to all others would have no room left for its callers.
                 handover.HandoverSource(
-                    configs, self._exchange.list_alive, self._ask_host
+                    configs,
+                    self._exchange.list_alive,
+                    self._ask_host,
+                    lambda: False,
                 ),
                 _ConfigSink(self),
                 self._get_config_pace,
@@ -165,7 +176,10 @@
             feeds.Feed(
                 "upstreams",
                 handover.HandoverSource(
-                    listed, self._exchange.list_alive, self._ask_host
+                    listed,
+                    self._exchange.list_alive,
+                    self._ask_host,
+                    lambda: not self._exchange.is_reader(),
                 ),
                 self._upstreams_sink,
                 self._get_list_pace,
@@ -286,11 +300,11 @@
         cfg = self._versions.newest
         return cfg.version if cfg else 0
 
-    def _ask_host(self, host: str, topic: str) -> bytes | None:
-        """Returns another host's snapshot of a topic, if it has one."""
+    def _ask_host(self, host: str, topic: str, since: int) -> bytes | None:
+        """Returns what another host has of a topic since an offset."""
         port = self._cfg.listen_control.rpartition(":")[2]
         res = self._pages_client.call(
-            "GET", f"{host}:{port}", f"/v1/snapshot/{topic}"
+            "GET", f"{host}:{port}", f"/v1/snapshot/{topic}?since={since}"
         )
         if isinstance(res, transport.Failed) or res.status != 200:
             return None
@@ -357,6 +371,7 @@
     def _make_news(self, peers: Mapping[str, str]) -> exchange.News:
         now_s = time.monotonic()
         store_age_s = now_s - self._store.answered_s
+        list_age_s = min(now_s - self._upstreams_sink.answered_s, NEVER_S)
         told_s = math.inf
         if store_age_s < exchange.STORE_AWAY_S:
             told_s = LAYERS_TOLD_S
@@ -366,7 +381,7 @@
             self._known = reading.Known(
                 self._get_version(),
                 fleet.compute_digest(),
-                now_s - state.listed_s,
+                list_age_s,
             )
             return exchange.News(
                 self._cfg.ip,
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -43,8 +43,11 @@
 class Snapshots(Protocol):
     """Topics whose state can be handed to another host."""
 
-    def export(self) -> bytes | None:
-        """Returns the newest state; None if there is none yet."""
+    def export(self, since: int) -> bytes | None:
+        """Returns what a host misses that has read up to an offset.
+
+        None if there is nothing to hand over.
+        """
 
 
 @attrs.frozen
@@ -85,7 +88,8 @@
 
     def get_snapshot(req: web.Request) -> web.Response:
         topic = topics.get(req.parts["topic"])
-        data = topic.export() if topic else None
+        since = web.get_query_int(req, "since", -1)
+        data = topic.export(since) if topic else None
         return (
             web.Response(404) if data is None else web.Response(200, {}, data)
         )
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -232,14 +232,24 @@
             if now_s - t.at_s < TOLD_S
         }
 
-    def list_near_first(self, now_s: float) -> list[str]:
-        """Returns the hosts that are alive, of this data centre first."""
+    def list_best_read(self, now_s: float) -> list[str]:
+        """Returns the hosts that are alive, those to ask for the list first.
+
+        That is this data centre's reader, then its other hosts, then others.
+        """
+
+        def rank(host: str) -> tuple[bool, bool, ipaddress.IPv4Address]:
+            heard = alive[host]
+            return (
+                heard.data_centre != self._data_centre,
+                not _is_fresh(heard, now_s),
+                ipaddress.IPv4Address(host),
+            )
+
         alive = {
             h: t for h, t in self._heard.items() if now_s - t.at_s < ALIVE_S
         }
-        return sorted(
-            alive, key=lambda h: alive[h].data_centre != self._data_centre
-        )
+        return sorted(alive, key=rank)
 
     def is_reader(self, now_s: float) -> bool:
         """Tells whether this host reads the store for its data centre.
@@ -250,7 +260,7 @@
         return self._is_before(
             host
             for host, heard in self._find_near(now_s).items()
-            if heard.list_age_s + now_s - heard.at_s < reading.FRESH_S
+            if _is_fresh(heard, now_s)
         )
 
     def is_first_cut_off(self, now_s: float) -> bool:
@@ -275,6 +285,11 @@
         return all(me <= ipaddress.IPv4Address(h) for h in hosts)
 
 
+def _is_fresh(heard: _Heard, now_s: float) -> bool:
+    """Tells whether a host has read the list of late."""
+    return heard.list_age_s + now_s - heard.at_s < reading.FRESH_S
+
+
 class Exchange:
     """Sends and receives news."""
 
@@ -345,9 +360,9 @@
             return self._peers.is_reader(time.monotonic())
 
     def list_alive(self) -> list[str]:
-        """Returns the hosts that are heard now, those near by first."""
+        """Returns the hosts that are heard now, the reader near by first."""
         with self._lock:
-            return self._peers.list_near_first(time.monotonic())
+            return self._peers.list_best_read(time.monotonic())
 
     def is_alone(self) -> bool:
         """Tells whether no host of this data centre was heard of late."""
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -7,13 +7,13 @@
 import struct
 import time
 import urllib.parse
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, Generic, TypeVar
 
 import orjson
 
 from egretspur import transport
-from egretspur.catalog import config, feeds, upstreams
+from egretspur.catalog import config, feeds, handover, upstreams
 from egretspur.membership import duty
 from egretspur.platform import decode, names
 
@@ -113,13 +113,13 @@
         self._topic = topic
         self._decode = decode_value
         self.name = topic
-        # Newest records as they came, for other hosts, and the next offset.
-        self._raw: dict[str, bytes] = {}
-        self._next = -1
+        self._newest = handover.Newest()
+        # What the newest record of each key says.
+        self._values: dict[str, T] = {}
 
     def read_newest(self) -> feeds.Whole[T] | feeds.Unavailable:
         """Reads all pages; changes made meanwhile are read again after."""
-        rows: list[tuple[int, str, bytes]] = []
+        records: list[handover.Record] = []
         query: dict[str, Any] = {"topic": self._topic, "part": 0}
         offset = -1
         while True:
@@ -131,20 +131,14 @@
             page = orjson.loads(res.body)
             if offset < 0:
                 offset = int(page["end_offset"])
-            rows += [
-                (
-                    int(e["offset"]),
-                    e["key"],
-                    base64.b64decode(e["value"]),
+            records += [
+                handover.Record(
+                    int(e["offset"]), e["key"], base64.b64decode(e["value"])
                 )
                 for e in page["entries"]
             ]
             if not page.get("has_more") or not page["entries"]:
-                # In the order they were written: of two entries that speak
-                # of one address, the later one counts.
-                return self._take_whole(
-                    {key: raw for _, key, raw in sorted(rows)}, offset
-                )
+                return feeds.Whole(self._take_whole(records, offset), offset)
             query["after"] = page["entries"][-1]["key"]
 
     def read_changes(
@@ -163,65 +157,86 @@
         if res.status == 410:
             return feeds.Expired()
         try:
-            first, records = parse_records(res.body, offset)
+            first, raw = parse_records(res.body, offset)
         except struct.error as exc:
             return feeds.Unavailable(f"cut short: {exc}")
-        values = []
-        for record in records:
-            key, raw = split_keyed(record)
-            value = self._read_value(key, raw) if raw else None
-            if not raw:
-                self._raw.pop(key, None)
-            # A record that can't be read changes nothing; an empty one drops.
-            if value is not None or not raw:
-                values.append((key, value))
-        self._next = first + len(records)
-        return feeds.Changes(tuple(values), self._next)
-
-    def export(self) -> bytes | None:
-        """Returns the newest state for another host; None without any."""
-        if self._next < 0:
-            return None
-        records = {
-            key: base64.b64encode(raw).decode()
-            for key, raw in list(self._raw.items())
-        }
-        return orjson.dumps({"next": self._next, "records": records})
-
-    def read_snapshot(self, data: bytes) -> feeds.Whole[T] | feeds.Unavailable:
-        """Returns the state that another host exported."""
-        try:
-            snapshot = orjson.loads(data)
-            offset = int(snapshot["next"])
-            records = {
-                str(key): base64.b64decode(raw)
-                for key, raw in snapshot["records"].items()
-            }
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as exc:
-            return feeds.Unavailable(f"snapshot not understood: {exc!r}")
-        return self._take_whole(records, offset)
+        records = [
+            handover.Record(first + i, *split_keyed(r))
+            for i, r in enumerate(raw)
+        ]
+        end = first + len(records)
+        return feeds.Changes(self._take_changes(records, end), end)
+
+    def export(self, since: int) -> bytes | None:
+        """Returns what another host misses that has read up to an offset."""
+        found = self._newest.list_since(since)
+        return None if found is None else handover.pack_snapshot(found)
+
+    def read_snapshot(
+        self, data: bytes
+    ) -> feeds.Whole[T] | feeds.Changes[T] | feeds.Unavailable:
+        """Takes what another host exported."""
+        found = handover.unpack_snapshot(data)
+        if isinstance(found, feeds.Unavailable):
+            return found
+        if found.is_whole:
+            values = self._take_whole(found.records, found.next)
+            return feeds.Whole(values, found.next, is_handed=True)
+        changes = self._take_changes(found.records, found.next)
+        return feeds.Changes(changes, found.next, is_handed=True)
 
     def _take_whole(
-        self, records: Mapping[str, bytes], offset: int
-    ) -> feeds.Whole[T]:
-        """Keeps and decodes the newest records, in the order they came."""
-        self._raw, self._next = {}, offset
-        values = {k: self._read_value(k, raw) for k, raw in records.items()}
-        found = {k: v for k, v in values.items() if v is not None}
-        return feeds.Whole(found, offset)
-
-    def _read_value(self, key: str, raw: bytes) -> T | None:
+        self, records: Sequence[handover.Record], end: int
+    ) -> dict[str, T]:
+        """Keeps and decodes the newest records, in the order they came.
+
+        Of two entries that speak of one address, the later one counts.
+        """
+        self._values = {}
+        kept = []
+        for record in sorted(records, key=lambda r: r.offset):
+            value = self._read_value(record)
+            if value is not None:
+                self._values[record.key] = value
+                kept.append(record)
+        self._newest.replace(kept, end)
+        return dict(self._values)
+
+    def _take_changes(
+        self, records: Sequence[handover.Record], end: int
+    ) -> tuple[tuple[str, T | None], ...]:
+        """Keeps and decodes records; None in the result drops a key."""
+        changes: list[tuple[str, T | None]] = []
+        for record in records:
+            if not record.raw:
+                self._values.pop(record.key, None)
+                self._newest.put(record)
+                changes.append((record.key, None))
+                continue
+            value = self._read_value(record)
+            # A record that can't be read changes nothing.
+            if value is None:
+                continue
+            if self._values.get(record.key) != value:
+                self._newest.put(record)
+            self._values[record.key] = value
+            changes.append((record.key, value))
+        self._newest.move_on(end)
+        return tuple(changes)
+
+    def _read_value(self, record: handover.Record) -> T | None:
         try:
-            value = self._decode(key, orjson.loads(raw))
+            return self._decode(record.key, orjson.loads(record.raw))
         except (orjson.JSONDecodeError, decode.MalformedError) as exc:
             _LOG.error(
                 "record not understood; left out",
-                extra={"topic": self._topic, "key": key, "reason": str(exc)},
+                extra={
+                    "topic": self._topic,
+                    "key": record.key,
+                    "reason": str(exc),
+                },
             )
             return None
-        if value is not None:
-            self._raw[key] = raw
-        return value
 
 
 def parse_records(data: bytes, offset: int) -> tuple[int, list[bytes]]:
@@ -247,7 +262,7 @@
 
 
 def split_keyed(record: bytes) -> tuple[str, bytes]:
-    """Returns key and value of a keyed record."""
+    """Returns key and value of a keyed record; no value drops the key."""
     end = 1 + record[0] if record else 0
     return record[1:end].decode("utf-8", "replace"), record[end:]
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -215,6 +215,7 @@
         now_s: float,
     ) -> list[jobs.Effect]:
         """Takes changes of the list of upstreams; None for a removal."""
+        self.listed_s = now_s
         with self.fleet.noting_changes(now_s):
             for upstream_id, entry in entries:
                 if entry is None:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -219,7 +219,6 @@
     @handle.register
     def _(self, message: StoreAnswered) -> None:
         now_s = time.monotonic()
-        self._broker.listed_s = now_s
         if message.is_back:
             upstreams.note_return(self._broker.fleet.roster, now_s)
 
--- a/tests/catalog/catalog.feature
+++ b/tests/catalog/catalog.feature
@@ -54,6 +54,14 @@
     When its entry says "0-20" 5 s later
     Then it holds "0-20"
 
+  Scenario: Layers that an engine reported, and a list that says otherwise
+    # Symptom: requests are sent for good to layers that are no longer held.
+    # Sequence: an engine restarts after its report; its entry is not written
+    # anew, since it says what it said before.
+    Given an upstream "u" that is listed
+    When it reports layers "20-31"
+    Then it holds "20-31" until 3.9 s later and "0-20" after 4.1 s
+
   Scenario: History that is no longer kept
     # Symptom: an upstream that has left stays on the list. Sequence: its
     # removal was dropped from the history before it was read.
@@ -73,3 +81,46 @@
     Given a host that has configuration 7 in force
     When configuration 6 is read
     Then configuration 7 is in force
+
+  Scenario Outline: What a host hands to another
+    # Symptom: an upstream that has left stays on another host's list, or its
+    # removal takes an entry away that was written again.
+    Given a topic that was read whole up to offset 10 with keys "a, b"
+    When "b" is dropped, "c" written and "a" written as it was
+    Then a host that has read up to <offset> is handed <what>
+
+    Examples:
+      | offset | what             |
+      | -1     | all of "a, c"    |
+      | 4      | all of "a, c"    |
+      | 10     | changes "-b, c"  |
+      | 12     | changes ""       |
+      | 13     | changes ""       |
+      | 14     | nothing          |
+
+  Scenario: A snapshot that can't be read
+    When a host hands over bytes that are no snapshot
+    Then they count as no answer
+
+  Scenario: A host that asks its neighbours first
+    # Symptom: calls to the store grow with the hosts and the changes.
+    Given a source that asks other hosts first
+    When it reads while a host answers
+    Then the store was not called
+    When it reads while no host answers
+    Then the store was called once
+
+  Scenario: A host that the store turns away
+    # Symptom: keys that were taken away still work at some hosts. Sequence:
+    # the store refuses them, serves the others, and a version is written.
+    Given a source that asks the store first
+    When it reads while the store is away and a host answers
+    Then what the host has is taken, and the store counts as lost
+
+  Scenario: Pokes while the store is away
+    # Symptom: a host that the store turns away calls it twenty times a
+    # second. Sequence: its neighbours, which the store serves, know something
+    # newer and say so four times a second each.
+    Given a feed whose source always fails
+    When it is poked 50 times within 0.5 s
+    Then its source was called at most 20 times
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
 from behave import given, then, when
 
-from egretspur.catalog import config, feeds, upstreams
+from egretspur.catalog import config, feeds, handover, upstreams
 from tests import fleets
 
 
@@ -124,6 +125,23 @@
     step_entry(context, older, 0.5)
 
 
+@when('it reports layers "{layers}"')
+def step_reports_only(context: Any, layers: str) -> None:
+    part = fleets.parse_layers(layers)
+    assert part is not None
+    upstreams.learn(context.roster, "u", part, 10.0)
+
+
+@then('it holds "{now}" until {kept:g} s later and "{then}" after {end:g} s')
+def step_holds_until(
+    context: Any, now: str, kept: float, then: str, end: float
+) -> None:
+    upstreams.expire(context.roster, 10.0 + kept)
+    step_holds(context, now)
+    upstreams.expire(context.roster, 10.0 + end)
+    step_holds(context, then)
+
+
 @when('its entry says "{layers}" {seconds:g} s later')
 def step_entry(context: Any, layers: str, seconds: float) -> None:
     entry = attrs.evolve(context.entry, layers=fleets.parse_layers(layers))
@@ -256,3 +274,185 @@
 @then("configuration {version:d} is in force")
 def step_version(context: Any, version: int) -> None:
     assert context.versions.newest.version == version
+
+
+@given('a topic that was read whole up to offset {end:d} with keys "{keys}"')
+def step_newest(context: Any, end: int, keys: str) -> None:
+    context.newest = handover.Newest()
+    records = [
+        handover.Record(i, key, b"1") for i, key in enumerate(keys.split(", "))
+    ]
+    context.newest.replace(records, end)
+
+
+@when('"b" is dropped, "c" written and "a" written as it was')
+def step_written(context: Any) -> None:
+    context.newest.put(handover.Record(10, "b", b""))
+    context.newest.put(handover.Record(11, "c", b"2"))
+    # A record that changes nothing is not put.
+    context.newest.move_on(13)
+
+
+@then('a host that has read up to {offset:d} is handed all of "{keys}"')
+def step_handed_all(context: Any, offset: int, keys: str) -> None:
+    found = hand_over(context, offset)
+    assert found.is_whole and found.next == 13, found
+    assert [r.key for r in found.records] == keys.split(", "), found
+
+
+@then('a host that has read up to {offset:d} is handed changes "{keys}"')
+def step_handed_changes(context: Any, offset: int, keys: str) -> None:
+    found = hand_over(context, offset)
+    assert not found.is_whole and found.next == 13, found
+    named = [r.key if r.raw else f"-{r.key}" for r in found.records]
+    assert ", ".join(named) == keys, found
+
+
+@then('a host that has read up to {offset:d} is handed changes ""')
+def step_handed_none(context: Any, offset: int) -> None:
+    step_handed_changes(context, offset, "")
+
+
+@then("a host that has read up to {offset:d} is handed nothing")
+def step_handed_nothing(context: Any, offset: int) -> None:
+    assert context.newest.list_since(offset) is None
+
+
+def hand_over(context: Any, offset: int) -> handover.Snapshot:
+    """Returns what a host gets, after its way over the network."""
+    found: handover.Snapshot = context.newest.list_since(offset)
+    res = handover.unpack_snapshot(handover.pack_snapshot(found))
+    assert res == found, res
+    return found
+
+
+@when("a host hands over bytes that are no snapshot")
+def step_bad_snapshot(context: Any) -> None:
+    context.bad = [
+        handover.unpack_snapshot(data)
+        for data in (b"", b"[1]", b'[1,true,[["x"]]]', b'[1,true,[[1,"a",7]]]')
+    ]
+
+
+@then("they count as no answer")
+def step_no_answer(context: Any) -> None:
+    assert all(isinstance(b, feeds.Unavailable) for b in context.bad)
+
+
+@attrs.define
+class Topic:
+    """A topic of a store, and what other hosts have; see `handover.Topic`."""
+
+    name: str = "t"
+    is_up: bool = True
+    calls: int = 0
+
+    def read_newest(self) -> Any:
+        """Reads the store."""
+        return self.read_changes(0, 0.0)
+
+    def read_changes(self, offset: int, wait_s: float) -> Any:
+        """Reads the store."""
+        self.calls += 1
+        if not self.is_up:
+            return feeds.Unavailable("turned away")
+        return feeds.Changes((), offset)
+
+    def read_snapshot(self, data: bytes) -> Any:
+        """Takes what a host has."""
+        value = data.decode()
+        return feeds.Changes((("k", value),), 9, is_handed=True)
+
+
+@given("a source that asks {first} first")
+def step_handover(context: Any, first: str) -> None:
+    context.topic = Topic()
+    context.handed = {"h1": None, "h2": None}
+    context.source = handover.HandoverSource(
+        context.topic,
+        lambda: list(context.handed),
+        lambda host, topic, since: context.handed[host],
+        lambda: first == "other hosts",
+    )
+
+
+@when("it reads while a host answers")
+def step_host_answers(context: Any) -> None:
+    context.handed["h2"] = b"new"
+    context.res = context.source.read_changes(3, 0.0)
+
+
+@when("it reads while no host answers")
+def step_none_answers(context: Any) -> None:
+    context.handed["h2"] = None
+    context.res = context.source.read_changes(3, 0.0)
+
+
+@when("it reads while the store is away and a host answers")
+def step_turned_away(context: Any) -> None:
+    context.topic.is_up = False
+    step_host_answers(context)
+
+
+@then("the store was not called")
+def step_not_called(context: Any) -> None:
+    assert context.topic.calls == 0
+    assert context.res.values == (("k", "new"),), context.res
+    assert not context.res.failure
+
+
+@then("the store was called once")
+def step_called(context: Any) -> None:
+    assert context.topic.calls == 1
+    assert context.res == feeds.Changes((), 3), context.res
+
+
+@then("what the host has is taken, and the store counts as lost")
+def step_instead(context: Any) -> None:
+    assert context.res.values == (("k", "new"),), context.res
+    assert context.res.failure == "turned away"
+    answers: list[Answer] = [context.res, feeds.Changes((), 9)]
+    make_feed(context, answers)
+    step_runs(context)
+    assert context.sink.values == {"k": "new"}
+    assert context.sink.contacts == [True], context.sink.contacts
+
+
+@attrs.define
+class FailingSource:
+    """A store that turns a host away."""
+
+    calls: int = 0
+
+    def read_newest(self) -> Any:
+        """Refuses."""
+        self.calls += 1
+        return feeds.Unavailable("turned away")
+
+    def read_changes(self, offset: int, wait_s: float) -> Any:
+        """Refuses."""
+        return self.read_newest()
+
+
+@given("a feed whose source always fails")
+def step_always_fails(context: Any) -> None:
+    context.source = FailingSource()
+    context.feed = feeds.Feed(
+        "test", context.source, Sink(), lambda: feeds.Pace(0.0, 60.0)
+    )
+
+
+@when("it is poked {times:d} times within {seconds:g} s")
+def step_poked(context: Any, times: int, seconds: float) -> None:
+    context.feed.start()
+    for _ in range(times):
+        context.feed.poke()
+        time.sleep(seconds / times)
+    context.feed.close()
+    context.feed.join(5.0)
+
+
+@then("its source was called at most {times:d} times")
+def step_calls(context: Any, times: int) -> None:
+    # Pauses double from 0.1 s, each shortened by half at most.
+    assert 1 <= context.source.calls <= times, context.source.calls
