Find a path within one other data centre before joining several

The choice of path counted going to another data centre the same whether a whole path or a part of one lay there, so it began in the own one and joined.

Change: after the own data centre, each other one is tried by itself, and the fastest such path taken; joined paths come last. In joined ones the way into the first data centre costs less than a way between two engines, and the best way to a boundary is kept by data centre.

Ruled out: that an engine was slow or dead (no engine's share of failed requests stood out; reports named none as stalled).

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -358,20 +358,24 @@
     ) -> tuple[paths.Part, ...] | None:
         """Finds a path as near as there is one.
 
-        In the own data centre, else over those whose hosts are heard, else
-        over any: where only the hosts are down, the engines still serve.
+        In the own data centre, else within another whose hosts are heard,
+        else over several of those, else over any: where only the hosts are
+        down, the engines still serve. A path within one data centre leaves
+        the pipes between them alone, wherever its caller is.
         """
         home = self.fleet.data_centre
         near = [c for c in cards if c.data_centre == home]
+        found = paths.find_path(near, spec.layers, job.tokens, home)
+        if found is not None:
+            return found
         heard = [c for c in cards if c.data_centre not in cut_off]
-        tried = -1
-        for choice in (near, heard, cards):
-            if len(choice) == tried:
-                continue
-            tried = len(choice)
-            parts = paths.find_path(choice, spec.layers, job.tokens, home)
-            if parts is not None:
-                return parts
+        found = _find_within_one(heard, spec, job, home)
+        if found is not None:
+            return found
+        for choice in (heard, cards):
+            found = paths.find_path(choice, spec.layers, job.tokens, home)
+            if found is not None or len(heard) == len(cards):
+                return found
         return None
 
     def _start_plain(self, ticket: _Ticket, now_s: float) -> list[jobs.Effect]:
@@ -558,3 +562,20 @@
             )
             self._budgets[service] = budget
         return budget
+
+
+def _find_within_one(
+    cards: Sequence[paths.Card],
+    spec: config.EngineSpec,
+    job: jobs.Job,
+    home: str,
+) -> tuple[paths.Part, ...] | None:
+    """Finds the fastest path that stays within one data centre but the own."""
+    places = {c.data_centre for c in cards} - {home}
+    found = []
+    for place in sorted(places):
+        choice = [c for c in cards if c.data_centre == place]
+        parts = paths.find_path(choice, spec.layers, job.tokens, home)
+        if parts is not None:
+            found.append((paths.compute_path_s(parts, choice), parts))
+    return min(found, key=lambda f: f[0])[1] if found else None
--- a/egretspur/routing/paths.py
+++ b/egretspur/routing/paths.py
@@ -3,7 +3,9 @@
 A path names, for each engine on it, the part of its range that is used; parts
 needn't end where ranges end. So engines whose ranges overlap can stand in for
 each other wherever they do, and a tight engine can be used for fewer layers
-than it holds. The cheapest path is found exactly: layer boundaries are few.
+than it holds. The cheapest path is found exactly, layer boundaries being few:
+the best way to each boundary is kept by the data centre in which it ends, since
+the cheapest one so far may be far from the layers that follow.
 """
 
 from __future__ import annotations
@@ -50,9 +52,13 @@
 
     # Half a pass of waiting and the way between two engines.
     hop_s: float = 0.0015
-    # Added where the two stand in different data centres: the shared pipe
-    # carries every prompt token's activations.
+    # Added where two engines of a path stand in different data centres: the
+    # shared pipe carries every prompt token's activations.
     cross_s: float = 0.010
+    # Added where the first engine stands in another data centre than the
+    # request came to. Only its text goes there, once, which costs nothing;
+    # but it takes room of those whose own data centre that is.
+    entry_s: float = 0.005
     # Factor by which a full engine looks slower than an empty one.
     fullness: float = 2.0
 
@@ -61,7 +67,6 @@
 class _Best:
     cost: float
     parts: tuple[Part, ...]
-    data_centre: str
 
 
 def find_path(
@@ -85,36 +90,39 @@
     """
     costs = costs or Costs()
     bounds = _find_bounds(cards, layers)
-    best: dict[int, _Best] = {0: _Best(0.0, (), home)}
+    best: dict[int, dict[str, _Best]] = {0: {home: _Best(0.0, ())}}
     for i, bound in enumerate(bounds):
-        here = best.get(bound)
-        if here is None or bound >= layers:
-            continue
-        if len(here.parts) >= MAX_PARTS:
-            continue
-        used = {p.id for p in here.parts}
-        for card in cards:
-            if not card.first <= bound < card.last or card.id in used:
+        if bound >= layers:
+            break
+        for place, here in best.get(bound, {}).items():
+            if len(here.parts) >= MAX_PARTS:
                 continue
-            _extend(best, here, card, bound, bounds[i + 1 :], tokens, costs)
-    found = best.get(layers)
+            used = {p.id for p in here.parts}
+            for card in cards:
+                if not card.first <= bound < card.last or card.id in used:
+                    continue
+                _extend(best, here, place, card, bounds[i:], tokens, costs)
+    found = min(
+        best.get(layers, {}).values(), key=lambda b: b.cost, default=None
+    )
     return found.parts if found else None
 
 
 def _extend(
-    best: dict[int, _Best],
+    best: dict[int, dict[str, _Best]],
     here: _Best,
+    place: str,
     card: Card,
-    bound: int,
-    later: Iterable[int],
+    bounds: Sequence[int],
     tokens: float,
     costs: Costs,
 ) -> None:
-    """Tries an engine from a boundary to each later one it reaches."""
+    """Tries an engine from the first boundary to each later one it reaches."""
+    bound = bounds[0]
     joined = costs.hop_s if here.parts else 0.0
-    if card.data_centre != here.data_centre:
-        joined += costs.cross_s
-    for end in later:
+    if card.data_centre != place:
+        joined += costs.cross_s if here.parts else costs.entry_s
+    for end in bounds[1:]:
         if end > card.last:
             return
         wanted = (end - bound) * tokens
@@ -123,10 +131,11 @@
         fullness = costs.fullness * wanted / card.free if wanted else 0.0
         cost = here.cost + joined + (end - bound) * card.layer_s
         cost += costs.hop_s * fullness
-        known = best.get(end)
+        there = best.setdefault(end, {})
+        known = there.get(card.data_centre)
         if known is None or cost < known.cost:
             part = Part(card.id, card.address, bound, end)
-            best[end] = _Best(cost, (*here.parts, part), card.data_centre)
+            there[card.data_centre] = _Best(cost, (*here.parts, part))
 
 
 def _find_bounds(cards: Sequence[Card], layers: int) -> list[int]:
--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -118,6 +118,16 @@
     And no request runs more often than its kind allows
     And every request gets exactly one start or refusal for each question
 
+  Scenario: A data centre that lost some of its layers
+    # Symptom: prompts crowd the pipes between data centres, and answers over
+    # them come late. Sequence: an engine dies; what is left of the chain is
+    # joined with another data centre's, though that one has a whole chain.
+    Given a chain of engines in kl-hall and a slower one in pg-hall
+    When engine "a100-1" dies
+    Then the path of a request is in "pg-hall"
+    When engine "l40s-pg0" dies
+    Then the path of a request is in "kl-hall, pg-hall"
+
   Scenario: A data centre whose hosts all fell silent
     # Symptom: at a cut, each request finds out anew that engines are out of
     # reach, 0.3 s and a repeat each. Sequence: a data centre is cut off; paths
--- a/tests/routing/paths.feature
+++ b/tests/routing/paths.feature
@@ -16,6 +16,21 @@
       | a 0-80 1 1e6 pg-hall, b 0-80 1.05 1e6 kl-hall             | 900    | b:0-80          |
       | a 0-80 1 1e6 kl-hall, b 20-60 9 1e6 kl-hall               | 900    | a:0-80          |
 
+  Scenario Outline: Ranges in several data centres
+    # Symptom: every answer of a data centre is late, and those of the others.
+    # Sequence: it loses some layers; paths begin there and end elsewhere, and
+    # the pipe that carries their prompts between the two is soon full.
+    Given cards "<cards>"
+    When a path for 900 tokens is chosen from kl-hall
+    Then it is "<path>"
+
+    Examples:
+      | cards                                                                                          | path                   |
+      | a 0-40 1 1e6 kl-hall, b 0-40 1 1e6 pg-hall, c 40-80 1 1e6 pg-hall                              | b:0-40 c:40-80         |
+      | a 0-40 1 1e6 kl-hall, b 0-40 1.3 1e6 pg-hall, c 40-80 1 1e6 pg-hall                            | a:0-40 c:40-80         |
+      | a 0-20 1 1e6 kl-hall, b 20-40 1 1e6 kl-hall, c 20-40 1.1 1e6 pg-hall, d 40-80 1 1e6 cj-hall    | a:0-20 b:20-40 d:40-80 |
+      | a 0-40 1 1e6 kl-hall, b 20-40 1 1e6 kl-hall, c 0-40 1.1 1e6 pg-hall, d 40-80 1 1e6 pg-hall     | c:0-40 d:40-80         |
+
   @fuzz
   Scenario: Any ranges
     # Symptom: a token skips a layer, or runs one twice.
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -524,6 +524,29 @@
             upstreams.put(context.broker.fleet.roster, entry, context.now_s)
 
 
+@given("a chain of engines in kl-hall and a slower one in pg-hall")
+def step_two_chains(context: Any) -> None:
+    make_chain(context)
+    for i in range(4):
+        entry = fleets.make_upstream(
+            f"l40s-pg{i}", f"{20 * i}-{20 * i + 20}", "pg-hall"
+        )
+        upstreams.put(context.broker.fleet.roster, entry, context.now_s)
+
+
+@when('engine "{name}" dies')
+def step_dies(context: Any, name: str) -> None:
+    context.broker.fleet.note_down(name, context.now_s)
+
+
+@then('the path of a request is in "{places}"')
+def step_places(context: Any, places: str) -> None:
+    parts = send_one(context, f"r-{places}").parts
+    entries = context.broker.fleet.roster.entries
+    found = {entries[p.id].data_centre for p in parts}
+    assert ", ".join(sorted(found)) == places, parts
+
+
 def hear(context: Any, place: str) -> None:
     """Hears a host of a data centre now."""
     peers = context.broker.fleet.peers
