--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -369,6 +369,7 @@
         return 1.0 if is_alive else None
 
     def _make_news(self, peers: Mapping[str, str]) -> exchange.News:
+        self._note_role()
         now_s = time.monotonic()
         store_age_s = now_s - self._store.answered_s
         list_age_s = min(now_s - self._upstreams_sink.answered_s, NEVER_S)
@@ -412,15 +413,20 @@
 
     def _poke_feeds(self, news: exchange.News) -> None:
         """Has the feeds read what another host has read already."""
-        is_reader = self._exchange.is_reader()
-        is_new_role = is_reader != self._was_reader
-        self._was_reader = is_reader
         configs, listed = self._feeds
-        if is_new_role or reading.is_config_due(self._known, news.known):
+        if reading.is_config_due(self._known, news.known):
             configs.poke()
-        if is_new_role or reading.is_list_due(self._known, news.known):
+        if reading.is_list_due(self._known, news.known):
             listed.poke()
 
+    def _note_role(self) -> None:
+        """Has the feeds read at their new pace if the reader changed."""
+        is_reader = self._exchange.is_reader()
+        if is_reader != self._was_reader:
+            self._was_reader = is_reader
+            for feed in self._feeds:
+                feed.poke()
+
     def _take_news(self, news: exchange.News, hosts: int) -> None:
         self._poke_feeds(news)
         self._desk.tell(
@@ -431,9 +437,9 @@
                 news.pace,
                 news.dead,
                 news.layers,
+                max(hosts, len(self._cfg.seeds)),
             )
         )
-        self._desk.tell(desk.Hosts(max(hosts, len(self._cfg.seeds))))
 
     def reload(self) -> None:
         """Has the settings read again soon; safe in a signal handler."""
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import functools
 import ipaddress
 import logging
 import socket
@@ -137,7 +138,13 @@
 
 def _check_address(host: Any) -> str:
     """Returns an address as written; raises ValueError if it is none."""
-    return str(ipaddress.IPv4Address(str(host)))
+    return str(_parse_address(str(host)))
+
+
+# A host hears some hundred others several times a second.
+@functools.lru_cache(maxsize=1024)
+def _parse_address(host: str) -> ipaddress.IPv4Address:
+    return ipaddress.IPv4Address(host)
 
 
 @attrs.frozen
@@ -243,7 +250,7 @@
             return (
                 heard.data_centre != self._data_centre,
                 not _is_fresh(heard, now_s),
-                ipaddress.IPv4Address(host),
+                _parse_address(host),
             )
 
         alive = {
@@ -281,8 +288,8 @@
 
     def _is_before(self, hosts: Iterable[str]) -> bool:
         """Tells whether this host's address comes before all of these."""
-        me = ipaddress.IPv4Address(self._me)
-        return all(me <= ipaddress.IPv4Address(h) for h in hosts)
+        me = _parse_address(self._me)
+        return all(me <= _parse_address(h) for h in hosts)
 
 
 def _is_fresh(heard: _Heard, now_s: float) -> bool:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -102,13 +102,8 @@
     dead: tuple[str, ...]
     # Layers that engines reported to it.
     layers: Mapping[str, upstreams.Layers]
-
-
-@attrs.frozen
-class Hosts:
-    """Hosts that share the retry budget."""
-
-    count: int
+    # Hosts that share the retry budget, as far as this one knows.
+    hosts: int
 
 
 @attrs.frozen
@@ -224,6 +219,7 @@
 
     @handle.register
     def _(self, message: PeerNews) -> None:
+        self._broker.hosts = max(1, message.hosts)
         state = self._broker.fleet
         state.peers[message.host] = fleet.PeerUsage(
             time.monotonic(), message.usage, message.data_centre
@@ -236,10 +232,6 @@
         for upstream_id, layers in message.layers.items():
             upstreams.learn(state.roster, upstream_id, layers, time.monotonic())
 
-    @handle.register
-    def _(self, message: Hosts) -> None:
-        self._broker.hosts = max(1, message.count)
-
     @handle.register
     def _(self, message: NoteFailed) -> None:
         self._broker.fleet.note_down(message.upstream_id, time.monotonic())
