Soak a site of stand-ins in faults, and check every answer

It checks each answer, whatever failed: whole streams have every event once and in order, an answer belongs to its request, what may not be repeated ran once at most and not at all where its caller was told so, and every host serves again after the faults. Replicas print what they run, so that runs of killed ones count too. The site moved from the host's steps to tests/sites.py.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := .
 
-.PHONY: demo test fuzz bench load capacity check clean
+.PHONY: demo test soak fuzz bench load capacity check clean
 
 $(VENV)/.ready: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -18,6 +18,9 @@
 test: $(VENV)/.ready
 	$(PY) -m tests.run
 
+soak: $(VENV)/.ready
+	$(PY) -m tests.soak --seconds 120
+
 fuzz: $(VENV)/.ready
 	EGRETSPUR_FUZZ=long $(VENV)/bin/behave --no-color --tags=@fuzz tests
 
--- /dev/null
+++ b/tests/daemons/soak.feature
@@ -0,0 +1,30 @@
+Feature: Faults without end
+
+  Scenario Outline: What a soak finds wrong
+    When a request to "<path>" is answered <status> with "<body>" after <runs> runs
+    Then the soak says "<finding>"
+
+    Examples:
+      | path      | status | body  | runs | finding                                   |
+      | /notes/x  | 200    | 12345 | 1    |                                           |
+      | /notes/x  | 200    | 12345 | 2    |                                           |
+      | /notes/x  | 200    | 1234  | 1    | whole, but its events are                 |
+      | /notes/x  | 200    | 12234 | 1    | whole, but its events are                 |
+      | /notes/x  | 200    | 12345 | 0    | answered without a run                    |
+      | /notes/x  | 0      | 12    | 1    |                                           |
+      | /orders/x | 200    |       | 1    |                                           |
+      | /orders/x | 502    |       | 1    |                                           |
+      | /orders/x | 502    |       | 2    | ran 2 times                               |
+      | /orders/x | 503    |       | 0    |                                           |
+      | /orders/x | 503    |       | 1    | answered 503, though it ran               |
+      | /cards/x  | 503    |       | 1    |                                           |
+
+  Scenario: The answer of another request
+    When a request is answered with the answer of another one
+    Then the soak says "got the answer of"
+
+  Scenario: Two hosts under faults
+    # Any of: an answer with a hole, an order carried out twice, a refusal that
+    # is not true, a host that does not serve again.
+    When a site of 2 hosts is soaked for 12 s with seed 7
+    Then nothing is found wrong, and answers of each kind came
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -3,7 +3,8 @@
 An engine sends events at a steady pace if the path of a request covers all
 layers and its own part is held. Faults: ``events`` and ``pause_s`` of a
 stream, ``cut_after`` (events after which a stream breaks off), ``status`` of a
-plain answer, ``refuse`` (answers that it has not run), ``delay_s``.
+plain answer, ``refuse`` (answers that it has not run), ``lose`` (a plain answer
+is lost after its request ran), ``delay_s``.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
             "cut_after": -1,
             "status": 200,
             "refuse": False,
+            "lose": False,
             "delay_s": 0.0,
         }
         self.held: dict[str, int] | None = None
@@ -128,9 +130,15 @@
             return web.Response(421, {"Replica-Id": replica.name}, b"")
         with replica.lock:
             replica.runs.append({**fields, "target": req.get_target()})
+            # For whoever counts runs after this process was killed.
+            print(
+                f"ran {fields.get('Attempt-Id')}", file=sys.stderr, flush=True
+            )
         time.sleep(replica.faults["delay_s"])
         if not replica.layers:
             status = replica.faults["status"]
+            if replica.faults["lose"]:
+                raise ConnectionAbortedError("answer lost on request")
             return web.Response(status, head, replica.name.encode())
         after = int(fields.get("Last-Event-Id") or 0)
         head["Content-Type"] = "text/event-stream"
--- /dev/null
+++ b/tests/sites.py
@@ -0,0 +1,269 @@
+"""A site of the platform for tests: store, upstreams, hosts, their callers.
+
+All are processes on this machine; hosts have addresses of their own in the
+loopback range. Read next: `tests.soak`.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from typing import Any, Final
+
+import attrs
+import urllib3
+
+from tests import stage
+from tests.steps import platform_steps
+
+LAYERS: Final = 8
+HOST: Final = "notes.example"
+
+# An upstream serves on for so long after it said that it leaves, in seconds.
+DRAIN_S: Final = 2.5
+
+SPEC: Final = {
+    **platform_steps.ENGINE,
+    "layer_count": LAYERS,
+    "layer_mb": 1000.0,
+    "kinds": [
+        {"name": "l4", "size_mb": 4000.0, "pace": 16.0, "read_factor": 8.2}
+    ],
+    "kv_token_bytes": 80_000,
+    "load_s": 0.1,
+}
+
+
+@attrs.define
+class Site:
+    """All processes of a scene."""
+
+    stage: stage.Stage = attrs.Factory(stage.Stage)
+    ports: dict[str, int] = attrs.Factory(dict)
+    pool: urllib3.PoolManager = attrs.Factory(
+        lambda: urllib3.PoolManager(retries=False, timeout=20.0, maxsize=16)
+    )
+    hosts: list[str] = attrs.Factory(list)
+    beats: threading.Event = attrs.Factory(threading.Event)
+    beating: threading.Lock = attrs.Factory(threading.Lock)
+    entries: dict[str, dict[str, Any]] = attrs.Factory(dict)
+
+    def leave(self, name: str) -> None:
+        """Takes an upstream off the list."""
+        with self.beating:
+            self.entries.pop(name)
+            self.write("keyed.servers", name, None)
+
+    def close(self) -> None:
+        """Ends all processes."""
+        self.beats.set()
+        self.stage.close()
+
+    def write(self, topic: str, key: str, value: Any) -> None:
+        """Writes to the store as operators and upstreams do."""
+        body = {"topic": topic, "key": key, "value": value}
+        self.stage.call("POST", "store", "/write", body)
+
+    def beat(self) -> None:
+        """Keeps the entries of the engines as they report them."""
+        while not self.beats.wait(0.2):
+            with self.beating:
+                for name in list(self.entries):
+                    self.beat_one(name)
+
+    def beat_one(self, name: str) -> None:
+        """Writes one entry."""
+        entry = self.entries[name]
+        try:
+            if entry["service"] == "llm":
+                report = self.stage.call("GET", name, "/egretspur/report")
+                entry["layer_count"] = report["layer_count"]
+            self.write("keyed.servers", name, entry)
+        except RuntimeError:
+            # It was killed: its entry stays as it is until it is removed.
+            return
+
+    def ask(
+        self, path: str, key: str, host: str = "127.0.0.1", **more: Any
+    ) -> Any:
+        """Sends a caller's request; returns the open answer."""
+        return self.pool.request(
+            "POST",
+            f"http://{host}:{self.ports['frontend']}{path}",
+            body=b"{}",
+            headers={
+                "Host": HOST,
+                "Attempt-Id": f"a{time.monotonic_ns()}",
+                "Token-Usage": "20,20",
+                "Deadline-Ms": "9000",
+                "Authorization": f"Bearer {key}",
+                **more,
+            },
+            preload_content=False,
+        )
+
+    def start_upstream(self, name: str) -> None:
+        """Starts an engine (``e...``) or a plain replica and lists it."""
+        is_engine = name.startswith("e")
+        args = ["--name", name]
+        if is_engine:
+            args += ["--layers", str(LAYERS)]
+        process = self.stage.start(name, "tests.fakes.replica", *args)
+        with self.beating:
+            self.entries[name] = {
+                "service": "llm" if is_engine else "desk",
+                "address": process.address,
+                "zone": "kl-hall",
+                "slots": 6,
+                "state": "ready",
+                "route_kind": "l4" if is_engine else None,
+                "layer_count": None,
+            }
+
+    def get_runs(self) -> list[dict[str, str]]:
+        """Returns what the upstreams ran."""
+        runs = []
+        for name in self.entries:
+            runs += self.stage.call("GET", name, "/runs")
+        return runs
+
+
+def make_config(keys: list[str], version: int) -> dict[str, Any]:
+    """Returns a configuration as operators write it."""
+    routes = []
+    for prefix, kind, service in (
+        ("/notes/", "streaming", "llm"),
+        ("/cards/", "idempotent", "desk"),
+        ("/orders/", "non_idempotent", "desk"),
+    ):
+        routes.append(
+            {
+                "name": prefix,
+                "host": HOST,
+                "path_prefix": prefix,
+                "route_kind": kind,
+                "timeout_ms": 9000,
+                "slo_ms": 500,
+                "priority": 1,
+                "service": service,
+                "max_attempts": 2,
+                "resumable": kind == "streaming",
+            }
+        )
+    services = [
+        {
+            "name": "llm",
+            "health_path": "/healthz",
+            "max_conns": 100,
+            "inference_engine": SPEC,
+        },
+        {"name": "desk", "health_path": "/healthz", "max_conns": 100},
+    ]
+    return {
+        **platform_steps.EXAMPLE,
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "tenants": [{"name": "tailors", "api_keys": keys, "priority": 1}],
+    }
+
+
+def find_port(hosts: tuple[str, ...]) -> int:
+    """Returns a TCP port that is free on all of these addresses."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((hosts[0], 0))
+            port = int(sock.getsockname()[1])
+            try:
+                for host in hosts[1:]:
+                    with socket.socket() as other:
+                        other.bind((host, port))
+            except OSError:
+                continue
+            return port
+
+
+def start_host(site: Site, ip: str) -> None:
+    """Starts a host process at an address."""
+    listen = {
+        name: f"{ip}:{site.ports[name]}"
+        for name in ("frontend", "ready", "control_plane")
+    }
+    cfg = {
+        "node_name": f"host-{ip}",
+        "ip": ip,
+        "zone": "kl-hall",
+        "zones": {"kl-hall": "my"},
+        "listen": listen,
+        "port_range": [site.ports["exchange"], 0],
+        "seeds": ["127.0.0.1:1"],
+        "platform": {"address": site.stage.processes["store"].address},
+        "bounds": {"grace_s": 7},
+    }
+    path = site.stage.folder / f"{ip}.json"
+    path.write_text(json.dumps(cfg), "utf-8")
+    popen = subprocess.Popen(
+        [sys.executable, "-m", "egretspur.daemons.host"],
+        stdout=subprocess.PIPE,
+        env={**os.environ, "EGRETSPUR_NODE_FILE": str(path)},
+        text=True,
+    )
+    process = stage.Process(ip, popen, listen["frontend"])
+    threading.Thread(target=keep_lines, args=(process,), daemon=True).start()
+    site.stage.processes[ip] = process
+    site.hosts.append(ip)
+
+
+def keep_lines(process: stage.Process) -> None:
+    """Keeps what a host logs."""
+    assert process.popen.stdout is not None
+    for line in process.popen.stdout:
+        process.lines.append(line)
+
+
+def is_ready(site: Site, ip: str = "127.0.0.1") -> bool:
+    """Tells whether a host is ready."""
+    url = f"http://{ip}:{site.ports['ready']}/egretspur/readyz"
+    try:
+        return bool(site.pool.request("GET", url, timeout=1.0).status == 200)
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
+def can_stream(site: Site, ip: str = "127.0.0.1") -> bool:
+    """Tells whether a stream is answered."""
+    try:
+        res = site.ask("/notes/x", "key-1", ip)
+        return bool(res.status == 200 and b"id: 5" in res.read())
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
+def start_site(hosts: int) -> Site:
+    """Starts a site with four engines, two plain replicas and hosts."""
+    site = Site()
+    ips = tuple(f"127.0.0.{i + 1}" for i in range(max(2, hosts)))
+    for name in ("frontend", "ready", "control_plane"):
+        site.ports[name] = find_port(ips)
+    site.ports["exchange"] = stage.find_udp_port(ips)
+    site.stage.start("store", "tests.fakes.store")
+    for i in range(6):
+        site.start_upstream(f"e{i}" if i < 4 else f"s{i}")
+    site.write("keyed.op", "config", make_config(["key-1"], 2))
+    threading.Thread(target=site.beat, daemon=True).start()
+    for ip in ips[:hosts]:
+        start_host(site, ip)
+    for ip in ips[:hosts]:
+        wait_serving(site, ip)
+    return site
+
+
+def wait_serving(site: Site, ip: str) -> None:
+    """Waits until a host is ready and finds paths."""
+    stage.wait_until(lambda: is_ready(site, ip), 20.0, f"{ip} is ready")
+    stage.wait_until(lambda: can_stream(site, ip), 20.0, f"{ip} finds paths")
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,284 @@
+"""Faults without end on a site of stand-ins, and what must hold of answers.
+
+``python -m tests.soak [--seed N] [--seconds S] [--hosts N]``. Callers ask every
+host for streams and plain calls while engines, plain replicas, hosts and the
+store fail by a seeded plan. Checked of each request, whatever failed:
+
+- a stream that ends whole has every event once and in order;
+- an answer belongs to its request;
+- what may not be repeated ran once at most, and not at all if its caller was
+  told so;
+- once the faults are over, every host serves again.
+
+Prints a JSON line for each finding and one with counts; exit code 1 if anything
+was found. The same seed plans the same faults; which request they meet depends
+on the machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import json
+import random
+import sys
+import threading
+import time
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import attrs
+import urllib3
+
+from tests import sites, stage
+
+EVENTS: Final = 5
+
+# Seconds between two faults, and how long one lasts.
+GAP_S: Final = (0.4, 1.6)
+LASTS_S: Final = (0.5, 2.5)
+
+# Callers of each host, and what they ask for.
+CALLERS: Final = 2
+PATHS: Final = ("/notes/x", "/cards/x", "/orders/x")
+ONCE: Final = "/orders/x"
+
+# Statuses that promise that a request has not run.
+NOT_RUN: Final = frozenset({408, 421, 429, 503})
+
+
+@attrs.frozen
+class Answer:
+    """How a request ended for its caller."""
+
+    id: str
+    path: str
+    host: str
+    # 0 if the connection ended without a whole answer.
+    status: int
+    body: bytes = b""
+    # Request that the answer says it belongs to.
+    echoed: str = ""
+
+
+@attrs.define
+class Soak:
+    """A site under faults, with what was seen."""
+
+    site: sites.Site
+    ips: Sequence[str]
+    rng: random.Random
+    answers: list[Answer] = attrs.Factory(list)
+    faults: collections.Counter[str] = attrs.Factory(collections.Counter)
+    stopped: threading.Event = attrs.Factory(threading.Event)
+    # Upstreams and hosts that are failing now; one at a time each.
+    busy: set[str] = attrs.Factory(set)
+    starts: int = 0
+
+    def call(self, number: int) -> None:
+        """Asks one host again and again; the thread of a caller."""
+        rng = random.Random(number)
+        ip = self.ips[number % len(self.ips)]
+        count = 0
+        while not self.stopped.is_set():
+            count += 1
+            request_id = f"soak-{number}-{count}"
+            self.answers.append(self.ask(request_id, rng.choice(PATHS), ip))
+            time.sleep(0.02)
+
+    def ask(self, request_id: str, path: str, ip: str) -> Answer:
+        """Sends one request."""
+        try:
+            res = self.site.ask(path, "key-1", ip, **{"Attempt-Id": request_id})
+            body = res.read()
+        except (urllib3.exceptions.HTTPError, OSError):
+            return Answer(request_id, path, ip, 0)
+        echoed = res.headers.get("Attempt-Id", "")
+        return Answer(request_id, path, ip, res.status, body, echoed)
+
+    def fail(self) -> None:
+        """Begins one fault; it ends by itself, in a thread of its own."""
+        name = self.rng.choice(sorted(FAULTS))
+        lasts_s = self.rng.uniform(*LASTS_S)
+        victim = self.rng.choice(self._list_victims(name))
+        if victim in self.busy:
+            return
+        self.busy.add(victim)
+        self.faults[name] += 1
+
+        def run() -> None:
+            FAULTS[name](self, victim, lasts_s)
+            self.busy.discard(victim)
+
+        threading.Thread(target=run, daemon=True).start()
+
+    def _list_victims(self, fault: str) -> list[str]:
+        kind = fault.partition("_")[0]
+        if kind == "store":
+            return ["store"]
+        if kind == "host":
+            return list(self.ips)
+        first = "e" if kind == "engine" else "s"
+        return sorted(n for n in self.site.entries if n.startswith(first))
+
+    def set_fault(self, name: str, lasts_s: float, **faults: Any) -> None:
+        """Sets faults of a stand-in for some time."""
+        self.site.stage.call("POST", name, "/faults", faults)
+        time.sleep(lasts_s)
+        self.site.stage.call(
+            "POST", name, "/faults", {k: CALM[k] for k in faults}
+        )
+
+    def pause(self, name: str, lasts_s: float) -> None:
+        """Freezes a process for some time."""
+        process = self.site.stage.processes[name]
+        process.pause()
+        time.sleep(lasts_s)
+        process.resume()
+
+    def kill_host(self, ip: str, lasts_s: float) -> None:
+        """Kills a host and starts it again."""
+        self.site.stage.processes[ip].kill()
+        time.sleep(lasts_s)
+        sites.start_host(self.site, ip)
+
+    def stop_host(self, ip: str, lasts_s: float) -> None:
+        """Has a host stop in good order and starts it again."""
+        process = self.site.stage.processes[ip]
+        process.terminate()
+        process.popen.wait()
+        sites.start_host(self.site, ip)
+
+    def replace(self, name: str, lasts_s: float, is_told: bool) -> None:
+        """Kills an upstream, or has it leave; another one comes."""
+        if is_told:
+            with self.site.beating:
+                self.site.entries[name]["state"] = "draining"
+            time.sleep(sites.DRAIN_S)
+        self.site.stage.processes[name].kill()
+        time.sleep(lasts_s)
+        self.site.leave(name)
+        self.starts += 1
+        self.site.start_upstream(f"{name[0]}n{self.starts}")
+
+    def find(self) -> list[str]:
+        """Returns what is wrong with the answers."""
+        runs = self.count_runs()
+        return [f for a in self.answers if (f := check(a, runs[a.id]))]
+
+    def count_runs(self) -> collections.Counter[str]:
+        """Returns how often each request was begun, by all upstreams ever."""
+        runs: collections.Counter[str] = collections.Counter()
+        for process in self.site.stage.processes.values():
+            for line in list(process.lines):
+                if line.startswith("ran "):
+                    runs[line.split()[1]] += 1
+        return runs
+
+
+def check(answer: Answer, runs: int) -> str:
+    """Returns what is wrong with an answer; empty if nothing is."""
+    told = f"{answer.id} {answer.path} at {answer.host}: "
+    if answer.path == ONCE and runs > 1:
+        return f"{told}ran {runs} times"
+    if answer.path == ONCE and answer.status in NOT_RUN and runs:
+        return f"{told}answered {answer.status}, though it ran"
+    if answer.status != 200:
+        return ""
+    if answer.echoed != answer.id:
+        return f"{told}got the answer of {answer.echoed!r}"
+    if not runs:
+        return f"{told}answered without a run"
+    lines = answer.body.decode("utf-8", "replace").split("\n")
+    ids = [n[4:] for n in lines if n.startswith("id: ")]
+    if answer.path == PATHS[0] and ids != [str(i + 1) for i in range(EVENTS)]:
+        return f"{told}whole, but its events are {ids}"
+    return ""
+
+
+# What stand-ins do without faults.
+CALM: Final[dict[str, Any]] = {
+    "down": False,
+    "refuse": False,
+    "lose": False,
+    "cut_after": -1,
+    "status": 200,
+    "delay_s": 0.0,
+}
+
+Fault = Callable[[Soak, str, float], None]
+
+# By name; what comes before the first underscore is what fails.
+FAULTS: Final[dict[str, Fault]] = {
+    "engine_cut": lambda s, n, t: s.set_fault(n, t, cut_after=2),
+    "engine_refuse": lambda s, n, t: s.set_fault(n, t, refuse=True),
+    "engine_pause": lambda s, n, t: s.pause(n, t),
+    "engine_crash": lambda s, n, t: s.replace(n, t, False),
+    "engine_leave": lambda s, n, t: s.replace(n, t, True),
+    "plain_refuse": lambda s, n, t: s.set_fault(n, t, refuse=True),
+    "plain_lose": lambda s, n, t: s.set_fault(n, t, lose=True),
+    "plain_fail": lambda s, n, t: s.set_fault(n, t, status=500),
+    "plain_slow": lambda s, n, t: s.set_fault(n, t, delay_s=0.8),
+    "plain_leave": lambda s, n, t: s.replace(n, t, True),
+    "host_kill": lambda s, n, t: s.kill_host(n, t),
+    "host_stop": lambda s, n, t: s.stop_host(n, t),
+    "host_pause": lambda s, n, t: s.pause(n, t),
+    "store_down": lambda s, n, t: s.set_fault(n, t, down=True),
+    "store_pause": lambda s, n, t: s.pause(n, t),
+}
+
+
+def run(seed: int, seconds: float, hosts: int) -> tuple[Soak, list[str]]:
+    """Soaks a site; returns what was seen and what is wrong with it."""
+    site = sites.start_site(hosts)
+    soak = Soak(site, site.hosts[:hosts], random.Random(seed))
+    callers = [
+        threading.Thread(target=soak.call, args=(i,), daemon=True)
+        for i in range(CALLERS * hosts)
+    ]
+    try:
+        for caller in callers:
+            caller.start()
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            time.sleep(soak.rng.uniform(*GAP_S))
+            soak.fail()
+        stage.wait_until(lambda: not soak.busy, 60.0, "all faults are over")
+        soak.stopped.set()
+        for caller in callers:
+            caller.join(20.0)
+        found = soak.find()
+        for ip in soak.ips:
+            try:
+                sites.wait_serving(site, ip)
+            except AssertionError as exc:
+                found.append(f"after the faults: {exc}")
+        return soak, found
+    finally:
+        soak.stopped.set()
+        site.close()
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Entry point."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=7, help="of the faults")
+    parser.add_argument("--seconds", type=float, default=60.0, help="of faults")
+    parser.add_argument("--hosts", type=int, default=3, help="hosts")
+    args = parser.parse_args(argv)
+    soak, found = run(args.seed, args.seconds, args.hosts)
+    for finding in found:
+        print(json.dumps({"finding": finding}))
+    statuses = collections.Counter(a.status for a in soak.answers)
+    counts = {
+        "seed": args.seed,
+        "findings": len(found),
+        "statuses": dict(sorted(statuses.items())),
+        "faults": dict(sorted(soak.faults.items())),
+    }
+    print(json.dumps(counts))
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/steps/host_steps.py
+++ b/tests/steps/host_steps.py
@@ -3,253 +3,21 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
-import socket
-import subprocess
-import sys
 import threading
 import time
 from typing import Any
 
-import attrs
 import urllib3
 from behave import given, then, when
 
-from tests import stage
-from tests.steps import platform_steps
-
-LAYERS = 8
-HOST = "notes.example"
-
-SPEC = {
-    **platform_steps.ENGINE,
-    "layer_count": LAYERS,
-    "layer_mb": 1000.0,
-    "kinds": [
-        {"name": "l4", "size_mb": 4000.0, "pace": 16.0, "read_factor": 8.2}
-    ],
-    "kv_token_bytes": 80_000,
-    "load_s": 0.1,
-}
-
-
-@attrs.define
-class Platform:
-    """All processes of a scenario."""
-
-    stage: stage.Stage = attrs.Factory(stage.Stage)
-    ports: dict[str, int] = attrs.Factory(dict)
-    pool: urllib3.PoolManager = attrs.Factory(
-        lambda: urllib3.PoolManager(retries=False, timeout=20.0)
-    )
-    hosts: list[str] = attrs.Factory(list)
-    beats: threading.Event = attrs.Factory(threading.Event)
-    beating: threading.Lock = attrs.Factory(threading.Lock)
-    entries: dict[str, dict[str, Any]] = attrs.Factory(dict)
-
-    def leave(self, name: str) -> None:
-        """Takes an upstream off the list."""
-        with self.beating:
-            self.entries.pop(name)
-            self.write("keyed.servers", name, None)
-
-    def close(self) -> None:
-        """Ends all processes."""
-        self.beats.set()
-        self.stage.close()
-
-    def write(self, topic: str, key: str, value: Any) -> None:
-        """Writes to the store as operators and upstreams do."""
-        body = {"topic": topic, "key": key, "value": value}
-        self.stage.call("POST", "store", "/write", body)
-
-    def beat(self) -> None:
-        """Keeps the entries of the engines as they report them."""
-        while not self.beats.wait(0.2):
-            with self.beating:
-                for name in self.entries:
-                    self.beat_one(name)
-
-    def beat_one(self, name: str) -> None:
-        """Writes one entry."""
-        entry = self.entries[name]
-        if entry["service"] == "llm":
-            report = self.stage.call("GET", name, "/egretspur/report")
-            entry["layer_count"] = report["layer_count"]
-        self.write("keyed.servers", name, entry)
-
-    def ask(
-        self, path: str, key: str, host: str = "127.0.0.1", **more: Any
-    ) -> Any:
-        """Sends a caller's request; returns the open answer."""
-        return self.pool.request(
-            "POST",
-            f"http://{host}:{self.ports['frontend']}{path}",
-            body=b"{}",
-            headers={
-                "Host": HOST,
-                "Attempt-Id": f"a{time.monotonic_ns()}",
-                "Token-Usage": "20,20",
-                "Deadline-Ms": "9000",
-                "Authorization": f"Bearer {key}",
-                **more,
-            },
-            preload_content=False,
-        )
-
-    def get_runs(self) -> list[dict[str, str]]:
-        """Returns what the upstreams ran."""
-        runs = []
-        for name in self.entries:
-            runs += self.stage.call("GET", name, "/runs")
-        return runs
-
-
-def make_config(keys: list[str], version: int) -> dict[str, Any]:
-    """Returns a configuration as operators write it."""
-    routes = []
-    for prefix, kind, service in (
-        ("/notes/", "streaming", "llm"),
-        ("/cards/", "idempotent", "desk"),
-        ("/orders/", "non_idempotent", "desk"),
-    ):
-        routes.append(
-            {
-                "name": prefix,
-                "host": HOST,
-                "path_prefix": prefix,
-                "route_kind": kind,
-                "timeout_ms": 9000,
-                "slo_ms": 500,
-                "priority": 1,
-                "service": service,
-                "max_attempts": 2,
-                "resumable": kind == "streaming",
-            }
-        )
-    services = [
-        {
-            "name": "llm",
-            "health_path": "/healthz",
-            "max_conns": 100,
-            "inference_engine": SPEC,
-        },
-        {"name": "desk", "health_path": "/healthz", "max_conns": 100},
-    ]
-    return {
-        **platform_steps.EXAMPLE,
-        "version": version,
-        "routes": routes,
-        "services": services,
-        "tenants": [{"name": "tailors", "api_keys": keys, "priority": 1}],
-    }
-
-
-def find_port(hosts: tuple[str, ...]) -> int:
-    """Returns a TCP port that is free on all of these addresses."""
-    while True:
-        with socket.socket() as sock:
-            sock.bind((hosts[0], 0))
-            port = int(sock.getsockname()[1])
-            try:
-                for host in hosts[1:]:
-                    with socket.socket() as other:
-                        other.bind((host, port))
-            except OSError:
-                continue
-            return port
-
-
-def start_host(platform: Platform, ip: str) -> None:
-    """Starts a host process at an address."""
-    listen = {
-        name: f"{ip}:{platform.ports[name]}"
-        for name in ("frontend", "ready", "control_plane")
-    }
-    cfg = {
-        "node_name": f"host-{ip}",
-        "ip": ip,
-        "zone": "kl-hall",
-        "zones": {"kl-hall": "my"},
-        "listen": listen,
-        "port_range": [platform.ports["exchange"], 0],
-        "seeds": ["127.0.0.1:1"],
-        "platform": {"address": platform.stage.processes["store"].address},
-        "bounds": {"grace_s": 7},
-    }
-    path = platform.stage.folder / f"{ip}.json"
-    path.write_text(json.dumps(cfg), "utf-8")
-    popen = subprocess.Popen(
-        [sys.executable, "-m", "egretspur.daemons.host"],
-        stdout=subprocess.PIPE,
-        env={**os.environ, "EGRETSPUR_NODE_FILE": str(path)},
-        text=True,
-    )
-    process = stage.Process(ip, popen, listen["frontend"])
-    threading.Thread(target=keep_lines, args=(process,), daemon=True).start()
-    platform.stage.processes[ip] = process
-    platform.hosts.append(ip)
-
-
-def keep_lines(process: stage.Process) -> None:
-    """Keeps what a host logs."""
-    assert process.popen.stdout is not None
-    for line in process.popen.stdout:
-        process.lines.append(line)
-
-
-def is_ready(platform: Platform, ip: str = "127.0.0.1") -> bool:
-    """Tells whether a host is ready."""
-    url = f"http://{ip}:{platform.ports['ready']}/egretspur/readyz"
-    try:
-        return bool(
-            platform.pool.request("GET", url, timeout=1.0).status == 200
-        )
-    except urllib3.exceptions.HTTPError:
-        return False
-
-
-def can_stream(platform: Platform, ip: str = "127.0.0.1") -> bool:
-    """Tells whether a stream is answered."""
-    try:
-        res = platform.ask("/notes/x", "key-1", ip)
-        return bool(res.status == 200 and b"id: 5" in res.read())
-    except urllib3.exceptions.HTTPError:
-        return False
+from tests import sites, stage
 
 
 @given("a store, four engines, two plain replicas and a host")
 def step_platform(context: Any) -> None:
-    platform = Platform()
-    context.play = platform
-    ips = ("127.0.0.1", "127.0.0.2")
-    for name in ("frontend", "ready", "control_plane"):
-        platform.ports[name] = find_port(ips)
-    platform.ports["exchange"] = stage.find_udp_port(ips)
-    platform.stage.start("store", "tests.fakes.store")
-    for i in range(6):
-        is_engine = i < 4
-        name = f"e{i}" if is_engine else f"s{i}"
-        args = ["--name", name]
-        if is_engine:
-            args += ["--layers", str(LAYERS)]
-        process = platform.stage.start(name, "tests.fakes.replica", *args)
-        platform.entries[name] = {
-            "service": "llm" if is_engine else "desk",
-            "address": process.address,
-            "zone": "kl-hall",
-            "slots": 6,
-            "state": "ready",
-            "route_kind": "l4" if is_engine else None,
-            "layer_count": None,
-        }
-    platform.write("keyed.op", "config", make_config(["key-1"], 2))
-    threading.Thread(target=platform.beat, daemon=True).start()
-    start_host(platform, "127.0.0.1")
-    stage.wait_until(lambda: is_ready(platform), 15.0, "the host is ready")
-    stage.wait_until(lambda: can_stream(platform), 15.0, "layers are held")
-    context.before = len(platform.get_runs())
+    context.play = sites.start_site(1)
+    context.before = len(context.play.get_runs())
 
 
 def set_faults(context: Any, names: str, **faults: Any) -> None:
@@ -323,7 +91,7 @@
     context.kept = urllib3.HTTPConnectionPool(
         "127.0.0.1", platform.ports["frontend"], retries=False, timeout=5.0
     )
-    context.kept.request("POST", "/other/", headers={"Host": HOST})
+    context.kept.request("POST", "/other/", headers={"Host": sites.HOST})
     context.stream = {}
 
     def run() -> None:
@@ -339,7 +107,7 @@
 
 @when('a configuration without key "{key}" is written')
 def step_revoke(context: Any, key: str) -> None:
-    context.play.write("keyed.op", "config", make_config(["key-2"], 9))
+    context.play.write("keyed.op", "config", sites.make_config(["key-2"], 9))
 
 
 @when("the store is back and an upstream leaves")
@@ -362,7 +130,7 @@
 
 @when("another host starts")
 def step_another(context: Any) -> None:
-    start_host(context.play, "127.0.0.2")
+    sites.start_host(context.play, "127.0.0.2")
 
 
 @then("events 1 to {last:d} come, with the receipt of the engine")
@@ -377,7 +145,7 @@
     run = context.play.get_runs()[-1]
     assert run["Tenant"] == name and "Authorization" not in run, run
     ends = [p.rpartition("-")[2] for p in run["Hop-Count"].split(",")]
-    assert ends[-1] == str(LAYERS), run
+    assert ends[-1] == str(sites.LAYERS), run
     assert 8000 < int(run["Deadline-Ms"]) <= 9000, run
 
 
@@ -427,7 +195,7 @@
 def step_for(context: Any, seconds: float, key: str) -> None:
     end_s = time.monotonic() + seconds
     while time.monotonic() < end_s:
-        assert can_stream(context.play)
+        assert sites.can_stream(context.play)
 
 
 @then("within {seconds:g} s no request reaches it")
@@ -445,13 +213,15 @@
 def step_other_host(context: Any, seconds: float, key: str) -> None:
     platform = context.play
     stage.wait_until(
-        lambda: can_stream(platform, "127.0.0.2"), seconds, "it serves"
+        lambda: sites.can_stream(platform, "127.0.0.2"), seconds, "it serves"
     )
 
 
 @then("the host is not ready within {seconds:g} s")
 def step_not_ready(context: Any, seconds: float) -> None:
-    stage.wait_until(lambda: not is_ready(context.play), seconds, "not ready")
+    stage.wait_until(
+        lambda: not sites.is_ready(context.play), seconds, "not ready"
+    )
 
 
 @then("all {count:d} events come")
@@ -468,7 +238,7 @@
         res = context.kept.request(
             "POST",
             "/notes/x",
-            headers={"Host": HOST, "Authorization": "Bearer key-1"},
+            headers={"Host": sites.HOST, "Authorization": "Bearer key-1"},
         )
         assert res.status == 503, res.status
     except urllib3.exceptions.HTTPError:
--- /dev/null
+++ b/tests/steps/soak_steps.py
@@ -0,0 +1,56 @@
+"""Steps on the fault soak."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then, when
+
+from tests import soak
+
+
+def make_answer(path: str, status: int, ids: str, echoed: str) -> soak.Answer:
+    """Returns an answer of request ``r`` with events of these ids."""
+    body = "".join(f"id: {i}\n\n" for i in ids).encode()
+    return soak.Answer("r", path, "127.0.0.1", status, body, echoed)
+
+
+@when(
+    'a request to "{path}" is answered {status:d} with "{ids}" after {runs:d}'
+    " runs"
+)
+@when(
+    'a request to "{path}" is answered {status:d} with "" after {runs:d} runs'
+)
+def step_answered(
+    context: Any, path: str, status: int, runs: int, ids: str = ""
+) -> None:
+    context.found = soak.check(make_answer(path, status, ids, "r"), runs)
+
+
+@when("a request is answered with the answer of another one")
+def step_other(context: Any) -> None:
+    answer = make_answer("/notes/x", 200, "12345", "q")
+    context.found = soak.check(answer, 1)
+
+
+@then('the soak says "{finding}"')
+@then('the soak says ""')
+def step_says(context: Any, finding: str = "") -> None:
+    assert finding in context.found, context.found
+    assert bool(finding) == bool(context.found), context.found
+
+
+@when(
+    "a site of {hosts:d} hosts is soaked for {seconds:d} s with seed {seed:d}"
+)
+def step_soaked(context: Any, hosts: int, seconds: int, seed: int) -> None:
+    context.soak, context.found = soak.run(seed, seconds, hosts)
+
+
+@then("nothing is found wrong, and answers of each kind came")
+def step_nothing(context: Any) -> None:
+    assert not context.found, context.found
+    whole = {a.path for a in context.soak.answers if a.status == 200}
+    assert whole == set(soak.PATHS), whole
+    assert context.soak.faults, "no fault was made"
