Take what a router knows of upstreams out of the dispatcher

`routing/dispatch.py` had 574 lines and two jobs: decisions about requests, and what is known of upstreams (tables, marks, loads, graphs). Behaviour is as it was: the order of steps and of draws from the random source is kept; tests only follow the moved attributes.

--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -174,11 +174,13 @@
     def _(self, message: GetReport) -> Report:
         marks = tuple(
             tables.LeavingMark(name, incarnation)
-            for name, found in sorted(self._dispatcher.leaving.items())
+            for name, found in sorted(self._dispatcher.network.leaving.items())
             for incarnation in sorted(found)
         )
         return Report(
-            self._dispatcher.offset, marks, self._dispatcher.get_demand()
+            self._dispatcher.network.offset,
+            marks,
+            self._dispatcher.get_demand(),
         )
 
     @handle.register
@@ -186,7 +188,7 @@
         now = time.monotonic()
         state = self._dispatcher
         return Dump(
-            state.offset,
+            state.network.offset,
             attrs.evolve(state.counts),
             len(state.queue.waiting),
             dict(state.running),
@@ -198,9 +200,9 @@
                     load.own,
                     round(load.estimate(now), 1),
                 )
-                for name, load in sorted(state.loads.items())
+                for name, load in sorted(state.network.loads.items())
             ),
-            {n: tuple(sorted(f)) for n, f in state.leaving.items()},
+            {n: tuple(sorted(f)) for n, f in state.network.leaving.items()},
         )
 
 
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -18,10 +18,14 @@
 from egretspur.admission import queue as queues
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
-from egretspur.routing import loads, questions, requests, shares, tables
-
-# A marked incarnation is remembered this long; far above the platform's lag.
-LEAVING_KEPT_S: Final = 3600.0
+from egretspur.routing import (
+    loads,
+    network,
+    questions,
+    requests,
+    shares,
+    tables,
+)
 
 # Times a request is sent back to the queue because its upstream was busy.
 BUSY_TRIES: Final = 20
@@ -40,23 +44,15 @@
         rng: random.Random,
     ) -> None:
         self._name = name
-        self._data_centre = data_centre
         self._timing = timing
         self._retries = retries
         self._rng = rng
         self.queue = queues.Queue(limit_opts.queue_length)
         self.budget = budgets.Budget(retries.ratio, retries.burst)
-        self.loads: dict[str, loads.UpstreamLoad] = {}
-        self.links: dict[tuple[str, str], loads.LinkSpeed] = {}
+        self.network = network.Network(data_centre, rng)
         self.tickets: dict[str, requests.Ticket] = {}
         self.running: dict[str, int] = {}
         self.counts = requests.Counts()
-        self.offset = 0
-        self.leaving: dict[str, dict[str, float]] = {}
-        self._upstreams: dict[str, tables.Upstream] = {}
-        self._deployments: dict[str, records.Deployment] = {}
-        self._bindings: dict[str, records.Binding] = {}
-        self._graphs: dict[str, graphs.Graph] = {}
         self._shares = shares.WorkspaceShares(
             name, limit_opts.settle_s, timing.deadline_s
         )
@@ -71,7 +67,7 @@
         """Admits, queues or refuses a request."""
         self._now_s = now_s
         self.counts.arrived += 1
-        if not self.offset:
+        if not self.network.offset:
             return self._refuse(
                 arrival.id,
                 errors.Refusal(
@@ -81,7 +77,7 @@
                 ),
             )
         key = records.binding_key(arrival.workspace, arrival.model)
-        binding = self._bindings.get(key)
+        binding = self.network.bindings.get(key)
         if binding is None:
             return self._refuse(
                 arrival.id,
@@ -93,7 +89,7 @@
         ticket = requests.Ticket(
             arrival,
             key,
-            make_graph_key(binding),
+            network.make_graph_key(binding),
             now_s + self._timing.deadline_s,
             binding.priority,
         )
@@ -114,7 +110,7 @@
         ticket.maybe_started |= failure.maybe_started or ticket.begun
         if failure.busy:
             return self._handle_busy(ticket, path, failure, now_s)
-        self._blame(ticket, path, failure, now_s)
+        self.network.blame(ticket, path, failure, now_s)
         if ticket.attempts >= self._retries.attempts:
             return self._give_up(ticket, failure, "no attempts left", now_s)
         if ticket.begun:
@@ -130,21 +126,7 @@
         ticket = self.tickets.get(message.id)
         if ticket is None or ticket.path is None:
             return
-        previous = ""
-        changed = False
-        token_s = message.seconds / max(1, message.tokens)
-        for edge in ticket.path.edges:
-            load = self.loads[edge.upstream]
-            changed |= loads.note_success(load, now_s)
-            if message.tokens > 1:
-                key = (previous, edge.upstream)
-                link = self.links.setdefault(key, loads.LinkSpeed())
-                loads.note_speed(link, token_s, now_s)
-            previous = edge.upstream
-        if message.load >= 0:
-            loads.note_report(self.loads[previous], message.load, now_s)
-        if changed:
-            self._rebuild()
+        self.network.note_tokens(ticket.path, message, now_s)
 
     def finish(self, request_id: str, now_s: float) -> list[requests.Effect]:
         """Ends a request, whole or given up by its caller."""
@@ -165,13 +147,12 @@
     ) -> list[requests.Effect]:
         """Takes a new table, marks and demand."""
         self._now_s = now_s
-        if message.table is not None:
-            self._take_table(message.table)
-        for name, incarnations in message.leaving.items():
-            for incarnation in incarnations:
-                self.leaving.setdefault(name, {}).setdefault(incarnation, now_s)
+        table = message.table
+        if table is not None and self.network.take_table(table):
+            self._shares.divisors = table.shares
+        self.network.mark_leaving(message.leaving, now_s)
         self._shares.note(message.demand, message.listed, now_s)
-        self._rebuild()
+        self.network.rebuild()
         return self._start_waiting(now_s)
 
     def tick(self, now_s: float) -> list[requests.Effect]:
@@ -186,21 +167,8 @@
                 now_s,
                 retry_after_s=1.0,
             )
-        probing = False
-        for load in self.loads.values():
-            # Spread over the routers: each lets a probe begin with a chance
-            # that makes about one in all routers a second.
-            if loads.is_probe_due(load, now_s) and (
-                self._rng.random() < 1.0 / self._shares.listed
-            ):
-                load.health = loads.Health.PROBING
-                probing = True
-        for name, marks in list(self.leaving.items()):
-            self.leaving[name] = {
-                i: t for i, t in marks.items() if now_s - t < LEAVING_KEPT_S
-            }
-        if probing:
-            self._rebuild()
+        self.network.forget_marks(now_s)
+        self.network.begin_probes(self._shares.listed, now_s)
         return effects + self._start_waiting(now_s)
 
     def get_demand(self) -> dict[str, int]:
@@ -214,31 +182,19 @@
         return {
             key: count
             for key, count in demand.items()
-            if key in self._bindings and self._bindings[key].limit
+            if key in self.network.bindings and self.network.bindings[key].limit
         }
 
     def get_services(self, name: str, now_s: float) -> list[tables.Upstream]:
         """Returns a plain service's replicas that may be given a call."""
-        found = [
-            u
-            for u in self._upstreams.values()
-            if u.service == name and self._is_usable(u.name)
-        ]
+        found = self.network.list_usable(name)
         self._rng.shuffle(found)
-        found.sort(key=lambda u: self.loads[u.name].own)
+        found.sort(key=lambda u: self.network.loads[u.name].own)
         return found
 
     def note_service(self, name: str, is_ok: bool, now_s: float) -> None:
         """Learns from a plain service's answer or its absence."""
-        load = self.loads.get(name)
-        if load is None:
-            return
-        if is_ok:
-            changed = loads.note_success(load, now_s)
-        else:
-            changed = loads.note_failure(load, now_s, self._rng, sure=True)
-        if changed:
-            self._rebuild()
+        self.network.note_result(name, is_ok, now_s)
 
     # Decisions.
 
@@ -246,7 +202,7 @@
         self, ticket: requests.Ticket, now_s: float
     ) -> list[requests.Effect]:
         item = self._make_waiting(ticket, now_s)
-        graph = self._graphs.get(ticket.graph)
+        graph = self.network.graphs.get(ticket.graph)
         if graph is None or not graph.size:
             if ticket.begun:
                 return self._wait_begun(ticket, item, now_s)
@@ -321,11 +277,11 @@
     def _try_start(
         self, ticket: requests.Ticket, now_s: float
     ) -> requests.Grant | None:
-        graph = self._graphs.get(ticket.graph)
-        binding = self._bindings.get(ticket.key)
+        graph = self.network.graphs.get(ticket.graph)
+        binding = self.network.bindings.get(ticket.key)
         if graph is None or binding is None:
             return None
-        known = graphs.Known(self.loads, self.links, now_s)
+        known = graphs.Known(self.network.loads, self.network.links, now_s)
         avoid = frozenset(ticket.failed | ticket.suspected)
         path = graphs.choose_path(graph, known, self._rng, avoid)
         if path is None and ticket.suspected:
@@ -335,7 +291,7 @@
         if path is None:
             return None
         for edge in path.edges:
-            self.loads[edge.upstream].own += 1
+            self.network.loads[edge.upstream].own += 1
         ticket.path = path
         ticket.attempts += 1
         self.counts.attempts += 1
@@ -344,8 +300,8 @@
             ticket.arrival.id,
             path,
             binding,
-            tuple(self._upstreams[e.upstream] for e in path.edges),
-            self._deployments[graph.label],
+            tuple(self.network.upstreams[e.upstream] for e in path.edges),
+            self.network.deployments[graph.label],
         )
 
     def _release(self, ticket: requests.Ticket) -> graphs.Path | None:
@@ -354,7 +310,7 @@
             return None
         ticket.path = None
         for edge in path.edges:
-            load = self.loads.get(edge.upstream)
+            load = self.network.loads.get(edge.upstream)
             if load is not None:
                 load.own -= 1
         left = self.running[ticket.key] - 1
@@ -380,7 +336,7 @@
         ticket.busy_tries += 1
         for edge in path.edges if path else ():
             if not failure.blamed or edge.upstream in failure.blamed:
-                loads.note_full(self.loads[edge.upstream], now_s)
+                loads.note_full(self.network.loads[edge.upstream], now_s)
         if ticket.busy_tries > BUSY_TRIES and not ticket.begun:
             return self._refuse_ticket(
                 ticket.arrival.id,
@@ -391,40 +347,6 @@
             )
         return [*self._admit(ticket, now_s), *self._start_waiting(now_s)]
 
-    def _blame(
-        self,
-        ticket: requests.Ticket,
-        path: graphs.Path | None,
-        failure: requests.Failure,
-        now_s: float,
-    ) -> None:
-        changed = False
-        if failure.leaving and failure.leaving in self._upstreams:
-            incarnation = self._upstreams[failure.leaving].incarnation
-            marks = self.leaving.setdefault(failure.leaving, {})
-            marks.setdefault(incarnation, now_s)
-            ticket.failed.add(failure.leaving)
-            self._rebuild()
-            return
-        edges = path.edges if path else ()
-        for edge in edges:
-            load = self.loads.get(edge.upstream)
-            if load is None:
-                continue
-            if failure.blamed:
-                if edge.upstream in failure.blamed:
-                    ticket.failed.add(edge.upstream)
-                    changed |= loads.note_failure(
-                        load, now_s, self._rng, sure=True
-                    )
-            else:
-                ticket.suspected.add(edge.upstream)
-                changed |= loads.note_failure(
-                    load, now_s, self._rng, sure=len(edges) == 1
-                )
-        if changed:
-            self._rebuild()
-
     def _give_up(
         self,
         ticket: requests.Ticket,
@@ -480,7 +402,7 @@
         )
 
         def compute_share(key: str) -> int | None:
-            binding = self._bindings.get(key)
+            binding = self.network.bindings.get(key)
             if binding is None or not binding.limit:
                 return None
             wanted = self.running.get(key, 0) + waiting[key] + 1
@@ -505,70 +427,3 @@
             ticket.deadline_s,
             ticket.begun,
         )
-
-    def _take_table(self, table: tables.RoutingTable) -> None:
-        if table.offset < self.offset:
-            # A control daemon that just started may know less than this
-            # router already has in force; going back would revert a change.
-            return
-        self.offset = table.offset
-        self._deployments = {d.id: d for d in table.deployments}
-        self._bindings = {
-            records.binding_key(b.workspace, b.model): b for b in table.bindings
-        }
-        self._shares.divisors = table.shares
-        for upstream in table.upstreams:
-            old = self._upstreams.get(upstream.name)
-            load = self.loads.get(upstream.name)
-            if load is None or (
-                old is not None and old.incarnation != upstream.incarnation
-            ):
-                own = load.own if load else 0
-                self.loads[upstream.name] = loads.UpstreamLoad(
-                    upstream.slots, own
-                )
-            self._upstreams[upstream.name] = upstream
-        listed = {u.name for u in table.upstreams}
-        for name in set(self._upstreams) - listed:
-            if not self.loads[name].own:
-                del self._upstreams[name]
-                del self.loads[name]
-
-    def _is_usable(self, name: str) -> bool:
-        upstream = self._upstreams.get(name)
-        if upstream is None or upstream.leaving:
-            return False
-        if upstream.incarnation in self.leaving.get(name, {}):
-            return False
-        return self.loads[name].health is not loads.Health.DOWN
-
-    def _rebuild(self) -> None:
-        """Builds the graphs anew; called when an upstream comes or goes."""
-        speeds = {n: u.layers_per_s for n, u in self._upstreams.items()}
-        built: dict[str, graphs.Graph] = {}
-        for binding in self._bindings.values():
-            key = make_graph_key(binding)
-            if key in built:
-                continue
-            found = [
-                self._deployments[n]
-                for n in binding.deployments
-                if n in self._deployments
-            ]
-            here = [d for d in found if d.data_centre == self._data_centre]
-            chosen = here or found
-            if not chosen:
-                continue
-            built[key] = graphs.Graph(
-                chosen[0].id,
-                chosen[0].layers,
-                chosen,
-                speeds,
-                self._is_usable,
-            )
-        self._graphs = built
-
-
-def make_graph_key(binding: records.Binding) -> str:
-    """Returns the name of the graph a binding's requests go through."""
-    return "+".join(binding.deployments)
--- a/tests/routing/machine.py
+++ b/tests/routing/machine.py
@@ -209,7 +209,7 @@
                 for r in self.world.requests.values()
                 if r.router == number and r.current is not None
             ]
-            own = sum(load.own for load in router.loads.values())
+            own = sum(load.own for load in router.network.loads.values())
             assert own == 2 * len(running), (own, len(running))
             counts = router.counts
             allowed = 3.0 + 0.1 * counts.arrived
--- a/tests/steps/decisions_steps.py
+++ b/tests/steps/decisions_steps.py
@@ -100,9 +100,9 @@
     context.names = [f"u{i}" for i in range(count)]
     context.dispatcher = make_dispatcher(context.names)
     for name in context.names[1:]:
-        context.dispatcher.loads[name].others = busy
-        context.dispatcher.loads[name].reported_at_s = 10.0
-    back = context.dispatcher.loads["u0"]
+        context.dispatcher.network.loads[name].others = busy
+        context.dispatcher.network.loads[name].reported_at_s = 10.0
+    back = context.dispatcher.network.loads["u0"]
     loads.note_failure(back, 5.0, random.Random(1), sure=True)
     loads.note_success(back, 10.0)
 
