Take the news of other hosts together, 50 ms at a time

A host profiled before 27 senders of news, four a second each, spent 0.058 of a core on them, 0.54 ms for each datagram: most of it waking up, twice for each (receiver and desk). Idle it spends 0.030.

Change: after a datagram the receiver gathers for 50 ms and hands all to the desk in one message.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -411,12 +411,12 @@
     def _get_list_pace(self) -> feeds.Pace:
         return reading.get_list_pace(self._exchange.is_reader())
 
-    def _poke_feeds(self, news: exchange.News) -> None:
+    def _poke_feeds(self, heard: Sequence[exchange.News]) -> None:
         """Has the feeds read what another host has read already."""
         configs, listed = self._feeds
-        if reading.is_config_due(self._known, news.known):
+        if any(reading.is_config_due(self._known, n.known) for n in heard):
             configs.poke()
-        if reading.is_list_due(self._known, news.known):
+        if any(reading.is_list_due(self._known, n.known) for n in heard):
             listed.poke()
 
     def _note_role(self) -> None:
@@ -427,19 +427,16 @@
             for feed in self._feeds:
                 feed.poke()
 
-    def _take_news(self, news: exchange.News, hosts: int) -> None:
-        self._poke_feeds(news)
-        self._desk.tell(
+    def _take_news(self, heard: Sequence[exchange.News], hosts: int) -> None:
+        self._poke_feeds(heard)
+        news = [
             desk.PeerNews(
-                news.host,
-                news.data_centre,
-                news.usage,
-                news.pace,
-                news.dead,
-                news.layers,
-                max(hosts, len(self._cfg.seeds)),
+                n.host, n.data_centre, n.usage, n.pace, n.dead, n.layers
             )
-        )
+            for n in heard
+        ]
+        seeds = len(self._cfg.seeds)
+        self._desk.tell(desk.Heard(tuple(news), max(hosts, seeds)))
 
     def reload(self) -> None:
         """Has the settings read again soon; safe in a signal handler."""
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -17,7 +17,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, Final
 
 import attrs
@@ -54,6 +54,13 @@
 # Upstreams in one datagram; it must fit into one packet.
 MAX_ENTRIES: Final = 40
 
+# After a datagram others are waited for so long, in seconds; a fifth of the
+# time between two of one host.
+GATHER_S: Final = 0.05
+
+# Datagrams taken together at most, so that none waits for long.
+MOST_AT_ONCE: Final = 256
+
 _MAX_DATAGRAM: Final = 65536
 
 
@@ -307,7 +314,7 @@
         port: int,
         make_news: Callable[[Mapping[str, str]], News],
         sum_near: Callable[[], Mapping[str, jobs.Usage]],
-        take_news: Callable[[News, int], None],
+        take_news: Callable[[Sequence[News], int], None],
     ) -> None:
         """Makes an exchange.
 
@@ -318,7 +325,8 @@
             make_news: Returns this host's news, given the hosts to name.
             sum_near: Returns what the whole data centre has in flight; for
                 the speaker's news to the others.
-            take_news: Takes another's news and the hosts that share a budget.
+            take_news: Takes others' news, oldest first, and the number of
+                hosts that share a budget.
         """
         self._ip = ip
         self._port = port
@@ -329,6 +337,8 @@
         self._peers = peers
         self._stop = threading.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        # The same socket, read without waiting.
+        self._waiting = self._sock.dup()
         self._threads = [
             threading.Thread(target=self._send, name="news-out", daemon=True),
             threading.Thread(target=self._receive, name="news-in", daemon=True),
@@ -338,6 +348,7 @@
         """Starts to send and receive."""
         self._sock.bind((self._ip, self._port))
         self._sock.settimeout(1.0)
+        self._waiting.setblocking(False)
         for thread in self._threads:
             thread.start()
 
@@ -345,6 +356,7 @@
         """Stops."""
         self._stop.set()
         self._sock.close()
+        self._waiting.close()
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Takes other hosts to begin with."""
@@ -403,16 +415,38 @@
     def _receive(self) -> None:
         while not self._stop.is_set():
             try:
-                data: Any = self._sock.recv(_MAX_DATAGRAM)
+                first: bytes = self._sock.recv(_MAX_DATAGRAM)
             except TimeoutError:
                 continue
             except OSError:
                 return
-            news = decode_news(data)
-            if news is None or news.host == self._ip:
-                continue
-            now_s = time.monotonic()
-            with self._lock:
+            # Among many hosts others follow at once; waking up for each costs
+            # more than reading it.
+            self._stop.wait(GATHER_S)
+            self._take([first, *self._read_waiting()])
+
+    def _read_waiting(self) -> list[bytes]:
+        """Returns the datagrams that have come meanwhile."""
+        waiting: list[bytes] = []
+        while len(waiting) < MOST_AT_ONCE:
+            try:
+                waiting.append(self._waiting.recv(_MAX_DATAGRAM))
+            except OSError:
+                # None is left, or the socket was closed.
+                break
+        return waiting
+
+    def _take(self, datagrams: Iterable[bytes]) -> None:
+        now_s = time.monotonic()
+        heard = [
+            news
+            for data in datagrams
+            if (news := decode_news(data)) is not None and news.host != self._ip
+        ]
+        if not heard:
+            return
+        with self._lock:
+            for news in heard:
                 self._peers.note(news, now_s)
-                shared = self._peers.count_sharing(now_s)
-            self._take_news(news, shared)
+            shared = self._peers.count_sharing(now_s)
+        self._take_news(heard, shared)
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -102,6 +102,13 @@
     dead: tuple[str, ...]
     # Layers that engines reported to it.
     layers: Mapping[str, upstreams.Layers]
+
+
+@attrs.frozen
+class Heard:
+    """What other hosts said, oldest first."""
+
+    news: tuple[PeerNews, ...]
     # Hosts that share the retry budget, as far as this one knows.
     hosts: int
 
@@ -218,19 +225,11 @@
             upstreams.note_return(self._broker.fleet.roster, now_s)
 
     @handle.register
-    def _(self, message: PeerNews) -> None:
+    def _(self, message: Heard) -> None:
         self._broker.hosts = max(1, message.hosts)
-        state = self._broker.fleet
-        state.peers[message.host] = fleet.PeerUsage(
-            time.monotonic(), message.usage, message.data_centre
-        )
-        state.paces.hear(message.pace, time.monotonic())
-        # A host in the same data centre sees what this one would see.
-        if message.data_centre == state.data_centre:
-            for upstream_id in message.dead:
-                state.note_down(upstream_id, time.monotonic())
-        for upstream_id, layers in message.layers.items():
-            upstreams.learn(state.roster, upstream_id, layers, time.monotonic())
+        now_s = time.monotonic()
+        for news in message.news:
+            self._hear(news, now_s)
 
     @handle.register
     def _(self, message: NoteFailed) -> None:
@@ -268,6 +267,19 @@
     def _(self, message: Look) -> Any:
         return message.read(self._broker)
 
+    def _hear(self, news: PeerNews, now_s: float) -> None:
+        state = self._broker.fleet
+        state.peers[news.host] = fleet.PeerUsage(
+            now_s, news.usage, news.data_centre
+        )
+        state.paces.hear(news.pace, now_s)
+        # A host in the same data centre sees what this one would see.
+        if news.data_centre == state.data_centre:
+            for upstream_id in news.dead:
+                state.note_down(upstream_id, now_s)
+        for upstream_id, layers in news.layers.items():
+            upstreams.learn(state.roster, upstream_id, layers, now_s)
+
     def on_receive(self, message: Any) -> Any:
         """Handles one message and logs what was decided by it."""
         res = super().on_receive(message)
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -72,3 +72,9 @@
     And as speaker to 10.2.0.4, 10.2.0.5
     Given hosts 10.1.0.10 of kl-hall that were heard now
     Then it does not speak
+
+  Scenario: Datagrams that come together
+    # Symptom: among 78 hosts a host spends most of its time on waking up.
+    Given a host that takes news
+    When 30 hosts send it datagrams at once, one of them malformed
+    Then it hears 29 hosts, in fewer than 10 goes
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -275,8 +277,8 @@
 def make_taker(heard: dict[str, exchange.News]) -> Any:
     """Returns what takes others' news."""
 
-    def take(news: exchange.News, hosts: int) -> None:
-        heard[news.host] = news
+    def take(news: Sequence[exchange.News], hosts: int) -> None:
+        heard.update({n.host: n for n in news})
 
     return take
 
@@ -309,3 +311,38 @@
 def step_share(context: Any, age: int, count: int) -> None:
     sharing = context.peers.count_sharing(100.0 + age)
     assert sharing == count, sharing
+
+
+@given("a host that takes news")
+def step_taker(context: Any) -> None:
+    context.play = Talkers()
+    context.goes = []
+    port = stage.find_udp_port([IPS[0]])
+    context.port = port
+    taker = exchange.Exchange(
+        exchange.Peers(IPS[0], "kl-hall", []),
+        IPS[0],
+        port,
+        make_sender(IPS[0]),
+        dict,
+        lambda news, hosts: context.goes.append([n.host for n in news]),
+    )
+    context.play.exchanges.append(taker)
+    taker.start()
+
+
+@when("{count:d} hosts send it datagrams at once, one of them malformed")
+def step_at_once(context: Any, count: int) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for i in range(count - 1):
+            data = exchange.encode_news(make_news(f"10.0.1.{i}"))
+            sock.sendto(data, (IPS[0], context.port))
+        sock.sendto(b"[]", (IPS[0], context.port))
+
+
+@then("it hears {count:d} hosts, in fewer than {goes:d} goes")
+def step_goes(context: Any, count: int, goes: int) -> None:
+    stage.wait_until(
+        lambda: sum(len(g) for g in context.goes) == count, 5.0, "all heard"
+    )
+    assert len(context.goes) < goes, context.goes
