--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,10 +1,10 @@
 """Compares policies of placement and admission on the model of engines.
 
 ``python -m bench.fleet`` prints the worth of each policy by load as JSON lines;
-``--plot FILE`` draws it. ``--site FILE --journal FOLDER`` plays the standard
-days of a deployment's file, as far as the model knows their troubles, beside
-the worth that the journal's newest score measured, and prints how well the
-model ranks them.
+``--plot FILE`` draws it, ``--trials`` compares single decisions. ``--site FILE
+--journal FOLDER`` plays the standard days of a deployment's file, as far as the
+model knows their troubles, beside the worth that the journal's newest score
+measured, and prints how well the model ranks them.
 """
 
 from __future__ import annotations
@@ -41,6 +41,15 @@
     make_room(60_000),
 )
 
+# The product's own decisions, and each of them by itself done otherwise.
+TRIALS: Final = (
+    fleetplay.Policy("as it is"),
+    fleetplay.Policy("resumed, never moved", is_moving=False),
+    fleetplay.Policy("faster of two random paths", is_random=True),
+    fleetplay.Policy("back after 0.7 s", back_s=(0.7, 0.7)),
+    fleetplay.Policy("back after 0.7 to 4 s", back_s=(0.7, 4.0)),
+)
+
 # Two engines die for good and one for a while, as on a bad day.
 TROUBLES: Final = (
     fleetplay.Trouble("crash", 6.0, 4.0, "kl-hall"),
@@ -49,10 +58,12 @@
 )
 
 
-def compare(loads: Sequence[float]) -> dict[str, list[float]]:
+def compare(
+    loads: Sequence[float], policies: Sequence[fleetplay.Policy]
+) -> dict[str, list[float]]:
     """Returns the mean worth of each policy at each load."""
     found: dict[str, list[float]] = {}
-    for policy in POLICIES:
+    for policy in policies:
         worths = []
         for load in loads:
             rates = {place: rate * load for place, rate in RATES.items()}
@@ -71,8 +82,8 @@
 
 
 def emit(loads: Sequence[float], found: Mapping[str, Sequence[float]]) -> None:
-    """Prints the comparison, the even split as baseline."""
-    baseline = POLICIES[0].name
+    """Prints the comparison, the first policy as baseline."""
+    baseline = next(iter(found))
     for name, worths in found.items():
         for load, worth, other in zip(
             loads, worths, found[baseline], strict=True
@@ -242,11 +253,14 @@
     parser.add_argument("--plot", type=pathlib.Path, help="SVG to draw")
     parser.add_argument("--site", type=pathlib.Path, help="deployment's file")
     parser.add_argument("--journal", type=pathlib.Path, help="folder of scores")
+    parser.add_argument(
+        "--trials", action="store_true", help="compare single decisions"
+    )
     args = parser.parse_args(argv)
     if args.site:
         compare_days(args.site, args.journal or pathlib.Path("journal"))
         return 0
-    found = compare(LOADS)
+    found = compare(LOADS, TRIALS if args.trials else POLICIES)
     emit(LOADS, found)
     if args.plot:
         plot(args.plot, LOADS, found)
--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -49,6 +49,13 @@
     rooms: tuple[float, ...] = ranges.ROOMS
     # Whether layers are spread evenly over all cards, the baseline.
     is_even: bool = False
+    # Answers over a stage that died are moved; else they are resumed.
+    is_moving: bool = True
+    # The faster of two random paths is taken; else the cheapest of all.
+    is_random: bool = False
+    # Seconds after which callers that were refused are told to come back, each
+    # once; drawn between the two.
+    back_s: tuple[float, float] = broker.RETRY_AFTER_S
 
 
 @attrs.frozen
@@ -109,6 +116,52 @@
     last_s: float = 0.0
     gap_s: float = 0.0
     is_over: bool = False
+    # It was refused before.
+    is_back: bool = False
+
+
+class RandomBroker(broker.Broker):
+    """Takes the faster of two random paths: the baseline of the choice."""
+
+    def find_path(
+        self,
+        job: jobs.Job,
+        spec: config.EngineSpec,
+        cards: Sequence[paths.Card],
+        cut_off: set[str],
+    ) -> tuple[paths.Part, ...] | None:
+        """See `broker.Broker.find_path`."""
+        near = [c for c in cards if c.data_centre == self.fleet.data_centre]
+        for choice in (near, cards):
+            drawn = [
+                d
+                for _ in range(2)
+                if (d := self._draw(choice, spec.layers, job.tokens))
+            ]
+            if drawn:
+                return min(drawn, key=lambda d: paths.compute_path_s(d, choice))
+        return None
+
+    def _draw(
+        self, cards: Sequence[paths.Card], layers: int, tokens: float
+    ) -> tuple[paths.Part, ...]:
+        """Returns a random path of engines with room, empty if it ends."""
+        parts: list[paths.Part] = []
+        at = 0
+        while at < layers:
+            fitting = [
+                c
+                for c in cards
+                if c.first <= at < c.last
+                and (c.last - at) * tokens <= c.free
+                and c.id not in {p.id for p in parts}
+            ]
+            if not fitting or len(parts) == paths.MAX_PARTS:
+                return ()
+            card = self._rng.choice(fitting)
+            parts.append(paths.Part(card.id, card.address, at, card.last))
+            at = card.last
+        return tuple(parts)
 
 
 class Play:
@@ -146,8 +199,9 @@
                         )
                     )
         options = broker.BudgetOptions(0.2, 200.0, 10.0)
+        make = RandomBroker if policy.is_random else broker.Broker
         self._brokers = {
-            place: broker.Broker(place, options, random.Random(day.seed))
+            place: make(place, options, random.Random(day.seed))
             for place in cards
         }
         self._requests: dict[str, _Request] = {}
@@ -297,8 +351,20 @@
             prompt, 591, hint, self._spec.usual_answer
         )
         self._outcome.asked += 1
-        job = jobs.Job(
-            f"r{self._outcome.asked}",
+        self._ask(
+            _Request(
+                self._make_job(f"r{self._outcome.asked}", tokens),
+                place,
+                prompt,
+                answer,
+                last_s=now_s,
+            )
+        )
+
+    def _make_job(self, name: str, tokens: float) -> jobs.Job:
+        now_s = self._timeline.now_s
+        return jobs.Job(
+            name,
             _ROUTE,
             "llm",
             "w",
@@ -307,9 +373,24 @@
             now_s,
             now_s + _ROUTE.timeout_s,
         )
-        req = _Request(job, place, prompt, answer, last_s=now_s)
-        self._requests[job.id] = req
-        self._act(place, self._brokers[place].arrive(job, now_s))
+
+    def _ask(self, req: _Request) -> None:
+        self._requests[req.job.id] = req
+        state = self._brokers[req.place]
+        self._act(req.place, state.arrive(req.job, self._timeline.now_s))
+
+    def _come_back(self, req: _Request) -> None:
+        """Asks once more for what was refused; its time runs on."""
+        job = self._make_job(f"{req.job.id}b", req.job.tokens)
+        again = _Request(
+            attrs.evolve(job, arrived_s=req.job.arrived_s),
+            req.place,
+            req.prompt,
+            req.answer,
+            last_s=self._timeline.now_s,
+            is_back=True,
+        )
+        self._ask(again)
 
     def _act(self, place: str, effects: Sequence[jobs.Effect]) -> None:
         for effect in effects:
@@ -370,6 +451,9 @@
                 self._outcome.prompt += 1
             else:
                 self._outcome.late += 1
+        elif how == "refused" and not req.is_back:
+            after_s = self._rng.uniform(*self._policy.back_s)
+            self._timeline.after(after_s, lambda: self._come_back(req))
         elif how == "refused":
             self._outcome.refused += 1
         else:
@@ -461,7 +545,9 @@
             if req is None or req.run is not run:
                 continue
             state = self._brokers[req.place]
-            parts = state.repath(run.id, frozenset([engine.id]), now_s)
+            parts = None
+            if self._policy.is_moving:
+                parts = state.repath(run.id, frozenset([engine.id]), now_s)
             if parts is not None and self._can_run(parts):
                 self._engines.move(run, parts)
             else:
--- a/bench/main.py
+++ b/bench/main.py
@@ -71,7 +71,7 @@
     """Policies of placement on the model of engines, at three loads."""
     figures.say("policies on the model of engines")
     loads = (1.0, 2.0, 3.0)
-    fleet.emit(loads, fleet.compare(loads))
+    fleet.emit(loads, fleet.compare(loads, fleet.POLICIES))
 
 
 def emit_placement() -> None:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -52,7 +52,7 @@
 
 
 @attrs.define
-class _Ticket:
+class Ticket:
     """A request that this host has accepted."""
 
     job: jobs.Job
@@ -79,7 +79,7 @@
         self.fleet = fleets.Fleet(data_centre)
         self.queue = queues.Queue(QUEUE_LENGTH)
         self.counts = jobs.Counts()
-        self.tickets: dict[str, _Ticket] = {}
+        self.tickets: dict[str, Ticket] = {}
         # Hosts that share the retry budget.
         self.hosts = 1
         self._options = budget
@@ -104,7 +104,7 @@
         """Starts, queues or refuses a request."""
         self.counts.arrived += 1
         self._get_budget(job.service).earn(now_s)
-        ticket = _Ticket(job)
+        ticket = Ticket(job)
         self.tickets[job.id] = ticket
         return self._admit(ticket, now_s)
 
@@ -245,7 +245,7 @@
 
     # Decisions.
 
-    def _admit(self, ticket: _Ticket, now_s: float) -> list[jobs.Effect]:
+    def _admit(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         service = self._services.get(ticket.job.service)
         if service is None:
             return [
@@ -264,7 +264,7 @@
                 return [start]
         return self._enqueue(ticket, now_s)
 
-    def _enqueue(self, ticket: _Ticket, now_s: float) -> list[jobs.Effect]:
+    def _enqueue(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         job = ticket.job
         hold_s = HOLD_PART * job.route.objective_s
         due_s = job.arrived_s + hold_s
@@ -328,7 +328,7 @@
                 effects.append(start)
         return effects
 
-    def _try_start(self, ticket: _Ticket, now_s: float) -> jobs.Start | None:
+    def _try_start(self, ticket: Ticket, now_s: float) -> jobs.Start | None:
         """Finds a path, without engines that failed the request if it can.
 
         Which stage broke an answer often isn't known; the first is suspected.
@@ -340,16 +340,16 @@
         cards = self.fleet.make_cards(ticket.job.service, spec, now_s)
         others = [c for c in cards if c.id not in ticket.failed]
         cut_off = self.fleet.list_cut_off(now_s)
-        parts = self._find_path(ticket.job, spec, others, cut_off)
+        parts = self.find_path(ticket.job, spec, others, cut_off)
         if parts is None and ticket.failed:
-            parts = self._find_path(ticket.job, spec, cards, cut_off)
+            parts = self.find_path(ticket.job, spec, cards, cut_off)
         if parts is None:
             return None
         entry = self.fleet.roster.entries[parts[0].id]
         ticket.parts = parts
         return self._start(ticket, entry, cards, now_s)
 
-    def _find_path(
+    def find_path(
         self,
         job: jobs.Job,
         spec: config.EngineSpec,
@@ -378,7 +378,7 @@
                 return found
         return None
 
-    def _start_plain(self, ticket: _Ticket, now_s: float) -> list[jobs.Effect]:
+    def _start_plain(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
             ticket.job.service, ticket.failed, now_s
         )
@@ -395,7 +395,7 @@
 
     def _start(
         self,
-        ticket: _Ticket,
+        ticket: Ticket,
         entry: upstreams.Upstream,
         cards: Sequence[paths.Card],
         now_s: float,
@@ -410,7 +410,7 @@
 
     def _describe_start(
         self,
-        ticket: _Ticket,
+        ticket: Ticket,
         entry: upstreams.Upstream,
         cards: Sequence[paths.Card],
         now_s: float,
@@ -435,14 +435,14 @@
             peers,
         )
 
-    def _take_room(self, ticket: _Ticket, sign: int) -> None:
+    def _take_room(self, ticket: Ticket, sign: int) -> None:
         if not ticket.parts:
             self.fleet.add(ticket.upstream_id, sign, 0.0)
         for part in ticket.parts:
             used = (part.last - part.first) * ticket.job.tokens
             self.fleet.add(part.id, sign, sign * used)
 
-    def _release(self, ticket: _Ticket) -> None:
+    def _release(self, ticket: Ticket) -> None:
         if ticket.upstream_id:
             self._take_room(ticket, -1)
         ticket.upstream_id = ""
@@ -450,7 +450,7 @@
 
     def _blame(
         self,
-        ticket: _Ticket,
+        ticket: Ticket,
         was_at: str,
         failure: jobs.Failure,
         now_s: float,
@@ -474,7 +474,7 @@
                 self.fleet.note_fault(upstream_id, now_s)
 
     def _check_repeat(
-        self, ticket: _Ticket, failure: jobs.Failure, now_s: float
+        self, ticket: Ticket, failure: jobs.Failure, now_s: float
     ) -> errors.Refusal | None:
         """Returns the final answer if the request may not be sent again."""
         job = ticket.job
@@ -503,14 +503,14 @@
         self.counts.repeats += 1
         return None
 
-    def _make_final(self, ticket: _Ticket, reason: str) -> errors.Refusal:
+    def _make_final(self, ticket: Ticket, reason: str) -> errors.Refusal:
         kind = errors.ErrorKind.UPSTREAM_FAILED
         if not ticket.runs:
             kind = errors.ErrorKind.NO_ROUTE
         return self._make_refusal(ticket, kind, reason)
 
     def _make_refusal(
-        self, ticket: _Ticket, kind: errors.ErrorKind, reason: str
+        self, ticket: Ticket, kind: errors.ErrorKind, reason: str
     ) -> errors.Refusal:
         if ticket.runs and errors.ANSWERS[kind].not_run:
             # An earlier send may have run, whatever happened since.
@@ -522,7 +522,7 @@
 
     def _refuse(
         self,
-        ticket: _Ticket,
+        ticket: Ticket,
         now_s: float,
         kind: errors.ErrorKind,
         reason: str,
@@ -531,7 +531,7 @@
         return self._end(ticket, now_s, refusal)
 
     def _end(
-        self, ticket: _Ticket, now_s: float, refusal: errors.Refusal
+        self, ticket: Ticket, now_s: float, refusal: errors.Refusal
     ) -> questions.Refuse:
         """Ends a request with its final answer."""
         self.tickets.pop(ticket.job.id, None)
