Bound the dropped keys that a host keeps for others

Change: the 256 last are kept. A host that has read less than the oldest of them is handed everything, as after a history that expired. Test: 300 keys written and dropped; it fails without the bound (300 changes handed over).

--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -31,6 +31,12 @@
 HOSTS_ASKED: Final = 3
 
 
+# Keys that were dropped of late, for hosts that have read up to an earlier
+# offset; those that have read less are handed everything. Without a bound each
+# start of an upstream would leave a key for good.
+DROPPED_KEPT: Final = 256
+
+
 @attrs.frozen
 class Record:
     """A record of a topic as the store has it."""
@@ -76,7 +82,18 @@
     def put(self, record: Record) -> None:
         """Takes a record that changes what its key says, or drops it."""
         with self._lock:
+            # Dropped ones are in the order of their offsets.
+            self._records.pop(record.key, None)
             self._records[record.key] = record
+            if not record.raw:
+                self._forget_oldest_drop()
+
+    def _forget_oldest_drop(self) -> None:
+        dropped = [r for r in self._records.values() if not r.raw]
+        if len(dropped) > DROPPED_KEPT:
+            oldest = dropped[0]
+            del self._records[oldest.key]
+            self._complete_from = max(self._complete_from, oldest.offset + 1)
 
     def move_on(self, end: int) -> None:
         """Takes that all records before an offset were read."""
--- a/tests/catalog/catalog.feature
+++ b/tests/catalog/catalog.feature
@@ -98,6 +98,13 @@
       | 13     | changes ""       |
       | 14     | nothing          |
 
+  Scenario: Many keys that were dropped
+    # Symptom: a host's memory grows with each upstream that ever left.
+    Given a topic that was read whole up to offset 10 with keys "a, b"
+    When 300 other keys are written and dropped
+    Then at most 256 changes are ever handed over
+    And a host that has read up to 10 is handed all of "a, b"
+
   Scenario: A snapshot that can't be read
     When a host hands over bytes that are no snapshot
     Then they count as no answer
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -290,13 +290,32 @@
     context.newest.put(handover.Record(10, "b", b""))
     context.newest.put(handover.Record(11, "c", b"2"))
     # A record that changes nothing is not put.
-    context.newest.move_on(13)
+    context.end = 13
+    context.newest.move_on(context.end)
+
+
+@when("{count:d} other keys are written and dropped")
+def step_many_dropped(context: Any, count: int) -> None:
+    for i in range(count):
+        context.newest.put(handover.Record(10 + 2 * i, f"x{i}", b"1"))
+        context.newest.put(handover.Record(11 + 2 * i, f"x{i}", b""))
+    context.end = 10 + 2 * count
+    context.newest.move_on(context.end)
+
+
+@then("at most {count:d} changes are ever handed over")
+def step_kept_keys(context: Any, count: int) -> None:
+    every = [context.newest.list_since(i) for i in range(context.end + 1)]
+    changes = [len(s.records) for s in every if not s.is_whole]
+    # Those that have read less than the oldest that is kept get everything.
+    assert max(changes) <= count, max(changes)
+    assert every[0].is_whole and every[12].is_whole
 
 
 @then('a host that has read up to {offset:d} is handed all of "{keys}"')
 def step_handed_all(context: Any, offset: int, keys: str) -> None:
     found = hand_over(context, offset)
-    assert found.is_whole and found.next == 13, found
+    assert found.is_whole and found.next == context.end, found
     assert [r.key for r in found.records] == keys.split(", "), found
 
 
