--- a/egretspur/actors.py
+++ b/egretspur/actors.py
@@ -8,19 +8,41 @@
 
 from typing import Any, TypeVar
 
+import attrs
 import pykka
 
+from egretspur import guard
+
 A = TypeVar("A", bound="Actor")
 
 
+@attrs.frozen
+class _Asked:
+    """A message whose sender waits for the answer."""
+
+    message: Any
+
+
 class Actor(pykka.ThreadingActor):
     """An actor in a thread of its own that does not keep a process alive."""
 
     use_daemon_thread = True
 
     def on_receive(self, message: Any) -> Any:
-        """Handles one message by the rule for its class."""
-        return self.handle(message)
+        """Handles one message by the rule for its class.
+
+        An exception goes to whoever asked. Nobody waits for the result of
+        other messages, and an exception there would end the actor.
+        """
+        if isinstance(message, _Asked):
+            return self.handle(message.message)
+        with guard.surviving(type(self).__name__):
+            return self.handle(message)
+        self.note_failed(message)
+        return None
+
+    def note_failed(self, message: Any) -> None:
+        """Told that a message that nobody waits for could not be handled."""
 
     def handle(self, message: Any) -> Any:
         """Handles one message; defined by each actor."""
@@ -29,7 +51,7 @@
 
 def ask(ref: pykka.ActorRef[A], message: Any) -> Any:
     """Sends a message and waits for its answer."""
-    return ref.ask(message, block=True)
+    return ref.ask(_Asked(message), block=True)
 
 
 def make_unknown(message: object) -> TypeError:
--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from egretspur import decisions
+from egretspur import decisions, guard
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -33,11 +33,20 @@
 SHORTEST_S: Final = 0.4
 
 
+@attrs.frozen
+class Unreadable:
+    """The newest record of a key has not the form of a value."""
+
+    # Field at fault, or ``bytes``; the reason under which it is counted.
+    field: str
+    problem: str
+
+
 @attrs.frozen
 class Whole(Generic[T]):
     """The newest value of every key."""
 
-    values: Mapping[str, T]
+    values: Mapping[str, T | Unreadable]
     # Offset from which changes are to be read.
     next: int
     # Another host handed it over.
@@ -50,7 +59,7 @@
 class Changes(Generic[T]):
     """Values that were written since, oldest first; None drops the key."""
 
-    values: tuple[tuple[str, T | None], ...]
+    values: tuple[tuple[str, T | Unreadable | None], ...]
     next: int
     # Another host handed them over.
     is_handed: bool = False
@@ -86,11 +95,11 @@
 class Sink(Protocol[T_contra]):
     """Takes what a feed reads."""
 
-    def take_whole(self, values: Mapping[str, T_contra]) -> None:
+    def take_whole(self, values: Mapping[str, T_contra | Unreadable]) -> None:
         """Takes the newest state, in place of what was known."""
 
     def take_changes(
-        self, values: tuple[tuple[str, T_contra | None], ...]
+        self, values: tuple[tuple[str, T_contra | Unreadable | None], ...]
     ) -> None:
         """Takes changes, oldest first."""
 
@@ -172,10 +181,7 @@
         pause_s = FIRST_PAUSE_S
         while not self._stop.is_set():
             began_s = time.monotonic()
-            pace = self._get_pace()
-            res = self.read_once(offset, pace.wait_s)
-            if not isinstance(res, Unavailable):
-                offset = self.hand_on(res)
+            res, offset = self._read(offset)
             if isinstance(res, Unavailable) or _get_failure(res):
                 self._note_lost(_get_failure(res), began_s)
                 # Spread, so that all hosts do not come back in one moment.
@@ -194,6 +200,16 @@
                 # Several hosts may poke for one change.
                 self._stop.wait(early_s)
 
+    def _read(self, offset: int) -> tuple[Result[T], int]:
+        """Reads once and hands on; returns the offset to read next."""
+        with guard.surviving(f"feed {self._name}") as failure:
+            res = self.read_once(offset, self._get_pace().wait_s)
+            if not isinstance(res, Unavailable):
+                offset = self.hand_on(res)
+            return res, offset
+        # Read again as a whole: a part of the changes may have been taken.
+        return Unavailable(failure.reason), -1
+
     def _note_lost(self, reason: str, began_s: float) -> None:
         if self._lost_s is None:
             decisions.record(decisions.StoreLost(self._name, reason))
--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -13,18 +13,16 @@
 from __future__ import annotations
 
 import base64
-import logging
 import threading
 from collections.abc import Callable, Iterable
-from typing import Final, Generic, Protocol, TypeVar
+from typing import Any, Final, Generic, Protocol, TypeVar
 
 import attrs
 import orjson
 
+from egretspur import checks, codec, decisions
 from egretspur.catalog import feeds
 
-_LOG: Final = logging.getLogger(__name__)
-
 T = TypeVar("T")
 
 # Hosts that are asked before giving up; each may take a time-out.
@@ -134,16 +132,30 @@
 def unpack_snapshot(data: bytes) -> Snapshot | feeds.Unavailable:
     """Returns a snapshot from JSON bytes, or why it can't be read."""
     try:
-        end, is_whole, rows = orjson.loads(data)
+        end, is_whole, rows = checks.check_row(
+            codec.load_json(data), "snapshot", 3
+        )
         records = tuple(
-            Record(int(offset), str(key), base64.b64decode(raw))
-            for offset, key, raw in rows
+            Record(
+                checks.check_count(offset, "offset"),
+                checks.check_string(key, "key"),
+                base64.b64decode(raw),
+            )
+            for offset, key, raw in _check_rows(rows)
         )
-        return Snapshot(records, int(end), bool(is_whole))
-    except (TypeError, ValueError) as exc:
+        end = checks.check_count(end, "next")
+        return Snapshot(records, end, bool(is_whole))
+    except (codec.DecodeError, TypeError, ValueError) as exc:
         return feeds.Unavailable(f"snapshot not understood: {exc!r}")
 
 
+def _check_rows(value: Any) -> Iterable[list[Any]]:
+    return (
+        checks.check_row(r, "record", 3)
+        for r in checks.check_list(value, "records")
+    )
+
+
 class Topic(feeds.Source[T], Protocol[T]):
     """A source whose newest state can be carried between hosts."""
 
@@ -228,8 +240,9 @@
             found = self._topic.read_snapshot(data)
             if not isinstance(found, feeds.Unavailable):
                 return found
-            _LOG.warning(
-                "another host's state was not taken",
-                extra={"host": host, "reason": found.reason},
+            decisions.record(
+                decisions.EntryLeftOut(
+                    self._topic.name, host, "snapshot", found.reason
+                )
             )
         return None
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -18,14 +18,14 @@
 
 from aioprometheus import collectors
 
-from egretspur import decisions, errors, logs, transport, web
+from egretspur import decisions, errors, guard, logs, transport, web
 from egretspur.catalog import config, feeds, handover, reading, upstreams
 from egretspur.daemons import meters, pages
 from egretspur.delivery import intake, watch
-from egretspur.membership import duty, exchange
+from egretspur.membership import datagrams, duty, exchange
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
-from egretspur.routing import broker, desk, jobs, probes
+from egretspur.routing import broker, desk, fleet, jobs, probes
 
 # Requests at once; each keeps a thread, started when it is needed.
 THREADS: Final = 600
@@ -65,17 +65,21 @@
     def __init__(self, host: Host) -> None:
         self._host = host
 
-    def take_whole(self, values: Mapping[str, config.Configuration]) -> None:
+    def take_whole(
+        self, values: Mapping[str, config.Configuration | feeds.Unreadable]
+    ) -> None:
         """Takes the newest configuration."""
-        for cfg in values.values():
-            self._host.configure(cfg)
+        self.take_changes(tuple(values.items()))
 
     def take_changes(
-        self, values: tuple[tuple[str, config.Configuration | None], ...]
+        self,
+        values: tuple[
+            tuple[str, config.Configuration | feeds.Unreadable | None], ...
+        ],
     ) -> None:
-        """Takes newer configurations."""
+        """Takes newer configurations; one that can't be read changes none."""
         for _, cfg in values:
-            if cfg is not None:
+            if isinstance(cfg, config.Configuration):
                 self._host.configure(cfg)
 
     def note_contact(self, is_back: bool) -> None:
@@ -91,13 +95,18 @@
         # When the store itself last answered, on the monotonic clock.
         self.answered_s = -math.inf
 
-    def take_whole(self, values: Mapping[str, upstreams.Upstream]) -> None:
+    def take_whole(
+        self, values: Mapping[str, upstreams.Upstream | feeds.Unreadable]
+    ) -> None:
         """Takes the whole list."""
         self._desk.tell(desk.ReplaceUpstreams(values))
         self.has_list = True
 
     def take_changes(
-        self, values: tuple[tuple[str, upstreams.Upstream | None], ...]
+        self,
+        values: tuple[
+            tuple[str, upstreams.Upstream | feeds.Unreadable | None], ...
+        ],
     ) -> None:
         """Takes changes."""
         self._desk.tell(desk.ChangeUpstreams(values))
@@ -340,11 +349,11 @@
 
         def read(state: broker.Broker) -> ranges.Scene:
             now_s = time.monotonic()
-            fleet = state.fleet
+            view = state.fleet
             live = [
                 e
-                for e in fleet.roster.entries.values()
-                if not e.is_draining and not fleet.is_dead(e.id, now_s)
+                for e in view.roster.entries.values()
+                if not e.is_draining and not view.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
             return ranges.Scene(
@@ -352,51 +361,55 @@
                 tuple(e for e in live if e.data_centre == home),
                 tuple(e for e in live if e.data_centre != home),
                 frozenset(
-                    e.id for e in live if not fleet.get_usage(e.id, now_s).count
+                    e.id for e in live if not view.get_usage(e.id, now_s).count
                 ),
             )
 
         scene: ranges.Scene = self._desk.look(read)
         return scene
 
-    def _probe(self, entry: upstreams.Upstream) -> float | None:
+    def _probe(
+        self, entry: upstreams.Upstream
+    ) -> upstreams.EngineReport | None:
         cfg = self._versions.newest
         service = cfg.services.get(entry.service) if cfg else None
         if service is None or service.engine is not None:
             report = self._engines.get_report(entry.address)
-            return None if isinstance(report, str) else report.pace
+            return None if isinstance(report, str) else report
         is_alive = self._engines.is_alive(entry.address, service.health_path)
-        return 1.0 if is_alive else None
+        return upstreams.PLAIN_REPORT if is_alive else None
 
-    def _make_news(self, peers: Mapping[str, str]) -> exchange.News:
+    def _make_news(self, peers: Mapping[str, str]) -> datagrams.News:
         self._note_role()
         now_s = time.monotonic()
-        store_age_s = now_s - self._store.answered_s
-        list_age_s = min(now_s - self._upstreams_sink.answered_s, NEVER_S)
+        store_age_s = max(0.0, now_s - self._store.answered_s)
+        list_age_s = min(
+            max(0.0, now_s - self._upstreams_sink.answered_s), NEVER_S
+        )
         told_s = math.inf
         if store_age_s < exchange.STORE_AWAY_S:
             told_s = LAYERS_TOLD_S
 
-        def read(state: broker.Broker) -> exchange.News:
-            fleet = state.fleet
+        def read(state: broker.Broker) -> datagrams.News:
+            view = state.fleet
             self._known = reading.Known(
                 self._get_version(),
-                fleet.compute_digest(),
+                view.compute_digest(),
                 list_age_s,
             )
-            return exchange.News(
+            return datagrams.News(
                 self._cfg.ip,
                 self._cfg.data_centre,
                 store_age_s,
                 self._known,
-                dict(fleet.own),
-                fleet.paces.list_slow(),
-                tuple(i for i in fleet.health if fleet.is_dead(i, now_s)),
-                fleet.list_moved(told_s, now_s),
+                dict(view.own),
+                view.paces.list_slow(),
+                tuple(i for i in view.health if view.is_dead(i, now_s)),
+                view.list_moved(told_s, now_s),
                 peers,
             )
 
-        news: exchange.News = self._desk.look(read)
+        news: datagrams.News = self._desk.look(read)
         return news
 
     def _sum_near(self) -> Mapping[str, jobs.Usage]:
@@ -411,7 +424,7 @@
     def _get_list_pace(self) -> feeds.Pace:
         return reading.get_list_pace(self._exchange.is_reader())
 
-    def _poke_feeds(self, heard: Sequence[exchange.News]) -> None:
+    def _poke_feeds(self, heard: Sequence[datagrams.News]) -> None:
         """Has the feeds read what another host has read already."""
         configs, listed = self._feeds
         if any(reading.is_config_due(self._known, n.known) for n in heard):
@@ -427,10 +440,10 @@
             for feed in self._feeds:
                 feed.poke()
 
-    def _take_news(self, heard: Sequence[exchange.News], hosts: int) -> None:
+    def _take_news(self, heard: Sequence[datagrams.News], hosts: int) -> None:
         self._poke_feeds(heard)
         news = [
-            desk.PeerNews(
+            fleet.PeerNews(
                 n.host, n.data_centre, n.usage, n.pace, n.dead, n.layers
             )
             for n in heard
@@ -461,9 +474,10 @@
             if time.monotonic() - looked_s < SETTINGS_PERIOD_S:
                 continue
             looked_s = time.monotonic()
-            if self._file.is_changed() or self._is_reload_due:
-                self._is_reload_due = False
-                self._reload()
+            with guard.surviving("settings"):
+                if self._file.is_changed() or self._is_reload_due:
+                    self._is_reload_due = False
+                    self._reload()
 
 
 def _list_hosts(addresses: Sequence[str]) -> list[str]:
--- a/egretspur/daemons/meters.py
+++ b/egretspur/daemons/meters.py
@@ -43,6 +43,8 @@
     "budget_empty": "service",
     "store_lost": "topic",
     "store_back": "topic",
+    "entry_left_out": "field",
+    "step_failed": "where",
 }
 
 # Histograms that a kind of line feeds, with the field.
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -147,7 +147,8 @@
     """What this host believes of an upstream changed."""
 
     upstream: str
-    # One of: listed, gone, draining, down, dead, back, refusing, slow.
+    # One of: listed, gone, draining, down, dead, back, refusing, slow,
+    # unreadable.
     state: str
     reason: str
 
@@ -222,6 +223,31 @@
     away_s: float
 
 
+@attrs.frozen
+class EntryLeftOut:
+    """A record of the store, or news of a host, was not what it should be.
+
+    Logged once for each key and reason; counted each time that it changes.
+    """
+
+    # Topic of the store, or what a host was asked or told.
+    source: str
+    # Key of the record, or address of the host.
+    key: str
+    # Field at fault.
+    field: str
+    problem: str
+
+
+@attrs.frozen
+class StepFailed:
+    """An actor or thread met an error that nobody thought of, and goes on."""
+
+    where: str
+    reason: str
+    origin: str
+
+
 @attrs.frozen
 class Started:
     """The process serves."""
@@ -269,6 +295,8 @@
     | BudgetEmpty
     | StoreLost
     | StoreBack
+    | EntryLeftOut
+    | StepFailed
     | Started
     | Reloaded
     | Stopping
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from typing import Final, Protocol
 
-from egretspur import decisions
+from egretspur import decisions, guard
 from egretspur.catalog import upstreams
 from egretspur.delivery import forward
 from egretspur.routing import desk, paths
@@ -86,7 +86,8 @@
 
     def _run(self) -> None:
         while not self._stop.wait(PERIOD_S):
-            self.look(time.monotonic())
+            with guard.surviving("watch"):
+                self.look(time.monotonic())
 
     def look(self, now_s: float) -> None:
         """Deals with the streams that are silent now, by first engine."""
--- /dev/null
+++ b/egretspur/membership/datagrams.py
@@ -0,0 +1,154 @@
+"""What a host tells the others, as a datagram.
+
+Lists without field names, since it must fit into one packet. A datagram may
+come from anyone: whatever is of another type is refused with the reason.
+"""
+
+from __future__ import annotations
+
+import functools
+import ipaddress
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
+import orjson
+
+from egretspur import checks, codec
+from egretspur.catalog import reading, upstreams
+from egretspur.routing import jobs
+
+# Upstreams in one datagram; it must fit into one packet.
+MAX_ENTRIES: Final = 40
+
+# Of the datagram's list.
+_FIELDS: Final = 9
+
+
+@attrs.frozen
+class News:
+    """What a host tells the others."""
+
+    # Its address.
+    host: str
+    data_centre: str
+    # Seconds since the store last answered it.
+    store_age_s: float
+    # What it has read of the store's topics.
+    known: reading.Known
+    usage: Mapping[str, jobs.Usage]
+    # Engines that run slower than their kind.
+    pace: Mapping[str, float]
+    # Upstreams it found dead.
+    dead: tuple[str, ...]
+    # Layers that engines reported to it after its orders.
+    layers: Mapping[str, upstreams.Layers]
+    # Hosts it hears, with their data centres; in some datagrams only.
+    peers: Mapping[str, str]
+
+
+@attrs.frozen
+class NotNews:
+    """Why a datagram holds no news."""
+
+    field: str
+    problem: str
+
+
+def encode_news(news: News) -> bytes:
+    """Returns a datagram."""
+    rows = sorted(news.usage.items(), key=lambda i: -i[1].room)[:MAX_ENTRIES]
+    return orjson.dumps(
+        [
+            news.host,
+            news.data_centre,
+            round(news.store_age_s, 2),
+            [
+                news.known.version,
+                news.known.digest,
+                round(news.known.list_age_s, 2),
+            ],
+            {i: [u.count, int(u.room)] for i, u in rows},
+            dict(news.pace),
+            list(news.dead),
+            {i: [p.first, p.last] for i, p in news.layers.items()},
+            dict(news.peers),
+        ]
+    )
+
+
+def decode_news(data: bytes) -> News | NotNews:
+    """Returns the news in a datagram, or why it holds none."""
+    try:
+        return _decode_news(codec.load_json(data))
+    except checks.FieldError as exc:
+        return NotNews(exc.field, str(exc))
+    except codec.DecodeError as exc:
+        return NotNews("bytes", str(exc))
+
+
+def _decode_news(value: Any) -> News:
+    host, place, age_s, known, usage, pace, dead, layers, peers = (
+        checks.check_row(value, "news", _FIELDS)
+    )
+    version, digest, list_age_s = checks.check_row(known, "known", 3)
+    return News(
+        _check_host(host),
+        checks.check_text(place, "data_centre"),
+        checks.check_number(age_s, "store_age"),
+        reading.Known(
+            checks.check_count(version, "version"),
+            checks.check_count(digest, "digest"),
+            checks.check_number(list_age_s, "list_age"),
+        ),
+        {i: _decode_usage(u) for i, u in _get_items(usage, "usage")},
+        {
+            i: checks.check_number(p, "pace")
+            for i, p in _get_items(pace, "pace")
+        },
+        tuple(
+            checks.check_text(d, "dead")
+            for d in checks.check_list(dead, "dead")
+        ),
+        {i: _decode_layers(p) for i, p in _get_items(layers, "layers")},
+        {
+            _check_host(h): checks.check_text(p, "peers")
+            for h, p in _get_items(peers, "peers")
+        },
+    )
+
+
+def _get_items(value: Any, field: str) -> Any:
+    return checks.Table(value, field).items()
+
+
+def _decode_usage(value: Any) -> jobs.Usage:
+    count, used = checks.check_row(value, "usage", 2)
+    return jobs.Usage(
+        checks.check_count(count, "usage"), checks.check_number(used, "usage")
+    )
+
+
+def _decode_layers(value: Any) -> upstreams.Layers:
+    first, last = checks.check_row(value, "layers", 2)
+    found = upstreams.Layers(
+        checks.check_count(first, "layers"), checks.check_count(last, "layers")
+    )
+    if found.count <= 0:
+        raise checks.FieldError("layers", f"{first} to {last}")
+    return found
+
+
+def _check_host(host: Any) -> str:
+    """Returns an address as written; raises `checks.FieldError`."""
+    try:
+        return str(parse_address(checks.check_text(host, "host")))
+    except ValueError as exc:
+        raise checks.FieldError("host", str(exc)) from exc
+
+
+# A host hears some hundred others several times a second.
+@functools.lru_cache(maxsize=1024)
+def parse_address(host: str) -> ipaddress.IPv4Address:
+    """Returns an address, which sorts as a number; may raise ValueError."""
+    return ipaddress.IPv4Address(host)
--- a/egretspur/membership/duty.py
+++ b/egretspur/membership/duty.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from egretspur import decisions
+from egretspur import decisions, guard
 from egretspur.catalog import feeds
 
 # Length of the lease; a crashed holder's duty passes on after it.
@@ -161,7 +161,8 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
-            self.join()
+            with guard.surviving("duty"):
+                self.join()
             self._stop.wait(PERIOD_S)
 
     def join(self) -> None:
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -11,19 +11,19 @@
 
 from __future__ import annotations
 
-import functools
 import ipaddress
 import logging
 import socket
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import Any, Final
+from typing import Final
 
 import attrs
-import orjson
 
-from egretspur.catalog import reading, upstreams
+from egretspur import decisions, guard
+from egretspur.catalog import reading
+from egretspur.membership import datagrams
 from egretspur.routing import jobs
 
 _LOG: Final = logging.getLogger(__name__)
@@ -51,9 +51,6 @@
 # duty it held has lapsed.
 STORE_AWAY_S: Final = 3.0
 
-# Upstreams in one datagram; it must fit into one packet.
-MAX_ENTRIES: Final = 40
-
 # After a datagram others are waited for so long, in seconds; a fifth of the
 # time between two of one host.
 GATHER_S: Final = 0.05
@@ -61,97 +58,15 @@
 # Datagrams taken together at most, so that none waits for long.
 MOST_AT_ONCE: Final = 256
 
-_MAX_DATAGRAM: Final = 65536
-
-
-@attrs.frozen
-class News:
-    """What a host tells the others."""
-
-    # Its address.
-    host: str
-    data_centre: str
-    # Seconds since the store last answered it.
-    store_age_s: float
-    # What it has read of the store's topics.
-    known: reading.Known
-    usage: Mapping[str, jobs.Usage]
-    # Engines that run slower than their kind.
-    pace: Mapping[str, float]
-    # Upstreams it found dead.
-    dead: tuple[str, ...]
-    # Layers that engines reported to it after its orders.
-    layers: Mapping[str, upstreams.Layers]
-    # Hosts it hears, with their data centres; in some datagrams only.
-    peers: Mapping[str, str]
-
-
-def encode_news(news: News) -> bytes:
-    """Returns a datagram."""
-    rows = sorted(news.usage.items(), key=lambda i: -i[1].room)[:MAX_ENTRIES]
-    return orjson.dumps(
-        [
-            news.host,
-            news.data_centre,
-            round(news.store_age_s, 2),
-            [
-                news.known.version,
-                news.known.digest,
-                round(news.known.list_age_s, 2),
-            ],
-            {i: [u.count, int(u.room)] for i, u in rows},
-            dict(news.pace),
-            list(news.dead),
-            {i: [p.first, p.last] for i, p in news.layers.items()},
-            dict(news.peers),
-        ]
-    )
-
-
-def decode_news(data: bytes) -> News | None:
-    """Returns the news in a datagram; None if it is malformed."""
-    try:
-        (
-            host,
-            place,
-            age_s,
-            (version, digest, list_age_s),
-            usage,
-            pace,
-            dead,
-            layers,
-            peers,
-        ) = orjson.loads(data)
-        return News(
-            _check_address(host),
-            str(place),
-            float(age_s),
-            reading.Known(int(version), int(digest), float(list_age_s)),
-            {
-                str(i): jobs.Usage(int(count), float(used))
-                for i, (count, used) in usage.items()
-            },
-            {str(i): float(p) for i, p in pace.items()},
-            tuple(str(d) for d in dead),
-            {
-                str(i): upstreams.Layers(int(first), int(last))
-                for i, (first, last) in layers.items()
-            },
-            {_check_address(h): str(p) for h, p in peers.items()},
-        )
-    except (TypeError, ValueError, AttributeError, OverflowError):
-        return None
-
-
-def _check_address(host: Any) -> str:
-    """Returns an address as written; raises ValueError if it is none."""
-    return str(_parse_address(str(host)))
+# A sender's refused datagrams are logged again after so long, and of so many
+# senders and reasons at most.
+REFUSED_S: Final = 60.0
+REFUSED_KEPT: Final = 256
 
+_MAX_DATAGRAM: Final = 65536
 
-# A host hears some hundred others several times a second.
-@functools.lru_cache(maxsize=1024)
-def _parse_address(host: str) -> ipaddress.IPv4Address:
-    return ipaddress.IPv4Address(host)
+# Bytes with the sender's address and port.
+_Datagram = tuple[bytes, tuple[str, int]]
 
 
 @attrs.frozen
@@ -179,7 +94,7 @@
         """Takes other hosts to begin with."""
         self._seeds = frozenset(s for s in seeds if s != self._me)
 
-    def note(self, news: News, now_s: float) -> None:
+    def note(self, news: datagrams.News, now_s: float) -> None:
         """Takes news of a host."""
         self._heard[news.host] = _Heard(
             now_s,
@@ -257,7 +172,7 @@
             return (
                 heard.data_centre != self._data_centre,
                 not _is_fresh(heard, now_s),
-                _parse_address(host),
+                datagrams.parse_address(host),
             )
 
         alive = {
@@ -295,8 +210,8 @@
 
     def _is_before(self, hosts: Iterable[str]) -> bool:
         """Tells whether this host's address comes before all of these."""
-        me = _parse_address(self._me)
-        return all(me <= _parse_address(h) for h in hosts)
+        me = datagrams.parse_address(self._me)
+        return all(me <= datagrams.parse_address(h) for h in hosts)
 
 
 def _is_fresh(heard: _Heard, now_s: float) -> bool:
@@ -312,9 +227,9 @@
         peers: Peers,
         ip: str,
         port: int,
-        make_news: Callable[[Mapping[str, str]], News],
+        make_news: Callable[[Mapping[str, str]], datagrams.News],
         sum_near: Callable[[], Mapping[str, jobs.Usage]],
-        take_news: Callable[[Sequence[News], int], None],
+        take_news: Callable[[Sequence[datagrams.News], int], None],
     ) -> None:
         """Makes an exchange.
 
@@ -335,6 +250,9 @@
         self._take_news = take_news
         self._lock = threading.Lock()
         self._peers = peers
+        # Senders of datagrams that were refused, with the reasons; since when.
+        self._refused: set[tuple[str, str]] = set()
+        self._refused_since_s = 0.0
         self._stop = threading.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         # The same socket, read without waiting.
@@ -392,20 +310,24 @@
         turn = 0
         while not self._stop.wait(PERIOD_S):
             turn += 1
-            now_s = time.monotonic()
-            with self._lock:
-                near = self._peers.list_near(now_s)
-                far = self._peers.list_far(now_s)
-                is_speaker = self._peers.is_speaker(now_s)
-                named = self._peers.list_places(now_s)
-            peers = named if turn % PEERS_EVERY == 0 else {}
-            news = self._make_news(peers)
-            self._tell(near, news)
-            if is_speaker and far:
-                self._tell(far, attrs.evolve(news, usage=self._sum_near()))
-
-    def _tell(self, hosts: Iterable[str], news: News) -> None:
-        data = encode_news(news)
+            with guard.surviving("news-out"):
+                self._send_once(turn)
+
+    def _send_once(self, turn: int) -> None:
+        now_s = time.monotonic()
+        with self._lock:
+            near = self._peers.list_near(now_s)
+            far = self._peers.list_far(now_s)
+            is_speaker = self._peers.is_speaker(now_s)
+            named = self._peers.list_places(now_s)
+        peers = named if turn % PEERS_EVERY == 0 else {}
+        news = self._make_news(peers)
+        self._tell(near, news)
+        if is_speaker and far:
+            self._tell(far, attrs.evolve(news, usage=self._sum_near()))
+
+    def _tell(self, hosts: Iterable[str], news: datagrams.News) -> None:
+        data = datagrams.encode_news(news)
         for host in hosts:
             try:
                 self._sock.sendto(data, (host, self._port))
@@ -415,7 +337,7 @@
     def _receive(self) -> None:
         while not self._stop.is_set():
             try:
-                first: bytes = self._sock.recv(_MAX_DATAGRAM)
+                first: _Datagram = self._sock.recvfrom(_MAX_DATAGRAM)
             except TimeoutError:
                 continue
             except OSError:
@@ -423,26 +345,29 @@
             # Among many hosts others follow at once; waking up for each costs
             # more than reading it.
             self._stop.wait(GATHER_S)
-            self._take([first, *self._read_waiting()])
+            with guard.surviving("news-in"):
+                self._take([first, *self._read_waiting()])
 
-    def _read_waiting(self) -> list[bytes]:
+    def _read_waiting(self) -> list[_Datagram]:
         """Returns the datagrams that have come meanwhile."""
-        waiting: list[bytes] = []
+        waiting: list[_Datagram] = []
         while len(waiting) < MOST_AT_ONCE:
             try:
-                waiting.append(self._waiting.recv(_MAX_DATAGRAM))
+                waiting.append(self._waiting.recvfrom(_MAX_DATAGRAM))
             except OSError:
                 # None is left, or the socket was closed.
                 break
         return waiting
 
-    def _take(self, datagrams: Iterable[bytes]) -> None:
+    def _take(self, received: Iterable[_Datagram]) -> None:
         now_s = time.monotonic()
-        heard = [
-            news
-            for data in datagrams
-            if (news := decode_news(data)) is not None and news.host != self._ip
-        ]
+        heard = []
+        for data, (sender, _) in received:
+            news = datagrams.decode_news(data)
+            if isinstance(news, datagrams.NotNews):
+                self._note_refused(sender, news, now_s)
+            elif news.host != self._ip:
+                heard.append(news)
         if not heard:
             return
         with self._lock:
@@ -450,3 +375,20 @@
                 self._peers.note(news, now_s)
             shared = self._peers.count_sharing(now_s)
         self._take_news(heard, shared)
+
+    def _note_refused(
+        self, sender: str, refused: datagrams.NotNews, now_s: float
+    ) -> None:
+        """Logs a datagram that holds no news, once a sender and reason."""
+        if now_s - self._refused_since_s > REFUSED_S:
+            self._refused_since_s = now_s
+            self._refused.clear()
+        cause = (sender, refused.field)
+        if cause in self._refused or len(self._refused) >= REFUSED_KEPT:
+            return
+        self._refused.add(cause)
+        decisions.record(
+            decisions.EntryLeftOut(
+                "news", sender, refused.field, refused.problem
+            )
+        )
--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from egretspur import decisions
+from egretspur import decisions, guard
 from egretspur.catalog import config, upstreams
 from egretspur.placement import ranges
 
@@ -125,7 +125,8 @@
 
     def _run(self) -> None:
         while not self._stop.wait(PERIOD_S):
-            self.run_round()
+            with guard.surviving("ranges"):
+                self.run_round()
 
     def run_round(self) -> None:
         """Compares and orders once."""
@@ -141,6 +142,10 @@
         scene = self._view.look()
         if scene.cfg is None:
             return
+        present = {e.id for e in scene.engines}
+        self._first_seen = {
+            i: t for i, t in self._first_seen.items() if i in present
+        }
         for service in scene.cfg.find_engine_services():
             assert service.engine is not None
             self._keep(service.name, service.engine, scene, now_s)
@@ -222,6 +227,8 @@
         report = self._engines.get_report(entry.address)
         if isinstance(report, str):
             return report
+        if upstreams.is_other_start(entry, report):
+            return "of another start than its entry"
         if report.layers == layers:
             return ""
         if report.is_busy:
@@ -251,7 +258,11 @@
         if given.is_done:
             return
         report = self._engines.get_report(entry.address)
-        if isinstance(report, str) or report.layers != given.layers:
+        if (
+            isinstance(report, str)
+            or upstreams.is_other_start(entry, report)
+            or report.layers != given.layers
+        ):
             return
         # Kept until the view shows it: the entry at hand is from before.
         self._given[entry.id] = attrs.evolve(given, is_done=True)
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -1,181 +1,214 @@
 """What the operator and the upstreams write, decoded into product types.
 
-Some names on the wire mislead; the comments say what they hold.
+Some names on the wire mislead; the comments say what they hold. Everything is
+checked here, since an entry may come from another writer; errors are
+`checks.FieldError`, under the wire's name of the field.
 """
 
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
 
 import attrs
 
-from egretspur.catalog import config, upstreams
+from egretspur import checks, codec
+from egretspur.catalog import config, feeds, upstreams
 
+T = TypeVar("T")
 
-class MalformedError(ValueError):
-    """A value does not have the form that the platform promises."""
+# States of an upstream that the platform names.
+_READY: Final = "ready"
+_DRAINING: Final = "draining"
 
 
-def decode_config(data: Mapping[str, Any]) -> config.Configuration:
-    """Returns a configuration.
-
-    Raises:
-        MalformedError: A field is missing or wrong.
-    """
+def read_record(raw: bytes, decode: Callable[[Any], T]) -> T | feeds.Unreadable:
+    """Returns what a record of the store says, or why it can't be read."""
     try:
-        return _decode_config(data)
-    except (KeyError, IndexError, TypeError, ValueError) as exc:
-        raise MalformedError(f"configuration: {exc!r}") from exc
-
+        return decode(codec.load_json(raw))
+    except checks.FieldError as exc:
+        return feeds.Unreadable(exc.field, str(exc))
+    except codec.DecodeError as exc:
+        return feeds.Unreadable("bytes", str(exc))
+
+
+def decode_upstream(name: str, value: Any) -> upstreams.Upstream:
+    """Returns an entry of the list of upstreams."""
+    if upstreams.START_MARK in name:
+        raise checks.FieldError("name", f"holds {upstreams.START_MARK!r}")
+    data = checks.Table(value)
+    state = data.get_text("state")
+    if state not in (_READY, _DRAINING):
+        raise checks.FieldError("state", f"unknown: {state[:40]!r}")
+    # Not used; an entry without them is not an upstream's own.
+    data.get_text("version")
+    data.get_number("cold_left_ms")
+    data.get_count("seq_no")
+    born_ms = _decode_born(data)
+    return upstreams.Upstream(
+        id=upstreams.make_start_id(name, born_ms),
+        service=data.get_text("service"),
+        address=data.get_address("address"),
+        data_centre=data.get_text("zone"),
+        is_draining=state == _DRAINING,
+        slots=data.get_count("slots"),
+        # Here the route's field of this name holds the accelerator.
+        accelerator=data.get_text("route_kind", ""),
+        layers=_decode_layers(data),
+        name=name,
+        born_ms=born_ms,
+    )
 
-def decode_upstream(upstream_id: str, data: Mapping[str, Any]) -> Any:
-    """Returns an entry of the list of upstreams.
-
-    Raises:
-        MalformedError: A field is missing or wrong.
-    """
-    try:
-        return upstreams.Upstream(
-            id=upstream_id,
-            service=data["service"],
-            address=data["address"],
-            data_centre=data["zone"],
-            is_draining=data.get("state") != "ready",
-            slots=int(data.get("slots", 0)),
-            # Here the route's field of this name holds the accelerator.
-            accelerator=data.get("route_kind") or "",
-            layers=_decode_layers(data),
-        )
-    except (KeyError, IndexError, TypeError, ValueError) as exc:
-        raise MalformedError(f"upstream {upstream_id}: {exc!r}") from exc
 
+def decode_report(value: Any) -> upstreams.EngineReport:
+    """Returns an engine's report."""
+    data = checks.Table(value)
+    return upstreams.EngineReport(
+        layers=_decode_layers(data),
+        is_busy=data.get_flag("busy"),
+        orders=data.get_count("seq_no", 0),
+        used=data.get_number("kv_in_use", 0.0),
+        size=data.get_number("kv_size", 0.0),
+        pace=data.get_number("pace", 1.0),
+        stalled=tuple(
+            s.get_address("address")
+            for s in data.get_tables("stalled_servers", [])
+        ),
+        born_ms=_decode_born(data),
+    )
 
-def decode_report(data: Mapping[str, Any]) -> upstreams.EngineReport:
-    """Returns an engine's report.
 
-    Raises:
-        MalformedError: A field is missing or wrong.
-    """
-    try:
-        stalled = tuple(
-            s["address"] if isinstance(s, dict) else str(s)
-            for s in data.get("stalled_servers") or ()
-        )
-        return upstreams.EngineReport(
-            layers=_decode_layers(data),
-            is_busy=bool(data.get("busy")),
-            orders=int(data.get("seq_no", 0)),
-            used=float(data.get("kv_in_use", 0)),
-            size=float(data.get("kv_size", 0)),
-            pace=float(data.get("pace", 1.0)),
-            stalled=stalled,
-        )
-    except (KeyError, IndexError, TypeError, ValueError) as exc:
-        raise MalformedError(f"report: {exc!r}") from exc
+def _decode_born(data: checks.Table) -> int | None:
+    """Returns when the upstream started, in ms; None if it doesn't tell."""
+    return data.get_count("born") if data.has("born") else None
 
 
-def _decode_layers(data: Mapping[str, Any]) -> upstreams.Layers | None:
+def _decode_layers(data: checks.Table) -> upstreams.Layers | None:
     # Named as a count, but holds the range of layers.
-    part = data.get("layer_count")
-    if not part or part["to"] <= part["source"]:
+    if data.get("layer_count", None) is None:
         return None
-    return upstreams.Layers(int(part["source"]), int(part["to"]))
-
-
-def _decode_config(data: Mapping[str, Any]) -> config.Configuration:
-    limits = data["limits"]
-    tenants = data.get("tenants")
+    part = data.get_table("layer_count")
+    first, last = part.get_count("source"), part.get_count("to")
+    if last < first:
+        raise checks.FieldError("layer_count", f"{first} to {last}")
+    return upstreams.Layers(first, last) if last > first else None
+
+
+def decode_config(value: Any) -> config.Configuration:
+    """Returns a configuration."""
+    data = checks.Table(value)
+    limits = data.get_table("limits")
+    services = [_decode_service(s) for s in data.get_tables("services")]
+    has_keys = data.get("tenants", None) is not None
+    keys = data.get_tables("tenants") if has_keys else None
     return config.Configuration(
-        version=int(data["version"]),
-        routes=tuple(_decode_route(r) for r in data["routes"]),
-        services={s["name"]: _decode_service(s) for s in data["services"]},
+        version=data.get_count("version"),
+        routes=tuple(_decode_route(r) for r in data.get_tables("routes")),
+        services={s.name: s for s in services},
         limits=config.Limits(
-            int(limits["max_header_bytes"]),
-            int(limits["max_body_bytes"]),
-            limits["header_timeout_ms"] / 1000,
-            limits["idle_timeout_ms"] / 1000,
+            limits.get_count("max_header_bytes"),
+            limits.get_count("max_body_bytes"),
+            limits.get_number("header_timeout_ms") / 1000,
+            limits.get_number("idle_timeout_ms") / 1000,
         ),
-        keys=None if tenants is None else _decode_keys(tenants),
+        keys=None if keys is None else _decode_keys(keys),
     )
 
 
-def _decode_keys(tenants: Any) -> dict[str, config.Workspace]:
-    keys = {}
+def _decode_keys(tenants: list[checks.Table]) -> dict[str, config.Workspace]:
+    keys: dict[str, config.Workspace] = {}
     for tenant in tenants:
-        found = config.Workspace(tenant["name"], tenant.get("priority"))
-        keys.update(dict.fromkeys(tenant["api_keys"], found))
+        rank = tenant.get("priority", None)
+        found = config.Workspace(
+            tenant.get_text("name"),
+            None if rank is None else checks.check_count(rank, "priority"),
+        )
+        for key in tenant.get_list("api_keys"):
+            keys[checks.check_text(key, "api_keys")] = found
     return keys
 
 
-def _decode_route(data: Mapping[str, Any]) -> config.Route:
-    if data.get("split"):
-        targets = tuple(
-            config.Target(t["service"], float(t["weight"]))
-            for t in data["split"]
-        )
-    else:
-        targets = (config.Target(data["service"], 1.0),)
+def _decode_route(data: checks.Table) -> config.Route:
+    split = data.get_tables("split", [])
+    targets = tuple(
+        config.Target(t.get_text("service"), t.get_number("weight"))
+        for t in split
+    ) or (config.Target(data.get_text("service"), 1.0),)
+    kind = data.get_text("route_kind")
+    if kind not in {k.value for k in config.RouteKind}:
+        raise checks.FieldError("route_kind", f"unknown: {kind[:40]!r}")
     return config.Route(
-        name=data["name"],
-        host=data["host"],
-        prefix=data["path_prefix"],
-        kind=config.RouteKind(data["route_kind"]),
-        timeout_s=data["timeout_ms"] / 1000,
-        objective_s=data["slo_ms"] / 1000,
-        priority=int(data.get("priority", 5)),
+        name=data.get_text("name"),
+        host=data.get_text("host"),
+        prefix=data.get_text("path_prefix"),
+        kind=config.RouteKind(kind),
+        timeout_s=data.get_number("timeout_ms") / 1000,
+        objective_s=data.get_number("slo_ms") / 1000,
+        priority=data.get_count("priority", 5),
         targets=targets,
-        max_attempts=int(data.get("max_attempts", 1)),
-        is_public=bool(data.get("public")),
-        is_resumable=bool(data.get("resumable")),
-        gap_s=data.get("target_gap_ms", 0) / 1000,
+        max_attempts=data.get_count("max_attempts", 1),
+        is_public=data.get_flag("public"),
+        is_resumable=data.get_flag("resumable"),
+        gap_s=data.get_number("target_gap_ms", 0.0) / 1000,
     )
 
 
-def _decode_service(data: Mapping[str, Any]) -> config.Service:
-    engine = data.get("inference_engine")
+def _decode_service(data: checks.Table) -> config.Service:
+    has_engine = data.get("inference_engine", None) is not None
     return config.Service(
-        data["name"],
-        data["health_path"],
-        int(data["max_conns"]),
-        _decode_engine(engine) if engine else None,
+        data.get_text("name"),
+        data.get_text("health_path"),
+        data.get_count("max_conns"),
+        _decode_engine(data.get_table("inference_engine"))
+        if has_engine
+        else None,
     )
 
 
-def _decode_engine(data: Mapping[str, Any]) -> config.EngineSpec | None:
-    if not data.get("layer_count"):
+def _decode_engine(data: checks.Table) -> config.EngineSpec | None:
+    layers = data.get_count("layer_count", 0)
+    if not layers:
         return None
-    layers = int(data["layer_count"])
-    model = data["models"][0]
+    models = data.get_tables("models")
+    if not models:
+        raise checks.FieldError("models", "none")
+    model = models[0]
+    usual = data.get_table("usual")
     return config.EngineSpec(
-        model=model["name"],
+        model=model.get_text("name"),
         layers=layers,
-        layer_bytes=data["layer_mb"] * 1e6,
-        token_layer_bytes=data["kv_token_bytes"] / layers,
-        slots=int(data["slots"]),
-        step_s=data["step_ms"] * model.get("pace", 1.0) / 1000,
-        per_request_s=data["per_seq_ms"] / 1000,
+        layer_bytes=data.get_number("layer_mb") * 1e6,
+        token_layer_bytes=data.get_number("kv_token_bytes") / layers,
+        slots=data.get_count("slots"),
+        step_s=data.get_number("step_ms")
+        * model.get_number("pace", 1.0)
+        / 1000,
+        per_request_s=data.get_number("per_seq_ms") / 1000,
         # Stated for a thousand tokens.
-        per_token_s=data["context_per_k"] / 1e6,
-        read_tokens_per_s=float(data["read_per_s"]),
-        stride=int(data.get("stride", 1)),
-        usual_prompt=int(data["usual"]["prompt"]),
-        usual_answer=int(data["usual"]["answer"]),
-        load_s=float(model["load_s"]),
-        loads_at_once=int(data.get("loads_at_once", 1)),
+        per_token_s=data.get_number("context_per_k") / 1e6,
+        read_tokens_per_s=data.get_number("read_per_s"),
+        stride=data.get_count("stride", 1),
+        usual_prompt=int(usual.get_number("prompt")),
+        usual_answer=int(usual.get_number("answer")),
+        load_s=model.get_number("load_s"),
+        loads_at_once=data.get_count("loads_at_once", 1),
         accelerators={
-            k["name"]: config.Accelerator(
-                k["name"],
-                k["size_mb"] * 1e6,
-                float(k["pace"]),
-                float(k["read_factor"]),
-            )
-            for k in data["kinds"]
+            k.name: k
+            for k in map(_decode_accelerator, data.get_tables("kinds"))
         },
     )
 
 
+def _decode_accelerator(data: checks.Table) -> config.Accelerator:
+    return config.Accelerator(
+        data.get_text("name"),
+        data.get_number("size_mb") * 1e6,
+        data.get_number("pace"),
+        data.get_number("read_factor"),
+    )
+
+
 @attrs.frozen
 class TokenCounts:
     """Sizes of a request for a model, in tokens."""
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import base64
-import logging
+import binascii
 import struct
 import time
 import urllib.parse
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, Generic, TypeVar
 
+import attrs
 import orjson
 
-from egretspur import transport
+from egretspur import checks, codec, decisions, transport
 from egretspur.catalog import config, feeds, handover, upstreams
 from egretspur.membership import duty
 from egretspur.platform import decode, names
 
-_LOG: Final = logging.getLogger(__name__)
-
 T = TypeVar("T")
 
 # An answer takes 4 ms when all is well; the store may be fifty times slower
@@ -99,7 +98,8 @@
         self,
         store: Store,
         topic: str,
-        decode_value: Callable[[str, Any], T | None],
+        decode_value: Callable[[str, Any], T],
+        is_followed: Callable[[str], bool] = lambda key: True,
     ) -> None:
         """Makes a source.
 
@@ -107,15 +107,17 @@
             store: Where the topic is.
             topic: Its name; it has one partition.
             decode_value: Returns the product's value for a key and its
-                decoded record; None leaves the record out.
+                decoded record; raises `codec.DecodeError`.
+            is_followed: Tells whether a key is of interest.
         """
         self._store = store
         self._topic = topic
         self._decode = decode_value
+        self._is_followed = is_followed
         self.name = topic
         self._newest = handover.Newest()
         # What the newest record of each key says.
-        self._values: dict[str, T] = {}
+        self._values: dict[str, T | feeds.Unreadable] = {}
 
     def read_newest(self) -> feeds.Whole[T] | feeds.Unavailable:
         """Reads all pages; changes made meanwhile are read again after."""
@@ -128,18 +130,16 @@
                 return res
             if res.status != 200:
                 return feeds.Unavailable(f"newest: status {res.status}")
-            page = orjson.loads(res.body)
+            try:
+                page = _read_page(res)
+            except codec.DecodeError as exc:
+                return feeds.Unavailable(f"newest: {exc}")
             if offset < 0:
-                offset = int(page["end_offset"])
-            records += [
-                handover.Record(
-                    int(e["offset"]), e["key"], base64.b64decode(e["value"])
-                )
-                for e in page["entries"]
-            ]
-            if not page.get("has_more") or not page["entries"]:
+                offset = page.end
+            records += page.records
+            if not page.has_more or not page.records:
                 return feeds.Whole(self._take_whole(records, offset), offset)
-            query["after"] = page["entries"][-1]["key"]
+            query["after"] = page.records[-1].key
 
     def read_changes(
         self, offset: int, wait_s: float
@@ -187,56 +187,99 @@
 
     def _take_whole(
         self, records: Sequence[handover.Record], end: int
-    ) -> dict[str, T]:
+    ) -> dict[str, T | feeds.Unreadable]:
         """Keeps and decodes the newest records, in the order they came.
 
         Of two entries that speak of one address, the later one counts.
         """
-        self._values = {}
+        before, self._values = self._values, {}
         kept = []
         for record in sorted(records, key=lambda r: r.offset):
-            value = self._read_value(record)
-            if value is not None:
+            if self._is_followed(record.key):
+                value = self._read_value(record, before.get(record.key))
                 self._values[record.key] = value
-                kept.append(record)
+                kept.append(_make_handed(record, value))
         self._newest.replace(kept, end)
         return dict(self._values)
 
     def _take_changes(
         self, records: Sequence[handover.Record], end: int
-    ) -> tuple[tuple[str, T | None], ...]:
+    ) -> tuple[tuple[str, T | feeds.Unreadable | None], ...]:
         """Keeps and decodes records; None in the result drops a key."""
-        changes: list[tuple[str, T | None]] = []
+        changes: list[tuple[str, T | feeds.Unreadable | None]] = []
         for record in records:
+            if not self._is_followed(record.key):
+                continue
             if not record.raw:
                 self._values.pop(record.key, None)
                 self._newest.put(record)
                 changes.append((record.key, None))
                 continue
-            value = self._read_value(record)
-            # A record that can't be read changes nothing.
-            if value is None:
-                continue
-            if self._values.get(record.key) != value:
-                self._newest.put(record)
+            before = self._values.get(record.key)
+            value = self._read_value(record, before)
+            if before != value:
+                self._newest.put(_make_handed(record, value))
             self._values[record.key] = value
             changes.append((record.key, value))
         self._newest.move_on(end)
         return tuple(changes)
 
-    def _read_value(self, record: handover.Record) -> T | None:
-        try:
-            return self._decode(record.key, orjson.loads(record.raw))
-        except (orjson.JSONDecodeError, decode.MalformedError) as exc:
-            _LOG.error(
-                "record not understood; left out",
-                extra={
-                    "topic": self._topic,
-                    "key": record.key,
-                    "reason": str(exc),
-                },
+    def _read_value(
+        self, record: handover.Record, before: T | feeds.Unreadable | None
+    ) -> T | feeds.Unreadable:
+        """Returns what a record says; logs it if that can't be read."""
+        value = decode.read_record(
+            record.raw, lambda data: self._decode(record.key, data)
+        )
+        if isinstance(value, feeds.Unreadable) and value != before:
+            decisions.record(
+                decisions.EntryLeftOut(
+                    self.name, record.key, value.field, value.problem
+                )
             )
-            return None
+        return value
+
+
+# A record that can't be read is handed to other hosts up to this size, so
+# that they tell the same cause; in place of a larger one they are handed one
+# that they can't read either.
+_HANDED_BYTES: Final = 4096
+_UNREADABLE: Final = b"{}"
+
+
+def _make_handed(record: handover.Record, value: Any) -> handover.Record:
+    """Returns a record as other hosts are handed it."""
+    if isinstance(value, feeds.Unreadable) and len(record.raw) > _HANDED_BYTES:
+        return attrs.evolve(record, raw=_UNREADABLE)
+    return record
+
+
+@attrs.frozen
+class _Page:
+    """One answer to the question for the newest records."""
+
+    records: tuple[handover.Record, ...]
+    end: int
+    has_more: bool
+
+
+def _read_page(res: transport.Reply) -> _Page:
+    """Returns a page; raises `codec.DecodeError` if it is malformed."""
+    data = checks.Table(res.read_json())
+    try:
+        records = tuple(
+            handover.Record(
+                e.get_count("offset"),
+                checks.check_string(e.get("key"), "key"),
+                base64.b64decode(e.get_text("value", "")),
+            )
+            for e in data.get_tables("entries")
+        )
+    except binascii.Error as exc:
+        raise checks.FieldError("value", str(exc)) from exc
+    return _Page(
+        records, data.get_count("end_offset"), data.get_flag("has_more")
+    )
 
 
 def parse_records(data: bytes, offset: int) -> tuple[int, list[bytes]]:
@@ -269,11 +312,12 @@
 
 def make_config_topic(store: Store) -> Topic[config.Configuration]:
     """Returns the source of configurations."""
-
-    def read(key: str, data: Any) -> config.Configuration | None:
-        return decode.decode_config(data) if key == names.CONFIG_KEY else None
-
-    return Topic(store, names.CONFIG_TOPIC, read)
+    return Topic(
+        store,
+        names.CONFIG_TOPIC,
+        lambda key, data: decode.decode_config(data),
+        lambda key: key == names.CONFIG_KEY,
+    )
 
 
 def make_upstreams_topic(store: Store) -> Topic[upstreams.Upstream]:
@@ -307,11 +351,13 @@
         if res.status != 200:
             self._generation = 0
             return feeds.Unavailable(f"join: status {res.status}")
-        data = orjson.loads(res.body)
-        self._generation = int(data["generation"])
-        holds = any(
-            row[0] == names.DUTY_TOPIC and row[1] == 0 for row in data["parts"]
-        )
+        try:
+            data = checks.Table(res.read_json())
+            self._generation = data.get_count("generation")
+            rows = _read_rows(data.get_list("parts"), 2)
+        except codec.DecodeError as exc:
+            return feeds.Unavailable(f"join: {exc}")
+        holds = any(row[:2] == [names.DUTY_TOPIC, 0] for row in rows)
         return duty.Held(holds, self._generation)
 
     def list_members(self) -> tuple[str, ...] | feeds.Unavailable:
@@ -319,9 +365,13 @@
         res = self._store.get("/egretspur/log-owners", {"group": self._group})
         if isinstance(res, feeds.Unavailable):
             return res
-        rows = orjson.loads(res.body)
-        if isinstance(rows, dict):
-            rows = rows.get("parts") or rows.get("owners") or []
+        try:
+            data = res.read_json()
+            if isinstance(data, dict):
+                data = data.get("parts") or data.get("owners") or []
+            rows = _read_rows(checks.check_list(data, "owners"), 3)
+        except codec.DecodeError as exc:
+            return feeds.Unavailable(f"owners: {exc}")
         return tuple(sorted({str(row[2]) for row in rows if row[2]}))
 
     def leave(self) -> None:
@@ -330,3 +380,15 @@
             "/egretspur/log-leave",
             {"group": self._group, "member_id": self._member},
         )
+
+
+def _read_rows(rows: Sequence[Any], length: int) -> list[list[Any]]:
+    """Returns rows that have at least so many fields.
+
+    Raises:
+        checks.FieldError: One has fewer.
+    """
+    found = [checks.check_list(row, "row") for row in rows]
+    if any(len(row) < length for row in found):
+        raise checks.FieldError("row", f"shorter than {length}")
+    return found
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -19,7 +19,7 @@
 import urllib3.connection
 from urllib3 import exceptions
 
-from egretspur import transport
+from egretspur import codec, transport
 from egretspur.catalog import upstreams
 from egretspur.delivery import forward
 from egretspur.platform import decode, names
@@ -201,7 +201,7 @@
     headers = dict(call.headers)
     headers[names.REQUEST_ID] = call.id
     headers[names.DEADLINE] = str(max(1, int(left_s * 1000)))
-    headers[names.EXPECTED_UPSTREAM] = start.upstream.id
+    headers[names.EXPECTED_UPSTREAM] = start.upstream.name
     if job.workspace:
         headers[names.WORKSPACE] = job.workspace
     if resume_after:
@@ -268,8 +268,8 @@
         if res.status != 200:
             return f"{address}: status {res.status}"
         try:
-            return decode.decode_report(orjson.loads(res.body))
-        except (orjson.JSONDecodeError, decode.MalformedError) as exc:
+            return decode.decode_report(res.read_json())
+        except codec.DecodeError as exc:
             return f"{address}: {exc}"
 
     def is_alive(self, address: str, health_path: str) -> bool:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -16,7 +16,7 @@
 from egretspur import decisions, errors
 from egretspur.admission import queue as queues
 from egretspur.admission import shared
-from egretspur.catalog import config, upstreams
+from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import fleet as fleets
 from egretspur.routing import jobs, paths, questions
 
@@ -196,14 +196,21 @@
 
     # Messages from the rest of the host.
 
-    def configure(self, cfg: config.Configuration) -> None:
+    def configure(
+        self, cfg: config.Configuration, now_s: float = 0.0
+    ) -> list[jobs.Effect]:
         """Takes a new configuration."""
         self._services = cfg.services
+        with self.fleet.noting_changes(now_s):
+            upstreams.configure(self.fleet.roster, cfg.services, now_s)
+        return self.refresh(now_s)
 
     def replace_list(
-        self, entries: dict[str, upstreams.Upstream], now_s: float
+        self,
+        entries: Mapping[str, upstreams.Upstream | feeds.Unreadable],
+        now_s: float,
     ) -> list[jobs.Effect]:
-        """Takes the whole list of upstreams."""
+        """Takes the whole list of upstreams, by name."""
         self.listed_s = now_s
         with self.fleet.noting_changes(now_s):
             upstreams.replace(self.fleet.roster, entries, now_s)
@@ -211,17 +218,16 @@
 
     def change_list(
         self,
-        entries: Sequence[tuple[str, upstreams.Upstream | None]],
+        entries: Sequence[
+            tuple[str, upstreams.Upstream | feeds.Unreadable | None]
+        ],
         now_s: float,
     ) -> list[jobs.Effect]:
         """Takes changes of the list of upstreams; None for a removal."""
         self.listed_s = now_s
         with self.fleet.noting_changes(now_s):
-            for upstream_id, entry in entries:
-                if entry is None:
-                    upstreams.drop(self.fleet.roster, upstream_id, now_s)
-                else:
-                    upstreams.put(self.fleet.roster, entry, now_s)
+            for name, entry in entries:
+                upstreams.change(self.fleet.roster, name, entry, now_s)
         return self.refresh(now_s)
 
     def refresh(self, now_s: float) -> list[jobs.Effect]:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -15,7 +15,7 @@
 import attrs
 
 from egretspur import actors, decisions, errors
-from egretspur.catalog import config, upstreams
+from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import broker, fleet, jobs, paths, questions
 
 Decision = jobs.Start | errors.Refusal
@@ -71,14 +71,16 @@
 class ReplaceUpstreams:
     """The whole list of upstreams."""
 
-    entries: Mapping[str, upstreams.Upstream]
+    entries: Mapping[str, upstreams.Upstream | feeds.Unreadable]
 
 
 @attrs.frozen
 class ChangeUpstreams:
     """Changes of the list of upstreams; None for a removal."""
 
-    entries: tuple[tuple[str, upstreams.Upstream | None], ...]
+    entries: tuple[
+        tuple[str, upstreams.Upstream | feeds.Unreadable | None], ...
+    ]
 
 
 @attrs.frozen
@@ -89,26 +91,11 @@
     is_back: bool
 
 
-@attrs.frozen
-class PeerNews:
-    """What another host has in flight."""
-
-    host: str
-    data_centre: str
-    usage: Mapping[str, jobs.Usage]
-    # Engines that run slower than their kind.
-    pace: Mapping[str, float]
-    # Upstreams that it found dead.
-    dead: tuple[str, ...]
-    # Layers that engines reported to it.
-    layers: Mapping[str, upstreams.Layers]
-
-
 @attrs.frozen
 class Heard:
     """What other hosts said, oldest first."""
 
-    news: tuple[PeerNews, ...]
+    news: tuple[fleet.PeerNews, ...]
     # Hosts that share the retry budget, as far as this one knows.
     hosts: int
 
@@ -138,9 +125,8 @@
     """The result of a probe."""
 
     upstream_id: str
-    is_ok: bool
-    # Factor by which an engine is slower than its kind.
-    pace: float
+    # None if it did not answer.
+    report: upstreams.EngineReport | None
 
 
 @attrs.frozen
@@ -204,14 +190,14 @@
 
     @handle.register
     def _(self, message: Configure) -> None:
-        self._broker.configure(message.cfg)
+        self._questions.run(
+            self._broker.configure(message.cfg, time.monotonic())
+        )
 
     @handle.register
     def _(self, message: ReplaceUpstreams) -> None:
         now_s = time.monotonic()
-        self._questions.run(
-            self._broker.replace_list(dict(message.entries), now_s)
-        )
+        self._questions.run(self._broker.replace_list(message.entries, now_s))
 
     @handle.register
     def _(self, message: ChangeUpstreams) -> None:
@@ -229,7 +215,7 @@
         self._broker.hosts = max(1, message.hosts)
         now_s = time.monotonic()
         for news in message.news:
-            self._hear(news, now_s)
+            self._broker.fleet.hear(news, now_s)
 
     @handle.register
     def _(self, message: NoteFailed) -> None:
@@ -250,8 +236,8 @@
     @handle.register
     def _(self, message: Probed) -> None:
         now_s = time.monotonic()
-        self._broker.fleet.note_probe(
-            message.upstream_id, message.is_ok, message.pace, now_s
+        self._broker.fleet.note_report(
+            message.upstream_id, message.report, now_s
         )
         self._questions.run(self._broker.refresh(now_s))
 
@@ -267,25 +253,22 @@
     def _(self, message: Look) -> Any:
         return message.read(self._broker)
 
-    def _hear(self, news: PeerNews, now_s: float) -> None:
-        state = self._broker.fleet
-        state.peers[news.host] = fleet.PeerUsage(
-            now_s, news.usage, news.data_centre
-        )
-        state.paces.hear(news.pace, now_s)
-        # A host in the same data centre sees what this one would see.
-        if news.data_centre == state.data_centre:
-            for upstream_id in news.dead:
-                state.note_down(upstream_id, now_s)
-        for upstream_id, layers in news.layers.items():
-            upstreams.learn(state.roster, upstream_id, layers, now_s)
-
     def on_receive(self, message: Any) -> Any:
         """Handles one message and logs what was decided by it."""
-        res = super().on_receive(message)
-        for note in self._broker.take_notes():
-            decisions.record(note)
-        return res
+        try:
+            return super().on_receive(message)
+        finally:
+            for note in self._broker.take_notes():
+                decisions.record(note)
+
+    def note_failed(self, message: Any) -> None:
+        """Answers the request that could not be decided on.
+
+        Its thread would wait for its deadline else, and its caller with it.
+        """
+        if isinstance(message, Arrive | Fail):
+            refusal = errors.Refusal(errors.ErrorKind.INTERNAL, "not decided")
+            questions.answer(message.fut, refusal)
 
 
 class Desk:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -127,6 +127,21 @@
     data_centre: str = ""
 
 
+@attrs.frozen
+class PeerNews:
+    """What another host has in flight."""
+
+    host: str
+    data_centre: str
+    usage: Mapping[str, jobs.Usage]
+    # Engines that run slower than their kind.
+    pace: Mapping[str, float]
+    # Upstreams that it found dead.
+    dead: tuple[str, ...]
+    # Layers that engines reported to it.
+    layers: Mapping[str, upstreams.Layers]
+
+
 class Fleet:
     """State of all upstreams; see the module's docstring."""
 
@@ -149,7 +164,7 @@
 
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
-        if entry.is_draining:
+        if entry.is_draining or entry.id in self.roster.unreadable:
             return False
         refusals = self.refusals.get(entry.id)
         if refusals is not None and now_s < refusals.until_s:
@@ -214,6 +229,18 @@
                 )
         return total
 
+    def hear(self, news: PeerNews, now_s: float) -> None:
+        """Takes what another host said."""
+        self.peers[news.host] = PeerUsage(now_s, news.usage, news.data_centre)
+        self.paces.hear(news.pace, now_s)
+        # A host in the same data centre sees what this one would see.
+        if news.data_centre == self.data_centre:
+            for upstream_id in news.dead:
+                if upstream_id in self.roster.entries:
+                    self.note_down(upstream_id, now_s)
+        for upstream_id, layers in news.layers.items():
+            upstreams.learn(self.roster, upstream_id, layers, now_s)
+
     def list_cut_off(self, now_s: float) -> set[str]:
         """Returns the data centres whose hosts fell silent, all of them."""
         last: dict[str, float] = {}
@@ -328,7 +355,10 @@
         For the log, and layers for the other hosts.
         """
         before = dict(self.roster.entries)
+        unreadable = set(self.roster.unreadable)
+        unfit = dict(self.roster.unfit)
         yield
+        self._note_strange(unfit, unreadable)
         for upstream_id, entry in self.roster.entries.items():
             old = before.get(upstream_id)
             if old is None:
@@ -338,7 +368,31 @@
             if entry.is_draining and not (old and old.is_draining):
                 self._note(upstream_id, "draining", "reported that it leaves")
         for upstream_id in set(before) - set(self.roster.entries):
-            self._note(upstream_id, "gone", "no longer listed")
+            is_again = before[upstream_id].name in self.roster.by_name
+            self._note(
+                upstream_id,
+                "gone",
+                "started again" if is_again else "no longer listed",
+            )
+
+    def _note_strange(
+        self, unfit: Mapping[str, str], unreadable: set[str]
+    ) -> None:
+        """Notes entries that have turned out to be no upstream's own."""
+        for name, field in self.roster.unfit.items():
+            if unfit.get(name) != field:
+                self.notes.append(
+                    decisions.EntryLeftOut(
+                        "upstreams",
+                        name,
+                        field,
+                        "does not fit the configuration or the server",
+                    )
+                )
+        for upstream_id in self.roster.unreadable - unreadable:
+            self._note(
+                upstream_id, "unreadable", "its newest record can't be used"
+            )
 
     def learn_layers(
         self, upstream_id: str, layers: upstreams.Layers, now_s: float
@@ -347,6 +401,31 @@
         upstreams.learn(self.roster, upstream_id, layers, now_s)
         self._moved[upstream_id] = Moved(layers, now_s, True)
 
+    def note_report(
+        self,
+        upstream_id: str,
+        report: upstreams.EngineReport | None,
+        now_s: float,
+    ) -> None:
+        """Takes an engine's answer to a probe; None if there was none.
+
+        A report of another start tells nothing of this one. A newer start
+        takes its place at once.
+        """
+        entry = self.roster.entries.get(upstream_id)
+        if report is None or entry is None:
+            self.note_probe(upstream_id, report is not None, 1.0, now_s)
+            return
+        if not upstreams.is_other_start(entry, report):
+            self.note_probe(upstream_id, True, report.pace, now_s)
+            return
+        with self.noting_changes(now_s):
+            upstreams.note_restart(self.roster, upstream_id, report, now_s)
+        health = self.health.get(upstream_id)
+        if health is not None:
+            # Asked again if it still counts: the report was of an older start.
+            health.is_probing = False
+
     def list_moved(
         self, kept_s: float, now_s: float
     ) -> dict[str, upstreams.Layers]:
@@ -376,6 +455,9 @@
         for entry in roster.entries.values():
             layers = roster.listed.get(entry.id, entry.layers)
             held = f"{layers.first}-{layers.last}" if layers else "none"
+            if entry.id in roster.unreadable:
+                # A host that has read the list anew does not know it at all.
+                continue
             rows.append(
                 f"{entry.id} {entry.address} {entry.is_draining} {held}"
             )
@@ -389,6 +471,7 @@
             self.faults,
             self.refusals,
             self.times,
+            self._moved,
         )
         for table in tables:
             for upstream_id in set(table) - set(listed):
--- a/egretspur/routing/probes.py
+++ b/egretspur/routing/probes.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from egretspur import guard
 from egretspur.catalog import upstreams
 from egretspur.routing import desk
 
@@ -21,8 +22,8 @@
 # of a data centre may be dark.
 THREADS: Final = 4
 
-# Asks an upstream; returns its pace, or None if it did not answer.
-Probe = Callable[[upstreams.Upstream], float | None]
+# Asks an upstream; returns its report, or None if it did not answer.
+Probe = Callable[[upstreams.Upstream], upstreams.EngineReport | None]
 
 
 class Prober:
@@ -50,9 +51,13 @@
 
     def _run(self) -> None:
         while not self._stop.wait(PERIOD_S):
-            for entry in self._desk.take_probes():
-                self._pool.submit(self._ask, entry)
+            with guard.surviving("probes"):
+                for entry in self._desk.take_probes():
+                    self._pool.submit(self._ask, entry)
 
     def _ask(self, entry: upstreams.Upstream) -> None:
-        pace = self._probe(entry)
-        self._desk.tell(desk.Probed(entry.id, pace is not None, pace or 1.0))
+        report = None
+        with guard.surviving("probe"):
+            report = self._probe(entry)
+        # Told in any case, or it would never be asked again.
+        self._desk.tell(desk.Probed(entry.id, report))
--- a/egretspur/routing/questions.py
+++ b/egretspur/routing/questions.py
@@ -28,6 +28,7 @@
 
 
 S = TypeVar("S", bound=Start)
+D = TypeVar("D")
 
 
 class Questions(Generic[S]):
@@ -59,12 +60,18 @@
                 self._answer(effect.id, effect)
 
     def _answer(self, request_id: str, decision: S | errors.Refusal) -> None:
-        """Answers a question, unless it was dropped or its thread gave up."""
+        """Answers a question, unless it was dropped."""
         fut = self._futures.pop(request_id, None)
-        if fut is None or fut.done():
-            return
-        try:
-            fut.set_result(decision)
-        except concurrent.futures.InvalidStateError:
-            # The thread gave up in this very moment; it asks no more.
-            return
+        if fut is not None:
+            answer(fut, decision)
+
+
+def answer(fut: concurrent.futures.Future[D], decision: D) -> None:
+    """Answers a question, unless its thread gave up."""
+    if fut.done():
+        return
+    try:
+        fut.set_result(decision)
+    except concurrent.futures.InvalidStateError:
+        # The thread gave up in this very moment; it asks no more.
+        return
--- /dev/null
+++ b/tests/listing.py
@@ -0,0 +1,132 @@
+"""The platform's list of upstreams in memory, and hosts that read it.
+
+Entries are bytes as upstreams, or anyone else, write them; hosts read them
+through the adapter, as changes or as a whole. Read next:
+`tests.catalog.machine`.
+"""
+
+from __future__ import annotations
+
+import base64
+import random
+import struct
+from typing import Any, Final
+
+import attrs
+import orjson
+
+from egretspur import transport
+from egretspur.catalog import feeds, upstreams
+from egretspur.platform import store
+from egretspur.routing import broker
+from tests import fleets
+
+# When the first start of every server was, in Unix ms.
+BORN_MS: Final = 1_764_700_000_000
+
+
+@attrs.define
+class Log:
+    """The topic of the list; answers as the store does."""
+
+    # Key and value of each record; no value removes the key.
+    records: list[tuple[str, bytes]] = attrs.Factory(list)
+
+    def write(self, key: str, value: Any) -> None:
+        """Adds a record: bytes as they are, None as a removal, else JSON."""
+        raw = value if isinstance(value, bytes) else orjson.dumps(value)
+        self.records.append((key, b"" if value is None else raw))
+
+    def get(
+        self, path: str, query: dict[str, Any], read_s: float = 1.0
+    ) -> transport.Reply:
+        """Answers a read; see `egretspur.platform.store.Store`."""
+        if path.endswith("log-newest"):
+            return transport.Reply(200, {}, self._list_newest())
+        data = struct.pack(">QQ", len(self.records), 0)
+        for key, raw in self.records[int(query["source"]) :]:
+            body = bytes([len(key.encode())]) + key.encode() + raw
+            data += struct.pack(">I", len(body)) + body
+        return transport.Reply(200, {}, data)
+
+    def _list_newest(self) -> bytes:
+        newest = {k: (i, raw) for i, (k, raw) in enumerate(self.records)}
+        rows = [
+            {"key": k, "value": base64.b64encode(raw).decode(), "offset": i}
+            for k, (i, raw) in newest.items()
+            if raw
+        ]
+        return orjson.dumps(
+            {
+                "entries": rows,
+                "has_more": False,
+                "end_offset": len(self.records),
+            }
+        )
+
+
+class Host:
+    """A host that follows the list."""
+
+    def __init__(self, log: Log) -> None:
+        self.broker = broker.Broker("kl-hall", fleets.BUDGET, random.Random(7))
+        self.topic = store.make_upstreams_topic(log)  # type: ignore[arg-type]
+        self.offset = -1
+
+    @property
+    def roster(self) -> upstreams.Roster:
+        """What it knows of the list."""
+        return self.broker.fleet.roster
+
+    def read_changes(self, now_s: float) -> None:
+        """Reads what was written since."""
+        if self.offset < 0:
+            self.read_whole(now_s)
+            return
+        res = self.topic.read_changes(self.offset, 0.0)
+        assert isinstance(res, feeds.Changes), res
+        self.broker.change_list(res.values, now_s)
+        self.offset = res.next
+
+    def read_whole(self, now_s: float) -> None:
+        """Reads the whole list anew."""
+        res = self.topic.read_newest()
+        assert isinstance(res, feeds.Whole), res
+        self.broker.replace_list(res.values, now_s)
+        self.offset = res.next
+
+    def take_from(self, other: Host, now_s: float) -> None:
+        """Takes what another host hands over."""
+        data = other.topic.export(self.offset)
+        assert data is not None
+        res = self.topic.read_snapshot(data)
+        assert not isinstance(res, feeds.Unavailable), res
+        if isinstance(res, feeds.Whole):
+            self.broker.replace_list(res.values, now_s)
+        else:
+            self.broker.change_list(res.values, now_s)
+        self.offset = res.next
+
+    def list_usable(self, now_s: float) -> set[str]:
+        """Returns the ids of the upstreams that it may send work to."""
+        state = self.broker.fleet
+        services = {e.service for e in self.roster.entries.values()}
+        return {e.id for s in services for e in state.list_usable(s, now_s)}
+
+
+def make_entry(number: int, **fields: Any) -> dict[str, Any]:
+    """Returns the entry of engine ``e-NUMBER``, with other fields replaced."""
+    return {
+        "service": "llm",
+        "address": f"10.0.0.{number}:80",
+        "zone": "kl-hall",
+        "version": "v1",
+        "slots": 96,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq_no": 1,
+        "route_kind": "l4",
+        "layer_count": {"source": 0, "to": 20, "version": 1},
+        "born": BORN_MS,
+        **fields,
+    }
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -56,13 +56,15 @@
 @given('an upstream "{name}" that is listed')
 def step_listed(context: Any, name: str) -> None:
     context.roster = upstreams.Roster()
-    context.entry = attrs.evolve(fleets.make_upstream("l4-0", "0-20"), id=name)
+    context.entry = attrs.evolve(
+        fleets.make_upstream("l4-0", "0-20"), id=name, name=name
+    )
     upstreams.put(context.roster, context.entry, 10.0)
 
 
 @when('upstream "{other}" is listed at the address of "u"')
 def step_same_address(context: Any, other: str) -> None:
-    entry = attrs.evolve(context.entry, id=other)
+    entry = attrs.evolve(context.entry, id=other, name=other)
     upstreams.put(context.roster, entry, 11.0)
 
 
@@ -180,11 +182,11 @@
     values: dict[str, str] = attrs.Factory(dict)
     contacts: list[bool] = attrs.Factory(list)
 
-    def take_whole(self, values: Mapping[str, str]) -> None:
+    def take_whole(self, values: Mapping[str, Any]) -> None:
         """Takes the newest state."""
         self.values = dict(values)
 
-    def take_changes(self, values: tuple[tuple[str, str | None], ...]) -> None:
+    def take_changes(self, values: tuple[tuple[str, Any], ...]) -> None:
         """Takes changes."""
         for key, value in values:
             if value is None:
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -7,6 +7,7 @@
 from behave import then, when
 
 from tests import fuzz
+from tests.catalog import machine as entries
 from tests.claims import machine as claims
 from tests.intents import machine as intents
 from tests.membership import machine as membership
@@ -14,6 +15,7 @@
 from tests.routing import machine as routing
 
 MACHINES: dict[str, Any] = {
+    "entries": entries.EntriesMachine,
     "claims": claims.ClaimsMachine,
     "intents": intents.IntentsMachine,
     "lease": orders.LeaseMachine,
--- /dev/null
+++ b/tests/steps/guard_steps.py
@@ -0,0 +1,243 @@
+"""Steps on errors that nobody thought of, in actors and threads."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from behave import given, then, when
+
+from egretspur import errors
+from egretspur.catalog import feeds
+from egretspur.delivery import watch
+from egretspur.membership import duty, exchange
+from egretspur.orders import ranges
+from egretspur.routing import desk, jobs, probes
+from tests import fleets, stage
+from tests.steps import entries_steps
+
+CAUSE = "nobody thought of it"
+
+
+class FailOnce:
+    """Raises at its first call, then does what it is made with."""
+
+    def __init__(self, then: Callable[..., Any] = lambda *args: None) -> None:
+        self._then = then
+        self.calls = 0
+
+    def __call__(self, *args: Any, **kwargs: Any) -> Any:
+        """Fails or passes on."""
+        self.calls += 1
+        if self.calls == 1:
+            raise LookupError(CAUSE)
+        return self._then(*args, **kwargs)
+
+
+class FailingGroup:
+    """A group whose first join raises; see `duty.Group`."""
+
+    def __init__(self) -> None:
+        self.join = FailOnce(lambda ttl_s: duty.Held(True, 1))
+
+    def leave(self) -> None:
+        """Nothing to do."""
+
+    def list_members(self) -> tuple[str, ...]:
+        """Nobody else."""
+        return ()
+
+
+class Peers:
+    """Nobody else; see `duty.Peers`."""
+
+    def note_members(self, hosts: tuple[str, ...]) -> None:
+        """Nothing to do."""
+
+    def is_alone(self) -> bool:
+        """Nobody is heard."""
+        return False
+
+    def is_first_cut_off(self) -> bool:
+        """Never asked for."""
+        return False
+
+
+def make_desk(context: Any) -> Any:
+    """Returns the broker of a desk that is closed after the scenario."""
+    state = fleets.make_broker([fleets.make_upstream("a100-0", "0-80")])
+    state.fleet.roster.entries["a100-0"] = fleets.make_upstream("app-0")
+    context.desk = desk.Desk(state)
+    context.add_cleanup(context.desk.close)
+    return state
+
+
+def record_steps(context: Any) -> None:
+    """Keeps the failed steps that are logged in the scenario."""
+    recording = entries_steps.recording("step_failed")
+    context.failed_steps = recording.__enter__()
+    context.add_cleanup(lambda: recording.__exit__(None, None, None))
+
+
+def ask(context: Any, name: str) -> Any:
+    """Hands in a request; returns its decision."""
+    job = fleets.make_job(name, "non_idempotent", now_s=time.monotonic())
+    return context.desk.arrive(job).result(2.0)
+
+
+@given("a host's desk whose broker fails on the next answer")
+def step_answer_fails(context: Any) -> None:
+    record_steps(context)
+    make_desk(context).note_answer = FailOnce()
+
+
+@given("a host's desk whose broker fails on the next arrival")
+def step_arrival_fails(context: Any) -> None:
+    record_steps(context)
+    state = make_desk(context)
+    state.arrive = FailOnce(state.arrive)
+
+
+@when("an answer comes, and then a request")
+def step_answer(context: Any) -> None:
+    context.desk.tell(desk.Answered("x"))
+    context.decision = ask(context, "x")
+
+
+@when("a request comes, and then another")
+def step_two(context: Any) -> None:
+    context.first = ask(context, "x")
+    context.decision = ask(context, "y")
+
+
+@then("the request is started")
+@then("the second one is started")
+def step_started(context: Any) -> None:
+    assert isinstance(context.decision, jobs.Start), context.decision
+
+
+@then("the first one gets its final answer at once, which promises nothing")
+def step_final(context: Any) -> None:
+    assert isinstance(context.first, errors.Refusal), context.first
+    assert not context.first.answer.not_run
+
+
+@then("the failed step is logged with its cause")
+def step_logged(context: Any) -> None:
+    stage.wait_until(lambda: context.failed_steps, 2.0, "a line")
+    assert CAUSE in context.failed_steps[0]["reason"], context.failed_steps
+
+
+class Source:
+    """Changes, then whatever is asked for."""
+
+    def read_newest(self) -> feeds.Whole[str]:
+        """Returns a value."""
+        return feeds.Whole({"k": "whole"}, 5)
+
+    def read_changes(self, offset: int, wait_s: float) -> feeds.Changes[str]:
+        """Returns a change."""
+        return feeds.Changes((("k", "changed"),), offset + 1)
+
+
+class Sink:
+    """Counts what it is given; see `feeds.Sink`."""
+
+    def __init__(self) -> None:
+        self.wholes = 0
+        self.take_changes = FailOnce()
+
+    def take_whole(self, values: Any) -> None:
+        """Takes a whole."""
+        self.wholes += 1
+
+    def note_contact(self, is_back: bool) -> None:
+        """Nothing to do."""
+
+
+@given("a feed whose sink fails once, in the middle of changes")
+def step_sink(context: Any) -> None:
+    record_steps(context)
+    context.sink = Sink()
+    context.feed = feeds.Feed(
+        "test", Source(), context.sink, lambda: feeds.Pace(0.0, 0.01)
+    )
+
+
+@when("it runs until the sink was given a whole")
+def step_feed_runs(context: Any) -> None:
+    context.feed.start()
+    try:
+        stage.wait_until(lambda: context.sink.wholes >= 2, 5.0, "a whole")
+    finally:
+        context.feed.close()
+
+
+@given("{thread} whose first step fails")
+def step_thread(context: Any, thread: str) -> None:
+    record_steps(context)
+    made: dict[str, Callable[[Any], tuple[Any, FailOnce]]] = {
+        "the duty": make_duty,
+        "the watch": make_watch,
+        "the prober": make_prober,
+        "the keeper": make_keeper,
+        "the exchange": make_exchange,
+    }
+    context.thread, context.step = made[thread](context)
+
+
+def make_duty(context: Any) -> tuple[Any, FailOnce]:
+    """Returns a duty that fails at its first join."""
+    group = FailingGroup()
+    return duty.Duty(group, Peers()), group.join
+
+
+def make_watch(context: Any) -> tuple[Any, FailOnce]:
+    """Returns a watch that fails at its first look."""
+    found = watch.StreamWatch(None, None)  # type: ignore[arg-type]
+    found.look = FailOnce()  # type: ignore[method-assign]
+    return found, found.look
+
+
+def make_prober(context: Any) -> tuple[Any, FailOnce]:
+    """Returns a prober whose desk fails at the first question."""
+    make_desk(context)
+    context.desk.take_probes = FailOnce(list)
+    found = probes.Prober(context.desk, lambda entry: None)
+    return found, context.desk.take_probes
+
+
+def make_keeper(context: Any) -> tuple[Any, FailOnce]:
+    """Returns a keeper of layers that fails in its first round."""
+    found = ranges.RangeKeeper(None, None, None)  # type: ignore[arg-type]
+    found.run_round = FailOnce()  # type: ignore[method-assign]
+    return found, found.run_round
+
+
+def make_exchange(context: Any) -> tuple[Any, FailOnce]:
+    """Returns an exchange that fails when it first makes its news."""
+    make_news = FailOnce(lambda peers: time.sleep(0.01))
+    found = exchange.Exchange(
+        exchange.Peers("127.0.0.1", "kl-hall", ()),
+        "127.0.0.1",
+        stage.find_udp_port(("127.0.0.1",)),
+        make_news,
+        dict,
+        lambda news, hosts: None,
+    )
+    return found, make_news
+
+
+@when("it runs for a while")
+def step_runs(context: Any) -> None:
+    context.thread.start()
+    try:
+        stage.wait_until(lambda: context.step.calls >= 2, 5.0, "a step")
+    finally:
+        context.thread.close()
+
+
+@then("later steps were made")
+def step_made(context: Any) -> None:
+    assert context.step.calls >= 2
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 
 from egretspur.catalog import feeds, reading, upstreams
-from egretspur.membership import duty, exchange
+from egretspur.membership import datagrams, duty, exchange
 from egretspur.routing import jobs
 from tests import stage
 
@@ -19,9 +19,9 @@
 
 def make_news(
     host: str = "10.0.0.1", data_centre: str = "kl-hall", store_age_s: float = 0
-) -> exchange.News:
+) -> datagrams.News:
     """Returns the news of a host with nothing in flight."""
-    return exchange.News(
+    return datagrams.News(
         host,
         data_centre,
         store_age_s,
@@ -175,7 +175,7 @@
 
 @given("news with requests in flight, slow and dead engines and layers")
 def step_news(context: Any) -> None:
-    context.news = exchange.News(
+    context.news = datagrams.News(
         "10.1.0.4",
         "kl-hall",
         0.25,
@@ -190,7 +190,7 @@
 
 @when("it is sent as a datagram")
 def step_sent(context: Any) -> None:
-    context.read = exchange.decode_news(exchange.encode_news(context.news))
+    context.read = datagrams.decode_news(datagrams.encode_news(context.news))
 
 
 @then("the same news is read from it")
@@ -200,12 +200,12 @@
 
 @when('the datagram "{data}" is read')
 def step_datagram(context: Any, data: str) -> None:
-    context.read = exchange.decode_news(data.encode())
+    context.read = datagrams.decode_news(data.encode())
 
 
 @then("it is ignored")
 def step_ignored(context: Any) -> None:
-    assert context.read is None, context.read
+    assert isinstance(context.read, datagrams.NotNews), context.read
 
 
 @given("hosts {hosts} of {data_centre} that were heard now")
@@ -235,7 +235,7 @@
     """Exchanges on this machine, closed with the scenario."""
 
     exchanges: list[exchange.Exchange] = attrs.Factory(list)
-    heard: dict[str, dict[str, exchange.News]] = attrs.Factory(dict)
+    heard: dict[str, dict[str, datagrams.News]] = attrs.Factory(dict)
 
     def close(self) -> None:
         """Closes all of them."""
@@ -248,7 +248,7 @@
     context.play = Talkers()
     port = stage.find_udp_port(IPS)
     for ip in IPS:
-        heard: dict[str, exchange.News] = {}
+        heard: dict[str, datagrams.News] = {}
         context.play.heard[ip] = heard
         context.play.exchanges.append(
             exchange.Exchange(
@@ -267,17 +267,17 @@
 def make_sender(ip: str) -> Any:
     """Returns what makes a host's news."""
 
-    def make(heard: dict[str, str]) -> exchange.News:
+    def make(heard: dict[str, str]) -> datagrams.News:
         usage = {f"i-{ip}": jobs.Usage(1, 900.0)}
         return attrs.evolve(make_news(ip), usage=usage, peers=heard)
 
     return make
 
 
-def make_taker(heard: dict[str, exchange.News]) -> Any:
+def make_taker(heard: dict[str, datagrams.News]) -> Any:
     """Returns what takes others' news."""
 
-    def take(news: Sequence[exchange.News], hosts: int) -> None:
+    def take(news: Sequence[datagrams.News], hosts: int) -> None:
         heard.update({n.host: n for n in news})
 
     return take
@@ -335,7 +335,7 @@
 def step_at_once(context: Any, count: int) -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         for i in range(count - 1):
-            data = exchange.encode_news(make_news(f"10.0.1.{i}"))
+            data = datagrams.encode_news(make_news(f"10.0.1.{i}"))
             sock.sendto(data, (IPS[0], context.port))
         sock.sendto(b"[]", (IPS[0], context.port))
 
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -14,7 +14,7 @@
 from behave import given, then, when
 
 import egretspur
-from egretspur import transport, web
+from egretspur import codec, transport, web
 from egretspur.catalog import feeds
 from egretspur.platform import decode, ingress, node, store
 
@@ -168,7 +168,7 @@
     data = {k: v for k, v in EXAMPLE.items() if k != field}
     try:
         decode.decode_config(data)
-    except decode.MalformedError as exc:
+    except codec.DecodeError as exc:
         context.problem = str(exc)
 
 
@@ -184,6 +184,8 @@
         "service": "llm",
         "address": "10.0.0.1:1",
         "zone": "kl-hall",
+        "version": "v1",
+        "cold_left_ms": 0,
         "slots": 96,
         "seq_no": 4,
         "route_kind": "l4",
@@ -287,7 +289,9 @@
 
 @then("the good one is known and the broken one changes nothing")
 def step_good(context: Any) -> None:
-    assert context.whole.values == {"good": 1}, context.whole
+    values = dict(context.whole.values)
+    assert isinstance(values.pop("bad"), feeds.Unreadable), context.whole
+    assert values == {"good": 1}, context.whole
 
 
 @when('settings without "{field}" are decoded')
