Choose a prompt path before a near one, and give slow engines' layers to others

Change: an engine whose pass takes over 0.4 of the pause that a route allows is left out while one data centre has a path without it; the keeper of layers treats it as lost until it is well.

--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -547,7 +547,8 @@
             state = self._brokers[req.place]
             parts = None
             if self._policy.is_moving:
-                parts = state.repath(run.id, frozenset([engine.id]), now_s)
+                stalled = frozenset([engine.id])
+                parts = state.repath(run.id, stalled, now_s).parts
             if parts is not None and self._can_run(parts):
                 self._engines.move(run, parts)
             else:
--- a/egretspur/catalog/config.py
+++ b/egretspur/catalog/config.py
@@ -88,6 +88,8 @@
     read_tokens_per_s: float
     # Steps of one pass.
     stride: int
+    # Most prompt tokens that are read beside one step.
+    chunk_tokens: int
     usual_prompt: int
     usual_answer: int
     # Seconds to load all layers.
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -25,7 +25,7 @@
 from egretspur.membership import datagrams, duty, exchange
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
-from egretspur.routing import broker, desk, fleet, jobs, probes
+from egretspur.routing import broker, choice, desk, fleet, jobs, probes
 
 # Requests at once; each keeps a thread, started when it is needed.
 THREADS: Final = 600
@@ -356,13 +356,15 @@
                 if not e.is_draining and not view.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
+            cfg = self._versions.newest
             return ranges.Scene(
-                self._versions.newest,
+                cfg,
                 tuple(e for e in live if e.data_centre == home),
                 tuple(e for e in live if e.data_centre != home),
                 frozenset(
                     e.id for e in live if not view.get_usage(e.id, now_s).count
                 ),
+                _find_late(view, cfg, now_s),
             )
 
         scene: ranges.Scene = self._desk.look(read)
@@ -480,6 +482,21 @@
                     self._reload()
 
 
+def _find_late(
+    view: fleet.Fleet, cfg: config.Configuration | None, now_s: float
+) -> frozenset[str]:
+    """Returns the engines that are too slow for prompt answers."""
+    if cfg is None:
+        return frozenset()
+    return frozenset(
+        upstream_id
+        for service in cfg.find_engine_services()
+        for upstream_id in view.list_late(
+            service, choice.compute_shortest_bound(cfg, service.name), now_s
+        )
+    )
+
+
 def _list_hosts(addresses: Sequence[str]) -> list[str]:
     """Returns the hosts of addresses."""
     return [a.rpartition(":")[0] for a in addresses]
--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -79,6 +79,9 @@
     elsewhere: tuple[upstreams.Upstream, ...]
     # Those that no request uses, by id.
     idle: frozenset[str]
+    # Those too slow for prompt answers: their layers are given to others as
+    # if they were lost, and they get no new ones.
+    late: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -160,7 +163,9 @@
         found = {
             e.id: e
             for e in scene.engines
-            if e.service == service and e.accelerator in spec.accelerators
+            if e.service == service
+            and e.accelerator in spec.accelerators
+            and e.id not in scene.late
         }
         for entry in found.values():
             self._read_back(entry, now_s)
@@ -179,7 +184,9 @@
         others = [
             e.layers
             for e in scene.elsewhere
-            if e.service == service and e.layers is not None
+            if e.service == service
+            and e.layers is not None
+            and e.id not in scene.late
         ]
         orders = ranges.plan_orders(engines, spec, others)
         for engine_id, layers in orders.items():
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -22,6 +22,9 @@
 _READY: Final = "ready"
 _DRAINING: Final = "draining"
 
+# Prompt tokens read beside a step, where a configuration doesn't tell.
+_USUAL_CHUNK: Final = 512
+
 
 def read_record(raw: bytes, decode: Callable[[Any], T]) -> T | feeds.Unreadable:
     """Returns what a record of the store says, or why it can't be read."""
@@ -189,6 +192,7 @@
         per_token_s=data.get_number("context_per_k") / 1e6,
         read_tokens_per_s=data.get_number("read_per_s"),
         stride=data.get_count("stride", 1),
+        chunk_tokens=data.get_count("chunk", _USUAL_CHUNK),
         usual_prompt=int(usual.get_number("prompt")),
         usual_answer=int(usual.get_number("answer")),
         load_s=model.get_number("load_s"),
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -17,8 +17,8 @@
 from egretspur.admission import queue as queues
 from egretspur.admission import shared
 from egretspur.catalog import config, feeds, upstreams
+from egretspur.routing import choice, jobs, paths, questions
 from egretspur.routing import fleet as fleets
-from egretspur.routing import jobs, paths, questions
 
 # Part of the objective that a request may wait for request memory. What is
 # left must do for reading its prompt, else it is late as well as slow.
@@ -181,11 +181,8 @@
         )
         tail = [attrs.evolve(c, first=max(c.first, first.last)) for c in cards]
         usable = [c for c in tail if c.first < c.last]
-        found = paths.find_path(
-            [kept, *usable],
-            spec.layers,
-            ticket.job.tokens,
-            self.fleet.data_centre,
+        found = choice.find_prompt(
+            ticket.job, spec, [kept, *usable], self.fleet.data_centre
         )
         if found is None:
             return None
@@ -362,27 +359,8 @@
         cards: Sequence[paths.Card],
         cut_off: set[str],
     ) -> tuple[paths.Part, ...] | None:
-        """Finds a path as near as there is one.
-
-        In the own data centre, else within another whose hosts are heard,
-        else over several of those, else over any: where only the hosts are
-        down, the engines still serve. A path within one data centre leaves
-        the pipes between them alone, wherever its caller is.
-        """
-        home = self.fleet.data_centre
-        near = [c for c in cards if c.data_centre == home]
-        found = paths.find_path(near, spec.layers, job.tokens, home)
-        if found is not None:
-            return found
-        heard = [c for c in cards if c.data_centre not in cut_off]
-        found = _find_within_one(heard, spec, job, home)
-        if found is not None:
-            return found
-        for choice in (heard, cards):
-            found = paths.find_path(choice, spec.layers, job.tokens, home)
-            if found is not None or len(heard) == len(cards):
-                return found
-        return None
+        """Finds a path; see `choice.choose`."""
+        return choice.choose(job, spec, cards, cut_off, self.fleet.data_centre)
 
     def _start_plain(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
@@ -568,20 +546,3 @@
             )
             self._budgets[service] = budget
         return budget
-
-
-def _find_within_one(
-    cards: Sequence[paths.Card],
-    spec: config.EngineSpec,
-    job: jobs.Job,
-    home: str,
-) -> tuple[paths.Part, ...] | None:
-    """Finds the fastest path that stays within one data centre but the own."""
-    places = {c.data_centre for c in cards} - {home}
-    found = []
-    for place in sorted(places):
-        choice = [c for c in cards if c.data_centre == place]
-        parts = paths.find_path(choice, spec.layers, job.tokens, home)
-        if parts is not None:
-            found.append((paths.compute_path_s(parts, choice), parts))
-    return min(found, key=lambda f: f[0])[1] if found else None
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -484,6 +484,7 @@
         """Returns a service's usable engines that hold layers."""
         cards = []
         context = spec.usual_prompt + spec.usual_answer / 2
+        chunk_s = spec.chunk_tokens / spec.read_tokens_per_s
         for entry in self.list_usable(service, now_s):
             kind = spec.accelerators.get(entry.accelerator)
             if entry.layers is None or kind is None:
@@ -493,8 +494,10 @@
             step_s = spec.step_s + usage.count * (
                 spec.per_request_s + spec.per_token_s * context
             )
-            pace = kind.pace * self.paces.get(entry.id, now_s)
-            pace *= self.get_slowdown(entry.id, now_s)
+            slow = self.paces.get(entry.id, now_s)
+            read_s = slow * kind.read_factor * chunk_s
+            pass_s = spec.stride * (step_s * kind.pace * slow + read_s)
+            pace = kind.pace * slow * self.get_slowdown(entry.id, now_s)
             cards.append(
                 paths.Card(
                     entry.id,
@@ -504,10 +507,31 @@
                     entry.layers.last,
                     step_s * pace / spec.layers,
                     size - usage.room,
+                    pass_s / spec.layers,
                 )
             )
         return cards
 
+    def list_late(
+        self, service: config.Service, longest_pass_s: float, now_s: float
+    ) -> set[str]:
+        """Returns the engines that are too slow for prompt answers.
+
+        Args:
+            service: Theirs.
+            longest_pass_s: Longest pass of an engine on a prompt path.
+            now_s: Monotonic time.
+        """
+        spec = service.engine
+        if spec is None:
+            return set()
+        return {
+            c.id
+            for c in self.make_cards(service.name, spec, now_s)
+            if self.paces.get(c.id, now_s) > paces.USUAL
+            and (c.last - c.first) * c.pass_s > longest_pass_s
+        }
+
     def describe_path(
         self,
         spec: config.EngineSpec,
--- a/egretspur/routing/paths.py
+++ b/egretspur/routing/paths.py
@@ -34,6 +34,8 @@
     layer_s: float
     # Request memory that is left, in tokens times layers.
     free: float
+    # Expected seconds of one pass on one layer while prompts are read.
+    pass_s: float = 0.0
 
 
 @attrs.frozen
@@ -63,6 +65,14 @@
     fullness: float = 2.0
 
 
+@attrs.frozen
+class _Wanted:
+    """What a request wants of each part."""
+
+    tokens: float
+    longest_pass_s: float
+
+
 @attrs.define
 class _Best:
     cost: float
@@ -75,6 +85,7 @@
     tokens: float,
     home: str,
     costs: Costs | None = None,
+    longest_pass_s: float = math.inf,
 ) -> tuple[Part, ...] | None:
     """Returns the cheapest path that has room for a request.
 
@@ -84,11 +95,13 @@
         tokens: Request memory wanted on each layer, in tokens.
         home: Data centre from which the request is sent.
         costs: Of joining engines.
+        longest_pass_s: Longest pass of one engine on its part.
 
     Returns:
         None if no engines with room cover all layers.
     """
     costs = costs or Costs()
+    request = _Wanted(tokens, longest_pass_s)
     bounds = _find_bounds(cards, layers)
     best: dict[int, dict[str, _Best]] = {0: {home: _Best(0.0, ())}}
     for i, bound in enumerate(bounds):
@@ -101,7 +114,7 @@
             for card in cards:
                 if not card.first <= bound < card.last or card.id in used:
                     continue
-                _extend(best, here, place, card, bounds[i:], tokens, costs)
+                _extend(best, here, place, card, bounds[i:], request, costs)
     found = min(
         best.get(layers, {}).values(), key=lambda b: b.cost, default=None
     )
@@ -114,7 +127,7 @@
     place: str,
     card: Card,
     bounds: Sequence[int],
-    tokens: float,
+    request: _Wanted,
     costs: Costs,
 ) -> None:
     """Tries an engine from the first boundary to each later one it reaches."""
@@ -125,9 +138,11 @@
     for end in bounds[1:]:
         if end > card.last:
             return
-        wanted = (end - bound) * tokens
+        wanted = (end - bound) * request.tokens
         if wanted > card.free:
             return
+        if (end - bound) * card.pass_s > request.longest_pass_s:
+            return
         fullness = costs.fullness * wanted / card.free if wanted else 0.0
         cost = here.cost + joined + (end - bound) * card.layer_s
         cost += costs.hop_s * fullness
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -26,6 +26,7 @@
     per_token_s=1.912e-8,
     read_tokens_per_s=105_000,
     stride=3,
+    chunk_tokens=512,
     usual_prompt=774,
     usual_answer=203,
     load_s=14.0,
