Find dead stages from streams that fall silent together, and resume rather than cross

Change: stages that silent streams share and no live one uses are asked at once; one that does not answer while others do is left by all streams over it. A request goes on within its data centres, else it is resumed in another.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -104,6 +104,8 @@
     silent_s: float
     # Why it could not be moved; empty if it was.
     problem: str
+    # Stages and layers of the new path.
+    path: str
 
 
 @attrs.frozen
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -18,7 +18,7 @@
 
 from egretspur import decisions, errors
 from egretspur.catalog import config
-from egretspur.delivery import events
+from egretspur.delivery import events, silence
 from egretspur.routing import desk, jobs, paces, paths
 
 _LOG: Final = logging.getLogger(__name__)
@@ -162,6 +162,8 @@
         self.stalled: set[str] = set()
         # An event came in the attempt under way.
         self.has_begun = False
+        # Smoothed seconds between two events.
+        self.usual_gap_s = silence.USUAL_GAP_S
         # For the log: attempts, when the first event or the answer came, when
         # the last event came, and the longest pause between two.
         self._attempts = 0
@@ -369,6 +371,7 @@
         else:
             gap_s = now_s - self._last_s
             self._gap_s = max(self._gap_s, gap_s)
+            self.usual_gap_s = silence.smooth_gap(self.usual_gap_s, gap_s)
             if gap_s > paces.SUSPICIOUS_GAP_S:
                 ids = tuple(p.id for p in self.parts)
                 self._desk.tell(desk.Suspect(ids))
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -2,24 +2,27 @@
 
 Symptom without it: a stage dies, and every answer that runs over it stands
 still for two seconds until the platform cuts it, by when its caller has turned
-away. The first engine of a path knows much earlier which stage holds it up;
-the watch asks it, and has the request go on over another stage in its place.
+away. Streams that share a stage fall silent together
+(`egretspur.delivery.silence`): the stages that may be the cause are asked at
+once, and one that does not answer while others do is left. What that doesn't
+find, the first engine of a path knows some hundred milliseconds later.
 """
 
 from __future__ import annotations
 
+import concurrent.futures
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final, Protocol
 
 from egretspur import decisions, guard
 from egretspur.catalog import upstreams
-from egretspur.delivery import forward
+from egretspur.delivery import forward, silence
 from egretspur.routing import desk, paths
 
-# Seconds between two looks.
-PERIOD_S: Final = 0.1
+# Seconds between two looks: half of the shortest silence that counts.
+PERIOD_S: Final = 0.03
 
 # A stream without an event for so long is asked about. Events come every few
 # tens of milliseconds; a pause beyond 0.2 s counts as late already.
@@ -36,6 +39,10 @@
 # Seconds between two questions to one engine.
 ASK_S: Final = 0.25
 
+# Suspected stages asked at the same moment. A path has some ten; where more
+# are silent, it is this host that hears nobody.
+MOST_ASKED: Final = 12
+
 
 class Engines(Protocol):
     """Reports of engines and orders to them."""
@@ -43,6 +50,9 @@
     def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report, or why there is none."""
 
+    def peek(self, address: str) -> upstreams.EngineReport | str:
+        """Returns a report that comes at once, or why there is none."""
+
     def repath(
         self, address: str, request_id: str, parts: Sequence[paths.Part]
     ) -> str:
@@ -60,6 +70,11 @@
         # Streams that were asked to move, with the time.
         self._moved: dict[forward.Forward, float] = {}
         self._asked: dict[str, float] = {}
+        # When a suspected stage was last asked, by id.
+        self._peeked: dict[str, float] = {}
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            MOST_ASKED, thread_name_prefix="peek"
+        )
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="watch", daemon=True
@@ -72,6 +87,7 @@
     def close(self) -> None:
         """Stops."""
         self._stop.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
 
     def add(self, stream: forward.Forward) -> None:
         """Begins to watch a stream."""
@@ -90,17 +106,81 @@
                 self.look(time.monotonic())
 
     def look(self, now_s: float) -> None:
-        """Deals with the streams that are silent now, by first engine."""
+        """Deals with the streams that are silent now."""
         with self._lock:
-            silent = [s for s in self._streams if is_silent(s, now_s)]
+            streams = list(self._streams)
+        self._look_early(streams, now_s)
         by_first: dict[paths.Part, list[forward.Forward]] = {}
-        for stream in silent:
-            by_first.setdefault(stream.parts[0], []).append(stream)
-        for first, streams in by_first.items():
+        for stream in streams:
+            if is_silent(stream, now_s):
+                by_first.setdefault(stream.parts[0], []).append(stream)
+        for first, silent in by_first.items():
             if now_s - self._asked.get(first.id, -ASK_S) < ASK_S:
                 continue
             self._asked[first.id] = now_s
-            self._handle(first, streams)
+            self._handle(first, silent)
+
+    def _look_early(
+        self, streams: Sequence[forward.Forward], now_s: float
+    ) -> None:
+        """Leaves stages that streams show to be dead, before a report does."""
+        suspects = silence.find_suspects(
+            [
+                silence.Heard(
+                    tuple(p.id for p in s.parts),
+                    now_s - s.heard_s,
+                    s.usual_gap_s,
+                )
+                for s in streams
+                if s.has_begun
+            ]
+        )
+        addresses = {
+            p.id: p.address
+            for s in streams
+            for p in s.parts
+            if p.id in suspects
+            and now_s - self._peeked.get(p.id, -ASK_S) >= ASK_S
+        }
+        if not addresses or len(addresses) > MOST_ASKED:
+            return
+        witness = _find_witness(streams, suspects)
+        if witness is not None:
+            addresses[witness.id] = witness.address
+        self._peeked = {
+            i: t for i, t in self._peeked.items() if now_s - t < ASK_S
+        }
+        self._peeked.update(dict.fromkeys(addresses, now_s))
+        dead = self._peek(addresses)
+        if dead:
+            self._leave(dead, streams)
+
+    def _peek(self, addresses: Mapping[str, str]) -> frozenset[str]:
+        """Asks suspected stages; returns those that are dead.
+
+        Where none answers, it may be this host that is slow or cut off.
+        """
+        ids = list(addresses)
+        reports = self._pool.map(self._engines.peek, addresses.values())
+        found = dict(zip(ids, reports, strict=True))
+        answered = {i: r for i, r in found.items() if not isinstance(r, str)}
+        for upstream_id, report in answered.items():
+            self._desk.tell(desk.Probed(upstream_id, report))
+        if not answered:
+            return frozenset()
+        return frozenset(found) - frozenset(answered)
+
+    def _leave(
+        self, dead: frozenset[str], streams: Sequence[forward.Forward]
+    ) -> None:
+        """Moves all streams off dead stages, the least late ones first."""
+        for upstream_id in dead:
+            self._desk.tell(desk.NoteFailed(upstream_id))
+        over = [s for s in streams if dead & {p.id for p in s.parts}]
+        for stream in sorted(over, key=lambda s: -s.heard_s):
+            stalled = frozenset(p.id for p in stream.parts) & dead
+            stream.stalled |= stalled
+            self._move(stream, stalled)
 
     def _handle(
         self, first: paths.Part, streams: Sequence[forward.Forward]
@@ -130,9 +210,13 @@
         moved_s = self._moved.get(stream)
         if moved_s is not None:
             return now_s - moved_s < HOPELESS_S
-        parts = self._desk.repath(stream.job.id, stalled)
-        if parts is None:
+        detour = self._desk.repath(stream.job.id, stalled)
+        if detour.is_resumed:
+            stream.interrupt()
+            return True
+        if detour.parts is None:
             return False
+        parts = detour.parts
         problem = self._engines.repath(parts[0].address, stream.call.id, parts)
         decisions.record(
             decisions.RequestMoved(
@@ -140,6 +224,7 @@
                 tuple(sorted(stalled)),
                 now_s - stream.heard_s,
                 problem,
+                paths.describe(parts),
             )
         )
         if problem:
@@ -151,6 +236,21 @@
         return True
 
 
+def _find_witness(
+    streams: Sequence[forward.Forward], suspects: set[str]
+) -> paths.Part | None:
+    """Returns a stage over which events come, to be asked beside suspects.
+
+    Where it does not answer either, it is this host that hears nobody.
+    """
+    begun = [s for s in streams if s.has_begun]
+    for stream in sorted(begun, key=lambda s: -s.heard_s):
+        for part in stream.parts:
+            if part.id not in suspects:
+                return part
+    return None
+
+
 def is_silent(stream: forward.Forward, now_s: float) -> bool:
     """Tells whether a stream has had no event for too long."""
     bound_s = SILENT_S if stream.has_begun else SILENT_FIRST_S
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -39,6 +39,10 @@
 # for two seconds and then say so; what is longer is a silent connection.
 SILENCE_S: Final = 2.5
 
+# An engine that lives answers a question for its report within 2 ms, 1 ms for
+# the connection included; a busy host takes some more to read it.
+PEEK_S: Final = 0.06
+
 _MAX_READ: Final = 65536
 
 
@@ -255,14 +259,30 @@
 
     def __init__(self) -> None:
         self._transport = transport.Transport(0.3, 0.5)
+        self._quick = transport.Transport(PEEK_S, PEEK_S)
 
     def close(self) -> None:
         """Closes idle connections."""
         self._transport.close()
+        self._quick.close()
 
     def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns an engine's report, or why there is none."""
-        res = self._transport.call("GET", address, names.REPORT_PATH)
+        return self._get_report(self._transport, address)
+
+    def peek(self, address: str) -> upstreams.EngineReport | str:
+        """Returns a report that comes at once, or why there is none.
+
+        On a connection of its own: a kept one that went silent would look
+        like an engine that died.
+        """
+        self._quick.empty_pool(address)
+        return self._get_report(self._quick, address)
+
+    def _get_report(
+        self, client: transport.Transport, address: str
+    ) -> upstreams.EngineReport | str:
+        res = client.call("GET", address, names.REPORT_PATH)
         if isinstance(res, transport.Failed):
             return res.reason
         if res.status != 200:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 from typing import Final
@@ -150,26 +151,64 @@
 
     def repath(
         self, job_id: str, stalled: frozenset[str], now_s: float
-    ) -> tuple[paths.Part, ...] | None:
+    ) -> jobs.Detour:
         """Moves a running request off engines that hold it up.
 
-        Returns:
-            The new path, with the same first engine, or None if there is
-            none; the request is then where it was.
+        Within its data centres if it can be. To another one its tokens so far
+        would have to go layer by layer, 26 ms a request over a pipe that all
+        share; sent anew, its text goes there once.
         """
         ticket = self.tickets.get(job_id)
-        if ticket is None or not ticket.parts or ticket.parts[0].id in stalled:
-            return None
-        first = ticket.parts[0]
-        spec = self._get_spec(ticket.job.service)
-        if spec is None:
-            return None
+        spec = self._get_spec(ticket.job.service) if ticket else None
+        if ticket is None or spec is None or not ticket.parts:
+            return jobs.Detour(None)
         cards = [
             c
             for c in self.fleet.make_cards(ticket.job.service, spec, now_s)
-            if c.id not in stalled and c.id != first.id
+            if c.id not in stalled
         ]
-        # The first part must stay as it is; a card that offers just it.
+        places = self._find_places(ticket.parts)
+        near = [c for c in cards if c.data_centre in places]
+        bound_s = choice.compute_longest_pass(ticket.job.route)
+        found = self._find_detour(ticket, spec, near, stalled, bound_s)
+        if found is None and self._can_resume(ticket):
+            cut_off = self.fleet.list_cut_off(now_s)
+            if self.find_path(ticket.job, spec, cards, cut_off):
+                return jobs.Detour(None, True)
+        for choices in (near, cards):
+            if found is None:
+                found = self._find_detour(
+                    ticket, spec, choices, stalled, math.inf
+                )
+        if found is None:
+            return jobs.Detour(None)
+        self._take_room(ticket, -1)
+        ticket.parts = found
+        self._take_room(ticket, 1)
+        return jobs.Detour(found)
+
+    def _find_places(self, parts: Sequence[paths.Part]) -> set[str]:
+        entries = self.fleet.roster.entries
+        return {entries[p.id].data_centre for p in parts if p.id in entries}
+
+    def _can_resume(self, ticket: Ticket) -> bool:
+        """Tells whether a running request may be ended and sent once more."""
+        route = ticket.job.route
+        return route.is_resumable and ticket.runs + 1 < route.max_attempts
+
+    def _find_detour(
+        self,
+        ticket: Ticket,
+        spec: config.EngineSpec,
+        cards: Sequence[paths.Card],
+        stalled: frozenset[str],
+        longest_s: float,
+    ) -> tuple[paths.Part, ...] | None:
+        """Finds a path with the same first part over some engines."""
+        first = ticket.parts[0]
+        if first.id in stalled:
+            return None
+        # A card that offers just the first part.
         kept = paths.Card(
             first.id,
             first.address,
@@ -179,17 +218,19 @@
             0.0,
             ticket.job.tokens * spec.layers,
         )
-        tail = [attrs.evolve(c, first=max(c.first, first.last)) for c in cards]
+        tail = [
+            attrs.evolve(c, first=max(c.first, first.last))
+            for c in cards
+            if c.id != first.id
+        ]
         usable = [c for c in tail if c.first < c.last]
-        found = choice.find_prompt(
-            ticket.job, spec, [kept, *usable], self.fleet.data_centre
+        return paths.find_path(
+            [kept, *usable],
+            spec.layers,
+            ticket.job.tokens,
+            self.fleet.data_centre,
+            longest_pass_s=longest_s,
         )
-        if found is None:
-            return None
-        self._take_room(ticket, -1)
-        ticket.parts = found
-        self._take_room(ticket, 1)
-        return found
 
     # Messages from the rest of the host.
 
@@ -412,7 +453,7 @@
             ticket.job.id,
             ticket.attempts,
             entry.id,
-            " ".join(f"{p.id}:{p.first}-{p.last}" for p in ticket.parts),
+            paths.describe(ticket.parts),
             step_s,
             free,
             now_s - self.listed_s,
--- a/egretspur/routing/choice.py
+++ b/egretspur/routing/choice.py
@@ -55,23 +55,6 @@
     return paths.find_path(cards, spec.layers, job.tokens, home)
 
 
-def find_prompt(
-    job: jobs.Job,
-    spec: config.EngineSpec,
-    cards: Sequence[paths.Card],
-    home: str,
-) -> tuple[paths.Part, ...] | None:
-    """Finds the cheapest path over all of these engines, a prompt one first."""
-    bound_s = compute_longest_pass(job.route)
-    for longest_s in (bound_s, math.inf):
-        found = paths.find_path(
-            cards, spec.layers, job.tokens, home, longest_pass_s=longest_s
-        )
-        if found is not None or longest_s == math.inf:
-            return found
-    return None
-
-
 def compute_longest_pass(route: config.Route) -> float:
     """Returns how long an engine's pass may take on a prompt path, in s."""
     return PASS_PART * route.gap_s if route.gap_s else math.inf
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -16,7 +16,7 @@
 
 from egretspur import actors, decisions, errors
 from egretspur.catalog import config, feeds, upstreams
-from egretspur.routing import broker, fleet, jobs, paths, questions
+from egretspur.routing import broker, fleet, jobs, questions
 
 Decision = jobs.Start | errors.Refusal
 DecisionFuture = concurrent.futures.Future[Decision]
@@ -183,7 +183,7 @@
         self._broker.note_answer(message.id, time.monotonic())
 
     @handle.register
-    def _(self, message: Repath) -> tuple[paths.Part, ...] | None:
+    def _(self, message: Repath) -> jobs.Detour:
         return self._broker.repath(
             message.id, message.stalled, time.monotonic()
         )
@@ -302,13 +302,9 @@
         """Sends a message that needs no answer."""
         self._ref.tell(message)
 
-    def repath(
-        self, job_id: str, stalled: frozenset[str]
-    ) -> tuple[paths.Part, ...] | None:
-        """Returns another path for a running request, if there is one."""
-        found: tuple[paths.Part, ...] | None = actors.ask(
-            self._ref, Repath(job_id, stalled)
-        )
+    def repath(self, job_id: str, stalled: frozenset[str]) -> jobs.Detour:
+        """Returns how a running request gets past stages, and moves it."""
+        found: jobs.Detour = actors.ask(self._ref, Repath(job_id, stalled))
         return found
 
     def take_probes(self) -> list[upstreams.Upstream]:
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -65,6 +65,17 @@
     parts: tuple[paths.Part, ...]
 
 
+@attrs.frozen
+class Detour:
+    """How a running request gets past stages that hold it up."""
+
+    # The path it is to go on over, with the same first stage; None if there
+    # is none.
+    parts: tuple[paths.Part, ...] | None
+    # It is to be ended and resumed within another data centre.
+    is_resumed: bool = False
+
+
 Effect = Start | questions.Refuse
 
 
--- a/egretspur/routing/paths.py
+++ b/egretspur/routing/paths.py
@@ -161,6 +161,11 @@
     return sorted(bounds)
 
 
+def describe(parts: Iterable[Part]) -> str:
+    """Returns a path as log lines show it."""
+    return " ".join(f"{p.id}:{p.first}-{p.last}" for p in parts)
+
+
 def find_gaps(
     ranges: Iterable[tuple[int, int]], layers: int
 ) -> list[tuple[int, int]]:
--- /dev/null
+++ b/tests/delivery/silence.feature
@@ -0,0 +1,42 @@
+Feature: The stage that holds up streams, found from the streams
+
+  Scenario Outline: Streams over paths that share stages
+    # Symptom: all answers over a dead stage are late: moved after 0.6 s.
+    # Cause: an engine's report tells it some hundred milliseconds later.
+    Given streams "<streams>"
+    Then the suspected stages are "<suspects>"
+
+    Examples: stages, silence and usual gap in milliseconds, count
+      | streams                              | suspects |
+      | a+b+c 20/40 x5                       | none     |
+      | a+b+c 100/40 x2                      | none     |
+      | a+b+c 130/40 x2                      | a b c    |
+      | a+b+c 130/40 x2, a+d+c 10/40 x1      | b        |
+      | a+b+c 130/40 x2, a+d+e 30/40 x3      | b c      |
+      | a+b+c 130/40 x1, a+d+c 10/40 x1      | none     |
+      | a+b+c 210/40 x1, a+d+c 10/40 x1      | b        |
+      | a+b+c 130/10 x2, d+e+f 130/10 x2     | a b c d e f |
+      | a+b+c 70/10 x2, a+b+d 40/10 x2       | a b c    |
+      | a+b+c 70/10 x2, a+b+d 30/10 x2       | c        |
+      | a+b+c 200/90 x4                      | none     |
+
+  Scenario: A stage dies under many streams
+    # Sequence: streams of two paths that share their first stages fall silent;
+    # one stage answers no question, the others do.
+    Given a watch over 6 streams on "a100-1" and 2 beside it
+    And "a100-1" dies
+    When the watch looks 70 ms after the last events
+    Then the 6 streams are moved or resumed, and the others are not
+    And the desk knows that "a100-1" is down
+
+  Scenario: A host that hears nobody
+    # Symptom: a host that stands still for a moment moves all its streams.
+    Given a watch over 6 streams on "a100-1" and 2 beside it
+    And no engine answers the host
+    When the watch looks 70 ms after the last events
+    Then no stream is moved
+
+  Scenario: Streams that wait while prompts are read
+    Given a watch over 6 streams on "a100-1" and 2 beside it
+    When the watch looks 70 ms after the last events
+    Then no stream is moved
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -459,7 +459,7 @@
     context.before = context.started["r"].parts
     context.moved = context.broker.repath(
         "r", frozenset(["a100-1"]), context.now_s
-    )
+    ).parts
 
 
 @then("it is moved to the twin, with the same first stage")
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -183,6 +183,8 @@
 
     # Address of a stage that holds work up; "dark" if the engine is.
     stalled: str = ""
+    # Addresses that answer no question.
+    dead: set[str] = attrs.Factory(set)
     moves: list[tuple[float, Sequence[paths.Part]]] = attrs.Factory(list)
 
     def get_report(self, address: str) -> upstreams.EngineReport | str:
@@ -193,6 +195,12 @@
             None, False, 1, 0.0, 1.0, 1.0, (self.stalled,)
         )
 
+    def peek(self, address: str) -> upstreams.EngineReport | str:
+        """Answers as the script says; see `watch.Engines`."""
+        if address in self.dead:
+            return "no answer"
+        return upstreams.PLAIN_REPORT
+
     def repath(
         self, address: str, request_id: str, parts: Sequence[paths.Part]
     ) -> str:
--- /dev/null
+++ b/tests/steps/silence_steps.py
@@ -0,0 +1,134 @@
+"""Steps on finding the stage that holds up streams."""
+
+from __future__ import annotations
+
+import re
+import time
+from typing import Any
+
+import attrs
+from behave import given, then, when
+
+from egretspur.catalog import upstreams
+from egretspur.delivery import silence, watch
+from egretspur.routing import desk, jobs
+from tests import fleets, stage
+from tests.steps import broker_steps, forward_steps
+
+_STREAMS = re.compile(r"(\S+) (\d+)/(\d+) x(\d+)")
+
+
+@given('streams "{text}"')
+def step_streams(context: Any, text: str) -> None:
+    context.heard = [
+        silence.Heard(tuple(p.split("+")), int(ms) / 1000, int(gap) / 1000)
+        for p, ms, gap, count in _STREAMS.findall(text)
+        for _ in range(int(count))
+    ]
+
+
+@then('the suspected stages are "{stages}"')
+def step_suspects(context: Any, stages: str) -> None:
+    found = silence.find_suspects(context.heard)
+    wanted = set() if stages == "none" else set(stages.split())
+    assert found == wanted, found
+
+
+@attrs.define(eq=False)
+class Stream:
+    """A running stream as the watch sees it; see `forward.Forward`."""
+
+    job: jobs.Job
+    parts: Any
+    heard_s: float
+    has_begun: bool = True
+    usual_gap_s: float = 0.02
+    stalled: set[str] = attrs.Factory(set)
+    is_ended: bool = False
+
+    @property
+    def call(self) -> Any:
+        """The request, as far as an order names it."""
+        return self.job
+
+    def interrupt(self) -> None:
+        """Ends the attempt under way."""
+        self.is_ended = True
+
+
+@given('a watch over {count:d} streams on "{name}" and {more:d} beside it')
+def step_watch(context: Any, count: int, name: str, more: int) -> None:
+    broker_steps.step_chain_plain(context)
+    engines = forward_steps.FakeEngines()
+    context.play = forward_steps.Play(
+        desk.Desk(context.broker), engines=engines
+    )
+    context.play.watch = watch.StreamWatch(context.play.desk, engines)
+    roster = context.broker.fleet.roster
+    layers = broker_steps.CHAIN[name]
+    upstreams.put(roster, fleets.make_upstream("a100-twin", layers), 0.0)
+    context.heard_s = time.monotonic()
+    context.streams = []
+    for i in range(count + more):
+        job = fleets.make_job(f"r{i}", now_s=context.heard_s)
+        start = context.play.desk.arrive(job).result(2.0)
+        parts = start.parts
+        if i >= count:
+            twin = attrs.evolve(
+                parts[1], id="a100-twin", address="a100-twin:80"
+            )
+            parts = (parts[0], twin, *parts[2:])
+        # Those beside it have just had an event.
+        late_s = 0.065 if i >= count else 0.0
+        context.streams.append(Stream(job, parts, context.heard_s + late_s))
+        context.play.watch.add(context.streams[-1])
+    context.on, context.beside = (
+        context.streams[:count],
+        context.streams[count:],
+    )
+
+
+@given('"{name}" dies')
+def step_dies(context: Any, name: str) -> None:
+    context.play.engines.dead = {f"{name}:80"}
+
+
+@given("no engine answers the host")
+def step_nobody(context: Any) -> None:
+    entries = context.broker.fleet.roster.entries.values()
+    context.play.engines.dead = {e.address for e in entries}
+
+
+@when("the watch looks {late_ms:d} ms after the last events")
+def step_look(context: Any, late_ms: int) -> None:
+    context.before = [s.parts for s in context.streams]
+    context.play.watch.look(context.heard_s + late_ms / 1000)
+
+
+@then("the {count:d} streams are moved or resumed, and the others are not")
+def step_moved(context: Any, count: int) -> None:
+    for stream in context.on:
+        names = {p.id for p in stream.parts}
+        assert stream.is_ended or "a100-1" not in names, stream
+    before = context.before[count:]
+    assert [s.parts for s in context.beside] == before
+    assert not any(s.is_ended for s in context.beside)
+
+
+@then('the desk knows that "{name}" is down')
+def step_down(context: Any, name: str) -> None:
+    stage.wait_until(
+        lambda: context.play.desk.look(
+            lambda state: (
+                name in state.fleet.health and state.fleet.health[name].is_down
+            )
+        ),
+        2.0,
+        name,
+    )
+
+
+@then("no stream is moved")
+def step_not_moved(context: Any) -> None:
+    assert [s.parts for s in context.streams] == context.before
+    assert not any(s.is_ended for s in context.streams)
