Suspect a stage after two usual gaps, move side by side, say why there is no path

Cause: of the 0.45 s pause of a moved stream 0.2 s went by before the order: three usual gaps, 60 ms for questions, orders one after the other. The log names layers without a holder and engines that are full, paused, down or leaving. What is left is reading: the replacement reads 8 ms of tokens a stream, first in first out, and the first of them is done 0.1 s after its order.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -21,6 +21,9 @@
 # Field of a log record that says whether the line is dropped first.
 ROUTINE_KEY: Final = "is_routine"
 
+# Engines that one line names of each kind; a data centre may have a hundred.
+NAMED: Final = 8
+
 # Field that names the kind of line.
 EVENT_KEY: Final = "event"
 
@@ -51,6 +54,23 @@
     hold_s: float
 
 
+@attrs.frozen
+class PathMissing:
+    """Why no path was found for a request that waits or is refused."""
+
+    request: str
+    # Layers that no engine holds which may be given work.
+    layers: str
+    # Engines that hold layers and have no room for the request; that refused
+    # of late; that do not answer; that leave. At most `NAMED` of each.
+    full: tuple[str, ...]
+    paused: tuple[str, ...]
+    down: tuple[str, ...]
+    leaving: tuple[str, ...]
+    # Data centres whose hosts are not heard: cut off from this host, or down.
+    cut_off: tuple[str, ...]
+
+
 @attrs.frozen
 class RequestRefused:
     """The request got its final answer without an upstream's."""
@@ -281,6 +301,7 @@
 Decision = (
     RequestAdmitted
     | RequestQueued
+    | PathMissing
     | RequestRefused
     | PathChosen
     | AttemptFailed
--- a/egretspur/delivery/silence.py
+++ b/egretspur/delivery/silence.py
@@ -18,15 +18,16 @@
 
 # A stream counts as silent after so many of its usual gaps, and at least so
 # long: reading the prompts of others lengthens single gaps to twice the usual.
-GAPS: Final = 3.0
-LEAST_S: Final = 0.06
+# A false alarm costs a few questions, a later one the pause that is allowed.
+GAPS: Final = 2.0
+LEAST_S: Final = 0.05
 
 # A stream that is silent alone, since one stream may also wait for memory.
 ALONE_GAPS: Final = 5.0
 ALONE_LEAST_S: Final = 0.13
 
 # Streams that must be silent together for a stage to be suspected early.
-TOGETHER: Final = 2
+TOGETHER: Final = 3
 
 # Gap assumed of a stream until its own is known, in seconds, and the weight of
 # a new one.
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -21,8 +21,8 @@
 from egretspur.delivery import forward, silence
 from egretspur.routing import desk, paths
 
-# Seconds between two looks: half of the shortest silence that counts.
-PERIOD_S: Final = 0.03
+# Seconds between two looks: less than half of the shortest silence that counts.
+PERIOD_S: Final = 0.02
 
 # A stream without an event for so long is asked about. Events come every few
 # tens of milliseconds; a pause beyond 0.2 s counts as late already.
@@ -177,11 +177,18 @@
         for upstream_id in dead:
             self._desk.tell(desk.NoteFailed(upstream_id))
         over = [s for s in streams if dead & {p.id for p in s.parts}]
-        for stream in sorted(over, key=lambda s: -s.heard_s):
+
+        def leave(stream: forward.Forward) -> None:
             stalled = frozenset(p.id for p in stream.parts) & dead
             stream.stalled |= stalled
             self._move(stream, stalled)
 
+        # Side by side: each waits for the answer to its order.
+        least_late = sorted(over, key=lambda s: -s.heard_s)
+        concurrent.futures.wait(
+            [self._pool.submit(leave, s) for s in least_late]
+        )
+
     def _handle(
         self, first: paths.Part, streams: Sequence[forward.Forward]
     ) -> None:
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -41,7 +41,7 @@
 
 # An engine that lives answers a question for its report within 2 ms, 1 ms for
 # the connection included; a busy host takes some more to read it.
-PEEK_S: Final = 0.06
+PEEK_S: Final = 0.03
 
 _MAX_READ: Final = 65536
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -329,6 +329,7 @@
             self.queue.waiting[item.id] = item
             return []
         self.counts.queued += 1
+        self._note_missing(job, now_s)
         self._notes.append(
             decisions.RequestQueued(
                 job.id,
@@ -352,6 +353,14 @@
             )
         ]
 
+    def _note_missing(self, job: jobs.Job, now_s: float) -> None:
+        """Notes for the log why a request waits."""
+        spec = self._get_spec(job.service)
+        if spec is not None:
+            self._notes.append(
+                self.fleet.explain_missing(job.service, spec, job, now_s)
+            )
+
     def _start_waiting(self, now_s: float) -> list[jobs.Effect]:
         effects: list[jobs.Effect] = []
         stuck: set[str] = set()
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -512,6 +512,43 @@
             )
         return cards
 
+    def explain_missing(
+        self,
+        service: str,
+        spec: config.EngineSpec,
+        job: jobs.Job,
+        now_s: float,
+    ) -> decisions.PathMissing:
+        """Returns why there is no path for a request."""
+        cards = self.make_cards(service, spec, now_s)
+        held = [(c.first, c.last) for c in cards]
+        entries = [
+            e for e in self.roster.entries.values() if e.service == service
+        ]
+        full = [c.id for c in cards if c.free < (c.last - c.first) * job.tokens]
+        paused = [
+            e.id
+            for e in entries
+            if e.id in self.refusals and now_s < self.refusals[e.id].until_s
+        ]
+        down = [
+            e.id
+            for e in entries
+            if e.id in self.health and self.health[e.id].is_down
+        ]
+        leaving = [e.id for e in entries if e.is_draining]
+        return decisions.PathMissing(
+            request=job.id,
+            layers=" ".join(
+                f"{a}-{b}" for a, b in paths.find_gaps(held, spec.layers)
+            ),
+            full=_name_some(full),
+            paused=_name_some(paused),
+            down=_name_some(down),
+            leaving=_name_some(leaving),
+            cut_off=tuple(sorted(self.list_cut_off(now_s))),
+        )
+
     def list_late(
         self, service: config.Service, longest_pass_s: float, now_s: float
     ) -> set[str]:
@@ -580,3 +617,8 @@
             return time_s * turns * near * slowdown
 
         return min(fresh, key=expect_s, default=None)
+
+
+def _name_some(ids: Sequence[str]) -> tuple[str, ...]:
+    """Returns as many ids as a log line names."""
+    return tuple(sorted(ids)[: decisions.NAMED])
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -9,16 +9,17 @@
     Examples: stages, silence and usual gap in milliseconds, count
       | streams                              | suspects |
       | a+b+c 20/40 x5                       | none     |
-      | a+b+c 100/40 x2                      | none     |
-      | a+b+c 130/40 x2                      | a b c    |
-      | a+b+c 130/40 x2, a+d+c 10/40 x1      | b        |
-      | a+b+c 130/40 x2, a+d+e 30/40 x3      | b c      |
-      | a+b+c 130/40 x1, a+d+c 10/40 x1      | none     |
+      | a+b+c 70/40 x3                       | none     |
+      | a+b+c 90/40 x2                       | none     |
+      | a+b+c 90/40 x3                       | a b c    |
+      | a+b+c 90/40 x3, a+d+c 10/40 x1       | b        |
+      | a+b+c 90/40 x3, a+d+e 30/40 x3       | b c      |
+      | a+b+c 90/40 x1, a+d+c 10/40 x1       | none     |
       | a+b+c 210/40 x1, a+d+c 10/40 x1      | b        |
-      | a+b+c 130/10 x2, d+e+f 130/10 x2     | a b c d e f |
-      | a+b+c 70/10 x2, a+b+d 40/10 x2       | a b c    |
-      | a+b+c 70/10 x2, a+b+d 30/10 x2       | c        |
-      | a+b+c 200/90 x4                      | none     |
+      | a+b+c 130/10 x3, d+e+f 130/10 x3     | a b c d e f |
+      | a+b+c 70/10 x3, a+b+d 40/10 x3       | a b c    |
+      | a+b+c 70/10 x3, a+b+d 30/10 x3       | c        |
+      | a+b+c 150/90 x4                      | none     |
 
   Scenario: A stage dies under many streams
     # Sequence: streams of two paths that share their first stages fall silent;
--- a/tests/orders/ranges.feature
+++ b/tests/orders/ranges.feature
@@ -44,3 +44,12 @@
       | lag |
       | 0   |
       | 2   |
+
+  Scenario: The only holder of some layers turns many times slower
+    # Symptom: all answers of a data centre are late until the engine is well
+    # again, nine seconds later. Cause: it holds its layers, so nobody else was
+    # given them.
+    When rounds go on for 12 s
+    And the only holder of some layers is too slow for prompt answers
+    And rounds go on for 6 s
+    Then its layers are held by others
--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -140,3 +140,10 @@
     Then requests go over "cj-hall"
     When the engines of "cj-hall" are gone as well
     Then requests go over "pg-hall"
+
+  Scenario: The log tells why there is no path
+    # Symptom: "no path has room", and nobody can tell which layers had no
+    # holder, or which engines were full, paused, down or leaving.
+    Given a broker with a chain of which one engine is full, one is down, one has refused and one leaves
+    When a request comes
+    Then the log tells for it which engine is which, and the layers that nobody holds
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 
-from egretspur import errors
+from egretspur import decisions, errors
 from egretspur.admission import room, shared
 from egretspur.catalog import upstreams
 from egretspur.routing import broker, fleet, jobs, paths
@@ -683,3 +683,43 @@
 def step_histories_played(context: Any) -> None:
     # The oracle checks every step of every history.
     assert context.histories == HISTORIES
+
+
+@given(
+    "a broker with a chain of which one engine is full, one is down, one has"
+    " refused and one leaves"
+)
+def step_no_path(context: Any) -> None:
+    context.now_s = 0.0
+    entries = [fleets.make_upstream(n, p) for n, p in CHAIN.items()]
+    entries[3] = attrs.evolve(entries[3], is_draining=True)
+    context.broker = fleets.make_broker(entries)
+    state = context.broker.fleet
+    state.add("a100-0", 1, 1e9)
+    state.note_down("a100-1", 0.0)
+    state.note_refused("l40s-0", 0.0)
+
+
+@when("a request comes")
+def step_comes(context: Any) -> None:
+    context.broker.arrive(fleets.make_job("r"), 0.1)
+
+
+@then(
+    "the log tells for it which engine is which, and the layers that nobody"
+    " holds"
+)
+def step_told_why(context: Any) -> None:
+    notes = context.broker.take_notes()
+    found = [n for n in notes if isinstance(n, decisions.PathMissing)]
+    assert found == [
+        decisions.PathMissing(
+            "r",
+            "25-80",
+            ("a100-0",),
+            ("l40s-0",),
+            ("a100-1",),
+            ("l40s-1",),
+            (),
+        )
+    ], found
--- a/tests/steps/ranges_orders_steps.py
+++ b/tests/steps/ranges_orders_steps.py
@@ -11,6 +11,7 @@
 from egretspur import decisions
 from egretspur.catalog import upstreams
 from egretspur.orders import ranges
+from egretspur.routing import paths
 from tests import fleets
 
 ROUND_S = 0.25
@@ -82,6 +83,7 @@
     names: list[str]
     lag_s: float = 0.0
     has_duty: bool = True
+    late: frozenset[str] = frozenset()
     learned: dict[str, upstreams.Layers] = attrs.Factory(dict)
     # What the engines held, by time, for a list that lags.
     history: list[tuple[float, dict[str, Any]]] = attrs.Factory(list)
@@ -110,7 +112,11 @@
             for n in self.names
         ]
         return ranges.Scene(
-            fleets.make_config(), tuple(listed), (), frozenset(self.names)
+            fleets.make_config(),
+            tuple(listed),
+            (),
+            frozenset(self.names),
+            self.late,
         )
 
 
@@ -175,6 +181,28 @@
     run_rounds(context, seconds)
 
 
+@when("the only holder of some layers is too slow for prompt answers")
+def step_late(context: Any) -> None:
+    held = context.host.engines.held
+    for name, mine in held.items():
+        others = [(h.first, h.last) for i, h in held.items() if i != name and h]
+        if mine and paths.find_gaps(others, fleets.SPEC.layers):
+            context.slow = name
+            context.host.late = frozenset([name])
+            return
+    raise AssertionError(held)
+
+
+@then("its layers are held by others")
+def step_by_others(context: Any) -> None:
+    others = [
+        (h.first, h.last)
+        for i, h in context.host.engines.held.items()
+        if i != context.slow and h
+    ]
+    assert not paths.find_gaps(others, fleets.SPEC.layers), others
+
+
 @when("rounds go on for {seconds:d} s while the list lags {lag:d} s behind")
 def step_lagging(context: Any, seconds: int, lag: int) -> None:
     context.host.lag_s = lag
