Let engines' own words on their memory correct what the hosts count

A refused engine is asked for its report already; what it says of its memory was unused. Change: memory beyond what is counted counts for 3 s, fading, and is told to the other hosts for 0.6 s.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -409,6 +409,7 @@
                 tuple(i for i in view.health if view.is_dead(i, now_s)),
                 view.list_moved(told_s, now_s),
                 peers,
+                view.list_excess(now_s),
             )
 
         news: datagrams.News = self._desk.look(read)
@@ -446,7 +447,13 @@
         self._poke_feeds(heard)
         news = [
             fleet.PeerNews(
-                n.host, n.data_centre, n.usage, n.pace, n.dead, n.layers
+                n.host,
+                n.data_centre,
+                n.usage,
+                n.pace,
+                n.dead,
+                n.layers,
+                n.excess,
             )
             for n in heard
         ]
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -170,7 +170,7 @@
 
     upstream: str
     # One of: listed, gone, draining, down, dead, back, refusing, slow,
-    # unreadable.
+    # unreadable, fuller.
     state: str
     reason: str
 
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -22,7 +22,7 @@
 MAX_ENTRIES: Final = 40
 
 # Of the datagram's list.
-_FIELDS: Final = 9
+_FIELDS: Final = 10
 
 
 @attrs.frozen
@@ -45,6 +45,8 @@
     layers: Mapping[str, upstreams.Layers]
     # Hosts it hears, with their data centres; in some datagrams only.
     peers: Mapping[str, str]
+    # Request memory in use beyond what the hosts count, by engine.
+    excess: Mapping[str, float] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -73,6 +75,7 @@
             list(news.dead),
             {i: [p.first, p.last] for i, p in news.layers.items()},
             dict(news.peers),
+            dict(news.excess),
         ]
     )
 
@@ -88,9 +91,9 @@
 
 
 def _decode_news(value: Any) -> News:
-    host, place, age_s, known, usage, pace, dead, layers, peers = (
-        checks.check_row(value, "news", _FIELDS)
-    )
+    row = checks.check_row(value, "news", _FIELDS)
+    host, place, age_s, known, *tables = row
+    usage, pace, dead, layers, peers, excess = tables
     version, digest, list_age_s = checks.check_row(known, "known", 3)
     return News(
         _check_host(host),
@@ -115,6 +118,10 @@
             _check_host(h): checks.check_text(p, "peers")
             for h, p in _get_items(peers, "peers")
         },
+        {
+            i: checks.check_number(e, "excess")
+            for i, e in _get_items(excess, "excess")
+        },
     )
 
 
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -58,6 +58,18 @@
 # datagrams.
 LISTED_TOLD_S: Final = 2.0
 
+# Memory in use beyond what the hosts count is forgiven over so long: what
+# holds it, answers of hosts that were lost or longer than expected, ends within
+# the two to six seconds that an answer takes.
+EXCESS_S: Final = 3.0
+
+# Part of an engine's memory beyond which it is worth a line in the log.
+EXCESS_NOTED: Final = 0.1
+
+# It is told to other hosts for so long: two datagrams, one of which may be
+# lost. Each host would find it out by a refusal of its own else.
+EXCESS_TOLD_S: Final = 0.6
+
 # Weight of a new sample in the smoothed time of a plain service's answer.
 TIME_WEIGHT: Final = 0.2
 
@@ -108,6 +120,22 @@
         self.at_s = now_s
 
 
+@attrs.frozen
+class Excess:
+    """Request memory in use at an engine beyond what the hosts count."""
+
+    # Tokens times layers.
+    room: float
+    at_s: float
+    # This host asked the engine itself; else another host told it.
+    is_own: bool
+
+    def get(self, now_s: float) -> float:
+        """Returns what of it counts now."""
+        left = 1.0 - (now_s - self.at_s) / EXCESS_S
+        return self.room * max(0.0, left)
+
+
 @attrs.frozen
 class Moved:
     """Layers that an engine took, as other hosts are told."""
@@ -140,6 +168,8 @@
     dead: tuple[str, ...]
     # Layers that engines reported to it.
     layers: Mapping[str, upstreams.Layers]
+    # Request memory beyond what the hosts count, by engine.
+    excess: Mapping[str, float] = attrs.Factory(dict)
 
 
 class Fleet:
@@ -154,6 +184,7 @@
         self.faults: dict[str, Faults] = {}
         self.refusals: dict[str, Refusals] = {}
         self.paces = paces.Paces()
+        self.excess: dict[str, Excess] = {}
         # Smoothed seconds of a plain service's answers.
         self.times: dict[str, float] = {}
         # Layers that engines took of late, with the time, for other hosts:
@@ -233,6 +264,8 @@
         """Takes what another host said."""
         self.peers[news.host] = PeerUsage(now_s, news.usage, news.data_centre)
         self.paces.hear(news.pace, now_s)
+        for upstream_id, used in news.excess.items():
+            self.excess[upstream_id] = Excess(used, now_s, False)
         # A host in the same data centre sees what this one would see.
         if news.data_centre == self.data_centre:
             for upstream_id in news.dead:
@@ -417,6 +450,7 @@
             self.note_probe(upstream_id, report is not None, 1.0, now_s)
             return
         if not upstreams.is_other_start(entry, report):
+            self._note_memory(upstream_id, report, now_s)
             self.note_probe(upstream_id, True, report.pace, now_s)
             return
         with self.noting_changes(now_s):
@@ -426,6 +460,34 @@
             # Asked again if it still counts: the report was of an older start.
             health.is_probing = False
 
+    def _note_memory(
+        self, upstream_id: str, report: upstreams.EngineReport, now_s: float
+    ) -> None:
+        """Compares an engine's own word on its memory with what is counted."""
+        counted = self.get_usage(upstream_id, now_s).room
+        beyond = max(0.0, report.used - counted)
+        self.excess[upstream_id] = Excess(beyond, now_s, True)
+        if beyond > EXCESS_NOTED * report.size:
+            self._note(
+                upstream_id,
+                "fuller",
+                f"{report.used:.0f} in use of {report.size:.0f},"
+                f" {counted:.0f} counted",
+            )
+
+    def get_excess(self, upstream_id: str, now_s: float) -> float:
+        """Returns the memory in use at an engine that nobody counts."""
+        excess = self.excess.get(upstream_id)
+        return excess.get(now_s) if excess else 0.0
+
+    def list_excess(self, now_s: float) -> dict[str, float]:
+        """Returns what of it was found out of late, for the other hosts."""
+        return {
+            i: round(e.room)
+            for i, e in self.excess.items()
+            if e.is_own and e.room and now_s - e.at_s < EXCESS_TOLD_S
+        }
+
     def list_moved(
         self, kept_s: float, now_s: float
     ) -> dict[str, upstreams.Layers]:
@@ -471,6 +533,7 @@
             self.faults,
             self.refusals,
             self.times,
+            self.excess,
             self._moved,
         )
         for table in tables:
@@ -506,7 +569,7 @@
                     entry.layers.first,
                     entry.layers.last,
                     step_s * pace / spec.layers,
-                    size - usage.room,
+                    size - usage.room - self.get_excess(entry.id, now_s),
                     pass_s / spec.layers,
                 )
             )
--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -147,3 +147,19 @@
     Given a broker with a chain of which one engine is full, one is down, one has refused and one leaves
     When a request comes
     Then the log tells for it which engine is which, and the layers that nobody holds
+
+  Scenario: More request memory in use than the hosts count
+    # Symptom: a third of all attempts are refused, by engines that seem to
+    # have room. Sequence: hosts are lost and their answers go on, or answers
+    # are longer than expected; nobody counts that memory. The engine knows.
+    Given a broker with a chain of engines that another host knows too
+    When an engine's report says that 0.9 of its memory is in use
+    Then no large request is sent there for a moment
+    And the other host, told of it, sends none there either
+    When the engine's memory is free again by its next report
+    Then a request is sent there
+
+  Scenario: What another host told of memory is not told on
+    Given a broker with a chain of engines that another host knows too
+    When an engine's report says that 0.9 of its memory is in use
+    Then the other host tells nobody of it
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -723,3 +723,62 @@
             (),
         )
     ], found
+
+
+@given("a broker with a chain of engines that another host knows too")
+def step_two_hosts(context: Any) -> None:
+    context.now_s = 0.0
+    entries = [fleets.make_upstream(n, p) for n, p in CHAIN.items()]
+    context.broker = fleets.make_broker(entries)
+    context.other = fleets.make_broker(entries)
+
+
+def report_used(context: Any, part: float) -> None:
+    """Has an engine report how much of its memory is in use."""
+    state = context.broker.fleet
+    size = room.compute_size(fleets.SPEC, state.roster.entries["a100-1"])
+    report = attrs.evolve(upstreams.PLAIN_REPORT, used=part * size, size=size)
+    state.note_report("a100-1", report, context.now_s)
+    told = state.list_excess(context.now_s)
+    news = fleet.PeerNews("10.0.0.2", "kl-hall", {}, {}, (), {}, told)
+    context.other.fleet.hear(news, context.now_s)
+
+
+@when("an engine's report says that {part:g} of its memory is in use")
+def step_in_use(context: Any, part: float) -> None:
+    report_used(context, part)
+
+
+@when("the engine's memory is free again by its next report")
+def step_in_use_no_more(context: Any) -> None:
+    report_used(context, 0.0)
+
+
+def is_sent(state: broker.Broker, now_s: float) -> bool:
+    """Tells whether a large request is sent now."""
+    job = fleets.make_job("r", tokens=9000.0, now_s=now_s)
+    effects = state.arrive(job, now_s)
+    state.finish("r", now_s)
+    return bool(effects) and isinstance(effects[0], jobs.Start)
+
+
+@then("no large request is sent there for a moment")
+def step_none_sent(context: Any) -> None:
+    assert not is_sent(context.broker, context.now_s)
+    assert not is_sent(context.broker, context.now_s + 0.4)
+
+
+@then("the other host, told of it, sends none there either")
+def step_other_none(context: Any) -> None:
+    assert not is_sent(context.other, context.now_s + 0.4)
+
+
+@then("a request is sent there")
+def step_one_sent(context: Any) -> None:
+    assert is_sent(context.broker, context.now_s)
+
+
+@then("the other host tells nobody of it")
+def step_not_told_on(context: Any) -> None:
+    assert context.broker.fleet.list_excess(context.now_s)
+    assert not context.other.fleet.list_excess(context.now_s)
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -185,6 +185,7 @@
         ("i-4",),
         {"i-5": upstreams.Layers(20, 31)},
         {"10.1.0.5": "pg-hall"},
+        {"i-6": 90000.0},
     )
 
 
