--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -15,10 +15,11 @@
 import attrs
 
 from bench import passes
+from egretspur import mechanisms
 from egretspur.admission import room
 from egretspur.catalog import config, upstreams
 from egretspur.placement import ranges
-from egretspur.routing import broker, fleet, jobs, paths, questions
+from egretspur.routing import broker, jobs, memory, paths, questions
 
 # A pause or first event beyond these is late.
 OBJECTIVE_S: Final = 0.5
@@ -56,6 +57,8 @@
     # Seconds after which callers that were refused are told to come back, each
     # once; drawn between the two.
     back_s: tuple[float, float] = broker.RETRY_AFTER_S
+    # What the hosts decide by.
+    using: mechanisms.Mechanisms = mechanisms.ALL
 
 
 @attrs.frozen
@@ -201,7 +204,7 @@
         options = broker.BudgetOptions(0.2, 200.0, 10.0)
         make = RandomBroker if policy.is_random else broker.Broker
         self._brokers = {
-            place: make(place, options, random.Random(day.seed))
+            place: make(place, options, random.Random(day.seed), policy.using)
             for place in cards
         }
         self._requests: dict[str, _Request] = {}
@@ -480,8 +483,8 @@
         for place, state in self._brokers.items():
             for other, peer in self._brokers.items():
                 if other != place:
-                    state.fleet.peers[other] = fleet.PeerUsage(
-                        now_s, dict(peer.fleet.own), other
+                    state.fleet.memory.peers[other] = memory.PeerUsage(
+                        now_s, dict(peer.fleet.memory.own), other
                     )
         self._timeline.after(NEWS_S, self._exchange)
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import argparse
 import math
 import random
 import signal
@@ -18,7 +19,15 @@
 
 from aioprometheus import collectors
 
-from egretspur import decisions, errors, guard, logs, transport, web
+from egretspur import (
+    decisions,
+    errors,
+    guard,
+    logs,
+    mechanisms,
+    transport,
+    web,
+)
 from egretspur.catalog import config, feeds, handover, reading, upstreams
 from egretspur.daemons import meters, pages
 from egretspur.delivery import intake, watch
@@ -124,14 +133,17 @@
         self,
         cfg: node.HostSettings,
         handler: logs.BoundedHandler | None = None,
+        using: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
         """Makes a host.
 
         Args:
             cfg: Its settings.
             handler: Where it logs, for the metrics.
+            using: What it decides by.
         """
         self._cfg = cfg
+        self._using = using
         rng = random.Random()
         self._desk = desk.Desk(
             broker.Broker(
@@ -140,10 +152,13 @@
                     cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s
                 ),
                 rng,
+                using,
             )
         )
         self._engines = upstream.EngineClient()
-        self._watch = watch.StreamWatch(self._desk, self._engines)
+        self._watch = watch.StreamWatch(
+            self._desk, self._engines, using.silence
+        )
         self._prober = probes.Prober(self._desk, self._probe)
         self._intake = intake.Intake(
             self._desk, upstream.UpstreamClient(), self._watch, rng
@@ -353,7 +368,7 @@
             live = [
                 e
                 for e in view.roster.entries.values()
-                if not e.is_draining and not view.is_dead(e.id, now_s)
+                if not e.is_draining and not view.health.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
             cfg = self._versions.newest
@@ -362,14 +377,29 @@
                 tuple(e for e in live if e.data_centre == home),
                 tuple(e for e in live if e.data_centre != home),
                 frozenset(
-                    e.id for e in live if not view.get_usage(e.id, now_s).count
+                    e.id
+                    for e in live
+                    if not view.memory.get_usage(e.id, now_s).count
                 ),
-                _find_late(view, cfg, now_s),
+                self._find_late(view, now_s),
             )
 
         scene: ranges.Scene = self._desk.look(read)
         return scene
 
+    def _find_late(self, view: fleet.Fleet, now_s: float) -> frozenset[str]:
+        """Returns the engines that are too slow for prompt answers."""
+        cfg = self._versions.newest
+        if cfg is None or not self._using.replacing_slow:
+            return frozenset()
+        return frozenset(
+            upstream_id
+            for service in cfg.find_engine_services()
+            for upstream_id in view.list_late(
+                service, choice.compute_shortest_bound(cfg, service.name), now_s
+            )
+        )
+
     def _probe(
         self, entry: upstreams.Upstream
     ) -> upstreams.EngineReport | None:
@@ -404,12 +434,12 @@
                 self._cfg.data_centre,
                 store_age_s,
                 self._known,
-                dict(view.own),
+                dict(view.memory.own),
                 view.paces.list_slow(),
-                tuple(i for i in view.health if view.is_dead(i, now_s)),
+                view.health.list_dead(now_s),
                 view.list_moved(told_s, now_s),
                 peers,
-                view.list_excess(now_s),
+                view.memory.list_excess(now_s),
             )
 
         news: datagrams.News = self._desk.look(read)
@@ -417,7 +447,7 @@
 
     def _sum_near(self) -> Mapping[str, jobs.Usage]:
         usage: Mapping[str, jobs.Usage] = self._desk.look(
-            lambda state: state.fleet.sum_near(time.monotonic())
+            lambda state: state.fleet.memory.sum_near(time.monotonic())
         )
         return usage
 
@@ -489,21 +519,6 @@
                     self._reload()
 
 
-def _find_late(
-    view: fleet.Fleet, cfg: config.Configuration | None, now_s: float
-) -> frozenset[str]:
-    """Returns the engines that are too slow for prompt answers."""
-    if cfg is None:
-        return frozenset()
-    return frozenset(
-        upstream_id
-        for service in cfg.find_engine_services()
-        for upstream_id in view.list_late(
-            service, choice.compute_shortest_bound(cfg, service.name), now_s
-        )
-    )
-
-
 def _list_hosts(addresses: Sequence[str]) -> list[str]:
     """Returns the hosts of addresses."""
     return [a.rpartition(":")[0] for a in addresses]
@@ -511,6 +526,9 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Entry point of ``egretspur-host``."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    mechanisms.add_argument(parser)
+    args = parser.parse_args(argv)
     try:
         cfg = node.load_settings()
     except node.SettingsError as exc:
@@ -521,7 +539,7 @@
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda signum, frame: stop.set())
     signal.signal(signal.SIGINT, lambda signum, frame: stop.set())
-    host = Host(cfg, handler)
+    host = Host(cfg, handler, mechanisms.make(args.without))
     signal.signal(signal.SIGHUP, lambda signum, frame: host.reload())
     host.start()
     decisions.record(decisions.Started(cfg.listen))
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -106,7 +106,7 @@
     """Returns the figures of a broker."""
     now_s = time.monotonic()
     fleet = state.fleet
-    usages = {i: fleet.get_usage(i, now_s) for i in fleet.roster.entries}
+    usages = {i: fleet.memory.get_usage(i, now_s) for i in fleet.roster.entries}
     counts = state.counts
     return Figures(
         {
@@ -121,7 +121,9 @@
             ),
             "requests_waiting": len(state.queue.waiting),
             "upstreams_listed": len(fleet.roster.entries),
-            "upstreams_down": sum(h.is_down for h in fleet.health.values()),
+            "upstreams_down": sum(
+                h.is_down for h in fleet.health.failed.values()
+            ),
             "hosts_sharing": state.hosts,
             "list_age_seconds": now_s - state.listed_s,
         },
@@ -150,15 +152,15 @@
         "upstreams": {
             i: {
                 **codec.encode(e),
-                "usage": codec.encode(fleet.get_usage(i, now_s)),
+                "usage": codec.encode(fleet.memory.get_usage(i, now_s)),
                 "usable": fleet.is_usable(e, now_s),
                 "pace": fleet.paces.get(i, now_s),
             }
             for i, e in sorted(fleet.roster.entries.items())
         },
-        "health": {i: codec.encode(h) for i, h in fleet.health.items()},
+        "health": {i: codec.encode(f) for i, f in fleet.health.failed.items()},
         "peers": {
             h: {"heard_s": round(now_s - p.heard_s, 3), "count": len(p.usage)}
-            for h, p in sorted(fleet.peers.items())
+            for h, p in sorted(fleet.memory.peers.items())
         },
     }
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -62,8 +62,18 @@
 class StreamWatch:
     """See the module's docstring."""
 
-    def __init__(self, to: desk.Desk, engines: Engines) -> None:
+    def __init__(
+        self, to: desk.Desk, engines: Engines, is_early: bool = True
+    ) -> None:
+        """Makes a watch.
+
+        Args:
+            to: Where it asks for other paths.
+            engines: Where it asks and orders.
+            is_early: It looks for streams that fall silent together.
+        """
         self._desk = to
+        self._is_early = is_early
         self._engines = engines
         self._lock = threading.Lock()
         self._streams: set[forward.Forward] = set()
@@ -109,7 +119,8 @@
         """Deals with the streams that are silent now."""
         with self._lock:
             streams = list(self._streams)
-        self._look_early(streams, now_s)
+        if self._is_early:
+            self._look_early(streams, now_s)
         by_first: dict[paths.Part, list[forward.Forward]] = {}
         for stream in streams:
             if is_silent(stream, now_s):
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -14,11 +14,11 @@
 
 import attrs
 
-from egretspur import decisions, errors
+from egretspur import decisions, errors, mechanisms
 from egretspur.admission import queue as queues
 from egretspur.admission import shared
 from egretspur.catalog import config, feeds, upstreams
-from egretspur.routing import choice, jobs, paths, questions
+from egretspur.routing import choice, jobs, memory, paths, questions
 from egretspur.routing import fleet as fleets
 
 # Part of the objective that a request may wait for request memory. What is
@@ -75,9 +75,14 @@
     """State of one host; see the module's docstring."""
 
     def __init__(
-        self, data_centre: str, budget: BudgetOptions, rng: random.Random
+        self,
+        data_centre: str,
+        budget: BudgetOptions,
+        rng: random.Random,
+        using: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
-        self.fleet = fleets.Fleet(data_centre)
+        self.fleet = fleets.Fleet(data_centre, using.excess)
+        self._using = using
         self.queue = queues.Queue(QUEUE_LENGTH)
         self.counts = jobs.Counts()
         self.tickets: dict[str, Ticket] = {}
@@ -144,9 +149,9 @@
             return
         if ticket.parts:
             for part in ticket.parts:
-                self.fleet.note_success(part.id, now_s)
+                self.fleet.health.note_success(part.id, now_s)
             return
-        self.fleet.note_success(ticket.upstream_id, now_s)
+        self.fleet.health.note_success(ticket.upstream_id, now_s)
         self.fleet.note_time(ticket.upstream_id, now_s - ticket.started_s)
 
     def repath(
@@ -194,6 +199,8 @@
     def _can_resume(self, ticket: Ticket) -> bool:
         """Tells whether a running request may be ended and sent once more."""
         route = ticket.job.route
+        if not self._using.resuming:
+            return False
         return route.is_resumable and ticket.runs + 1 < route.max_attempts
 
     def _find_detour(
@@ -410,7 +417,9 @@
         cut_off: set[str],
     ) -> tuple[paths.Part, ...] | None:
         """Finds a path; see `choice.choose`."""
-        return choice.choose(job, spec, cards, cut_off, self.fleet.data_centre)
+        home = self.fleet.data_centre
+        is_prompt_first = self._using.prompt_first
+        return choice.choose(job, spec, cards, cut_off, home, is_prompt_first)
 
     def _start_plain(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
@@ -451,8 +460,8 @@
     ) -> decisions.PathChosen:
         peers = sum(
             1
-            for p in self.fleet.peers.values()
-            if now_s - p.heard_s < fleets.USAGE_KEPT_S
+            for p in self.fleet.memory.peers.values()
+            if now_s - p.heard_s < memory.USAGE_KEPT_S
         )
         spec = self._get_spec(ticket.job.service)
         step_s, free = 0.0, 1.0
@@ -471,10 +480,10 @@
 
     def _take_room(self, ticket: Ticket, sign: int) -> None:
         if not ticket.parts:
-            self.fleet.add(ticket.upstream_id, sign, 0.0)
+            self.fleet.memory.add(ticket.upstream_id, sign, 0.0)
         for part in ticket.parts:
             used = (part.last - part.first) * ticket.job.tokens
-            self.fleet.add(part.id, sign, sign * used)
+            self.fleet.memory.add(part.id, sign, sign * used)
 
     def _release(self, ticket: Ticket) -> None:
         if ticket.upstream_id:
@@ -499,13 +508,13 @@
         ticket.failed |= blamed
         for upstream_id in blamed:
             if failure.why is jobs.Why.UNREACHABLE:
-                self.fleet.note_down(upstream_id, now_s)
+                self.fleet.health.note_down(upstream_id, now_s)
             elif failure.why is jobs.Why.CUT:
-                self.fleet.note_fault(upstream_id, now_s)
+                self.fleet.health.note_fault(upstream_id, now_s)
             elif failure.blamed:
                 # It may also be dead; the probe tells.
-                self.fleet.note_refused(upstream_id, now_s)
-                self.fleet.note_fault(upstream_id, now_s)
+                self.fleet.health.note_refused(upstream_id, now_s)
+                self.fleet.health.note_fault(upstream_id, now_s)
 
     def _check_repeat(
         self, ticket: Ticket, failure: jobs.Failure, now_s: float
--- a/egretspur/routing/choice.py
+++ b/egretspur/routing/choice.py
@@ -28,6 +28,7 @@
     cards: Sequence[paths.Card],
     cut_off: set[str],
     home: str,
+    is_prompt_first: bool = True,
 ) -> tuple[paths.Part, ...] | None:
     """Finds a path on which the answer is prompt, else any.
 
@@ -37,10 +38,13 @@
         cards: Usable engines.
         cut_off: Data centres whose hosts are not heard.
         home: Data centre of this host.
+        is_prompt_first: Else the nearest path is taken, however slow.
     """
     heard = [c for c in cards if c.data_centre not in cut_off]
     bound_s = compute_longest_pass(job.route)
-    if any((c.last - c.first) * c.pass_s > bound_s for c in cards):
+    if is_prompt_first and any(
+        (c.last - c.first) * c.pass_s > bound_s for c in cards
+    ):
         found = _find_within_one(job, spec, cards, heard, home, bound_s)
         if found is not None:
             return found
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -219,7 +219,9 @@
 
     @handle.register
     def _(self, message: NoteFailed) -> None:
-        self._broker.fleet.note_down(message.upstream_id, time.monotonic())
+        self._broker.fleet.health.note_down(
+            message.upstream_id, time.monotonic()
+        )
 
     @handle.register
     def _(self, message: Learn) -> None:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -1,13 +1,13 @@
 """What one host knows of upstreams beyond their list: pure.
 
-Requests in flight, this host's and what the other hosts say of theirs; which
-upstreams failed of late; how fast they are.
+It joins what the modules beside it hold: requests in flight
+(`egretspur.routing.memory`), which upstreams failed of late
+(`egretspur.routing.health`), how fast they are (`egretspur.routing.paces`).
 """
 
 from __future__ import annotations
 
 import contextlib
-import math
 import zlib
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final
@@ -17,36 +17,7 @@
 from egretspur import decisions
 from egretspur.admission import room
 from egretspur.catalog import config, upstreams
-from egretspur.routing import jobs, paces, paths
-
-# Pauses between two probes of an upstream that is down; the first doubles
-# with each probe that fails.
-FIRST_PROBE_S: Final = 0.15
-LONGEST_PROBE_S: Final = 1.6
-
-# An upstream that is down for so long and has failed so many probes counts as
-# dead: its layers are given to others. Less would move layers for a lost
-# packet; each further second costs the answers of a data centre.
-DEAD_S: Final = 0.6
-DEAD_PROBES: Final = 2
-
-# Pauses after an engine refused a part of a path: it leaves, gives up layers
-# or lacks memory. Doubles with each refusal in a row.
-FIRST_REFUSED_S: Final = 0.25
-LONGEST_REFUSED_S: Final = 2.0
-
-# Weight of a new sample in the share of attempts that fail, and the seconds
-# over which that share is forgiven.
-FAULT_WEIGHT: Final = 0.25
-FAULT_FORGIVEN_S: Final = 6.0
-
-# How much slower an upstream counts for the attempts that fail there: a
-# failed one costs a repeat, and its caller the time until the failure shows.
-FAULT_COST: Final = 6.0
-
-# What another host said counts for so long. Hosts tell several times a
-# second; one that fell silent has lost its callers too.
-USAGE_KEPT_S: Final = 2.0
+from egretspur.routing import health, jobs, memory, paces, paths
 
 # A data centre none of whose hosts was heard for so long is cut off from this
 # one, or its hosts are down; its engines are used only if no others do. Its
@@ -58,18 +29,6 @@
 # datagrams.
 LISTED_TOLD_S: Final = 2.0
 
-# Memory in use beyond what the hosts count is forgiven over so long: what
-# holds it, answers of hosts that were lost or longer than expected, ends within
-# the two to six seconds that an answer takes.
-EXCESS_S: Final = 3.0
-
-# Part of an engine's memory beyond which it is worth a line in the log.
-EXCESS_NOTED: Final = 0.1
-
-# It is told to other hosts for so long: two datagrams, one of which may be
-# lost. Each host would find it out by a refusal of its own else.
-EXCESS_TOLD_S: Final = 0.6
-
 # Weight of a new sample in the smoothed time of a plain service's answer.
 TIME_WEIGHT: Final = 0.2
 
@@ -80,62 +39,6 @@
 FIRST_TIME_S: Final = 0.05
 
 
-@attrs.define
-class Health:
-    """An upstream that failed; it is probed until it answers."""
-
-    since_s: float
-    # Given no work until a probe succeeds.
-    is_down: bool
-    next_probe_s: float
-    # Probes that failed in a row.
-    failures: int = 0
-    is_probing: bool = False
-
-
-@attrs.define
-class Refusals:
-    """An upstream that refuses work, though it is alive."""
-
-    count: int = 0
-    until_s: float = 0.0
-
-
-@attrs.define
-class Faults:
-    """Share of attempts that failed at one upstream, forgiven with time."""
-
-    share: float = 0.0
-    at_s: float = 0.0
-
-    def get(self, now_s: float) -> float:
-        """Returns the share as it counts now."""
-        age_s = max(0.0, now_s - self.at_s)
-        return self.share * math.exp(-age_s / FAULT_FORGIVEN_S)
-
-    def note(self, is_fault: bool, now_s: float) -> None:
-        """Takes the end of an attempt."""
-        old = self.get(now_s)
-        self.share = old + FAULT_WEIGHT * (float(is_fault) - old)
-        self.at_s = now_s
-
-
-@attrs.frozen
-class Excess:
-    """Request memory in use at an engine beyond what the hosts count."""
-
-    # Tokens times layers.
-    room: float
-    at_s: float
-    # This host asked the engine itself; else another host told it.
-    is_own: bool
-
-    def get(self, now_s: float) -> float:
-        """Returns what of it counts now."""
-        left = 1.0 - (now_s - self.at_s) / EXCESS_S
-        return self.room * max(0.0, left)
-
-
 @attrs.frozen
 class Moved:
     """Layers that an engine took, as other hosts are told."""
@@ -146,15 +49,6 @@
     is_reported: bool
 
 
-@attrs.frozen
-class PeerUsage:
-    """What another host has in flight, by upstream."""
-
-    heard_s: float
-    usage: Mapping[str, jobs.Usage]
-    data_centre: str = ""
-
-
 @attrs.frozen
 class PeerNews:
     """What another host has in flight."""
@@ -175,16 +69,21 @@
 class Fleet:
     """State of all upstreams; see the module's docstring."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(
+        self, data_centre: str, is_counting_excess: bool = True
+    ) -> None:
+        """Makes a state that knows no upstream.
+
+        Args:
+            data_centre: Of this host.
+            is_counting_excess: Engines' own words on their memory count.
+        """
         self.data_centre = data_centre
+        self._is_counting_excess = is_counting_excess
         self.roster = upstreams.Roster()
-        self.own: dict[str, jobs.Usage] = {}
-        self.peers: dict[str, PeerUsage] = {}
-        self.health: dict[str, Health] = {}
-        self.faults: dict[str, Faults] = {}
-        self.refusals: dict[str, Refusals] = {}
+        self.memory = memory.Memory(data_centre)
+        self.health = health.Health(self._note)
         self.paces = paces.Paces()
-        self.excess: dict[str, Excess] = {}
         # Smoothed seconds of a plain service's answers.
         self.times: dict[str, float] = {}
         # Layers that engines took of late, with the time, for other hosts:
@@ -197,21 +96,7 @@
         """Tells whether an upstream may be given work."""
         if entry.is_draining or entry.id in self.roster.unreadable:
             return False
-        refusals = self.refusals.get(entry.id)
-        if refusals is not None and now_s < refusals.until_s:
-            return False
-        health = self.health.get(entry.id)
-        return health is None or not health.is_down
-
-    def is_dead(self, upstream_id: str, now_s: float) -> bool:
-        """Tells whether an upstream is down for good, as far as one can see."""
-        health = self.health.get(upstream_id)
-        return (
-            health is not None
-            and health.is_down
-            and health.failures >= DEAD_PROBES
-            and now_s - health.since_s >= DEAD_S
-        )
+        return self.health.is_usable(entry.id, now_s)
 
     def list_usable(
         self, service: str, now_s: float
@@ -223,61 +108,24 @@
             if e.service == service and self.is_usable(e, now_s)
         ]
 
-    def add(self, upstream_id: str, count: int, used: float) -> None:
-        """Changes what this host has in flight at an upstream."""
-        old = self.own.get(upstream_id, jobs.Usage())
-        left = jobs.Usage(old.count + count, max(0.0, old.room + used))
-        if left.count > 0:
-            self.own[upstream_id] = left
-        else:
-            self.own.pop(upstream_id, None)
-
-    def get_usage(self, upstream_id: str, now_s: float) -> jobs.Usage:
-        """Returns what all hosts have in flight at an upstream."""
-        total = self.own.get(upstream_id, jobs.Usage())
-        count, used = total.count, total.room
-        for peer in self.peers.values():
-            usage = peer.usage.get(upstream_id)
-            if usage is not None and now_s - peer.heard_s < USAGE_KEPT_S:
-                count += usage.count
-                used += usage.room
-        return jobs.Usage(count, used)
-
-    def sum_near(self, now_s: float) -> dict[str, jobs.Usage]:
-        """Returns what the hosts of this data centre have in flight."""
-        near = [
-            p.usage
-            for p in self.peers.values()
-            if p.data_centre == self.data_centre
-            and now_s - p.heard_s < USAGE_KEPT_S
-        ]
-        total = dict(self.own)
-        for usage in near:
-            for upstream_id, more in usage.items():
-                old = total.get(upstream_id, jobs.Usage())
-                total[upstream_id] = jobs.Usage(
-                    old.count + more.count, old.room + more.room
-                )
-        return total
-
     def hear(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host said."""
-        self.peers[news.host] = PeerUsage(now_s, news.usage, news.data_centre)
+        self.memory.hear(
+            news.host, news.data_centre, news.usage, news.excess, now_s
+        )
         self.paces.hear(news.pace, now_s)
-        for upstream_id, used in news.excess.items():
-            self.excess[upstream_id] = Excess(used, now_s, False)
         # A host in the same data centre sees what this one would see.
         if news.data_centre == self.data_centre:
             for upstream_id in news.dead:
                 if upstream_id in self.roster.entries:
-                    self.note_down(upstream_id, now_s)
+                    self.health.note_down(upstream_id, now_s)
         for upstream_id, layers in news.layers.items():
             upstreams.learn(self.roster, upstream_id, layers, now_s)
 
     def list_cut_off(self, now_s: float) -> set[str]:
         """Returns the data centres whose hosts fell silent, all of them."""
         last: dict[str, float] = {}
-        for peer in self.peers.values():
+        for peer in self.memory.peers.values():
             known = last.get(peer.data_centre, 0.0)
             last[peer.data_centre] = max(known, peer.heard_s)
         return {
@@ -286,96 +134,9 @@
             if place != self.data_centre and now_s - heard_s > CUT_OFF_S
         }
 
-    def note_fault(self, upstream_id: str, now_s: float) -> None:
-        """Takes an attempt that failed and may be the upstream's fault.
-
-        It keeps its work, though less of it, until a probe fails too: one
-        answer may be lost where the next one comes.
-        """
-        self.faults.setdefault(upstream_id, Faults()).note(True, now_s)
-        self.health.setdefault(upstream_id, Health(now_s, False, now_s))
-
-    def note_refused(self, upstream_id: str, now_s: float) -> None:
-        """Takes that an engine refused its part of a path."""
-        refusals = self.refusals.setdefault(upstream_id, Refusals())
-        if now_s < refusals.until_s:
-            return
-        pause_s = min(FIRST_REFUSED_S * 2**refusals.count, LONGEST_REFUSED_S)
-        refusals.count += 1
-        refusals.until_s = now_s + pause_s
-        self._note(upstream_id, "refusing", f"paused {pause_s} s")
-
-    def note_down(self, upstream_id: str, now_s: float) -> None:
-        """Gives an upstream no work until a probe succeeds."""
-        health = self.health.setdefault(
-            upstream_id, Health(now_s, False, now_s + FIRST_PROBE_S)
-        )
-        self._mark_down(upstream_id, health, "failed", now_s)
-
-    def _mark_down(
-        self, upstream_id: str, health: Health, reason: str, now_s: float
-    ) -> None:
-        if not health.is_down:
-            health.is_down = True
-            health.since_s = now_s
-            self._note(upstream_id, "down", reason)
-
     def _note(self, upstream_id: str, state: str, reason: str) -> None:
         self.notes.append(decisions.UpstreamChanged(upstream_id, state, reason))
 
-    def note_success(self, upstream_id: str, now_s: float) -> None:
-        """Takes an answer."""
-        self.refusals.pop(upstream_id, None)
-        faults = self.faults.get(upstream_id)
-        if faults is not None:
-            faults.note(False, now_s)
-
-    def take_probes(self, now_s: float) -> list[upstreams.Upstream]:
-        """Returns the upstreams to ask now, for their health or pace."""
-        due = [
-            self.roster.entries[i]
-            for i in self.paces.take_due(now_s)
-            if i in self.roster.entries and i not in self.health
-        ]
-        for upstream_id, health in self.health.items():
-            entry = self.roster.entries.get(upstream_id)
-            if entry is None or health.is_probing:
-                continue
-            if now_s >= health.next_probe_s:
-                health.is_probing = True
-                due.append(entry)
-        return due
-
-    def note_probe(
-        self, upstream_id: str, is_ok: bool, pace: float, now_s: float
-    ) -> None:
-        """Takes the result of a probe."""
-        if is_ok and self.paces.note(upstream_id, pace):
-            is_slow = pace > paces.USUAL
-            self._note(
-                upstream_id, "slow" if is_slow else "back", f"pace {pace}"
-            )
-        health = self.health.get(upstream_id)
-        if health is None:
-            return
-        if is_ok:
-            if health.is_down:
-                self._note(upstream_id, "back", "answers probes")
-            del self.health[upstream_id]
-            return
-        health.is_probing = False
-        self._mark_down(upstream_id, health, "does not answer probes", now_s)
-        pause_s = FIRST_PROBE_S * 2**health.failures
-        health.failures += 1
-        if health.failures == DEAD_PROBES:
-            self._note(upstream_id, "dead", f"{DEAD_PROBES} probes failed")
-        health.next_probe_s = now_s + min(pause_s, LONGEST_PROBE_S)
-
-    def get_slowdown(self, upstream_id: str, now_s: float) -> float:
-        """Returns how much slower an upstream counts for its faults."""
-        faults = self.faults.get(upstream_id)
-        return 1.0 + FAULT_COST * faults.get(now_s) if faults else 1.0
-
     def note_time(self, upstream_id: str, seconds: float) -> None:
         """Takes the time of a plain service's answer."""
         old = self.times.get(upstream_id, seconds)
@@ -455,19 +216,29 @@
             return
         with self.noting_changes(now_s):
             upstreams.note_restart(self.roster, upstream_id, report, now_s)
-        health = self.health.get(upstream_id)
-        if health is not None:
-            # Asked again if it still counts: the report was of an older start.
-            health.is_probing = False
+        # Asked again if it still counts: the report was of an older start.
+        self.health.note_unanswered(upstream_id)
+
+    def note_probe(
+        self, upstream_id: str, is_ok: bool, pace: float, now_s: float
+    ) -> None:
+        """Takes whether an upstream answered a probe, and its pace."""
+        if is_ok and self.paces.note(upstream_id, pace):
+            is_slow = pace > paces.USUAL
+            self._note(
+                upstream_id, "slow" if is_slow else "back", f"pace {pace}"
+            )
+        self.health.note_probe(upstream_id, is_ok, now_s)
 
     def _note_memory(
         self, upstream_id: str, report: upstreams.EngineReport, now_s: float
     ) -> None:
-        """Compares an engine's own word on its memory with what is counted."""
-        counted = self.get_usage(upstream_id, now_s).room
-        beyond = max(0.0, report.used - counted)
-        self.excess[upstream_id] = Excess(beyond, now_s, True)
-        if beyond > EXCESS_NOTED * report.size:
+        """Takes an engine's own word on its memory."""
+        if not self._is_counting_excess:
+            return
+        counted = self.memory.get_usage(upstream_id, now_s).room
+        beyond = self.memory.note_used(upstream_id, report.used, now_s)
+        if beyond > memory.EXCESS_NOTED * report.size:
             self._note(
                 upstream_id,
                 "fuller",
@@ -475,18 +246,14 @@
                 f" {counted:.0f} counted",
             )
 
-    def get_excess(self, upstream_id: str, now_s: float) -> float:
-        """Returns the memory in use at an engine that nobody counts."""
-        excess = self.excess.get(upstream_id)
-        return excess.get(now_s) if excess else 0.0
-
-    def list_excess(self, now_s: float) -> dict[str, float]:
-        """Returns what of it was found out of late, for the other hosts."""
-        return {
-            i: round(e.room)
-            for i, e in self.excess.items()
-            if e.is_own and e.room and now_s - e.at_s < EXCESS_TOLD_S
-        }
+    def take_probes(self, now_s: float) -> list[upstreams.Upstream]:
+        """Returns the upstreams to ask now, for their health or pace."""
+        listed = self.roster.entries
+        due = [
+            i for i in self.paces.take_due(now_s) if i not in self.health.failed
+        ]
+        due += self.health.take_due(listed, now_s)
+        return [listed[i] for i in due if i in listed]
 
     def list_moved(
         self, kept_s: float, now_s: float
@@ -529,17 +296,15 @@
         """Drops what is known of upstreams that are no longer listed."""
         listed = self.roster.entries
         tables: tuple[dict[str, Any], ...] = (
-            self.health,
-            self.faults,
-            self.refusals,
             self.times,
-            self.excess,
+            self.memory.excess,
             self._moved,
         )
         for table in tables:
             for upstream_id in set(table) - set(listed):
                 del table[upstream_id]
         self.paces.forget(listed)
+        self.health.forget(listed)
 
     def make_cards(
         self, service: str, spec: config.EngineSpec, now_s: float
@@ -552,7 +317,7 @@
             kind = spec.accelerators.get(entry.accelerator)
             if entry.layers is None or kind is None:
                 continue
-            usage = self.get_usage(entry.id, now_s)
+            usage = self.memory.get_usage(entry.id, now_s)
             size = room.compute_size(spec, entry) * room.USABLE
             step_s = spec.step_s + usage.count * (
                 spec.per_request_s + spec.per_token_s * context
@@ -560,7 +325,7 @@
             slow = self.paces.get(entry.id, now_s)
             read_s = slow * kind.read_factor * chunk_s
             pass_s = spec.stride * (step_s * kind.pace * slow + read_s)
-            pace = kind.pace * slow * self.get_slowdown(entry.id, now_s)
+            pace = kind.pace * slow * self.health.get_slowdown(entry.id, now_s)
             cards.append(
                 paths.Card(
                     entry.id,
@@ -569,7 +334,7 @@
                     entry.layers.first,
                     entry.layers.last,
                     step_s * pace / spec.layers,
-                    size - usage.room - self.get_excess(entry.id, now_s),
+                    size - usage.room - self.memory.get_excess(entry.id, now_s),
                     pass_s / spec.layers,
                 )
             )
@@ -589,16 +354,8 @@
             e for e in self.roster.entries.values() if e.service == service
         ]
         full = [c.id for c in cards if c.free < (c.last - c.first) * job.tokens]
-        paused = [
-            e.id
-            for e in entries
-            if e.id in self.refusals and now_s < self.refusals[e.id].until_s
-        ]
-        down = [
-            e.id
-            for e in entries
-            if e.id in self.health and self.health[e.id].is_down
-        ]
+        paused = [e.id for e in entries if self.health.is_paused(e.id, now_s)]
+        down = [e.id for e in entries if self.health.is_down(e.id)]
         leaving = [e.id for e in entries if e.is_draining]
         return decisions.PathMissing(
             request=job.id,
@@ -671,12 +428,12 @@
 
         def expect_s(entry: upstreams.Upstream) -> float:
             time_s = self.times.get(entry.id, FIRST_TIME_S)
-            waiting = self.get_usage(entry.id, now_s).count
+            waiting = self.memory.get_usage(entry.id, now_s).count
             turns = 1 + waiting / max(1, entry.slots)
             near = 1.0 if entry.data_centre == self.data_centre else 1.2
             if entry.data_centre in cut_off:
                 near = CUT_OFF_COST
-            slowdown = self.get_slowdown(entry.id, now_s)
+            slowdown = self.health.get_slowdown(entry.id, now_s)
             return time_s * turns * near * slowdown
 
         return min(fresh, key=expect_s, default=None)
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -14,7 +14,7 @@
 from egretspur import decisions, errors
 from egretspur.admission import room, shared
 from egretspur.catalog import upstreams
-from egretspur.routing import broker, fleet, jobs, paths
+from egretspur.routing import broker, fleet, jobs, memory, paths
 from tests import fleets
 
 LONG = os.environ.get("EGRETSPUR_FUZZ") == "long"
@@ -200,7 +200,7 @@
         part = fleets.parse_layers(layers)
         assert part is not None
         usage[name] = jobs.Usage(40, float(tokens * part.count))
-    context.broker.fleet.peers["10.1.0.9"] = fleet.PeerUsage(
+    context.broker.fleet.memory.peers["10.1.0.9"] = memory.PeerUsage(
         context.now_s, usage
     )
 
@@ -241,7 +241,7 @@
     for name in CHAIN:
         entry = state.roster.entries[name]
         size = room.compute_size(fleets.SPEC, entry)
-        used = state.get_usage(name, context.now_s).room
+        used = state.memory.get_usage(name, context.now_s).room
         assert 0 < used <= size, (name, used, size)
 
 
@@ -289,9 +289,9 @@
         failure = jobs.Failure("r", jobs.Why(why), "test", (start.upstream.id,))
         # Engines that failed are back at once; only the request counts here.
         take(context, context.broker.fail(failure, context.now_s))
-        for name in list(context.broker.fleet.health):
+        for name in list(context.broker.fleet.health.failed):
             context.broker.fleet.note_probe(name, True, 1.0, context.now_s)
-        context.broker.fleet.refusals.clear()
+        context.broker.fleet.health.refusals.clear()
         if "r" in context.broker.tickets:
             context.broker.tickets["r"].failed.clear()
         take(context, context.broker.tick(context.now_s))
@@ -383,7 +383,9 @@
         context.now_s += 0.1
         for entry in state.take_probes(context.now_s):
             state.note_probe(entry.id, False, 1.0, context.now_s)
-        if context.dead_s is None and state.is_dead("a100-0", context.now_s):
+        if context.dead_s is None and state.health.is_dead(
+            "a100-0", context.now_s
+        ):
             context.dead_s = context.now_s
         start = send_one(context, f"n{i}")
         assert start.upstream.id == "a100-twin", start
@@ -407,7 +409,7 @@
 @when("the first engine refuses its part {times:d} times")
 def step_refuses(context: Any, times: int) -> None:
     for _ in range(times):
-        context.broker.fleet.note_refused("a100-0", context.now_s)
+        context.broker.fleet.health.note_refused("a100-0", context.now_s)
         context.now_s += 1.0
     context.now_s -= 1.0
 
@@ -471,7 +473,7 @@
 
 @then("the request memory of the stalled engine is free again")
 def step_free_again(context: Any) -> None:
-    usage = context.broker.fleet.get_usage("a100-1", context.now_s)
+    usage = context.broker.fleet.memory.get_usage("a100-1", context.now_s)
     assert usage == jobs.Usage(0, 0.0), usage
 
 
@@ -536,7 +538,7 @@
 
 @when('engine "{name}" dies')
 def step_dies(context: Any, name: str) -> None:
-    context.broker.fleet.note_down(name, context.now_s)
+    context.broker.fleet.health.note_down(name, context.now_s)
 
 
 @then('the path of a request is in "{places}"')
@@ -549,8 +551,8 @@
 
 def hear(context: Any, place: str) -> None:
     """Hears a host of a data centre now."""
-    peers = context.broker.fleet.peers
-    peers[place] = fleet.PeerUsage(context.now_s, {}, place)
+    peers = context.broker.fleet.memory.peers
+    peers[place] = memory.PeerUsage(context.now_s, {}, place)
 
 
 @when("the hosts of both are heard")
@@ -666,7 +668,7 @@
             break
     assert not oracle.waiting and not oracle.at
     assert oracle.over == set(oracle.kinds)
-    assert not oracle.state.fleet.own, oracle.state.fleet.own
+    assert not oracle.state.fleet.memory.own, oracle.state.fleet.memory.own
     assert not oracle.state.tickets and not oracle.state.queue.waiting
 
 
@@ -695,9 +697,9 @@
     entries[3] = attrs.evolve(entries[3], is_draining=True)
     context.broker = fleets.make_broker(entries)
     state = context.broker.fleet
-    state.add("a100-0", 1, 1e9)
-    state.note_down("a100-1", 0.0)
-    state.note_refused("l40s-0", 0.0)
+    state.memory.add("a100-0", 1, 1e9)
+    state.health.note_down("a100-1", 0.0)
+    state.health.note_refused("l40s-0", 0.0)
 
 
 @when("a request comes")
@@ -739,7 +741,7 @@
     size = room.compute_size(fleets.SPEC, state.roster.entries["a100-1"])
     report = attrs.evolve(upstreams.PLAIN_REPORT, used=part * size, size=size)
     state.note_report("a100-1", report, context.now_s)
-    told = state.list_excess(context.now_s)
+    told = state.memory.list_excess(context.now_s)
     news = fleet.PeerNews("10.0.0.2", "kl-hall", {}, {}, (), {}, told)
     context.other.fleet.hear(news, context.now_s)
 
@@ -780,5 +782,5 @@
 
 @then("the other host tells nobody of it")
 def step_not_told_on(context: Any) -> None:
-    assert context.broker.fleet.list_excess(context.now_s)
-    assert not context.other.fleet.list_excess(context.now_s)
+    assert context.broker.fleet.memory.list_excess(context.now_s)
+    assert not context.other.fleet.memory.list_excess(context.now_s)
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -59,7 +59,7 @@
 def step_full(context: Any) -> None:
     for entry in context.state.fleet.roster.entries.values():
         if entry.data_centre != "kl-hall":
-            context.state.fleet.add(entry.id, 1, 1e9)
+            context.state.fleet.memory.add(entry.id, 1, 1e9)
 
 
 @when("it is back at its pace")
--- a/tests/steps/entries_steps.py
+++ b/tests/steps/entries_steps.py
@@ -185,11 +185,11 @@
     for host in context.hosts:
         state = host.broker.fleet
         mine = find(host, "e-1").id
-        state.note_down(mine, context.now_s)
-        state.note_refused(mine, context.now_s)
-        state.note_fault(mine, context.now_s)
+        state.health.note_down(mine, context.now_s)
+        state.health.note_refused(mine, context.now_s)
+        state.health.note_fault(mine, context.now_s)
         state.paces.note(mine, 5.0)
-        state.add(mine, 3, 900.0)
+        state.memory.add(mine, 3, 900.0)
         state.learn_layers(mine, upstreams.Layers(0, 31), context.now_s)
 
 
@@ -306,10 +306,10 @@
         state = host.broker.fleet
         entry = find(host, "e-1")
         assert state.is_usable(entry, context.now_s)
-        assert not state.is_dead(entry.id, context.now_s)
-        assert state.get_slowdown(entry.id, context.now_s) == 1.0
+        assert not state.health.is_dead(entry.id, context.now_s)
+        assert state.health.get_slowdown(entry.id, context.now_s) == 1.0
         assert state.paces.get(entry.id, context.now_s) == 1.0
-        assert state.get_usage(entry.id, context.now_s) == jobs.Usage()
+        assert state.memory.get_usage(entry.id, context.now_s) == jobs.Usage()
         assert entry.layers is None
         former = upstreams.make_start_id("e-1", listing.BORN_MS)
         assert former not in state.list_moved(2.0, context.now_s)
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -265,7 +265,7 @@
 @given("all engines are full")
 def step_full(context: Any) -> None:
     for name in broker_steps.CHAIN:
-        context.broker.fleet.add(name, 1, 1e9)
+        context.broker.fleet.memory.add(name, 1, 1e9)
 
 
 @given("an attempt that never sends anything")
@@ -420,7 +420,7 @@
 
     def is_down() -> bool:
         return bool(
-            context.play.desk.look(lambda b: "a100-0" in b.fleet.health)
+            context.play.desk.look(lambda b: "a100-0" in b.fleet.health.failed)
         )
 
     assert is_down()
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -119,9 +119,7 @@
 def step_down(context: Any, name: str) -> None:
     stage.wait_until(
         lambda: context.play.desk.look(
-            lambda state: (
-                name in state.fleet.health and state.fleet.health[name].is_down
-            )
+            lambda state: state.fleet.health.is_down(name)
         ),
         2.0,
         name,
