End a stop before the platform kills the process

Shown by a stop beside a stream of 40 s: still there 8 s after the signal before, ended by itself after. Also: an engine fuller than counted is logged once, not at each question.

--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -237,8 +237,10 @@
         if not self._is_counting_excess:
             return
         counted = self.memory.get_usage(upstream_id, now_s).room
+        known = self.memory.get_excess(upstream_id, now_s)
         beyond = self.memory.note_used(upstream_id, report.used, now_s)
-        if beyond > memory.EXCESS_NOTED * report.size:
+        # An engine is asked several times a second while it refuses.
+        if beyond > memory.EXCESS_NOTED * report.size > known:
             self._note(
                 upstream_id,
                 "fuller",
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -284,6 +284,10 @@
                 self.set_thread_count(min(self._most, have + _THREADS_STEP))
 
 
+# A server that closes is waited for so long, in seconds.
+CLOSE_S: Final = 0.3
+
+
 class Server:
     """A waitress server in a thread of its own."""
 
@@ -370,10 +374,15 @@
         self._server.pull_trigger()
 
     def close(self) -> None:
-        """Stops serving; open connections are closed."""
-        self._server.task_dispatcher.shutdown()
+        """Stops serving; open connections are closed.
+
+        What is still being answered is cut. Its threads end once their
+        connections are closed, so they are not waited for: a host that stops
+        would be killed before it has closed anything.
+        """
+        self._server.task_dispatcher.shutdown(timeout=0)
         self._server.close()
-        self._thread.join(timeout=2)
+        self._thread.join(timeout=CLOSE_S)
 
     def _run(self) -> None:
         try:
--- a/tests/daemons/life.feature
+++ b/tests/daemons/life.feature
@@ -16,6 +16,14 @@
     And a request late in the stop is refused as not run
     And the host ends by itself within 8 s
 
+  Scenario: A stop while a stream runs that lasts longer than the grace
+    # Symptom: the platform kills the process at the end of its grace. Cause:
+    # it waits for threads of streams that end with their connections, and
+    # those are closed after the wait.
+    Given streams of 2000 events
+    When a stream is asked for with key "key-1" and the host is stopped meanwhile
+    Then the host ends by itself within 8 s
+
   Scenario: What operators can ask for
     When a stream is asked for with key "key-1"
     Then the metrics count 1 started request
