--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -483,8 +483,9 @@
         for place, state in self._brokers.items():
             for other, peer in self._brokers.items():
                 if other != place:
-                    state.fleet.memory.peers[other] = memory.PeerUsage(
-                        now_s, dict(peer.fleet.memory.own), other
+                    own = dict(peer.fleet.memory.own)
+                    state.fleet.memory.note_peer(
+                        other, memory.PeerUsage(now_s, own, other)
                     )
         self._timeline.after(NEWS_S, self._exchange)
 
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -130,10 +130,15 @@
 
 
 def _decode_usage(value: Any) -> jobs.Usage:
-    count, used = checks.check_row(value, "usage", 2)
-    return jobs.Usage(
-        checks.check_count(count, "usage"), checks.check_number(used, "usage")
-    )
+    """Returns what is in flight at one engine.
+
+    Dozens stand in each datagram, so they are checked in one step.
+    """
+    if type(value) is list and len(value) == 2:
+        count, used = value
+        if type(count) is type(used) is int and count >= 0 <= used:
+            return jobs.Usage(count, float(used))
+    raise checks.FieldError("usage", f"not two counts: {value!r:.60}")
 
 
 def _decode_layers(value: Any) -> upstreams.Layers:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -94,6 +94,8 @@
         self._services: Mapping[str, config.Service] = {}
         # When the list of upstreams was last read.
         self.listed_s = 0.0
+        # Usable engines as a path was last looked for, for the log.
+        self._cards: Sequence[paths.Card] = ()
         # Decisions since the last `take_notes`, for the log.
         self._notes: list[decisions.Decision] = []
 
@@ -365,7 +367,7 @@
         spec = self._get_spec(job.service)
         if spec is not None:
             self._notes.append(
-                self.fleet.explain_missing(job.service, spec, job, now_s)
+                self.fleet.explain_missing(spec, job, self._cards, now_s)
             )
 
     def _start_waiting(self, now_s: float) -> list[jobs.Effect]:
@@ -398,6 +400,7 @@
         if spec is None:
             return None
         cards = self.fleet.make_cards(ticket.job.service, spec, now_s)
+        self._cards = cards
         others = [c for c in cards if c.id not in ticket.failed]
         cut_off = self.fleet.list_cut_off(now_s)
         parts = self.find_path(ticket.job, spec, others, cut_off)
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -344,16 +344,22 @@
 
     def explain_missing(
         self,
-        service: str,
         spec: config.EngineSpec,
         job: jobs.Job,
+        cards: Sequence[paths.Card],
         now_s: float,
     ) -> decisions.PathMissing:
-        """Returns why there is no path for a request."""
-        cards = self.make_cards(service, spec, now_s)
+        """Returns why there is no path for a request.
+
+        Args:
+            spec: Of its service.
+            job: The request.
+            cards: Usable engines, as a path was last looked for.
+            now_s: Monotonic time.
+        """
         held = [(c.first, c.last) for c in cards]
         entries = [
-            e for e in self.roster.entries.values() if e.service == service
+            e for e in self.roster.entries.values() if e.service == job.service
         ]
         full = [c.id for c in cards if c.free < (c.last - c.first) * job.tokens]
         paused = [e.id for e in entries if self.health.is_paused(e.id, now_s)]
--- a/egretspur/routing/memory.py
+++ b/egretspur/routing/memory.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import math
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -63,8 +64,14 @@
         """Makes an empty state for a host of a data centre."""
         self._data_centre = data_centre
         self.own: dict[str, jobs.Usage] = {}
+        # By host; see `note_peer`.
         self.peers: dict[str, PeerUsage] = {}
         self.excess: dict[str, Excess] = {}
+        # What the peers have in flight in all, and until when that holds. A
+        # choice of path asks for every engine; summed up each time, that is
+        # half of its cost among sixty hosts.
+        self._sum: dict[str, jobs.Usage] = {}
+        self._sum_until_s = -math.inf
 
     def add(self, upstream_id: str, count: int, used: float) -> None:
         """Changes what this host has in flight at an upstream."""
@@ -77,31 +84,37 @@
 
     def get_usage(self, upstream_id: str, now_s: float) -> jobs.Usage:
         """Returns what all hosts have in flight at an upstream."""
-        total = self.own.get(upstream_id, jobs.Usage())
-        count, used = total.count, total.room
-        for peer in self.peers.values():
-            usage = peer.usage.get(upstream_id)
-            if usage is not None and now_s - peer.heard_s < USAGE_KEPT_S:
-                count += usage.count
-                used += usage.room
-        return jobs.Usage(count, used)
+        if now_s >= self._sum_until_s:
+            fresh = self._list_fresh(now_s)
+            self._sum = _sum_usage(p.usage for p in fresh)
+            self._sum_until_s = USAGE_KEPT_S + min(
+                (p.heard_s for p in fresh), default=math.inf
+            )
+        own = self.own.get(upstream_id)
+        theirs = self._sum.get(upstream_id)
+        if own is None or theirs is None:
+            return own or theirs or jobs.Usage()
+        return jobs.Usage(own.count + theirs.count, own.room + theirs.room)
 
     def sum_near(self, now_s: float) -> dict[str, jobs.Usage]:
         """Returns what the hosts of this data centre have in flight."""
         near = [
             p.usage
-            for p in self.peers.values()
+            for p in self._list_fresh(now_s)
             if p.data_centre == self._data_centre
-            and now_s - p.heard_s < USAGE_KEPT_S
         ]
-        total = dict(self.own)
-        for usage in near:
-            for upstream_id, more in usage.items():
-                old = total.get(upstream_id, jobs.Usage())
-                total[upstream_id] = jobs.Usage(
-                    old.count + more.count, old.room + more.room
-                )
-        return total
+        return _sum_usage([self.own, *near])
+
+    def _list_fresh(self, now_s: float) -> list[PeerUsage]:
+        """Returns what was heard of late."""
+        return [
+            p for p in self.peers.values() if now_s - p.heard_s < USAGE_KEPT_S
+        ]
+
+    def note_peer(self, host: str, usage: PeerUsage) -> None:
+        """Takes what another host has in flight."""
+        self.peers[host] = usage
+        self._sum_until_s = -math.inf
 
     def hear(
         self,
@@ -112,7 +125,7 @@
         now_s: float,
     ) -> None:
         """Takes what another host has in flight and found out."""
-        self.peers[host] = PeerUsage(now_s, usage, data_centre)
+        self.note_peer(host, PeerUsage(now_s, usage, data_centre))
         for upstream_id, room in excess.items():
             self.excess[upstream_id] = Excess(room, now_s, False)
 
@@ -138,3 +151,16 @@
             for i, e in self.excess.items()
             if e.is_own and e.room and now_s - e.at_s < EXCESS_TOLD_S
         }
+
+
+def _sum_usage(
+    usages: Iterable[Mapping[str, jobs.Usage]],
+) -> dict[str, jobs.Usage]:
+    """Returns the sum by upstream."""
+    counts: dict[str, int] = {}
+    rooms: dict[str, float] = {}
+    for usage in usages:
+        for upstream_id, more in usage.items():
+            counts[upstream_id] = counts.get(upstream_id, 0) + more.count
+            rooms[upstream_id] = rooms.get(upstream_id, 0.0) + more.room
+    return {i: jobs.Usage(n, rooms[i]) for i, n in counts.items()}
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -200,8 +200,8 @@
         part = fleets.parse_layers(layers)
         assert part is not None
         usage[name] = jobs.Usage(40, float(tokens * part.count))
-    context.broker.fleet.memory.peers["10.1.0.9"] = memory.PeerUsage(
-        context.now_s, usage
+    context.broker.fleet.memory.note_peer(
+        "10.1.0.9", memory.PeerUsage(context.now_s, usage)
     )
 
 
@@ -551,8 +551,8 @@
 
 def hear(context: Any, place: str) -> None:
     """Hears a host of a data centre now."""
-    peers = context.broker.fleet.memory.peers
-    peers[place] = memory.PeerUsage(context.now_s, {}, place)
+    state = context.broker.fleet.memory
+    state.note_peer(place, memory.PeerUsage(context.now_s, {}, place))
 
 
 @when("the hosts of both are heard")
