Look at streams for a common stage only when one of them is silent

Each host looks 50 times a second, and each look made a value of every stream's path before it found that nobody was silent; the witness was picked from streams filtered a second time. No bound and no decision changed: no stage is suspected while no stream is silent for longer than the least silence that counts.

--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -135,6 +135,10 @@
         self, streams: Sequence[forward.Forward], now_s: float
     ) -> None:
         """Leaves stages that streams show to be dead, before a report does."""
+        begun = [s for s in streams if s.has_begun]
+        # Nearly all looks find nobody silent, and they are many.
+        if all(now_s - s.heard_s <= silence.LEAST_S for s in begun):
+            return
         suspects = silence.find_suspects(
             [
                 silence.Heard(
@@ -142,8 +146,7 @@
                     now_s - s.heard_s,
                     s.usual_gap_s,
                 )
-                for s in streams
-                if s.has_begun
+                for s in begun
             ]
         )
         addresses = {
@@ -155,7 +158,7 @@
         }
         if not addresses or len(addresses) > MOST_ASKED:
             return
-        witness = _find_witness(streams, suspects)
+        witness = _find_witness(begun, suspects)
         if witness is not None:
             addresses[witness.id] = witness.address
         self._peeked = {
@@ -261,8 +264,7 @@
 
     Where it does not answer either, it is this host that hears nobody.
     """
-    begun = [s for s in streams if s.has_begun]
-    for stream in sorted(begun, key=lambda s: -s.heard_s):
+    for stream in sorted(streams, key=lambda s: -s.heard_s):
         for part in stream.parts:
             if part.id not in suspects:
                 return part
