Look for paths one data centre at a time, and not again where none had room

Cause: each choice made out all 190 engines of five data centres and, where the own one had no room, searched all four others for the fastest path; while nothing has room each arrival, end and tick did so again.

Change: what engines offer is made out by data centre, when it is asked for; of other data centres two with a path are compared, drawn at random, so that hosts that know each other's requests a quarter of a second late don't meet at one; that no path had room is kept for 50 ms unless the host learns of a change.

--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -19,7 +19,16 @@
 from egretspur.admission import room
 from egretspur.catalog import config, upstreams
 from egretspur.placement import ranges
-from egretspur.routing import broker, jobs, memory, paths, questions
+from egretspur.routing import (
+    broker,
+    cards,
+    fleet,
+    jobs,
+    memory,
+    paths,
+    questions,
+    search,
+)
 
 # A pause or first event beyond these is late.
 OBJECTIVE_S: Final = 0.5
@@ -123,26 +132,30 @@
     is_back: bool = False
 
 
-class RandomBroker(broker.Broker):
+class RandomSearch(search.Search):
     """Takes the faster of two random paths: the baseline of the choice."""
 
-    def find_path(
+    def __init__(self, state: fleet.Fleet, rng: random.Random) -> None:
+        super().__init__(state, mechanisms.ALL, rng)
+        self._home = state.data_centre
+        self._draws = rng
+
+    def choose(
         self,
         job: jobs.Job,
         spec: config.EngineSpec,
-        cards: Sequence[paths.Card],
-        cut_off: set[str],
+        offers: cards.Cards,
+        now_s: float,
     ) -> tuple[paths.Part, ...] | None:
-        """See `broker.Broker.find_path`."""
-        near = [c for c in cards if c.data_centre == self.fleet.data_centre]
-        for choice in (near, cards):
+        """See `search.Search.choose`."""
+        for near in (offers.get(self._home), offers.list_all()):
             drawn = [
                 d
                 for _ in range(2)
-                if (d := self._draw(choice, spec.layers, job.tokens))
+                if (d := self._draw(near, spec.layers, job.tokens))
             ]
             if drawn:
-                return min(drawn, key=lambda d: paths.compute_path_s(d, choice))
+                return min(drawn, key=lambda d: paths.compute_path_s(d, near))
         return None
 
     def _draw(
@@ -161,7 +174,7 @@
             ]
             if not fitting or len(parts) == paths.MAX_PARTS:
                 return ()
-            card = self._rng.choice(fitting)
+            card = self._draws.choice(fitting)
             parts.append(paths.Part(card.id, card.address, at, card.last))
             at = card.last
         return tuple(parts)
@@ -173,7 +186,7 @@
     def __init__(
         self,
         spec: config.EngineSpec,
-        cards: Mapping[str, Mapping[str, int]],
+        kinds: Mapping[str, Mapping[str, int]],
         day: Day,
         policy: Policy,
     ) -> None:
@@ -181,7 +194,7 @@
 
         Args:
             spec: Sizes and speeds of the engines.
-            cards: Engines by data centre and accelerator.
+            kinds: Engines by data centre and accelerator.
             day: Traffic and troubles.
             policy: What is compared.
         """
@@ -191,8 +204,8 @@
         self._rng = random.Random(day.seed)
         self._timeline = passes.Timeline()
         self._engines = passes.Engines(spec, self._timeline)
-        for place, kinds in cards.items():
-            for kind, count in kinds.items():
+        for place, counts in kinds.items():
+            for kind, count in counts.items():
                 for i in range(count):
                     self._engines.add(
                         passes.Engine(
@@ -202,11 +215,15 @@
                         )
                     )
         options = broker.BudgetOptions(0.2, 200.0, 10.0)
-        make = RandomBroker if policy.is_random else broker.Broker
         self._brokers = {
-            place: make(place, options, random.Random(day.seed), policy.using)
-            for place in cards
+            place: broker.Broker(
+                place, options, random.Random(day.seed), policy.using
+            )
+            for place in kinds
         }
+        if policy.is_random:
+            for state in self._brokers.values():
+                state.search = RandomSearch(state.fleet, self._rng)
         self._requests: dict[str, _Request] = {}
         self._loading: dict[str, ranges.Engine] = {}
         self._dead_since_s: dict[str, float] = {}
--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -150,6 +150,9 @@
     learned: dict[str, tuple[Layers, float]] = attrs.Factory(dict)
     # Until then the store's return is recent and a missing entry may be back.
     grace_until_s: float = 0.0
+    # Counts changes of `entries`, for whoever keeps something worked out of
+    # them.
+    changes: int = 0
 
 
 def note_return(roster: Roster, now_s: float) -> None:
@@ -284,7 +287,9 @@
     old = roster.entries.get(entry.id)
     if old is not None and old.address != entry.address:
         _free_address(roster, old)
-    roster.entries[entry.id] = entry
+    if old != entry:
+        roster.entries[entry.id] = entry
+        roster.changes += 1
     roster.missing.pop(entry.id, None)
     roster.unreadable.discard(entry.id)
 
@@ -299,6 +304,7 @@
     roster.listed.setdefault(upstream_id, entry.layers)
     roster.learned[upstream_id] = (layers, now_s + LEARNED_S)
     roster.entries[upstream_id] = attrs.evolve(entry, layers=layers)
+    roster.changes += 1
 
 
 def note_restart(
@@ -395,12 +401,14 @@
         entry = roster.entries[upstream_id]
         layers = roster.listed.pop(upstream_id)
         roster.entries[upstream_id] = attrs.evolve(entry, layers=layers)
+        roster.changes += 1
     return bool(late or old)
 
 
 def _forget(roster: Roster, upstream_id: str) -> None:
     entry = roster.entries.pop(upstream_id, None)
     if entry is not None:
+        roster.changes += 1
         _free_address(roster, entry)
         if roster.by_name.get(entry.name) == upstream_id:
             del roster.by_name[entry.name]
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Mapping, Sequence
 from typing import Final
@@ -18,8 +17,8 @@
 from egretspur.admission import queue as queues
 from egretspur.admission import shared
 from egretspur.catalog import config, feeds, upstreams
-from egretspur.routing import choice, jobs, memory, paths, questions
 from egretspur.routing import fleet as fleets
+from egretspur.routing import jobs, memory, paths, questions, search
 
 # Part of the objective that a request may wait for request memory. What is
 # left must do for reading its prompt, else it is late as well as slow.
@@ -83,6 +82,7 @@
     ) -> None:
         self.fleet = fleets.Fleet(data_centre, using.excess)
         self._using = using
+        self.search = search.Search(self.fleet, using, rng)
         self.queue = queues.Queue(QUEUE_LENGTH)
         self.counts = jobs.Counts()
         self.tickets: dict[str, Ticket] = {}
@@ -94,8 +94,6 @@
         self._services: Mapping[str, config.Service] = {}
         # When the list of upstreams was last read.
         self.listed_s = 0.0
-        # Usable engines as a path was last looked for, for the log.
-        self._cards: Sequence[paths.Card] = ()
         # Decisions since the last `take_notes`, for the log.
         self._notes: list[decisions.Decision] = []
 
@@ -159,44 +157,24 @@
     def repath(
         self, job_id: str, stalled: frozenset[str], now_s: float
     ) -> jobs.Detour:
-        """Moves a running request off engines that hold it up.
-
-        Within its data centres if it can be. To another one its tokens so far
-        would have to go layer by layer, 26 ms a request over a pipe that all
-        share; sent anew, its text goes there once.
-        """
+        """Moves a running request off engines that hold it up."""
         ticket = self.tickets.get(job_id)
         spec = self._get_spec(ticket.job.service) if ticket else None
         if ticket is None or spec is None or not ticket.parts:
             return jobs.Detour(None)
-        cards = [
-            c
-            for c in self.fleet.make_cards(ticket.job.service, spec, now_s)
-            if c.id not in stalled
-        ]
-        places = self._find_places(ticket.parts)
-        near = [c for c in cards if c.data_centre in places]
-        bound_s = choice.compute_longest_pass(ticket.job.route)
-        found = self._find_detour(ticket, spec, near, stalled, bound_s)
-        if found is None and self._can_resume(ticket):
-            cut_off = self.fleet.list_cut_off(now_s)
-            if self.find_path(ticket.job, spec, cards, cut_off):
-                return jobs.Detour(None, True)
-        for choices in (near, cards):
-            if found is None:
-                found = self._find_detour(
-                    ticket, spec, choices, stalled, math.inf
-                )
-        if found is None:
-            return jobs.Detour(None)
-        self._take_room(ticket, -1)
-        ticket.parts = found
-        self._take_room(ticket, 1)
-        return jobs.Detour(found)
-
-    def _find_places(self, parts: Sequence[paths.Part]) -> set[str]:
-        entries = self.fleet.roster.entries
-        return {entries[p.id].data_centre for p in parts if p.id in entries}
+        detour = self.search.find_detour(
+            ticket.job,
+            spec,
+            ticket.parts,
+            stalled,
+            self._can_resume(ticket),
+            now_s,
+        )
+        if detour.parts is not None:
+            self._take_room(ticket, -1)
+            ticket.parts = detour.parts
+            self._take_room(ticket, 1)
+        return detour
 
     def _can_resume(self, ticket: Ticket) -> bool:
         """Tells whether a running request may be ended and sent once more."""
@@ -205,42 +183,6 @@
             return False
         return route.is_resumable and ticket.runs + 1 < route.max_attempts
 
-    def _find_detour(
-        self,
-        ticket: Ticket,
-        spec: config.EngineSpec,
-        cards: Sequence[paths.Card],
-        stalled: frozenset[str],
-        longest_s: float,
-    ) -> tuple[paths.Part, ...] | None:
-        """Finds a path with the same first part over some engines."""
-        first = ticket.parts[0]
-        if first.id in stalled:
-            return None
-        # A card that offers just the first part.
-        kept = paths.Card(
-            first.id,
-            first.address,
-            self.fleet.data_centre,
-            first.first,
-            first.last,
-            0.0,
-            ticket.job.tokens * spec.layers,
-        )
-        tail = [
-            attrs.evolve(c, first=max(c.first, first.last))
-            for c in cards
-            if c.id != first.id
-        ]
-        usable = [c for c in tail if c.first < c.last]
-        return paths.find_path(
-            [kept, *usable],
-            spec.layers,
-            ticket.job.tokens,
-            self.fleet.data_centre,
-            longest_pass_s=longest_s,
-        )
-
     # Messages from the rest of the host.
 
     def configure(
@@ -366,9 +308,7 @@
         """Notes for the log why a request waits."""
         spec = self._get_spec(job.service)
         if spec is not None:
-            self._notes.append(
-                self.fleet.explain_missing(spec, job, self._cards, now_s)
-            )
+            self._notes.append(self.search.explain(job, spec, now_s))
 
     def _start_waiting(self, now_s: float) -> list[jobs.Effect]:
         effects: list[jobs.Effect] = []
@@ -391,38 +331,16 @@
         return effects
 
     def _try_start(self, ticket: Ticket, now_s: float) -> jobs.Start | None:
-        """Finds a path, without engines that failed the request if it can.
-
-        Which stage broke an answer often isn't known; the first is suspected.
-        Where there is no way around it, it is tried again if it is alive.
-        """
+        """Starts a request for which there is a path."""
         spec = self._get_spec(ticket.job.service)
         if spec is None:
             return None
-        cards = self.fleet.make_cards(ticket.job.service, spec, now_s)
-        self._cards = cards
-        others = [c for c in cards if c.id not in ticket.failed]
-        cut_off = self.fleet.list_cut_off(now_s)
-        parts = self.find_path(ticket.job, spec, others, cut_off)
-        if parts is None and ticket.failed:
-            parts = self.find_path(ticket.job, spec, cards, cut_off)
+        parts = self.search.find(ticket.job, spec, ticket.failed, now_s)
         if parts is None:
             return None
         entry = self.fleet.roster.entries[parts[0].id]
         ticket.parts = parts
-        return self._start(ticket, entry, cards, now_s)
-
-    def find_path(
-        self,
-        job: jobs.Job,
-        spec: config.EngineSpec,
-        cards: Sequence[paths.Card],
-        cut_off: set[str],
-    ) -> tuple[paths.Part, ...] | None:
-        """Finds a path; see `choice.choose`."""
-        home = self.fleet.data_centre
-        is_prompt_first = self._using.prompt_first
-        return choice.choose(job, spec, cards, cut_off, home, is_prompt_first)
+        return self._start(ticket, entry, now_s)
 
     def _start_plain(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
@@ -437,19 +355,18 @@
                     "no upstream is usable",
                 )
             ]
-        return [self._start(ticket, entry, (), now_s)]
+        return [self._start(ticket, entry, now_s)]
 
     def _start(
         self,
         ticket: Ticket,
         entry: upstreams.Upstream,
-        cards: Sequence[paths.Card],
         now_s: float,
     ) -> jobs.Start:
         ticket.upstream_id = entry.id
         ticket.started_s = now_s
         ticket.attempts += 1
-        self._notes.append(self._describe_start(ticket, entry, cards, now_s))
+        self._notes.append(self._describe_start(ticket, entry, now_s))
         self._take_room(ticket, 1)
         self.counts.started += 1
         return jobs.Start(ticket.job.id, entry, ticket.parts)
@@ -458,7 +375,6 @@
         self,
         ticket: Ticket,
         entry: upstreams.Upstream,
-        cards: Sequence[paths.Card],
         now_s: float,
     ) -> decisions.PathChosen:
         peers = sum(
@@ -469,7 +385,7 @@
         spec = self._get_spec(ticket.job.service)
         step_s, free = 0.0, 1.0
         if spec is not None and ticket.parts:
-            step_s, free = self.fleet.describe_path(spec, ticket.parts, cards)
+            step_s, free = self.fleet.describe_path(spec, ticket.parts, now_s)
         return decisions.PathChosen(
             ticket.job.id,
             ticket.attempts,
--- a/egretspur/routing/choice.py
+++ b/egretspur/routing/choice.py
@@ -10,24 +10,31 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Iterator, Sequence
+import random
+from collections.abc import Sequence
 from typing import Final
 
+import attrs
+
 from egretspur.catalog import config
-from egretspur.routing import jobs, paths
+from egretspur.routing import cards, jobs, paths
 
 # Part of the pause that a route allows between two events that one engine's
 # pass may take. An event waits for the pass that is under way on the slowest
 # engine and for its own, and then for the steps of the others.
 PASS_PART: Final = 0.4
 
+# Other data centres with a path that are compared.
+DRAWN: Final = 2
+
 
 def choose(
     job: jobs.Job,
     spec: config.EngineSpec,
-    cards: Sequence[paths.Card],
+    offers: cards.Cards,
     cut_off: set[str],
     home: str,
+    rng: random.Random,
     is_prompt_first: bool = True,
 ) -> tuple[paths.Part, ...] | None:
     """Finds a path on which the answer is prompt, else any.
@@ -35,28 +42,89 @@
     Args:
         job: The request.
         spec: Of its service.
-        cards: Usable engines.
+        offers: Usable engines.
         cut_off: Data centres whose hosts are not heard.
         home: Data centre of this host.
+        rng: Draws other data centres.
         is_prompt_first: Else the nearest path is taken, however slow.
     """
-    heard = [c for c in cards if c.data_centre not in cut_off]
+    others = [p for p in offers.places if p != home and p not in cut_off]
+    rng.shuffle(others)
+    finder = _Finder(job, spec, offers, home)
     bound_s = compute_longest_pass(job.route)
-    if is_prompt_first and any(
-        (c.last - c.first) * c.pass_s > bound_s for c in cards
-    ):
-        found = _find_within_one(job, spec, cards, heard, home, bound_s)
+    if is_prompt_first and bound_s < math.inf:
+        found = finder.find_within_one(others, bound_s)
+        if found is not None or not finder.has_slow(others, bound_s):
+            return found or finder.join(others)
+    return finder.find_within_one(others, math.inf) or finder.join(others)
+
+
+@attrs.frozen
+class _Finder:
+    """Looks for one request's path."""
+
+    job: jobs.Job
+    spec: config.EngineSpec
+    offers: cards.Cards
+    home: str
+
+    def find_within_one(
+        self, others: Sequence[str], longest_s: float
+    ) -> tuple[paths.Part, ...] | None:
+        """Finds a path within one data centre, the own one if it can be.
+
+        It leaves the pipes between them alone, wherever its caller is.
+
+        Args:
+            others: Other data centres, in a random order.
+            longest_s: Longest pass of one engine on its part.
+        """
+        found = self._find([self.home], longest_s)
         if found is not None:
             return found
-    found = _find_within_one(job, spec, cards, heard, home, math.inf)
-    if found is not None:
-        return found
-    # Over several of those, else over any: where only the hosts are down, the
-    # engines still serve.
-    found = paths.find_path(heard, spec.layers, job.tokens, home)
-    if found is not None or len(heard) == len(cards):
-        return found
-    return paths.find_path(cards, spec.layers, job.tokens, home)
+        # The faster one of two that have room: what hosts know of each
+        # other's requests is a quarter of a second old, and were each to take
+        # the fastest of all, those of a data centre would meet at its engines.
+        ways: list[tuple[float, tuple[paths.Part, ...]]] = []
+        for place in others:
+            parts = self._find([place], longest_s)
+            if parts is None:
+                continue
+            step_s = paths.compute_path_s(parts, self.offers.get(place))
+            ways.append((step_s, parts))
+            if len(ways) == DRAWN:
+                break
+        return min(ways, key=lambda w: w[0])[1] if ways else None
+
+    def join(self, others: Sequence[str]) -> tuple[paths.Part, ...] | None:
+        """Finds a path over several data centres.
+
+        Over those that are heard, else over any: where only the hosts are
+        down, the engines still serve.
+        """
+        heard = [p for p in self.offers.places if p in (self.home, *others)]
+        found = self._find(heard, math.inf) if len(heard) > 1 else None
+        if found is not None or len(heard) == len(self.offers.places):
+            return found
+        return self._find(self.offers.places, math.inf)
+
+    def has_slow(self, others: Sequence[str], longest_s: float) -> bool:
+        """Tells whether an engine is too slow for all of its layers."""
+        return any(
+            (c.last - c.first) * c.pass_s > longest_s
+            for c in self.offers.list_of((self.home, *others))
+        )
+
+    def _find(
+        self, places: Sequence[str], longest_s: float
+    ) -> tuple[paths.Part, ...] | None:
+        return paths.find_path(
+            self.offers.list_of(places),
+            self.spec.layers,
+            self.job.tokens,
+            self.home,
+            longest_pass_s=longest_s,
+        )
 
 
 def compute_longest_pass(route: config.Route) -> float:
@@ -74,41 +142,3 @@
         ),
         default=math.inf,
     )
-
-
-def _find_within_one(
-    job: jobs.Job,
-    spec: config.EngineSpec,
-    cards: Sequence[paths.Card],
-    heard: Sequence[paths.Card],
-    home: str,
-    longest_s: float,
-) -> tuple[paths.Part, ...] | None:
-    """Finds a path within one data centre, the own one or the fastest.
-
-    It leaves the pipes between them alone, wherever its caller is.
-    """
-
-    def find(choice: Sequence[paths.Card]) -> tuple[paths.Part, ...] | None:
-        return paths.find_path(
-            choice, spec.layers, job.tokens, home, longest_pass_s=longest_s
-        )
-
-    found = find([c for c in cards if c.data_centre == home])
-    if found is not None:
-        return found
-    others = [
-        (paths.compute_path_s(parts, choice), parts)
-        for choice in _split_by_place(heard, home)
-        if (parts := find(choice)) is not None
-    ]
-    return min(others, key=lambda f: f[0])[1] if others else None
-
-
-def _split_by_place(
-    cards: Iterable[paths.Card], home: str
-) -> Iterator[list[paths.Card]]:
-    """Returns the engines of each data centre but the own."""
-    cards = list(cards)
-    for place in sorted({c.data_centre for c in cards} - {home}):
-        yield [c for c in cards if c.data_centre == place]
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -17,7 +17,7 @@
 from egretspur import decisions
 from egretspur.admission import room
 from egretspur.catalog import config, upstreams
-from egretspur.routing import health, jobs, memory, paces, paths
+from egretspur.routing import cards, health, jobs, memory, paces, paths
 
 # A data centre none of whose hosts was heard for so long is cut off from this
 # one, or its hosts are down; its engines are used only if no others do. Its
@@ -66,6 +66,25 @@
     excess: Mapping[str, float] = attrs.Factory(dict)
 
 
+@attrs.frozen
+class _StepCosts:
+    """What of an engine's times is the same for all engines of a service."""
+
+    # Seconds of a step that one more request takes.
+    request_s: float
+    # Seconds of a whole chunk of a prompt.
+    chunk_s: float
+
+    @classmethod
+    def make(cls, spec: config.EngineSpec) -> _StepCosts:
+        """Returns the costs of a service's engines."""
+        context = spec.usual_prompt + spec.usual_answer / 2
+        return cls(
+            spec.per_request_s + spec.per_token_s * context,
+            spec.chunk_tokens / spec.read_tokens_per_s,
+        )
+
+
 class Fleet:
     """State of all upstreams; see the module's docstring."""
 
@@ -89,6 +108,12 @@
         # Layers that engines took of late, with the time, for other hosts:
         # only one of them reads the list as often.
         self._moved: dict[str, Moved] = {}
+        # Upstreams by service and data centre, as of a change of the list:
+        # each choice of a path asks for them.
+        self._grouped: dict[str, dict[str, list[upstreams.Upstream]]] = {}
+        self._grouped_at = -1
+        # News and probes taken, each of which may show room.
+        self._learned = 0
         # What changed in the beliefs about upstreams, for the log.
         self.notes: list[decisions.Decision] = []
 
@@ -108,8 +133,16 @@
             if e.service == service and self.is_usable(e, now_s)
         ]
 
+    def get_revision(self) -> int:
+        """Returns a number that differs once there may be room anew.
+
+        It stays the same while only time passes, and where there is less room.
+        """
+        return self._learned + self.roster.changes + self.memory.releases
+
     def hear(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host said."""
+        self._learned += 1
         self.memory.hear(
             news.host, news.data_centre, news.usage, news.excess, now_s
         )
@@ -151,8 +184,11 @@
         before = dict(self.roster.entries)
         unreadable = set(self.roster.unreadable)
         unfit = dict(self.roster.unfit)
+        changes = self.roster.changes
         yield
         self._note_strange(unfit, unreadable)
+        if self.roster.changes == changes:
+            return
         for upstream_id, entry in self.roster.entries.items():
             old = before.get(upstream_id)
             if old is None:
@@ -223,6 +259,7 @@
         self, upstream_id: str, is_ok: bool, pace: float, now_s: float
     ) -> None:
         """Takes whether an upstream answered a probe, and its pace."""
+        self._learned += 1
         if is_ok and self.paces.note(upstream_id, pace):
             is_slow = pace > paces.USUAL
             self._note(
@@ -308,45 +345,73 @@
         self.paces.forget(listed)
         self.health.forget(listed)
 
-    def make_cards(
+    def offer(
         self, service: str, spec: config.EngineSpec, now_s: float
-    ) -> list[paths.Card]:
+    ) -> cards.Cards:
         """Returns a service's usable engines that hold layers."""
-        cards = []
-        context = spec.usual_prompt + spec.usual_answer / 2
-        chunk_s = spec.chunk_tokens / spec.read_tokens_per_s
-        for entry in self.list_usable(service, now_s):
-            kind = spec.accelerators.get(entry.accelerator)
-            if entry.layers is None or kind is None:
-                continue
-            usage = self.memory.get_usage(entry.id, now_s)
-            size = room.compute_size(spec, entry) * room.USABLE
-            step_s = spec.step_s + usage.count * (
-                spec.per_request_s + spec.per_token_s * context
-            )
-            slow = self.paces.get(entry.id, now_s)
-            read_s = slow * kind.read_factor * chunk_s
-            pass_s = spec.stride * (step_s * kind.pace * slow + read_s)
-            pace = kind.pace * slow * self.health.get_slowdown(entry.id, now_s)
-            cards.append(
-                paths.Card(
-                    entry.id,
-                    entry.address,
-                    entry.data_centre,
-                    entry.layers.first,
-                    entry.layers.last,
-                    step_s * pace / spec.layers,
-                    size - usage.room - self.memory.get_excess(entry.id, now_s),
-                    pass_s / spec.layers,
-                )
-            )
-        return cards
+        places = self._group_by_place(service)
+        costs = _StepCosts.make(spec)
+
+        def read(place: str) -> list[paths.Card]:
+            return [
+                card
+                for e in places[place]
+                if self.is_usable(e, now_s)
+                and (card := self._make_card(e, spec, costs, now_s))
+            ]
+
+        return cards.Cards(places, read)
+
+    def _group_by_place(
+        self, service: str
+    ) -> Mapping[str, Sequence[upstreams.Upstream]]:
+        """Returns a service's upstreams by data centre, in their order."""
+        if self._grouped_at != self.roster.changes:
+            self._grouped_at = self.roster.changes
+            self._grouped.clear()
+        groups = self._grouped.get(service)
+        if groups is None:
+            groups = {}
+            for entry in self.roster.entries.values():
+                if entry.service == service:
+                    groups.setdefault(entry.data_centre, []).append(entry)
+            self._grouped[service] = dict(sorted(groups.items()))
+        return self._grouped[service]
+
+    def _make_card(
+        self,
+        entry: upstreams.Upstream,
+        spec: config.EngineSpec,
+        costs: _StepCosts,
+        now_s: float,
+    ) -> paths.Card | None:
+        """Returns what an engine offers; None if it holds no layers."""
+        kind = spec.accelerators.get(entry.accelerator)
+        if entry.layers is None or kind is None:
+            return None
+        usage = self.memory.get_usage(entry.id, now_s)
+        size = room.compute_size(spec, entry) * room.USABLE
+        step_s = spec.step_s + usage.count * costs.request_s
+        slow = self.paces.get(entry.id, now_s)
+        read_s = slow * kind.read_factor * costs.chunk_s
+        pass_s = spec.stride * (step_s * kind.pace * slow + read_s)
+        pace = kind.pace * slow * self.health.get_slowdown(entry.id, now_s)
+        return paths.Card(
+            entry.id,
+            entry.address,
+            entry.data_centre,
+            entry.layers.first,
+            entry.layers.last,
+            step_s * pace / spec.layers,
+            size - usage.room - self.memory.get_excess(entry.id, now_s),
+            pass_s / spec.layers,
+        )
 
     def explain_missing(
         self,
         spec: config.EngineSpec,
         job: jobs.Job,
-        cards: Sequence[paths.Card],
+        offers: Sequence[paths.Card],
         now_s: float,
     ) -> decisions.PathMissing:
         """Returns why there is no path for a request.
@@ -354,14 +419,16 @@
         Args:
             spec: Of its service.
             job: The request.
-            cards: Usable engines, as a path was last looked for.
+            offers: Usable engines, as a path was last looked for.
             now_s: Monotonic time.
         """
-        held = [(c.first, c.last) for c in cards]
+        held = [(c.first, c.last) for c in offers]
         entries = [
             e for e in self.roster.entries.values() if e.service == job.service
         ]
-        full = [c.id for c in cards if c.free < (c.last - c.first) * job.tokens]
+        full = [
+            c.id for c in offers if c.free < (c.last - c.first) * job.tokens
+        ]
         paused = [e.id for e in entries if self.health.is_paused(e.id, now_s)]
         down = [e.id for e in entries if self.health.is_down(e.id)]
         leaving = [e.id for e in entries if e.is_draining]
@@ -392,36 +459,36 @@
             return set()
         return {
             c.id
-            for c in self.make_cards(service.name, spec, now_s)
+            for c in self.offer(service.name, spec, now_s).list_all()
             if self.paces.get(c.id, now_s) > paces.USUAL
             and (c.last - c.first) * c.pass_s > longest_pass_s
         }
 
     def describe_path(
-        self,
-        spec: config.EngineSpec,
-        parts: Sequence[paths.Part],
-        cards: Sequence[paths.Card],
+        self, spec: config.EngineSpec, parts: Sequence[paths.Part], now_s: float
     ) -> tuple[float, float]:
         """Returns a path's expected step and its tightest stage.
 
         Args:
             spec: Of the path's service.
             parts: The path.
-            cards: From which it was chosen.
+            now_s: Monotonic time.
 
         Returns:
             Seconds of one step, and the least free part of a stage's request
             memory, from 0 to 1.
         """
-        step_s = paths.compute_path_s(parts, cards)
-        known = {c.id: c for c in cards}
+        step_s = 0.0
         free = 1.0
+        costs = _StepCosts.make(spec)
         for part in parts:
             entry = self.roster.entries.get(part.id)
-            card = known.get(part.id)
-            if entry is None or card is None:
+            if entry is None:
+                continue
+            card = self._make_card(entry, spec, costs, now_s)
+            if card is None:
                 continue
+            step_s += (part.last - part.first) * card.layer_s
             size = room.compute_size(spec, entry) * room.USABLE
             free = min(free, card.free / size if size else 0.0)
         return step_s, free
--- a/egretspur/routing/memory.py
+++ b/egretspur/routing/memory.py
@@ -67,6 +67,8 @@
         # By host; see `note_peer`.
         self.peers: dict[str, PeerUsage] = {}
         self.excess: dict[str, Excess] = {}
+        # Requests of this host that ended.
+        self.releases = 0
         # What the peers have in flight in all, and until when that holds. A
         # choice of path asks for every engine; summed up each time, that is
         # half of its cost among sixty hosts.
@@ -76,6 +78,8 @@
     def add(self, upstream_id: str, count: int, used: float) -> None:
         """Changes what this host has in flight at an upstream."""
         old = self.own.get(upstream_id, jobs.Usage())
+        if count < 0:
+            self.releases += 1
         left = jobs.Usage(old.count + count, max(0.0, old.room + used))
         if left.count > 0:
             self.own[upstream_id] = left
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import attrs
@@ -102,8 +103,9 @@
 def check_place(context: Any, job: jobs.Job, place: str) -> None:
     """Checks in which data centre the path of a request is."""
     spec = fleets.SPEC
-    cards = context.state.fleet.make_cards("llm", spec, NOW_S)
-    parts = choice.choose(job, spec, cards, set(), "kl-hall")
+    offers = context.state.fleet.offer("llm", spec, NOW_S)
+    rng = random.Random(7)
+    parts = choice.choose(job, spec, offers, set(), "kl-hall", rng)
     assert parts is not None
     places = get_places(context, parts)
     assert len(places) == 1, places
