Hand the configuration on between hosts, and let a few of each data centre ask for its duty

Cause: each host read the configuration from the store at each change and each 12 s, and joined the duty's group each second.

Change: hosts ask a random one of those that have the newest configuration; what is handed over is compressed and packed once for all that ask for the same. Of a data centre's hosts the first three join. Whether the store is away is judged by what any host near by hears of it, since most don't ask.

--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -12,8 +12,8 @@
 
 from __future__ import annotations
 
-import base64
 import threading
+import zlib
 from collections.abc import Callable, Iterable
 from typing import Any, Final, Generic, Protocol, TypeVar
 
@@ -29,6 +29,14 @@
 HOSTS_ASKED: Final = 3
 
 
+# How hard snapshots are compressed. A configuration of 1,640 routes is some
+# hundred kilobytes, a tenth of it compressed; hosts have links of 10 Mbit/s.
+PACK_LEVEL: Final = 1
+
+# Bytes that a snapshot may have once it is unpacked: many times the largest
+# configuration, and a fraction of a small host's memory.
+MOST_UNPACKED: Final = 32 * 2**20
+
 # Keys that were dropped of late, for hosts that have read up to an earlier
 # offset; those that have read less are handed everything. Without a bound each
 # start of an upstream would leave a key for good.
@@ -70,16 +78,21 @@
         # Since this offset every key that was dropped is still known.
         self._complete_from = 0
         self._next = -1
+        # What was handed over since the last change, by the offset asked for:
+        # after a change many hosts ask for the same.
+        self._packed: dict[int, bytes] = {}
 
     def replace(self, records: Iterable[Record], end: int) -> None:
         """Takes all keys, read anew."""
         with self._lock:
             self._records = {r.key: r for r in records}
             self._complete_from = self._next = end
+            self._packed.clear()
 
     def put(self, record: Record) -> None:
         """Takes a record that changes what its key says, or drops it."""
         with self._lock:
+            self._packed.clear()
             # Dropped ones are in the order of their offsets.
             self._records.pop(record.key, None)
             self._records[record.key] = record
@@ -96,7 +109,25 @@
     def move_on(self, end: int) -> None:
         """Takes that all records before an offset were read."""
         with self._lock:
-            self._next = max(self._next, end)
+            if end > self._next:
+                self._next = end
+                self._packed.clear()
+
+    def pack_since(self, offset: int) -> bytes | None:
+        """Returns what a host misses, packed; see `list_since`."""
+        with self._lock:
+            known = self._packed.get(offset)
+        if known is not None:
+            return known
+        found = self.list_since(offset)
+        if found is None:
+            return None
+        data = pack_snapshot(found)
+        with self._lock:
+            # Unless the topic has moved on meanwhile.
+            if found.next == self._next:
+                self._packed[offset] = data
+        return data
 
     def list_since(self, offset: int) -> Snapshot | None:
         """Returns what a host misses that has read up to an offset.
@@ -121,31 +152,37 @@
 
 
 def pack_snapshot(snapshot: Snapshot) -> bytes:
-    """Returns a snapshot as JSON bytes."""
+    """Returns a snapshot as compressed JSON."""
     rows = [
-        [r.offset, r.key, base64.b64encode(r.raw).decode()]
+        # Each byte as a character: base64 would hide what repeats.
+        [r.offset, r.key, r.raw.decode("latin-1")]
         for r in snapshot.records
     ]
-    return orjson.dumps([snapshot.next, snapshot.is_whole, rows])
+    data = orjson.dumps([snapshot.next, snapshot.is_whole, rows])
+    return zlib.compress(data, PACK_LEVEL)
 
 
 def unpack_snapshot(data: bytes) -> Snapshot | feeds.Unavailable:
-    """Returns a snapshot from JSON bytes, or why it can't be read."""
+    """Returns a snapshot from compressed JSON, or why it can't be read."""
     try:
+        unpacking = zlib.decompressobj()
+        raw = unpacking.decompress(data, MOST_UNPACKED)
+        if not unpacking.eof:
+            return feeds.Unavailable("snapshot too large, or cut short")
         end, is_whole, rows = checks.check_row(
-            codec.load_json(data), "snapshot", 3
+            codec.load_json(raw), "snapshot", 3
         )
         records = tuple(
             Record(
                 checks.check_count(offset, "offset"),
                 checks.check_string(key, "key"),
-                base64.b64decode(raw),
+                checks.check_string(raw, "raw").encode("latin-1"),
             )
             for offset, key, raw in _check_rows(rows)
         )
         end = checks.check_count(end, "next")
         return Snapshot(records, end, bool(is_whole))
-    except (codec.DecodeError, TypeError, ValueError) as exc:
+    except (codec.DecodeError, TypeError, ValueError, zlib.error) as exc:
         return feeds.Unavailable(f"snapshot not understood: {exc!r}")
 
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -186,13 +186,11 @@
         self._feeds = (
             feeds.Feed(
                 "config",
-                # Large where there are many routes: a host that handed it
-                # to all others would have no room left for its callers.
                 handover.HandoverSource(
                     configs,
-                    self._exchange.list_alive,
+                    self._exchange.list_newest,
                     self._ask_host,
-                    lambda: False,
+                    lambda: not self._exchange.is_reader(),
                 ),
                 _ConfigSink(self),
                 self._get_config_pace,
@@ -419,7 +417,7 @@
             max(0.0, now_s - self._upstreams_sink.answered_s), NEVER_S
         )
         told_s = math.inf
-        if store_age_s < exchange.STORE_AWAY_S:
+        if not self._exchange.is_store_away(store_age_s):
             told_s = LAYERS_TOLD_S
 
         def read(state: broker.Broker) -> datagrams.News:
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -14,6 +14,7 @@
 from aioprometheus import collectors
 
 from egretspur import codec, logs, web
+from egretspur.daemons import duties
 from egretspur.routing import broker, desk
 
 # Gauges by name, each prefixed with ``egretspur_``.
@@ -40,6 +41,11 @@
 }
 
 
+_BY_DUTY: Final = {
+    "processor_seconds": "Processor time since the start, by duty",
+}
+
+
 class Snapshots(Protocol):
     """Topics whose state can be handed to another host."""
 
@@ -70,7 +76,7 @@
     """Returns the application that serves the pages."""
     gauges = {
         name: collectors.Gauge(f"egretspur_{name}", text, registry=registry)
-        for name, text in {**_GAUGES, **_BY_UPSTREAM}.items()
+        for name, text in {**_GAUGES, **_BY_UPSTREAM, **_BY_DUTY}.items()
     }
 
     def refresh() -> None:
@@ -85,6 +91,8 @@
         for name, values in figures.by_upstream.items():
             for upstream, value in values.items():
                 gauges[name].set({"upstream": upstream}, value)
+        for duty, seconds in duties.read_seconds().items():
+            gauges["processor_seconds"].set({"duty": duty}, seconds)
 
     def get_snapshot(req: web.Request) -> web.Response:
         topic = topics.get(req.parts["topic"])
--- a/egretspur/membership/duty.py
+++ b/egretspur/membership/duty.py
@@ -82,6 +82,9 @@
     def is_alone(self) -> bool:
         """Tells whether no host near by was heard of late."""
 
+    def is_candidate(self) -> bool:
+        """Tells whether this host is one of those that may have the duty."""
+
     def is_first_cut_off(self) -> bool:
         """Tells whether no host near by reaches the store, and this is first.
 
@@ -168,6 +171,9 @@
     def join(self) -> None:
         """Joins once, or stays, and takes the answer."""
         asked_s = self._clock()
+        if not self._peers.is_candidate():
+            self._step_back(asked_s)
+            return
         res = self.group.join(LEASE_S)
         if isinstance(res, feeds.Unavailable):
             return
@@ -183,6 +189,15 @@
             self._listed = res.generation
             self._peers.note_members(members)
 
+    def _step_back(self, now_s: float) -> None:
+        """Leaves the duty to hosts that come before this one."""
+        # Nothing was asked of the store, so it is not away.
+        self._answered_s = now_s
+        if self._lease.is_held(now_s):
+            self._lease.until_s = 0.0
+            decisions.record(decisions.DutyEnded("others come first"))
+            self.group.leave()
+
 
 def _record(held: Held) -> None:
     if held.is_held:
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -13,6 +13,7 @@
 
 import ipaddress
 import logging
+import random
 import socket
 import threading
 import time
@@ -51,6 +52,11 @@
 # duty it held has lapsed.
 STORE_AWAY_S: Final = 3.0
 
+# Hosts of a data centre that ask the store for the duty of giving orders: the
+# first ones, so that one takes over at once where one or two are lost. Each
+# asks once a second; were all to, the store's calls would grow with the hosts.
+CANDIDATES: Final = 3
+
 # After a datagram others are waited for so long, in seconds; a fifth of the
 # time between two of one host.
 GATHER_S: Final = 0.05
@@ -75,12 +81,29 @@
     data_centre: str
     store_age_s: float
     list_age_s: float
+    # Of the configuration that it has in force.
+    version: int
 
 
 class Peers:
     """Which hosts are known and what was heard of each last."""
 
-    def __init__(self, me: str, data_centre: str, seeds: Iterable[str]) -> None:
+    def __init__(
+        self,
+        me: str,
+        data_centre: str,
+        seeds: Iterable[str],
+        rng: random.Random | None = None,
+    ) -> None:
+        """Makes a state that has heard nobody.
+
+        Args:
+            me: This host's address.
+            data_centre: Its data centre.
+            seeds: Hosts to begin with.
+            rng: Draws whom to ask for the configuration.
+        """
+        self._rng = rng or random.Random()
         self._me = me
         self._data_centre = data_centre
         self._seeds = frozenset(s for s in seeds if s != me)
@@ -101,6 +124,7 @@
             news.data_centre,
             news.store_age_s,
             news.known.list_age_s,
+            news.known.version,
         )
         self._places[news.host] = news.data_centre
         for host, place in news.peers.items():
@@ -180,6 +204,42 @@
         }
         return sorted(alive, key=rank)
 
+    def list_newest(self, now_s: float) -> list[str]:
+        """Returns the hosts with the newest configuration, near ones first.
+
+        In a random order: those that have it grow by as many as ask, so that
+        no host's link is filled by all the others of its data centre.
+        """
+        alive = {
+            h: t for h, t in self._heard.items() if now_s - t.at_s < ALIVE_S
+        }
+        newest = max((t.version for t in alive.values()), default=0)
+        found = [h for h, t in alive.items() if t.version == newest]
+        self._rng.shuffle(found)
+        return sorted(found, key=self._is_far)
+
+    def is_candidate(self, now_s: float) -> bool:
+        """Tells whether this host asks for its data centre's duty."""
+        me = datagrams.parse_address(self._me)
+        before = sum(
+            1
+            for host in self._find_near(now_s)
+            if datagrams.parse_address(host) < me
+        )
+        return before < CANDIDATES
+
+    def is_store_away(self, age_s: float, now_s: float) -> bool:
+        """Tells whether no host that hears this one near by has the store.
+
+        Args:
+            age_s: Since the store answered this host; long where it doesn't
+                ask, since others do.
+            now_s: Monotonic time.
+        """
+        near = self._find_near(now_s).values()
+        ages = [age_s, *(h.store_age_s for h in near)]
+        return min(ages) >= STORE_AWAY_S
+
     def is_reader(self, now_s: float) -> bool:
         """Tells whether this host reads the store for its data centre.
 
@@ -296,6 +356,21 @@
         with self._lock:
             return self._peers.is_reader(time.monotonic())
 
+    def is_candidate(self) -> bool:
+        """Tells whether this host asks for its data centre's duty."""
+        with self._lock:
+            return self._peers.is_candidate(time.monotonic())
+
+    def is_store_away(self, age_s: float) -> bool:
+        """Tells whether no host near by has the store; see `Peers`."""
+        with self._lock:
+            return self._peers.is_store_away(age_s, time.monotonic())
+
+    def list_newest(self) -> list[str]:
+        """Returns the hosts that have the newest configuration."""
+        with self._lock:
+            return self._peers.list_newest(time.monotonic())
+
     def list_alive(self) -> list[str]:
         """Returns the hosts that are heard now, the reader near by first."""
         with self._lock:
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -169,8 +169,7 @@
 
     def export(self, since: int) -> bytes | None:
         """Returns what another host misses that has read up to an offset."""
-        found = self._newest.list_since(since)
-        return None if found is None else handover.pack_snapshot(found)
+        return self._newest.pack_since(since)
 
     def read_snapshot(
         self, data: bytes
--- a/tests/catalog/catalog.feature
+++ b/tests/catalog/catalog.feature
@@ -109,6 +109,11 @@
     When a host hands over bytes that are no snapshot
     Then they count as no answer
 
+  Scenario: A large configuration
+    # Symptom: hosts have no room left on their links for callers while a
+    # configuration of 1,640 routes goes from host to host.
+    Then a configuration of 1640 routes takes a tenth when handed over
+
   Scenario: A host that asks its neighbours first
     # Symptom: calls to the store grow with the hosts and the changes.
     Given a source that asks other hosts first
--- a/tests/membership/duty.feature
+++ b/tests/membership/duty.feature
@@ -34,3 +34,21 @@
     And it stands in afterwards
     When the store answers that another host has the duty
     Then it stands in no more
+
+  Scenario: Hosts that come before
+    # Symptom: calls to the store grow with the hosts, each of which asks for
+    # the duty once a second. Only the first few of a data centre need to.
+    Given a member that holds the duty
+    When it hears of three hosts that come before it
+    Then it gives the duty up and asks no more
+
+  Scenario: A host that comes first again while the store is away
+    # Symptom: two give orders. Sequence: a host has not asked for long; it
+    # comes first again, and what it last heard of the store is a minute old.
+    # Cause: that counted as a store that is away, and it stood in at once.
+    Given a member that holds the duty
+    When it hears of three hosts that come before it
+    Then it gives the duty up and asks no more
+    When it comes first again, and the store does not answer
+    Then it gives no orders before 3.2 s have passed
+    And it stands in afterwards
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -85,3 +85,37 @@
     Given a host that takes news
     When 30 hosts send it datagrams at once, one of them malformed
     Then it hears 29 hosts, in fewer than 10 goes
+
+  Scenario Outline: Who asks for the duty
+    Given host "10.1.0.20" in "kl-hall"
+    And hosts <near> of kl-hall that were heard now
+    And hosts 10.0.0.1, 10.0.0.2, 10.0.0.3 of pg-hall that were heard now
+    Then it <verdict> ask for the duty
+
+    Examples:
+      | near                                        | verdict  |
+      | 10.1.0.5, 10.1.0.6, 10.1.0.30               | does     |
+      | 10.1.0.5, 10.1.0.6, 10.1.0.7                | does not |
+
+  Scenario Outline: A store that others near by have
+    # Symptom: layers that an engine reported once are told to all hosts for
+    # ever, and requests go to layers that it gave up. Cause: a host that does
+    # not ask the store took it for away.
+    Given host "10.1.0.20" in "kl-hall"
+    And it heard of host "<peer>" in "<data centre>" 0.3 s ago, whose store answered <store> s ago
+    Then the store <verdict> to be away for it, asked <age> s ago
+
+    Examples:
+      | peer     | data centre | store | age | verdict      |
+      | 10.1.0.5 | kl-hall     | 0.5   | 60  | does not seem |
+      | 10.1.0.5 | kl-hall     | 9     | 60  | counts       |
+      | 10.1.0.5 | kl-hall     | 9     | 0.5 | does not seem |
+      | 10.2.0.5 | pg-hall     | 0.5   | 60  | counts       |
+
+  Scenario: Whom hosts ask for a configuration
+    # Symptom: after a change the host that reads the store is busy for seconds
+    # with handing it to forty others. Cause: all asked the same one.
+    Given host "10.1.0.20" in "kl-hall"
+    And it heard now that 30 hosts have version 3
+    And it heard now that 4 hosts have version 4
+    Then 4 hosts are asked for the configuration, each as often
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -4,14 +4,17 @@
 
 import random
 import time
+import zlib
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
+import orjson
 from behave import given, then, when
 
 from egretspur.catalog import config, feeds, handover, upstreams
 from tests import fleets
+from tests.steps import platform_steps
 
 
 @given('routes "{prefixes}" of host "{host}"')
@@ -339,6 +342,35 @@
     assert context.newest.list_since(offset) is None
 
 
+@then("a configuration of {count:d} routes takes a tenth when handed over")
+def step_compressed(context: Any, count: int) -> None:
+    example: dict[str, Any] = platform_steps.EXAMPLE
+    routes = [
+        {
+            **example["routes"][0],
+            "name": f"r{i}",
+            "path_prefix": f"/{random.Random(i).getrandbits(32):x}/",
+        }
+        for i in range(count)
+    ]
+    raw = orjson.dumps({**example, "routes": routes})
+    newest = handover.Newest()
+    newest.replace([handover.Record(3, "config", raw)], 4)
+    packed = newest.pack_since(-1)
+    assert packed is not None
+    assert len(packed) < 0.1 * len(raw), (len(packed), len(raw))
+    # Handed over as it was, to the next host too.
+    assert newest.pack_since(-1) is packed
+    found = handover.unpack_snapshot(packed)
+    assert isinstance(found, handover.Snapshot)
+    assert found.records[0].raw == raw
+    newest.put(handover.Record(5, "config", b"{}"))
+    newest.move_on(6)
+    newer = handover.unpack_snapshot(newest.pack_since(-1) or b"")
+    assert isinstance(newer, handover.Snapshot)
+    assert newer.records[0].raw == b"{}"
+
+
 def hand_over(context: Any, offset: int) -> handover.Snapshot:
     """Returns what a host gets, after its way over the network."""
     found: handover.Snapshot = context.newest.list_since(offset)
@@ -351,7 +383,19 @@
 def step_bad_snapshot(context: Any) -> None:
     context.bad = [
         handover.unpack_snapshot(data)
-        for data in (b"", b"[1]", b'[1,true,[["x"]]]', b'[1,true,[[1,"a",7]]]')
+        for data in (
+            b"",
+            b"[1]",
+            b'[1,true,[["x"]]]',
+            zlib.compress(b""),
+            zlib.compress(b"[1]"),
+            zlib.compress(b'[1,true,[["x"]]]'),
+            zlib.compress(b'[1,true,[[1,"a",7]]]'),
+            zlib.compress('[1,true,[[1,"a","\u20ac"]]]'.encode()),
+            # Cut short, and one that would fill the memory.
+            zlib.compress(b'[1,true,[[1,"a","b"]]]')[:-6],
+            zlib.compress(b" " * (handover.MOST_UNPACKED + 1)),
+        )
     ]
 
 
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -59,6 +59,10 @@
         """Nobody is heard."""
         return False
 
+    def is_candidate(self) -> bool:
+        """It may have the duty."""
+        return True
+
     def is_first_cut_off(self) -> bool:
         """Never asked for."""
         return False
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import random
 import socket
 from collections.abc import Sequence
 from typing import Any
@@ -59,7 +61,7 @@
 @given('host "{ip}" in "{data_centre}"')
 @given('host "{ip}" in "{data_centre}", cut off from the store')
 def step_cut_off(context: Any, ip: str, data_centre: str) -> None:
-    context.peers = exchange.Peers(ip, data_centre, [])
+    context.peers = exchange.Peers(ip, data_centre, [], random.Random(7))
 
 
 @given(
@@ -77,6 +79,34 @@
     assert context.peers.is_first_cut_off(100.0) == (verdict == "may")
 
 
+@then("it {verdict} ask for the duty")
+def step_asks(context: Any, verdict: str) -> None:
+    assert context.peers.is_candidate(100.0) == (verdict == "does")
+
+
+@then("the store {verdict} to be away for it, asked {age:g} s ago")
+def step_away(context: Any, verdict: str, age: float) -> None:
+    is_away = context.peers.is_store_away(age, 100.0)
+    assert is_away == (verdict == "counts")
+
+
+@given("it heard now that {count:d} hosts have version {version:d}")
+def step_versions(context: Any, count: int, version: int) -> None:
+    for i in range(count):
+        news = make_news(f"10.1.{version}.{i + 1}", "kl-hall", 0.0)
+        known = reading.Known(version, 7, 0.5)
+        context.peers.note(attrs.evolve(news, known=known), 100.0)
+
+
+@then("{count:d} hosts are asked for the configuration, each as often")
+def step_asked(context: Any, count: int) -> None:
+    first = collections.Counter(
+        context.peers.list_newest(100.0)[0] for _ in range(100 * count)
+    )
+    assert len(first) == count, first
+    assert all(50 <= n <= 200 for n in first.values()), first
+
+
 @then("it {verdict} read for the others")
 def step_reads(context: Any, verdict: str) -> None:
     assert context.peers.is_reader(100.0) == (verdict == "must")
@@ -110,22 +140,34 @@
     """A group whose store answers as told; see `duty.Group`."""
 
     answer: duty.Held | feeds.Unavailable
+    joins: int = 0
+    leaves: int = 0
 
     def join(self, ttl_s: float) -> duty.Held | feeds.Unavailable:
         """Answers."""
+        self.joins += 1
         return self.answer
 
     def leave(self) -> None:
-        """Nothing to do."""
+        """Counts."""
+        self.leaves += 1
 
     def list_members(self) -> tuple[str, ...] | feeds.Unavailable:
         """Answers with this host alone."""
         return ("10.1.0.20",)
 
 
+@attrs.define
 class Alone:
     """Peers of a host that hears nobody."""
 
+    # Fewer than a few hosts come before it.
+    may_join: bool = True
+
+    def is_candidate(self) -> bool:
+        """Answers as told."""
+        return self.may_join
+
     def is_alone(self) -> bool:
         """Nobody is heard."""
         return True
@@ -138,9 +180,47 @@
         return True
 
 
+@given("a member that holds the duty")
+def step_holder(context: Any) -> None:
+    context.now_s = 50.0
+    context.alone = Alone()
+    context.group = Group(duty.Held(True, 1))
+    context.member = duty.Duty(
+        context.group, context.alone, lambda: float(context.now_s)
+    )
+    context.member.join()
+    assert context.member.is_held()
+
+
+@when("it hears of three hosts that come before it")
+def step_others_first(context: Any) -> None:
+    context.alone.may_join = False
+    context.now_s += duty.PERIOD_S
+    context.member.join()
+
+
+@then("it gives the duty up and asks no more")
+def step_given_up(context: Any) -> None:
+    assert not context.member.is_held()
+    assert context.group.leaves == 1
+    joins = context.group.joins
+    for _ in range(10):
+        context.now_s += duty.PERIOD_S
+        context.member.join()
+    assert context.group.joins == joins
+    assert context.group.leaves == 1
+
+
+@when("it comes first again, and the store does not answer")
+def step_first_again(context: Any) -> None:
+    context.alone.may_join = True
+    context.asked_s = context.now_s
+    context.group.answer = feeds.Unavailable("down")
+
+
 @given("a member whose store answers once and never again")
 def step_member(context: Any) -> None:
-    context.now_s = 50.0
+    context.now_s = context.asked_s = 50.0
     context.member = duty.Duty(
         Group(duty.Held(False, 1)), Alone(), lambda: float(context.now_s)
     )
@@ -150,7 +230,7 @@
 
 @then("it gives no orders before {seconds:f} s have passed")
 def step_waits(context: Any, seconds: float) -> None:
-    while context.now_s < 50.0 + seconds - 0.1:
+    while context.now_s < context.asked_s + seconds - 0.1:
         context.member.join()
         assert not context.member.is_held(), context.now_s
         context.now_s += 0.3
