Tell other hosts of failing upstreams at once, and look only where something is due

Idle hosts looked 50 times a second at streams, 20 at what was due, 10 at probes.

Change: news carry the upstreams that a host finds failing, sent within 50 ms; others leave them alone for 0.6 s after each telling and look at silent streams over them. Other data centres are believed about their own engines only. One refused for want of memory answers its probe first and is not told. Ticks and probes share a thread that rests while nothing waits; the watch rests while every stream was heard of late, or there is none.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -17,6 +17,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
+import attrs
 from aioprometheus import collectors
 
 from egretspur import (
@@ -34,7 +35,7 @@
 from egretspur.membership import datagrams, duty, exchange
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
-from egretspur.routing import broker, choice, desk, fleet, jobs, probes
+from egretspur.routing import broker, choice, desk, fleet, probes
 
 # Requests at once; each keeps a thread, started when it is needed.
 THREADS: Final = 600
@@ -43,9 +44,6 @@
 # for connections to upstreams.
 CONNECTIONS: Final = 2000
 
-# Seconds between two looks at what came due.
-TICK_S: Final = 0.05
-
 # Seconds between two looks whether the settings file has changed.
 SETTINGS_PERIOD_S: Final = 1.0
 
@@ -159,7 +157,6 @@
         self._watch = watch.StreamWatch(
             self._desk, self._engines, using.silence
         )
-        self._prober = probes.Prober(self._desk, self._probe)
         self._intake = intake.Intake(
             self._desk, upstream.UpstreamClient(), self._watch, rng
         )
@@ -177,9 +174,12 @@
             cfg.ip,
             cfg.exchange_port,
             self._make_news,
-            self._sum_near,
+            self._widen_news,
             self._take_news,
         )
+        self._prober = probes.Prober(
+            self._desk, self._probe, self._exchange.hurry
+        )
         self._pages_client = transport.Transport(0.3, 1.0)
         configs = store.make_config_topic(self._store)
         listed = store.make_upstreams_topic(self._store)
@@ -242,8 +242,8 @@
             cfg.listen_control,
             1,
         )
-        self._ticker = threading.Thread(
-            target=self._tick, name="tick", daemon=True
+        self._reloader = threading.Thread(
+            target=self._watch_settings, name="settings", daemon=True
         )
 
     def start(self) -> None:
@@ -253,7 +253,7 @@
         self._server.start()
         self._ready_server.start()
         self._pages_server.start()
-        self._ticker.start()
+        self._reloader.start()
         self._watch.start()
         self._prober.start()
         self._exchange.start()
@@ -438,16 +438,25 @@
                 view.list_moved(told_s, now_s),
                 peers,
                 view.memory.list_excess(now_s),
+                view.list_suspects(now_s, False),
             )
 
         news: datagrams.News = self._desk.look(read)
         return news
 
-    def _sum_near(self) -> Mapping[str, jobs.Usage]:
-        usage: Mapping[str, jobs.Usage] = self._desk.look(
-            lambda state: state.fleet.memory.sum_near(time.monotonic())
-        )
-        return usage
+    def _widen_news(self, news: datagrams.News) -> datagrams.News:
+        """Returns what this host tells other data centres for its own."""
+
+        def read(state: broker.Broker) -> datagrams.News:
+            now_s = time.monotonic()
+            return attrs.evolve(
+                news,
+                usage=state.fleet.memory.sum_near(now_s),
+                suspects=state.fleet.list_suspects(now_s, True),
+            )
+
+        widened: datagrams.News = self._desk.look(read)
+        return widened
 
     def _get_config_pace(self) -> feeds.Pace:
         return reading.get_config_pace(self._exchange.is_reader())
@@ -473,6 +482,7 @@
 
     def _take_news(self, heard: Sequence[datagrams.News], hosts: int) -> None:
         self._poke_feeds(heard)
+        self._watch.hear({i for n in heard for i in n.suspects})
         news = [
             fleet.PeerNews(
                 n.host,
@@ -482,6 +492,7 @@
                 n.dead,
                 n.layers,
                 n.excess,
+                n.suspects,
             )
             for n in heard
         ]
@@ -504,13 +515,8 @@
         self._exchange.set_seeds(_list_hosts(cfg.seeds))
         decisions.record(decisions.Reloaded(""))
 
-    def _tick(self) -> None:
-        looked_s = time.monotonic()
-        while not self._stop.wait(TICK_S):
-            self._desk.tell(desk.Tick())
-            if time.monotonic() - looked_s < SETTINGS_PERIOD_S:
-                continue
-            looked_s = time.monotonic()
+    def _watch_settings(self) -> None:
+        while not self._stop.wait(SETTINGS_PERIOD_S):
             with guard.surviving("settings"):
                 if self._file.is_changed() or self._is_reload_due:
                     self._is_reload_due = False
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -170,7 +170,7 @@
 
     upstream: str
     # One of: listed, gone, draining, down, dead, back, refusing, slow,
-    # unreadable, fuller.
+    # unreadable, fuller, suspected.
     state: str
     reason: str
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -13,7 +13,7 @@
 import concurrent.futures
 import threading
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import Final, Protocol
 
 from egretspur import decisions, guard
@@ -21,8 +21,16 @@
 from egretspur.delivery import forward, silence
 from egretspur.routing import desk, paths
 
-# Seconds between two looks: less than half of the shortest silence that counts.
+# Seconds between two looks where a stream is nearly silent, and where all were
+# heard of late: less than the shortest silence that counts.
 PERIOD_S: Final = 0.02
+REST_S: Final = 0.045
+
+# While there is no stream one is looked for so rarely; a new one is told.
+IDLE_S: Final = 1.0
+
+# What another host finds failing is looked at for so long.
+HEARD_S: Final = 0.6
 
 # A stream without an event for so long is asked about. Events come every few
 # tens of milliseconds; a pause beyond 0.2 s counts as late already.
@@ -82,6 +90,10 @@
         self._asked: dict[str, float] = {}
         # When a suspected stage was last asked, by id.
         self._peeked: dict[str, float] = {}
+        # What other hosts find failing, and when that was heard.
+        self._heard: dict[str, float] = {}
+        # Set while there are streams.
+        self._has_streams = threading.Event()
         self._pool = concurrent.futures.ThreadPoolExecutor(
             MOST_ASKED, thread_name_prefix="peek"
         )
@@ -97,24 +109,43 @@
     def close(self) -> None:
         """Stops."""
         self._stop.set()
+        self._has_streams.set()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def add(self, stream: forward.Forward) -> None:
         """Begins to watch a stream."""
         with self._lock:
             self._streams.add(stream)
+            self._has_streams.set()
 
     def remove(self, stream: forward.Forward) -> None:
         """Ends the watch."""
         with self._lock:
             self._streams.discard(stream)
             self._moved.pop(stream, None)
+            if not self._streams:
+                self._has_streams.clear()
+
+    def hear(self, suspects: Collection[str]) -> None:
+        """Takes upstreams that other hosts find failing."""
+        if suspects:
+            now_s = time.monotonic()
+            with self._lock:
+                self._heard.update(dict.fromkeys(suspects, now_s))
 
     def _run(self) -> None:
-        while not self._stop.wait(PERIOD_S):
+        while not self._stop.wait(self._find_rest(time.monotonic())):
+            self._has_streams.wait(IDLE_S)
             with guard.surviving("watch"):
                 self.look(time.monotonic())
 
+    def _find_rest(self, now_s: float) -> float:
+        """Returns how long nothing is to be looked at, in seconds."""
+        with self._lock:
+            heard_s = min((s.heard_s for s in self._streams), default=now_s)
+        rest_s = heard_s + silence.LEAST_S - now_s
+        return min(max(rest_s, PERIOD_S), REST_S)
+
     def look(self, now_s: float) -> None:
         """Deals with the streams that are silent now."""
         with self._lock:
@@ -148,7 +179,7 @@
                 )
                 for s in begun
             ]
-        )
+        ) | self._list_heard(begun, now_s)
         addresses = {
             p.id: p.address
             for s in streams
@@ -169,6 +200,29 @@
         if dead:
             self._leave(dead, streams)
 
+    def _list_heard(
+        self, streams: Sequence[forward.Forward], now_s: float
+    ) -> set[str]:
+        """Returns stages of silent streams that other hosts find failing.
+
+        Among many hosts each has a few streams, too few to tell by themselves
+        which stage holds them up.
+        """
+        with self._lock:
+            self._heard = {
+                i: t for i, t in self._heard.items() if now_s - t < HEARD_S
+            }
+            heard = set(self._heard)
+        if not heard:
+            return set()
+        return {
+            p.id
+            for s in streams
+            if now_s - s.heard_s > silence.LEAST_S
+            for p in s.parts
+            if p.id in heard
+        }
+
     def _peek(self, addresses: Mapping[str, str]) -> frozenset[str]:
         """Asks suspected stages; returns those that are dead.
 
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -21,8 +21,12 @@
 # Upstreams in one datagram; it must fit into one packet.
 MAX_ENTRIES: Final = 40
 
+# Failing upstreams in one datagram: a third of a data centre's, for the same
+# reason.
+MAX_SUSPECTS: Final = 24
+
 # Of the datagram's list.
-_FIELDS: Final = 10
+_FIELDS: Final = 11
 
 
 @attrs.frozen
@@ -47,6 +51,8 @@
     peers: Mapping[str, str]
     # Request memory in use beyond what the hosts count, by engine.
     excess: Mapping[str, float] = attrs.Factory(dict)
+    # Upstreams that it finds failing; no more than `MAX_SUSPECTS`.
+    suspects: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -76,6 +82,7 @@
             {i: [p.first, p.last] for i, p in news.layers.items()},
             dict(news.peers),
             dict(news.excess),
+            list(news.suspects[:MAX_SUSPECTS]),
         ]
     )
 
@@ -93,7 +100,7 @@
 def _decode_news(value: Any) -> News:
     row = checks.check_row(value, "news", _FIELDS)
     host, place, age_s, known, *tables = row
-    usage, pace, dead, layers, peers, excess = tables
+    usage, pace, dead, layers, peers, excess, suspects = tables
     version, digest, list_age_s = checks.check_row(known, "known", 3)
     return News(
         _check_host(host),
@@ -109,10 +116,7 @@
             i: checks.check_number(p, "pace")
             for i, p in _get_items(pace, "pace")
         },
-        tuple(
-            checks.check_text(d, "dead")
-            for d in checks.check_list(dead, "dead")
-        ),
+        _decode_ids(dead, "dead"),
         {i: _decode_layers(p) for i, p in _get_items(layers, "layers")},
         {
             _check_host(h): checks.check_text(p, "peers")
@@ -122,6 +126,13 @@
             i: checks.check_number(e, "excess")
             for i, e in _get_items(excess, "excess")
         },
+        _decode_ids(suspects, "suspects"),
+    )
+
+
+def _decode_ids(value: Any, field: str) -> tuple[str, ...]:
+    return tuple(
+        checks.check_text(i, field) for i in checks.check_list(value, field)
     )
 
 
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -25,13 +25,15 @@
 from egretspur import decisions, guard
 from egretspur.catalog import reading
 from egretspur.membership import datagrams
-from egretspur.routing import jobs
 
 _LOG: Final = logging.getLogger(__name__)
 
 # Seconds between two datagrams to each host.
 PERIOD_S: Final = 0.25
 
+# Seconds between two datagrams where there is something to tell at once.
+HURRIED_S: Final = 0.05
+
 # Datagrams to one that also lists the hosts that are heard.
 PEERS_EVERY: Final = 8
 
@@ -288,7 +290,7 @@
         ip: str,
         port: int,
         make_news: Callable[[Mapping[str, str]], datagrams.News],
-        sum_near: Callable[[], Mapping[str, jobs.Usage]],
+        widen: Callable[[datagrams.News], datagrams.News],
         take_news: Callable[[Sequence[datagrams.News], int], None],
     ) -> None:
         """Makes an exchange.
@@ -298,15 +300,15 @@
             ip: This host's address.
             port: UDP port of all hosts.
             make_news: Returns this host's news, given the hosts to name.
-            sum_near: Returns what the whole data centre has in flight; for
-                the speaker's news to the others.
+            widen: Returns the news of the whole data centre, given this
+                host's; for the speaker's news to the others.
             take_news: Takes others' news, oldest first, and the number of
                 hosts that share a budget.
         """
         self._ip = ip
         self._port = port
         self._make_news = make_news
-        self._sum_near = sum_near
+        self._widen = widen
         self._take_news = take_news
         self._lock = threading.Lock()
         self._peers = peers
@@ -314,6 +316,7 @@
         self._refused: set[tuple[str, str]] = set()
         self._refused_since_s = 0.0
         self._stop = threading.Event()
+        self._is_hurried = threading.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         # The same socket, read without waiting.
         self._waiting = self._sock.dup()
@@ -381,9 +384,15 @@
         with self._lock:
             return self._peers.is_alone(time.monotonic())
 
+    def hurry(self) -> None:
+        """Has news sent at once: something was learned that costs requests."""
+        self._is_hurried.set()
+
     def _send(self) -> None:
         turn = 0
-        while not self._stop.wait(PERIOD_S):
+        while not self._stop.wait(HURRIED_S):
+            self._is_hurried.wait(PERIOD_S - HURRIED_S)
+            self._is_hurried.clear()
             turn += 1
             with guard.surviving("news-out"):
                 self._send_once(turn)
@@ -399,7 +408,7 @@
         news = self._make_news(peers)
         self._tell(near, news)
         if is_speaker and far:
-            self._tell(far, attrs.evolve(news, usage=self._sum_near()))
+            self._tell(far, self._widen(news))
 
     def _tell(self, hosts: Iterable[str], news: datagrams.News) -> None:
         data = datagrams.encode_news(news)
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -238,6 +238,10 @@
             )
         return effects + self._start_waiting(now_s)
 
+    def is_busy(self) -> bool:
+        """Tells whether something may come due at any moment."""
+        return bool(self.queue.waiting) or self.fleet.is_asking()
+
     # Decisions.
 
     def _admit(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -8,6 +8,7 @@
 
 import concurrent.futures
 import functools
+import threading
 import time
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -116,8 +117,18 @@
 
 
 @attrs.frozen
-class TakeProbes:
-    """Asks for the upstreams to probe now."""
+class TakeDue:
+    """Time passed; asks for what is to be done outside of the actor."""
+
+
+@attrs.frozen
+class Due:
+    """What is to be done outside of the actor."""
+
+    # Upstreams to probe now.
+    probes: tuple[upstreams.Upstream, ...] = ()
+    # Upstreams were found failing that other hosts haven't been told of.
+    has_suspects: bool = False
 
 
 @attrs.frozen
@@ -136,11 +147,6 @@
     upstream_ids: tuple[str, ...]
 
 
-@attrs.frozen
-class Tick:
-    """Time passed."""
-
-
 @attrs.frozen
 class Look:
     """Runs a function on the broker and returns what it returns."""
@@ -151,9 +157,16 @@
 class DeskActor(actors.Actor):
     """Holds the broker; see the messages above."""
 
-    def __init__(self, state: broker.Broker) -> None:
+    def __init__(self, state: broker.Broker, busy: threading.Event) -> None:
+        """Makes an actor.
+
+        Args:
+            state: Owned by it from now on.
+            busy: Set while something may come due at any moment.
+        """
         super().__init__()
         self._broker = state
+        self._busy = busy
         self._questions: questions.Questions[jobs.Start] = questions.Questions()
 
     @functools.singledispatchmethod
@@ -232,8 +245,13 @@
         self._questions.run(self._broker.refresh(now_s))
 
     @handle.register
-    def _(self, message: TakeProbes) -> list[upstreams.Upstream]:
-        return self._broker.fleet.take_probes(time.monotonic())
+    def _(self, message: TakeDue) -> Due:
+        now_s = time.monotonic()
+        self._questions.run(self._broker.tick(now_s))
+        state = self._broker.fleet
+        return Due(
+            tuple(state.take_probes(now_s)), state.take_new_suspects(now_s)
+        )
 
     @handle.register
     def _(self, message: Probed) -> None:
@@ -247,10 +265,6 @@
     def _(self, message: Suspect) -> None:
         self._broker.fleet.paces.suspect(message.upstream_ids)
 
-    @handle.register
-    def _(self, message: Tick) -> None:
-        self._questions.run(self._broker.tick(time.monotonic()))
-
     @handle.register
     def _(self, message: Look) -> Any:
         return message.read(self._broker)
@@ -262,6 +276,10 @@
         finally:
             for note in self._broker.take_notes():
                 decisions.record(note)
+            if not self._broker.is_busy():
+                self._busy.clear()
+            elif not self._busy.is_set():
+                self._busy.set()
 
     def note_failed(self, message: Any) -> None:
         """Answers the request that could not be decided on.
@@ -278,7 +296,8 @@
 
     def __init__(self, state: broker.Broker) -> None:
         """Starts the actor, which owns the broker from now on."""
-        self._ref = DeskActor.start(state)
+        self._busy = threading.Event()
+        self._ref = DeskActor.start(state, self._busy)
 
     def close(self) -> None:
         """Stops the actor."""
@@ -309,10 +328,14 @@
         found: jobs.Detour = actors.ask(self._ref, Repath(job_id, stalled))
         return found
 
-    def take_probes(self) -> list[upstreams.Upstream]:
-        """Returns the upstreams to probe now."""
-        found: list[upstreams.Upstream] = actors.ask(self._ref, TakeProbes())
-        return found
+    def take_due(self) -> Due:
+        """Does what came due, and returns what is left to do for others."""
+        due: Due = actors.ask(self._ref, TakeDue())
+        return due
+
+    def wait_busy(self, wait_s: float) -> None:
+        """Waits until something may come due at any moment, or so long."""
+        self._busy.wait(wait_s)
 
     def look(self, read: Callable[[broker.Broker], Any]) -> Any:
         """Returns what a function reads from the broker."""
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -64,6 +64,8 @@
     layers: Mapping[str, upstreams.Layers]
     # Request memory beyond what the hosts count, by engine.
     excess: Mapping[str, float] = attrs.Factory(dict)
+    # Upstreams that it, or a speaker's whole data centre, finds failing.
+    suspects: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -112,6 +114,8 @@
         # each choice of a path asks for them.
         self._grouped: dict[str, dict[str, list[upstreams.Upstream]]] = {}
         self._grouped_at = -1
+        # Found failing as other hosts were last told.
+        self._suspects: set[str] = set()
         # News and probes taken, each of which may show room.
         self._learned = 0
         # What changed in the beliefs about upstreams, for the log.
@@ -152,9 +156,55 @@
             for upstream_id in news.dead:
                 if upstream_id in self.roster.entries:
                     self.health.note_down(upstream_id, now_s)
+        self._hear_suspects(news, now_s)
         for upstream_id, layers in news.layers.items():
             upstreams.learn(self.roster, upstream_id, layers, now_s)
 
+    def _hear_suspects(self, news: PeerNews, now_s: float) -> None:
+        """Takes what another host finds failing.
+
+        From another data centre only what it says of its own upstreams: where
+        the two others are cut off from each other, each finds all upstreams
+        of the other failing, which are well for this one.
+        """
+        for upstream_id in news.suspects:
+            entry = self.roster.entries.get(upstream_id)
+            if entry is not None and news.data_centre in (
+                self.data_centre,
+                entry.data_centre,
+            ):
+                self.health.hear_suspect(upstream_id, now_s)
+
+    def is_asking(self) -> bool:
+        """Tells whether an upstream is to be asked that has just failed."""
+        return self.health.is_asking() or self.paces.is_asking()
+
+    def take_new_suspects(self, now_s: float) -> bool:
+        """Tells whether upstreams were found failing since the last call."""
+        before, self._suspects = (
+            self._suspects,
+            set(self.health.list_suspects(now_s)),
+        )
+        return not self._suspects <= before
+
+    def list_suspects(self, now_s: float, is_speaker: bool) -> tuple[str, ...]:
+        """Returns the upstreams to tell other hosts of as failing.
+
+        Args:
+            now_s: Monotonic time.
+            is_speaker: For other data centres, to which this host speaks for
+                its own: what any of its hosts finds of its upstreams.
+        """
+        found = self.health.list_suspects(now_s)
+        if not is_speaker:
+            return found
+        entries = self.roster.entries
+        return tuple(
+            i
+            for i in dict.fromkeys((*found, *self.health.list_heard(now_s)))
+            if i in entries and entries[i].data_centre == self.data_centre
+        )
+
     def list_cut_off(self, now_s: float) -> set[str]:
         """Returns the data centres whose hosts fell silent, all of them."""
         last: dict[str, float] = {}
@@ -430,7 +480,12 @@
             c.id for c in offers if c.free < (c.last - c.first) * job.tokens
         ]
         paused = [e.id for e in entries if self.health.is_paused(e.id, now_s)]
-        down = [e.id for e in entries if self.health.is_down(e.id)]
+        down = [
+            e.id
+            for e in entries
+            if self.health.is_down(e.id)
+            or self.health.is_suspected(e.id, now_s)
+        ]
         leaving = [e.id for e in entries if e.is_draining]
         return decisions.PathMissing(
             request=job.id,
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -34,6 +34,15 @@
 FAULT_WEIGHT: Final = 0.25
 FAULT_FORGIVEN_S: Final = 6.0
 
+# A failed upstream is told to other hosts unless a probe answers within this
+# time. One that refused for want of memory answers within 10 ms as a rule, and
+# the others have their own word on its memory.
+SUSPECT_S: Final = 0.06
+
+# What another host suspects counts for so long: it tells again every 0.25 s,
+# one of two datagrams may be lost, and nobody tells that it is over.
+HEARD_S: Final = 0.6
+
 # How much slower an upstream counts for the attempts that fail there: a
 # failed one costs a repeat, and its caller the time until the failure shows.
 FAULT_COST: Final = 6.0
@@ -92,13 +101,21 @@
         self.failed: dict[str, Failed] = {}
         self.faults: dict[str, Faults] = {}
         self.refusals: dict[str, Refusals] = {}
+        # What other hosts suspect, and until when that counts.
+        self.heard: dict[str, float] = {}
 
     def is_usable(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
-        return not self.is_paused(upstream_id, now_s) and not self.is_down(
-            upstream_id
+        return (
+            not self.is_paused(upstream_id, now_s)
+            and not self.is_down(upstream_id)
+            and not self.is_suspected(upstream_id, now_s)
         )
 
+    def is_suspected(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether another host found an upstream failing just now."""
+        return now_s < self.heard.get(upstream_id, -math.inf)
+
     def is_paused(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream refused of late."""
         refusals = self.refusals.get(upstream_id)
@@ -123,6 +140,35 @@
         """Returns the upstreams that are dead."""
         return tuple(i for i in self.failed if self.is_dead(i, now_s))
 
+    def list_suspects(self, now_s: float) -> tuple[str, ...]:
+        """Returns the upstreams that this host found failing, for others.
+
+        Symptom without it: an engine dies, and each of two hundred hosts finds
+        out by requests of its own that fail there, one after the other for
+        each engine that died with it, until no repeats are left.
+        """
+        return tuple(
+            i
+            for i, f in self.failed.items()
+            if f.is_down or now_s - f.since_s >= SUSPECT_S
+        )
+
+    def is_asking(self) -> bool:
+        """Tells whether an upstream failed that is not yet known as dead."""
+        return any(f.failures < DEAD_PROBES for f in self.failed.values())
+
+    def hear_suspect(self, upstream_id: str, now_s: float) -> None:
+        """Takes what another host suspects; it probes, this one need not."""
+        if not self.is_suspected(upstream_id, now_s):
+            self._note(
+                upstream_id, "suspected", "another host finds it failing"
+            )
+        self.heard[upstream_id] = now_s + HEARD_S
+
+    def list_heard(self, now_s: float) -> tuple[str, ...]:
+        """Returns what other hosts suspect now."""
+        return tuple(i for i, t in self.heard.items() if now_s < t)
+
     def note_fault(self, upstream_id: str, now_s: float) -> None:
         """Takes an attempt that failed and may be the upstream's fault.
 
@@ -160,6 +206,7 @@
     def note_success(self, upstream_id: str, now_s: float) -> None:
         """Takes an answer."""
         self.refusals.pop(upstream_id, None)
+        self.heard.pop(upstream_id, None)
         faults = self.faults.get(upstream_id)
         if faults is not None:
             faults.note(False, now_s)
@@ -210,6 +257,7 @@
             self.failed,
             self.faults,
             self.refusals,
+            self.heard,
         )
         for table in tables:
             for upstream_id in [i for i in table if i not in listed]:
--- a/egretspur/routing/paces.py
+++ b/egretspur/routing/paces.py
@@ -56,6 +56,10 @@
         for upstream_id in upstream_ids:
             self._known.setdefault(upstream_id, _Known()).is_wanted = True
 
+    def is_asking(self) -> bool:
+        """Tells whether an engine is to be asked that a pause made suspect."""
+        return any(k.is_wanted for k in self._known.values())
+
     def take_due(self, now_s: float) -> list[str]:
         """Returns the engines to ask now."""
         due = []
--- a/egretspur/routing/probes.py
+++ b/egretspur/routing/probes.py
@@ -1,7 +1,8 @@
-"""Probes upstreams that failed, until they answer.
+"""Has the desk do what came due, and probes upstreams that failed.
 
-Symptom without it: requests themselves find out whether an upstream is back,
-each at the price of a time-out and a repeat.
+Symptom without probes: requests themselves find out whether an upstream is
+back, each at the price of a time-out and a repeat. Read next:
+`egretspur.routing.health`.
 """
 
 from __future__ import annotations
@@ -15,8 +16,11 @@
 from egretspur.catalog import upstreams
 from egretspur.routing import desk
 
-# Seconds between two looks at what is due.
-PERIOD_S: Final = 0.1
+# Seconds between two looks at what is due while a request waits or an upstream
+# has just failed, and otherwise: then little comes due, entries that did not
+# come back and probes of upstreams that are long dead.
+PERIOD_S: Final = 0.05
+REST_S: Final = 0.25
 
 # Probes at once. A dark upstream holds one for the time of a time-out; half
 # of a data centre may be dark.
@@ -29,15 +33,29 @@
 class Prober:
     """See the module's docstring."""
 
-    def __init__(self, to: desk.Desk, probe: Probe) -> None:
+    def __init__(
+        self,
+        to: desk.Desk,
+        probe: Probe,
+        hurry: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Makes a prober.
+
+        Args:
+            to: Knows what is due.
+            probe: Asks an upstream.
+            hurry: Called where other hosts should be told of a failing
+                upstream at once.
+        """
         self._desk = to
         self._probe = probe
+        self._hurry = hurry
         self._pool = concurrent.futures.ThreadPoolExecutor(
             THREADS, thread_name_prefix="probe"
         )
         self._stop = threading.Event()
         self._thread = threading.Thread(
-            target=self._run, name="probes", daemon=True
+            target=self._run, name="tick", daemon=True
         )
 
     def start(self) -> None:
@@ -51,9 +69,13 @@
 
     def _run(self) -> None:
         while not self._stop.wait(PERIOD_S):
-            with guard.surviving("probes"):
-                for entry in self._desk.take_probes():
+            self._desk.wait_busy(REST_S - PERIOD_S)
+            with guard.surviving("tick"):
+                due = self._desk.take_due()
+                for entry in due.probes:
                     self._pool.submit(self._ask, entry)
+                if due.has_suspects:
+                    self._hurry()
 
     def _ask(self, entry: upstreams.Upstream) -> None:
         report = None
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -41,3 +41,14 @@
     Given a watch over 6 streams on "a100-1" and 2 beside it
     When the watch looks 70 ms after the last events
     Then no stream is moved
+
+  Scenario: Another host finds the stage failing
+    # Symptom: among two hundred hosts each has a few streams, too few to show
+    # which of their stages is dead; they are moved after 0.3 s and more.
+    Given a watch over 2 streams on "a100-1" and 0 beside it
+    And "a100-1" dies
+    When the watch looks 70 ms after the last events
+    Then no stream is moved
+    When other hosts tell that "a100-1" is failing
+    And the watch looks 80 ms after the last events
+    Then the 2 streams are moved or resumed, and the others are not
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -207,9 +207,9 @@
 def make_prober(context: Any) -> tuple[Any, FailOnce]:
     """Returns a prober whose desk fails at the first question."""
     make_desk(context)
-    context.desk.take_probes = FailOnce(list)
+    context.desk.take_due = FailOnce(desk.Due)
     found = probes.Prober(context.desk, lambda entry: None)
-    return found, context.desk.take_probes
+    return found, context.desk.take_due
 
 
 def make_keeper(context: Any) -> tuple[Any, FailOnce]:
@@ -227,7 +227,7 @@
         "127.0.0.1",
         stage.find_udp_port(("127.0.0.1",)),
         make_news,
-        dict,
+        lambda news: news,
         lambda news, hosts: None,
     )
     return found, make_news
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -337,7 +337,7 @@
                 ip,
                 port,
                 make_sender(ip),
-                dict,
+                lambda news: news,
                 make_taker(heard),
             )
         )
@@ -405,7 +405,7 @@
         IPS[0],
         port,
         make_sender(IPS[0]),
-        dict,
+        lambda news: news,
         lambda news, hosts: context.goes.append([n.host for n in news]),
     )
     context.play.exchanges.append(taker)
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -105,6 +105,11 @@
     context.play.watch.look(context.heard_s + late_ms / 1000)
 
 
+@when('other hosts tell that "{name}" is failing')
+def step_told(context: Any, name: str) -> None:
+    context.play.watch.hear({name})
+
+
 @then("the {count:d} streams are moved or resumed, and the others are not")
 def step_moved(context: Any, count: int) -> None:
     for stream in context.on:
