Lend what hosts leave of the retry budget to those that need it

Cause: an even part of the shared budget is four or five repeats a host among 195.

Change: each host keeps six tenths of its share; the rest is a pool. Hosts tell what they borrowed, and each takes no more at a time than its even part of what is left, so that all may borrow in one moment without taking more than there is. A host that hears nobody has its own share and no more. Where the speaker of a data centre changes, its newest word counts alone, for requests in flight too.

--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -1,15 +1,23 @@
 """A host's part of the retry budget that all hosts share: pure.
 
-A service may get only so many repeats in any window, whoever sends them. Each
-host keeps to an even part of that in every window; a host that no longer hears
-of the others doesn't take over their parts, since they may well be alive. A
-part may be spent at once: when an engine dies, all that it was working on is
-repeated in the same moment.
+A service may get only so many repeats in any window, whoever sends them. An
+even part for each host is safe and mostly lies idle: among two hundred hosts
+it is four or five repeats, and those few hosts whose answers ran over a dead
+engine need them at once, while the others need none. So each host keeps a part
+of its share to itself, and the rest is a pool from which all borrow: each host
+tells what it has borrowed, and takes no more at a time than its even part of
+what is left. Were all to borrow in the same moment, knowing nothing of each
+other, they would take the pool and no more.
+
+A host that no longer hears of the others borrows nothing of theirs, since they
+may well be alive. What a host has may be spent at once: when an engine dies,
+all that it was working on is repeated in the same moment.
 """
 
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
@@ -18,6 +26,39 @@
 # otherwise than here, and repeats under way.
 USED: Final = 0.85
 
+# Part of its share that a host keeps to itself, and spends whatever the others
+# do. With the first loan it has its even share at once; more would leave less
+# to those who need it, less would make the first answers wait for news.
+FIRM: Final = 0.6
+
+# Seconds between two loans: what was borrowed is told to all within two
+# datagrams, one of which may be lost.
+LOAN_S: Final = 0.6
+
+# What a host said of its repeats counts for so long; then its part is not lent.
+HEARD_S: Final = 0.9
+
+
+@attrs.frozen
+class Spent:
+    """What hosts have made of a service's budget in the last window."""
+
+    hosts: int = 0
+    requests: int = 0
+    # Repeats beyond what each of them keeps to itself.
+    borrowed: float = 0.0
+
+    def add(self, other: Spent) -> Spent:
+        """Returns the sum."""
+        return Spent(
+            self.hosts + other.hosts,
+            self.requests + other.requests,
+            self.borrowed + other.borrowed,
+        )
+
+
+NOBODY: Final = Spent()
+
 
 @attrs.define
 class SharedBudget:
@@ -31,28 +72,109 @@
     # Times of this host's requests and repeats of the last window.
     _requests: collections.deque[float] = attrs.Factory(collections.deque)
     _repeats: collections.deque[float] = attrs.Factory(collections.deque)
+    # Borrowed of the pool, and when the next loan may be taken.
+    _borrowed: float = 0.0
+    _next_loan_s: float = 0.0
 
     def earn(self, now_s: float) -> None:
         """Counts a first attempt."""
         self._requests.append(now_s)
         self._forget(now_s)
 
-    def spend(self, hosts: int, now_s: float) -> bool:
+    def spend(self, hosts: int, now_s: float, others: Spent = NOBODY) -> bool:
         """Takes one repeat; tells whether there was one.
 
         Args:
             hosts: Hosts that share the budget, this one included.
             now_s: Monotonic time.
+            others: What the hosts that were heard of late have spent.
         """
         self._forget(now_s)
-        share = self.allowance / max(1, hosts)
-        share += self.ratio * len(self._requests)
-        if len(self._repeats) + 1 > USED * share:
+        wanted = len(self._repeats) + 1
+        firm = self._get_firm(hosts)
+        if wanted > firm + self._borrowed:
+            self._borrow(hosts, now_s, others)
+        if wanted > firm + self._borrowed:
             return False
         self._repeats.append(now_s)
         return True
 
+    def tell(self, hosts: int, now_s: float) -> Spent:
+        """Returns what this host has spent, for the others."""
+        self._forget(now_s)
+        if now_s >= self._next_loan_s + LOAN_S:
+            self._give_back(hosts, 0.0)
+        return Spent(1, len(self._requests), self._borrowed)
+
+    def _borrow(self, hosts: int, now_s: float, others: Spent) -> None:
+        """Takes an even part of what is left in the pool."""
+        if now_s < self._next_loan_s:
+            return
+        self._next_loan_s = now_s + LOAN_S
+        # Less than a whole repeat goes to the next one.
+        self._give_back(hosts, 1.0)
+        known = others.add(Spent(1, len(self._requests), self._borrowed))
+        pool = (1 - FIRM) * self._get_share(known.hosts, hosts, known.requests)
+        self._borrowed += max(0.0, pool - known.borrowed) / known.hosts
+
+    def _give_back(self, hosts: int, kept: float) -> None:
+        """Returns what was borrowed and not spent, or long ago, but a rest."""
+        spent = max(0.0, len(self._repeats) - self._get_firm(hosts))
+        self._borrowed = min(self._borrowed, spent + kept)
+
+    def _get_firm(self, hosts: int) -> float:
+        return FIRM * self._get_share(1, hosts, len(self._requests))
+
+    def _get_share(self, part: int, hosts: int, requests: int) -> float:
+        """Returns the repeats of some of the hosts, given their requests."""
+        allowed = self.allowance * min(1.0, part / max(1, hosts))
+        return USED * (allowed + self.ratio * requests)
+
     def _forget(self, now_s: float) -> None:
         for times in (self._requests, self._repeats):
             while times and now_s - times[0] >= self.window_s:
                 times.popleft()
+
+
+@attrs.frozen
+class _Told:
+    at_s: float
+    data_centre: str
+    spent: Mapping[str, Spent]
+
+
+class Ledger:
+    """What other hosts said of their repeats, by service."""
+
+    def __init__(self, data_centre: str) -> None:
+        """Makes an empty ledger for a host of a data centre."""
+        self._data_centre = data_centre
+        # By host near by, and by other data centre, whose newest sum counts:
+        # where its speaker changes the former one's sum is of the same hosts.
+        self._told: dict[str, _Told] = {}
+
+    def hear(
+        self,
+        host: str,
+        data_centre: str,
+        spent: Mapping[str, Spent],
+        now_s: float,
+    ) -> None:
+        """Takes what a host said; for all of another data centre."""
+        is_near = data_centre == self._data_centre
+        key = host if is_near else data_centre
+        self._told[key] = _Told(now_s, data_centre, spent)
+
+    def sum_up(
+        self, service: str, now_s: float, near_only: bool = False
+    ) -> Spent:
+        """Returns what the hosts heard of late have spent."""
+        self._told = {
+            k: t for k, t in self._told.items() if now_s - t.at_s < HEARD_S
+        }
+        total = NOBODY
+        for told in self._told.values():
+            if told.data_centre == self._data_centre or not near_only:
+                # Who had no request for a service tells nothing of it.
+                total = total.add(told.spent.get(service, NOBODY))
+        return total
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -439,6 +439,7 @@
                 peers,
                 view.memory.list_excess(now_s),
                 view.list_suspects(now_s, False),
+                state.list_spent(now_s),
             )
 
         news: datagrams.News = self._desk.look(read)
@@ -453,6 +454,7 @@
                 news,
                 usage=state.fleet.memory.sum_near(now_s),
                 suspects=state.fleet.list_suspects(now_s, True),
+                spent=state.sum_spent(now_s),
             )
 
         widened: datagrams.News = self._desk.look(read)
@@ -493,6 +495,7 @@
                 n.layers,
                 n.excess,
                 n.suspects,
+                n.spent,
             )
             for n in heard
         ]
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -15,6 +15,7 @@
 import orjson
 
 from egretspur import checks, codec
+from egretspur.admission import shared
 from egretspur.catalog import reading, upstreams
 from egretspur.routing import jobs
 
@@ -26,7 +27,7 @@
 MAX_SUSPECTS: Final = 24
 
 # Of the datagram's list.
-_FIELDS: Final = 11
+_FIELDS: Final = 12
 
 
 @attrs.frozen
@@ -53,6 +54,8 @@
     excess: Mapping[str, float] = attrs.Factory(dict)
     # Upstreams that it finds failing; no more than `MAX_SUSPECTS`.
     suspects: tuple[str, ...] = ()
+    # What it spent of the retry budgets, by service.
+    spent: Mapping[str, shared.Spent] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -83,6 +86,10 @@
             dict(news.peers),
             dict(news.excess),
             list(news.suspects[:MAX_SUSPECTS]),
+            {
+                service: [s.hosts, s.requests, round(s.borrowed, 1)]
+                for service, s in news.spent.items()
+            },
         ]
     )
 
@@ -100,7 +107,7 @@
 def _decode_news(value: Any) -> News:
     row = checks.check_row(value, "news", _FIELDS)
     host, place, age_s, known, *tables = row
-    usage, pace, dead, layers, peers, excess, suspects = tables
+    usage, pace, dead, layers, peers, excess, suspects, spent = tables
     version, digest, list_age_s = checks.check_row(known, "known", 3)
     return News(
         _check_host(host),
@@ -127,6 +134,7 @@
             for i, e in _get_items(excess, "excess")
         },
         _decode_ids(suspects, "suspects"),
+        {s: _decode_spent(r) for s, r in _get_items(spent, "spent")},
     )
 
 
@@ -152,6 +160,15 @@
     raise checks.FieldError("usage", f"not two counts: {value!r:.60}")
 
 
+def _decode_spent(value: Any) -> shared.Spent:
+    hosts, requests, borrowed = checks.check_row(value, "spent", 3)
+    return shared.Spent(
+        checks.check_count(hosts, "spent"),
+        checks.check_count(requests, "spent"),
+        checks.check_number(borrowed, "spent"),
+    )
+
+
 def _decode_layers(value: Any) -> upstreams.Layers:
     first, last = checks.check_row(value, "layers", 2)
     found = upstreams.Layers(
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -91,6 +91,7 @@
         self._options = budget
         self._rng = rng
         self._budgets: dict[str, shared.SharedBudget] = {}
+        self._ledger = shared.Ledger(data_centre)
         self._services: Mapping[str, config.Service] = {}
         # When the list of upstreams was last read.
         self.listed_s = 0.0
@@ -219,6 +220,27 @@
                 upstreams.change(self.fleet.roster, name, entry, now_s)
         return self.refresh(now_s)
 
+    def hear(self, news: fleets.PeerNews, now_s: float) -> None:
+        """Takes what another host said."""
+        self.fleet.hear(news, now_s)
+        self._ledger.hear(news.host, news.data_centre, news.spent, now_s)
+
+    def list_spent(self, now_s: float) -> dict[str, shared.Spent]:
+        """Returns what this host spent of the retry budgets, by service."""
+        return {
+            service: budget.tell(self.hosts, now_s)
+            for service, budget in self._budgets.items()
+        }
+
+    def sum_spent(self, now_s: float) -> dict[str, shared.Spent]:
+        """Returns what the hosts of this data centre spent."""
+        return {
+            service: own.add(
+                self._ledger.sum_up(service, now_s, near_only=True)
+            )
+            for service, own in self.list_spent(now_s).items()
+        }
+
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts what can, after the list of upstreams changed."""
         self.fleet.forget_gone()
@@ -463,7 +485,9 @@
             return self._make_final(ticket, f"no attempts left; {reason}")
         if ticket.refusals > MAX_REFUSALS:
             return self._make_final(ticket, f"refused too often; {reason}")
-        if not self._get_budget(job.service).spend(self.hosts, now_s):
+        others = self._ledger.sum_up(job.service, now_s)
+        budget = self._get_budget(job.service)
+        if not budget.spend(self.hosts, now_s, others):
             self._notes.append(decisions.BudgetEmpty(job.service, self.hosts))
             return self._make_final(ticket, f"no repeats left; {reason}")
         self.counts.repeats += 1
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -228,7 +228,7 @@
         self._broker.hosts = max(1, message.hosts)
         now_s = time.monotonic()
         for news in message.news:
-            self._broker.fleet.hear(news, now_s)
+            self._broker.hear(news, now_s)
 
     @handle.register
     def _(self, message: NoteFailed) -> None:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -15,7 +15,7 @@
 import attrs
 
 from egretspur import decisions
-from egretspur.admission import room
+from egretspur.admission import room, shared
 from egretspur.catalog import config, upstreams
 from egretspur.routing import cards, health, jobs, memory, paces, paths
 
@@ -66,6 +66,8 @@
     excess: Mapping[str, float] = attrs.Factory(dict)
     # Upstreams that it, or a speaker's whole data centre, finds failing.
     suspects: tuple[str, ...] = ()
+    # What it, or a speaker's whole data centre, spent of the retry budgets.
+    spent: Mapping[str, shared.Spent] = attrs.Factory(dict)
 
 
 @attrs.frozen
--- a/egretspur/routing/memory.py
+++ b/egretspur/routing/memory.py
@@ -128,7 +128,16 @@
         excess: Mapping[str, float],
         now_s: float,
     ) -> None:
-        """Takes what another host has in flight and found out."""
+        """Takes what another host has in flight and found out.
+
+        One host speaks for all of another data centre. Where the speaker
+        changes, what the former one said is of the same requests: counted
+        beside the newer word, they look twice as many until it is forgotten.
+        """
+        if data_centre != self._data_centre:
+            for other, peer in list(self.peers.items()):
+                if peer.data_centre == data_centre and other != host:
+                    del self.peers[other]
         self.note_peer(host, PeerUsage(now_s, usage, data_centre))
         for upstream_id, room in excess.items():
             self.excess[upstream_id] = Excess(room, now_s, False)
