--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -205,6 +205,10 @@
             {n: tuple(sorted(f)) for n, f in state.network.leaving.items()},
         )
 
+    def note_failed(self, message: Any) -> None:
+        """Answers the request that could not be decided on."""
+        questions.answer_failed(message)
+
 
 class Traffic:
     """Typed front of the actor for request threads."""
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -282,13 +282,8 @@
                 self._busy.set()
 
     def note_failed(self, message: Any) -> None:
-        """Answers the request that could not be decided on.
-
-        Its thread would wait for its deadline else, and its caller with it.
-        """
-        if isinstance(message, Arrive | Fail):
-            refusal = errors.Refusal(errors.ErrorKind.INTERNAL, "not decided")
-            questions.answer(message.fut, refusal)
+        """Answers the request that could not be decided on."""
+        questions.answer_failed(message)
 
 
 class Desk:
--- a/egretspur/routing/questions.py
+++ b/egretspur/routing/questions.py
@@ -75,3 +75,17 @@
     except concurrent.futures.InvalidStateError:
         # The thread gave up in this very moment; it asks no more.
         return
+
+
+def answer_failed(message: object) -> None:
+    """Answers a message's question, which could not be decided.
+
+    Symptom without it: a caller hears nothing until its deadline, since its
+    thread waits for a decision that has raised an error in the actor.
+
+    Args:
+        message: With a future as `fut`, if it asks anything.
+    """
+    fut = getattr(message, "fut", None)
+    if isinstance(fut, concurrent.futures.Future):
+        answer(fut, errors.Refusal(errors.ErrorKind.INTERNAL, "not decided"))
--- a/tests/guard.feature
+++ b/tests/guard.feature
@@ -15,6 +15,11 @@
     Then the first one gets its final answer at once, which promises nothing
     And the second one is started
 
+  Scenario: A request that a router can't decide on
+    Given a router's traffic whose dispatcher fails on the next arrival
+    When a request comes to the router
+    Then the first one gets its final answer at once, which promises nothing
+
   Scenario: A feed whose sink fails
     # Symptom: a host never hears of the list again. Sequence: one value makes
     # the thread raise that hands changes on; it ends.
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -13,7 +13,8 @@
 from egretspur.delivery import watch
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
-from egretspur.routing import desk, jobs, probes
+from egretspur.routing import actor as traffics
+from egretspur.routing import desk, jobs, probes, requests
 from tests import fleets, stage
 from tests.steps import entries_steps
 
@@ -103,6 +104,28 @@
     state.arrive = FailOnce(state.arrive)
 
 
+class FailingDispatcher:
+    """A router's dispatcher that can decide on nothing."""
+
+    def arrive(self, arrival: requests.Arrival, now_s: float) -> list[Any]:
+        """Raises."""
+        raise LookupError(CAUSE)
+
+
+@given("a router's traffic whose dispatcher fails on the next arrival")
+def step_router_fails(context: Any) -> None:
+    record_steps(context)
+    failing: Any = FailingDispatcher()
+    context.traffic = traffics.Traffic(failing, lambda: None)
+    context.add_cleanup(context.traffic.close)
+
+
+@when("a request comes to the router")
+def step_to_router(context: Any) -> None:
+    arrival = requests.Arrival("x", "tailors", "m")
+    context.first = context.traffic.arrive(arrival).result(2.0)
+
+
 @when("an answer comes, and then a request")
 def step_answer(context: Any) -> None:
     context.desk.tell(desk.Answered("x"))
