--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -17,8 +17,6 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-import attrs
-
 from egretspur import (
     decisions,
     errors,
@@ -29,7 +27,7 @@
     web,
 )
 from egretspur.catalog import config, feeds, handover, reading, upstreams
-from egretspur.daemons import meters, pages
+from egretspur.daemons import meters, news, pages
 from egretspur.delivery import intake, watch
 from egretspur.membership import datagrams, duty, exchange
 from egretspur.orders import ranges
@@ -53,13 +51,6 @@
 # A stop ends so long before the platform kills the process.
 STOP_MARGIN_S: Final = 0.6
 
-# Layers that an engine reported after an order are told to other hosts for so
-# long, and until the store is back if it is away: their list won't show them.
-LAYERS_TOLD_S: Final = 2.0
-
-# Age told of a list that was never read.
-NEVER_S: Final = 1e6
-
 # Kept connections are closed later than callers may reuse them, so that no
 # request crosses the close.
 IDLE_SLACK_S: Final = 5.0
@@ -409,54 +400,27 @@
         return upstreams.PLAIN_REPORT if is_alive else None
 
     def _make_news(self, peers: Mapping[str, str]) -> datagrams.News:
+        """Returns what this host tells the others of its data centre."""
         self._note_role()
         now_s = time.monotonic()
-        store_age_s = max(0.0, now_s - self._store.answered_s)
-        list_age_s = min(
-            max(0.0, now_s - self._upstreams_sink.answered_s), NEVER_S
+        age_s = now_s - self._store.answered_s
+        view = news.StoreView(
+            self._get_version(),
+            age_s,
+            now_s - self._upstreams_sink.answered_s,
+            self._exchange.is_store_away(age_s),
         )
-        told_s = math.inf
-        if not self._exchange.is_store_away(store_age_s):
-            told_s = LAYERS_TOLD_S
-
-        def read(state: broker.Broker) -> datagrams.News:
-            view = state.fleet
-            self._known = reading.Known(
-                self._get_version(),
-                view.compute_digest(),
-                list_age_s,
-            )
-            return datagrams.News(
-                self._cfg.ip,
-                self._cfg.data_centre,
-                store_age_s,
-                self._known,
-                dict(view.memory.own),
-                view.paces.list_slow(),
-                view.health.list_dead(now_s),
-                view.list_moved(told_s, now_s),
-                peers,
-                view.memory.list_excess(now_s),
-                view.list_suspects(now_s, False),
-                state.list_spent(now_s),
-            )
-
-        news: datagrams.News = self._desk.look(read)
-        return news
+        made: datagrams.News = self._desk.look(
+            lambda state: news.collect(state, self._cfg.ip, view, peers, now_s)
+        )
+        self._known = made.known
+        return made
 
-    def _widen_news(self, news: datagrams.News) -> datagrams.News:
+    def _widen_news(self, own: datagrams.News) -> datagrams.News:
         """Returns what this host tells other data centres for its own."""
-
-        def read(state: broker.Broker) -> datagrams.News:
-            now_s = time.monotonic()
-            return attrs.evolve(
-                news,
-                usage=state.fleet.memory.sum_near(now_s),
-                suspects=state.fleet.list_suspects(now_s, True),
-                spent=state.sum_spent(now_s),
-            )
-
-        widened: datagrams.News = self._desk.look(read)
+        widened: datagrams.News = self._desk.look(
+            lambda state: news.widen(state, own, time.monotonic())
+        )
         return widened
 
     def _get_config_pace(self) -> feeds.Pace:
@@ -484,22 +448,9 @@
     def _take_news(self, heard: Sequence[datagrams.News], hosts: int) -> None:
         self._poke_feeds(heard)
         self._watch.hear({i for n in heard for i in n.suspects})
-        news = [
-            fleet.PeerNews(
-                n.host,
-                n.data_centre,
-                n.usage,
-                n.pace,
-                n.dead,
-                n.layers,
-                n.excess,
-                n.suspects,
-                n.spent,
-            )
-            for n in heard
-        ]
+        told = tuple(news.read(n) for n in heard)
         seeds = len(self._cfg.seeds)
-        self._desk.tell(desk.Heard(tuple(news), max(hosts, seeds)))
+        self._desk.tell(desk.Heard(told, max(hosts, seeds)))
 
     def reload(self) -> None:
         """Has the settings read again soon; safe in a signal handler."""
--- /dev/null
+++ b/egretspur/daemons/news.py
@@ -0,0 +1,103 @@
+"""What a host tells the others of itself, and takes from what they tell: pure.
+
+Translates between the broker's state and the datagrams of the exchange. Read
+next: `egretspur.membership.exchange` and `egretspur.membership.datagrams`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from egretspur.catalog import reading
+from egretspur.membership import datagrams
+from egretspur.routing import broker, fleet
+
+# Layers that an engine reported after an order are told to other hosts for so
+# long, and until the store is back if it is away: their list won't show them.
+LAYERS_TOLD_S: Final = 2.0
+
+# Age told of a list that was never read.
+NEVER_S: Final = 1e6
+
+
+@attrs.frozen
+class StoreView:
+    """What a host has of the store."""
+
+    # Version of the configuration in force; 0 for none.
+    version: int
+    # Seconds since the store answered this host, and gave it the list.
+    age_s: float
+    list_age_s: float
+    # No host near by has the store.
+    is_away: bool
+
+
+def collect(
+    state: broker.Broker,
+    ip: str,
+    view: StoreView,
+    peers: Mapping[str, str],
+    now_s: float,
+) -> datagrams.News:
+    """Returns what a host tells the others of its data centre.
+
+    Args:
+        state: What it knows of requests and upstreams.
+        ip: Its address.
+        view: What it has of the store.
+        peers: Hosts to name, with their data centres.
+        now_s: Monotonic time.
+    """
+    own = state.fleet
+    return datagrams.News(
+        host=ip,
+        data_centre=own.data_centre,
+        store_age_s=max(0.0, view.age_s),
+        known=reading.Known(
+            view.version,
+            own.compute_digest(),
+            min(max(0.0, view.list_age_s), NEVER_S),
+        ),
+        usage=dict(own.memory.own),
+        pace=own.paces.list_slow(),
+        dead=own.health.list_dead(now_s),
+        layers=own.list_moved(
+            math.inf if view.is_away else LAYERS_TOLD_S, now_s
+        ),
+        peers=peers,
+        excess=own.memory.list_excess(now_s),
+        suspects=own.list_suspects(now_s, False),
+        spent=state.list_spent(now_s),
+    )
+
+
+def widen(
+    state: broker.Broker, news: datagrams.News, now_s: float
+) -> datagrams.News:
+    """Returns a host's news with what its whole data centre has."""
+    return attrs.evolve(
+        news,
+        usage=state.fleet.memory.sum_near(now_s),
+        suspects=state.fleet.list_suspects(now_s, True),
+        spent=state.sum_spent(now_s),
+    )
+
+
+def read(news: datagrams.News) -> fleet.PeerNews:
+    """Returns what the broker takes of another host's news."""
+    return fleet.PeerNews(
+        host=news.host,
+        data_centre=news.data_centre,
+        usage=news.usage,
+        pace=news.pace,
+        dead=news.dead,
+        layers=news.layers,
+        excess=news.excess,
+        suspects=news.suspects,
+        spent=news.spent,
+    )
