--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -269,6 +269,8 @@
     def close(self) -> None:
         """Stops everything."""
         self._stop.set()
+        self._keeper.close()
+        self._duty.close()
         for feed in self._feeds:
             feed.close()
         self._exchange.close()
