Let the logs tell when the same request comes under another id

Sight for the open incident: engines ended one after the other, and no line said whether the requests they ended under were one and the same. Admitted requests and failed attempts carry a fingerprint of workspace, host, method, target and body, and failed attempts say how many events they brought. explain names the other ids of a request. No decision depends on it.

--- a/egretspur/cli/explain.py
+++ b/egretspur/cli/explain.py
@@ -54,6 +54,8 @@
     lines: list[Line] = attrs.Factory(list)
     # Changes of the upstreams it was sent to.
     changes: list[Line] = attrs.Factory(list)
+    # Ids under which the same request came too, oldest first.
+    others: list[str] = attrs.Factory(list)
     # Lines that are no JSON or lack a field.
     skipped: int = 0
     # When the host of the last line next started, in seconds after that line;
@@ -93,6 +95,7 @@
     )
     if not story.lines:
         return story
+    story.others = _find_others(story, lines)
     last = story.lines[-1]
     starts = [
         n.time_s - last.time_s
@@ -133,6 +136,8 @@
             f"  {line.event.replace('_', ' ')}  {_format_fields(line)}"
         )
     texts.append(f"end: {explain_end(story)}")
+    if story.others:
+        texts.append(f"the same request came as: {', '.join(story.others)}")
     if story.changes:
         texts.append("(* a change of an upstream on its path)")
     if len(hosts) > 1:
@@ -211,6 +216,15 @@
     )
 
 
+def _find_others(story: Story, lines: Iterable[Line]) -> list[str]:
+    """Returns the other ids of the request, which its fingerprint tells."""
+    prints = {n.fields.get("fingerprint") for n in story.lines} - {None, ""}
+    same = [n for n in lines if n.fields.get("fingerprint") in prints]
+    same.sort(key=lambda n: n.time_s)
+    found = dict.fromkeys(str(n.fields.get("request")) for n in same)
+    return [r for r in found if r != story.request]
+
+
 def _find_upstreams(lines: Iterable[Line]) -> set[str]:
     found: set[str] = set()
     for line in lines:
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -42,6 +42,8 @@
     deadline_s: float
     # Version of the configuration it was judged by.
     version: int
+    # The same for the same request under another id.
+    fingerprint: str
 
 
 @attrs.frozen
@@ -113,6 +115,11 @@
     blamed: tuple[str, ...]
     # Events the caller has.
     events: int
+    # Events that this attempt brought; none where its upstream ended as it
+    # began to run the request.
+    brought: int
+    # As in `RequestAdmitted`.
+    fingerprint: str
 
 
 @attrs.frozen
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -167,6 +167,8 @@
         # For the log: attempts, when the first event or the answer came, when
         # the last event came, and the longest pause between two.
         self._attempts = 0
+        # Events that the caller had before the attempt under way.
+        self._count_before = 0
         self._first_s = 0.0
         self._last_s = 0.0
         self._gap_s = 0.0
@@ -284,6 +286,7 @@
         self.heard_s = time.monotonic()
         self.stalled = set()
         self.has_begun = False
+        self._count_before = self._merge.count
         self._merge.begin()
         # Watched from before it is sent: an answer's head comes with its
         # first event, so a stage that is dead already holds up both.
@@ -409,6 +412,8 @@
                 lost.reason,
                 blamed,
                 count,
+                count - self._count_before,
+                self.job.fingerprint,
             )
         )
         self._fut = self._desk.fail(
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -15,7 +15,7 @@
 import attrs
 
 from egretspur import decisions, errors, web
-from egretspur.admission import room
+from egretspur.admission import fingerprint, room
 from egretspur.catalog import config
 from egretspur.delivery import forward
 from egretspur.routing import desk, jobs
@@ -153,6 +153,7 @@
             tokens=_estimate_tokens(cfg.services.get(service), inbound),
             arrived_s=now_s,
             deadline_s=now_s + wait_s,
+            fingerprint=_compute_fingerprint(inbound, workspace),
         )
 
     def _record(self, job: jobs.Job) -> None:
@@ -167,6 +168,7 @@
                 job.tokens,
                 job.deadline_s - job.arrived_s,
                 version,
+                job.fingerprint,
             )
         )
 
@@ -176,6 +178,21 @@
             self.in_flight -= 1
 
 
+def _compute_fingerprint(inbound: Inbound, workspace: config.Workspace) -> str:
+    """Returns by what the request is known again.
+
+    A workspace may have several keys; on public routes any caller may send it.
+    """
+    call = inbound.call
+    return fingerprint.compute(
+        workspace.name,
+        inbound.host.lower(),
+        call.method,
+        call.target,
+        call.body,
+    )
+
+
 def _estimate_tokens(service: config.Service | None, inbound: Inbound) -> float:
     if service is None or service.engine is None:
         return 0.0
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -25,6 +25,9 @@
     # Monotonic times.
     arrived_s: float
     deadline_s: float
+    # The same for the same request under another id, at any host; see
+    # `egretspur.admission.fingerprint`.
+    fingerprint: str = ""
 
 
 class Why(enum.Enum):
--- a/tests/cli/explain.feature
+++ b/tests/cli/explain.feature
@@ -44,6 +44,20 @@
     When request "r1" is explained
     Then it ends with "its host ended without a word, killed or without power, and started again 1.5 s after the last line"
 
+  Scenario: A request that came under several ids
+    # Symptom: engines end one after the other, and no line says that the
+    # requests they ended under are one and the same.
+    Given the log of host "kl-1"
+      | at    | event            | request | fields                         |
+      | 10.00 | request_admitted | r1      | route=notes fingerprint=f1     |
+      | 10.40 | request_admitted | r2      | route=notes fingerprint=f2     |
+    And the log of host "kl-2"
+      | at    | event            | request | fields                         |
+      | 11.90 | attempt_failed   | r4      | brought=0 fingerprint=f1       |
+      | 11.00 | request_admitted | r3      | route=notes fingerprint=f1     |
+    When request "r1" is explained
+    Then it names "r3, r4" as the same request
+
   Scenario: Lines that can't be read
     Given the log of host "kl-1"
       | at    | event            | request | fields      |
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -213,6 +213,11 @@
     context.told = explain.format_story(context.story)
 
 
+@then('it names "{others}" as the same request')
+def step_same(context: Any, others: str) -> None:
+    assert f"the same request came as: {others}" in context.told, context.told
+
+
 @then(
     'the story has {count:d} lines of request "{request}"'
     " in order of time, from both hosts"
