--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -4,11 +4,13 @@
 layers and its own part is held. Faults: ``events`` and ``pause_s`` of a
 stream, ``cut_after`` (events after which a stream breaks off), ``status`` of a
 plain answer, ``refuse`` (answers that it has not run), ``lose`` (a plain answer
-is lost after its request ran), ``delay_s``.
+is lost after its request ran), ``delay_s``, ``crash_on`` (a text; the process
+ends as it begins to run a request whose body holds it).
 """
 
 from __future__ import annotations
 
+import os
 import sys
 import threading
 import time
@@ -33,6 +35,7 @@
             "refuse": False,
             "lose": False,
             "delay_s": 0.0,
+            "crash_on": "",
         }
         self.held: dict[str, int] | None = None
         self.orders = 0
@@ -116,7 +119,7 @@
 
     def run(req: web.Request) -> web.Response:
         fields = req.get_headers()
-        req.read_body()
+        body = req.read_body()
         head = {
             "Attempt-Id": fields.get("Attempt-Id", ""),
             "Replica-Signature": f"sig-{replica.name}",
@@ -134,6 +137,9 @@
             print(
                 f"ran {fields.get('Attempt-Id')}", file=sys.stderr, flush=True
             )
+        crash_on = str(replica.faults["crash_on"])
+        if crash_on and crash_on.encode() in body:
+            os._exit(1)
         time.sleep(replica.faults["delay_s"])
         if not replica.layers:
             status = replica.faults["status"]
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -89,13 +89,18 @@
             return
 
     def ask(
-        self, path: str, key: str, host: str = "127.0.0.1", **more: Any
+        self,
+        path: str,
+        key: str,
+        host: str = "127.0.0.1",
+        body: bytes = b"{}",
+        **more: Any,
     ) -> Any:
         """Sends a caller's request; returns the open answer."""
         return self.pool.request(
             "POST",
             f"http://{host}:{self.ports['frontend']}{path}",
-            body=b"{}",
+            body=body,
             headers={
                 "Host": HOST,
                 "Attempt-Id": f"a{time.monotonic_ns()}",
