Send no more what has ended three upstreams, on any host

Cause of the incident: attempts are counted for a request id at one host, so a request that ends every engine begins anew at each return of its caller.

Change: a request is known by its fingerprint. An upstream that ended under it (cut, and then dead to a probe, gone from the list or another start) counts once, half where the attempt had brought events; an answer clears. Hosts tell each other in their datagrams; at three ends no host sends it: new, waiting, repeated, resumed or moved. Hosts that saw an end write it to the store, which all follow, so it outlives a loss of all hosts and a cut between data centres.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import functools
 import math
 import random
 import signal
@@ -26,8 +27,8 @@
     transport,
     web,
 )
-from egretspur.catalog import config, feeds, handover, reading, upstreams
-from egretspur.daemons import meters, news, pages
+from egretspur.catalog import config, quarantined, reading, upstreams
+from egretspur.daemons import follow, meters, news, pages
 from egretspur.delivery import intake, watch
 from egretspur.membership import datagrams, duty, exchange
 from egretspur.orders import ranges
@@ -56,64 +57,6 @@
 IDLE_SLACK_S: Final = 5.0
 
 
-class _ConfigSink:
-    """Takes configurations from the feed."""
-
-    def __init__(self, host: Host) -> None:
-        self._host = host
-
-    def take_whole(
-        self, values: Mapping[str, config.Configuration | feeds.Unreadable]
-    ) -> None:
-        """Takes the newest configuration."""
-        self.take_changes(tuple(values.items()))
-
-    def take_changes(
-        self,
-        values: tuple[
-            tuple[str, config.Configuration | feeds.Unreadable | None], ...
-        ],
-    ) -> None:
-        """Takes newer configurations; one that can't be read changes none."""
-        for _, cfg in values:
-            if isinstance(cfg, config.Configuration):
-                self._host.configure(cfg)
-
-    def note_contact(self, is_back: bool) -> None:
-        """Nothing depends on when the configuration was last asked for."""
-
-
-class _UpstreamsSink:
-    """Takes the list of upstreams from the feed."""
-
-    def __init__(self, to: desk.Desk) -> None:
-        self._desk = to
-        self.has_list = False
-        # When the store itself last answered, on the monotonic clock.
-        self.answered_s = -math.inf
-
-    def take_whole(
-        self, values: Mapping[str, upstreams.Upstream | feeds.Unreadable]
-    ) -> None:
-        """Takes the whole list."""
-        self._desk.tell(desk.ReplaceUpstreams(values))
-        self.has_list = True
-
-    def take_changes(
-        self,
-        values: tuple[
-            tuple[str, upstreams.Upstream | feeds.Unreadable | None], ...
-        ],
-    ) -> None:
-        """Takes changes."""
-        self._desk.tell(desk.ChangeUpstreams(values))
-
-    def note_contact(self, is_back: bool) -> None:
-        """Starts the grace for entries that lapsed during an outage."""
-        self.answered_s = time.monotonic()
-        self._desk.tell(desk.StoreAnswered(is_back))
-
-
 class Host:
     """One host's process."""
 
@@ -153,7 +96,6 @@
         self._meters = meters.Meters()
         decisions.LOGGER.addHandler(self._meters)
         self._store = store.Store(cfg.store, self._meters.note_store_call)
-        self._upstreams_sink = _UpstreamsSink(self._desk)
         self._exchange = exchange.Exchange(
             exchange.Peers(
                 cfg.ip,
@@ -166,39 +108,22 @@
             self._widen_news,
             self._take_news,
         )
-        self._prober = probes.Prober(
-            self._desk, self._probe, self._exchange.hurry
-        )
         self._pages_client = transport.Transport(0.3, 1.0)
         group = store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip)
         self._members = duty.Members(group, cfg.ip, rng)
-        configs = store.make_config_topic(self._store)
-        listed = store.make_upstreams_topic(self._store)
-        self._feeds = (
-            feeds.Feed(
-                "config",
-                handover.HandoverSource(
-                    configs,
-                    self._exchange.list_newest,
-                    self._ask_host,
-                    lambda: not self._exchange.is_reader(),
-                    self._members.list_hosts,
-                ),
-                _ConfigSink(self),
-                self._get_config_pace,
-            ),
-            feeds.Feed(
-                "upstreams",
-                handover.HandoverSource(
-                    listed,
-                    self._exchange.list_alive,
-                    self._ask_host,
-                    lambda: not self._exchange.is_reader(),
-                    self._members.list_hosts,
-                ),
-                self._upstreams_sink,
-                self._get_list_pace,
+        self._followed = follow.Followed(
+            self._store,
+            follow.Neighbours(
+                self._exchange, self._ask_host, self._members.list_hosts
             ),
+            self._desk,
+            self.configure,
+        )
+        self._saver = quarantined.Saver(
+            functools.partial(store.write_quarantine, self._store)
+        )
+        self._prober = probes.Prober(
+            self._desk, self._probe, self._exchange.hurry, self._saver.take
         )
         self._duty = duty.Duty(group, self._exchange)
         self._keeper = ranges.RangeKeeper(self._duty, self._engines, self)
@@ -227,7 +152,7 @@
                 handler,
                 self._get_version,
                 self.is_ready,
-                {configs.name: configs, listed.name: listed},
+                self._followed.topics,
             ),
             cfg.listen_control,
             1,
@@ -238,8 +163,8 @@
 
     def start(self) -> None:
         """Starts to serve; ready once configuration and list are there."""
-        for feed in self._feeds:
-            feed.start()
+        self._followed.start()
+        self._saver.start()
         self._server.start()
         self._ready_server.start()
         self._pages_server.start()
@@ -271,8 +196,8 @@
         self._stop.set()
         self._keeper.close()
         self._duty.close()
-        for feed in self._feeds:
-            feed.close()
+        self._followed.close()
+        self._saver.close()
         self._exchange.close()
         self._watch.close()
         self._prober.close()
@@ -307,7 +232,7 @@
         return (
             not self._draining.is_set()
             and self._versions.newest is not None
-            and self._upstreams_sink.has_list
+            and self._followed.listed.has_list
         )
 
     def _get_version(self) -> int:
@@ -409,7 +334,7 @@
         view = news.StoreView(
             self._get_version(),
             age_s,
-            now_s - self._upstreams_sink.answered_s,
+            now_s - self._followed.listed.answered_s,
             self._exchange.is_store_away(age_s),
         )
         made: datagrams.News = self._desk.look(
@@ -425,30 +350,15 @@
         )
         return widened
 
-    def _get_config_pace(self) -> feeds.Pace:
-        return reading.get_config_pace(self._exchange.is_reader())
-
-    def _get_list_pace(self) -> feeds.Pace:
-        return reading.get_list_pace(self._exchange.is_reader())
-
-    def _poke_feeds(self, heard: Sequence[datagrams.News]) -> None:
-        """Has the feeds read what another host has read already."""
-        configs, listed = self._feeds
-        if any(reading.is_config_due(self._known, n.known) for n in heard):
-            configs.poke()
-        if any(reading.is_list_due(self._known, n.known) for n in heard):
-            listed.poke()
-
     def _note_role(self) -> None:
         """Has the feeds read at their new pace if the reader changed."""
         is_reader = self._exchange.is_reader()
         if is_reader != self._was_reader:
             self._was_reader = is_reader
-            for feed in self._feeds:
-                feed.poke()
+            self._followed.poke_all()
 
     def _take_news(self, heard: Sequence[datagrams.News], hosts: int) -> None:
-        self._poke_feeds(heard)
+        self._followed.poke(self._known, heard)
         self._watch.hear({i for n in heard for i in n.suspects})
         told = tuple(news.read(n) for n in heard)
         seeds = len(self._cfg.seeds)
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -73,6 +73,7 @@
         excess=own.memory.list_excess(now_s),
         suspects=own.list_suspects(now_s, False),
         spent=state.list_spent(now_s),
+        ended=state.quarantine.list_told(datagrams.MAX_ENDED, now_s),
     )
 
 
@@ -100,4 +101,5 @@
         excess=news.excess,
         suspects=news.suspects,
         spent=news.spent,
+        ended=news.ended,
     )
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -245,6 +245,28 @@
     hosts: int
 
 
+@attrs.frozen
+class QuarantineChanged:
+    """A request is sent to no upstream any more, or again."""
+
+    fingerprint: str
+    is_held: bool
+    # Upstreams that ended under it, of any host.
+    ends: int
+    # This host saw one of the ends, or the answer that lets it go.
+    is_own: bool
+
+
+@attrs.frozen
+class QuarantineSaved:
+    """A change of the quarantine was written to the store, or not."""
+
+    fingerprint: str
+    is_held: bool
+    # Why the store has not taken it; empty if it has.
+    problem: str
+
+
 @attrs.frozen
 class StoreLost:
     """The store does not answer."""
@@ -333,6 +355,8 @@
     | OrderGiven
     | OrderDone
     | BudgetEmpty
+    | QuarantineChanged
+    | QuarantineSaved
     | StoreLost
     | StoreBack
     | EntryLeftOut
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -156,6 +156,8 @@
         # Events read before the caller's answer began.
         self._first = b""
         self.is_gone = False
+        # An upstream answered to the end, and not with a failure.
+        self._is_answered = False
         # For the watch over silent streams.
         self.heard_s = 0.0
         self.parts: tuple[paths.Part, ...] = ()
@@ -208,6 +210,7 @@
             if self._answer is not None:
                 lost = self._pump(write)
             if lost is None:
+                self._is_answered = True
                 return None
             if self.is_gone:
                 return errors.Refusal(errors.ErrorKind.CALLER_GONE, "gone")
@@ -228,7 +231,7 @@
         if self._answer is not None:
             self._answer.close()
             self._answer = None
-        self._desk.tell(desk.Finish(self.job.id))
+        self._desk.tell(desk.Finish(self.job.id, self._is_answered))
 
     def record_end(self, status: int, refusal: errors.Refusal | None) -> None:
         """Logs how the request ended for its caller.
@@ -309,6 +312,7 @@
                 return body
             whole = Whole(answer.status, answer.headers, body)
             if answer.status == 200 or not self._may_repeat(answer):
+                self._is_answered = answer.status < 500
                 self._desk.tell(desk.Answered(self.job.id))
                 return whole
             self._failed = whole
@@ -404,6 +408,7 @@
         self._abort.arm(None)
         blamed = lost.blamed or tuple(self.stalled)
         count = self._merge.count
+        brought = count - self._count_before
         decisions.record(
             decisions.AttemptFailed(
                 self.job.id,
@@ -412,12 +417,19 @@
                 lost.reason,
                 blamed,
                 count,
-                count - self._count_before,
+                brought,
                 self.job.fingerprint,
             )
         )
         self._fut = self._desk.fail(
-            jobs.Failure(self.job.id, lost.why, lost.reason, blamed, count > 0)
+            jobs.Failure(
+                self.job.id,
+                lost.why,
+                lost.reason,
+                blamed,
+                count > 0,
+                brought > 0,
+            )
         )
 
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -285,8 +285,8 @@
         moved_s = self._moved.get(stream)
         if moved_s is not None:
             return now_s - moved_s < HOPELESS_S
-        detour = self._desk.repath(stream.job.id, stalled)
-        if detour.is_resumed:
+        detour = self._desk.repath(stream.job.id, stalled, stream.has_begun)
+        if detour.is_ended:
             stream.interrupt()
             return True
         if detour.parts is None:
--- a/egretspur/errors.py
+++ b/egretspur/errors.py
@@ -30,6 +30,7 @@
     NO_ROUTE = "no_route"
     NOT_CONFIGURED = "not_configured"
     STOPPING = "stopping"
+    QUARANTINED = "quarantined"
     UPSTREAM_FAILED = "upstream_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ALREADY_CLAIMED = "already_claimed"
@@ -98,6 +99,15 @@
     ErrorKind.STOPPING: Answer(
         503, True, True, "This process is stopping; other hosts serve."
     ),
+    # Not a status that blames the caller: it may run beside one that is to
+    # blame, and then another host knows better, or will soon.
+    ErrorKind.QUARANTINED: Answer(
+        503,
+        True,
+        False,
+        "Upstreams ended under this very request; it is sent to none until an"
+        " operator lets it go.",
+    ),
     ErrorKind.UPSTREAM_FAILED: Answer(
         502, False, True, "Upstreams failed after the request was sent."
     ),
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -15,7 +15,7 @@
 import orjson
 
 from egretspur import checks, codec
-from egretspur.admission import shared
+from egretspur.admission import quarantine, shared
 from egretspur.catalog import reading, upstreams
 from egretspur.routing import jobs
 
@@ -26,8 +26,12 @@
 # reason.
 MAX_SUSPECTS: Final = 24
 
+# Requests in quarantine, or under which upstreams ended, in one datagram: with
+# three ends each half a kilobyte, for the same reason.
+MAX_ENDED: Final = 8
+
 # Of the datagram's list.
-_FIELDS: Final = 12
+_FIELDS: Final = 13
 
 
 @attrs.frozen
@@ -56,6 +60,9 @@
     suspects: tuple[str, ...] = ()
     # What it spent of the retry budgets, by service.
     spent: Mapping[str, shared.Spent] = attrs.Factory(dict)
+    # Upstreams that ended under requests, by fingerprint; none where it was
+    # answered. No more than `MAX_ENDED`.
+    ended: Mapping[str, quarantine.Ends] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -95,6 +102,7 @@
                 ]
                 for service, s in news.spent.items()
             },
+            {f: dict(ends) for f, ends in news.ended.items()},
         ]
     )
 
@@ -112,7 +120,7 @@
 def _decode_news(value: Any) -> News:
     row = checks.check_row(value, "news", _FIELDS)
     host, place, age_s, known, *tables = row
-    usage, pace, dead, layers, peers, excess, suspects, spent = tables
+    usage, pace, dead, layers, peers, excess, suspects, spent, ended = tables
     version, digest, list_age_s = checks.check_row(known, "known", 3)
     return News(
         _check_host(host),
@@ -140,6 +148,7 @@
         },
         _decode_ids(suspects, "suspects"),
         {s: _decode_spent(r) for s, r in _get_items(spent, "spent")},
+        {f: decode_ends(e) for f, e in _get_items(ended, "ended")},
     )
 
 
@@ -182,6 +191,14 @@
     )
 
 
+def decode_ends(value: Any) -> dict[str, float]:
+    """Returns upstreams that ended under a request, with what each counts."""
+    return {
+        checks.check_text(n, "ended"): checks.check_number(w, "ended")
+        for n, w in _get_items(value, "ended")
+    }
+
+
 def _decode_layers(value: Any) -> upstreams.Layers:
     first, last = checks.check_row(value, "layers", 2)
     found = upstreams.Layers(
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -12,8 +12,10 @@
 from typing import Any, Final, TypeVar
 
 import attrs
+import orjson
 
 from egretspur import checks, codec
+from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, upstreams
 
 T = TypeVar("T")
@@ -213,6 +215,20 @@
     )
 
 
+def decode_ends(value: Any) -> quarantine.Ends:
+    """Returns the upstreams that ended under a request in quarantine."""
+    ended = checks.Table(value).get_table("ended")
+    ends = {n: checks.check_number(w, "ended") for n, w in ended.items()}
+    if not ends:
+        raise checks.FieldError("ended", "empty")
+    return ends
+
+
+def encode_ends(ends: quarantine.Ends) -> bytes:
+    """Returns a record of a request in quarantine."""
+    return orjson.dumps({"ended": dict(ends)})
+
+
 @attrs.frozen
 class TokenCounts:
     """Sizes of a request for a model, in tokens."""
--- a/egretspur/platform/names.py
+++ b/egretspur/platform/names.py
@@ -51,5 +51,7 @@
 CONFIG_TOPIC: Final = "keyed.op"
 CONFIG_KEY: Final = "config"
 SERVERS_TOPIC: Final = "keyed.servers"
+# The product's own: requests that are sent to no upstream any more.
+QUARANTINE_TOPIC: Final = "keyed.quarantine"
 # The product's own: whoever holds its partition gives orders.
 DUTY_TOPIC: Final = "duty"
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -14,6 +14,7 @@
 import orjson
 
 from egretspur import checks, codec, decisions, transport
+from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, handover, upstreams
 from egretspur.membership import duty
 from egretspur.platform import decode, names
@@ -66,6 +67,29 @@
         """Writes; 409 is an answer."""
         return self._call("POST", path, orjson.dumps(body), CALL_S, (200, 409))
 
+    def put(self, topic: str, key: str, value: bytes) -> str:
+        """Writes the newest record of a key.
+
+        Args:
+            topic: Of keys.
+            key: Short enough for one byte of length.
+            value: Empty to remove the key.
+
+        Returns:
+            Why it may not have been written; empty if it was.
+        """
+        raw = key.encode()
+        content = bytes([len(raw)]) + raw + value
+        query = urllib.parse.urlencode({"topic": topic, "part": 0})
+        res = self._call(
+            "POST",
+            f"/egretspur/log-append?{query}",
+            _LENGTH.pack(len(content)) + content,
+            CALL_S,
+            (200,),
+        )
+        return res.reason if isinstance(res, feeds.Unavailable) else ""
+
     def _call(
         self,
         method: str,
@@ -324,6 +348,27 @@
     return Topic(store, names.SERVERS_TOPIC, decode.decode_upstream)
 
 
+def make_quarantine_topic(store: Store) -> Topic[quarantine.Ends]:
+    """Returns the source of requests in quarantine."""
+    return Topic(
+        store,
+        names.QUARANTINE_TOPIC,
+        lambda key, data: decode.decode_ends(data),
+    )
+
+
+def write_quarantine(
+    store: Store, fingerprint: str, ends: quarantine.Ends
+) -> str:
+    """Writes a request in quarantine, or removes it if it has no ends.
+
+    Returns:
+        Why it may not have been written; empty if it was.
+    """
+    value = decode.encode_ends(ends) if ends else b""
+    return store.put(names.QUARANTINE_TOPIC, fingerprint, value)
+
+
 class Group:
     """One group of the store, in which a partition is a duty."""
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -14,6 +14,7 @@
 import attrs
 
 from egretspur import decisions, errors, mechanisms
+from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
 from egretspur.admission import shared
 from egretspur.catalog import config, feeds, upstreams
@@ -35,6 +36,10 @@
 # do not come back together.
 RETRY_AFTER_S: Final = (0.7, 2.0)
 
+# Retry-After of a request in quarantine, in seconds: to come back sooner is of
+# no use, it is refused until someone has looked at it.
+QUARANTINED_S: Final = 60.0
+
 # Requests that wait at most.
 QUEUE_LENGTH: Final = 200
 
@@ -84,6 +89,7 @@
         self._using = using
         self.search = search.Search(self.fleet, using, rng)
         self.queue = queues.Queue(QUEUE_LENGTH)
+        self.quarantine = quarantines.Quarantine()
         self.counts = jobs.Counts()
         self.tickets: dict[str, Ticket] = {}
         # Hosts that share the retry budget.
@@ -97,6 +103,8 @@
         self.listed_s = 0.0
         # Decisions since the last `take_notes`, for the log.
         self._notes: list[decisions.Decision] = []
+        # Changes of the quarantine that the store is to be told of.
+        self._unsaved: list[quarantines.Change] = []
 
     def take_notes(self) -> list[decisions.Decision]:
         """Returns what was decided since the last call, for the log."""
@@ -121,9 +129,12 @@
         if ticket is None:
             return []
         was_at = ticket.upstream_id
+        at = self._list_stages(ticket)
         self._release(ticket)
         ticket.is_begun |= failure.is_begun
         self._blame(ticket, was_at, failure, now_s)
+        if failure.why is jobs.Why.CUT:
+            self._note_cut(ticket, at, failure.has_brought, now_s)
         refusal = self._check_repeat(ticket, failure, now_s)
         if refusal is not None:
             effects: list[jobs.Effect] = [self._end(ticket, now_s, refusal)]
@@ -131,11 +142,22 @@
             effects = self._admit(ticket, now_s)
         return effects + self._start_waiting(now_s)
 
-    def finish(self, job_id: str, now_s: float) -> list[jobs.Effect]:
-        """Ends a request, answered or given up by its caller."""
+    def finish(
+        self, job_id: str, now_s: float, is_answered: bool = False
+    ) -> list[jobs.Effect]:
+        """Ends a request.
+
+        Args:
+            job_id: The request.
+            now_s: Monotonic time.
+            is_answered: An upstream answered it to the end, and not with a
+                failure; else it was given up.
+        """
         ticket = self.tickets.pop(job_id, None)
         if ticket is None:
             return []
+        if is_answered:
+            self.quarantine.note_answered(ticket.job.fingerprint, now_s)
         queues.remove(self.queue, job_id)
         if ticket.upstream_id:
             queues.note_done(self.queue, ticket.job.service, now_s)
@@ -156,13 +178,28 @@
         self.fleet.note_time(ticket.upstream_id, now_s - ticket.started_s)
 
     def repath(
-        self, job_id: str, stalled: frozenset[str], now_s: float
+        self,
+        job_id: str,
+        stalled: frozenset[str],
+        now_s: float,
+        has_brought: bool = False,
     ) -> jobs.Detour:
-        """Moves a running request off engines that hold it up."""
+        """Moves a running request off engines that hold it up.
+
+        Args:
+            job_id: The request.
+            stalled: Engines that hold it up.
+            now_s: Monotonic time.
+            has_brought: Its attempt has brought a part of the answer.
+        """
         ticket = self.tickets.get(job_id)
         spec = self._get_spec(ticket.job.service) if ticket else None
         if ticket is None or spec is None or not ticket.parts:
             return jobs.Detour(None)
+        # The engines it is moved to begin to run it too.
+        self._note_cut(ticket, tuple(sorted(stalled)), has_brought, now_s)
+        if self.quarantine.is_held(ticket.job.fingerprint):
+            return jobs.Detour(None, is_ended=True)
         detour = self.search.find_detour(
             ticket.job,
             spec,
@@ -177,6 +214,75 @@
             self._take_room(ticket, 1)
         return detour
 
+    def _list_stages(self, ticket: Ticket) -> tuple[str, ...]:
+        """Returns the upstreams that work on a request, its first one first."""
+        if not ticket.upstream_id:
+            return ()
+        return (
+            ticket.upstream_id,
+            *(p.id for p in ticket.parts if p.id != ticket.upstream_id),
+        )
+
+    def _note_cut(
+        self,
+        ticket: Ticket,
+        upstream_ids: tuple[str, ...],
+        has_brought: bool,
+        now_s: float,
+    ) -> None:
+        """Takes that one of these upstreams may have ended under a request."""
+        if not upstream_ids:
+            return
+        fingerprint = ticket.job.fingerprint
+        self.quarantine.note_cut(
+            quarantines.Cut(fingerprint, upstream_ids, has_brought, now_s),
+            now_s,
+        )
+        self._settle(now_s)
+
+    def _settle(self, now_s: float) -> None:
+        """Counts the upstreams that have turned out to have ended."""
+        self.quarantine.settle(self._look_at, now_s)
+        self._note_quarantine()
+
+    def _look_at(self, upstream_id: str) -> quarantines.State:
+        """Returns what is known of an upstream whose answer was cut."""
+        if upstream_id not in self.fleet.roster.entries:
+            return quarantines.State.ENDED
+        failed = self.fleet.health.failed.get(upstream_id)
+        if failed is None:
+            return quarantines.State.ALIVE
+        if failed.is_down:
+            return quarantines.State.ENDED
+        return quarantines.State.UNKNOWN
+
+    def _note_quarantine(self) -> None:
+        """Notes for the log and the store what the quarantine decided."""
+        for change in self.quarantine.take_changes():
+            self._notes.append(
+                decisions.QuarantineChanged(
+                    change.fingerprint,
+                    bool(change.ends),
+                    len(change.ends),
+                    change.is_own,
+                )
+            )
+            if change.is_own:
+                self._unsaved.append(change)
+
+    def restore(
+        self, ends: Mapping[str, quarantines.Ends], now_s: float
+    ) -> list[jobs.Effect]:
+        """Takes what the store says of requests in quarantine."""
+        self.quarantine.hear(ends, now_s)
+        self._note_quarantine()
+        return self._start_waiting(now_s)
+
+    def take_unsaved(self) -> list[quarantines.Change]:
+        """Returns what the store is to be told of the quarantine."""
+        unsaved, self._unsaved = self._unsaved, []
+        return unsaved
+
     def _can_resume(self, ticket: Ticket) -> bool:
         """Tells whether a running request may be ended and sent once more."""
         route = ticket.job.route
@@ -223,6 +329,8 @@
     def hear(self, news: fleets.PeerNews, now_s: float) -> None:
         """Takes what another host said."""
         self.fleet.hear(news, now_s)
+        self.quarantine.hear(news.ended, now_s)
+        self._settle(now_s)
         self._ledger.hear(news.host, news.data_centre, news.spent, now_s)
 
     def list_spent(self, now_s: float) -> dict[str, shared.Spent]:
@@ -244,12 +352,14 @@
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts what can, after the list of upstreams changed."""
         self.fleet.forget_gone()
+        self._settle(now_s)
         return self._start_waiting(now_s)
 
     def tick(self, now_s: float) -> list[jobs.Effect]:
         """Refuses what came due and starts what can."""
         with self.fleet.noting_changes(now_s):
             upstreams.expire(self.fleet.roster, now_s)
+        self._settle(now_s)
         effects: list[jobs.Effect] = []
         for item in queues.expire(self.queue, now_s):
             ticket = self.tickets[item.id]
@@ -262,11 +372,17 @@
 
     def is_busy(self) -> bool:
         """Tells whether something may come due at any moment."""
-        return bool(self.queue.waiting) or self.fleet.is_asking()
+        return (
+            bool(self.queue.waiting)
+            or self.fleet.is_asking()
+            or self.quarantine.is_settling()
+        )
 
     # Decisions.
 
     def _admit(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
+        if self.quarantine.is_held(ticket.job.fingerprint):
+            return [self._refuse_held(ticket, now_s)]
         service = self._services.get(ticket.job.service)
         if service is None:
             return [
@@ -330,6 +446,15 @@
             )
         ]
 
+    def _refuse_held(self, ticket: Ticket, now_s: float) -> questions.Refuse:
+        """Refuses a request that may not be sent."""
+        return self._refuse(
+            ticket,
+            now_s,
+            errors.ErrorKind.QUARANTINED,
+            "upstreams ended under it before",
+        )
+
     def _note_missing(self, job: jobs.Job, now_s: float) -> None:
         """Notes for the log why a request waits."""
         spec = self._get_spec(job.service)
@@ -337,7 +462,11 @@
             self._notes.append(self.search.explain(job, spec, now_s))
 
     def _start_waiting(self, now_s: float) -> list[jobs.Effect]:
-        effects: list[jobs.Effect] = []
+        effects: list[jobs.Effect] = [
+            self._refuse_held(self.tickets[i], now_s)
+            for i in list(self.queue.waiting)
+            if self.quarantine.is_held(self.tickets[i].job.fingerprint)
+        ]
         stuck: set[str] = set()
         while self.queue.waiting:
             items = [
@@ -473,6 +602,12 @@
             return self._make_refusal(
                 ticket, errors.ErrorKind.TIMED_OUT, reason
             )
+        if self.quarantine.is_held(job.fingerprint):
+            return self._make_refusal(
+                ticket,
+                errors.ErrorKind.QUARANTINED,
+                f"upstreams ended under it; {reason}",
+            )
         if may_have_run and (
             route.kind is config.RouteKind.NON_IDEMPOTENT
             or (
@@ -506,7 +641,9 @@
             # An earlier send may have run, whatever happened since.
             kind = errors.ErrorKind.UPSTREAM_FAILED
         after_s = 0.0
-        if errors.ANSWERS[kind].not_run:
+        if kind is errors.ErrorKind.QUARANTINED:
+            after_s = QUARANTINED_S
+        elif errors.ANSWERS[kind].not_run:
             after_s = self._rng.uniform(*RETRY_AFTER_S)
         return errors.Refusal(kind, reason, after_s)
 
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -16,6 +16,7 @@
 import attrs
 
 from egretspur import actors, decisions, errors
+from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import broker, fleet, jobs, questions
 
@@ -44,6 +45,8 @@
     """A request is over."""
 
     id: str
+    # An upstream answered it to the end, and not with a failure.
+    is_answered: bool
 
 
 @attrs.frozen
@@ -59,6 +62,8 @@
 
     id: str
     stalled: frozenset[str]
+    # Its attempt has brought a part of the answer.
+    has_brought: bool
 
 
 @attrs.frozen
@@ -116,6 +121,13 @@
     layers: upstreams.Layers
 
 
+@attrs.frozen
+class Restore:
+    """Requests that the store has in quarantine; no ends for one let go."""
+
+    ends: Mapping[str, quarantine.Ends]
+
+
 @attrs.frozen
 class TakeDue:
     """Time passed; asks for what is to be done outside of the actor."""
@@ -129,6 +141,8 @@
     probes: tuple[upstreams.Upstream, ...] = ()
     # Upstreams were found failing that other hosts haven't been told of.
     has_suspects: bool = False
+    # Changes of the quarantine that the store is to be told of.
+    unsaved: tuple[quarantine.Change, ...] = ()
 
 
 @attrs.frozen
@@ -189,7 +203,11 @@
     @handle.register
     def _(self, message: Finish) -> None:
         self._questions.forget(message.id)
-        self._questions.run(self._broker.finish(message.id, time.monotonic()))
+        self._questions.run(
+            self._broker.finish(
+                message.id, time.monotonic(), message.is_answered
+            )
+        )
 
     @handle.register
     def _(self, message: Answered) -> None:
@@ -198,7 +216,10 @@
     @handle.register
     def _(self, message: Repath) -> jobs.Detour:
         return self._broker.repath(
-            message.id, message.stalled, time.monotonic()
+            message.id,
+            message.stalled,
+            time.monotonic(),
+            message.has_brought,
         )
 
     @handle.register
@@ -244,13 +265,21 @@
         )
         self._questions.run(self._broker.refresh(now_s))
 
+    @handle.register
+    def _(self, message: Restore) -> None:
+        self._questions.run(
+            self._broker.restore(message.ends, time.monotonic())
+        )
+
     @handle.register
     def _(self, message: TakeDue) -> Due:
         now_s = time.monotonic()
         self._questions.run(self._broker.tick(now_s))
         state = self._broker.fleet
         return Due(
-            tuple(state.take_probes(now_s)), state.take_new_suspects(now_s)
+            tuple(state.take_probes(now_s)),
+            state.take_new_suspects(now_s),
+            tuple(self._broker.take_unsaved()),
         )
 
     @handle.register
@@ -318,9 +347,13 @@
         """Sends a message that needs no answer."""
         self._ref.tell(message)
 
-    def repath(self, job_id: str, stalled: frozenset[str]) -> jobs.Detour:
+    def repath(
+        self, job_id: str, stalled: frozenset[str], has_brought: bool
+    ) -> jobs.Detour:
         """Returns how a running request gets past stages, and moves it."""
-        found: jobs.Detour = actors.ask(self._ref, Repath(job_id, stalled))
+        found: jobs.Detour = actors.ask(
+            self._ref, Repath(job_id, stalled, has_brought)
+        )
         return found
 
     def take_due(self) -> Due:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -15,7 +15,7 @@
 import attrs
 
 from egretspur import decisions
-from egretspur.admission import room, shared
+from egretspur.admission import quarantine, room, shared
 from egretspur.catalog import config, upstreams
 from egretspur.routing import cards, health, jobs, memory, paces, paths
 
@@ -69,6 +69,9 @@
     suspects: tuple[str, ...] = ()
     # What it, or a speaker's whole data centre, spent of the retry budgets.
     spent: Mapping[str, shared.Spent] = attrs.Factory(dict)
+    # Upstreams that ended under requests, by fingerprint; none where it was
+    # answered.
+    ended: Mapping[str, quarantine.Ends] = attrs.Factory(dict)
 
 
 @attrs.frozen
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -56,6 +56,8 @@
     blamed: tuple[str, ...] = ()
     # The caller has a part of the answer.
     is_begun: bool = False
+    # This attempt brought a part of it.
+    has_brought: bool = False
 
 
 @attrs.frozen
@@ -75,8 +77,9 @@
     # The path it is to go on over, with the same first stage; None if there
     # is none.
     parts: tuple[paths.Part, ...] | None
-    # It is to be ended and resumed within another data centre.
-    is_resumed: bool = False
+    # Its attempt is to be ended; what follows is decided as after a failed
+    # one, such as to go on within another data centre.
+    is_ended: bool = False
 
 
 Effect = Start | questions.Refuse
--- a/egretspur/routing/probes.py
+++ b/egretspur/routing/probes.py
@@ -9,10 +9,11 @@
 
 import concurrent.futures
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from egretspur import guard
+from egretspur.admission import quarantine
 from egretspur.catalog import upstreams
 from egretspur.routing import desk
 
@@ -38,6 +39,7 @@
         to: desk.Desk,
         probe: Probe,
         hurry: Callable[[], None] = lambda: None,
+        save: Callable[[Sequence[quarantine.Change]], None] = lambda c: None,
     ) -> None:
         """Makes a prober.
 
@@ -45,11 +47,13 @@
             to: Knows what is due.
             probe: Asks an upstream.
             hurry: Called where other hosts should be told of a failing
-                upstream at once.
+                upstream, or of a request to be held, at once.
+            save: Has changes of the quarantine written to the store.
         """
         self._desk = to
         self._probe = probe
         self._hurry = hurry
+        self._save = save
         self._pool = concurrent.futures.ThreadPoolExecutor(
             THREADS, thread_name_prefix="probe"
         )
@@ -74,8 +78,10 @@
                 due = self._desk.take_due()
                 for entry in due.probes:
                     self._pool.submit(self._ask, entry)
-                if due.has_suspects:
+                if due.has_suspects or due.unsaved:
                     self._hurry()
+                if due.unsaved:
+                    self._save(due.unsaved)
 
     def _ask(self, entry: upstreams.Upstream) -> None:
         report = None
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -34,6 +34,10 @@
     def write(self, topic: str, key: str, value: Any) -> int:
         """Appends a record; returns the end."""
         raw = b"" if value is None else orjson.dumps(value)
+        return self.append(topic, key, raw)
+
+    def append(self, topic: str, key: str, raw: bytes) -> int:
+        """Appends a record as bytes; returns the end."""
         with self._changed:
             records = self._records.setdefault(topic, [])
             records.append((key, raw))
@@ -138,7 +142,19 @@
         end = store.write(data["topic"], data["key"], data["value"])
         return base.reply({"end_offset": end})
 
+    def append(req: web.Request) -> web.Response:
+        data = req.read_body()
+        end = 0
+        while data:
+            (length,) = struct.unpack_from(">I", data)
+            record, data = data[4 : 4 + length], data[4 + length :]
+            key = record[1 : 1 + record[0]].decode()
+            raw = record[1 + record[0] :]
+            end = store.append(req.query["topic"], key, raw)
+        return base.reply({"offset": end - 1, "end_offset": end})
+
     for method, path, handler in (
+        ("POST", "/egretspur/log-append", append),
         (
             "GET",
             "/egretspur/log-newest",
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -185,7 +185,11 @@
         """Takes that an attempt's engine ended."""
         reason = f"{run.start.upstream.id}: connection broken"
         failure = jobs.Failure(
-            name, jobs.Why.CUT, reason, is_begun=run.is_begun
+            name,
+            jobs.Why.CUT,
+            reason,
+            is_begun=run.is_begun,
+            has_brought=run.is_begun,
         )
         self._fail(name, run, failure)
 
@@ -229,7 +233,7 @@
 
     def finish(self, host: Host, name: str) -> None:
         """Ends a request whose answer its caller has."""
-        self.take(host, host.state.finish(name, self.now_s))
+        self.take(host, host.state.finish(name, self.now_s, True))
 
     def _probe(self, host: Host) -> None:
         for entry in host.state.fleet.take_probes(self.now_s):
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -89,14 +89,15 @@
             return
 
     def ask(
-        self,
-        path: str,
-        key: str,
-        host: str = "127.0.0.1",
-        body: bytes = b"{}",
-        **more: Any,
+        self, path: str, key: str, host: str = "127.0.0.1", **more: Any
     ) -> Any:
         """Sends a caller's request; returns the open answer."""
+        return self.post(path, key, host, b"{}", more)
+
+    def post(
+        self, path: str, key: str, host: str, body: bytes, more: dict[str, Any]
+    ) -> Any:
+        """Sends a caller's request with a body; returns the open answer."""
         return self.pool.request(
             "POST",
             f"http://{host}:{self.ports['frontend']}{path}",
--- a/tests/steps/ablation_steps.py
+++ b/tests/steps/ablation_steps.py
@@ -85,7 +85,7 @@
 @then("the one without sends its tokens over, the other one resumes it")
 def step_detours(context: Any) -> None:
     without, whole = context.detours
-    assert without.parts is not None and not without.is_resumed
+    assert without.parts is not None and not without.is_ended
     assert any(p.id.endswith("pg-hall") for p in without.parts)
     assert whole == jobs.Detour(None, True)
 
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -103,7 +103,7 @@
     context.ids.append(f"fatal-{len(context.ids)}")
     fields = {"Attempt-Id": context.ids[-1]}
     try:
-        site.ask("/notes/x", "key-1", host, context.body, **fields).read()
+        site.post("/notes/x", "key-1", host, context.body, fields).read()
     except urllib3.exceptions.HTTPError:
         # Cut in the middle, as a caller may be.
         pass
