Hold requests that end engines in a data centre's router as well

Prompts and calls to plain services have fingerprints; cuts count until the platform's list tells whether the start changed, and hosts of a data centre tell each other as they do of leaving upstreams.

--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -55,6 +55,10 @@
 KEPT: Final = 4096
 ANSWERS_KEPT: Final = 1024
 
+# Retry-After of a request in quarantine, in seconds: to come back sooner is of
+# no use, it is refused until someone has looked at it.
+RETRY_AFTER_S: Final = 60.0
+
 # Characters by which hosts name an upstream's start to each other. Were two
 # of the three alike, a request would be sent once more.
 _NAME_CHARS: Final = 8
@@ -124,8 +128,14 @@
 class Quarantine:
     """What one host knows of requests under which upstreams ended."""
 
-    def __init__(self) -> None:
-        """Makes a state that knows of none."""
+    def __init__(self, settle_s: float = SETTLE_S) -> None:
+        """Makes a state that knows of none.
+
+        Args:
+            settle_s: How long an upstream may stay unknown after a cut; then
+                it counts as alive.
+        """
+        self._settle_s = settle_s
         # The one that changed last is at the end.
         self._records: collections.OrderedDict[str, _Record] = (
             collections.OrderedDict()
@@ -170,7 +180,8 @@
                 ends = {name_start(ended[0]): cut.weight}
                 self._add(cut.fingerprint, ends, True, now_s)
             elif (
-                State.UNKNOWN in states.values() and now_s - cut.at_s < SETTLE_S
+                State.UNKNOWN in states.values()
+                and now_s - cut.at_s < self._settle_s
             ):
                 self._cuts.append(cut)
 
--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -14,6 +14,7 @@
 import attrs
 
 from egretspur import errors, settings, transport
+from egretspur.admission import fingerprint, quarantine
 from egretspur.claims import actor as claim_actor
 from egretspur.claims import table
 from egretspur.clients import service as services
@@ -38,6 +39,14 @@
     has_own_id: bool
     call: services.ServiceCall
 
+    @property
+    def fingerprint(self) -> str:
+        """By what the same call is known again under another id."""
+        sent = self.call
+        return fingerprint.compute(
+            self.workspace, self.service, sent.method, sent.path, sent.body
+        )
+
 
 @attrs.frozen
 class Answered:
@@ -74,6 +83,12 @@
             return errors.Refusal(
                 errors.ErrorKind.UNKNOWN_SERVICE, repr(call.service)
             )
+        if self._traffic.is_held(call.fingerprint):
+            return errors.Refusal(
+                errors.ErrorKind.QUARANTINED,
+                "replicas ended under it before",
+                quarantine.RETRY_AFTER_S,
+            )
         if is_never_repeated(opts, call.call.method, call.call.path):
             return self._run_once(call, opts)
         return self._run_repeatable(call)
@@ -85,6 +100,7 @@
         # forgotten by something in between, and the pool is emptied by now.
         for upstream in (replicas * TRIES)[:TRIES]:
             res = self._client.call(upstream.address, call.call)
+            self._note_call(upstream, call, res)
             if not isinstance(res, transport.Failed):
                 self._note(upstream, res)
                 return Answered(res, upstream.name)
@@ -139,6 +155,7 @@
         for upstream in replicas:
             res = self._client.call(upstream.address, call.call)
             self._note(upstream, res)
+            self._note_call(upstream, call, res)
             if not isinstance(res, transport.Failed):
                 return Answered(res, upstream.name)
             if res.maybe_sent:
@@ -208,6 +225,20 @@
             return Answered(res, upstream.name)
         return None
 
+    def _note_call(
+        self,
+        upstream: tables.Upstream,
+        call: Call,
+        res: transport.Reply | transport.Failed,
+    ) -> None:
+        """Tells how a call ended that the replica may have begun to run."""
+        is_answered = not isinstance(res, transport.Failed)
+        if isinstance(res, transport.Failed) and not res.maybe_sent:
+            return
+        self._traffic.tell(
+            traffics.NoteCall(upstream.name, call.fingerprint, is_answered)
+        )
+
     def _note(
         self,
         upstream: tables.Upstream,
--- a/egretspur/daemons/controller.py
+++ b/egretspur/daemons/controller.py
@@ -249,6 +249,8 @@
         for mark in report.leaving:
             self._note_leaving(mark.upstream, mark.incarnation)
         self._members.tell(members.SetDemand(report.demand))
+        if report.ended:
+            self._members.tell(members.AddEnded(report.ended))
         self._tell_node(self._config.read(lambda s: s.offset))
         # A report of version 0 wants its answer at once: it only carries an
         # urgent mark, or the router has just started.
@@ -278,6 +280,7 @@
                 if n.news.router
             ),
             len(self._get_listed()),
+            view.ended,
         )
 
     def _get_listed(self) -> list[str]:
--- a/egretspur/delivery/completions.py
+++ b/egretspur/delivery/completions.py
@@ -13,6 +13,7 @@
 import orjson
 
 from egretspur import codec, errors, web
+from egretspur.admission import fingerprint
 from egretspur.delivery import relay
 
 WORKSPACE: Final = "X-Workspace"
@@ -152,6 +153,7 @@
     problem = find_problem(data)
     if problem:
         return errors.Refusal(errors.ErrorKind.BAD_REQUEST, problem)
+    max_tokens = data.get("max_tokens", DEFAULT_MAX_TOKENS)
     prompt = relay.Prompt(
         # The caller's id names the answer; the internal one must be unique
         # even if a caller sends two requests with the same id at once.
@@ -159,7 +161,10 @@
         workspace,
         data["model"],
         data["prompt"],
-        data.get("max_tokens", DEFAULT_MAX_TOKENS),
+        max_tokens,
+        fingerprint.compute(
+            workspace, data["model"], data["prompt"], str(max_tokens)
+        ),
     )
     return prompt, data.get("stream", False)
 
--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -43,6 +43,8 @@
     model: str
     text: str
     max_tokens: int
+    # The same for the same request under another id.
+    fingerprint: str = ""
 
 
 @attrs.frozen
@@ -131,7 +133,9 @@
     def begin(self) -> list[str] | Result:
         """Returns the first tokens, or the result if there are none."""
         prompt = self._prompt
-        arrival = requests.Arrival(prompt.id, prompt.workspace, prompt.model)
+        arrival = requests.Arrival(
+            prompt.id, prompt.workspace, prompt.model, prompt.fingerprint
+        )
         fut = self._traffic.arrive(arrival)
         while True:
             decision = self._wait(fut)
@@ -165,7 +169,7 @@
     def close(self) -> None:
         """Ends the request; cancels an attempt that is not over."""
         self._drop_attempt()
-        self._traffic.finish(self._prompt.id)
+        self._traffic.finish(self._prompt.id, self._merge.finished)
 
     def take(self, events: list[engine.Event]) -> bool:
         """Takes events from the pump; False once the attempt is over."""
@@ -319,7 +323,11 @@
             self._drop_attempt()
         self._grant = None
         self._stream = None
-        return self._make_failure(broken.reason, blamed, broken.maybe_started)
+        return attrs.evolve(
+            self._make_failure(broken.reason, blamed, broken.maybe_started),
+            is_cut=broken.maybe_started,
+            has_brought=len(self._merge.tokens) > self._first_position,
+        )
 
     def _end_refused(
         self, grant: requests.Grant, broken: engine.Broken
--- a/egretspur/membership/actor.py
+++ b/egretspur/membership/actor.py
@@ -36,9 +36,23 @@
 # Seconds a mark of a leaving upstream is kept; far above the platform's lag.
 LEAVING_KEPT_S: Final = 3600.0
 
+# Seconds that hosts tell each other of an upstream that ended under a request.
+# Routers remember for as long as they run; this is for those that start.
+ENDED_KEPT_S: Final = 3600.0
+
+# Between the fingerprint and the start in the name of such an entry.
+ENDED_MARK: Final = "@"
+
+# Routers are told of an answer to such a request for so long, in seconds: some
+# five exchanges.
+ANSWERED_KEPT_S: Final = 10.0
+
 # Workspaces whose demand a host states at most.
 DEMANDS_KEPT: Final = 16
 
+# Kinds of entries that cost requests until all hosts have them.
+URGENT: Final = (entries.Kind.LEAVING, entries.Kind.ENDED)
+
 
 @attrs.frozen
 class Tick:
@@ -84,6 +98,13 @@
     demand: dict[str, int]
 
 
+@attrs.frozen
+class AddEnded:
+    """Upstreams ended under requests, by fingerprint; none: it was answered."""
+
+    ended: dict[str, dict[str, float]]
+
+
 @attrs.frozen
 class SetEntryHosts:
     """The platform's list of entry hosts changed."""
@@ -114,6 +135,8 @@
     leaving: dict[str, tuple[str, ...]]
     # Requests at once by workspace, at each other host that stated any.
     demand: dict[str, dict[str, int]]
+    # Upstreams that ended under requests, as in `AddEnded`.
+    ended: dict[str, dict[str, float]]
     # Place of this host among those that follow the log, from 0.
     rank: int
     # Control addresses in other data centres, by data centre.
@@ -153,7 +176,10 @@
         self._random = random.Random(f"{node.name}/{incarnation}")
         self._view = entries.View()
         self._ages = entries.Ages(
-            opts.gone_after_s, LEAVING_KEPT_S, opts.period_s * 5
+            opts.gone_after_s,
+            LEAVING_KEPT_S,
+            opts.period_s * 5,
+            ENDED_KEPT_S,
         )
         self._sequence = 0
         self._round = 0
@@ -235,6 +261,22 @@
                     continue
             self._state(entries.Kind.DEMAND, workspace, str(count), now)
 
+    @handle.register
+    def _(self, message: AddEnded) -> None:
+        known = self._get_ended()
+        stated: list[entries.Entry] = []
+        for fingerprint, ends in message.ended.items():
+            if not ends:
+                if known.get(fingerprint) != {}:
+                    stated.append(self._state_ended(fingerprint, "", 0.0))
+                continue
+            for start, weight in ends.items():
+                if known.get(fingerprint, {}).get(start, 0.0) < weight:
+                    stated.append(self._state_ended(fingerprint, start, weight))
+        if stated:
+            self._push(tuple(entries.Told(e, 0.0) for e in stated))
+            self._events.changed()
+
     @handle.register
     def _(self, message: SetEntryHosts) -> None:
         listed: dict[str, dict[str, str]] = {}
@@ -266,6 +308,7 @@
             tuple(nodes),
             self._get_leaving(),
             demand,
+            self._get_ended(),
             compute_rank(self._node.name, [n.name for n in nodes]),
             {
                 d: tuple(found.values())
@@ -278,7 +321,7 @@
 
     def _take(self, message: news.Exchange, now_s: float) -> None:
         fresh = entries.merge(self._view, message.told, self._ages, now_s)
-        urgent = [e for e in fresh if e.kind is entries.Kind.LEAVING]
+        urgent = [e for e in fresh if e.kind in URGENT]
         if urgent:
             self._push(tuple(entries.Told(e, 0.0) for e in urgent))
         if any(e.kind is not entries.Kind.NODE for e in fresh):
@@ -362,6 +405,39 @@
             found.setdefault(name, set()).add(entry.value)
         return {n: tuple(sorted(i)) for n, i in found.items()}
 
+    def _state_ended(
+        self, fingerprint: str, start: str, weight: float
+    ) -> entries.Entry:
+        """States that an upstream ended under a request, or its answer."""
+        return self._state(
+            entries.Kind.ENDED,
+            f"{fingerprint}{ENDED_MARK}{start}",
+            str(weight),
+            time.monotonic(),
+        )
+
+    def _get_ended(self) -> dict[str, dict[str, float]]:
+        """Returns upstreams that ended under requests since their answers."""
+        now_s = time.monotonic()
+        known = [
+            k
+            for k in self._view.known.values()
+            if k.entry.kind is entries.Kind.ENDED
+        ]
+        found: dict[str, dict[str, float]] = {}
+        # By time, so that an answer takes back the ends before it.
+        for item in sorted(known, key=lambda k: k.since_s):
+            fingerprint, _, start = item.entry.name.partition(ENDED_MARK)
+            if start:
+                ends = found.setdefault(fingerprint, {})
+                ends[start] = float(item.entry.value)
+            elif now_s - item.since_s < ANSWERED_KEPT_S:
+                found[fingerprint] = {}
+            else:
+                # Told again later, it would take back ends that are newer.
+                found.pop(fingerprint, None)
+        return found
+
 
 def compute_rank(name: str, names: list[str]) -> int:
     """Returns a host's place among hosts, in an order all agree on.
--- a/egretspur/membership/entries.py
+++ b/egretspur/membership/entries.py
@@ -1,7 +1,8 @@
 """Versioned entries that entry hosts pass on to each other: pure.
 
-One mechanism carries three things: that a host lives, that an upstream is
-leaving, and how much of a workspace's limit a host needs. Each entry belongs
+One mechanism carries four things: that a host lives, that an upstream is
+leaving, how much of a workspace's limit a host needs, and that an upstream
+ended under a request. Each entry belongs
 to an origin and has that origin's incarnation and a sequence number; the
 larger pair wins, whatever the order of arrival. A message carries a bounded
 number of entries, so that its size does not depend on how many hosts there
@@ -32,6 +33,9 @@
     LEAVING = "l"
     # A workspace's demand at the origin; value: requests at once.
     DEMAND = "d"
+    # An upstream ended under a request, named by fingerprint and start; value:
+    # what it counts. With no start: the request was answered.
+    ENDED = "e"
 
 
 Key = tuple[Kind, str, str]
@@ -100,6 +104,8 @@
     # not come back before its next incarnation.
     leaving_s: float
     demand_s: float
+    # As long as a request is remembered that ended upstreams.
+    ended_s: float
 
     def get_limit(self, kind: Kind) -> float:
         """Returns the age past which an entry of a kind is forgotten."""
@@ -107,6 +113,7 @@
             Kind.NODE: self.node_s,
             Kind.LEAVING: self.leaving_s,
             Kind.DEMAND: self.demand_s,
+            Kind.ENDED: self.ended_s,
         }[kind]
 
 
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -45,6 +45,7 @@
     """A request is over."""
 
     id: str
+    is_answered: bool
 
 
 @attrs.frozen
@@ -59,6 +60,22 @@
     name: str
 
 
+@attrs.frozen
+class IsHeld:
+    """Asks whether a request or call may not be sent."""
+
+    fingerprint: str
+
+
+@attrs.frozen
+class NoteCall:
+    """A call was answered by a plain service, or its answer is lost."""
+
+    upstream: str
+    fingerprint: str
+    is_answered: bool
+
+
 @attrs.frozen
 class NoteService:
     """A plain service answered or did not."""
@@ -79,6 +96,7 @@
     in_force: int
     leaving: tuple[tables.LeavingMark, ...]
     demand: dict[str, int]
+    ended: dict[str, dict[str, float]]
 
 
 @attrs.frozen
@@ -145,7 +163,9 @@
     def _(self, message: Finish) -> None:
         self._questions.forget(message.id)
         self._questions.run(
-            self._dispatcher.finish(message.id, time.monotonic())
+            self._dispatcher.finish(
+                message.id, time.monotonic(), message.is_answered
+            )
         )
 
     @handle.register
@@ -170,6 +190,19 @@
             message.upstream, message.is_ok, time.monotonic()
         )
 
+    @handle.register
+    def _(self, message: IsHeld) -> bool:
+        return self._dispatcher.quarantine.is_held(message.fingerprint)
+
+    @handle.register
+    def _(self, message: NoteCall) -> None:
+        self._dispatcher.note_call(
+            message.upstream,
+            message.fingerprint,
+            message.is_answered,
+            time.monotonic(),
+        )
+
     @handle.register
     def _(self, message: GetReport) -> Report:
         marks = tuple(
@@ -181,6 +214,7 @@
             self._dispatcher.network.offset,
             marks,
             self._dispatcher.get_demand(),
+            self._dispatcher.list_ended(time.monotonic()),
         )
 
     @handle.register
@@ -240,13 +274,22 @@
         self._ref.tell(Fail(failure, fut))
         return fut
 
-    def finish(self, request_id: str) -> None:
-        """Reports that a request is over."""
-        self._ref.tell(Finish(request_id))
+    def finish(self, request_id: str, is_answered: bool) -> None:
+        """Reports that a request is over, its answer whole or given up."""
+        self._ref.tell(Finish(request_id, is_answered))
+
+    def is_held(self, fingerprint: str) -> bool:
+        """Tells whether a request or call may not be sent."""
+        held: bool = actors.ask(self._ref, IsHeld(fingerprint))
+        return held
 
     def tell(
         self,
-        message: requests.Progress | tables.RoutingUpdate | Tick | NoteService,
+        message: requests.Progress
+        | tables.RoutingUpdate
+        | Tick
+        | NoteService
+        | NoteCall,
     ) -> None:
         """Sends a message that needs no answer."""
         self._ref.tell(message)
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -36,10 +36,6 @@
 # do not come back together.
 RETRY_AFTER_S: Final = (0.7, 2.0)
 
-# Retry-After of a request in quarantine, in seconds: to come back sooner is of
-# no use, it is refused until someone has looked at it.
-QUARANTINED_S: Final = 60.0
-
 # Requests that wait at most.
 QUEUE_LENGTH: Final = 200
 
@@ -642,7 +638,7 @@
             kind = errors.ErrorKind.UPSTREAM_FAILED
         after_s = 0.0
         if kind is errors.ErrorKind.QUARANTINED:
-            after_s = QUARANTINED_S
+            after_s = quarantines.RETRY_AFTER_S
         elif errors.ANSWERS[kind].not_run:
             after_s = self._rng.uniform(*RETRY_AFTER_S)
         return errors.Refusal(kind, reason, after_s)
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -13,8 +13,9 @@
 
 import attrs
 
-from egretspur import errors, settings
+from egretspur import decisions, errors, settings
 from egretspur.admission import budget as budgets
+from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
@@ -30,6 +31,13 @@
 # Times a request is sent back to the queue because its upstream was busy.
 BUSY_TRIES: Final = 20
 
+# How long a cut may stay unexplained: the platform's list lags by two seconds
+# and is read once a second, and the router hears of it within one more.
+SETTLE_S: Final = 5.0
+
+# Requests under which upstreams ended that other hosts are told of.
+ENDED_TOLD: Final = 16
+
 
 class Dispatcher:
     """State of one router; see the module's docstring."""
@@ -48,6 +56,7 @@
         self._retries = retries
         self._rng = rng
         self.queue = queues.Queue(limit_opts.queue_length)
+        self.quarantine = quarantines.Quarantine(SETTLE_S)
         self.budget = budgets.Budget(retries.ratio, retries.burst)
         self.network = network.Network(data_centre, rng)
         self.tickets: dict[str, requests.Ticket] = {}
@@ -111,6 +120,22 @@
         if failure.busy:
             return self._handle_busy(ticket, path, failure, now_s)
         self.network.blame(ticket, path, failure, now_s)
+        if failure.is_cut and ticket.starts:
+            self.quarantine.note_cut(
+                quarantines.Cut(
+                    ticket.arrival.fingerprint,
+                    ticket.starts,
+                    failure.has_brought,
+                    now_s,
+                ),
+                now_s,
+            )
+            self._settle(now_s)
+        if self.quarantine.is_held(ticket.arrival.fingerprint):
+            return [
+                *self._refuse_held(failure.id, failure.reason, now_s),
+                *self._start_waiting(now_s),
+            ]
         if ticket.attempts >= self._retries.attempts:
             return self._give_up(ticket, failure, "no attempts left", now_s)
         if ticket.begun:
@@ -128,12 +153,16 @@
             return
         self.network.note_tokens(ticket.path, message, now_s)
 
-    def finish(self, request_id: str, now_s: float) -> list[requests.Effect]:
-        """Ends a request, whole or given up by its caller."""
+    def finish(
+        self, request_id: str, now_s: float, is_answered: bool = False
+    ) -> list[requests.Effect]:
+        """Ends a request; its answer was whole, or its caller gave it up."""
         self._now_s = now_s
         ticket = self.tickets.pop(request_id, None)
         if ticket is None:
             return []
+        if is_answered:
+            self.quarantine.note_answered(ticket.arrival.fingerprint, now_s)
         queues.remove(self.queue, request_id)
         if self._release(ticket) is not None:
             queues.note_done(self.queue, ticket.graph, now_s)
@@ -153,7 +182,9 @@
         self.network.mark_leaving(message.leaving, now_s)
         self._shares.note(message.demand, message.listed, now_s)
         self.network.rebuild()
-        return self._start_waiting(now_s)
+        self.quarantine.hear(message.ended, now_s)
+        self._settle(now_s)
+        return [*self._refuse_waiting(now_s), *self._start_waiting(now_s)]
 
     def tick(self, now_s: float) -> list[requests.Effect]:
         """Refuses what came due, lets probes begin, starts what can."""
@@ -167,6 +198,8 @@
                 now_s,
                 retry_after_s=1.0,
             )
+        self._settle(now_s)
+        effects += self._refuse_waiting(now_s)
         self.network.forget_marks(now_s)
         self.network.begin_probes(self._shares.listed, now_s)
         return effects + self._start_waiting(now_s)
@@ -196,11 +229,73 @@
         """Learns from a plain service's answer or its absence."""
         self.network.note_result(name, is_ok, now_s)
 
+    def note_call(
+        self, name: str, fingerprint: str, is_answered: bool, now_s: float
+    ) -> None:
+        """Learns how a call ended that a plain service has been sent.
+
+        Args:
+            name: The replica.
+            fingerprint: Of the call.
+            is_answered: Else its answer is lost, and the replica may have
+                ended.
+            now_s: Monotonic time.
+        """
+        if is_answered:
+            self.quarantine.note_answered(fingerprint, now_s)
+            return
+        start = self.network.name_start(name)
+        self.quarantine.note_cut(
+            quarantines.Cut(fingerprint, (start,), False, now_s), now_s
+        )
+        self._settle(now_s)
+
+    def list_ended(self, now_s: float) -> dict[str, dict[str, float]]:
+        """Returns upstreams that ended under requests, for other hosts."""
+        return self.quarantine.list_told(ENDED_TOLD, now_s)
+
     # Decisions.
 
+    def _settle(self, now_s: float) -> None:
+        """Counts the upstreams that have turned out to have ended."""
+        self.quarantine.settle(self.network.look_at, now_s)
+        for change in self.quarantine.take_changes():
+            decisions.record(
+                decisions.QuarantineChanged(
+                    change.fingerprint,
+                    bool(change.ends),
+                    len(change.ends),
+                    change.is_own,
+                )
+            )
+
+    def _refuse_held(
+        self, request_id: str, reason: str, now_s: float
+    ) -> list[requests.Effect]:
+        """Refuses a request that may not be sent."""
+        queues.remove(self.queue, request_id)
+        return self._refuse_ticket(
+            request_id,
+            errors.ErrorKind.QUARANTINED,
+            f"{reason}; upstreams ended under it",
+            now_s,
+            quarantines.RETRY_AFTER_S,
+        )
+
+    def _refuse_waiting(self, now_s: float) -> list[requests.Effect]:
+        """Refuses those that wait and may not be sent any more."""
+        return [
+            effect
+            for i in list(self.queue.waiting)
+            if self.quarantine.is_held(self.tickets[i].arrival.fingerprint)
+            for effect in self._refuse_held(i, "waited", now_s)
+        ]
+
     def _admit(
         self, ticket: requests.Ticket, now_s: float
     ) -> list[requests.Effect]:
+        if self.quarantine.is_held(ticket.arrival.fingerprint):
+            return self._refuse_held(ticket.arrival.id, "known", now_s)
         item = self._make_waiting(ticket, now_s)
         graph = self.network.graphs.get(ticket.graph)
         if graph is None or not graph.size:
@@ -293,6 +388,11 @@
         for edge in path.edges:
             self.network.loads[edge.upstream].own += 1
         ticket.path = path
+        ticket.starts = tuple(
+            # The caller's answer comes from the last one.
+            self.network.name_start(e.upstream)
+            for e in reversed(path.edges)
+        )
         ticket.attempts += 1
         self.counts.attempts += 1
         self.running[ticket.key] = self.running.get(ticket.key, 0) + 1
--- a/egretspur/routing/link.py
+++ b/egretspur/routing/link.py
@@ -80,6 +80,7 @@
             report.in_force,
             report.leaving,
             report.demand,
+            report.ended,
         )
         res = self._transport.call(
             "POST", self._control, "/router/report", codec.dump(message)
--- a/egretspur/routing/network.py
+++ b/egretspur/routing/network.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from egretspur.admission import quarantine
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
 from egretspur.routing import loads, requests, tables
@@ -19,6 +20,10 @@
 LEAVING_KEPT_S: Final = 3600.0
 
 
+# Between an upstream and its incarnation in the name of a start.
+START_MARK: Final = "@"
+
+
 class Network:
     """Upstreams, chains and bindings as one router sees them."""
 
@@ -85,6 +90,21 @@
                 i: t for i, t in marks.items() if now_s - t < LEAVING_KEPT_S
             }
 
+    def name_start(self, name: str) -> str:
+        """Returns the name of an upstream's present start."""
+        upstream = self.upstreams.get(name)
+        return f"{name}{START_MARK}{upstream.incarnation if upstream else ''}"
+
+    def look_at(self, start: str) -> quarantine.State:
+        """Returns what is known of an upstream's start after a cut.
+
+        It is not asked; the list tells of another start some seconds later.
+        """
+        name = start.rpartition(START_MARK)[0]
+        if name not in self.upstreams or self.name_start(name) != start:
+            return quarantine.State.ENDED
+        return quarantine.State.UNKNOWN
+
     def list_usable(self, service: str) -> list[tables.Upstream]:
         """Returns a plain service's replicas that may be given a call."""
         return [
--- a/egretspur/routing/requests.py
+++ b/egretspur/routing/requests.py
@@ -16,6 +16,8 @@
     id: str
     workspace: str
     model: str
+    # The same for the same request under another id, at any router.
+    fingerprint: str = ""
 
 
 @attrs.frozen
@@ -34,6 +36,10 @@
     maybe_started: bool
     # Tokens already delivered to the caller.
     delivered: int
+    # Its connection broke or fell silent, so a stage of it may have ended.
+    is_cut: bool = False
+    # It brought tokens itself.
+    has_brought: bool = False
 
 
 @attrs.frozen
@@ -76,6 +82,8 @@
     begun: bool = False
     maybe_started: bool = False
     path: graphs.Path | None = None
+    # Starts of the upstreams of the path; see `network.Network.name_start`.
+    starts: tuple[str, ...] = ()
     # Upstreams that failed it for sure, and those that may have.
     failed: set[str] = attrs.Factory(set)
     suspected: set[str] = attrs.Factory(set)
--- a/egretspur/routing/tables.py
+++ b/egretspur/routing/tables.py
@@ -70,6 +70,9 @@
     routers: tuple[RouterNode, ...]
     # Entry hosts of the data centre by the platform's list.
     listed: int
+    # Upstreams that ended under requests, by fingerprint; none where it was
+    # answered.
+    ended: dict[str, dict[str, float]] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -92,6 +95,7 @@
     in_force: int
     leaving: tuple[LeavingMark, ...]
     demand: dict[str, int]
+    ended: dict[str, dict[str, float]] = attrs.Factory(dict)
 
 
 def make_table(
--- a/tests/membership/machine.py
+++ b/tests/membership/machine.py
@@ -14,7 +14,9 @@
 
 HOSTS = 4
 HOST = st.integers(0, HOSTS - 1)
-AGES = entries.Ages(node_s=20.0, leaving_s=3600.0, demand_s=10.0)
+AGES = entries.Ages(
+    node_s=20.0, leaving_s=3600.0, demand_s=10.0, ended_s=3600.0
+)
 
 
 class MembershipMachine(stateful.RuleBasedStateMachine):
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -14,6 +14,7 @@
 import attrs
 
 from egretspur import errors
+from egretspur.admission import quarantine
 from egretspur.catalog import upstreams
 from egretspur.daemons import news
 from egretspur.membership import datagrams
@@ -88,6 +89,10 @@
     starts: int = 0
     # Whether a datagram between two hosts arrives.
     is_heard: Callable[[Host, Host], bool] = lambda a, b: True
+    # Ends of requests as the store has them.
+    stored: dict[str, quarantine.Ends] = attrs.Factory(dict)
+    # Runs of which requests bring a part of their answer before engines end.
+    has_late_ends: bool = False
 
     def add_hosts(self, count: int) -> None:
         """Starts hosts and engines in three data centres."""
@@ -106,18 +111,30 @@
             upstreams.put(state.fleet.roster, entry, self.now_s)
         host = Host(f"10.0.0.{len(self.hosts) + 1}", place, state)
         self.hosts.append(host)
+        self.read_store(host)
         return host
 
+    def read_store(self, host: Host) -> None:
+        """Has a host read the requests in quarantine."""
+        self.take(host, host.state.restore(self.stored, self.now_s))
+
     def restart(self, host: Host) -> Host:
         """Puts a host that knows nothing in the place of another one."""
         self.hosts.remove(host)
         for name, run in list(self.runs.items()):
             if run.host is host:
                 del self.runs[name]
+        for name, (owner, _) in list(self.waiting.items()):
+            if owner is host:
+                del self.waiting[name]
         new = self.add_host(host.data_centre)
         new.ip = host.ip
         return new
 
+    def count_held(self) -> list[int]:
+        """Returns how many requests each host has in quarantine."""
+        return [len(h.state.quarantine.list_held()) for h in self.hosts]
+
     def start_engine(self, place: str, layers: str) -> None:
         """Starts an engine and lists it."""
         self.starts += 1
@@ -180,6 +197,7 @@
         elif job.fingerprint.startswith(FATAL):
             self.reached_s.append(self.now_s)
             self.after(RUN_S, lambda: self.end_engine(engine))
+            run.is_begun = self.has_late_ends
 
     def _lose(self, name: str, run: Run) -> None:
         """Takes that an attempt's engine ended."""
@@ -208,10 +226,17 @@
             for host in list(self.hosts):
                 self.take(host, host.state.tick(self.now_s))
                 self._probe(host)
+                self._save(host)
                 if self.now_s >= host.next_news_s:
                     host.next_news_s = self.now_s + NEWS_S
                     self._tell(host)
 
+    def _save(self, host: Host) -> None:
+        for change in host.state.take_unsaved():
+            self.stored[change.fingerprint] = change.ends
+            for other in self.hosts:
+                self.read_store(other)
+
     def _do_due(self) -> None:
         now = [d for d in self.due if d[0] <= self.now_s]
         self.due = [d for d in self.due if d[0] > self.now_s]
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -6,10 +6,24 @@
 import time
 from typing import Any
 
+import attrs
 import urllib3
 from behave import given, then, when
 
-from tests import sites, stage
+from egretspur import errors, settings
+from egretspur.admission import quarantine
+from egretspur.intents import records
+from egretspur.membership import actor as membership
+from egretspur.membership import news as peers
+from egretspur.routing import (
+    broker,
+    dispatch,
+    fleet,
+    jobs,
+    requests,
+    tables,
+)
+from tests import fleets, sites, stage
 from tests.routing import crashes
 
 
@@ -49,6 +63,488 @@
     assert late <= most, (late, len(world.ended_s))
 
 
+@given("engines that bring an event before they end")
+def step_late_ends(context: Any) -> None:
+    context.world.has_late_ends = True
+
+
+@when(
+    "{rate:d} other requests a second come beside a request that ends engines"
+)
+def step_beside(context: Any, rate: int) -> None:
+    world = context.world
+    context.others = []
+    for number in range(20 * rate):
+        name = f"other-{number}"
+        host = world.rng.choice(world.hosts)
+        context.others.append(world.send(host, name, name))
+        if number % rate == 0:
+            world.send(world.rng.choice(world.hosts), crashes.FATAL)
+        world.play(1 / rate)
+    world.play(5.0)
+    assert len(world.ended_s) >= 3
+
+
+@then("only that one is in quarantine, at every host")
+def step_only_one(context: Any) -> None:
+    for host in context.world.hosts:
+        assert list(host.state.quarantine.list_held()) == [crashes.FATAL]
+
+
+@then("none of the others was refused as in quarantine")
+def step_not_others(context: Any) -> None:
+    refused = context.world.refused
+    for name in context.others:
+        refusal = refused.get(name)
+        assert refusal is None or (
+            refusal.kind is not errors.ErrorKind.QUARANTINED
+        ), (name, refusal)
+    answered = [n for n in context.others if n in context.world.answered]
+    assert len(answered) > len(context.others) / 2, len(answered)
+
+
+@when("each host is started anew, one a second")
+def step_restart_each(context: Any) -> None:
+    context.reached = len(context.world.reached_s)
+    context.world.stored.clear()
+    for host in list(context.world.hosts):
+        context.world.restart(host)
+        context.world.play(1.0)
+
+
+@when("all hosts are started anew at once")
+def step_restart_all(context: Any) -> None:
+    context.reached = len(context.world.reached_s)
+    for host in list(context.world.hosts):
+        context.world.restart(host)
+
+
+@when("it comes every {every_s:g} s at any host for {seconds:g} s")
+def step_often_again(context: Any, every_s: float, seconds: float) -> None:
+    send_often(context, every_s, seconds)
+
+
+@then("no engine was reached since the first restart")
+def step_none_reached(context: Any) -> None:
+    assert context.reached >= 3
+    assert len(context.world.reached_s) == context.reached
+
+
+@given('the hosts of "{place}" and those of the others don\'t hear each other')
+def step_cut_off(context: Any, place: str) -> None:
+    context.world.is_heard = lambda a, b: (
+        (a.data_centre == place) == (b.data_centre == place)
+    )
+
+
+def hear_ends(state: broker.Broker, count: int, now_s: float) -> None:
+    """Has a broker hear that some engines ended under the request."""
+    ends = {f"start-{i}": 1.0 for i in range(count)}
+    news = fleet.PeerNews(
+        "10.9.0.1", "kl-hall", {}, {}, (), {}, ended={crashes.FATAL: ends}
+    )
+    state.hear(news, now_s)
+
+
+@given("a request that ended two engines waits at each host for room")
+def step_waits(context: Any) -> None:
+    world = context.world
+    for host in world.hosts:
+        for upstream_id in world.live:
+            host.state.fleet.memory.add(upstream_id, 1, 1e12)
+        hear_ends(host.state, 2, world.now_s)
+        world.send(host, crashes.FATAL)
+        assert len(host.state.queue.waiting) == 1
+
+
+@when("a third engine ends under it at another host")
+def step_third(context: Any) -> None:
+    for host in context.world.hosts:
+        hear_ends(host.state, 3, context.world.now_s)
+        context.world.take(host, host.state.tick(context.world.now_s))
+
+
+@then("those that wait are refused at once, as not run")
+def step_refused_waiting(context: Any) -> None:
+    refused = list(context.world.refused.values())
+    assert len(refused) == len(context.world.hosts), refused
+    for refusal in refused:
+        assert refusal.kind is errors.ErrorKind.QUARANTINED
+        assert refusal.answer.not_run
+        assert refusal.retry_after_s == quarantine.RETRY_AFTER_S
+    for host in context.world.hosts:
+        assert not host.state.queue.waiting
+
+
+@when("a request runs and {count:d} of its stages end, one after the other")
+def step_stages_end(context: Any, count: int) -> None:
+    world = context.world
+    (host,) = world.hosts
+    name = "r"
+    job = attrs.evolve(
+        fleets.make_job(name, now_s=world.now_s), fingerprint="x"
+    )
+    # Else it would go on within another data centre, once.
+    route = attrs.evolve(job.route, is_resumable=False)
+    job = attrs.evolve(job, route=route)
+    assert host.state.arrive(job, world.now_s)
+    context.detours = []
+    for _ in range(count):
+        last = host.state.tickets[name].parts[-1].id
+        host.state.fleet.health.note_down(last, world.now_s)
+        context.detours.append(
+            host.state.repath(name, frozenset([last]), world.now_s)
+        )
+
+
+@then("it is not moved after the third")
+def step_not_moved(context: Any) -> None:
+    first, second, third = context.detours
+    assert first.parts and second.parts
+    assert third.parts is None and third.is_ended
+
+
+@when("a request is cut {times:d} times by engines that answer probes")
+def step_cut_alive(context: Any, times: int) -> None:
+    world = context.world
+    for number in range(times):
+        host = world.hosts[number % len(world.hosts)]
+        name = world.send(host, "x")
+        run = world.runs.pop(name)
+        world.waiting[name] = (host, run.job)
+        failure = jobs.Failure(name, jobs.Why.CUT, "reset")
+        world.take(host, host.state.fail(failure, world.now_s))
+        if name in world.runs:
+            del world.runs[name]
+            host.state.finish(name, world.now_s)
+        world.play(0.3)
+
+
+@then("it is in no quarantine")
+def step_no_quarantine(context: Any) -> None:
+    assert not any(context.world.count_held()), context.world.count_held()
+
+
+@given("a look-up that was answered {ago_s:g} s ago")
+def step_looked_up(context: Any, ago_s: float) -> None:
+    world = context.world
+    (host,) = world.hosts
+    for number in range(1, 5):
+        entry = fleets.make_upstream(f"app-{number}")
+        host.state.change_list([(entry.name, entry)], world.now_s)
+    look_up(context, is_answered=True)
+    world.now_s += ago_s
+
+
+def look_up(context: Any, is_answered: bool) -> None:
+    """Sends the look-up; it is answered, or its replica ends."""
+    world = context.world
+    (host,) = world.hosts
+    world.arrived += 1
+    job = attrs.evolve(
+        fleets.make_job(f"c{world.arrived}", "non_idempotent"),
+        fingerprint="look-up",
+        arrived_s=world.now_s,
+        deadline_s=world.now_s + 1.0,
+    )
+    (start,) = host.state.arrive(job, world.now_s)
+    assert isinstance(start, jobs.Start)
+    if is_answered:
+        host.state.finish(job.id, world.now_s, True)
+        return
+    failure = jobs.Failure(job.id, jobs.Why.CUT, "reset")
+    host.state.fail(failure, world.now_s)
+    host.state.fleet.note_report(start.upstream.id, None, world.now_s)
+    host.state.tick(world.now_s)
+
+
+@when("{count:d} replicas end under it")
+def step_replicas_end(context: Any, count: int) -> None:
+    for _ in range(count):
+        look_up(context, is_answered=False)
+
+
+@when("an operator removes it from the store")
+def step_let_go(context: Any) -> None:
+    world = context.world
+    assert all(world.count_held())
+    world.play(1.0)
+    world.stored[crashes.FATAL] = {}
+    for host in world.hosts:
+        world.read_store(host)
+    world.play(1.0)
+
+
+@then("one that comes is sent to an engine")
+def step_sent(context: Any) -> None:
+    world = context.world
+    before = len(world.reached_s)
+    world.send(world.hosts[0], crashes.FATAL)
+    assert len(world.reached_s) == before + 1
+
+
+@when("a request that ran beside three ends is answered")
+def step_innocent(context: Any) -> None:
+    world = context.world
+    for host in world.hosts:
+        hear_ends(host.state, 2, world.now_s)
+    host = world.hosts[0]
+    name = world.send(host, crashes.FATAL)
+    # Ends nothing, though it is named as one that does.
+    world.due.clear()
+    for other in world.hosts:
+        hear_ends(other.state, 3, world.now_s)
+    world.stored[crashes.FATAL] = {"start-0": 3.0}
+    assert all(world.count_held())
+    del world.runs[name]
+    host.state.finish(name, world.now_s, True)
+    world.play(1.0)
+
+
+@then("it is in no quarantine, and the store has let it go")
+def step_let_go_stored(context: Any) -> None:
+    assert not any(context.world.count_held()), context.world.count_held()
+    assert context.world.stored == {crashes.FATAL: {}}
+
+
+@given("a request that ended two engines elsewhere")
+def step_ended_two(context: Any) -> None:
+    world = context.world
+    (host,) = world.hosts
+    hear_ends(host.state, 2, world.now_s)
+
+
+@when("it ends a third one")
+def step_ends_third(context: Any) -> None:
+    world = context.world
+    world.send(world.hosts[0], crashes.FATAL, "r")
+    world.play(1.0)
+    assert len(world.ended_s) == 1
+
+
+@then("it is refused as having run, and no repeat was taken for it")
+def step_no_repeat(context: Any) -> None:
+    refusal = context.world.refused["r"]
+    assert refusal.kind is errors.ErrorKind.UPSTREAM_FAILED, refusal
+    assert "ended under it" in refusal.reason
+    assert not context.world.hosts[0].state.counts.repeats
+
+
+# Routers of a data centre.
+
+
+def make_router(incarnations: dict[str, str]) -> dispatch.Dispatcher:
+    """Returns a router before single-stage engines and plain replicas."""
+    dispatcher = dispatch.Dispatcher(
+        "r1",
+        "dc",
+        settings.LimitSettings(),
+        settings.TimingSettings(),
+        settings.RetrySettings(),
+        random.Random(5),
+    )
+    update_router(dispatcher, incarnations, {}, 0.0)
+    return dispatcher
+
+
+def update_router(
+    dispatcher: dispatch.Dispatcher,
+    incarnations: dict[str, str],
+    ended: dict[str, dict[str, float]],
+    now_s: float,
+) -> None:
+    """Gives a router the list as it is now."""
+    engines = [n for n in incarnations if n.startswith("u")]
+    chains = tuple(
+        records.Chain(n, (records.Stage(n, 0, 8),), 1.0) for n in engines
+    )
+    table = tables.RoutingTable(
+        1,
+        (records.Deployment("d", "m", "", "v", "dc", 8, chains),),
+        (records.Binding("w", "m", ("d",), 5, 0),),
+        {},
+        tuple(
+            tables.Upstream(
+                n, n, i, "dc", False, "" if n in engines else "desk", 100.0, 9
+            )
+            for n, i in incarnations.items()
+        ),
+    )
+    update = tables.RoutingUpdate(1, table, 1, {}, {}, (), 1, ended)
+    dispatcher.update(update, now_s)
+
+
+@given("a router before {count:d} engines")
+def step_router(context: Any, count: int) -> None:
+    context.starts = {f"u{i}": "1" for i in range(count)}
+    context.router = make_router(context.starts)
+    context.now_s = 1.0
+
+
+@given("a router before {count:d} engines and a plain service")
+def step_router_service(context: Any, count: int) -> None:
+    context.starts = {f"u{i}": "1" for i in range(count)}
+    context.starts |= {f"s{i}": "1" for i in range(3)}
+    context.router = make_router(context.starts)
+    context.now_s = 1.0
+
+
+def run_prompt(context: Any, name: str) -> list[requests.Effect]:
+    """Sends the prompt; cuts every attempt; returns the last effects."""
+    context.now_s += 0.01
+    arrival = requests.Arrival(name, "w", "m", crashes.FATAL)
+    effects: list[requests.Effect] = context.router.arrive(
+        arrival, context.now_s
+    )
+    while effects and isinstance(effects[0], requests.Grant):
+        edge = effects[0].path.edges[0].upstream
+        context.reached.append(edge)
+        if len(context.reached) >= context.most:
+            break
+        effects = context.router.fail(make_cut(name, edge), context.now_s)
+    return effects
+
+
+def make_cut(name: str, upstream: str) -> requests.Failure:
+    """Returns the failure of an attempt whose connection broke."""
+    return requests.Failure(
+        name, "reset", (upstream,), False, "", True, 0, is_cut=True
+    )
+
+
+@when("a prompt comes {times:d} times that ends each engine it is sent to")
+def step_prompt(context: Any, times: int) -> None:
+    context.reached = []
+    context.most = 100
+    for number in range(times):
+        context.effects = run_prompt(context, f"p{number}")
+
+
+@then("it reached {count:d} engines, and the last was refused as not run")
+def step_prompt_reached(context: Any, count: int) -> None:
+    assert len(context.reached) == count, context.reached
+    (effect,) = context.effects
+    assert effect.refusal.kind is errors.ErrorKind.QUARANTINED
+    assert effect.refusal.answer.not_run
+
+
+@when("the list shows other starts of those engines")
+def step_other_starts(context: Any) -> None:
+    context.now_s += 3.0
+    context.starts.update(dict.fromkeys(context.reached, "2"))
+    update_router(context.router, context.starts, {}, context.now_s)
+
+
+@then("its router tells others of {count:d} ends")
+def step_tells(context: Any, count: int) -> None:
+    context.told = context.router.list_ended(context.now_s)
+    assert len(context.told[crashes.FATAL]) == count, context.told
+
+
+@then("another router that hears of them does not send it")
+def step_other_router(context: Any) -> None:
+    context.router = make_router(context.starts)
+    update_router(context.router, context.starts, context.told, context.now_s)
+    context.reached = []
+    run_prompt(context, "p")
+    assert not context.reached
+
+
+@when("a prompt comes whose connections break {times:d} times")
+def step_breaks(context: Any, times: int) -> None:
+    context.reached = []
+    context.most = 100
+    run_prompt(context, "p")
+    assert len(context.reached) == times
+
+
+@when("the list shows the same starts for {seconds:g} s")
+def step_same_starts(context: Any, seconds: float) -> None:
+    context.now_s += seconds
+    update_router(context.router, context.starts, {}, context.now_s)
+    context.router.tick(context.now_s)
+
+
+@then("it is sent again")
+def step_sent_again(context: Any) -> None:
+    before = len(context.reached)
+    context.most = before + 1
+    run_prompt(context, "again")
+    assert len(context.reached) == before + 1
+
+
+@when("a call ends {count:d} replicas, one after the other")
+def step_call_ends(context: Any, count: int) -> None:
+    for number in range(count):
+        name = f"s{number}"
+        context.router.note_call(name, "call", False, context.now_s)
+        context.now_s += 3.0
+        context.starts[name] = "2"
+        update_router(context.router, context.starts, {}, context.now_s)
+
+
+@then("it may not be sent, and other calls may")
+def step_call_held(context: Any) -> None:
+    assert context.router.quarantine.is_held("call")
+    assert not context.router.quarantine.is_held("other")
+
+
+# Control daemons.
+
+
+@given("two control daemons that exchange entries")
+def step_daemons(context: Any) -> None:
+    context.members = [
+        membership.MembershipActor(
+            settings.NodeSettings(
+                name=f"h{i}", data_centre="dc", listen="127.0.0.1:0"
+            ),
+            f"127.0.0.1:{i}",
+            settings.PeerSettings(),
+            1,
+            membership.Events(lambda a, o: None, lambda: None),
+        )
+        for i in range(2)
+    ]
+
+
+def exchange(context: Any) -> None:
+    """Has each tell the other."""
+    first, second = context.members
+    for sender, receiver in ((first, second), (second, first)):
+        message = sender.handle(
+            membership.Received(peers.Exchange("x", "", 0, ()), False)
+        )
+        receiver.handle(membership.Received(message, False))
+
+
+@when("the router of the first reports {count:d} ends under a request")
+def step_reports(context: Any, count: int) -> None:
+    context.ends = {f"start-{i}": 1.0 for i in range(count)}
+    added = membership.AddEnded({crashes.FATAL: context.ends})
+    context.members[0].handle(added)
+    exchange(context)
+
+
+@then("the other one tells its router of them")
+def step_other_tells(context: Any) -> None:
+    view = context.members[1].handle(membership.GetView())
+    assert view.ended == {crashes.FATAL: context.ends}, view.ended
+
+
+@when("the router of the other reports that it was answered")
+def step_reports_answer(context: Any) -> None:
+    context.members[1].handle(membership.AddEnded({crashes.FATAL: {}}))
+    exchange(context)
+
+
+@then("neither tells of any end")
+def step_tells_none(context: Any) -> None:
+    for member in context.members:
+        view = member.handle(membership.GetView())
+        assert not any(view.ended.values()), view.ended
+
+
 # With the programs themselves.
 
 BODY = b'{"prompt": "%s"}'
