Fuzz the quarantine of several hosts against an oracle, and show it on the pages

What is held and which starts ended stands in the state dump and as a gauge. The machine found that it hears nothing wrong; guards taken out by hand: an answer that is not told, ends heard after an answer, the bound, an end counted with the lesser weight, cuts at one start counted apart.

--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -29,6 +29,7 @@
     "requests_finished": "Requests that are over",
     "requests_in_flight": "Requests at upstreams now",
     "requests_waiting": "Requests that wait now",
+    "requests_quarantined": "Requests that are sent to no upstream",
     "upstreams_listed": "Upstreams on the list",
     "upstreams_down": "Upstreams that are given no work",
     "hosts_sharing": "Hosts that share the retry budget",
@@ -145,6 +146,7 @@
                 1 for t in state.tickets.values() if t.upstream_id
             ),
             "requests_waiting": len(state.queue.waiting),
+            "requests_quarantined": len(state.quarantine.list_held()),
             "upstreams_listed": len(fleet.roster.entries),
             "upstreams_down": sum(
                 h.is_down for h in fleet.health.failed.values()
@@ -184,6 +186,7 @@
             for i, e in sorted(fleet.roster.entries.items())
         },
         "health": {i: codec.encode(f) for i, f in fleet.health.failed.items()},
+        "quarantine": state.quarantine.list_held(),
         "peers": {
             h: {"heard_s": round(now_s - p.heard_s, 3), "count": len(p.usage)}
             for h, p in sorted(fleet.memory.peers.items())
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -125,6 +125,8 @@
     saved_retries: float
     upstreams: tuple[UpstreamDump, ...]
     leaving: dict[str, tuple[str, ...]]
+    # Requests that are sent to no upstream, with the starts that ended.
+    quarantine: dict[str, dict[str, float]]
 
 
 class TrafficActor(actors.Actor):
@@ -237,6 +239,7 @@
                 for name, load in sorted(state.network.loads.items())
             ),
             {n: tuple(sorted(f)) for n, f in state.network.leaving.items()},
+            {f: dict(e) for f, e in state.quarantine.list_held().items()},
         )
 
     def note_failed(self, message: Any) -> None:
--- /dev/null
+++ b/tests/admission/machine.py
@@ -0,0 +1,165 @@
+"""Fuzzing of the quarantine of several hosts against an oracle.
+
+The oracle, in a few lines: which starts ended under each request, and whether
+it was answered since. A host holds no request under which fewer ended than the
+bound, counting cuts that are not explained yet; once all have heard each other,
+all hold a request that was never answered if and only if enough ended under it,
+and none one that was answered after its last end.
+"""
+
+from __future__ import annotations
+
+import attrs
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from egretspur.admission import quarantine
+
+HOSTS = 3
+HOST = st.integers(0, HOSTS - 1)
+PRINT = st.sampled_from(["f", "g"])
+START = st.sampled_from(["a", "b", "c", "d", "e"])
+
+
+@attrs.define
+class Truth:
+    """What happened to one request."""
+
+    # Weight of each start's end.
+    ends: dict[str, float] = attrs.Factory(dict)
+    # Starts that attempts were cut at, ended or not.
+    cut: set[str] = attrs.Factory(set)
+    was_answered: bool = False
+    # Nothing ended under it since it was last answered.
+    is_clear: bool = False
+
+    def weigh(self) -> float:
+        """Returns how much ended under it."""
+        return sum(self.ends.values())
+
+
+class QuarantineMachine(stateful.RuleBasedStateMachine):
+    """Hosts that see upstreams end, and tell each other."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+        self.hosts = [quarantine.Quarantine() for _ in range(HOSTS)]
+        self.truths = {f: Truth() for f in "fg"}
+        # Starts that answer no more; the others are being asked or live.
+        self.ended: set[str] = set()
+        self.living: set[str] = set()
+        # Requests cut at starts of which nothing is known yet.
+        self.open: set[tuple[str, str]] = set()
+
+    def look(self, start: str) -> quarantine.State:
+        """Returns what all hosts know of a start."""
+        if start in self.ended:
+            return quarantine.State.ENDED
+        if start in self.living:
+            return quarantine.State.ALIVE
+        return quarantine.State.UNKNOWN
+
+    @stateful.rule(
+        name=PRINT,
+        seen=st.lists(
+            st.tuples(HOST, START, st.booleans()), min_size=1, max_size=4
+        ),
+    )
+    def end(self, name: str, seen: list[tuple[int, str, bool]]) -> None:
+        """Upstreams end under a request, and its hosts find out."""
+        for host, start, brought in seen:
+            self._end_one(host, name, start, brought)
+
+    def _end_one(self, host: int, name: str, start: str, brought: bool) -> None:
+        self.ended.add(start)
+        for other, at in self.open:
+            if at == start:
+                # It may have ended under that one.
+                self.truths[other].ends[start] = 1.0
+                self.truths[other].is_clear = False
+        cut = quarantine.Cut(name, (start,), brought, self.now_s)
+        state = self.hosts[host]
+        state.note_cut(cut, self.now_s)
+        state.settle(self.look, self.now_s)
+        truth = self.truths[name]
+        weight = max(truth.ends.get(start, 0.0), cut.weight)
+        truth.ends[start] = weight
+        truth.cut.add(start)
+        truth.is_clear = False
+
+    @stateful.rule(host=HOST, name=PRINT, start=START)
+    def break_off(self, host: int, name: str, start: str) -> None:
+        """A connection breaks; nobody knows yet whether its upstream lives."""
+        if start not in self.ended:
+            cut = quarantine.Cut(name, (start,), False, self.now_s)
+            self.hosts[host].note_cut(cut, self.now_s)
+            self.truths[name].cut.add(start)
+            self.open.add((name, start))
+
+    @stateful.rule(start=START)
+    def prove(self, start: str) -> None:
+        """An upstream answers a probe, for now."""
+        if start not in self.ended:
+            self.living.add(start)
+            for host in self.hosts:
+                host.settle(self.look, self.now_s)
+            self.living.discard(start)
+            self.open = {o for o in self.open if o[1] != start}
+
+    @stateful.rule(host=HOST, name=PRINT)
+    def answer(self, host: int, name: str) -> None:
+        """A request is answered to its end."""
+        self.hosts[host].note_answered(name, self.now_s)
+        self.truths[name].was_answered = True
+        self.truths[name].is_clear = True
+
+    @stateful.rule(teller=HOST, hearer=HOST)
+    def tell(self, teller: int, hearer: int) -> None:
+        """A datagram arrives; others are lost."""
+        told = self.hosts[teller].list_told(8, self.now_s)
+        self.hosts[hearer].hear(told, self.now_s)
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.2]))
+    def wait(self, seconds: float) -> None:
+        """A little time passes; all of a history is told while it is new."""
+        self.now_s += seconds
+
+    @stateful.rule()
+    def agree(self) -> None:
+        """What lives is found to live, and all hear each other."""
+        self.living = set("abcde") - self.ended
+        for host in self.hosts:
+            host.settle(self.look, self.now_s)
+        self.living = set()
+        self.open.clear()
+        for _ in range(HOSTS):
+            for teller in self.hosts:
+                told = teller.list_told(8, self.now_s)
+                for hearer in self.hosts:
+                    hearer.hear(told, self.now_s)
+        for name, truth in self.truths.items():
+            held = [h.is_held(name) for h in self.hosts]
+            if not truth.was_answered:
+                is_due = truth.weigh() >= quarantine.ENDS
+                assert held == [is_due] * HOSTS, (name, truth, held)
+                self._check_ends(name, truth)
+            elif truth.is_clear:
+                assert not any(held), (name, truth, held)
+
+    def _check_ends(self, name: str, truth: Truth) -> None:
+        """Checks that each host knows just what ended under a request."""
+        ends = {quarantine.name_start(s): w for s, w in truth.ends.items()}
+        for host in self.hosts:
+            known = host.list_told(8, self.now_s).get(name, {})
+            assert known == ends, (name, truth, known)
+
+    @stateful.invariant()
+    def holds_no_other(self) -> None:
+        """Checks that nothing is held without enough ends or cuts."""
+        for name, truth in self.truths.items():
+            for host in self.hosts:
+                if host.is_held(name):
+                    assert len(truth.cut) >= quarantine.ENDS, (name, truth)
+                if name in host.list_held():
+                    assert truth.weigh() >= quarantine.ENDS, (name, truth)
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -7,6 +7,7 @@
 from behave import then, when
 
 from tests import fuzz
+from tests.admission import machine as quarantine
 from tests.catalog import machine as entries
 from tests.claims import machine as claims
 from tests.intents import machine as intents
@@ -20,6 +21,7 @@
     "intents": intents.IntentsMachine,
     "lease": orders.LeaseMachine,
     "membership": membership.MembershipMachine,
+    "quarantine": quarantine.QuarantineMachine,
     "routing": routing.RoutingMachine,
 }
 
