Tell other hosts of sixteen requests under which upstreams ended, not eight

At the end of one engine up to forty requests are cut, and the one that is to blame is among them with the same weight; with sixteen a datagram it is named sooner.

--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -27,8 +27,8 @@
 MAX_SUSPECTS: Final = 24
 
 # Requests in quarantine, or under which upstreams ended, in one datagram: with
-# three ends each half a kilobyte, for the same reason.
-MAX_ENDED: Final = 8
+# an end each 0.6 kB, for the same reason.
+MAX_ENDED: Final = 16
 
 # Of the datagram's list.
 _FIELDS: Final = 13
