Let operators see and let go what a data centre's routers hold

Symptom without it: a prompt that works again is refused until every router and control daemon starts anew. egretspur quarantine list and release; a router that has yet to hear of it does not bring the ends back.

--- a/egretspur/cli/main.py
+++ b/egretspur/cli/main.py
@@ -105,6 +105,7 @@
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     _add_intent(commands)
     _add_plan(commands)
+    _add_quarantine(commands)
     _add_reading(commands)
     return parser
 
@@ -149,6 +150,22 @@
     make.set_defaults(run=_make_plan)
 
 
+def _add_quarantine(commands: Any) -> None:
+    held = commands.add_parser(
+        "quarantine", help="requests that are sent to no upstream any more"
+    )
+    verbs = held.add_subparsers(required=True, metavar="VERB")
+    listing = verbs.add_parser(
+        "list", help="list them, with how many upstreams ended under each"
+    )
+    listing.set_defaults(run=_list_quarantine)
+    release = verbs.add_parser(
+        "release", help="have a request sent again, once its cause is mended"
+    )
+    release.add_argument("fingerprint")
+    release.set_defaults(run=_release)
+
+
 def _add_reading(commands: Any) -> None:
     status = commands.add_parser(
         "status", help="hosts, offsets in force, open plans"
@@ -265,6 +282,19 @@
     )
 
 
+def _list_quarantine(client: clients.Client, args: argparse.Namespace) -> int:
+    found = client.get("/v1/quarantine", list[statuses.Quarantined])
+    return _show(found, args, tables.format_quarantine)
+
+
+def _release(client: clients.Client, args: argparse.Namespace) -> int:
+    path = f"/v1/quarantine/{args.fingerprint}/release"
+    found = client.post(path, None, statuses.Quarantined)
+    if isinstance(found, clients.Problem):
+        return _complain(found)
+    return _show([found], args, tables.format_quarantine)
+
+
 def _show_status(client: clients.Client, args: argparse.Namespace) -> int:
     first = client.get("/v1/status", statuses.Status)
     if isinstance(first, clients.Problem):
--- a/egretspur/cli/tables.py
+++ b/egretspur/cli/tables.py
@@ -172,3 +172,11 @@
 def _format_time(at_ms: int) -> str:
     moment = datetime.datetime.fromtimestamp(at_ms / 1000, tz=datetime.UTC)
     return moment.strftime("%Y-%m-%d %H:%M:%S")
+
+
+def format_quarantine(held: Sequence[statuses.Quarantined]) -> str:
+    """Returns requests that are sent to no upstream any more."""
+    if not held:
+        return "no request is in quarantine"
+    rows = [[h.fingerprint, str(h.ended)] for h in held]
+    return format_table(["FINGERPRINT", "UPSTREAMS ENDED"], rows)
--- a/egretspur/daemons/controller.py
+++ b/egretspur/daemons/controller.py
@@ -16,6 +16,7 @@
 from aioprometheus import collectors
 
 from egretspur import actors, codec, errors, hostview, settings, web
+from egretspur.admission import quarantine
 from egretspur.clients import hosts as hostlist
 from egretspur.clients import log as logs
 from egretspur.clients import weights
@@ -149,6 +150,10 @@
         app.add("GET", "/v1/records/{record}", self._get_record)
         app.add("GET", "/v1/status", self._get_status)
         app.add("GET", "/v1/history", self._get_history)
+        app.add("GET", "/v1/quarantine", self._get_quarantine)
+        app.add(
+            "POST", "/v1/quarantine/{fingerprint}/release", self._release_held
+        )
         app.add("POST", "/router/report", self._take_report)
         app.add("POST", "/peer/exchange", self._take_exchange)
         app.add("POST", "/peer/push", self._take_push)
@@ -243,6 +248,33 @@
         lines = self._config.read(lambda s: list(s.history[-count:]))
         return web.reply_json(lines)
 
+    def _list_held(self) -> list[statuses.Quarantined]:
+        return [
+            statuses.Quarantined(fingerprint, len(ends))
+            for fingerprint, ends in sorted(self._get_view().ended.items())
+            if sum(ends.values()) >= quarantine.ENDS
+        ]
+
+    def _get_quarantine(self, req: web.Request) -> web.Response:
+        return web.reply_json(self._list_held())
+
+    def _release_held(self, req: web.Request) -> web.Response:
+        """Has all routers send a request again, as if it were answered."""
+        name = req.parts["fingerprint"]
+        operator = _get_operator(req)
+        held = next(
+            (h for h in self._list_held() if h.fingerprint == name), None
+        )
+        if held is None:
+            return web.reply_refusal(
+                errors.Refusal(errors.ErrorKind.NOT_FOUND, repr(name))
+            )
+        self._members.tell(members.AddEnded({name: {}}))
+        _LOG.info(
+            "request let go", extra={"fingerprint": name, "operator": operator}
+        )
+        return web.reply_json(held)
+
     def _take_report(self, req: web.Request) -> web.Response:
         report = codec.load(req.read_body(), tables.RouterReport)
         self._router = report
--- a/egretspur/daemons/status.py
+++ b/egretspur/daemons/status.py
@@ -34,3 +34,12 @@
     warning: str
     # Control addresses in other data centres, to ask for theirs.
     remote: dict[str, tuple[str, ...]]
+
+
+@attrs.frozen
+class Quarantined:
+    """A request that no router of the data centre sends any more."""
+
+    fingerprint: str
+    # Upstreams that ended under it.
+    ended: int
--- a/egretspur/membership/actor.py
+++ b/egretspur/membership/actor.py
@@ -266,9 +266,12 @@
         known = self._get_ended()
         stated: list[entries.Entry] = []
         for fingerprint, ends in message.ended.items():
+            if known.get(fingerprint) == {}:
+                # A router that has yet to hear of the answer tells of the
+                # ends before it.
+                continue
             if not ends:
-                if known.get(fingerprint) != {}:
-                    stated.append(self._state_ended(fingerprint, "", 0.0))
+                stated.append(self._state_ended(fingerprint, "", 0.0))
                 continue
             for start, weight in ends.items():
                 if known.get(fingerprint, {}).get(start, 0.0) < weight:
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -605,6 +605,10 @@
 def step_reports_answer(context: Any) -> None:
     context.members[1].handle(membership.AddEnded({crashes.FATAL: {}}))
     exchange(context)
+    # Its router has yet to hear of it.
+    late = membership.AddEnded({crashes.FATAL: context.ends})
+    context.members[0].handle(late)
+    exchange(context)
 
 
 @then("neither tells of any end")
