--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -48,12 +48,18 @@
     )
 
 
-def wait_refused(context: Any, control: str) -> None:
-    """Waits until a host refuses the prompt."""
-    stage.wait_until(
-        lambda: b"quarantined" in ask(context, control, STONE).body,
-        what=f"{control} refuses it",
-    )
+def wait_held(context: Any, control: str) -> None:
+    """Waits until a host's router knows of the prompt.
+
+    Asked for before that it is answered, which lets it go everywhere.
+    """
+    router = f"{control}-router"
+
+    def is_known() -> bool:
+        state = context.play.call("GET", router, "/state")
+        return context.name in state["traffic"]["quarantine"]
+
+    stage.wait_until(is_known, what=f"{router} has it in quarantine")
 
 
 @when(
@@ -85,7 +91,7 @@
 @then("the prompt is refused at both hosts, and other prompts are answered")
 def step_refused(context: Any) -> None:
     for control in CONTROLS:
-        wait_refused(context, control)
+        wait_held(context, control)
         res = ask(context, control, STONE)
         assert res.status == 503, res
         assert res.headers["Retry-After"] == "60"
