--- a/tests/daemons/soak.feature
+++ b/tests/daemons/soak.feature
@@ -23,6 +23,23 @@
     When a request is answered with the answer of another one
     Then the soak says "got the answer of"
 
+  Scenario Outline: What a request that ends engines may reach
+    When it was sent at <times> s and begun <runs> times
+    Then the soak counts <late> beyond the bound
+
+    Examples:
+      | times         | runs      | late |
+      | 0, 1, 2, 9    | 2 1 0 0   | 0    |
+      | 0, 1, 2, 9    | 2 1 0 2   | 2    |
+      | 0, 1, 4, 5    | 2 1 2 2   | 0    |
+      | 0, 1, 6, 9    | 2 1 2 2   | 4    |
+      | 0, 1, 2, 9    | 1 0 1 0   | 0    |
+
+  Scenario: Two hosts under faults, and a request that ends engines
+    When a site of 2 hosts is soaked for 12 s with seed 11, and a request that ends engines
+    Then nothing is found wrong, and answers of each kind came
+    And engines ended under it
+
   Scenario: Two hosts under faults
     # Any of: an answer with a hole, an order carried out twice, a refusal that
     # is not true, a host that does not serve again.
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -52,6 +52,8 @@
     beats: threading.Event = attrs.Factory(threading.Event)
     beating: threading.Lock = attrs.Factory(threading.Lock)
     entries: dict[str, dict[str, Any]] = attrs.Factory(dict)
+    # Engines that are started end at a request whose body holds this.
+    crash_on: str = ""
 
     def leave(self, name: str) -> None:
         """Takes an upstream off the list."""
@@ -120,6 +122,8 @@
         if is_engine:
             args += ["--layers", str(LAYERS)]
         process = self.stage.start(name, "tests.fakes.replica", *args)
+        if is_engine and self.crash_on:
+            self.set_crash(name)
         with self.beating:
             self.entries[name] = {
                 "service": "llm" if is_engine else "desk",
@@ -134,6 +138,11 @@
                 "layer_count": None,
             }
 
+    def set_crash(self, name: str) -> None:
+        """Has an engine end at the request."""
+        fault = {"crash_on": self.crash_on}
+        self.stage.call("POST", name, "/faults", fault)
+
     def get_runs(self) -> list[dict[str, str]]:
         """Returns what the upstreams ran."""
         runs = []
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,6 +10,10 @@
   told so;
 - once the faults are over, every host serves again.
 
+With ``--fatal`` a request comes too, every second or so at any host, that ends
+each engine which begins to run it; it may reach three more at most, later than
+3 s after it has ended the third.
+
 Prints a JSON line for each finding and one with counts; exit code 1 if anything
 was found. The same seed plans the same faults; which request they meet depends
 on the machine.
@@ -20,11 +24,12 @@
 import argparse
 import collections
 import json
+import math
 import random
 import sys
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 
 import attrs
@@ -47,6 +52,18 @@
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 
 
+# A request that ends engines, how often it comes, and the seconds between two
+# looks for engines that ended.
+FATAL: Final = '{"prompt": "fatal"}'
+FATAL_GAP_S: Final = (0.5, 1.5)
+AWAY_S: Final = 1.0
+
+# The third end, up to a second after its request was sent, and the time in
+# which hosts need not know of it; and what may reach engines later.
+CONTACT_S: Final = 4.0
+LATE_MOST: Final = 3
+
+
 @attrs.frozen
 class Answer:
     """How a request ended for its caller."""
@@ -74,6 +91,8 @@
     # Upstreams and hosts that are failing now; one at a time each.
     busy: set[str] = attrs.Factory(set)
     starts: int = 0
+    # When each request that ends engines was sent, by its id.
+    fatal: dict[str, float] = attrs.Factory(dict)
 
     def call(self, number: int) -> None:
         """Asks one host again and again; the thread of a caller."""
@@ -96,6 +115,43 @@
         echoed = res.headers.get("Attempt-Id", "")
         return Answer(request_id, path, ip, res.status, body, echoed)
 
+    def end_engines(self, seed: int) -> None:
+        """Sends the request that ends engines again and again, in a thread."""
+        rng = random.Random(seed)
+        while not self.stopped.wait(rng.uniform(*FATAL_GAP_S)):
+            name = f"fatal-{len(self.fatal)}"
+            self.fatal[name] = time.monotonic()
+            body = FATAL.encode()
+            fields = {"Attempt-Id": name}
+            try:
+                self.site.post(
+                    PATHS[0], "key-1", rng.choice(self.ips), body, fields
+                ).read()
+            except (urllib3.exceptions.HTTPError, OSError):
+                # Its host is failing, or its answer was cut.
+                continue
+
+    def begin_fatal(self, seed: int) -> None:
+        """Has the request come that ends engines."""
+        self.site.crash_on = FATAL
+        for name in self._list_victims("engine_"):
+            self.site.set_crash(name)
+        for work, args in (
+            (self.end_engines, (seed,)),
+            (self.replace_ended, ()),
+        ):
+            threading.Thread(target=work, args=args, daemon=True).start()
+
+    def replace_ended(self) -> None:
+        """Starts engines anew that a request has ended, in a thread."""
+        while not self.stopped.wait(AWAY_S):
+            for name in self._list_victims("engine_"):
+                process = self.site.stage.processes[name].popen
+                if process.poll() is not None and name not in self.busy:
+                    self.busy.add(name)
+                    self.replace(name, 0.0, False)
+                    self.busy.discard(name)
+
     def fail(self) -> None:
         """Begins one fault; it ends by itself, in a thread of its own."""
         name = self.rng.choice(sorted(FAULTS))
@@ -107,8 +163,14 @@
         self.faults[name] += 1
 
         def run() -> None:
-            FAULTS[name](self, victim, lasts_s)
-            self.busy.discard(victim)
+            try:
+                FAULTS[name](self, victim, lasts_s)
+            except RuntimeError:
+                # A request has ended it meanwhile: it does not answer.
+                if self.site.stage.processes[victim].popen.poll() is None:
+                    raise
+            finally:
+                self.busy.discard(victim)
 
         threading.Thread(target=run, daemon=True).start()
 
@@ -164,7 +226,11 @@
     def find(self) -> list[str]:
         """Returns what is wrong with the answers."""
         runs = self.count_runs()
-        return [f for a in self.answers if (f := check(a, runs[a.id]))]
+        found = [f for a in self.answers if (f := check(a, runs[a.id]))]
+        late = count_late(self.fatal, runs)
+        if late > LATE_MOST:
+            found.append(f"what ended three engines reached {late} more")
+        return found
 
     def count_runs(self) -> collections.Counter[str]:
         """Returns how often each request was begun, by all upstreams ever."""
@@ -196,6 +262,25 @@
     return ""
 
 
+def count_late(sent: Mapping[str, float], runs: Mapping[str, int]) -> int:
+    """Returns how often the request reached engines that no more should be.
+
+    Args:
+        sent: When it was sent, by id.
+        runs: How often it was begun, by id.
+    """
+    ended = 0
+    bound_s = math.inf
+    late = 0
+    for name, at_s in sorted(sent.items(), key=lambda i: i[1]):
+        if at_s > bound_s:
+            late += runs.get(name, 0)
+        ended += runs.get(name, 0)
+        if ended >= 3 and bound_s == math.inf:
+            bound_s = at_s + CONTACT_S
+    return late
+
+
 # What stand-ins do without faults.
 CALM: Final[dict[str, Any]] = {
     "down": False,
@@ -228,10 +313,14 @@
 }
 
 
-def run(seed: int, seconds: float, hosts: int) -> tuple[Soak, list[str]]:
+def run(
+    seed: int, seconds: float, hosts: int, has_fatal: bool = False
+) -> tuple[Soak, list[str]]:
     """Soaks a site; returns what was seen and what is wrong with it."""
     site = sites.start_site(hosts)
     soak = Soak(site, site.hosts[:hosts], random.Random(seed))
+    if has_fatal:
+        soak.begin_fatal(seed)
     callers = [
         threading.Thread(target=soak.call, args=(i,), daemon=True)
         for i in range(CALLERS * hosts)
@@ -265,8 +354,11 @@
     parser.add_argument("--seed", type=int, default=7, help="of the faults")
     parser.add_argument("--seconds", type=float, default=60.0, help="of faults")
     parser.add_argument("--hosts", type=int, default=3, help="hosts")
+    parser.add_argument(
+        "--fatal", action="store_true", help="send a request that ends engines"
+    )
     args = parser.parse_args(argv)
-    soak, found = run(args.seed, args.seconds, args.hosts)
+    soak, found = run(args.seed, args.seconds, args.hosts, args.fatal)
     for finding in found:
         print(json.dumps({"finding": finding}))
     statuses = collections.Counter(a.status for a in soak.answers)
@@ -275,6 +367,8 @@
         "findings": len(found),
         "statuses": dict(sorted(statuses.items())),
         "faults": dict(sorted(soak.faults.items())),
+        "fatal": len(soak.fatal),
+        "ended": sum(soak.count_runs()[i] for i in soak.fatal),
     }
     print(json.dumps(counts))
     return 1 if found else 0
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -631,11 +631,12 @@
 @given('engines that end as they begin to run a request that holds "{text}"')
 def step_fatal(context: Any, text: str) -> None:
     context.body = BODY % text.encode()
-    context.held = text
     # Ids under which it was sent, and engines that ended.
     context.ids = []
     context.ended = 0
-    set_crash(context, list_engines(context))
+    context.play.crash_on = text
+    for name in list_engines(context):
+        context.play.set_crash(name)
 
 
 def list_engines(context: Any) -> list[str]:
@@ -643,13 +644,6 @@
     return [n for n in context.play.entries if n.startswith("e")]
 
 
-def set_crash(context: Any, names: list[str]) -> None:
-    """Has engines end at the request."""
-    for name in names:
-        fault = {"crash_on": context.held}
-        context.play.stage.call("POST", name, "/faults", fault)
-
-
 def count_reached(context: Any) -> int:
     """Returns how often the request reached an engine, which then ended."""
     ran = {f"ran {i}" for i in context.ids}
@@ -685,9 +679,7 @@
     for name in list_ended(context):
         context.ended += 1
         site.leave(name)
-        new = f"ec{context.ended}"
-        site.start_upstream(new)
-        set_crash(context, [new])
+        site.start_upstream(f"ec{context.ended}")
 
 
 @when("such a request comes to the hosts in turn until three engines ended")
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -54,3 +54,31 @@
     whole = {a.path for a in context.soak.answers if a.status == 200}
     assert whole == set(soak.PATHS), whole
     assert context.soak.faults, "no fault was made"
+
+
+@when(
+    "a site of {hosts:d} hosts is soaked for {seconds:d} s with seed {seed:d},"
+    " and a request that ends engines"
+)
+def step_soaked_fatal(
+    context: Any, hosts: int, seconds: int, seed: int
+) -> None:
+    context.soak, context.found = soak.run(seed, seconds, hosts, True)
+
+
+@then("engines ended under it")
+def step_ended(context: Any) -> None:
+    runs = context.soak.count_runs()
+    assert any(runs[i] for i in context.soak.fatal)
+
+
+@when("it was sent at {times} s and begun {runs} times")
+def step_sent_at(context: Any, times: str, runs: str) -> None:
+    sent = {f"f{i}": float(t) for i, t in enumerate(times.split(", "))}
+    begun = {f"f{i}": int(n) for i, n in enumerate(runs.split())}
+    context.late = soak.count_late(sent, begun)
+
+
+@then("the soak counts {late:d} beyond the bound")
+def step_late(context: Any, late: int) -> None:
+    assert context.late == late, context.late
