--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -26,6 +26,7 @@
 )
 from tests import fleets, sites, stage
 from tests.routing import crashes
+from tests.steps import decisions_steps
 
 
 @given("{count:d} hosts in three data centres")
@@ -404,14 +405,8 @@
 
 def make_router(incarnations: dict[str, str]) -> dispatch.Dispatcher:
     """Returns a router before single-stage engines and plain replicas."""
-    dispatcher = dispatch.Dispatcher(
-        "r1",
-        "dc",
-        settings.LimitSettings(),
-        settings.TimingSettings(),
-        settings.RetrySettings(),
-        random.Random(5),
-    )
+    engines = [n for n in incarnations if n.startswith("u")]
+    dispatcher = decisions_steps.make_dispatcher(engines)
     update_router(dispatcher, incarnations, {}, 0.0)
     return dispatcher
 
