--- a/tests/routing/crashing.feature
+++ b/tests/routing/crashing.feature
@@ -50,6 +50,13 @@
     When a request that ends engines comes every 0.6 s at any host for 30 s
     Then it reached engines at most 3 times more than 3 s after the third end
 
+  Scenario: Many hosts, of whose datagrams a fifth are lost
+    Given 60 hosts in three data centres
+    And a fifth of the datagrams between hosts are lost
+    When a request that ends engines comes every 0.3 s at any host for 12 s
+    Then it reached engines at most 3 times more than 3 s after the third end
+    And only that one is in quarantine, at every host
+
   Scenario: A request that waits when it is put into quarantine
     Given 2 hosts in three data centres
     And a request that ended two engines waits at each host for room
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -139,6 +139,12 @@
     )
 
 
+@given("a fifth of the datagrams between hosts are lost")
+def step_lossy(context: Any) -> None:
+    rng = random.Random(3)
+    context.world.is_heard = lambda a, b: rng.random() >= 0.2
+
+
 def hear_ends(state: broker.Broker, count: int, now_s: float) -> None:
     """Has a broker hear that some engines ended under the request."""
     ends = {f"start-{i}": 1.0 for i in range(count)}
