--- /dev/null
+++ b/tests/steps/crashing_site_steps.py
@@ -0,0 +1,125 @@
+"""Steps on the programs themselves, and a request that ends engines."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import urllib3
+from behave import given, then, when
+
+from tests import sites, stage
+
+BODY = b'{"prompt": "%s"}'
+
+
+@given("a store, four engines, two plain replicas and three hosts")
+def step_site(context: Any) -> None:
+    context.play = sites.start_site(3)
+
+
+@given('engines that end as they begin to run a request that holds "{text}"')
+def step_fatal(context: Any, text: str) -> None:
+    context.body = BODY % text.encode()
+    # Ids under which it was sent, and engines that ended.
+    context.ids = []
+    context.ended = 0
+    context.play.crash_on = text
+    for name in list_engines(context):
+        context.play.set_crash(name)
+
+
+def list_engines(context: Any) -> list[str]:
+    """Returns the names of the engines that are listed."""
+    return [n for n in context.play.entries if n.startswith("e")]
+
+
+def count_reached(context: Any) -> int:
+    """Returns how often the request reached an engine, which then ended."""
+    ran = {f"ran {i}" for i in context.ids}
+    processes = list(context.play.stage.processes.values())
+    return sum(line in ran for p in processes for line in list(p.lines))
+
+
+def list_ended(context: Any) -> list[str]:
+    """Returns the engines on the list that have ended."""
+    processes = context.play.stage.processes
+    names = list_engines(context)
+    return [n for n in names if processes[n].popen.poll() is not None]
+
+
+def send_fatal(context: Any) -> None:
+    """Sends the request to the next host, and replaces engines that ended."""
+    site = context.play
+    host = site.hosts[len(context.ids) % len(site.hosts)]
+    sites.wait_serving(site, host)
+    context.ids.append(f"fatal-{len(context.ids)}")
+    fields = {"Attempt-Id": context.ids[-1]}
+    try:
+        site.post("/notes/x", "key-1", host, context.body, fields).read()
+    except urllib3.exceptions.HTTPError:
+        # Cut in the middle, as a caller may be.
+        pass
+    stage.wait_until(
+        lambda: (
+            context.ended + len(list_ended(context)) >= count_reached(context)
+        ),
+        what="engines that were reached have ended",
+    )
+    for name in list_ended(context):
+        context.ended += 1
+        site.leave(name)
+        site.start_upstream(f"ec{context.ended}")
+
+
+@when("such a request comes to the hosts in turn until three engines ended")
+def step_until_three(context: Any) -> None:
+    while context.ended < 3:
+        assert len(context.ids) < 12, context.ended
+        send_fatal(context)
+
+
+@when("it comes {times:d} times more, after {after_s:g} s")
+def step_again(context: Any, times: int, after_s: float) -> None:
+    time.sleep(after_s)
+    context.before = context.ended
+    for _ in range(times):
+        send_fatal(context)
+
+
+@when("the store has it in quarantine")
+def step_stored(context: Any) -> None:
+    stage.wait_until(
+        lambda: read_quarantine(context), what="it is in the store"
+    )
+
+
+def read_quarantine(context: Any) -> list[Any]:
+    """Returns the records of requests in quarantine."""
+    path = "/egretspur/log-newest?topic=keyed.quarantine&part=0"
+    found: list[Any] = context.play.stage.call("GET", "store", path)["entries"]
+    return found
+
+
+@when("all hosts are killed and start again")
+def step_kill_all(context: Any) -> None:
+    site = context.play
+    for ip in site.hosts:
+        site.stage.processes[ip].kill()
+    ips, site.hosts = site.hosts, []
+    for ip in ips:
+        sites.start_host(site, ip)
+    for ip in ips:
+        sites.wait_serving(site, ip)
+
+
+@then("at most {most:d} more engines ended")
+def step_few_ended(context: Any, most: int) -> None:
+    more = context.ended - context.before
+    assert more <= most, (context.before, more)
+
+
+@then("each host answers other streams")
+def step_others(context: Any) -> None:
+    for host in context.play.hosts:
+        assert sites.can_stream(context.play, host), host
