Tell layers that engines reported until the list shows them

Change: reports are told, and count at their host, until the list says something new of the engine, 6 s at most while the store answers; they carry their age, and a host that hears of a later report gives way. Layers that don't change an entry no longer count as a change of the list.

--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -54,6 +54,15 @@
         return self.last - self.first
 
 
+@attrs.frozen
+class AgedLayers:
+    """Layers that an engine took, as hosts tell each other."""
+
+    layers: Layers
+    # Since the teller learned of them.
+    age_s: float
+
+
 @attrs.frozen
 class Upstream:
     """One start of an engine or plain service replica."""
@@ -303,8 +312,17 @@
         return
     roster.listed.setdefault(upstream_id, entry.layers)
     roster.learned[upstream_id] = (layers, now_s + LEARNED_S)
-    roster.entries[upstream_id] = attrs.evolve(entry, layers=layers)
-    roster.changes += 1
+    if entry.layers != layers:
+        roster.entries[upstream_id] = attrs.evolve(entry, layers=layers)
+        roster.changes += 1
+
+
+def get_listed(roster: Roster, upstream_id: str) -> Layers | None:
+    """Returns the layers of an engine by the list alone."""
+    entry = roster.entries.get(upstream_id)
+    if entry is None:
+        return None
+    return roster.listed.get(upstream_id, entry.layers)
 
 
 def note_restart(
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -16,9 +16,11 @@
 from egretspur.membership import datagrams
 from egretspur.routing import broker, fleet
 
-# Layers that an engine reported after an order are told to other hosts for so
-# long, and until the store is back if it is away: their list won't show them.
-LAYERS_TOLD_S: Final = 2.0
+# Layers that an engine reported after an order are told to other hosts until
+# the list shows them, and no longer than this where it never does: a heartbeat,
+# a read of the list, and the time after which the store counts as away. While
+# it is away they are told until it is back.
+LAYERS_TOLD_S: Final = 6.0
 
 # Age told of a list that was never read.
 NEVER_S: Final = 1e6
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -51,7 +51,7 @@
     # Upstreams it found dead.
     dead: tuple[str, ...]
     # Layers that engines reported to it after its orders.
-    layers: Mapping[str, upstreams.Layers]
+    layers: Mapping[str, upstreams.AgedLayers]
     # Hosts it hears, with their data centres; in some datagrams only.
     peers: Mapping[str, str]
     # Request memory in use beyond what the hosts count, by engine.
@@ -89,7 +89,10 @@
             {i: [u.count, int(u.room)] for i, u in rows},
             dict(news.pace),
             list(news.dead),
-            {i: [p.first, p.last] for i, p in news.layers.items()},
+            {
+                i: [a.layers.first, a.layers.last, round(a.age_s, 2)]
+                for i, a in news.layers.items()
+            },
             dict(news.peers),
             dict(news.excess),
             list(news.suspects[:MAX_SUSPECTS]),
@@ -199,14 +202,14 @@
     }
 
 
-def _decode_layers(value: Any) -> upstreams.Layers:
-    first, last = checks.check_row(value, "layers", 2)
+def _decode_layers(value: Any) -> upstreams.AgedLayers:
+    first, last, age_s = checks.check_row(value, "layers", 3)
     found = upstreams.Layers(
         checks.check_count(first, "layers"), checks.check_count(last, "layers")
     )
     if found.count <= 0:
         raise checks.FieldError("layers", f"{first} to {last}")
-    return found
+    return upstreams.AgedLayers(found, checks.check_number(age_s, "layers"))
 
 
 def _check_host(host: Any) -> str:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -48,6 +48,8 @@
     at_s: float
     # The engine told this host itself; else its list showed it.
     is_reported: bool
+    # What the list said of the engine then.
+    listed: upstreams.Layers | None
 
 
 @attrs.frozen
@@ -62,7 +64,7 @@
     # Upstreams that it found dead.
     dead: tuple[str, ...]
     # Layers that engines reported to it.
-    layers: Mapping[str, upstreams.Layers]
+    layers: Mapping[str, upstreams.AgedLayers]
     # Request memory beyond what the hosts count, by engine.
     excess: Mapping[str, float] = attrs.Factory(dict)
     # Upstreams that it, or a speaker's whole data centre, finds failing.
@@ -163,8 +165,23 @@
                 if upstream_id in self.roster.entries:
                     self.health.note_down(upstream_id, now_s)
         self._hear_suspects(news, now_s)
-        for upstream_id, layers in news.layers.items():
-            upstreams.learn(self.roster, upstream_id, layers, now_s)
+        for upstream_id, told in news.layers.items():
+            self._hear_layers(upstream_id, told, now_s)
+
+    def _hear_layers(
+        self, upstream_id: str, told: upstreams.AgedLayers, now_s: float
+    ) -> None:
+        """Takes an engine's layers, unless this host learned others later.
+
+        Two hosts may have ordered one engine in turn. Did both go on to tell
+        what they saw, all others would send requests to either by turns.
+        """
+        own = self._moved.get(upstream_id)
+        if own is not None and own.layers != told.layers:
+            if own.at_s >= now_s - told.age_s:
+                return
+            del self._moved[upstream_id]
+        upstreams.learn(self.roster, upstream_id, told.layers, now_s)
 
     def _hear_suspects(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host finds failing.
@@ -251,7 +268,9 @@
         for upstream_id, entry in self.roster.entries.items():
             old = before.get(upstream_id)
             if old and entry.layers is not None and entry.layers != old.layers:
-                self._moved[upstream_id] = Moved(entry.layers, now_s, False)
+                self._moved[upstream_id] = Moved(
+                    entry.layers, now_s, False, entry.layers
+                )
             if entry.is_draining and not (old and old.is_draining):
                 self._note(upstream_id, "draining", "reported that it leaves")
         for upstream_id in set(before) - set(self.roster.entries):
@@ -298,8 +317,9 @@
         self, upstream_id: str, layers: upstreams.Layers, now_s: float
     ) -> None:
         """Takes what an engine reported to hold, and has others told."""
+        listed = upstreams.get_listed(self.roster, upstream_id)
         upstreams.learn(self.roster, upstream_id, layers, now_s)
-        self._moved[upstream_id] = Moved(layers, now_s, True)
+        self._moved[upstream_id] = Moved(layers, now_s, True, listed)
 
     def note_report(
         self,
@@ -366,21 +386,41 @@
 
     def list_moved(
         self, kept_s: float, now_s: float
-    ) -> dict[str, upstreams.Layers]:
+    ) -> dict[str, upstreams.AgedLayers]:
         """Returns layers that engines took of late; drops the others.
 
+        What an engine reported to this host is told until the list says
+        something new of it, and counts here as long: a host that starts
+        meanwhile is handed the list from before. What the list showed is told
+        for `LISTED_TOLD_S`, however long the store is away: others may have
+        given orders since.
+
         Args:
-            kept_s: How long those are told that an engine reported to this
-                host. What the list showed is told for `LISTED_TOLD_S`, however
-                long the store is away: others may have given orders since.
+            kept_s: Longest time that a report is told.
             now_s: Monotonic time.
         """
         self._moved = {
             i: m
             for i, m in self._moved.items()
-            if now_s - m.at_s < (kept_s if m.is_reported else LISTED_TOLD_S)
+            if self._is_told(i, m, kept_s, now_s)
         }
-        return {i: m.layers for i, m in self._moved.items()}
+        for upstream_id, moved in self._moved.items():
+            if moved.is_reported:
+                upstreams.learn(self.roster, upstream_id, moved.layers, now_s)
+        return {
+            i: upstreams.AgedLayers(m.layers, max(0.0, now_s - m.at_s))
+            for i, m in self._moved.items()
+        }
+
+    def _is_told(
+        self, upstream_id: str, moved: Moved, kept_s: float, now_s: float
+    ) -> bool:
+        """Tells whether other hosts still need to be told of layers."""
+        age_s = now_s - moved.at_s
+        if not moved.is_reported:
+            return age_s < LISTED_TOLD_S
+        listed = upstreams.get_listed(self.roster, upstream_id)
+        return age_s < kept_s and listed == moved.listed
 
     def compute_digest(self) -> int:
         """Returns a number that differs where the list differs.
--- a/tests/routing/fleet.feature
+++ b/tests/routing/fleet.feature
@@ -27,6 +27,32 @@
     When the engine reports that it holds "0-25"
     Then 30 s later, without the store, it tells the others "a100-0 0-25"
 
+  Scenario: Layers are told until the store counts as away
+    # Symptom: a host that starts just after the store went away finds no path
+    # for some seconds. Sequence: an engine reports an order done, the store
+    # goes away before the list shows it, the new host is handed that list.
+    # Cause: reports were told for 2 s, and the store counts as away after 3.
+    Given a host whose list has engine "a100-0" without layers
+    When the engine reports that it holds "0-25"
+    Then for 5.5 s it tells the others "a100-0 0-25" and has it itself
+
+  Scenario: A report is told no more once the list says something new
+    Given a host whose list has engine "a100-0" without layers
+    When the engine reports that it holds "0-25"
+    And a change of its list shows that it holds "25-50"
+    Then within 2 s it tells the others "nothing"
+
+  Scenario: A host gives way to what an engine reported later to another one
+    # Symptom: two hosts tell different layers of one engine for seconds, and
+    # all others send requests to either by turns. Sequence: the duty passes on
+    # after an order, and its new holder gives another one.
+    Given a host whose list has engine "a100-0" without layers
+    And another host with the same list
+    When the engine reports that it holds "0-25"
+    And 1 s later the engine reports to the other host "25-50"
+    And 0.2 s later the two tell each other
+    Then both have "25-50" and only the other host tells it
+
   Scenario: What the list showed before the store went away is soon told no more
     # Symptom: two hosts tell different layers of one engine in turn. Sequence:
     # the list shows an order done, the store goes away, another host orders.
--- a/tests/steps/entries_steps.py
+++ b/tests/steps/entries_steps.py
@@ -228,7 +228,7 @@
         {former: jobs.Usage(40, 1e6)},
         {former: 9.0},
         (former,),
-        {former: held},
+        {former: upstreams.AgedLayers(held, 0.0)},
     )
     for host in context.hosts:
         host.broker.fleet.hear(news, context.now_s)
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -10,7 +10,9 @@
 
 from egretspur import decisions
 from egretspur.catalog import upstreams
-from egretspur.routing import broker
+from egretspur.daemons import news
+from egretspur.membership import exchange
+from egretspur.routing import broker, fleet
 from tests import fleets
 
 
@@ -57,9 +59,7 @@
 @when("it tells the other host")
 def step_tells(context: Any) -> None:
     told = context.host.fleet.list_moved(2.0, context.now_s)
-    for name, layers in told.items():
-        roster = context.other.fleet.roster
-        upstreams.learn(roster, name, layers, context.now_s)
+    context.other.hear(make_news(told), context.now_s)
 
 
 @then('within 2 s it tells the others "{told}"')
@@ -95,11 +95,62 @@
     assert context.other.fleet.compute_digest() == listed
 
 
-def describe(moved: dict[str, upstreams.Layers]) -> str:
+@when('{seconds:g} s later the engine reports to the other host "{layers}"')
+def step_reports_other(context: Any, seconds: float, layers: str) -> None:
+    context.now_s += seconds
+    held = fleets.make_upstream(context.name, layers).layers
+    assert held is not None
+    context.other.fleet.learn_layers(context.name, held, context.now_s)
+
+
+@when("{seconds:g} s later the two tell each other")
+def step_tell_each_other(context: Any, seconds: float) -> None:
+    context.now_s += seconds
+    told = {
+        host: host.fleet.list_moved(news.LAYERS_TOLD_S, context.now_s)
+        for host in (context.host, context.other)
+    }
+    context.other.hear(make_news(told[context.host]), context.now_s)
+    context.host.hear(make_news(told[context.other]), context.now_s)
+
+
+@then('both have "{layers}" and only the other host tells it')
+def step_gave_way(context: Any, layers: str) -> None:
+    for host in (context.host, context.other):
+        held = host.fleet.roster.entries[context.name].layers
+        assert held == fleets.make_upstream(context.name, layers).layers, held
+    tells = news.LAYERS_TOLD_S
+    assert not context.host.fleet.list_moved(tells, context.now_s)
+    found = context.other.fleet.list_moved(tells, context.now_s)
+    assert describe(found) == f"{context.name} {layers}", found
+
+
+@then('for {seconds:g} s it tells the others "{told}" and has it itself')
+def step_told_for(context: Any, seconds: float, told: str) -> None:
+    end_s = context.now_s + seconds
+    while context.now_s < end_s:
+        moved = context.host.fleet.list_moved(news.LAYERS_TOLD_S, context.now_s)
+        assert describe(moved) == told, (context.now_s, moved)
+        held = context.host.fleet.roster.entries[context.name].layers
+        assert held == moved[context.name].layers, held
+        context.now_s += exchange.PERIOD_S
+        context.host.tick(context.now_s)
+
+
+def make_news(
+    layers: dict[str, upstreams.AgedLayers],
+) -> fleet.PeerNews:
+    """Returns news of a host near by that tells nothing but layers."""
+    return fleet.PeerNews("10.1.0.9", "kl-hall", {}, {}, (), layers)
+
+
+def describe(moved: dict[str, upstreams.AgedLayers]) -> str:
     """Returns ``name first-last`` of each engine, or ``nothing``."""
     if not moved:
         return "nothing"
-    return " ".join(f"{i} {p.first}-{p.last}" for i, p in moved.items())
+    return " ".join(
+        f"{i} {a.layers.first}-{a.layers.last}" for i, a in moved.items()
+    )
 
 
 @given("a host that knows no upstream")
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -265,7 +265,7 @@
         {"i-1": jobs.Usage(3, 40500.0), "i-2": jobs.Usage(1, 900.0)},
         {"i-3": 4.0},
         ("i-4",),
-        {"i-5": upstreams.Layers(20, 31)},
+        {"i-5": upstreams.AgedLayers(upstreams.Layers(20, 31), 1.25)},
         {"10.1.0.5": "pg-hall"},
         {"i-6": 90000.0},
     )
