End a silent attempt only once its repeat is secured

Change: the repeat is taken before the attempt is ended, once; without one the answer is left to go on. Test: broker.feature and silence.feature, red on the code before.

--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -265,7 +265,7 @@
             self._desk.tell(desk.NoteFailed(first.id))
             for stream in streams:
                 stream.stalled.add(first.id)
-                stream.interrupt()
+                self._end_attempt(stream)
             return
         for stream in streams:
             stalled = frozenset(
@@ -277,7 +277,16 @@
             if stalled and self._move(stream, stalled):
                 continue
             if time.monotonic() - stream.heard_s > HOPELESS_S and stalled:
-                stream.interrupt()
+                self._end_attempt(stream)
+
+    def _end_attempt(self, stream: forward.Forward) -> None:
+        """Ends a silent attempt if another one may follow.
+
+        Else it is left to go on: its engine may only be slow, and if it is
+        dead the platform cuts the answer itself.
+        """
+        if self._desk.secure_repeat(stream.job.id):
+            stream.interrupt()
 
     def _move(self, stream: forward.Forward, stalled: frozenset[str]) -> bool:
         """Tells whether a stream was moved, now or a moment ago."""
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -69,6 +69,8 @@
     started_s: float = 0.0
     # Upstreams that failed it.
     failed: set[str] = attrs.Factory(set)
+    # A repeat of the budget that was taken for it before it was needed.
+    has_repeat: bool = False
 
 
 class Broker:
@@ -196,20 +198,55 @@
         self._note_cut(ticket, tuple(sorted(stalled)), has_brought, now_s)
         if self.quarantine.is_held(ticket.job.fingerprint):
             return jobs.Detour(None, is_ended=True)
-        detour = self.search.find_detour(
-            ticket.job,
-            spec,
-            ticket.parts,
-            stalled,
-            self._can_resume(ticket),
-            now_s,
+        detour = self._find_detour(
+            ticket, spec, stalled, self._can_resume(ticket), now_s
         )
+        if detour.is_ended and not self._take_repeat(ticket, now_s):
+            detour = self._find_detour(ticket, spec, stalled, False, now_s)
         if detour.parts is not None:
             self._take_room(ticket, -1)
             ticket.parts = detour.parts
             self._take_room(ticket, 1)
         return detour
 
+    def _find_detour(
+        self,
+        ticket: Ticket,
+        spec: config.EngineSpec,
+        stalled: frozenset[str],
+        may_resume: bool,
+        now_s: float,
+    ) -> jobs.Detour:
+        return self.search.find_detour(
+            ticket.job, spec, ticket.parts, stalled, may_resume, now_s
+        )
+
+    def secure_repeat(self, job_id: str, now_s: float) -> bool:
+        """Tells whether a running attempt may be ended for another one.
+
+        The repeat is taken at once. Symptom without it: an attempt that is
+        merely silent is ended, no repeat is left, and the caller's answer is
+        cut, which might have gone on.
+        """
+        ticket = self.tickets.get(job_id)
+        if ticket is None:
+            return False
+        if self.quarantine.is_held(ticket.job.fingerprint):
+            return True
+        return self._can_resume(ticket) and self._take_repeat(ticket, now_s)
+
+    def _take_repeat(self, ticket: Ticket, now_s: float) -> bool:
+        """Takes a repeat of the budget, unless the request has one already."""
+        if ticket.has_repeat:
+            return True
+        service = ticket.job.service
+        others = self._ledger.sum_up(service, now_s)
+        budget = self._get_budget(service)
+        ticket.has_repeat = budget.spend(self.hosts, now_s, others)
+        if not ticket.has_repeat:
+            self._notes.append(decisions.BudgetEmpty(service, self.hosts))
+        return ticket.has_repeat
+
     def _list_stages(self, ticket: Ticket) -> tuple[str, ...]:
         """Returns the upstreams that work on a request, its first one first."""
         if not ticket.upstream_id:
@@ -616,11 +653,9 @@
             return self._make_final(ticket, f"no attempts left; {reason}")
         if ticket.refusals > MAX_REFUSALS:
             return self._make_final(ticket, f"refused too often; {reason}")
-        others = self._ledger.sum_up(job.service, now_s)
-        budget = self._get_budget(job.service)
-        if not budget.spend(self.hosts, now_s, others):
-            self._notes.append(decisions.BudgetEmpty(job.service, self.hosts))
+        if not self._take_repeat(ticket, now_s):
             return self._make_final(ticket, f"no repeats left; {reason}")
+        ticket.has_repeat = False
         self.counts.repeats += 1
         return None
 
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -66,6 +66,13 @@
     has_brought: bool
 
 
+@attrs.frozen
+class SecureRepeat:
+    """Asks whether a running attempt may be ended for another one."""
+
+    id: str
+
+
 @attrs.frozen
 class Configure:
     """A new configuration."""
@@ -222,6 +229,10 @@
             message.has_brought,
         )
 
+    @handle.register
+    def _(self, message: SecureRepeat) -> bool:
+        return self._broker.secure_repeat(message.id, time.monotonic())
+
     @handle.register
     def _(self, message: Configure) -> None:
         self._questions.run(
@@ -356,6 +367,11 @@
         )
         return found
 
+    def secure_repeat(self, job_id: str) -> bool:
+        """Tells whether a running attempt may be ended for another one."""
+        is_secured: bool = actors.ask(self._ref, SecureRepeat(job_id))
+        return is_secured
+
     def take_due(self) -> Due:
         """Does what came due, and returns what is left to do for others."""
         due: Due = actors.ask(self._ref, TakeDue())
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -30,6 +30,20 @@
     Then the 6 streams are moved or resumed, and the others are not
     And the desk knows that "a100-1" is down
 
+  Scenario Outline: The first engine does not answer for a moment
+    # Symptom and cause: as with attempts that are ended without a repeat; an
+    # engine's silence is no reason to end an answer sooner.
+    Given hosts that may repeat <repeats>
+    And a watch over 6 streams on "a100-1" and 0 beside it
+    And the first engine answers no question
+    When the watch looks 1200 ms after the last events
+    Then <count> of the streams are ended
+
+    Examples:
+      | repeats  | count |
+      | nothing  | 0     |
+      | as usual | 6     |
+
   Scenario: A host that hears nobody
     # Symptom: a host that stands still for a moment moves all its streams.
     Given a watch over 6 streams on "a100-1" and 2 beside it
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -118,9 +118,12 @@
     )
 
 
-def make_broker(entries: list[upstreams.Upstream]) -> broker.Broker:
+def make_broker(
+    entries: list[upstreams.Upstream],
+    budget: broker.BudgetOptions = BUDGET,
+) -> broker.Broker:
     """Returns a broker in kl-hall that knows these upstreams."""
-    state = broker.Broker("kl-hall", BUDGET, random.Random(7))
+    state = broker.Broker("kl-hall", budget, random.Random(7))
     state.configure(make_config())
     for entry in entries:
         upstreams.put(state.fleet.roster, entry, 0.0)
--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -68,6 +68,27 @@
     When 7 requests a second have arrived at each for 10 s and one dies
     Then at least 28 of the answers of each host can go on at once
 
+  Scenario Outline: A silent attempt is ended only if another one may follow
+    # Symptom: beside a change of the configuration callers' connections close
+    # in the middle of answers. Sequence: an engine is slow for a moment, the
+    # host ends the attempt, and then finds that no repeats are left. Cause:
+    # the repeat was asked for after the attempt was ended.
+    Given hosts that may repeat <repeats>
+    And a chain of engines and two plain replicas
+    When a request runs that has nowhere near by to go on
+    Then its attempt is <end>
+
+    Examples:
+      | repeats  | end       |
+      | nothing  | not ended |
+      | as usual | ended     |
+
+  Scenario: The repeat of an attempt that was ended is spent once
+    Given a chain of engines and two plain replicas
+    When a request runs that has nowhere near by to go on
+    Then its attempt is ended
+    And it goes on with one repeat spent
+
   Scenario: A dark engine is tried by probes, not by requests
     # Symptom: every second a request is held up by a dark engine. Sequence: it
     # went dark; each second it was given another chance, and a request.
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -237,7 +237,8 @@
 def make_chain(context: Any, *more: upstreams.Upstream) -> None:
     """Makes a broker before a chain of engines."""
     entries = [fleets.make_upstream(n, layers) for n, layers in CHAIN.items()]
-    context.broker = fleets.make_broker([*entries, *more])
+    budget = getattr(context, "budget", fleets.BUDGET)
+    context.broker = fleets.make_broker([*entries, *more], budget)
     context.now_s = 10.0
     context.started = {}
     context.refused = {}
@@ -266,6 +267,12 @@
     return start
 
 
+@given("hosts that may repeat {what}")
+def step_budget(context: Any, what: str) -> None:
+    if what == "nothing":
+        context.budget = broker.BudgetOptions(0.0, 0.0, 10.0)
+
+
 @given("a chain of engines with room for about 45000 tokens")
 def step_chain(context: Any) -> None:
     make_chain(context)
@@ -547,6 +554,36 @@
     context.broker.fleet.note_probe("a100-0", True, pace, context.now_s)
 
 
+@when("a request runs that has nowhere near by to go on")
+def step_runs_stuck(context: Any) -> None:
+    # A second copy of the model, with another first engine.
+    for name, layers in CHAIN.items():
+        other = fleets.make_upstream(f"{name}-2", layers)
+        upstreams.put(context.broker.fleet.roster, other, context.now_s)
+    arrive(context, "r")
+    first = context.started["r"].parts[0].id
+    context.detour = context.broker.repath(
+        "r", frozenset([first]), context.now_s
+    )
+
+
+@then("its attempt is {end}")
+def step_attempt_end(context: Any, end: str) -> None:
+    assert context.detour.is_ended == (end == "ended"), context.detour
+    is_secured = context.broker.secure_repeat("r", context.now_s)
+    assert is_secured == (end == "ended")
+
+
+@then("it goes on with one repeat spent")
+def step_one_repeat(context: Any) -> None:
+    spent = context.broker.list_spent(context.now_s)["llm"]
+    failure = jobs.Failure("r", jobs.Why.CUT, "interrupted", (), True)
+    effects = context.broker.fail(failure, context.now_s)
+    assert isinstance(effects[0], jobs.Start), effects
+    assert context.broker.list_spent(context.now_s)["llm"] == spent
+    assert context.broker.counts.repeats == 1
+
+
 @when("a request runs and its second engine stalls")
 def step_stalls(context: Any) -> None:
     arrive(context, "r")
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -99,6 +99,16 @@
     context.play.engines.dead = {e.address for e in entries}
 
 
+@given("the first engine answers no question")
+def step_first_dark(context: Any) -> None:
+    context.play.engines.stalled = "dark"
+
+
+@then("{count:d} of the streams are ended")
+def step_ended(context: Any, count: int) -> None:
+    assert sum(s.is_ended for s in context.streams) == count
+
+
 @when("the watch looks {late_ms:d} ms after the last events")
 def step_look(context: Any, late_ms: int) -> None:
     context.before = [s.parts for s in context.streams]
