--- a/tests/sites.py
+++ b/tests/sites.py
@@ -54,6 +54,8 @@
     entries: dict[str, dict[str, Any]] = attrs.Factory(dict)
     # Engines that are started end at a request whose body holds this.
     crash_on: str = ""
+    # Bounds that its hosts' settings tell, beside those of all sites.
+    bounds: dict[str, float] = attrs.Factory(dict)
 
     def leave(self, name: str) -> None:
         """Takes an upstream off the list."""
@@ -221,7 +223,7 @@
         "port_range": [site.ports["exchange"], 0],
         "seeds": ["127.0.0.1:1"],
         "platform": {"address": site.stage.processes["store"].address},
-        "bounds": {"grace_s": 7},
+        "bounds": {"grace_s": 7, **site.bounds},
     }
     path = site.stage.folder / f"{ip}.json"
     path.write_text(json.dumps(cfg), "utf-8")
@@ -262,9 +264,9 @@
         return False
 
 
-def start_site(hosts: int) -> Site:
+def start_site(hosts: int, **bounds: float) -> Site:
     """Starts a site with four engines, two plain replicas and hosts."""
-    site = Site()
+    site = Site(bounds=bounds)
     ips = tuple(f"127.0.0.{i + 1}" for i in range(max(2, hosts)))
     for name in ("frontend", "ready", "control_plane"):
         site.ports[name] = find_port(ips)
