Hold the ports of a test's hosts until they listen

Cause: daemons/outages.feature failed once in 21 runs beside load, 'Address already in use': a port that was found free was taken by a connection of another test before the host listened there. Change: sockets hold it; a process may listen all the same.

--- a/tests/sites.py
+++ b/tests/sites.py
@@ -54,6 +54,8 @@
     entries: dict[str, dict[str, Any]] = attrs.Factory(dict)
     # Engines that are started end at a request whose body holds this.
     crash_on: str = ""
+    # Keep the ports of its hosts free for them.
+    held: list[socket.socket] = attrs.Factory(list)
     # Bounds that its hosts' settings tell, beside those of all sites.
     bounds: dict[str, float] = attrs.Factory(dict)
 
@@ -67,6 +69,8 @@
         """Ends all processes."""
         self.beats.set()
         self.stage.close()
+        for sock in self.held:
+            sock.close()
 
     def write(self, topic: str, key: str, value: Any) -> None:
         """Writes to the store as operators and upstreams do."""
@@ -193,19 +197,28 @@
     }
 
 
-def find_port(hosts: tuple[str, ...]) -> int:
-    """Returns a TCP port that is free on all of these addresses."""
+def hold_port(hosts: tuple[str, ...]) -> tuple[int, list[socket.socket]]:
+    """Returns a TCP port that is free on all of these addresses.
+
+    It comes with sockets that hold it until they are closed: without them some
+    connection of another test takes it before a host listens there.
+    """
     while True:
-        with socket.socket() as sock:
-            sock.bind((hosts[0], 0))
-            port = int(sock.getsockname()[1])
-            try:
-                for host in hosts[1:]:
-                    with socket.socket() as other:
-                        other.bind((host, port))
-            except OSError:
-                continue
-            return port
+        socks: list[socket.socket] = []
+        port = 0
+        try:
+            for host in hosts:
+                sock = socket.socket()
+                socks.append(sock)
+                # A process may then listen at the port all the same.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.bind((host, port))
+                port = int(sock.getsockname()[1])
+        except OSError:
+            for sock in socks:
+                sock.close()
+            continue
+        return port, socks
 
 
 def start_host(site: Site, ip: str) -> None:
@@ -269,7 +282,8 @@
     site = Site(bounds=bounds)
     ips = tuple(f"127.0.0.{i + 1}" for i in range(max(2, hosts)))
     for name in ("frontend", "ready", "control_plane"):
-        site.ports[name] = find_port(ips)
+        site.ports[name], socks = hold_port(ips)
+        site.held += socks
     site.ports["exchange"] = stage.find_udp_port(ips)
     site.stage.start("store", "tests.fakes.store")
     for i in range(6):
