Have few hosts read a store that answers none

Ways weighed: all (stood), the first few only (one that is served may not be among them), the first three and two drawn anew each second (kept).

--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -20,6 +20,7 @@
 import socket
 import threading
 import time
+import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final
 
@@ -65,6 +66,14 @@
 # who does. Two datagrams, one of which may be lost.
 SETTLE_S: Final = 0.6
 
+# Hosts of a data centre that go on reading the store while none of them gets an
+# answer: the first ones, and so many drawn anew each second. The store may turn
+# away some hosts and serve others, so none is left out for long; were all to
+# read, hundreds would ask a store that is down once a second.
+FIRST_READERS: Final = 3
+DRAWN_READERS: Final = 2
+DRAW_S: Final = 1.0
+
 # Hosts of a data centre that ask the store for the duty of giving orders: the
 # first ones, so that one takes over at once where one or two are lost. Each
 # asks once a second; were all to, the store's calls would grow with the hosts.
@@ -256,13 +265,7 @@
 
     def is_candidate(self, now_s: float) -> bool:
         """Tells whether this host asks for its data centre's duty."""
-        me = datagrams.parse_address(self._me)
-        before = sum(
-            1
-            for host in self._find_near(now_s)
-            if datagrams.parse_address(host) < me
-        )
-        return before < CANDIDATES
+        return self._count_before(self._find_near(now_s)) < CANDIDATES
 
     def is_store_away(self, age_s: float, now_s: float) -> bool:
         """Tells whether no host that hears this one near by has the store.
@@ -279,15 +282,22 @@
     def is_reader(self, now_s: float) -> bool:
         """Tells whether this host reads the store for its data centre.
 
-        That is the first of those whose list is fresh. Where none is, all
-        hosts read at once: whoever read before them may be stuck in a call.
+        That is the first of those whose list is fresh. Where none is, whoever
+        read before may be stuck in a call or turned away, and a few others try.
         """
-        return self._is_before(
-            host
-            for host, heard in self._find_near(now_s).items()
-            if _is_fresh(heard, now_s)
+        near = self._find_near(now_s)
+        fresh = [h for h, t in near.items() if _is_fresh(t, now_s)]
+        if fresh:
+            return self._is_before(fresh)
+        return self._count_before(near) < FIRST_READERS or self._is_drawn(
+            len(near) + 1, now_s
         )
 
+    def _is_drawn(self, hosts: int, now_s: float) -> bool:
+        """Tells whether this host is one of a few drawn for this moment."""
+        draw = f"{self._me} {int(now_s / DRAW_S)}".encode()
+        return zlib.crc32(draw) % hosts < DRAWN_READERS
+
     def is_first_cut_off(self, now_s: float) -> bool:
         """Tells whether this is the first of a data centre without store."""
         near = self._find_near(now_s)
@@ -306,8 +316,12 @@
 
     def _is_before(self, hosts: Iterable[str]) -> bool:
         """Tells whether this host's address comes before all of these."""
+        return self._count_before(hosts) == 0
+
+    def _count_before(self, hosts: Iterable[str]) -> int:
+        """Returns how many of these come before this host's address."""
         me = datagrams.parse_address(self._me)
-        return all(me <= datagrams.parse_address(h) for h in hosts)
+        return sum(datagrams.parse_address(h) < me for h in hosts)
 
 
 def _is_fresh(heard: _Heard, now_s: float) -> bool:
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -54,6 +54,19 @@
       | 10.1.0.9  | kl-hall     | 0.3 | 1.3   | must     |
       | 10.2.0.9  | pg-hall     | 0.3 | 0.5   | must     |
 
+  Scenario Outline: A store that is away from hundreds of hosts
+    # Symptom: a third of all calls to the store of a day are made while it is
+    # down, and refused. Sequence: nobody's list is fresh, so that every host
+    # reads for the others, three topics, once a second.
+    Given <hosts> hosts of a data centre that hear each other and have no answer
+    Then in each second 3 of them read, and <drawn> others in the mean
+    And within <seconds> s each has read, so that one that is served finds out
+
+    Examples:
+      | hosts | drawn | seconds |
+      | 28    | 2     | 150     |
+      | 195   | 2     | 1500    |
+
   Scenario Outline: What a host reads that doesn't read for the others
     # Symptom: work reaches an upstream for six seconds after it left. Cause:
     # a host that is told of another list and doesn't read.
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -542,3 +542,55 @@
         context.now_s += 0.5
     member.join()
     assert member.is_held()
+
+
+@given(
+    "{hosts:d} hosts of a data centre that hear each other and have no answer"
+)
+def step_no_answer(context: Any, hosts: int) -> None:
+    context.ips = [f"10.1.{i // 200}.{i % 200 + 1}" for i in range(hosts)]
+
+
+def list_readers(context: Any, now_s: float) -> set[str]:
+    """Returns the hosts that read the store at a moment."""
+    readers = set()
+    for me in context.ips:
+        peers = exchange.Peers(me, "kl-hall", ())
+        if hear_all(peers, context.ips, me, now_s).is_reader(now_s):
+            readers.add(me)
+    return readers
+
+
+@then("in each second {first:d} of them read, and {drawn:d} others in the mean")
+def step_readers(context: Any, first: int, drawn: int) -> None:
+    seconds = 6
+    readers = [
+        list_readers(context, 100.0 + second) for second in range(seconds)
+    ]
+    always = set.intersection(*readers)
+    assert always == set(context.ips[:first]), always
+    others = sum(len(r - always) for r in readers) / seconds
+    assert others <= 1.5 * drawn, others
+
+
+@then(
+    "within {seconds:d} s each has read, so that one that is served finds out"
+)
+def step_each_reads(context: Any, seconds: int) -> None:
+    for me in context.ips[:: max(1, len(context.ips) // 28)]:
+        peers = exchange.Peers(me, "kl-hall", ())
+        moments = (100.0 + i for i in range(seconds))
+        assert any(
+            hear_all(peers, context.ips, me, now_s).is_reader(now_s)
+            for now_s in moments
+        ), me
+
+
+def hear_all(
+    peers: exchange.Peers, hosts: list[str], me: str, now_s: float
+) -> exchange.Peers:
+    """Has a host hear the others, whose lists are old."""
+    for host in hosts:
+        if host != me:
+            peers.note(make_news(host, "kl-hall", 5.0), now_s)
+    return peers
