--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -16,7 +16,7 @@
 
 from bench import passes
 from egretspur import mechanisms
-from egretspur.admission import room
+from egretspur.admission import repeats, room
 from egretspur.catalog import config, upstreams
 from egretspur.placement import ranges
 from egretspur.routing import (
@@ -214,7 +214,7 @@
                             spec.accelerators[kind],
                         )
                     )
-        options = broker.BudgetOptions(0.2, 200.0, 10.0)
+        options = repeats.Options(0.2, 200.0, 10.0)
         self._brokers = {
             place: broker.Broker(
                 place, options, random.Random(day.seed), policy.using
@@ -234,7 +234,7 @@
         cfg = self._make_config()
         for place, state in self._brokers.items():
             state.configure(cfg)
-            state.hosts = 8
+            state.repeats.hosts = 8
             if self._policy.is_even:
                 self._hold_evenly(place)
             else:
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -27,6 +27,7 @@
     transport,
     web,
 )
+from egretspur.admission import repeats
 from egretspur.catalog import (
     config,
     positions,
@@ -85,7 +86,7 @@
         self._desk = desk.Desk(
             broker.Broker(
                 cfg.data_centre,
-                broker.BudgetOptions(
+                repeats.Options(
                     cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s
                 ),
                 rng,
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -71,13 +71,13 @@
         usage=dict(own.memory.own),
         pace=own.paces.list_slow(),
         dead=own.health.list_dead(now_s),
-        layers=own.list_moved(
+        layers=own.moves.list_told(
             math.inf if view.is_away else LAYERS_TOLD_S, now_s
         ),
         peers=peers,
         excess=own.memory.list_excess(now_s),
         suspects=own.list_suspects(now_s, False),
-        spent=state.list_spent(now_s),
+        spent=state.repeats.list_spent(now_s),
         ended=state.quarantine.list_told(datagrams.MAX_ENDED, now_s),
     )
 
@@ -90,7 +90,7 @@
         news,
         usage=state.fleet.memory.sum_near(now_s),
         suspects=state.fleet.list_suspects(now_s, True),
-        spent=state.sum_spent(now_s),
+        spent=state.repeats.sum_spent(now_s),
     )
 
 
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -170,7 +170,7 @@
             "upstreams_down": sum(
                 h.is_down for h in fleet.health.failed.values()
             ),
-            "hosts_sharing": state.hosts,
+            "hosts_sharing": state.repeats.hosts,
             "list_age_seconds": now_s - state.listed_s,
         },
         {
@@ -186,7 +186,7 @@
     fleet = state.fleet
     return {
         "counts": codec.encode(state.counts),
-        "hosts": state.hosts,
+        "hosts": state.repeats.hosts,
         "list_age_s": round(now_s - state.listed_s, 3),
         "waiting": [codec.encode(w) for w in state.queue.waiting.values()],
         "running": {
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -16,7 +16,7 @@
 from egretspur import decisions, errors, mechanisms
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
-from egretspur.admission import shared
+from egretspur.admission import repeats
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import fleet as fleets
 from egretspur.routing import jobs, memory, paths, questions, search
@@ -43,15 +43,6 @@
 TOP_RANK: Final = 9
 
 
-@attrs.frozen
-class BudgetOptions:
-    """Repeats allowed to all hosts together."""
-
-    ratio: float
-    allowance: float
-    window_s: float
-
-
 @attrs.define
 class Ticket:
     """A request that this host has accepted."""
@@ -79,7 +70,7 @@
     def __init__(
         self,
         data_centre: str,
-        budget: BudgetOptions,
+        budget: repeats.Options,
         rng: random.Random,
         using: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
@@ -90,12 +81,8 @@
         self.quarantine = quarantines.Quarantine()
         self.counts = jobs.Counts()
         self.tickets: dict[str, Ticket] = {}
-        # Hosts that share the retry budget.
-        self.hosts = 1
-        self._options = budget
+        self.repeats = repeats.Repeats(data_centre, budget)
         self._rng = rng
-        self._budgets: dict[str, shared.SharedBudget] = {}
-        self._ledger = shared.Ledger(data_centre)
         self._services: Mapping[str, config.Service] = {}
         # When the list of upstreams was last read.
         self.listed_s = 0.0
@@ -116,7 +103,7 @@
     def arrive(self, job: jobs.Job, now_s: float) -> list[jobs.Effect]:
         """Starts, queues or refuses a request."""
         self.counts.arrived += 1
-        self._get_budget(job.service).earn(now_s)
+        self.repeats.earn(job.service, now_s)
         ticket = Ticket(job)
         self.tickets[job.id] = ticket
         return self._admit(ticket, now_s)
@@ -240,11 +227,10 @@
         if ticket.has_repeat:
             return True
         service = ticket.job.service
-        others = self._ledger.sum_up(service, now_s)
-        budget = self._get_budget(service)
-        ticket.has_repeat = budget.spend(self.hosts, now_s, others)
+        ticket.has_repeat = self.repeats.spend(service, now_s)
         if not ticket.has_repeat:
-            self._notes.append(decisions.BudgetEmpty(service, self.hosts))
+            hosts = self.repeats.hosts
+            self._notes.append(decisions.BudgetEmpty(service, hosts))
         return ticket.has_repeat
 
     def _list_stages(self, ticket: Ticket) -> tuple[str, ...]:
@@ -364,23 +350,7 @@
         self.fleet.hear(news, now_s)
         self.quarantine.hear(news.ended, now_s)
         self._settle(now_s)
-        self._ledger.hear(news.host, news.data_centre, news.spent, now_s)
-
-    def list_spent(self, now_s: float) -> dict[str, shared.Spent]:
-        """Returns what this host spent of the retry budgets, by service."""
-        return {
-            service: budget.tell(self.hosts, now_s)
-            for service, budget in self._budgets.items()
-        }
-
-    def sum_spent(self, now_s: float) -> dict[str, shared.Spent]:
-        """Returns what the hosts of this data centre spent."""
-        return {
-            service: own.add(
-                self._ledger.sum_up(service, now_s, near_only=True)
-            )
-            for service, own in self.list_spent(now_s).items()
-        }
+        self.repeats.hear(news.host, news.data_centre, news.spent, now_s)
 
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts what can, after the list of upstreams changed."""
@@ -711,13 +681,3 @@
     def _get_spec(self, service: str) -> config.EngineSpec | None:
         found = self._services.get(service)
         return found.engine if found else None
-
-    def _get_budget(self, service: str) -> shared.SharedBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            opts = self._options
-            budget = shared.SharedBudget(
-                opts.ratio, opts.allowance, opts.window_s
-            )
-            self._budgets[service] = budget
-        return budget
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -257,7 +257,7 @@
 
     @handle.register
     def _(self, message: Heard) -> None:
-        self._broker.hosts = max(1, message.hosts)
+        self._broker.repeats.hosts = max(1, message.hosts)
         now_s = time.monotonic()
         for news in message.news:
             self._broker.hear(news, now_s)
@@ -271,7 +271,7 @@
     @handle.register
     def _(self, message: Learn) -> None:
         now_s = time.monotonic()
-        self._broker.fleet.learn_layers(
+        self._broker.fleet.moves.note_reported(
             message.upstream_id, message.layers, now_s
         )
         self._questions.run(self._broker.refresh(now_s))
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -17,7 +17,7 @@
 from egretspur import decisions
 from egretspur.admission import quarantine, room, shared
 from egretspur.catalog import config, upstreams
-from egretspur.routing import cards, health, jobs, memory, paces, paths
+from egretspur.routing import cards, health, jobs, memory, moves, paces, paths
 
 # A data centre none of whose hosts was heard for so long is cut off from this
 # one, or its hosts are down; its engines are used only if no others do. Its
@@ -26,10 +26,6 @@
 # some 0.4 s.
 CUT_OFF_S: Final = 1.3
 
-# Layers that the list showed are told to other hosts for so long: some eight
-# datagrams.
-LISTED_TOLD_S: Final = 2.0
-
 # Weight of a new sample in the smoothed time of a plain service's answer.
 TIME_WEIGHT: Final = 0.2
 
@@ -40,18 +36,6 @@
 FIRST_TIME_S: Final = 0.05
 
 
-@attrs.frozen
-class Moved:
-    """Layers that an engine took, as other hosts are told."""
-
-    layers: upstreams.Layers
-    at_s: float
-    # The engine told this host itself; else its list showed it.
-    is_reported: bool
-    # What the list said of the engine then.
-    listed: upstreams.Layers | None
-
-
 @attrs.frozen
 class PeerNews:
     """What another host has in flight."""
@@ -115,9 +99,7 @@
         self.paces = paces.Paces()
         # Smoothed seconds of a plain service's answers.
         self.times: dict[str, float] = {}
-        # Layers that engines took of late, with the time, for other hosts:
-        # only one of them reads the list as often.
-        self._moved: dict[str, Moved] = {}
+        self.moves = moves.Moves(self.roster)
         # Upstreams by service and data centre, as of a change of the list:
         # each choice of a path asks for them.
         self._grouped: dict[str, dict[str, list[upstreams.Upstream]]] = {}
@@ -166,22 +148,7 @@
                     self.health.note_down(upstream_id, now_s)
         self._hear_suspects(news, now_s)
         for upstream_id, told in news.layers.items():
-            self._hear_layers(upstream_id, told, now_s)
-
-    def _hear_layers(
-        self, upstream_id: str, told: upstreams.AgedLayers, now_s: float
-    ) -> None:
-        """Takes an engine's layers, unless this host learned others later.
-
-        Two hosts may have ordered one engine in turn. Did both go on to tell
-        what they saw, all others would send requests to either by turns.
-        """
-        own = self._moved.get(upstream_id)
-        if own is not None and own.layers != told.layers:
-            if own.at_s >= now_s - told.age_s:
-                return
-            del self._moved[upstream_id]
-        upstreams.learn(self.roster, upstream_id, told.layers, now_s)
+            self.moves.hear(upstream_id, told, now_s)
 
     def _hear_suspects(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host finds failing.
@@ -268,9 +235,7 @@
         for upstream_id, entry in self.roster.entries.items():
             old = before.get(upstream_id)
             if old and entry.layers is not None and entry.layers != old.layers:
-                self._moved[upstream_id] = Moved(
-                    entry.layers, now_s, False, entry.layers
-                )
+                self.moves.note_listed(upstream_id, entry.layers, now_s)
             if entry.is_draining and not (old and old.is_draining):
                 self._note(upstream_id, "draining", "reported that it leaves")
         for upstream_id in set(before) - set(self.roster.entries):
@@ -313,14 +278,6 @@
                 upstream_id, "unreadable", "its newest record can't be used"
             )
 
-    def learn_layers(
-        self, upstream_id: str, layers: upstreams.Layers, now_s: float
-    ) -> None:
-        """Takes what an engine reported to hold, and has others told."""
-        listed = upstreams.get_listed(self.roster, upstream_id)
-        upstreams.learn(self.roster, upstream_id, layers, now_s)
-        self._moved[upstream_id] = Moved(layers, now_s, True, listed)
-
     def note_report(
         self,
         upstream_id: str,
@@ -384,44 +341,6 @@
         due += self.health.take_due(listed, now_s)
         return [listed[i] for i in due if i in listed]
 
-    def list_moved(
-        self, kept_s: float, now_s: float
-    ) -> dict[str, upstreams.AgedLayers]:
-        """Returns layers that engines took of late; drops the others.
-
-        What an engine reported to this host is told until the list says
-        something new of it, and counts here as long: a host that starts
-        meanwhile is handed the list from before. What the list showed is told
-        for `LISTED_TOLD_S`, however long the store is away: others may have
-        given orders since.
-
-        Args:
-            kept_s: Longest time that a report is told.
-            now_s: Monotonic time.
-        """
-        self._moved = {
-            i: m
-            for i, m in self._moved.items()
-            if self._is_told(i, m, kept_s, now_s)
-        }
-        for upstream_id, moved in self._moved.items():
-            if moved.is_reported:
-                upstreams.learn(self.roster, upstream_id, moved.layers, now_s)
-        return {
-            i: upstreams.AgedLayers(m.layers, max(0.0, now_s - m.at_s))
-            for i, m in self._moved.items()
-        }
-
-    def _is_told(
-        self, upstream_id: str, moved: Moved, kept_s: float, now_s: float
-    ) -> bool:
-        """Tells whether other hosts still need to be told of layers."""
-        age_s = now_s - moved.at_s
-        if not moved.is_reported:
-            return age_s < LISTED_TOLD_S
-        listed = upstreams.get_listed(self.roster, upstream_id)
-        return age_s < kept_s and listed == moved.listed
-
     def compute_digest(self) -> int:
         """Returns a number that differs where the list differs.
 
@@ -447,11 +366,11 @@
         tables: tuple[dict[str, Any], ...] = (
             self.times,
             self.memory.excess,
-            self._moved,
         )
         for table in tables:
             for upstream_id in set(table) - set(listed):
                 del table[upstream_id]
+        self.moves.forget(listed)
         self.paces.forget(listed)
         self.health.forget(listed)
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -5,6 +5,7 @@
 import random
 from typing import Final
 
+from egretspur.admission import repeats
 from egretspur.catalog import config, upstreams
 from egretspur.placement import ranges
 from egretspur.routing import broker, jobs
@@ -41,7 +42,7 @@
     "cj-hall": {"a100": 1, "l40s": 3, "l4": 8},
 }
 
-BUDGET: Final = broker.BudgetOptions(0.2, 200.0, 10.0)
+BUDGET: Final = repeats.Options(0.2, 200.0, 10.0)
 
 
 def parse_layers(text: str) -> upstreams.Layers | None:
@@ -120,7 +121,7 @@
 
 def make_broker(
     entries: list[upstreams.Upstream],
-    budget: broker.BudgetOptions = BUDGET,
+    budget: repeats.Options = BUDGET,
 ) -> broker.Broker:
     """Returns a broker in kl-hall that knows these upstreams."""
     state = broker.Broker("kl-hall", budget, random.Random(7))
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from egretspur import decisions, errors
-from egretspur.admission import room, shared
+from egretspur.admission import repeats, room, shared
 from egretspur.catalog import upstreams
 from egretspur.routing import broker, fleet, jobs, memory, paths
 from tests import exact, fleets
@@ -270,7 +270,7 @@
 @given("hosts that may repeat {what}")
 def step_budget(context: Any, what: str) -> None:
     if what == "nothing":
-        context.budget = broker.BudgetOptions(0.0, 0.0, 10.0)
+        context.budget = repeats.Options(0.0, 0.0, 10.0)
 
 
 @given("a chain of engines with room for about 45000 tokens")
@@ -576,11 +576,11 @@
 
 @then("it goes on with one repeat spent")
 def step_one_repeat(context: Any) -> None:
-    spent = context.broker.list_spent(context.now_s)["llm"]
+    spent = context.broker.repeats.list_spent(context.now_s)["llm"]
     failure = jobs.Failure("r", jobs.Why.CUT, "interrupted", (), True)
     effects = context.broker.fail(failure, context.now_s)
     assert isinstance(effects[0], jobs.Start), effects
-    assert context.broker.list_spent(context.now_s)["llm"] == spent
+    assert context.broker.repeats.list_spent(context.now_s)["llm"] == spent
     assert context.broker.counts.repeats == 1
 
 
--- a/tests/steps/entries_steps.py
+++ b/tests/steps/entries_steps.py
@@ -190,7 +190,7 @@
         state.health.note_fault(mine, context.now_s)
         state.paces.note(mine, 5.0)
         state.memory.add(mine, 3, 900.0)
-        state.learn_layers(mine, upstreams.Layers(0, 31), context.now_s)
+        state.moves.note_reported(mine, upstreams.Layers(0, 31), context.now_s)
 
 
 @when("a probe of e-1 brings a report of a newer start")
@@ -312,4 +312,4 @@
         assert state.memory.get_usage(entry.id, context.now_s) == jobs.Usage()
         assert entry.layers is None
         former = upstreams.make_start_id("e-1", listing.BORN_MS)
-        assert former not in state.list_moved(2.0, context.now_s)
+        assert former not in state.moves.list_told(2.0, context.now_s)
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from egretspur import decisions
+from egretspur.admission import repeats
 from egretspur.catalog import upstreams
 from egretspur.daemons import news
 from egretspur.membership import exchange
@@ -19,7 +20,7 @@
 def make_broker(entry: upstreams.Upstream) -> broker.Broker:
     """Returns a host that has just read a list with one engine."""
     made = broker.Broker(
-        "kl-hall", broker.BudgetOptions(0.2, 10.0, 10.0), random.Random(1)
+        "kl-hall", repeats.Options(0.2, 10.0, 10.0), random.Random(1)
     )
     made.replace_list({entry.id: entry}, 0.0)
     return made
@@ -53,30 +54,30 @@
 def step_reports(context: Any, layers: str) -> None:
     held = fleets.make_upstream(context.name, layers).layers
     assert held is not None
-    context.host.fleet.learn_layers(context.name, held, context.now_s)
+    context.host.fleet.moves.note_reported(context.name, held, context.now_s)
 
 
 @when("it tells the other host")
 def step_tells(context: Any) -> None:
-    told = context.host.fleet.list_moved(2.0, context.now_s)
+    told = context.host.fleet.moves.list_told(2.0, context.now_s)
     context.other.hear(make_news(told), context.now_s)
 
 
 @then('within 2 s it tells the others "{told}"')
 def step_told(context: Any, told: str) -> None:
-    found = context.host.fleet.list_moved(2.0, context.now_s + 1.9)
+    found = context.host.fleet.moves.list_told(2.0, context.now_s + 1.9)
     assert describe(found) == told, found
 
 
 @then("2.1 s later it tells them nothing")
 def step_told_nothing(context: Any) -> None:
-    found = context.host.fleet.list_moved(2.0, context.now_s + 2.1)
+    found = context.host.fleet.moves.list_told(2.0, context.now_s + 2.1)
     assert not found, found
 
 
 @then('30 s later, without the store, it tells the others "{told}"')
 def step_told_away(context: Any, told: str) -> None:
-    found = context.host.fleet.list_moved(math.inf, context.now_s + 30.0)
+    found = context.host.fleet.moves.list_told(math.inf, context.now_s + 30.0)
     assert describe(found) == told, found
 
 
@@ -100,14 +101,14 @@
     context.now_s += seconds
     held = fleets.make_upstream(context.name, layers).layers
     assert held is not None
-    context.other.fleet.learn_layers(context.name, held, context.now_s)
+    context.other.fleet.moves.note_reported(context.name, held, context.now_s)
 
 
 @when("{seconds:g} s later the two tell each other")
 def step_tell_each_other(context: Any, seconds: float) -> None:
     context.now_s += seconds
     told = {
-        host: host.fleet.list_moved(news.LAYERS_TOLD_S, context.now_s)
+        host: host.fleet.moves.list_told(news.LAYERS_TOLD_S, context.now_s)
         for host in (context.host, context.other)
     }
     context.other.hear(make_news(told[context.host]), context.now_s)
@@ -120,8 +121,8 @@
         held = host.fleet.roster.entries[context.name].layers
         assert held == fleets.make_upstream(context.name, layers).layers, held
     tells = news.LAYERS_TOLD_S
-    assert not context.host.fleet.list_moved(tells, context.now_s)
-    found = context.other.fleet.list_moved(tells, context.now_s)
+    assert not context.host.fleet.moves.list_told(tells, context.now_s)
+    found = context.other.fleet.moves.list_told(tells, context.now_s)
     assert describe(found) == f"{context.name} {layers}", found
 
 
@@ -129,7 +130,9 @@
 def step_told_for(context: Any, seconds: float, told: str) -> None:
     end_s = context.now_s + seconds
     while context.now_s < end_s:
-        moved = context.host.fleet.list_moved(news.LAYERS_TOLD_S, context.now_s)
+        moved = context.host.fleet.moves.list_told(
+            news.LAYERS_TOLD_S, context.now_s
+        )
         assert describe(moved) == told, (context.now_s, moved)
         held = context.host.fleet.roster.entries[context.name].layers
         assert held == moved[context.name].layers, held
