--- a/tests/steps/ranges_orders_steps.py
+++ b/tests/steps/ranges_orders_steps.py
@@ -37,7 +37,9 @@
                 self.held[name] = layers
                 del self.loading[name]
 
-    def get_report(self, address: str) -> upstreams.EngineReport | str:
+    def get_report(
+        self, address: str
+    ) -> upstreams.EngineReport | upstreams.NoReport:
         """Returns an engine's own word."""
         self.settle()
         name = address.partition(":")[0]
