Never hand on an older configuration, also one that is written after a copy

Cause, found by re-reading: the newest version went before the copy's, but not before older ones that the operator writes once more after it; hosts kept to the newest themselves and handed the older ones to hosts that start. Change: a topic may say that its values never go back, whoever writes them. Test: copies.feature, red without it.

--- a/egretspur/catalog/tables.py
+++ b/egretspur/catalog/tables.py
@@ -46,6 +46,8 @@
     goes_before: Callable[[T, T], bool]
     # How long a key is kept that a copy lacks, in seconds.
     kept_s: float = math.inf
+    # A value never gives way to one that it goes before, whoever writes that.
+    is_monotonic: bool = False
 
 
 @attrs.frozen
@@ -162,6 +164,9 @@
         changes: list[tuple[str, Value[T] | None]] = []
         for read in reads:
             record, value = read.record, read.value
+            if self._policy.is_monotonic and self._outdoes(read):
+                self._overruled[record.key] = handover.Overruled(record.offset)
+                continue
             is_settled = self._overruled.pop(record.key, None) is not None
             self._withheld.pop(record.key, None)
             if value is None:
@@ -177,6 +182,11 @@
         self._newest.move_on(at, self._overruled)
         return (*changes, *self._expire(at))
 
+    def _outdoes(self, read: Read[T]) -> bool:
+        """Tells whether what is known of a record's key goes before it."""
+        known = self._values.get(read.record.key)
+        return known is not None and self._goes_before(known, read.value)
+
     def _drop_settled(self, fresh: Mapping[str, Read[T]]) -> None:
         """Forgets what was overruled of which a later record was read."""
         for key, overruled in list(self._overruled.items()):
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -360,7 +360,7 @@
         store,
         names.CONFIG_TOPIC,
         lambda key, data: decoder.decode(data),
-        tables.Policy(config.is_newer),
+        tables.Policy(config.is_newer, is_monotonic=True),
         lambda key: key == names.CONFIG_KEY,
     )
 
--- a/tests/catalog/copies.feature
+++ b/tests/catalog/copies.feature
@@ -77,6 +77,16 @@
       | 9       | 9   |
       | 11      | 11  |
 
+  Scenario: An operator writes again, one version after the other
+    # Symptom: a host that starts after a copy lets in a key that was taken
+    # away. Sequence: the copy was read, then the operator's older versions come
+    # once more; hosts in force at the newest hand the older ones to new hosts.
+    Given hosts that have read configuration 7 and then 9
+    When the store loses the last 2 records, and configuration none comes
+    And configurations 7 and 8 come and are read, one after the other
+    Then all have configuration 9, and so has a host that starts
+    And one that has read the store itself before it asks them
+
   Scenario: Requests in quarantine are written again, once
     # Symptom: all hosts are killed after a copy, and a request that ends
     # engines is sent again. Sequence: the copy lacks its record.
--- a/tests/steps/copies_steps.py
+++ b/tests/steps/copies_steps.py
@@ -222,6 +222,27 @@
         host.read()
 
 
+@when(
+    "configurations {first:d} and {second:d} come and are read, one after the other"
+)
+def step_config_again(context: Any, first: int, second: int) -> None:
+    for version in (first, second):
+        write_config(context, version)
+        for host in context.hosts:
+            host.read()
+
+
+@then("one that has read the store itself before it asks them")
+def step_config_asks(context: Any) -> None:
+    started = ConfigHost(context.log)
+    started.read()
+    assert started.get_version() == 8
+    data = context.hosts[0].topic.export(started.at)
+    assert data is not None
+    started.topic.read_snapshot(data)
+    assert started.get_version() == 9
+
+
 @then("all have configuration {version:d}, and so has a host that starts")
 def step_config_now(context: Any, version: int) -> None:
     assert [h.get_version() for h in context.hosts] == [version] * HOSTS
