--- a/tests/catalog/copies.feature
+++ b/tests/catalog/copies.feature
@@ -83,7 +83,7 @@
     # once more; hosts in force at the newest hand the older ones to new hosts.
     Given hosts that have read configuration 7 and then 9
     When the store loses the last 2 records, and configuration none comes
-    And configurations 7 and 8 come and are read, one after the other
+    And configurations 7 and 8 come and are read in turn
     Then all have configuration 9, and so has a host that starts
     And one that has read the store itself before it asks them
 
--- a/tests/steps/copies_steps.py
+++ b/tests/steps/copies_steps.py
@@ -222,9 +222,7 @@
         host.read()
 
 
-@when(
-    "configurations {first:d} and {second:d} come and are read, one after the other"
-)
+@when("configurations {first:d} and {second:d} come and are read in turn")
 def step_config_again(context: Any, first: int, second: int) -> None:
     for version in (first, second):
         write_config(context, version)
