--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -107,15 +107,6 @@
     born_ms: int | None = None
 
 
-@attrs.frozen
-class NoReport:
-    """Why an engine's report did not come."""
-
-    reason: str
-    # It took the connection and closed it: it lives, and has too many.
-    is_closed: bool = False
-
-
 # What the health page of a plain service tells, in the terms of a report.
 PLAIN_REPORT: Final = EngineReport(None, False, 0, 0.0, 0.0, 1.0, ())
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -337,7 +337,7 @@
         service = cfg.services.get(entry.service) if cfg else None
         if service is None or service.engine is not None:
             report = self._engines.get_report(entry.address)
-            return None if isinstance(report, upstreams.NoReport) else report
+            return None if isinstance(report, str) else report
         is_alive = self._engines.is_alive(entry.address, service.health_path)
         return upstreams.PLAIN_REPORT if is_alive else None
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -44,10 +44,8 @@
 # is ended, so that it goes on over another path before its caller turns away.
 HOPELESS_PART: Final = 0.55
 
-# Seconds between two questions to one engine; the longest where its answers
-# tell nothing.
+# Seconds between two questions to one engine.
 ASK_S: Final = 0.25
-LONGEST_ASK_S: Final = 1.0
 
 # Suspected stages asked at the same moment. A path has some ten; where more
 # are silent, it is this host that hears nobody.
@@ -57,12 +55,10 @@
 class Engines(Protocol):
     """Reports of engines and orders to them."""
 
-    def get_report(
-        self, address: str
-    ) -> upstreams.EngineReport | upstreams.NoReport:
+    def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report, or why there is none."""
 
-    def peek(self, address: str) -> upstreams.EngineReport | upstreams.NoReport:
+    def peek(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report that comes at once, or why there is none."""
 
     def repath(
@@ -91,10 +87,7 @@
         self._streams: set[forward.Forward] = set()
         # Streams that were asked to move, with the time.
         self._moved: dict[forward.Forward, float] = {}
-        # When an engine may be asked again, by id, and for how long those were
-        # left alone whose answers told nothing.
-        self._ask_from: dict[str, float] = {}
-        self._pauses: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
         # When a suspected stage was last asked, by id.
         self._peeked: dict[str, float] = {}
         # What other hosts find failing, and when that was heard.
@@ -164,16 +157,10 @@
             if is_silent(stream, now_s):
                 by_first.setdefault(stream.parts[0], []).append(stream)
         for first, silent in by_first.items():
-            if now_s < self._ask_from.get(first.id, now_s):
+            if now_s - self._asked.get(first.id, -ASK_S) < ASK_S:
                 continue
-            self._ask_from[first.id] = now_s + ASK_S
-            self._handle(first, silent, now_s)
-        # One whose streams go on again is asked at once the next time.
-        self._pauses = {
-            i: pause_s
-            for i, pause_s in self._pauses.items()
-            if now_s < self._ask_from.get(i, 0.0) + pause_s
-        }
+            self._asked[first.id] = now_s
+            self._handle(first, silent)
 
     def _look_early(
         self, streams: Sequence[forward.Forward], now_s: float
@@ -244,20 +231,12 @@
         ids = list(addresses)
         reports = self._pool.map(self._engines.peek, addresses.values())
         found = dict(zip(ids, reports, strict=True))
-        answered = {
-            i: r
-            for i, r in found.items()
-            if not isinstance(r, upstreams.NoReport)
-        }
+        answered = {i: r for i, r in found.items() if not isinstance(r, str)}
         for upstream_id, report in answered.items():
             self._desk.tell(desk.Probed(upstream_id, report))
         if not answered:
             return frozenset()
-        return frozenset(
-            i
-            for i, r in found.items()
-            if isinstance(r, upstreams.NoReport) and not r.is_closed
-        )
+        return frozenset(found) - frozenset(answered)
 
     def _leave(
         self, dead: frozenset[str], streams: Sequence[forward.Forward]
@@ -279,23 +258,15 @@
         )
 
     def _handle(
-        self,
-        first: paths.Part,
-        streams: Sequence[forward.Forward],
-        now_s: float,
+        self, first: paths.Part, streams: Sequence[forward.Forward]
     ) -> None:
         report = self._engines.get_report(first.address)
-        if isinstance(report, upstreams.NoReport):
-            if report.is_closed:
-                self._ask_later(first.id, now_s)
-                return
+        if isinstance(report, str):
             self._desk.tell(desk.NoteFailed(first.id))
             for stream in streams:
                 stream.stalled.add(first.id)
                 self._end_attempt(stream)
             return
-        if not report.stalled:
-            self._ask_later(first.id, now_s)
         for stream in streams:
             stalled = frozenset(
                 p.id for p in stream.parts if p.address in report.stalled
@@ -309,19 +280,6 @@
             if silent_s > _get_hopeless_s(stream) and stalled:
                 self._end_attempt(stream)
 
-    def _ask_later(self, engine_id: str, now_s: float) -> None:
-        """Leaves an engine alone for longer each time it can tell nothing.
-
-        One with more work than it can do is silent for many streams at once.
-        Symptom without it: dozens of hosts ask it four times a second, and the
-        connections that this takes are those its callers lack.
-        """
-        # Reports are some hundred milliseconds old, so the second may tell.
-        before_s = self._pauses.get(engine_id, ASK_S / 2)
-        pause_s = min(2 * before_s, LONGEST_ASK_S)
-        self._pauses[engine_id] = pause_s
-        self._ask_from[engine_id] = now_s + pause_s
-
     def _end_attempt(self, stream: forward.Forward) -> None:
         """Ends a silent attempt if another one may follow.
 
--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -42,9 +42,7 @@
 class Engines(Protocol):
     """Reports of engines and orders to them."""
 
-    def get_report(
-        self, address: str
-    ) -> upstreams.EngineReport | upstreams.NoReport:
+    def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report, or why there is none."""
 
     def place(
@@ -234,8 +232,8 @@
         on its way then fails instead of undoing a later one.
         """
         report = self._engines.get_report(entry.address)
-        if isinstance(report, upstreams.NoReport):
-            return report.reason
+        if isinstance(report, str):
+            return report
         if upstreams.is_other_start(entry, report):
             return "of another start than its entry"
         if report.layers == layers:
@@ -268,7 +266,7 @@
             return
         report = self._engines.get_report(entry.address)
         if (
-            isinstance(report, upstreams.NoReport)
+            isinstance(report, str)
             or upstreams.is_other_start(entry, report)
             or report.layers != given.layers
         ):
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -274,13 +274,11 @@
         self._transport.close()
         self._quick.close()
 
-    def get_report(
-        self, address: str
-    ) -> upstreams.EngineReport | upstreams.NoReport:
+    def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns an engine's report, or why there is none."""
         return self._get_report(self._transport, address)
 
-    def peek(self, address: str) -> upstreams.EngineReport | upstreams.NoReport:
+    def peek(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report that comes at once, or why there is none.
 
         On a connection of its own: a kept one that went silent would look
@@ -291,16 +289,16 @@
 
     def _get_report(
         self, client: transport.Transport, address: str
-    ) -> upstreams.EngineReport | upstreams.NoReport:
+    ) -> upstreams.EngineReport | str:
         res = client.call("GET", address, names.REPORT_PATH)
         if isinstance(res, transport.Failed):
-            return upstreams.NoReport(res.reason, res.is_closed)
+            return res.reason
         if res.status != 200:
-            return upstreams.NoReport(f"{address}: status {res.status}")
+            return f"{address}: status {res.status}"
         try:
             return decode.decode_report(res.read_json())
         except codec.DecodeError as exc:
-            return upstreams.NoReport(f"{address}: {exc}")
+            return f"{address}: {exc}"
 
     def is_alive(self, address: str, health_path: str) -> bool:
         """Tells whether a plain service takes connections.
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -48,9 +48,6 @@
     maybe_sent: bool
     # True if the connection was there but said nothing in time.
     is_silent: bool = False
-    # True if the other side took the connection and closed it without an
-    # answer, as a process does that lives and has too many of them.
-    is_closed: bool = False
 
 
 class Transport:
@@ -131,8 +128,7 @@
             is_silent = isinstance(exc, exceptions.ReadTimeoutError)
             if is_silent:
                 self.empty_pool(address)
-            is_closed = isinstance(exc, exceptions.ProtocolError)
-            return Failed(f"{address}: {exc}", True, is_silent, is_closed)
+            return Failed(f"{address}: {exc}", True, is_silent)
 
     def discard(self, address: str, res: urllib3.BaseHTTPResponse) -> None:
         """Closes a connection that broke mid-answer, and its pool."""
