--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -28,6 +28,8 @@
     "float": 0.25,
     "bool": True,
     "tuple[str, ...]": ("a", "b"),
+    "dict[str, int]": {"a": 3},
+    "dict[str, tuple[str, ...]]": {"a": ("b", "c")},
 }
 
 
