--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -75,7 +75,7 @@
 
 def is_list_due(mine: Known, other: Known) -> bool:
     """Tells whether another host has a list that is newer and differs."""
-    return is_copy_due(mine, other) or (
+    return (
         other.list_age_s < FRESH_S
         and other.list_age_s < mine.list_age_s
         and other.digest != mine.digest
--- a/egretspur/catalog/tables.py
+++ b/egretspur/catalog/tables.py
@@ -127,11 +127,11 @@
         """
         before = self._newest.position
         fresh = {r.record.key: r for r in reads}
-        is_copy = before is not None and before.era != at.era
-        if before is not None and is_copy:
+        before_copy = before if before and before.era != at.era else None
+        if before_copy is not None:
             self._overruled = self._find_outlasting(fresh, told)
             self._overruled.update(
-                self._find_removed(fresh, before.offset, told)
+                self._find_removed(fresh, before_copy.offset, told)
             )
         else:
             self._drop_settled(fresh)
@@ -148,8 +148,8 @@
             for key, read in fresh.items()
             if key in self._overruled and key not in self._values
         }
-        if before is not None and is_copy:
-            self._report(before.era, at.era, len(fresh))
+        if before_copy is not None:
+            self._report(before_copy.era, at.era, len(fresh))
         return dict(self._values)
 
     def change(
@@ -179,8 +179,9 @@
                     self._newest.put(record)
                 self._values[record.key] = value
             changes.append((record.key, value))
+        changes += self._expire(at)
         self._newest.move_on(at, self._overruled)
-        return (*changes, *self._expire(at))
+        return tuple(changes)
 
     def _outdoes(self, read: Read[T]) -> bool:
         """Tells whether what is known of a record's key goes before it."""
@@ -316,6 +317,4 @@
                 self._values[key] = read.value
                 self._newest.put(read.record)
                 changes.append((key, read.value))
-        if late:
-            self._newest.move_on(at, self._overruled)
         return tuple(changes)
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -316,7 +316,8 @@
 
     def _is_before(self, hosts: Iterable[str]) -> bool:
         """Tells whether this host's address comes before all of these."""
-        return self._count_before(hosts) == 0
+        me = datagrams.parse_address(self._me)
+        return all(me <= datagrams.parse_address(h) for h in hosts)
 
     def _count_before(self, hosts: Iterable[str]) -> int:
         """Returns how many of these come before this host's address."""
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -17,6 +17,7 @@
 from egretspur import checks, codec
 from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, upstreams
+from egretspur.membership import datagrams
 
 T = TypeVar("T")
 
@@ -276,8 +277,7 @@
 
 def decode_ends(value: Any) -> quarantine.Ends:
     """Returns the upstreams that ended under a request in quarantine."""
-    ended = checks.Table(value).get_table("ended")
-    ends = {n: checks.check_number(w, "ended") for n, w in ended.items()}
+    ends = datagrams.decode_ends(checks.Table(value).get("ended"))
     if not ends:
         raise checks.FieldError("ended", "empty")
     return ends
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -350,7 +350,7 @@
         roster = self.roster
         rows = []
         for entry in roster.entries.values():
-            layers = roster.listed.get(entry.id, entry.layers)
+            layers = upstreams.get_listed(roster, entry.id)
             held = f"{layers.first}-{layers.last}" if layers else "none"
             if entry.id in roster.unreadable:
                 # A host that has read the list anew does not know it at all.
