Log each repeat with the host's part of the shared budget

Repeats beyond the budget could not be traced: only a budget that was found empty left a line, with the hosts counted and nothing else. Each repeat now leaves one, with what the host has sent in the last window, the part that it keeps to itself, what it has borrowed, and the hosts that it believes share the budget. Three causes tell apart: a count that begins anew at a start, hosts miscounted, and attempts that no line accounts for. No decision changes.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -49,6 +49,10 @@
         others = self._ledger.sum_up(service, now_s)
         return self._get(service).spend(self.hosts, now_s, others)
 
+    def get_standing(self, service: str) -> shared.Standing:
+        """Returns where this host stands with a service's budget."""
+        return self._get(service).get_standing(self.hosts)
+
     def hear(
         self,
         host: str,
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -67,6 +67,17 @@
 NOBODY: Final = Spent()
 
 
+@attrs.frozen
+class Standing:
+    """Where a host stands with its part, for the log."""
+
+    # Repeats in the last window.
+    sent: int = 0
+    # Repeats that it may send in one: its own, and borrowed ones.
+    part: float = 0.0
+    borrowed: float = 0.0
+
+
 @attrs.define
 class SharedBudget:
     """Repeats this host may send to one service."""
@@ -113,6 +124,12 @@
             self._give_back(hosts, 0.0)
         return self._describe()
 
+    def get_standing(self, hosts: int) -> Standing:
+        """Returns where this host stands, as of its last repeat."""
+        return Standing(
+            len(self._repeats), self._get_firm(hosts), self._borrowed
+        )
+
     def _describe(self) -> Spent:
         borrowers = int(self._borrowed > 0)
         return Spent(1, len(self._requests), self._borrowed, borrowers)
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -237,11 +237,33 @@
     took_s: float
 
 
+@attrs.frozen
+class RepeatTaken:
+    """A repeat was taken from the retry budget that all hosts share."""
+
+    request: str
+    service: str
+    # Repeats of this host in the last window, this one included, and how many
+    # it may send: what it keeps to itself, and what it has borrowed.
+    sent: int
+    part: float
+    borrowed: float
+    # Hosts that share the budget, as far as this one knows.
+    hosts: int
+
+
 @attrs.frozen
 class BudgetEmpty:
-    """A repeat was not sent because the shared budget allowed none."""
+    """A repeat was not sent because the shared budget allowed none.
 
+    Fields as in `RepeatTaken`.
+    """
+
+    request: str
     service: str
+    sent: int
+    part: float
+    borrowed: float
     hosts: int
 
 
@@ -368,6 +390,7 @@
     | DutyEnded
     | OrderGiven
     | OrderDone
+    | RepeatTaken
     | BudgetEmpty
     | QuarantineChanged
     | QuarantineSaved
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -228,11 +228,28 @@
             return True
         service = ticket.job.service
         ticket.has_repeat = self.repeats.spend(service, now_s)
-        if not ticket.has_repeat:
-            hosts = self.repeats.hosts
-            self._notes.append(decisions.BudgetEmpty(service, hosts))
+        self._notes.append(self._describe_repeat(ticket))
         return ticket.has_repeat
 
+    def _describe_repeat(
+        self, ticket: Ticket
+    ) -> decisions.RepeatTaken | decisions.BudgetEmpty:
+        service = ticket.job.service
+        at = self.repeats.get_standing(service)
+        make = (
+            decisions.RepeatTaken
+            if ticket.has_repeat
+            else decisions.BudgetEmpty
+        )
+        return make(
+            ticket.job.id,
+            service,
+            at.sent,
+            at.part,
+            at.borrowed,
+            self.repeats.hosts,
+        )
+
     def _list_stages(self, ticket: Ticket) -> tuple[str, ...]:
         """Returns the upstreams that work on a request, its first one first."""
         if not ticket.upstream_id:
--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -83,6 +83,18 @@
       | nothing  | not ended |
       | as usual | ended     |
 
+  Scenario Outline: What the log tells of a repeat
+    # Guards against a budget that is overdrawn and no line that says by whom.
+    Given hosts that may repeat <repeats>
+    And a chain of engines with room for about 45000 tokens
+    When the first engine is unreachable
+    Then the log has the repeat as <event>, with <sent> sent of <part>
+
+    Examples:
+      | repeats  | event        | sent | part |
+      | anything | repeat_taken | 1    | 119  |
+      | nothing  | budget_empty | 0    | 0    |
+
   Scenario: The repeat of an attempt that was ended is spent once
     Given a chain of engines and two plain replicas
     When a request runs that has nowhere near by to go on
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -574,6 +574,17 @@
     assert is_secured == (end == "ended")
 
 
+@then("the log has the repeat as {event}, with {sent:d} sent of {part:d}")
+def step_repeat_noted(context: Any, event: str, sent: int, part: int) -> None:
+    lines = [decisions.describe(n) for n in context.broker.take_notes()]
+    lines = [n for n in lines if n["event"] == event]
+    assert lines, event
+    line = lines[0]
+    assert (line["request"], line["service"]) == ("r", "llm"), line
+    found = (line["sent"], int(line["part"]), line["hosts"])
+    assert found == (sent, part, 1), found
+
+
 @then("it goes on with one repeat spent")
 def step_one_repeat(context: Any) -> None:
     spent = context.broker.repeats.list_spent(context.now_s)["llm"]
