--- /dev/null
+++ b/tests/steps/starts_steps.py
@@ -0,0 +1,177 @@
+"""Steps on the retry budget of hosts that start again."""
+
+from __future__ import annotations
+
+import random
+import re
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import attrs
+from behave import given, then, when
+
+from tests.admission import sharing
+
+# Hosts are up so long before requests come.
+LEAD_S: Final = 16.0
+
+# Upstreams fail from then on, and until the end.
+FAILING_S: Final = 12.0
+END_S: Final = 46.0
+
+# Requests of a host in a second, and repeats it wants beyond what it may send.
+RATE: Final = 2.6
+WANTED: Final = 12
+
+# As the users' sheet has it for 61 hosts.
+ALLOWANCE: Final = 306.0 / 61
+
+# A host that is stopped in turn starts so long after the one before it.
+TURN_S: Final = 0.25
+
+
+@attrs.define
+class Play:
+    """A fleet, and what is to happen to it when."""
+
+    fleet: sharing.Fleet
+    due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
+
+    def plan(self, at_s: float, act: Callable[[], None]) -> None:
+        """Has something happen at a time."""
+        self.due.append((at_s, act))
+
+    def run(self) -> None:
+        """Plays it to the end."""
+        fleet = self.fleet
+        fleet.now_s = -LEAD_S
+        while fleet.now_s < END_S:
+            for at_s, act in list(self.due):
+                if at_s <= fleet.now_s:
+                    act()
+                    self.due.remove((at_s, act))
+            fleet.tell()
+            if fleet.now_s >= 0:
+                self._serve()
+            fleet.now_s += sharing.NEWS_S
+
+    def _serve(self) -> None:
+        fleet = self.fleet
+        for host in fleet.rng.sample(fleet.hosts, len(fleet.hosts)):
+            expected = RATE * sharing.NEWS_S
+            count = int(expected) + (fleet.rng.random() < expected % 1)
+            for _ in range(count):
+                fleet.request(host)
+            if fleet.now_s >= FAILING_S:
+                fleet.repeat(host, WANTED)
+
+
+@given("{count:d} hosts in 3 data centres, and upstreams that fail")
+def step_hosts(context: Any, count: int) -> None:
+    rng = random.Random(11)
+    sizes = (count // 3 - 1, count // 3, count - 2 * (count // 3) + 1)
+    fleet = sharing.Fleet(sizes, ALLOWANCE * count, rng)
+    fleet.lost = 0.02
+    context.starts = Play(fleet)
+
+
+@when("{hosts} start again at {when}")
+def step_start_again(context: Any, hosts: str, when: str) -> None:
+    play = context.starts
+    fleet = play.fleet
+    for at_s in map(float, re.findall(r"\d+", when)):
+        if hosts == "all hosts in turn":
+            for i, host in enumerate(fleet.hosts):
+                play.plan(at_s + i * TURN_S, make_start(fleet, [host]))
+        else:
+            play.plan(at_s, make_start(fleet, pick(fleet, hosts)))
+
+
+def make_start(
+    fleet: sharing.Fleet, hosts: Sequence[sharing.Host]
+) -> Callable[[], None]:
+    """Returns an act by which hosts start again."""
+    return lambda: fleet.start_again(hosts)
+
+
+def pick(fleet: sharing.Fleet, hosts: str) -> list[sharing.Host]:
+    """Returns the hosts that a step names."""
+    places = {
+        "the hosts of one data centre": {"dc-1"},
+        "the hosts of two data centres": {"dc-0", "dc-1"},
+    }
+    if hosts in places:
+        return [h for h in fleet.hosts if h.place in places[hosts]]
+    named = {
+        "no hosts": [],
+        "all hosts": fleet.hosts,
+        "half of the hosts": fleet.hosts[::2],
+        "a third of all": fleet.hosts[::3],
+        "the first host of each": [
+            h for h in fleet.hosts if h.ip.endswith(".0.1")
+        ],
+    }
+    return list(named[hosts])
+
+
+@when("{who} cut off from {begin:d} s to {end:d} s")
+def step_cut_off(context: Any, who: str, begin: int, end: int) -> None:
+    play = context.starts
+    fleet = play.fleet
+    if who == "a third of all are":
+        lone = pick(fleet, "a third of all")
+
+        def set_lone(is_cut_off: bool) -> None:
+            for host in lone:
+                host.is_cut_off = is_cut_off
+
+        play.plan(begin, lambda: set_lone(True))
+        play.plan(end, lambda: set_lone(False))
+        return
+    apart = {"one data centre is": {"dc-1"}}.get(who, {"dc-0", "dc-1", "dc-2"})
+    play.plan(begin, lambda: fleet.apart.update(apart))
+    play.plan(end, fleet.apart.clear)
+
+
+@when("a third as many hosts are added at {at:d} s")
+def step_added(context: Any, at: int) -> None:
+    context.starts.plan(at, lambda: add_third(context.starts.fleet))
+
+
+def add_third(fleet: sharing.Fleet) -> None:
+    """Adds a third as many hosts to each data centre."""
+    for host in fleet.hosts[::3]:
+        fleet.add(host.ip.replace(".0.", ".1."), host.place)
+
+
+@when("a third of the hosts are removed at {at:d} s")
+def step_removed(context: Any, at: int) -> None:
+    context.starts.plan(at, lambda: remove_third(context.starts.fleet))
+
+
+def remove_third(fleet: sharing.Fleet) -> None:
+    """Removes a third of the hosts for good."""
+    del fleet.hosts[::3]
+
+
+@when("a third of the hosts are moved at {at:d} s")
+def step_moved(context: Any, at: int) -> None:
+    fleet = context.starts.fleet
+
+    def move() -> None:
+        add_third(fleet)
+        remove_third(fleet)
+
+    context.starts.plan(at, move)
+
+
+@then("no window has more repeats than all hosts together may send")
+def step_kept(context: Any) -> None:
+    context.starts.run()
+    context.worst = context.starts.fleet.find_worst()
+    assert context.worst[0] <= 1.0, context.worst
+
+
+@then("in the worst one there are half of them or more")
+def step_used(context: Any) -> None:
+    assert context.worst[0] >= 0.5, context.worst
