Give a host that starts no part of the retry budget until its window has passed

Callers of a failing service were repeated more often than all hosts together may, once hosts had been killed. What a host had spent was known to its process alone: started again it had its whole part once more, while the repeats from before its start still counted; and until it heard the others it took itself for the only one, with a part of 119 repeats in place of 16. What it had borrowed was lent again 0.9 s after its last word.

A host that has heard the others for less than a window now has no part and borrows nothing. It repeats from the reserve, which nobody else uses: a tenth of what is allowed, which grows from nothing with its time and its requests, so that any number of starts in a window has no more together. What a host has borrowed counts for a window after its last word, and beside what its next start says; what it has spent beyond its part counts as borrowed. Only where the whole system starts for the first time nothing can have been spent before.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+import random
 from collections.abc import Mapping
 
 import attrs
@@ -22,23 +24,42 @@
     # Repeats allowed in a window besides.
     allowance: float
     window_s: float
+    # Since when this host hears what the others spend; infinite where it has
+    # heard nobody yet.
+    since_s: float = -math.inf
 
 
 class Repeats:
     """See the module's docstring."""
 
-    def __init__(self, data_centre: str, options: Options) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        options: Options,
+        rng: random.Random | None = None,
+    ) -> None:
         """Makes a state in which nothing was spent.
 
         Args:
             data_centre: Of this host.
             options: What all hosts together may spend on one service.
+            rng: Draws which new hosts repeat first.
         """
         # Hosts that share the budgets, this one included.
         self.hosts = 1
         self._options = options
+        self._rng = rng or random.Random()
+        self._since_s = options.since_s
         self._budgets: dict[str, shared.SharedBudget] = {}
-        self._ledger = shared.Ledger(data_centre)
+        self._ledger = shared.Ledger(data_centre, options.window_s)
+
+    def is_new(self, now_s: float) -> bool:
+        """Tells whether repeats from before this host's start may count."""
+        return self._get_age_s(now_s) < self._options.window_s
+
+    def _get_age_s(self, now_s: float) -> float:
+        """Returns how long this host has heard the others."""
+        return now_s - self._since_s
 
     def earn(self, service: str, now_s: float) -> None:
         """Counts a request's first attempt."""
@@ -47,11 +68,14 @@
     def spend(self, service: str, now_s: float) -> bool:
         """Takes one repeat; tells whether there was one."""
         others = self._ledger.sum_up(service, now_s)
-        return self._get(service).spend(self.hosts, now_s, others)
+        return self._get(service).spend(
+            self.hosts, now_s, others, self._get_age_s(now_s)
+        )
 
-    def get_standing(self, service: str) -> shared.Standing:
+    def get_standing(self, service: str, now_s: float) -> shared.Standing:
         """Returns where this host stands with a service's budget."""
-        return self._get(service).get_standing(self.hosts)
+        budget = self._get(service)
+        return budget.get_standing(self.hosts, self._get_age_s(now_s))
 
     def hear(
         self,
@@ -59,14 +83,25 @@
         data_centre: str,
         spent: Mapping[str, shared.Spent],
         now_s: float,
+        is_new: bool = False,
     ) -> None:
-        """Takes what another host, or a whole data centre, has spent."""
-        self._ledger.hear(host, data_centre, spent, now_s)
+        """Takes what another host, or a whole data centre, has spent.
+
+        Args:
+            host: Who said it.
+            data_centre: Of that host.
+            spent: By service.
+            now_s: Monotonic time.
+            is_new: That host has heard others for less than a window.
+        """
+        self._since_s = min(self._since_s, now_s)
+        self._ledger.hear(host, data_centre, spent, now_s, is_new)
 
     def list_spent(self, now_s: float) -> dict[str, shared.Spent]:
         """Returns what this host has spent, by service."""
+        age_s = self._get_age_s(now_s)
         return {
-            service: budget.tell(self.hosts, now_s)
+            service: budget.tell(self.hosts, now_s, age_s)
             for service, budget in self._budgets.items()
         }
 
@@ -84,7 +119,7 @@
         if budget is None:
             opts = self._options
             budget = shared.SharedBudget(
-                opts.ratio, opts.allowance, opts.window_s
+                opts.ratio, opts.allowance, opts.window_s, self._rng.random()
             )
             self._budgets[service] = budget
         return budget
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -13,20 +13,31 @@
 A host that no longer hears of the others borrows nothing of theirs, since they
 may well be alive. What a host has may be spent at once: when an engine dies,
 all that it was working on is repeated in the same moment.
+
+What a host has spent is known to its process alone, and ends with it. So a new
+host, which has heard the others for less than a window, has no part yet: it may
+have spent that before its start, and those repeats still stand in the window.
+It has a part of the reserve, which grows from nothing at its start, so that a
+host that starts again and again has no more. What a host has borrowed counts
+for a whole window after its last word.
 """
 
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Mapping
 from typing import Final
 
 import attrs
 
-# Part of the allowance that is used. The rest covers windows that are cut
-# otherwise than here, and repeats under way.
+# Part of the allowance that is used. The rest is for new hosts, and covers
+# windows that are cut otherwise than here, and repeats under way.
 USED: Final = 0.85
 
+# Part of the allowance that new hosts may use besides.
+RESERVE: Final = 0.1
+
 # Part of its share that a host keeps to itself, and spends whatever the others
 # do. With the first loan that is 0.85 of its even share at once, among 195
 # hosts the same four repeats; more would leave less to those who need it.
@@ -39,7 +50,7 @@
 # datagrams, one of which may be lost.
 LOAN_S: Final = 0.6
 
-# What a host said of its repeats counts for so long; then its part is not lent.
+# A host's part is lent for so long after its last word.
 HEARD_S: Final = 0.9
 
 
@@ -47,6 +58,7 @@
 class Spent:
     """What hosts have made of a service's budget in the last window."""
 
+    # Hosts that have a part, and their requests; new hosts have none to lend.
     hosts: int = 0
     requests: int = 0
     # Repeats beyond what each of them keeps to itself, and how many of them
@@ -87,6 +99,9 @@
     # Repeats allowed to all hosts in a window besides.
     allowance: float
     window_s: float
+    # Part of a repeat that a new host has from its start, drawn by each: many
+    # that have less than a whole one each then have their sum.
+    draw: float = 0.0
     # Times of this host's requests and repeats of the last window.
     _requests: collections.deque[float] = attrs.Factory(collections.deque)
     _repeats: collections.deque[float] = attrs.Factory(collections.deque)
@@ -99,40 +114,55 @@
         self._requests.append(now_s)
         self._forget(now_s)
 
-    def spend(self, hosts: int, now_s: float, others: Spent = NOBODY) -> bool:
+    def spend(
+        self,
+        hosts: int,
+        now_s: float,
+        others: Spent = NOBODY,
+        age_s: float = math.inf,
+    ) -> bool:
         """Takes one repeat; tells whether there was one.
 
         Args:
             hosts: Hosts that share the budget, this one included.
             now_s: Monotonic time.
-            others: What the hosts that were heard of late have spent.
+            others: What the other hosts have spent, as far as it was heard.
+            age_s: Since this host began to hear the others.
         """
         self._forget(now_s)
         wanted = len(self._repeats) + 1
-        firm = self._get_firm(hosts)
-        if wanted > firm + self._borrowed:
+        firm = self._get_firm(hosts, age_s)
+        if wanted > firm + self._borrowed and not self._is_new(age_s):
             self._borrow(hosts, now_s, others)
         if wanted > firm + self._borrowed:
             return False
         self._repeats.append(now_s)
         return True
 
-    def tell(self, hosts: int, now_s: float) -> Spent:
+    def tell(self, hosts: int, now_s: float, age_s: float = math.inf) -> Spent:
         """Returns what this host has spent, for the others."""
         self._forget(now_s)
+        if self._is_new(age_s):
+            return NOBODY
         if now_s >= self._next_loan_s + LOAN_S:
             self._give_back(hosts, 0.0)
-        return self._describe()
+        return self._describe(hosts)
 
-    def get_standing(self, hosts: int) -> Standing:
+    def get_standing(self, hosts: int, age_s: float = math.inf) -> Standing:
         """Returns where this host stands, as of its last repeat."""
         return Standing(
-            len(self._repeats), self._get_firm(hosts), self._borrowed
+            len(self._repeats), self._get_firm(hosts, age_s), self._borrowed
         )
 
-    def _describe(self) -> Spent:
-        borrowers = int(self._borrowed > 0)
-        return Spent(1, len(self._requests), self._borrowed, borrowers)
+    def _is_new(self, age_s: float) -> bool:
+        """Tells whether repeats from before this host's start may count."""
+        return age_s < self.window_s
+
+    def _describe(self, hosts: int) -> Spent:
+        # Its part may have become smaller than what it has spent of it.
+        beyond = len(self._repeats) - self._get_firm(hosts)
+        borrowed = max(self._borrowed, beyond)
+        return Spent(1, len(self._requests), borrowed, int(borrowed > 0))
 
     def _borrow(self, hosts: int, now_s: float, others: Spent) -> None:
         """Takes a part of what is left in the pool."""
@@ -141,8 +171,9 @@
         self._next_loan_s = now_s + LOAN_S
         # Less than a whole repeat goes to the next one.
         self._give_back(hosts, 1.0)
-        known = others.add(self._describe())
-        pool = (1 - FIRM) * self._get_share(known.hosts, hosts, known.requests)
+        known = others.add(self._describe(hosts))
+        share = self._get_share(known.hosts, hosts, known.requests)
+        pool = USED * (1 - FIRM) * share
         rest = max(0.0, pool - known.borrowed)
         if self._borrowed > 0:
             self._borrowed += (1 - BEGINNERS) * rest / known.borrowers
@@ -154,13 +185,19 @@
         spent = max(0.0, len(self._repeats) - self._get_firm(hosts))
         self._borrowed = min(self._borrowed, spent + kept)
 
-    def _get_firm(self, hosts: int) -> float:
-        return FIRM * self._get_share(1, hosts, len(self._requests))
-
-    def _get_share(self, part: int, hosts: int, requests: int) -> float:
-        """Returns the repeats of some of the hosts, given their requests."""
+    def _get_firm(self, hosts: int, age_s: float = math.inf) -> float:
+        """Returns the repeats that this host has to itself."""
+        requests = len(self._requests)
+        if self._is_new(age_s):
+            # Its part may be spent already, by itself before its start.
+            part = max(0.0, age_s / self.window_s)
+            return RESERVE * self._get_share(part, hosts, requests) + self.draw
+        return USED * FIRM * self._get_share(1, hosts, requests)
+
+    def _get_share(self, part: float, hosts: int, requests: int) -> float:
+        """Returns the repeats allowed to some hosts, given their requests."""
         allowed = self.allowance * min(1.0, part / max(1, hosts))
-        return USED * (allowed + self.ratio * requests)
+        return allowed + self.ratio * requests
 
     def _forget(self, now_s: float) -> None:
         for times in (self._requests, self._repeats):
@@ -178,12 +215,20 @@
 class Ledger:
     """What other hosts said of their repeats, by service."""
 
-    def __init__(self, data_centre: str) -> None:
-        """Makes an empty ledger for a host of a data centre."""
+    def __init__(self, data_centre: str, window_s: float) -> None:
+        """Makes an empty ledger for a host of a data centre.
+
+        Args:
+            data_centre: Of the host that keeps it.
+            window_s: Repeats count for so long.
+        """
         self._data_centre = data_centre
+        self._window_s = window_s
         # By host near by, and by other data centre, whose newest sum counts:
         # where its speaker changes the former one's sum is of the same hosts.
-        self._told: dict[str, _Told] = {}
+        # What a new host says stands beside what was said before its start,
+        # which it does not know.
+        self._told: dict[tuple[str, bool], _Told] = {}
 
     def hear(
         self,
@@ -191,22 +236,40 @@
         data_centre: str,
         spent: Mapping[str, Spent],
         now_s: float,
+        is_new: bool = False,
     ) -> None:
-        """Takes what a host said; for all of another data centre."""
+        """Takes what a host said; for all of another data centre.
+
+        Args:
+            host: Who said it.
+            data_centre: Of that host.
+            spent: By service.
+            now_s: Monotonic time.
+            is_new: That host has heard others for less than a window.
+        """
         is_near = data_centre == self._data_centre
         key = host if is_near else data_centre
-        self._told[key] = _Told(now_s, data_centre, spent)
+        self._told[key, is_new] = _Told(now_s, data_centre, spent)
+        if not is_new:
+            self._told.pop((key, True), None)
 
     def sum_up(
         self, service: str, now_s: float, near_only: bool = False
     ) -> Spent:
-        """Returns what the hosts heard of late have spent."""
+        """Returns what the other hosts have spent, as far as it was heard."""
         self._told = {
-            k: t for k, t in self._told.items() if now_s - t.at_s < HEARD_S
+            k: t
+            for k, t in self._told.items()
+            if now_s - t.at_s < self._window_s
         }
         total = NOBODY
         for told in self._told.values():
-            if told.data_centre == self._data_centre or not near_only:
-                # Who had no request for a service tells nothing of it.
-                total = total.add(told.spent.get(service, NOBODY))
+            if near_only and told.data_centre != self._data_centre:
+                continue
+            # Who had no request for a service tells nothing of it.
+            spent = told.spent.get(service, NOBODY)
+            if now_s - told.at_s >= HEARD_S:
+                # It may be gone; its repeats stay in the window.
+                spent = Spent(borrowed=spent.borrowed)
+            total = total.add(spent)
         return total
--- a/egretspur/checks.py
+++ b/egretspur/checks.py
@@ -77,10 +77,7 @@
 
     def get_flag(self, field: str, default: bool = False) -> bool:
         """Returns true or false."""
-        value = self.get(field, default)
-        if not isinstance(value, bool):
-            raise FieldError(field, f"not a flag: {_shorten(value)}")
-        return value
+        return check_flag(self.get(field, default), field)
 
     def get_list(self, field: str, default: Any = _MISSING) -> list[Any]:
         """Returns a list."""
@@ -117,6 +114,13 @@
     return value
 
 
+def check_flag(value: Any, field: str) -> bool:
+    """Returns true or false."""
+    if not isinstance(value, bool):
+        raise FieldError(field, f"not a flag: {_shorten(value)}")
+    return value
+
+
 def check_count(value: Any, field: str) -> int:
     """Returns a whole number, at least 0."""
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -86,9 +86,7 @@
         self._desk = desk.Desk(
             broker.Broker(
                 cfg.data_centre,
-                repeats.Options(
-                    cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s
-                ),
+                _make_budget(cfg),
                 rng,
                 using,
             )
@@ -404,6 +402,20 @@
                     self._reload()
 
 
+def _make_budget(cfg: node.HostSettings) -> repeats.Options:
+    """Returns the retry budgets, as seen by a host that has just started."""
+    since_s = math.inf
+    if cfg.is_first_start:
+        # Nothing can have been spent.
+        since_s = -math.inf
+    elif not set(_list_hosts(cfg.seeds)) - {cfg.ip}:
+        # There is nobody else to be heard.
+        since_s = time.monotonic()
+    return repeats.Options(
+        cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s, since_s
+    )
+
+
 def _list_hosts(addresses: Sequence[str]) -> list[str]:
     """Returns the hosts of addresses."""
     return [a.rpartition(":")[0] for a in addresses]
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -79,6 +79,7 @@
         suspects=own.list_suspects(now_s, False),
         spent=state.repeats.list_spent(now_s),
         ended=state.quarantine.list_told(datagrams.MAX_ENDED, now_s),
+        is_new=state.repeats.is_new(now_s),
     )
 
 
@@ -107,4 +108,5 @@
         suspects=news.suspects,
         spent=news.spent,
         ended=news.ended,
+        is_new=news.is_new,
     )
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -31,7 +31,7 @@
 MAX_ENDED: Final = 16
 
 # Of the datagram's list.
-_FIELDS: Final = 13
+_FIELDS: Final = 14
 
 
 @attrs.frozen
@@ -63,6 +63,9 @@
     # Upstreams that ended under requests, by fingerprint; none where it was
     # answered. No more than `MAX_ENDED`.
     ended: Mapping[str, quarantine.Ends] = attrs.Factory(dict)
+    # It has heard others for less than a window of the retry budget, and does
+    # not know what was spent before.
+    is_new: bool = False
 
 
 @attrs.frozen
@@ -107,6 +110,7 @@
                 for service, s in news.spent.items()
             },
             {f: dict(ends) for f, ends in news.ended.items()},
+            news.is_new,
         ]
     )
 
@@ -123,7 +127,7 @@
 
 def _decode_news(value: Any) -> News:
     row = checks.check_row(value, "news", _FIELDS)
-    host, place, age_s, known, *tables = row
+    host, place, age_s, known, *tables, is_new = row
     usage, pace, dead, layers, peers, excess, suspects, spent, ended = tables
     version, digest, list_age_s, era = checks.check_row(known, "known", 4)
     return News(
@@ -154,6 +158,7 @@
         _decode_ids(suspects, "suspects"),
         {s: _decode_spent(r) for s, r in _get_items(spent, "spent")},
         {f: decode_ends(e) for f, e in _get_items(ended, "ended")},
+        checks.check_flag(is_new, "is_new"),
     )
 
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -81,7 +81,7 @@
         self.quarantine = quarantines.Quarantine()
         self.counts = jobs.Counts()
         self.tickets: dict[str, Ticket] = {}
-        self.repeats = repeats.Repeats(data_centre, budget)
+        self.repeats = repeats.Repeats(data_centre, budget, rng)
         self._rng = rng
         self._services: Mapping[str, config.Service] = {}
         # When the list of upstreams was last read.
@@ -228,14 +228,14 @@
             return True
         service = ticket.job.service
         ticket.has_repeat = self.repeats.spend(service, now_s)
-        self._notes.append(self._describe_repeat(ticket))
+        self._notes.append(self._describe_repeat(ticket, now_s))
         return ticket.has_repeat
 
     def _describe_repeat(
-        self, ticket: Ticket
+        self, ticket: Ticket, now_s: float
     ) -> decisions.RepeatTaken | decisions.BudgetEmpty:
         service = ticket.job.service
-        at = self.repeats.get_standing(service)
+        at = self.repeats.get_standing(service, now_s)
         make = (
             decisions.RepeatTaken
             if ticket.has_repeat
@@ -367,7 +367,9 @@
         self.fleet.hear(news, now_s)
         self.quarantine.hear(news.ended, now_s)
         self._settle(now_s)
-        self.repeats.hear(news.host, news.data_centre, news.spent, now_s)
+        self.repeats.hear(
+            news.host, news.data_centre, news.spent, now_s, news.is_new
+        )
 
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts what can, after the list of upstreams changed."""
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -58,6 +58,8 @@
     # Upstreams that ended under requests, by fingerprint; none where it was
     # answered.
     ended: Mapping[str, quarantine.Ends] = attrs.Factory(dict)
+    # It does not know what was spent before it started.
+    is_new: bool = False
 
 
 @attrs.frozen
--- a/tests/admission/sharing.py
+++ b/tests/admission/sharing.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 import random
 from collections.abc import Collection, Iterable
 from typing import Final
@@ -59,7 +60,8 @@
         self.now_s = 0.0
         self.rng = rng
         self.lost = 0.0
-        self.options = repeats.Options(RATIO, allowance, WINDOW_S)
+        # A host that starts has heard nobody.
+        self.options = repeats.Options(RATIO, allowance, WINDOW_S, math.inf)
         self.sent: list[float] = []
         self.repeated: list[float] = []
         # Data centres that hear no other.
@@ -89,7 +91,7 @@
         self, ip: str, place: str
     ) -> tuple[repeats.Repeats, exchange.Peers]:
         return (
-            repeats.Repeats(place, self.options),
+            repeats.Repeats(place, self.options, self.rng),
             exchange.Peers(ip, place, self._seeds, self.rng),
         )
 
@@ -165,6 +167,7 @@
             {},
             named,
             spent=spent,
+            is_new=sender.repeats.is_new(self.now_s),
         )
 
     def _reaches(self, sender: Host, host: Host) -> bool:
@@ -179,7 +182,9 @@
     def _take(self, host: Host, news: datagrams.News) -> None:
         host.has_heard = True
         host.peers.note(news, self.now_s)
-        host.repeats.hear(news.host, news.data_centre, news.spent, self.now_s)
+        host.repeats.hear(
+            news.host, news.data_centre, news.spent, self.now_s, news.is_new
+        )
 
     def find_worst(self) -> tuple[float, int, float]:
         """Returns the worst window: part of what was allowed, sent, allowed."""
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -227,6 +227,7 @@
         name: f"{ip}:{site.ports[name]}"
         for name in ("frontend", "ready", "control_plane")
     }
+    path = site.stage.folder / f"{ip}.json"
     cfg = {
         "node_name": f"host-{ip}",
         "ip": ip,
@@ -235,10 +236,10 @@
         "listen": listen,
         "port_range": [site.ports["exchange"], 0],
         "seeds": ["127.0.0.1:1"],
+        "bootstrap": not path.exists(),
         "platform": {"address": site.stage.processes["store"].address},
         "bounds": {"grace_s": 7, **site.bounds},
     }
-    path = site.stage.folder / f"{ip}.json"
     path.write_text(json.dumps(cfg), "utf-8")
     popen = subprocess.Popen(
         [sys.executable, "-m", "egretspur.daemons.host"],
--- a/tests/steps/shared_steps.py
+++ b/tests/steps/shared_steps.py
@@ -46,7 +46,7 @@
                 f"h{i}",
                 f"dc-{i % places}",
                 shared.SharedBudget(RATIO, ALLOWANCE, WINDOW_S),
-                shared.Ledger(f"dc-{i % places}"),
+                shared.Ledger(f"dc-{i % places}", WINDOW_S),
             )
             for i in range(count)
         ]
