Count hosts that are not heard among those that share the retry budget

A host that was not heard for 30 s no longer counted among those that share the budget, so that each side of a cut took all of it; and a host that started behind a cut knew of its own data centre alone.

Silence is no departure. A host now counts until its data centre has been heard for 300 s without it: a data centre that isn't heard at all keeps its hosts, and one that was never heard since this host's start is taken for as large as the largest that was. Hosts that left for good keep their parts for five minutes, which costs the others these; what requests earn is not touched.

A check of the exchange said that a host alone for 31 s shares with nobody: that was the fault itself. In its place: 8 still share after 600 s of silence, and 2 once one of the others was heard for 600 s.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -109,6 +109,7 @@
                 cfg.ip,
                 cfg.data_centre,
                 _list_hosts(cfg.seeds),
+                data_centres=cfg.data_centres,
             ),
             cfg.ip,
             cfg.exchange_port,
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import collections
 import ipaddress
 import logging
 import math
@@ -44,9 +45,9 @@
 # A host that hasn't been heard for so long is sent no more; seeds always are.
 FORGET_S: Final = 20.0
 
-# Hosts heard within this time share the retry budget. Long, so that a host
-# that is cut off does not take over the parts of the others.
-SHARE_S: Final = 30.0
+# A host shares the retry budget until its data centre has been heard for so
+# long without it. Long, since a host that some don't hear goes on.
+SHARE_S: Final = 300.0
 
 # Hosts of another data centre that are told beside those heard of it. Where its
 # speaker has died, these know of it at least until another one speaks.
@@ -116,6 +117,7 @@
         data_centre: str,
         seeds: Iterable[str],
         rng: random.Random | None = None,
+        data_centres: Iterable[str] = (),
     ) -> None:
         """Makes a state that has heard nobody.
 
@@ -124,15 +126,19 @@
             data_centre: Its data centre.
             seeds: Hosts to begin with.
             rng: Draws whom to ask for the configuration.
+            data_centres: Those that have hosts, as far as is known.
         """
         self._rng = rng or random.Random()
         self._me = me
         self._data_centre = data_centre
+        self._data_centres = frozenset(data_centres)
         self._seeds = frozenset(s for s in seeds if s != me)
         # When each host was last heard or named by one that was.
         self._known: dict[str, float] = {}
         # Data centre of each host that was ever heard, or listed by one.
         self._places: dict[str, str] = {}
+        # When each data centre was last heard.
+        self._places_heard: dict[str, float] = {}
         self._heard: dict[str, _Heard] = {}
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
@@ -149,6 +155,7 @@
             news.known.version,
         )
         self._places[news.host] = news.data_centre
+        self._places_heard[news.data_centre] = now_s
         for host, place in news.peers.items():
             self._places.setdefault(host, place)
         self.note_members((news.host, *news.peers), now_s)
@@ -162,7 +169,7 @@
     def list_near(self, now_s: float) -> list[str]:
         """Returns the hosts to send to: those near by, and unheard ones."""
         self._known = {
-            h: t for h, t in self._known.items() if now_s - t < SHARE_S
+            h: t for h, t in self._known.items() if self._is_sharing(h, t)
         }
         hosts = self._seeds | {
             h for h, t in self._known.items() if now_s - t < FORGET_S
@@ -200,12 +207,33 @@
         place = self._places.get(host)
         return place is not None and place != self._data_centre
 
-    def count_sharing(self, now_s: float) -> int:
+    def count_sharing(self) -> int:
         """Returns how many hosts share the retry budget, this one included.
 
-        Hosts of other data centres are known by their speakers' lists.
+        Hosts of other data centres are known by their speakers' lists. One
+        that was never heard, since this host started behind a cut, is taken
+        for as large as the largest that was.
         """
-        return 1 + sum(1 for t in self._known.values() if now_s - t < SHARE_S)
+        counts = collections.Counter({self._data_centre: 1})
+        for host, known_s in self._known.items():
+            if self._is_sharing(host, known_s):
+                counts[self._get_place(host)] += 1
+        unheard = self._data_centres - set(counts)
+        return counts.total() + len(unheard) * max(counts.values())
+
+    def _is_sharing(self, host: str, known_s: float) -> bool:
+        """Tells whether a host that was last known of then shares the budget.
+
+        A data centre that isn't heard at all is cut off, and its hosts go on:
+        were they to drop out here and these there, each side would have the
+        whole budget.
+        """
+        heard_s = self._places_heard.get(self._get_place(host), known_s)
+        return heard_s - known_s < SHARE_S
+
+    def _get_place(self, host: str) -> str:
+        """Returns a host's data centre; the own one until it is known."""
+        return self._places.get(host, self._data_centre)
 
     def is_alone(self, now_s: float) -> bool:
         """Tells whether no host of this data centre was heard of late."""
@@ -516,7 +544,7 @@
         with self._lock:
             for news in heard:
                 self._peers.note(news, now_s)
-            shared = self._peers.count_sharing(now_s)
+            shared = self._peers.count_sharing()
             is_speaker = self._peers.is_speaker(now_s)
             near = self._peers.list_near(now_s)
         if is_speaker:
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -35,7 +35,7 @@
     data_centre: str
     data_centres: tuple[str, ...]
     # No host of the installation has run before.
-    is_first_start: bool
+    is_first_start: bool = False
     # Addresses for callers and for the balancer's question.
     listen: str
     listen_ready: str
--- a/tests/admission/sharing.py
+++ b/tests/admission/sharing.py
@@ -92,7 +92,7 @@
     ) -> tuple[repeats.Repeats, exchange.Peers]:
         return (
             repeats.Repeats(place, self.options, self.rng),
-            exchange.Peers(ip, place, self._seeds, self.rng),
+            exchange.Peers(ip, place, self._seeds, self.rng, self._places),
         )
 
     def request(self, host: Host) -> None:
@@ -112,7 +112,7 @@
         for host in self.rng.sample(self.hosts, len(self.hosts)):
             self._tell(host)
         for host in self.hosts:
-            sharing = host.peers.count_sharing(self.now_s)
+            sharing = host.peers.count_sharing()
             if host.has_heard:
                 host.repeats.hosts = max(sharing, len(self._seeds))
 
--- a/tests/admission/starts.feature
+++ b/tests/admission/starts.feature
@@ -38,6 +38,22 @@
     When all data centres are cut off from 10 s to 60 s
     Then no window has more repeats than all hosts together may send
 
+  Scenario Outline: Hosts that don't know how many share the budget
+    Given 15 hosts in 3 data centres, and upstreams that fail
+    When <who> cut off from <from> s to <to> s
+    And <hosts> start again at <when>
+    Then no window has more repeats than all hosts together may send
+
+    Examples:
+      | who                   | from | to | hosts             | when        |
+      | one data centre is    | 10   | 60 | no hosts          | 16 s        |
+      | all data centres are  | 10   | 60 | no hosts          | 16 s        |
+      | all data centres are  | 10   | 60 | all hosts         | 16 s        |
+      | all data centres are  | 10   | 20 | all hosts         | 13 s        |
+      | a third of all are    | 10   | 60 | no hosts          | 16 s        |
+      | a third of all are    | 10   | 60 | all hosts         | 16 s        |
+      | a third of all are    | 10   | 20 | all hosts         | 13 s        |
+
   Scenario Outline: Hosts that come and go
     Given 15 hosts in 3 data centres, and upstreams that fail
     When <change> at <when>
@@ -48,3 +64,8 @@
       | a third as many hosts are added  | 16 s |
       | a third of the hosts are removed | 16 s |
       | a third of the hosts are moved   | 16 s |
+
+  @fuzz
+  Scenario: Any starts, cuts and lost news
+    When hosts start again, are cut off and lose news as chance has it
+    Then no window of any history has more repeats than may be sent
--- /dev/null
+++ b/tests/admission/starts.py
@@ -0,0 +1,89 @@
+"""Fuzzing of the shared retry budget: hosts that start again and are cut off.
+
+The oracle is the one of `tests.admission.sharing`: no window has more repeats
+than are allowed for the requests in it or shortly before.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests.admission import sharing
+
+SIZES: Final = (2, 3, 4)
+HOSTS: Final = sum(SIZES)
+ALLOWANCE: Final = 45.0
+
+# Hosts are up so long before a history begins.
+LEAD_S: Final = 16.0
+
+HOST = st.integers(0, HOSTS - 1)
+
+
+class SharingMachine(stateful.RuleBasedStateMachine):
+    """Hosts that repeat what they may while anything befalls them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = sharing.Fleet(SIZES, ALLOWANCE, random.Random(5))
+        self.pass_time(int(LEAD_S / sharing.NEWS_S), 0)
+
+    def pass_time(self, rounds: int, requests: int) -> None:
+        """Has news go round, and each host send requests in each round."""
+        for _ in range(rounds):
+            self.fleet.tell()
+            for host in self.fleet.hosts:
+                for _ in range(requests):
+                    self.fleet.request(host)
+            self.fleet.now_s += sharing.NEWS_S
+
+    @stateful.rule(rounds=st.integers(1, 16), requests=st.integers(0, 2))
+    def work(self, rounds: int, requests: int) -> None:
+        """Requests come and none fails."""
+        self.pass_time(rounds, requests)
+
+    @stateful.rule(
+        hosts=st.sets(HOST, min_size=1),
+        rounds=st.integers(1, 8),
+        wanted=st.sampled_from([1, 5, 40]),
+    )
+    def fail(self, hosts: set[int], rounds: int, wanted: int) -> None:
+        """Some hosts repeat what they may for a while."""
+        for _ in range(rounds):
+            for i in sorted(hosts):
+                self.fleet.repeat(self.fleet.hosts[i], wanted)
+            self.pass_time(1, 1)
+
+    @stateful.rule(hosts=st.sets(HOST, min_size=1))
+    def start_again(self, hosts: set[int]) -> None:
+        """Some hosts start again."""
+        self.fleet.start_again(self.fleet.hosts[i] for i in sorted(hosts))
+
+    @stateful.rule()
+    def start_all(self) -> None:
+        """All hosts start again in the same moment."""
+        self.fleet.start_again(self.fleet.hosts)
+
+    @stateful.rule(places=st.sets(st.sampled_from(["dc-0", "dc-1", "dc-2"])))
+    def cut(self, places: set[str]) -> None:
+        """Data centres are cut off, and others heal."""
+        self.fleet.apart = places
+
+    @stateful.rule(host=HOST, is_cut_off=st.booleans())
+    def cut_host(self, host: int, is_cut_off: bool) -> None:
+        """A host is cut off from all others, or hears them again."""
+        self.fleet.hosts[host].is_cut_off = is_cut_off
+
+    @stateful.rule(lost=st.sampled_from([0.0, 0.05, 0.4]))
+    def lose(self, lost: float) -> None:
+        """News get lost."""
+        self.fleet.lost = lost
+
+    def teardown(self) -> None:
+        """Checks all windows of the history."""
+        worst = self.fleet.find_worst()
+        assert worst[0] <= 1.0, worst
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -37,8 +37,17 @@
     # Symptom: three times the repeats allowed. Sequence: hosts lose each other
     # and each takes the whole budget.
     Given a host that has heard of 7 others
-    Then 10 s after the last was heard 8 hosts share the repeats
-    And 31 s after that 1 hosts share the repeats
+    When for 10 s it hears one of them
+    Then 8 hosts share the repeats
+    When for 600 s it hears nobody
+    Then 8 hosts share the repeats
+    When for 600 s it hears one of them
+    Then 2 hosts share the repeats
+
+  Scenario: A host that starts behind a cut
+    # Guards against a start that takes its own data centre for all there are.
+    Given a host of one of 3 data centres that has heard of 7 others in its own
+    Then 24 hosts share the repeats
 
   Scenario Outline: Who reads the store for the others
     # Symptom: calls to the store grow with the hosts.
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -469,10 +469,31 @@
         context.peers.note(make_news(f"10.1.0.{i + 2}"), 100.0)
 
 
-@then("{age:d} s after the last was heard {count:d} hosts share the repeats")
-@then("{age:d} s after that {count:d} hosts share the repeats")
-def step_share(context: Any, age: int, count: int) -> None:
-    sharing = context.peers.count_sharing(100.0 + age)
+@given(
+    "a host of one of 3 data centres that has heard of {count:d} others in its"
+    " own"
+)
+def step_one_place(context: Any, count: int) -> None:
+    places = ("kl-hall", "pg-hall", "cj-hall")
+    context.peers = exchange.Peers(
+        "10.1.0.1", "kl-hall", [], data_centres=places
+    )
+    for i in range(count):
+        context.peers.note(make_news(f"10.1.0.{i + 2}"), 100.0)
+
+
+@when("for {seconds:d} s it hears {what}")
+def step_hears_on(context: Any, seconds: int, what: str) -> None:
+    for i in range(seconds):
+        if what == "one of them":
+            context.peers.note(make_news("10.1.0.2"), 101.0 + i)
+        # Forgets who is not counted any more.
+        context.peers.list_near(101.0 + i)
+
+
+@then("{count:d} hosts share the repeats")
+def step_share(context: Any, count: int) -> None:
+    sharing = context.peers.count_sharing()
     assert sharing == count, sharing
 
 
--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import os
 import random
 import re
 from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 import attrs
+import hypothesis
 from behave import given, then, when
 
-from tests.admission import sharing
+from tests.admission import sharing, starts
 
 # Hosts are up so long before requests come.
 LEAD_S: Final = 16.0
@@ -29,6 +31,8 @@
 # A host that is stopped in turn starts so long after the one before it.
 TURN_S: Final = 0.25
 
+HISTORIES: Final = 120 if os.environ.get("EGRETSPUR_FUZZ") == "long" else 12
+
 
 @attrs.define
 class Play:
@@ -175,3 +179,23 @@
 @then("in the worst one there are half of them or more")
 def step_used(context: Any) -> None:
     assert context.worst[0] >= 0.5, context.worst
+
+
+@when("hosts start again, are cut off and lose news as chance has it")
+def step_fuzz(context: Any) -> None:
+    context.machine = starts.SharingMachine
+
+
+@then("no window of any history has more repeats than may be sent")
+def step_histories(context: Any) -> None:
+    hypothesis.stateful.run_state_machine_as_test(
+        context.machine,
+        settings=hypothesis.settings(
+            max_examples=HISTORIES,
+            stateful_step_count=30,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        ),
+    )
