Judge a resumed attempt's answer as a first one's, and end a stream by its framing alone

Callers got a stream that ended as if it were whole, with its last events missing: its engine had ended in the middle, and the one that was to go on with it answered 500. Only the first attempt's answer was looked at for its status; a resumed one's body was read for events whatever it was, and a body without any counted as the end.

Every attempt's answer is now judged in one place by its status and content type. Once the caller has a part, only events can go on with it: what else comes is an attempt that failed, logged with its status, and none of its body is passed on; another attempt follows within budget and deadline, or the caller's connection is cut. Events that end by their framing are the whole answer only if a resumed attempt has brought one that the caller lacked.

Found beside it: events before a gap in the same bytes counted as passed on and were not, so that the resumed answer lacked them; the flaw now stands after them, and the row of the table that asked for it to come first asks for both. And a head that is cut after its receipt, or that declares no length and brings no byte, looked like a whole empty answer.

The product's own streams end by an event that tells the count, and were not affected.

--- a/egretspur/delivery/events.py
+++ b/egretspur/delivery/events.py
@@ -31,30 +31,36 @@
     last_id: int | None = None
     # Events passed on.
     count: int = 0
+    # Of the attempt under way; what came before it was passed on.
+    flaw: Flaw | None = None
     _rest: bytes = b""
 
     def begin(self) -> None:
         """Begins another attempt; what was not whole is dropped."""
         self._rest = b""
+        self.flaw = None
 
     def has_rest(self) -> bool:
         """Tells whether bytes of an unfinished event are left."""
         return bool(self._rest.strip())
 
     def feed(self, data: bytes) -> bytes | Flaw:
-        """Takes bytes of the current attempt; returns what to pass on."""
+        """Takes bytes of the current attempt; returns what to pass on.
+
+        Events before a flaw are passed on first: they count as passed on.
+        """
         self._rest += data
         passed: list[bytes] = []
-        while True:
+        while self.flaw is None:
             end = _find_end(self._rest)
             if end < 0:
                 break
             event, self._rest = self._rest[:end], self._rest[end:]
-            flaw = self._take(event, passed)
-            if flaw is not None:
-                return flaw
+            self.flaw = self._take(event, passed)
         if len(self._rest) > MAX_EVENT:
-            return Flaw.MALFORMED
+            self.flaw = Flaw.MALFORMED
+        if self.flaw is not None and not passed:
+            return self.flaw
         return b"".join(passed)
 
     def _take(self, event: bytes, passed: list[bytes]) -> Flaw | None:
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -2,7 +2,8 @@
 
 One `Forward` a request, in the thread of the caller's connection. It decides
 nothing: `egretspur.routing.broker` says where an attempt goes and what follows
-a failure, `egretspur.delivery.events` which bytes count.
+a failure, `egretspur.delivery.answers` what an answer counts as, and
+`egretspur.delivery.events` which bytes.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 from egretspur import decisions, errors
 from egretspur.catalog import config
-from egretspur.delivery import events, silence
+from egretspur.delivery import answers, events, silence
 from egretspur.routing import desk, jobs, paces, paths
 
 _LOG: Final = logging.getLogger(__name__)
@@ -207,7 +208,7 @@
         write(self._first)
         lost: Lost | None = None
         while True:
-            if self._answer is not None:
+            if lost is None:
                 lost = self._pump(write)
             if lost is None:
                 self._is_answered = True
@@ -221,7 +222,7 @@
             after = self.call.resume_after
             if self._merge.last_id is not None:
                 after = str(self._merge.last_id)
-            res = self._open(decision, after)
+            res = self._resume(decision, after)
             lost = res if isinstance(res, Lost) else None
 
     def close(self) -> None:
@@ -304,9 +305,30 @@
         self._abort.arm(res.abort)
         return res
 
+    def _resume(self, start: jobs.Start, after: str) -> Answer | Lost:
+        """Opens an attempt that goes on with an answer which has begun."""
+        res = self._open(start, after)
+        if isinstance(res, Lost):
+            return res
+        form = self._judge(res, has_begun=True)
+        if isinstance(form, answers.Unfit):
+            return Lost(jobs.Why.FAILED, form.reason)
+        return res
+
+    def _judge(
+        self, answer: Answer, has_begun: bool
+    ) -> answers.Form | answers.Unfit:
+        fields = {n.lower(): v for n, v in answer.headers.items()}
+        return answers.judge(
+            answer.status,
+            fields.get("content-type", ""),
+            self.job.route.kind is config.RouteKind.STREAMING,
+            has_begun,
+        )
+
     def _read_first(self, answer: Answer) -> Whole | Answer | Lost:
         """Reads a plain answer whole, or a stream's first event."""
-        if not self._is_stream(answer):
+        if self._judge(answer, has_begun=False) is answers.Form.WHOLE:
             body = self._read_whole(answer)
             if isinstance(body, Lost):
                 return body
@@ -334,12 +356,6 @@
             and self.job.route.kind is not config.RouteKind.NON_IDEMPOTENT
         )
 
-    def _is_stream(self, answer: Answer) -> bool:
-        return (
-            self.job.route.kind is config.RouteKind.STREAMING
-            and answer.status == 200
-        )
-
     def _read_whole(self, answer: Answer) -> bytes | Lost:
         pieces: list[bytes] = []
         while True:
@@ -360,9 +376,7 @@
                 return data
             self.heard_s = time.monotonic()
             if not data:
-                if self._merge.has_rest():
-                    return Lost(jobs.Why.CUT, "ended within an event")
-                return None
+                return self._check_end(answer)
             passed = self._merge.feed(data)
             if isinstance(passed, events.Flaw):
                 return Lost(jobs.Why.CUT, f"events: {passed.value}")
@@ -371,6 +385,19 @@
                 self._note_event()
                 return passed
 
+    def _check_end(self, answer: Answer) -> Lost | None:
+        """Returns why events that have ended are not whole, if so."""
+        flaw = self._merge.flaw
+        if flaw is not None:
+            return Lost(jobs.Why.CUT, f"events: {flaw.value}")
+        if self._merge.has_rest():
+            return Lost(jobs.Why.CUT, "ended within an event")
+        before = self._count_before
+        unfit = answers.judge_end(
+            answer.status, before > 0, self._merge.count > before
+        )
+        return Lost(jobs.Why.FAILED, unfit.reason) if unfit else None
+
     def _note_event(self) -> None:
         now_s = self.heard_s
         if not self._first_s:
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -41,6 +41,9 @@
 
 _MAX_READ: Final = 65536
 
+# Answers of these have no body.
+_EMPTY_STATUSES: Final = (204, 304)
+
 
 class UpstreamClient:
     """Sends callers' requests; see `forward.Upstreams`."""
@@ -145,6 +148,12 @@
         self._silence_s = silence_s
         self._handle = handle
         self._deadline_s = deadline_s
+        # An empty body that nothing announces looks like a head that was cut.
+        self._may_be_empty = (
+            res.status in _EMPTY_STATUSES
+            or "Content-Length" in res.headers
+            or "Transfer-Encoding" in res.headers
+        )
         self.status = res.status
         self.headers: Mapping[str, str] = {
             name: value
@@ -157,9 +166,13 @@
         left_s = self._deadline_s - time.monotonic()
         self._handle.set_timeout(max(0.01, min(left_s, self._silence_s)))
         try:
-            return self._res.read1(_MAX_READ)
+            data = self._res.read1(_MAX_READ)
         except Exception as exc:  # the library's, the socket's, http.client's
             return forward.Lost(jobs.Why.CUT, repr(exc))
+        if not data and not self._may_be_empty:
+            return forward.Lost(jobs.Why.CUT, "closed before its body")
+        self._may_be_empty = True
+        return data
 
     def abort(self) -> None:
         """Ends the connection and wakes whoever reads; from any thread."""
--- a/tests/daemons/host.feature
+++ b/tests/daemons/host.feature
@@ -14,6 +14,13 @@
     When a stream is asked for with key "key-1"
     Then events 1 to 5 come, with the receipt of the engine
 
+  Scenario: A stream whose engine breaks off, and the next one fails
+    # Guards against an answer that looks whole and lacks its last events.
+    Given the first engine breaks off after 2 events
+    And engines fail whatever they are to go on with
+    When a stream is asked for with key "key-1"
+    Then events 1 to 2 come, and the connection is cut
+
   Scenario Outline: What is refused at once
     When "<path>" is asked for with key "<key>"
     Then the answer is <status> and nothing ran
--- a/tests/delivery/events.feature
+++ b/tests/delivery/events.feature
@@ -10,7 +10,8 @@
       | 1\| 2\| 3\|   | 1 2 3  |       |
       | 1\| 2         | 1      | 2     |
       | 1\| 1\| 2\|   | 1 2    |       |
-      | 1\| 3\|       | gap    |       |
+      | 1\| 3\|       | 1, gap |       |
+      | 3\| 1\| 5\| 6\| | 3, gap | 6 |
       | 5\| 6\|       | 5 6    |       |
 
   Scenario: A run that goes on where another broke off
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -2,10 +2,11 @@
 
 An engine sends events at a steady pace if the path of a request covers all
 layers and its own part is held. Faults: ``events`` and ``pause_s`` of a
-stream, ``cut_after`` (events after which a stream breaks off), ``status`` of a
-plain answer, ``refuse`` (answers that it has not run), ``lose`` (a plain answer
-is lost after its request ran), ``delay_s``, ``crash_on`` (a text; the process
-ends as it begins to run a request whose body holds it).
+stream, ``cut_after`` (events after which a stream breaks off),
+``resumed_status`` of a stream that is to go on, ``status`` of a plain answer,
+``refuse`` (answers that it has not run), ``lose`` (a plain answer is lost after
+its request ran), ``delay_s``, ``crash_on`` (a text; the process ends as it
+begins to run a request whose body holds it).
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
             "events": 5,
             "pause_s": 0.02,
             "cut_after": -1,
+            "resumed_status": 200,
             "status": 200,
             "refuse": False,
             "lose": False,
@@ -147,6 +149,9 @@
                 raise ConnectionAbortedError("answer lost on request")
             return web.Response(status, head, replica.name.encode())
         after = int(fields.get("Last-Event-Id") or 0)
+        if after and replica.faults["resumed_status"] != 200:
+            status = replica.faults["resumed_status"]
+            return web.Response(status, head, replica.name.encode())
         head["Content-Type"] = "text/event-stream"
         return web.Response(200, head, Events(replica, after))
 
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -19,6 +19,14 @@
       | HTTP/1.1 503 No\nNot-Executed: 1\nContent-Length: 0\n\n                   | closes | refused       |
       | HTTP/1.1 421 No\nReplica-Id: i-2\nContent-Length: 0\n\n                   | closes | misdirected   |
       | what is this\n                                                           | closes | cut           |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\n\n | closes | cut |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nTransfer-Enco | closes | cut |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 2 | closes | cut |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 0\n\n | closes | 200  |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n | closes | 200 ok |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nTransfer-Encoding: chunked\n\n2\nok\n | closes | cut |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nTransfer-Encoding: chunked\n\n9\nok | closes | cut |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 2\n\nokHTTP/1.1 200 OK\n\n | closes | 200 ok |
       |                                                                          | closes | cut           |
       |                                                                          | waits  | cut           |
 
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -144,10 +144,13 @@
                 "layer_count": None,
             }
 
+    def set_fault(self, name: str, faults: dict[str, Any]) -> None:
+        """Sets faults of a stand-in; raises RuntimeError if it is gone."""
+        self.stage.call("POST", name, "/faults", faults)
+
     def set_crash(self, name: str) -> None:
         """Has an engine end at the request."""
-        fault = {"crash_on": self.crash_on}
-        self.stage.call("POST", name, "/faults", fault)
+        self.set_fault(name, {"crash_on": self.crash_on})
 
     def get_runs(self) -> list[dict[str, str]]:
         """Returns what the upstreams ran."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,7 @@
 
 import argparse
 import collections
+import contextlib
 import json
 import math
 import random
@@ -203,6 +204,25 @@
             "POST", name, "/faults", {k: CALM[k] for k in faults}
         )
 
+    def cut(self, name: str, lasts_s: float) -> None:
+        """Has an engine break a stream off; each second time no other resumes.
+
+        The others then fail what is sent to them to be gone on with.
+        """
+        others = []
+        if self.faults["engine_cut"] % 2:
+            others = [n for n in self.site.entries if n.startswith("e")]
+        for other in others:
+            self._set_resumed(other, 500)
+        self.set_fault(name, lasts_s, cut_after=2)
+        for other in others:
+            self._set_resumed(other, 200)
+
+    def _set_resumed(self, name: str, status: int) -> None:
+        with contextlib.suppress(RuntimeError):
+            # It may have been killed meanwhile.
+            self.site.set_fault(name, {"resumed_status": status})
+
     def copy(self, name: str, lasts_s: float) -> None:
         """Has the store go away and come back from a copy.
 
@@ -316,7 +336,7 @@
 
 # By name; what comes before the first underscore is what fails.
 FAULTS: Final[dict[str, Fault]] = {
-    "engine_cut": lambda s, n, t: s.set_fault(n, t, cut_after=2),
+    "engine_cut": lambda s, n, t: s.cut(n, t),
     "engine_refuse": lambda s, n, t: s.set_fault(n, t, refuse=True),
     "engine_pause": lambda s, n, t: s.pause(n, t),
     "engine_crash": lambda s, n, t: s.replace(n, t, False),
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import threading
 import time
@@ -11,7 +12,7 @@
 import attrs
 from behave import given, then, when
 
-from egretspur import errors
+from egretspur import decisions, errors
 from egretspur.catalog import upstreams
 from egretspur.delivery import events, forward, watch
 from egretspur.routing import desk, jobs, paths
@@ -71,11 +72,13 @@
 @then('"{ids}" is passed on and the rest is "{rest}"')
 @then('"{ids}" is passed on and the rest is ""')
 def step_passed(context: Any, ids: str, rest: str = "") -> None:
-    if isinstance(context.passed, events.Flaw):
-        assert context.passed.value == ids, context.passed
-        return
+    ids, _, flaw = ids.partition(", ")
     assert read_ids(context.passed) == [int(i) for i in ids.split()]
+    assert (context.merge.flaw.value if flaw else None) == (flaw or None)
     assert context.merge.has_rest() == bool(rest)
+    if flaw:
+        # Nothing that comes after it is passed on.
+        assert context.merge.feed(make_event(9)) == context.merge.flaw
 
 
 @when("answers are cut and gone on with at random")
@@ -116,6 +119,7 @@
 
     pieces: list[bytes | forward.Lost | str]
     status: int = 200
+    content_type: str = ""
 
 
 @attrs.define
@@ -170,7 +174,10 @@
         self.starts.append(start)
         self.afters.append(resume_after)
         script = self.scripts.pop(0)
-        answer = FakeAnswer(script, script.status, {"X": "1"})
+        headers = {"X": "1"}
+        if script.content_type:
+            headers["Content-Type"] = script.content_type
+        answer = FakeAnswer(script, script.status, headers)
         answer.deadline_s = job.deadline_s
         self.answers.append(answer)
         abort.arm(answer.abort)
@@ -249,6 +256,20 @@
     context.play.sends.scripts.append(Script(pieces))
 
 
+@given('the {place} attempt answers {status:d} as "{kind}" with "{body}"')
+@given('the {place} attempt answers {status:d} as "" with "{body}"')
+@given('the {place} attempt answers {status:d} as "{kind}" with ""')
+@given('the {place} attempt answers {status:d} as "" with ""')
+def step_answers(
+    context: Any, place: str, status: int, kind: str = "", body: str = ""
+) -> None:
+    data = body.encode()
+    if body.startswith("id:"):
+        data = b"".join(make_event(int(i[3:])) for i in body.split(", "))
+    pieces: list[Any] = [data] if data else []
+    context.play.sends.scripts.append(Script(pieces, status, kind))
+
+
 @given("the first attempt ends within event 2")
 def step_within(context: Any) -> None:
     context.play.sends.scripts.append(
@@ -309,8 +330,26 @@
     return forward.Forward(call, job, play.desk, play.sends, play.watch)
 
 
+class Lines(logging.Handler):
+    """Keeps the fields of what is logged."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fields: list[dict[str, Any]] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keeps a line's fields."""
+        self.fields.append(dict(record.__dict__))
+
+
 def run(context: Any, kind: str, live_s: float = 10.0) -> None:
     """Runs a request to its end."""
+    context.lines = Lines()
+    level = decisions.LOGGER.level
+    decisions.LOGGER.setLevel(logging.INFO)
+    decisions.LOGGER.addHandler(context.lines)
+    context.add_cleanup(decisions.LOGGER.setLevel, level)
+    context.add_cleanup(decisions.LOGGER.removeHandler, context.lines)
     context.began_s = time.monotonic()
     context.forward = make_forward(context, kind, live_s)
     context.written = b""
@@ -334,6 +373,132 @@
     run(context, "streaming")
 
 
+@then('attempt {number:d} is logged as {why}: "{reason}"')
+def step_attempt_logged(
+    context: Any, number: int, why: str, reason: str
+) -> None:
+    found = [
+        (f["attempt"], f["why"], f["reason"])
+        for f in context.lines.fields
+        if f.get("event") == "attempt_failed"
+    ]
+    matching = [f for f in found if f[0] == number]
+    assert len(matching) == 1, found
+    assert matching[0][1] == why, found
+    assert reason in matching[0][2], found
+
+
+@then("the engine of attempt 2 is not tried again for it")
+def step_not_again(context: Any) -> None:
+    assert len(context.play.sends.starts) == 2, context.play.sends.starts
+
+
+class EagerDesk(desk.Desk):
+    """Starts each request at once, and so many times again as it fails."""
+
+    def __init__(self, attempts: int) -> None:
+        self._left = attempts
+        self.failed: list[jobs.Failure] = []
+
+    def arrive(self, job: jobs.Job) -> desk.DecisionFuture:
+        """Starts the first attempt."""
+        return self._decide()
+
+    def fail(self, failure: jobs.Failure) -> desk.DecisionFuture:
+        """Starts another one, or gives up."""
+        self.failed.append(failure)
+        return self._decide()
+
+    def tell(self, message: Any) -> None:
+        """Takes what needs no answer."""
+
+    def _decide(self) -> desk.DecisionFuture:
+        fut: desk.DecisionFuture = desk.DecisionFuture()
+        self._left -= 1
+        if self._left < 0:
+            kind = errors.ErrorKind.UPSTREAM_FAILED
+            fut.set_result(errors.Refusal(kind, "no attempts left"))
+        else:
+            entry = fleets.make_upstream("a100-0", "0-80")
+            fut.set_result(jobs.Start("r", entry, ()))
+        return fut
+
+
+def draw_script(rng: random.Random, after: int, count: int) -> Script:
+    """Draws an attempt that is asked to go on after an event."""
+    numbers = list(range(after + 1 - rng.choice((0, 0, 1, 2)), count + 1))
+    numbers = [n for n in numbers if n > 0]
+    whole = b"".join(make_event(n) for n in numbers)
+    cut = whole[: rng.randint(0, len(whole))]
+    gap = b"".join(make_event(n) for n in numbers if n != after + 2)
+    lost = forward.Lost(jobs.Why.CUT, "reset")
+    drawn: list[Script] = [
+        Script([whole], 200, "text/event-stream"),
+        Script([cut, lost], 200, "text/event-stream"),
+        Script([cut + b"id: 7", b""], 200, "text/event-stream"),
+        Script([whole, lost], 200, "text/event-stream"),
+        Script([gap, lost], 200, "text/event-stream"),
+        Script([whole], 200, "text/html"),
+        Script([], 200, rng.choice(("", "text/event-stream"))),
+        Script([whole], rng.choice((204, 302, 401, 404, 429, 500, 503))),
+    ]
+    # The first attempt's answer is passed on as it is.
+    return rng.choice(drawn if after else drawn[:5])
+
+
+class DrawnUpstreams(FakeUpstreams):
+    """Attempts drawn as they are asked for."""
+
+    def __init__(self, rng: random.Random, count: int) -> None:
+        super().__init__()
+        self._rng = rng
+        self._count = count
+
+    def open(
+        self,
+        call: forward.Call,
+        job: jobs.Job,
+        start: jobs.Start,
+        resume_after: str,
+        abort: forward.Abort,
+    ) -> FakeAnswer | forward.Lost:
+        """Begins an attempt of any kind."""
+        after = int(resume_after or 0)
+        self.scripts = [draw_script(self._rng, after, self._count)]
+        return super().open(call, job, start, resume_after, abort)
+
+
+@when("attempts of all kinds follow each other")
+def step_any_attempts(context: Any) -> None:
+    context.results = []
+    for seed in range(400):
+        rng = random.Random(seed)
+        count = rng.randint(1, 6)
+        job = fleets.make_job("r", now_s=time.monotonic())
+        call = forward.Call("r", "POST", "/x/", {}, b"", "")
+        sends = DrawnUpstreams(rng, count)
+        run = forward.Forward(call, job, EagerDesk(4), sends)
+        written: list[bytes] = []
+        res = run.begin()
+        end = (
+            res if isinstance(res, errors.Refusal) else run.run(written.append)
+        )
+        run.close()
+        context.results.append((seed, count, b"".join(written), end))
+
+
+@then("no answer looks whole that lacks an event")
+def step_none_lacks(context: Any) -> None:
+    wholes = 0
+    for seed, count, written, end in context.results:
+        ids = read_ids(written)
+        assert ids == list(range(1, len(ids) + 1)), (seed, ids)
+        if end is None:
+            wholes += 1
+            assert len(ids) == count, (seed, count, ids)
+    assert wholes > 100, wholes
+
+
 @when("an idempotent call is made")
 def step_idempotent(context: Any) -> None:
     run(context, "idempotent")
--- a/tests/steps/host_steps.py
+++ b/tests/steps/host_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 
 from tests import sites, stage
+from tests.steps import forward_steps
 
 
 @given("a store, four engines, two plain replicas and a host")
@@ -34,6 +35,11 @@
     set_faults(context, first, cut_after=count)
 
 
+@given("engines fail whatever they are to go on with")
+def step_fail_resumed(context: Any) -> None:
+    set_faults(context, "e", resumed_status=500)
+
+
 @given("one plain replica refuses")
 def step_one_refuses(context: Any) -> None:
     set_faults(context, "s4", refuse=True)
@@ -57,7 +63,19 @@
 @when('a stream is asked for with key "{key}"')
 def step_stream(context: Any, key: str) -> None:
     context.res = context.play.ask("/notes/x", key)
-    context.body = context.res.read()
+    context.body, context.is_cut = b"", False
+    try:
+        for data in context.res.stream(64):
+            context.body += data
+    except urllib3.exceptions.ProtocolError:
+        context.is_cut = True
+
+
+@then("events 1 to {count:d} come, and the connection is cut")
+def step_cut(context: Any, count: int) -> None:
+    found = forward_steps.read_ids(context.body)
+    assert found == list(range(1, count + 1)), context.body
+    assert context.is_cut
 
 
 @when('"{path}" is asked for with key "{key}"')
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -121,7 +121,7 @@
 
 @then('it is taken as "{outcome}"')
 def step_taken(context: Any, outcome: str) -> None:
-    assert context.outcome_of == outcome, context.outcome_of
+    assert context.outcome_of.strip() == outcome, context.outcome_of
 
 
 @then('it is taken as "{outcome}" within {seconds:g} s')
