Send a request that was turned away elsewhere, or wait, and give back repeats not sent

Callers were refused after two repeats that had gone, 2 ms apart, to the very engine that had turned the request away as full. An engine that blames no stage was given the same request again where no other path had room, and each try cost a repeat of the shared budget.

An engine or replica that turned a request away is not sent it again for 0.1 s. Another one that can run it gets it at once; else it waits on the queue, without holding up those behind it. A repeat counts as sent when the attempt begins, and is given back if none does, also one that was taken for a silent attempt which then ended by itself.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -72,6 +72,10 @@
             self.hosts, now_s, others, self._get_age_s(now_s)
         )
 
+    def give_back(self, service: str, taken_s: float) -> None:
+        """Returns a repeat that was taken then and not sent."""
+        self._get(service).give_back(taken_s)
+
     def get_standing(self, service: str, now_s: float) -> shared.Standing:
         """Returns where this host stands with a service's budget."""
         budget = self._get(service)
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -139,6 +139,11 @@
         self._repeats.append(now_s)
         return True
 
+    def give_back(self, taken_s: float) -> None:
+        """Returns a repeat that was taken then and not sent."""
+        if taken_s in self._repeats:
+            self._repeats.remove(taken_s)
+
     def tell(self, hosts: int, now_s: float, age_s: float = math.inf) -> Spent:
         """Returns what this host has spent, for the others."""
         self._forget(now_s)
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -32,6 +32,10 @@
 # Times that a request is sent on after upstreams refused it, unrun.
 MAX_REFUSALS: Final = 2
 
+# An upstream that turned a request away, unrun, is sent it again after so long
+# at the earliest: it is as full as it was.
+TURNED_AWAY_S: Final = 0.1
+
 # Bounds of Retry-After, in seconds: spread, so that callers refused together
 # do not come back together.
 RETRY_AFTER_S: Final = (0.7, 2.0)
@@ -60,8 +64,15 @@
     started_s: float = 0.0
     # Upstreams that failed it.
     failed: set[str] = attrs.Factory(set)
-    # A repeat of the budget that was taken for it before it was needed.
-    has_repeat: bool = False
+    # Upstreams that turned it away, and until when it is not sent there again.
+    refused: dict[str, float] = attrs.Factory(dict)
+    # When a repeat of the budget was taken for its next attempt; None if none
+    # is held.
+    repeat_s: float | None = None
+
+    def list_refused(self, now_s: float) -> set[str]:
+        """Returns the upstreams that turned it away just now."""
+        return {i for i, t in self.refused.items() if now_s < t}
 
 
 class Broker:
@@ -147,6 +158,7 @@
         if ticket.upstream_id:
             queues.note_done(self.queue, ticket.job.service, now_s)
         self._release(ticket)
+        self._return_repeat(ticket)
         self.counts.finished += 1
         return self._start_waiting(now_s)
 
@@ -224,12 +236,18 @@
 
     def _take_repeat(self, ticket: Ticket, now_s: float) -> bool:
         """Takes a repeat of the budget, unless the request has one already."""
-        if ticket.has_repeat:
+        if ticket.repeat_s is not None:
             return True
-        service = ticket.job.service
-        ticket.has_repeat = self.repeats.spend(service, now_s)
+        if self.repeats.spend(ticket.job.service, now_s):
+            ticket.repeat_s = now_s
         self._notes.append(self._describe_repeat(ticket, now_s))
-        return ticket.has_repeat
+        return ticket.repeat_s is not None
+
+    def _return_repeat(self, ticket: Ticket) -> None:
+        """Gives back a repeat that was taken and not sent."""
+        if ticket.repeat_s is not None:
+            self.repeats.give_back(ticket.job.service, ticket.repeat_s)
+            ticket.repeat_s = None
 
     def _describe_repeat(
         self, ticket: Ticket, now_s: float
@@ -237,9 +255,9 @@
         service = ticket.job.service
         at = self.repeats.get_standing(service, now_s)
         make = (
-            decisions.RepeatTaken
-            if ticket.has_repeat
-            else decisions.BudgetEmpty
+            decisions.BudgetEmpty
+            if ticket.repeat_s is None
+            else decisions.RepeatTaken
         )
         return make(
             ticket.job.id,
@@ -414,15 +432,20 @@
             ]
         if service.engine is None:
             return self._start_plain(ticket, now_s)
-        if not any(
-            w.graph == service.name for w in self.queue.waiting.values()
-        ):
+        if not self._has_waiting(service.name, now_s):
             start = self._try_start(ticket, now_s)
             if start is not None:
                 queues.note_start(self.queue, ticket.job.workspace)
                 return [start]
         return self._enqueue(ticket, now_s)
 
+    def _has_waiting(self, service: str, now_s: float) -> bool:
+        """Tells whether requests wait that could take what is free."""
+        return any(
+            w.graph == service and not self.tickets[w.id].list_refused(now_s)
+            for w in self.queue.waiting.values()
+        )
+
     def _enqueue(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         job = ticket.job
         hold_s = HOLD_PART * job.route.objective_s
@@ -489,19 +512,22 @@
             for i in list(self.queue.waiting)
             if self.quarantine.is_held(self.tickets[i].job.fingerprint)
         ]
+        # Services without a path, and requests without one for themselves.
         stuck: set[str] = set()
         while self.queue.waiting:
             items = [
                 i
                 for i in queues.order(self.queue, lambda item: False)
-                if i.graph not in stuck
+                if i.graph not in stuck and i.id not in stuck
             ]
             if not items:
                 break
             for item in items:
-                start = self._try_start(self.tickets[item.id], now_s)
+                ticket = self.tickets[item.id]
+                start = self._try_start(ticket, now_s)
                 if start is None:
-                    stuck.add(item.graph)
+                    is_alone = bool(ticket.list_refused(now_s))
+                    stuck.add(item.id if is_alone else item.graph)
                     continue
                 queues.start(self.queue, item)
                 effects.append(start)
@@ -512,7 +538,9 @@
         spec = self._get_spec(ticket.job.service)
         if spec is None:
             return None
-        parts = self.search.find(ticket.job, spec, ticket.failed, now_s)
+        parts = self.search.find(
+            ticket.job, spec, ticket.failed, now_s, ticket.list_refused(now_s)
+        )
         if parts is None:
             return None
         entry = self.fleet.roster.entries[parts[0].id]
@@ -521,7 +549,10 @@
 
     def _start_plain(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
-            ticket.job.service, ticket.failed, now_s
+            ticket.job.service,
+            ticket.failed,
+            ticket.list_refused(now_s),
+            now_s,
         )
         if entry is None:
             return [
@@ -543,6 +574,9 @@
         ticket.upstream_id = entry.id
         ticket.started_s = now_s
         ticket.attempts += 1
+        if ticket.repeat_s is not None:
+            ticket.repeat_s = None
+            self.counts.repeats += 1
         self._notes.append(self._describe_start(ticket, entry, now_s))
         self._take_room(ticket, 1)
         self.counts.started += 1
@@ -602,6 +636,9 @@
         if not blamed and was_at:
             blamed.add(was_at)
         ticket.failed |= blamed
+        if failure.why is jobs.Why.REFUSED:
+            until_s = now_s + TURNED_AWAY_S
+            ticket.refused.update(dict.fromkeys(blamed, until_s))
         for upstream_id in blamed:
             if failure.why is jobs.Why.UNREACHABLE:
                 self.fleet.health.note_down(upstream_id, now_s)
@@ -644,8 +681,6 @@
             return self._make_final(ticket, f"refused too often; {reason}")
         if not self._take_repeat(ticket, now_s):
             return self._make_final(ticket, f"no repeats left; {reason}")
-        ticket.has_repeat = False
-        self.counts.repeats += 1
         return None
 
     def _make_final(self, ticket: Ticket, reason: str) -> errors.Refusal:
@@ -685,6 +720,7 @@
         self.tickets.pop(ticket.job.id, None)
         queues.remove(self.queue, ticket.job.id)
         self._release(ticket)
+        self._return_repeat(ticket)
         self.counts.refused += 1
         self._notes.append(
             decisions.RequestRefused(
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -530,10 +530,19 @@
         return step_s, free
 
     def choose_replica(
-        self, service: str, avoid: set[str], now_s: float
+        self, service: str, avoid: set[str], refused: set[str], now_s: float
     ) -> upstreams.Upstream | None:
-        """Returns a plain service's replica with the shortest expected wait."""
-        usable = self.list_usable(service, now_s)
+        """Returns a plain service's replica with the shortest expected wait.
+
+        Args:
+            service: Its name.
+            avoid: Replicas that are chosen only where there is no other.
+            refused: Replicas that are not chosen.
+            now_s: Monotonic time.
+        """
+        usable = [
+            e for e in self.list_usable(service, now_s) if e.id not in refused
+        ]
         fresh = [e for e in usable if e.id not in avoid] or usable
         cut_off = self.list_cut_off(now_s)
 
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections.abc import Container, Sequence
+from collections.abc import Collection, Container, Sequence
 from typing import Final
 
 import attrs
@@ -71,19 +71,27 @@
         spec: config.EngineSpec,
         failed: Container[str],
         now_s: float,
+        refused: Collection[str] = (),
     ) -> tuple[paths.Part, ...] | None:
         """Finds a path, without engines that failed the request if it can.
 
         Which stage broke an answer often isn't known; the first is suspected.
         Where there is no way around it, it is tried again if it is alive.
+
+        Args:
+            job: The request.
+            spec: Of its service.
+            failed: Engines that failed it.
+            now_s: Monotonic time.
+            refused: Engines that turned it away just now.
         """
         if self._is_hopeless(job, now_s):
             return None
-        offers = self.offer(job, spec, now_s)
+        offers = self.offer(job, spec, now_s).leave_out(refused)
         parts = self.choose(job, spec, offers.leave_out(failed), now_s)
         if parts is None and failed:
             parts = self.choose(job, spec, offers, now_s)
-        if parts is None:
+        if parts is None and not refused:
             self._no_room[job.service] = _NoRoom(
                 job.tokens, now_s + NO_ROOM_S, self._fleet.get_revision()
             )
--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -95,6 +95,25 @@
       | anything | repeat_taken | 1    | 119  |
       | nothing  | budget_empty | 0    | 0    |
 
+  Scenario: An engine turns a request away, and another one can run it
+    # Guards against a repeat that goes where it was turned away just now.
+    Given a chain of engines with room for about 45000 tokens
+    And a twin of its first engine
+    When a request runs and its first engine turns it away
+    Then it runs at the twin of that engine, with 1 repeat sent
+
+  Scenario: An engine turns a request away, and no other one can run it
+    Given a chain of engines with room for about 45000 tokens
+    When a request runs and its first engine turns it away
+    Then it waits, and another request runs meanwhile
+    And it runs 0.1 s later, with 1 repeat sent
+
+  Scenario: A repeat that was not sent is given back
+    Given a chain of engines with room for about 45000 tokens
+    When a request runs and its first engine turns it away
+    And that engine is full
+    Then it is refused as not run, with 0 repeats sent
+
   Scenario: The repeat of an attempt that was ended is spent once
     Given a chain of engines and two plain replicas
     When a request runs that has nowhere near by to go on
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -393,6 +393,7 @@
         context.broker.fleet.health.refusals.clear()
         if "r" in context.broker.tickets:
             context.broker.tickets["r"].failed.clear()
+            context.broker.tickets["r"].refused.clear()
         take(context, context.broker.tick(context.now_s))
     if "r" in context.started:
         context.outcome = "started again"
@@ -585,6 +586,58 @@
     assert found == (sent, part, 1), found
 
 
+@when("a request runs and its first engine turns it away")
+def step_turned_away(context: Any) -> None:
+    arrive(context, "r")
+    context.first = context.started["r"].parts[0].id
+    failure = jobs.Failure("r", jobs.Why.REFUSED, "full", (), False)
+    context.effects = context.broker.fail(failure, context.now_s)
+
+
+@when("that engine is full")
+def step_now_full(context: Any) -> None:
+    context.broker.fleet.memory.add(context.first, 1, 1e9)
+
+
+def count_repeats(context: Any) -> int:
+    """Returns the repeats of the budget that are taken."""
+    return int(context.broker.repeats.get_standing("llm", context.now_s).sent)
+
+
+@then(
+    "it runs at the twin of that engine, with {count:d} repeat sent",
+)
+def step_at_twin(context: Any, count: int) -> None:
+    (start,) = context.effects
+    assert isinstance(start, jobs.Start), start
+    assert start.parts[0].id != context.first, start
+    assert count_repeats(context) == count
+
+
+@then("it waits, and another request runs meanwhile")
+def step_waits(context: Any) -> None:
+    assert not context.effects, context.effects
+    arrive(context, "s")
+    assert "s" in context.started
+
+
+@then("it runs {later:g} s later, with {count:d} repeat sent")
+def step_runs_later(context: Any, later: float, count: int) -> None:
+    context.now_s += later
+    (start,) = context.broker.tick(context.now_s)
+    assert isinstance(start, jobs.Start), start
+    assert (start.id, start.parts[0].id) == ("r", context.first)
+    assert count_repeats(context) == count
+
+
+@then("it is refused as not run, with {count:d} repeats sent")
+def step_refused_unrun(context: Any, count: int) -> None:
+    context.now_s += 1.0
+    (refused,) = context.broker.tick(context.now_s)
+    assert errors.ANSWERS[refused.refusal.kind].not_run, refused
+    assert count_repeats(context) == count
+
+
 @then("it goes on with one repeat spent")
 def step_one_repeat(context: Any) -> None:
     spent = context.broker.repeats.list_spent(context.now_s)["llm"]
