--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -150,8 +150,7 @@
             return web.Response(status, head, replica.name.encode())
         after = int(fields.get("Last-Event-Id") or 0)
         if after and replica.faults["resumed_status"] != 200:
-            status = replica.faults["resumed_status"]
-            return web.Response(status, head, replica.name.encode())
+            return web.Response(replica.faults["resumed_status"], head, b"")
         head["Content-Type"] = "text/event-stream"
         return web.Response(200, head, Events(replica, after))
 
