--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -11,15 +11,22 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-import attrs
-
 from egretspur import decisions, errors, mechanisms
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
 from egretspur.admission import repeats
 from egretspur.catalog import config, feeds, upstreams
+from egretspur.routing import (
+    crashes,
+    jobs,
+    memory,
+    paths,
+    questions,
+    retries,
+    search,
+    tickets,
+)
 from egretspur.routing import fleet as fleets
-from egretspur.routing import jobs, memory, paths, questions, search
 
 # Part of the objective that a request may wait for request memory. What is
 # left must do for reading its prompt, else it is late as well as slow.
@@ -29,9 +36,6 @@
 # to go on. The rest must do for reading its text once more.
 RESUME_HOLD_PART: Final = 0.7
 
-# Times that a request is sent on after upstreams refused it, unrun.
-MAX_REFUSALS: Final = 2
-
 # An upstream that turned a request away, unrun, is sent it again after so long
 # at the earliest: it is as full as it was.
 TURNED_AWAY_S: Final = 0.1
@@ -47,34 +51,6 @@
 TOP_RANK: Final = 9
 
 
-@attrs.define
-class Ticket:
-    """A request that this host has accepted."""
-
-    job: jobs.Job
-    # Sends that may have run.
-    runs: int = 0
-    refusals: int = 0
-    # Times it was given to an upstream.
-    attempts: int = 0
-    is_begun: bool = False
-    # Where it is now.
-    upstream_id: str = ""
-    parts: tuple[paths.Part, ...] = ()
-    started_s: float = 0.0
-    # Upstreams that failed it.
-    failed: set[str] = attrs.Factory(set)
-    # Upstreams that turned it away, and until when it is not sent there again.
-    refused: dict[str, float] = attrs.Factory(dict)
-    # When a repeat of the budget was taken for its next attempt; None if none
-    # is held.
-    repeat_s: float | None = None
-
-    def list_refused(self, now_s: float) -> set[str]:
-        """Returns the upstreams that turned it away just now."""
-        return {i for i, t in self.refused.items() if now_s < t}
-
-
 class Broker:
     """State of one host; see the module's docstring."""
 
@@ -90,8 +66,9 @@
         self.search = search.Search(self.fleet, using, rng)
         self.queue = queues.Queue(QUEUE_LENGTH)
         self.quarantine = quarantines.Quarantine()
+        self._crashes = crashes.Crashes(self.quarantine, self.fleet)
         self.counts = jobs.Counts()
-        self.tickets: dict[str, Ticket] = {}
+        self.tickets: dict[str, tickets.Ticket] = {}
         self.repeats = repeats.Repeats(data_centre, budget, rng)
         self._rng = rng
         self._services: Mapping[str, config.Service] = {}
@@ -99,14 +76,13 @@
         self.listed_s = 0.0
         # Decisions since the last `take_notes`, for the log.
         self._notes: list[decisions.Decision] = []
-        # Changes of the quarantine that the store is to be told of.
-        self._unsaved: list[quarantines.Change] = []
 
     def take_notes(self) -> list[decisions.Decision]:
         """Returns what was decided since the last call, for the log."""
-        notes = [*self._notes, *self.fleet.notes]
-        self._notes.clear()
-        self.fleet.notes.clear()
+        sources = (self._notes, self.fleet.notes, self._crashes.notes)
+        notes = [n for source in sources for n in source]
+        for source in sources:
+            source.clear()
         return notes
 
     # Messages from request threads.
@@ -115,7 +91,7 @@
         """Starts, queues or refuses a request."""
         self.counts.arrived += 1
         self.repeats.earn(job.service, now_s)
-        ticket = Ticket(job)
+        ticket = tickets.Ticket(job)
         self.tickets[job.id] = ticket
         return self._admit(ticket, now_s)
 
@@ -125,12 +101,14 @@
         if ticket is None:
             return []
         was_at = ticket.upstream_id
-        at = self._list_stages(ticket)
+        at = ticket.list_stages()
         self._release(ticket)
         ticket.is_begun |= failure.is_begun
         self._blame(ticket, was_at, failure, now_s)
         if failure.why is jobs.Why.CUT:
-            self._note_cut(ticket, at, failure.has_brought, now_s)
+            self._crashes.note_cut(
+                ticket.job.fingerprint, at, failure.has_brought, now_s
+            )
         refusal = self._check_repeat(ticket, failure, now_s)
         if refusal is not None:
             effects: list[jobs.Effect] = [self._end(ticket, now_s, refusal)]
@@ -194,7 +172,9 @@
         if ticket is None or spec is None or not ticket.parts:
             return jobs.Detour(None)
         # The engines it is moved to begin to run it too.
-        self._note_cut(ticket, tuple(sorted(stalled)), has_brought, now_s)
+        self._crashes.note_cut(
+            ticket.job.fingerprint, tuple(sorted(stalled)), has_brought, now_s
+        )
         if self.quarantine.is_held(ticket.job.fingerprint):
             return jobs.Detour(None, is_ended=True)
         detour = self._find_detour(
@@ -210,7 +190,7 @@
 
     def _find_detour(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         spec: config.EngineSpec,
         stalled: frozenset[str],
         may_resume: bool,
@@ -234,7 +214,7 @@
             return True
         return self._can_resume(ticket) and self._take_repeat(ticket, now_s)
 
-    def _take_repeat(self, ticket: Ticket, now_s: float) -> bool:
+    def _take_repeat(self, ticket: tickets.Ticket, now_s: float) -> bool:
         """Takes a repeat of the budget, unless the request has one already."""
         if ticket.repeat_s is not None:
             return True
@@ -243,14 +223,14 @@
         self._notes.append(self._describe_repeat(ticket, now_s))
         return ticket.repeat_s is not None
 
-    def _return_repeat(self, ticket: Ticket) -> None:
+    def _return_repeat(self, ticket: tickets.Ticket) -> None:
         """Gives back a repeat that was taken and not sent."""
         if ticket.repeat_s is not None:
             self.repeats.give_back(ticket.job.service, ticket.repeat_s)
             ticket.repeat_s = None
 
     def _describe_repeat(
-        self, ticket: Ticket, now_s: float
+        self, ticket: tickets.Ticket, now_s: float
     ) -> decisions.RepeatTaken | decisions.BudgetEmpty:
         service = ticket.job.service
         at = self.repeats.get_standing(service, now_s)
@@ -268,76 +248,18 @@
             self.repeats.hosts,
         )
 
-    def _list_stages(self, ticket: Ticket) -> tuple[str, ...]:
-        """Returns the upstreams that work on a request, its first one first."""
-        if not ticket.upstream_id:
-            return ()
-        return (
-            ticket.upstream_id,
-            *(p.id for p in ticket.parts if p.id != ticket.upstream_id),
-        )
-
-    def _note_cut(
-        self,
-        ticket: Ticket,
-        upstream_ids: tuple[str, ...],
-        has_brought: bool,
-        now_s: float,
-    ) -> None:
-        """Takes that one of these upstreams may have ended under a request."""
-        if not upstream_ids:
-            return
-        fingerprint = ticket.job.fingerprint
-        self.quarantine.note_cut(
-            quarantines.Cut(fingerprint, upstream_ids, has_brought, now_s),
-            now_s,
-        )
-        self._settle(now_s)
-
-    def _settle(self, now_s: float) -> None:
-        """Counts the upstreams that have turned out to have ended."""
-        self.quarantine.settle(self._look_at, now_s)
-        self._note_quarantine()
-
-    def _look_at(self, upstream_id: str) -> quarantines.State:
-        """Returns what is known of an upstream whose answer was cut."""
-        if upstream_id not in self.fleet.roster.entries:
-            return quarantines.State.ENDED
-        failed = self.fleet.health.failed.get(upstream_id)
-        if failed is None:
-            return quarantines.State.ALIVE
-        if failed.is_down:
-            return quarantines.State.ENDED
-        return quarantines.State.UNKNOWN
-
-    def _note_quarantine(self) -> None:
-        """Notes for the log and the store what the quarantine decided."""
-        for change in self.quarantine.take_changes():
-            self._notes.append(
-                decisions.QuarantineChanged(
-                    change.fingerprint,
-                    bool(change.ends),
-                    len(change.ends),
-                    change.is_own,
-                )
-            )
-            if change.is_own:
-                self._unsaved.append(change)
-
     def restore(
         self, ends: Mapping[str, quarantines.Ends], now_s: float
     ) -> list[jobs.Effect]:
         """Takes what the store says of requests in quarantine."""
-        self.quarantine.hear(ends, now_s)
-        self._note_quarantine()
+        self._crashes.restore(ends, now_s)
         return self._start_waiting(now_s)
 
     def take_unsaved(self) -> list[quarantines.Change]:
         """Returns what the store is to be told of the quarantine."""
-        unsaved, self._unsaved = self._unsaved, []
-        return unsaved
+        return self._crashes.take_unsaved()
 
-    def _can_resume(self, ticket: Ticket) -> bool:
+    def _can_resume(self, ticket: tickets.Ticket) -> bool:
         """Tells whether a running request may be ended and sent once more."""
         route = ticket.job.route
         if not self._using.resuming:
@@ -384,7 +306,7 @@
         """Takes what another host said."""
         self.fleet.hear(news, now_s)
         self.quarantine.hear(news.ended, now_s)
-        self._settle(now_s)
+        self._crashes.settle(now_s)
         self.repeats.hear(
             news.host, news.data_centre, news.spent, now_s, news.is_new
         )
@@ -392,14 +314,14 @@
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts what can, after the list of upstreams changed."""
         self.fleet.forget_gone()
-        self._settle(now_s)
+        self._crashes.settle(now_s)
         return self._start_waiting(now_s)
 
     def tick(self, now_s: float) -> list[jobs.Effect]:
         """Refuses what came due and starts what can."""
         with self.fleet.noting_changes(now_s):
             upstreams.expire(self.fleet.roster, now_s)
-        self._settle(now_s)
+        self._crashes.settle(now_s)
         effects: list[jobs.Effect] = []
         for item in queues.expire(self.queue, now_s):
             ticket = self.tickets[item.id]
@@ -420,7 +342,7 @@
 
     # Decisions.
 
-    def _admit(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
+    def _admit(self, ticket: tickets.Ticket, now_s: float) -> list[jobs.Effect]:
         if self.quarantine.is_held(ticket.job.fingerprint):
             return [self._refuse_held(ticket, now_s)]
         service = self._services.get(ticket.job.service)
@@ -446,7 +368,9 @@
             for w in self.queue.waiting.values()
         )
 
-    def _enqueue(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
+    def _enqueue(
+        self, ticket: tickets.Ticket, now_s: float
+    ) -> list[jobs.Effect]:
         job = ticket.job
         hold_s = HOLD_PART * job.route.objective_s
         due_s = job.arrived_s + hold_s
@@ -491,7 +415,9 @@
             )
         ]
 
-    def _refuse_held(self, ticket: Ticket, now_s: float) -> questions.Refuse:
+    def _refuse_held(
+        self, ticket: tickets.Ticket, now_s: float
+    ) -> questions.Refuse:
         """Refuses a request that may not be sent."""
         return self._refuse(
             ticket,
@@ -533,7 +459,9 @@
                 effects.append(start)
         return effects
 
-    def _try_start(self, ticket: Ticket, now_s: float) -> jobs.Start | None:
+    def _try_start(
+        self, ticket: tickets.Ticket, now_s: float
+    ) -> jobs.Start | None:
         """Starts a request for which there is a path."""
         spec = self._get_spec(ticket.job.service)
         if spec is None:
@@ -547,7 +475,9 @@
         ticket.parts = parts
         return self._start(ticket, entry, now_s)
 
-    def _start_plain(self, ticket: Ticket, now_s: float) -> list[jobs.Effect]:
+    def _start_plain(
+        self, ticket: tickets.Ticket, now_s: float
+    ) -> list[jobs.Effect]:
         entry = self.fleet.choose_replica(
             ticket.job.service,
             ticket.failed,
@@ -567,7 +497,7 @@
 
     def _start(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         entry: upstreams.Upstream,
         now_s: float,
     ) -> jobs.Start:
@@ -584,7 +514,7 @@
 
     def _describe_start(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         entry: upstreams.Upstream,
         now_s: float,
     ) -> decisions.PathChosen:
@@ -608,14 +538,14 @@
             peers,
         )
 
-    def _take_room(self, ticket: Ticket, sign: int) -> None:
+    def _take_room(self, ticket: tickets.Ticket, sign: int) -> None:
         if not ticket.parts:
             self.fleet.memory.add(ticket.upstream_id, sign, 0.0)
         for part in ticket.parts:
             used = (part.last - part.first) * ticket.job.tokens
             self.fleet.memory.add(part.id, sign, sign * used)
 
-    def _release(self, ticket: Ticket) -> None:
+    def _release(self, ticket: tickets.Ticket) -> None:
         if ticket.upstream_id:
             self._take_room(ticket, -1)
         ticket.upstream_id = ""
@@ -623,7 +553,7 @@
 
     def _blame(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         was_at: str,
         failure: jobs.Failure,
         now_s: float,
@@ -650,47 +580,19 @@
                 self.fleet.health.note_fault(upstream_id, now_s)
 
     def _check_repeat(
-        self, ticket: Ticket, failure: jobs.Failure, now_s: float
+        self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
     ) -> errors.Refusal | None:
         """Returns the final answer if the request may not be sent again."""
-        job = ticket.job
-        route = job.route
-        reason = f"{failure.why.value}: {failure.reason}"
-        may_have_run = ticket.runs > 0
-        if now_s >= job.deadline_s:
-            return self._make_refusal(
-                ticket, errors.ErrorKind.TIMED_OUT, reason
-            )
-        if self.quarantine.is_held(job.fingerprint):
-            return self._make_refusal(
-                ticket,
-                errors.ErrorKind.QUARANTINED,
-                f"upstreams ended under it; {reason}",
-            )
-        if may_have_run and (
-            route.kind is config.RouteKind.NON_IDEMPOTENT
-            or (
-                route.kind is config.RouteKind.STREAMING
-                and not route.is_resumable
-            )
-        ):
-            return self._make_final(ticket, reason)
-        if ticket.runs >= route.max_attempts:
-            return self._make_final(ticket, f"no attempts left; {reason}")
-        if ticket.refusals > MAX_REFUSALS:
-            return self._make_final(ticket, f"refused too often; {reason}")
-        if not self._take_repeat(ticket, now_s):
-            return self._make_final(ticket, f"no repeats left; {reason}")
-        return None
-
-    def _make_final(self, ticket: Ticket, reason: str) -> errors.Refusal:
-        kind = errors.ErrorKind.UPSTREAM_FAILED
-        if not ticket.runs:
-            kind = errors.ErrorKind.NO_ROUTE
-        return self._make_refusal(ticket, kind, reason)
+        is_held = self.quarantine.is_held(ticket.job.fingerprint)
+        final = retries.check(ticket, failure, is_held, now_s)
+        if final is None and not self._take_repeat(ticket, now_s):
+            final = retries.make_final(ticket, failure, "no repeats left")
+        if final is None:
+            return None
+        return self._make_refusal(ticket, final.kind, final.reason)
 
     def _make_refusal(
-        self, ticket: Ticket, kind: errors.ErrorKind, reason: str
+        self, ticket: tickets.Ticket, kind: errors.ErrorKind, reason: str
     ) -> errors.Refusal:
         if ticket.runs and errors.ANSWERS[kind].not_run:
             # An earlier send may have run, whatever happened since.
@@ -705,7 +607,7 @@
 
     def _refuse(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         now_s: float,
         kind: errors.ErrorKind,
         reason: str,
@@ -714,7 +616,7 @@
         return self._end(ticket, now_s, refusal)
 
     def _end(
-        self, ticket: Ticket, now_s: float, refusal: errors.Refusal
+        self, ticket: tickets.Ticket, now_s: float, refusal: errors.Refusal
     ) -> questions.Refuse:
         """Ends a request with its final answer."""
         self.tickets.pop(ticket.job.id, None)
--- /dev/null
+++ b/egretspur/routing/retries.py
@@ -0,0 +1,75 @@
+"""Which failed requests may be sent once more, the budget aside: pure.
+
+What may have run is repeated only where that changes nothing, and never more
+often than its route allows. Read next: `egretspur.admission.repeats`.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from egretspur import errors
+from egretspur.catalog import config
+from egretspur.routing import jobs, tickets
+
+# Times that a request is sent on after upstreams refused it, unrun.
+MAX_REFUSALS: Final = 2
+
+
+@attrs.frozen
+class GivenUp:
+    """Why a request is not sent again."""
+
+    kind: errors.ErrorKind
+    reason: str
+
+
+def check(
+    ticket: tickets.Ticket, failure: jobs.Failure, is_held: bool, now_s: float
+) -> GivenUp | None:
+    """Returns why a request may not be sent again; None if it may.
+
+    Args:
+        ticket: The request, with the attempt that failed.
+        failure: How that ended.
+        is_held: The request is in quarantine.
+        now_s: Monotonic time.
+    """
+    route = ticket.job.route
+    if now_s >= ticket.job.deadline_s:
+        return GivenUp(errors.ErrorKind.TIMED_OUT, _describe(failure))
+    if is_held:
+        return GivenUp(
+            errors.ErrorKind.QUARANTINED,
+            f"upstreams ended under it; {_describe(failure)}",
+        )
+    if ticket.runs and not _may_run_again(route):
+        return make_final(ticket, failure)
+    if ticket.runs >= route.max_attempts:
+        return make_final(ticket, failure, "no attempts left")
+    if ticket.refusals > MAX_REFUSALS:
+        return make_final(ticket, failure, "refused too often")
+    return None
+
+
+def make_final(
+    ticket: tickets.Ticket, failure: jobs.Failure, why: str = ""
+) -> GivenUp:
+    """Returns the end of a request whose attempts have failed."""
+    kind = errors.ErrorKind.UPSTREAM_FAILED
+    if not ticket.runs:
+        kind = errors.ErrorKind.NO_ROUTE
+    reason = _describe(failure)
+    return GivenUp(kind, f"{why}; {reason}" if why else reason)
+
+
+def _may_run_again(route: config.Route) -> bool:
+    if route.kind is config.RouteKind.STREAMING:
+        return route.is_resumable
+    return route.kind is not config.RouteKind.NON_IDEMPOTENT
+
+
+def _describe(failure: jobs.Failure) -> str:
+    return f"{failure.why.value}: {failure.reason}"
