End an answer at once whose end comes with its last events

Where the last tokens and the end of the body came in the same read, the tokens were taken and the end was forgotten; the stream stayed with the pump while its connection, read to its end, went back to the pool. The next answer over it was registered a second time, an error that ended the pump's thread, and with it all answers of the router.

The end is now kept beside the events and ends the attempt with them. And a connection that can't be watched ends its own attempt, not the pump.

--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -263,6 +263,8 @@
         self.between_s = between_s
         # True after an end or error event.
         self.ended = False
+        # Why it broke after the events that were read last.
+        self.broken: Broken | None = None
         buffer: Any = res._fp.fp  # type: ignore[attr-defined]
         self._buffer: io.BufferedReader = buffer
         self.sock: socket.socket = buffer.raw._sock
@@ -291,6 +293,7 @@
         while not self.ended:
             data = self._read_some()
             if isinstance(data, Broken):
+                self.broken = data
                 return events or data
             events += self._parse(data)
             if not self.has_buffered():
--- a/egretspur/delivery/pump.py
+++ b/egretspur/delivery/pump.py
@@ -47,6 +47,11 @@
     done: threading.Event = attrs.Factory(threading.Event)
     broken: engine.Broken | None = None
 
+    def finish(self, broken: engine.Broken | None) -> None:
+        """Wakes whoever handed it in."""
+        self.broken = broken
+        self.done.set()
+
 
 class Pump:
     """Reads many streams in one thread."""
@@ -135,10 +140,16 @@
 
     def _begin(self, added: list[_Entry]) -> None:
         for entry in added:
+            try:
+                self._selector.register(
+                    entry.stream.sock, selectors.EVENT_READ, entry
+                )
+            except (KeyError, OSError, ValueError) as exc:
+                # One stream's trouble must not stop all the others.
+                _LOG.info("stream not watched", extra={"reason": repr(exc)})
+                entry.finish(engine.Broken(repr(exc), maybe_started=True))
+                continue
             self._entries.add(entry)
-            self._selector.register(
-                entry.stream.sock, selectors.EVENT_READ, entry
-            )
             # Bytes may have been read into the buffer together with the
             # response's head; they don't make the socket readable.
             if entry.stream.has_buffered():
@@ -162,6 +173,9 @@
             self._end(entry, None)
         elif entry.stream.ended:
             self._end(entry, engine.Broken("no end", maybe_started=True))
+        elif entry.stream.broken is not None:
+            # At once: its connection may be used for another answer by now.
+            self._end(entry, entry.stream.broken)
 
     def _end_silent(self, now_s: float) -> None:
         for entry in list(self._entries):
@@ -179,5 +193,4 @@
             return
         self._entries.discard(entry)
         self._selector.unregister(entry.stream.sock)
-        entry.broken = broken
-        entry.done.set()
+        entry.finish(broken)
--- a/tests/delivery/relay.feature
+++ b/tests/delivery/relay.feature
@@ -22,3 +22,17 @@
     Given a pump that was handed an answer which lay whole in its buffer
     When it is handed an answer that comes later
     Then that one is passed on as well
+
+  Scenario: An answer that just ends, in the same bytes as its last tokens
+    # Guards against a connection that is used again while the pump still reads
+    # from it for the answer before, which ends the pump.
+    Given an engine whose answer ends without its end event
+    When the pump reads the last tokens together with the end of the body
+    Then the attempt is over within 1 s, and the caller has all tokens
+    And the next answer of that engine is passed on
+
+  Scenario: A connection that the pump can't watch
+    # Guards against one answer's trouble that stands still all others.
+    Given a pump that was handed an answer whose connection is closed
+    When it is handed an answer that comes later
+    Then that one is passed on as well
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import json
 import socket
 import threading
 from typing import Any
@@ -106,6 +107,7 @@
     is_buffered: bool
     between_s: float = 2.0
     ended: bool = False
+    broken: engine.Broken | None = None
 
     def bound_reads(self) -> None:
         """Nothing to do."""
@@ -156,3 +158,125 @@
     for end in context.ends:
         end.close()
     assert not is_stuck
+
+
+@given("a pump that was handed an answer whose connection is closed")
+def step_closed(context: Any) -> None:
+    context.pump = pump.Pump()
+    context.pump.start()
+    context.ends = socket.socketpair()
+    closed, other = socket.socketpair()
+    closed.close()
+    other.close()
+    stream = BufferedStream(closed, False)
+    thread = threading.Thread(
+        target=context.pump.run, args=(stream, Ending(), 2.0), daemon=True
+    )
+    thread.start()
+    thread.join(1.0)
+    assert not thread.is_alive()
+
+
+def make_chunks(*events: dict[str, Any]) -> bytes:
+    """Returns events as chunks of a body."""
+    lines = [json.dumps(e).encode() + b"\n" for e in events]
+    return b"".join(b"%x\r\n%s\r\n" % (len(n), n) for n in lines)
+
+
+def make_token(request: str, position: int) -> dict[str, Any]:
+    """Returns an engine's event."""
+    return {"r": request, "a": 1, "p": position, "t": "t", "l": "u:0-4"}
+
+
+@attrs.define
+class EndingEngine:
+    """An engine on one connection; its first answer has no end event."""
+
+    server: socket.socket = attrs.Factory(
+        lambda: socket.create_server(("127.0.0.1", 0))
+    )
+    may_end: threading.Event = attrs.Factory(threading.Event)
+
+    def serve(self) -> None:
+        """Answers two requests that come over one connection."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        end = b"0\r\n\r\n"
+        conn, _ = self.server.accept()
+        conn.recv(65536)
+        conn.sendall(head + make_chunks(make_token("q", 0)))
+        self.may_end.wait(5.0)
+        conn.sendall(make_chunks(make_token("q", 1)) + end)
+        conn.recv(65536)
+        conn.sendall(head + make_chunks(make_token("q2", 0)))
+        last = {"r": "q2", "a": 1, "end": 1, "load": 0}
+        conn.sendall(make_chunks(last) + end)
+
+
+class Taking:
+    """Takes all tokens until the end; see `pump.Consumer`."""
+
+    def __init__(self) -> None:
+        self.events: list[engine.Event] = []
+
+    def take(self, events: list[engine.Event]) -> bool:
+        """Wants more until the end has come."""
+        self.events += events
+        return isinstance(events[-1], engine.TokenEvent)
+
+
+@given("an engine whose answer ends without its end event")
+def step_ending_engine(context: Any) -> None:
+    context.engine = EndingEngine()
+    context.add_cleanup(context.engine.server.close)
+    threading.Thread(target=context.engine.serve, daemon=True).start()
+    port = context.engine.server.getsockname()[1]
+    context.hop = engine.Hop("u", f"127.0.0.1:{port}", 0, 4)
+    context.client = engine.EngineClient(0.5, 5.0, BETWEEN_S)
+    context.pump = pump.Pump()
+    context.pump.start()
+
+
+def open_stream(context: Any, request: str) -> engine.EventStream:
+    """Sends the engine a request; returns its answer."""
+    call = engine.RunCall(
+        request, 1, "m", "", "v", "text", (), 9, 1, (context.hop,)
+    )
+    stream = context.client.run(call)
+    assert isinstance(stream, engine.EventStream), stream
+    return stream
+
+
+@when("the pump reads the last tokens together with the end of the body")
+def step_read_end(context: Any) -> None:
+    stream = open_stream(context, "q")
+    first = stream.read()
+    assert isinstance(first, list), first
+    context.taking = Taking()
+    context.taking.events += first
+    context.broken = []
+    context.thread = threading.Thread(
+        target=lambda: context.broken.append(
+            context.pump.run(stream, context.taking, 5.0)
+        ),
+        daemon=True,
+    )
+    context.thread.start()
+    context.engine.may_end.set()
+    context.thread.join(1.0)
+
+
+@then("the attempt is over within 1 s, and the caller has all tokens")
+def step_over(context: Any) -> None:
+    assert len(context.taking.events) == 2, context.taking.events
+    assert not context.thread.is_alive()
+    assert isinstance(context.broken[0], engine.Broken), context.broken
+
+
+@then("the next answer of that engine is passed on")
+def step_next_answer(context: Any) -> None:
+    taking = Taking()
+    stream = open_stream(context, "q2")
+    assert context.pump.run(stream, taking, 5.0) is None
+    assert len(taking.events) == 2, taking.events
+    context.pump.close()
+    context.client.close()
