Give both lines of a repeat one set of fields, and say what two names hold

Nothing is decided otherwise. repeat_taken and budget_empty held the same six fields twice; the flag of a body that may end said that it may be empty; what is set aside while a queue is served is held back, not alone. The soak and the host's steps set faults by the site's own call.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -238,13 +238,13 @@
 
 
 @attrs.frozen
-class RepeatTaken:
-    """A repeat was taken from the retry budget that all hosts share."""
+class _RepeatWanted:
+    """A request that is to be sent once more, and its host's part."""
 
     request: str
     service: str
-    # Repeats of this host in the last window, this one included, and how many
-    # it may send: what it keeps to itself, and what it has borrowed.
+    # Repeats of this host in the last window, and how many it may send: what
+    # it keeps to itself, and what it has borrowed.
     sent: int
     part: float
     borrowed: float
@@ -253,18 +253,13 @@
 
 
 @attrs.frozen
-class BudgetEmpty:
-    """A repeat was not sent because the shared budget allowed none.
+class RepeatTaken(_RepeatWanted):
+    """A repeat was taken from the shared budget; it counts as sent."""
 
-    Fields as in `RepeatTaken`.
-    """
 
-    request: str
-    service: str
-    sent: int
-    part: float
-    borrowed: float
-    hosts: int
+@attrs.frozen
+class BudgetEmpty(_RepeatWanted):
+    """A repeat was not sent because the shared budget allowed none."""
 
 
 @attrs.frozen
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -148,8 +148,9 @@
         self._silence_s = silence_s
         self._handle = handle
         self._deadline_s = deadline_s
-        # An empty body that nothing announces looks like a head that was cut.
-        self._may_be_empty = (
+        # Bytes came, or none need come. A body that nothing announces and that
+        # is empty looks like a head that was cut.
+        self._may_end = (
             res.status in _EMPTY_STATUSES
             or "Content-Length" in res.headers
             or "Transfer-Encoding" in res.headers
@@ -169,9 +170,9 @@
             data = self._res.read1(_MAX_READ)
         except Exception as exc:  # the library's, the socket's, http.client's
             return forward.Lost(jobs.Why.CUT, repr(exc))
-        if not data and not self._may_be_empty:
+        if not data and not self._may_end:
             return forward.Lost(jobs.Why.CUT, "closed before its body")
-        self._may_be_empty = True
+        self._may_end = True
         return data
 
     def abort(self) -> None:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -452,8 +452,9 @@
                 ticket = self.tickets[item.id]
                 start = self._try_start(ticket, now_s)
                 if start is None:
-                    is_alone = bool(ticket.list_refused(now_s))
-                    stuck.add(item.id if is_alone else item.graph)
+                    # Others may go where this one was turned away.
+                    is_held_back = bool(ticket.list_refused(now_s))
+                    stuck.add(item.id if is_held_back else item.graph)
                     continue
                 queues.start(self.queue, item)
                 effects.append(start)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -198,11 +198,9 @@
 
     def set_fault(self, name: str, lasts_s: float, **faults: Any) -> None:
         """Sets faults of a stand-in for some time."""
-        self.site.stage.call("POST", name, "/faults", faults)
+        self.site.set_fault(name, faults)
         time.sleep(lasts_s)
-        self.site.stage.call(
-            "POST", name, "/faults", {k: CALM[k] for k in faults}
-        )
+        self.site.set_fault(name, {k: CALM[k] for k in faults})
 
     def cut(self, name: str, lasts_s: float) -> None:
         """Has an engine break a stream off; each second time no other resumes.
--- a/tests/steps/host_steps.py
+++ b/tests/steps/host_steps.py
@@ -25,7 +25,7 @@
     """Sets faults of the upstreams whose names begin so."""
     for name in context.play.entries:
         if name.startswith(names):
-            context.play.stage.call("POST", name, "/faults", faults)
+            context.play.set_fault(name, faults)
 
 
 @given("the first engine breaks off after {count:d} events")
