Sight: what upstreams name as their limit, and every question to them

To tell the hypotheses of requests beyond an upstream's limit apart. Hosts read the field and log each change of it (upstream_limited), from an answer of their own; nothing is decided by it yet. A value that is no decimal is logged once more as entry_left_out and changes nothing.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -97,7 +97,9 @@
         )
         self._intake = intake.Intake(
             self._desk,
-            upstream.UpstreamClient(cfg.bounds.silence_s),
+            upstream.UpstreamClient(
+                cfg.bounds.silence_s, self._desk.note_asked
+            ),
             self._watch,
             rng,
         )
--- a/egretspur/daemons/meters.py
+++ b/egretspur/daemons/meters.py
@@ -47,6 +47,7 @@
     "attempt_failed": "why",
     "request_answered": "status",
     "upstream_changed": "state",
+    "question_sent": "question",
     "repeat_taken": "service",
     "budget_empty": "service",
     "store_lost": "topic",
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -182,6 +182,26 @@
     reason: str
 
 
+@attrs.frozen
+class UpstreamLimited:
+    """An upstream named how many requests it takes, or no longer does."""
+
+    upstream: str
+    # Requests a second from all hosts together; None if it names none now.
+    per_s: float | None
+    # By its answer to this host; else another host told of it.
+    is_own: bool
+
+
+@attrs.frozen
+class QuestionSent:
+    """An upstream was asked or ordered something beside callers' requests."""
+
+    address: str
+    # One of: report, peek, health, place, repath.
+    question: str
+
+
 @attrs.frozen
 class UpstreamsListed:
     """Many upstreams came onto the list at once, as at the start."""
@@ -379,6 +399,8 @@
     | RequestCut
     | RequestLeft
     | UpstreamChanged
+    | UpstreamLimited
+    | QuestionSent
     | UpstreamsListed
     | ConfigurationApplied
     | DutyTaken
@@ -400,8 +422,15 @@
     | Stopped
 )
 
-# Lines that come with every request; the first to go when there are too many.
-ROUTINE: Final = (RequestAdmitted, PathChosen, RequestAnswered, RequestLeft)
+# Lines that come with every request or many; the first to go when there are too
+# many.
+ROUTINE: Final = (
+    RequestAdmitted,
+    PathChosen,
+    RequestAnswered,
+    RequestLeft,
+    QuestionSent,
+)
 
 
 @functools.cache
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -18,7 +18,7 @@
 import attrs
 
 from egretspur import decisions, errors
-from egretspur.catalog import config
+from egretspur.catalog import config, upstreams
 from egretspur.delivery import answers, events, silence
 from egretspur.routing import desk, jobs, paces, paths
 
@@ -83,6 +83,10 @@
         """Sends a request and returns the beginning of its answer."""
 
 
+# Told what an upstream's answer asks of the hosts, by the upstream's id.
+NoteAsked = Callable[[str, upstreams.Asked], None]
+
+
 class Abort:
     """Ends whatever a request waits for, from another thread."""
 
--- a/egretspur/platform/names.py
+++ b/egretspur/platform/names.py
@@ -39,6 +39,8 @@
 RECEIPT: Final = "Replica-Signature"
 NOT_RUN: Final = "Not-Executed"
 AT_FAULT: Final = "At-Server"
+# Requests a second that it takes from all hosts together.
+LIMIT: Final = "Server-Limit"
 
 # Paths on an upstream.
 REPORT_PATH: Final = "/egretspur/report"
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -19,7 +19,7 @@
 import urllib3.connection
 from urllib3 import exceptions
 
-from egretspur import codec, transport
+from egretspur import codec, decisions, transport
 from egretspur.catalog import upstreams
 from egretspur.delivery import forward
 from egretspur.platform import decode, names
@@ -48,15 +48,21 @@
 class UpstreamClient:
     """Sends callers' requests; see `forward.Upstreams`."""
 
-    def __init__(self, silence_s: float) -> None:
+    def __init__(
+        self,
+        silence_s: float,
+        note_asked: forward.NoteAsked = lambda upstream_id, asked: None,
+    ) -> None:
         """Makes a client.
 
         Args:
             silence_s: Longest silence within a stream. Stages hold work that
                 depends on a dead one for a while and then say so; what is
                 longer is a silent connection.
+            note_asked: Told what the head of each answer asks of the hosts.
         """
         self._silence_s = silence_s
+        self._note_asked = note_asked
 
     def open(
         self,
@@ -90,6 +96,7 @@
         except Exception as exc:  # the library's, the socket's, http.client's
             handle.close()
             return forward.Lost(jobs.Why.CUT, f"{start.upstream.id}: {exc!r}")
+        self._note_asked(start.upstream.id, _read_asked(res))
         lost = _check_head(call, start, res)
         if lost is not None:
             handle.close()
@@ -243,6 +250,13 @@
     return ",".join(f"{p.address}={p.first}-{p.last}" for p in parts)
 
 
+def _read_asked(res: urllib3.BaseHTTPResponse) -> upstreams.Asked:
+    """Returns what an answer asks of the hosts."""
+    return upstreams.Asked(
+        decode.decode_limit(res.headers.getlist(names.LIMIT))
+    )
+
+
 def _check_head(
     call: forward.Call, start: jobs.Start, res: Any
 ) -> forward.Lost | None:
@@ -290,6 +304,7 @@
 
     def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns an engine's report, or why there is none."""
+        _record_question(address, "report")
         return self._get_report(self._transport, address)
 
     def peek(self, address: str) -> upstreams.EngineReport | str:
@@ -298,6 +313,7 @@
         On a connection of its own: a kept one that went silent would look
         like an engine that died.
         """
+        _record_question(address, "peek")
         self._quick.empty_pool(address)
         return self._get_report(self._quick, address)
 
@@ -320,6 +336,7 @@
         One that is full or slow may answer late, and one that is leaving
         refuses; the list and the requests themselves tell of those.
         """
+        _record_question(address, "health")
         res = self._transport.call("GET", address, health_path)
         return not isinstance(res, transport.Failed) or res.is_silent
 
@@ -356,6 +373,7 @@
         )
 
     def _order(self, address: str, order: Mapping[str, Any]) -> str:
+        _record_question(address, order["operation"])
         res = self._transport.call(
             "POST",
             address,
@@ -368,3 +386,8 @@
         if res.status in (200, 202):
             return ""
         return f"{address}: status {res.status}: {res.body[:200]!r}"
+
+
+def _record_question(address: str, question: str) -> None:
+    """Logs what is sent to an upstream beside callers' requests."""
+    decisions.record(decisions.QuestionSent(address, question))
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -14,7 +14,7 @@
 from egretspur import decisions, errors, mechanisms
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
-from egretspur.admission import repeats
+from egretspur.admission import repeats, throttle
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import (
     crashes,
@@ -67,6 +67,7 @@
         self.queue = queues.Queue(QUEUE_LENGTH)
         self.quarantine = quarantines.Quarantine()
         self._crashes = crashes.Crashes(self.quarantine, self.fleet)
+        self.throttle = throttle.Throttle()
         self.counts = jobs.Counts()
         self.tickets: dict[str, tickets.Ticket] = {}
         self.repeats = repeats.Repeats(data_centre, budget, rng)
@@ -152,6 +153,25 @@
         self.fleet.health.note_success(ticket.upstream_id, now_s)
         self.fleet.note_time(ticket.upstream_id, now_s - ticket.started_s)
 
+    def note_asked(
+        self, upstream_id: str, asked: upstreams.Asked, now_s: float
+    ) -> None:
+        """Takes what an upstream asked of the hosts beside an answer."""
+        per_s = asked.per_s
+        if isinstance(per_s, feeds.Unreadable):
+            self._notes.append(
+                decisions.EntryLeftOut(
+                    "answers", upstream_id, per_s.field, per_s.problem
+                )
+            )
+            return
+        if upstream_id not in self.fleet.roster.entries:
+            return
+        if self.throttle.note(upstream_id, per_s, now_s):
+            self._notes.append(
+                decisions.UpstreamLimited(upstream_id, per_s, True)
+            )
+
     def repath(
         self,
         job_id: str,
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -56,6 +56,14 @@
     id: str
 
 
+@attrs.frozen
+class NoteAsked:
+    """An upstream asked something of the hosts beside an answer."""
+
+    upstream_id: str
+    asked: upstreams.Asked
+
+
 @attrs.frozen
 class Repath:
     """Asks for another path of a running request."""
@@ -220,6 +228,12 @@
     def _(self, message: Answered) -> None:
         self._broker.note_answer(message.id, time.monotonic())
 
+    @handle.register
+    def _(self, message: NoteAsked) -> None:
+        self._broker.note_asked(
+            message.upstream_id, message.asked, time.monotonic()
+        )
+
     @handle.register
     def _(self, message: Repath) -> jobs.Detour:
         return self._broker.repath(
@@ -332,6 +346,7 @@
     def __init__(self, state: broker.Broker) -> None:
         """Starts the actor, which owns the broker from now on."""
         self._busy = threading.Event()
+        self._throttle = state.throttle
         self._ref = DeskActor.start(state, self._busy)
 
     def close(self) -> None:
@@ -358,6 +373,12 @@
         """Sends a message that needs no answer."""
         self._ref.tell(message)
 
+    def note_asked(self, upstream_id: str, asked: upstreams.Asked) -> None:
+        """Takes what an answer asks of the hosts; most ask nothing."""
+        if asked.per_s is None and upstream_id not in self._throttle.limited:
+            return
+        self._ref.tell(NoteAsked(upstream_id, asked))
+
     def repath(
         self, job_id: str, stalled: frozenset[str], has_brought: bool
     ) -> jobs.Detour:
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -26,6 +26,7 @@
     "str": "text",
     "int": 3,
     "float": 0.25,
+    "float | None": None,
     "bool": True,
     "tuple[str, ...]": ("a", "b"),
     "dict[str, int]": {"a": 3},
