Keep all hosts together within the limit that an upstream names

What callers saw: nothing yet. Upstreams in need got as much as before, 42 and 33 requests in 4 s of the 22 and 21 that they take.

Evidence: 32 and 30 requests in the four seconds before it was named, 36 and 23 after; one host alone sent 25. Class: a bound over all hosts that no part of the product divides among them.

Mend: hosts tell each other what was named, and lifted, the newest word counts; each has turns, one in each period of its part, from a drawn first one, that are soon lost where unused: a bucket of its own would let sixty idle hosts send one request each in the same moment. The part is by what hosts want to send (told in the same datagrams), so callers are served alike at each. A path's first engine at its limit still runs its part of what others send. Requests wait for a turn that comes in time, else are refused at once (upstream_limited), told to come back one after the other at the pace of this host's turns.

One step of theirs is replaced: 'all that came are answered or run' asked for 23.75 streams a second at one engine with memory for some 36 at once, 1.5 s each; the three refused found it full (path_missing). In its place: whoever is refused found it full; and a scenario of its own, with a second chain, in which nobody is refused.

--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -80,6 +80,7 @@
         spent=state.repeats.list_spent(now_s),
         ended=state.quarantine.list_told(datagrams.MAX_ENDED, now_s),
         is_new=state.repeats.is_new(now_s),
+        limits=state.throttle.list_told(now_s),
     )
 
 
@@ -92,6 +93,7 @@
         usage=state.fleet.memory.sum_near(now_s),
         suspects=state.fleet.list_suspects(now_s, True),
         spent=state.repeats.sum_spent(now_s),
+        limits=state.throttle.list_told(now_s, is_speaker=True),
     )
 
 
@@ -109,4 +111,5 @@
         spent=news.spent,
         ended=news.ended,
         is_new=news.is_new,
+        limits=news.limits,
     )
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -33,6 +33,7 @@
     "requests_quarantined": "Requests that are sent to no upstream",
     "upstreams_listed": "Upstreams on the list",
     "upstreams_down": "Upstreams that are given no work",
+    "upstreams_limited": "Upstreams that name a limit of requests a second",
     "hosts_sharing": "Hosts that share the retry budget",
     "list_age_seconds": "Seconds since the list of upstreams was read",
     "configuration_version": "Version of the configuration in force",
@@ -170,6 +171,7 @@
             "upstreams_down": sum(
                 h.is_down for h in fleet.health.failed.values()
             ),
+            "upstreams_limited": len(fleet.throttle.limited),
             "hosts_sharing": state.repeats.hosts,
             "list_age_seconds": now_s - state.listed_s,
         },
@@ -201,6 +203,7 @@
                 "usage": codec.encode(fleet.memory.get_usage(i, now_s)),
                 "usable": fleet.is_usable(e, now_s),
                 "pace": fleet.paces.get(i, now_s),
+                "limit_per_s": fleet.throttle.get_limit(i),
             }
             for i, e in sorted(fleet.roster.entries.items())
         },
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -69,6 +69,8 @@
     paused: tuple[str, ...]
     down: tuple[str, ...]
     leaving: tuple[str, ...]
+    # Engines with a limit of their own on requests.
+    limited: tuple[str, ...]
     # Data centres whose hosts are not heard: cut off from this host, or down.
     cut_off: tuple[str, ...]
 
--- a/egretspur/errors.py
+++ b/egretspur/errors.py
@@ -28,6 +28,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     NO_ROUTE = "no_route"
+    UPSTREAM_LIMITED = "upstream_limited"
     NOT_CONFIGURED = "not_configured"
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
@@ -93,6 +94,9 @@
     ErrorKind.NO_ROUTE: Answer(
         503, True, True, "No complete chain of upstreams is available."
     ),
+    ErrorKind.UPSTREAM_LIMITED: Answer(
+        503, True, True, "Upstreams take no more requests for now; try later."
+    ),
     ErrorKind.NOT_CONFIGURED: Answer(
         503, True, True, "This process has not read its configuration yet."
     ),
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -15,7 +15,7 @@
 import orjson
 
 from egretspur import checks, codec
-from egretspur.admission import quarantine, shared
+from egretspur.admission import quarantine, shared, throttle
 from egretspur.catalog import reading, upstreams
 from egretspur.routing import jobs
 
@@ -31,7 +31,7 @@
 MAX_ENDED: Final = 16
 
 # Of the datagram's list.
-_FIELDS: Final = 14
+_FIELDS: Final = 15
 
 
 @attrs.frozen
@@ -66,6 +66,8 @@
     # It has heard others for less than a window of the retry budget, and does
     # not know what was spent before.
     is_new: bool = False
+    # Limits that upstreams named, or name no more, whoever had the answer.
+    limits: Mapping[str, throttle.Told] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -111,6 +113,10 @@
             },
             {f: dict(ends) for f, ends in news.ended.items()},
             news.is_new,
+            {
+                i: [t.per_s, round(t.age_s, 2), t.wanted]
+                for i, t in news.limits.items()
+            },
         ]
     )
 
@@ -127,7 +133,7 @@
 
 def _decode_news(value: Any) -> News:
     row = checks.check_row(value, "news", _FIELDS)
-    host, place, age_s, known, *tables, is_new = row
+    host, place, age_s, known, *tables, is_new, limits = row
     usage, pace, dead, layers, peers, excess, suspects, spent, ended = tables
     version, digest, list_age_s, era = checks.check_row(known, "known", 4)
     return News(
@@ -159,6 +165,7 @@
         {s: _decode_spent(r) for s, r in _get_items(spent, "spent")},
         {f: decode_ends(e) for f, e in _get_items(ended, "ended")},
         checks.check_flag(is_new, "is_new"),
+        {i: _decode_limit(r) for i, r in _get_items(limits, "limits")},
     )
 
 
@@ -201,6 +208,15 @@
     )
 
 
+def _decode_limit(value: Any) -> throttle.Told:
+    per_s, age_s, wanted = checks.check_row(value, "limits", 3)
+    return throttle.Told(
+        None if per_s is None else checks.check_number(per_s, "limits"),
+        checks.check_number(age_s, "limits"),
+        checks.check_count(wanted, "limits"),
+    )
+
+
 def decode_ends(value: Any) -> dict[str, float]:
     """Returns upstreams that ended under a request, with what each counts."""
     return {
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -23,6 +23,7 @@
     paths,
     questions,
     retries,
+    returns,
     search,
     tickets,
 )
@@ -61,13 +62,14 @@
         rng: random.Random,
         using: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
-        self.fleet = fleets.Fleet(data_centre, using.excess)
+        self.throttle = throttle.Throttle(data_centre, rng)
+        self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle)
         self._using = using
         self.search = search.Search(self.fleet, using, rng)
         self.queue = queues.Queue(QUEUE_LENGTH)
         self.quarantine = quarantines.Quarantine()
         self._crashes = crashes.Crashes(self.quarantine, self.fleet)
-        self.throttle = throttle.Throttle()
+        self._returns = returns.Returns()
         self.counts = jobs.Counts()
         self.tickets: dict[str, tickets.Ticket] = {}
         self.repeats = repeats.Repeats(data_centre, budget, rng)
@@ -92,6 +94,7 @@
         """Starts, queues or refuses a request."""
         self.counts.arrived += 1
         self.repeats.earn(job.service, now_s)
+        self.fleet.note_wanted(job.service, now_s)
         ticket = tickets.Ticket(job)
         self.tickets[job.id] = ticket
         return self._admit(ticket, now_s)
@@ -155,7 +158,7 @@
 
     def note_asked(
         self, upstream_id: str, asked: upstreams.Asked, now_s: float
-    ) -> None:
+    ) -> list[jobs.Effect]:
         """Takes what an upstream asked of the hosts beside an answer."""
         per_s = asked.per_s
         if isinstance(per_s, feeds.Unreadable):
@@ -164,13 +167,9 @@
                     "answers", upstream_id, per_s.field, per_s.problem
                 )
             )
-            return
-        if upstream_id not in self.fleet.roster.entries:
-            return
-        if self.throttle.note(upstream_id, per_s, now_s):
-            self._notes.append(
-                decisions.UpstreamLimited(upstream_id, per_s, True)
-            )
+            return []
+        self.fleet.note_limit(upstream_id, per_s, now_s)
+        return self._start_waiting(now_s)
 
     def repath(
         self,
@@ -331,6 +330,11 @@
             news.host, news.data_centre, news.spent, now_s, news.is_new
         )
 
+    def note_hosts(self, hosts: int) -> None:
+        """Takes how many hosts share what all may send, this one included."""
+        self.repeats.hosts = max(1, hosts)
+        self.throttle.demand.hosts = self.repeats.hosts
+
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts what can, after the list of upstreams changed."""
         self.fleet.forget_gone()
@@ -344,12 +348,7 @@
         self._crashes.settle(now_s)
         effects: list[jobs.Effect] = []
         for item in queues.expire(self.queue, now_s):
-            ticket = self.tickets[item.id]
-            effects.append(
-                self._refuse(
-                    ticket, now_s, errors.ErrorKind.DEADLINE, "no room in time"
-                )
-            )
+            effects.append(self._refuse_late(self.tickets[item.id], now_s))
         return effects + self._start_waiting(now_s)
 
     def is_busy(self) -> bool:
@@ -372,14 +371,24 @@
                     ticket, now_s, errors.ErrorKind.NO_ROUTE, "no such service"
                 )
             ]
-        if service.engine is None:
-            return self._start_plain(ticket, now_s)
-        if not self._has_waiting(service.name, now_s):
+        opening = self.fleet.find_opening(service.name, now_s)
+        # Plain services take all at once, but for their limits.
+        is_queued = service.engine is not None or opening is not None
+        if not (is_queued and self._has_waiting(service.name, now_s)):
             start = self._try_start(ticket, now_s)
             if start is not None:
                 queues.note_start(self.queue, ticket.job.workspace)
                 return [start]
-        return self._enqueue(ticket, now_s)
+        if is_queued:
+            return self._enqueue(ticket, opening, now_s)
+        return [
+            self._refuse(
+                ticket,
+                now_s,
+                errors.ErrorKind.NO_ROUTE,
+                "no upstream is usable",
+            )
+        ]
 
     def _has_waiting(self, service: str, now_s: float) -> bool:
         """Tells whether requests wait that could take what is free."""
@@ -389,7 +398,10 @@
         )
 
     def _enqueue(
-        self, ticket: tickets.Ticket, now_s: float
+        self,
+        ticket: tickets.Ticket,
+        opening: throttle.Opening | None,
+        now_s: float,
     ) -> list[jobs.Effect]:
         job = ticket.job
         hold_s = HOLD_PART * job.route.objective_s
@@ -410,12 +422,16 @@
         if ticket.is_begun:
             self.queue.waiting[item.id] = item
             return []
+        if opening is not None:
+            turn_s = opening.wait_s + self._count_waiting(job) / opening.per_s
+            if now_s + turn_s > item.deadline_s:
+                return [self._refuse_limited(ticket, opening, now_s)]
         self.counts.queued += 1
         self._note_missing(job, now_s)
         self._notes.append(
             decisions.RequestQueued(
                 job.id,
-                "no path has room",
+                "upstreams' limits" if opening else "no path has room",
                 len(self.queue.waiting),
                 item.deadline_s - now_s,
             )
@@ -435,6 +451,39 @@
             )
         ]
 
+    def _count_waiting(self, job: jobs.Job) -> int:
+        """Returns how many others wait for the same service."""
+        return sum(
+            w.graph == job.service and w.id != job.id
+            for w in self.queue.waiting.values()
+        )
+
+    def _refuse_limited(
+        self, ticket: tickets.Ticket, opening: throttle.Opening, now_s: float
+    ) -> questions.Refuse:
+        """Refuses a request whose turn comes too late, until that turn."""
+        job = ticket.job
+        waiting = self._count_waiting(job)
+        after_s = self._returns.promise(job.service, opening, waiting, now_s)
+        return self._refuse(
+            ticket,
+            now_s,
+            errors.ErrorKind.UPSTREAM_LIMITED,
+            f"{waiting} wait for {opening.per_s:.2f} a second",
+            after_s,
+        )
+
+    def _refuse_late(
+        self, ticket: tickets.Ticket, now_s: float
+    ) -> questions.Refuse:
+        """Refuses a request that has waited in vain."""
+        opening = self.fleet.find_opening(ticket.job.service, now_s)
+        if opening is not None:
+            return self._refuse_limited(ticket, opening, now_s)
+        return self._refuse(
+            ticket, now_s, errors.ErrorKind.DEADLINE, "no room in time"
+        )
+
     def _refuse_held(
         self, ticket: tickets.Ticket, now_s: float
     ) -> questions.Refuse:
@@ -483,12 +532,18 @@
     def _try_start(
         self, ticket: tickets.Ticket, now_s: float
     ) -> jobs.Start | None:
-        """Starts a request for which there is a path."""
-        spec = self._get_spec(ticket.job.service)
-        if spec is None:
+        """Starts a request for which there is a path, or a replica."""
+        service = self._services.get(ticket.job.service)
+        if service is None:
             return None
+        refused = ticket.list_refused(now_s)
+        if service.engine is None:
+            replica = self.fleet.choose_replica(
+                service.name, ticket.failed, refused, now_s
+            )
+            return self._start(ticket, replica, now_s) if replica else None
         parts = self.search.find(
-            ticket.job, spec, ticket.failed, now_s, ticket.list_refused(now_s)
+            ticket.job, service.engine, ticket.failed, now_s, refused
         )
         if parts is None:
             return None
@@ -496,26 +551,6 @@
         ticket.parts = parts
         return self._start(ticket, entry, now_s)
 
-    def _start_plain(
-        self, ticket: tickets.Ticket, now_s: float
-    ) -> list[jobs.Effect]:
-        entry = self.fleet.choose_replica(
-            ticket.job.service,
-            ticket.failed,
-            ticket.list_refused(now_s),
-            now_s,
-        )
-        if entry is None:
-            return [
-                self._refuse(
-                    ticket,
-                    now_s,
-                    errors.ErrorKind.NO_ROUTE,
-                    "no upstream is usable",
-                )
-            ]
-        return [self._start(ticket, entry, now_s)]
-
     def _start(
         self,
         ticket: tickets.Ticket,
@@ -530,6 +565,7 @@
             self.counts.repeats += 1
         self._notes.append(self._describe_start(ticket, entry, now_s))
         self._take_room(ticket, 1)
+        self.throttle.take(entry.id, now_s)
         self.counts.started += 1
         return jobs.Start(ticket.job.id, entry, ticket.parts)
 
@@ -613,7 +649,11 @@
         return self._make_refusal(ticket, final.kind, final.reason)
 
     def _make_refusal(
-        self, ticket: tickets.Ticket, kind: errors.ErrorKind, reason: str
+        self,
+        ticket: tickets.Ticket,
+        kind: errors.ErrorKind,
+        reason: str,
+        known_after_s: float | None = None,
     ) -> errors.Refusal:
         if ticket.runs and errors.ANSWERS[kind].not_run:
             # An earlier send may have run, whatever happened since.
@@ -622,6 +662,8 @@
         if kind is errors.ErrorKind.QUARANTINED:
             fingerprint = ticket.job.fingerprint
             after_s = self.quarantine.get_retry_after_s(fingerprint)
+        elif known_after_s is not None:
+            after_s = known_after_s
         elif errors.ANSWERS[kind].not_run:
             after_s = self._rng.uniform(*RETRY_AFTER_S)
         return errors.Refusal(kind, reason, after_s)
@@ -632,8 +674,9 @@
         now_s: float,
         kind: errors.ErrorKind,
         reason: str,
+        after_s: float | None = None,
     ) -> questions.Refuse:
-        refusal = self._make_refusal(ticket, kind, reason)
+        refusal = self._make_refusal(ticket, kind, reason, after_s)
         return self._end(ticket, now_s, refusal)
 
     def _end(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -230,8 +230,10 @@
 
     @handle.register
     def _(self, message: NoteAsked) -> None:
-        self._broker.note_asked(
-            message.upstream_id, message.asked, time.monotonic()
+        self._questions.run(
+            self._broker.note_asked(
+                message.upstream_id, message.asked, time.monotonic()
+            )
         )
 
     @handle.register
@@ -271,7 +273,7 @@
 
     @handle.register
     def _(self, message: Heard) -> None:
-        self._broker.repeats.hosts = max(1, message.hosts)
+        self._broker.note_hosts(message.hosts)
         now_s = time.monotonic()
         for news in message.news:
             self._broker.hear(news, now_s)
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -15,7 +15,7 @@
 import attrs
 
 from egretspur import decisions
-from egretspur.admission import quarantine, room, shared
+from egretspur.admission import quarantine, room, shared, throttle
 from egretspur.catalog import config, upstreams
 from egretspur.routing import cards, health, jobs, memory, moves, paces, paths
 
@@ -60,6 +60,8 @@
     ended: Mapping[str, quarantine.Ends] = attrs.Factory(dict)
     # It does not know what was spent before it started.
     is_new: bool = False
+    # Limits that upstreams named, or name no more, as far as it knows.
+    limits: Mapping[str, throttle.Told] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -85,15 +87,20 @@
     """State of all upstreams; see the module's docstring."""
 
     def __init__(
-        self, data_centre: str, is_counting_excess: bool = True
+        self,
+        data_centre: str,
+        is_counting_excess: bool = True,
+        limits: throttle.Throttle | None = None,
     ) -> None:
         """Makes a state that knows no upstream.
 
         Args:
             data_centre: Of this host.
             is_counting_excess: Engines' own words on their memory count.
+            limits: This host's part of the limits that upstreams name.
         """
         self.data_centre = data_centre
+        self.throttle = limits or throttle.Throttle()
         self._is_counting_excess = is_counting_excess
         self.roster = upstreams.Roster()
         self.memory = memory.Memory(data_centre)
@@ -151,6 +158,74 @@
         self._hear_suspects(news, now_s)
         for upstream_id, told in news.layers.items():
             self.moves.hear(upstream_id, told, now_s)
+        for upstream_id, limit in news.limits.items():
+            if upstream_id in self.roster.entries and self.throttle.hear(
+                news.host, news.data_centre, upstream_id, limit, now_s
+            ):
+                self._note_limit(upstream_id, limit.per_s, False)
+
+    def note_limit(
+        self, upstream_id: str, per_s: float | None, now_s: float
+    ) -> None:
+        """Takes the limit that an upstream's answer named, or that none was."""
+        if upstream_id in self.roster.entries and self.throttle.note(
+            upstream_id, per_s, now_s
+        ):
+            self._note_limit(upstream_id, per_s, True)
+
+    def _note_limit(
+        self, upstream_id: str, per_s: float | None, is_own: bool
+    ) -> None:
+        # There may be room anew.
+        self._learned += 1
+        self.notes.append(decisions.UpstreamLimited(upstream_id, per_s, is_own))
+
+    def find_opening(
+        self, service: str, now_s: float
+    ) -> throttle.Opening | None:
+        """Returns when a service takes more, where limits alone hold it back.
+
+        None where an upstream takes requests that are not held back by its
+        limit, or where there is none at all.
+        """
+        if not self.throttle.limited:
+            return None
+        takers = {e.id for e in self._list_takers(service, now_s)}
+        if not takers <= self.throttle.limited:
+            return None
+        return self.throttle.find_opening(takers, now_s)
+
+    def note_wanted(self, service: str, now_s: float) -> None:
+        """Counts a request for the parts of limits that hosts have.
+
+        It goes to an engine near by if it can; the others are wanted only
+        where those near by take no more.
+        """
+        if not self.throttle.limited:
+            return
+        takers = self._list_takers(service, now_s)
+        near = [
+            e
+            for e in takers
+            if e.accelerator and e.data_centre == self.data_centre
+        ]
+        if any(self.throttle.is_open(e.id, now_s) for e in near):
+            takers = near
+        ids = {e.id for e in takers}
+        self.throttle.demand.note(ids & self.throttle.limited, now_s)
+
+    def _list_takers(
+        self, service: str, now_s: float
+    ) -> list[upstreams.Upstream]:
+        """Returns the usable upstreams that requests are sent to.
+
+        Of engines those that hold the first layer.
+        """
+        return [
+            e
+            for e in self.list_usable(service, now_s)
+            if not e.accelerator or (e.layers and e.layers.first == 0)
+        ]
 
     def _hear_suspects(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host finds failing.
@@ -341,8 +416,22 @@
             i for i in self.paces.take_due(now_s) if i not in self.health.failed
         ]
         due += self.health.take_due(listed, now_s)
+        due = [i for i in due if self._may_probe(i, now_s)]
         return [listed[i] for i in due if i in listed]
 
+    def _may_probe(self, upstream_id: str, now_s: float) -> bool:
+        """Takes a turn for a probe that is a request as any other."""
+        if upstream_id not in self.throttle.limited:
+            return True
+        if self.roster.entries[upstream_id].accelerator:
+            # An engine is asked for its report, which takes no place.
+            return True
+        if self.throttle.is_open(upstream_id, now_s):
+            self.throttle.take(upstream_id, now_s)
+            return True
+        self.health.note_unanswered(upstream_id)
+        return False
+
     def compute_digest(self) -> int:
         """Returns a number that differs where the list differs.
 
@@ -375,6 +464,7 @@
         self.moves.forget(listed)
         self.paces.forget(listed)
         self.health.forget(listed)
+        self.throttle.forget(listed)
 
     def offer(
         self, service: str, spec: config.EngineSpec, now_s: float
@@ -389,10 +479,21 @@
                 for e in places[place]
                 if self.is_usable(e, now_s)
                 and (card := self._make_card(e, spec, costs, now_s))
+                and (card := self._hold_back(card, now_s))
             ]
 
         return cards.Cards(places, read)
 
+    def _hold_back(self, card: paths.Card, now_s: float) -> paths.Card | None:
+        """Returns what an engine offers within its limit.
+
+        Requests are sent to a path's first engine. One at its limit may still
+        run its part of what comes to it from others.
+        """
+        if card.first or self.throttle.is_open(card.id, now_s):
+            return card
+        return attrs.evolve(card, first=1) if card.last > 1 else None
+
     def _group_by_place(
         self, service: str
     ) -> Mapping[str, Sequence[upstreams.Upstream]]:
@@ -468,6 +569,7 @@
             or self.health.is_suspected(e.id, now_s)
         ]
         leaving = [e.id for e in entries if e.is_draining]
+        limited = [e.id for e in entries if e.id in self.throttle.limited]
         return decisions.PathMissing(
             request=job.id,
             layers=" ".join(
@@ -477,6 +579,7 @@
             paused=_name_some(paused),
             down=_name_some(down),
             leaving=_name_some(leaving),
+            limited=_name_some(limited),
             cut_off=tuple(sorted(self.list_cut_off(now_s))),
         )
 
@@ -541,7 +644,9 @@
             now_s: Monotonic time.
         """
         usable = [
-            e for e in self.list_usable(service, now_s) if e.id not in refused
+            e
+            for e in self.list_usable(service, now_s)
+            if e.id not in refused and self.throttle.is_open(e.id, now_s)
         ]
         fresh = [e for e in usable if e.id not in avoid] or usable
         cut_off = self.list_cut_off(now_s)
--- a/tests/routing/limits.py
+++ b/tests/routing/limits.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Collection
 from typing import Final
 
 import attrs
 
-from egretspur import errors
+from egretspur import decisions, errors
 from egretspur.catalog import upstreams
 from egretspur.daemons import news
 from egretspur.membership import datagrams, exchange
@@ -72,14 +73,13 @@
     now_s: float = 100.0
     hosts: list[Host] = attrs.Factory(list)
     entries: dict[str, upstreams.Upstream] = attrs.Factory(dict)
-    # What upstreams name now, and since when they have named one.
+    # What upstreams name now, and what they have named since when.
     limits: dict[str, float] = attrs.Factory(dict)
-    named_s: dict[str, float] = attrs.Factory(dict)
+    named: dict[str, list[tuple[float, float]]] = attrs.Factory(dict)
     arrivals: dict[str, list[Arrival]] = attrs.Factory(dict)
     due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
     # Requests that wait for a decision: when each arrived.
     waiting: dict[str, float] = attrs.Factory(dict)
-    jobs: dict[str, jobs.Job] = attrs.Factory(dict)
     answered: list[float] = attrs.Factory(list)
     # When each refused request arrived, how long it waited, what it was told.
     refused: list[tuple[float, float, errors.Refusal]] = attrs.Factory(list)
@@ -87,6 +87,8 @@
     lost: float = 0.0
     apart: frozenset[str] = frozenset()
     count: int = 0
+    # Why requests waited for a path.
+    notes: list[decisions.PathMissing] = attrs.Factory(list)
 
     def add_hosts(self, count: int) -> None:
         """Starts hosts in three data centres."""
@@ -129,11 +131,11 @@
     def name_limit(self, upstream_id: str, per_s: float | None) -> None:
         """Has an upstream name a limit, or none any more."""
         if per_s is None:
-            self.limits.pop(upstream_id, None)
-            self.named_s.pop(upstream_id, None)
+            del self.limits[upstream_id]
+            del self.named[upstream_id]
             return
         self.limits[upstream_id] = per_s
-        self.named_s.setdefault(upstream_id, self.now_s)
+        self.named.setdefault(upstream_id, []).append((self.now_s, per_s))
 
     def restart(self, hosts: Collection[Host]) -> None:
         """Starts hosts again: they know nothing of before."""
@@ -145,11 +147,15 @@
         """Has a caller's request arrive at a host."""
         self.count += 1
         job = fleets.make_job(f"r{self.count}", kind, now_s=self.now_s)
-        self.jobs[job.id] = job
         self.waiting[job.id] = self.now_s
         self._take(host, host.state.arrive(job, self.now_s))
 
     def _take(self, host: Host, effects: list[jobs.Effect]) -> None:
+        self.notes += [
+            n
+            for n in host.state.take_notes()
+            if isinstance(n, decisions.PathMissing)
+        ]
         for effect in effects:
             arrived_s = self.waiting.pop(effect.id)
             if isinstance(effect, questions.Refuse):
@@ -238,7 +244,7 @@
             found = datagrams.decode_news(data)
             assert not isinstance(found, datagrams.NotNews), found
             other.state.hear(news.read(found), self.now_s)
-            other.state.repeats.hosts = len(self.hosts)
+            other.state.note_hosts(len(self.hosts))
 
     def _is_lost(self, host: Host, other: Host) -> bool:
         places = {host.data_centre, other.data_centre}
@@ -248,23 +254,36 @@
 
     def find_worst(self, upstream_id: str) -> tuple[float, int, float]:
         """Returns the worst window: how far beyond, requests, allowed."""
-        per_s = self.limits[upstream_id]
-        since_s = self.named_s[upstream_id] + CONTACT_S
+        since_s = self.named[upstream_id][0][0] + CONTACT_S
         times = [
             a.at_s
             for a in self.arrivals[upstream_id]
             if a.is_told and a.at_s >= since_s - WINDOW_S
         ]
-        allowed = SLACK * per_s * WINDOW_S + SPARE
-        worst = (0.0, 0, allowed)
+        worst = (0.0, 0, 0.0)
         for i, start_s in enumerate(times):
             end_s = start_s + WINDOW_S
             if end_s < since_s:
                 continue
             got = sum(1 for t in times[i:] if t < end_s)
+            allowed = self._get_allowed(upstream_id, start_s)
             worst = max(worst, (got / allowed, got, allowed))
         return worst
 
+    def _get_allowed(self, upstream_id: str, start_s: float) -> float:
+        """Returns what may come in the window that begins then.
+
+        By the highest limit that was in force in it.
+        """
+        named = self.named[upstream_id]
+        ends = [at_s for at_s, _ in named[1:]] + [math.inf]
+        highest = max(
+            per_s
+            for (at_s, per_s), until_s in zip(named, ends, strict=True)
+            if at_s < start_s + WINDOW_S and until_s > start_s
+        )
+        return SLACK * highest * WINDOW_S + SPARE
+
     def count_reached(self, upstream_id: str, since_s: float) -> int:
         """Returns the requests that reached an upstream since then."""
         return sum(a.at_s >= since_s for a in self.arrivals[upstream_id])
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -916,6 +916,7 @@
             ("a100-1",),
             ("l40s-1",),
             (),
+            (),
         )
     ], found
 
--- a/tests/steps/limits_steps.py
+++ b/tests/steps/limits_steps.py
@@ -5,8 +5,12 @@
 import random
 from typing import Any
 
+import attrs
 from behave import given, then, when
 
+from egretspur import errors
+from egretspur.routing import jobs
+from tests import fleets
 from tests.routing import limits
 
 REPLICAS = ("app-0", "app-1", "app-2")
@@ -15,9 +19,10 @@
 
 def make_world(context: Any, hosts: int) -> limits.World:
     """Makes hosts without upstreams."""
-    context.world = limits.World(random.Random(11))
-    context.world.add_hosts(hosts)
-    return context.world
+    world = limits.World(random.Random(11))
+    world.add_hosts(hosts)
+    context.world = world
+    return world
 
 
 @given("{hosts:d} hosts before three plain replicas")
@@ -71,3 +76,181 @@
 @then("all that came are answered or run")
 def step_answered(context: Any) -> None:
     assert not context.world.refused, len(context.world.refused)
+
+
+@given("a second chain in the last data centre")
+def step_second_chain(context: Any) -> None:
+    place = sorted(fleets.DATA_CENTRES)[-1]
+    for j, layers in enumerate(("0-27", "27-54", "54-80")):
+        entry = fleets.make_upstream(f"a100-{9 + j}", layers, place)
+        context.world.add(entry)
+
+
+@when("each first engine is down to {per_s:g} requests a second")
+def step_name_first(context: Any, per_s: float) -> None:
+    for name in FIRST_ENGINES:
+        context.world.name_limit(name, per_s)
+
+
+@when("{rate:g} requests a second come while {what}")
+def step_befall(context: Any, rate: float, what: str) -> None:
+    BEFALLS[what](context.world, rate)
+
+
+def restart_half(world: limits.World, rate: float) -> None:
+    """Starts half of the hosts again, three times."""
+    for _ in range(3):
+        world.play(4, rate)
+        world.restart(world.hosts[::2])
+    world.play(6, rate)
+
+
+def restart_all(world: limits.World, rate: float) -> None:
+    """Starts all hosts again, three times."""
+    for _ in range(3):
+        world.play(4, rate)
+        world.restart(world.hosts)
+    world.play(6, rate)
+
+
+def move_callers(world: limits.World, rate: float) -> None:
+    """Has callers come in at two hosts, and then at others."""
+    for i in range(7):
+        world.play(2, rate, to=world.hosts[i : i + 2])
+
+
+def lose_news(world: limits.World, rate: float) -> None:
+    """Loses datagrams."""
+    world.lost = 0.4
+    move_callers(world, rate)
+
+
+def cut_off(world: limits.World, rate: float) -> None:
+    """Cuts all data centres off from each other."""
+    world.play(4, rate)
+    world.apart = frozenset(fleets.DATA_CENTRES)
+    world.play(8, rate)
+
+
+def change_limits(world: limits.World, rate: float) -> None:
+    """Has limits fall and rise."""
+    for per_s in (30.0, 4.0, 30.0, 4.0):
+        for name in REPLICAS:
+            world.name_limit(name, per_s)
+        world.play(5, rate)
+
+
+BEFALLS = {
+    "half of the hosts start again three times": restart_half,
+    "all hosts start again three times": restart_all,
+    "their callers go from host to host": move_callers,
+    "two of five datagrams are lost": lose_news,
+    "the data centres don't hear each other": cut_off,
+    "the limits fall from 30 to 4 and rise": change_limits,
+}
+
+
+@then("whoever is refused found the other first engine full")
+def step_full(context: Any) -> None:
+    for host in context.world.hosts:
+        assert not host.state.queue.waiting
+    kinds = {r.kind for _, _, r in context.world.refused}
+    assert kinds <= {errors.ErrorKind.DEADLINE}, kinds
+    missing = [n for n in context.world.notes if n.layers == "" and n.request]
+    assert len(missing) >= len(context.world.refused)
+    assert all(FIRST_ENGINES[2] in n.full for n in missing), missing
+
+
+@then("at least {rate:g} requests a second are answered")
+def step_used(context: Any, rate: float) -> None:
+    world = context.world
+    answered = sum(t >= context.began_s for t in world.answered)
+    seconds = world.now_s - context.began_s
+    assert answered >= rate * seconds, answered / seconds
+
+
+@then('the others are refused within {seconds:g} s as "{kind}"')
+def step_refused(context: Any, seconds: float, kind: str) -> None:
+    refused = context.world.refused
+    assert refused
+    for _, waited_s, refusal in refused:
+        assert waited_s <= seconds, waited_s
+        assert refusal.kind.value == kind, refusal
+
+
+@then("those refused at a host in one second are told to come back one by one")
+def step_spread(context: Any) -> None:
+    last_s = context.world.now_s - 1.0
+    told = [
+        (arrived_s + waited_s + r.retry_after_s, r.retry_after_s)
+        for arrived_s, waited_s, r in context.world.refused
+        if arrived_s + waited_s >= last_s
+    ]
+    assert all(0.0 < after_s <= 10.0 for _, after_s in told), told
+    # No second of the next ten has more than the hosts may send in it, and
+    # some that are beyond all of them.
+    for second in range(9):
+        began_s = context.world.now_s + second
+        count = sum(began_s <= at_s < began_s + 1.0 for at_s, _ in told)
+        assert count <= 2 * 15, (second, count)
+
+
+@when("the limit is no longer named")
+def step_lifted(context: Any) -> None:
+    context.world.name_limit(REPLICAS[0], None)
+
+
+@when("{rate:g} requests a second come to {who} for {seconds:g} s")
+def step_requests_to(
+    context: Any, rate: float, who: str, seconds: float
+) -> None:
+    world = context.world
+    hosts = world.hosts if who == "all" else world.hosts[-1:]
+    world.play(seconds, rate, to=hosts)
+
+
+@when("that replica starts again")
+def step_reborn(context: Any) -> None:
+    entry = context.world.entries[REPLICAS[0]]
+    context.world.name_limit(entry.id, None)
+    context.world.add(attrs.evolve(entry, id=f"{entry.name}@2", born_ms=2))
+
+
+@then("no host takes it for limited")
+def step_not_limited(context: Any) -> None:
+    for host in context.world.hosts:
+        assert not host.state.throttle.limited, host.ip
+
+
+def is_held_back(host: limits.Host, now_s: float) -> bool:
+    """Tells whether a host runs a stream and may send no other one now."""
+    return any(t.upstream_id for t in host.state.tickets.values()) and not any(
+        host.state.throttle.is_open(i, now_s) for i in FIRST_ENGINES
+    )
+
+
+@when("a stream that has begun is cut")
+def step_cut_begun(context: Any) -> None:
+    world = context.world
+    for _ in range(50):
+        world.play(0.1, 20.0, "streaming")
+        if any(is_held_back(h, world.now_s) for h in world.hosts):
+            break
+    context.host = next(h for h in world.hosts if is_held_back(h, world.now_s))
+    state = context.host.state
+    context.cut = next(i for i, t in state.tickets.items() if t.upstream_id)
+    world.waiting[context.cut] = world.now_s
+    failure = jobs.Failure(
+        context.cut, jobs.Why.CUT, "reset", is_begun=True, has_brought=True
+    )
+    context.effects = state.fail(failure, world.now_s)
+
+
+@then("it waits in front of all others")
+def step_in_front(context: Any) -> None:
+    assert not context.effects, context.effects
+    state = context.host.state
+    item = state.queue.waiting[context.cut]
+    assert item.is_begun
+    patience_s = state.tickets[context.cut].job.route.patience_s
+    assert item.deadline_s >= context.world.now_s + 0.5 * patience_s
