--- /dev/null
+++ b/egretspur/asked.py
@@ -0,0 +1,55 @@
+"""What upstreams ask of the hosts in the fields of their answers: pure.
+
+Both interfaces spell the values alike. Read next:
+`egretspur.admission.throttle`.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+
+import attrs
+
+# A number without sign, exponent or name; a longer one is none either.
+_DECIMAL: Final = re.compile(r"(?=.{1,20}\Z)(\d+\.?\d*|\.\d+)\Z", re.ASCII)
+
+
+@attrs.frozen
+class Unreadable:
+    """A value that is none; what was asked before holds."""
+
+    field: str
+    problem: str
+
+
+@attrs.frozen
+class Asked:
+    """What an answer asks."""
+
+    # Requests a second that its upstream takes from all hosts together; None
+    # if it names none.
+    per_s: float | None | Unreadable = None
+
+
+def parse_limit(text: str | None) -> float | None | Unreadable:
+    """Returns the requests a second that an answer names, None if none.
+
+    Args:
+        text: The field's value; several stand in one, with commas between.
+    """
+    if text is None:
+        return None
+    return _parse_least(text, "limit")
+
+
+def _parse_least(text: str, field: str) -> float | Unreadable:
+    """Returns the least of the decimals in a field."""
+    found = [float(v) for v in map(str.strip, text.split(",")) if _is_one(v)]
+    if not found:
+        return Unreadable(field, f"not a decimal: {text!r:.40}")
+    return min(found)
+
+
+def _is_one(text: str) -> bool:
+    return _DECIMAL.match(text) is not None
--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -107,15 +107,6 @@
     born_ms: int | None = None
 
 
-@attrs.frozen
-class Asked:
-    """What an upstream asks of the hosts, beside an answer."""
-
-    # Requests a second that it takes from all of them together; None if it
-    # names none.
-    per_s: float | None | feeds.Unreadable = None
-
-
 # What the health page of a plain service tells, in the terms of a report.
 PLAIN_REPORT: Final = EngineReport(None, False, 0, 0.0, 0.0, 1.0, ())
 
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any, Final, TypeVar
 
 import attrs
@@ -31,9 +31,6 @@
 _PATIENCE_OBJECTIVES: Final = 4.0
 _PATIENCE_GAPS: Final = 8.0
 
-# A number without sign, exponent or name; a longer one is none either.
-_DECIMAL: Final = re.compile(r"(?=.{1,20}\Z)(\d+\.?\d*|\.\d+)\Z", re.ASCII)
-
 # Prompt tokens read beside a step, where a configuration doesn't tell.
 _USUAL_CHUNK: Final = 512
 
@@ -94,23 +91,6 @@
     )
 
 
-def decode_limit(values: Sequence[str]) -> float | None | feeds.Unreadable:
-    """Returns how many requests an answer says that its upstream takes.
-
-    Args:
-        values: Of the header field, as often as it stands in the answer.
-
-    Returns:
-        Requests a second, the least of them; None if the answer names none.
-    """
-    if not values:
-        return None
-    limits = [float(v) for v in map(str.strip, values) if _DECIMAL.match(v)]
-    if not limits:
-        return feeds.Unreadable("limit", f"not a decimal: {values[0]!r:.40}")
-    return min(limits)
-
-
 def _decode_born(data: checks.Table) -> int | None:
     """Returns when the upstream started, in ms; None if it doesn't tell."""
     return data.get_count("born") if data.has("born") else None
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -19,7 +19,7 @@
 import urllib3.connection
 from urllib3 import exceptions
 
-from egretspur import codec, decisions, transport
+from egretspur import asked, codec, decisions, transport
 from egretspur.catalog import upstreams
 from egretspur.delivery import forward
 from egretspur.platform import decode, names
@@ -250,11 +250,9 @@
     return ",".join(f"{p.address}={p.first}-{p.last}" for p in parts)
 
 
-def _read_asked(res: urllib3.BaseHTTPResponse) -> upstreams.Asked:
+def _read_asked(res: urllib3.BaseHTTPResponse) -> asked.Asked:
     """Returns what an answer asks of the hosts."""
-    return upstreams.Asked(
-        decode.decode_limit(res.headers.getlist(names.LIMIT))
-    )
+    return asked.Asked(asked.parse_limit(res.headers.get(names.LIMIT)))
 
 
 def _check_head(
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from egretspur import decisions, errors, mechanisms
+from egretspur import asked, decisions, errors, mechanisms
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
 from egretspur.admission import repeats, throttle
@@ -157,11 +157,11 @@
         self.fleet.note_time(ticket.upstream_id, now_s - ticket.started_s)
 
     def note_asked(
-        self, upstream_id: str, asked: upstreams.Asked, now_s: float
+        self, upstream_id: str, wish: asked.Asked, now_s: float
     ) -> list[jobs.Effect]:
         """Takes what an upstream asked of the hosts beside an answer."""
-        per_s = asked.per_s
-        if isinstance(per_s, feeds.Unreadable):
+        per_s = wish.per_s
+        if isinstance(per_s, asked.Unreadable):
             self._notes.append(
                 decisions.EntryLeftOut(
                     "answers", upstream_id, per_s.field, per_s.problem
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from egretspur import actors, decisions, errors
+from egretspur import actors, asked, decisions, errors
 from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import broker, fleet, jobs, questions
@@ -61,7 +61,7 @@
     """An upstream asked something of the hosts beside an answer."""
 
     upstream_id: str
-    asked: upstreams.Asked
+    asked: asked.Asked
 
 
 @attrs.frozen
@@ -375,11 +375,11 @@
         """Sends a message that needs no answer."""
         self._ref.tell(message)
 
-    def note_asked(self, upstream_id: str, asked: upstreams.Asked) -> None:
+    def note_asked(self, upstream_id: str, wish: asked.Asked) -> None:
         """Takes what an answer asks of the hosts; most ask nothing."""
-        if asked.per_s is None and upstream_id not in self._throttle.limited:
+        if wish.per_s is None and upstream_id not in self._throttle.limited:
             return
-        self._ref.tell(NoteAsked(upstream_id, asked))
+        self._ref.tell(NoteAsked(upstream_id, wish))
 
     def repath(
         self, job_id: str, stalled: frozenset[str], has_brought: bool
--- a/tests/routing/limits.py
+++ b/tests/routing/limits.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from egretspur import decisions, errors
+from egretspur import asked, decisions, errors
 from egretspur.catalog import upstreams
 from egretspur.daemons import news
 from egretspur.membership import datagrams, exchange
@@ -169,15 +169,15 @@
         told_s = host.told_s.get(upstream_id, self.now_s)
         is_told = self.now_s - told_s >= TOLD_S
         self.arrivals[upstream_id].append(Arrival(self.now_s, host, is_told))
-        asked = upstreams.Asked(self.limits.get(upstream_id))
+        wish = asked.Asked(self.limits.get(upstream_id))
         state = host.state
 
         def begin() -> None:
             if host.state is not state:
                 return
-            if asked.per_s is not None:
+            if wish.per_s is not None:
                 host.told_s.setdefault(upstream_id, self.now_s)
-            state.note_asked(upstream_id, asked, self.now_s)
+            state.note_asked(upstream_id, wish, self.now_s)
             state.note_answer(start.id, self.now_s)
 
         def end() -> None:
