Hold the product's own router to the limits that upstreams name

Mend: the same turns (admission.throttle) in the dispatcher, by starts of upstreams; what was named goes to the control daemon with the report and on as an entry, urgently, and comes back with the update. Parts are even, among the entry hosts of all data centres: any of them may share an upstream. A path's last stage at its limit still runs its part of others' paths. Calls take a turn for each send and each question for an outcome; one that is claimed and finds none drops its claim and is refused as not run. upstream_limited tells when to come back. Replicas that take calls now go first.

Tests: 8 routers, one and all of three chains limited, a limit lifted; the programs with a limited replica.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -310,7 +310,7 @@
     """Bytes and time of a peer message, against its entries."""
     size: Points = []
     seconds: Points = []
-    ages = entries.Ages(20.0, 3600.0, 10.0, 3600.0)
+    ages = entries.Ages(20.0, 3600.0, 10.0, 3600.0, 3600.0)
     for count in sizes:
         told = tuple(_make_told(i) for i in range(count))
         message = news.Exchange("host-123", "10.1.2.3:7070", 123456, told)
--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -95,10 +95,15 @@
 
     def _run_repeatable(self, call: Call) -> Result:
         last: transport.Failed | None = None
+        waits_s: list[float] = []
         replicas = self._traffic.get_services(call.service)
         # A single replica is tried again: its first connection may have been
         # forgotten by something in between, and the pool is emptied by now.
         for upstream in (replicas * TRIES)[:TRIES]:
+            wait_s = self._traffic.take_turn(upstream.name)
+            if wait_s:
+                waits_s.append(wait_s)
+                continue
             res = self._client.call(upstream.address, call.call)
             self._note_call(upstream, call, res)
             if not isinstance(res, transport.Failed):
@@ -107,6 +112,8 @@
             if not res.is_silent or last is not None:
                 self._note(upstream, res)
             last = res
+        if last is None and waits_s:
+            return _refuse_limited(waits_s)
         if last is None:
             return _refuse_no_replica(call)
         return errors.Refusal(
@@ -152,7 +159,12 @@
         replicas: list[tables.Upstream],
         claim: table.Claim | None,
     ) -> Result:
+        waits_s: list[float] = []
         for upstream in replicas:
+            wait_s = self._traffic.take_turn(upstream.name)
+            if wait_s:
+                waits_s.append(wait_s)
+                continue
             res = self._client.call(upstream.address, call.call)
             self._note(upstream, res)
             self._note_call(upstream, call, res)
@@ -162,6 +174,8 @@
                 return self._answer_lost(call, opts, upstream, res)
         if claim is not None:
             self._claims.drop(claim)
+        if waits_s:
+            return _refuse_limited(waits_s)
         return errors.Refusal(
             errors.ErrorKind.NO_ROUTE,
             "no replica accepts connections",
@@ -217,6 +231,8 @@
         if not opts.outcome_path:
             return None
         for upstream in replicas:
+            if self._traffic.take_turn(upstream.name):
+                continue
             res = self._client.get_outcome(
                 upstream.address, opts.outcome_path, call.request_id
             )
@@ -244,6 +260,9 @@
         upstream: tables.Upstream,
         res: transport.Reply | transport.Failed,
     ) -> None:
+        if isinstance(res, transport.Reply):
+            wish = services.read_asked(res.headers)
+            self._traffic.note_asked(upstream.name, wish)
         self._traffic.tell(
             traffics.NoteService(
                 upstream.name, not isinstance(res, transport.Failed)
@@ -265,3 +284,12 @@
         f"service {call.service!r} has no live replica",
         retry_after_s=1.0,
     )
+
+
+def _refuse_limited(waits_s: list[float]) -> errors.Refusal:
+    """Refuses a call that no replica takes within its limit."""
+    return errors.Refusal(
+        errors.ErrorKind.UPSTREAM_LIMITED,
+        f"{len(waits_s)} replicas at their limits",
+        retry_after_s=min(waits_s),
+    )
--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -19,6 +19,7 @@
 
 import io
 import socket
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import attrs
@@ -26,7 +27,7 @@
 import urllib3
 from urllib3 import exceptions
 
-from egretspur import codec, errors, transport
+from egretspur import asked, codec, errors, transport
 from egretspur.intents import records
 
 _MAX_READ: Final = 65_536
@@ -37,6 +38,10 @@
 # Bytes that end a chunk of a chunked response.
 CHUNK_END: Final = 2
 
+# Header field of an answer: requests a second that the engine takes from all
+# hosts together.
+LIMIT: Final = "Server-Limit"
+
 # Kinds of `ErrorEvent` that mean more than a failure.
 BUSY: Final = "busy"
 LEAVING: Final = "leaving"
@@ -161,12 +166,21 @@
     refusal: ErrorEvent | None = None
 
 
+# Told what an engine's answer asks of the hosts, by the engine's name.
+NoteAsked = Callable[[str, asked.Asked], None]
+
+
 class EngineClient:
     """Calls engines by address."""
 
     def __init__(
-        self, connect_s: float, first_event_s: float, between_events_s: float
+        self,
+        connect_s: float,
+        first_event_s: float,
+        between_events_s: float,
+        note_asked: NoteAsked = lambda upstream, wish: None,
     ) -> None:
+        self._note_asked = note_asked
         self._first_s = first_event_s
         self._between_s = between_events_s
         self._transport = transport.Transport(connect_s, first_event_s)
@@ -213,6 +227,7 @@
             return Broken(
                 res.reason, res.maybe_sent, upstream_failed=not res.is_silent
             )
+        self._note_asked(call.route[-1].upstream, read_asked(res.headers))
         if res.status == 503:
             # The engine's word that it has not taken the request.
             return self._read_refusal(address, res)
@@ -364,6 +379,11 @@
         return events
 
 
+def read_asked(fields: Mapping[str, str]) -> asked.Asked:
+    """Returns what an answer asks of the hosts in its header fields."""
+    return asked.Asked(asked.parse_limit(fields.get(LIMIT)))
+
+
 def parse_event(line: bytes) -> Event:
     """Returns the event on one line; anything malformed is an error event."""
     try:
--- a/egretspur/clients/service.py
+++ b/egretspur/clients/service.py
@@ -13,10 +13,14 @@
 
 import attrs
 
-from egretspur import transport
+from egretspur import asked, transport
 
 REQUEST_ID: Final = "X-Request-Id"
 
+# Header field of an answer: calls a second that the replica takes from all
+# hosts together.
+LIMIT: Final = "Server-Limit"
+
 
 @attrs.frozen
 class ServiceCall:
@@ -59,3 +63,8 @@
     def close(self) -> None:
         """Closes the connections."""
         self._transport.close()
+
+
+def read_asked(fields: Mapping[str, str]) -> asked.Asked:
+    """Returns what an answer asks of the hosts in its header fields."""
+    return asked.Asked(asked.parse_limit(fields.get(LIMIT)))
--- a/egretspur/daemons/controller.py
+++ b/egretspur/daemons/controller.py
@@ -283,6 +283,8 @@
         self._members.tell(members.SetDemand(report.demand))
         if report.ended:
             self._members.tell(members.AddEnded(report.ended))
+        if report.limits:
+            self._members.tell(members.AddLimits(report.limits))
         self._tell_node(self._config.read(lambda s: s.offset))
         # A report of version 0 wants its answer at once: it only carries an
         # urgent mark, or the router has just started.
@@ -313,6 +315,8 @@
             ),
             len(self._get_listed()),
             view.ended,
+            view.limits,
+            len(self._hosts.get_entry()),
         )
 
     def _get_listed(self) -> list[str]:
--- a/egretspur/daemons/router.py
+++ b/egretspur/daemons/router.py
@@ -74,7 +74,10 @@
         )
         self._traffic = traffics.Traffic(dispatcher, self._report_now)
         self._engines = engine.EngineClient(
-            timing.connect_s, timing.first_event_s, timing.between_events_s
+            timing.connect_s,
+            timing.first_event_s,
+            timing.between_events_s,
+            self._traffic.note_asked,
         )
         self._tools = relay.Tools(
             self._traffic,
--- a/egretspur/membership/actor.py
+++ b/egretspur/membership/actor.py
@@ -19,6 +19,7 @@
 import attrs
 
 from egretspur import actors, settings
+from egretspur.admission import throttle
 from egretspur.clients import hosts as hostlist
 from egretspur.membership import entries, news, sender
 
@@ -40,6 +41,9 @@
 # Routers remember for as long as they run; this is for those that start.
 ENDED_KEPT_S: Final = 3600.0
 
+# Seconds that hosts tell each other of a limit that an upstream has named.
+LIMIT_KEPT_S: Final = 3600.0
+
 # Between the fingerprint and the start in the name of such an entry.
 ENDED_MARK: Final = "@"
 
@@ -51,7 +55,11 @@
 DEMANDS_KEPT: Final = 16
 
 # Kinds of entries that cost requests until all hosts have them.
-URGENT: Final = (entries.Kind.LEAVING, entries.Kind.ENDED)
+URGENT: Final = (
+    entries.Kind.LEAVING,
+    entries.Kind.ENDED,
+    entries.Kind.LIMIT,
+)
 
 
 @attrs.frozen
@@ -105,6 +113,13 @@
     ended: dict[str, dict[str, float]]
 
 
+@attrs.frozen
+class AddLimits:
+    """Upstreams named limits, or name none any more, by their start."""
+
+    limits: dict[str, throttle.Told]
+
+
 @attrs.frozen
 class SetEntryHosts:
     """The platform's list of entry hosts changed."""
@@ -137,6 +152,7 @@
     demand: dict[str, dict[str, int]]
     # Upstreams that ended under requests, as in `AddEnded`.
     ended: dict[str, dict[str, float]]
+    limits: dict[str, throttle.Told]
     # Place of this host among those that follow the log, from 0.
     rank: int
     # Control addresses in other data centres, by data centre.
@@ -180,6 +196,7 @@
             LEAVING_KEPT_S,
             opts.period_s * 5,
             ENDED_KEPT_S,
+            LIMIT_KEPT_S,
         )
         self._sequence = 0
         self._round = 0
@@ -280,6 +297,24 @@
             self._push(tuple(entries.Told(e, 0.0) for e in stated))
             self._events.changed()
 
+    @handle.register
+    def _(self, message: AddLimits) -> None:
+        known = self._get_limits()
+        now_s = time.monotonic()
+        stated = []
+        for start, told in message.limits.items():
+            old = known.get(start)
+            if old is not None and (
+                old.per_s == told.per_s or old.age_s <= told.age_s
+            ):
+                continue
+            value = "" if told.per_s is None else str(told.per_s)
+            entry = self._state(entries.Kind.LIMIT, start, value, now_s)
+            stated.append(entries.Told(entry, 0.0))
+        if stated:
+            self._push(tuple(stated))
+            self._events.changed()
+
     @handle.register
     def _(self, message: SetEntryHosts) -> None:
         listed: dict[str, dict[str, str]] = {}
@@ -312,6 +347,7 @@
             self._get_leaving(),
             demand,
             self._get_ended(),
+            self._get_limits(),
             compute_rank(self._node.name, [n.name for n in nodes]),
             {
                 d: tuple(found.values())
@@ -419,6 +455,22 @@
             time.monotonic(),
         )
 
+    def _get_limits(self) -> dict[str, throttle.Told]:
+        """Returns what each start of an upstream named last, of any host."""
+        now_s = time.monotonic()
+        known = [
+            k
+            for k in self._view.known.values()
+            if k.entry.kind is entries.Kind.LIMIT
+        ]
+        return {
+            k.entry.name: throttle.Told(
+                float(k.entry.value) if k.entry.value else None,
+                now_s - k.since_s,
+            )
+            for k in sorted(known, key=lambda k: k.since_s)
+        }
+
     def _get_ended(self) -> dict[str, dict[str, float]]:
         """Returns upstreams that ended under requests since their answers."""
         now_s = time.monotonic()
--- a/egretspur/membership/entries.py
+++ b/egretspur/membership/entries.py
@@ -1,12 +1,12 @@
 """Versioned entries that entry hosts pass on to each other: pure.
 
-One mechanism carries four things: that a host lives, that an upstream is
-leaving, how much of a workspace's limit a host needs, and that an upstream
-ended under a request. Each entry belongs
-to an origin and has that origin's incarnation and a sequence number; the
-larger pair wins, whatever the order of arrival. A message carries a bounded
-number of entries, so that its size does not depend on how many hosts there
-are; those passed on least often go first.
+One mechanism carries five things: that a host lives, that an upstream is
+leaving, how much of a workspace's limit a host needs, that an upstream ended
+under a request, and what limit one has named. Each entry belongs to an origin
+and has that origin's incarnation and a sequence number; the larger pair wins,
+whatever the order of arrival. A message carries a bounded number of entries, so
+that its size does not depend on how many hosts there are; those passed on least
+often go first.
 """
 
 from __future__ import annotations
@@ -36,6 +36,9 @@
     # An upstream ended under a request, named by fingerprint and start; value:
     # what it counts. With no start: the request was answered.
     ENDED = "e"
+    # A start of an upstream named a limit; value: requests a second, or nothing
+    # where it names none any more.
+    LIMIT = "r"
 
 
 Key = tuple[Kind, str, str]
@@ -106,6 +109,7 @@
     demand_s: float
     # As long as a request is remembered that ended upstreams.
     ended_s: float
+    limit_s: float
 
     def get_limit(self, kind: Kind) -> float:
         """Returns the age past which an entry of a kind is forgotten."""
@@ -114,6 +118,7 @@
             Kind.LEAVING: self.leaving_s,
             Kind.DEMAND: self.demand_s,
             Kind.ENDED: self.ended_s,
+            Kind.LIMIT: self.limit_s,
         }[kind]
 
 
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -15,7 +15,8 @@
 
 import attrs
 
-from egretspur import actors, errors
+from egretspur import actors, asked, errors
+from egretspur.admission import throttle
 from egretspur.routing import dispatch, questions, requests, tables
 
 _LOG: Final = logging.getLogger(__name__)
@@ -84,6 +85,21 @@
     is_ok: bool
 
 
+@attrs.frozen
+class NoteAsked:
+    """An upstream asked something of the hosts beside an answer."""
+
+    upstream: str
+    asked: asked.Asked
+
+
+@attrs.frozen
+class TakeTurn:
+    """Asks whether a plain service's replica may be sent a call now."""
+
+    upstream: str
+
+
 @attrs.frozen
 class GetReport:
     """Asks for a `Report`."""
@@ -97,6 +113,7 @@
     leaving: tuple[tables.LeavingMark, ...]
     demand: dict[str, int]
     ended: dict[str, dict[str, float]]
+    limits: dict[str, throttle.Told]
 
 
 @attrs.frozen
@@ -205,6 +222,19 @@
             time.monotonic(),
         )
 
+    @handle.register
+    def _(self, message: NoteAsked) -> None:
+        is_new, effects = self._dispatcher.note_asked(
+            message.upstream, message.asked, time.monotonic()
+        )
+        self._questions.run(effects)
+        if is_new:
+            self._marked()
+
+    @handle.register
+    def _(self, message: TakeTurn) -> float:
+        return self._dispatcher.take_turn(message.upstream, time.monotonic())
+
     @handle.register
     def _(self, message: GetReport) -> Report:
         marks = tuple(
@@ -217,6 +247,7 @@
             marks,
             self._dispatcher.get_demand(),
             self._dispatcher.list_ended(time.monotonic()),
+            self._dispatcher.throttle.list_told(time.monotonic()),
         )
 
     @handle.register
@@ -257,8 +288,10 @@
 
         Args:
             dispatcher: Owned by the actor from now on.
-            marked: Called when an upstream said that it is leaving.
+            marked: Called when an upstream said something that the other
+                hosts are to be told at once.
         """
+        self._throttle = dispatcher.throttle
         self._ref = TrafficActor.start(dispatcher, marked)
 
     def close(self) -> None:
@@ -297,6 +330,18 @@
         """Sends a message that needs no answer."""
         self._ref.tell(message)
 
+    def note_asked(self, upstream: str, wish: asked.Asked) -> None:
+        """Takes what an answer asks of the hosts; most ask nothing."""
+        if wish.per_s is not None or self._throttle.limited:
+            self._ref.tell(NoteAsked(upstream, wish))
+
+    def take_turn(self, upstream: str) -> float:
+        """Returns the seconds until a replica takes a call; 0 if it does."""
+        if not self._throttle.limited:
+            return 0.0
+        wait_s: float = actors.ask(self._ref, TakeTurn(upstream))
+        return wait_s
+
     def get_services(self, name: str) -> list[tables.Upstream]:
         """Returns a plain service's replicas, least busy first."""
         found: list[tables.Upstream] = actors.ask(self._ref, GetService(name))
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -13,10 +13,11 @@
 
 import attrs
 
-from egretspur import decisions, errors, settings
+from egretspur import asked, decisions, errors, settings
 from egretspur.admission import budget as budgets
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
+from egretspur.admission import throttle
 from egretspur.intents import records
 from egretspur.routing import graph as graphs
 from egretspur.routing import (
@@ -24,6 +25,7 @@
     network,
     questions,
     requests,
+    returns,
     shares,
     tables,
 )
@@ -59,6 +61,9 @@
         self.quarantine = quarantines.Quarantine(SETTLE_S)
         self.budget = budgets.Budget(retries.ratio, retries.burst)
         self.network = network.Network(data_centre, rng)
+        # By starts of upstreams; see `network.Network.name_start`.
+        self.throttle = throttle.Throttle(data_centre, rng)
+        self._returns = returns.Returns()
         self.tickets: dict[str, requests.Ticket] = {}
         self.running: dict[str, int] = {}
         self.counts = requests.Counts()
@@ -184,6 +189,7 @@
         self.network.rebuild()
         self.quarantine.hear(message.ended, now_s)
         self._settle(now_s)
+        self._hear_limits(message, now_s)
         return [*self._refuse_waiting(now_s), *self._start_waiting(now_s)]
 
     def tick(self, now_s: float) -> list[requests.Effect]:
@@ -222,9 +228,87 @@
         """Returns a plain service's replicas that may be given a call."""
         found = self.network.list_usable(name)
         self._rng.shuffle(found)
-        found.sort(key=lambda u: self.network.loads[u.name].own)
+        found.sort(
+            key=lambda u: (
+                not self._is_open(u.name, now_s),
+                self.network.loads[u.name].own,
+            )
+        )
         return found
 
+    def note_asked(
+        self, name: str, wish: asked.Asked, now_s: float
+    ) -> tuple[bool, list[requests.Effect]]:
+        """Takes what an upstream asked of the hosts beside an answer.
+
+        Returns:
+            Whether the other hosts are to be told, and what follows.
+        """
+        self._now_s = now_s
+        per_s = wish.per_s
+        if isinstance(per_s, asked.Unreadable):
+            decisions.record(
+                decisions.EntryLeftOut(
+                    "answers", name, per_s.field, per_s.problem
+                )
+            )
+            return False, []
+        start = self.network.name_start(name)
+        if name not in self.network.upstreams or not self.throttle.note(
+            start, per_s, now_s
+        ):
+            return False, []
+        decisions.record(decisions.UpstreamLimited(start, per_s, True))
+        return True, self._start_waiting(now_s)
+
+    def take_turn(self, name: str, now_s: float) -> float:
+        """Takes a turn at a plain service's replica for a call.
+
+        Returns:
+            Zero if there is one, else the seconds until then.
+        """
+        start = self.network.name_start(name)
+        if self.throttle.is_open(start, now_s):
+            self.throttle.take(start, now_s)
+            return 0.0
+        opening = self.throttle.find_opening((start,), now_s)
+        assert opening is not None
+        return self._returns.promise(name, opening, 0, now_s)
+
+    def _hear_limits(self, message: tables.RoutingUpdate, now_s: float) -> None:
+        """Takes limits that other hosts were told by upstreams."""
+        self.throttle.demand.hosts = max(1, message.listed, message.sharing)
+        listed = {self.network.name_start(n) for n in self.network.upstreams}
+        for start, told in message.limits.items():
+            if start in listed and self.throttle.hear(
+                "", "", start, told, now_s
+            ):
+                decisions.record(
+                    decisions.UpstreamLimited(start, told.per_s, False)
+                )
+        self.throttle.forget(listed)
+
+    def _is_open(self, name: str, now_s: float) -> bool:
+        """Tells whether an upstream takes a request of this host now."""
+        return self.throttle.is_open(self.network.name_start(name), now_s)
+
+    def _list_closed(self, now_s: float) -> frozenset[str]:
+        """Returns the upstreams that take no request of this host now."""
+        if not self.throttle.limited:
+            return frozenset()
+        return frozenset(
+            n for n in self.network.upstreams if not self._is_open(n, now_s)
+        )
+
+    def _find_opening(
+        self, graph: graphs.Graph, now_s: float
+    ) -> throttle.Opening | None:
+        """Returns when a graph takes more, where limits alone hold it back."""
+        starts = {self.network.name_start(n) for n in graph.last}
+        if not starts <= self.throttle.limited:
+            return None
+        return self.throttle.find_opening(starts, now_s)
+
     def note_service(self, name: str, is_ok: bool, now_s: float) -> None:
         """Learns from a plain service's answer or its absence."""
         self.network.note_result(name, is_ok, now_s)
@@ -314,6 +398,9 @@
             if grant is not None:
                 queues.note_start(self.queue, item.workspace)
                 return [grant]
+        limited = self._refuse_limited(ticket, graph, item, now_s)
+        if limited:
+            return limited
         offered = queues.offer(self.queue, item, now_s)
         if isinstance(offered, errors.Refusal):
             if ticket.begun:
@@ -334,6 +421,31 @@
             1.0,
         )
 
+    def _refuse_limited(
+        self,
+        ticket: requests.Ticket,
+        graph: graphs.Graph,
+        item: queues.Waiting,
+        now_s: float,
+    ) -> list[requests.Effect]:
+        """Refuses a request whose turn at its upstreams comes too late."""
+        opening = self._find_opening(graph, now_s)
+        if opening is None or ticket.begun:
+            return []
+        waiting = sum(
+            w.graph == item.graph for w in self.queue.waiting.values()
+        )
+        turn_s = opening.wait_s + waiting / opening.per_s
+        if now_s + turn_s <= item.deadline_s:
+            return []
+        return self._refuse_ticket(
+            item.id,
+            errors.ErrorKind.UPSTREAM_LIMITED,
+            f"{waiting} wait for {opening.per_s:.2f} a second",
+            now_s,
+            self._returns.promise(item.graph, opening, waiting, now_s),
+        )
+
     def _wait_begun(
         self, ticket: requests.Ticket, item: queues.Waiting, now_s: float
     ) -> list[requests.Effect]:
@@ -377,7 +489,12 @@
         binding = self.network.bindings.get(ticket.key)
         if graph is None or binding is None:
             return None
-        known = graphs.Known(self.network.loads, self.network.links, now_s)
+        known = graphs.Known(
+            self.network.loads,
+            self.network.links,
+            now_s,
+            self._list_closed(now_s),
+        )
         avoid = frozenset(ticket.failed | ticket.suspected)
         path = graphs.choose_path(graph, known, self._rng, avoid)
         if path is None and ticket.suspected:
@@ -389,6 +506,8 @@
         for edge in path.edges:
             self.network.loads[edge.upstream].own += 1
         ticket.path = path
+        last = path.edges[-1].upstream
+        self.throttle.take(self.network.name_start(last), now_s)
         ticket.starts = tuple(
             # The caller's answer comes from the last one.
             self.network.name_start(e.upstream)
--- a/egretspur/routing/graph.py
+++ b/egretspur/routing/graph.py
@@ -92,6 +92,13 @@
         }
         self._boundaries = _build_boundaries(edges.values(), layers)
         self.size = sum(len(b.edges) for b in self._boundaries.values())
+        # Upstreams that requests may be sent to.
+        self.last = frozenset(
+            e.upstream
+            for b in self._boundaries.values()
+            for e in b.edges
+            if e.last == layers
+        )
 
     def sample(self, boundary: int, rng: random.Random) -> Edge | None:
         """Returns a stage that begins at a boundary, in proportion to speed."""
@@ -114,6 +121,9 @@
     upstreams: Mapping[str, loads.UpstreamLoad]
     links: Mapping[tuple[str, str], loads.LinkSpeed]
     now_s: float
+    # Upstreams that take no request now. Requests are sent to a path's last
+    # stage; the others get them from there.
+    closed: frozenset[str] = frozenset()
 
 
 def choose_path(
@@ -204,7 +214,7 @@
         edge = graph.sample(boundary, rng)
         if edge is None:
             return None
-        if not _is_open(edge, known, avoid):
+        if not _is_open(graph, edge, known, avoid):
             continue
         cost = _compute_edge_cost(edge, previous, known)
         if best is None or cost < best_cost:
@@ -226,15 +236,23 @@
 ) -> Edge | None:
     """Returns the cheapest open stage of all; only when luck found none."""
     return min(
-        (e for e in graph.get_edges(boundary) if _is_open(e, known, avoid)),
+        (
+            e
+            for e in graph.get_edges(boundary)
+            if _is_open(graph, e, known, avoid)
+        ),
         key=lambda e: _compute_edge_cost(e, previous, known),
         default=None,
     )
 
 
-def _is_open(edge: Edge, known: Known, avoid: frozenset[str]) -> bool:
+def _is_open(
+    graph: Graph, edge: Edge, known: Known, avoid: frozenset[str]
+) -> bool:
     if edge.upstream in avoid:
         return False
+    if edge.last == graph.layers and edge.upstream in known.closed:
+        return False
     load = known.upstreams.get(edge.upstream)
     return load is None or load.is_free(known.now_s)
 
--- a/egretspur/routing/link.py
+++ b/egretspur/routing/link.py
@@ -81,6 +81,7 @@
             report.leaving,
             report.demand,
             report.ended,
+            report.limits,
         )
         res = self._transport.call(
             "POST", self._control, "/router/report", codec.dump(message)
--- a/egretspur/routing/tables.py
+++ b/egretspur/routing/tables.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from egretspur.admission import throttle
 from egretspur.clients import hosts as hostlist
 from egretspur.intents import records
 from egretspur.intents import state as states
@@ -73,6 +74,10 @@
     # Upstreams that ended under requests, by fingerprint; none where it was
     # answered.
     ended: dict[str, dict[str, float]] = attrs.Factory(dict)
+    # Limits that upstreams named, or name no more, by their start.
+    limits: dict[str, throttle.Told] = attrs.Factory(dict)
+    # Entry hosts of all data centres, which may share an upstream.
+    sharing: int = 1
 
 
 @attrs.frozen
@@ -96,6 +101,7 @@
     leaving: tuple[LeavingMark, ...]
     demand: dict[str, int]
     ended: dict[str, dict[str, float]] = attrs.Factory(dict)
+    limits: dict[str, throttle.Told] = attrs.Factory(dict)
 
 
 def make_table(
--- a/tests/claims/calls.feature
+++ b/tests/claims/calls.feature
@@ -52,3 +52,10 @@
     When the log is down
     And a caller sends an order without an id to service "desk" at router 1
     Then the order is answered with its outcome
+
+  Scenario: A replica that names how many calls a second it takes
+    # A replica in need is sent more than it takes by all hosts together.
+    When the service "desk" names a limit of 2 a second
+    And callers send 20 calls a second to service "desk" at both routers for 8 s
+    Then it got at most 17 calls in any 4 s, after 3 s
+    And the others are refused as "upstream_limited"
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -2,7 +2,8 @@
 
 ``POST /orders`` runs an order; ``GET /outcomes/<id>`` tells its outcome.
 Faults: ``lose_answers`` (that many run and then hang past any time-out),
-``delay_s`` (seconds before a call is answered).
+``delay_s`` (seconds before a call is answered), ``limit`` (calls a second that
+it names in its answers).
 """
 
 from __future__ import annotations
@@ -24,8 +25,11 @@
             "lose_answers": 0,
             "hang_s": 5.0,
             "delay_s": 0.0,
+            "limit": "",
         }
         self.runs: dict[str, int] = {}
+        # Times of the calls that came.
+        self.times: list[float] = []
         self.lock = threading.Lock()
 
     def run(self, request_id: str) -> bool:
@@ -57,12 +61,18 @@
         return base.reply({}, 404)
 
     def echo(req: web.Request) -> web.Response:
+        with service.lock:
+            service.times.append(time.time())
         time.sleep(service.faults["delay_s"])
-        return base.reply({"method": req.method, "path": req.path})
+        res = base.reply({"method": req.method, "path": req.path})
+        if service.faults["limit"]:
+            res.headers["Server-Limit"] = service.faults["limit"]
+        return res
 
     app.add("POST", "/orders", run)
     app.add("GET", "/outcomes/{id}", outcome)
     app.add("GET", "/runs", lambda r: base.reply(service.runs))
+    app.add("GET", "/times", lambda r: base.reply(service.times))
     base.add_faults(app, service.faults)
     app.add("*", "/{rest*}", echo)
     return app
--- a/tests/membership/machine.py
+++ b/tests/membership/machine.py
@@ -15,7 +15,7 @@
 HOSTS = 4
 HOST = st.integers(0, HOSTS - 1)
 AGES = entries.Ages(
-    node_s=20.0, leaving_s=3600.0, demand_s=10.0, ended_s=3600.0
+    node_s=20.0, leaving_s=3600.0, demand_s=10.0, ended_s=3600.0, limit_s=3600.0
 )
 
 
--- a/tests/routing/dispatch.feature
+++ b/tests/routing/dispatch.feature
@@ -36,3 +36,25 @@
       | 0   | 12.0     |
       | 2   | 5.7      |
       | 20  | 2.0      |
+
+  Scenario Outline: All routers together stay within an engine's limit
+    # An engine in need is sent more than it takes, each router by itself or all.
+    Given 8 routers before three chains of engines
+    When the last stages of <chains> are down to 2.9 requests a second
+    And the routers get 30 requests a second for 10 s
+    Then none of these gets more than 22 requests in 4 s
+    And <others>
+
+    Examples:
+      | chains | others                                            |
+      | one    | nobody is refused                                 |
+      | all    | others are told when their turn would have come   |
+
+  Scenario: An engine's limit that it names no more
+    # An engine that is well again goes on getting next to nothing.
+    Given 8 routers before three chains of engines
+    When the last stages of one are down to 2.9 requests a second
+    And the routers get 30 requests a second for 6 s
+    And the last stages name none any more
+    And the routers get 30 requests a second for 3 s
+    Then no router takes an engine for limited
--- /dev/null
+++ b/tests/routing/routers.py
@@ -0,0 +1,139 @@
+"""Routers before engines that name limits, without network or threads.
+
+Each has the product's own `Dispatcher`; what their control daemons pass on
+comes once a second. Requests are sent to the last stage of a path.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from egretspur import asked, settings
+from egretspur.admission import throttle
+from egretspur.intents import records
+from egretspur.routing import dispatch, questions, requests, tables
+from tests.routing import world
+
+STEP_S: Final = 0.02
+UPDATE_S: Final = 1.0
+ANSWER_S: Final = 0.2
+SLOTS: Final = 64
+
+
+@attrs.define
+class Routers:
+    """Routers of one data centre and what reaches the last stages."""
+
+    rng: random.Random
+    now_s: float = 100.0
+    routers: list[dispatch.Dispatcher] = attrs.Factory(list)
+    limits: dict[str, float] = attrs.Factory(dict)
+    # Times of the requests that reached each last stage.
+    reached: dict[str, list[float]] = attrs.Factory(dict)
+    refused: list[questions.Refuse] = attrs.Factory(list)
+    due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
+    count: int = 0
+
+    def add(self, count: int) -> None:
+        """Starts routers."""
+        for i in range(count):
+            self.routers.append(
+                dispatch.Dispatcher(
+                    f"r{i}",
+                    "dc",
+                    settings.LimitSettings(),
+                    settings.TimingSettings(deadline_s=2.0),
+                    settings.RetrySettings(),
+                    random.Random(self.rng.random()),
+                )
+            )
+        self.update()
+
+    def update(self) -> None:
+        """Gives each router what the control daemons know."""
+        newest: dict[str, throttle.Told] = {}
+        for router in self.routers:
+            for start, told in router.throttle.list_told(self.now_s).items():
+                known = newest.get(start)
+                if known is None or told.age_s < known.age_s:
+                    newest[start] = told
+        for router in self.routers:
+            update = self._make_update(newest)
+            self._take(router, router.update(update, self.now_s))
+
+    def _make_update(
+        self, limits: dict[str, throttle.Told]
+    ) -> tables.RoutingUpdate:
+        table = tables.RoutingTable(
+            1,
+            (world.DEPLOYMENT,),
+            (records.Binding("w", "m", ("d",), 5, 0),),
+            {},
+            tuple(
+                tables.Upstream(n, n, "1", "dc", False, "", 100.0, SLOTS)
+                for n in world.UPSTREAMS
+            ),
+        )
+        count = len(self.routers)
+        return tables.RoutingUpdate(
+            1, table, 1, {}, {}, (), count, {}, limits, count
+        )
+
+    def play(self, seconds: float, rate: float) -> None:
+        """Lets time pass, with so many requests a second over all routers."""
+        end_s = self.now_s + seconds
+        next_update_s = self.now_s + UPDATE_S
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            now = [d for d in self.due if d[0] <= self.now_s]
+            self.due = [d for d in self.due if d[0] > self.now_s]
+            for _, work in now:
+                work()
+            if self.now_s >= next_update_s:
+                next_update_s += UPDATE_S
+                self.update()
+            for router in self.routers:
+                self._take(router, router.tick(self.now_s))
+            for _ in range(int(rate * STEP_S + self.rng.random())):
+                self.count += 1
+                router = self.rng.choice(self.routers)
+                arrival = requests.Arrival(f"q{self.count}", "w", "m")
+                self._take(router, router.arrive(arrival, self.now_s))
+
+    def _take(
+        self, router: dispatch.Dispatcher, effects: list[requests.Effect]
+    ) -> None:
+        for effect in effects:
+            if isinstance(effect, questions.Refuse):
+                self.refused.append(effect)
+                continue
+            self._reach(router, effect)
+
+    def _reach(
+        self, router: dispatch.Dispatcher, grant: requests.Grant
+    ) -> None:
+        last = grant.path.edges[-1].upstream
+        self.reached.setdefault(last, []).append(self.now_s)
+        wish = asked.Asked(self.limits.get(last))
+
+        def begin() -> None:
+            _, effects = router.note_asked(last, wish, self.now_s)
+            self._take(router, effects)
+
+        def end() -> None:
+            self._take(router, router.finish(grant.id, self.now_s, True))
+
+        self.due.append((self.now_s + 0.03, begin))
+        self.due.append((self.now_s + ANSWER_S, end))
+
+    def find_worst(self, name: str, since_s: float, window_s: float) -> int:
+        """Returns the most that reached a stage in a window, from then on."""
+        times = [t for t in self.reached[name] if t >= since_s]
+        return max(
+            (sum(t <= u < t + window_s for u in times) for t in times),
+            default=0,
+        )
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import json
+import time
 from typing import Any
 
 from behave import given, then, when
@@ -181,3 +182,59 @@
 def step_read_answered(context: Any) -> None:
     assert context.reply.status == 200, context.reply
     assert json.loads(context.reply.body)["path"] == "/price/list"
+
+
+@when('the service "{service}" names a limit of {per_s:g} a second')
+def step_limit(context: Any, service: str, per_s: float) -> None:
+    faults = {"limit": str(per_s)}
+    context.play.call("POST", f"{service}-1", "/faults", faults)
+
+
+@when(
+    'callers send {rate:d} calls a second to service "{service}" at both'
+    " routers for {seconds:d} s"
+)
+def step_many_calls(
+    context: Any, rate: int, service: str, seconds: int
+) -> None:
+    context.named_s = time.time()
+    context.kinds = []
+
+    def send(number: int) -> None:
+        time.sleep(number / rate)
+        res = transport.Transport(1.0, 5.0).call(
+            "GET",
+            context.play.processes[f"kl-{number % 2 + 1}-router"].address,
+            f"/services/{service}/x",
+            headers={"X-Workspace": "w"},
+        )
+        assert isinstance(res, transport.Reply), res
+        if res.status != 200:
+            context.kinds.append(res.read_json()["error"])
+
+    with concurrent.futures.ThreadPoolExecutor(rate * seconds) as pool:
+        list(pool.map(send, range(rate * seconds)))
+
+
+@then(
+    "it got at most {most:d} calls in any {window_s:d} s, after {bound_s:d} s"
+)
+def step_few_calls(
+    context: Any, most: int, window_s: int, bound_s: int
+) -> None:
+    times = context.play.call("GET", "desk-1", "/times")
+    since_s = context.named_s + bound_s
+    # Until half a second after it was named, nobody need hold to it.
+    late = [t for t in times if t >= context.named_s + 0.5]
+    worst = max(
+        sum(t <= u < t + window_s for u in late)
+        for t in late
+        if t + window_s >= since_s
+    )
+    assert worst <= most, worst
+
+
+@then('the others are refused as "{kind}"')
+def step_others(context: Any, kind: str) -> None:
+    assert context.kinds
+    assert {k["kind"] for k in context.kinds} == {kind}, context.kinds[:3]
