Count questions to an upstream at its limit as requests

What callers saw: nothing.

Mend: a probe, a report or a witness's question to an upstream with a limit takes a turn, or waits for one. Orders don't: they keep answers going, or undo what is under way. Beside it: a value that is no limit is logged once until the next one that is.

What may stand in the field: 14 cases.

--- a/egretspur/admission/throttle.py
+++ b/egretspur/admission/throttle.py
@@ -115,13 +115,25 @@
         self._rng = rng or random.Random()
         self._limits: dict[str, Limit] = {}
         self._turns: dict[str, _Turns] = {}
+        # Upstreams whose last answer named something that is no limit.
+        self._unreadable: set[str] = set()
 
     def note(self, upstream_id: str, per_s: float | None, now_s: float) -> bool:
         """Takes what an answer named; tells whether that is new."""
+        self._unreadable.discard(upstream_id)
         if per_s is None and upstream_id not in self._limits:
             return False
         return self._put(upstream_id, Limit(per_s, now_s))
 
+    def note_unreadable(self, upstream_id: str) -> bool:
+        """Takes that an answer named no limit; tells whether that is new.
+
+        What was named before holds.
+        """
+        is_new = upstream_id not in self._unreadable
+        self._unreadable.add(upstream_id)
+        return is_new
+
     def hear(
         self,
         host: str,
@@ -200,6 +212,7 @@
 
     def forget(self, listed: Container[str]) -> None:
         """Drops what is known of upstreams that are no longer listed."""
+        self._unreadable = {i for i in self._unreadable if i in listed}
         gone = [i for i in self._limits if i not in listed]
         for upstream_id in gone:
             del self._limits[upstream_id]
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -159,6 +159,8 @@
         for first, silent in by_first.items():
             if now_s - self._asked.get(first.id, -ASK_S) < ASK_S:
                 continue
+            if not self._desk.may_ask(first.id):
+                continue
             self._asked[first.id] = now_s
             self._handle(first, silent)
 
@@ -192,6 +194,9 @@
         witness = _find_witness(begun, suspects)
         if witness is not None:
             addresses[witness.id] = witness.address
+        addresses = {
+            i: a for i, a in addresses.items() if self._desk.may_ask(i)
+        }
         self._peeked = {
             i: t for i, t in self._peeked.items() if now_s - t < ASK_S
         }
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -162,11 +162,12 @@
         """Takes what an upstream asked of the hosts beside an answer."""
         per_s = wish.per_s
         if isinstance(per_s, asked.Unreadable):
-            self._notes.append(
-                decisions.EntryLeftOut(
-                    "answers", upstream_id, per_s.field, per_s.problem
+            if self.throttle.note_unreadable(upstream_id):
+                self._notes.append(
+                    decisions.EntryLeftOut(
+                        "answers", upstream_id, per_s.field, per_s.problem
+                    )
                 )
-            )
             return []
         self.fleet.note_limit(upstream_id, per_s, now_s)
         return self._start_waiting(now_s)
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -121,6 +121,13 @@
     hosts: int
 
 
+@attrs.frozen
+class AskTurn:
+    """Asks whether an upstream may be asked something now."""
+
+    upstream_id: str
+
+
 @attrs.frozen
 class NoteFailed:
     """An upstream failed outside of any request."""
@@ -278,6 +285,10 @@
         for news in message.news:
             self._broker.hear(news, now_s)
 
+    @handle.register
+    def _(self, message: AskTurn) -> bool:
+        return self._broker.fleet.may_ask(message.upstream_id, time.monotonic())
+
     @handle.register
     def _(self, message: NoteFailed) -> None:
         self._broker.fleet.health.note_down(
@@ -395,6 +406,13 @@
         is_secured: bool = actors.ask(self._ref, SecureRepeat(job_id))
         return is_secured
 
+    def may_ask(self, upstream_id: str) -> bool:
+        """Tells whether an upstream may be asked something; counts it."""
+        if upstream_id not in self._throttle.limited:
+            return True
+        may_ask: bool = actors.ask(self._ref, AskTurn(upstream_id))
+        return may_ask
+
     def take_due(self) -> Due:
         """Does what came due, and returns what is left to do for others."""
         due: Due = actors.ask(self._ref, TakeDue())
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -247,11 +247,12 @@
         self._now_s = now_s
         per_s = wish.per_s
         if isinstance(per_s, asked.Unreadable):
-            decisions.record(
-                decisions.EntryLeftOut(
-                    "answers", name, per_s.field, per_s.problem
+            if self.throttle.note_unreadable(self.network.name_start(name)):
+                decisions.record(
+                    decisions.EntryLeftOut(
+                        "answers", name, per_s.field, per_s.problem
+                    )
                 )
-            )
             return False, []
         start = self.network.name_start(name)
         if name not in self.network.upstreams or not self.throttle.note(
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -416,21 +416,22 @@
             i for i in self.paces.take_due(now_s) if i not in self.health.failed
         ]
         due += self.health.take_due(listed, now_s)
-        due = [i for i in due if self._may_probe(i, now_s)]
+        late = [i for i in due if not self.may_ask(i, now_s)]
+        for upstream_id in late:
+            self.health.note_unanswered(upstream_id)
+            self.paces.put_off(upstream_id)
+        due = [i for i in due if i not in late]
         return [listed[i] for i in due if i in listed]
 
-    def _may_probe(self, upstream_id: str, now_s: float) -> bool:
-        """Takes a turn for a probe that is a request as any other."""
-        if upstream_id not in self.throttle.limited:
-            return True
-        if self.roster.entries[upstream_id].accelerator:
-            # An engine is asked for its report, which takes no place.
-            return True
-        if self.throttle.is_open(upstream_id, now_s):
-            self.throttle.take(upstream_id, now_s)
-            return True
-        self.health.note_unanswered(upstream_id)
-        return False
+    def may_ask(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether an upstream may be asked something; counts it.
+
+        A question is a request as any other to one that takes only so many.
+        """
+        if not self.throttle.is_open(upstream_id, now_s):
+            return False
+        self.throttle.take(upstream_id, now_s)
+        return True
 
     def compute_digest(self) -> int:
         """Returns a number that differs where the list differs.
--- a/egretspur/routing/paces.py
+++ b/egretspur/routing/paces.py
@@ -71,6 +71,13 @@
                 due.append(upstream_id)
         return due
 
+    def put_off(self, upstream_id: str) -> None:
+        """Takes that an engine which was due can't be asked yet."""
+        known = self._known.get(upstream_id)
+        if known is not None:
+            known.is_wanted = True
+            known.next_ask_s = 0.0
+
     def note(self, upstream_id: str, pace: float) -> bool:
         """Takes an engine's own word; tells whether it turned slow or back."""
         known = self._known.setdefault(upstream_id, _Known())
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -66,3 +66,10 @@
     When other hosts tell that "a100-1" is failing
     And the watch looks 80 ms after the last events
     Then the 2 streams are moved or resumed, and the others are not
+
+  Scenario: Silent streams over engines at their limits
+    # An engine in need is asked for reports beyond the requests that it takes.
+    Given a watch over 6 streams on "a100-1" and 0 beside it
+    And "a100-0" and "a100-1" take 0.4 requests a second
+    When the watch looks each 100 ms for 3 s
+    Then each of them is asked at most once, and others are asked
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -46,3 +46,25 @@
   Scenario: The caller leaves while the head is awaited
     When an upstream that waits is left after 0.2 s
     Then it is taken as "cut" within 1 s
+
+  Scenario Outline: A limit that an answer names
+    # A value that is none ends the limit that held before, or bars everything.
+    When an upstream answers with "HTTP/1.1 503 No\nNot-Executed: 1\n<fields>Content-Length: 0\n\n" and then closes
+    Then the hosts hear of a limit of "<limit>"
+
+    Examples:
+      | fields                                   | limit      |
+      | Server-Limit: 2.9\n                     | 2.9        |
+      | Server-Limit: 0\n                       | 0.0        |
+      | Server-Limit: .5\n                      | 0.5        |
+      | server-limit:  3 \n                     | 3.0        |
+      | Server-Limit: 4\nServer-Limit: 2.5\n   | 2.5        |
+      | Server-Limit: 4, soon\n                 | 4.0        |
+      | Server-Limit: soon\n                    | unreadable |
+      | Server-Limit: -1\n                      | unreadable |
+      | Server-Limit: inf\n                     | unreadable |
+      | Server-Limit: nan\n                     | unreadable |
+      | Server-Limit: 1e9\n                     | unreadable |
+      | Server-Limit: 99999999999999999999999\n | unreadable |
+      | Server-Limit:\n                         | unreadable |
+      |                                          | None       |
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -193,9 +193,12 @@
     # Addresses that answer no question.
     dead: set[str] = attrs.Factory(set)
     moves: list[tuple[float, Sequence[paths.Part]]] = attrs.Factory(list)
+    # Addresses that were asked, as often as they were.
+    asked: list[str] = attrs.Factory(list)
 
     def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Answers as the script says."""
+        self.asked.append(address)
         if self.stalled == "dark":
             return "no answer"
         return upstreams.EngineReport(
@@ -204,6 +207,7 @@
 
     def peek(self, address: str) -> upstreams.EngineReport | str:
         """Answers as the script says; see `watch.Engines`."""
+        self.asked.append(address)
         if address in self.dead:
             return "no answer"
         return upstreams.PLAIN_REPORT
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import re
 import time
 from typing import Any
@@ -9,6 +10,7 @@
 import attrs
 from behave import given, then, when
 
+from egretspur import asked
 from egretspur.catalog import upstreams
 from egretspur.delivery import silence, watch
 from egretspur.routing import desk, jobs
@@ -145,3 +147,24 @@
 def step_not_moved(context: Any) -> None:
     assert [s.parts for s in context.streams] == context.before
     assert not any(s.is_ended for s in context.streams)
+
+
+@given('"{one}" and "{other}" take {per_s:g} requests a second')
+def step_limited(context: Any, one: str, other: str, per_s: float) -> None:
+    context.limited = (one, other)
+    for name in context.limited:
+        context.play.desk.note_asked(name, asked.Asked(per_s))
+
+
+@when("the watch looks each {step_ms:d} ms for {seconds:d} s")
+def step_look_on(context: Any, step_ms: int, seconds: int) -> None:
+    for i in range(1, 1000 * seconds // step_ms):
+        context.play.watch.look(context.heard_s + i * step_ms / 1000)
+
+
+@then("each of them is asked at most once, and others are asked")
+def step_asked(context: Any) -> None:
+    counts = collections.Counter(context.play.engines.asked)
+    for name in context.limited:
+        assert counts.pop(f"{name}:80", 0) <= 1, context.play.engines.asked
+    assert counts
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -11,6 +11,7 @@
 import attrs
 from behave import then, when
 
+from egretspur import asked
 from egretspur.delivery import forward
 from egretspur.platform import upstream
 from egretspur.routing import jobs, paths
@@ -71,9 +72,10 @@
     )
     context.leaving = forward.Abort()
     context.outcome_of = None
-    answer = upstream.UpstreamClient(2.5).open(
-        CALL, job, jobs.Start("ID", entry, parts), "", context.leaving
-    )
+    context.wishes = []
+    answer = upstream.UpstreamClient(
+        2.5, lambda upstream_id, wish: context.wishes.append(wish)
+    ).open(CALL, job, jobs.Start("ID", entry, parts), "", context.leaving)
     body = b""
     while not isinstance(answer, forward.Lost):
         data = answer.read_some()
@@ -147,3 +149,12 @@
     assert fields["Tenant"] == "tailors"
     assert fields["Hop-Count"] == "a:80=0-40,b:80=40-80"
     assert 0 < int(fields["Deadline-Ms"]) <= LIVE_S * 1000
+
+
+@then('the hosts hear of a limit of "{limit}"')
+def step_limit(context: Any, limit: str) -> None:
+    (wish,) = context.wishes
+    if limit == "unreadable":
+        assert isinstance(wish.per_s, asked.Unreadable), wish
+        return
+    assert str(wish.per_s) == limit, wish
