Sight: what a refusal asks for, and an upstream's word that it leaves

The seconds of rest that an answer of 503 asks for, and that an upstream leaves, are read by both routers and logged by hosts (upstream_changed: resting with the seconds, draining); nothing is decided by them yet. What reads the fields of the product's own interface stands in one module for engines and services.

--- a/egretspur/asked.py
+++ b/egretspur/asked.py
@@ -15,6 +15,13 @@
 _DECIMAL: Final = re.compile(r"(?=.{1,20}\Z)(\d+\.?\d*|\.\d+)\Z", re.ASCII)
 
 
+# Status of an answer that turns a request away for now.
+UNAVAILABLE: Final = 503
+
+# Standard header field, in seconds.
+RETRY_AFTER: Final = "Retry-After"
+
+
 @attrs.frozen
 class Unreadable:
     """A value that is none; what was asked before holds."""
@@ -30,6 +37,14 @@
     # Requests a second that its upstream takes from all hosts together; None
     # if it names none.
     per_s: float | None | Unreadable = None
+    # Seconds for which the upstream wants nothing from this host; None if it
+    # does not ask for it.
+    rest_s: float | None | Unreadable = None
+    # It leaves, and takes nothing new for long.
+    is_leaving: bool = False
+
+
+NOTHING: Final = Asked()
 
 
 def parse_limit(text: str | None) -> float | None | Unreadable:
@@ -43,6 +58,23 @@
     return _parse_least(text, "limit")
 
 
+def parse_rest(status: int, text: str | None) -> float | None | Unreadable:
+    """Returns the seconds of rest that an answer asks for, None if none.
+
+    Args:
+        status: Of the answer; only one that turns a request away asks for it.
+        text: The field's value.
+    """
+    if status != UNAVAILABLE or text is None:
+        return None
+    return _parse_least(text, "rest")
+
+
+def parse_leaving(text: str | None) -> bool:
+    """Returns whether an answer tells that its upstream leaves."""
+    return text is not None and "1" in map(str.strip, text.split(","))
+
+
 def _parse_least(text: str, field: str) -> float | Unreadable:
     """Returns the least of the decimals in a field."""
     found = [float(v) for v in map(str.strip, text.split(",")) if _is_one(v)]
--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -18,6 +18,7 @@
 from egretspur.claims import actor as claim_actor
 from egretspur.claims import table
 from egretspur.clients import service as services
+from egretspur.clients import wishes
 from egretspur.routing import actor as traffics
 from egretspur.routing import tables
 
@@ -261,7 +262,7 @@
         res: transport.Reply | transport.Failed,
     ) -> None:
         if isinstance(res, transport.Reply):
-            wish = services.read_asked(res.headers)
+            wish = wishes.read(res.status, res.headers)
             self._traffic.note_asked(upstream.name, wish)
         self._traffic.tell(
             traffics.NoteService(
--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -19,7 +19,7 @@
 
 import io
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -28,6 +28,7 @@
 from urllib3 import exceptions
 
 from egretspur import asked, codec, errors, transport
+from egretspur.clients import wishes
 from egretspur.intents import records
 
 _MAX_READ: Final = 65_536
@@ -38,10 +39,6 @@
 # Bytes that end a chunk of a chunked response.
 CHUNK_END: Final = 2
 
-# Header field of an answer: requests a second that the engine takes from all
-# hosts together.
-LIMIT: Final = "Server-Limit"
-
 # Kinds of `ErrorEvent` that mean more than a failure.
 BUSY: Final = "busy"
 LEAVING: Final = "leaving"
@@ -227,7 +224,8 @@
             return Broken(
                 res.reason, res.maybe_sent, upstream_failed=not res.is_silent
             )
-        self._note_asked(call.route[-1].upstream, read_asked(res.headers))
+        wish = wishes.read(res.status, res.headers)
+        self._note_asked(call.route[-1].upstream, wish)
         if res.status == 503:
             # The engine's word that it has not taken the request.
             return self._read_refusal(address, res)
@@ -379,11 +377,6 @@
         return events
 
 
-def read_asked(fields: Mapping[str, str]) -> asked.Asked:
-    """Returns what an answer asks of the hosts in its header fields."""
-    return asked.Asked(asked.parse_limit(fields.get(LIMIT)))
-
-
 def parse_event(line: bytes) -> Event:
     """Returns the event on one line; anything malformed is an error event."""
     try:
--- a/egretspur/clients/service.py
+++ b/egretspur/clients/service.py
@@ -13,14 +13,10 @@
 
 import attrs
 
-from egretspur import asked, transport
+from egretspur import transport
 
 REQUEST_ID: Final = "X-Request-Id"
 
-# Header field of an answer: calls a second that the replica takes from all
-# hosts together.
-LIMIT: Final = "Server-Limit"
-
 
 @attrs.frozen
 class ServiceCall:
@@ -63,8 +59,3 @@
     def close(self) -> None:
         """Closes the connections."""
         self._transport.close()
-
-
-def read_asked(fields: Mapping[str, str]) -> asked.Asked:
-    """Returns what an answer asks of the hosts in its header fields."""
-    return asked.Asked(asked.parse_limit(fields.get(LIMIT)))
--- /dev/null
+++ b/egretspur/clients/wishes.py
@@ -0,0 +1,32 @@
+"""What engines and services ask of the hosts in their answers' fields.
+
+The only place that knows these fields of the product's own interface. Read
+next: `egretspur.asked`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from egretspur import asked
+
+# Requests a second that the one who answers takes from all hosts together.
+LIMIT: Final = "Server-Limit"
+
+# The one who answers leaves.
+LEAVING: Final = "Server-Leaving"
+
+
+def read(status: int, fields: Mapping[str, str]) -> asked.Asked:
+    """Returns what an answer asks of the hosts.
+
+    Args:
+        status: Of the answer.
+        fields: Its header fields, by names in any case.
+    """
+    return asked.Asked(
+        asked.parse_limit(fields.get(LIMIT)),
+        asked.parse_rest(status, fields.get(asked.RETRY_AFTER)),
+        asked.parse_leaving(fields.get(LEAVING)),
+    )
--- a/egretspur/platform/names.py
+++ b/egretspur/platform/names.py
@@ -41,6 +41,7 @@
 AT_FAULT: Final = "At-Server"
 # Requests a second that it takes from all hosts together.
 LIMIT: Final = "Server-Limit"
+LEAVING: Final = "Server-Leaving"
 
 # Paths on an upstream.
 REPORT_PATH: Final = "/egretspur/report"
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -252,7 +252,12 @@
 
 def _read_asked(res: urllib3.BaseHTTPResponse) -> asked.Asked:
     """Returns what an answer asks of the hosts."""
-    return asked.Asked(asked.parse_limit(res.headers.get(names.LIMIT)))
+    fields = res.headers
+    return asked.Asked(
+        asked.parse_limit(fields.get(names.LIMIT)),
+        asked.parse_rest(res.status, fields.get(asked.RETRY_AFTER)),
+        asked.parse_leaving(fields.get(names.LEAVING)),
+    )
 
 
 def _check_head(
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -332,7 +332,7 @@
 
     def note_asked(self, upstream: str, wish: asked.Asked) -> None:
         """Takes what an answer asks of the hosts; most ask nothing."""
-        if wish.per_s is not None or self._throttle.limited:
+        if wish != asked.NOTHING or self._throttle.limited:
             self._ref.tell(NoteAsked(upstream, wish))
 
     def take_turn(self, upstream: str) -> float:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -160,18 +160,29 @@
         self, upstream_id: str, wish: asked.Asked, now_s: float
     ) -> list[jobs.Effect]:
         """Takes what an upstream asked of the hosts beside an answer."""
-        per_s = wish.per_s
-        if isinstance(per_s, asked.Unreadable):
-            if self.throttle.note_unreadable(upstream_id):
-                self._notes.append(
-                    decisions.EntryLeftOut(
-                        "answers", upstream_id, per_s.field, per_s.problem
-                    )
-                )
+        for value in (wish.per_s, wish.rest_s):
+            if isinstance(value, asked.Unreadable):
+                self._note_unreadable(upstream_id, value)
+        if upstream_id not in self.fleet.roster.entries:
             return []
-        self.fleet.note_limit(upstream_id, per_s, now_s)
+        if wish.is_leaving:
+            self.fleet.note_leaving(upstream_id)
+        if isinstance(wish.rest_s, float):
+            self.fleet.note_rest(upstream_id, wish.rest_s, now_s)
+        if not isinstance(wish.per_s, asked.Unreadable):
+            self.fleet.note_limit(upstream_id, wish.per_s, now_s)
         return self._start_waiting(now_s)
 
+    def _note_unreadable(
+        self, upstream_id: str, value: asked.Unreadable
+    ) -> None:
+        if self.throttle.note_unreadable(upstream_id):
+            self._notes.append(
+                decisions.EntryLeftOut(
+                    "answers", upstream_id, value.field, value.problem
+                )
+            )
+
     def repath(
         self,
         job_id: str,
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -388,7 +388,7 @@
 
     def note_asked(self, upstream_id: str, wish: asked.Asked) -> None:
         """Takes what an answer asks of the hosts; most ask nothing."""
-        if wish.per_s is None and upstream_id not in self._throttle.limited:
+        if wish == asked.NOTHING and upstream_id not in self._throttle.limited:
             return
         self._ref.tell(NoteAsked(upstream_id, wish))
 
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -109,6 +109,8 @@
         # Smoothed seconds of a plain service's answers.
         self.times: dict[str, float] = {}
         self.moves = moves.Moves(self.roster)
+        # Upstreams that said in an answer that they leave.
+        self._leaving: set[str] = set()
         # Upstreams by service and data centre, as of a change of the list:
         # each choice of a path asks for them.
         self._grouped: dict[str, dict[str, list[upstreams.Upstream]]] = {}
@@ -168,11 +170,19 @@
         self, upstream_id: str, per_s: float | None, now_s: float
     ) -> None:
         """Takes the limit that an upstream's answer named, or that none was."""
-        if upstream_id in self.roster.entries and self.throttle.note(
-            upstream_id, per_s, now_s
-        ):
+        if self.throttle.note(upstream_id, per_s, now_s):
             self._note_limit(upstream_id, per_s, True)
 
+    def note_rest(self, upstream_id: str, rest_s: float, now_s: float) -> None:
+        """Takes that an upstream wants nothing from this host for a while."""
+        self._note(upstream_id, "resting", f"asked for {rest_s:g} s")
+
+    def note_leaving(self, upstream_id: str) -> None:
+        """Takes an upstream's own word that it leaves."""
+        if upstream_id not in self._leaving:
+            self._leaving.add(upstream_id)
+            self._note(upstream_id, "draining", "says so in its answers")
+
     def _note_limit(
         self, upstream_id: str, per_s: float | None, is_own: bool
     ) -> None:
@@ -466,6 +476,7 @@
         self.paces.forget(listed)
         self.health.forget(listed)
         self.throttle.forget(listed)
+        self._leaving.intersection_update(listed)
 
     def offer(
         self, service: str, spec: config.EngineSpec, now_s: float
