Tests that fail: requests to an upstream that asked for rest, or leaves

The model of the limits' tests, with upstreams that turn requests away and ask for rest, or tell in their answers that they leave while their entry says ready.

--- a/tests/routing/limits.py
+++ b/tests/routing/limits.py
@@ -1,9 +1,10 @@
-"""Hosts before upstreams that name limits, without network or threads.
+"""Hosts before upstreams that ask for less, without network or threads.
 
 Each host has the product's own `Broker`; hosts tell each other by the datagrams
 that they would send. Upstreams name in their answers how many requests a second
-they take from all hosts. The oracle sees only what reaches an upstream, from
-whom, and when a host had an answer that named its limit.
+they take from all hosts, turn requests away and ask for rest, or tell that they
+leave. The oracle sees only what reaches an upstream, from whom, and when a host
+had an answer that asked for something.
 """
 
 from __future__ import annotations
@@ -87,6 +88,13 @@
     lost: float = 0.0
     apart: frozenset[str] = frozenset()
     count: int = 0
+    # Upstreams that turn requests away, with the seconds of rest that they ask
+    # for, and those that tell that they leave.
+    away: dict[str, float] = attrs.Factory(dict)
+    leaving: set[str] = attrs.Factory(set)
+    # When hosts were asked for rest and how long, and told that one leaves.
+    rests: list[tuple[str, Host, float, float]] = attrs.Factory(list)
+    farewells: dict[tuple[str, str], float] = attrs.Factory(dict)
     # Why requests waited for a path.
     notes: list[decisions.PathMissing] = attrs.Factory(list)
 
@@ -169,15 +177,21 @@
         told_s = host.told_s.get(upstream_id, self.now_s)
         is_told = self.now_s - told_s >= TOLD_S
         self.arrivals[upstream_id].append(Arrival(self.now_s, host, is_told))
-        wish = asked.Asked(self.limits.get(upstream_id))
         state = host.state
+        wish = asked.Asked(
+            self.limits.get(upstream_id),
+            self.away.get(upstream_id),
+            upstream_id in self.leaving,
+        )
 
         def begin() -> None:
             if host.state is not state:
                 return
             if wish.per_s is not None:
                 host.told_s.setdefault(upstream_id, self.now_s)
-            state.note_asked(upstream_id, wish, self.now_s)
+            if wish.is_leaving:
+                self.farewells.setdefault((upstream_id, host.ip), self.now_s)
+            self._take(host, state.note_asked(upstream_id, wish, self.now_s))
             state.note_answer(start.id, self.now_s)
 
         def end() -> None:
@@ -186,6 +200,19 @@
             self.answered.append(arrived_s)
             self._take(host, state.finish(start.id, self.now_s, True))
 
+        def turn_away() -> None:
+            if host.state is not state:
+                return
+            assert isinstance(wish.rest_s, float)
+            self.rests.append((upstream_id, host, self.now_s, wish.rest_s))
+            self._take(host, state.note_asked(upstream_id, wish, self.now_s))
+            self.waiting[start.id] = arrived_s
+            failure = jobs.Failure(start.id, jobs.Why.REFUSED, "503")
+            self._take(host, state.fail(failure, self.now_s))
+
+        if wish.rest_s is not None:
+            self.due.append((self.now_s, turn_away))
+            return
         total_s = ANSWER_S[start.upstream.service]
         self.due.append((self.now_s + 0.03, begin))
         self.due.append((self.now_s + total_s, end))
@@ -284,6 +311,17 @@
         )
         return SLACK * highest * WINDOW_S + SPARE
 
+    def find_unrested(self) -> tuple[int, str, str]:
+        """Returns the most that reached an upstream within a rest it had."""
+        worst = (0, "", "")
+        for upstream_id, host, at_s, rest_s in self.rests:
+            got = sum(
+                a.host is host and at_s + TOLD_S <= a.at_s < at_s + rest_s
+                for a in self.arrivals[upstream_id]
+            )
+            worst = max(worst, (got, upstream_id, host.ip))
+        return worst
+
     def count_reached(self, upstream_id: str, since_s: float) -> int:
         """Returns the requests that reached an upstream since then."""
         return sum(a.at_s >= since_s for a in self.arrivals[upstream_id])
--- a/tests/steps/limits_steps.py
+++ b/tests/steps/limits_steps.py
@@ -254,3 +254,88 @@
     assert item.is_begun
     patience_s = state.tickets[context.cut].job.route.patience_s
     assert item.deadline_s >= context.world.now_s + 0.5 * patience_s
+
+
+@when("one turns all away and asks for {rest_s:g} s of rest")
+def step_away(context: Any, rest_s: float) -> None:
+    context.world.away = {REPLICAS[0]: rest_s}
+
+
+@when("all turn all away and ask for {rest_s:g} s of rest")
+def step_all_away(context: Any, rest_s: float) -> None:
+    context.world.away = dict.fromkeys(REPLICAS, rest_s)
+
+
+@when("the first engine of a data centre asks for {rest_s:g} s of rest")
+def step_engine_away(context: Any, rest_s: float) -> None:
+    context.world.away = {FIRST_ENGINES[0]: rest_s}
+
+
+@when("it takes requests again")
+def step_well(context: Any) -> None:
+    context.world.away = {}
+
+
+@when("the replica that rests starts again")
+def step_rested_reborn(context: Any) -> None:
+    entry = context.world.entries[REPLICAS[0]]
+    context.reborn = f"{entry.name}@2"
+    context.world.away = {}
+    context.world.add(attrs.evolve(entry, id=context.reborn, born_ms=2))
+
+
+@when("one tells in its answers that it leaves")
+def step_leaving(context: Any) -> None:
+    context.world.leaving = {REPLICAS[0]}
+
+
+@then("no host sends it anything within its rest")
+def step_unrested(context: Any) -> None:
+    got, upstream_id, host = context.world.find_unrested()
+    assert context.world.rests
+    assert not got, (got, upstream_id, host)
+
+
+@then("whoever is refused beside a rest is told to come back after it")
+def step_after_rest(context: Any) -> None:
+    world = context.world
+    first_s = min(at_s + rest_s for _, _, at_s, rest_s in world.rests)
+    told = [
+        (a + waited_s, r.retry_after_s)
+        for a, waited_s, r in world.refused
+        # By then each host has been asked by all three.
+        if first_s - 1.0 <= a + waited_s < first_s
+    ]
+    assert told
+    for at_s, after_s in told:
+        assert at_s + after_s >= first_s, (at_s, after_s, first_s)
+
+
+@then("it gets its share in the last {seconds:g} s")
+def step_share(context: Any, seconds: float) -> None:
+    check_share(context, REPLICAS[0], seconds)
+
+
+@then("the new start gets its share")
+def step_new_share(context: Any) -> None:
+    check_share(context, context.reborn, 2.0)
+
+
+def check_share(context: Any, upstream_id: str, seconds: float) -> None:
+    """Checks that one of three gets a sixth or more of all that comes."""
+    world = context.world
+    got = world.count_reached(upstream_id, world.now_s - seconds)
+    assert got >= 45.0 * seconds / 6, got
+
+
+@then("no host sends it anything later than {bound_s:g} s after it was told")
+def step_left(context: Any, bound_s: float) -> None:
+    world = context.world
+    assert world.farewells
+    for (upstream_id, ip), told_s in world.farewells.items():
+        late = [
+            a.at_s - told_s
+            for a in world.arrivals[upstream_id]
+            if a.host.ip == ip and a.at_s > told_s + bound_s
+        ]
+        assert not late, (upstream_id, ip, late)
