Leave an upstream alone for the rest that it asks for

What callers saw: a second attempt for each request that went to the resting replica first, and 503 beside replicas that were idle.

Evidence: ten first attempts of one host in 2.8 s at a replica that had asked it for 3 s, no line in between. Class: what an upstream asks for is lost where only the request at hand learns of it. The same elsewhere: the other router, and questions to the upstream (probes, reports), which now wait as well.

Mend: an upstream that answers 503 with Retry-After is given nothing by that host until then, and up to a tenth longer, so that hosts that were asked together come back one by one; not as a path's later part either. An answer to an earlier request does not end it. Where all rest, callers are refused at once and told when the first has rested.

In the product's own router one engine of three chains rests: none within.

--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -288,9 +288,9 @@
 
 
 def _refuse_limited(waits_s: list[float]) -> errors.Refusal:
-    """Refuses a call that no replica takes within its limit."""
+    """Refuses a call that no replica takes now, by what they ask for."""
     return errors.Refusal(
         errors.ErrorKind.UPSTREAM_LIMITED,
-        f"{len(waits_s)} replicas at their limits",
+        f"{len(waits_s)} replicas at their limits, or resting",
         retry_after_s=min(waits_s),
     )
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -45,6 +45,9 @@
 # do not come back together.
 RETRY_AFTER_S: Final = (0.7, 2.0)
 
+# Part by which an upstream's rest is longer than it asked for, at most.
+REST_SPREAD: Final = 0.1
+
 # Requests that wait at most.
 QUEUE_LENGTH: Final = 200
 
@@ -168,7 +171,10 @@
         if wish.is_leaving:
             self.fleet.note_leaving(upstream_id)
         if isinstance(wish.rest_s, float):
-            self.fleet.note_rest(upstream_id, wish.rest_s, now_s)
+            # Spread, so that hosts that were asked together come back one by
+            # one.
+            spread = 1.0 + self._rng.uniform(0.0, REST_SPREAD)
+            self.fleet.note_rest(upstream_id, wish.rest_s * spread, now_s)
         if not isinstance(wish.per_s, asked.Unreadable):
             self.fleet.note_limit(upstream_id, wish.per_s, now_s)
         return self._start_waiting(now_s)
@@ -399,6 +405,7 @@
                 now_s,
                 errors.ErrorKind.NO_ROUTE,
                 "no upstream is usable",
+                self.fleet.find_rest_s(service.name, now_s),
             )
         ]
 
@@ -493,7 +500,11 @@
         if opening is not None:
             return self._refuse_limited(ticket, opening, now_s)
         return self._refuse(
-            ticket, now_s, errors.ErrorKind.DEADLINE, "no room in time"
+            ticket,
+            now_s,
+            errors.ErrorKind.DEADLINE,
+            "no room in time",
+            self.fleet.find_rest_s(ticket.job.service, now_s),
         )
 
     def _refuse_held(
@@ -658,7 +669,8 @@
             final = retries.make_final(ticket, failure, "no repeats left")
         if final is None:
             return None
-        return self._make_refusal(ticket, final.kind, final.reason)
+        rest_s = self.fleet.find_rest_s(ticket.job.service, now_s)
+        return self._make_refusal(ticket, final.kind, final.reason, rest_s)
 
     def _make_refusal(
         self,
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 from typing import Final
 
@@ -245,29 +246,39 @@
             Whether the other hosts are to be told, and what follows.
         """
         self._now_s = now_s
-        per_s = wish.per_s
-        if isinstance(per_s, asked.Unreadable):
-            if self.throttle.note_unreadable(self.network.name_start(name)):
-                decisions.record(
-                    decisions.EntryLeftOut(
-                        "answers", name, per_s.field, per_s.problem
-                    )
-                )
+        for value in (wish.per_s, wish.rest_s):
+            if isinstance(value, asked.Unreadable):
+                self._note_unreadable(name, value)
+        if name not in self.network.upstreams:
             return False, []
+        if isinstance(wish.rest_s, float):
+            self.network.note_rest(name, wish.rest_s, now_s)
         start = self.network.name_start(name)
-        if name not in self.network.upstreams or not self.throttle.note(
+        per_s = wish.per_s
+        if isinstance(per_s, asked.Unreadable) or not self.throttle.note(
             start, per_s, now_s
         ):
             return False, []
         decisions.record(decisions.UpstreamLimited(start, per_s, True))
         return True, self._start_waiting(now_s)
 
+    def _note_unreadable(self, name: str, value: asked.Unreadable) -> None:
+        if self.throttle.note_unreadable(self.network.name_start(name)):
+            decisions.record(
+                decisions.EntryLeftOut(
+                    "answers", name, value.field, value.problem
+                )
+            )
+
     def take_turn(self, name: str, now_s: float) -> float:
         """Takes a turn at a plain service's replica for a call.
 
         Returns:
             Zero if there is one, else the seconds until then.
         """
+        rest_s = self.network.get_rest_s(name, now_s)
+        if rest_s:
+            return rest_s
         start = self.network.name_start(name)
         if self.throttle.is_open(start, now_s):
             self.throttle.take(start, now_s)
@@ -291,7 +302,9 @@
 
     def _is_open(self, name: str, now_s: float) -> bool:
         """Tells whether an upstream takes a request of this host now."""
-        return self.throttle.is_open(self.network.name_start(name), now_s)
+        return not self.network.get_rest_s(
+            name, now_s
+        ) and self.throttle.is_open(self.network.name_start(name), now_s)
 
     def _list_closed(self, now_s: float) -> frozenset[str]:
         """Returns the upstreams that take no request of this host now."""
@@ -304,7 +317,15 @@
     def _find_opening(
         self, graph: graphs.Graph, now_s: float
     ) -> throttle.Opening | None:
-        """Returns when a graph takes more, where limits alone hold it back."""
+        """Returns when a graph takes more, where limits alone hold it back.
+
+        Or where all that take requests rest.
+        """
+        rest_s = min(
+            (self.network.get_rest_s(n, now_s) for n in graph.last), default=0.0
+        )
+        if rest_s:
+            return throttle.Opening(rest_s, math.inf)
         starts = {self.network.name_start(n) for n in graph.last}
         if not starts <= self.throttle.limited:
             return None
@@ -496,11 +517,12 @@
             now_s,
             self._list_closed(now_s),
         )
-        avoid = frozenset(ticket.failed | ticket.suspected)
+        resting = self.network.list_resting(now_s)
+        avoid = resting | ticket.failed | ticket.suspected
         path = graphs.choose_path(graph, known, self._rng, avoid)
         if path is None and ticket.suspected:
             path = graphs.choose_path(
-                graph, known, self._rng, frozenset(ticket.failed)
+                graph, known, self._rng, resting | ticket.failed
             )
         if path is None:
             return None
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import zlib
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final
@@ -175,6 +176,7 @@
 
     def note_rest(self, upstream_id: str, rest_s: float, now_s: float) -> None:
         """Takes that an upstream wants nothing from this host for a while."""
+        self.health.note_rest(upstream_id, now_s + rest_s)
         self._note(upstream_id, "resting", f"asked for {rest_s:g} s")
 
     def note_leaving(self, upstream_id: str) -> None:
@@ -200,11 +202,24 @@
         """
         if not self.throttle.limited:
             return None
-        takers = {e.id for e in self._list_takers(service, now_s)}
+        takers = {e.id for e in self._list_usable_takers(service, now_s)}
         if not takers <= self.throttle.limited:
             return None
         return self.throttle.find_opening(takers, now_s)
 
+    def find_rest_s(self, service: str, now_s: float) -> float | None:
+        """Returns how long all of a service's upstreams still rest.
+
+        None if one of them does not.
+        """
+        ends_s = [
+            self.health.rests.get(e.id, -math.inf)
+            for e in self._list_takers(service)
+        ]
+        if not ends_s or min(ends_s) <= now_s:
+            return None
+        return min(ends_s) - now_s
+
     def note_wanted(self, service: str, now_s: float) -> None:
         """Counts a request for the parts of limits that hosts have.
 
@@ -213,7 +228,7 @@
         """
         if not self.throttle.limited:
             return
-        takers = self._list_takers(service, now_s)
+        takers = self._list_usable_takers(service, now_s)
         near = [
             e
             for e in takers
@@ -224,17 +239,26 @@
         ids = {e.id for e in takers}
         self.throttle.demand.note(ids & self.throttle.limited, now_s)
 
-    def _list_takers(
-        self, service: str, now_s: float
-    ) -> list[upstreams.Upstream]:
-        """Returns the usable upstreams that requests are sent to.
+    def _list_takers(self, service: str) -> list[upstreams.Upstream]:
+        """Returns the listed upstreams that requests are sent to.
 
         Of engines those that hold the first layer.
         """
         return [
             e
-            for e in self.list_usable(service, now_s)
-            if not e.accelerator or (e.layers and e.layers.first == 0)
+            for e in self.roster.entries.values()
+            if e.service == service
+            and not e.is_draining
+            and not self.health.is_down(e.id)
+            and (not e.accelerator or (e.layers and e.layers.first == 0))
+        ]
+
+    def _list_usable_takers(
+        self, service: str, now_s: float
+    ) -> list[upstreams.Upstream]:
+        """Returns those of them that may be given work."""
+        return [
+            e for e in self._list_takers(service) if self.is_usable(e, now_s)
         ]
 
     def _hear_suspects(self, news: PeerNews, now_s: float) -> None:
@@ -436,9 +460,12 @@
     def may_ask(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may be asked something; counts it.
 
-        A question is a request as any other to one that takes only so many.
+        A question is a request as any other to one that takes only so many, or
+        nothing for now.
         """
-        if not self.throttle.is_open(upstream_id, now_s):
+        if self.health.is_resting(
+            upstream_id, now_s
+        ) or not self.throttle.is_open(upstream_id, now_s):
             return False
         self.throttle.take(upstream_id, now_s)
         return True
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -103,11 +103,14 @@
         self.refusals: dict[str, Refusals] = {}
         # What other hosts suspect, and until when that counts.
         self.heard: dict[str, float] = {}
+        # Upstreams that want nothing from this host, and until when.
+        self.rests: dict[str, float] = {}
 
     def is_usable(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
         return (
             not self.is_paused(upstream_id, now_s)
+            and not self.is_resting(upstream_id, now_s)
             and not self.is_down(upstream_id)
             and not self.is_suspected(upstream_id, now_s)
         )
@@ -121,6 +124,18 @@
         refusals = self.refusals.get(upstream_id)
         return refusals is not None and now_s < refusals.until_s
 
+    def is_resting(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether an upstream asked this host for rest of late."""
+        return now_s < self.rests.get(upstream_id, -math.inf)
+
+    def note_rest(self, upstream_id: str, until_s: float) -> None:
+        """Takes that an upstream wants nothing from this host until then.
+
+        An answer to an earlier request does not end that.
+        """
+        known_s = self.rests.get(upstream_id, -math.inf)
+        self.rests[upstream_id] = max(known_s, until_s)
+
     def is_down(self, upstream_id: str) -> bool:
         """Tells whether an upstream is given no work until a probe succeeds."""
         failed = self.failed.get(upstream_id)
@@ -258,6 +273,7 @@
             self.faults,
             self.refusals,
             self.heard,
+            self.rests,
         )
         for table in tables:
             for upstream_id in [i for i in table if i not in listed]:
--- a/tests/routing/dispatch.feature
+++ b/tests/routing/dispatch.feature
@@ -58,3 +58,11 @@
     And the last stages name none any more
     And the routers get 30 requests a second for 3 s
     Then no router takes an engine for limited
+
+  Scenario: An engine turns requests away and asks for rest
+    # An engine that asked a router for rest goes on getting its requests.
+    Given 8 routers before three chains of engines
+    When the last stage of one turns all away and asks for 3 s of rest
+    And the routers get 30 requests a second for 8 s
+    Then no router sends it anything within its rest
+    And nobody is refused
--- a/tests/routing/routers.py
+++ b/tests/routing/routers.py
@@ -35,6 +35,12 @@
     # Times of the requests that reached each last stage.
     reached: dict[str, list[float]] = attrs.Factory(dict)
     refused: list[questions.Refuse] = attrs.Factory(list)
+    # Last stages that turn requests away, with the rest that they ask for; when
+    # they asked which router.
+    away: dict[str, float] = attrs.Factory(dict)
+    rests: list[tuple[float, str, dispatch.Dispatcher]] = attrs.Factory(list)
+    # Requests that reached one from a router within its rest.
+    unrested: int = 0
     due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
     count: int = 0
 
@@ -118,7 +124,21 @@
     ) -> None:
         last = grant.path.edges[-1].upstream
         self.reached.setdefault(last, []).append(self.now_s)
-        wish = asked.Asked(self.limits.get(last))
+        wish = asked.Asked(self.limits.get(last), self.away.get(last))
+        self.unrested += any(
+            name == last and who is router and 0.5 <= self.now_s - at_s < rest_s
+            for (at_s, name, who), rest_s in [
+                (r, self.away.get(r[1], 0.0)) for r in self.rests
+            ]
+        )
+        if last in self.away:
+            self.rests.append((self.now_s, last, router))
+            router.note_asked(last, wish, self.now_s)
+            failure = requests.Failure(
+                grant.id, "busy", (last,), True, "", False, 0
+            )
+            self._take(router, router.fail(failure, self.now_s))
+            return
 
         def begin() -> None:
             _, effects = router.note_asked(last, wish, self.now_s)
--- a/tests/steps/routers_steps.py
+++ b/tests/steps/routers_steps.py
@@ -68,3 +68,14 @@
 def step_lifted(context: Any) -> None:
     for router in context.routers.routers:
         assert not router.throttle.limited
+
+
+@when("the last stage of one turns all away and asks for {rest_s:g} s of rest")
+def step_away(context: Any, rest_s: float) -> None:
+    context.routers.away = {LAST[0]: rest_s}
+
+
+@then("no router sends it anything within its rest")
+def step_rested(context: Any) -> None:
+    assert context.routers.rests
+    assert not context.routers.unrested
