Send nothing new to an upstream that says in its answers that it leaves

Cause and class as with the rest: what an answer tells of its upstream was read by nobody, only the entry in the list counted. Shown by the model: a replica whose entry says ready got 20 requests from one host later than 2 s after it had told it.

Mend: an upstream's own word counts as its entry's, until it starts again: it is given nothing new, and its layers go to others. The product's own router marks its start as leaving, as where an engine refuses for it, and tells the others.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -299,7 +299,8 @@
             live = [
                 e
                 for e in view.roster.entries.values()
-                if not e.is_draining and not view.health.is_dead(e.id, now_s)
+                if not view.is_leaving(e)
+                and not view.health.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
             cfg = self._versions.newest
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -253,14 +253,15 @@
             return False, []
         if isinstance(wish.rest_s, float):
             self.network.note_rest(name, wish.rest_s, now_s)
+        is_new = wish.is_leaving and self.network.note_leaving(name, now_s)
         start = self.network.name_start(name)
         per_s = wish.per_s
-        if isinstance(per_s, asked.Unreadable) or not self.throttle.note(
+        if not isinstance(per_s, asked.Unreadable) and self.throttle.note(
             start, per_s, now_s
         ):
-            return False, []
-        decisions.record(decisions.UpstreamLimited(start, per_s, True))
-        return True, self._start_waiting(now_s)
+            is_new = True
+            decisions.record(decisions.UpstreamLimited(start, per_s, True))
+        return is_new, self._start_waiting(now_s) if is_new else []
 
     def _note_unreadable(self, name: str, value: asked.Unreadable) -> None:
         if self.throttle.note_unreadable(self.network.name_start(name)):
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -125,10 +125,14 @@
 
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
-        if entry.is_draining or entry.id in self.roster.unreadable:
+        if self.is_leaving(entry) or entry.id in self.roster.unreadable:
             return False
         return self.health.is_usable(entry.id, now_s)
 
+    def is_leaving(self, entry: upstreams.Upstream) -> bool:
+        """Tells whether an upstream leaves, by its entry or its answers."""
+        return entry.is_draining or entry.id in self._leaving
+
     def list_usable(
         self, service: str, now_s: float
     ) -> list[upstreams.Upstream]:
@@ -248,7 +252,7 @@
             e
             for e in self.roster.entries.values()
             if e.service == service
-            and not e.is_draining
+            and not self.is_leaving(e)
             and not self.health.is_down(e.id)
             and (not e.accelerator or (e.layers and e.layers.first == 0))
         ]
@@ -607,7 +611,7 @@
             if self.health.is_down(e.id)
             or self.health.is_suspected(e.id, now_s)
         ]
-        leaving = [e.id for e in entries if e.is_draining]
+        leaving = [e.id for e in entries if self.is_leaving(e)]
         limited = [e.id for e in entries if e.id in self.throttle.limited]
         return decisions.PathMissing(
             request=job.id,
--- a/egretspur/routing/network.py
+++ b/egretspur/routing/network.py
@@ -85,6 +85,16 @@
                 known = self.leaving.setdefault(name, {})
                 known.setdefault(incarnation, now_s)
 
+    def note_leaving(self, name: str, now_s: float) -> bool:
+        """Takes an upstream's own word that it leaves; tells whether new."""
+        incarnation = self.upstreams[name].incarnation
+        marks = self.leaving.setdefault(name, {})
+        if incarnation in marks:
+            return False
+        marks[incarnation] = now_s
+        self.rebuild()
+        return True
+
     def forget_marks(self, now_s: float) -> None:
         """Drops marks that are so old that the incarnation is gone."""
         for name, marks in list(self.leaving.items()):
@@ -190,11 +200,8 @@
         """Learns from a failed attempt which upstreams to avoid."""
         changed = False
         if failure.leaving and failure.leaving in self.upstreams:
-            incarnation = self.upstreams[failure.leaving].incarnation
-            marks = self.leaving.setdefault(failure.leaving, {})
-            marks.setdefault(incarnation, now_s)
             ticket.failed.add(failure.leaving)
-            self.rebuild()
+            self.note_leaving(failure.leaving, now_s)
             return
         edges = path.edges if path else ()
         for edge in edges:
--- a/tests/routing/dispatch.feature
+++ b/tests/routing/dispatch.feature
@@ -66,3 +66,11 @@
     And the routers get 30 requests a second for 8 s
     Then no router sends it anything within its rest
     And nobody is refused
+
+  Scenario: An engine tells in its answers that it leaves
+    # An engine whose entry still says live is sent requests until it is gone.
+    Given 8 routers before three chains of engines
+    When the last stage of one tells in its answers that it leaves
+    And the routers get 30 requests a second for 4 s
+    Then none of its routers sends it anything in the last 2 s
+    And nobody is refused
--- a/tests/routing/routers.py
+++ b/tests/routing/routers.py
@@ -39,6 +39,8 @@
     # they asked which router.
     away: dict[str, float] = attrs.Factory(dict)
     rests: list[tuple[float, str, dispatch.Dispatcher]] = attrs.Factory(list)
+    # Those that tell that they leave.
+    leaving: set[str] = attrs.Factory(set)
     # Requests that reached one from a router within its rest.
     unrested: int = 0
     due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
@@ -85,8 +87,13 @@
             ),
         )
         count = len(self.routers)
+        leaving = {
+            name: tuple(marks)
+            for router in self.routers
+            for name, marks in router.network.leaving.items()
+        }
         return tables.RoutingUpdate(
-            1, table, 1, {}, {}, (), count, {}, limits, count
+            1, table, 1, leaving, {}, (), count, {}, limits, count
         )
 
     def play(self, seconds: float, rate: float) -> None:
@@ -124,7 +131,9 @@
     ) -> None:
         last = grant.path.edges[-1].upstream
         self.reached.setdefault(last, []).append(self.now_s)
-        wish = asked.Asked(self.limits.get(last), self.away.get(last))
+        wish = asked.Asked(
+            self.limits.get(last), self.away.get(last), last in self.leaving
+        )
         self.unrested += any(
             name == last and who is router and 0.5 <= self.now_s - at_s < rest_s
             for (at_s, name, who), rest_s in [
--- a/tests/steps/routers_steps.py
+++ b/tests/steps/routers_steps.py
@@ -79,3 +79,14 @@
 def step_rested(context: Any) -> None:
     assert context.routers.rests
     assert not context.routers.unrested
+
+
+@when("the last stage of one tells in its answers that it leaves")
+def step_leaving(context: Any) -> None:
+    context.routers.leaving = {LAST[0]}
+
+
+@then("none of its routers sends it anything in the last {seconds:g} s")
+def step_left(context: Any, seconds: float) -> None:
+    play = context.routers
+    assert not play.find_worst(LAST[0], play.now_s - seconds, seconds)
