Soak: upstreams that name limits, ask for rest, leave by their word alone

Upstreams of the stand-ins ask for less in their answers and print what reaches them meanwhile; an oracle of its own reads that by the users' rules, hosts in trouble of their own left out. Guarded by seven cases of what it must and must not find.

--- a/tests/daemons/soak.feature
+++ b/tests/daemons/soak.feature
@@ -50,3 +50,24 @@
     When a site of 2 hosts is soaked for 12 s with seed 3, and copies of the store
     Then nothing is found wrong, and answers of each kind came
     And the store came back from copies
+
+  Scenario: Two hosts under faults, and upstreams that ask for less
+    # Any of: more than an upstream's limit, requests within a rest, requests to
+    # an upstream that has long told that it leaves.
+    When a site of 2 hosts is soaked for 14 s with seed 5, and upstreams that ask for less
+    Then nothing is found wrong, and answers of each kind came
+    And upstreams asked for less
+
+  Scenario Outline: What the soak finds of requests to one that asks for less
+    When one that asks for "<wish>" gets requests of two hosts at <times> s
+    Then the soak finds "<finding>"
+
+    Examples: a host's number stands behind the time
+      | wish                | times                                  | finding           |
+      | Server-Limit 0.2    | 0a 1a 2a 3a 4a 5a                      |                   |
+      | Server-Limit 0.2    | 0a 0b 2a 2.1a 2.2b 2.3b 3a 3.1a 3.2b   | got 7 in 4 s      |
+      | Server-Limit 0.2    | 0a 0.1a 0.2a 0.3a 0.4a 0.4a 0.4a 0.4a  |                   |
+      | Retry-After 3       | 0a 0.4a 0.6a 0.7b 2a                   |                   |
+      | Retry-After 3       | 0a 0.6a 0.7a 2a                        | got 3 from a      |
+      | Server-Leaving 1    | 0a 1.9a 2.1b                           |                   |
+      | Server-Leaving 1    | 0a 2.1a                                | got one from a    |
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -5,17 +5,19 @@
 stream, ``cut_after`` (events after which a stream breaks off),
 ``resumed_status`` of a stream that is to go on, ``status`` of a plain answer,
 ``refuse`` (answers that it has not run), ``lose`` (a plain answer is lost after
-its request ran), ``delay_s``, ``crash_on`` (a text; the process ends as it
-begins to run a request whose body holds it).
+its request ran), ``delay_s``, ``limit``, ``rest_s`` and ``leaving`` (what it
+asks for in its answers; with a rest it turns requests away), ``crash_on`` (a
+text; the process ends as it begins to run a request whose body holds it).
 """
 
 from __future__ import annotations
 
+import json
 import os
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from egretspur import web
@@ -37,6 +39,9 @@
             "refuse": False,
             "lose": False,
             "delay_s": 0.0,
+            "limit": "",
+            "rest_s": "",
+            "leaving": False,
             "crash_on": "",
         }
         self.held: dict[str, int] | None = None
@@ -126,6 +131,13 @@
             "Attempt-Id": fields.get("Attempt-Id", ""),
             "Replica-Signature": f"sig-{replica.name}",
         }
+        wish = read_wish(replica)
+        if wish:
+            # For whoever checks afterwards what came in spite of it.
+            head.update(wish)
+            tell(fields.get("Attempt-Id", ""), wish)
+        if replica.faults["rest_s"]:
+            return web.Response(503, {"Not-Executed": "1", **wish}, b"")
         if replica.faults["refuse"]:
             return web.Response(503, {"Not-Executed": "1"}, b"")
         if fields.get("Target-Replica") != replica.name:
@@ -164,6 +176,23 @@
     return app
 
 
+def read_wish(replica: Replica) -> dict[str, str]:
+    """Returns the fields that ask something of the hosts."""
+    faults = replica.faults
+    fields = {
+        "Server-Limit": faults["limit"],
+        "Retry-After": faults["rest_s"],
+        "Server-Leaving": "1" if faults["leaving"] else "",
+    }
+    return {name: str(value) for name, value in fields.items() if value}
+
+
+def tell(request_id: str, wish: Mapping[str, str]) -> None:
+    """Prints what came while something is asked, and when."""
+    fields = {"id": request_id, "at_s": time.monotonic(), "wish": wish}
+    print(f"asked {json.dumps(fields)}", file=sys.stderr, flush=True)
+
+
 def main() -> int:
     """Entry point."""
     parser = base.make_parser(__doc__ or "")
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,6 +14,9 @@
 each engine which begins to run it; it may reach three more at most, later than
 3 s after it has ended the third.
 
+With ``--asking`` upstreams name limits, ask for rest and tell that they leave;
+`tests.asking` says what may still reach them.
+
 With ``--copies`` the store comes back from older copies of itself too.
 
 Prints a JSON line for each finding and one with counts; exit code 1 if anything
@@ -38,7 +41,7 @@
 import attrs
 import urllib3
 
-from tests import sites, stage
+from tests import asking, sites, stage
 
 EVENTS: Final = 5
 
@@ -101,6 +104,14 @@
     fatal: dict[str, float] = attrs.Factory(dict)
     # The store comes back from copies too.
     has_copies: bool = False
+    # Upstreams ask for less, too.
+    has_asking: bool = False
+    # Which host each request was sent to, by its id, and when each host was in
+    # trouble of its own.
+    sent: dict[str, str] = attrs.Factory(dict)
+    troubled: collections.defaultdict[str, list[float]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
 
     def call(self, number: int) -> None:
         """Asks one host again and again; the thread of a caller."""
@@ -115,6 +126,7 @@
 
     def ask(self, request_id: str, path: str, ip: str) -> Answer:
         """Sends one request."""
+        self.sent[request_id] = ip
         try:
             res = self.site.ask(path, "key-1", ip, **{"Attempt-Id": request_id})
             body = res.read()
@@ -162,7 +174,11 @@
 
     def fail(self) -> None:
         """Begins one fault; it ends by itself, in a thread of its own."""
-        faults = {**FAULTS, **COPIES} if self.has_copies else FAULTS
+        faults = {
+            **FAULTS,
+            **(COPIES if self.has_copies else {}),
+            **(ASKING if self.has_asking else {}),
+        }
         name = self.rng.choice(sorted(faults))
         lasts_s = self.rng.uniform(*LASTS_S)
         victims = self._list_victims(name)
@@ -177,12 +193,14 @@
 
         def run() -> None:
             try:
+                self.troubled[victim].append(time.monotonic())
                 faults[name](self, victim, lasts_s)
             except RuntimeError:
                 # A request has ended it meanwhile: it does not answer.
                 if self.site.stage.processes[victim].popen.poll() is None:
                     raise
             finally:
+                self.troubled[victim].append(time.monotonic())
                 self.busy.discard(victim)
 
         threading.Thread(target=run, daemon=True).start()
@@ -262,10 +280,19 @@
         self.starts += 1
         self.site.start_upstream(f"{name[0]}n{self.starts}")
 
+    def bid_farewell(self, name: str, lasts_s: float) -> None:
+        """Has an upstream leave that tells so only in its answers."""
+        self.site.set_fault(name, {"leaving": True})
+        time.sleep(2 * sites.DRAIN_S)
+        self.replace(name, lasts_s, False)
+
     def find(self) -> list[str]:
         """Returns what is wrong with the answers."""
         runs = self.count_runs()
         found = [f for a in self.answers if (f := check(a, runs[a.id]))]
+        for name, process in self.site.stage.processes.items():
+            came = asking.read(list(process.lines), self.sent)
+            found += asking.find(name, came, self.troubled)
         late = count_late(self.fatal, runs)
         if late > LATE_MOST:
             found.append(f"what ended three engines reached {late} more")
@@ -328,6 +355,8 @@
     "cut_after": -1,
     "status": 200,
     "delay_s": 0.0,
+    "limit": "",
+    "rest_s": "",
 }
 
 Fault = Callable[[Soak, str, float], None]
@@ -351,6 +380,17 @@
     "store_pause": lambda s, n, t: s.pause(n, t),
 }
 
+# Beside the others where asked for. What asks for less does so for longer, and
+# one that leaves stays until the end of its process.
+ASKING: Final[dict[str, Fault]] = {
+    "engine_limit": lambda s, n, t: s.set_fault(n, 5 * t, limit="1.5"),
+    "engine_rest": lambda s, n, t: s.set_fault(n, 3 * t, rest_s="1.5"),
+    "plain_limit": lambda s, n, t: s.set_fault(n, 5 * t, limit="2"),
+    "plain_limit_low": lambda s, n, t: s.set_fault(n, 5 * t, limit="0.2"),
+    "plain_rest": lambda s, n, t: s.set_fault(n, 3 * t, rest_s="1.5"),
+    "plain_farewell": lambda s, n, t: s.bid_farewell(n, t),
+}
+
 # Beside the others where asked for, thrice as likely as one of them.
 COPIES: Final[dict[str, Fault]] = {
     f"store_copy{i}": lambda s, n, t: s.copy(n, t) for i in range(3)
@@ -363,11 +403,18 @@
     hosts: int,
     has_fatal: bool = False,
     has_copies: bool = False,
+    has_asking: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Soaks a site; returns what was seen and what is wrong with it."""
     site = sites.start_site(hosts)
     rng = random.Random(seed)
-    soak = Soak(site, site.hosts[:hosts], rng, has_copies=has_copies)
+    soak = Soak(
+        site,
+        site.hosts[:hosts],
+        rng,
+        has_copies=has_copies,
+        has_asking=has_asking,
+    )
     if has_fatal:
         soak.begin_fatal(seed)
     callers = [
@@ -409,9 +456,17 @@
     parser.add_argument(
         "--copies", action="store_true", help="have the store come from copies"
     )
+    parser.add_argument(
+        "--asking", action="store_true", help="have upstreams ask for less"
+    )
     args = parser.parse_args(argv)
     soak, found = run(
-        args.seed, args.seconds, args.hosts, args.fatal, args.copies
+        args.seed,
+        args.seconds,
+        args.hosts,
+        args.fatal,
+        args.copies,
+        args.asking,
     )
     for finding in found:
         print(json.dumps({"finding": finding}))
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 
-from tests import soak
+from tests import asking, soak
 
 
 def make_answer(path: str, status: int, ids: str, echoed: str) -> soak.Answer:
@@ -99,3 +99,37 @@
 @then("the soak counts {late:d} beyond the bound")
 def step_late(context: Any, late: int) -> None:
     assert context.late == late, context.late
+
+
+@when(
+    "a site of {hosts:d} hosts is soaked for {seconds:d} s with seed {seed:d},"
+    " and upstreams that ask for less"
+)
+def step_soaked_asking(
+    context: Any, hosts: int, seconds: int, seed: int
+) -> None:
+    context.soak, context.found = soak.run(
+        seed, seconds, hosts, has_asking=True
+    )
+
+
+@then("upstreams asked for less")
+def step_asked(context: Any) -> None:
+    assert set(context.soak.faults) & set(soak.ASKING)
+
+
+@when('one that asks for "{wish}" gets requests of two hosts at {times} s')
+def step_came(context: Any, wish: str, times: str) -> None:
+    name, _, value = wish.partition(" ")
+    came = [
+        asking.Came(t[-1], float(t[:-1]), {name: value}) for t in times.split()
+    ]
+    calm: dict[str, list[float]] = {"a": [], "b": []}
+    context.found = asking.find("one", came, calm)
+
+
+@then('the soak finds "{finding}"')
+@then('the soak finds ""')
+def step_finds(context: Any, finding: str = "") -> None:
+    assert bool(context.found) == bool(finding), context.found
+    assert finding in "".join(context.found), context.found
