Give what upstreams ask for, and refusals, modules of their own

The broker and the fleet had grown by them, and the dispatcher. routing.wishes (a host) and routing.gates (a router) hold limits, rests and marks of leaving, routing.refusals what a request that is given up is told. Nothing is decided otherwise, but for two things found on the way: a call that went to the second replica no longer moves the time at which others are told to come back (each replica at its limit that was passed over did), and an engine that rests stands in path_missing among those that are paused.

--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -27,6 +27,7 @@
     memory,
     paths,
     questions,
+    refusals,
     search,
 )
 
@@ -65,7 +66,7 @@
     is_random: bool = False
     # Seconds after which callers that were refused are told to come back, each
     # once; drawn between the two.
-    back_s: tuple[float, float] = broker.RETRY_AFTER_S
+    back_s: tuple[float, float] = refusals.RETRY_AFTER_S
     # What the hosts decide by.
     using: mechanisms.Mechanisms = mechanisms.ALL
 
--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -96,14 +96,13 @@
 
     def _run_repeatable(self, call: Call) -> Result:
         last: transport.Failed | None = None
-        waits_s: list[float] = []
+        closed: list[str] = []
         replicas = self._traffic.get_services(call.service)
         # A single replica is tried again: its first connection may have been
         # forgotten by something in between, and the pool is emptied by now.
         for upstream in (replicas * TRIES)[:TRIES]:
-            wait_s = self._traffic.take_turn(upstream.name)
-            if wait_s:
-                waits_s.append(wait_s)
+            if not self._traffic.take_turn(upstream.name):
+                closed.append(upstream.name)
                 continue
             res = self._client.call(upstream.address, call.call)
             self._note_call(upstream, call, res)
@@ -113,8 +112,8 @@
             if not res.is_silent or last is not None:
                 self._note(upstream, res)
             last = res
-        if last is None and waits_s:
-            return _refuse_limited(waits_s)
+        if last is None and closed:
+            return self._refuse_limited(call.service, closed)
         if last is None:
             return _refuse_no_replica(call)
         return errors.Refusal(
@@ -160,11 +159,10 @@
         replicas: list[tables.Upstream],
         claim: table.Claim | None,
     ) -> Result:
-        waits_s: list[float] = []
+        closed: list[str] = []
         for upstream in replicas:
-            wait_s = self._traffic.take_turn(upstream.name)
-            if wait_s:
-                waits_s.append(wait_s)
+            if not self._traffic.take_turn(upstream.name):
+                closed.append(upstream.name)
                 continue
             res = self._client.call(upstream.address, call.call)
             self._note(upstream, res)
@@ -175,8 +173,8 @@
                 return self._answer_lost(call, opts, upstream, res)
         if claim is not None:
             self._claims.drop(claim)
-        if waits_s:
-            return _refuse_limited(waits_s)
+        if closed:
+            return self._refuse_limited(call.service, closed)
         return errors.Refusal(
             errors.ErrorKind.NO_ROUTE,
             "no replica accepts connections",
@@ -232,7 +230,7 @@
         if not opts.outcome_path:
             return None
         for upstream in replicas:
-            if self._traffic.take_turn(upstream.name):
+            if not self._traffic.take_turn(upstream.name):
                 continue
             res = self._client.get_outcome(
                 upstream.address, opts.outcome_path, call.request_id
@@ -242,6 +240,14 @@
             return Answered(res, upstream.name)
         return None
 
+    def _refuse_limited(self, service: str, closed: list[str]) -> Result:
+        """Refuses a call that no replica takes now, by what they ask for."""
+        return errors.Refusal(
+            errors.ErrorKind.UPSTREAM_LIMITED,
+            f"{len(closed)} replicas at their limits, or resting",
+            self._traffic.promise_turn(service, tuple(closed)),
+        )
+
     def _note_call(
         self,
         upstream: tables.Upstream,
@@ -285,12 +291,3 @@
         f"service {call.service!r} has no live replica",
         retry_after_s=1.0,
     )
-
-
-def _refuse_limited(waits_s: list[float]) -> errors.Refusal:
-    """Refuses a call that no replica takes now, by what they ask for."""
-    return errors.Refusal(
-        errors.ErrorKind.UPSTREAM_LIMITED,
-        f"{len(waits_s)} replicas at their limits, or resting",
-        retry_after_s=min(waits_s),
-    )
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -299,7 +299,7 @@
             live = [
                 e
                 for e in view.roster.entries.values()
-                if not view.is_leaving(e)
+                if not view.wishes.is_leaving(e)
                 and not view.health.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -64,7 +64,8 @@
     # Layers that no engine holds which may be given work.
     layers: str
     # Engines that hold layers and have no room for the request; that refused
-    # of late; that do not answer; that leave. At most `NAMED` of each.
+    # of late, or asked for rest; that do not answer; that leave. At most
+    # `NAMED` of each.
     full: tuple[str, ...]
     paused: tuple[str, ...]
     down: tuple[str, ...]
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -100,6 +100,14 @@
     upstream: str
 
 
+@attrs.frozen
+class PromiseTurn:
+    """Asks when a call may come back that none of some replicas takes."""
+
+    service: str
+    upstreams: tuple[str, ...]
+
+
 @attrs.frozen
 class GetReport:
     """Asks for a `Report`."""
@@ -232,8 +240,15 @@
             self._marked()
 
     @handle.register
-    def _(self, message: TakeTurn) -> float:
-        return self._dispatcher.take_turn(message.upstream, time.monotonic())
+    def _(self, message: TakeTurn) -> bool:
+        gates = self._dispatcher.gates
+        return gates.take_turn(message.upstream, time.monotonic())
+
+    @handle.register
+    def _(self, message: PromiseTurn) -> float:
+        return self._dispatcher.gates.promise_turn(
+            message.service, message.upstreams, time.monotonic()
+        )
 
     @handle.register
     def _(self, message: GetReport) -> Report:
@@ -247,7 +262,7 @@
             marks,
             self._dispatcher.get_demand(),
             self._dispatcher.list_ended(time.monotonic()),
-            self._dispatcher.throttle.list_told(time.monotonic()),
+            self._dispatcher.gates.throttle.list_told(time.monotonic()),
         )
 
     @handle.register
@@ -291,7 +306,7 @@
             marked: Called when an upstream said something that the other
                 hosts are to be told at once.
         """
-        self._throttle = dispatcher.throttle
+        self._throttle = dispatcher.gates.throttle
         self._ref = TrafficActor.start(dispatcher, marked)
 
     def close(self) -> None:
@@ -335,12 +350,15 @@
         if wish != asked.NOTHING or self._throttle.limited:
             self._ref.tell(NoteAsked(upstream, wish))
 
-    def take_turn(self, upstream: str) -> float:
-        """Returns the seconds until a replica takes a call; 0 if it does."""
-        if not self._throttle.limited:
-            return 0.0
-        wait_s: float = actors.ask(self._ref, TakeTurn(upstream))
-        return wait_s
+    def take_turn(self, upstream: str) -> bool:
+        """Takes a turn at a replica, if it takes a call now."""
+        is_taken: bool = actors.ask(self._ref, TakeTurn(upstream))
+        return is_taken
+
+    def promise_turn(self, service: str, upstreams: tuple[str, ...]) -> float:
+        """Returns the seconds until a call that none took may come back."""
+        after_s: float = actors.ask(self._ref, PromiseTurn(service, upstreams))
+        return after_s
 
     def get_services(self, name: str) -> list[tables.Upstream]:
         """Returns a plain service's replicas, least busy first."""
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -22,8 +22,8 @@
     memory,
     paths,
     questions,
+    refusals,
     retries,
-    returns,
     search,
     tickets,
 )
@@ -41,10 +41,6 @@
 # at the earliest: it is as full as it was.
 TURNED_AWAY_S: Final = 0.1
 
-# Bounds of Retry-After, in seconds: spread, so that callers refused together
-# do not come back together.
-RETRY_AFTER_S: Final = (0.7, 2.0)
-
 # Part by which an upstream's rest is longer than it asked for, at most.
 REST_SPREAD: Final = 0.1
 
@@ -72,7 +68,9 @@
         self.queue = queues.Queue(QUEUE_LENGTH)
         self.quarantine = quarantines.Quarantine()
         self._crashes = crashes.Crashes(self.quarantine, self.fleet)
-        self._returns = returns.Returns()
+        self._refusals = refusals.Refusals(
+            rng, self.quarantine, self.fleet.wishes
+        )
         self.counts = jobs.Counts()
         self.tickets: dict[str, tickets.Ticket] = {}
         self.repeats = repeats.Repeats(data_centre, budget, rng)
@@ -97,7 +95,7 @@
         """Starts, queues or refuses a request."""
         self.counts.arrived += 1
         self.repeats.earn(job.service, now_s)
-        self.fleet.note_wanted(job.service, now_s)
+        self.fleet.wishes.note_wanted(job.service, now_s)
         ticket = tickets.Ticket(job)
         self.tickets[job.id] = ticket
         return self._admit(ticket, now_s)
@@ -169,14 +167,14 @@
         if upstream_id not in self.fleet.roster.entries:
             return []
         if wish.is_leaving:
-            self.fleet.note_leaving(upstream_id)
+            self.fleet.wishes.note_leaving(upstream_id)
         if isinstance(wish.rest_s, float):
             # Spread, so that hosts that were asked together come back one by
             # one.
-            spread = 1.0 + self._rng.uniform(0.0, REST_SPREAD)
-            self.fleet.note_rest(upstream_id, wish.rest_s * spread, now_s)
+            rest_s = wish.rest_s * (1.0 + self._rng.uniform(0.0, REST_SPREAD))
+            self.fleet.wishes.note_rest(upstream_id, rest_s, now_s)
         if not isinstance(wish.per_s, asked.Unreadable):
-            self.fleet.note_limit(upstream_id, wish.per_s, now_s)
+            self.fleet.wishes.note_limit(upstream_id, wish.per_s, now_s)
         return self._start_waiting(now_s)
 
     def _note_unreadable(
@@ -389,7 +387,7 @@
                     ticket, now_s, errors.ErrorKind.NO_ROUTE, "no such service"
                 )
             ]
-        opening = self.fleet.find_opening(service.name, now_s)
+        opening = self.fleet.wishes.find_opening(service.name, now_s)
         # Plain services take all at once, but for their limits.
         is_queued = service.engine is not None or opening is not None
         if not (is_queued and self._has_waiting(service.name, now_s)):
@@ -405,7 +403,6 @@
                 now_s,
                 errors.ErrorKind.NO_ROUTE,
                 "no upstream is usable",
-                self.fleet.find_rest_s(service.name, now_s),
             )
         ]
 
@@ -481,30 +478,19 @@
         self, ticket: tickets.Ticket, opening: throttle.Opening, now_s: float
     ) -> questions.Refuse:
         """Refuses a request whose turn comes too late, until that turn."""
-        job = ticket.job
-        waiting = self._count_waiting(job)
-        after_s = self._returns.promise(job.service, opening, waiting, now_s)
-        return self._refuse(
-            ticket,
-            now_s,
-            errors.ErrorKind.UPSTREAM_LIMITED,
-            f"{waiting} wait for {opening.per_s:.2f} a second",
-            after_s,
-        )
+        waiting = self._count_waiting(ticket.job)
+        refusal = self._refusals.make_limited(ticket, opening, waiting, now_s)
+        return self._end(ticket, now_s, refusal)
 
     def _refuse_late(
         self, ticket: tickets.Ticket, now_s: float
     ) -> questions.Refuse:
         """Refuses a request that has waited in vain."""
-        opening = self.fleet.find_opening(ticket.job.service, now_s)
+        opening = self.fleet.wishes.find_opening(ticket.job.service, now_s)
         if opening is not None:
             return self._refuse_limited(ticket, opening, now_s)
         return self._refuse(
-            ticket,
-            now_s,
-            errors.ErrorKind.DEADLINE,
-            "no room in time",
-            self.fleet.find_rest_s(ticket.job.service, now_s),
+            ticket, now_s, errors.ErrorKind.DEADLINE, "no room in time"
         )
 
     def _refuse_held(
@@ -669,28 +655,7 @@
             final = retries.make_final(ticket, failure, "no repeats left")
         if final is None:
             return None
-        rest_s = self.fleet.find_rest_s(ticket.job.service, now_s)
-        return self._make_refusal(ticket, final.kind, final.reason, rest_s)
-
-    def _make_refusal(
-        self,
-        ticket: tickets.Ticket,
-        kind: errors.ErrorKind,
-        reason: str,
-        known_after_s: float | None = None,
-    ) -> errors.Refusal:
-        if ticket.runs and errors.ANSWERS[kind].not_run:
-            # An earlier send may have run, whatever happened since.
-            kind = errors.ErrorKind.UPSTREAM_FAILED
-        after_s = 0.0
-        if kind is errors.ErrorKind.QUARANTINED:
-            fingerprint = ticket.job.fingerprint
-            after_s = self.quarantine.get_retry_after_s(fingerprint)
-        elif known_after_s is not None:
-            after_s = known_after_s
-        elif errors.ANSWERS[kind].not_run:
-            after_s = self._rng.uniform(*RETRY_AFTER_S)
-        return errors.Refusal(kind, reason, after_s)
+        return self._refusals.make(ticket, final.kind, final.reason, now_s)
 
     def _refuse(
         self,
@@ -698,9 +663,8 @@
         now_s: float,
         kind: errors.ErrorKind,
         reason: str,
-        after_s: float | None = None,
     ) -> questions.Refuse:
-        refusal = self._make_refusal(ticket, kind, reason, after_s)
+        refusal = self._refusals.make(ticket, kind, reason, now_s)
         return self._end(ticket, now_s, refusal)
 
     def _end(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -287,7 +287,9 @@
 
     @handle.register
     def _(self, message: AskTurn) -> bool:
-        return self._broker.fleet.may_ask(message.upstream_id, time.monotonic())
+        return self._broker.fleet.wishes.may_ask(
+            message.upstream_id, time.monotonic()
+        )
 
     @handle.register
     def _(self, message: NoteFailed) -> None:
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import math
 import random
 from typing import Final
 
@@ -18,18 +17,17 @@
 from egretspur.admission import budget as budgets
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
-from egretspur.admission import throttle
 from egretspur.intents import records
-from egretspur.routing import graph as graphs
 from egretspur.routing import (
+    gates,
     loads,
     network,
     questions,
     requests,
-    returns,
     shares,
     tables,
 )
+from egretspur.routing import graph as graphs
 
 # Times a request is sent back to the queue because its upstream was busy.
 BUSY_TRIES: Final = 20
@@ -62,9 +60,7 @@
         self.quarantine = quarantines.Quarantine(SETTLE_S)
         self.budget = budgets.Budget(retries.ratio, retries.burst)
         self.network = network.Network(data_centre, rng)
-        # By starts of upstreams; see `network.Network.name_start`.
-        self.throttle = throttle.Throttle(data_centre, rng)
-        self._returns = returns.Returns()
+        self.gates = gates.Gates(data_centre, self.network, rng)
         self.tickets: dict[str, requests.Ticket] = {}
         self.running: dict[str, int] = {}
         self.counts = requests.Counts()
@@ -190,7 +186,7 @@
         self.network.rebuild()
         self.quarantine.hear(message.ended, now_s)
         self._settle(now_s)
-        self._hear_limits(message, now_s)
+        self.gates.hear(message, now_s)
         return [*self._refuse_waiting(now_s), *self._start_waiting(now_s)]
 
     def tick(self, now_s: float) -> list[requests.Effect]:
@@ -231,7 +227,7 @@
         self._rng.shuffle(found)
         found.sort(
             key=lambda u: (
-                not self._is_open(u.name, now_s),
+                not self.gates.is_open(u.name, now_s),
                 self.network.loads[u.name].own,
             )
         )
@@ -246,92 +242,9 @@
             Whether the other hosts are to be told, and what follows.
         """
         self._now_s = now_s
-        for value in (wish.per_s, wish.rest_s):
-            if isinstance(value, asked.Unreadable):
-                self._note_unreadable(name, value)
-        if name not in self.network.upstreams:
-            return False, []
-        if isinstance(wish.rest_s, float):
-            self.network.note_rest(name, wish.rest_s, now_s)
-        is_new = wish.is_leaving and self.network.note_leaving(name, now_s)
-        start = self.network.name_start(name)
-        per_s = wish.per_s
-        if not isinstance(per_s, asked.Unreadable) and self.throttle.note(
-            start, per_s, now_s
-        ):
-            is_new = True
-            decisions.record(decisions.UpstreamLimited(start, per_s, True))
+        is_new = self.gates.note_asked(name, wish, now_s)
         return is_new, self._start_waiting(now_s) if is_new else []
 
-    def _note_unreadable(self, name: str, value: asked.Unreadable) -> None:
-        if self.throttle.note_unreadable(self.network.name_start(name)):
-            decisions.record(
-                decisions.EntryLeftOut(
-                    "answers", name, value.field, value.problem
-                )
-            )
-
-    def take_turn(self, name: str, now_s: float) -> float:
-        """Takes a turn at a plain service's replica for a call.
-
-        Returns:
-            Zero if there is one, else the seconds until then.
-        """
-        rest_s = self.network.get_rest_s(name, now_s)
-        if rest_s:
-            return rest_s
-        start = self.network.name_start(name)
-        if self.throttle.is_open(start, now_s):
-            self.throttle.take(start, now_s)
-            return 0.0
-        opening = self.throttle.find_opening((start,), now_s)
-        assert opening is not None
-        return self._returns.promise(name, opening, 0, now_s)
-
-    def _hear_limits(self, message: tables.RoutingUpdate, now_s: float) -> None:
-        """Takes limits that other hosts were told by upstreams."""
-        self.throttle.demand.hosts = max(1, message.listed, message.sharing)
-        listed = {self.network.name_start(n) for n in self.network.upstreams}
-        for start, told in message.limits.items():
-            if start in listed and self.throttle.hear(
-                "", "", start, told, now_s
-            ):
-                decisions.record(
-                    decisions.UpstreamLimited(start, told.per_s, False)
-                )
-        self.throttle.forget(listed)
-
-    def _is_open(self, name: str, now_s: float) -> bool:
-        """Tells whether an upstream takes a request of this host now."""
-        return not self.network.get_rest_s(
-            name, now_s
-        ) and self.throttle.is_open(self.network.name_start(name), now_s)
-
-    def _list_closed(self, now_s: float) -> frozenset[str]:
-        """Returns the upstreams that take no request of this host now."""
-        if not self.throttle.limited:
-            return frozenset()
-        return frozenset(
-            n for n in self.network.upstreams if not self._is_open(n, now_s)
-        )
-
-    def _find_opening(
-        self, graph: graphs.Graph, now_s: float
-    ) -> throttle.Opening | None:
-        """Returns when a graph takes more, where limits alone hold it back.
-
-        Or where all that take requests rest.
-        """
-        rest_s = min(
-            (self.network.get_rest_s(n, now_s) for n in graph.last), default=0.0
-        )
-        if rest_s:
-            return throttle.Opening(rest_s, math.inf)
-        starts = {self.network.name_start(n) for n in graph.last}
-        if not starts <= self.throttle.limited:
-            return None
-        return self.throttle.find_opening(starts, now_s)
-
     def note_service(self, name: str, is_ok: bool, now_s: float) -> None:
         """Learns from a plain service's answer or its absence."""
         self.network.note_result(name, is_ok, now_s)
@@ -452,7 +365,7 @@
         now_s: float,
     ) -> list[requests.Effect]:
         """Refuses a request whose turn at its upstreams comes too late."""
-        opening = self._find_opening(graph, now_s)
+        opening = self.gates.find_opening(graph.last, now_s)
         if opening is None or ticket.begun:
             return []
         waiting = sum(
@@ -466,7 +379,7 @@
             errors.ErrorKind.UPSTREAM_LIMITED,
             f"{waiting} wait for {opening.per_s:.2f} a second",
             now_s,
-            self._returns.promise(item.graph, opening, waiting, now_s),
+            self.gates.promise(item.graph, opening, waiting, now_s),
         )
 
     def _wait_begun(
@@ -516,7 +429,7 @@
             self.network.loads,
             self.network.links,
             now_s,
-            self._list_closed(now_s),
+            self.gates.list_closed(now_s),
         )
         resting = self.network.list_resting(now_s)
         avoid = resting | ticket.failed | ticket.suspected
@@ -530,8 +443,7 @@
         for edge in path.edges:
             self.network.loads[edge.upstream].own += 1
         ticket.path = path
-        last = path.edges[-1].upstream
-        self.throttle.take(self.network.name_start(last), now_s)
+        self.gates.take(path.edges[-1].upstream, now_s)
         ticket.starts = tuple(
             # The caller's answer comes from the last one.
             self.network.name_start(e.upstream)
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -2,13 +2,13 @@
 
 It joins what the modules beside it hold: requests in flight
 (`egretspur.routing.memory`), which upstreams failed of late
-(`egretspur.routing.health`), how fast they are (`egretspur.routing.paces`).
+(`egretspur.routing.health`), how fast they are (`egretspur.routing.paces`),
+what they ask of hosts (`egretspur.routing.wishes`).
 """
 
 from __future__ import annotations
 
 import contextlib
-import math
 import zlib
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final
@@ -18,7 +18,16 @@
 from egretspur import decisions
 from egretspur.admission import quarantine, room, shared, throttle
 from egretspur.catalog import config, upstreams
-from egretspur.routing import cards, health, jobs, memory, moves, paces, paths
+from egretspur.routing import (
+    cards,
+    health,
+    jobs,
+    memory,
+    moves,
+    paces,
+    paths,
+    wishes,
+)
 
 # A data centre none of whose hosts was heard for so long is cut off from this
 # one, or its hosts are down; its engines are used only if no others do. Its
@@ -110,8 +119,6 @@
         # Smoothed seconds of a plain service's answers.
         self.times: dict[str, float] = {}
         self.moves = moves.Moves(self.roster)
-        # Upstreams that said in an answer that they leave.
-        self._leaving: set[str] = set()
         # Upstreams by service and data centre, as of a change of the list:
         # each choice of a path asks for them.
         self._grouped: dict[str, dict[str, list[upstreams.Upstream]]] = {}
@@ -122,17 +129,16 @@
         self._learned = 0
         # What changed in the beliefs about upstreams, for the log.
         self.notes: list[decisions.Decision] = []
+        self.wishes = wishes.Wishes(
+            data_centre, self.roster, self.health, self.throttle, self.notes
+        )
 
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
-        if self.is_leaving(entry) or entry.id in self.roster.unreadable:
+        if self.wishes.is_leaving(entry) or entry.id in self.roster.unreadable:
             return False
         return self.health.is_usable(entry.id, now_s)
 
-    def is_leaving(self, entry: upstreams.Upstream) -> bool:
-        """Tells whether an upstream leaves, by its entry or its answers."""
-        return entry.is_draining or entry.id in self._leaving
-
     def list_usable(
         self, service: str, now_s: float
     ) -> list[upstreams.Upstream]:
@@ -148,7 +154,12 @@
 
         It stays the same while only time passes, and where there is less room.
         """
-        return self._learned + self.roster.changes + self.memory.releases
+        return (
+            self._learned
+            + self.roster.changes
+            + self.memory.releases
+            + self.wishes.changes
+        )
 
     def hear(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host said."""
@@ -165,105 +176,7 @@
         self._hear_suspects(news, now_s)
         for upstream_id, told in news.layers.items():
             self.moves.hear(upstream_id, told, now_s)
-        for upstream_id, limit in news.limits.items():
-            if upstream_id in self.roster.entries and self.throttle.hear(
-                news.host, news.data_centre, upstream_id, limit, now_s
-            ):
-                self._note_limit(upstream_id, limit.per_s, False)
-
-    def note_limit(
-        self, upstream_id: str, per_s: float | None, now_s: float
-    ) -> None:
-        """Takes the limit that an upstream's answer named, or that none was."""
-        if self.throttle.note(upstream_id, per_s, now_s):
-            self._note_limit(upstream_id, per_s, True)
-
-    def note_rest(self, upstream_id: str, rest_s: float, now_s: float) -> None:
-        """Takes that an upstream wants nothing from this host for a while."""
-        self.health.note_rest(upstream_id, now_s + rest_s)
-        self._note(upstream_id, "resting", f"asked for {rest_s:g} s")
-
-    def note_leaving(self, upstream_id: str) -> None:
-        """Takes an upstream's own word that it leaves."""
-        if upstream_id not in self._leaving:
-            self._leaving.add(upstream_id)
-            self._note(upstream_id, "draining", "says so in its answers")
-
-    def _note_limit(
-        self, upstream_id: str, per_s: float | None, is_own: bool
-    ) -> None:
-        # There may be room anew.
-        self._learned += 1
-        self.notes.append(decisions.UpstreamLimited(upstream_id, per_s, is_own))
-
-    def find_opening(
-        self, service: str, now_s: float
-    ) -> throttle.Opening | None:
-        """Returns when a service takes more, where limits alone hold it back.
-
-        None where an upstream takes requests that are not held back by its
-        limit, or where there is none at all.
-        """
-        if not self.throttle.limited:
-            return None
-        takers = {e.id for e in self._list_usable_takers(service, now_s)}
-        if not takers <= self.throttle.limited:
-            return None
-        return self.throttle.find_opening(takers, now_s)
-
-    def find_rest_s(self, service: str, now_s: float) -> float | None:
-        """Returns how long all of a service's upstreams still rest.
-
-        None if one of them does not.
-        """
-        ends_s = [
-            self.health.rests.get(e.id, -math.inf)
-            for e in self._list_takers(service)
-        ]
-        if not ends_s or min(ends_s) <= now_s:
-            return None
-        return min(ends_s) - now_s
-
-    def note_wanted(self, service: str, now_s: float) -> None:
-        """Counts a request for the parts of limits that hosts have.
-
-        It goes to an engine near by if it can; the others are wanted only
-        where those near by take no more.
-        """
-        if not self.throttle.limited:
-            return
-        takers = self._list_usable_takers(service, now_s)
-        near = [
-            e
-            for e in takers
-            if e.accelerator and e.data_centre == self.data_centre
-        ]
-        if any(self.throttle.is_open(e.id, now_s) for e in near):
-            takers = near
-        ids = {e.id for e in takers}
-        self.throttle.demand.note(ids & self.throttle.limited, now_s)
-
-    def _list_takers(self, service: str) -> list[upstreams.Upstream]:
-        """Returns the listed upstreams that requests are sent to.
-
-        Of engines those that hold the first layer.
-        """
-        return [
-            e
-            for e in self.roster.entries.values()
-            if e.service == service
-            and not self.is_leaving(e)
-            and not self.health.is_down(e.id)
-            and (not e.accelerator or (e.layers and e.layers.first == 0))
-        ]
-
-    def _list_usable_takers(
-        self, service: str, now_s: float
-    ) -> list[upstreams.Upstream]:
-        """Returns those of them that may be given work."""
-        return [
-            e for e in self._list_takers(service) if self.is_usable(e, now_s)
-        ]
+        self.wishes.hear(news.host, news.data_centre, news.limits, now_s)
 
     def _hear_suspects(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host finds failing.
@@ -454,26 +367,13 @@
             i for i in self.paces.take_due(now_s) if i not in self.health.failed
         ]
         due += self.health.take_due(listed, now_s)
-        late = [i for i in due if not self.may_ask(i, now_s)]
+        late = [i for i in due if not self.wishes.may_ask(i, now_s)]
         for upstream_id in late:
             self.health.note_unanswered(upstream_id)
             self.paces.put_off(upstream_id)
         due = [i for i in due if i not in late]
         return [listed[i] for i in due if i in listed]
 
-    def may_ask(self, upstream_id: str, now_s: float) -> bool:
-        """Tells whether an upstream may be asked something; counts it.
-
-        A question is a request as any other to one that takes only so many, or
-        nothing for now.
-        """
-        if self.health.is_resting(
-            upstream_id, now_s
-        ) or not self.throttle.is_open(upstream_id, now_s):
-            return False
-        self.throttle.take(upstream_id, now_s)
-        return True
-
     def compute_digest(self) -> int:
         """Returns a number that differs where the list differs.
 
@@ -506,8 +406,7 @@
         self.moves.forget(listed)
         self.paces.forget(listed)
         self.health.forget(listed)
-        self.throttle.forget(listed)
-        self._leaving.intersection_update(listed)
+        self.wishes.forget(listed)
 
     def offer(
         self, service: str, spec: config.EngineSpec, now_s: float
@@ -522,21 +421,11 @@
                 for e in places[place]
                 if self.is_usable(e, now_s)
                 and (card := self._make_card(e, spec, costs, now_s))
-                and (card := self._hold_back(card, now_s))
+                and (card := self.wishes.hold_back(card, now_s))
             ]
 
         return cards.Cards(places, read)
 
-    def _hold_back(self, card: paths.Card, now_s: float) -> paths.Card | None:
-        """Returns what an engine offers within its limit.
-
-        Requests are sent to a path's first engine. One at its limit may still
-        run its part of what comes to it from others.
-        """
-        if card.first or self.throttle.is_open(card.id, now_s):
-            return card
-        return attrs.evolve(card, first=1) if card.last > 1 else None
-
     def _group_by_place(
         self, service: str
     ) -> Mapping[str, Sequence[upstreams.Upstream]]:
@@ -604,14 +493,19 @@
         full = [
             c.id for c in offers if c.free < (c.last - c.first) * job.tokens
         ]
-        paused = [e.id for e in entries if self.health.is_paused(e.id, now_s)]
+        paused = [
+            e.id
+            for e in entries
+            if self.health.is_paused(e.id, now_s)
+            or self.health.is_resting(e.id, now_s)
+        ]
         down = [
             e.id
             for e in entries
             if self.health.is_down(e.id)
             or self.health.is_suspected(e.id, now_s)
         ]
-        leaving = [e.id for e in entries if self.is_leaving(e)]
+        leaving = [e.id for e in entries if self.wishes.is_leaving(e)]
         limited = [e.id for e in entries if e.id in self.throttle.limited]
         return decisions.PathMissing(
             request=job.id,
--- a/tests/routing/routers.py
+++ b/tests/routing/routers.py
@@ -65,7 +65,9 @@
         """Gives each router what the control daemons know."""
         newest: dict[str, throttle.Told] = {}
         for router in self.routers:
-            for start, told in router.throttle.list_told(self.now_s).items():
+            for start, told in router.gates.throttle.list_told(
+                self.now_s
+            ).items():
                 known = newest.get(start)
                 if known is None or told.age_s < known.age_s:
                     newest[start] = told
--- a/tests/steps/routers_steps.py
+++ b/tests/steps/routers_steps.py
@@ -67,7 +67,7 @@
 @then("no router takes an engine for limited")
 def step_lifted(context: Any) -> None:
     for router in context.routers.routers:
-        assert not router.throttle.limited
+        assert not router.gates.throttle.limited
 
 
 @when("the last stage of one turns all away and asks for {rest_s:g} s of rest")
