--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -190,7 +190,9 @@
 def tell(request_id: str, wish: Mapping[str, str]) -> None:
     """Prints what came while something is asked, and when."""
     fields = {"id": request_id, "at_s": time.monotonic(), "wish": wish}
-    print(f"asked {json.dumps(fields)}", file=sys.stderr, flush=True)
+    # In one piece: other threads write lines too.
+    sys.stderr.write(f"asked {json.dumps(fields)}\n")
+    sys.stderr.flush()
 
 
 def main() -> int:
