Don't take what another upstream at an address asks for

An answer of 421 comes from whoever has the address now; its limit, or that it leaves, was taken for the one that was meant. Of several rests in one answer the longest counts, as the least of several limits does.

Test: eight answers.

--- a/egretspur/asked.py
+++ b/egretspur/asked.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -55,7 +56,7 @@
     """
     if text is None:
         return None
-    return _parse_least(text, "limit")
+    return _parse(text, "limit", min)
 
 
 def parse_rest(status: int, text: str | None) -> float | None | Unreadable:
@@ -67,7 +68,7 @@
     """
     if status != UNAVAILABLE or text is None:
         return None
-    return _parse_least(text, "rest")
+    return _parse(text, "rest", max)
 
 
 def parse_leaving(text: str | None) -> bool:
@@ -75,12 +76,14 @@
     return text is not None and "1" in map(str.strip, text.split(","))
 
 
-def _parse_least(text: str, field: str) -> float | Unreadable:
-    """Returns the least of the decimals in a field."""
+def _parse(
+    text: str, field: str, choose: Callable[[list[float]], float]
+) -> float | Unreadable:
+    """Returns the decimal in a field, of several the one that asks for more."""
     found = [float(v) for v in map(str.strip, text.split(",")) if _is_one(v)]
     if not found:
         return Unreadable(field, f"not a decimal: {text!r:.40}")
-    return min(found)
+    return choose(found)
 
 
 def _is_one(text: str) -> bool:
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -41,6 +41,9 @@
 
 _MAX_READ: Final = 65536
 
+# Status of an answer by another upstream than the one that was meant.
+MISDIRECTED: Final = 421
+
 # Answers of these have no body.
 _EMPTY_STATUSES: Final = (204, 304)
 
@@ -96,7 +99,8 @@
         except Exception as exc:  # the library's, the socket's, http.client's
             handle.close()
             return forward.Lost(jobs.Why.CUT, f"{start.upstream.id}: {exc!r}")
-        self._note_asked(start.upstream.id, _read_asked(res))
+        if res.status != MISDIRECTED:
+            self._note_asked(start.upstream.id, _read_asked(res))
         lost = _check_head(call, start, res)
         if lost is not None:
             handle.close()
@@ -265,7 +269,7 @@
 ) -> forward.Lost | None:
     """Returns why an answer can't be passed on; None if it can."""
     who = start.upstream.id
-    if res.status == 421:
+    if res.status == MISDIRECTED:
         blamed = _find_blamed(start, res) or (who,)
         return forward.Lost(
             jobs.Why.MISDIRECTED, f"{who}: another has the address", blamed
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -68,3 +68,19 @@
       | Server-Limit: 99999999999999999999999\n | unreadable |
       | Server-Limit:\n                         | unreadable |
       |                                          | None       |
+
+  Scenario Outline: Rest and leaving in an answer
+    # What another upstream at the address asks for is taken for this one's.
+    When an upstream answers with "HTTP/1.1 <head>\n<fields>Content-Length: 0\n\n" and then closes
+    Then the hosts hear of "<asked>"
+
+    Examples:
+      | head                    | fields                               | asked        |
+      | 503 No\nNot-Executed: 1 | Retry-After: 3\n                     | rest 3.0     |
+      | 503 No\nNot-Executed: 1 | Retry-After: 0.25\n                  | rest 0.25    |
+      | 503 No\nNot-Executed: 1 | Retry-After: 1\nRetry-After: 4\n     | rest 4.0     |
+      | 503 No\nNot-Executed: 1 | Retry-After: Fri, 31 Dec 1999\n      | unreadable   |
+      | 429 No\nNot-Executed: 1 | Retry-After: 3\n                     | nothing      |
+      | 503 No\nNot-Executed: 1 | Server-Leaving: 1\n                  | leaving      |
+      | 503 No\nNot-Executed: 1 | Server-Leaving: 0\n                  | nothing      |
+      | 421 No                  | Server-Leaving: 1\nServer-Limit: 1\n | not at all   |
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -158,3 +158,19 @@
         assert isinstance(wish.per_s, asked.Unreadable), wish
         return
     assert str(wish.per_s) == limit, wish
+
+
+@then('the hosts hear of "{what}"')
+def step_asked(context: Any, what: str) -> None:
+    if what == "not at all":
+        assert not context.wishes
+        return
+    (wish,) = context.wishes
+    if what == "unreadable":
+        assert isinstance(wish.rest_s, asked.Unreadable), wish
+        return
+    wanted = {
+        "nothing": asked.NOTHING,
+        "leaving": asked.Asked(is_leaving=True),
+    }.get(what) or asked.Asked(rest_s=float(what.removeprefix("rest ")))
+    assert wish == wanted, wish
