--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -14,7 +15,7 @@
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
 from egretspur.routing import actor as traffics
-from egretspur.routing import desk, jobs, probes, requests
+from egretspur.routing import desk, gates, jobs, network, probes, requests
 from tests import fleets, stage
 from tests.steps import entries_steps
 
@@ -111,6 +112,11 @@
 class FailingDispatcher:
     """A router's dispatcher that can decide on nothing."""
 
+    def __init__(self) -> None:
+        rng = random.Random(1)
+        state = network.Network("kl-hall", rng)
+        self.gates = gates.Gates("kl-hall", state, rng)
+
     def arrive(self, arrival: requests.Arrival, now_s: float) -> list[Any]:
         """Raises."""
         raise LookupError(CAUSE)
