--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -17,8 +17,8 @@
 from egretspur.admission import fingerprint, quarantine
 from egretspur.claims import actor as claim_actor
 from egretspur.claims import table
+from egretspur.clients import fields
 from egretspur.clients import service as services
-from egretspur.clients import wishes
 from egretspur.routing import actor as traffics
 from egretspur.routing import tables
 
@@ -244,7 +244,7 @@
         """Refuses a call that no replica takes now, by what they ask for."""
         return errors.Refusal(
             errors.ErrorKind.UPSTREAM_LIMITED,
-            f"{len(closed)} replicas at their limits, or resting",
+            f"{len(closed)} replicas at their limits, or backing_off",
             self._traffic.promise_turn(service, tuple(closed)),
         )
 
@@ -268,8 +268,8 @@
         res: transport.Reply | transport.Failed,
     ) -> None:
         if isinstance(res, transport.Reply):
-            wish = wishes.read(res.status, res.headers)
-            self._traffic.note_asked(upstream.name, wish)
+            answer = fields.read(res.status, res.headers)
+            self._traffic.note_signals(upstream.name, answer)
         self._traffic.tell(
             traffics.NoteService(
                 upstream.name, not isinstance(res, transport.Failed)
--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -27,8 +27,8 @@
 import urllib3
 from urllib3 import exceptions
 
-from egretspur import asked, codec, errors, transport
-from egretspur.clients import wishes
+from egretspur import codec, errors, signals, transport
+from egretspur.clients import fields
 from egretspur.intents import records
 
 _MAX_READ: Final = 65_536
@@ -164,7 +164,7 @@
 
 
 # Told what an engine's answer asks of the hosts, by the engine's name.
-NoteAsked = Callable[[str, asked.Asked], None]
+NoteSignals = Callable[[str, signals.Signals], None]
 
 
 class EngineClient:
@@ -175,9 +175,9 @@
         connect_s: float,
         first_event_s: float,
         between_events_s: float,
-        note_asked: NoteAsked = lambda upstream, wish: None,
+        note_signals: NoteSignals = lambda upstream, answer: None,
     ) -> None:
-        self._note_asked = note_asked
+        self._note_signals = note_signals
         self._first_s = first_event_s
         self._between_s = between_events_s
         self._transport = transport.Transport(connect_s, first_event_s)
@@ -224,8 +224,8 @@
             return Broken(
                 res.reason, res.maybe_sent, upstream_failed=not res.is_silent
             )
-        wish = wishes.read(res.status, res.headers)
-        self._note_asked(call.route[-1].upstream, wish)
+        answer = fields.read(res.status, res.headers)
+        self._note_signals(call.route[-1].upstream, answer)
         if res.status == 503:
             # The engine's word that it has not taken the request.
             return self._read_refusal(address, res)
--- a/egretspur/clients/wishes.py
+++ b/egretspur/clients/fields.py
@@ -1,7 +1,7 @@
 """What engines and services ask of the hosts in their answers' fields.
 
 The only place that knows these fields of the product's own interface. Read
-next: `egretspur.asked`.
+next: `egretspur.signals`.
 """
 
 from __future__ import annotations
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from egretspur import asked
+from egretspur import signals
 
 # Requests a second that the one who answers takes from all hosts together.
 LIMIT: Final = "Server-Limit"
@@ -18,15 +18,15 @@
 LEAVING: Final = "Server-Leaving"
 
 
-def read(status: int, fields: Mapping[str, str]) -> asked.Asked:
+def read(status: int, fields: Mapping[str, str]) -> signals.Signals:
     """Returns what an answer asks of the hosts.
 
     Args:
         status: Of the answer.
         fields: Its header fields, by names in any case.
     """
-    return asked.Asked(
-        asked.parse_limit(fields.get(LIMIT)),
-        asked.parse_rest(status, fields.get(asked.RETRY_AFTER)),
-        asked.parse_leaving(fields.get(LEAVING)),
+    return signals.Signals(
+        signals.parse_limit(fields.get(LIMIT)),
+        signals.parse_backoff(status, fields.get(signals.RETRY_AFTER)),
+        signals.parse_leaving(fields.get(LEAVING)),
     )
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -98,7 +98,7 @@
         self._intake = intake.Intake(
             self._desk,
             upstream.UpstreamClient(
-                cfg.bounds.silence_s, self._desk.note_asked
+                cfg.bounds.silence_s, self._desk.note_signals
             ),
             self._watch,
             rng,
@@ -299,7 +299,7 @@
             live = [
                 e
                 for e in view.roster.entries.values()
-                if not view.wishes.is_leaving(e)
+                if not view.backpressure.is_leaving(e)
                 and not view.health.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
--- a/egretspur/daemons/router.py
+++ b/egretspur/daemons/router.py
@@ -77,7 +77,7 @@
             timing.connect_s,
             timing.first_event_s,
             timing.between_events_s,
-            self._traffic.note_asked,
+            self._traffic.note_signals,
         )
         self._tools = relay.Tools(
             self._traffic,
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -179,7 +179,7 @@
     """What this host believes of an upstream changed."""
 
     upstream: str
-    # One of: listed, gone, draining, down, dead, back, refusing, resting, slow,
+    # One of: listed, gone, draining, down, dead, back, refusing, backoff, slow,
     # unreadable, fuller, suspected.
     state: str
     reason: str
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from egretspur import asked, decisions, errors
+from egretspur import decisions, errors, signals
 from egretspur.catalog import config
 from egretspur.delivery import answers, events, silence
 from egretspur.routing import desk, jobs, paces, paths
@@ -84,7 +84,7 @@
 
 
 # Told what an upstream's answer asks of the hosts, by the upstream's id.
-NoteAsked = Callable[[str, asked.Asked], None]
+NoteSignals = Callable[[str, signals.Signals], None]
 
 
 class Abort:
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -19,7 +19,7 @@
 import urllib3.connection
 from urllib3 import exceptions
 
-from egretspur import asked, codec, decisions, transport
+from egretspur import codec, decisions, signals, transport
 from egretspur.catalog import upstreams
 from egretspur.delivery import forward
 from egretspur.platform import decode, names
@@ -54,7 +54,7 @@
     def __init__(
         self,
         silence_s: float,
-        note_asked: forward.NoteAsked = lambda upstream_id, asked: None,
+        note_signals: forward.NoteSignals = lambda upstream_id, answer: None,
     ) -> None:
         """Makes a client.
 
@@ -62,10 +62,10 @@
             silence_s: Longest silence within a stream. Stages hold work that
                 depends on a dead one for a while and then say so; what is
                 longer is a silent connection.
-            note_asked: Told what the head of each answer asks of the hosts.
+            note_signals: Told what the head of each answer asks of the hosts.
         """
         self._silence_s = silence_s
-        self._note_asked = note_asked
+        self._note_signals = note_signals
 
     def open(
         self,
@@ -100,7 +100,7 @@
             handle.close()
             return forward.Lost(jobs.Why.CUT, f"{start.upstream.id}: {exc!r}")
         if res.status != MISDIRECTED:
-            self._note_asked(start.upstream.id, _read_asked(res))
+            self._note_signals(start.upstream.id, _read_signals(res))
         lost = _check_head(call, start, res)
         if lost is not None:
             handle.close()
@@ -254,13 +254,13 @@
     return ",".join(f"{p.address}={p.first}-{p.last}" for p in parts)
 
 
-def _read_asked(res: urllib3.BaseHTTPResponse) -> asked.Asked:
+def _read_signals(res: urllib3.BaseHTTPResponse) -> signals.Signals:
     """Returns what an answer asks of the hosts."""
     fields = res.headers
-    return asked.Asked(
-        asked.parse_limit(fields.get(names.LIMIT)),
-        asked.parse_rest(res.status, fields.get(asked.RETRY_AFTER)),
-        asked.parse_leaving(fields.get(names.LEAVING)),
+    return signals.Signals(
+        signals.parse_limit(fields.get(names.LIMIT)),
+        signals.parse_backoff(res.status, fields.get(signals.RETRY_AFTER)),
+        signals.parse_leaving(fields.get(names.LEAVING)),
     )
 
 
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from egretspur import actors, asked, errors
+from egretspur import actors, errors, signals
 from egretspur.admission import throttle
 from egretspur.routing import dispatch, questions, requests, tables
 
@@ -86,11 +86,11 @@
 
 
 @attrs.frozen
-class NoteAsked:
+class NoteSignals:
     """An upstream asked something of the hosts beside an answer."""
 
     upstream: str
-    asked: asked.Asked
+    answer: signals.Signals
 
 
 @attrs.frozen
@@ -231,9 +231,9 @@
         )
 
     @handle.register
-    def _(self, message: NoteAsked) -> None:
-        is_new, effects = self._dispatcher.note_asked(
-            message.upstream, message.asked, time.monotonic()
+    def _(self, message: NoteSignals) -> None:
+        is_new, effects = self._dispatcher.note_signals(
+            message.upstream, message.answer, time.monotonic()
         )
         self._questions.run(effects)
         if is_new:
@@ -241,12 +241,12 @@
 
     @handle.register
     def _(self, message: TakeTurn) -> bool:
-        gates = self._dispatcher.gates
-        return gates.take_turn(message.upstream, time.monotonic())
+        state = self._dispatcher.availability
+        return state.take_turn(message.upstream, time.monotonic())
 
     @handle.register
     def _(self, message: PromiseTurn) -> float:
-        return self._dispatcher.gates.promise_turn(
+        return self._dispatcher.availability.promise_turn(
             message.service, message.upstreams, time.monotonic()
         )
 
@@ -262,7 +262,7 @@
             marks,
             self._dispatcher.get_demand(),
             self._dispatcher.list_ended(time.monotonic()),
-            self._dispatcher.gates.throttle.list_told(time.monotonic()),
+            self._dispatcher.availability.throttle.list_told(time.monotonic()),
         )
 
     @handle.register
@@ -306,7 +306,7 @@
             marked: Called when an upstream said something that the other
                 hosts are to be told at once.
         """
-        self._throttle = dispatcher.gates.throttle
+        self._throttle = dispatcher.availability.throttle
         self._ref = TrafficActor.start(dispatcher, marked)
 
     def close(self) -> None:
@@ -345,10 +345,10 @@
         """Sends a message that needs no answer."""
         self._ref.tell(message)
 
-    def note_asked(self, upstream: str, wish: asked.Asked) -> None:
+    def note_signals(self, upstream: str, answer: signals.Signals) -> None:
         """Takes what an answer asks of the hosts; most ask nothing."""
-        if wish != asked.NOTHING or self._throttle.limited:
-            self._ref.tell(NoteAsked(upstream, wish))
+        if answer != signals.NONE or self._throttle.limited:
+            self._ref.tell(NoteSignals(upstream, answer))
 
     def take_turn(self, upstream: str) -> bool:
         """Takes a turn at a replica, if it takes a call now."""
--- a/egretspur/routing/gates.py
+++ b/egretspur/routing/availability.py
@@ -11,13 +11,13 @@
 import random
 from collections.abc import Collection
 
-from egretspur import asked, decisions
+from egretspur import decisions, signals
 from egretspur.admission import throttle
 from egretspur.routing import network as networks
 from egretspur.routing import returns, tables
 
 
-class Gates:
+class Availability:
     """See the module's docstring."""
 
     def __init__(
@@ -27,30 +27,32 @@
 
         Args:
             data_centre: Of this router.
-            network: The upstreams, with their rests and marks of leaving.
+            network: The upstreams, with their backoffs and marks of leaving.
             rng: Draws first turns.
         """
         self.throttle = throttle.Throttle(data_centre, rng)
         self._network = network
         self._returns = returns.Returns()
 
-    def note_asked(self, name: str, wish: asked.Asked, now_s: float) -> bool:
+    def note_signals(
+        self, name: str, answer: signals.Signals, now_s: float
+    ) -> bool:
         """Takes what an upstream asked of the hosts beside an answer.
 
         Returns:
             Whether the other hosts are to be told.
         """
-        for value in (wish.per_s, wish.rest_s):
-            if isinstance(value, asked.Unreadable):
+        for value in (answer.per_s, answer.backoff_s):
+            if isinstance(value, signals.Unreadable):
                 self._note_unreadable(name, value)
         if name not in self._network.upstreams:
             return False
-        if isinstance(wish.rest_s, float):
-            self._network.note_rest(name, wish.rest_s, now_s)
-        is_new = wish.is_leaving and self._network.note_leaving(name, now_s)
+        if isinstance(answer.backoff_s, float):
+            self._network.note_backoff(name, answer.backoff_s, now_s)
+        is_new = answer.is_leaving and self._network.note_leaving(name, now_s)
         start = self._network.name_start(name)
-        per_s = wish.per_s
-        if not isinstance(per_s, asked.Unreadable) and self.throttle.note(
+        per_s = answer.per_s
+        if not isinstance(per_s, signals.Unreadable) and self.throttle.note(
             start, per_s, now_s
         ):
             is_new = True
@@ -72,7 +74,7 @@
 
     def is_open(self, name: str, now_s: float) -> bool:
         """Tells whether an upstream takes a request of this router now."""
-        return not self._network.get_rest_s(
+        return not self._network.get_backoff_s(
             name, now_s
         ) and self.throttle.is_open(self._network.name_start(name), now_s)
 
@@ -114,11 +116,11 @@
 
         None where one is held back by neither a limit nor a rest.
         """
-        rest_s = min(
-            (self._network.get_rest_s(n, now_s) for n in names), default=0.0
+        backoff_s = min(
+            (self._network.get_backoff_s(n, now_s) for n in names), default=0.0
         )
-        if rest_s:
-            return throttle.Opening(rest_s, math.inf)
+        if backoff_s:
+            return throttle.Opening(backoff_s, math.inf)
         starts = {self._network.name_start(n) for n in names}
         if not starts <= self.throttle.limited:
             return None
@@ -130,7 +132,7 @@
         """Returns when one more caller may come back; see `returns.Returns`."""
         return self._returns.promise(key, opening, waiting, now_s)
 
-    def _note_unreadable(self, name: str, value: asked.Unreadable) -> None:
+    def _note_unreadable(self, name: str, value: signals.Unreadable) -> None:
         if self.throttle.note_unreadable(self._network.name_start(name)):
             decisions.record(
                 decisions.EntryLeftOut(
--- a/egretspur/routing/wishes.py
+++ b/egretspur/routing/backpressure.py
@@ -17,7 +17,7 @@
 from egretspur.routing import health, paths
 
 
-class Wishes:
+class Backpressure:
     """See the module's docstring."""
 
     def __init__(
@@ -33,7 +33,7 @@
         Args:
             data_centre: Of this host.
             roster: The listed upstreams.
-            state: Their health, with the rests that they asked for.
+            state: Their health, with the backoffs that they asked for.
             limits: This host's part of their limits.
             notes: What changes, for the log.
         """
@@ -75,10 +75,12 @@
         if self._throttle.note(upstream_id, per_s, now_s):
             self._note_limit(upstream_id, per_s, True)
 
-    def note_rest(self, upstream_id: str, rest_s: float, now_s: float) -> None:
+    def note_backoff(
+        self, upstream_id: str, backoff_s: float, now_s: float
+    ) -> None:
         """Takes that an upstream wants nothing from this host for a while."""
-        self._health.note_rest(upstream_id, now_s + rest_s)
-        self._note_changed(upstream_id, "resting", f"asked for {rest_s:g} s")
+        self._health.note_backoff(upstream_id, now_s + backoff_s)
+        self._note_changed(upstream_id, "backoff", f"asked for {backoff_s:g} s")
 
     def note_leaving(self, upstream_id: str) -> None:
         """Takes an upstream's own word that it leaves."""
@@ -98,8 +100,8 @@
         A question is a request as any other to one that takes only so many, or
         nothing for now.
         """
-        is_resting = self._health.is_resting(upstream_id, now_s)
-        if is_resting or not self._throttle.is_open(upstream_id, now_s):
+        is_backing_off = self._health.is_backing_off(upstream_id, now_s)
+        if is_backing_off or not self._throttle.is_open(upstream_id, now_s):
             return False
         self._throttle.take(upstream_id, now_s)
         return True
@@ -148,16 +150,16 @@
             return None
         return self._throttle.find_opening(takers, now_s)
 
-    def find_rest_s(self, service: str, now_s: float) -> float | None:
+    def find_backoff_s(self, service: str, now_s: float) -> float | None:
         """Returns how long all of a service's upstreams still rest.
 
         None if one of them does not.
         """
-        rests = self._health.rests
-        if not rests:
+        backoffs = self._health.backoffs
+        if not backoffs:
             return None
         ends_s = [
-            rests.get(e.id, -math.inf) for e in self._list_takers(service)
+            backoffs.get(e.id, -math.inf) for e in self._list_takers(service)
         ]
         if not ends_s or min(ends_s) <= now_s:
             return None
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from egretspur import asked, decisions, errors, mechanisms
+from egretspur import decisions, errors, mechanisms, signals
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
 from egretspur.admission import repeats, throttle
@@ -42,7 +42,7 @@
 TURNED_AWAY_S: Final = 0.1
 
 # Part by which an upstream's rest is longer than it asked for, at most.
-REST_SPREAD: Final = 0.1
+BACKOFF_SPREAD: Final = 0.1
 
 # Requests that wait at most.
 QUEUE_LENGTH: Final = 200
@@ -69,7 +69,7 @@
         self.quarantine = quarantines.Quarantine()
         self._crashes = crashes.Crashes(self.quarantine, self.fleet)
         self._refusals = refusals.Refusals(
-            rng, self.quarantine, self.fleet.wishes
+            rng, self.quarantine, self.fleet.backpressure
         )
         self.counts = jobs.Counts()
         self.tickets: dict[str, tickets.Ticket] = {}
@@ -95,7 +95,7 @@
         """Starts, queues or refuses a request."""
         self.counts.arrived += 1
         self.repeats.earn(job.service, now_s)
-        self.fleet.wishes.note_wanted(job.service, now_s)
+        self.fleet.backpressure.note_wanted(job.service, now_s)
         ticket = tickets.Ticket(job)
         self.tickets[job.id] = ticket
         return self._admit(ticket, now_s)
@@ -157,28 +157,30 @@
         self.fleet.health.note_success(ticket.upstream_id, now_s)
         self.fleet.note_time(ticket.upstream_id, now_s - ticket.started_s)
 
-    def note_asked(
-        self, upstream_id: str, wish: asked.Asked, now_s: float
+    def note_signals(
+        self, upstream_id: str, answer: signals.Signals, now_s: float
     ) -> list[jobs.Effect]:
         """Takes what an upstream asked of the hosts beside an answer."""
-        for value in (wish.per_s, wish.rest_s):
-            if isinstance(value, asked.Unreadable):
+        for value in (answer.per_s, answer.backoff_s):
+            if isinstance(value, signals.Unreadable):
                 self._note_unreadable(upstream_id, value)
         if upstream_id not in self.fleet.roster.entries:
             return []
-        if wish.is_leaving:
-            self.fleet.wishes.note_leaving(upstream_id)
-        if isinstance(wish.rest_s, float):
+        if answer.is_leaving:
+            self.fleet.backpressure.note_leaving(upstream_id)
+        if isinstance(answer.backoff_s, float):
             # Spread, so that hosts that were asked together come back one by
             # one.
-            rest_s = wish.rest_s * (1.0 + self._rng.uniform(0.0, REST_SPREAD))
-            self.fleet.wishes.note_rest(upstream_id, rest_s, now_s)
-        if not isinstance(wish.per_s, asked.Unreadable):
-            self.fleet.wishes.note_limit(upstream_id, wish.per_s, now_s)
+            backoff_s = answer.backoff_s * (
+                1.0 + self._rng.uniform(0.0, BACKOFF_SPREAD)
+            )
+            self.fleet.backpressure.note_backoff(upstream_id, backoff_s, now_s)
+        if not isinstance(answer.per_s, signals.Unreadable):
+            self.fleet.backpressure.note_limit(upstream_id, answer.per_s, now_s)
         return self._start_waiting(now_s)
 
     def _note_unreadable(
-        self, upstream_id: str, value: asked.Unreadable
+        self, upstream_id: str, value: signals.Unreadable
     ) -> None:
         if self.throttle.note_unreadable(upstream_id):
             self._notes.append(
@@ -387,7 +389,7 @@
                     ticket, now_s, errors.ErrorKind.NO_ROUTE, "no such service"
                 )
             ]
-        opening = self.fleet.wishes.find_opening(service.name, now_s)
+        opening = self.fleet.backpressure.find_opening(service.name, now_s)
         # Plain services take all at once, but for their limits.
         is_queued = service.engine is not None or opening is not None
         if not (is_queued and self._has_waiting(service.name, now_s)):
@@ -486,7 +488,9 @@
         self, ticket: tickets.Ticket, now_s: float
     ) -> questions.Refuse:
         """Refuses a request that has waited in vain."""
-        opening = self.fleet.wishes.find_opening(ticket.job.service, now_s)
+        opening = self.fleet.backpressure.find_opening(
+            ticket.job.service, now_s
+        )
         if opening is not None:
             return self._refuse_limited(ticket, opening, now_s)
         return self._refuse(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from egretspur import actors, asked, decisions, errors
+from egretspur import actors, decisions, errors, signals
 from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import broker, fleet, jobs, questions
@@ -57,11 +57,11 @@
 
 
 @attrs.frozen
-class NoteAsked:
+class NoteSignals:
     """An upstream asked something of the hosts beside an answer."""
 
     upstream_id: str
-    asked: asked.Asked
+    answer: signals.Signals
 
 
 @attrs.frozen
@@ -236,10 +236,10 @@
         self._broker.note_answer(message.id, time.monotonic())
 
     @handle.register
-    def _(self, message: NoteAsked) -> None:
+    def _(self, message: NoteSignals) -> None:
         self._questions.run(
-            self._broker.note_asked(
-                message.upstream_id, message.asked, time.monotonic()
+            self._broker.note_signals(
+                message.upstream_id, message.answer, time.monotonic()
             )
         )
 
@@ -287,7 +287,7 @@
 
     @handle.register
     def _(self, message: AskTurn) -> bool:
-        return self._broker.fleet.wishes.may_ask(
+        return self._broker.fleet.backpressure.may_ask(
             message.upstream_id, time.monotonic()
         )
 
@@ -388,11 +388,11 @@
         """Sends a message that needs no answer."""
         self._ref.tell(message)
 
-    def note_asked(self, upstream_id: str, wish: asked.Asked) -> None:
+    def note_signals(self, upstream_id: str, answer: signals.Signals) -> None:
         """Takes what an answer asks of the hosts; most ask nothing."""
-        if wish == asked.NOTHING and upstream_id not in self._throttle.limited:
+        if answer == signals.NONE and upstream_id not in self._throttle.limited:
             return
-        self._ref.tell(NoteAsked(upstream_id, wish))
+        self._ref.tell(NoteSignals(upstream_id, answer))
 
     def repath(
         self, job_id: str, stalled: frozenset[str], has_brought: bool
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -13,13 +13,13 @@
 
 import attrs
 
-from egretspur import asked, decisions, errors, settings
+from egretspur import decisions, errors, settings, signals
 from egretspur.admission import budget as budgets
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
 from egretspur.intents import records
 from egretspur.routing import (
-    gates,
+    availability,
     loads,
     network,
     questions,
@@ -60,7 +60,9 @@
         self.quarantine = quarantines.Quarantine(SETTLE_S)
         self.budget = budgets.Budget(retries.ratio, retries.burst)
         self.network = network.Network(data_centre, rng)
-        self.gates = gates.Gates(data_centre, self.network, rng)
+        self.availability = availability.Availability(
+            data_centre, self.network, rng
+        )
         self.tickets: dict[str, requests.Ticket] = {}
         self.running: dict[str, int] = {}
         self.counts = requests.Counts()
@@ -186,7 +188,7 @@
         self.network.rebuild()
         self.quarantine.hear(message.ended, now_s)
         self._settle(now_s)
-        self.gates.hear(message, now_s)
+        self.availability.hear(message, now_s)
         return [*self._refuse_waiting(now_s), *self._start_waiting(now_s)]
 
     def tick(self, now_s: float) -> list[requests.Effect]:
@@ -227,14 +229,14 @@
         self._rng.shuffle(found)
         found.sort(
             key=lambda u: (
-                not self.gates.is_open(u.name, now_s),
+                not self.availability.is_open(u.name, now_s),
                 self.network.loads[u.name].own,
             )
         )
         return found
 
-    def note_asked(
-        self, name: str, wish: asked.Asked, now_s: float
+    def note_signals(
+        self, name: str, answer: signals.Signals, now_s: float
     ) -> tuple[bool, list[requests.Effect]]:
         """Takes what an upstream asked of the hosts beside an answer.
 
@@ -242,7 +244,7 @@
             Whether the other hosts are to be told, and what follows.
         """
         self._now_s = now_s
-        is_new = self.gates.note_asked(name, wish, now_s)
+        is_new = self.availability.note_signals(name, answer, now_s)
         return is_new, self._start_waiting(now_s) if is_new else []
 
     def note_service(self, name: str, is_ok: bool, now_s: float) -> None:
@@ -365,7 +367,7 @@
         now_s: float,
     ) -> list[requests.Effect]:
         """Refuses a request whose turn at its upstreams comes too late."""
-        opening = self.gates.find_opening(graph.last, now_s)
+        opening = self.availability.find_opening(graph.last, now_s)
         if opening is None or ticket.begun:
             return []
         waiting = sum(
@@ -379,7 +381,7 @@
             errors.ErrorKind.UPSTREAM_LIMITED,
             f"{waiting} wait for {opening.per_s:.2f} a second",
             now_s,
-            self.gates.promise(item.graph, opening, waiting, now_s),
+            self.availability.promise(item.graph, opening, waiting, now_s),
         )
 
     def _wait_begun(
@@ -429,21 +431,21 @@
             self.network.loads,
             self.network.links,
             now_s,
-            self.gates.list_closed(now_s),
+            self.availability.list_closed(now_s),
         )
-        resting = self.network.list_resting(now_s)
-        avoid = resting | ticket.failed | ticket.suspected
+        backing_off = self.network.list_backing_off(now_s)
+        avoid = backing_off | ticket.failed | ticket.suspected
         path = graphs.choose_path(graph, known, self._rng, avoid)
         if path is None and ticket.suspected:
             path = graphs.choose_path(
-                graph, known, self._rng, resting | ticket.failed
+                graph, known, self._rng, backing_off | ticket.failed
             )
         if path is None:
             return None
         for edge in path.edges:
             self.network.loads[edge.upstream].own += 1
         ticket.path = path
-        self.gates.take(path.edges[-1].upstream, now_s)
+        self.availability.take(path.edges[-1].upstream, now_s)
         ticket.starts = tuple(
             # The caller's answer comes from the last one.
             self.network.name_start(e.upstream)
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -3,7 +3,7 @@
 It joins what the modules beside it hold: requests in flight
 (`egretspur.routing.memory`), which upstreams failed of late
 (`egretspur.routing.health`), how fast they are (`egretspur.routing.paces`),
-what they ask of hosts (`egretspur.routing.wishes`).
+what they ask of hosts (`egretspur.routing.backpressure`).
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 from egretspur.admission import quarantine, room, shared, throttle
 from egretspur.catalog import config, upstreams
 from egretspur.routing import (
+    backpressure,
     cards,
     health,
     jobs,
@@ -26,7 +27,6 @@
     moves,
     paces,
     paths,
-    wishes,
 )
 
 # A data centre none of whose hosts was heard for so long is cut off from this
@@ -129,13 +129,16 @@
         self._learned = 0
         # What changed in the beliefs about upstreams, for the log.
         self.notes: list[decisions.Decision] = []
-        self.wishes = wishes.Wishes(
+        self.backpressure = backpressure.Backpressure(
             data_centre, self.roster, self.health, self.throttle, self.notes
         )
 
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
-        if self.wishes.is_leaving(entry) or entry.id in self.roster.unreadable:
+        if (
+            self.backpressure.is_leaving(entry)
+            or entry.id in self.roster.unreadable
+        ):
             return False
         return self.health.is_usable(entry.id, now_s)
 
@@ -158,7 +161,7 @@
             self._learned
             + self.roster.changes
             + self.memory.releases
-            + self.wishes.changes
+            + self.backpressure.changes
         )
 
     def hear(self, news: PeerNews, now_s: float) -> None:
@@ -176,7 +179,7 @@
         self._hear_suspects(news, now_s)
         for upstream_id, told in news.layers.items():
             self.moves.hear(upstream_id, told, now_s)
-        self.wishes.hear(news.host, news.data_centre, news.limits, now_s)
+        self.backpressure.hear(news.host, news.data_centre, news.limits, now_s)
 
     def _hear_suspects(self, news: PeerNews, now_s: float) -> None:
         """Takes what another host finds failing.
@@ -367,7 +370,7 @@
             i for i in self.paces.take_due(now_s) if i not in self.health.failed
         ]
         due += self.health.take_due(listed, now_s)
-        late = [i for i in due if not self.wishes.may_ask(i, now_s)]
+        late = [i for i in due if not self.backpressure.may_ask(i, now_s)]
         for upstream_id in late:
             self.health.note_unanswered(upstream_id)
             self.paces.put_off(upstream_id)
@@ -406,7 +409,7 @@
         self.moves.forget(listed)
         self.paces.forget(listed)
         self.health.forget(listed)
-        self.wishes.forget(listed)
+        self.backpressure.forget(listed)
 
     def offer(
         self, service: str, spec: config.EngineSpec, now_s: float
@@ -421,7 +424,7 @@
                 for e in places[place]
                 if self.is_usable(e, now_s)
                 and (card := self._make_card(e, spec, costs, now_s))
-                and (card := self.wishes.hold_back(card, now_s))
+                and (card := self.backpressure.hold_back(card, now_s))
             ]
 
         return cards.Cards(places, read)
@@ -497,7 +500,7 @@
             e.id
             for e in entries
             if self.health.is_paused(e.id, now_s)
-            or self.health.is_resting(e.id, now_s)
+            or self.health.is_backing_off(e.id, now_s)
         ]
         down = [
             e.id
@@ -505,7 +508,7 @@
             if self.health.is_down(e.id)
             or self.health.is_suspected(e.id, now_s)
         ]
-        leaving = [e.id for e in entries if self.wishes.is_leaving(e)]
+        leaving = [e.id for e in entries if self.backpressure.is_leaving(e)]
         limited = [e.id for e in entries if e.id in self.throttle.limited]
         return decisions.PathMissing(
             request=job.id,
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -104,13 +104,13 @@
         # What other hosts suspect, and until when that counts.
         self.heard: dict[str, float] = {}
         # Upstreams that want nothing from this host, and until when.
-        self.rests: dict[str, float] = {}
+        self.backoffs: dict[str, float] = {}
 
     def is_usable(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
         return (
             not self.is_paused(upstream_id, now_s)
-            and not self.is_resting(upstream_id, now_s)
+            and not self.is_backing_off(upstream_id, now_s)
             and not self.is_down(upstream_id)
             and not self.is_suspected(upstream_id, now_s)
         )
@@ -124,17 +124,17 @@
         refusals = self.refusals.get(upstream_id)
         return refusals is not None and now_s < refusals.until_s
 
-    def is_resting(self, upstream_id: str, now_s: float) -> bool:
+    def is_backing_off(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream asked this host for rest of late."""
-        return now_s < self.rests.get(upstream_id, -math.inf)
+        return now_s < self.backoffs.get(upstream_id, -math.inf)
 
-    def note_rest(self, upstream_id: str, until_s: float) -> None:
+    def note_backoff(self, upstream_id: str, until_s: float) -> None:
         """Takes that an upstream wants nothing from this host until then.
 
         An answer to an earlier request does not end that.
         """
-        known_s = self.rests.get(upstream_id, -math.inf)
-        self.rests[upstream_id] = max(known_s, until_s)
+        known_s = self.backoffs.get(upstream_id, -math.inf)
+        self.backoffs[upstream_id] = max(known_s, until_s)
 
     def is_down(self, upstream_id: str) -> bool:
         """Tells whether an upstream is given no work until a probe succeeds."""
@@ -273,7 +273,7 @@
             self.faults,
             self.refusals,
             self.heard,
-            self.rests,
+            self.backoffs,
         )
         for table in tables:
             for upstream_id in [i for i in table if i not in listed]:
--- a/egretspur/routing/network.py
+++ b/egretspur/routing/network.py
@@ -37,7 +37,7 @@
         # Incarnations that leave, by upstream, with the time of the mark.
         self.leaving: dict[str, dict[str, float]] = {}
         # Starts that asked this router for rest, and until when.
-        self._rests: dict[str, float] = {}
+        self._backoffs: dict[str, float] = {}
         self.upstreams: dict[str, tables.Upstream] = {}
         self.deployments: dict[str, records.Deployment] = {}
         self.bindings: dict[str, records.Binding] = {}
@@ -107,23 +107,25 @@
         upstream = self.upstreams.get(name)
         return f"{name}{START_MARK}{upstream.incarnation if upstream else ''}"
 
-    def note_rest(self, name: str, rest_s: float, now_s: float) -> None:
+    def note_backoff(self, name: str, backoff_s: float, now_s: float) -> None:
         """Takes that an upstream wants nothing from this router for a while."""
-        self._rests = {i: t for i, t in self._rests.items() if now_s < t}
+        self._backoffs = {i: t for i, t in self._backoffs.items() if now_s < t}
         start = self.name_start(name)
-        until_s = max(now_s + rest_s, self._rests.get(start, 0.0))
-        self._rests[start] = until_s
+        until_s = max(now_s + backoff_s, self._backoffs.get(start, 0.0))
+        self._backoffs[start] = until_s
 
-    def get_rest_s(self, name: str, now_s: float) -> float:
-        """Returns how long an upstream still rests, in seconds."""
-        until_s = self._rests.get(self.name_start(name), now_s)
+    def get_backoff_s(self, name: str, now_s: float) -> float:
+        """Returns how long an upstream still backoffs, in seconds."""
+        until_s = self._backoffs.get(self.name_start(name), now_s)
         return max(0.0, until_s - now_s)
 
-    def list_resting(self, now_s: float) -> frozenset[str]:
+    def list_backing_off(self, now_s: float) -> frozenset[str]:
         """Returns the upstreams that rest."""
-        if not self._rests:
+        if not self._backoffs:
             return frozenset()
-        return frozenset(n for n in self.upstreams if self.get_rest_s(n, now_s))
+        return frozenset(
+            n for n in self.upstreams if self.get_backoff_s(n, now_s)
+        )
 
     def look_at(self, start: str) -> quarantine.State:
         """Returns what is known of an upstream's start after a cut.
--- a/egretspur/routing/refusals.py
+++ b/egretspur/routing/refusals.py
@@ -10,7 +10,7 @@
 
 from egretspur import errors
 from egretspur.admission import quarantine, throttle
-from egretspur.routing import returns, tickets, wishes
+from egretspur.routing import backpressure, returns, tickets
 
 # Bounds of Retry-After, in seconds: spread, so that callers refused together
 # do not come back together.
@@ -24,18 +24,18 @@
         self,
         rng: random.Random,
         held: quarantine.Quarantine,
-        asked: wishes.Wishes,
+        state: backpressure.Backpressure,
     ) -> None:
         """Makes refusals.
 
         Args:
             rng: Draws when callers come back.
             held: Requests that are sent to no upstream.
-            asked: What upstreams ask for.
+            state: What upstreams ask for.
         """
         self._rng = rng
         self._held = held
-        self._asked = asked
+        self._backpressure = state
         self._returns = returns.Returns()
 
     def make(
@@ -51,8 +51,10 @@
         if kind is errors.ErrorKind.QUARANTINED:
             after_s = self._held.get_retry_after_s(ticket.job.fingerprint)
         elif errors.ANSWERS[kind].not_run:
-            rest_s = self._asked.find_rest_s(ticket.job.service, now_s)
-            after_s = rest_s or self._rng.uniform(*RETRY_AFTER_S)
+            backoff_s = self._backpressure.find_backoff_s(
+                ticket.job.service, now_s
+            )
+            after_s = backoff_s or self._rng.uniform(*RETRY_AFTER_S)
         return errors.Refusal(kind, reason, after_s)
 
     def make_limited(
--- a/egretspur/asked.py
+++ b/egretspur/signals.py
@@ -32,7 +32,7 @@
 
 
 @attrs.frozen
-class Asked:
+class Signals:
     """What an answer asks."""
 
     # Requests a second that its upstream takes from all hosts together; None
@@ -40,12 +40,12 @@
     per_s: float | None | Unreadable = None
     # Seconds for which the upstream wants nothing from this host; None if it
     # does not ask for it.
-    rest_s: float | None | Unreadable = None
+    backoff_s: float | None | Unreadable = None
     # It leaves, and takes nothing new for long.
     is_leaving: bool = False
 
 
-NOTHING: Final = Asked()
+NONE: Final = Signals()
 
 
 def parse_limit(text: str | None) -> float | None | Unreadable:
@@ -59,7 +59,7 @@
     return _parse(text, "limit", min)
 
 
-def parse_rest(status: int, text: str | None) -> float | None | Unreadable:
+def parse_backoff(status: int, text: str | None) -> float | None | Unreadable:
     """Returns the seconds of rest that an answer asks for, None if none.
 
     Args:
--- a/tests/routing/limits.py
+++ b/tests/routing/limits.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from egretspur import asked, decisions, errors
+from egretspur import decisions, errors, signals
 from egretspur.catalog import upstreams
 from egretspur.daemons import news
 from egretspur.membership import datagrams, exchange
@@ -93,7 +93,7 @@
     away: dict[str, float] = attrs.Factory(dict)
     leaving: set[str] = attrs.Factory(set)
     # When hosts were asked for rest and how long, and told that one leaves.
-    rests: list[tuple[str, Host, float, float]] = attrs.Factory(list)
+    backoffs: list[tuple[str, Host, float, float]] = attrs.Factory(list)
     farewells: dict[tuple[str, str], float] = attrs.Factory(dict)
     # Why requests waited for a path.
     notes: list[decisions.PathMissing] = attrs.Factory(list)
@@ -178,7 +178,7 @@
         is_told = self.now_s - told_s >= TOLD_S
         self.arrivals[upstream_id].append(Arrival(self.now_s, host, is_told))
         state = host.state
-        wish = asked.Asked(
+        answer = signals.Signals(
             self.limits.get(upstream_id),
             self.away.get(upstream_id),
             upstream_id in self.leaving,
@@ -187,11 +187,13 @@
         def begin() -> None:
             if host.state is not state:
                 return
-            if wish.per_s is not None:
+            if answer.per_s is not None:
                 host.told_s.setdefault(upstream_id, self.now_s)
-            if wish.is_leaving:
+            if answer.is_leaving:
                 self.farewells.setdefault((upstream_id, host.ip), self.now_s)
-            self._take(host, state.note_asked(upstream_id, wish, self.now_s))
+            self._take(
+                host, state.note_signals(upstream_id, answer, self.now_s)
+            )
             state.note_answer(start.id, self.now_s)
 
         def end() -> None:
@@ -203,14 +205,18 @@
         def turn_away() -> None:
             if host.state is not state:
                 return
-            assert isinstance(wish.rest_s, float)
-            self.rests.append((upstream_id, host, self.now_s, wish.rest_s))
-            self._take(host, state.note_asked(upstream_id, wish, self.now_s))
+            assert isinstance(answer.backoff_s, float)
+            self.backoffs.append(
+                (upstream_id, host, self.now_s, answer.backoff_s)
+            )
+            self._take(
+                host, state.note_signals(upstream_id, answer, self.now_s)
+            )
             self.waiting[start.id] = arrived_s
             failure = jobs.Failure(start.id, jobs.Why.REFUSED, "503")
             self._take(host, state.fail(failure, self.now_s))
 
-        if wish.rest_s is not None:
+        if answer.backoff_s is not None:
             self.due.append((self.now_s, turn_away))
             return
         total_s = ANSWER_S[start.upstream.service]
@@ -314,9 +320,9 @@
     def find_unrested(self) -> tuple[int, str, str]:
         """Returns the most that reached an upstream within a rest it had."""
         worst = (0, "", "")
-        for upstream_id, host, at_s, rest_s in self.rests:
+        for upstream_id, host, at_s, backoff_s in self.backoffs:
             got = sum(
-                a.host is host and at_s + TOLD_S <= a.at_s < at_s + rest_s
+                a.host is host and at_s + TOLD_S <= a.at_s < at_s + backoff_s
                 for a in self.arrivals[upstream_id]
             )
             worst = max(worst, (got, upstream_id, host.ip))
--- a/tests/routing/routers.py
+++ b/tests/routing/routers.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from egretspur import asked, settings
+from egretspur import settings, signals
 from egretspur.admission import throttle
 from egretspur.intents import records
 from egretspur.routing import dispatch, questions, requests, tables
@@ -38,7 +38,7 @@
     # Last stages that turn requests away, with the rest that they ask for; when
     # they asked which router.
     away: dict[str, float] = attrs.Factory(dict)
-    rests: list[tuple[float, str, dispatch.Dispatcher]] = attrs.Factory(list)
+    backoffs: list[tuple[float, str, dispatch.Dispatcher]] = attrs.Factory(list)
     # Those that tell that they leave.
     leaving: set[str] = attrs.Factory(set)
     # Requests that reached one from a router within its rest.
@@ -65,7 +65,7 @@
         """Gives each router what the control daemons know."""
         newest: dict[str, throttle.Told] = {}
         for router in self.routers:
-            for start, told in router.gates.throttle.list_told(
+            for start, told in router.availability.throttle.list_told(
                 self.now_s
             ).items():
                 known = newest.get(start)
@@ -133,18 +133,18 @@
     ) -> None:
         last = grant.path.edges[-1].upstream
         self.reached.setdefault(last, []).append(self.now_s)
-        wish = asked.Asked(
+        answer = signals.Signals(
             self.limits.get(last), self.away.get(last), last in self.leaving
         )
         self.unrested += any(
-            name == last and who is router and 0.5 <= self.now_s - at_s < rest_s
-            for (at_s, name, who), rest_s in [
-                (r, self.away.get(r[1], 0.0)) for r in self.rests
-            ]
+            name == last
+            and who is router
+            and 0.5 <= self.now_s - at_s < self.away.get(name, 0.0)
+            for at_s, name, who in self.backoffs
         )
         if last in self.away:
-            self.rests.append((self.now_s, last, router))
-            router.note_asked(last, wish, self.now_s)
+            self.backoffs.append((self.now_s, last, router))
+            router.note_signals(last, answer, self.now_s)
             failure = requests.Failure(
                 grant.id, "busy", (last,), True, "", False, 0
             )
@@ -152,7 +152,7 @@
             return
 
         def begin() -> None:
-            _, effects = router.note_asked(last, wish, self.now_s)
+            _, effects = router.note_signals(last, answer, self.now_s)
             self._take(router, effects)
 
         def end() -> None:
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -15,7 +15,14 @@
 from egretspur.membership import duty, exchange
 from egretspur.orders import ranges
 from egretspur.routing import actor as traffics
-from egretspur.routing import desk, gates, jobs, network, probes, requests
+from egretspur.routing import (
+    availability,
+    desk,
+    jobs,
+    network,
+    probes,
+    requests,
+)
 from tests import fleets, stage
 from tests.steps import entries_steps
 
@@ -115,7 +122,7 @@
     def __init__(self) -> None:
         rng = random.Random(1)
         state = network.Network("kl-hall", rng)
-        self.gates = gates.Gates("kl-hall", state, rng)
+        self.availability = availability.Availability("kl-hall", state, rng)
 
     def arrive(self, arrival: requests.Arrival, now_s: float) -> list[Any]:
         """Raises."""
--- a/tests/steps/limits_steps.py
+++ b/tests/steps/limits_steps.py
@@ -256,19 +256,19 @@
     assert item.deadline_s >= context.world.now_s + 0.5 * patience_s
 
 
-@when("one turns all away and asks for {rest_s:g} s of rest")
-def step_away(context: Any, rest_s: float) -> None:
-    context.world.away = {REPLICAS[0]: rest_s}
+@when("one turns all away and asks for {backoff_s:g} s of rest")
+def step_away(context: Any, backoff_s: float) -> None:
+    context.world.away = {REPLICAS[0]: backoff_s}
 
 
-@when("all turn all away and ask for {rest_s:g} s of rest")
-def step_all_away(context: Any, rest_s: float) -> None:
-    context.world.away = dict.fromkeys(REPLICAS, rest_s)
+@when("all turn all away and ask for {backoff_s:g} s of rest")
+def step_all_away(context: Any, backoff_s: float) -> None:
+    context.world.away = dict.fromkeys(REPLICAS, backoff_s)
 
 
-@when("the first engine of a data centre asks for {rest_s:g} s of rest")
-def step_engine_away(context: Any, rest_s: float) -> None:
-    context.world.away = {FIRST_ENGINES[0]: rest_s}
+@when("the first engine of a data centre asks for {backoff_s:g} s of rest")
+def step_engine_away(context: Any, backoff_s: float) -> None:
+    context.world.away = {FIRST_ENGINES[0]: backoff_s}
 
 
 @when("it takes requests again")
@@ -292,14 +292,14 @@
 @then("no host sends it anything within its rest")
 def step_unrested(context: Any) -> None:
     got, upstream_id, host = context.world.find_unrested()
-    assert context.world.rests
+    assert context.world.backoffs
     assert not got, (got, upstream_id, host)
 
 
 @then("whoever is refused beside a rest is told to come back after it")
 def step_after_rest(context: Any) -> None:
     world = context.world
-    first_s = min(at_s + rest_s for _, _, at_s, rest_s in world.rests)
+    first_s = min(at_s + backoff_s for _, _, at_s, backoff_s in world.backoffs)
     told = [
         (a + waited_s, r.retry_after_s)
         for a, waited_s, r in world.refused
--- a/tests/steps/routers_steps.py
+++ b/tests/steps/routers_steps.py
@@ -67,7 +67,7 @@
 @then("no router takes an engine for limited")
 def step_lifted(context: Any) -> None:
     for router in context.routers.routers:
-        assert not router.gates.throttle.limited
+        assert not router.availability.throttle.limited
 
 
 @when("the last stage of one turns all away and asks for {rest_s:g} s of rest")
@@ -77,7 +77,7 @@
 
 @then("no router sends it anything within its rest")
 def step_rested(context: Any) -> None:
-    assert context.routers.rests
+    assert context.routers.backoffs
     assert not context.routers.unrested
 
 
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -10,7 +10,7 @@
 import attrs
 from behave import given, then, when
 
-from egretspur import asked
+from egretspur import signals
 from egretspur.catalog import upstreams
 from egretspur.delivery import silence, watch
 from egretspur.routing import desk, jobs
@@ -153,7 +153,7 @@
 def step_limited(context: Any, one: str, other: str, per_s: float) -> None:
     context.limited = (one, other)
     for name in context.limited:
-        context.play.desk.note_asked(name, asked.Asked(per_s))
+        context.play.desk.note_signals(name, signals.Signals(per_s))
 
 
 @when("the watch looks each {step_ms:d} ms for {seconds:d} s")
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -11,7 +11,7 @@
 import attrs
 from behave import then, when
 
-from egretspur import asked
+from egretspur import signals
 from egretspur.delivery import forward
 from egretspur.platform import upstream
 from egretspur.routing import jobs, paths
@@ -72,9 +72,9 @@
     )
     context.leaving = forward.Abort()
     context.outcome_of = None
-    context.wishes = []
+    context.backpressure = []
     answer = upstream.UpstreamClient(
-        2.5, lambda upstream_id, wish: context.wishes.append(wish)
+        2.5, lambda upstream_id, answer: context.backpressure.append(answer)
     ).open(CALL, job, jobs.Start("ID", entry, parts), "", context.leaving)
     body = b""
     while not isinstance(answer, forward.Lost):
@@ -153,24 +153,24 @@
 
 @then('the hosts hear of a limit of "{limit}"')
 def step_limit(context: Any, limit: str) -> None:
-    (wish,) = context.wishes
+    (answer,) = context.backpressure
     if limit == "unreadable":
-        assert isinstance(wish.per_s, asked.Unreadable), wish
+        assert isinstance(answer.per_s, signals.Unreadable), answer
         return
-    assert str(wish.per_s) == limit, wish
+    assert str(answer.per_s) == limit, answer
 
 
 @then('the hosts hear of "{what}"')
 def step_asked(context: Any, what: str) -> None:
     if what == "not at all":
-        assert not context.wishes
+        assert not context.backpressure
         return
-    (wish,) = context.wishes
+    (answer,) = context.backpressure
     if what == "unreadable":
-        assert isinstance(wish.rest_s, asked.Unreadable), wish
+        assert isinstance(answer.backoff_s, signals.Unreadable), answer
         return
     wanted = {
-        "nothing": asked.NOTHING,
-        "leaving": asked.Asked(is_leaving=True),
-    }.get(what) or asked.Asked(rest_s=float(what.removeprefix("rest ")))
-    assert wish == wanted, wish
+        "nothing": signals.NONE,
+        "leaving": signals.Signals(is_leaving=True),
+    }.get(what) or signals.Signals(backoff_s=float(what.removeprefix("rest ")))
+    assert answer == wanted, answer
