--- a/egretspur/claims/calls.py
+++ b/egretspur/claims/calls.py
@@ -244,7 +244,7 @@
         """Refuses a call that no replica takes now, by what they ask for."""
         return errors.Refusal(
             errors.ErrorKind.UPSTREAM_LIMITED,
-            f"{len(closed)} replicas at their limits, or backing_off",
+            f"{len(closed)} replicas at their limits, or in backoff",
             self._traffic.promise_turn(service, tuple(closed)),
         )
 
