--- a/egretspur/routing/backpressure.py
+++ b/egretspur/routing/backpressure.py
@@ -94,6 +94,13 @@
         """Tells whether an upstream leaves, by its entry or its answers."""
         return entry.is_draining or entry.id in self._leaving
 
+    def is_free(self, upstream_id: str) -> bool:
+        """Tells whether an upstream has asked for nothing; from any thread."""
+        return (
+            upstream_id not in self._throttle.limited
+            and upstream_id not in self._health.backoffs
+        )
+
     def may_ask(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may be asked something; counts it.
 
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -362,6 +362,7 @@
         """Starts the actor, which owns the broker from now on."""
         self._busy = threading.Event()
         self._throttle = state.throttle
+        self._backpressure = state.fleet.backpressure
         self._ref = DeskActor.start(state, self._busy)
 
     def close(self) -> None:
@@ -410,7 +411,7 @@
 
     def may_ask(self, upstream_id: str) -> bool:
         """Tells whether an upstream may be asked something; counts it."""
-        if upstream_id not in self._throttle.limited:
+        if self._backpressure.is_free(upstream_id):
             return True
         may_ask: bool = actors.ask(self._ref, AskTurn(upstream_id))
         return may_ask
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -73,3 +73,10 @@
     And "a100-0" and "a100-1" take 0.4 requests a second
     When the watch looks each 100 ms for 3 s
     Then each of them is asked at most once, and others are asked
+
+  Scenario: Silent streams over engines that asked for rest
+    # An engine that asked a host for rest is asked for reports all the same.
+    Given a watch over 6 streams on "a100-1" and 0 beside it
+    And "a100-0" and "a100-1" ask for 30 s of rest
+    When the watch looks each 100 ms for 3 s
+    Then none of them is asked, and others are asked
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -168,3 +168,20 @@
     for name in context.limited:
         assert counts.pop(f"{name}:80", 0) <= 1, context.play.engines.asked
     assert counts
+
+
+@given('"{one}" and "{other}" ask for {rest_s:g} s of rest')
+def step_rest(context: Any, one: str, other: str, rest_s: float) -> None:
+    context.limited = (one, other)
+    for name in context.limited:
+        answer = signals.Signals(backoff_s=rest_s)
+        context.play.desk.note_signals(name, answer)
+    # Taken once the desk answers what was asked after it.
+    context.play.desk.look(lambda state: None)
+
+
+@then("none of them is asked, and others are asked")
+def step_none_asked(context: Any) -> None:
+    asked = set(context.play.engines.asked)
+    assert not asked & {f"{name}:80" for name in context.limited}, asked
+    assert asked
