Read the signals of an answer in one place for both interfaces

The platform's client and the product's own put the same three values together; each now names its fields to one function. A doc comment says what a list holds.

--- a/egretspur/clients/fields.py
+++ b/egretspur/clients/fields.py
@@ -25,8 +25,4 @@
         status: Of the answer.
         fields: Its header fields, by names in any case.
     """
-    return signals.Signals(
-        signals.parse_limit(fields.get(LIMIT)),
-        signals.parse_backoff(status, fields.get(signals.RETRY_AFTER)),
-        signals.parse_leaving(fields.get(LEAVING)),
-    )
+    return signals.read(status, fields, LIMIT, LEAVING)
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -100,7 +100,12 @@
             handle.close()
             return forward.Lost(jobs.Why.CUT, f"{start.upstream.id}: {exc!r}")
         if res.status != MISDIRECTED:
-            self._note_signals(start.upstream.id, _read_signals(res))
+            self._note_signals(
+                start.upstream.id,
+                signals.read(
+                    res.status, res.headers, names.LIMIT, names.LEAVING
+                ),
+            )
         lost = _check_head(call, start, res)
         if lost is not None:
             handle.close()
@@ -254,16 +259,6 @@
     return ",".join(f"{p.address}={p.first}-{p.last}" for p in parts)
 
 
-def _read_signals(res: urllib3.BaseHTTPResponse) -> signals.Signals:
-    """Returns what an answer asks of the hosts."""
-    fields = res.headers
-    return signals.Signals(
-        signals.parse_limit(fields.get(names.LIMIT)),
-        signals.parse_backoff(res.status, fields.get(signals.RETRY_AFTER)),
-        signals.parse_leaving(fields.get(names.LEAVING)),
-    )
-
-
 def _check_head(
     call: forward.Call, start: jobs.Start, res: Any
 ) -> forward.Lost | None:
--- a/egretspur/routing/availability.py
+++ b/egretspur/routing/availability.py
@@ -79,7 +79,7 @@
         ) and self.throttle.is_open(self._network.name_start(name), now_s)
 
     def list_closed(self, now_s: float) -> frozenset[str]:
-        """Returns the upstreams at their limits."""
+        """Returns the upstreams that take none, where any has a limit."""
         if not self.throttle.limited:
             return frozenset()
         return frozenset(
--- a/egretspur/signals.py
+++ b/egretspur/signals.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import attrs
@@ -48,6 +48,24 @@
 NONE: Final = Signals()
 
 
+def read(
+    status: int, fields: Mapping[str, str], limit: str, leaving: str
+) -> Signals:
+    """Returns what an answer asks of the hosts.
+
+    Args:
+        status: Of the answer.
+        fields: Its header fields, by names in any case.
+        limit: Name of the field that holds a limit.
+        leaving: Name of the field that tells that its upstream leaves.
+    """
+    return Signals(
+        parse_limit(fields.get(limit)),
+        parse_backoff(status, fields.get(RETRY_AFTER)),
+        parse_leaving(fields.get(leaving)),
+    )
+
+
 def parse_limit(text: str | None) -> float | None | Unreadable:
     """Returns the requests a second that an answer names, None if none.
 
