Join the thread of a scenario before the next one begins

Cause, a fault of the test: the scenario before it leaves its caller at the end, and the thread of that request ended after the next scenario had begun. It then closed `context.forward`, by which time that name stood for the next scenario's request, whose answer was gone between its head and its events.

Change: the thread is joined before its scenario ends, and a run closes the request that it made itself. No check was changed.

--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -355,24 +355,27 @@
     context.add_cleanup(decisions.LOGGER.setLevel, level)
     context.add_cleanup(decisions.LOGGER.removeHandler, context.lines)
     context.began_s = time.monotonic()
-    context.forward = make_forward(context, kind, live_s)
+    context.forward = req = make_forward(context, kind, live_s)
     context.written = b""
     context.end = context.result = None
-    context.result = context.forward.begin()
+    context.result = req.begin()
     if isinstance(context.result, FakeAnswer):
 
         def write(data: bytes) -> None:
             context.written += data
 
-        context.end = context.forward.run(write)
-    context.forward.close()
+        context.end = req.run(write)
+    req.close()
     context.took_s = time.monotonic() - context.began_s
 
 
 @when("a stream is asked for")
 def step_stream(context: Any) -> None:
     if context.play.engines.stalled and context.play.engines.stalled != "dark":
-        threading.Thread(target=run, args=(context, "streaming")).start()
+        context.thread = threading.Thread(
+            target=run, args=(context, "streaming")
+        )
+        context.thread.start()
         return
     run(context, "streaming")
 
@@ -580,6 +583,9 @@
     assert at_s - context.began_s <= seconds, at_s - context.began_s
     assert [p.id for p in parts][:2] == ["a100-0", "a100-twin"], parts
     context.forward.leave()
+    # It must not outlive its scenario and write into the next one's context.
+    context.thread.join(5.0)
+    assert not context.thread.is_alive()
 
 
 @then("the first engine is given no more work")
