Read only what changed of the datagrams that hosts tell

Cause: a host tells its whole state four times a second to some twenty-five others, which decode every part anew, although most is as it was told last: requests in quarantine, suspects, what is dead, paces.

Change: a `Decoder` keeps the last datagram of each host, 512 at most, and reads the parts that differ. A datagram that is refused drops what was kept of its host. The hosts near by are listed only where something is passed on.

Tests: any sequence of news is read as if each came alone; each field of another type is refused, also after a whole datagram; memory is bounded. The models of limits and crashes hold a decoder a host.

Not used further: a raw value that equals the one before in Python's sense (true and 1) is taken for it.

--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -8,8 +8,8 @@
 
 import functools
 import ipaddress
-from collections.abc import Mapping
-from typing import Any, Final
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeVar
 
 import attrs
 import orjson
@@ -30,8 +30,11 @@
 # an end each 0.6 kB, for the same reason.
 MAX_ENDED: Final = 16
 
-# Of the datagram's list.
-_FIELDS: Final = 15
+# Hosts whose last datagram is kept; a host hears those of its data centre and
+# the speakers of the others.
+KEPT_HOSTS: Final = 512
+
+V = TypeVar("V")
 
 
 @attrs.frozen
@@ -121,54 +124,88 @@
     )
 
 
-def decode_news(data: bytes) -> News | NotNews:
-    """Returns the news in a datagram, or why it holds none."""
-    try:
-        return _decode_news(codec.load_json(data))
-    except checks.FieldError as exc:
-        return NotNews(exc.field, str(exc))
-    except codec.DecodeError as exc:
-        return NotNews("bytes", str(exc))
-
-
-def _decode_news(value: Any) -> News:
-    row = checks.check_row(value, "news", _FIELDS)
-    host, place, age_s, known, *tables, is_new, limits = row
-    usage, pace, dead, layers, peers, excess, suspects, spent, ended = tables
-    version, digest, list_age_s, era = checks.check_row(known, "known", 4)
-    return News(
-        _check_host(host),
-        checks.check_text(place, "data_centre"),
-        checks.check_number(age_s, "store_age"),
-        reading.Known(
-            checks.check_count(version, "version"),
-            checks.check_count(digest, "digest"),
-            checks.check_number(list_age_s, "list_age"),
-            checks.check_count(era, "era"),
-        ),
-        _decode_usage(usage),
-        {
-            i: checks.check_number(p, "pace")
-            for i, p in _get_items(pace, "pace")
-        },
-        _decode_ids(dead, "dead"),
-        {i: _decode_layers(p) for i, p in _get_items(layers, "layers")},
-        {
-            _check_host(h): checks.check_text(p, "peers")
-            for h, p in _get_items(peers, "peers")
-        },
-        {
-            i: checks.check_number(e, "excess")
-            for i, e in _get_items(excess, "excess")
-        },
-        _decode_ids(suspects, "suspects"),
-        {s: _decode_spent(r) for s, r in _get_items(spent, "spent")},
-        {f: decode_ends(e) for f, e in _get_items(ended, "ended")},
-        checks.check_flag(is_new, "is_new"),
-        {i: _decode_limit(r) for i, r in _get_items(limits, "limits")},
+class Decoder:
+    """Reads datagrams of many hosts.
+
+    A host tells its whole state several times a second, most of it as it told
+    it last: a part that is the same is not read again.
+    """
+
+    def __init__(self) -> None:
+        # What each host told last, by its address; the longest silent first.
+        self._last: dict[str, _Told] = {}
+
+    def decode(self, data: bytes) -> News | NotNews:
+        """Returns the news in a datagram, or why it holds none."""
+        try:
+            row = checks.check_row(codec.load_json(data), "news", len(_PARTS))
+            host = _check_host(row[0])
+            told = _decode_parts(row, self._last.pop(host, _NOTHING_TOLD))
+        except checks.FieldError as exc:
+            return NotNews(exc.field, str(exc))
+        except codec.DecodeError as exc:
+            return NotNews("bytes", str(exc))
+        if len(self._last) >= KEPT_HOSTS:
+            del self._last[next(iter(self._last))]
+        self._last[host] = told
+        return News(*told.parts)
+
+
+@attrs.frozen(eq=False)
+class _Told:
+    """A host's last datagram."""
+
+    # Its list as it came.
+    row: list[Any]
+    # The fields of `News` read from it.
+    parts: list[Any]
+
+
+_NOTHING_TOLD: Final = _Told([], [])
+
+
+def _decode_parts(row: list[Any], last: _Told) -> _Told:
+    """Reads those parts of a datagram that differ from the host's last one."""
+    if not last.row:
+        return _Told(row, [p(v) for p, v in zip(_PARTS, row, strict=True)])
+    parts = [
+        part if value == known else decode(value)
+        for decode, value, known, part in zip(
+            _PARTS, row, last.row, last.parts, strict=True
+        )
+    ]
+    return _Told(row, parts)
+
+
+def _decode_known(value: Any) -> reading.Known:
+    version, digest, list_age_s, era = checks.check_row(value, "known", 4)
+    return reading.Known(
+        checks.check_count(version, "version"),
+        checks.check_count(digest, "digest"),
+        checks.check_number(list_age_s, "list_age"),
+        checks.check_count(era, "era"),
     )
 
 
+def _decode_peers(value: Any) -> dict[str, str]:
+    return {
+        _check_host(h): checks.check_text(p, "peers")
+        for h, p in _get_items(value, "peers")
+    }
+
+
+def _decode_numbers(value: Any, field: str) -> dict[str, float]:
+    return {
+        i: checks.check_number(n, field) for i, n in _get_items(value, field)
+    }
+
+
+def _decode_table(
+    value: Any, field: str, decode: Callable[[Any], V]
+) -> dict[str, V]:
+    return {i: decode(v) for i, v in _get_items(value, field)}
+
+
 def _decode_ids(value: Any, field: str) -> tuple[str, ...]:
     return tuple(
         checks.check_text(i, field) for i in checks.check_list(value, field)
@@ -248,3 +285,23 @@
 def parse_address(host: str) -> ipaddress.IPv4Address:
     """Returns an address, which sorts as a number; may raise ValueError."""
     return ipaddress.IPv4Address(host)
+
+
+# How each field of `News` is read from its place in a datagram.
+_PARTS: Final[tuple[Callable[[Any], Any], ...]] = (
+    _check_host,
+    functools.partial(checks.check_text, field="data_centre"),
+    functools.partial(checks.check_number, field="store_age"),
+    _decode_known,
+    _decode_usage,
+    functools.partial(_decode_numbers, field="pace"),
+    functools.partial(_decode_ids, field="dead"),
+    functools.partial(_decode_table, field="layers", decode=_decode_layers),
+    _decode_peers,
+    functools.partial(_decode_numbers, field="excess"),
+    functools.partial(_decode_ids, field="suspects"),
+    functools.partial(_decode_table, field="spent", decode=_decode_spent),
+    functools.partial(_decode_table, field="ended", decode=decode_ends),
+    functools.partial(checks.check_flag, field="is_new"),
+    functools.partial(_decode_table, field="limits", decode=_decode_limit),
+)
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -389,6 +389,7 @@
         self._take_news = take_news
         self._lock = threading.Lock()
         self._peers = peers
+        self._decoder = datagrams.Decoder()
         # Senders of datagrams that were refused, with the reasons; since when.
         self._refused: set[tuple[str, str]] = set()
         self._refused_since_s = 0.0
@@ -532,7 +533,7 @@
         heard = []
         passed_on = []
         for data, (sender, _) in received:
-            news = datagrams.decode_news(data)
+            news = self._decoder.decode(data)
             if isinstance(news, datagrams.NotNews):
                 self._note_refused(sender, news, now_s)
             elif news.host != self._ip:
@@ -545,11 +546,10 @@
             for news in heard:
                 self._peers.note(news, now_s)
             shared = self._peers.count_sharing()
-            is_speaker = self._peers.is_speaker(now_s)
-            near = self._peers.list_near(now_s)
-        if is_speaker:
-            for data in passed_on:
-                self._send_to(near, data)
+            is_passing = bool(passed_on) and self._peers.is_speaker(now_s)
+            near = self._peers.list_near(now_s) if is_passing else []
+        for data in passed_on:
+            self._send_to(near, data)
         self._take_news(heard, shared)
 
     def _note_refused(
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -5,6 +5,22 @@
     When it is sent as a datagram
     Then the same news is read from it
 
+  Scenario: A datagram with one field of another type
+    Given news with requests in flight, slow and dead engines and layers
+    When one field of its datagram after the other is of another type
+    Then each is refused, also after a whole one
+
+  @fuzz
+  Scenario: What a datagram says does not depend on the one before it
+    # Guards against parts taken from a host's former datagram.
+    When hosts tell any news, one after the other
+    Then each is read as it was told
+
+  Scenario: Datagrams of very many hosts
+    # Guards against memory that grows with every address that was ever told.
+    When more hosts tell something than are kept
+    Then the last datagrams of no more are in memory
+
   Scenario Outline: A datagram that is no news
     When the datagram "<bytes>" is read
     Then it is ignored
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -53,6 +53,8 @@
     data_centre: str
     state: broker.Broker
     next_news_s: float = 0.0
+    # Reads what the other hosts tell it.
+    decoder: datagrams.Decoder = attrs.Factory(datagrams.Decoder)
 
 
 @attrs.define
@@ -277,7 +279,7 @@
                 continue
             if is_near or host is near[0]:
                 data = datagrams.encode_news(own if is_near else wide)
-                found = datagrams.decode_news(data)
+                found = other.decoder.decode(data)
                 assert not isinstance(found, datagrams.NotNews), found
                 other.state.hear(news.read(found), self.now_s)
 
--- a/tests/routing/limits.py
+++ b/tests/routing/limits.py
@@ -52,6 +52,8 @@
     data_centre: str
     state: broker.Broker
     next_news_s: float = 0.0
+    # Reads what the other hosts tell it.
+    decoder: datagrams.Decoder = attrs.Factory(datagrams.Decoder)
     # When it first had an answer that named a limit, by upstream.
     told_s: dict[str, float] = attrs.Factory(dict)
 
@@ -274,7 +276,7 @@
             if self._is_lost(host, other):
                 continue
             data = datagrams.encode_news(own if is_near else wide)
-            found = datagrams.decode_news(data)
+            found = other.decoder.decode(data)
             assert not isinstance(found, datagrams.NotNews), found
             other.state.hear(news.read(found), self.now_s)
             other.state.note_hosts(len(self.hosts))
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import collections
+import gc
+import itertools
+import json
 import random
 import socket
 import time
@@ -11,13 +14,18 @@
 from unittest import mock
 
 import attrs
+import hypothesis
 from behave import given, then, when
+from hypothesis import strategies as st
 
 from egretspur.catalog import feeds, reading, upstreams
 from egretspur.membership import datagrams, duty, exchange
 from egretspur.routing import jobs
 from tests import stage
 
+# Values of which each field of a datagram refuses most by their types.
+WRONG: tuple[Any, ...] = (None, "", -1, [1], {"x": []}, {"": "x"}, "a", 1e300)
+
 IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 
 
@@ -278,7 +286,7 @@
 
 @when("it is sent as a datagram")
 def step_sent(context: Any) -> None:
-    context.read = datagrams.decode_news(datagrams.encode_news(context.news))
+    context.read = read_alone(datagrams.encode_news(context.news))
 
 
 @then("the same news is read from it")
@@ -288,7 +296,7 @@
 
 @when('the datagram "{data}" is read')
 def step_datagram(context: Any, data: str) -> None:
-    context.read = datagrams.decode_news(data.encode())
+    context.read = read_alone(data.encode())
 
 
 @then("it is ignored")
@@ -296,6 +304,88 @@
     assert isinstance(context.read, datagrams.NotNews), context.read
 
 
+def read_alone(data: bytes) -> datagrams.News | datagrams.NotNews:
+    """Reads a datagram as the first one of its host."""
+    return datagrams.Decoder().decode(data)
+
+
+@when("one field of its datagram after the other is of another type")
+def step_fields_broken(context: Any) -> None:
+    row = json.loads(datagrams.encode_news(context.news))
+    context.outcomes = []
+    for place, wrong in itertools.product(range(len(row)), WRONG):
+        if type(wrong) is type(row[place]):
+            continue
+        data = json.dumps([*row[:place], wrong, *row[place + 1 :]]).encode()
+        decoder = datagrams.Decoder()
+        before = decoder.decode(datagrams.encode_news(context.news))
+        assert before == context.news, before
+        context.outcomes.append((place, wrong, read_alone(data)))
+        context.outcomes.append((place, wrong, decoder.decode(data)))
+
+
+@then("each is refused, also after a whole one")
+def step_all_refused(context: Any) -> None:
+    assert len(context.outcomes) > 100, len(context.outcomes)
+    for place, wrong, found in context.outcomes:
+        assert isinstance(found, datagrams.NotNews), (place, wrong, found)
+
+
+@when("hosts tell any news, one after the other")
+def step_any_news(context: Any) -> None:
+    usage = st.dictionaries(
+        st.sampled_from(("i-1", "i-2")),
+        st.builds(jobs.Usage, st.integers(0, 2), st.integers(0, 2)),
+    )
+    ids = st.lists(st.sampled_from(("i-1", "i-2")), max_size=2).map(tuple)
+    ends = st.dictionaries(
+        st.sampled_from(("f-1", "f-2")),
+        st.dictionaries(st.sampled_from(("i-1", "i-2")), st.just(1.0)),
+    )
+    drawn = st.builds(
+        attrs.evolve,
+        st.sampled_from(("10.0.0.1", "10.0.0.2")).map(make_news),
+        store_age_s=st.sampled_from((0.0, 0.25)),
+        usage=usage,
+        dead=ids,
+        suspects=ids,
+        ended=ends,
+        is_new=st.booleans(),
+    )
+    context.checked = 0
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(st.lists(drawn, max_size=8))
+    def check(told: list[datagrams.News]) -> None:
+        decoder = datagrams.Decoder()
+        for news in told:
+            assert decoder.decode(datagrams.encode_news(news)) == news
+            context.checked += 1
+
+    check()
+
+
+@then("each is read as it was told")
+def step_each_read(context: Any) -> None:
+    assert context.checked > 300, context.checked
+
+
+@when("more hosts tell something than are kept")
+def step_many_hosts(context: Any) -> None:
+    context.decoder = datagrams.Decoder()
+    for i in range(datagrams.KEPT_HOSTS + 10):
+        news = make_news(f"10.0.{i // 250}.{i % 250}")
+        assert context.decoder.decode(datagrams.encode_news(news)) == news
+
+
+@then("the last datagrams of no more are in memory")
+def step_kept(context: Any) -> None:
+    (last,) = [
+        v for v in gc.get_referents(context.decoder) if isinstance(v, dict)
+    ]
+    assert len(last) == datagrams.KEPT_HOSTS, len(last)
+
+
 @given("hosts {hosts} of {data_centre} that were heard now")
 def step_hosts_heard(context: Any, hosts: str, data_centre: str) -> None:
     for host in hosts.split(", "):
