Tell hosts of the models' news in one place

The models of limits and of crashing requests each had hosts, datagrams between them and work that falls due. One module has them now; who heard is told back, since only the model of limits counts hosts by what they hear.

--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -16,10 +16,9 @@
 from egretspur import errors
 from egretspur.admission import quarantine
 from egretspur.catalog import upstreams
-from egretspur.daemons import news
-from egretspur.membership import datagrams
 from egretspur.routing import broker, jobs, questions
 from tests import fleets
+from tests.routing import peers
 
 # Seconds between two steps of the model, two datagrams of a host, and from the
 # start of a run to the end of its engine.
@@ -45,23 +44,11 @@
 FATAL: Final = "fatal"
 
 
-@attrs.define
-class Host:
-    """A host's decisions and what it runs."""
-
-    ip: str
-    data_centre: str
-    state: broker.Broker
-    next_news_s: float = 0.0
-    # Reads what the other hosts tell it.
-    decoder: datagrams.Decoder = attrs.Factory(datagrams.Decoder)
-
-
 @attrs.define
 class Run:
     """An attempt under way."""
 
-    host: Host
+    host: peers.Host
     job: jobs.Job
     start: jobs.Start
     began_s: float
@@ -74,14 +61,14 @@
 
     rng: random.Random
     now_s: float = 1.0
-    hosts: list[Host] = attrs.Factory(list)
+    hosts: list[peers.Host] = attrs.Factory(list)
     # Engines that live, by id of their start.
     live: dict[str, upstreams.Upstream] = attrs.Factory(dict)
     # What is due: time, and what is to be done.
-    due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
+    due: peers.Due = attrs.Factory(list)
     runs: dict[str, Run] = attrs.Factory(dict)
     # Requests that wait for a decision, by id.
-    waiting: dict[str, tuple[Host, jobs.Job]] = attrs.Factory(dict)
+    waiting: dict[str, tuple[peers.Host, jobs.Job]] = attrs.Factory(dict)
     # When requests that crash engines reached one, and when one ended.
     reached_s: list[float] = attrs.Factory(list)
     ended_s: list[float] = attrs.Factory(list)
@@ -90,7 +77,7 @@
     arrived: int = 0
     starts: int = 0
     # Whether a datagram between two hosts arrives.
-    is_heard: Callable[[Host, Host], bool] = lambda a, b: True
+    is_heard: Callable[[peers.Host, peers.Host], bool] = lambda a, b: True
     # Ends of requests as the store has them.
     stored: dict[str, quarantine.Ends] = attrs.Factory(dict)
     # Runs of which requests bring a part of their answer before engines end.
@@ -105,22 +92,22 @@
             for layers in RANGES:
                 self.start_engine(place, layers)
 
-    def add_host(self, place: str) -> Host:
+    def add_host(self, place: str) -> peers.Host:
         """Starts a host that knows the list and nothing else."""
         state = broker.Broker(place, fleets.BUDGET, random.Random(len(place)))
         state.configure(fleets.make_config())
         for entry in self.live.values():
             upstreams.put(state.fleet.roster, entry, self.now_s)
-        host = Host(f"10.0.0.{len(self.hosts) + 1}", place, state)
+        host = peers.Host(f"10.0.0.{len(self.hosts) + 1}", place, state)
         self.hosts.append(host)
         self.read_store(host)
         return host
 
-    def read_store(self, host: Host) -> None:
+    def read_store(self, host: peers.Host) -> None:
         """Has a host read the requests in quarantine."""
         self.take(host, host.state.restore(self.stored, self.now_s))
 
-    def restart(self, host: Host) -> Host:
+    def restart(self, host: peers.Host) -> peers.Host:
         """Puts a host that knows nothing in the place of another one."""
         self.hosts.remove(host)
         for name, run in list(self.runs.items()):
@@ -168,7 +155,7 @@
         """Has something done later."""
         self.due.append((self.now_s + seconds, work))
 
-    def send(self, host: Host, fingerprint: str, id_: str = "") -> str:
+    def send(self, host: peers.Host, fingerprint: str, id_: str = "") -> str:
         """Sends a request; returns its id."""
         self.arrived += 1
         name = id_ or f"r{self.arrived}"
@@ -179,7 +166,7 @@
         self.take(host, host.state.arrive(job, self.now_s))
         return name
 
-    def take(self, host: Host, effects: list[jobs.Effect]) -> None:
+    def take(self, host: peers.Host, effects: list[jobs.Effect]) -> None:
         """Runs what a host decided."""
         for effect in effects:
             owner, job = self.waiting.pop(effect.id)
@@ -189,7 +176,9 @@
                 continue
             self._begin(host, job, effect)
 
-    def _begin(self, host: Host, job: jobs.Job, start: jobs.Start) -> None:
+    def _begin(
+        self, host: peers.Host, job: jobs.Job, start: jobs.Start
+    ) -> None:
         run = Run(host, job, start, self.now_s)
         engine = start.upstream.id
         self.runs[job.id] = run
@@ -223,7 +212,7 @@
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self.now_s += STEP_S
-            self._do_due()
+            peers.do_due(self.due, self.now_s)
             self._answer()
             for host in list(self.hosts):
                 self.take(host, host.state.tick(self.now_s))
@@ -231,20 +220,14 @@
                 self._save(host)
                 if self.now_s >= host.next_news_s:
                     host.next_news_s = self.now_s + NEWS_S
-                    self._tell(host)
+                    peers.tell(host, self.hosts, self.is_heard, self.now_s)
 
-    def _save(self, host: Host) -> None:
+    def _save(self, host: peers.Host) -> None:
         for change in host.state.take_unsaved():
             self.stored[change.fingerprint] = change.ends
             for other in self.hosts:
                 self.read_store(other)
 
-    def _do_due(self) -> None:
-        now = [d for d in self.due if d[0] <= self.now_s]
-        self.due = [d for d in self.due if d[0] > self.now_s]
-        for _, work in now:
-            work()
-
     def _answer(self) -> None:
         for name, run in list(self.runs.items()):
             if run.job.fingerprint.startswith(FATAL):
@@ -258,31 +241,15 @@
                 self.answered.add(name)
                 self.finish(run.host, name)
 
-    def finish(self, host: Host, name: str) -> None:
+    def finish(self, host: peers.Host, name: str) -> None:
         """Ends a request whose answer its caller has."""
         self.take(host, host.state.finish(name, self.now_s, True))
 
-    def _probe(self, host: Host) -> None:
+    def _probe(self, host: peers.Host) -> None:
         for entry in host.state.fleet.take_probes(self.now_s):
             report = upstreams.PLAIN_REPORT if entry.id in self.live else None
             host.state.fleet.note_report(entry.id, report, self.now_s)
 
-    def _tell(self, host: Host) -> None:
-        """Has a host tell the others, for its data centre if it is first."""
-        view = news.StoreView(1, 0.0, 0.0, False, 0)
-        own = news.collect(host.state, host.ip, view, {}, self.now_s)
-        wide = news.widen(host.state, own, self.now_s)
-        near = [h for h in self.hosts if h.data_centre == host.data_centre]
-        for other in self.hosts:
-            is_near = other.data_centre == host.data_centre
-            if other is host or not self.is_heard(host, other):
-                continue
-            if is_near or host is near[0]:
-                data = datagrams.encode_news(own if is_near else wide)
-                found = other.decoder.decode(data)
-                assert not isinstance(found, datagrams.NotNews), found
-                other.state.hear(news.read(found), self.now_s)
-
     def count_late(self) -> int:
         """Returns how often engines were reached after the bound began."""
         if len(self.ended_s) < 3:
--- a/tests/routing/limits.py
+++ b/tests/routing/limits.py
@@ -11,17 +11,17 @@
 
 import math
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from typing import Final
 
 import attrs
 
 from egretspur import decisions, errors, signals
 from egretspur.catalog import upstreams
-from egretspur.daemons import news
-from egretspur.membership import datagrams, exchange
+from egretspur.membership import exchange
 from egretspur.routing import broker, jobs, questions
 from tests import fleets
+from tests.routing import peers
 
 # Seconds between two steps of the model and two datagrams of a host.
 STEP_S: Final = 0.02
@@ -45,15 +45,9 @@
 
 
 @attrs.define(eq=False)
-class Host:
-    """A host's decisions."""
-
-    ip: str
-    data_centre: str
-    state: broker.Broker
-    next_news_s: float = 0.0
-    # Reads what the other hosts tell it.
-    decoder: datagrams.Decoder = attrs.Factory(datagrams.Decoder)
+class Host(peers.Host):
+    """A host's decisions, and what it was told."""
+
     # When it first had an answer that named a limit, by upstream.
     told_s: dict[str, float] = attrs.Factory(dict)
 
@@ -80,7 +74,7 @@
     limits: dict[str, float] = attrs.Factory(dict)
     named: dict[str, list[tuple[float, float]]] = attrs.Factory(dict)
     arrivals: dict[str, list[Arrival]] = attrs.Factory(dict)
-    due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
+    due: peers.Due = attrs.Factory(list)
     # Requests that wait for a decision: when each arrived.
     waiting: dict[str, float] = attrs.Factory(dict)
     answered: list[float] = attrs.Factory(list)
@@ -236,7 +230,7 @@
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self.now_s += STEP_S
-            self._do_due()
+            peers.do_due(self.due, self.now_s)
             for host in self.hosts:
                 # As its ticker does.
                 if host.state.is_busy():
@@ -258,34 +252,17 @@
             left += self.rng.expovariate(1.0)
         return count
 
-    def _do_due(self) -> None:
-        now = [d for d in self.due if d[0] <= self.now_s]
-        self.due = [d for d in self.due if d[0] > self.now_s]
-        for _, work in now:
-            work()
-
     def _tell(self, host: Host) -> None:
-        view = news.StoreView(1, 0.0, 0.0, False, 0)
-        own = news.collect(host.state, host.ip, view, {}, self.now_s)
-        wide = news.widen(host.state, own, self.now_s)
-        near = [h for h in self.hosts if h.data_centre == host.data_centre]
-        for other in self.hosts:
-            is_near = other.data_centre == host.data_centre
-            if other is host or not (is_near or host is near[0]):
-                continue
-            if self._is_lost(host, other):
-                continue
-            data = datagrams.encode_news(own if is_near else wide)
-            found = other.decoder.decode(data)
-            assert not isinstance(found, datagrams.NotNews), found
-            other.state.hear(news.read(found), self.now_s)
+        heard = peers.tell(host, self.hosts, self._is_heard, self.now_s)
+        for other in heard:
             other.state.note_hosts(len(self.hosts))
 
-    def _is_lost(self, host: Host, other: Host) -> bool:
+    def _is_heard(self, host: peers.Host, other: peers.Host) -> bool:
+        """Tells whether a datagram between two hosts arrives."""
         places = {host.data_centre, other.data_centre}
         if len(places) > 1 and places & self.apart:
-            return True
-        return self.rng.random() < self.lost
+            return False
+        return self.rng.random() >= self.lost
 
     def find_worst(self, upstream_id: str) -> tuple[float, int, float]:
         """Returns the worst window: how far beyond, requests, allowed."""
