--- a/tests/steps/ranges_steps.py
+++ b/tests/steps/ranges_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from typing import Any
 
 import attrs
@@ -13,9 +12,9 @@
 from egretspur.catalog import upstreams
 from egretspur.placement import ranges
 from egretspur.routing import paths
-from tests import fleets
+from tests import fleets, fuzz
 
-HISTORIES = 400 if os.environ.get("EGRETSPUR_FUZZ") == "long" else 60
+HISTORIES = 400 if fuzz.IS_LONG else 60
 
 
 def follow(
--- a/tests/steps/shared_steps.py
+++ b/tests/steps/shared_steps.py
@@ -11,7 +11,7 @@
 
 from egretspur.admission import shared
 from egretspur.routing import jobs, memory
-from tests.steps import broker_steps
+from tests import fuzz
 
 RATIO: Final = 0.2
 ALLOWANCE: Final = 574.0
@@ -236,7 +236,7 @@
 )
 def step_fuzz(context: Any) -> None:
     context.worst = []
-    for seed in range(40 if broker_steps.LONG else 8):
+    for seed in range(40 if fuzz.IS_LONG else 8):
         context.worst.append(play_history(seed))
 
 
--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 import re
 from collections.abc import Callable, Sequence
@@ -12,6 +11,7 @@
 import hypothesis
 from behave import given, then, when
 
+from tests import fuzz
 from tests.admission import sharing, starts
 
 # Hosts are up so long before requests come.
@@ -31,7 +31,7 @@
 # A host that is stopped in turn starts so long after the one before it.
 TURN_S: Final = 0.25
 
-HISTORIES: Final = 120 if os.environ.get("EGRETSPUR_FUZZ") == "long" else 12
+HISTORIES: Final = 120 if fuzz.IS_LONG else 12
 
 
 @attrs.define
