Refuse each bad field of a datagram for the field that is bad

The examples of datagrams that are no news were lists of ten fields, as they were when they were written; since a datagram has fifteen they were all refused for their length, so that the check of a field could have gone unnoticed. Each is now a whole datagram with that one field changed, and the reason must name the field; nine fields that had no example have one. Stricter, and all pass on the code as it is.

--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -29,18 +29,35 @@
       | bytes                          |
       | not json                       |
       | []                             |
-      | ["10.1.0.1","b",0,[1,2,3],{"x":1},{},[],{},{},{}]|
       | {"host": "a"}                  |
-      | ["a","b",0,[1,2,3],{},{},[],{},{},{}]|
-      | ["10.1.0.1","b",0,[1,2,3],{},{},[],{},{"a":"b"},{}]|
-      | ["10.1.0.1","b",0,[1e999,2,3],{},{},[],{},{},{}]|
-      | ["10.1.0.1",["b"],0,[1,2,3],{},{},[],{},{},{}]|
-      | ["10.1.0.1","b",-1,[1,2,3],{},{},[],{},{},{}]|
-      | ["10.1.0.1","b",0,[1,2,3],{"x":[-1,5]},{},[],{},{},{}]|
-      | ["10.1.0.1","b",0,[1,2,3],{},{"x":"slow"},[],{},{},{}]|
-      | ["10.1.0.1","b",0,[1,2,3],{},{},[7],{},{},{}]|
-      | ["10.1.0.1","b",0,[1,2,3],{},{},[],{"x":[9,4]},{},{}]|
-      | ["10.1.0.1","b",0,[1,2,3],{},{},[],{},{},{"x":null}]|
+      | ["10.1.0.1","b",0,[1,2,3,0],{},{},[],{},{},{}]|
+
+  Scenario Outline: A datagram with one field that can't be
+    # Guards against news that raise where they are first computed with.
+    Given news with requests in flight, slow and dead engines and layers
+    When field <place> of its datagram is <value>
+    Then it is refused for its "<field>"
+
+    Examples:
+      | place | value           | field       |
+      | 0     | "a"             | host        |
+      | 1     | ["b"]           | data_centre |
+      | 2     | -1              | store_age   |
+      | 3     | [1,2,3]         | known       |
+      | 3     | [-1,2,3,0]      | version     |
+      | 3     | [1e999,2,3,0]   | bytes       |
+      | 4     | {"x":1}         | usage       |
+      | 4     | {"x":[-1,5]}    | usage       |
+      | 5     | {"x":"slow"}    | pace        |
+      | 6     | [7]             | dead        |
+      | 7     | {"x":[9,4,0]}   | layers      |
+      | 8     | {"a":"b"}       | host        |
+      | 9     | {"x":null}      | excess      |
+      | 10    | [7]             | suspects    |
+      | 11    | {"x":[1,2,3]}   | spent       |
+      | 12    | {"f":{"x":-1}}  | ended       |
+      | 13    | 1               | is_new      |
+      | 14    | {"x":[-1,0,0]}  | limits      |
 
   Scenario: Hosts that know one seed find each other
     # Symptom: request memory is given out several times over. Cause: hosts
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -299,6 +299,20 @@
     context.read = read_alone(data.encode())
 
 
+@when("field {place:d} of its datagram is {value}")
+def step_field(context: Any, place: int, value: str) -> None:
+    row = json.loads(datagrams.encode_news(context.news))
+    parts = [json.dumps(v) for v in row]
+    parts[place] = value
+    context.read = read_alone(f"[{','.join(parts)}]".encode())
+
+
+@then('it is refused for its "{field}"')
+def step_refused_field(context: Any, field: str) -> None:
+    assert isinstance(context.read, datagrams.NotNews), context.read
+    assert context.read.field == field, context.read
+
+
 @then("it is ignored")
 def step_ignored(context: Any) -> None:
     assert isinstance(context.read, datagrams.NotNews), context.read
