Look after requests that wait ten times a second, not with each report

Cause: where nothing has room, each report of an engine, each word on layers and each change of the list had all that wait searched for. What a search found was to hold for 50 ms, but each piece of others' news ended it, some hundred a second. A host with a part of a core then refuses and is late for want of time, and its callers come again.

Class: work that grows with the news, in place of with what it can change.

Change: requests that wait are looked after again after 0.1 s, or as soon as this host gives room back, the list or what an upstream asks for changes, or another request arrives; an arrival serves those before it first, so that it isn't counted as without a path beside room that has come back.

Tests: nothing has room, 30 requests and then a second of a hundred pieces of news and reports: 102 searches before, at most 13 now; ten requests that were turned away: 101 before, at most 25.

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 from typing import Final
@@ -44,6 +45,11 @@
 # Part by which an upstream's rest is longer than it asked for, at most.
 BACKOFF_SPREAD: Final = 0.1
 
+# Where requests wait for room, paths are looked for again after so long, or as
+# soon as this host gives room back. Reports and others' news come some hundred
+# times a second, and each search takes milliseconds.
+WAIT_S: Final = 0.1
+
 # Requests that wait at most.
 QUEUE_LENGTH: Final = 200
 
@@ -76,6 +82,10 @@
         self.repeats = repeats.Repeats(data_centre, budget, rng)
         self._rng = rng
         self._services: Mapping[str, config.Service] = {}
+        # Until when requests that wait are not looked after again, unless the
+        # fleet's own revision is another.
+        self._wait_until_s = -math.inf
+        self._wait_revision = -1
         # When the list of upstreams was last read.
         self.listed_s = 0.0
         # Decisions since the last `take_notes`, for the log.
@@ -392,13 +402,17 @@
         opening = self.fleet.backpressure.find_opening(service.name, now_s)
         # Plain services take all at once, but for their limits.
         is_queued = service.engine is not None or opening is not None
+        effects: list[jobs.Effect] = []
+        if is_queued and self._has_waiting(service.name, now_s):
+            # What has come free is theirs before it is counted as missing.
+            effects = self._serve_queue(now_s)
         if not (is_queued and self._has_waiting(service.name, now_s)):
             start = self._try_start(ticket, now_s)
             if start is not None:
                 queues.note_start(self.queue, ticket.job.workspace)
-                return [start]
+                return [*effects, start]
         if is_queued:
-            return self._enqueue(ticket, opening, now_s)
+            return [*effects, *self._enqueue(ticket, opening, now_s)]
         return [
             self._refuse(
                 ticket,
@@ -515,11 +529,19 @@
             self._notes.append(self.search.explain(job, spec, now_s))
 
     def _start_waiting(self, now_s: float) -> list[jobs.Effect]:
+        """Serves the queue, unless that was done just now."""
         effects: list[jobs.Effect] = [
             self._refuse_held(self.tickets[i], now_s)
             for i in list(self.queue.waiting)
             if self.quarantine.is_held(self.tickets[i].job.fingerprint)
         ]
+        if self._is_waiting(now_s):
+            return effects
+        return effects + self._serve_queue(now_s)
+
+    def _serve_queue(self, now_s: float) -> list[jobs.Effect]:
+        """Starts the requests that wait and for which there is a path now."""
+        effects: list[jobs.Effect] = []
         # Services without a path, and requests without one for themselves.
         stuck: set[str] = set()
         while self.queue.waiting:
@@ -540,8 +562,18 @@
                     continue
                 queues.start(self.queue, item)
                 effects.append(start)
+        if self.queue.waiting:
+            self._wait_until_s = now_s + WAIT_S
+            self._wait_revision = self.fleet.get_own_revision()
         return effects
 
+    def _is_waiting(self, now_s: float) -> bool:
+        """Tells whether requests that wait were looked after just now."""
+        return (
+            now_s < self._wait_until_s
+            and self._wait_revision == self.fleet.get_own_revision()
+        )
+
     def _try_start(
         self, ticket: tickets.Ticket, now_s: float
     ) -> jobs.Start | None:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -157,9 +157,16 @@
 
         It stays the same while only time passes, and where there is less room.
         """
+        return self._learned + self.get_own_revision()
+
+    def get_own_revision(self) -> int:
+        """Returns a number that differs once there may be room by this host.
+
+        That is where it gives some back, and where the list or what an
+        upstream asks for changes; not where others tell of their requests.
+        """
         return (
-            self._learned
-            + self.roster.changes
+            self.roster.changes
             + self.memory.releases
             + self.backpressure.changes
         )
--- a/tests/routing/search.feature
+++ b/tests/routing/search.feature
@@ -12,6 +12,20 @@
     When 30 requests arrive within 20 ms, and time passes in ticks
     Then a path was looked for 2 times
 
+  Scenario: Nothing has room, and others go on telling
+    # Guards against a search with each piece of news and each report.
+    Given no engine has room
+    When 30 requests arrive within 20 ms, and time passes in ticks
+    And they wait for 1 s, with news and reports a hundred a second
+    Then a path was looked for at most 13 times
+
+  Scenario: Nothing has room for requests that engines turned away
+    # Guards against a search for each of them with each piece of news.
+    Given no engine has room
+    When 10 requests wait that other engines turned away each
+    And they wait for 1 s, with news and reports a hundred a second
+    Then a path was looked for at most 25 times
+
   Scenario: Room that comes back
     Given no engine has room
     When 30 requests arrive within 20 ms, and time passes in ticks
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -182,6 +182,7 @@
         if "r" in context.broker.tickets:
             context.broker.tickets["r"].failed.clear()
             context.broker.tickets["r"].refused.clear()
+        context.now_s += broker.WAIT_S
         take(context, context.broker.tick(context.now_s))
     if "r" in context.started:
         context.outcome = "started again"
