Refuse requests in quarantine before an arrival serves those that wait

Found by reading the change before: an arrival serves the queue without refusing the requests in it that other hosts have begun to hold since the last tick, so one that crashes engines could be sent once more. The queue is never served now without that.

The test fails on the code before: the held request starts.

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -530,18 +530,21 @@
 
     def _start_waiting(self, now_s: float) -> list[jobs.Effect]:
         """Serves the queue, unless that was done just now."""
-        effects: list[jobs.Effect] = [
+        if self._is_waiting(now_s):
+            return self._refuse_all_held(now_s)
+        return self._serve_queue(now_s)
+
+    def _refuse_all_held(self, now_s: float) -> list[jobs.Effect]:
+        """Refuses the requests that wait and may not be sent any more."""
+        return [
             self._refuse_held(self.tickets[i], now_s)
             for i in list(self.queue.waiting)
             if self.quarantine.is_held(self.tickets[i].job.fingerprint)
         ]
-        if self._is_waiting(now_s):
-            return effects
-        return effects + self._serve_queue(now_s)
 
     def _serve_queue(self, now_s: float) -> list[jobs.Effect]:
         """Starts the requests that wait and for which there is a path now."""
-        effects: list[jobs.Effect] = []
+        effects = self._refuse_all_held(now_s)
         # Services without a path, and requests without one for themselves.
         stuck: set[str] = set()
         while self.queue.waiting:
--- a/tests/routing/search.feature
+++ b/tests/routing/search.feature
@@ -32,6 +32,12 @@
     And a request of this host ends
     Then a waiting request starts at once
 
+  Scenario: Room that comes back to a request that others hold
+    # Guards against one in quarantine that an arrival has started.
+    Given no engine has room
+    When a request waits that others then hold, and another one finds room
+    Then the one is refused as held, and the other one starts
+
   Scenario: A smaller request than the one that found no room
     Given every engine has room for 500 tokens
     When a request of 900 tokens arrives, and one of 300 tokens right after it
--- a/tests/steps/search_steps.py
+++ b/tests/steps/search_steps.py
@@ -9,9 +9,10 @@
 import attrs
 from behave import given, then, when
 
+from egretspur import errors
 from egretspur.admission import room
 from egretspur.catalog import upstreams
-from egretspur.routing import choice, fleet, jobs
+from egretspur.routing import choice, fleet, jobs, questions
 from tests import fleets
 
 NOW_S = 5.0
@@ -100,6 +101,33 @@
     context.effects = context.state.tick(NOW_S + 0.02)
 
 
+@when("a request waits that others then hold, and another one finds room")
+def step_held(context: Any) -> None:
+    state = context.state
+    ended = {"f": {"a": 1.0, "b": 1.0, "c": 1.0}}
+    job = fleets.make_job("held", now_s=NOW_S)
+    state.arrive(attrs.evolve(job, fingerprint="f"), NOW_S)
+    assert list(state.queue.waiting) == ["held"]
+    state.hear(
+        fleet.PeerNews("10.0.0.2", "kl-hall", {}, {}, (), {}, ended=ended),
+        NOW_S,
+    )
+    for engine_id in list(state.fleet.memory.own):
+        state.fleet.memory.add(engine_id, -1, -1e9)
+    other = fleets.make_job("other", now_s=NOW_S)
+    context.effects = state.arrive(other, NOW_S + 0.01)
+
+
+@then("the one is refused as held, and the other one starts")
+def step_held_refused(context: Any) -> None:
+    refused, start = context.effects
+    assert isinstance(refused, questions.Refuse), context.effects
+    assert refused.id == "held"
+    assert refused.refusal.kind is errors.ErrorKind.QUARANTINED
+    assert isinstance(start, jobs.Start), context.effects
+    assert start.id == "other"
+
+
 @then("a waiting request starts at once")
 def step_started(context: Any) -> None:
     assert any(isinstance(e, jobs.Start) for e in context.effects)
