Work out a turn at a limit in one place, and name one type of note

NoteSignals stood in clients/engine and in delivery/forward alike; signals has it. Nothing is decided otherwise.

--- a/egretspur/admission/throttle.py
+++ b/egretspur/admission/throttle.py
@@ -83,6 +83,14 @@
     # Requests a second that they take of this host from then on.
     per_s: float
 
+    def get_turn_s(self, waiting: int) -> float:
+        """Returns the seconds until one more, after those that wait, is due."""
+        return self.wait_s + waiting / self.per_s
+
+    def describe(self, waiting: int) -> str:
+        """Returns why one more after those that wait comes too late."""
+        return f"{waiting} wait for {self.per_s:.2f} a second"
+
 
 @attrs.define
 class _Turns:
--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -19,7 +19,6 @@
 
 import io
 import socket
-from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -163,10 +162,6 @@
     refusal: ErrorEvent | None = None
 
 
-# Told what an engine's answer asks of the hosts, by the engine's name.
-NoteSignals = Callable[[str, signals.Signals], None]
-
-
 class EngineClient:
     """Calls engines by address."""
 
@@ -175,7 +170,7 @@
         connect_s: float,
         first_event_s: float,
         between_events_s: float,
-        note_signals: NoteSignals = lambda upstream, answer: None,
+        note_signals: signals.NoteSignals = lambda upstream, answer: None,
     ) -> None:
         self._note_signals = note_signals
         self._first_s = first_event_s
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from egretspur import decisions, errors, signals
+from egretspur import decisions, errors
 from egretspur.catalog import config
 from egretspur.delivery import answers, events, silence
 from egretspur.routing import desk, jobs, paces, paths
@@ -83,10 +83,6 @@
         """Sends a request and returns the beginning of its answer."""
 
 
-# Told what an upstream's answer asks of the hosts, by the upstream's id.
-NoteSignals = Callable[[str, signals.Signals], None]
-
-
 class Abort:
     """Ends whatever a request waits for, from another thread."""
 
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -54,7 +54,7 @@
     def __init__(
         self,
         silence_s: float,
-        note_signals: forward.NoteSignals = lambda upstream_id, answer: None,
+        note_signals: signals.NoteSignals = lambda upstream_id, answer: None,
     ) -> None:
         """Makes a client.
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -455,7 +455,7 @@
             self.queue.waiting[item.id] = item
             return []
         if opening is not None:
-            turn_s = opening.wait_s + self._count_waiting(job) / opening.per_s
+            turn_s = opening.get_turn_s(self._count_waiting(job))
             if now_s + turn_s > item.deadline_s:
                 return [self._refuse_limited(ticket, opening, now_s)]
         self.counts.queued += 1
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -373,13 +373,12 @@
         waiting = sum(
             w.graph == item.graph for w in self.queue.waiting.values()
         )
-        turn_s = opening.wait_s + waiting / opening.per_s
-        if now_s + turn_s <= item.deadline_s:
+        if now_s + opening.get_turn_s(waiting) <= item.deadline_s:
             return []
         return self._refuse_ticket(
             item.id,
             errors.ErrorKind.UPSTREAM_LIMITED,
-            f"{waiting} wait for {opening.per_s:.2f} a second",
+            opening.describe(waiting),
             now_s,
             self.availability.promise(item.graph, opening, waiting, now_s),
         )
--- a/egretspur/routing/refusals.py
+++ b/egretspur/routing/refusals.py
@@ -76,8 +76,7 @@
         after_s = self._returns.promise(
             ticket.job.service, opening, waiting, now_s
         )
-        reason = f"{waiting} wait for {opening.per_s:.2f} a second"
-        return errors.Refusal(kind, reason, after_s)
+        return errors.Refusal(kind, opening.describe(waiting), after_s)
 
 
 def _check_promise(
--- a/egretspur/signals.py
+++ b/egretspur/signals.py
@@ -47,6 +47,9 @@
 
 NONE: Final = Signals()
 
+# Told what an answer asks, by the id or name of its upstream.
+NoteSignals = Callable[[str, Signals], None]
+
 
 def read(
     status: int, fields: Mapping[str, str], limit: str, leaving: str
