Say what the queue's hold is, and read a host's first datagram as any other

Read once more: 'is waiting' told whether the queue had been served just now, beside a queue of requests that wait; it is 'was served'. Whether a request is behind others was asked twice over the same condition. A host's first datagram had a branch of its own, in place of a former one that equals nothing.

--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -161,13 +161,8 @@
     parts: list[Any]
 
 
-_NOTHING_TOLD: Final = _Told([], [])
-
-
 def _decode_parts(row: list[Any], last: _Told) -> _Told:
     """Reads those parts of a datagram that differ from the host's last one."""
-    if not last.row:
-        return _Told(row, [p(v) for p, v in zip(_PARTS, row, strict=True)])
     parts = [
         part if value == known else decode(value)
         for decode, value, known, part in zip(
@@ -305,3 +300,6 @@
     functools.partial(checks.check_flag, field="is_new"),
     functools.partial(_decode_table, field="limits", decode=_decode_limit),
 )
+
+# Of a host that has told nothing yet: what is equal to no value.
+_NOTHING_TOLD: Final = _Told([object()] * len(_PARTS), [None] * len(_PARTS))
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -82,10 +82,10 @@
         self.repeats = repeats.Repeats(data_centre, budget, rng)
         self._rng = rng
         self._services: Mapping[str, config.Service] = {}
-        # Until when requests that wait are not looked after again, unless the
+        # Until when a queue that was served is not served again, unless the
         # fleet's own revision is another.
-        self._wait_until_s = -math.inf
-        self._wait_revision = -1
+        self._served_until_s = -math.inf
+        self._served_revision = -1
         # When the list of upstreams was last read.
         self.listed_s = 0.0
         # Decisions since the last `take_notes`, for the log.
@@ -403,10 +403,12 @@
         # Plain services take all at once, but for their limits.
         is_queued = service.engine is not None or opening is not None
         effects: list[jobs.Effect] = []
-        if is_queued and self._has_waiting(service.name, now_s):
+        is_behind = is_queued and self._has_waiting(service.name, now_s)
+        if is_behind:
             # What has come free is theirs before it is counted as missing.
             effects = self._serve_queue(now_s)
-        if not (is_queued and self._has_waiting(service.name, now_s)):
+            is_behind = self._has_waiting(service.name, now_s)
+        if not is_behind:
             start = self._try_start(ticket, now_s)
             if start is not None:
                 queues.note_start(self.queue, ticket.job.workspace)
@@ -530,7 +532,7 @@
 
     def _start_waiting(self, now_s: float) -> list[jobs.Effect]:
         """Serves the queue, unless that was done just now."""
-        if self._is_waiting(now_s):
+        if self._was_served(now_s):
             return self._refuse_all_held(now_s)
         return self._serve_queue(now_s)
 
@@ -566,15 +568,15 @@
                 queues.start(self.queue, item)
                 effects.append(start)
         if self.queue.waiting:
-            self._wait_until_s = now_s + WAIT_S
-            self._wait_revision = self.fleet.get_own_revision()
+            self._served_until_s = now_s + WAIT_S
+            self._served_revision = self.fleet.get_own_revision()
         return effects
 
-    def _is_waiting(self, now_s: float) -> bool:
-        """Tells whether requests that wait were looked after just now."""
+    def _was_served(self, now_s: float) -> bool:
+        """Tells whether the queue was served just now, and for nothing new."""
         return (
-            now_s < self._wait_until_s
-            and self._wait_revision == self.fleet.get_own_revision()
+            now_s < self._served_until_s
+            and self._served_revision == self.fleet.get_own_revision()
         )
 
     def _try_start(
