Wait in scenes until control daemons have read the host list

The scenario 'The holder dies while a plan loads' failed once beside load. Its step raised the listed memory of engines, slept 1.5 s and planned; daemons poll the list once a second, later under load, and a plan made before they read it serves nothing (0 of 1 chains fit), so its confirmation is refused.

Shown: with a poll of 4 s in place of 1 s the step fails on the old code with exactly this reason, and passes three of three times with the change. The scene now waits until each control daemon's state shows the list version that the change produced, instead of sleeping. The daemon's state gained host_list_version for that; operators can see there which list a plan used.

--- a/egretspur/daemons/controller.py
+++ b/egretspur/daemons/controller.py
@@ -377,6 +377,7 @@
             "address": self.address,
             "incarnation": self._incarnation,
             "log_reachable": self._follower.log_reachable,
+            "host_list_version": self._hosts.get_version(),
             "orders": codec.encode(summary),
             "membership": codec.encode(self._get_view()),
             "router": codec.encode(self._router),
--- a/egretspur/hostview.py
+++ b/egretspur/hostview.py
@@ -57,6 +57,11 @@
                 n: h for part in self._remote.values() for n, h in part.items()
             }
 
+    def get_version(self) -> int:
+        """Returns the version of the list of local hosts; 0 if never read."""
+        with self._lock:
+            return self._versions.get("local", 0)
+
     def _refresh_part(self, data_centre: str, role: str, part: str) -> bool:
         since = self._versions.get(part, 0)
         res = self._client.read(data_centre, role, since)
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import io
 import json
-import time
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -45,6 +45,8 @@
     router_cfg: dict[str, Any] = attrs.Factory(dict)
     # Address of the middlebox in front of the log; empty if there is none.
     middlebox_address: str = ""
+    # Control daemons, in the order of their starts.
+    controls: list[str] = attrs.Factory(list)
 
     def start_platform(
         self,
@@ -78,8 +80,19 @@
         for host in listed["changed"]:
             host["memory_bytes"] = memory_bytes
             self.call("PUT", "hosts", f"/hosts/{host['name']}", host)
-        # Control daemons poll the list once a second.
-        time.sleep(1.5)
+        version = self.call("GET", "hosts", "/hosts")["version"]
+        # Control daemons poll the list once a second, later under load. A plan
+        # made before that finds no memory for its layers.
+        for name in self.controls:
+            stage.wait_until(
+                functools.partial(self._has_read_hosts, name, version),
+                20,
+                f"{name} has read the host list",
+            )
+
+    def _has_read_hosts(self, control: str, version: int) -> bool:
+        state = self.call("GET", control, "/state")
+        return bool(state["host_list_version"] >= version)
 
     def start_engine(
         self,
@@ -173,6 +186,7 @@
         }
         _merge(cfg, self.control_cfg)
         self.start_daemon(name, "egretspur.daemons.control", cfg)
+        self.controls.append(name)
         self.list_host(name, data_centre, "entry")
 
     def start_router(
