Let a repair fill engines where an even split leaves a gap

The repair split the first gap evenly over the free engines, none was left for the second one, and a repair that is incomplete isn't ordered while other data centres hold all layers. An empty a100 stood idle for 20 s.

Change: where the even split of a level is incomplete, each engine takes as many layers as fit, the largest gap first.

--- a/egretspur/placement/ranges.py
+++ b/egretspur/placement/ranges.py
@@ -123,16 +123,24 @@
 ) -> _Repair:
     """Assigns layers without a holder, with the highest KV level possible.
 
+    An even split loads fastest. Where it leaves no engine for a further gap,
+    each engine takes as many layers as fit, the largest gap first.
+
     Returns:
-        The first attempt that closes all gaps, else the last one.
+        The first attempt that closes all gaps, else the last even split.
     """
     repair = _Repair(engines, spec, movable, kv_levels[0], dict(held))
     for level in kv_levels:
         repair = _Repair(engines, spec, movable, level, dict(held))
-        for gap in gaps:
-            repair.is_complete &= repair.close_gap(gap)
+        repair.close_gaps(gaps)
         if repair.is_complete:
-            break
+            return repair
+        packed = _Repair(
+            engines, spec, movable, level, dict(held), is_packed=True
+        )
+        packed.close_gaps(sorted(gaps, key=lambda g: -g.count))
+        if packed.is_complete:
+            return packed
     return repair
 
 
@@ -150,6 +158,8 @@
     # Layers of each engine once the orders are done.
     assigned: dict[str, upstreams.Layers]
     orders: dict[str, upstreams.Layers] = attrs.Factory(dict)
+    # Engines take as many layers as fit instead of an even split.
+    is_packed: bool = False
     # Every layer of every gap was assigned.
     is_complete: bool = True
     # First layout: no layers were held before, so load time does not matter.
@@ -158,6 +168,11 @@
     def __attrs_post_init__(self) -> None:
         self.is_first = not self.assigned
 
+    def close_gaps(self, gaps: Iterable[upstreams.Layers]) -> None:
+        """Assigns the layers of all gaps and sets `is_complete`."""
+        for gap in gaps:
+            self.is_complete &= self.close_gap(gap)
+
     def close_gap(self, gap: upstreams.Layers) -> bool:
         """Assigns the layers of a gap; tells whether all were assigned."""
         if not self.is_first:
@@ -183,7 +198,7 @@
             count = compute_max_layers(
                 available[0].accelerator, self.spec, self.kv_tokens
             )
-            if not self.is_first:
+            if not self.is_first and not self.is_packed:
                 fair = math.ceil((gap.last - position) / len(available))
                 count = min(count, max(fair, MIN_REPAIR_LAYERS))
             count = min(count, gap.last - position)
--- a/tests/placement/ranges.feature
+++ b/tests/placement/ranges.feature
@@ -74,6 +74,24 @@
     When "l40s-0" leaves and layers are planned
     Then "l40s-2" is ordered to hold "50-65"
 
+  Scenario: Two ranges are lost and their engines return empty
+    # Guards against a data centre that never holds all layers again: the larger
+    # gap is split over all free engines, which leaves none for the other gap.
+    Given engines
+      | engine | layers |
+      | a100-0 | 0-27   |
+      | l4-0   | 52-60  |
+      | l4-1   | 60-68  |
+      | l4-2   | 68-75  |
+      | a100-1 | none   |
+      | l4-3   | none   |
+    And all of them are in use
+    And other data centres hold "0-80"
+    When "a100-1, l4-3" are no longer in use and layers are planned
+    Then "a100-1" is ordered to hold "27-52"
+    And "l4-3" is ordered to hold "75-80"
+    And nothing else is ordered
+
   Scenario: Engines in use are not moved while other data centres serve
     # Guards against losing two ranges to a burst and one lost engine: a copy in
     # use is ordered to hold other layers and refuses new requests until its
