Bound what all hosts start on a link between data centres

After crashes all hosts sent there; every start over the link was cut at the caller's patience (0 of 366 answered between seconds 16 and 32 of the trace), while it held memory that paths within one data centre needed.

Change: routing.links counts transfer time by own and peers' starts; each host has a rate that follows the load all see, and draws from it what it may start in a quarter of a second. Hosts exchange the load in a second datagram, sent only while there is any. The settings of the model give sizes and rates; without them nothing is bounded. A detour's first stage is now placed in its own data centre.

--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -24,6 +24,7 @@
     cards,
     fleet,
     jobs,
+    links,
     memory,
     paths,
     questions,
@@ -138,7 +139,8 @@
     """Chooses the faster of two random paths: the baseline of path search."""
 
     def __init__(self, state: fleet.Fleet, rng: random.Random) -> None:
-        super().__init__(state, mechanisms.ALL, rng)
+        load = links.Links(state.data_centre, state.roster, rng)
+        super().__init__(state, mechanisms.ALL, rng, load)
         self._home = state.data_centre
         self._draws = rng
 
--- a/egretspur/catalog/config.py
+++ b/egretspur/catalog/config.py
@@ -102,6 +102,10 @@
     load_s: float
     loads_at_once: int
     accelerators: Mapping[str, Accelerator]
+    # Activations that a path sends to the next engine for one token, in bytes,
+    # and the rate of a link between two data centres. 0 if not known.
+    activation_bytes: float = 0.0
+    link_bytes_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -37,7 +37,7 @@
 )
 from egretspur.daemons import follow, meters, news, pages
 from egretspur.delivery import intake, watch
-from egretspur.membership import datagrams, duty, exchange
+from egretspur.membership import contention, datagrams, duty, exchange
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
 from egretspur.routing import broker, choice, desk, fleet, probes
@@ -119,6 +119,9 @@
             self._make_update,
             self._aggregate,
             self._handle_updates,
+            exchange.ContentionHandlers(
+                self._make_contention, self._handle_contention
+            ),
         )
         self._pages_client = transport.Transport(0.3, 1.0)
         group = store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip)
@@ -378,6 +381,20 @@
         )
         return total
 
+    def _make_contention(self, is_speaker: bool) -> contention.ContentionUpdate:
+        """Returns the contention update of this host or its data centre."""
+        update: contention.ContentionUpdate = self._desk.query(
+            lambda state: news.make_contention(
+                state, self._cfg.ip, is_speaker, time.monotonic()
+            )
+        )
+        return update
+
+    def _handle_contention(
+        self, updates: Sequence[contention.ContentionUpdate]
+    ) -> None:
+        self._desk.tell(desk.PeerContention(tuple(updates)))
+
     def _update_role(self) -> None:
         """Wakes the feeds to read at their new pace if the role changed."""
         is_reader = self._exchange.is_reader()
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -14,7 +14,7 @@
 import attrs
 
 from egretspur.catalog import reading
-from egretspur.membership import datagrams
+from egretspur.membership import contention, datagrams
 from egretspur.routing import broker, fleet
 
 # Layers that an engine reported after an order are published to other hosts
@@ -117,3 +117,23 @@
         is_new=update.is_new,
         limits=update.limits,
     )
+
+
+def make_contention(
+    state: broker.Broker, ip: str, is_speaker: bool, now_s: float
+) -> contention.ContentionUpdate:
+    """Returns a host's contention update.
+
+    Args:
+        state: State of the host's broker.
+        ip: Address of the host.
+        is_speaker: Whether it goes to other data centres, with the totals of
+            this one.
+        now_s: Monotonic time.
+    """
+    make = (
+        state.contention.aggregate
+        if is_speaker
+        else state.contention.make_update
+    )
+    return make(ip, state.fleet.data_centre, now_s)
--- /dev/null
+++ b/egretspur/membership/contention.py
@@ -0,0 +1,160 @@
+"""Encoding of a host's contention update as a datagram.
+
+Hosts share what they need to know of each other while capacity is scarce: load
+of the links between data centres, waiting requests, and callers told to return.
+It travels apart from the peer update (`egretspur.membership.datagrams`), whose
+length older builds check, and only while there is anything to send. It may come
+from any sender: a field of the wrong type is refused with the reason.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
+import orjson
+
+from egretspur import checks, codec
+from egretspur.membership import datagrams
+from egretspur.routing import links
+
+# First element of the list, which tells it from a peer update.
+TAG: Final = "contention"
+
+# How the datagram of an update begins.
+PREFIX: Final = f'["{TAG}"'.encode()
+
+# Limits on one update, so that it fits into one packet.
+MAX_LINKS: Final = 24
+MAX_SERVICES: Final = 8
+MAX_PRIORITIES: Final = 10
+MAX_RETURN_SLOTS: Final = 12
+
+# Largest numbers believed: a link can't be busy for longer than all hosts of
+# the target size could make it in a second, nor can more requests wait.
+MAX_LINK_S: Final = 1e4
+MAX_REQUESTS: Final = 1_000_000
+
+# Separates the names of two data centres.
+_SEPARATOR: Final = ">"
+
+
+@attrs.frozen
+class ContentionUpdate:
+    """Contention that a host, or a data centre by its speaker, sees."""
+
+    # Address of the sending host.
+    host: str
+    data_centre: str
+    # Seconds that requests started in the last second take on a link.
+    links: Mapping[links.Link, float] = attrs.Factory(dict)
+    # Waiting requests by service and priority; 0 is the most urgent.
+    waiting: Mapping[str, Mapping[int, int]] = attrs.Factory(dict)
+    # Callers told to return, by service and coming half second.
+    returns: Mapping[str, tuple[int, ...]] = attrs.Factory(dict)
+
+    def is_empty(self) -> bool:
+        """Returns whether there is nothing to send."""
+        return not (self.links or self.waiting or self.returns)
+
+
+def encode(update: ContentionUpdate) -> bytes:
+    """Returns the datagram for an update; keeps what matters most."""
+    busiest = sorted(update.links.items(), key=lambda i: -i[1])[:MAX_LINKS]
+    return orjson.dumps(
+        [
+            TAG,
+            update.host,
+            update.data_centre,
+            {
+                "links": {
+                    _SEPARATOR.join(link): round(seconds, 3)
+                    for link, seconds in busiest
+                },
+                "waiting": {
+                    service: sorted(counts.items())[:MAX_PRIORITIES]
+                    for service, counts in _limit(update.waiting)
+                },
+                "returns": {
+                    service: list(counts[:MAX_RETURN_SLOTS])
+                    for service, counts in _limit(update.returns)
+                },
+            },
+        ]
+    )
+
+
+def decode(data: bytes) -> ContentionUpdate | datagrams.InvalidUpdate:
+    """Returns the update in a datagram, or why it is refused.
+
+    Unknown fields are ignored, and a missing one means that there is nothing to
+    report: newer builds may send others.
+    """
+    try:
+        tag, host, data_centre, fields = checks.check_row(
+            codec.load_json(data), "contention", 4
+        )
+        if tag != TAG:
+            raise checks.FieldError("contention", f"begins with {tag!r:.40}")
+        table = checks.Table(fields, "contention")
+        return ContentionUpdate(
+            datagrams.check_host(host),
+            checks.check_text(data_centre, "data_centre"),
+            dict(_decode_link(k, v) for k, v in _get_items(table, "links")),
+            {
+                checks.check_text(k, "waiting"): _decode_waiting(v)
+                for k, v in _get_items(table, "waiting")
+            },
+            {
+                checks.check_text(k, "returns"): _decode_returns(v)
+                for k, v in _get_items(table, "returns")
+            },
+        )
+    except checks.FieldError as exc:
+        return datagrams.InvalidUpdate(exc.field, str(exc))
+    except codec.DecodeError as exc:
+        return datagrams.InvalidUpdate("bytes", str(exc))
+
+
+def _limit(table: Mapping[str, Any]) -> list[tuple[str, Any]]:
+    return sorted(table.items())[:MAX_SERVICES]
+
+
+def _get_items(table: checks.Table, field: str) -> Any:
+    if not table.has(field):
+        return ()
+    return table.get_table(field).items()
+
+
+def _decode_link(name: str, value: Any) -> tuple[links.Link, float]:
+    source, separator, target = name.partition(_SEPARATOR)
+    if not separator or not source or not target or source == target:
+        raise checks.FieldError("links", f"not a link: {name!r:.60}")
+    seconds = checks.check_number(value, "links")
+    if not math.isfinite(seconds) or not 0 <= seconds <= MAX_LINK_S:
+        raise checks.FieldError("links", f"out of range: {value!r:.60}")
+    return links.make_link(source, target), seconds
+
+
+def _decode_waiting(value: Any) -> dict[int, int]:
+    rows = checks.check_list(value, "waiting")
+    return {
+        _check_requests(priority, "waiting"): _check_requests(count, "waiting")
+        for priority, count in (
+            checks.check_row(r, "waiting", 2) for r in rows[:MAX_PRIORITIES]
+        )
+    }
+
+
+def _decode_returns(value: Any) -> tuple[int, ...]:
+    counts = checks.check_list(value, "returns")[:MAX_RETURN_SLOTS]
+    return tuple(_check_requests(c, "returns") for c in counts)
+
+
+def _check_requests(value: Any, field: str) -> int:
+    count = checks.check_count(value, field)
+    if count > MAX_REQUESTS:
+        raise checks.FieldError(field, f"out of range: {count}")
+    return count
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -145,7 +145,7 @@
             row = checks.check_row(
                 codec.load_json(data), "news", len(_FIELD_DECODERS)
             )
-            host = _check_host(row[0])
+            host = check_host(row[0])
             latest = _decode_changed_fields(
                 row, self._last.pop(host, _NO_DATAGRAM)
             )
@@ -194,7 +194,7 @@
 
 def _decode_peers(value: Any) -> dict[str, str]:
     return {
-        _check_host(h): checks.check_text(p, "peers")
+        check_host(h): checks.check_text(p, "peers")
         for h, p in _get_items(value, "peers")
     }
 
@@ -277,7 +277,7 @@
     return upstreams.AgedLayers(found, checks.check_number(age_s, "layers"))
 
 
-def _check_host(host: Any) -> str:
+def check_host(host: Any) -> str:
     """Returns an address as written; raises `checks.FieldError`."""
     try:
         return str(parse_address(checks.check_text(host, "host")))
@@ -294,7 +294,7 @@
 
 # Decoders of the fields of `PeerUpdate`, in their order in a datagram.
 _FIELD_DECODERS: Final[tuple[Callable[[Any], Any], ...]] = (
-    _check_host,
+    check_host,
     functools.partial(checks.check_text, field="data_centre"),
     functools.partial(checks.check_number, field="store_age"),
     _decode_known,
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -28,7 +28,7 @@
 
 from egretspur import decisions, guard
 from egretspur.catalog import reading
-from egretspur.membership import datagrams
+from egretspur.membership import contention, datagrams
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -251,7 +251,9 @@
             for t in self._peer_statuses.values()
         )
 
-    def is_remote(self, update: datagrams.PeerUpdate) -> bool:
+    def is_remote(
+        self, update: datagrams.PeerUpdate | contention.ContentionUpdate
+    ) -> bool:
         """Returns whether an update is from another data centre."""
         return update.data_centre != self._data_centre
 
@@ -377,6 +379,16 @@
     return status.list_age_s + now_s - status.at_s < reading.MAX_LIST_AGE_S
 
 
+@attrs.frozen
+class ContentionHandlers:
+    """Makes and takes contention updates; see `Exchange`."""
+
+    # Returns this host's update, or as the speaker that of its data centre.
+    make: Callable[[bool], contention.ContentionUpdate]
+    # Receives the updates of others, oldest first.
+    handle: Callable[[Sequence[contention.ContentionUpdate]], None]
+
+
 class Exchange:
     """Sends and receives peer updates."""
 
@@ -388,6 +400,7 @@
         make_update: Callable[[Mapping[str, str]], datagrams.PeerUpdate],
         aggregate: Callable[[datagrams.PeerUpdate], datagrams.PeerUpdate],
         handle_updates: Callable[[Sequence[datagrams.PeerUpdate], int], None],
+        contention_handlers: ContentionHandlers | None = None,
     ) -> None:
         """Makes an exchange.
 
@@ -400,12 +413,15 @@
                 host's; the speaker sends it to the other data centres.
             handle_updates: Receives the updates of others, oldest first, and
                 the number of hosts that share a retry budget.
+            contention_handlers: Makes and takes contention updates; None to
+                exchange none.
         """
         self._ip = ip
         self._port = port
         self._make_update = make_update
         self._aggregate = aggregate
         self._handle_updates = handle_updates
+        self._contention = contention_handlers
         self._lock = threading.Lock()
         self._peers = peers
         self._decoder = datagrams.Decoder()
@@ -509,14 +525,23 @@
         peers = listed if turn % PEER_LIST_INTERVAL == 0 else {}
         update = self._make_update(peers)
         self._send_update(local, update)
+        self._send_contention(local, False)
         if is_speaker and remote:
             self._send_update(remote, self._aggregate(update))
+            self._send_contention(remote, True)
 
     def _send_update(
         self, hosts: Iterable[str], update: datagrams.PeerUpdate
     ) -> None:
         self._send_to(hosts, datagrams.encode_update(update))
 
+    def _send_contention(self, hosts: Iterable[str], is_speaker: bool) -> None:
+        if self._contention is None:
+            return
+        update = self._contention.make(is_speaker)
+        if not update.is_empty():
+            self._send_to(hosts, contention.encode(update))
+
     def _send_to(self, hosts: Iterable[str], data: bytes) -> None:
         for host in hosts:
             try:
@@ -552,26 +577,46 @@
     def _handle_batch(self, received: Iterable[_Datagram]) -> None:
         now_s = time.monotonic()
         updates = []
+        contended = []
         forwarded = []
         for data, (sender, _) in received:
-            update = self._decoder.decode(data)
+            update = self._decode(data)
             if isinstance(update, datagrams.InvalidUpdate):
                 self._log_refused(sender, update, now_s)
-            elif update.host != self._ip:
+                continue
+            if update.host == self._ip:
+                continue
+            if isinstance(update, contention.ContentionUpdate):
+                contended.append(update)
+            else:
                 updates.append(update)
-                if sender == update.host and self._peers.is_remote(update):
-                    forwarded.append(data)
-        if not updates:
+            if sender == update.host and self._peers.is_remote(update):
+                forwarded.append(data)
+        if not updates and not contended:
             return
         with self._lock:
-            for update in updates:
-                self._peers.record_update(update, now_s)
+            for peer_update in updates:
+                self._peers.record_update(peer_update, now_s)
             host_count = self._peers.count_budget_sharers()
             is_forwarding = bool(forwarded) and self._peers.is_speaker(now_s)
             local = self._peers.list_local(now_s) if is_forwarding else []
         for data in forwarded:
             self._send_to(local, data)
-        self._handle_updates(updates, host_count)
+        if updates:
+            self._handle_updates(updates, host_count)
+        if contended and self._contention is not None:
+            self._contention.handle(contended)
+
+    def _decode(
+        self, data: bytes
+    ) -> (
+        datagrams.PeerUpdate
+        | contention.ContentionUpdate
+        | datagrams.InvalidUpdate
+    ):
+        if data.startswith(contention.PREFIX):
+            return contention.decode(data)
+        return self._decoder.decode(data)
 
     def _log_refused(
         self, sender: str, refused: datagrams.InvalidUpdate, now_s: float
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -265,6 +265,9 @@
             k.name: k
             for k in map(_decode_accelerator, data.get_tables("kinds"))
         },
+        activation_bytes=data.get_number("activation_bytes", 0.0),
+        # Given in millions of bits.
+        link_bytes_per_s=data.get_number("pipe_mbps", 0.0) * 1e6 / 8,
     )
 
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -18,8 +18,10 @@
 from egretspur.admission import repeats, throttle
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import (
+    contention,
     crashes,
     jobs,
+    links,
     memory,
     paths,
     questions,
@@ -69,7 +71,9 @@
         self.throttle = throttle.Throttle(data_centre, rng)
         self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle)
         self._mechanisms = using
-        self.search = search.Search(self.fleet, using, rng)
+        load = links.Links(data_centre, self.fleet.roster, rng)
+        self.contention = contention.Contention(load)
+        self.search = search.Search(self.fleet, using, rng, load)
         self.queue = queues.Queue(MAX_QUEUED)
         self.quarantine = quarantines.Quarantine()
         self._crashes = crashes.CrashDetector(self.quarantine, self.fleet)
@@ -238,6 +242,7 @@
             self._add_memory_use(ticket, -1)
             ticket.parts = decision.parts
             self._add_memory_use(ticket, 1)
+            self._record_link_use(ticket, now_s)
         return decision
 
     def _find_reroute(
@@ -367,6 +372,7 @@
         """Sets how many hosts, with this one, share budgets and limits."""
         self.retry_budgets.hosts = max(1, hosts)
         self.throttle.demand.hosts = self.retry_budgets.hosts
+        self.contention.set_host_count(self.retry_budgets.hosts)
 
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts queued requests after the upstreams changed."""
@@ -626,6 +632,7 @@
             self.counts.repeats += 1
         self._notes.append(self._describe_start(ticket, entry, now_s))
         self._add_memory_use(ticket, 1)
+        self._record_link_use(ticket, now_s)
         self.throttle.record_send(entry.id, now_s)
         self.counts.started += 1
         return jobs.Start(ticket.job.id, entry, ticket.parts)
@@ -663,6 +670,13 @@
             used = (part.last - part.first) * ticket.job.tokens
             self.fleet.memory.add(part.id, sign, sign * used)
 
+    def _record_link_use(self, ticket: tickets.Ticket, now_s: float) -> None:
+        spec = self._get_spec(ticket.job.service)
+        if spec is not None:
+            self.contention.links.record_path(
+                spec, ticket.parts, ticket.job.tokens, now_s
+            )
+
     def _release(self, ticket: tickets.Ticket) -> None:
         if ticket.upstream_id:
             self._add_memory_use(ticket, -1)
--- a/egretspur/routing/choice.py
+++ b/egretspur/routing/choice.py
@@ -12,7 +12,7 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Container, Sequence
 from typing import Final
 
 import attrs
@@ -38,6 +38,7 @@
     home: str,
     rng: random.Random,
     prefers_on_time: bool = True,
+    list_closed: Callable[[], Container[tuple[str, str]]] = tuple,
 ) -> tuple[paths.Part, ...] | None:
     """Finds a path on which the answer is on time, otherwise any path.
 
@@ -50,12 +51,14 @@
         rng: Shuffles the other data centres.
         prefers_on_time: Whether to prefer paths with answers on time; otherwise
             the nearest path is used, however slow.
+        list_closed: Lists the links between data centres not to use; see
+            `egretspur.routing.links`.
     """
     others = [
         p for p in candidates.data_centres if p != home and p not in cut_off
     ]
     rng.shuffle(others)
-    finder = _Finder(job, spec, candidates, home)
+    finder = _Finder(job, spec, candidates, home, list_closed)
     max_pass_s = compute_max_pass_s(job.route)
     if prefers_on_time and max_pass_s < math.inf:
         found = finder.find_within_one(others, max_pass_s)
@@ -74,6 +77,7 @@
     spec: config.EngineSpec
     candidates: cards.Candidates
     home: str
+    list_closed: Callable[[], Container[tuple[str, str]]]
 
     def find_within_one(
         self, others: Sequence[str], max_pass_s: float
@@ -116,12 +120,15 @@
         reachable = [
             p for p in self.candidates.data_centres if p in (self.home, *others)
         ]
-        found = self._find(reachable, math.inf) if len(reachable) > 1 else None
+        closed = self.list_closed()
+        found = None
+        if len(reachable) > 1:
+            found = self._find(reachable, math.inf, closed)
         if found is not None or len(reachable) == len(
             self.candidates.data_centres
         ):
             return found
-        return self._find(self.candidates.data_centres, math.inf)
+        return self._find(self.candidates.data_centres, math.inf, closed)
 
     def has_slow_engine(self, others: Sequence[str], max_pass_s: float) -> bool:
         """Tells whether an engine is too slow for all of its layers."""
@@ -131,7 +138,10 @@
         )
 
     def _find(
-        self, data_centres: Sequence[str], max_pass_s: float
+        self,
+        data_centres: Sequence[str],
+        max_pass_s: float,
+        closed: Container[tuple[str, str]] = (),
     ) -> tuple[paths.Part, ...] | None:
         return paths.find_path(
             self.candidates.list_in(data_centres),
@@ -139,6 +149,7 @@
             self.job.tokens,
             self.home,
             max_pass_s=max_pass_s,
+            closed=closed,
         )
 
 
--- /dev/null
+++ b/egretspur/routing/contention.py
@@ -0,0 +1,51 @@
+"""What one host knows of the fleet's scarce capacity: pure.
+
+Collects the parts whose state hosts exchange in contention updates
+(`egretspur.membership.contention`). With plenty of capacity there is none, and
+no update is sent.
+"""
+
+from __future__ import annotations
+
+from egretspur.membership import contention
+from egretspur.routing import links
+
+
+class Contention:
+    """See the module's docstring."""
+
+    def __init__(self, state: links.Links) -> None:
+        """Makes a view.
+
+        Args:
+            state: Load of the links between data centres.
+        """
+        self.links = state
+
+    def set_host_count(self, hosts: int) -> None:
+        """Sets how many hosts, with this one, share the capacity."""
+        self.links.hosts = hosts
+
+    def apply_peer_update(
+        self, update: contention.ContentionUpdate, now_s: float
+    ) -> None:
+        """Applies another host's update."""
+        self.links.apply_peer_load(
+            update.host, update.data_centre, update.links, now_s
+        )
+
+    def make_update(
+        self, host: str, data_centre: str, now_s: float
+    ) -> contention.ContentionUpdate:
+        """Returns this host's update for the others of its data centre."""
+        return contention.ContentionUpdate(
+            host, data_centre, links=self.links.get_own_load(now_s)
+        )
+
+    def aggregate(
+        self, host: str, data_centre: str, now_s: float
+    ) -> contention.ContentionUpdate:
+        """Returns an update with the totals of the data centre."""
+        return contention.ContentionUpdate(
+            host, data_centre, links=self.links.sum_data_centre(now_s)
+        )
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -18,6 +18,7 @@
 from egretspur import actors, decisions, errors, signals
 from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, upstreams
+from egretspur.membership import contention
 from egretspur.routing import broker, fleet, jobs, questions
 
 Decision = jobs.Start | errors.Refusal
@@ -121,6 +122,13 @@
     hosts: int
 
 
+@attrs.frozen
+class PeerContention:
+    """Contention updates of other hosts, oldest first."""
+
+    updates: tuple[contention.ContentionUpdate, ...]
+
+
 @attrs.frozen
 class MayQuery:
     """Asks whether an upstream may be queried now, given limit and backoff."""
@@ -293,6 +301,12 @@
         for update in message.updates:
             self._broker.apply_peer_update(update, now_s)
 
+    @handle.register
+    def _(self, message: PeerContention) -> None:
+        now_s = time.monotonic()
+        for update in message.updates:
+            self._broker.contention.apply_peer_update(update, now_s)
+
     @handle.register
     def _(self, message: MayQuery) -> bool:
         return self._broker.fleet.backpressure.try_acquire_probe(
--- /dev/null
+++ b/egretspur/routing/links.py
@@ -0,0 +1,306 @@
+"""Load of the links between data centres, and who may use them: pure.
+
+A path across data centres sends the activations of each token over a link that
+all requests share, one transfer after another. If hosts start more there than
+the link carries, its queue grows beyond what callers wait: nothing arrives in
+time, while each such request holds memory on all engines of its path, also on
+those that paths within one data centre need.
+
+Hosts hear of each other's starts a quarter of a second late, so a plain limit
+would make all of them start and stop together. Each has a rate instead, which
+falls while the link's load is above its limit and rises while it is below, and
+draws from it how many requests it may start in the next quarter of a second.
+All hosts see the same load, so their rates agree.
+"""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import math
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Final
+
+import attrs
+
+from egretspur.catalog import config, upstreams
+from egretspur.routing import paths
+
+# A link between two data centres, in order of their names. Transfers in both
+# directions share it.
+Link = tuple[str, str]
+
+# Part of a link's time that requests may use. Above it, the queue is longer
+# than the objective of a first event most of the time.
+MAX_UTILIZATION: Final = 0.8
+
+# Time over which starts on a link are summed up.
+WINDOW_S: Final = 1.0
+
+# How long a peer's load counts. Peers send it four times a second while they
+# have any.
+PEER_LOAD_TTL_S: Final = 1.0
+
+# Interval at which rates are adjusted and allowances drawn; peer updates arrive
+# as often.
+INTERVAL_S: Final = 0.25
+
+# Bounds of the factor by which one adjustment changes a rate.
+MIN_FACTOR: Final = 0.25
+MAX_FACTOR: Final = 2.0
+
+# Adjustments that are made up for after a pause.
+MAX_ADJUSTMENTS: Final = 20
+
+# Factor on the rate after streams got nothing over the link.
+STALL_FACTOR: Final = 0.5
+
+# Multiples of a host's even part of a link. The lowest rate is safe even if all
+# hosts use the link. A link that was idle begins at the second one: when a data
+# centre loses its last path, its hosts cross before they know of each other.
+MIN_PARTS: Final = 0.5
+INITIAL_PARTS: Final = 2.0
+
+
+@attrs.frozen
+class _Start:
+    """A request that was started over a link."""
+
+    at_s: float
+    link: Link
+    # Time that its transfers take on the link.
+    seconds: float
+
+
+@attrs.frozen
+class _PeerLoad:
+    """Load that another host, or its data centre, puts on links."""
+
+    received_s: float
+    data_centre: str
+    seconds: Mapping[Link, float]
+
+
+@attrs.define
+class _Share:
+    """What this host may start on one link."""
+
+    # Seconds of transfers in a second.
+    rate: float
+    # Seconds that may still be started before `until_s`.
+    left: float = 0.0
+    until_s: float = -math.inf
+
+
+class Links:
+    """One host's view of the links; see the module's docstring."""
+
+    def __init__(
+        self, data_centre: str, roster: upstreams.Roster, rng: random.Random
+    ) -> None:
+        """Makes a view in which all links are idle.
+
+        Args:
+            data_centre: Of this host.
+            roster: This host's list of upstreams, which names the data centre
+                of each engine.
+            rng: Draws which links a search may use.
+        """
+        self._data_centre = data_centre
+        self._roster = roster
+        self._rng = rng
+        self._starts: collections.deque[_Start] = collections.deque()
+        # By host.
+        self._peers: dict[str, _PeerLoad] = {}
+        # Hosts that share the links, with this one.
+        self.hosts = 1
+        # Links that were used lately, by this host or others.
+        self._shares: dict[Link, _Share] = {}
+        self._adjusted_s = -math.inf
+
+    def record_path(
+        self,
+        spec: config.EngineSpec,
+        parts: Sequence[paths.Part],
+        tokens: float,
+        now_s: float,
+    ) -> None:
+        """Records that a request was started over a path.
+
+        Args:
+            spec: Of the request's service.
+            parts: The path.
+            tokens: Tokens of the request whose activations are sent.
+            now_s: Monotonic time.
+        """
+        seconds = _compute_transfer_s(spec, tokens)
+        if not seconds:
+            return
+        for link in self.list_crossed(parts):
+            self._starts.append(_Start(now_s, link, seconds))
+            self._get_share(link).left -= seconds
+
+    def list_crossed(self, parts: Sequence[paths.Part]) -> list[Link]:
+        """Returns the links that a path uses, in its order."""
+        entries = self._roster.entries
+        places = [entries[p.id].data_centre for p in parts if p.id in entries]
+        return [
+            make_link(a, b)
+            for a, b in zip(places, places[1:], strict=False)
+            if a != b
+        ]
+
+    def record_stall(self, link: Link, now_s: float) -> None:
+        """Records that streams over a link got nothing for too long."""
+        self._adjust(now_s)
+        self._change_rate(link, STALL_FACTOR)
+
+    def apply_peer_load(
+        self,
+        host: str,
+        data_centre: str,
+        seconds: Mapping[Link, float],
+        now_s: float,
+    ) -> None:
+        """Applies the load that another host reports.
+
+        One speaker reports for all hosts of another data centre; the words of
+        a former one would count the same starts twice.
+        """
+        if data_centre != self._data_centre:
+            self._peers = {
+                h: p
+                for h, p in self._peers.items()
+                if p.data_centre != data_centre or h == host
+            }
+        self._peers[host] = _PeerLoad(now_s, data_centre, seconds)
+
+    def get_own_load(self, now_s: float) -> dict[Link, float]:
+        """Returns the seconds that this host's recent starts take on links."""
+        while self._starts and now_s - self._starts[0].at_s > WINDOW_S:
+            self._starts.popleft()
+        return _sum_loads([{s.link: s.seconds} for s in self._starts])
+
+    def sum_data_centre(self, now_s: float) -> dict[Link, float]:
+        """Returns the load by the hosts of this data centre."""
+        near = [
+            p.seconds
+            for p in self._list_current_peers(now_s)
+            if p.data_centre == self._data_centre
+        ]
+        return _sum_loads([self.get_own_load(now_s), *near])
+
+    def get_load(self, now_s: float) -> dict[Link, float]:
+        """Returns the load by all hosts, in seconds within `WINDOW_S`."""
+        peers = [p.seconds for p in self._list_current_peers(now_s)]
+        return _sum_loads([self.get_own_load(now_s), *peers])
+
+    def list_closed(
+        self,
+        spec: config.EngineSpec,
+        data_centres: Sequence[str],
+        tokens: float,
+        now_s: float,
+    ) -> frozenset[Link]:
+        """Returns the links that a request must not use now.
+
+        Args:
+            spec: Of the request's service.
+            data_centres: Data centres between which to look.
+            tokens: Tokens of the request whose activations are sent.
+            now_s: Monotonic time.
+        """
+        seconds = _compute_transfer_s(spec, tokens)
+        if not seconds:
+            return frozenset()
+        self._adjust(now_s)
+        links = itertools.combinations(sorted(data_centres), 2)
+        return frozenset(
+            link for link in links if not self._is_open(link, seconds, now_s)
+        )
+
+    def _is_open(self, link: Link, seconds: float, now_s: float) -> bool:
+        """Returns whether this host may start a transfer on a link.
+
+        The allowance is drawn once in an interval: a waiting request asks many
+        times.
+        """
+        share = self._get_share(link)
+        if now_s >= share.until_s:
+            share.until_s = now_s + INTERVAL_S
+            count, part = divmod(share.rate * INTERVAL_S, seconds)
+            if self._rng.random() * seconds < part:
+                count += 1
+            share.left = count * seconds
+        return share.left > 0
+
+    def _get_share(self, link: Link) -> _Share:
+        share = self._shares.get(link)
+        if share is None:
+            even = MAX_UTILIZATION / self.hosts
+            rate = min(MAX_UTILIZATION, INITIAL_PARTS * even)
+            share = self._shares[link] = _Share(rate)
+        return share
+
+    def _change_rate(self, link: Link, factor: float) -> None:
+        share = self._get_share(link)
+        least = min(1.0, MIN_PARTS / self.hosts) * MAX_UTILIZATION
+        share.rate = min(MAX_UTILIZATION, max(least, share.rate * factor))
+
+    def _list_current_peers(self, now_s: float) -> list[_PeerLoad]:
+        return [
+            p
+            for p in self._peers.values()
+            if now_s - p.received_s < PEER_LOAD_TTL_S
+        ]
+
+    def _adjust(self, now_s: float) -> None:
+        """Adjusts the rates to the load, once in an interval."""
+        paused_s = now_s - self._adjusted_s
+        if paused_s < INTERVAL_S:
+            return
+        self._adjusted_s = now_s
+        load = self.get_load(now_s)
+        steps = min(MAX_ADJUSTMENTS, paused_s // INTERVAL_S)
+        # An idle link is forgotten, and begins with the initial rate again.
+        self._shares = {
+            k: s
+            for k, s in self._shares.items()
+            if k in load or now_s - s.until_s < WINDOW_S
+        }
+        for link in {*load, *self._shares}:
+            factor = _compute_factor(load.get(link, 0.0))
+            if factor > 1.0:
+                factor = math.pow(factor, steps)
+            self._change_rate(link, factor)
+
+
+def make_link(source: str, target: str) -> Link:
+    """Returns the link between two data centres."""
+    return (source, target) if source < target else (target, source)
+
+
+def _compute_transfer_s(spec: config.EngineSpec, tokens: float) -> float:
+    """Returns the time that a request's tokens take on a link."""
+    if not spec.link_bytes_per_s:
+        return 0.0
+    return tokens * spec.activation_bytes / spec.link_bytes_per_s
+
+
+def _compute_factor(seconds: float) -> float:
+    """Returns the factor on a link's probability for a load in `WINDOW_S`."""
+    if not seconds:
+        return MAX_FACTOR
+    ratio = MAX_UTILIZATION * WINDOW_S / seconds
+    return min(MAX_FACTOR, max(MIN_FACTOR, ratio))
+
+
+def _sum_loads(
+    loads: Iterable[Mapping[Link, float]],
+) -> dict[Link, float]:
+    total: dict[Link, float] = {}
+    for load in loads:
+        for link, seconds in load.items():
+            total[link] = total.get(link, 0.0) + seconds
+    return total
--- a/egretspur/routing/paths.py
+++ b/egretspur/routing/paths.py
@@ -18,7 +18,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Container, Iterable, Iterator, Sequence
 from typing import Final
 
 import attrs
@@ -148,6 +148,7 @@
     home: str,
     costs: Costs | None = None,
     max_pass_s: float = math.inf,
+    closed: Container[tuple[str, str]] = (),
 ) -> tuple[Part, ...] | None:
     """Returns the cheapest path with enough memory for a request.
 
@@ -158,11 +159,13 @@
         home: Data centre from which the request is sent.
         costs: Costs of joining engines.
         max_pass_s: Longest pass of one engine on its part.
+        closed: Links between data centres not to use, each as the names in
+            order.
 
     Returns:
         None if engines with enough memory do not cover all layers.
     """
-    search = _Search(layers, tokens, home, costs or Costs(), max_pass_s)
+    search = _Search(layers, tokens, home, costs or Costs(), max_pass_s, closed)
     # Paths that may repeat an engine, cheapest first. The cheapest one without
     # a repeated engine is the result.
     serial = itertools.count()
@@ -198,6 +201,7 @@
     home: str
     costs: Costs
     max_pass_s: float
+    closed: Container[tuple[str, str]]
 
     def run(self, candidates: Iterable[Candidate]) -> _PartialPath | None:
         """Returns the cheapest path over all layers; it may repeat engines."""
@@ -342,7 +346,12 @@
             if partial.candidate is candidate:
                 continue
             cost_s = partial.cost_s + self.costs.hop_s
-            if partial.candidate.data_centre != data_centre:
+            other = partial.candidate.data_centre
+            if other != data_centre:
+                if (min(other, data_centre), max(other, data_centre)) in (
+                    self.closed
+                ):
+                    continue
                 cost_s += self.costs.cross_s
             if cost_s < best_s:
                 best, best_s = partial, cost_s
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -16,7 +16,7 @@
 
 from egretspur import decisions, mechanisms
 from egretspur.catalog import config
-from egretspur.routing import cards, choice, fleet, jobs, paths
+from egretspur.routing import cards, choice, fleet, jobs, links, paths
 
 # After a search found no path, requests of the same or a larger size are not
 # searched for again for this long, unless this host learns of a change. While
@@ -45,6 +45,7 @@
         state: fleet.Fleet,
         enabled: mechanisms.Mechanisms,
         rng: random.Random,
+        load: links.Links,
     ) -> None:
         """Makes a search.
 
@@ -52,7 +53,9 @@
             state: View of the upstreams.
             enabled: Mechanisms that are switched on.
             rng: Shuffles the data centres.
+            load: Load of the links between data centres.
         """
+        self._links = load
         self._fleet = state
         self._mechanisms = enabled
         self._rng = rng
@@ -126,6 +129,19 @@
             self._fleet.data_centre,
             self._rng,
             self._mechanisms.prompt_first,
+            lambda: self._list_closed(job, spec, candidates, now_s),
+        )
+
+    def _list_closed(
+        self,
+        job: jobs.Job,
+        spec: config.EngineSpec,
+        candidates: cards.Candidates,
+        now_s: float,
+    ) -> frozenset[links.Link]:
+        """Returns the links between data centres not to use for a request."""
+        return self._links.list_closed(
+            spec, candidates.data_centres, job.tokens, now_s
         )
 
     def explain_missing(
@@ -165,9 +181,11 @@
         keeps_first = parts[0].id not in stalled
         max_pass_s = choice.compute_max_pass_s(job.route)
         found = None
+        closed: Container[links.Link] = ()
         if keeps_first:
+            closed = self._list_closed(job, spec, candidates, now_s)
             found = self._find_tail(
-                job, spec, parts[0], candidates, near, max_pass_s
+                job, spec, parts[0], candidates, near, max_pass_s, closed
             )
         if (
             found is None
@@ -178,7 +196,13 @@
         for data_centres in (near, candidates.data_centres):
             if found is None and keeps_first:
                 found = self._find_tail(
-                    job, spec, parts[0], candidates, data_centres, math.inf
+                    job,
+                    spec,
+                    parts[0],
+                    candidates,
+                    data_centres,
+                    math.inf,
+                    closed,
                 )
         return jobs.RerouteDecision(found)
 
@@ -190,14 +214,16 @@
         candidates: cards.Candidates,
         data_centres: Container[str],
         max_pass_s: float,
+        closed: Container[links.Link],
     ) -> tuple[paths.Part, ...] | None:
         """Finds a path in given data centres that keeps the first part."""
         home = self._fleet.data_centre
+        entry = self._fleet.roster.entries.get(first.id)
         # Stands for the first part, whose memory the request already holds.
         kept = paths.Candidate(
             first.id,
             first.address,
-            home,
+            entry.data_centre if entry else home,
             first.first,
             first.last,
             0.0,
@@ -217,4 +243,5 @@
             job.tokens,
             home,
             max_pass_s=max_pass_s,
+            closed=closed,
         )
