Tell refused callers when the fleet expects capacity for them

Change: a host assigns successive half seconds from its rate of answers times the number of hosts, from what waits, and from the returns that it and its peers have promised (egretspur.routing.promises). While more than 5 in 100 attempts of the fleet are refused, which the growth of the peers' promises shows, callers return in the last quarter of what they honour. Urgent callers get earlier times. A refused fingerprint that comes back is logged as caller_returned. Where no rate is known, times are drawn as before, within a third of the remaining time.

--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -27,7 +27,7 @@
     memory,
     paths,
     questions,
-    refusals,
+    returns,
     search,
 )
 
@@ -66,7 +66,7 @@
     is_random: bool = False
     # Bounds of the delay after which a refused caller retries, once; each
     # delay is drawn between the two.
-    retry_after_s: tuple[float, float] = refusals.RETRY_AFTER_S
+    retry_after_s: tuple[float, float] = returns.UNKNOWN_RATE_DELAY_S
     # Decision mechanisms that the hosts use.
     using: mechanisms.Mechanisms = mechanisms.ALL
 
--- a/egretspur/daemons/meters.py
+++ b/egretspur/daemons/meters.py
@@ -29,6 +29,7 @@
     "first_event": (0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, _INF),
     "event_gap": (0.05, 0.1, 0.15, 0.2, 0.4, 1.0, 2.0, _INF),
     "queue_wait": (0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, _INF),
+    "caller_return": (0.1, 0.5, 1.0, 2.0, 4.0, 6.0, 10.0, _INF),
     "order": (0.25, 0.5, 1.0, 2.0, 4.0, 8.0, _INF),
     "store_call": (0.005, 0.01, 0.05, 0.2, 0.5, 1.0, 2.0, _INF),
 }
@@ -37,6 +38,7 @@
     "first_event": "From arrival to the first event or the answer",
     "event_gap": "Longest pause between two events of an answer",
     "queue_wait": "From arrival to a refusal",
+    "caller_return": "From a refusal to the caller's return to this host",
     "order": "From an order for layers to the engine's word that it is done",
     "store_call": "Calls to the store, waiting reads left out",
 }
@@ -44,6 +46,7 @@
 # Field that holds the cause, by log event.
 _CAUSE_FIELDS: Final[Mapping[str, str]] = {
     "request_refused": "kind",
+    "caller_returned": "is_early",
     "attempt_failed": "why",
     "request_answered": "status",
     "upstream_changed": "state",
@@ -60,6 +63,7 @@
 _HISTOGRAM_FIELDS: Final[Mapping[str, tuple[tuple[str, str], ...]]] = {
     "request_answered": (("first_event", "first_s"), ("event_gap", "gap_s")),
     "request_refused": (("queue_wait", "waited_s"),),
+    "caller_returned": (("caller_return", "came_s"),),
     "order_done": (("order", "took_s"),),
 }
 
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -89,6 +89,18 @@
     waited_s: float
 
 
+@attrs.frozen
+class CallerReturned:
+    """A caller that this host had refused sent its request again."""
+
+    request: str
+    # Seconds after the refusal at which it was told to return, and at which it
+    # did.
+    told_s: float
+    came_s: float
+    is_early: bool
+
+
 @attrs.frozen
 class PathChosen:
     """An attempt was assigned to an upstream, or to the stages of a path."""
@@ -398,6 +410,7 @@
     | RequestQueued
     | PathMissing
     | RequestRefused
+    | CallerReturned
     | PathChosen
     | AttemptFailed
     | RequestMoved
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -73,12 +73,12 @@
         self.queue = queues.Queue(MAX_QUEUED)
         self.quarantine = quarantines.Quarantine()
         self._crashes = crashes.CrashDetector(self.quarantine, self.fleet)
-        self._refusals = refusals.Refusals(
-            rng, self.quarantine, self.fleet.backpressure
-        )
         self.counts = jobs.Counts()
         self.tickets: dict[str, tickets.Ticket] = {}
         self.retry_budgets = repeats.RetryBudgets(data_centre, budget, rng)
+        self.refusals = refusals.Refusals(
+            rng, self.quarantine, self.fleet, self.queue, self.retry_budgets
+        )
         self._rng = rng
         self._services: Mapping[str, config.Service] = {}
         # The queue is not served again before this time unless the fleet's
@@ -92,7 +92,12 @@
 
     def take_notes(self) -> list[decisions.Decision]:
         """Returns the decisions made since the last call, for the log."""
-        sources = (self._notes, self.fleet.log_events, self._crashes.notes)
+        sources = (
+            self._notes,
+            self.fleet.log_events,
+            self._crashes.notes,
+            self.refusals.notes,
+        )
         notes = [n for source in sources for n in source]
         for source in sources:
             source.clear()
@@ -105,6 +110,7 @@
         self.counts.arrived += 1
         self.retry_budgets.earn(job.service, now_s)
         self.fleet.backpressure.record_demand(job.service, now_s)
+        self.refusals.note_arrival(job, now_s)
         ticket = tickets.Ticket(job)
         self.tickets[job.id] = ticket
         return self._admit(ticket, now_s)
@@ -159,6 +165,9 @@
         ticket = self.tickets.get(job_id)
         if ticket is None or not ticket.upstream_id:
             return
+        self.refusals.return_times.record_answer_start(
+            ticket.job.service, now_s
+        )
         if ticket.parts:
             for part in ticket.parts:
                 self.fleet.health.record_success(part.id, now_s)
@@ -462,7 +471,7 @@
             self.queue.waiting[item.id] = item
             return []
         if opening is not None:
-            turn_s = opening.estimate_wait_s(self._count_waiting(job))
+            turn_s = opening.estimate_wait_s(self.refusals.count_waiting(job))
             if now_s + turn_s > item.deadline_s:
                 return [self._refuse_limited(ticket, opening, now_s)]
         self.counts.queued += 1
@@ -493,21 +502,11 @@
             )
         ]
 
-    def _count_waiting(self, job: jobs.Job) -> int:
-        """Returns how many other requests wait for the same service."""
-        return sum(
-            w.graph == job.service and w.id != job.id
-            for w in self.queue.waiting.values()
-        )
-
     def _refuse_limited(
         self, ticket: tickets.Ticket, opening: throttle.Opening, now_s: float
     ) -> questions.Refuse:
         """Refuses a request that rate limits would delay for too long."""
-        waiting = self._count_waiting(ticket.job)
-        refusal = self._refusals.make_rate_limited(
-            ticket, opening, waiting, now_s
-        )
+        refusal = self.refusals.make_rate_limited(ticket, opening, now_s)
         return self._end(ticket, now_s, refusal)
 
     def _refuse_expired(
@@ -707,7 +706,7 @@
             final = retries.make_final(ticket, failure, "no retries left")
         if final is None:
             return None
-        return self._refusals.make(ticket, final.kind, final.reason, now_s)
+        return self.refusals.make(ticket, final.kind, final.reason, now_s)
 
     def _refuse(
         self,
@@ -716,7 +715,7 @@
         kind: errors.ErrorKind,
         reason: str,
     ) -> questions.Refuse:
-        refusal = self._refusals.make(ticket, kind, reason, now_s)
+        refusal = self.refusals.make(ticket, kind, reason, now_s)
         return self._end(ticket, now_s, refusal)
 
     def _end(
