Exchange promised returns and send retry times with fractions

Refused callers of all hosts were told times from 0.7 to 2.0 s whatever capacity there would be. The merged part assigns times by the fleet's rate and by what is promised already; this change sends each host's promises in the contention update and gives them to the part.

A host also rounded Retry-After to whole seconds, at least one: a caller refused by a host that stops (0.05 s) waited a second for capacity that was free. The platform's callers read fractions, so the adapter sets two decimals; the product's own interface keeps whole seconds, as HTTP has them.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -103,6 +103,7 @@
             ),
             self._watch,
             rng,
+            names.RETRY_AFTER_DECIMALS,
         )
         self._meters = meters.Meters()
         decisions.LOGGER.addHandler(self._meters)
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -60,7 +60,19 @@
         sender: forward.AttemptSender,
         watch: forward.Watch,
         rng: random.Random,
+        retry_after_decimals: int = 0,
     ) -> None:
+        """Makes an intake without a configuration.
+
+        Args:
+            to: Decides about requests.
+            sender: Sends them to upstreams.
+            watch: Watches streams for silence.
+            rng: Draws the targets of split routes.
+            retry_after_decimals: Decimal places of Retry-After that the
+                callers' clients read.
+        """
+        self._decimals = retry_after_decimals
         self._desk = to
         self._sender = sender
         self._watch = watch
@@ -95,7 +107,7 @@
                     0.0,
                 )
             )
-            return web.reply_refusal(job)
+            return web.reply_refusal(job, self._decimals)
         self._record_admitted(job)
         forwarder = forward.Forwarder(
             inbound.call, job, self._desk, self._sender, self._watch
@@ -111,7 +123,7 @@
         if isinstance(res, errors.Refusal):
             forwarder.record_end(0, None)
             self._end(forwarder)
-            return web.reply_refusal(res)
+            return web.reply_refusal(res, self._decimals)
         if isinstance(res, forward.CompleteAnswer):
             forwarder.record_end(res.status, None)
             self._end(forwarder)
--- a/egretspur/membership/contention.py
+++ b/egretspur/membership/contention.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
 import attrs
@@ -35,7 +35,7 @@
 # Largest numbers believed: a link can't be busy for longer than all hosts of
 # the target size could make it in a second, nor can more requests wait.
 MAX_LINK_S: Final = 1e4
-MAX_REQUESTS: Final = 1_000_000
+MAX_REQUESTS: Final = 10_000
 
 # Separates the names of two data centres.
 _SEPARATOR: Final = ">"
@@ -53,7 +53,7 @@
     # Waiting requests by service and priority; 0 is the most urgent.
     waiting: Mapping[str, Mapping[int, int]] = attrs.Factory(dict)
     # Callers told to return, by service and coming half second.
-    returns: Mapping[str, tuple[int, ...]] = attrs.Factory(dict)
+    returns: Mapping[str, Sequence[int]] = attrs.Factory(dict)
 
     def is_empty(self) -> bool:
         """Returns whether there is nothing to send."""
@@ -148,9 +148,9 @@
     }
 
 
-def _decode_returns(value: Any) -> tuple[int, ...]:
+def _decode_returns(value: Any) -> list[int]:
     counts = checks.check_list(value, "returns")[:MAX_RETURN_SLOTS]
-    return tuple(_check_requests(c, "returns") for c in counts)
+    return [_check_requests(c, "returns") for c in counts]
 
 
 def _check_requests(value: Any, field: str) -> int:
--- a/egretspur/platform/names.py
+++ b/egretspur/platform/names.py
@@ -29,6 +29,9 @@
 DEADLINE: Final = "Deadline-Ms"
 API_KEY: Final = "Authorization"
 
+# Decimal places of Retry-After that callers' clients read.
+RETRY_AFTER_DECIMALS: Final = 2
+
 # Header fields that the product sets on requests to upstreams.
 EXPECTED_UPSTREAM: Final = "Target-Replica"
 WORKSPACE: Final = "Tenant"
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -72,7 +72,6 @@
         self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle)
         self._mechanisms = using
         load = links.Links(data_centre, self.fleet.roster, rng)
-        self.contention = contention.Contention(load)
         self.search = search.Search(self.fleet, using, rng, load)
         self.queue = queues.Queue(MAX_QUEUED)
         self.quarantine = quarantines.Quarantine()
@@ -83,6 +82,7 @@
         self.refusals = refusals.Refusals(
             rng, self.quarantine, self.fleet, self.queue, self.retry_budgets
         )
+        self.contention = contention.Contention(load, self.refusals.promises)
         self._rng = rng
         self._services: Mapping[str, config.Service] = {}
         # The queue is not served again before this time unless the fleet's
--- a/egretspur/routing/contention.py
+++ b/egretspur/routing/contention.py
@@ -8,19 +8,21 @@
 from __future__ import annotations
 
 from egretspur.membership import contention
-from egretspur.routing import links
+from egretspur.routing import links, promises
 
 
 class Contention:
     """See the module's docstring."""
 
-    def __init__(self, state: links.Links) -> None:
+    def __init__(self, load: links.Links, promised: promises.Promises) -> None:
         """Makes a view.
 
         Args:
-            state: Load of the links between data centres.
+            load: Load of the links between data centres.
+            promised: Times at which refused callers were told to return.
         """
-        self.links = state
+        self.links = load
+        self._promises = promised
 
     def set_host_count(self, hosts: int) -> None:
         """Sets how many hosts, with this one, share the capacity."""
@@ -33,13 +35,19 @@
         self.links.apply_peer_load(
             update.host, update.data_centre, update.links, now_s
         )
+        self._promises.apply_peer_returns(
+            update.host, update.data_centre, update.returns, now_s
+        )
 
     def make_update(
         self, host: str, data_centre: str, now_s: float
     ) -> contention.ContentionUpdate:
         """Returns this host's update for the others of its data centre."""
         return contention.ContentionUpdate(
-            host, data_centre, links=self.links.get_own_load(now_s)
+            host,
+            data_centre,
+            links=self.links.get_own_load(now_s),
+            returns=self._promises.list_returns(now_s),
         )
 
     def aggregate(
@@ -47,5 +55,8 @@
     ) -> contention.ContentionUpdate:
         """Returns an update with the totals of the data centre."""
         return contention.ContentionUpdate(
-            host, data_centre, links=self.links.sum_data_centre(now_s)
+            host,
+            data_centre,
+            links=self.links.sum_data_centre(now_s),
+            returns=self._promises.sum_data_centre(now_s),
         )
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -131,12 +131,19 @@
     return Response(status, {"Content-Type": JSON_TYPE}, codec.dump(message))
 
 
-def reply_refusal(refusal: errors.Refusal) -> Response:
-    """Returns the response for a refusal by the answer table."""
+def reply_refusal(refusal: errors.Refusal, decimals: int = 0) -> Response:
+    """Returns the response for a refusal by the answer table.
+
+    Args:
+        refusal: The refusal.
+        decimals: Decimal places of Retry-After that the clients read; HTTP
+            itself has whole seconds only.
+    """
     answer = refusal.answer
     headers = {"Content-Type": JSON_TYPE}
     if refusal.retry_after_s > 0:
-        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
+        after_s = max(10.0**-decimals, refusal.retry_after_s)
+        headers["Retry-After"] = f"{after_s:.{decimals}f}"
     return Response(
         answer.status, headers, codec.dump_json(describe_refusal(refusal))
     )
--- a/tests/routing/returns.feature
+++ b/tests/routing/returns.feature
@@ -84,3 +84,16 @@
     Given a chain of engines with memory for about 45000 tokens
     When 600 requests are refused and all their callers return
     Then 512 returns are counted, of which 0 were refused again
+
+  Scenario Outline: A retry time on the wire
+    # Guards against callers that all wait a whole second for capacity that is
+    # free at once, as Retry-After is rounded up.
+    Then a retry time of <seconds> s with <decimals> decimals is sent as "<text>"
+
+    Examples:
+      | seconds | decimals | text |
+      | 0.05    | 2        | 0.05 |
+      | 1.234   | 2        | 1.23 |
+      | 0.001   | 2        | 0.01 |
+      | 0.05    | 0        | 1    |
+      | 2.4     | 0        | 2    |
--- a/tests/steps/contention_steps.py
+++ b/tests/steps/contention_steps.py
@@ -16,7 +16,7 @@
         "kl-hall",
         {("kl-hall", "pg-hall"): 0.25, ("cj-hall", "kl-hall"): 0.5},
         {"tailor-llm": {0: 3, 1: 7}},
-        {"tailor-llm": (0, 2, 5)},
+        {"tailor-llm": [0, 2, 5]},
     )
 
 
--- a/tests/steps/returns_steps.py
+++ b/tests/steps/returns_steps.py
@@ -11,7 +11,7 @@
 from aioprometheus import renderer
 from behave import given, then, when
 
-from egretspur import decisions, errors
+from egretspur import decisions, errors, web
 from egretspur.daemons import meters
 from egretspur.routing import jobs, promises, returns, tickets
 from tests import fleets
@@ -230,3 +230,13 @@
 def step_counted(context: Any, count: int, again: int) -> None:
     found = context.broker.refusals.return_counts
     assert (found.returned, found.refused_again) == (count, again), found
+
+
+@then(
+    "a retry time of {seconds:g} s with {decimals:d} decimals is sent as"
+    ' "{text}"'
+)
+def step_sent(context: Any, seconds: float, decimals: int, text: str) -> None:
+    refusal = errors.Refusal(errors.ErrorKind.QUEUE_FULL, "full", seconds)
+    res = web.reply_refusal(refusal, decimals)
+    assert res.headers["Retry-After"] == text, res.headers
