Share plain calls over replicas by load and expected time

Cause: the replica with the lowest smoothed response time got all calls of a host, and only calls refreshed that time. A replica that refused calls at once looked like the best choice.

Change: `routing/replicas.py` replaces `Fleet.choose_replica`. It compares two random replicas by response time and requests in flight, and draws in proportion. The own data centre is preferred until it is clearly worse. An estimate decays to that of the other replicas within 4 s. New and returned replicas start slowly. A replica that failed a call is paused for a time and a number of the host's calls; at most half of a service's replicas are.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -182,7 +182,7 @@
 
     upstream: str
     # One of: listed, gone, draining, down, dead, back, refusing, backoff, slow,
-    # unreadable, fuller, suspected.
+    # unreadable, fuller, suspected, paused.
     state: str
     reason: str
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -67,7 +67,7 @@
         using: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
         self.throttle = throttle.Throttle(data_centre, rng)
-        self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle)
+        self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle, rng)
         self._mechanisms = using
         self.search = search.Search(self.fleet, using, rng)
         self.queue = queues.Queue(MAX_QUEUED)
@@ -164,8 +164,8 @@
                 self.fleet.health.record_success(part.id, now_s)
             return
         self.fleet.health.record_success(ticket.upstream_id, now_s)
-        self.fleet.record_response_time(
-            ticket.upstream_id, now_s - ticket.started_s
+        self.fleet.replicas.record_answer(
+            ticket.upstream_id, now_s - ticket.started_s, now_s
         )
 
     def note_signals(
@@ -599,7 +599,7 @@
             return None
         refused = ticket.list_refused(now_s)
         if service.engine is None:
-            replica = self.fleet.choose_replica(
+            replica = self.fleet.replicas.choose(
                 service.name, ticket.failed, refused, now_s
             )
             return self._start(ticket, replica, now_s) if replica else None
@@ -676,18 +676,16 @@
         failure: jobs.Failure,
         now_s: float,
     ) -> None:
-        if failure.kind is jobs.FailureKind.REFUSED:
-            ticket.refusals += 1
-        elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
-            ticket.runs += 1
-        blamed = set(failure.blamed)
-        if not blamed and first_id:
-            blamed.add(first_id)
+        may_have_run = failure.may_have_run()
+        ticket.runs += may_have_run
+        ticket.refusals += failure.kind is jobs.FailureKind.REFUSED
+        blamed = set(failure.blamed) or {first_id} - {""}
         ticket.failed |= blamed
         if failure.kind is jobs.FailureKind.REFUSED:
             until_s = now_s + REFUSAL_DELAY_S
             ticket.refused.update(dict.fromkeys(blamed, until_s))
         for upstream_id in blamed:
+            self.fleet.replicas.record_failure(upstream_id, may_have_run, now_s)
             if failure.kind is jobs.FailureKind.UNREACHABLE:
                 self.fleet.health.mark_down(upstream_id, now_s)
             elif failure.kind is jobs.FailureKind.CUT:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import zlib
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Any, Final
+from typing import Final
 
 import attrs
 
@@ -27,6 +28,7 @@
     moves,
     paces,
     paths,
+    replicas,
 )
 
 # A data centre that sent no peer update for this long counts as cut off: the
@@ -36,15 +38,6 @@
 # within 1.5 s, so a data centre may wrongly count as cut off for some 0.4 s.
 CUT_OFF_AFTER_S: Final = 1.3
 
-# Weight of a new sample in a plain replica's smoothed response time.
-RESPONSE_TIME_WEIGHT: Final = 0.2
-
-# Factor on the expected wait of a replica in a data centre that is cut off.
-CUT_OFF_SLOWDOWN: Final = 20.0
-
-# Response time assumed for a plain replica before the first sample.
-INITIAL_RESPONSE_TIME_S: Final = 0.05
-
 
 @attrs.frozen
 class PeerState:
@@ -104,6 +97,7 @@
         data_centre: str,
         is_counting_excess: bool = True,
         limits: throttle.Throttle | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         """Makes an empty fleet.
 
@@ -112,6 +106,7 @@
             is_counting_excess: Whether memory that engines report beyond the
                 hosts' own count reduces their free memory.
             limits: This host's shares of the upstreams' rate limits.
+            rng: Draws replicas of plain services.
         """
         self.data_centre = data_centre
         self.throttle = limits or throttle.Throttle()
@@ -120,8 +115,6 @@
         self.memory = memory.Memory(data_centre)
         self.health = health.Health(self._log_state)
         self.paces = paces.Paces()
-        # Smoothed response times of plain replicas.
-        self.response_times_s: dict[str, float] = {}
         self.layer_changes = moves.LayerChanges(self.roster)
         # Upstreams by service and data centre, cached until the list changes:
         # each path search needs them.
@@ -140,6 +133,16 @@
             self.throttle,
             self.log_events,
         )
+        self.replicas = replicas.Replicas(
+            data_centre,
+            rng or random.Random(),
+            self.memory,
+            self.health,
+            self.throttle,
+            self.list_usable,
+            self.list_cut_off,
+            self._log_state,
+        )
 
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
@@ -264,13 +267,6 @@
             decisions.UpstreamChanged(upstream_id, state, reason)
         )
 
-    def record_response_time(self, upstream_id: str, seconds: float) -> None:
-        """Adds a response time of a plain replica."""
-        old = self.response_times_s.get(upstream_id, seconds)
-        self.response_times_s[upstream_id] = old + RESPONSE_TIME_WEIGHT * (
-            seconds - old
-        )
-
     @contextlib.contextmanager
     def recording_list_changes(self, now_s: float) -> Iterator[None]:
         """Records the list changes made within the block.
@@ -436,13 +432,9 @@
     def remove_unlisted(self) -> None:
         """Drops the state of upstreams that are no longer listed."""
         listed = self.roster.entries
-        tables: tuple[dict[str, Any], ...] = (
-            self.response_times_s,
-            self.memory.excess,
-        )
-        for table in tables:
-            for upstream_id in set(table) - set(listed):
-                del table[upstream_id]
+        for upstream_id in set(self.memory.excess) - set(listed):
+            del self.memory.excess[upstream_id]
+        self.replicas.remove_unlisted(listed)
         self.layer_changes.remove_unlisted(listed)
         self.paces.remove_unlisted(listed)
         self.health.remove_unlisted(listed)
@@ -612,41 +604,6 @@
             free = min(free, candidate.free / size if size else 0.0)
         return step_s, free
 
-    def choose_replica(
-        self, service: str, avoid: set[str], refused: set[str], now_s: float
-    ) -> upstreams.Upstream | None:
-        """Returns a plain service's replica with the shortest expected wait.
-
-        Args:
-            service: Name of the service.
-            avoid: Replicas to use only if there is no other.
-            refused: Replicas never to use.
-            now_s: Monotonic time.
-        """
-        usable = [
-            e
-            for e in self.list_usable(service, now_s)
-            if e.id not in refused and self.throttle.can_send(e.id, now_s)
-        ]
-        preferred = [e for e in usable if e.id not in avoid] or usable
-        cut_off = self.list_cut_off(now_s)
-
-        def compute_wait_s(entry: upstreams.Upstream) -> float:
-            time_s = self.response_times_s.get(
-                entry.id, INITIAL_RESPONSE_TIME_S
-            )
-            waiting = self.memory.get_usage(entry.id, now_s).count
-            turns = 1 + waiting / max(1, entry.slots)
-            distance_factor = (
-                1.0 if entry.data_centre == self.data_centre else 1.2
-            )
-            if entry.data_centre in cut_off:
-                distance_factor = CUT_OFF_SLOWDOWN
-            slowdown = self.health.get_slowdown(entry.id, now_s)
-            return time_s * turns * distance_factor * slowdown
-
-        return min(preferred, key=compute_wait_s, default=None)
-
 
 def _limit_ids(ids: Sequence[str]) -> tuple[str, ...]:
     """Returns the first ids, as many as a log line may name."""
--- /dev/null
+++ b/tests/routing/replicas.py
@@ -0,0 +1,182 @@
+"""Model of hosts and replicas of a plain service, without network or threads.
+
+Each host has the product's own `Broker`. Every `UPDATE_PERIOD_S` it receives
+what its peers had in flight `DELAY_S` ago. A replica runs as many requests at a
+time as it has slots; the others wait in it.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from egretspur.admission import repeats
+from egretspur.catalog import upstreams
+from egretspur.routing import broker, jobs, memory, questions
+from tests import fleets
+
+UPDATE_PERIOD_S: Final = 0.25
+
+# Age of what a peer update contains: sent to a speaker, and passed on by it.
+DELAY_S: Final = 0.06
+
+# Bounds of the work of a request, and a hop there and back, in seconds.
+WORK_S: Final = (0.045, 0.069)
+HOPS_S: Final = 0.0015
+
+# Retries allowed in a window, as the users' sheet has it for 61 hosts.
+RETRIES_PER_HOST: Final = 306 / 61
+
+
+@attrs.define(eq=False)
+class Replica:
+    """A replica that runs requests."""
+
+    entry: upstreams.Upstream
+    slowdown: float = 1.0
+    # How it fails all requests; None if it does not.
+    failure: jobs.FailureKind | None = None
+    # Requests that run, and those that wait for a slot.
+    running: int = 0
+    queue: collections.deque[Callable[[], None]] = attrs.Factory(
+        collections.deque
+    )
+
+
+class World:
+    """Hosts in three data centres before some replicas."""
+
+    def __init__(self, hosts: int, places: list[str]) -> None:
+        """Makes hosts before one replica in each place; nothing is sent yet."""
+        self.rng = random.Random(11)
+        self.now_s = 100.0
+        # Time, host and replica of each request sent.
+        self.sent: list[tuple[float, broker.Broker, str]] = []
+        # Times from arrival to answer.
+        self.answered_s: list[float] = []
+        self.refused = 0
+        self.replicas: dict[str, Replica] = {}
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._counter = itertools.count()
+        options = repeats.Options(0.2, hosts * RETRIES_PER_HOST, 10.0)
+        self.hosts = [
+            broker.Broker(p, options, random.Random(i))
+            for i, p in zip(
+                range(hosts), itertools.cycle(fleets.DATA_CENTRES), strict=False
+            )
+        ]
+        for host in self.hosts:
+            host.configure(fleets.make_config())
+            host.set_host_count(hosts)
+            self._at(self.rng.uniform(0, UPDATE_PERIOD_S), self._update, host)
+        for place in places:
+            self.add(place)
+
+    def add(self, place: str) -> None:
+        """Lists another replica at all hosts."""
+        name = f"app-{len(self.replicas)}"
+        entry = fleets.make_upstream(name, data_centre=place)
+        self.replicas[name] = Replica(entry)
+        for host in self.hosts:
+            host.change_upstreams([(name, entry)], self.now_s)
+
+    def play(self, seconds: float, rate: float, place: str = "") -> None:
+        """Has requests arrive at all hosts, or at those of a data centre."""
+        hosts = [h for h in self.hosts if place in ("", h.fleet.data_centre)]
+        end_s = self.now_s + seconds
+        at_s = self.now_s + self.rng.expovariate(rate)
+        while at_s < end_s:
+            self._run_until(at_s)
+            host = self.rng.choice(hosts)
+            name = f"r{next(self._counter)}"
+            job = fleets.make_job(name, "non_idempotent", now_s=at_s)
+            self._apply(host, host.arrive(job, at_s), at_s)
+            at_s += self.rng.expovariate(rate)
+        self._run_until(end_s)
+
+    def get_share(self, name: str, seconds: float) -> float:
+        """Returns a replica's share of the last requests; 1 if it is even."""
+        names = [n for t, _, n in self.sent if t >= self.now_s - seconds]
+        return names.count(name) / len(names) * len(self.replicas)
+
+    def _at(
+        self, delay_s: float, act: Callable[..., None], *args: object
+    ) -> None:
+        item = (self.now_s + delay_s, next(self._counter), lambda: act(*args))
+        heapq.heappush(self._due, item)
+
+    def _run_until(self, end_s: float) -> None:
+        while self._due and self._due[0][0] <= end_s:
+            self.now_s, _, act = heapq.heappop(self._due)
+            act()
+        self.now_s = end_s
+
+    def _update(self, host: broker.Broker) -> None:
+        """Sends a host what the others have in flight now."""
+        self._at(UPDATE_PERIOD_S, self._update, host)
+        own = host.fleet.memory.own
+        usage = {
+            i: jobs.Usage(n - (own[i].count if i in own else 0))
+            for i, n in self._in_flight.items()
+        }
+        self._at(DELAY_S, self._receive, host, usage)
+
+    def _receive(
+        self, host: broker.Broker, usage: dict[str, jobs.Usage]
+    ) -> None:
+        update = memory.PeerUsage(self.now_s, usage)
+        host.fleet.memory.set_peer_usage("peers", update)
+
+    def _apply(
+        self, host: broker.Broker, effects: list[jobs.Effect], arrived_s: float
+    ) -> None:
+        host.take_notes()
+        for effect in effects:
+            if isinstance(effect, questions.Refuse):
+                self.refused += 1
+            else:
+                self._send(host, effect, arrived_s)
+
+    def _send(
+        self, host: broker.Broker, start: jobs.Start, arrived_s: float
+    ) -> None:
+        replica = self.replicas[start.upstream.id]
+        entry = replica.entry
+        self.sent.append((self.now_s, host, entry.id))
+        self._in_flight[entry.id] += 1
+        hops_s = HOPS_S * (host.fleet.data_centre != entry.data_centre)
+
+        def fail(kind: jobs.FailureKind) -> None:
+            self._in_flight[entry.id] -= 1
+            failure = jobs.Failure(start.id, kind, "in the model")
+            self._apply(host, host.fail(failure, self.now_s), arrived_s)
+
+        def run() -> None:
+            replica.running += 1
+            self._at(self.rng.uniform(*WORK_S) * replica.slowdown, end)
+
+        def end() -> None:
+            replica.running -= 1
+            if replica.queue:
+                replica.queue.popleft()()
+            self._at(hops_s, answer)
+
+        def answer() -> None:
+            self._in_flight[entry.id] -= 1
+            host.record_answer_start(start.id, self.now_s)
+            self._apply(host, host.finish(start.id, self.now_s, True), 0.0)
+            self.answered_s.append(self.now_s - arrived_s)
+
+        if replica.failure is not None:
+            self._at(0.001 + hops_s, fail, replica.failure)
+        elif replica.running < entry.slots:
+            run()
+        else:
+            replica.queue.append(run)
