Try failing replicas of a plain service less often

An error status paused a replica of a caller with a bad request.

Change: a call that failed elsewhere prefers replicas that have not failed, a failing replica costs more until it answers, and the pause after a cut call is at least 32 calls of the host, after any other failure at least 4. Two tests did not fail without the rule they guard; both are stricter now.

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -676,19 +676,21 @@
         failure: jobs.Failure,
         now_s: float,
     ) -> None:
-        may_have_run = failure.may_have_run()
-        ticket.runs += may_have_run
-        ticket.refusals += failure.kind is jobs.FailureKind.REFUSED
+        if failure.kind is jobs.FailureKind.REFUSED:
+            ticket.refusals += 1
+        elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
+            ticket.runs += 1
+        is_cut = failure.kind is jobs.FailureKind.CUT
         blamed = set(failure.blamed) or {first_id} - {""}
         ticket.failed |= blamed
         if failure.kind is jobs.FailureKind.REFUSED:
             until_s = now_s + REFUSAL_DELAY_S
             ticket.refused.update(dict.fromkeys(blamed, until_s))
         for upstream_id in blamed:
-            self.fleet.replicas.record_failure(upstream_id, may_have_run, now_s)
+            self.fleet.replicas.record_failure(upstream_id, is_cut, now_s)
             if failure.kind is jobs.FailureKind.UNREACHABLE:
                 self.fleet.health.mark_down(upstream_id, now_s)
-            elif failure.kind is jobs.FailureKind.CUT:
+            elif is_cut:
                 self.fleet.health.record_fault(upstream_id, now_s)
             elif failure.blamed:
                 # It may also be down; the probe finds out.
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -60,10 +60,6 @@
     # Whether this attempt produced part of the answer.
     has_output: bool = False
 
-    def may_have_run(self) -> bool:
-        """Returns whether the upstream may have run the request."""
-        return self.kind in (FailureKind.CUT, FailureKind.FAILED)
-
 
 @attrs.frozen
 class Start:
--- a/egretspur/routing/replicas.py
+++ b/egretspur/routing/replicas.py
@@ -56,7 +56,7 @@
 MAX_COUNTED_SLOTS: Final = 6
 
 # A new or returned replica begins at twice its cost, which falls to the normal
-# one over this time. With the decay it stays below 5 s for a slow replica.
+# one over this time, well within the 5 s in which it must have its share.
 SLOW_START_S: Final = 2.0
 
 # Pause after a failed request, doubled with each consecutive one.
@@ -65,11 +65,12 @@
 
 # The least number of the host's calls that go elsewhere meanwhile, doubled as
 # well. A host with a call every few seconds would otherwise try the replica
-# with each of them. A refusal costs a retry of the budget, and a request that
-# may have run can cost its caller the answer.
-PAUSE_CALLS_REFUSED: Final = 4
-PAUSE_CALLS_MAY_HAVE_RUN: Final = 16
-MAX_PAUSE_CALLS: Final = 32
+# with each of them. A refusal costs a retry of the budget, and an error may be
+# due to the request. A call that is cut can cost its caller the answer, so at
+# most 3 in 100 calls risk it.
+PAUSE_CALLS: Final = 4
+PAUSE_CALLS_CUT: Final = 32
+MAX_PAUSE_CALLS: Final = 64
 MAX_DOUBLINGS: Final = 3
 
 
@@ -103,6 +104,16 @@
         """Returns the factor by which a slow start raises the cost."""
         return 2.0 - min(1.0, max(0.0, now_s - self.since_s) / SLOW_START_S)
 
+    def get_distrust(self, now_s: float) -> float:
+        """Returns the factor by which failures raise the cost.
+
+        Paused replicas that are not excluded get calls once the others are
+        loaded; one whose pause is over gets few until it has answered.
+        """
+        if self.is_paused(now_s):
+            return CLEARLY_WORSE
+        return 2.0 if self.failures else 1.0
+
 
 class Replicas:
     """Chooses replicas as one host sees them."""
@@ -155,15 +166,16 @@
         replica.response_s += weight * (seconds - replica.response_s)
         replica.answered_s = now_s
         replica.failures = 0
+        replica.paused_calls = 0
 
     def record_failure(
-        self, upstream_id: str, may_have_run: bool, now_s: float
+        self, upstream_id: str, is_cut: bool, now_s: float
     ) -> None:
         """Records that a request failed at an upstream.
 
         Args:
             upstream_id: The upstream; no effect unless it is a replica.
-            may_have_run: Whether the upstream may have run the request.
+            is_cut: Whether the answer broke off.
             now_s: Monotonic time.
         """
         replica = self._replicas.get(upstream_id)
@@ -174,9 +186,7 @@
         replica.failures += 1
         pause_s = min(MAX_PAUSE_S, factor * MIN_PAUSE_S)
         replica.paused_until_s = now_s + pause_s
-        calls = (
-            PAUSE_CALLS_MAY_HAVE_RUN if may_have_run else PAUSE_CALLS_REFUSED
-        )
+        calls = PAUSE_CALLS_CUT if is_cut else PAUSE_CALLS
         replica.paused_calls = min(MAX_PAUSE_CALLS, factor * calls)
         self._on_state_change(
             upstream_id,
@@ -221,6 +231,11 @@
             e for e in allowed if e.data_centre not in cut_off
         ] or allowed
         allowed = [e for e in allowed if e.id not in paused] or allowed
+        if avoid:
+            # Each call tries at most one replica that has failed before.
+            allowed = [
+                e for e in allowed if not self._get(e.id).failures
+            ] or allowed
         if len(allowed) < 2:
             return allowed[0] if allowed else None
         return self._choose_cheap(allowed, now_s)
@@ -293,6 +308,7 @@
                 max(1e-4, replica.estimate_s(typical_s, now_s))
                 * turns
                 * replica.get_slow_start(now_s)
+                * replica.get_distrust(now_s)
                 * self._health.get_slowdown(entry.id, now_s)
             )
         return costs
@@ -302,9 +318,9 @@
     ) -> set[str]:
         """Returns the paused replicas to exclude from a call.
 
-        At most half are excluded, those paused longest: when all are full, the
-        rest would otherwise get the load of all. The pause in calls holds only
-        while another replica has a free slot.
+        At most half are excluded, those whose pause ends last: when all are
+        full, the rest would otherwise get the load of all. The pause in calls
+        holds only while another replica has a free slot.
         """
         paused = {
             e.id: r for e in usable if (r := self._get(e.id)).is_paused(now_s)
--- a/tests/routing/replicas.feature
+++ b/tests/routing/replicas.feature
@@ -34,13 +34,13 @@
     # Guards against calls that wait at the near replica while others are idle.
     Given <hosts> hosts and 3 replicas in each data centre
     When <rate> calls a second arrive in one data centre for 8 s
-    Then 95 in 100 are answered within 200 ms
+    Then 95 in 100 are answered within <time> ms
 
     Examples:
-      | hosts | rate |
-      | 8     | 150  |
-      | 61    | 220  |
-      | 195   | 220  |
+      | hosts | rate | time |
+      | 8     | 150  | 85   |
+      | 61    | 220  | 200  |
+      | 195   | 220  | 200  |
 
   Scenario Outline: A replica is slow for some seconds
     # Guards against a slow replica that keeps its load, and against a recovered
@@ -78,6 +78,7 @@
       | 61    | 3     | 1       |
       | 195   | 3     | 1       |
       | 8     | 4     | 2       |
+      | 61    | 4     | 2       |
       | 195   | 4     | 2       |
 
   Scenario: A replica breaks off calls that must not be repeated
@@ -116,4 +117,5 @@
     # Guards against one replica that gets the load of all when all are full.
     Given 8 hosts and 4 replicas in one data centre
     When 3 of them refuse a call of a host
-    Then the host chooses 2 of them
+    Then the host chooses the last one
+    And once its slots are taken also 1 of the others
--- a/tests/steps/replicas_steps.py
+++ b/tests/steps/replicas_steps.py
@@ -81,6 +81,7 @@
         host.roster.entries[FIRST] = entry
         old = memory.PeerUsage(world.now_s - 5.0, {}, PLACES[1])
         host.memory.set_peer_usage("10.2.0.1", old)
+        host.memory.add(SECOND, 20, 0.0)
 
 
 def choose(context: Any, refused: set[str]) -> str:
@@ -100,10 +101,17 @@
     assert found == {"the first": FIRST, "none": ""}[what], found
 
 
-@then("the host chooses {count:d} of them")
+@then("the host chooses the last one")
+def step_last(context: Any) -> None:
+    context.last = list(context.world.replicas)[-1]
+    assert choose(context, set()) == context.last
+
+
+@then("once its slots are taken also {count:d} of the others")
 def step_count(context: Any, count: int) -> None:
-    chosen = {choose(context, set()) for _ in range(100)}
-    assert len(chosen) == count, chosen
+    context.world.hosts[0].fleet.memory.add(context.last, 12, 0.0)
+    chosen = {choose(context, set()) for _ in range(50)}
+    assert len(chosen - {context.last}) == count, chosen
 
 
 @then("each replica gets within 1.3 of an even share")
