--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -69,7 +69,7 @@
         using: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
         self.throttle = throttle.Throttle(data_centre, rng)
-        self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle)
+        self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle, rng)
         self._mechanisms = using
         load = links.Links(data_centre, self.fleet.roster, rng)
         self.search = search.Search(self.fleet, using, rng, load)
@@ -177,8 +177,8 @@
                 self.fleet.health.record_success(part.id, now_s)
             return
         self.fleet.health.record_success(ticket.upstream_id, now_s)
-        self.fleet.record_response_time(
-            ticket.upstream_id, now_s - ticket.started_s
+        self.fleet.replicas.record_answer(
+            ticket.upstream_id, now_s - ticket.started_s, now_s
         )
 
     def note_signals(
@@ -604,7 +604,7 @@
             return None
         refused = ticket.list_refused(now_s)
         if service.engine is None:
-            replica = self.fleet.choose_replica(
+            replica = self.fleet.replicas.choose(
                 service.name, ticket.failed, refused, now_s
             )
             return self._start(ticket, replica, now_s) if replica else None
@@ -693,17 +693,17 @@
             ticket.refusals += 1
         elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
             ticket.runs += 1
-        blamed = set(failure.blamed)
-        if not blamed and first_id:
-            blamed.add(first_id)
+        is_cut = failure.kind is jobs.FailureKind.CUT
+        blamed = set(failure.blamed) or {first_id} - {""}
         ticket.failed |= blamed
         if failure.kind is jobs.FailureKind.REFUSED:
             until_s = now_s + REFUSAL_DELAY_S
             ticket.refused.update(dict.fromkeys(blamed, until_s))
         for upstream_id in blamed:
+            self.fleet.replicas.record_failure(upstream_id, is_cut, now_s)
             if failure.kind is jobs.FailureKind.UNREACHABLE:
                 self.fleet.health.mark_down(upstream_id, now_s)
-            elif failure.kind is jobs.FailureKind.CUT:
+            elif is_cut:
                 self.fleet.health.record_fault(upstream_id, now_s)
             elif failure.blamed:
                 # It may also be down; the probe finds out.
