Lay copies of layers over the middle of wide ranges as well

Whole data centres had the capacity of one large engine: 40,650 of 184,705 to 227,845 tokens a layer, computed for their engines.

Change: ranges of copies assigned so far, and their neighbours, count among the places where a copy may begin or end.

--- a/egretspur/placement/ranges.py
+++ b/egretspur/placement/ranges.py
@@ -288,6 +288,9 @@
 ) -> dict[str, upstreams.Layers]:
     """Assigns empty engines the layers with the least KV cache capacity."""
     orders: dict[str, upstreams.Layers] = {}
+    # Copies begin or end where another range does, copies included: beside wide
+    # ranges alone, they would leave the middle of each to a single holder.
+    assigned = list(held.values())
     layer_tokens = [0.0] * spec.layers
     for engine in engines:
         if engine.held is not None:
@@ -298,8 +301,9 @@
         count = compute_max_layers(engine.accelerator, spec, kv_level)
         if count <= 0:
             continue
-        part = _find_scarcest_range(layer_tokens, held.values(), count)
+        part = _find_scarcest_range(layer_tokens, assigned, count)
         orders[engine.id] = part
+        assigned.append(part)
         _add_kv_tokens(layer_tokens, engine, part, spec)
     return orders
 
@@ -322,7 +326,8 @@
     last = len(layer_tokens) - count
     starts = {0, last}
     for part in held:
-        starts.update((part.first, part.last - count))
+        starts.update((part.first, part.last))
+        starts.update((part.first - count, part.last - count))
     found = [
         (sum(layer_tokens[s : s + count]), s)
         for s in sorted(starts)
--- a/tests/placement/ranges.feature
+++ b/tests/placement/ranges.feature
@@ -15,6 +15,14 @@
       | pg-hall     |
       | cj-hall     |
 
+  Scenario: Many small engines beside a few large ones
+    # Guards against a data centre whose capacity is that of one large engine:
+    # copies on small ones lie at the ends of its range, and none in its middle.
+    Given empty engines "a100 3, l40s 4, l4 24"
+    When layers are planned
+    And layers are planned
+    Then every layer has at least 0.5 of the mean capacity for requests
+
   Scenario Outline: Any one engine is lost
     # Guards against a data centre without some layers for the time of a long
     # load: an engine dies and its layers go to the first engine found, so the
--- a/tests/steps/ranges_steps.py
+++ b/tests/steps/ranges_steps.py
@@ -45,6 +45,16 @@
     context.elsewhere = []
 
 
+@given('empty engines "{counts}"')
+def step_empty_counts(context: Any, counts: str) -> None:
+    context.engines = [
+        fleets.make_engine(f"{kind}-{i}")
+        for kind, count in (word.split() for word in counts.split(", "))
+        for i in range(int(count))
+    ]
+    context.elsewhere = []
+
+
 @given('the engines of "{data_centre}" as planned')
 def step_planned(context: Any, data_centre: str) -> None:
     step_empty(context, data_centre)
@@ -112,6 +122,21 @@
     assert min(rooms.values()) >= tokens, rooms
 
 
+@then("every layer has at least {part:g} of the mean capacity for requests")
+def step_even(context: Any, part: float) -> None:
+    rooms = compute_rooms(context.engines)
+    tokens = [
+        sum(
+            rooms[e.id]
+            for e in context.engines
+            if e.held and e.held.first <= layer < e.held.last
+        )
+        for layer in range(fleets.SPEC.layers)
+    ]
+    mean = sum(tokens) / len(tokens)
+    assert min(tokens) >= part * mean, (min(tokens), mean)
+
+
 @then("a second plan orders nothing")
 def step_stable(context: Any) -> None:
     # The first plan closes the gaps, the second one adds twins.
