Eject engines that answer requests with errors

An error that a caller of a call that must not be repeated gets counted as a quick success.

An error raises the engine's share of faults. AnswerStarted says whether the answer is an error, and the choice of replicas then records a failure.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -194,7 +194,7 @@
 
     upstream: str
     # One of: listed, gone, draining, down, dead, back, refusing, backoff, slow,
-    # unreadable, fuller, suspected, paused.
+    # unreadable, fuller, suspected, paused, ejected.
     state: str
     reason: str
 
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -349,7 +349,9 @@
             complete = CompleteAnswer(answer.status, answer.headers, body)
             if answer.status == 200 or not self._may_retry(answer):
                 self._is_answered = answer.status < 500
-                self._desk.tell(desk.AnswerStarted(self.job.id))
+                self._desk.tell(
+                    desk.AnswerStarted(self.job.id, answer.status >= 500)
+                )
                 return complete
             self._error_answer = complete
             return AttemptFailure(
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -164,23 +164,38 @@
         self.counts.finished += 1
         return self._start_queued(now_s)
 
-    def record_answer_start(self, job_id: str, now_s: float) -> None:
-        """Records that the upstreams of a request began to answer."""
+    def record_answer_start(
+        self, job_id: str, now_s: float, is_error: bool = False
+    ) -> None:
+        """Records that the upstreams of a request began to answer.
+
+        Args:
+            job_id: The request.
+            now_s: Monotonic time.
+            is_error: Whether the answer is an error, which the caller gets.
+        """
         ticket = self.tickets.get(job_id)
         if ticket is None or not ticket.upstream_id:
             return
+        if is_error:
+            self._record_error(ticket.upstream_id, now_s)
+            return
         self.refusals.return_times.record_answer_start(
             ticket.job.service, now_s
         )
         if ticket.parts:
             for part in ticket.parts:
-                self.fleet.health.record_success(part.id, now_s)
+                self.fleet.record_answer(part.id, now_s)
             return
-        self.fleet.health.record_success(ticket.upstream_id, now_s)
+        self.fleet.record_answer(ticket.upstream_id, now_s)
         self.fleet.replicas.record_answer(
             ticket.upstream_id, now_s - ticket.started_s, now_s
         )
 
+    def _record_error(self, upstream_id: str, now_s: float) -> None:
+        self.fleet.replicas.record_failure(upstream_id, False, now_s)
+        self.fleet.record_error(upstream_id, now_s)
+
     def note_signals(
         self, upstream_id: str, answer: signals.Signals, now_s: float
     ) -> list[jobs.Effect]:
@@ -709,6 +724,8 @@
                 # It may also be down; the probe finds out.
                 self.fleet.health.record_refusal(upstream_id, now_s)
                 self.fleet.health.record_fault(upstream_id, now_s)
+            elif failure.kind is jobs.FailureKind.FAILED:
+                self.fleet.record_error(upstream_id, now_s)
 
     def _check_retry(
         self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -55,6 +55,8 @@
     """An upstream began to answer."""
 
     id: str
+    # The answer is an error, which the caller gets.
+    is_error: bool = False
 
 
 @attrs.frozen
@@ -245,7 +247,9 @@
 
     @handle.register
     def _(self, message: AnswerStarted) -> None:
-        self._broker.record_answer_start(message.id, time.monotonic())
+        self._broker.record_answer_start(
+            message.id, time.monotonic(), message.is_error
+        )
 
     @handle.register
     def _(self, message: NoteSignals) -> None:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -26,6 +26,7 @@
     jobs,
     memory,
     moves,
+    outliers,
     paces,
     paths,
     replicas,
@@ -114,6 +115,7 @@
         self.roster = upstreams.Roster()
         self.memory = memory.Memory(data_centre)
         self.health = health.Health(self._log_state)
+        self.outliers = outliers.Outliers()
         self.paces = paces.Paces()
         self.layer_changes = moves.LayerChanges(self.roster)
         # Upstreams by service and data centre, cached until the list changes:
@@ -149,6 +151,7 @@
         if (
             self.backpressure.is_leaving(entry)
             or entry.id in self.roster.unreadable
+            or self.outliers.is_ejected(entry.id, now_s)
         ):
             return False
         return self.health.is_usable(entry.id, now_s)
@@ -237,7 +240,10 @@
                 of this one. It then has the suspects of all local hosts, but
                 only those in this data centre.
         """
-        found = self.health.list_suspects(now_s)
+        found = (
+            *self.health.list_suspects(now_s),
+            *self.outliers.list_ejected(now_s),
+        )
         if not is_speaker:
             return found
         entries = self.roster.entries
@@ -262,6 +268,26 @@
             and now_s - received_s > CUT_OFF_AFTER_S
         }
 
+    def record_error(self, upstream_id: str, now_s: float) -> None:
+        """Records that an engine answered a request with an error."""
+        entry = self.roster.entries.get(upstream_id)
+        if entry is None or not entry.accelerator:
+            return
+        self.health.record_error(upstream_id, now_s)
+        near = self._group_by_data_centre(entry.service)[entry.data_centre]
+        ejection_s = self.outliers.record_error(
+            upstream_id, [e.id for e in near], now_s
+        )
+        if ejection_s:
+            self._log_state(
+                upstream_id, "ejected", f"answers errors; for {ejection_s:g} s"
+            )
+
+    def record_answer(self, upstream_id: str, now_s: float) -> None:
+        """Records that an upstream answered without an error."""
+        self.health.record_success(upstream_id, now_s)
+        self.outliers.record_answer(upstream_id)
+
     def _log_state(self, upstream_id: str, state: str, reason: str) -> None:
         self.log_events.append(
             decisions.UpstreamChanged(upstream_id, state, reason)
@@ -438,6 +464,7 @@
         self.layer_changes.remove_unlisted(listed)
         self.paces.remove_unlisted(listed)
         self.health.remove_unlisted(listed)
+        self.outliers.remove_unlisted(listed)
         self.backpressure.remove_unlisted(listed)
 
     def list_candidates(
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -196,6 +196,10 @@
         self.faults.setdefault(upstream_id, Faults()).record(True, now_s)
         self.failed.setdefault(upstream_id, Failed(now_s, False, now_s))
 
+    def record_error(self, upstream_id: str, now_s: float) -> None:
+        """Records an attempt that the upstream answered with an error."""
+        self.faults.setdefault(upstream_id, Faults()).record(True, now_s)
+
     def record_refusal(self, upstream_id: str, now_s: float) -> None:
         """Records that an engine refused its part of a path."""
         refusals = self.refusals.setdefault(upstream_id, Refusals())
