Merge turns for capacity among hosts whose requests wait

Wires the part into the contention update: waiting requests by service and priority, two empty updates after the last one with content, and what waits at other hosts into the retry times. One function counts the waiting requests of a service.

--- a/egretspur/membership/contention.py
+++ b/egretspur/membership/contention.py
@@ -140,12 +140,15 @@
 
 def _decode_waiting(value: Any) -> dict[int, int]:
     rows = checks.check_list(value, "waiting")
-    return {
-        _check_requests(priority, "waiting"): _check_requests(count, "waiting")
-        for priority, count in (
-            checks.check_row(r, "waiting", 2) for r in rows[:MAX_PRIORITIES]
-        )
-    }
+    counts = {}
+    for row in rows[:MAX_PRIORITIES]:
+        priority, count = checks.check_row(row, "waiting", 2)
+        if checks.check_count(priority, "waiting") >= MAX_PRIORITIES:
+            raise checks.FieldError("waiting", f"out of range: {priority}")
+        counts[priority] = _check_requests(count, "waiting")
+        if not counts[priority]:
+            raise checks.FieldError("waiting", "no request")
+    return counts
 
 
 def _decode_returns(value: Any) -> list[int]:
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -41,6 +41,10 @@
 # One datagram in this many also lists the peers of the host.
 PEER_LIST_INTERVAL: Final = 8
 
+# Empty contention updates sent after the last one with content. They end what
+# others hold back for this host; one of them may be lost.
+CONTENTION_END_UPDATES: Final = 2
+
 # A host is sent no more datagrams after this long without an update from it or
 # a mention of it; seeds are always sent to.
 PEER_EXPIRY_S: Final = 20.0
@@ -422,6 +426,9 @@
         self._aggregate = aggregate
         self._handle_updates = handle_updates
         self._contention = contention_handlers
+        # Empty contention updates still to be sent, to this data centre (False)
+        # and as its speaker to others (True).
+        self._contention_left: dict[bool, int] = {}
         self._lock = threading.Lock()
         self._peers = peers
         self._decoder = datagrams.Decoder()
@@ -539,7 +546,11 @@
         if self._contention is None:
             return
         update = self._contention.make(is_speaker)
-        if not update.is_empty():
+        left = CONTENTION_END_UPDATES
+        if update.is_empty():
+            left = self._contention_left.get(is_speaker, 0) - 1
+        self._contention_left[is_speaker] = left
+        if left >= 0:
             self._send_to(hosts, contention.encode(update))
 
     def _send_to(self, hosts: Iterable[str], data: bytes) -> None:
--- a/egretspur/routing/contention.py
+++ b/egretspur/routing/contention.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from egretspur.admission import queue as queues
+from egretspur.admission import turns
 from egretspur.membership import contention
 from egretspur.routing import links, promises
 
@@ -14,19 +16,30 @@
 class Contention:
     """See the module's docstring."""
 
-    def __init__(self, load: links.Links, promised: promises.Promises) -> None:
+    def __init__(
+        self,
+        load: links.Links,
+        promised: promises.Promises,
+        shared_turns: turns.Turns,
+        queue: queues.Queue,
+    ) -> None:
         """Makes a view.
 
         Args:
             load: Load of the links between data centres.
             promised: Times at which refused callers were told to return.
+            shared_turns: Requests that wait at other hosts.
+            queue: Requests that wait at this host.
         """
         self.links = load
         self._promises = promised
+        self._turns = shared_turns
+        self._queue = queue
 
     def set_host_count(self, hosts: int) -> None:
         """Sets how many hosts, with this one, share the capacity."""
         self.links.hosts = hosts
+        self._turns.hosts = hosts
 
     def apply_peer_update(
         self, update: contention.ContentionUpdate, now_s: float
@@ -38,6 +51,9 @@
         self._promises.apply_peer_returns(
             update.host, update.data_centre, update.returns, now_s
         )
+        self._turns.apply_peer_waiting(
+            update.host, update.data_centre, update.waiting, now_s
+        )
 
     def make_update(
         self, host: str, data_centre: str, now_s: float
@@ -47,6 +63,7 @@
             host,
             data_centre,
             links=self.links.get_own_load(now_s),
+            waiting=self._list_waiting(),
             returns=self._promises.list_returns(now_s),
         )
 
@@ -58,5 +75,9 @@
             host,
             data_centre,
             links=self.links.sum_data_centre(now_s),
+            waiting=self._turns.sum_local(self._list_waiting(), now_s),
             returns=self._promises.sum_data_centre(now_s),
         )
+
+    def _list_waiting(self) -> dict[str, dict[int, int]]:
+        return self._turns.list_waiting(self._queue.waiting.values())
--- a/tests/membership/contention.feature
+++ b/tests/membership/contention.feature
@@ -20,6 +20,8 @@
       | ["contention", "10.1.0.9", "kl", {"waiting": {"s": [[1]]}}] | waiting     |
       | ["contention", "10.1.0.9", "kl", {"waiting": {"s": [[-1, 2]]}}]  | waiting |
       | ["contention", "10.1.0.9", "kl", {"waiting": {"s": [[0, 1e12]]}}] | waiting |
+      | ["contention", "10.1.0.9", "kl", {"waiting": {"s": [[10, 2]]}}] | waiting |
+      | ["contention", "10.1.0.9", "kl", {"waiting": {"s": [[1, 0]]}}] | waiting  |
       | ["contention", "10.1.0.9", "kl", {"returns": {"s": ["x"]}}] | returns     |
       | ["contention", "10.1.0.9", "kl", {"returns": {"s": 3}}]     | returns     |
 
