Find what keeps streams from their first event

Cause: nothing evaluated a stream that never had an event. Such attempts ended after 2 or 4 s, when the caller left, and no engine was blamed.

Change: delivery/first_events.py compares streams without an event with those that had one. A component, which is an engine or a link between two data centres, is a suspect if late streams share it and no event came over it since they started. The watch probes the suspects. An engine that does not answer while another does is dead; one that answers is paused and blamed, at most a third of a service's engines in a data centre at once (routing/unproductive.py); a link is reported to the desk and logged. A verdict on an engine needs a stream beside it that started later and had its first event in time, so a busy fleet loses no engine. Verdicts stay at the host that reached them.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -181,8 +181,8 @@
     """The state of an upstream, as this host knows it, changed."""
 
     upstream: str
-    # One of: listed, gone, draining, down, dead, back, refusing, backoff, slow,
-    # unreadable, fuller, suspected.
+    # One of: listed, gone, draining, down, dead, back, refusing, unproductive,
+    # backoff, slow, unreadable, fuller, suspected.
     state: str
     reason: str
 
@@ -198,6 +198,14 @@
     is_own: bool
 
 
+@attrs.frozen
+class LinkStalled:
+    """Streams over a link between two data centres get no first event."""
+
+    source: str
+    target: str
+
+
 @attrs.frozen
 class QuestionSent:
     """A query or order was sent to an upstream."""
@@ -406,6 +414,7 @@
     | RequestLeft
     | UpstreamChanged
     | UpstreamLimited
+    | LinkStalled
     | QuestionSent
     | UpstreamsListed
     | ConfigurationApplied
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -165,8 +165,13 @@
         self.last_activity_s = 0.0
         self.parts: tuple[paths.Part, ...] = ()
         self.stalled: set[str] = set()
-        # The current attempt has delivered an event.
+        # When the attempt was sent, or rerouted before its first event, and the
+        # expected seconds from then to its first event.
+        self.started_s = 0.0
+        self.expected_first_s = 0.0
+        # The current attempt has delivered an event; when it was the first.
         self.has_begun = False
+        self.begun_s = 0.0
         # Smoothed seconds between two events.
         self.smoothed_gap_s = silence.INITIAL_GAP_S
         # For the log: number of attempts, times of the first and the last
@@ -298,7 +303,8 @@
     def _open(self, start: jobs.Start, after: str) -> Answer | AttemptFailure:
         self._attempts += 1
         self.parts = start.parts
-        self.last_activity_s = time.monotonic()
+        self.last_activity_s = self.started_s = time.monotonic()
+        self.expected_first_s = start.expected_first_s
         self.stalled = set()
         self.has_begun = False
         self._count_before = self._merge.count
@@ -399,6 +405,8 @@
                     jobs.FailureKind.CUT, f"events: {passed.value}"
                 )
             if passed:
+                if not self.has_begun:
+                    self.begun_s = self.last_activity_s
                 self.has_begun = True
                 self._record_event()
                 return passed
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -4,21 +4,27 @@
 the platform cuts it, by which time its caller has disconnected. Streams that
 share a stage fall silent together (`egretspur.delivery.silence`): the stages
 that may be the cause are probed at once, and streams are rerouted around those
-that do not answer while others do. A stalled stage that this misses is in the
+that do not answer while others do. Streams that get no first event are
+compared with each other (`egretspur.delivery.first_events`); a stage that they
+share is paused even if it answers. A stalled stage that this misses is in the
 report of the path's first engine some hundred milliseconds later.
 """
 
 from __future__ import annotations
 
 import concurrent.futures
+import itertools
+import math
 import threading
 import time
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from typing import Final, Protocol
 
+import attrs
+
 from egretspur import decisions, guard
 from egretspur.catalog import upstreams
-from egretspur.delivery import forward, silence
+from egretspur.delivery import first_events, forward, silence
 from egretspur.routing import desk, paths
 
 # Shortest interval between checks, used when a stream is nearly silent, and
@@ -38,10 +44,8 @@
 # tens of milliseconds.
 MAX_SILENCE_S: Final = 0.3
 
-# The same before the first event. The prefill takes 50 ms as a rule and 200 ms
-# in a burst; a request rerouted after this time still has its first event
-# within 0.5 s.
-MAX_FIRST_EVENT_S: Final = 0.25
+# The same before the first event.
+MAX_FIRST_EVENT_S: Final = first_events.MIN_BOUND_S
 
 # Fraction of the caller's patience after which a silent attempt that can't be
 # rerouted is ended, so that another one resumes the answer before the caller
@@ -86,7 +90,7 @@
             to: Chooses other paths.
             engines: Fetches reports and sends orders.
             checks_shared_silence: Whether to check for streams that fall
-                silent together.
+                silent together or get no first event.
         """
         self._desk = to
         self._checks_shared_silence = checks_shared_silence
@@ -101,6 +105,8 @@
         self._probed_s: dict[str, float] = {}
         # When another host last reported an upstream failing, by id.
         self._peer_suspects: dict[str, float] = {}
+        # Used under the lock.
+        self._first_events = first_events.FirstEvents()
         # Set while there are streams.
         self._has_streams = threading.Event()
         self._pool = concurrent.futures.ThreadPoolExecutor(
@@ -130,6 +136,8 @@
     def remove(self, stream: forward.Forwarder) -> None:
         """Stops watching a stream."""
         with self._lock:
+            if stream in self._streams and stream.has_begun:
+                self._first_events.record_ended(_describe(stream))
             self._streams.discard(stream)
             self._rerouted_s.pop(stream, None)
             if not self._streams:
@@ -163,6 +171,7 @@
             streams = list(self._streams)
         if self._checks_shared_silence:
             self._check_shared_silence(streams, now_s)
+            self._check_first_events(streams, now_s)
         by_first: dict[paths.Part, list[forward.Forwarder]] = {}
         for stream in streams:
             if is_silent(stream, now_s):
@@ -202,16 +211,29 @@
             p.id: p.address
             for s in streams
             for p in s.parts
-            if p.id in suspects
-            and now_s - self._probed_s.get(p.id, -REPORT_INTERVAL_S)
-            >= REPORT_INTERVAL_S
+            if p.id in suspects and not self._was_probed(p.id, now_s)
         }
         if not addresses or len(addresses) > MAX_PROBES:
             return
         active = _find_active_stage(begun, suspects)
         if active is not None:
             addresses[active.id] = active.address
-        addresses = {
+        addresses = self._select_probes(addresses, now_s)
+        answered = self._probe(addresses)
+        dead = frozenset(addresses) - answered
+        if answered and dead:
+            self._handle_dead(dead, streams)
+
+    def _was_probed(self, upstream_id: str, now_s: float) -> bool:
+        """Returns whether a stage was probed too recently to be again."""
+        probed_s = self._probed_s.get(upstream_id, -REPORT_INTERVAL_S)
+        return now_s - probed_s < REPORT_INTERVAL_S
+
+    def _select_probes(
+        self, addresses: Mapping[str, str], now_s: float
+    ) -> dict[str, str]:
+        """Returns the stages that may be probed now; counts the probes."""
+        selected = {
             i: a for i, a in addresses.items() if self._desk.may_query(i)
         }
         self._probed_s = {
@@ -219,10 +241,79 @@
             for i, t in self._probed_s.items()
             if now_s - t < REPORT_INTERVAL_S
         }
-        self._probed_s.update(dict.fromkeys(addresses, now_s))
-        dead = self._probe(addresses)
-        if dead:
-            self._reroute_around(dead, streams)
+        self._probed_s.update(dict.fromkeys(selected, now_s))
+        return selected
+
+    def _check_first_events(
+        self, streams: Sequence[forward.Forwarder], now_s: float
+    ) -> None:
+        """Finds what keeps streams from their first event."""
+        # Fast path, as in `_check_shared_silence`.
+        if all(
+            s.has_begun or now_s - s.started_s <= MAX_FIRST_EVENT_S
+            for s in streams
+        ):
+            return
+        # A stream that was rerouted has no event on its path before the next.
+        on_path = [
+            s
+            for s in streams
+            if s.parts and (not s.has_begun or s.last_activity_s >= s.started_s)
+        ]
+        with self._lock:
+            found = self._first_events.find_suspects(
+                [_describe(s) for s in on_path], now_s
+            )
+        if (
+            not found
+            or len(found.engines) > MAX_PROBES
+            or any(self._was_probed(i, now_s) for i in found.engines)
+        ):
+            return
+        addresses = {
+            p.id: p.address
+            for s in on_path
+            for p in _list_to_probe(s.parts, found)
+            if not self._was_probed(p.id, now_s)
+        }
+        if not addresses:
+            return
+        active = _find_active_stage(
+            [s for s in on_path if s.has_begun], found.engines
+        )
+        if active is not None:
+            addresses[active.id] = active.address
+        addresses = self._select_probes(addresses, now_s)
+        # Nothing is known of a suspect that may not be probed now.
+        found = attrs.evolve(
+            found, engines=found.engines & frozenset(addresses)
+        )
+        answered = self._probe(addresses)
+        with self._lock:
+            verdict = self._first_events.judge(found, answered, now_s)
+        self._handle_verdict(verdict, streams, now_s)
+
+    def _handle_verdict(
+        self,
+        verdict: first_events.Verdict,
+        streams: Sequence[forward.Forwarder],
+        now_s: float,
+    ) -> None:
+        """Reports a verdict to the desk and moves the streams concerned."""
+        if verdict.dead:
+            self._handle_dead(verdict.dead, streams)
+        for source, target in verdict.links:
+            self._desk.tell(desk.LinkStalled(source, target))
+        paused = frozenset(
+            i
+            for i in sorted(verdict.unproductive)
+            if self._desk.pause_unproductive(i)
+        )
+        if not paused:
+            return
+        for stream in self._reroute_around(paused, streams):
+            if not stream.has_begun and _describe(stream).is_past_bound(now_s):
+                self._end_attempt(stream)
 
     def _list_peer_suspects(
         self, streams: Sequence[forward.Forwarder], now_s: float
@@ -250,10 +341,9 @@
         }
 
     def _probe(self, addresses: Mapping[str, str]) -> frozenset[str]:
-        """Probes suspected stages; returns those that are dead.
+        """Probes stages; returns those that answered.
 
-        Returns none if no probe is answered: this host itself may be slow or
-        cut off.
+        If none did, this host itself may be slow or cut off.
         """
         ids = list(addresses)
         reports = self._pool.map(self._engines.peek, addresses.values())
@@ -261,28 +351,38 @@
         answered = {i: r for i, r in found.items() if not isinstance(r, str)}
         for upstream_id, report in answered.items():
             self._desk.tell(desk.Probed(upstream_id, report))
-        if not answered:
-            return frozenset()
-        return frozenset(found) - frozenset(answered)
+        return frozenset(answered)
 
-    def _reroute_around(
+    def _handle_dead(
         self, dead: frozenset[str], streams: Sequence[forward.Forwarder]
     ) -> None:
-        """Reroutes streams around dead stages, the least late ones first."""
         for upstream_id in dead:
             self._desk.tell(desk.UpstreamFailed(upstream_id))
-        affected = [s for s in streams if dead & {p.id for p in s.parts}]
+        self._reroute_around(dead, streams)
 
-        def reroute(stream: forward.Forwarder) -> None:
-            stalled = frozenset(p.id for p in stream.parts) & dead
+    def _reroute_around(
+        self, stages: frozenset[str], streams: Sequence[forward.Forwarder]
+    ) -> list[forward.Forwarder]:
+        """Reroutes streams around stages, the least late ones first.
+
+        Returns:
+            The streams that could not be rerouted.
+        """
+        affected = [s for s in streams if stages & {p.id for p in s.parts}]
+
+        def reroute(stream: forward.Forwarder) -> bool:
+            stalled = frozenset(p.id for p in stream.parts) & stages
             stream.stalled |= stalled
-            self._reroute(stream, stalled)
+            return self._reroute(stream, stalled)
 
         # In parallel, since each waits for an engine's reply.
         least_late = sorted(affected, key=lambda s: -s.last_activity_s)
-        concurrent.futures.wait(
-            [self._pool.submit(reroute, s) for s in least_late]
-        )
+        rerouted = list(self._pool.map(reroute, least_late))
+        return [
+            s
+            for s, is_ok in zip(least_late, rerouted, strict=True)
+            if not is_ok
+        ]
 
     def _check_first_engine(
         self, first: paths.Part, streams: Sequence[forward.Forwarder]
@@ -344,6 +444,7 @@
         if problem:
             return False
         stream.parts = parts
+        stream.started_s = now_s
         with self._lock:
             if stream in self._streams:
                 self._rerouted_s[stream] = now_s
@@ -351,7 +452,7 @@
 
 
 def _find_active_stage(
-    streams: Sequence[forward.Forwarder], suspects: set[str]
+    streams: Sequence[forward.Forwarder], suspects: Collection[str]
 ) -> paths.Part | None:
     """Returns a working stage, to be probed together with the suspects.
 
@@ -364,6 +465,36 @@
     return None
 
 
+def _list_to_probe(
+    parts: Sequence[paths.Part], found: first_events.Suspects
+) -> Iterator[paths.Part]:
+    """Yields the suspects on a path and the engines at both ends of a link."""
+    for part in parts:
+        if part.id in found.engines:
+            yield part
+    for pair in itertools.pairwise(parts):
+        if found.links & set(first_events.list_components(pair)):
+            yield from pair
+
+
+def _describe(stream: forward.Forwarder) -> first_events.Stream:
+    """Returns a stream as far as its first event is concerned."""
+    first_event_s = last_event_s = None
+    if stream.has_begun:
+        last_event_s = stream.last_activity_s
+        # An event before the stream was rerouted took another path.
+        is_on_path = stream.begun_s >= stream.started_s
+        first_event_s = stream.begun_s if is_on_path else -math.inf
+    return first_events.Stream(
+        first_events.list_components(stream.parts),
+        stream.started_s,
+        stream.expected_first_s,
+        stream.job.route.caller_silence_s,
+        first_event_s,
+        last_event_s,
+    )
+
+
 def is_silent(stream: forward.Forwarder, now_s: float) -> bool:
     """Returns whether a stream has had no event for too long."""
     limit_s = MAX_FIRST_EVENT_S
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -272,7 +272,9 @@
             return True
         if self.retry_budgets.spend(ticket.job.service, now_s):
             ticket.retry_taken_s = now_s
-        self._notes.append(self._describe_retry(ticket, now_s))
+        self._notes.append(
+            retries.make_budget_note(ticket, self.retry_budgets, now_s)
+        )
         return ticket.retry_taken_s is not None
 
     def _return_retry(self, ticket: tickets.Ticket) -> None:
@@ -281,25 +283,6 @@
             self.retry_budgets.refund(ticket.job.service, ticket.retry_taken_s)
             ticket.retry_taken_s = None
 
-    def _describe_retry(
-        self, ticket: tickets.Ticket, now_s: float
-    ) -> decisions.RepeatTaken | decisions.BudgetEmpty:
-        service = ticket.job.service
-        standing = self.retry_budgets.get_balance(service, now_s)
-        make = (
-            decisions.BudgetEmpty
-            if ticket.retry_taken_s is None
-            else decisions.RepeatTaken
-        )
-        return make(
-            ticket.job.id,
-            service,
-            standing.sent,
-            standing.guaranteed,
-            standing.borrowed,
-            self.retry_budgets.hosts,
-        )
-
     def restore_quarantine(
         self, ends: Mapping[str, quarantines.CrashWeights], now_s: float
     ) -> list[jobs.Effect]:
@@ -363,6 +346,10 @@
             update.host, update.data_centre, update.spent, now_s, update.is_new
         )
 
+    def note_link_stalled(self, source: str, target: str, now_s: float) -> None:
+        """Notes that nothing comes over a link between data centres."""
+        self._notes.append(decisions.LinkStalled(source, target))
+
     def set_host_count(self, hosts: int) -> None:
         """Sets how many hosts, with this one, share budgets and limits."""
         self.retry_budgets.hosts = max(1, hosts)
@@ -628,7 +615,13 @@
         self._add_memory_use(ticket, 1)
         self.throttle.record_send(entry.id, now_s)
         self.counts.started += 1
-        return jobs.Start(ticket.job.id, entry, ticket.parts)
+        spec = self._get_spec(ticket.job.service)
+        first_s = 0.0
+        if spec is not None:
+            first_s = paths.estimate_first_event_s(
+                ticket.parts, ticket.job.tokens, spec
+            )
+        return jobs.Start(ticket.job.id, entry, ticket.parts, first_s)
 
     def _describe_start(
         self,
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -18,7 +18,7 @@
 from egretspur import actors, decisions, errors, signals
 from egretspur.admission import quarantine
 from egretspur.catalog import config, feeds, upstreams
-from egretspur.routing import broker, fleet, jobs, questions
+from egretspur.routing import broker, fleet, jobs, questions, unproductive
 
 Decision = jobs.Start | errors.Refusal
 DecisionFuture = concurrent.futures.Future[Decision]
@@ -135,6 +135,24 @@
     upstream_id: str
 
 
+@attrs.frozen
+class StageUnproductive:
+    """An engine answers probes, but streams over it get no first event.
+
+    Asks whether it was paused.
+    """
+
+    upstream_id: str
+
+
+@attrs.frozen
+class LinkStalled:
+    """Nothing comes over a link between two data centres."""
+
+    source: str
+    target: str
+
+
 @attrs.frozen
 class LayersReported:
     """An engine's report of the layers that it holds."""
@@ -202,6 +220,9 @@
         """
         super().__init__()
         self._broker = state
+        self._unproductive = unproductive.UnproductiveStages(
+            state.fleet.roster, state.fleet.health
+        )
         self._busy = busy
         self._pending: questions.PendingDecisions[jobs.Start] = (
             questions.PendingDecisions()
@@ -305,6 +326,16 @@
             message.upstream_id, time.monotonic()
         )
 
+    @handle.register
+    def _(self, message: StageUnproductive) -> bool:
+        return self._unproductive.pause(message.upstream_id, time.monotonic())
+
+    @handle.register
+    def _(self, message: LinkStalled) -> None:
+        self._broker.note_link_stalled(
+            message.source, message.target, time.monotonic()
+        )
+
     @handle.register
     def _(self, message: LayersReported) -> None:
         now_s = time.monotonic()
@@ -420,6 +451,11 @@
         is_reserved: bool = actors.ask(self._ref, ReserveRetry(job_id))
         return is_reserved
 
+    def pause_unproductive(self, upstream_id: str) -> bool:
+        """Pauses an unproductive engine; returns whether it was paused."""
+        is_paused: bool = actors.ask(self._ref, StageUnproductive(upstream_id))
+        return is_paused
+
     def may_query(self, upstream_id: str) -> bool:
         """Returns whether an upstream may be queried; counts the query."""
         if self._backpressure.is_unrestricted(upstream_id):
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -196,8 +196,16 @@
         self.faults.setdefault(upstream_id, Faults()).record(True, now_s)
         self.failed.setdefault(upstream_id, Failed(now_s, False, now_s))
 
-    def record_refusal(self, upstream_id: str, now_s: float) -> None:
-        """Records that an engine refused its part of a path."""
+    def record_refusal(
+        self, upstream_id: str, now_s: float, state: str = "refusing"
+    ) -> None:
+        """Pauses an engine that refused its part of a path.
+
+        Args:
+            upstream_id: The engine.
+            now_s: Monotonic time.
+            state: State to log.
+        """
         refusals = self.refusals.setdefault(upstream_id, Refusals())
         if now_s < refusals.until_s:
             return
@@ -206,7 +214,7 @@
         )
         refusals.count += 1
         refusals.until_s = now_s + pause_s
-        self._on_state_change(upstream_id, "refusing", f"paused {pause_s} s")
+        self._on_state_change(upstream_id, state, f"paused {pause_s} s")
 
     def mark_down(self, upstream_id: str, now_s: float) -> None:
         """Stops requests to an upstream until a probe succeeds."""
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -69,6 +69,8 @@
     upstream: upstreams.Upstream
     # Path through the engines; empty for plain services.
     parts: tuple[paths.Part, ...]
+    # Expected seconds until the first event; 0 for plain services.
+    expected_first_s: float = 0.0
 
 
 @attrs.frozen
--- a/egretspur/routing/paths.py
+++ b/egretspur/routing/paths.py
@@ -23,6 +23,8 @@
 
 import attrs
 
+from egretspur.catalog import config
+
 # Engines that one path may name.
 MAX_PARTS: Final = 32
 
@@ -58,6 +60,11 @@
     address: str
     first: int
     last: int
+    # Not compared, as neither distinguishes two parts: the engine's data
+    # centre, and the expected seconds of one pass over the layers while
+    # prompts are processed.
+    data_centre: str = attrs.field(default="", eq=False)
+    pass_s: float = attrs.field(default=0.0, eq=False)
 
 
 @attrs.frozen
@@ -387,7 +394,14 @@
     while partial is not None:
         candidate = partial.candidate
         parts.append(
-            Part(candidate.id, candidate.address, partial.first, partial.last)
+            Part(
+                candidate.id,
+                candidate.address,
+                partial.first,
+                partial.last,
+                candidate.data_centre,
+                (partial.last - partial.first) * candidate.pass_s,
+            )
         )
         partial = partial.previous
     return tuple(reversed(parts))
@@ -449,6 +463,19 @@
     return " ".join(f"{p.id}:{p.first}-{p.last}" for p in parts)
 
 
+def estimate_first_event_s(
+    parts: Iterable[Part], tokens: float, spec: config.EngineSpec
+) -> float:
+    """Returns the expected seconds until the first event over a path.
+
+    A pass processes several chunks of a prompt, those of other requests
+    included; the passes of a long prompt are counted as if they did not
+    overlap.
+    """
+    passes = tokens / (spec.chunk_tokens * spec.stride)
+    return max(1.0, passes) * sum(p.pass_s for p in parts)
+
+
 def find_gaps(
     ranges: Iterable[tuple[int, int]], layers: int
 ) -> list[tuple[int, int]]:
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -11,7 +11,8 @@
 
 import attrs
 
-from egretspur import errors
+from egretspur import decisions, errors
+from egretspur.admission import repeats
 from egretspur.catalog import config
 from egretspur.routing import jobs, tickets
 
@@ -66,6 +67,27 @@
     return FinalError(kind, f"{why}; {reason}" if why else reason)
 
 
+def make_budget_note(
+    ticket: tickets.Ticket, budgets: repeats.RetryBudgets, now_s: float
+) -> decisions.RepeatTaken | decisions.BudgetEmpty:
+    """Returns the log line of a retry that was taken from the budget or not."""
+    service = ticket.job.service
+    standing = budgets.get_balance(service, now_s)
+    make = (
+        decisions.BudgetEmpty
+        if ticket.retry_taken_s is None
+        else decisions.RepeatTaken
+    )
+    return make(
+        ticket.job.id,
+        service,
+        standing.sent,
+        standing.guaranteed,
+        standing.borrowed,
+        budgets.hosts,
+    )
+
+
 def _may_run_again(route: config.Route) -> bool:
     if route.kind is config.RouteKind.STREAMING:
         return route.is_resumable
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -211,10 +211,11 @@
             for c in usable
             if c.id != first.id and c.last > first.last
         ]
-        return paths.find_path(
+        found = paths.find_path(
             [kept, *tail],
             spec.layers,
             job.tokens,
             home,
             max_pass_s=max_pass_s,
         )
+        return (first, *found[1:]) if found else None
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -46,6 +46,9 @@
     parts: Any
     last_activity_s: float
     has_begun: bool = True
+    started_s: float = 0.0
+    begun_s: float = 0.0
+    expected_first_s: float = 0.05
     smoothed_gap_s: float = 0.02
     stalled: set[str] = attrs.Factory(set)
     is_ended: bool = False
