Clear engines whose events came during the probes

Cause: probes of suspects take up to some hundred milliseconds. An event over a suspect that came meanwhile did not end the suspicion, so a working engine was paused. Streams were compared up to fifty times a second, and ties between components followed the order of a set, so that runs of the model differed with the hash seed.

Change: events since the decision clear the engines of their path, and their streams are not rerouted. Streams are compared at the longer interval between checks. Components that had an event since the last late stream started are skipped early. Ties follow the order of the streams.

--- a/egretspur/delivery/first_events.py
+++ b/egretspur/delivery/first_events.py
@@ -162,10 +162,11 @@
             self._ended.popleft()
         streams = list(streams)
         waiting = [s for s in streams if s.first_event_s is None]
-        if sum(s.is_past_bound(now_s) for s in waiting) < MIN_ALL_LATE:
+        past = [s for s in waiting if s.is_past_bound(now_s)]
+        if len(past) < MIN_ALL_LATE:
             return Suspects()
         known = [*streams, *self._ended]
-        late = self._find_late(waiting, known, now_s)
+        late = self._find_late(waiting, past, known, now_s)
         found = self._choose(late, known, now_s)
         links = frozenset(c for c in found if LINK_MARK in c)
         return Suspects(found - links, links)
@@ -199,48 +200,65 @@
         )
 
     def _find_late(
-        self, waiting: Sequence[Stream], known: Iterable[Stream], now_s: float
+        self,
+        waiting: Sequence[Stream],
+        past: Sequence[Stream],
+        known: Iterable[Stream],
+        now_s: float,
     ) -> dict[str, _Case]:
-        """Returns the components that several late streams share."""
+        """Returns the components that several late streams share.
+
+        Args:
+            waiting: Streams without an event.
+            past: Those past their bounds.
+            known: All streams.
+            now_s: Monotonic time.
+        """
+        counts = collections.Counter(c for s in past for c in s.components)
         last_event_s: dict[str, float] = {}
         for stream in known:
-            if stream.last_event_s is not None:
-                for component in stream.components:
-                    last_event_s[component] = max(
-                        stream.last_event_s,
-                        last_event_s.get(component, stream.last_event_s),
-                    )
+            event_s = stream.last_event_s
+            if event_s is None:
+                continue
+            for component in stream.components:
+                if event_s > last_event_s.get(component, -math.inf):
+                    last_event_s[component] = event_s
         self._verdicts_s = {
             c: t
             for c, t in self._verdicts_s.items()
             if last_event_s.get(c, t) <= t
         }
-        over: dict[str, list[Stream]] = {}
+        # Most components had an event since the last of the late streams
+        # started, and are skipped early.
+        latest_s = max(s.started_s for s in past)
+        over: dict[str, list[Stream]] = {
+            c: []
+            for c, n in counts.items()
+            if n >= MIN_ALL_LATE and last_event_s.get(c, -math.inf) < latest_s
+        }
         for stream in sorted(waiting, key=lambda s: s.started_s):
             for component in stream.components:
-                over.setdefault(component, []).append(stream)
+                if component in over:
+                    over[component].append(stream)
+        unjudged = {
+            id(s)
+            for s in past
+            if not self._verdicts_s or not self._has_verdict(s)
+        }
         found = {}
         for component, streams in over.items():
             event_s = last_event_s.get(component, -math.inf)
-            verdict_s = self._verdicts_s.get(component, -math.inf)
-            past = [s for s in streams if s.is_past_bound(now_s)]
             late = [
                 s
-                for s in past
-                if s.started_s > event_s and not self._has_verdict(s)
+                for s in streams
+                if id(s) in unjudged and s.started_s > event_s
             ]
             if len(late) >= MIN_ALL_LATE:
-                is_all = all(
-                    s.is_past_bound(now_s) or not s.is_due(now_s)
-                    for s in streams
-                )
-                min_late = MIN_ALL_LATE if is_all else MIN_LATE
-                unexplained = {id(s) for s in _list_unexplained(streams, now_s)}
-                count = sum(id(s) in unexplained for s in late)
+                verdict_s = self._verdicts_s.get(component, -math.inf)
                 found[component] = _Case(
                     late,
-                    count >= min_late
-                    and now_s - verdict_s >= VERDICT_INTERVAL_S,
+                    now_s - verdict_s >= VERDICT_INTERVAL_S
+                    and _is_suspect(late, streams, now_s),
                 )
         return found
 
@@ -289,6 +307,25 @@
         return frozenset(chosen)
 
 
+def _is_suspect(
+    late: Sequence[Stream], streams: Sequence[Stream], now_s: float
+) -> bool:
+    """Returns whether late streams show that a component is at fault.
+
+    Args:
+        late: Late streams over it.
+        streams: All streams over it without an event, in the order of their
+            start.
+        now_s: Monotonic time.
+    """
+    unexplained = {id(s) for s in _list_unexplained(streams, now_s)}
+    count = sum(id(s) in unexplained for s in late)
+    return count >= MIN_LATE or (
+        count >= MIN_ALL_LATE
+        and all(s.is_past_bound(now_s) or not s.is_due(now_s) for s in streams)
+    )
+
+
 def _list_unexplained(
     streams: Iterable[Stream], now_s: float
 ) -> Iterable[Stream]:
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -105,6 +105,8 @@
         self._probed_s: dict[str, float] = {}
         # When another host last reported an upstream failing, by id.
         self._peer_suspects: dict[str, float] = {}
+        # When streams without a first event were last compared.
+        self._first_events_s = -math.inf
         # Used under the lock.
         self._first_events = first_events.FirstEvents()
         # Set while there are streams.
@@ -248,12 +250,14 @@
         self, streams: Sequence[forward.Forwarder], now_s: float
     ) -> None:
         """Finds what keeps streams from their first event."""
-        # Fast path, as in `_check_shared_silence`.
-        if all(
+        # Fast path, as in `_check_shared_silence`. The bounds are long, so the
+        # longer interval between checks is enough.
+        if now_s - self._first_events_s < MAX_CHECK_INTERVAL_S or all(
             s.has_begun or now_s - s.started_s <= MAX_FIRST_EVENT_S
             for s in streams
         ):
             return
+        self._first_events_s = now_s
         # A stream that was rerouted has no event on its path before the next.
         on_path = [
             s
@@ -304,14 +308,19 @@
             self._handle_dead(verdict.dead, streams)
         for source, target in verdict.links:
             self._desk.tell(desk.LinkStalled(source, target))
+        # Events that came during the probes clear their path.
+        silent = [
+            s for s in streams if not s.has_begun or s.last_activity_s <= now_s
+        ]
+        cleared = {p.id for s in streams if s not in silent for p in s.parts}
         paused = frozenset(
             i
-            for i in sorted(verdict.unproductive)
+            for i in sorted(verdict.unproductive - cleared)
             if self._desk.pause_unproductive(i)
         )
         if not paused:
             return
-        for stream in self._reroute_around(paused, streams):
+        for stream in self._reroute_around(paused, silent):
             if not stream.has_begun and _describe(stream).is_past_bound(now_s):
                 self._end_attempt(stream)
 
--- a/tests/delivery/first_events.feature
+++ b/tests/delivery/first_events.feature
@@ -23,6 +23,8 @@
       | a+b+c 300/60 x3, d+e+f 300/60 x3   | g+h+i 80@250 x1      | none     | the fleet is busy           |
       | a+b+c 300/60 x3                    | a+d+c 260@270 x1     | none     | the others are late too     |
       | a+b+c 1100/600 x3                  | a+d+c 80@250 x1      | none     | long prompts                |
+      | a+b+c 300/60 x2, d+e+f 300/60 x1   | a+g+c 80@250 x2      | none     | two late among other late   |
+      | a+b+c 1900/450 x2                  | a+d+c 80@250 x1      | none     | long prompts in a queue     |
       | a+b+e 300/200 x1, a+b+c 280/60 x2  | a+d+c 80@250 x1      | none     | a long prompt is ahead      |
       | a+p+c 300/60 x2, a+q+c 300/60 x2, a+p+q 300/60 x1 | a+d+c 80@250 x2 | p q | two wait for each other  |
       | a+X>Y+b 300/60 x1, c+X>Y+d 300/60 x1 |                    | X>Y      | a link                      |
@@ -53,6 +55,16 @@
     When a stream over "a100-1" begins
     Then "a100-1" is used again
 
+  Scenario: An event comes while the suspects are probed
+    # Guards against a working engine that is paused after the event that
+    # clears it, during probes of some hundred milliseconds.
+    Given a watch over 3 streams on "a100-1" and 2 beside it
+    And the streams on it get no first event
+    And one of them begins while engines are probed
+    When the watch checks its streams 300 ms after the last events
+    Then no stream is rerouted
+    And no engine is paused or down by the probes
+
   Scenario: A dead stage before any event
     # Guards against a pause of 0.25 s for an engine that is dead.
     Given a watch over 3 streams on "a100-1" and 2 beside it
--- a/tests/steps/first_events_steps.py
+++ b/tests/steps/first_events_steps.py
@@ -6,6 +6,7 @@
 import re
 import statistics
 from typing import Any
+from unittest import mock
 
 import attrs
 from behave import given, then, when
@@ -96,6 +97,8 @@
         stream.started_s = context.heard_s
         stream.has_begun = stream in context.beside
         stream.begun_s = stream.last_activity_s
+        # Those beside it continue.
+        stream.last_activity_s += 0.22 if stream.has_begun else 0.0
         if stream in context.on and stream.parts[1].id == "a100-twin":
             # The desk spreads streams over the two.
             stalled = attrs.evolve(
@@ -104,6 +107,18 @@
             stream.parts = (stream.parts[0], stalled, *stream.parts[2:])
 
 
+@given("one of them begins while engines are probed")
+def step_begins_late(context: Any) -> None:
+    def peek(engines: Any, address: str) -> upstreams.EngineReport:
+        context.on[0].last_activity_s = context.heard_s + 0.35
+        context.on[0].has_begun = True
+        return upstreams.PLAIN_REPORT
+
+    patch = mock.patch.object(forward_steps.FakeEngines, "peek", peek)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @given(
     'the streams on it cross from "{source}" to "{target}", over engines of'
     " their own"
