--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -139,7 +139,7 @@
     """Chooses the faster of two random paths: the baseline of path search."""
 
     def __init__(self, state: fleet.Fleet, rng: random.Random) -> None:
-        load = links.Links(state.data_centre, state.roster, rng)
+        load = links.Links(state.data_centre, rng)
         super().__init__(state, mechanisms.ALL, rng, load)
         self._home = state.data_centre
         self._draws = rng
--- a/egretspur/routing/links.py
+++ b/egretspur/routing/links.py
@@ -24,7 +24,7 @@
 
 import attrs
 
-from egretspur.catalog import config, upstreams
+from egretspur.catalog import config
 from egretspur.routing import paths
 
 # A link between two data centres, in order of their names. Transfers in both
@@ -96,19 +96,14 @@
 class Links:
     """One host's view of the links; see the module's docstring."""
 
-    def __init__(
-        self, data_centre: str, roster: upstreams.Roster, rng: random.Random
-    ) -> None:
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
         """Makes a view in which all links are idle.
 
         Args:
             data_centre: Of this host.
-            roster: This host's list of upstreams, which names the data centre
-                of each engine.
-            rng: Draws which links a search may use.
+            rng: Draws what this host may start on a link.
         """
         self._data_centre = data_centre
-        self._roster = roster
         self._rng = rng
         self._starts: collections.deque[_Start] = collections.deque()
         # By host.
@@ -137,20 +132,10 @@
         seconds = _compute_transfer_s(spec, tokens)
         if not seconds:
             return
-        for link in self.list_crossed(parts):
+        for link in list_crossed(parts):
             self._starts.append(_Start(now_s, link, seconds))
             self._get_share(link).left -= seconds
 
-    def list_crossed(self, parts: Sequence[paths.Part]) -> list[Link]:
-        """Returns the links that a path uses, in its order."""
-        entries = self._roster.entries
-        places = [entries[p.id].data_centre for p in parts if p.id in entries]
-        return [
-            make_link(a, b)
-            for a, b in zip(places, places[1:], strict=False)
-            if a != b
-        ]
-
     def record_stall(self, link: Link, now_s: float) -> None:
         """Records that streams over a link got nothing for too long."""
         self._adjust(now_s)
@@ -276,6 +261,15 @@
             self._change_rate(link, factor)
 
 
+def list_crossed(parts: Sequence[paths.Part]) -> list[Link]:
+    """Returns the links that a path uses, in its order."""
+    return [
+        make_link(a.data_centre, b.data_centre)
+        for a, b in itertools.pairwise(parts)
+        if a.data_centre != b.data_centre
+    ]
+
+
 def make_link(source: str, target: str) -> Link:
     """Returns the link between two data centres."""
     return (source, target) if source < target else (target, source)
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -218,12 +218,11 @@
     ) -> tuple[paths.Part, ...] | None:
         """Finds a path in given data centres that keeps the first part."""
         home = self._fleet.data_centre
-        entry = self._fleet.roster.entries.get(first.id)
         # Stands for the first part, whose memory the request already holds.
         kept = paths.Candidate(
             first.id,
             first.address,
-            entry.data_centre if entry else home,
+            first.data_centre or home,
             first.first,
             first.last,
             0.0,
@@ -237,7 +236,7 @@
             for c in usable
             if c.id != first.id and c.last > first.last
         ]
-        return paths.find_path(
+        found = paths.find_path(
             [kept, *tail],
             spec.layers,
             job.tokens,
@@ -245,3 +244,4 @@
             max_pass_s=max_pass_s,
             closed=closed,
         )
+        return (first, *found[1:]) if found else None
--- a/tests/steps/links_steps.py
+++ b/tests/steps/links_steps.py
@@ -35,17 +35,8 @@
     def run(self, seconds: float) -> None:
         """Plays some seconds."""
         rng = random.Random(self.hosts)
-        roster = upstreams.Roster()
-        for place in LINK:
-            entry = fleets.make_upstream(f"l4-{place}", "0-40", place)
-            upstreams.put_entry(roster, entry, 0.0)
-        parts = [
-            paths.Part(e.id, e.address, 0, 40) for e in roster.entries.values()
-        ]
-        views = [
-            links.Links("a", roster, random.Random(i))
-            for i in range(self.hosts)
-        ]
+        parts = [paths.Part(p, f"{p}:80", 0, 40, p) for p in LINK]
+        views = [links.Links("a", random.Random(i)) for i in range(self.hosts)]
         for view in views:
             view.hosts = self.hosts
         spec = attrs.evolve(
@@ -178,8 +169,7 @@
     job = fleets.make_job("near", now_s=context.now_s)
     effects = context.broker.arrive(job, context.now_s)
     assert any(
-        isinstance(e, jobs.Start)
-        and not context.broker.contention.links.list_crossed(e.parts)
+        isinstance(e, jobs.Start) and not links.list_crossed(e.parts)
         for e in effects
     ), effects
 
