Share probes of engines between hosts and reuse connections for them

Under trouble a fleet sends over a thousand control calls a second. Each host probed the stages of its silent streams four times a second, with a new connection and a working stage beside them each time, and each host of a data centre probed each dead engine for itself.

A stage that answered a probe is not probed again for the same silence by more than three hosts, ranked by a hash of host and engine; the others follow within a second, or at once when another host begins to report it failing or another stream falls silent. The working stage is probed only if no suspect answers within 10 ms. A probe reuses a connection that answered within the last second; a failure on it is checked on a new one.

Health and pace probes share a limit of four a second. Probes of an upstream whose connection broke, and the second probe of one that is down, are not held back, so that a dead engine is found as early as before. Three hosts of a data centre probe a dead engine on behalf of all; the others probe once it answers one of them.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -90,11 +90,12 @@
                 _make_budget_options(cfg),
                 rng,
                 enabled,
+                cfg.ip,
             )
         )
         self._engines = upstream.EngineClient()
         self._watch = watch.StreamWatch(
-            self._desk, self._engines, enabled.silence
+            self._desk, self._engines, enabled.silence, cfg.ip
         )
         self._intake = intake.Intake(
             self._desk,
@@ -392,6 +393,9 @@
         self._watch.record_peer_suspects(
             {i for u in updates for i in u.suspects}
         )
+        for update in updates:
+            if update.data_centre == self._cfg.data_centre:
+                self._watch.record_peer_usage(update.host, update.usage)
         broker_updates = tuple(news.make_broker_update(u) for u in updates)
         seeds = len(self._cfg.seeds)
         self._desk.tell(desk.PeerUpdates(broker_updates, max(hosts, seeds)))
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -11,6 +11,8 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
+import math
 import threading
 import time
 from collections.abc import Collection, Mapping, Sequence
@@ -18,7 +20,7 @@
 
 from egretspur import decisions, guard
 from egretspur.catalog import upstreams
-from egretspur.delivery import forward, silence
+from egretspur.delivery import forward, peeks, silence
 from egretspur.routing import desk, paths
 
 # Shortest interval between checks, used when a stream is nearly silent, and
@@ -55,6 +57,12 @@
 # more are silent, this host itself is slow or cut off.
 MAX_PROBES: Final = 12
 
+# A live engine returns its report within 2 ms. If no suspect has by this time,
+# an active stage is probed while the suspects' timeouts run.
+PROMPT_REPORT_S: Final = 0.01
+
+PeekCall = concurrent.futures.Future[upstreams.EngineReport | str]
+
 
 class Engines(Protocol):
     """Fetches engines' reports and sends orders to engines."""
@@ -79,6 +87,7 @@
         to: desk.Desk,
         engines: Engines,
         checks_shared_silence: bool = True,
+        host: str = "",
     ) -> None:
         """Creates a watch; `start` starts its thread.
 
@@ -87,6 +96,7 @@
             engines: Fetches reports and sends orders.
             checks_shared_silence: Whether to check for streams that fall
                 silent together.
+            host: This host's address as others know it.
         """
         self._desk = to
         self._checks_shared_silence = checks_shared_silence
@@ -97,10 +107,11 @@
         self._rerouted_s: dict[forward.Forwarder, float] = {}
         # When a first engine was last asked for its report, by id.
         self._last_report_s: dict[str, float] = {}
-        # When a suspected stage was last probed, by id.
-        self._probed_s: dict[str, float] = {}
+        self._peeks = peeks.PeekSchedule(host)
         # When another host last reported an upstream failing, by id.
         self._peer_suspects: dict[str, float] = {}
+        # When these upstreams were first reported.
+        self._suspected_s: dict[str, float] = {}
         # Set while there are streams.
         self._has_streams = threading.Event()
         self._pool = concurrent.futures.ThreadPoolExecutor(
@@ -140,7 +151,18 @@
         if suspects:
             now_s = time.monotonic()
             with self._lock:
-                self._peer_suspects.update(dict.fromkeys(suspects, now_s))
+                for upstream_id in suspects:
+                    last_s = self._peer_suspects.get(upstream_id)
+                    if last_s is None or now_s - last_s >= PEER_SUSPICION_S:
+                        self._suspected_s[upstream_id] = now_s
+                    self._peer_suspects[upstream_id] = now_s
+
+    def record_peer_usage(
+        self, host: str, upstream_ids: Collection[str]
+    ) -> None:
+        """Records the upstreams over which a near host has requests."""
+        with self._lock:
+            self._peeks.apply_peer_usage(host, upstream_ids, time.monotonic())
 
     def _run(self) -> None:
         while not self._stop.wait(self._compute_wait(time.monotonic())):
@@ -198,32 +220,60 @@
                 for s in begun
             ]
         ) | self._list_peer_suspects(begun, now_s)
-        addresses = {
-            p.id: p.address
-            for s in streams
-            for p in s.parts
-            if p.id in suspects
-            and now_s - self._probed_s.get(p.id, -REPORT_INTERVAL_S)
-            >= REPORT_INTERVAL_S
-        }
+        addresses = self._list_due(streams, suspects, now_s)
         if not addresses or len(addresses) > MAX_PROBES:
             return
-        active = _find_active_stage(begun, suspects)
-        if active is not None:
-            addresses[active.id] = active.address
         addresses = {
             i: a for i, a in addresses.items() if self._desk.may_query(i)
         }
-        self._probed_s = {
-            i: t
-            for i, t in self._probed_s.items()
-            if now_s - t < REPORT_INTERVAL_S
-        }
-        self._probed_s.update(dict.fromkeys(addresses, now_s))
-        dead = self._probe(addresses)
+        active = _find_active_stage(begun, suspects)
+        # Otherwise a suspect that answered recently.
+        active = active or _find_active_stage(begun, addresses)
+        found = self._probe(addresses, active)
+        with self._lock:
+            self._peeks.remove_old(now_s)
+            for upstream_id, is_answered in found.items():
+                self._peeks.record(upstream_id, is_answered, now_s)
+        # If no probe is answered, this host itself may be slow or cut off.
+        if not any(found.values()):
+            return
+        dead = frozenset(
+            i for i, is_answered in found.items() if not is_answered
+        )
         if dead:
             self._reroute_around(dead, streams)
 
+    def _list_due(
+        self,
+        streams: Sequence[forward.Forwarder],
+        suspects: Collection[str],
+        now_s: float,
+    ) -> dict[str, str]:
+        """Returns the addresses of the suspects that are to be probed."""
+        addresses: dict[str, str] = {}
+        with self._lock:
+            last_event_s: dict[str, float] = {}
+            for stream in sorted(streams, key=lambda s: s.last_activity_s):
+                is_quiet = (
+                    now_s - stream.last_activity_s > silence.MIN_SILENCE_S
+                )
+                for part in stream.parts:
+                    if part.id not in suspects:
+                        continue
+                    addresses[part.id] = part.address
+                    if stream.has_begun and is_quiet:
+                        last_event_s[part.id] = stream.last_activity_s
+            return {
+                i: a
+                for i, a in addresses.items()
+                if self._peeks.is_due(
+                    i,
+                    last_event_s.get(i, -math.inf),
+                    self._suspected_s.get(i, -math.inf),
+                    now_s,
+                )
+            }
+
     def _list_peer_suspects(
         self, streams: Sequence[forward.Forwarder], now_s: float
     ) -> set[str]:
@@ -239,6 +289,9 @@
                 if now_s - t < PEER_SUSPICION_S
             }
             suspects = set(self._peer_suspects)
+            self._suspected_s = {
+                i: t for i, t in self._suspected_s.items() if i in suspects
+            }
         if not suspects:
             return set()
         return {
@@ -249,21 +302,33 @@
             if p.id in suspects
         }
 
-    def _probe(self, addresses: Mapping[str, str]) -> frozenset[str]:
-        """Probes suspected stages; returns those that are dead.
+    def _probe(
+        self, addresses: Mapping[str, str], active: paths.Part | None
+    ) -> dict[str, bool]:
+        """Probes suspected stages; returns whether each answered.
 
-        Returns none if no probe is answered: this host itself may be slow or
-        cut off.
+        Args:
+            addresses: Of the stages, by id.
+            active: A working stage, probed as well unless a suspect answers
+                promptly: it shows whether this host reaches any engine.
         """
-        ids = list(addresses)
-        reports = self._pool.map(self._engines.peek, addresses.values())
-        found = dict(zip(ids, reports, strict=True))
-        answered = {i: r for i, r in found.items() if not isinstance(r, str)}
-        for upstream_id, report in answered.items():
-            self._desk.tell(desk.Probed(upstream_id, report))
-        if not answered:
-            return frozenset()
-        return frozenset(found) - frozenset(answered)
+        calls = {
+            i: self._pool.submit(self._engines.peek, a)
+            for i, a in addresses.items()
+        }
+        if (
+            active is not None
+            and not _has_prompt_report(calls.values())
+            and self._desk.may_query(active.id)
+        ):
+            calls[active.id] = self._pool.submit(
+                self._engines.peek, active.address
+            )
+        found = {i: call.result() for i, call in calls.items()}
+        for upstream_id, report in found.items():
+            if not isinstance(report, str):
+                self._desk.tell(desk.Probed(upstream_id, report))
+        return {i: not isinstance(r, str) for i, r in found.items()}
 
     def _reroute_around(
         self, dead: frozenset[str], streams: Sequence[forward.Forwarder]
@@ -350,8 +415,17 @@
         return True
 
 
+def _has_prompt_report(calls: Collection[PeekCall]) -> bool:
+    """Waits briefly for the first report; returns whether it came."""
+    with contextlib.suppress(TimeoutError):
+        for call in concurrent.futures.as_completed(calls, PROMPT_REPORT_S):
+            if not isinstance(call.result(), str):
+                return True
+    return False
+
+
 def _find_active_stage(
-    streams: Sequence[forward.Forwarder], suspects: set[str]
+    streams: Sequence[forward.Forwarder], suspects: Collection[str]
 ) -> paths.Part | None:
     """Returns a working stage, to be probed together with the suspects.
 
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import socket
 import threading
 import time
@@ -38,6 +39,14 @@
 # host needs more time to read it.
 PEEK_TIMEOUT_S: Final = 0.03
 
+# Longest idle time of a connection that a peek reuses. Engines are peeked in
+# bursts of a few seconds.
+PEEK_REUSE_S: Final = 1.0
+
+# Timeout on a reused connection, before a new one is tried: a middlebox may
+# have dropped the old one, and a dead engine must not be noticed much later.
+PEEK_REUSE_TIMEOUT_S: Final = 0.01
+
 _MAX_READ_BYTES: Final = 65536
 
 # Status of a response by another upstream than the intended one.
@@ -313,6 +322,9 @@
         self._peek_transport = transport.Transport(
             PEEK_TIMEOUT_S, PEEK_TIMEOUT_S
         )
+        # When the last peek of each address was answered; missing after one
+        # that failed.
+        self._answered_s: dict[str, float] = {}
 
     def close(self) -> None:
         """Closes idle connections."""
@@ -327,17 +339,32 @@
     def peek(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report within a short timeout, or why it failed.
 
-        Uses a new connection: a pooled one that went silent would look like a
-        dead engine.
+        Uses a new connection unless the previous peek was answered within
+        `PEEK_REUSE_S`. A connection that was dropped would look like a dead
+        engine, so a failure on a reused one is checked on a new one.
         """
         _log_control_call(address, "peek")
-        self._peek_transport.empty_pool(address)
-        return self._get_report(self._peek_transport, address)
+        answered_s = self._answered_s.pop(address, -math.inf)
+        is_reused = time.monotonic() - answered_s < PEEK_REUSE_S
+        report: upstreams.EngineReport | str = ""
+        if is_reused:
+            report = self._get_report(
+                self._peek_transport, address, PEEK_REUSE_TIMEOUT_S
+            )
+        if isinstance(report, str):
+            self._peek_transport.empty_pool(address)
+            report = self._get_report(self._peek_transport, address)
+        if not isinstance(report, str):
+            self._answered_s[address] = time.monotonic()
+        return report
 
     def _get_report(
-        self, client: transport.Transport, address: str
+        self,
+        client: transport.Transport,
+        address: str,
+        read_s: float | None = None,
     ) -> upstreams.EngineReport | str:
-        res = client.call("GET", address, names.REPORT_PATH)
+        res = client.call("GET", address, names.REPORT_PATH, read_s=read_s)
         if isinstance(res, transport.Failed):
             return res.reason
         if res.status != 200:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -20,7 +20,6 @@
 from egretspur.routing import (
     crashes,
     jobs,
-    memory,
     paths,
     questions,
     refusals,
@@ -65,9 +64,12 @@
         budget: repeats.Options,
         rng: random.Random,
         using: mechanisms.Mechanisms = mechanisms.ALL,
+        host: str = "",
     ) -> None:
         self.throttle = throttle.Throttle(data_centre, rng)
-        self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle)
+        self.fleet = fleets.Fleet(
+            data_centre, using.excess, self.throttle, host
+        )
         self._mechanisms = using
         self.search = search.Search(self.fleet, using, rng)
         self.queue = queues.Queue(MAX_QUEUED)
@@ -636,11 +638,6 @@
         entry: upstreams.Upstream,
         now_s: float,
     ) -> decisions.PathChosen:
-        peers = sum(
-            1
-            for p in self.fleet.memory.peers.values()
-            if now_s - p.received_s < memory.PEER_USAGE_TTL_S
-        )
         spec = self._get_spec(ticket.job.service)
         step_s, free = 0.0, 1.0
         if spec is not None and ticket.parts:
@@ -653,7 +650,7 @@
             step_s,
             free,
             now_s - self.list_read_s,
-            peers,
+            self.fleet.memory.count_peers(now_s),
         )
 
     def _add_memory_use(self, ticket: tickets.Ticket, sign: int) -> None:
@@ -695,7 +692,7 @@
             elif failure.blamed:
                 # It may also be down; the probe finds out.
                 self.fleet.health.record_refusal(upstream_id, now_s)
-                self.fleet.health.record_fault(upstream_id, now_s)
+                self.fleet.health.record_fault(upstream_id, now_s, False)
 
     def _check_retry(
         self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -27,6 +27,7 @@
     moves,
     paces,
     paths,
+    probing,
 )
 
 # A data centre that sent no peer update for this long counts as cut off: the
@@ -104,6 +105,7 @@
         data_centre: str,
         is_counting_excess: bool = True,
         limits: throttle.Throttle | None = None,
+        host: str = "",
     ) -> None:
         """Makes an empty fleet.
 
@@ -112,6 +114,7 @@
             is_counting_excess: Whether memory that engines report beyond the
                 hosts' own count reduces their free memory.
             limits: This host's shares of the upstreams' rate limits.
+            host: This host's address as others know it.
         """
         self.data_centre = data_centre
         self.throttle = limits or throttle.Throttle()
@@ -120,6 +123,7 @@
         self.memory = memory.Memory(data_centre)
         self.health = health.Health(self._log_state)
         self.paces = paces.Paces()
+        self._probes = probing.ProbeSchedule(self.health, self.paces, host)
         # Smoothed response times of plain replicas.
         self.response_times_s: dict[str, float] = {}
         self.layer_changes = moves.LayerChanges(self.roster)
@@ -188,6 +192,9 @@
         self.paces.apply_peer_paces(update.pace, now_s)
         # Only hosts of this data centre reach upstreams the way this host does.
         if update.data_centre == self.data_centre:
+            self._probes.apply_peer_suspects(
+                update.host, update.suspects, now_s
+            )
             for upstream_id in update.dead:
                 if upstream_id in self.roster.entries:
                     self.health.mark_down(upstream_id, now_s)
@@ -401,18 +408,10 @@
     def take_probes(self, now_s: float) -> list[upstreams.Upstream]:
         """Returns the upstreams to probe now for their health or pace."""
         listed = self.roster.entries
-        due = [
-            i for i in self.paces.take_due(now_s) if i not in self.health.failed
-        ]
-        due += self.health.take_due(listed, now_s)
-        postponed = [
-            i for i in due if not self.backpressure.try_acquire_probe(i, now_s)
-        ]
-        for upstream_id in postponed:
-            self.health.record_inconclusive_probe(upstream_id)
-            self.paces.postpone_probe(upstream_id)
-        due = [i for i in due if i not in postponed]
-        return [listed[i] for i in due if i in listed]
+        due = self._probes.take_due(
+            listed, self.backpressure.try_acquire_probe, now_s
+        )
+        return [listed[i] for i in due]
 
     def compute_digest(self) -> int:
         """Returns a checksum of the upstream list.
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -19,6 +19,10 @@
 MIN_PROBE_INTERVAL_S: Final = 0.15
 MAX_PROBE_INTERVAL_S: Final = 1.6
 
+# Interval between two probes of a dead upstream by a host that relies on
+# others to probe it; see `egretspur.routing.sharing`.
+RELYING_PROBE_INTERVAL_S: Final = 6.4
+
 # An upstream that is down for this time and failed this many probes counts as
 # dead, and its layers are assigned to others. Lower values would move layers
 # for a lost packet; each further second costs the answers of a data centre.
@@ -60,6 +64,10 @@
     # Consecutive failed probes.
     failures: int = 0
     is_probing: bool = False
+    # Whether a connection broke or could not be opened.
+    is_cut: bool = False
+    # Whether it recovered for another host since the last probe.
+    is_recovering: bool = False
 
 
 @attrs.define
@@ -187,14 +195,24 @@
         """Returns the upstreams that other hosts suspect now."""
         return tuple(i for i, t in self.peer_suspects.items() if now_s < t)
 
-    def record_fault(self, upstream_id: str, now_s: float) -> None:
+    def record_fault(
+        self, upstream_id: str, now_s: float, is_cut: bool = True
+    ) -> None:
         """Records a failed attempt that may be the upstream's fault.
 
         The upstream still gets requests, though fewer, until a probe fails too:
         a single lost answer does not show that it is down.
+
+        Args:
+            upstream_id: The upstream.
+            now_s: Monotonic time.
+            is_cut: Whether a connection broke; otherwise work was refused.
         """
         self.faults.setdefault(upstream_id, Faults()).record(True, now_s)
-        self.failed.setdefault(upstream_id, Failed(now_s, False, now_s))
+        failed = self.failed.setdefault(
+            upstream_id, Failed(now_s, False, now_s)
+        )
+        failed.is_cut |= is_cut
 
     def record_refusal(self, upstream_id: str, now_s: float) -> None:
         """Records that an engine refused its part of a path."""
@@ -231,16 +249,42 @@
         if faults is not None:
             faults.record(False, now_s)
 
-    def take_due(self, listed: Container[str], now_s: float) -> list[str]:
-        """Returns the listed upstreams to probe now."""
-        due = []
-        for upstream_id, failed in self.failed.items():
-            if upstream_id not in listed or failed.is_probing:
-                continue
-            if now_s >= failed.next_probe_s:
-                failed.is_probing = True
-                due.append(upstream_id)
-        return due
+    def list_due(self, listed: Container[str], now_s: float) -> list[str]:
+        """Returns the listed upstreams to probe now, the latest ones first."""
+        return sorted(
+            (
+                i
+                for i, f in self.failed.items()
+                if i in listed and not f.is_probing and now_s >= f.next_probe_s
+            ),
+            key=lambda i: self.failed[i].next_probe_s,
+        )
+
+    def is_urgent(self, upstream_id: str) -> bool:
+        """Tells whether a due probe is likely to find an upstream dead.
+
+        One that only refused work is probably full.
+        """
+        failed = self.failed[upstream_id]
+        return failed.failures < DEAD_PROBE_FAILURES and (
+            failed.is_cut or failed.is_down
+        )
+
+    def record_probe_start(self, upstream_id: str) -> None:
+        """Records that an upstream is being probed."""
+        self.failed[upstream_id].is_probing = True
+
+    def rely_on_peers(self, upstream_id: str, now_s: float) -> None:
+        """Postpones a probe that other hosts make."""
+        failed = self.failed[upstream_id]
+        failed.next_probe_s = now_s + RELYING_PROBE_INTERVAL_S
+
+    def advance_probe(self, upstream_id: str, now_s: float) -> None:
+        """Has an upstream probed at once that recovered for another host."""
+        failed = self.failed.get(upstream_id)
+        if failed is not None:
+            failed.next_probe_s = min(failed.next_probe_s, now_s)
+            failed.is_recovering = True
 
     def record_probe(self, upstream_id: str, is_ok: bool, now_s: float) -> None:
         """Records the result of a probe."""
@@ -252,7 +296,7 @@
                 self._on_state_change(upstream_id, "back", "answers probes")
             del self.failed[upstream_id]
             return
-        failed.is_probing = False
+        failed.is_probing = failed.is_recovering = False
         self._set_down(upstream_id, failed, "does not answer probes", now_s)
         pause_s = MIN_PROBE_INTERVAL_S * 2**failed.failures
         failed.failures += 1
--- a/egretspur/routing/memory.py
+++ b/egretspur/routing/memory.py
@@ -118,6 +118,10 @@
             if now_s - p.received_s < PEER_USAGE_TTL_S
         ]
 
+    def count_peers(self, now_s: float) -> int:
+        """Returns how many peers sent updates recently."""
+        return len(self._list_current_peers(now_s))
+
     def set_peer_usage(self, host: str, usage: PeerUsage) -> None:
         """Replaces the usage of another host."""
         self.peers[host] = usage
--- a/egretspur/routing/paces.py
+++ b/egretspur/routing/paces.py
@@ -64,25 +64,24 @@
         """Tells whether a suspected engine awaits a probe."""
         return any(k.is_suspected for k in self._states.values())
 
-    def take_due(self, now_s: float) -> list[str]:
-        """Returns the engines to probe now."""
-        due = []
-        for upstream_id, state in self._states.items():
-            is_slow = (
-                state.pace > SLOW_THRESHOLD and not state.peer_pace_until_s
+    def list_due(self, now_s: float) -> list[str]:
+        """Returns the engines to probe now, the latest ones first."""
+        due = [
+            (state.next_probe_s, upstream_id)
+            for upstream_id, state in self._states.items()
+            if now_s >= state.next_probe_s
+            and (
+                state.is_suspected
+                or (state.pace > SLOW_THRESHOLD and not state.peer_pace_until_s)
             )
-            if (state.is_suspected or is_slow) and now_s >= state.next_probe_s:
-                state.is_suspected = False
-                state.next_probe_s = now_s + PROBE_INTERVAL_S
-                due.append(upstream_id)
-        return due
-
-    def postpone_probe(self, upstream_id: str) -> None:
-        """Keeps an engine due that can't be probed yet."""
-        state = self._states.get(upstream_id)
-        if state is not None:
-            state.is_suspected = True
-            state.next_probe_s = 0.0
+        ]
+        return [upstream_id for _, upstream_id in sorted(due)]
+
+    def record_probe_start(self, upstream_id: str, now_s: float) -> None:
+        """Records that an engine is being probed."""
+        state = self._states[upstream_id]
+        state.is_suspected = False
+        state.next_probe_s = now_s + PROBE_INTERVAL_S
 
     def record_pace(self, upstream_id: str, pace: float) -> bool:
         """Records a reported pace.
--- /dev/null
+++ b/egretspur/routing/probing.py
@@ -0,0 +1,92 @@
+"""Which health and pace probes a host sends, and when: pure.
+
+Probes that are likely to find an upstream dead are sent at once. All others
+share a limit: with hundreds of dead or full engines, probes took a tenth of a
+host's processor time. Read next: `egretspur.routing.sharing`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Container
+from typing import Final
+
+from egretspur.routing import health, paces, sharing
+
+# Most probes in any second; urgent ones count, but are not held back.
+MAX_PROBES_PER_S: Final = 4
+
+
+class ProbeSchedule:
+    """Bounds the probes of one host."""
+
+    def __init__(
+        self, state: health.Health, speeds: paces.Paces, host: str
+    ) -> None:
+        """Makes a schedule.
+
+        Args:
+            state: Health of the upstreams.
+            speeds: Paces of the engines.
+            host: This host's address as others know it.
+        """
+        self._health = state
+        self._paces = speeds
+        self._shares = sharing.CheckShares(host)
+        self._limit = sharing.RateLimit(MAX_PROBES_PER_S)
+
+    def apply_peer_suspects(
+        self, host: str, suspects: Collection[str], now_s: float
+    ) -> None:
+        """Records the upstreams that a near host finds failing."""
+        for upstream_id in self._shares.apply_peer_update(
+            host, suspects, now_s
+        ):
+            self._health.advance_probe(upstream_id, now_s)
+
+    def take_due(
+        self,
+        listed: Container[str],
+        try_acquire: Callable[[str, float], bool],
+        now_s: float,
+    ) -> list[str]:
+        """Returns the upstreams to probe now.
+
+        Args:
+            listed: Ids of the listed upstreams.
+            try_acquire: Whether an upstream accepts a probe now; counts it.
+                Those that do not remain due.
+            now_s: Monotonic time.
+        """
+        self._shares.remove_silent(now_s)
+        taken = []
+        due = self._health.list_due(listed, now_s)
+        urgent = {i for i in due if self._health.is_urgent(i)}
+        for upstream_id in sorted(due, key=lambda i: i not in urgent):
+            if not (upstream_id in urgent or self._limit.is_free(now_s)):
+                break
+            if self._is_left_to_peers(upstream_id, now_s):
+                self._health.rely_on_peers(upstream_id, now_s)
+            elif try_acquire(upstream_id, now_s):
+                self._health.record_probe_start(upstream_id)
+                self._limit.record(now_s)
+                taken.append(upstream_id)
+        for upstream_id in self._paces.list_due(now_s):
+            if upstream_id in self._health.failed:
+                # Its health probe also returns its pace.
+                self._paces.record_probe_start(upstream_id, now_s)
+            elif (
+                upstream_id in listed
+                and self._limit.is_free(now_s)
+                and try_acquire(upstream_id, now_s)
+            ):
+                self._paces.record_probe_start(upstream_id, now_s)
+                self._limit.record(now_s)
+                taken.append(upstream_id)
+        return taken
+
+    def _is_left_to_peers(self, upstream_id: str, now_s: float) -> bool:
+        return (
+            self._health.is_dead(upstream_id, now_s)
+            and not self._health.failed[upstream_id].is_recovering
+            and not self._shares.is_assigned(upstream_id, now_s)
+        )
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -82,3 +82,27 @@
     And "a100-0" and "a100-1" ask for a backoff of 30 s
     When the watch checks its streams every 100 ms for 3 s
     Then none of them is asked, and others are asked
+
+  Scenario Outline: A stream stays silent over an engine that answers
+    # Guards against hundreds of hosts that probe the same engines four times a
+    # second for as long as overload keeps streams silent.
+    Given <hosts> hosts that have requests over the same engine
+    When a stream at each is silent for 5 s and the engine answers each probe
+    Then the hosts probe it at most <count> times a second in all
+
+    Examples: a host alone probes it four times a second
+      | hosts | count |
+      | 1     | 4     |
+      | 8     | 18    |
+      | 60    | 71    |
+      | 195   | 207   |
+
+  Scenario: A stage dies after it was probed
+    # Guards against a late reroute by a host that relies on others' probes.
+    Given a watch over 6 streams on "a100-1" and 2 beside it
+    And five other hosts with requests over the same engines, which rank first
+    When the watch checks its streams 70 ms after the last events
+    And "a100-1" dies
+    And 100 ms later other hosts report "a100-1" failing
+    And the watch checks its streams 170 ms after the last events
+    Then the 6 streams are rerouted or resumed, and the others are not
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -85,3 +85,16 @@
       | 503 No\nNot-Executed: 1 | Server-Leaving: 1\n                  | leaving      |
       | 503 No\nNot-Executed: 1 | Server-Leaving: 0\n                  | nothing      |
       | 421 No                  | Server-Leaving: 1\nServer-Limit: 1\n | not at all   |
+
+  Scenario Outline: An engine is probed twice
+    # Guards against a new connection for each probe, and against a live engine
+    # that is taken for dead because a kept connection was dropped.
+    When an engine is probed, then its connection <state> and it is probed again after <seconds> s
+    Then both probes are answered over <count> connections
+
+    Examples:
+      | state         | seconds | count |
+      | stays open    | 0.0     | 1     |
+      | stays open    | 1.1     | 2     |
+      | falls silent  | 0.0     | 2     |
+      | is closed     | 0.0     | 2     |
--- /dev/null
+++ b/tests/routing/probing.feature
@@ -0,0 +1,42 @@
+Feature: Probes of failing upstreams are bounded and shared
+
+  Scenario: Everything fails at one host
+    # Guards against hundreds of probes a second from a host whose engines are
+    # full or dead: among hundreds of hosts they take a tenth of its processor
+    # time.
+    Given a host with 190 engines
+    When all engines refuse work every 0.1 s for 10 s and answer each probe
+    Then the host sends at most 4 probes in any second
+    When all engines die for 10 s
+    Then the host sends at most 4 probes in any second after the first 3
+
+  Scenario: Engines die while others are full
+    # Guards against a late repair: probes that find an engine dead must not
+    # wait for those of engines that are merely full.
+    Given a host with 190 engines
+    When all engines refuse work every 0.1 s for 5 s and answer each probe
+    And connections to 30 engines break, which then answer no probe
+    Then each of the 30 counts as dead within 0.8 s
+
+  Scenario Outline: Hosts of a data centre share the probes of a dead engine
+    # Guards against probes of each dead engine by every host, and against a
+    # host that learns late of a recovery.
+    Given <hosts> hosts that find one engine dead
+    When they exchange peer updates every 0.25 s for 10 s, 1 in 20 of them lost
+    Then at most <share> of the hosts have probed it in the last 3 s
+    When the engine answers again
+    Then all hosts use it within <seconds> s
+
+    Examples:
+      | hosts | share | seconds |
+      | 8     | 4     | 2.4     |
+      | 60    | 12    | 2.4     |
+      | 195   | 36    | 2.4     |
+
+  Scenario: The hosts that probe a dead engine are lost
+    # Guards against an engine that no host probes any more.
+    Given 8 hosts that find one engine dead
+    When they exchange peer updates every 0.25 s for 10 s, 1 in 20 of them lost
+    And the hosts that probed it in the last 3 s are lost
+    And the engine answers again
+    Then all hosts use it within 7 s
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -12,8 +12,8 @@
 
 from egretspur import signals
 from egretspur.catalog import upstreams
-from egretspur.delivery import silence, watch
-from egretspur.routing import desk, jobs
+from egretspur.delivery import peeks, silence, watch
+from egretspur.routing import desk, jobs, sharing
 from tests import fleets, stage
 from tests.steps import broker_steps, forward_steps
 
@@ -93,6 +93,7 @@
 
 
 @given('"{name}" dies')
+@when('"{name}" dies')
 def step_dies(context: Any, name: str) -> None:
     context.play.engines.dead = {f"{name}:80"}
 
@@ -119,8 +120,10 @@
     context.play.watch.check_streams(context.heard_s + late_ms / 1000)
 
 
+@when('{ms:d} ms later other hosts report "{name}" failing')
 @when('other hosts report "{name}" failing')
-def step_told(context: Any, name: str) -> None:
+def step_told(context: Any, name: str, ms: int = 0) -> None:
+    time.sleep(ms / 1000)
     context.play.watch.record_peer_suspects({name})
 
 
@@ -187,3 +190,50 @@
     asked = set(context.play.engines.asked)
     assert not asked & {f"{name}:80" for name in context.limited}, asked
     assert asked
+
+
+@given("five other hosts with requests over the same engines, which rank first")
+def step_others(context: Any) -> None:
+    context.play.watch = watch.StreamWatch(
+        context.play.desk, context.play.engines, True, "10.0.0.1"
+    )
+    for stream in context.streams:
+        context.play.watch.add(stream)
+    ids = {p.id for s in context.streams for p in s.parts}
+    ahead = [
+        n
+        for n in (f"10.0.1.{i}" for i in range(250))
+        if all(sharing.rank(n, i) < sharing.rank("10.0.0.1", i) for i in ids)
+    ]
+    assert len(ahead) >= 5, ahead
+    for name in ahead[:5]:
+        context.play.watch.record_peer_usage(name, ids)
+
+
+@given("{count:d} hosts that have requests over the same engine")
+def step_schedules(context: Any, count: int) -> None:
+    names = [f"10.0.0.{i}" for i in range(count)]
+    context.schedules = {n: peeks.PeekSchedule(n) for n in names}
+
+
+@when(
+    "a stream at each is silent for {seconds:d} s and the engine answers each"
+    " probe"
+)
+def step_silent(context: Any, seconds: int) -> None:
+    context.seconds = seconds
+    context.probes = 0
+    for i in range(seconds * 20):
+        now_s = i / 20
+        for schedule in context.schedules.values():
+            if i % 5 == 0:
+                for other in context.schedules:
+                    schedule.apply_peer_usage(other, ("e",), now_s)
+            if schedule.is_due("e", -1.0, -1.0, now_s):
+                schedule.record("e", True, now_s)
+                context.probes += 1
+
+
+@then("the hosts probe it at most {count:d} times a second in all")
+def step_few_probes(context: Any, count: int) -> None:
+    assert context.probes <= count * context.seconds, context.probes
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -174,3 +174,53 @@
         "leaving": signals.Signals(is_leaving=True),
     }.get(what) or signals.Signals(backoff_s=float(what.removeprefix("rest ")))
     assert answer == wanted, answer
+
+
+REPORT = b'HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{"busy": false}'
+
+
+class ReportServer:
+    """Answers requests for a report; its connections can be dropped."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.conns: list[socket.socket] = []
+        self.silent: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            conn, _ = self._listener.accept()
+            self.conns.append(conn)
+            threading.Thread(
+                target=self._serve, args=(conn,), daemon=True
+            ).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        while conn.recv(65536):
+            if conn not in self.silent:
+                conn.sendall(REPORT)
+
+
+@when(
+    "an engine is probed, then its connection {state} and it is probed again"
+    " after {seconds:g} s"
+)
+def step_probed_twice(context: Any, state: str, seconds: float) -> None:
+    context.server = server = ReportServer()
+    client = upstream.EngineClient()
+    context.reports = [client.peek(server.address)]
+    if state == "falls silent":
+        server.silent += server.conns
+    if state == "is closed":
+        server.conns[0].shutdown(socket.SHUT_RDWR)
+    time.sleep(seconds)
+    context.reports.append(client.peek(server.address))
+    client.close()
+
+
+@then("both probes are answered over {count:d} connections")
+def step_answered_twice(context: Any, count: int) -> None:
+    assert not any(isinstance(r, str) for r in context.reports), context.reports
+    assert len(context.server.conns) == count
