Probe dead upstreams at once when one of them recovers

With four probes a second, a host would take most of a minute to use 190 engines again that a network partition had cut off; they come back together. When a dead upstream answers, the others are probed at once, at most once in 1.6 s, the longest interval between probes until now.

A host that relies on others to probe a dead engine still probes it itself every 12.8 s: the three that do may be the ones cut off from it.

--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -20,8 +20,9 @@
 MAX_PROBE_INTERVAL_S: Final = 1.6
 
 # Interval between two probes of a dead upstream by a host that relies on
-# others to probe it; see `egretspur.routing.sharing`.
-RELYING_PROBE_INTERVAL_S: Final = 6.4
+# others to probe it (see `egretspur.routing.sharing`); those may be the ones
+# that are cut off from it.
+RELYING_PROBE_INTERVAL_S: Final = 12.8
 
 # An upstream that is down for this time and failed this many probes counts as
 # dead, and its layers are assigned to others. Lower values would move layers
@@ -66,8 +67,10 @@
     is_probing: bool = False
     # Whether a connection broke or could not be opened.
     is_cut: bool = False
-    # Whether it recovered for another host since the last probe.
+    # Whether it, or one that was dead as well, answered since its last probe.
     is_recovering: bool = False
+    # Time of the last failed probe.
+    probed_s: float = -math.inf
 
 
 @attrs.define
@@ -114,6 +117,8 @@
         self.peer_suspects: dict[str, float] = {}
         # Upstreams that asked this host for a backoff, with its end.
         self.backoffs: dict[str, float] = {}
+        # When the dead upstreams were last probed because one recovered.
+        self._advanced_s = -math.inf
 
     def is_usable(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may get requests."""
@@ -278,26 +283,36 @@
         )
 
     def is_urgent(self, upstream_id: str) -> bool:
-        """Tells whether a due probe is likely to find an upstream dead.
+        """Tells whether a due probe is likely to find an upstream dead or back.
 
         One that only refused work is probably full.
         """
         failed = self.failed[upstream_id]
-        return failed.failures < DEAD_PROBE_FAILURES and (
-            failed.is_cut or failed.is_down
+        return failed.is_recovering or (
+            failed.failures < DEAD_PROBE_FAILURES
+            and (failed.is_cut or failed.is_down)
         )
 
     def record_probe_start(self, upstream_id: str) -> None:
         """Records that an upstream is being probed."""
         self.failed[upstream_id].is_probing = True
 
-    def rely_on_peers(self, upstream_id: str, now_s: float) -> None:
+    def may_rely_on_peers(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether the probes of other hosts suffice for an upstream."""
+        failed = self.failed[upstream_id]
+        return (
+            self.is_dead(upstream_id, now_s)
+            and not failed.is_recovering
+            and now_s - failed.probed_s < RELYING_PROBE_INTERVAL_S
+        )
+
+    def postpone_probe(self, upstream_id: str, now_s: float) -> None:
         """Postpones a probe that other hosts make."""
         failed = self.failed[upstream_id]
-        failed.next_probe_s = now_s + RELYING_PROBE_INTERVAL_S
+        failed.next_probe_s = now_s + MAX_PROBE_INTERVAL_S
 
     def advance_probe(self, upstream_id: str, now_s: float) -> None:
-        """Has an upstream probed at once that recovered for another host."""
+        """Has an upstream probed at once that has probably recovered."""
         failed = self.failed.get(upstream_id)
         if failed is not None:
             failed.next_probe_s = min(failed.next_probe_s, now_s)
@@ -312,8 +327,11 @@
             if failed.is_down:
                 self._on_state_change(upstream_id, "back", "answers probes")
             del self.failed[upstream_id]
+            if failed.failures >= DEAD_PROBE_FAILURES:
+                self._advance_dead(now_s)
             return
         failed.is_probing = failed.is_recovering = False
+        failed.probed_s = now_s
         self._set_down(upstream_id, failed, "does not answer probes", now_s)
         pause_s = MIN_PROBE_INTERVAL_S * 2**failed.failures
         failed.failures += 1
@@ -323,6 +341,18 @@
             )
         failed.next_probe_s = now_s + min(pause_s, MAX_PROBE_INTERVAL_S)
 
+    def _advance_dead(self, now_s: float) -> None:
+        """Has all dead upstreams probed at once, as one has recovered.
+
+        Those that a network partition cut off come back together.
+        """
+        if now_s - self._advanced_s < MAX_PROBE_INTERVAL_S:
+            return
+        self._advanced_s = now_s
+        for upstream_id, failed in self.failed.items():
+            if failed.failures >= DEAD_PROBE_FAILURES:
+                self.advance_probe(upstream_id, now_s)
+
     def record_inconclusive_probe(self, upstream_id: str) -> None:
         """Records a probe without a result; the upstream is probed again."""
         failed = self.failed.get(upstream_id)
--- a/egretspur/routing/probing.py
+++ b/egretspur/routing/probing.py
@@ -1,8 +1,8 @@
 """Which health and pace probes a host sends, and when: pure.
 
-Probes that are likely to find an upstream dead are sent at once. All others
-share a limit: with hundreds of dead or full engines, probes took a tenth of a
-host's processor time. Read next: `egretspur.routing.sharing`.
+Probes that are likely to find an upstream dead or back are sent at once. All
+others share a limit: with hundreds of dead or full engines, control calls took
+a tenth of a host's processor time. Read next: `egretspur.routing.sharing`.
 """
 
 from __future__ import annotations
@@ -65,7 +65,7 @@
             if not (upstream_id in urgent or self._limit.is_free(now_s)):
                 break
             if self._is_left_to_peers(upstream_id, now_s):
-                self._health.rely_on_peers(upstream_id, now_s)
+                self._health.postpone_probe(upstream_id, now_s)
             elif try_acquire(upstream_id, now_s):
                 self._health.record_probe_start(upstream_id)
                 self._limit.record(now_s)
@@ -85,8 +85,6 @@
         return taken
 
     def _is_left_to_peers(self, upstream_id: str, now_s: float) -> bool:
-        return (
-            self._health.is_dead(upstream_id, now_s)
-            and not self._health.failed[upstream_id].is_recovering
-            and not self._shares.is_assigned(upstream_id, now_s)
-        )
+        return self._health.may_rely_on_peers(
+            upstream_id, now_s
+        ) and not self._shares.is_assigned(upstream_id, now_s)
--- a/tests/routing/probing.feature
+++ b/tests/routing/probing.feature
@@ -10,6 +10,14 @@
     When all engines die for 10 s
     Then the host sends at most 4 probes in any second after the first 3
 
+  Scenario: Engines that were cut off together come back
+    # Guards against a minute in which a host uses few engines after a network
+    # partition, because it probes only four a second.
+    Given a host with 190 engines
+    When all engines die for 10 s
+    And all engines answer again
+    Then the host uses all engines within 1.7 s
+
   Scenario: Engines die while others are full
     # Guards against a late repair: probes that find an engine dead must not
     # wait for those of engines that are merely full.
@@ -33,10 +41,17 @@
       | 60    | 12    | 2.4     |
       | 195   | 36    | 2.4     |
 
+  Scenario: The hosts that probe an engine are cut off from it
+    # Guards against an engine that no host uses because three can't reach it.
+    Given 8 hosts that find one engine dead
+    When they exchange peer updates every 0.25 s for 10 s, 1 in 20 of them lost
+    And the engine answers all but the hosts that probed it in the last 3 s
+    Then the other hosts use it within 13 s
+
   Scenario: The hosts that probe a dead engine are lost
     # Guards against an engine that no host probes any more.
     Given 8 hosts that find one engine dead
     When they exchange peer updates every 0.25 s for 10 s, 1 in 20 of them lost
     And the hosts that probed it in the last 3 s are lost
     And the engine answers again
-    Then all hosts use it within 7 s
+    Then all hosts use it within 3 s
--- a/tests/steps/probing_steps.py
+++ b/tests/steps/probing_steps.py
@@ -122,6 +122,7 @@
     context.now_s = 100.0
     context.hosts = [Host(f"10.0.0.{i}") for i in range(count)]
     context.is_alive = False
+    context.cut_off = []
     for host in context.hosts:
         host.state.record_fault(ENGINE, context.now_s)
 
@@ -131,7 +132,8 @@
     for i, now_s in enumerate(list_times(seconds, context.now_s)):
         context.now_s = now_s
         for number, host in enumerate(context.hosts):
-            host.tick([ENGINE], lambda name: context.is_alive, now_s)
+            is_answered = context.is_alive and host not in context.cut_off
+            host.tick([ENGINE], lambda name, ok=is_answered: ok, now_s)
             if (i + number) % 5:
                 continue
             suspects = host.state.list_suspects(now_s)
@@ -175,8 +177,31 @@
     context.is_alive = True
 
 
+@when(
+    "the engine answers all but the hosts that probed it in the last"
+    " {seconds:d} s"
+)
+def step_answers_others(context: Any, seconds: int) -> None:
+    context.cut_off = list_probing(context, seconds)
+    context.is_alive = True
+
+
 @then("all hosts use it within {seconds:g} s")
+@then("the other hosts use it within {seconds:g} s")
 def step_all_use(context: Any, seconds: float) -> None:
     run_hosts(context, seconds)
-    late = [h.name for h in context.hosts if h.state.is_down(ENGINE)]
-    assert not late, late
+    late = [h for h in context.hosts if h.state.is_down(ENGINE)]
+    assert all(h in context.cut_off for h in late), [h.name for h in late]
+
+
+@when("all engines answer again")
+def step_all_answer(context: Any) -> None:
+    context.began_s = context.now_s
+
+
+@then("the host uses all engines within {seconds:g} s")
+def step_uses_all(context: Any, seconds: float) -> None:
+    for now_s in list_times(seconds, context.began_s):
+        context.host.tick(context.engines, lambda name: True, now_s)
+    down = [i for i in context.engines if context.host.state.is_down(i)]
+    assert not down, len(down)
