--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
 import itertools
 import math
 import threading
@@ -24,7 +25,7 @@
 
 from egretspur import decisions, guard
 from egretspur.catalog import upstreams
-from egretspur.delivery import first_events, forward, silence
+from egretspur.delivery import first_events, forward, peeks, silence
 from egretspur.routing import desk, paths
 
 # Shortest interval between checks, used when a stream is nearly silent, and
@@ -59,6 +60,12 @@
 # more are silent, this host itself is slow or cut off.
 MAX_PROBES: Final = 12
 
+# A live engine returns its report within 2 ms. If no suspect has by this time,
+# an active stage is probed while the suspects' timeouts run.
+PROMPT_REPORT_S: Final = 0.01
+
+PeekCall = concurrent.futures.Future[upstreams.EngineReport | str]
+
 
 class Engines(Protocol):
     """Fetches engines' reports and sends orders to engines."""
@@ -83,6 +90,7 @@
         to: desk.Desk,
         engines: Engines,
         checks_shared_silence: bool = True,
+        host: str = "",
     ) -> None:
         """Creates a watch; `start` starts its thread.
 
@@ -91,6 +99,7 @@
             engines: Fetches reports and sends orders.
             checks_shared_silence: Whether to check for streams that fall
                 silent together or get no first event.
+            host: This host's address as others know it.
         """
         self._desk = to
         self._checks_shared_silence = checks_shared_silence
@@ -101,10 +110,11 @@
         self._rerouted_s: dict[forward.Forwarder, float] = {}
         # When a first engine was last asked for its report, by id.
         self._last_report_s: dict[str, float] = {}
-        # When a suspected stage was last probed, by id.
-        self._probed_s: dict[str, float] = {}
+        self._peeks = peeks.PeekSchedule(host)
         # When another host last reported an upstream failing, by id.
         self._peer_suspects: dict[str, float] = {}
+        # When these upstreams were first reported.
+        self._suspected_s: dict[str, float] = {}
         # When streams without a first event were last compared.
         self._first_events_s = -math.inf
         # Used under the lock.
@@ -150,7 +160,18 @@
         if suspects:
             now_s = time.monotonic()
             with self._lock:
-                self._peer_suspects.update(dict.fromkeys(suspects, now_s))
+                for upstream_id in suspects:
+                    last_s = self._peer_suspects.get(upstream_id)
+                    if last_s is None or now_s - last_s >= PEER_SUSPICION_S:
+                        self._suspected_s[upstream_id] = now_s
+                    self._peer_suspects[upstream_id] = now_s
+
+    def record_peer_usage(
+        self, host: str, upstream_ids: Collection[str]
+    ) -> None:
+        """Records the upstreams over which a near host has requests."""
+        with self._lock:
+            self._peeks.apply_peer_usage(host, upstream_ids, time.monotonic())
 
     def _run(self) -> None:
         while not self._stop.wait(self._compute_wait(time.monotonic())):
@@ -209,42 +230,24 @@
                 for s in begun
             ]
         ) | self._list_peer_suspects(begun, now_s)
-        addresses = {
-            p.id: p.address
-            for s in streams
-            for p in s.parts
-            if p.id in suspects and not self._was_probed(p.id, now_s)
-        }
+        addresses = self._list_due(streams, suspects, now_s)
         if not addresses or len(addresses) > MAX_PROBES:
             return
-        active = _find_active_stage(begun, suspects)
-        if active is not None:
-            addresses[active.id] = active.address
-        addresses = self._select_probes(addresses, now_s)
-        answered = self._probe(addresses)
-        dead = frozenset(addresses) - answered
-        if answered and dead:
-            self._handle_dead(dead, streams)
-
-    def _was_probed(self, upstream_id: str, now_s: float) -> bool:
-        """Returns whether a stage was probed too recently to be again."""
-        probed_s = self._probed_s.get(upstream_id, -REPORT_INTERVAL_S)
-        return now_s - probed_s < REPORT_INTERVAL_S
-
-    def _select_probes(
-        self, addresses: Mapping[str, str], now_s: float
-    ) -> dict[str, str]:
-        """Returns the stages that may be probed now; counts the probes."""
-        selected = {
+        addresses = {
             i: a for i, a in addresses.items() if self._desk.may_query(i)
         }
-        self._probed_s = {
-            i: t
-            for i, t in self._probed_s.items()
-            if now_s - t < REPORT_INTERVAL_S
-        }
-        self._probed_s.update(dict.fromkeys(selected, now_s))
-        return selected
+        active = _find_active_stage(begun, suspects)
+        # Otherwise a suspect that answered recently.
+        active = active or _find_active_stage(begun, addresses)
+        found = self._probe(addresses, active, now_s)
+        # If no probe is answered, this host itself may be slow or cut off.
+        if not any(found.values()):
+            return
+        dead = frozenset(
+            i for i, is_answered in found.items() if not is_answered
+        )
+        if dead:
+            self._handle_dead(dead, streams)
 
     def _check_first_events(
         self, streams: Sequence[forward.Forwarder], now_s: float
@@ -271,28 +274,27 @@
         if (
             not found
             or len(found.engines) > MAX_PROBES
-            or any(self._was_probed(i, now_s) for i in found.engines)
+            or any(self._peeks.is_recent(i, now_s) for i in found.engines)
         ):
             return
         addresses = {
             p.id: p.address
             for s in on_path
             for p in _list_to_probe(s.parts, found)
-            if not self._was_probed(p.id, now_s)
+            if not self._peeks.is_recent(p.id, now_s)
+            and self._desk.may_query(p.id)
         }
         if not addresses:
             return
         active = _find_active_stage(
             [s for s in on_path if s.has_begun], found.engines
         )
-        if active is not None:
-            addresses[active.id] = active.address
-        addresses = self._select_probes(addresses, now_s)
         # Nothing is known of a suspect that may not be probed now.
         found = attrs.evolve(
             found, engines=found.engines & frozenset(addresses)
         )
-        answered = self._probe(addresses)
+        reports = self._probe(addresses, active, now_s)
+        answered = [i for i, is_answered in reports.items() if is_answered]
         with self._lock:
             verdict = self._first_events.judge(found, answered, now_s)
         self._handle_verdict(verdict, streams, now_s)
@@ -324,6 +326,37 @@
             if not stream.has_begun and _describe(stream).is_past_bound(now_s):
                 self._end_attempt(stream)
 
+    def _list_due(
+        self,
+        streams: Sequence[forward.Forwarder],
+        suspects: Collection[str],
+        now_s: float,
+    ) -> dict[str, str]:
+        """Returns the addresses of the suspects that are to be probed."""
+        addresses: dict[str, str] = {}
+        with self._lock:
+            last_event_s: dict[str, float] = {}
+            for stream in sorted(streams, key=lambda s: s.last_activity_s):
+                is_quiet = (
+                    now_s - stream.last_activity_s > silence.MIN_SILENCE_S
+                )
+                for part in stream.parts:
+                    if part.id not in suspects:
+                        continue
+                    addresses[part.id] = part.address
+                    if stream.has_begun and is_quiet:
+                        last_event_s[part.id] = stream.last_activity_s
+            return {
+                i: a
+                for i, a in addresses.items()
+                if self._peeks.is_due(
+                    i,
+                    last_event_s.get(i, -math.inf),
+                    self._suspected_s.get(i, -math.inf),
+                    now_s,
+                )
+            }
+
     def _list_peer_suspects(
         self, streams: Sequence[forward.Forwarder], now_s: float
     ) -> set[str]:
@@ -339,6 +372,9 @@
                 if now_s - t < PEER_SUSPICION_S
             }
             suspects = set(self._peer_suspects)
+            self._suspected_s = {
+                i: t for i, t in self._suspected_s.items() if i in suspects
+            }
         if not suspects:
             return set()
         return {
@@ -349,18 +385,42 @@
             if p.id in suspects
         }
 
-    def _probe(self, addresses: Mapping[str, str]) -> frozenset[str]:
-        """Probes stages; returns those that answered.
+    def _probe(
+        self,
+        addresses: Mapping[str, str],
+        active: paths.Part | None,
+        now_s: float,
+    ) -> dict[str, bool]:
+        """Probes suspected stages; returns whether each answered.
 
-        If none did, this host itself may be slow or cut off.
+        Args:
+            addresses: Of the stages, by id.
+            active: A working stage, probed as well unless a suspect answers
+                promptly: it shows whether this host reaches any engine.
+            now_s: Monotonic time.
         """
-        ids = list(addresses)
-        reports = self._pool.map(self._engines.peek, addresses.values())
-        found = dict(zip(ids, reports, strict=True))
-        answered = {i: r for i, r in found.items() if not isinstance(r, str)}
-        for upstream_id, report in answered.items():
-            self._desk.tell(desk.Probed(upstream_id, report))
-        return frozenset(answered)
+        calls = {
+            i: self._pool.submit(self._engines.peek, a)
+            for i, a in addresses.items()
+        }
+        if (
+            active is not None
+            and not _has_prompt_report(calls.values())
+            and self._desk.may_query(active.id)
+        ):
+            calls[active.id] = self._pool.submit(
+                self._engines.peek, active.address
+            )
+        found = {i: call.result() for i, call in calls.items()}
+        for upstream_id, report in found.items():
+            if not isinstance(report, str):
+                self._desk.tell(desk.Probed(upstream_id, report))
+        answered = {i: not isinstance(r, str) for i, r in found.items()}
+        with self._lock:
+            self._peeks.remove_old(now_s)
+            for upstream_id, is_answered in answered.items():
+                self._peeks.record(upstream_id, is_answered, now_s)
+        return answered
 
     def _handle_dead(
         self, dead: frozenset[str], streams: Sequence[forward.Forwarder]
@@ -460,6 +520,15 @@
         return True
 
 
+def _has_prompt_report(calls: Collection[PeekCall]) -> bool:
+    """Waits briefly for the first report; returns whether it came."""
+    with contextlib.suppress(TimeoutError):
+        for call in concurrent.futures.as_completed(calls, PROMPT_REPORT_S):
+            if not isinstance(call.result(), str):
+                return True
+    return False
+
+
 def _find_active_stage(
     streams: Sequence[forward.Forwarder], suspects: Collection[str]
 ) -> paths.Part | None:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -21,7 +21,6 @@
     crashes,
     jobs,
     links,
-    memory,
     paths,
     questions,
     refusals,
@@ -51,9 +50,12 @@
         budget: repeats.Options,
         rng: random.Random,
         using: mechanisms.Mechanisms = mechanisms.ALL,
+        host: str = "",
     ) -> None:
         self.throttle = throttle.Throttle(data_centre, rng)
-        self.fleet = fleets.Fleet(data_centre, using.excess, self.throttle, rng)
+        self.fleet = fleets.Fleet(
+            data_centre, using.excess, self.throttle, rng, host
+        )
         self._mechanisms = using
         load = links.Links(data_centre, rng)
         self.search = search.Search(self.fleet, using, rng, load)
@@ -176,9 +178,9 @@
         )
         if ticket.parts:
             for part in ticket.parts:
-                self.fleet.record_answer(part.id, now_s)
+                self.fleet.health.record_success(part.id, now_s)
             return
-        self.fleet.record_answer(ticket.upstream_id, now_s)
+        self.fleet.health.record_success(ticket.upstream_id, now_s)
         self.fleet.replicas.record_answer(
             ticket.upstream_id, now_s - ticket.started_s, now_s
         )
@@ -594,11 +596,6 @@
         entry: upstreams.Upstream,
         now_s: float,
     ) -> decisions.PathChosen:
-        peers = sum(
-            1
-            for p in self.fleet.memory.peers.values()
-            if now_s - p.received_s < memory.PEER_USAGE_TTL_S
-        )
         spec = self._get_spec(ticket.job.service)
         step_s, free = 0.0, 1.0
         if spec is not None and ticket.parts:
@@ -611,7 +608,7 @@
             step_s,
             free,
             now_s - self.list_read_s,
-            peers,
+            self.fleet.memory.count_peers(now_s),
         )
 
     def _add_memory_use(self, ticket: tickets.Ticket, sign: int) -> None:
@@ -660,7 +657,7 @@
             elif failure.blamed:
                 # It may also be down; the probe finds out.
                 self.fleet.health.record_refusal(upstream_id, now_s)
-                self.fleet.health.record_fault(upstream_id, now_s)
+                self.fleet.health.record_fault(upstream_id, now_s, False)
             elif failure.kind is jobs.FailureKind.FAILED:
                 self.fleet.record_error(upstream_id, now_s)
 
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -12,7 +12,7 @@
 import random
 import zlib
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -22,13 +22,14 @@
 from egretspur.routing import (
     backpressure,
     cards,
+    engines,
     health,
     jobs,
     memory,
     moves,
-    outliers,
     paces,
     paths,
+    probing,
     replicas,
 )
 
@@ -71,25 +72,6 @@
     limits: Mapping[str, throttle.PublishedLimit] = attrs.Factory(dict)
 
 
-@attrs.frozen
-class _StepCosts:
-    """Step times that all engines of a service have in common."""
-
-    # Seconds that each further request adds to a step.
-    request_s: float
-    # Seconds that a full prompt chunk takes.
-    chunk_s: float
-
-    @classmethod
-    def make(cls, spec: config.EngineSpec) -> _StepCosts:
-        """Returns the costs of a service's engines."""
-        context = spec.typical_prompt_tokens + spec.typical_answer_tokens / 2
-        return cls(
-            spec.per_request_s + spec.per_token_s * context,
-            spec.chunk_tokens / spec.prefill_tokens_per_s,
-        )
-
-
 class Fleet:
     """State of all upstreams; see the module's docstring."""
 
@@ -99,6 +81,7 @@
         is_counting_excess: bool = True,
         limits: throttle.Throttle | None = None,
         rng: random.Random | None = None,
+        host: str = "",
     ) -> None:
         """Makes an empty fleet.
 
@@ -108,6 +91,7 @@
                 hosts' own count reduces their free memory.
             limits: This host's shares of the upstreams' rate limits.
             rng: Draws replicas of plain services.
+            host: This host's address as others know it.
         """
         self.data_centre = data_centre
         self.throttle = limits or throttle.Throttle()
@@ -115,13 +99,19 @@
         self.roster = upstreams.Roster()
         self.memory = memory.Memory(data_centre)
         self.health = health.Health(self._log_state)
-        self.outliers = outliers.Outliers()
         self.paces = paces.Paces()
+        self._candidates = engines.CandidateMaker(
+            self.roster, self.memory, self.paces, self.health
+        )
+        self._probes = probing.ProbeSchedule(self.health, self.paces, host)
         self.layer_changes = moves.LayerChanges(self.roster)
         # Upstreams by service and data centre, cached until the list changes:
         # each path search needs them.
         self._grouped: dict[str, dict[str, list[upstreams.Upstream]]] = {}
         self._grouped_at = -1
+        # Checksum of the upstream list, and what it was computed from.
+        self._digest = 0
+        self._digest_of: tuple[Any, ...] = ()
         # Suspects at the last call of `check_new_suspects`.
         self._suspects: set[str] = set()
         # Peer updates and probe results applied; each may reveal free memory.
@@ -148,13 +138,16 @@
 
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
-        if (
+        return not self._is_closed(entry) and self.health.is_usable(
+            entry.id, now_s
+        )
+
+    def _is_closed(self, entry: upstreams.Upstream) -> bool:
+        """Tells whether an upstream takes no work until its entry changes."""
+        return (
             self.backpressure.is_leaving(entry)
             or entry.id in self.roster.unreadable
-            or self.outliers.is_ejected(entry.id, now_s)
-        ):
-            return False
-        return self.health.is_usable(entry.id, now_s)
+        )
 
     def list_usable(
         self, service: str, now_s: float
@@ -194,6 +187,9 @@
         self.paces.apply_peer_paces(update.pace, now_s)
         # Only hosts of this data centre reach upstreams the way this host does.
         if update.data_centre == self.data_centre:
+            self._probes.apply_peer_suspects(
+                update.host, update.suspects, now_s
+            )
             for upstream_id in update.dead:
                 if upstream_id in self.roster.entries:
                     self.health.mark_down(upstream_id, now_s)
@@ -240,10 +236,7 @@
                 of this one. It then has the suspects of all local hosts, but
                 only those in this data centre.
         """
-        found = (
-            *self.health.list_suspects(now_s),
-            *self.outliers.list_ejected(now_s),
-        )
+        found = self.health.list_suspects(now_s)
         if not is_speaker:
             return found
         entries = self.roster.entries
@@ -273,9 +266,8 @@
         entry = self.roster.entries.get(upstream_id)
         if entry is None or not entry.accelerator:
             return
-        self.health.record_error(upstream_id, now_s)
         near = self._group_by_data_centre(entry.service)[entry.data_centre]
-        ejection_s = self.outliers.record_error(
+        ejection_s = self.health.record_error(
             upstream_id, [e.id for e in near], now_s
         )
         if ejection_s:
@@ -283,11 +275,6 @@
                 upstream_id, "ejected", f"answers errors; for {ejection_s:g} s"
             )
 
-    def record_answer(self, upstream_id: str, now_s: float) -> None:
-        """Records that an upstream answered without an error."""
-        self.health.record_success(upstream_id, now_s)
-        self.outliers.record_answer(upstream_id)
-
     def _log_state(self, upstream_id: str, state: str, reason: str) -> None:
         self.log_events.append(
             decisions.UpstreamChanged(upstream_id, state, reason)
@@ -423,18 +410,10 @@
     def take_probes(self, now_s: float) -> list[upstreams.Upstream]:
         """Returns the upstreams to probe now for their health or pace."""
         listed = self.roster.entries
-        due = [
-            i for i in self.paces.take_due(now_s) if i not in self.health.failed
-        ]
-        due += self.health.take_due(listed, now_s)
-        postponed = [
-            i for i in due if not self.backpressure.try_acquire_probe(i, now_s)
-        ]
-        for upstream_id in postponed:
-            self.health.record_inconclusive_probe(upstream_id)
-            self.paces.postpone_probe(upstream_id)
-        due = [i for i in due if i not in postponed]
-        return [listed[i] for i in due if i in listed]
+        due = self._probes.take_due(
+            listed, self.backpressure.try_acquire_probe, now_s
+        )
+        return [listed[i] for i in due]
 
     def compute_digest(self) -> int:
         """Returns a checksum of the upstream list.
@@ -443,6 +422,19 @@
         since: reports expire, and then all hosts must agree on the list.
         """
         roster = self.roster
+        # Four updates a second need it, and the list changes rarely.
+        source = (
+            roster.revision,
+            dict(roster.listed_layers),
+            set(roster.unreadable),
+        )
+        if source != self._digest_of:
+            self._digest = self._compute_digest(roster)
+            self._digest_of = source
+        return self._digest
+
+    @staticmethod
+    def _compute_digest(roster: upstreams.Roster) -> int:
         rows = []
         for entry in roster.entries.values():
             layers = upstreams.get_listed_layers(roster, entry.id)
@@ -464,7 +456,6 @@
         self.layer_changes.remove_unlisted(listed)
         self.paces.remove_unlisted(listed)
         self.health.remove_unlisted(listed)
-        self.outliers.remove_unlisted(listed)
         self.backpressure.remove_unlisted(listed)
 
     def list_candidates(
@@ -472,17 +463,18 @@
     ) -> cards.Candidates:
         """Returns the candidates for a path: usable engines with layers."""
         by_data_centre = self._group_by_data_centre(service)
-        costs = _StepCosts.make(spec)
 
         def read(data_centre: str) -> list[paths.Candidate]:
+            unusable = self.health.list_unusable(now_s)
+            usable = [
+                e
+                for e in by_data_centre[data_centre]
+                if e.id not in unusable and not self._is_closed(e)
+            ]
             return [
                 candidate
-                for e in by_data_centre[data_centre]
-                if self.is_usable(e, now_s)
-                and (candidate := self._make_candidate(e, spec, costs, now_s))
-                and (
-                    candidate := self.backpressure.apply_limit(candidate, now_s)
-                )
+                for c in self._candidates.list_candidates(usable, spec, now_s)
+                if (candidate := self.backpressure.apply_limit(c, now_s))
             ]
 
         return cards.Candidates(by_data_centre, read)
@@ -503,35 +495,6 @@
             self._grouped[service] = dict(sorted(groups.items()))
         return self._grouped[service]
 
-    def _make_candidate(
-        self,
-        entry: upstreams.Upstream,
-        spec: config.EngineSpec,
-        costs: _StepCosts,
-        now_s: float,
-    ) -> paths.Candidate | None:
-        """Returns an engine as a path candidate; None if it has no layers."""
-        kind = spec.accelerators.get(entry.accelerator)
-        if entry.layers is None or kind is None:
-            return None
-        usage = self.memory.get_usage(entry.id, now_s)
-        size = room.compute_capacity(spec, entry) * room.USABLE_FRACTION
-        step_s = spec.step_s + usage.count * costs.request_s
-        slow = self.paces.get(entry.id, now_s)
-        read_s = slow * kind.prefill_factor * costs.chunk_s
-        pass_s = spec.stride * (step_s * kind.pace * slow + read_s)
-        pace = kind.pace * slow * self.health.get_slowdown(entry.id, now_s)
-        return paths.Candidate(
-            entry.id,
-            entry.address,
-            entry.data_centre,
-            entry.layers.first,
-            entry.layers.last,
-            step_s * pace / spec.layers,
-            size - usage.room - self.memory.get_excess(entry.id, now_s),
-            pass_s / spec.layers,
-        )
-
     def explain_missing(
         self,
         spec: config.EngineSpec,
@@ -618,12 +581,11 @@
         """
         step_s = 0.0
         free = 1.0
-        costs = _StepCosts.make(spec)
         for part in parts:
             entry = self.roster.entries.get(part.id)
             if entry is None:
                 continue
-            candidate = self._make_candidate(entry, spec, costs, now_s)
+            candidate = self._candidates.make(entry, spec, now_s)
             if candidate is None:
                 continue
             step_s += (part.last - part.first) * candidate.layer_s
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -9,16 +9,23 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection, Container
 from typing import Any, Final
 
 import attrs
 
+from egretspur.routing import outliers
+
 # Backoff between two probes of an upstream that is down: the minimum doubles
 # with each failed probe, up to the maximum.
 MIN_PROBE_INTERVAL_S: Final = 0.15
 MAX_PROBE_INTERVAL_S: Final = 1.6
 
+# Interval between two probes of a dead upstream by a host that relies on
+# others to probe it (see `egretspur.routing.sharing`); those may be the ones
+# that are cut off from it.
+RELYING_PROBE_INTERVAL_S: Final = 12.8
+
 # An upstream that is down for this time and failed this many probes counts as
 # dead, and its layers are assigned to others. Lower values would move layers
 # for a lost packet; each further second costs the answers of a data centre.
@@ -60,6 +67,12 @@
     # Consecutive failed probes.
     failures: int = 0
     is_probing: bool = False
+    # Whether a connection broke or could not be opened.
+    is_cut: bool = False
+    # Whether it, or one that was dead as well, answered since its last probe.
+    is_recovering: bool = False
+    # Time of the last failed probe.
+    probed_s: float = -math.inf
 
 
 @attrs.define
@@ -106,6 +119,10 @@
         self.peer_suspects: dict[str, float] = {}
         # Upstreams that asked this host for a backoff, with its end.
         self.backoffs: dict[str, float] = {}
+        # Engines that answer with errors.
+        self.outliers = outliers.Outliers()
+        # When the dead upstreams were last probed because one recovered.
+        self._advanced_s = -math.inf
 
     def is_usable(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may get requests."""
@@ -114,8 +131,27 @@
             and not self.is_backing_off(upstream_id, now_s)
             and not self.is_down(upstream_id)
             and not self.is_suspected(upstream_id, now_s)
+            and not self.outliers.is_ejected(upstream_id, now_s)
         )
 
+    def list_unusable(self, now_s: float) -> set[str]:
+        """Returns the upstreams that are not usable; see `is_usable`.
+
+        A path search asks for all upstreams, few of which have any state.
+        """
+        ejected = self.outliers.list_ejected(now_s)
+        return set(ejected) | {
+            i
+            for table in (
+                self.refusals,
+                self.backoffs,
+                self.failed,
+                self.peer_suspects,
+            )
+            for i in table
+            if not self.is_usable(i, now_s)
+        }
+
     def is_suspected(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether another host suspects an upstream."""
         return now_s < self.peer_suspects.get(upstream_id, -math.inf)
@@ -163,11 +199,13 @@
         only when its own requests fail there, one by one for all engines that
         died together, until the retry budget is empty.
         """
-        return tuple(
+        failing = (
             i
             for i, f in self.failed.items()
             if f.is_down or now_s - f.since_s >= SUSPECT_AFTER_S
         )
+        ejected = self.outliers.list_ejected(now_s)
+        return tuple(dict.fromkeys((*failing, *ejected)))
 
     def has_pending_probes(self) -> bool:
         """Tells whether a failed upstream awaits probes to count as dead."""
@@ -187,18 +225,35 @@
         """Returns the upstreams that other hosts suspect now."""
         return tuple(i for i, t in self.peer_suspects.items() if now_s < t)
 
-    def record_fault(self, upstream_id: str, now_s: float) -> None:
+    def record_fault(
+        self, upstream_id: str, now_s: float, is_cut: bool = True
+    ) -> None:
         """Records a failed attempt that may be the upstream's fault.
 
         The upstream still gets requests, though fewer, until a probe fails too:
         a single lost answer does not show that it is down.
+
+        Args:
+            upstream_id: The upstream.
+            now_s: Monotonic time.
+            is_cut: Whether a connection broke; otherwise work was refused.
         """
         self.faults.setdefault(upstream_id, Faults()).record(True, now_s)
-        self.failed.setdefault(upstream_id, Failed(now_s, False, now_s))
+        failed = self.failed.setdefault(
+            upstream_id, Failed(now_s, False, now_s)
+        )
+        failed.is_cut |= is_cut
 
-    def record_error(self, upstream_id: str, now_s: float) -> None:
-        """Records an attempt that the upstream answered with an error."""
+    def record_error(
+        self, upstream_id: str, group: Collection[str], now_s: float
+    ) -> float:
+        """Records that an engine answered a request with an error.
+
+        Returns:
+            Seconds for which it is ejected now; see `outliers.Outliers`.
+        """
         self.faults.setdefault(upstream_id, Faults()).record(True, now_s)
+        return self.outliers.record_error(upstream_id, group, now_s)
 
     def record_refusal(
         self, upstream_id: str, now_s: float, state: str = "refusing"
@@ -239,20 +294,57 @@
         """Records an answer."""
         self.refusals.pop(upstream_id, None)
         self.peer_suspects.pop(upstream_id, None)
+        self.outliers.record_answer(upstream_id)
         faults = self.faults.get(upstream_id)
         if faults is not None:
             faults.record(False, now_s)
 
-    def take_due(self, listed: Container[str], now_s: float) -> list[str]:
-        """Returns the listed upstreams to probe now."""
-        due = []
-        for upstream_id, failed in self.failed.items():
-            if upstream_id not in listed or failed.is_probing:
-                continue
-            if now_s >= failed.next_probe_s:
-                failed.is_probing = True
-                due.append(upstream_id)
-        return due
+    def list_due(self, listed: Container[str], now_s: float) -> list[str]:
+        """Returns the listed upstreams to probe now, the latest ones first."""
+        return sorted(
+            (
+                i
+                for i, f in self.failed.items()
+                if i in listed and not f.is_probing and now_s >= f.next_probe_s
+            ),
+            key=lambda i: self.failed[i].next_probe_s,
+        )
+
+    def is_urgent(self, upstream_id: str) -> bool:
+        """Tells whether a due probe is likely to find an upstream dead or back.
+
+        One that only refused work is probably full.
+        """
+        failed = self.failed[upstream_id]
+        return failed.is_recovering or (
+            failed.failures < DEAD_PROBE_FAILURES
+            and (failed.is_cut or failed.is_down)
+        )
+
+    def record_probe_start(self, upstream_id: str) -> None:
+        """Records that an upstream is being probed."""
+        self.failed[upstream_id].is_probing = True
+
+    def may_rely_on_peers(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether the probes of other hosts suffice for an upstream."""
+        failed = self.failed[upstream_id]
+        return (
+            self.is_dead(upstream_id, now_s)
+            and not failed.is_recovering
+            and now_s - failed.probed_s < RELYING_PROBE_INTERVAL_S
+        )
+
+    def postpone_probe(self, upstream_id: str, now_s: float) -> None:
+        """Postpones a probe that other hosts make."""
+        failed = self.failed[upstream_id]
+        failed.next_probe_s = now_s + MAX_PROBE_INTERVAL_S
+
+    def advance_probe(self, upstream_id: str, now_s: float) -> None:
+        """Has an upstream probed at once that has probably recovered."""
+        failed = self.failed.get(upstream_id)
+        if failed is not None:
+            failed.next_probe_s = min(failed.next_probe_s, now_s)
+            failed.is_recovering = True
 
     def record_probe(self, upstream_id: str, is_ok: bool, now_s: float) -> None:
         """Records the result of a probe."""
@@ -263,8 +355,11 @@
             if failed.is_down:
                 self._on_state_change(upstream_id, "back", "answers probes")
             del self.failed[upstream_id]
+            if failed.failures >= DEAD_PROBE_FAILURES:
+                self._advance_dead(now_s)
             return
-        failed.is_probing = False
+        failed.is_probing = failed.is_recovering = False
+        failed.probed_s = now_s
         self._set_down(upstream_id, failed, "does not answer probes", now_s)
         pause_s = MIN_PROBE_INTERVAL_S * 2**failed.failures
         failed.failures += 1
@@ -274,6 +369,18 @@
             )
         failed.next_probe_s = now_s + min(pause_s, MAX_PROBE_INTERVAL_S)
 
+    def _advance_dead(self, now_s: float) -> None:
+        """Has all dead upstreams probed at once, as one has recovered.
+
+        Those that a network partition cut off come back together.
+        """
+        if now_s - self._advanced_s < MAX_PROBE_INTERVAL_S:
+            return
+        self._advanced_s = now_s
+        for upstream_id, failed in self.failed.items():
+            if failed.failures >= DEAD_PROBE_FAILURES:
+                self.advance_probe(upstream_id, now_s)
+
     def record_inconclusive_probe(self, upstream_id: str) -> None:
         """Records a probe without a result; the upstream is probed again."""
         failed = self.failed.get(upstream_id)
@@ -297,3 +404,4 @@
         for table in tables:
             for upstream_id in [i for i in table if i not in listed]:
                 del table[upstream_id]
+        self.outliers.remove_unlisted(listed)
--- a/tests/steps/outliers_steps.py
+++ b/tests/steps/outliers_steps.py
@@ -50,7 +50,7 @@
 
 def is_ejected(context: Any, engine: str, after_s: float = 0.0) -> bool:
     """Returns whether an engine is ejected some seconds from now."""
-    outliers = context.broker.fleet.outliers
+    outliers = context.broker.fleet.health.outliers
     return bool(outliers.is_ejected(engine, context.now_s + after_s))
 
 
@@ -63,7 +63,7 @@
 @when('{seconds:g} s pass and a request is answered by "{engine}"')
 def step_answered(context: Any, seconds: float, engine: str) -> None:
     context.now_s += seconds
-    context.broker.fleet.record_answer(engine, context.now_s)
+    context.broker.fleet.health.record_success(engine, context.now_s)
 
 
 @then('one error from "{engine}" does not eject it')
