Leave an engine that gives no report out of the plan for a second

Change: an order whose question for a report fails was not sent, so it is not waited for, and the plan leaves the engine out for a second.

--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -38,6 +38,12 @@
 NEW_ENGINE_S: Final = 3.0
 
 
+# Time for which an engine that gave no report before an order is left out of the
+# plan. Its probes tell by then whether it is dead; another engine takes the
+# layers meanwhile.
+UNREACHABLE_S: Final = 1.0
+
+
 class Engines(Protocol):
     """Client that reads engine reports and sends orders."""
 
@@ -109,6 +115,8 @@
         self._sent_orders: dict[str, _SentOrder] = {}
         self._held_since_s: float | None = None
         self._first_seen_s: dict[str, float] = {}
+        # Engines left out of the plan, until when; see `UNREACHABLE_S`.
+        self._unreachable_until_s: dict[str, float] = {}
         # Engines of each service and when this set last changed.
         self._engine_sets: dict[str, tuple[frozenset[str], float]] = {}
         self._stop = threading.Event()
@@ -147,6 +155,9 @@
         self._first_seen_s = {
             i: t for i, t in self._first_seen_s.items() if i in present
         }
+        self._unreachable_until_s = {
+            i: t for i, t in self._unreachable_until_s.items() if now_s < t
+        }
         for service in snapshot.cfg.find_engine_services():
             assert service.engine is not None
             self._reconcile(service.name, service.engine, snapshot, now_s)
@@ -164,6 +175,7 @@
             if e.service == service
             and e.accelerator in spec.accelerators
             and e.id not in snapshot.slow_engines
+            and now_s >= self._unreachable_until_s.get(e.id, now_s)
         }
         for entry in found.values():
             self._check_order(entry, now_s)
@@ -211,7 +223,18 @@
         layers: upstreams.Layers,
         spec: config.EngineSpec,
     ) -> None:
-        problem = self._place_checked(entry, layers)
+        report = self._engines.get_report(entry.address)
+        now_s = self._clock()
+        if isinstance(report, str):
+            # Nothing was sent, so nothing needs to be waited for.
+            self._unreachable_until_s[entry.id] = now_s + UNREACHABLE_S
+            decisions.record(
+                decisions.OrderGiven(
+                    entry.id, layers.first, layers.last, report
+                )
+            )
+            return
+        problem = self._place_checked(entry, layers, report)
         now_s = self._clock()
         load_s = 2 * spec.load_s * layers.count / spec.layers
         self._sent_orders[entry.id] = _SentOrder(
@@ -222,16 +245,16 @@
         )
 
     def _place_checked(
-        self, entry: upstreams.Upstream, layers: upstreams.Layers
+        self,
+        entry: upstreams.Upstream,
+        layers: upstreams.Layers,
+        report: upstreams.EngineReport,
     ) -> str:
         """Sends one order; returns why it may not have been accepted.
 
         The order carries the number of orders the engine has begun so far, so
         that an order delayed in transit fails instead of undoing a later one.
         """
-        report = self._engines.get_report(entry.address)
-        if isinstance(report, str):
-            return report
         if upstreams.is_other_start(entry, report):
             return "report is from another start than the list entry"
         if report.layers == layers:
--- a/tests/orders/ranges.feature
+++ b/tests/orders/ranges.feature
@@ -31,6 +31,15 @@
     When rounds run for 20 s
     Then every layer is reported as held
 
+  Scenario: An engine that is to take layers has just crashed
+    # Guards against seconds in which nobody loads the layers: the order was
+    # never sent, but the plan counts on it until its load should be over.
+    When rounds run for 12 s
+    And the only holder of some layers is too slow to answer in time
+    And the engine that is to take its layers has crashed
+    And rounds run for 2 s
+    Then its layers are held by others that answer
+
   Scenario: Layers that an engine reports are passed on to the host
     When rounds run for 12 s while the list lags 2 s behind
     Then the host has learned the layers of every engine that was ordered
--- a/tests/steps/ranges_orders_steps.py
+++ b/tests/steps/ranges_orders_steps.py
@@ -29,6 +29,9 @@
     silent: set[str] = attrs.Factory(set)
     given: list[tuple[float, str, upstreams.Layers]] = attrs.Factory(list)
     after_order: Any = None
+    # The next engine that is asked for a report answers no more.
+    is_next_crashed: bool = False
+    crashed: set[str] = attrs.Factory(set)
 
     def settle(self) -> None:
         """Carries out what is due."""
@@ -41,6 +44,11 @@
         """Returns an engine's own word."""
         self.settle()
         name = address.partition(":")[0]
+        if self.is_next_crashed:
+            self.is_next_crashed = False
+            self.crashed.add(name)
+        if name in self.crashed:
+            return "no connection"
         return upstreams.EngineReport(
             self.held.get(name),
             name in self.loading,
@@ -193,12 +201,19 @@
     raise AssertionError(held)
 
 
+@when("the engine that is to take its layers has crashed")
+def step_crashed(context: Any) -> None:
+    context.host.engines.is_next_crashed = True
+
+
 @then("its layers are held by others")
+@then("its layers are held by others that answer")
 def step_by_others(context: Any) -> None:
+    engines = context.host.engines
     others = [
         (h.first, h.last)
-        for i, h in context.host.engines.held.items()
-        if i != context.slow and h
+        for i, h in engines.held.items()
+        if i != context.slow and i not in engines.crashed and h
     ]
     assert not paths.find_gaps(others, fleets.SPEC.layers), others
 
