--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -38,8 +38,8 @@
 NEW_ENGINE_S: Final = 3.0
 
 
-# Time for which an engine that gave no report before an order is left out of the
-# plan. Its probes tell by then whether it is dead; another engine takes the
+# Time for which an engine that gave no report before an order is left out of
+# the plan. Its probes tell by then whether it is dead; another engine takes the
 # layers meanwhile.
 UNREACHABLE_S: Final = 1.0
 
