--- a/egretspur/admission/turns.py
+++ b/egretspur/admission/turns.py
@@ -132,6 +132,11 @@
                 _add(total, peer.counts)
         return total
 
+    def list_elsewhere(self, now_s: float) -> dict[str, dict[int, int]]:
+        """Returns what waits at other hosts, by service and priority."""
+        self._remove_expired(now_s)
+        return {s: dict(counts) for s, counts in self._totals.items()}
+
     def count_waiting(self, service: str, now_s: float) -> int:
         """Returns how many requests for a service wait at other hosts."""
         self._remove_expired(now_s)
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -214,6 +214,7 @@
         },
         "health": {i: codec.encode(f) for i, f in fleet.health.failed.items()},
         "quarantine": state.quarantine.list_quarantined(),
+        "contention": state.contention.dump(now_s),
         "peers": {
             h: {
                 "heard_s": round(now_s - p.received_s, 3),
--- a/egretspur/routing/contention.py
+++ b/egretspur/routing/contention.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from egretspur.admission import queue as queues
 from egretspur.admission import turns
 from egretspur.membership import contention
@@ -79,5 +81,21 @@
             returns=self._promises.sum_data_centre(now_s),
         )
 
+    def dump(self, now_s: float) -> dict[str, Any]:
+        """Returns the state as values that JSON can represent."""
+        load = self.links.get_load(now_s)
+        return {
+            "links": {
+                " ".join(link): {
+                    "busy": round(seconds, 3),
+                    "own_rate": round(self.links.get_rate(link), 3),
+                }
+                for link, seconds in sorted(load.items())
+            },
+            "waiting_here": self._list_waiting(),
+            "waiting_elsewhere": self._turns.list_elsewhere(now_s),
+            "returns_promised_here": self._promises.list_returns(now_s),
+        }
+
     def _list_waiting(self) -> dict[str, dict[int, int]]:
         return self._turns.list_waiting(self._queue.waiting.values())
--- a/egretspur/routing/links.py
+++ b/egretspur/routing/links.py
@@ -220,6 +220,10 @@
             share.left = count * seconds
         return share.left > 0
 
+    def get_rate(self, link: Link) -> float:
+        """Returns the part of a link's time that this host may start."""
+        return self._get_share(link).rate
+
     def _get_share(self, link: Link) -> _Share:
         share = self._shares.get(link)
         if share is None:
--- a/tests/routing/links.feature
+++ b/tests/routing/links.feature
@@ -28,7 +28,8 @@
     # a working path and bring nothing.
     Given a host of kl-hall before engines "kl-hall:0-40 pg-hall:40-80"
     When another host has put 3 s of transfers on the link to pg-hall
-    Then of 40 requests in 4 s at most 4 find a path
+    Then the host's state shows 3 s on that link
+    And of 40 requests in 4 s at most 4 find a path
     When engine "kl-hall:40-80" is added
     Then requests find paths within kl-hall
 
--- a/tests/steps/links_steps.py
+++ b/tests/steps/links_steps.py
@@ -146,6 +146,12 @@
     report_load(context, "10.1.0.9", "kl-hall", seconds)
 
 
+@then("the host's state shows {seconds:g} s on that link")
+def step_state(context: Any, seconds: float) -> None:
+    state = context.broker.contention.dump(context.now_s)
+    assert state["links"]["kl-hall pg-hall"]["busy"] == seconds, state
+
+
 @then("of {count:d} requests in {seconds:g} s at most {most:d} find a path")
 def step_few(context: Any, count: int, seconds: float, most: int) -> None:
     before = len(context.broker.tickets)
