Keep reports of peers in one kind of table

The load of links and the promised returns each had their own expiry and their own rule for a new speaker of another data centre. Both now use PeerTable. Expired loads of links are dropped instead of kept until the host reports again. Doc comments of the links say which seconds are meant; one named a probability where the code has a rate.

--- a/egretspur/routing/links.py
+++ b/egretspur/routing/links.py
@@ -25,7 +25,7 @@
 import attrs
 
 from egretspur.catalog import config
-from egretspur.routing import paths
+from egretspur.routing import paths, peer_table
 
 # A link between two data centres, in order of their names. Transfers in both
 # directions share it.
@@ -73,20 +73,11 @@
     seconds: float
 
 
-@attrs.frozen
-class _PeerLoad:
-    """Load that another host, or its data centre, puts on links."""
-
-    received_s: float
-    data_centre: str
-    seconds: Mapping[Link, float]
-
-
 @attrs.define
 class _Share:
     """What this host may start on one link."""
 
-    # Seconds of transfers in a second.
+    # Seconds of transfers that it may start in a second.
     rate: float
     # Seconds that may still be started before `until_s`.
     left: float = 0.0
@@ -103,11 +94,12 @@
             data_centre: Of this host.
             rng: Draws what this host may start on a link.
         """
-        self._data_centre = data_centre
         self._rng = rng
         self._starts: collections.deque[_Start] = collections.deque()
-        # By host.
-        self._peers: dict[str, _PeerLoad] = {}
+        # Seconds of transfers that other hosts put on each link.
+        self._peers: peer_table.PeerTable[Mapping[Link, float]] = (
+            peer_table.PeerTable(data_centre, PEER_LOAD_TTL_S)
+        )
         # Hosts that share the links, with this one.
         self.hosts = 1
         # Links that were used lately, by this host or others.
@@ -148,37 +140,30 @@
         seconds: Mapping[Link, float],
         now_s: float,
     ) -> None:
-        """Applies the load that another host reports.
+        """Applies the load that another host, or a data centre, reports.
 
-        One speaker reports for all hosts of another data centre; the words of
-        a former one would count the same starts twice.
+        Args:
+            host: Host that sent it.
+            data_centre: Data centre of that host.
+            seconds: Seconds of transfers started within `WINDOW_S`, by link.
+            now_s: Monotonic time.
         """
-        if data_centre != self._data_centre:
-            self._peers = {
-                h: p
-                for h, p in self._peers.items()
-                if p.data_centre != data_centre or h == host
-            }
-        self._peers[host] = _PeerLoad(now_s, data_centre, seconds)
+        self._peers.replace(host, data_centre, seconds, now_s)
 
     def get_own_load(self, now_s: float) -> dict[Link, float]:
-        """Returns the seconds that this host's recent starts take on links."""
+        """Returns the seconds that starts within `WINDOW_S` take on links."""
         while self._starts and now_s - self._starts[0].at_s > WINDOW_S:
             self._starts.popleft()
         return _sum_loads([{s.link: s.seconds} for s in self._starts])
 
     def sum_data_centre(self, now_s: float) -> dict[Link, float]:
-        """Returns the load by the hosts of this data centre."""
-        near = [
-            p.seconds
-            for p in self._list_current_peers(now_s)
-            if p.data_centre == self._data_centre
-        ]
+        """Returns the load by this data centre's hosts, as `get_load`."""
+        near = [r.value for r in self._peers.list_current(now_s) if r.is_local]
         return _sum_loads([self.get_own_load(now_s), *near])
 
     def get_load(self, now_s: float) -> dict[Link, float]:
         """Returns the load by all hosts, in seconds within `WINDOW_S`."""
-        peers = [p.seconds for p in self._list_current_peers(now_s)]
+        peers = [r.value for r in self._peers.list_current(now_s)]
         return _sum_loads([self.get_own_load(now_s), *peers])
 
     def list_closed(
@@ -206,10 +191,10 @@
         )
 
     def _is_open(self, link: Link, seconds: float, now_s: float) -> bool:
-        """Returns whether this host may start a transfer on a link.
+        """Returns whether this host may start a transfer of some seconds.
 
-        The allowance is drawn once in an interval: a waiting request asks many
-        times.
+        What it may start is drawn once in `INTERVAL_S`: a waiting request asks
+        many times.
         """
         share = self._get_share(link)
         if now_s >= share.until_s:
@@ -221,7 +206,7 @@
         return share.left > 0
 
     def get_rate(self, link: Link) -> float:
-        """Returns the part of a link's time that this host may start."""
+        """Returns the seconds of transfers that this host may start in 1 s."""
         return self._get_share(link).rate
 
     def _get_share(self, link: Link) -> _Share:
@@ -237,13 +222,6 @@
         least = min(1.0, MIN_PARTS / self.hosts) * MAX_UTILIZATION
         share.rate = min(MAX_UTILIZATION, max(least, share.rate * factor))
 
-    def _list_current_peers(self, now_s: float) -> list[_PeerLoad]:
-        return [
-            p
-            for p in self._peers.values()
-            if now_s - p.received_s < PEER_LOAD_TTL_S
-        ]
-
     def _adjust(self, now_s: float) -> None:
         """Adjusts the rates to the load, once in an interval."""
         paused_s = now_s - self._adjusted_s
@@ -287,7 +265,7 @@
 
 
 def _compute_factor(seconds: float) -> float:
-    """Returns the factor on a link's probability for a load in `WINDOW_S`."""
+    """Returns the factor on a link's rate for a load within `WINDOW_S`."""
     if not seconds:
         return MAX_FACTOR
     ratio = MAX_UTILIZATION * WINDOW_S / seconds
--- a/egretspur/routing/promises.py
+++ b/egretspur/routing/promises.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
-import attrs
+from egretspur.routing import peer_table
 
 # Length of the time slots in which promises are counted.
 SLOT_S: Final = 0.5
@@ -37,11 +37,8 @@
 _BUCKET_S: Final = 0.25
 
 
-@attrs.frozen
-class _PeerReturns:
-    received_s: float
-    is_local: bool
-    returns: Mapping[str, Sequence[int]]
+# Number of callers by service and upcoming slot.
+Returns = Mapping[str, Sequence[int]]
 
 
 class Promises:
@@ -53,13 +50,11 @@
         Args:
             data_centre: Data centre of this host.
         """
-        self._data_centre = data_centre
         # Due times of this host's promises, ascending.
         self._own: dict[str, list[float]] = {}
-        # By host within this data centre, or by other data centre, for which
-        # the newest sum counts: a new speaker's sum covers the same hosts as
-        # the former one's.
-        self._peers: dict[str, _PeerReturns] = {}
+        self._peers: peer_table.PeerTable[Returns] = peer_table.PeerTable(
+            data_centre, PEER_TTL_S
+        )
         # Refusals by service in successive intervals, with their numbers.
         self._refused: collections.deque[tuple[int, dict[str, float]]] = (
             collections.deque(maxlen=round(REFUSAL_WINDOW_S / _BUCKET_S))
@@ -75,7 +70,7 @@
         self,
         host: str,
         data_centre: str,
-        returns: Mapping[str, Sequence[int]],
+        returns: Returns,
         now_s: float,
     ) -> None:
         """Replaces the promises of another host or of another data centre.
@@ -88,15 +83,13 @@
                 invalid numbers are ignored.
             now_s: Monotonic time.
         """
-        is_local = data_centre == self._data_centre
-        key = host if is_local else data_centre
         valid = {s: c for s, c in returns.items() if _is_valid(c)}
-        known = self._peers.get(key)
-        old: Mapping[str, Sequence[int]] = {}
+        previous = self._peers.replace(host, data_centre, valid, now_s)
+        old: Returns = {}
         age_s = 0.0
-        if known is not None and now_s - known.received_s < PEER_TTL_S:
-            old = known.returns
-            age_s = now_s - known.received_s
+        if previous is not None:
+            old = previous.value
+            age_s = now_s - previous.received_s
         for service in old.keys() | valid.keys():
             # Those due within a slot are not compared: a peer that is left
             # without promises sends no update that shows it. All promises of a
@@ -105,7 +98,6 @@
             kept = _count_later(old.get(service, ()), SLOT_S + age_s)
             grown = sum(valid.get(service, ())[1:]) - kept
             self._add_refused(service, grown, now_s)
-        self._peers[key] = _PeerReturns(now_s, is_local, valid)
 
     def list_returns(self, now_s: float) -> dict[str, list[int]]:
         """Returns this host's promises by service and upcoming slot."""
@@ -118,9 +110,9 @@
     def sum_data_centre(self, now_s: float) -> dict[str, list[int]]:
         """Returns the promises of this data centre's hosts, as published."""
         services = set(self.list_returns(now_s))
-        for peer in self._list_current(now_s):
+        for peer in self._peers.list_current(now_s):
             if peer.is_local:
-                services.update(peer.returns)
+                services.update(peer.value)
         sums = {s: self._sum_slots(s, now_s, True) for s in services}
         return {s: _trim(slots) for s, slots in sums.items() if any(slots)}
 
@@ -138,11 +130,18 @@
     def _sum_slots(
         self, service: str, now_s: float, is_local_only: bool
     ) -> list[int]:
+        """Returns the promises of a service by upcoming slot.
+
+        Args:
+            service: Name of the service.
+            now_s: Monotonic time.
+            is_local_only: Whether to leave out other data centres.
+        """
         slots = _count_slots(self._own.get(service, ()), now_s)
-        for peer in self._list_current(now_s):
+        for peer in self._peers.list_current(now_s):
             if is_local_only and not peer.is_local:
                 continue
-            counts = peer.returns.get(service)
+            counts = peer.value.get(service)
             if not counts:
                 continue
             # Rounded: updates are older than half a slot only if one was lost.
@@ -151,14 +150,6 @@
                 slots[i] += count
         return slots
 
-    def _list_current(self, now_s: float) -> list[_PeerReturns]:
-        self._peers = {
-            k: p
-            for k, p in self._peers.items()
-            if now_s - p.received_s < PEER_TTL_S
-        }
-        return list(self._peers.values())
-
     def _drop_due(self, now_s: float) -> None:
         for service, times in list(self._own.items()):
             del times[: bisect.bisect_right(times, now_s)]
