Split the selection of health probes from that of pace probes

ProbeSchedule.take_due did both in one loop each. The rate limit had one user and kept a list of times, so the schedule keeps that list itself; sharing.py is about which hosts make a check only.

Run: probing.feature, passed.

--- a/egretspur/routing/probing.py
+++ b/egretspur/routing/probing.py
@@ -32,12 +32,13 @@
         self._health = state
         self._paces = speeds
         self._shares = sharing.CheckShares(host)
-        self._limit = sharing.RateLimit(MAX_PROBES_PER_S)
+        # Times of the probes within the last second.
+        self._sent_s: list[float] = []
 
     def apply_peer_suspects(
         self, host: str, suspects: Collection[str], now_s: float
     ) -> None:
-        """Records the upstreams that a near host finds failing."""
+        """Records the upstreams that a host of this data centre suspects."""
         for upstream_id in self._shares.apply_peer_update(
             host, suspects, now_s
         ):
@@ -58,32 +59,58 @@
             now_s: Monotonic time.
         """
         self._shares.remove_silent(now_s)
+        self._sent_s = [t for t in self._sent_s if now_s - t < 1.0]
+        return [
+            *self._take_health_probes(listed, try_acquire, now_s),
+            *self._take_pace_probes(listed, try_acquire, now_s),
+        ]
+
+    def _take_health_probes(
+        self,
+        listed: Container[str],
+        try_acquire: Callable[[str, float], bool],
+        now_s: float,
+    ) -> list[str]:
+        """Returns the failed upstreams to probe; see `take_due`."""
         taken = []
         due = self._health.list_due(listed, now_s)
         urgent = {i for i in due if self._health.is_urgent(i)}
         for upstream_id in sorted(due, key=lambda i: i not in urgent):
-            if not (upstream_id in urgent or self._limit.is_free(now_s)):
+            if upstream_id not in urgent and self._is_limit_reached():
                 break
             if self._is_left_to_peers(upstream_id, now_s):
                 self._health.postpone_probe(upstream_id, now_s)
             elif try_acquire(upstream_id, now_s):
                 self._health.record_probe_start(upstream_id)
-                self._limit.record(now_s)
+                self._sent_s.append(now_s)
                 taken.append(upstream_id)
+        return taken
+
+    def _take_pace_probes(
+        self,
+        listed: Container[str],
+        try_acquire: Callable[[str, float], bool],
+        now_s: float,
+    ) -> list[str]:
+        """Returns the slow engines to probe; see `take_due`."""
+        taken = []
         for upstream_id in self._paces.list_due(now_s):
             if upstream_id in self._health.failed:
                 # Its health probe also returns its pace.
                 self._paces.record_probe_start(upstream_id, now_s)
             elif (
                 upstream_id in listed
-                and self._limit.is_free(now_s)
+                and not self._is_limit_reached()
                 and try_acquire(upstream_id, now_s)
             ):
                 self._paces.record_probe_start(upstream_id, now_s)
-                self._limit.record(now_s)
+                self._sent_s.append(now_s)
                 taken.append(upstream_id)
         return taken
 
+    def _is_limit_reached(self) -> bool:
+        return len(self._sent_s) >= MAX_PROBES_PER_S
+
     def _is_left_to_peers(self, upstream_id: str, now_s: float) -> bool:
         return self._health.may_rely_on_peers(
             upstream_id, now_s
--- a/egretspur/routing/sharing.py
+++ b/egretspur/routing/sharing.py
@@ -41,6 +41,7 @@
                 makes all checks itself.
         """
         self._host = host
+        # By host.
         self._peers: dict[str, _Concern] = {}
 
     def apply_peer_update(
@@ -78,23 +79,6 @@
         }
 
 
-@attrs.define
-class RateLimit:
-    """Bounds how often something happens within any second."""
-
-    max_per_s: int
-    _times_s: list[float] = attrs.field(factory=list, init=False)
-
-    def is_free(self, now_s: float) -> bool:
-        """Tells whether another one may happen now."""
-        self._times_s = [t for t in self._times_s if now_s - t < 1.0]
-        return len(self._times_s) < self.max_per_s
-
-    def record(self, now_s: float) -> None:
-        """Counts one, also beyond the limit."""
-        self._times_s.append(now_s)
-
-
 def rank(host: str, upstream_id: str) -> tuple[float, str]:
     """Returns a host's rank; the address settles equal hashes."""
     return zlib.crc32(f"{host} {upstream_id}".encode()), host
