Call what is paused as unproductive an engine everywhere

The class and the message named it a stage, their comments, the log state and the verdict an engine. Tests change by the name of the class only.

Run: first_events.feature, passed.

--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -146,7 +146,7 @@
 
 
 @attrs.frozen
-class StageUnproductive:
+class EngineUnproductive:
     """An engine answers probes, but streams over it get no first event.
 
     Asks whether it was paused.
@@ -230,7 +230,7 @@
         """
         super().__init__()
         self._broker = state
-        self._unproductive = unproductive.UnproductiveStages(
+        self._unproductive = unproductive.UnproductiveEngines(
             state.fleet.roster, state.fleet.health
         )
         self._busy = busy
@@ -345,7 +345,7 @@
         )
 
     @handle.register
-    def _(self, message: StageUnproductive) -> bool:
+    def _(self, message: EngineUnproductive) -> bool:
         return self._unproductive.pause(message.upstream_id, time.monotonic())
 
     @handle.register
@@ -471,7 +471,7 @@
 
     def pause_unproductive(self, upstream_id: str) -> bool:
         """Pauses an unproductive engine; returns whether it was paused."""
-        is_paused: bool = actors.ask(self._ref, StageUnproductive(upstream_id))
+        is_paused: bool = actors.ask(self._ref, EngineUnproductive(upstream_id))
         return is_paused
 
     def may_query(self, upstream_id: str) -> bool:
--- a/egretspur/routing/unproductive.py
+++ b/egretspur/routing/unproductive.py
@@ -21,7 +21,7 @@
 ENGINES_PER_PAUSE: Final = 3
 
 
-class UnproductiveStages:
+class UnproductiveEngines:
     """Engines that this host paused as unproductive."""
 
     def __init__(self, roster: upstreams.Roster, state: health.Health) -> None:
--- a/tests/delivery/firstmodel.py
+++ b/tests/delivery/firstmodel.py
@@ -82,7 +82,7 @@
         self._draw = draw
         self._rng = rng
         self._health = health.Health(lambda *state: None)
-        self._pauses = unproductive.UnproductiveStages(roster, self._health)
+        self._pauses = unproductive.UnproductiveEngines(roster, self._health)
         self._first_events = first_events.FirstEvents()
         self._streams: list[Stream] = []
         self._next_s = rng.uniform(0.0, START_INTERVAL_S)
--- a/tests/steps/first_events_steps.py
+++ b/tests/steps/first_events_steps.py
@@ -189,7 +189,7 @@
         entry = fleets.make_upstream(f"a100-{i}", layers)
         upstreams.put_entry(roster, entry, 0.0)
     context.state = health.Health(lambda *state: None)
-    context.stages = unproductive.UnproductiveStages(roster, context.state)
+    context.stages = unproductive.UnproductiveEngines(roster, context.state)
     context.names = [f"a100-{i}" for i in range(count)]
 
 
