--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -74,9 +74,13 @@
         )
         self.retry_budgets = repeats.RetryBudgets(data_centre, budget, rng)
         self.refusals = refusals.Refusals(
-            rng, self.quarantine, self.fleet, self.queue, self.retry_budgets
+            rng,
+            self.quarantine,
+            self.fleet,
+            self.queue,
+            self.retry_budgets,
+            self.turns.count_waiting,
         )
-        self.refusals.count_peers_waiting = self.turns.count_waiting
         self.contention = contention.Contention(
             load, self.refusals.promises, self.turns, self.queue
         )
@@ -186,6 +190,7 @@
         )
 
     def _record_error(self, upstream_id: str, now_s: float) -> None:
+        """Records that a replica or an engine answered with an error."""
         self.fleet.replicas.record_failure(upstream_id, False, now_s)
         self.fleet.record_error(upstream_id, now_s)
 
--- a/egretspur/routing/refusals.py
+++ b/egretspur/routing/refusals.py
@@ -24,7 +24,9 @@
 class _Refused:
     """A refusal whose caller was told when to return."""
 
+    # Monotonic time.
     at_s: float
+    # Seconds after it at which the caller was told to return.
     told_s: float
 
 
@@ -46,6 +48,7 @@
         state: fleet.Fleet,
         waiting: queue.Queue,
         budgets: repeats.RetryBudgets,
+        count_peers_waiting: Callable[[str, float], int],
     ) -> None:
         """Creates the builder of refusals.
 
@@ -55,18 +58,19 @@
             state: Upstreams with their limits and backoffs.
             waiting: Requests that wait at this host.
             budgets: Knows the number of hosts.
+            count_peers_waiting: Returns how many requests for a service wait
+                at other hosts at a monotonic time.
         """
         self.promises = promises.Promises(state.data_centre)
         self.return_times = returns.ReturnTimes(self.promises, rng)
         self.return_counts = ReturnCounts()
-        # Returns how many requests for a service wait at other hosts.
-        self.count_peers_waiting: Callable[[str, float], int] = lambda s, t: 0
         # Decisions to be logged; the broker clears them.
         self.notes: list[decisions.Decision] = []
         self._quarantine = quarantined
         self._backpressure = state.backpressure
         self._queue = waiting
         self._budgets = budgets
+        self._count_peers_waiting = count_peers_waiting
         self._retry_schedule = returns.RetrySchedule()
         # Refused requests by fingerprint, oldest first.
         self._refused: dict[str, _Refused] = {}
@@ -116,7 +120,7 @@
                 job,
                 self._budgets.hosts,
                 self.count_waiting(job)
-                + self.count_peers_waiting(job.service, now_s),
+                + self._count_peers_waiting(job.service, now_s),
                 kind is not errors.ErrorKind.NO_ROUTE or not ticket.attempts,
                 now_s,
             )
