Reword comments and add doc comments in the contention modules

Figurative words, a name for received updates that was not their usual one, and missing units and arguments. No change of behaviour.

--- a/egretspur/admission/turns.py
+++ b/egretspur/admission/turns.py
@@ -36,7 +36,7 @@
 COMPETING_S: Final = 0.3
 
 # Lower bound of that time: a host searches for paths ten times a second, so
-# that each request is looked after at least once.
+# each request is searched for at least once.
 MIN_COMPETING_S: Final = 0.1
 
 # Number of hosts that look for capacity per tick of 0.05 s among requests of
@@ -229,7 +229,7 @@
 def _add(
     total: dict[str, dict[int, int]], counts: Counts, sign: int = 1
 ) -> None:
-    """Adds to a total, or subtracts from it; drops what becomes zero."""
+    """Adds to a total, or subtracts if `sign` is -1; drops zero counts."""
     for service, row in counts.items():
         into = total.setdefault(service, {})
         for priority, count in row.items():
--- a/egretspur/delivery/first_events.py
+++ b/egretspur/delivery/first_events.py
@@ -137,6 +137,7 @@
     """Finds suspects and reaches verdicts for the streams of one host."""
 
     def __init__(self) -> None:
+        """Makes a state without streams or verdicts."""
         # Streams that ended after an event.
         self._ended: collections.deque[Stream] = collections.deque()
         # Time of the last verdict on a component that had no event since.
--- a/egretspur/membership/contention.py
+++ b/egretspur/membership/contention.py
@@ -32,7 +32,7 @@
 MAX_PRIORITIES: Final = 10
 MAX_RETURN_SLOTS: Final = 12
 
-# Largest numbers believed: a link can't be busy for longer than all hosts of
+# Largest numbers accepted: a link can't be busy for longer than all hosts of
 # the target size could make it in a second, nor can more requests wait.
 MAX_LINK_S: Final = 1e4
 MAX_REQUESTS: Final = 10_000
@@ -43,7 +43,7 @@
 
 @attrs.frozen
 class ContentionUpdate:
-    """Contention that a host, or a data centre by its speaker, sees."""
+    """Contention at a host or, if a speaker sends it, at its data centre."""
 
     # Address of the sending host.
     host: str
@@ -52,7 +52,7 @@
     links: Mapping[links.Link, float] = attrs.Factory(dict)
     # Waiting requests by service and priority; 0 is the most urgent.
     waiting: Mapping[str, Mapping[int, int]] = attrs.Factory(dict)
-    # Callers told to return, by service and coming half second.
+    # Callers told to return, by service and upcoming half second.
     returns: Mapping[str, Sequence[int]] = attrs.Factory(dict)
 
     def is_empty(self) -> bool:
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -385,7 +385,7 @@
 
 @attrs.frozen
 class ContentionHandlers:
-    """Makes and takes contention updates; see `Exchange`."""
+    """Makes contention updates and handles received ones; see `Exchange`."""
 
     # Returns this host's update, or as the speaker that of its data centre.
     make: Callable[[bool], contention.ContentionUpdate]
@@ -417,8 +417,8 @@
                 host's; the speaker sends it to the other data centres.
             handle_updates: Receives the updates of others, oldest first, and
                 the number of hosts that share a retry budget.
-            contention_handlers: Makes and takes contention updates; None to
-                exchange none.
+            contention_handlers: Makes contention updates and handles received
+                ones; None to exchange none.
         """
         self._ip = ip
         self._port = port
@@ -543,6 +543,7 @@
         self._send_to(hosts, datagrams.encode_update(update))
 
     def _send_contention(self, hosts: Iterable[str], is_speaker: bool) -> None:
+        """Sends the contention update if there is any to report or to end."""
         if self._contention is None:
             return
         update = self._contention.make(is_speaker)
@@ -588,7 +589,7 @@
     def _handle_batch(self, received: Iterable[_Datagram]) -> None:
         now_s = time.monotonic()
         updates = []
-        contended = []
+        contention_updates = []
         forwarded = []
         for data, (sender, _) in received:
             update = self._decode(data)
@@ -598,12 +599,12 @@
             if update.host == self._ip:
                 continue
             if isinstance(update, contention.ContentionUpdate):
-                contended.append(update)
+                contention_updates.append(update)
             else:
                 updates.append(update)
             if sender == update.host and self._peers.is_remote(update):
                 forwarded.append(data)
-        if not updates and not contended:
+        if not updates and not contention_updates:
             return
         with self._lock:
             for peer_update in updates:
@@ -615,8 +616,8 @@
             self._send_to(local, data)
         if updates:
             self._handle_updates(updates, host_count)
-        if contended and self._contention is not None:
-            self._contention.handle(contended)
+        if contention_updates and self._contention is not None:
+            self._contention.handle(contention_updates)
 
     def _decode(
         self, data: bytes
@@ -625,6 +626,7 @@
         | contention.ContentionUpdate
         | datagrams.InvalidUpdate
     ):
+        """Returns the update of either kind, or why it is refused."""
         if data.startswith(contention.PREFIX):
             return contention.decode(data)
         return self._decoder.decode(data)
--- a/egretspur/orders/ranges.py
+++ b/egretspur/orders/ranges.py
@@ -37,7 +37,6 @@
 # get no copies of layers that others hold.
 NEW_ENGINE_S: Final = 3.0
 
-
 # Time for which an engine that gave no report before an order is left out of
 # the plan. Its probes tell by then whether it is dead; another engine takes the
 # layers meanwhile.
@@ -115,7 +114,7 @@
         self._sent_orders: dict[str, _SentOrder] = {}
         self._held_since_s: float | None = None
         self._first_seen_s: dict[str, float] = {}
-        # Engines left out of the plan, until when; see `UNREACHABLE_S`.
+        # When engines that gave no report may be planned with again, by id.
         self._unreachable_until_s: dict[str, float] = {}
         # Engines of each service and when this set last changed.
         self._engine_sets: dict[str, tuple[frozenset[str], float]] = {}
--- a/egretspur/routing/engines.py
+++ b/egretspur/routing/engines.py
@@ -81,7 +81,14 @@
         speeds: paces.Paces,
         state: health.Health,
     ) -> None:
-        """Makes a maker that reads the given state when it is called."""
+        """Creates a maker that reads the given state when it is called.
+
+        Args:
+            roster: The list of upstreams.
+            usage: Requests in flight and request memory in use.
+            speeds: Paces of the engines.
+            state: Health of the engines.
+        """
         self._roster = roster
         self._memory = usage
         self._paces = speeds
--- a/egretspur/routing/links.py
+++ b/egretspur/routing/links.py
@@ -100,7 +100,7 @@
         self._peers: peer_table.PeerTable[Mapping[Link, float]] = (
             peer_table.PeerTable(data_centre, PEER_LOAD_TTL_S)
         )
-        # Hosts that share the links, with this one.
+        # Number of hosts that share the links, this one included.
         self.hosts = 1
         # Links that were used lately, by this host or others.
         self._shares: dict[Link, _Share] = {}
@@ -244,7 +244,7 @@
 
 
 def list_crossed(parts: Sequence[paths.Part]) -> list[Link]:
-    """Returns the links that a path uses, in its order."""
+    """Returns the links that a path crosses, in its order."""
     return [
         make_link(a.data_centre, b.data_centre)
         for a, b in itertools.pairwise(parts)
@@ -253,7 +253,7 @@
 
 
 def make_link(source: str, target: str) -> Link:
-    """Returns the link between two data centres."""
+    """Returns the link between two data centres, in either direction."""
     return (source, target) if source < target else (target, source)
 
 
--- a/egretspur/routing/waiting.py
+++ b/egretspur/routing/waiting.py
@@ -79,7 +79,7 @@
         self._served_until_s = -math.inf
         self._served_revision = -1
         # Services for which no path was searched because all their requests
-        # yielded. They cost no search and are looked after at each tick.
+        # yielded. They cost no search and are served at each tick.
         self._yielding: set[str] = set()
 
     def has_waiting(self, service: str, now_s: float) -> bool:
@@ -125,8 +125,9 @@
         """Starts queued requests.
 
         Args:
-            stuck: Services without a path, and ids of requests that have none
-                because upstreams refused them. More are added.
+            stuck: Services to leave out, as they have no path, and ids of
+                requests that have none because upstreams refused them. More
+                are added.
             now_s: Monotonic time.
         """
         starts: list[jobs.Start] = []
