Say yield for the time that a request leaves capacity to others

Turn meant both that time and a host's chance among equals, and _Limit is the word for rate limits. The comment on the constant left out one of its two uses.

--- a/egretspur/admission/turns.py
+++ b/egretspur/admission/turns.py
@@ -25,9 +25,10 @@
 # back nobody for longer; three of its four updates in that time may be lost.
 WAITING_TTL_S: Final = 1.0
 
-# Time that a request yields at least if more urgent ones wait: within one
-# interval of the peer updates, their hosts learn of the capacity that is free.
-MIN_TURN_S: Final = 0.25
+# Time that a request yields to equally urgent ones, and at least to more urgent
+# ones: within one interval of the peer updates, their hosts learn of the
+# capacity that is free.
+MIN_YIELD_S: Final = 0.25
 
 # Time before its queue deadline in which a request competes with more urgent
 # ones, divided by one more than the number of priorities ahead of it. With a
@@ -59,17 +60,17 @@
 
 
 @attrs.frozen
-class _Limit:
+class _YieldTime:
     """How long the requests of one service and priority yield."""
 
     # Seconds from a request's arrival, and before its deadline in the queue.
-    turn_s: float
+    yield_s: float
     competing_s: float
 
     def applies(self, item: queues.Waiting, now_s: float) -> bool:
         """Returns whether a request yields at this time."""
         end_s = min(
-            item.arrived_s + self.turn_s, item.deadline_s - self.competing_s
+            item.arrived_s + self.yield_s, item.deadline_s - self.competing_s
         )
         return now_s < end_s and not item.is_begun
 
@@ -168,24 +169,26 @@
                 groups.setdefault(key, []).append(item)
         yielding: set[str] = set()
         for (service, priority), group in groups.items():
-            limit = self._make_limit(
+            yield_time = self._draw_yield_time(
                 priority,
                 len(group),
                 self._totals[service],
                 queue.intervals_s.get(service, 0.0),
             )
-            if limit is not None:
-                yielding |= {i.id for i in group if limit.applies(i, now_s)}
+            if yield_time is not None:
+                yielding |= {
+                    i.id for i in group if yield_time.applies(i, now_s)
+                }
         return yielding
 
-    def _make_limit(
+    def _draw_yield_time(
         self,
         priority: int,
         count: int,
         peers: Mapping[int, int],
         interval_s: float,
-    ) -> _Limit | None:
-        """Returns how long requests of one service and priority yield, if so.
+    ) -> _YieldTime | None:
+        """Returns how long requests of one service and priority yield.
 
         Args:
             priority: Their priority.
@@ -193,19 +196,23 @@
             peers: Number of requests that wait at other hosts, by priority.
             interval_s: Seconds between two ends of requests at this host; 0 if
                 unknown.
+
+        Returns:
+            None if they do not yield: none is more urgent, and the turn that is
+            drawn among equals falls to this host.
         """
         ahead = [n for p, n in peers.items() if p < priority]
         if ahead:
             # Time in which the whole fleet starts those that are ahead.
-            turns_s = sum(ahead) * interval_s / self.hosts
-            return _Limit(
-                MIN_TURN_S + turns_s if interval_s else math.inf,
+            ahead_s = sum(ahead) * interval_s / self.hosts
+            return _YieldTime(
+                MIN_YIELD_S + ahead_s if interval_s else math.inf,
                 max(MIN_COMPETING_S, COMPETING_S / (1 + len(ahead))),
             )
         total = count + peers.get(priority, 0)
         if self._rng.random() * total < LOOKS_PER_TICK * count:
             return None
-        return _Limit(MIN_TURN_S, COMPETING_S / 2)
+        return _YieldTime(MIN_YIELD_S, COMPETING_S / 2)
 
     def _remove_expired(self, now_s: float) -> None:
         for host, peer in list(self._peers.items()):
