Take the bounds of contention updates from the modules that define them

The number of priorities and of slots of promised returns stood in two places. The values are the same.

Run: membership/contention.feature, passed.

--- a/egretspur/membership/contention.py
+++ b/egretspur/membership/contention.py
@@ -17,8 +17,9 @@
 import orjson
 
 from egretspur import checks, codec
+from egretspur.admission import turns
 from egretspur.membership import datagrams
-from egretspur.routing import links
+from egretspur.routing import links, promises
 
 # First element of the list, which tells it from a peer update.
 TAG: Final = "contention"
@@ -29,8 +30,8 @@
 # Limits on one update, so that it fits into one packet.
 MAX_LINKS: Final = 24
 MAX_SERVICES: Final = 8
-MAX_PRIORITIES: Final = 10
-MAX_RETURN_SLOTS: Final = 12
+MAX_PRIORITIES: Final = turns.LEAST_URGENT + 1
+MAX_RETURN_SLOTS: Final = promises.MAX_SLOTS
 
 # Largest numbers accepted: a link can't be busy for longer than all hosts of
 # the target size could make it in a second, nor can more requests wait.
