Name the cost factor of replicas and complete doc comments

turns is the word for turns among hosts. The throttle was called limits inside the class. Links of a path are listed with pairwise, as in routing/links.py.

--- a/egretspur/delivery/first_events.py
+++ b/egretspur/delivery/first_events.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final
@@ -127,7 +128,7 @@
     """Returns the engines of a path and the links between its data centres."""
     links = [
         f"{a.data_centre}{LINK_MARK}{b.data_centre}"
-        for a, b in zip(parts, parts[1:], strict=False)
+        for a, b in itertools.pairwise(parts)
         if a.data_centre != b.data_centre
     ]
     return (*(p.id for p in parts), *dict.fromkeys(links))
@@ -384,6 +385,7 @@
 
 
 def _get_event_s(stream: Stream) -> float:
+    """Returns the time of a stream's last event; 0 before the first."""
     return stream.last_event_s or 0.0
 
 
--- a/egretspur/routing/replicas.py
+++ b/egretspur/routing/replicas.py
@@ -145,7 +145,7 @@
         self._rng = rng
         self._usage = usage
         self._health = state
-        self._limits = limits
+        self._throttle = limits
         self._list_usable = list_usable
         self._list_cut_off = list_cut_off
         self._on_state_change = on_state_change
@@ -157,7 +157,13 @@
     def record_answer(
         self, upstream_id: str, seconds: float, now_s: float
     ) -> None:
-        """Adds the response time of an answer."""
+        """Adds the response time of an answer; ends the pause in calls.
+
+        Args:
+            upstream_id: The upstream; no effect unless it is a replica.
+            seconds: From the start of the request to its answer.
+            now_s: Monotonic time.
+        """
         replica = self._replicas.get(upstream_id)
         if replica is None:
             return
@@ -221,7 +227,7 @@
         allowed = [
             e
             for e in usable
-            if e.id not in refused and self._limits.can_send(e.id, now_s)
+            if e.id not in refused and self._throttle.can_send(e.id, now_s)
         ]
         cut_off = self._list_cut_off(now_s)
         # Each condition holds only if it leaves a replica. A paused one may be
@@ -303,10 +309,10 @@
         scale = min(1.0, MAX_COUNTED_SLOTS / most_slots)
         costs = {}
         for entry, replica in zip(allowed, known, strict=True):
-            turns = 1 + self._get_load(entry, now_s) / scale
+            queue_factor = 1 + self._get_load(entry, now_s) / scale
             costs[entry.id] = (
                 max(1e-4, replica.estimate_s(typical_s, now_s))
-                * turns
+                * queue_factor
                 * replica.get_slow_start(now_s)
                 * replica.get_distrust(now_s)
                 * self._health.get_slowdown(entry.id, now_s)
