Correct comments of parts, expected first events and the model of returns

One comment covered two fields, one described a field that is gone, and a field of the model was written but never read.

--- a/egretspur/routing/paths.py
+++ b/egretspur/routing/paths.py
@@ -60,10 +60,10 @@
     address: str
     first: int
     last: int
-    # Not compared, as neither distinguishes two parts: the engine's data
-    # centre, and the expected seconds of one pass over the layers while
-    # prompts are processed.
+    # Data centre of the engine. Not compared, nor is the next field: neither
+    # distinguishes two parts.
     data_centre: str = attrs.field(default="", eq=False)
+    # Expected seconds of one pass over the layers while prompts are processed.
     pass_s: float = attrs.field(default=0.0, eq=False)
 
 
@@ -479,6 +479,11 @@
     A pass processes several chunks of a prompt, those of other requests
     included; the passes of a long prompt are counted as if they did not
     overlap.
+
+    Args:
+        parts: The path.
+        tokens: Request memory of the request, in tokens on each layer.
+        spec: Of the request's service.
     """
     passes = tokens / (spec.chunk_tokens * spec.stride)
     return max(1.0, passes) * sum(p.pass_s for p in parts)
--- a/tests/routing/returning.py
+++ b/tests/routing/returning.py
@@ -53,9 +53,8 @@
     is_early: bool
     host: Host
     attempts: int = 0
-    # Arrival of the last attempt, and whether each one was refused.
+    # Whether each attempt that ended was refused.
     refused: list[bool] = attrs.Factory(list)
-    told_s: list[float] = attrs.Factory(list)
 
 
 class World:
@@ -159,7 +158,6 @@
         after_s = caller.host.times.assign_delay_s(
             caller.job, len(self._all), 0, True, self.now_s
         )
-        caller.told_s.append(after_s)
         left_s = caller.job.deadline_s - self.now_s
         assert 0.0 <= after_s <= left_s / 3 + 1e-9, (after_s, left_s)
         if not self.first_refusal_s:
