--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -165,11 +165,11 @@
         self.last_activity_s = 0.0
         self.parts: tuple[paths.Part, ...] = ()
         self.stalled: set[str] = set()
-        # When the attempt was sent, or rerouted before its first event, and the
-        # expected seconds from then to its first event.
+        # When the attempt was sent or last rerouted, and the expected seconds
+        # to a first event over the path that it was sent over.
         self.started_s = 0.0
         self.expected_first_s = 0.0
-        # The current attempt has delivered an event; when it was the first.
+        # The current attempt has delivered an event, and the time of the first.
         self.has_begun = False
         self.begun_s = 0.0
         # Smoothed seconds between two events.
--- a/egretspur/delivery/peeks.py
+++ b/egretspur/delivery/peeks.py
@@ -25,6 +25,8 @@
 
 @attrs.frozen
 class _Peek:
+    """The last probe of a stage."""
+
     at_s: float
     is_answered: bool
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -425,6 +425,7 @@
     def _handle_dead(
         self, dead: frozenset[str], streams: Sequence[forward.Forwarder]
     ) -> None:
+        """Reports dead stages to the desk and reroutes streams around them."""
         for upstream_id in dead:
             self._desk.tell(desk.UpstreamFailed(upstream_id))
         self._reroute_around(dead, streams)
@@ -488,18 +489,22 @@
     def _reroute(
         self, stream: forward.Forwarder, stalled: frozenset[str]
     ) -> bool:
-        """Reroutes a stream; returns whether it was, now or recently."""
+        """Reroutes a stream; returns whether it was, now or recently.
+
+        A stream whose attempt the desk decides to end is interrupted, and
+        counts as rerouted.
+        """
         now_s = time.monotonic()
         rerouted_s = self._rerouted_s.get(stream)
         if rerouted_s is not None:
             return now_s - rerouted_s < _get_abort_silence_s(stream)
-        detour = self._desk.reroute(stream.job.id, stalled, stream.has_begun)
-        if detour.is_ended:
+        decision = self._desk.reroute(stream.job.id, stalled, stream.has_begun)
+        if decision.is_ended:
             stream.interrupt()
             return True
-        if detour.parts is None:
+        if decision.parts is None:
             return False
-        parts = detour.parts
+        parts = decision.parts
         problem = self._engines.repath(parts[0].address, stream.call.id, parts)
         decisions.record(
             decisions.RequestMoved(
