Log whose word made an upstream suspected or down, and new connections

Reasons now name the host or what happened; question_sent is written after the call, with whether it opened a connection and why there was no answer.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -220,11 +220,15 @@
 
 @attrs.frozen
 class QuestionSent:
-    """A query or order was sent to an upstream."""
+    """A query or order was sent to an upstream, and answered or not."""
 
     address: str
     # One of: report, peek, health, place, repath.
     question: str
+    # Whether a connection was opened for it; false for a kept one.
+    is_new_connection: bool
+    # Why there was no answer; empty if there was one.
+    problem: str
 
 
 @attrs.frozen
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -333,8 +333,7 @@
 
     def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns an engine's report, or why it failed."""
-        _log_control_call(address, "report")
-        return self._get_report(self._transport, address)
+        return self._get_report(self._transport, address, "report")
 
     def peek(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report within a short timeout, or why it failed.
@@ -343,17 +342,16 @@
         `PEEK_REUSE_S`. A connection that was dropped would look like a dead
         engine, so a failure on a reused one is checked on a new one.
         """
-        _log_control_call(address, "peek")
         answered_s = self._answered_s.pop(address, -math.inf)
         is_reused = time.monotonic() - answered_s < PEEK_REUSE_S
         report: upstreams.EngineReport | str = ""
         if is_reused:
             report = self._get_report(
-                self._peek_transport, address, PEEK_REUSE_TIMEOUT_S
+                self._peek_transport, address, "peek", PEEK_REUSE_TIMEOUT_S
             )
         if isinstance(report, str):
             self._peek_transport.empty_pool(address)
-            report = self._get_report(self._peek_transport, address)
+            report = self._get_report(self._peek_transport, address, "peek")
         if not isinstance(report, str):
             self._answered_s[address] = time.monotonic()
         return report
@@ -362,9 +360,11 @@
         self,
         client: transport.Transport,
         address: str,
+        question: str,
         read_s: float | None = None,
     ) -> upstreams.EngineReport | str:
         res = client.call("GET", address, names.REPORT_PATH, read_s=read_s)
+        _log_control_call(address, question, res)
         if isinstance(res, transport.Failed):
             return res.reason
         if res.status != 200:
@@ -381,8 +381,8 @@
         service responds late, and a draining one refuses. The list of upstreams
         and the requests themselves show those states.
         """
-        _log_control_call(address, "health")
         res = self._transport.call("GET", address, health_path)
+        _log_control_call(address, "health", res)
         return not isinstance(res, transport.Failed) or res.is_timeout
 
     def place(
@@ -418,7 +418,6 @@
         )
 
     def _order(self, address: str, order: Mapping[str, Any]) -> str:
-        _log_control_call(address, order["operation"])
         res = self._transport.call(
             "POST",
             address,
@@ -426,6 +425,7 @@
             orjson.dumps(order),
             {"Content-Type": "application/json"},
         )
+        _log_control_call(address, order["operation"], res)
         if isinstance(res, transport.Failed):
             return res.reason
         if res.status in (200, 202):
@@ -433,6 +433,13 @@
         return f"{address}: status {res.status}: {res.body[:200]!r}"
 
 
-def _log_control_call(address: str, question: str) -> None:
+def _log_control_call(
+    address: str, question: str, res: transport.Reply | transport.Failed
+) -> None:
     """Logs a call to an upstream that is not a caller's request."""
-    decisions.record(decisions.QuestionSent(address, question))
+    problem = res.reason if isinstance(res, transport.Failed) else ""
+    decisions.record(
+        decisions.QuestionSent(
+            address, question, res.is_new_connection, problem
+        )
+    )
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -661,7 +661,9 @@
         for upstream_id in blamed:
             self.fleet.replicas.record_failure(upstream_id, is_cut, now_s)
             if failure.kind is jobs.FailureKind.UNREACHABLE:
-                self.fleet.health.mark_down(upstream_id, now_s)
+                self.fleet.health.mark_down(
+                    upstream_id, now_s, "a request found no connection"
+                )
             elif is_cut:
                 self.fleet.health.record_fault(upstream_id, now_s)
             elif failure.blamed:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -341,7 +341,9 @@
     @handle.register
     def _(self, message: UpstreamFailed) -> None:
         self._broker.fleet.health.mark_down(
-            message.upstream_id, time.monotonic()
+            message.upstream_id,
+            time.monotonic(),
+            "a stream over it is stalled",
         )
 
     @handle.register
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -192,7 +192,9 @@
             )
             for upstream_id in update.dead:
                 if upstream_id in self.roster.entries:
-                    self.health.mark_down(upstream_id, now_s)
+                    self.health.mark_down(
+                        upstream_id, now_s, f"host {update.host} finds it dead"
+                    )
         self._apply_peer_suspects(update, now_s)
         for upstream_id, layers in update.layers.items():
             self.layer_changes.apply_peer_layers(upstream_id, layers, now_s)
@@ -213,7 +215,9 @@
                 self.data_centre,
                 entry.data_centre,
             ):
-                self.health.record_peer_suspicion(upstream_id, now_s)
+                self.health.record_peer_suspicion(
+                    upstream_id, update.host, now_s
+                )
 
     def has_pending_probes(self) -> bool:
         """Tells whether a new failure or slowdown awaits a probe."""
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -213,11 +213,13 @@
             f.failures < DEAD_PROBE_FAILURES for f in self.failed.values()
         )
 
-    def record_peer_suspicion(self, upstream_id: str, now_s: float) -> None:
-        """Records a peer's suspicion; the peer probes the upstream."""
+    def record_peer_suspicion(
+        self, upstream_id: str, host: str, now_s: float
+    ) -> None:
+        """Records another host's suspicion; that host probes the upstream."""
         if not self.is_suspected(upstream_id, now_s):
             self._on_state_change(
-                upstream_id, "suspected", "another host finds it failing"
+                upstream_id, "suspected", f"host {host} finds it failing"
             )
         self.peer_suspects[upstream_id] = now_s + PEER_SUSPICION_TTL_S
 
@@ -275,12 +277,20 @@
         refusals.until_s = now_s + pause_s
         self._on_state_change(upstream_id, state, f"paused {pause_s} s")
 
-    def mark_down(self, upstream_id: str, now_s: float) -> None:
-        """Stops requests to an upstream until a probe succeeds."""
+    def mark_down(
+        self, upstream_id: str, now_s: float, reason: str = "failed"
+    ) -> None:
+        """Stops requests to an upstream until a probe succeeds.
+
+        Args:
+            upstream_id: The upstream.
+            now_s: Monotonic time.
+            reason: What showed it, for the log.
+        """
         failed = self.failed.setdefault(
             upstream_id, Failed(now_s, False, now_s + MIN_PROBE_INTERVAL_S)
         )
-        self._set_down(upstream_id, failed, "failed", now_s)
+        self._set_down(upstream_id, failed, reason, now_s)
 
     def _set_down(
         self, upstream_id: str, failed: Failed, reason: str, now_s: float
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+import functools
 import threading
 from collections.abc import Mapping
 from typing import Any, Final
 
 import attrs
 import urllib3
+import urllib3.connection
 from urllib3 import exceptions
 
 from egretspur import codec
@@ -29,6 +31,8 @@
     status: int
     headers: Mapping[str, str]
     body: bytes
+    # Whether a connection was opened for the call; false for a kept one.
+    is_new_connection: bool = True
 
     def read_json(self) -> Any:
         """Returns the body as plain values.
@@ -48,6 +52,27 @@
     maybe_sent: bool
     # True if the connection was open but nothing was received in time.
     is_timeout: bool = False
+    # As in `Reply`.
+    is_new_connection: bool = True
+
+
+class _Opened(threading.local):
+    """Whether the current call of a thread opened a connection."""
+
+    is_new = False
+
+
+class _NotedConnection(urllib3.connection.HTTPConnection):
+    """A connection that notes when it is opened."""
+
+    def __init__(self, opened: _Opened, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._opened = opened
+
+    def connect(self) -> None:
+        """Opens the connection."""
+        self._opened.is_new = True
+        super().connect()
 
 
 class Transport:
@@ -56,6 +81,7 @@
     def __init__(self, connect_s: float, read_s: float) -> None:
         self._timeout = urllib3.Timeout(connect=connect_s, read=read_s)
         self._lock = threading.Lock()
+        self._opened = _Opened()
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
 
     def call(
@@ -84,9 +110,13 @@
             data = res.read()
         except (exceptions.HTTPError, OSError) as exc:
             self.discard(address, res)
-            return Failed(f"{address}: {exc}", maybe_sent=True)
+            return Failed(
+                f"{address}: {exc}",
+                maybe_sent=True,
+                is_new_connection=self._opened.is_new,
+            )
         res.release_conn()
-        return Reply(res.status, res.headers, data)
+        return Reply(res.status, res.headers, data, self._opened.is_new)
 
     def open(
         self,
@@ -103,6 +133,7 @@
             timeout = urllib3.Timeout(
                 connect=timeout.connect_timeout, read=read_s
             )
+        self._opened.is_new = False
         try:
             return self._get_pool(address).urlopen(
                 method,
@@ -128,7 +159,9 @@
             is_timeout = isinstance(exc, exceptions.ReadTimeoutError)
             if is_timeout:
                 self.empty_pool(address)
-            return Failed(f"{address}: {exc}", True, is_timeout)
+            return Failed(
+                f"{address}: {exc}", True, is_timeout, self._opened.is_new
+            )
 
     def discard(self, address: str, res: urllib3.BaseHTTPResponse) -> None:
         """Closes a connection that broke mid-answer, and its pool."""
@@ -162,5 +195,9 @@
                 pool = urllib3.HTTPConnectionPool(
                     host, int(port), maxsize=POOL_SIZE, block=False
                 )
+                # The pool calls it as a class.
+                pool.ConnectionCls = functools.partial(  # type: ignore[assignment]
+                    _NotedConnection, self._opened
+                )
                 self._pools[address] = pool
             return pool
