--- a/tests/sites.py
+++ b/tests/sites.py
@@ -8,11 +8,13 @@
 
 import json
 import os
+import pathlib
 import socket
 import subprocess
 import sys
 import threading
 import time
+from collections.abc import Sequence
 from typing import Any, Final
 
 import attrs
@@ -24,6 +26,9 @@
 LAYERS: Final = 8
 HOST: Final = "notes.example"
 
+# Data centre of the upstreams, and of hosts unless a test says otherwise.
+HOME: Final = "kl-hall"
+
 # Time for which a draining upstream continues to serve, in seconds.
 DRAIN_S: Final = 2.5
 
@@ -58,6 +63,8 @@
     reserved: list[socket.socket] = attrs.Factory(list)
     # Bounds in the hosts' settings, in addition to those of all sites.
     bounds: dict[str, float] = attrs.Factory(dict)
+    # Data centres of the hosts that are not in `HOME`, by address.
+    zones: dict[str, str] = attrs.Factory(dict)
 
     def leave(self, name: str) -> None:
         """Removes an upstream from the list."""
@@ -134,7 +141,7 @@
             self.entries[name] = {
                 "service": "llm" if is_engine else "desk",
                 "address": process.address,
-                "zone": "kl-hall",
+                "zone": HOME,
                 "version": "v1",
                 "cold_left_ms": 0,
                 "seq_no": 0,
@@ -156,6 +163,24 @@
         """Makes an engine crash on requests that contain `crash_on`."""
         self.set_fault(name, {"crash_on": self.crash_on})
 
+    def partition(self, ip: str, how: str) -> None:
+        """Cuts a host off from all upstreams; see `tests.fakes.partition`.
+
+        Args:
+            ip: Address of the host.
+            how: Kind of the partition; empty to end it.
+        """
+        with self.entries_lock:
+            addresses = [e["address"] for e in self.entries.values()]
+        path = self.get_partition_path(ip)
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps({"how": how, "addresses": addresses}))
+        new.replace(path)
+
+    def get_partition_path(self, ip: str) -> pathlib.Path:
+        """Returns the file with the state of a host's network."""
+        return self.stage.folder / f"{ip}.partition"
+
     def get_runs(self) -> list[dict[str, str]]:
         """Returns the requests that the listed upstreams ran."""
         runs = []
@@ -235,11 +260,12 @@
         for name in ("frontend", "ready", "control_plane")
     }
     path = site.stage.folder / f"{ip}.json"
+    zone = site.zones.get(ip, HOME)
     cfg = {
         "node_name": f"host-{ip}",
         "ip": ip,
-        "zone": "kl-hall",
-        "zones": {"kl-hall": "my"},
+        "zone": zone,
+        "zones": dict.fromkeys((HOME, *site.zones.values()), "my"),
         "listen": listen,
         "port_range": [site.ports["exchange"], 0],
         "seeds": ["127.0.0.1:1"],
@@ -248,8 +274,15 @@
         "bounds": {"grace_s": 7, **site.bounds},
     }
     path.write_text(json.dumps(cfg), "utf-8")
+    site.partition(ip, "")
     popen = subprocess.Popen(
-        [sys.executable, "-m", "egretspur.daemons.host"],
+        [
+            sys.executable,
+            "-m",
+            "tests.fakes.partition",
+            str(site.get_partition_path(ip)),
+            "egretspur.daemons.host",
+        ],
         stdout=subprocess.PIPE,
         env={**os.environ, "EGRETSPUR_NODE_FILE": str(path)},
         text=True,
@@ -285,10 +318,17 @@
         return False
 
 
-def start_site(hosts: int, **bounds: float) -> Site:
-    """Starts a site with four engines, two plain replicas and hosts."""
+def start_site(hosts: int, zones: Sequence[str] = (), **bounds: float) -> Site:
+    """Starts a site with four engines, two plain replicas and hosts.
+
+    Args:
+        hosts: Number of hosts.
+        zones: Data centres of the last hosts; the others are in `HOME`.
+        **bounds: Bounds in the hosts' settings.
+    """
     site = Site(bounds=bounds)
     ips = tuple(f"127.0.0.{i + 1}" for i in range(max(2, hosts)))
+    site.zones.update(zip(ips[hosts - len(zones) : hosts], zones, strict=True))
     for name in ("frontend", "ready", "control_plane"):
         site.ports[name], socks = reserve_port(ips)
         site.reserved += socks
--- /dev/null
+++ b/tests/steps/partition_steps.py
@@ -0,0 +1,185 @@
+"""Steps on hosts that are cut off from all upstreams."""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+from collections.abc import Callable, Collection
+from typing import Any, Final
+
+import attrs
+import urllib3
+from behave import given, then, when
+
+from tests import sites, soak
+
+# Time after the begin or end of a partition from which requests count, in s.
+CONTACT_S: Final = 3.0
+
+# First tries that may fail: so many, and one in so many of all.
+FAILED_ALLOWED: Final = 10
+FAILED_SHARE: Final = 50
+
+# Tries for each second in which the network is whole again, and how long.
+AFTERWARDS_S: Final = 3.0
+
+# Time for which the site runs before the partition, in s.
+BEFORE_S: Final = 1.0
+
+
+@attrs.frozen
+class Try:
+    """A request that its caller sent once."""
+
+    id: str
+    path: str
+    host: str
+    sent_s: float
+    # 0 if the answer was not complete.
+    status: int
+    is_whole: bool
+
+
+@attrs.define
+class Load:
+    """Callers that send requests at a fixed rate to each host."""
+
+    site: sites.Site
+    # Seconds between two requests of one host.
+    period_s: float
+    tries: list[Try] = attrs.Factory(list)
+    stopped: threading.Event = attrs.Factory(threading.Event)
+    threads: list[threading.Thread] = attrs.Factory(list)
+    # When the partition began and ended.
+    began_s: float = 0.0
+    ended_s: float = 0.0
+
+    def start(self) -> None:
+        """Starts a thread for each host."""
+        for ip in self.site.hosts:
+            self._start_thread(self._send_to, ip)
+
+    def close(self) -> None:
+        """Stops to send and waits for the answers."""
+        self.stopped.set()
+        for thread in list(self.threads):
+            thread.join(15.0)
+
+    def _start_thread(self, target: Callable[..., None], *args: Any) -> None:
+        thread = threading.Thread(target=target, args=args, daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def _send_to(self, ip: str) -> None:
+        count = 0
+        next_s = time.monotonic()
+        while not self.stopped.wait(max(0.0, next_s - time.monotonic())):
+            next_s += self.period_s
+            path = soak.PATHS[count % len(soak.PATHS)]
+            self._start_thread(self._try, f"try-{ip}-{count}", path, ip)
+            count += 1
+
+    def _try(self, request_id: str, path: str, ip: str) -> None:
+        sent_s = time.monotonic()
+        status, is_whole = 0, False
+        try:
+            res = self.site.ask(path, "key-1", ip, **{"Attempt-Id": request_id})
+            body = res.read()
+            status = res.status
+            is_whole = path != soak.PATHS[0] or b"id: 5" in body
+        except (urllib3.exceptions.HTTPError, OSError):
+            # A failed try, as it is recorded.
+            pass
+        self.tries.append(Try(request_id, path, ip, sent_s, status, is_whole))
+
+
+@given("a site of {count:d} hosts, with {rate:d} requests a second for each")
+def step_site(context: Any, count: int, rate: int) -> None:
+    start_load(context, sites.start_site(count), rate)
+
+
+@given(
+    "a site of {count:d} hosts, the last {far:d} of them in another data"
+    " centre, with {rate:d} requests a second for each"
+)
+def step_far_site(context: Any, count: int, far: int, rate: int) -> None:
+    start_load(context, sites.start_site(count, ["pg-hall"] * far), rate)
+
+
+def start_load(context: Any, site: sites.Site, rate: int) -> None:
+    """Starts callers that send to each host of a site."""
+    context.play = site
+    context.load = Load(site, 1.0 / rate)
+    context.load.start()
+    time.sleep(BEFORE_S)
+
+
+@when(
+    "hosts {one:d} and {other:d} are cut off from all upstreams for"
+    " {seconds:d} s: {how}"
+)
+def step_cut(
+    context: Any, one: int, other: int, seconds: int, how: str
+) -> None:
+    site, load = context.play, context.load
+    cut = context.cut = {site.hosts[one - 1], site.hosts[other - 1]}
+    load.began_s = time.monotonic()
+    for ip in cut:
+        site.partition(ip, how)
+    time.sleep(seconds)
+    load.ended_s = time.monotonic()
+    for ip in cut:
+        site.partition(ip, "")
+    time.sleep(CONTACT_S + AFTERWARDS_S)
+    load.close()
+
+
+def check_served(
+    context: Any, hosts: Collection[str], from_s: float, to_s: float
+) -> None:
+    """Checks the first tries that were sent to hosts within a time."""
+    tries = [
+        t
+        for t in context.load.tries
+        if t.host in hosts and from_s <= t.sent_s < to_s
+    ]
+    assert tries, "no request was sent"
+    failed = [t for t in tries if t.status != 200 or not t.is_whole]
+    kinds = collections.Counter((t.host, t.path, t.status) for t in failed)
+    allowed = FAILED_ALLOWED + len(tries) // FAILED_SHARE
+    assert len(failed) <= allowed, f"{len(failed)} of {len(tries)}: {kinds}"
+
+
+@then(
+    "first tries at hosts {one:d} and {other:d} are served from {delay:d} s"
+    " after the cut began"
+)
+def step_cut_served(context: Any, one: int, other: int, delay: int) -> None:
+    hosts = {context.play.hosts[one - 1], context.play.hosts[other - 1]}
+    load = context.load
+    check_served(context, hosts, load.began_s + delay, load.ended_s)
+
+
+@then("first tries at the other hosts are served throughout")
+def step_others_served(context: Any) -> None:
+    others = set(context.play.hosts) - context.cut
+    load = context.load
+    check_served(context, others, load.began_s, load.ended_s)
+
+
+@then("first tries at all hosts are served from {delay:d} s after its end")
+def step_served_again(context: Any, delay: int) -> None:
+    end_s = context.load.ended_s + delay
+    check_served(context, set(context.play.hosts), end_s, end_s + AFTERWARDS_S)
+
+
+@then("no request that must not be repeated ran twice")
+def step_ran_once(context: Any) -> None:
+    runs = collections.Counter(
+        r["Attempt-Id"]
+        for r in context.play.get_runs()
+        if r["target"] == soak.NON_IDEMPOTENT_PATH
+    )
+    twice = [i for i, n in runs.items() if n > 1]
+    assert not twice, twice
