--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -37,7 +37,13 @@
 )
 from egretspur.daemons import follow, meters, news, pages
 from egretspur.delivery import intake, watch
-from egretspur.membership import contention, datagrams, duty, exchange
+from egretspur.membership import (
+    contention,
+    datagrams,
+    duty,
+    exchange,
+    hosts,
+)
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
 from egretspur.routing import broker, choice, desk, fleet, probes
@@ -110,7 +116,7 @@
         decisions.LOGGER.addHandler(self._meters)
         self._store = store.Store(cfg.store, self._meters.note_store_call)
         self._exchange = exchange.Exchange(
-            exchange.Peers(
+            hosts.Peers(
                 cfg.ip,
                 cfg.data_centre,
                 _strip_ports(cfg.seeds),
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -12,23 +12,18 @@
 
 from __future__ import annotations
 
-import collections
-import ipaddress
 import logging
 import math
-import random
 import socket
 import threading
 import time
-import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final
 
 import attrs
 
 from egretspur import decisions, guard
-from egretspur.catalog import reading
-from egretspur.membership import contention, datagrams
+from egretspur.membership import contention, datagrams, hosts
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -45,48 +40,10 @@
 # others hold back for this host; one of them may be lost.
 CONTENTION_END_UPDATES: Final = 2
 
-# A host is sent no more datagrams after this long without an update from it or
-# a mention of it; seeds are always sent to.
-PEER_EXPIRY_S: Final = 20.0
-
-# A host counts for the retry budget until its data centre has sent updates for
-# this long without it. Long, since a host that is cut off from some hosts still
-# spends retries.
-BUDGET_SHARE_EXPIRY_S: Final = 300.0
-
-# Hosts of another data centre that receive updates in addition to its speakers.
-# If its speaker has died, these receive them until another one takes over.
-SPARE_CONTACTS: Final = 1
-
-# Hosts that sent an update within this time are listed to others.
-PEER_LIST_MAX_AGE_S: Final = 2.0
-
-# A host that sent an update within this time counts as alive: four datagrams
-# may be lost.
-ALIVE_TIMEOUT_S: Final = 1.2
-
-# A host that had no answer from the store for this long is cut off from it; any
-# duty that it held has expired.
-STORE_TIMEOUT_S: Final = 3.0
-
 # A host that has just started doesn't read the store for others until it has
 # learned who does. Time for two datagrams, one of which may be lost.
 STARTUP_WAIT_S: Final = 0.6
 
-# Hosts of a data centre that keep reading the store while none of them gets an
-# answer: those with the lowest addresses, and some drawn at random each second.
-# The store may refuse some hosts and serve others, so each host has to be drawn
-# from time to time; if all read, hundreds would call a store that is down once
-# a second.
-FIRST_READERS: Final = 3
-RANDOM_READERS: Final = 2
-READER_DRAW_PERIOD_S: Final = 1.0
-
-# Hosts of a data centre that ask the store for the duty: those with the lowest
-# addresses, so that another takes over at once when one or two are lost. Each
-# asks once a second; if all did, calls to the store would grow with the hosts.
-MAX_CANDIDATES: Final = 3
-
 # Seconds to wait after a datagram for others to arrive; a fifth of the period
 # between two datagrams of one host.
 BATCH_WAIT_S: Final = 0.05
@@ -105,284 +62,6 @@
 _Datagram = tuple[bytes, tuple[str, int]]
 
 
-@attrs.frozen
-class _PeerStatus:
-    at_s: float
-    data_centre: str
-    store_age_s: float
-    list_age_s: float
-    # Version of the configuration that the host has in force.
-    version: int
-
-
-class Peers:
-    """Known hosts and the latest status of each."""
-
-    def __init__(
-        self,
-        me: str,
-        data_centre: str,
-        seeds: Iterable[str],
-        rng: random.Random | None = None,
-        data_centres: Iterable[str] = (),
-    ) -> None:
-        """Makes a state without any update.
-
-        Args:
-            me: This host's address.
-            data_centre: Its data centre.
-            seeds: Hosts that are known from the settings.
-            rng: Shuffles hosts to ask for the configuration, and spare hosts to
-                send to.
-            data_centres: Data centres that are known to have hosts.
-        """
-        self._rng = rng or random.Random()
-        self._me = me
-        self._data_centre = data_centre
-        self._data_centres = frozenset(data_centres)
-        self._seeds = frozenset(s for s in seeds if s != me)
-        # Time of the last update of, or mention of, each host.
-        self._known: dict[str, float] = {}
-        # Data centre of each host that sent an update or was listed in one.
-        self._host_data_centres: dict[str, str] = {}
-        # Time of the last update from each data centre.
-        self._data_centre_updates: dict[str, float] = {}
-        self._peer_statuses: dict[str, _PeerStatus] = {}
-
-    def set_seeds(self, seeds: Iterable[str]) -> None:
-        """Replaces the seed hosts."""
-        self._seeds = frozenset(s for s in seeds if s != self._me)
-
-    def record_update(self, update: datagrams.PeerUpdate, now_s: float) -> None:
-        """Records the update of a host."""
-        self._peer_statuses[update.host] = _PeerStatus(
-            now_s,
-            update.data_centre,
-            update.store_age_s,
-            update.known.list_age_s,
-            update.known.version,
-        )
-        self._host_data_centres[update.host] = update.data_centre
-        self._data_centre_updates[update.data_centre] = now_s
-        for host, data_centre in update.peers.items():
-            self._host_data_centres.setdefault(host, data_centre)
-        self.add_members((update.host, *update.peers), now_s)
-
-    def add_members(self, hosts: Iterable[str], now_s: float) -> None:
-        """Adds hosts that another source lists, with or without an update."""
-        for host in hosts:
-            if host != self._me:
-                self._known[host] = now_s
-
-    def list_local(self, now_s: float) -> list[str]:
-        """Returns the hosts to send to: those not known to be remote."""
-        self._known = {
-            h: t for h, t in self._known.items() if self._shares_budget(h, t)
-        }
-        hosts = self._seeds | {
-            h for h, t in self._known.items() if now_s - t < PEER_EXPIRY_S
-        }
-        return sorted(h for h in hosts if not self._is_remote_host(h))
-
-    def list_remote(self, now_s: float) -> list[str]:
-        """Returns the hosts of other data centres to send to.
-
-        For each data centre, its speakers, which forward the update, and a
-        spare host; all its known hosts if it has no speaker.
-        """
-        found: list[str] = []
-        for hosts in self._group_remote(now_s).values():
-            speaking = [h for h in hosts if self._is_alive(h, now_s)]
-            others = [h for h in hosts if h not in speaking]
-            self._rng.shuffle(others)
-            found += speaking
-            found += others[:SPARE_CONTACTS] if speaking else others
-        return sorted(found)
-
-    def _group_remote(self, now_s: float) -> dict[str, list[str]]:
-        """Returns the hosts of each other data centre that are still known."""
-        groups: dict[str, list[str]] = {}
-        for host, known_s in self._known.items():
-            if now_s - known_s < PEER_EXPIRY_S and self._is_remote_host(host):
-                groups.setdefault(self._host_data_centres[host], []).append(
-                    host
-                )
-        return groups
-
-    def _is_alive(self, host: str, now_s: float) -> bool:
-        status = self._peer_statuses.get(host)
-        return status is not None and now_s - status.at_s < ALIVE_TIMEOUT_S
-
-    def _is_remote_host(self, host: str) -> bool:
-        data_centre = self._host_data_centres.get(host)
-        return data_centre is not None and data_centre != self._data_centre
-
-    def count_budget_sharers(self) -> int:
-        """Returns how many hosts share the retry budget, with this one.
-
-        Hosts of other data centres are known from their speakers' lists. A data
-        centre without any update, because this host started during a network
-        partition, is assumed to be as large as the largest one known.
-        """
-        counts = collections.Counter({self._data_centre: 1})
-        for host, known_s in self._known.items():
-            if self._shares_budget(host, known_s):
-                counts[self._get_data_centre(host)] += 1
-        unheard = self._data_centres - set(counts)
-        return counts.total() + len(unheard) * max(counts.values())
-
-    def _shares_budget(self, host: str, known_s: float) -> bool:
-        """Returns whether a host last known of at `known_s` shares the budget.
-
-        The hosts of a data centre that sends no updates at all still count: it
-        is cut off and keeps spending retries. If each side dropped the hosts
-        of the other, each would have the whole budget.
-        """
-        heard_s = self._data_centre_updates.get(
-            self._get_data_centre(host), known_s
-        )
-        return heard_s - known_s < BUDGET_SHARE_EXPIRY_S
-
-    def _get_data_centre(self, host: str) -> str:
-        """Returns a host's data centre; this host's own until it is known."""
-        return self._host_data_centres.get(host, self._data_centre)
-
-    def is_alone(self, now_s: float) -> bool:
-        """Returns whether no local host has sent an update recently."""
-        return not any(
-            t.data_centre == self._data_centre
-            and now_s - t.at_s < PEER_EXPIRY_S
-            for t in self._peer_statuses.values()
-        )
-
-    def is_remote(
-        self, update: datagrams.PeerUpdate | contention.ContentionUpdate
-    ) -> bool:
-        """Returns whether an update is from another data centre."""
-        return update.data_centre != self._data_centre
-
-    def is_speaker(self, now_s: float) -> bool:
-        """Returns whether this host sends to the other data centres."""
-        return self._precedes(self._find_local_alive(now_s))
-
-    def list_recent(self, now_s: float) -> dict[str, str]:
-        """Returns the data centre of each host with a recent update."""
-        return {
-            h: t.data_centre
-            for h, t in sorted(self._peer_statuses.items())
-            if now_s - t.at_s < PEER_LIST_MAX_AGE_S
-        }
-
-    def list_by_freshness(self, now_s: float) -> list[str]:
-        """Returns the live hosts in the order in which to ask for the list.
-
-        These are this data centre's hosts with a fresh list, beginning with its
-        reader, then its other hosts, then remote hosts.
-        """
-
-        def rank(host: str) -> tuple[bool, bool, ipaddress.IPv4Address]:
-            status = alive[host]
-            return (
-                status.data_centre != self._data_centre,
-                not _is_fresh(status, now_s),
-                datagrams.parse_address(host),
-            )
-
-        alive = {
-            h: t
-            for h, t in self._peer_statuses.items()
-            if now_s - t.at_s < ALIVE_TIMEOUT_S
-        }
-        return sorted(alive, key=rank)
-
-    def list_newest(self, now_s: float) -> list[str]:
-        """Returns the hosts with the newest configuration, local ones first.
-
-        The order is random: each host that fetches the configuration serves it
-        in turn, so that the others of a data centre don't all fill the link of
-        one host.
-        """
-        alive = {
-            h: t
-            for h, t in self._peer_statuses.items()
-            if now_s - t.at_s < ALIVE_TIMEOUT_S
-        }
-        newest = max((t.version for t in alive.values()), default=0)
-        found = [h for h, t in alive.items() if t.version == newest]
-        self._rng.shuffle(found)
-        return sorted(found, key=self._is_remote_host)
-
-    def is_candidate(self, now_s: float) -> bool:
-        """Returns whether this host asks for its data centre's duty."""
-        return (
-            self._count_preceding(self._find_local_alive(now_s))
-            < MAX_CANDIDATES
-        )
-
-    def is_store_away(self, age_s: float, now_s: float) -> bool:
-        """Returns whether no live host of this data centre has the store.
-
-        Args:
-            age_s: Seconds since the store answered this host; large where the
-                host doesn't ask because others do.
-            now_s: Monotonic time.
-        """
-        local = self._find_local_alive(now_s).values()
-        ages = [age_s, *(h.store_age_s for h in local)]
-        return min(ages) >= STORE_TIMEOUT_S
-
-    def is_reader(self, now_s: float) -> bool:
-        """Returns whether this host reads the store for its data centre.
-
-        The reader is the first host whose list is fresh. If no list is fresh,
-        the former reader may be stuck in a call or refused by the store, and a
-        few other hosts try.
-        """
-        local = self._find_local_alive(now_s)
-        fresh = [h for h, t in local.items() if _is_fresh(t, now_s)]
-        if fresh:
-            return self._precedes(fresh)
-        return self._count_preceding(local) < FIRST_READERS or self._is_drawn(
-            len(local) + 1, now_s
-        )
-
-    def _is_drawn(self, hosts: int, now_s: float) -> bool:
-        """Returns whether this host is one of those drawn for this second."""
-        draw = f"{self._me} {int(now_s / READER_DRAW_PERIOD_S)}".encode()
-        return zlib.crc32(draw) % hosts < RANDOM_READERS
-
-    def may_be_deputy(self, now_s: float) -> bool:
-        """Returns whether this is the first host while none has the store."""
-        local = self._find_local_alive(now_s)
-        if any(h.store_age_s < STORE_TIMEOUT_S for h in local.values()):
-            return False
-        return self._precedes(local)
-
-    def _find_local_alive(self, now_s: float) -> dict[str, _PeerStatus]:
-        """Returns the hosts of this data centre that are alive."""
-        return {
-            host: status
-            for host, status in self._peer_statuses.items()
-            if status.data_centre == self._data_centre
-            and now_s - status.at_s < ALIVE_TIMEOUT_S
-        }
-
-    def _precedes(self, hosts: Iterable[str]) -> bool:
-        """Returns whether this host's address is the lowest of these."""
-        me = datagrams.parse_address(self._me)
-        return all(me <= datagrams.parse_address(h) for h in hosts)
-
-    def _count_preceding(self, hosts: Iterable[str]) -> int:
-        """Returns how many of these hosts have a lower address."""
-        me = datagrams.parse_address(self._me)
-        return sum(datagrams.parse_address(h) < me for h in hosts)
-
-
-def _is_fresh(status: _PeerStatus, now_s: float) -> bool:
-    """Returns whether a host has read the list recently."""
-    return status.list_age_s + now_s - status.at_s < reading.MAX_LIST_AGE_S
-
-
 @attrs.frozen
 class ContentionHandlers:
     """Makes contention updates and handles received ones; see `Exchange`."""
@@ -398,7 +77,7 @@
 
     def __init__(
         self,
-        peers: Peers,
+        peers: hosts.Peers,
         ip: str,
         port: int,
         make_update: Callable[[Mapping[str, str]], datagrams.PeerUpdate],
--- a/tests/admission/sharing.py
+++ b/tests/admission/sharing.py
@@ -19,7 +19,7 @@
 
 from egretspur.admission import repeats, shared
 from egretspur.catalog import reading
-from egretspur.membership import datagrams, exchange
+from egretspur.membership import datagrams, exchange, hosts
 
 SERVICE: Final = "llm"
 WINDOW_S: Final = 10.0
@@ -37,7 +37,7 @@
     ip: str
     data_centre: str
     repeats: repeats.RetryBudgets
-    peers: exchange.Peers
+    peers: hosts.Peers
     # Updates sent since its start, and whether it has received any.
     update_count: int = 0
     has_received: bool = False
@@ -92,10 +92,10 @@
 
     def _make_state(
         self, ip: str, data_centre: str
-    ) -> tuple[repeats.RetryBudgets, exchange.Peers]:
+    ) -> tuple[repeats.RetryBudgets, hosts.Peers]:
         return (
             repeats.RetryBudgets(data_centre, self.options, self.rng),
-            exchange.Peers(
+            hosts.Peers(
                 ip, data_centre, self._seeds, self.rng, self._data_centres
             ),
         )
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -12,7 +12,7 @@
 from egretspur import errors
 from egretspur.catalog import feeds, positions
 from egretspur.delivery import watch
-from egretspur.membership import duty, exchange
+from egretspur.membership import duty, exchange, hosts
 from egretspur.orders import ranges
 from egretspur.routing import actor as traffics
 from egretspur.routing import (
@@ -268,7 +268,7 @@
     """Returns an exchange that fails when it first makes its news."""
     make_news = FailOnce(lambda peers: time.sleep(0.01))
     found = exchange.Exchange(
-        exchange.Peers("127.0.0.1", "kl-hall", ()),
+        hosts.Peers("127.0.0.1", "kl-hall", ()),
         "127.0.0.1",
         stage.find_udp_port(("127.0.0.1",)),
         make_news,
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -19,7 +19,7 @@
 from hypothesis import strategies as st
 
 from egretspur.catalog import feeds, reading, upstreams
-from egretspur.membership import datagrams, duty, exchange
+from egretspur.membership import datagrams, duty, exchange, hosts
 from egretspur.routing import jobs
 from tests import stage
 
@@ -71,7 +71,7 @@
 @given('host "{ip}" in "{data_centre}"')
 @given('host "{ip}" in "{data_centre}", cut off from the store')
 def step_cut_off(context: Any, ip: str, data_centre: str) -> None:
-    context.peers = exchange.Peers(ip, data_centre, [], random.Random(7))
+    context.peers = hosts.Peers(ip, data_centre, [], random.Random(7))
 
 
 @given(
@@ -452,7 +452,7 @@
         heard: dict[str, datagrams.PeerUpdate] = {}
         context.play.heard[ip] = heard
         item = exchange.Exchange(
-            exchange.Peers(ip, place, ips),
+            hosts.Peers(ip, place, ips),
             ip,
             port,
             make_sender(ip, place),
@@ -520,7 +520,7 @@
         context.play.heard[ip] = heard
         context.play.exchanges.append(
             exchange.Exchange(
-                exchange.Peers(ip, "kl-hall", [IPS[0]]),
+                hosts.Peers(ip, "kl-hall", [IPS[0]]),
                 ip,
                 port,
                 make_sender(ip),
@@ -570,7 +570,7 @@
 
 @given("a host that has heard of {count:d} others")
 def step_others(context: Any, count: int) -> None:
-    context.peers = exchange.Peers("10.1.0.1", "kl-hall", [])
+    context.peers = hosts.Peers("10.1.0.1", "kl-hall", [])
     for i in range(count):
         context.peers.record_update(make_news(f"10.1.0.{i + 2}"), 100.0)
 
@@ -581,9 +581,7 @@
 )
 def step_one_place(context: Any, count: int) -> None:
     places = ("kl-hall", "pg-hall", "cj-hall")
-    context.peers = exchange.Peers(
-        "10.1.0.1", "kl-hall", [], data_centres=places
-    )
+    context.peers = hosts.Peers("10.1.0.1", "kl-hall", [], data_centres=places)
     for i in range(count):
         context.peers.record_update(make_news(f"10.1.0.{i + 2}"), 100.0)
 
@@ -610,7 +608,7 @@
     port = stage.find_udp_port([IPS[0]])
     context.port = port
     taker = exchange.Exchange(
-        exchange.Peers(IPS[0], "kl-hall", []),
+        hosts.Peers(IPS[0], "kl-hall", []),
         IPS[0],
         port,
         make_sender(IPS[0]),
@@ -682,7 +680,7 @@
     """Returns the hosts that read the store at a moment."""
     readers = set()
     for me in context.ips:
-        peers = exchange.Peers(me, "kl-hall", ())
+        peers = hosts.Peers(me, "kl-hall", ())
         if hear_all(peers, context.ips, me, now_s).is_reader(now_s):
             readers.add(me)
     return readers
@@ -705,7 +703,7 @@
 )
 def step_each_reads(context: Any, seconds: int) -> None:
     for me in context.ips[:: max(1, len(context.ips) // 28)]:
-        peers = exchange.Peers(me, "kl-hall", ())
+        peers = hosts.Peers(me, "kl-hall", ())
         moments = (100.0 + i for i in range(seconds))
         assert any(
             hear_all(peers, context.ips, me, now_s).is_reader(now_s)
@@ -714,8 +712,8 @@
 
 
 def hear_all(
-    peers: exchange.Peers, hosts: list[str], me: str, now_s: float
-) -> exchange.Peers:
+    peers: hosts.Peers, hosts: list[str], me: str, now_s: float
+) -> hosts.Peers:
     """Has a host hear the others, whose lists are old."""
     for host in hosts:
         if host != me:
