--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -441,7 +441,7 @@
 
 @given("a host of kl-hall and four of pg-hall on this machine, and no spares")
 def step_two_places(context: Any) -> None:
-    patch = mock.patch.object(exchange, "SPARE_CONTACTS", 0)
+    patch = mock.patch.object(hosts, "SPARE_CONTACTS", 0)
     patch.start()
     context.add_cleanup(patch.stop)
     context.play = Talkers()
