Reach upstreams through other hosts while the own links are down

A connection that the own links don't bring is now asked of another host, which connects and passes the bytes on (HTTP CONNECT, the exchange's port number for TCP). Requests, their limits, retries and deadlines remain with the host that asks; one hop at most; only to listed upstreams, only for hosts of the installation. A host that two upstreams refused, with none reached since, counts as cut off: it asks at once, helps nobody, and tries its own links twice a second. What a failed connection shows has thus been confirmed by another host. A single upstream that only others reach is asked for in the same way.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -35,7 +35,7 @@
     reading,
     upstreams,
 )
-from egretspur.daemons import follow, meters, news, pages
+from egretspur.daemons import follow, meters, news, pages, tunnels
 from egretspur.delivery import intake, watch
 from egretspur.membership import (
     contention,
@@ -47,6 +47,7 @@
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
 from egretspur.routing import broker, choice, desk, fleet, probes
+from egretspur.tunnels import dialer, helpers, server
 
 # Limit on concurrent requests; each occupies a thread, started on demand.
 MAX_REQUESTS: Final = 600
@@ -99,14 +100,22 @@
                 cfg.ip,
             )
         )
-        self._engines = upstream.EngineClient()
+        self._links = dialer.Dialer(
+            cfg.ip,
+            cfg.exchange_port,
+            helpers.Helpers(rng),
+            lambda: self._exchange.list_helpers(),
+        )
+        self._engines = upstream.EngineClient(self._links)
         self._watch = watch.StreamWatch(
             self._desk, self._engines, enabled.silence, cfg.ip
         )
         self._intake = intake.Intake(
             self._desk,
             upstream.UpstreamClient(
-                cfg.bounds.max_silence_s, self._desk.note_signals
+                cfg.bounds.max_silence_s,
+                self._desk.note_signals,
+                self._links,
             ),
             self._watch,
             rng,
@@ -131,6 +140,18 @@
                 self._make_contention, self._handle_contention
             ),
         )
+        listed = tunnels.ListedAddresses(self._desk)
+        self._link_checker = tunnels.LinkChecker(self._links, listed, rng)
+        self._tunnel_server = server.TunnelServer(
+            cfg.ip,
+            cfg.exchange_port,
+            tunnels.Gate(
+                self._links,
+                listed,
+                self._exchange.is_known,
+                lambda: self._draining.is_set(),
+            ),
+        )
         self._pages_client = transport.Transport(0.3, 1.0)
         group = store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip)
         self._members = duty.Members(group, cfg.ip, rng)
@@ -201,6 +222,8 @@
         self._watch.start()
         self._prober.start()
         self._exchange.start()
+        self._tunnel_server.start()
+        self._link_checker.start()
         self._duty.start()
         self._keeper.start()
 
@@ -217,7 +240,9 @@
         time.sleep(min(UNREADY_LINGER_S, self._cfg.grace_s / 2))
         self._intake.stop()
         self._server.close_idle()
-        while self._intake.in_flight and time.monotonic() < end_s:
+        while (
+            self._intake.in_flight or self._tunnel_server.open_tunnels
+        ) and time.monotonic() < end_s:
             time.sleep(0.05)
 
     def close(self) -> None:
@@ -228,6 +253,8 @@
         self._feeds.close()
         self._saver.close()
         self._exchange.close()
+        self._link_checker.close()
+        self._tunnel_server.close()
         self._watch.close()
         self._prober.close()
         self._server.close()
--- /dev/null
+++ b/egretspur/daemons/tunnels.py
@@ -0,0 +1,134 @@
+"""Runs tunnels on a host: who may use them, and checks of its own links.
+
+Read next: `egretspur.tunnels.dialer` and `egretspur.tunnels.server`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import http
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Final
+
+from egretspur import guard
+from egretspur.routing import broker, desk
+from egretspur.tunnels import dialer
+
+# Seconds between two attempts to connect over links that are down.
+CHECK_PERIOD_S: Final = 0.5
+
+# Longest wait for a connection in such an attempt.
+CHECK_TIMEOUT_S: Final = 0.3
+
+# Time for which the addresses of the listed upstreams are cached.
+LISTED_TTL_S: Final = 0.25
+
+
+class ListedAddresses:
+    """The addresses of the listed upstreams; shared between threads."""
+
+    def __init__(self, to: desk.Desk) -> None:
+        self._desk = to
+        self._lock = threading.Lock()
+        self._addresses: frozenset[str] = frozenset()
+        self._read_s = -LISTED_TTL_S
+
+    def get(self) -> frozenset[str]:
+        """Returns the addresses."""
+        now_s = time.monotonic()
+        with self._lock:
+            if now_s - self._read_s >= LISTED_TTL_S:
+                self._addresses = self._desk.query(_read_addresses)
+                self._read_s = now_s
+            return self._addresses
+
+
+def _read_addresses(state: broker.Broker) -> frozenset[str]:
+    return frozenset(e.address for e in state.fleet.roster.entries.values())
+
+
+class Gate:
+    """Opens tunnels to listed upstreams for known hosts; see `server.Gate`."""
+
+    def __init__(
+        self,
+        links: dialer.Dialer,
+        listed: ListedAddresses,
+        is_known: Callable[[str], bool],
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        """Makes a gate.
+
+        Args:
+            links: Knows which upstreams this host reaches.
+            listed: The upstreams.
+            is_known: Returns whether an address is a host's.
+            is_stopping: Returns whether this host is stopping.
+        """
+        self._links = links
+        self._listed = listed
+        self._is_known = is_known
+        self._is_stopping = is_stopping
+
+    def check(self, host: str, address: str) -> http.HTTPStatus:
+        """Returns the answer to a host that asks for an upstream."""
+        if not self._is_known(host) or address not in self._listed.get():
+            return http.HTTPStatus.FORBIDDEN
+        if self._is_stopping() or self._links.is_cut_off():
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
+        if self._links.has_failed_lately(address):
+            return http.HTTPStatus.BAD_GATEWAY
+        return http.HTTPStatus.OK
+
+    def record(self, address: str, is_connected: bool) -> None:
+        """Records whether this host connected to an upstream."""
+        self._links.record_direct(address, is_connected)
+
+
+class LinkChecker:
+    """Finds out when links that were down are back.
+
+    Otherwise callers' requests would, each at the cost of a timeout.
+    """
+
+    def __init__(
+        self,
+        links: dialer.Dialer,
+        listed: ListedAddresses,
+        rng: random.Random,
+    ) -> None:
+        self._links = links
+        self._listed = listed
+        self._rng = rng
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="links", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops the thread."""
+        self._stop.set()
+
+    def _run(self) -> None:
+        while not self._stop.wait(CHECK_PERIOD_S):
+            if not self._links.needs_checks.wait(CHECK_PERIOD_S):
+                continue
+            with guard.log_exceptions("links"):
+                self._check()
+
+    def _check(self) -> None:
+        due = self._links.list_checks(self._listed.get())
+        if not due:
+            return
+        # A failure is recorded and changes nothing.
+        with contextlib.suppress(OSError):
+            self._links.open_direct(
+                self._rng.choice(due), CHECK_TIMEOUT_S
+            ).close()
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -218,6 +218,52 @@
     target: str
 
 
+@attrs.frozen
+class LinksChanged:
+    """How this host reaches upstreams has changed."""
+
+    # One of: sound, helped (only through other hosts), cut_off.
+    state: str
+    # Upstream whose connection showed it.
+    address: str
+
+
+@attrs.frozen
+class RequestHelped:
+    """An attempt went over a connection that another host opened."""
+
+    request: str
+    upstream: str
+    helper: str
+
+
+@attrs.frozen
+class HelpRefused:
+    """A host was asked for a connection to an upstream and opened none."""
+
+    helper: str
+    address: str
+    # One of: unreachable, refused, upstream down.
+    reason: str
+
+
+@attrs.frozen
+class TunnelOpened:
+    """This host connected an upstream for another host."""
+
+    host: str
+    address: str
+
+
+@attrs.frozen
+class TunnelRefused:
+    """This host was asked for a connection to an upstream and opened none."""
+
+    host: str
+    address: str
+    reason: str
+
+
 @attrs.frozen
 class QuestionSent:
     """A query or order was sent to an upstream, and answered or not."""
@@ -432,6 +478,11 @@
     | UpstreamChanged
     | UpstreamLimited
     | LinkStalled
+    | LinksChanged
+    | RequestHelped
+    | HelpRefused
+    | TunnelOpened
+    | TunnelRefused
     | QuestionSent
     | UpstreamsListed
     | ConfigurationApplied
@@ -460,6 +511,10 @@
     PathChosen,
     RequestAnswered,
     RequestLeft,
+    RequestHelped,
+    HelpRefused,
+    TunnelOpened,
+    TunnelRefused,
     QuestionSent,
 )
 
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -24,6 +24,7 @@
 
 from egretspur import decisions, guard
 from egretspur.membership import contention, datagrams, hosts
+from egretspur.tunnels import helpers
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -183,6 +184,16 @@
         with self._lock:
             return self._peers.list_by_freshness(time.monotonic())
 
+    def list_helpers(self) -> helpers.Candidates:
+        """Returns the hosts that may connect upstreams for this one."""
+        with self._lock:
+            return self._peers.list_helpers(time.monotonic())
+
+    def is_known(self, host: str) -> bool:
+        """Returns whether a host is one of the installation's."""
+        with self._lock:
+            return self._peers.is_known(host, time.monotonic())
+
     def is_alone(self) -> bool:
         """Returns whether no local host has sent an update recently."""
         with self._lock:
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -1,7 +1,8 @@
 """The other hosts as this host knows them from their peer updates: pure.
 
 Says which hosts to send to, who speaks for a data centre, who reads the store,
-and how many hosts share a budget. Read next: `egretspur.membership.exchange`, which sends and receives them.
+and how many hosts share a budget. Read next:
+`egretspur.membership.exchange`, which sends and receives the updates.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 from egretspur.catalog import reading
 from egretspur.membership import contention, datagrams
+from egretspur.tunnels import helpers
 
 # A host is sent no more datagrams after this long without an update from it or
 # a mention of it; seeds are always sent to.
@@ -38,6 +40,10 @@
 # may be lost.
 ALIVE_TIMEOUT_S: Final = 1.2
 
+# Hosts of other data centres that were listed within this time may be asked for
+# help: each datagram that lists them follows two seconds after the last one.
+HELPER_MAX_AGE_S: Final = 5.0
+
 # A host that had no answer from the store for this long is cut off from it; any
 # duty that it held has expired.
 STORE_TIMEOUT_S: Final = 3.0
@@ -225,6 +231,26 @@
             if now_s - t.at_s < PEER_LIST_MAX_AGE_S
         }
 
+    def list_helpers(self, now_s: float) -> helpers.Candidates:
+        """Returns the hosts that may connect upstreams for this one.
+
+        Hosts of other data centres are mostly known from the lists of others.
+        """
+        local = self._find_local_alive(now_s)
+        remote = [
+            h
+            for h, t in self._known.items()
+            if now_s - t < HELPER_MAX_AGE_S and self._is_remote_host(h)
+        ]
+        return helpers.Candidates(sorted(local), sorted(remote))
+
+    def is_known(self, host: str, now_s: float) -> bool:
+        """Returns whether a host is one of the installation's."""
+        known_s = self._known.get(host)
+        return host in self._seeds or (
+            known_s is not None and now_s - known_s < PEER_EXPIRY_S
+        )
+
     def list_by_freshness(self, now_s: float) -> list[str]:
         """Returns the live hosts in the order in which to ask for the list.
 
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -41,7 +41,7 @@
     listen_ready: str
     # Address for operators: metrics and state dump.
     listen_control: str
-    # UDP port for peer updates, the same on all hosts.
+    # Port for peer updates (UDP) and tunnels (TCP), the same on all hosts.
     exchange_port: int
     # Addresses of a few hosts to contact first; may be stale.
     seeds: tuple[str, ...]
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -17,23 +17,19 @@
 import orjson
 import urllib3
 import urllib3.connection
-from urllib3 import exceptions
 
 from egretspur import codec, decisions, signals, transport
 from egretspur.catalog import upstreams
 from egretspur.delivery import forward
 from egretspur.platform import decode, names
 from egretspur.routing import jobs, paths
+from egretspur.tunnels import dialer
 
 _LOG: Final = logging.getLogger(__name__)
 
 # A connection within a region opens in a few milliseconds; one that takes
-# longer leads to a dead host.
-CONNECT_TIMEOUT_S: Final = 0.3
-
-# TCP closes a connection whose bytes stay unacknowledged for this time; without
-# it a write to a dead host would block for minutes.
-UNACKNOWLEDGED_TIMEOUT_MS: Final = 2500
+# longer leads to a dead upstream, or the link is down and a helper is asked.
+CONNECT_TIMEOUT_S: Final = 0.2
 
 # A live engine returns its report within 2 ms, 1 ms of them to connect; a busy
 # host needs more time to read it.
@@ -65,6 +61,7 @@
         note_signals: signals.SignalsCallback = lambda upstream_id, answer: (
             None
         ),
+        links: dialer.Dialer | None = None,
     ) -> None:
         """Makes a client.
 
@@ -73,9 +70,12 @@
                 that depends on a dead stage for a limited time and then report
                 it; after a longer silence the connection is dead.
             note_signals: Called with the signals in each response's head.
+            links: Opens connections, also through other hosts; None to use
+                this host's own links only.
         """
         self._idle_timeout_s = idle_timeout_s
         self._note_signals = note_signals
+        self._links = links
 
     def open(
         self,
@@ -86,7 +86,7 @@
         abort: forward.AbortHandle,
     ) -> UpstreamAnswer | forward.AttemptFailure:
         """Sends a request and returns its response, body unread."""
-        conn = _connect(start.upstream.address)
+        conn = self._connect(job, start)
         if isinstance(conn, forward.AttemptFailure):
             return conn
         handle = _AbortableConnection(conn)
@@ -124,6 +124,31 @@
             return lost
         return UpstreamAnswer(res, handle, job.deadline_s, self._idle_timeout_s)
 
+    def _connect(
+        self, job: jobs.Job, start: jobs.Start
+    ) -> urllib3.connection.HTTPConnection | forward.AttemptFailure:
+        """Returns a connection to an upstream, or why there is none."""
+        address = start.upstream.address
+        try:
+            if self._links is None:
+                link = dialer.Link(
+                    dialer.connect(address, CONNECT_TIMEOUT_S), ""
+                )
+            else:
+                link = self._links.open(address, CONNECT_TIMEOUT_S)
+        except OSError as exc:
+            return forward.AttemptFailure(
+                jobs.FailureKind.UNREACHABLE, f"{address}: {exc!r}"
+            )
+        if link.helper:
+            decisions.record(
+                decisions.RequestHelped(job.id, start.upstream.id, link.helper)
+            )
+        host, port = dialer.split_address(address)
+        conn = urllib3.connection.HTTPConnection(host, port)
+        conn.sock = link.sock
+        return conn
+
 
 class _AbortableConnection:
     """A connection that one thread reads and any thread may abort."""
@@ -215,33 +240,6 @@
         self._res.close()
 
 
-def _connect(
-    address: str,
-) -> urllib3.connection.HTTPConnection | forward.AttemptFailure:
-    host, _, port = address.rpartition(":")
-    conn = urllib3.connection.HTTPConnection(
-        host,
-        int(port),
-        timeout=CONNECT_TIMEOUT_S,
-        socket_options=[
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                UNACKNOWLEDGED_TIMEOUT_MS,
-            ),
-        ],
-    )
-    try:
-        conn.connect()
-    except (exceptions.HTTPError, OSError) as exc:
-        conn.close()
-        return forward.AttemptFailure(
-            jobs.FailureKind.UNREACHABLE, f"{address}: {exc!r}"
-        )
-    return conn
-
-
 def _get_head_timeout_s(start: jobs.Start) -> float:
     """Returns the timeout for the response's head, in seconds."""
     # A model's response begins with its first token, which may wait for a
@@ -317,10 +315,19 @@
 class EngineClient:
     """Gets engines' reports and sends orders to engines."""
 
-    def __init__(self) -> None:
-        self._transport = transport.Transport(0.3, 0.5)
+    def __init__(self, links: dialer.Dialer | None = None) -> None:
+        """Makes a client.
+
+        Args:
+            links: Opens connections; None to use this host's own links only.
+        """
+        self._transport = transport.Transport(
+            0.3, 0.5, links.dial if links else None
+        )
         self._peek_transport = transport.Transport(
-            PEEK_TIMEOUT_S, PEEK_TIMEOUT_S
+            PEEK_TIMEOUT_S,
+            PEEK_TIMEOUT_S,
+            links.dial_known if links else None,
         )
         # When the last peek of each address was answered; missing after one
         # that failed.
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import functools
+import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import attrs
@@ -20,9 +21,16 @@
 
 from egretspur import codec
 
+# Returns a connected socket for an address and a timeout in seconds; raises
+# OSError.
+Dial = Callable[[str, float], socket.socket]
+
 # Idle connections kept to one address.
 POOL_SIZE: Final = 64
 
+# Longest wait for a connection where a call sets no time-out.
+DIAL_TIMEOUT_S: Final = 1.0
+
 
 @attrs.frozen
 class Reply:
@@ -63,22 +71,44 @@
 
 
 class _NotedConnection(urllib3.connection.HTTPConnection):
-    """A connection that notes when it is opened."""
+    """A connection that notes when it is opened, by a function if given."""
 
-    def __init__(self, opened: _Opened, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, opened: _Opened, dial: Dial | None, *args: Any, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
         self._opened = opened
+        self._dial = dial
 
     def connect(self) -> None:
         """Opens the connection."""
         self._opened.is_new = True
-        super().connect()
+        if self._dial is None:
+            super().connect()
+            return
+        timeout_s = urllib3.Timeout.resolve_default_timeout(self.timeout)
+        try:
+            self.sock = self._dial(
+                f"{self.host}:{self.port}", timeout_s or DIAL_TIMEOUT_S
+            )
+        except OSError as exc:
+            raise exceptions.NewConnectionError(self, str(exc)) from exc
 
 
 class Transport:
     """Pools of connections by address; shared between threads."""
 
-    def __init__(self, connect_s: float, read_s: float) -> None:
+    def __init__(
+        self, connect_s: float, read_s: float, dial: Dial | None = None
+    ) -> None:
+        """Makes a transport without connections.
+
+        Args:
+            connect_s: Longest wait for a connection.
+            read_s: Longest silence.
+            dial: Opens connections; None for plain TCP.
+        """
+        self._dial = dial
         self._timeout = urllib3.Timeout(connect=connect_s, read=read_s)
         self._lock = threading.Lock()
         self._opened = _Opened()
@@ -197,7 +227,7 @@
                 )
                 # The pool calls it as a class.
                 pool.ConnectionCls = functools.partial(  # type: ignore[assignment]
-                    _NotedConnection, self._opened
+                    _NotedConnection, self._opened, self._dial
                 )
                 self._pools[address] = pool
             return pool
--- /dev/null
+++ b/egretspur/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams, also through another host if links fail."""
--- /dev/null
+++ b/egretspur/tunnels/dialer.py
@@ -0,0 +1,296 @@
+"""Opens connections to upstreams, over the own links or through a helper.
+
+A helper is another host that opens the connection and passes the bytes on
+(`egretspur.tunnels.server`); requests, their limits and their retries remain
+with the host that asks. Connections of requests, reports and orders are all
+opened here, so what an upstream's failed connection shows has been confirmed by
+another host where there is one. Read next: `egretspur.tunnels.reach`.
+"""
+
+from __future__ import annotations
+
+import enum
+import http
+import http.client
+import socket
+import threading
+import time
+from collections.abc import Callable, Collection
+from typing import Final
+
+import attrs
+
+from egretspur import decisions
+from egretspur.tunnels import helpers, reach
+
+# Longest wait for a helper's connection. Its own attempt to connect takes less.
+HELPER_TIMEOUT_S: Final = 0.25
+
+# Helpers asked for one connection at most. One of them may be cut off as well
+# and not know it yet, or have just died.
+MAX_ASKED: Final = 3
+
+# Helpers that must fail to reach an upstream before it counts as down.
+MIN_REFUTING: Final = 2
+
+# Seconds without an acknowledgement after which TCP gives up on a connection,
+# also while it only waits. Upstreams may be silent for a second.
+UNACKNOWLEDGED_TIMEOUT_MS: Final = 2500
+KEEPALIVE_S: Final = 1
+
+
+class NoTunnel(enum.Enum):
+    """Why a helper did not connect to an upstream."""
+
+    # The helper did not answer, or knows nothing of tunnels.
+    UNREACHABLE = "unreachable"
+    # It is cut off itself, stops, or serves all that it can.
+    REFUSED = "refused"
+    # It does not reach the upstream either.
+    UPSTREAM_DOWN = "upstream down"
+
+
+@attrs.frozen
+class Link:
+    """A connection to an upstream."""
+
+    sock: socket.socket
+    # Address of the host that passes the bytes on; empty for none.
+    helper: str
+
+
+class Dialer:
+    """See the module's docstring; shared between threads."""
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        choice: helpers.Helpers,
+        list_candidates: Callable[[], helpers.Candidates],
+        on_change: Callable[[reach.LinkState], None] = lambda state: None,
+    ) -> None:
+        """Makes a dialer.
+
+        Args:
+            ip: This host's address; helpers know it by this.
+            port: TCP port on which all hosts accept tunnels.
+            choice: Chooses helpers.
+            list_candidates: Returns the hosts that are alive.
+            on_change: Receives each new state of this host's links; must not
+                block.
+        """
+        self._ip = ip
+        self._port = port
+        self._helpers = choice
+        self._list_candidates = list_candidates
+        self._lock = threading.Lock()
+        self._reach = reach.Reach()
+        self._state = reach.LinkState.SOUND
+        self._on_change = on_change
+        # Set while own links are down and to be checked again.
+        self.needs_checks = threading.Event()
+
+    def dial(self, address: str, timeout_s: float) -> socket.socket:
+        """Returns a connected socket; see `open`."""
+        return self.open(address, timeout_s).sock
+
+    def dial_known(self, address: str, timeout_s: float) -> socket.socket:
+        """Connects in the way that is known to work, and no other.
+
+        For questions that ask whether an upstream is there, within a time that
+        is too short to ask helpers or to conclude anything about the links.
+
+        Raises:
+            OSError: There was no connection.
+        """
+        if self.needs_helper(address):
+            return self.dial(address, timeout_s)
+        return connect(address, timeout_s)
+
+    def open(self, address: str, timeout_s: float) -> Link:
+        """Connects to an upstream.
+
+        Args:
+            address: IP and port.
+            timeout_s: Longest wait for a connection over the own links.
+
+        Raises:
+            OSError: Neither this host nor any helper reaches it.
+        """
+        with self._lock:
+            is_direct = not self._reach.needs_helper(address)
+        problem: OSError = ConnectionError("only helpers reach it")
+        if is_direct:
+            try:
+                return Link(self.open_direct(address, timeout_s), "")
+            except OSError as exc:
+                problem = exc
+        link = self._open_through_helper(address)
+        if link is None:
+            raise problem
+        return link
+
+    def open_direct(self, address: str, timeout_s: float) -> socket.socket:
+        """Connects over the own links only.
+
+        Raises:
+            OSError: There was no connection.
+        """
+        try:
+            sock = connect(address, timeout_s)
+        except OSError:
+            self.record_direct(address, False)
+            raise
+        self.record_direct(address, True)
+        return sock
+
+    def record_direct(self, address: str, is_connected: bool) -> None:
+        """Records the outcome of a connection over the own links."""
+        now_s = time.monotonic()
+        with self._lock:
+            if is_connected:
+                self._reach.record_connected(address, now_s)
+            else:
+                self._reach.record_failed(address, now_s)
+        self._note_changes(address)
+
+    def _note_changes(self, address: str) -> None:
+        """Passes on a change of the links' state; starts or stops checks."""
+        with self._lock:
+            if self._reach.needs_checks():
+                self.needs_checks.set()
+            else:
+                self.needs_checks.clear()
+            state = self._reach.get_state()
+            if state is self._state:
+                return
+            self._state = state
+            # Under the lock, so that the last state is passed on last.
+            self._on_change(state)
+        decisions.record(decisions.LinksChanged(state.value, address))
+
+    def is_cut_off(self) -> bool:
+        """Returns whether this host reaches no upstream by itself."""
+        with self._lock:
+            return self._reach.is_cut_off()
+
+    def needs_helper(self, address: str) -> bool:
+        """Returns whether only helpers reach an upstream."""
+        with self._lock:
+            return self._reach.needs_helper(address)
+
+    def has_failed_lately(self, address: str) -> bool:
+        """Returns whether this host's own connections fail there now."""
+        with self._lock:
+            return self._reach.has_failed_lately(address, time.monotonic())
+
+    def list_checks(self, listed: Collection[str]) -> list[str]:
+        """Returns the upstreams to try over the own links again.
+
+        Args:
+            listed: Addresses of all upstreams.
+        """
+        with self._lock:
+            found = self._reach.list_checks(listed)
+        if not found:
+            # None of those that failed is listed any more.
+            self._note_changes("")
+        return found
+
+    def ask(self, host: str, address: str) -> socket.socket | NoTunnel:
+        """Asks a host for a connection; returns why there is none, if so."""
+        try:
+            sock = socket.create_connection(
+                (host, self._port), HELPER_TIMEOUT_S, (self._ip, 0)
+            )
+        except OSError:
+            return NoTunnel.UNREACHABLE
+        try:
+            set_options(sock)
+            sock.sendall(f"CONNECT {address} HTTP/1.1\r\n\r\n".encode())
+            res = http.client.HTTPResponse(sock, method="CONNECT")
+            res.begin()
+            res.close()
+        except (OSError, http.client.HTTPException):
+            sock.close()
+            return NoTunnel.UNREACHABLE
+        if res.status == http.HTTPStatus.OK:
+            return sock
+        sock.close()
+        if res.status == http.HTTPStatus.BAD_GATEWAY:
+            return NoTunnel.UPSTREAM_DOWN
+        return NoTunnel.REFUSED
+
+    def _open_through_helper(self, address: str) -> Link | None:
+        """Asks helpers for a connection; None if none of them has one."""
+        with self._lock:
+            if not self._reach.may_ask_helper(address, time.monotonic()):
+                return None
+            needed = MIN_REFUTING if self._reach.is_cut_off() else 1
+        candidates = self._list_candidates()
+        tried: set[str] = set()
+        refuting = 0
+        while len(tried) < MAX_ASKED and refuting < needed:
+            with self._lock:
+                host = self._helpers.choose(candidates, tried, time.monotonic())
+            if host is None:
+                break
+            tried.add(host)
+            answer = self.ask(host, address)
+            if isinstance(answer, socket.socket):
+                self._record_helped(host, address)
+                return Link(answer, host)
+            decisions.record(decisions.HelpRefused(host, address, answer.value))
+            if answer is NoTunnel.UPSTREAM_DOWN:
+                refuting += 1
+                continue
+            with self._lock:
+                self._helpers.record_refused(host, time.monotonic())
+        if refuting:
+            with self._lock:
+                self._reach.record_refuted(address, time.monotonic())
+        return None
+
+    def _record_helped(self, host: str, address: str) -> None:
+        with self._lock:
+            self._helpers.record_helped(host)
+            self._reach.record_helped(address, time.monotonic())
+        self._note_changes(address)
+
+
+def connect(address: str, timeout_s: float) -> socket.socket:
+    """Returns a connection over this host's own links.
+
+    Raises:
+        OSError: There was no connection.
+    """
+    sock = socket.create_connection(split_address(address), timeout_s)
+    set_options(sock)
+    return sock
+
+
+def set_options(sock: socket.socket) -> None:
+    """Sets the options of connections that wait for an upstream's answer."""
+    for level, name, value in _OPTIONS:
+        sock.setsockopt(level, name, value)
+
+
+_OPTIONS: Final = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
+    # It decides also when keep-alive probes give up, whatever their count.
+    (
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_TIMEOUT_MS,
+    ),
+)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the host and the port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/egretspur/tunnels/reach.py
@@ -0,0 +1,128 @@
+"""Which upstreams this host reaches over its own links: pure.
+
+A connection fails because of the upstream or because of this host's links. If
+another host connects to the same upstream, a helper, it was the links. Read
+next: `egretspur.tunnels.dialer`.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Collection
+from typing import Final
+
+import attrs
+
+# Upstreams to which connections must have failed, with no connection to any
+# other since, for a host to count as cut off: a single one has failed itself.
+MIN_FAILED: Final = 2
+
+# Time for which helpers are not asked again for an upstream that none of them
+# reached: it is down, and each further question would delay a retry.
+REFUTED_S: Final = 1.0
+
+
+class LinkState(enum.Enum):
+    """How this host reaches upstreams."""
+
+    # Over its own links, at least some of them.
+    SOUND = "sound"
+    # Only through other hosts.
+    HELPED = "helped"
+    # Not at all.
+    CUT_OFF = "cut_off"
+
+
+@attrs.define
+class _Failing:
+    """An upstream to which this host's last connection failed."""
+
+    failed_s: float
+    # When a helper last connected to it, and when helpers last failed to.
+    helped_s: float = -math.inf
+    refuted_s: float = -math.inf
+
+
+class Reach:
+    """Outcomes of connections to upstreams, by address."""
+
+    def __init__(self) -> None:
+        self._failing: dict[str, _Failing] = {}
+        # When this host last connected to any upstream by itself.
+        self._connected_s = -math.inf
+
+    def record_connected(self, address: str, now_s: float) -> None:
+        """Records a connection over this host's own links."""
+        if self.is_cut_off():
+            # The links are back, and with them the way to all upstreams.
+            self._failing.clear()
+        self._failing.pop(address, None)
+        self._connected_s = now_s
+
+    def record_failed(self, address: str, now_s: float) -> None:
+        """Records that this host's own links led to no connection."""
+        self._failing.setdefault(address, _Failing(now_s)).failed_s = now_s
+
+    def record_helped(self, address: str, now_s: float) -> None:
+        """Records that a helper connected to an upstream."""
+        if address in self._failing:
+            self._failing[address].helped_s = now_s
+
+    def record_refuted(self, address: str, now_s: float) -> None:
+        """Records that helpers do not reach an upstream either."""
+        if address in self._failing:
+            self._failing[address].refuted_s = now_s
+
+    def is_cut_off(self) -> bool:
+        """Returns whether this host reaches no upstream by itself."""
+        failed = sum(
+            f.failed_s > self._connected_s for f in self._failing.values()
+        )
+        return failed >= MIN_FAILED
+
+    def get_state(self) -> LinkState:
+        """Returns how this host reaches upstreams."""
+        if not self.is_cut_off():
+            return LinkState.SOUND
+        is_helped = any(
+            f.helped_s > self._connected_s for f in self._failing.values()
+        )
+        return LinkState.HELPED if is_helped else LinkState.CUT_OFF
+
+    def needs_helper(self, address: str) -> bool:
+        """Returns whether to ask a helper without trying the own links."""
+        failing = self._failing.get(address)
+        if failing is not None and failing.helped_s > failing.refuted_s:
+            return True
+        return self.get_state() is LinkState.HELPED
+
+    def may_ask_helper(self, address: str, now_s: float) -> bool:
+        """Returns whether helpers may reach an upstream."""
+        failing = self._failing.get(address)
+        return failing is None or now_s - failing.refuted_s >= REFUTED_S
+
+    def has_failed_lately(self, address: str, now_s: float) -> bool:
+        """Returns whether connections to an upstream fail now."""
+        failing = self._failing.get(address)
+        return failing is not None and now_s - failing.failed_s < REFUTED_S
+
+    def list_checks(self, listed: Collection[str]) -> list[str]:
+        """Returns the upstreams to try over the own links again.
+
+        Args:
+            listed: Addresses of all upstreams; others are dropped.
+        """
+        for address in [a for a in self._failing if a not in listed]:
+            del self._failing[address]
+        helped = [
+            a for a, f in self._failing.items() if f.helped_s > f.refuted_s
+        ]
+        # Without a helper, those that failed may be down themselves.
+        return helped or (list(listed) if self.is_cut_off() else [])
+
+    def needs_checks(self) -> bool:
+        """Returns whether there are upstreams to try again."""
+        return self.is_cut_off() or any(
+            f.helped_s > f.refuted_s for f in self._failing.values()
+        )
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -253,6 +253,23 @@
         return port, socks
 
 
+def reserve_exchange_port(
+    hosts: tuple[str, ...],
+) -> tuple[int, list[socket.socket]]:
+    """Returns a TCP port that is also free for UDP; see `reserve_port`."""
+    while True:
+        port, socks = reserve_port(hosts)
+        try:
+            for host in hosts:
+                with socket.socket(type=socket.SOCK_DGRAM) as sock:
+                    sock.bind((host, port))
+        except OSError:
+            for reserved in socks:
+                reserved.close()
+            continue
+        return port, socks
+
+
 def start_host(site: Site, ip: str) -> None:
     """Starts a host process at an address."""
     listen = {
@@ -332,7 +349,8 @@
     for name in ("frontend", "ready", "control_plane"):
         site.ports[name], socks = reserve_port(ips)
         site.reserved += socks
-    site.ports["exchange"] = stage.find_udp_port(ips)
+    site.ports["exchange"], socks = reserve_exchange_port(ips)
+    site.reserved += socks
     site.stage.start("store", "tests.fakes.store")
     for i in range(6):
         site.start_upstream(f"e{i}" if i < 4 else f"s{i}")
--- /dev/null
+++ b/tests/steps/tunnels_steps.py
@@ -0,0 +1,407 @@
+"""Steps on connections to upstreams through other hosts."""
+
+from __future__ import annotations
+
+import collections
+import http
+import random
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Final
+from unittest import mock
+
+import attrs
+from behave import given, then, when
+
+from egretspur.tunnels import dialer, helpers, reach, server
+from tests import sites, stage
+
+CLIENT: Final = "127.0.0.1"
+HELPER: Final = "127.0.0.2"
+LISTED: Final = ("a", "b", "c")
+WAIT_S: Final = 2.0
+
+
+@when("connections end so: {outcomes}")
+def step_outcomes(context: Any, outcomes: str) -> None:
+    context.reach = reach.Reach()
+    for number, outcome in enumerate(outcomes.split(", ")):
+        address, _, what = outcome.partition(" ")
+        record = {
+            "fails": context.reach.record_failed,
+            "connects": context.reach.record_connected,
+            "is helped": context.reach.record_helped,
+            "is refuted": context.reach.record_refuted,
+        }[what]
+        record(address, 10.0 + number)
+
+
+@then("the host's links are {state}")
+def step_links(context: Any, state: str) -> None:
+    assert context.reach.get_state().value == state
+
+
+@then("the next one to {address} {goes} through a helper at once")
+def step_at_once(context: Any, address: str, goes: str) -> None:
+    assert context.reach.needs_helper(address) == (goes == "does")
+
+
+@then("the own links are checked with {due}")
+def step_checks(context: Any, due: str) -> None:
+    found = ", ".join(sorted(context.reach.list_checks(LISTED))) or "nothing"
+    assert found == due, found
+    assert context.reach.needs_checks() == (due != "nothing")
+
+
+@given("local hosts {local} and remote hosts {remote}")
+@given("no local hosts and remote hosts {remote}")
+def step_hosts(context: Any, remote: str, local: str = "") -> None:
+    context.helpers = helpers.Helpers(random.Random(3))
+    context.candidates = helpers.Candidates(
+        [h for h in local.split(", ") if h], remote.split(", ")
+    )
+
+
+@when("{count:d} helpers are chosen")
+def step_chosen(context: Any, count: int) -> None:
+    context.counts = collections.Counter(
+        context.helpers.choose(context.candidates, (), 0.0)
+        for _ in range(count)
+    )
+
+
+@then("a, b and c are chosen at least {count:d} times each, and no other")
+def step_spread(context: Any, count: int) -> None:
+    assert set(context.counts) == {"a", "b", "c"}, context.counts
+    assert min(context.counts.values()) >= count, context.counts
+
+
+@when("{host} refuses at {now_s:g} s")
+def step_refuses(context: Any, host: str, now_s: float) -> None:
+    context.helpers.record_refused(host, now_s)
+
+
+@when("a helps")
+def step_helps(context: Any) -> None:
+    context.helpers.record_helped("a")
+
+
+@then("helpers at {now_s:g} s are {hosts}")
+def step_helpers(context: Any, now_s: float, hosts: str) -> None:
+    found = {
+        context.helpers.choose(context.candidates, (), now_s)
+        for _ in range(100)
+    }
+    assert found == set(hosts.split(", ")), found
+
+
+@attrs.define
+class Rules:
+    """A gate whose answer the scenario sets."""
+
+    status: http.HTTPStatus = http.HTTPStatus.OK
+    outcomes: list[bool] = attrs.Factory(list)
+
+    def check(self, host: str, address: str) -> http.HTTPStatus:
+        """Returns the answer; only the usual host is known."""
+        return self.status if host == CLIENT else http.HTTPStatus.FORBIDDEN
+
+    def record(self, address: str, is_connected: bool) -> None:
+        """Records an outcome."""
+        self.outcomes.append(is_connected)
+
+
+@attrs.define
+class Play:
+    """An upstream, a helper and the host that asks it."""
+
+    listener: socket.socket
+    port: int
+    gate: Rules
+    helper: server.TunnelServer
+    # Both ends of the connection.
+    host: socket.socket | None = None
+    upstream: socket.socket | None = None
+
+    @property
+    def address(self) -> str:
+        """The upstream's address."""
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
+    def close(self) -> None:
+        """Closes everything."""
+        self.helper.close()
+        for sock in (self.listener, self.host, self.upstream):
+            if sock is not None:
+                sock.close()
+
+    def make_dialer(self, ip: str = CLIENT) -> dialer.Dialer:
+        """Returns the dialer of a host that knows one helper."""
+        return make_dialer(ip, self.port, [HELPER])
+
+
+def make_dialer(ip: str, port: int, hosts: list[str]) -> dialer.Dialer:
+    """Returns a dialer that may ask hosts."""
+    return dialer.Dialer(
+        ip,
+        port,
+        helpers.Helpers(random.Random(1)),
+        lambda: helpers.Candidates(hosts, []),
+    )
+
+
+def refuse_direct() -> Any:
+    """Returns a patch with which no direct connection is made."""
+    return mock.patch.object(
+        dialer, "connect", side_effect=ConnectionRefusedError("no link")
+    )
+
+
+@given("an upstream and a host that helps")
+def step_play(context: Any) -> None:
+    port, reserved = sites.reserve_exchange_port((HELPER,))
+    gate = Rules()
+    helper = server.TunnelServer(HELPER, port, gate)
+    context.play = Play(socket.create_server((CLIENT, 0)), port, gate, helper)
+    helper.start()
+    for sock in reserved:
+        sock.close()
+
+
+@when("another host is connected to it")
+def step_connected(context: Any) -> None:
+    play = context.play
+    with refuse_direct():
+        link = play.make_dialer().open(play.address, 0.2)
+    assert link.helper == HELPER
+    play.host = link.sock
+    play.upstream, _ = play.listener.accept()
+    for sock in (play.host, play.upstream):
+        sock.settimeout(WAIT_S)
+
+
+def read_all(sock: socket.socket, count: int) -> bytes:
+    """Reads so many bytes, or until the end."""
+    data = b""
+    while len(data) < count:
+        part = sock.recv(65_536)
+        if not part:
+            break
+        data += part
+    return data
+
+
+@when("{count:d} bytes are sent each way")
+def step_both_ways(context: Any, count: int) -> None:
+    play = context.play
+    rng = random.Random(5)
+    context.sent = [rng.randbytes(count), rng.randbytes(count)]
+    socks = [play.host, play.upstream]
+    writers = [
+        threading.Thread(target=s.sendall, args=(d,), daemon=True)
+        for s, d in zip(socks, context.sent, strict=True)
+    ]
+    for writer in writers:
+        writer.start()
+    context.got = [read_all(s, count) for s in reversed(socks)]
+
+
+@then("they arrive unchanged")
+def step_unchanged(context: Any) -> None:
+    assert context.got == context.sent
+
+
+@when("the upstream sends {count:d} bytes and closes")
+def step_sends_closes(context: Any, count: int) -> None:
+    context.play.upstream.sendall(b"x" * count)
+    context.play.upstream.close()
+
+
+@then("the other host reads {count:d} bytes and the end")
+def step_reads_end(context: Any, count: int) -> None:
+    assert read_all(context.play.host, count) == b"x" * count
+    assert context.play.host.recv(1) == b""
+
+
+@when("the upstream resets the connection")
+def step_resets(context: Any) -> None:
+    context.play.upstream.sendall(b"half of an answer")
+    context.play.upstream.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    context.play.upstream.close()
+
+
+@then("the other host's connection is reset")
+def step_reset(context: Any) -> None:
+    try:
+        while context.play.host.recv(65_536):
+            pass
+    except ConnectionResetError:
+        return
+    raise AssertionError("it ended as if the answer were whole")
+
+
+@when("the other host closes")
+def step_closes(context: Any) -> None:
+    context.play.host.close()
+
+
+@then("the upstream reads the end")
+def step_upstream_end(context: Any) -> None:
+    assert context.play.upstream.recv(1) == b""
+
+
+@when("the other host sends all that is taken, and nothing is read")
+def step_fills(context: Any) -> None:
+    host = context.play.host
+    host.settimeout(0.3)
+    try:
+        while True:
+            host.send(b"x" * 65_536)
+    except TimeoutError:
+        return
+
+
+@then("the helper holds at most {count:d} bytes")
+def step_holds(context: Any, count: int) -> None:
+    held = context.play.helper.count_buffered()
+    assert 0 < held <= count, held
+
+
+@when("the helper ends")
+def step_helper_ends(context: Any) -> None:
+    context.play.helper.close()
+
+
+@then("both connections end")
+def step_both_end(context: Any) -> None:
+    assert context.play.host.recv(1) == b""
+    assert context.play.upstream.recv(1) == b""
+
+
+def make_dark(context: Any) -> None:
+    """Has the upstream's queue of new connections overflow."""
+    dark = socket.socket()
+    dark.bind((CLIENT, 0))
+    dark.listen(0)
+    context.fill = [socket.socket() for _ in range(4)]
+    for sock in context.fill:
+        sock.setblocking(False)
+        sock.connect_ex(dark.getsockname())
+    context.play.listener.close()
+    context.play.listener = dark
+
+
+def close_port(context: Any) -> None:
+    """Closes the upstream's port."""
+    address = context.play.listener.getsockname()
+    context.play.listener.close()
+    context.play.listener = mock.Mock()
+    context.play.listener.getsockname.return_value = address
+
+
+def set_status(status: http.HTTPStatus) -> Callable[[Any], None]:
+    """Returns what has the helper answer with a status."""
+
+    def apply(context: Any) -> None:
+        context.play.gate.status = status
+
+    return apply
+
+
+def stop_helper(context: Any) -> None:
+    """Has nobody listen on the helper's port."""
+    context.play.helper.close()
+    stage.wait_until(
+        lambda: not _is_listening(context.play.port), WAIT_S, "it is closed"
+    )
+
+
+def _is_listening(port: int) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex((HELPER, port)) == 0
+
+
+CASES: Final[dict[str, Callable[[Any], None]]] = {
+    "it is unknown": lambda context: None,
+    "the address is no upstream's": set_status(http.HTTPStatus.FORBIDDEN),
+    "the helper is stopping": set_status(http.HTTPStatus.SERVICE_UNAVAILABLE),
+    "the upstream's port is closed": close_port,
+    "the upstream is dark": make_dark,
+    "nobody listens on the helper's port": stop_helper,
+    "its question is malformed": lambda context: None,
+}
+
+
+@when("a host asks, and {case}")
+def step_case(context: Any, case: str) -> None:
+    CASES[case](context)
+    ip = "127.0.0.3" if case == "it is unknown" else CLIENT
+    address = context.play.address
+    if case == "its question is malformed":
+        address = "no address at all"
+    began_s = time.monotonic()
+    context.answer = context.play.make_dialer(ip).ask(HELPER, address)
+    context.took_s = time.monotonic() - began_s
+
+
+@then('the host that asks is told "{reason}" within {bound_s:g} s')
+def step_told(context: Any, reason: str, bound_s: float) -> None:
+    assert isinstance(context.answer, dialer.NoTunnel), context.answer
+    assert context.answer.value == reason, context.answer
+    assert context.took_s <= bound_s, context.took_s
+
+
+@given("hosts that help: {kinds}")
+def step_kinds(context: Any, kinds: str) -> None:
+    context.kinds = [k.removeprefix("one ") for k in kinds.split(", ")]
+    hosts = [f"h{i}" for i in range(len(context.kinds))]
+    context.asked = []
+    context.dialer = make_dialer(CLIENT, 1, hosts)
+
+    def ask(host: str, address: str) -> Any:
+        context.asked.append(host)
+        kind = context.kinds[int(host[1:])]
+        return {
+            "connects": context.connected,
+            "refuses": dialer.NoTunnel.REFUSED,
+            "fails": dialer.NoTunnel.UPSTREAM_DOWN,
+        }[kind]
+
+    context.connected = socket.socket()
+    context.add_cleanup(context.connected.close)
+    context.dialer.ask = ask
+
+
+@when("an upstream is dialled that the own links don't reach")
+def step_dialled(context: Any) -> None:
+    context.link = None
+    with refuse_direct():
+        try:
+            context.link = context.dialer.open("10.0.0.1:80", 0.2)
+        except OSError as exc:
+            context.problem = exc
+
+
+@when("an upstream is dialled while no other is reached")
+def step_dialled_cut_off(context: Any) -> None:
+    for address in ("10.0.0.2:80", "10.0.0.3:80"):
+        context.dialer.record_direct(address, False)
+    step_dialled(context)
+
+
+@then("it is connected through the one that connects")
+def step_through(context: Any) -> None:
+    assert context.link.sock is context.connected
+    assert context.kinds[int(context.link.helper[1:])] == "connects"
+
+
+@then("{count:d} of them are asked, and it is unreachable")
+def step_asked(context: Any, count: int) -> None:
+    assert len(context.asked) == count, context.asked
+    assert isinstance(context.problem, ConnectionRefusedError)
--- /dev/null
+++ b/tests/tunnels/tunnels.feature
@@ -0,0 +1,145 @@
+Feature: Connections to upstreams through other hosts
+
+  Scenario Outline: How a host reaches upstreams, by what its connections show
+    When connections end so: <outcomes>
+    Then the host's links are <state>
+
+    Examples:
+      | outcomes                                  | state   |
+      | a fails                                   | sound   |
+      | a fails, a fails                          | sound   |
+      | a fails, b fails                          | cut_off |
+      | a fails, c connects, b fails              | sound   |
+      | a fails, b fails, c connects              | sound   |
+      | a fails, b fails, a is helped             | helped  |
+      | a fails, b fails, a is helped, c connects | sound   |
+      | a fails, a is helped, b fails             | helped  |
+
+  Scenario Outline: Which connections go through a helper at once
+    # Guards against a timeout of the own links before each helped connection.
+    When connections end so: <outcomes>
+    Then the next one to <upstream> <goes> through a helper at once
+
+    Examples:
+      | outcomes                                              | upstream | goes     |
+      | a fails                                               | a        | does not |
+      | a fails, a is helped                                  | a        | does     |
+      | a fails, a is helped                                  | b        | does not |
+      | a fails, b fails, a is helped                         | c        | does     |
+      | a fails, a is helped, a is refuted                    | a        | does not |
+      | a fails, b fails, a is helped, b connects             | a        | does not |
+
+  Scenario Outline: Upstreams to try over the own links again
+    When connections end so: <outcomes>
+    Then the own links are checked with <due>
+
+    Examples: of upstreams a, b and c
+      | outcomes                      | due     |
+      | a fails                       | nothing |
+      | a fails, a is helped          | a       |
+      | a fails, b fails              | a, b, c |
+      | a fails, b fails, b is helped | b       |
+      | d fails, e fails              | nothing |
+
+  Scenario: Hosts that are cut off share the helpers
+    # Guards against one helper that gets the load of all hosts that are cut off.
+    Given local hosts a, b, c and remote hosts x, y
+    When 300 helpers are chosen
+    Then a, b and c are chosen at least 60 times each, and no other
+
+  Scenario: A helper that refuses
+    Given local hosts a, b and remote hosts x, y
+    When a refuses at 0 s
+    Then helpers at 0.9 s are b
+    And helpers at 1.1 s are a, b
+    When a refuses at 1.1 s
+    Then helpers at 3 s are b
+    And helpers at 3.2 s are a, b
+    When a helps
+    And a refuses at 4 s
+    Then helpers at 5.1 s are a, b
+
+  Scenario: Fewer than half of the data centre's hosts help
+    # Guards against one host that serves for a data centre that is cut off.
+    Given local hosts a, b, c and remote hosts x, y
+    When a refuses at 0 s
+    And b refuses at 0 s
+    Then helpers at 0.5 s are c, x, y
+
+  Scenario: No local host
+    Given no local hosts and remote hosts x, y
+    Then helpers at 0 s are x, y
+
+  Scenario: Bytes in both directions
+    Given an upstream and a host that helps
+    When another host is connected to it
+    And 300000 bytes are sent each way
+    Then they arrive unchanged
+
+  Scenario: An upstream that closes after its answer
+    Given an upstream and a host that helps
+    When another host is connected to it
+    And the upstream sends 100000 bytes and closes
+    Then the other host reads 100000 bytes and the end
+
+  Scenario: An upstream that resets the connection
+    # Guards against a broken answer that looks complete through a tunnel.
+    Given an upstream and a host that helps
+    When another host is connected to it
+    And the upstream resets the connection
+    Then the other host's connection is reset
+
+  Scenario: The other host leaves
+    # Guards against an upstream that goes on with work that nobody waits for.
+    Given an upstream and a host that helps
+    When another host is connected to it
+    And the other host closes
+    Then the upstream reads the end
+
+  Scenario: An upstream that reads nothing
+    # Guards against a helper whose memory fills with what is not read.
+    Given an upstream and a host that helps
+    When another host is connected to it
+    And the other host sends all that is taken, and nothing is read
+    Then the helper holds at most 400000 bytes
+
+  Scenario: The helper ends
+    Given an upstream and a host that helps
+    When another host is connected to it
+    And the helper ends
+    Then both connections end
+
+  Scenario Outline: Connections that a host does not open
+    # Guards against a port that lets anyone reach upstreams, and against answers
+    # that come too late for a caller.
+    Given an upstream and a host that helps
+    When a host asks, and <case>
+    Then the host that asks is told "<reason>" within 0.3 s
+
+    Examples:
+      | case                                      | reason        |
+      | it is unknown | refused |
+      | the address is no upstream's | refused |
+      | the helper is stopping                    | refused       |
+      | the upstream's port is closed             | upstream down |
+      | the upstream is dark                      | upstream down |
+      | nobody listens on the helper's port       | unreachable   |
+      | its question is malformed | refused |
+
+  Scenario: The first helper is cut off as well
+    Given hosts that help: one refuses, one connects
+    When an upstream is dialled that the own links don't reach
+    Then it is connected through the one that connects
+
+  Scenario Outline: Helpers that do not reach an upstream either
+    # Guards against one helper that is cut off itself and whose word is taken,
+    # and against callers who wait while all helpers are asked of a dead one.
+    Given hosts that help: <helpers>
+    When an upstream is dialled <after>
+    Then <asked> of them are asked, and it is unreachable
+
+    Examples:
+      | helpers                                | after                               | asked |
+      | one fails, one fails, one fails        | that the own links don't reach      | 1     |
+      | one fails, one fails, one fails        | while no other is reached           | 2     |
+      | one refuses, one refuses, one refuses, one refuses | while no other is reached | 3   |
