Weigh what other hosts say of upstreams against what a host saw itself

- A host that reaches no upstream by itself says of none that it fails.
- A suspicion is dropped once the upstream has answered this host since the other one began to say so; what another calls dead is probed, not marked down.
- A plain replica that only others suspect is used rather than refusing a call.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -105,6 +105,7 @@
             cfg.exchange_port,
             helpers.Helpers(rng),
             lambda: self._exchange.list_helpers(),
+            lambda state: self._desk.tell(desk.LinksChanged(state)),
         )
         self._engines = upstream.EngineClient(self._links)
         self._watch = watch.StreamWatch(
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -72,7 +72,7 @@
         ),
         usage=dict(own.memory.own),
         pace=own.paces.list_slow(),
-        dead=own.health.list_dead(now_s),
+        dead=own.list_dead(now_s),
         layers=own.layer_changes.list_published(
             math.inf if store_view.is_away else LAYERS_PUBLISHED_S, now_s
         ),
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -20,6 +20,7 @@
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.membership import contention
 from egretspur.routing import broker, fleet, jobs, questions, unproductive
+from egretspur.tunnels import reach
 
 Decision = jobs.Start | errors.Refusal
 DecisionFuture = concurrent.futures.Future[Decision]
@@ -155,6 +156,13 @@
     upstream_id: str
 
 
+@attrs.frozen
+class LinksChanged:
+    """How this host reaches upstreams has changed."""
+
+    state: reach.LinkState
+
+
 @attrs.frozen
 class LinkStalled:
     """Nothing comes over a link between two data centres."""
@@ -350,6 +358,10 @@
     def _(self, message: EngineUnproductive) -> bool:
         return self._unproductive.pause(message.upstream_id, time.monotonic())
 
+    @handle.register
+    def _(self, message: LinksChanged) -> None:
+        self._broker.fleet.link_state = message.state
+
     @handle.register
     def _(self, message: LinkStalled) -> None:
         self._broker.note_link_stalled(
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -32,6 +32,7 @@
     probing,
     replicas,
 )
+from egretspur.tunnels import reach
 
 # A data centre that sent no peer update for this long counts as cut off: the
 # network is partitioned or its hosts are down, and its engines are used only
@@ -94,6 +95,8 @@
             host: This host's address as others know it.
         """
         self.data_centre = data_centre
+        # How this host reaches upstreams.
+        self.link_state = reach.LinkState.SOUND
         self.throttle = limits or throttle.Throttle()
         self._is_counting_excess = is_counting_excess
         self.roster = upstreams.Roster()
@@ -152,12 +155,21 @@
     def list_usable(
         self, service: str, now_s: float
     ) -> list[upstreams.Upstream]:
-        """Returns a service's upstreams that may be given work."""
-        return [
+        """Returns a service's upstreams that may be given work.
+
+        If other hosts suspect all of them, those that this host itself finds
+        sound: a request that would be refused otherwise is better tried.
+        """
+        sound = [
             e
             for e in self.roster.entries.values()
-            if e.service == service and self.is_usable(e, now_s)
+            if e.service == service
+            and not self._is_closed(e)
+            and self.health.is_sound(e.id, now_s)
         ]
+        return [
+            e for e in sound if not self.health.is_suspected(e.id, now_s)
+        ] or sound
 
     def get_revision(self) -> int:
         """Returns a number that changes when capacity may have been freed.
@@ -192,8 +204,8 @@
             )
             for upstream_id in update.dead:
                 if upstream_id in self.roster.entries:
-                    self.health.mark_down(
-                        upstream_id, now_s, f"host {update.host} finds it dead"
+                    self.health.record_peer_death(
+                        upstream_id, update.host, now_s
                     )
         self._apply_peer_suspects(update, now_s)
         for upstream_id, layers in update.layers.items():
@@ -219,6 +231,12 @@
                     upstream_id, update.host, now_s
                 )
 
+    def list_dead(self, now_s: float) -> tuple[str, ...]:
+        """Returns the dead upstreams to send to other hosts."""
+        if self.link_state is not reach.LinkState.SOUND:
+            return ()
+        return self.health.list_dead(now_s)
+
     def has_pending_probes(self) -> bool:
         """Tells whether a new failure or slowdown awaits a probe."""
         return self.health.has_pending_probes() or self.paces.has_suspects()
@@ -234,6 +252,9 @@
     def list_suspects(self, now_s: float, is_speaker: bool) -> tuple[str, ...]:
         """Returns the suspects to send to other hosts.
 
+        None of its own while this host reaches no upstream by itself: what
+        fails there are its links.
+
         Args:
             now_s: Monotonic time.
             is_speaker: Whether the update goes to other data centres on behalf
@@ -241,6 +262,8 @@
                 only those in this data centre.
         """
         found = self.health.list_suspects(now_s)
+        if self.link_state is not reach.LinkState.SOUND:
+            found = ()
         if not is_speaker:
             return found
         entries = self.roster.entries
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -75,6 +75,14 @@
     probed_s: float = -math.inf
 
 
+@attrs.define
+class _Claim:
+    """What another host says, without a break, of a failing upstream."""
+
+    first_s: float
+    until_s: float
+
+
 @attrs.define
 class Refusals:
     """Consecutive refusals of an upstream that is alive."""
@@ -117,6 +125,10 @@
         self.refusals: dict[str, Refusals] = {}
         # Upstreams that other hosts suspect, with the end of the suspicion.
         self.peer_suspects: dict[str, float] = {}
+        # What other hosts say, by upstream and host.
+        self._claims: dict[str, dict[str, _Claim]] = {}
+        # When upstreams last answered this host, a request or a probe.
+        self._answered_s: dict[str, float] = {}
         # Upstreams that asked this host for a backoff, with its end.
         self.backoffs: dict[str, float] = {}
         # Engines that answer with errors.
@@ -126,11 +138,16 @@
 
     def is_usable(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether an upstream may get requests."""
+        return self.is_sound(upstream_id, now_s) and not self.is_suspected(
+            upstream_id, now_s
+        )
+
+    def is_sound(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether an upstream is usable by what this host saw itself."""
         return (
             not self.is_paused(upstream_id, now_s)
             and not self.is_backing_off(upstream_id, now_s)
             and not self.is_down(upstream_id)
-            and not self.is_suspected(upstream_id, now_s)
             and not self.outliers.is_ejected(upstream_id, now_s)
         )
 
@@ -216,13 +233,38 @@
     def record_peer_suspicion(
         self, upstream_id: str, host: str, now_s: float
     ) -> None:
-        """Records another host's suspicion; that host probes the upstream."""
+        """Records another host's suspicion; that host probes the upstream.
+
+        It is dropped if the upstream has answered this host since the other
+        one began to say so: then it is that host's links that are down.
+        """
+        if self._is_refuted(upstream_id, host, now_s):
+            return
         if not self.is_suspected(upstream_id, now_s):
             self._on_state_change(
                 upstream_id, "suspected", f"host {host} finds it failing"
             )
         self.peer_suspects[upstream_id] = now_s + PEER_SUSPICION_TTL_S
 
+    def record_peer_death(
+        self, upstream_id: str, host: str, now_s: float
+    ) -> None:
+        """Has an upstream probed that another host finds dead."""
+        if not self._is_refuted(upstream_id, host, now_s):
+            self.failed.setdefault(
+                upstream_id, Failed(now_s, False, now_s, is_cut=True)
+            )
+
+    def _is_refuted(self, upstream_id: str, host: str, now_s: float) -> bool:
+        """Records what a host says; returns whether this one knows better."""
+        claims = self._claims.setdefault(upstream_id, {})
+        claim = claims.get(host)
+        if claim is None or now_s > claim.until_s:
+            claim = claims[host] = _Claim(now_s, now_s)
+        claim.until_s = now_s + PEER_SUSPICION_TTL_S
+        answered_s = self._answered_s.get(upstream_id, -math.inf)
+        return answered_s > claim.first_s
+
     def list_peer_suspects(self, now_s: float) -> tuple[str, ...]:
         """Returns the upstreams that other hosts suspect now."""
         return tuple(i for i, t in self.peer_suspects.items() if now_s < t)
@@ -302,6 +344,7 @@
 
     def record_success(self, upstream_id: str, now_s: float) -> None:
         """Records an answer."""
+        self._answered_s[upstream_id] = now_s
         self.refusals.pop(upstream_id, None)
         self.peer_suspects.pop(upstream_id, None)
         self.outliers.record_answer(upstream_id)
@@ -358,6 +401,9 @@
 
     def record_probe(self, upstream_id: str, is_ok: bool, now_s: float) -> None:
         """Records the result of a probe."""
+        if is_ok:
+            self._answered_s[upstream_id] = now_s
+            self.peer_suspects.pop(upstream_id, None)
         failed = self.failed.get(upstream_id)
         if failed is None:
             return
@@ -410,6 +456,8 @@
             self.refusals,
             self.peer_suspects,
             self.backoffs,
+            self._claims,
+            self._answered_s,
         )
         for table in tables:
             for upstream_id in [i for i in table if i not in listed]:
--- a/tests/routing/suspects.feature
+++ b/tests/routing/suspects.feature
@@ -44,3 +44,43 @@
     And the others exchange peer updates every 0.2 s for 2 s
     Then host b still uses "l40s-0-kl-hall"
     And host c still uses "l40s-0-kl-hall"
+
+  Scenario: A host that reaches no upstream by itself
+    # Guards against hosts with sound links that stop because of one without.
+    When host a loses its links, and each of its requests fails
+    And 0.1 s later the hosts exchange peer updates
+    Then all hosts but a use all engines and replicas
+
+  Scenario: A host whose word its peers know to be wrong
+    # Guards against the same where the host does not notice: an engine that
+    # answers others is not down because one host goes on to say so.
+    When host a keeps saying that "l40s-0-kl-hall" fails
+    And 0.1 s later the hosts exchange peer updates
+    Then host b no longer uses "l40s-0-kl-hall"
+    When "l40s-0-kl-hall" answers a request of host b
+    And the hosts exchange peer updates every 0.2 s for 2 s
+    Then host b still uses "l40s-0-kl-hall"
+
+  Scenario: A host that finds an upstream dead which answers others
+    # Guards against one voice that marks an upstream down at all hosts, again
+    # after each probe that it answers.
+    When host a keeps saying that "l40s-0-kl-hall" is dead
+    And 0.1 s later the hosts exchange peer updates
+    And "l40s-0-kl-hall" answers the next probe of host b
+    And the hosts exchange peer updates every 0.2 s for 2 s
+    Then host b still uses "l40s-0-kl-hall"
+
+  Scenario: An upstream that dies after its peers knew better
+    When host a keeps saying that "l40s-0-kl-hall" fails
+    And "l40s-0-kl-hall" answers a request of host b
+    And host a finds it sound again
+    And the hosts exchange peer updates every 0.2 s for 2 s
+    And host a keeps saying that "l40s-0-kl-hall" fails
+    And 0.1 s later the hosts exchange peer updates
+    Then host b no longer uses "l40s-0-kl-hall"
+
+  Scenario: All replicas of a service are suspected by another host
+    # Guards against calls that are refused though nobody has tried a replica.
+    When host a keeps saying that "app-0" and "app-1" fail
+    And 0.1 s later the hosts exchange peer updates
+    Then host b still calls a replica
--- a/tests/steps/suspects_steps.py
+++ b/tests/steps/suspects_steps.py
@@ -9,18 +9,21 @@
 
 from egretspur.catalog import upstreams
 from egretspur.routing import broker, fleet, jobs, paths
+from egretspur.tunnels import reach
 from tests import fleets
 from tests.steps import choice_steps
 
 PLACES = {"a": "kl-hall", "b": "kl-hall", "c": "pg-hall", "d": "cj-hall"}
 
+REPLICAS = ("app-0", "app-1")
+
 # The lowest address of each data centre speaks for it.
 SPEAKERS = ("a", "c", "d")
 
 
 def list_engines() -> list[upstreams.Upstream]:
-    """Returns one copy of the model in each data centre."""
-    return [
+    """Returns a copy of the model in each data centre, and two replicas."""
+    engines = [
         attrs.evolve(
             fleets.make_upstream(engine, layers, place),
             id=choice_steps.name(engine, place),
@@ -30,6 +33,7 @@
         for place in fleets.DATA_CENTRES
         for engine, layers in choice_steps.COPY.items()
     ]
+    return engines + [fleets.make_upstream(name) for name in REPLICAS]
 
 
 @given(
@@ -38,6 +42,9 @@
 )
 def step_hosts(context: Any) -> None:
     context.now_s = 10.0
+    # Upstreams that hosts say fail or are dead, beside what they found.
+    context.said = {}
+    context.said_dead = {}
     context.hosts = {}
     for host, place in PLACES.items():
         state = fleets.make_broker(list_engines())
@@ -103,6 +110,7 @@
     del context.hosts[host]
 
 
+@when("the hosts exchange peer updates every {period:g} s for {length:g} s")
 @when("the others exchange peer updates every {period:g} s for {length:g} s")
 def step_tell_on(context: Any, period: float, length: float) -> None:
     for _ in range(round(length / period)):
@@ -117,7 +125,10 @@
         told = []
         for host, state in context.hosts.items():
             near = state.fleet.list_suspects(context.now_s, False)
-            told.append((host, make_news(host, near), True))
+            near += context.said.get(host, ())
+            dead = state.fleet.list_dead(context.now_s)
+            dead += context.said_dead.get(host, ())
+            told.append((host, make_news(host, near, dead), True))
             if host in SPEAKERS:
                 wide = state.fleet.list_suspects(context.now_s, True)
                 told.append((host, make_news(host, wide), False))
@@ -128,13 +139,72 @@
                     state.fleet.apply_peer_update(news, context.now_s)
 
 
-def make_news(host: str, suspects: tuple[str, ...]) -> fleet.PeerState:
-    """Returns news of failing engines alone."""
+def make_news(
+    host: str, suspects: tuple[str, ...], dead: tuple[str, ...] = ()
+) -> fleet.PeerState:
+    """Returns a peer update with failing and dead upstreams alone."""
     return fleet.PeerState(
-        host, PLACES[host], {}, {}, (), {}, {}, suspects=suspects
+        host, PLACES[host], {}, {}, dead, {}, {}, suspects=suspects
     )
 
 
+@when('host a keeps saying that "{upstream}" fails')
+def step_says(context: Any, upstream: str) -> None:
+    context.said["a"] = (upstream,)
+
+
+@when('host a keeps saying that "{one}" and "{other}" fail')
+def step_says_both(context: Any, one: str, other: str) -> None:
+    context.said["a"] = (one, other)
+
+
+@when('host a keeps saying that "{upstream}" is dead')
+def step_says_dead(context: Any, upstream: str) -> None:
+    context.said["a"] = context.said_dead["a"] = (upstream,)
+
+
+@when("host a finds it sound again")
+def step_says_nothing(context: Any) -> None:
+    context.said.clear()
+
+
+@when('"{engine}" answers a request of host {host}')
+def step_answers(context: Any, engine: str, host: str) -> None:
+    context.now_s += 0.1
+    health = context.hosts[host].fleet.health
+    health.record_success(engine, context.now_s)
+
+
+@when("host a loses its links, and each of its requests fails")
+def step_loses_links(context: Any) -> None:
+    state = context.hosts["a"].fleet
+    state.link_state = reach.LinkState.CUT_OFF
+    for upstream_id in state.roster.entries:
+        state.health.mark_down(upstream_id, context.now_s - 5.0)
+        for _ in range(3):
+            state.record_probe(upstream_id, False, 1.0, context.now_s)
+
+
+@then("all hosts but a use all engines and replicas")
+def step_all_used(context: Any) -> None:
+    for host in "bcd":
+        state = context.hosts[host].fleet
+        unused = [
+            e.id
+            for e in state.roster.entries.values()
+            if not state.is_usable(e, context.now_s)
+        ]
+        assert not unused, (host, unused)
+
+
+@then("host {host} still calls a replica")
+def step_calls(context: Any, host: str) -> None:
+    now_s = context.now_s
+    job = fleets.make_job("call", "non_idempotent", now_s=now_s)
+    effects = context.hosts[host].arrive(job, now_s)
+    assert isinstance(effects[0], jobs.Start), effects
+
+
 def find(context: Any, host: str, engine: str) -> set[str]:
     """Returns the engines of the path that a host finds near an engine."""
     state = context.hosts[host]
