Resume streams whose link is lost over the way that is left

A stream whose connection went silent with its host's links hung until its caller left after 2 s: probes over the same links answer nothing, and the watch rightly concludes nothing of engines from that.

Four scenarios of silence.feature; two are red without it, one guards kept connections.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -109,7 +109,11 @@
         )
         self._engines = upstream.EngineClient(self._links)
         self._watch = watch.StreamWatch(
-            self._desk, self._engines, enabled.silence, cfg.ip
+            self._desk,
+            self._engines,
+            enabled.silence,
+            cfg.ip,
+            self._links,
         )
         self._intake = intake.Intake(
             self._desk,
--- a/egretspur/daemons/tunnels.py
+++ b/egretspur/daemons/tunnels.py
@@ -15,13 +15,16 @@
 
 from egretspur import guard
 from egretspur.routing import broker, desk
-from egretspur.tunnels import dialer
+from egretspur.tunnels import dialer, reach
 
 # Seconds between two attempts to connect over links that are down.
 CHECK_PERIOD_S: Final = 0.5
 
 # Longest wait for a connection in such an attempt.
-CHECK_TIMEOUT_S: Final = 0.3
+CHECK_TIMEOUT_S: Final = 0.2
+
+# Upstreams to connect to when the links are suspected: one may be down itself.
+VERIFIED: Final = reach.MIN_FAILED + 1
 
 # Time for which the addresses of the listed upstreams are cached.
 LISTED_TTL_S: Final = 0.25
@@ -117,13 +120,42 @@
         self._stop.set()
 
     def _run(self) -> None:
-        while not self._stop.wait(CHECK_PERIOD_S):
+        while not self._stop.is_set():
             if not self._links.needs_checks.wait(CHECK_PERIOD_S):
                 continue
             with guard.log_exceptions("links"):
-                self._check()
+                if self._links.take_suspicion():
+                    self._verify()
+                else:
+                    self._check()
+            if not self._links.needs_checks.is_set():
+                continue
+            self._stop.wait(CHECK_PERIOD_S)
+
+    def _verify(self) -> None:
+        """Connects to some upstreams, through helpers if need be.
+
+        If the own links don't lead there and helpers do, this host knows that
+        its links are down before any request has met them.
+        """
+        listed = sorted(self._listed.get())
+        chosen = self._rng.sample(listed, min(VERIFIED, len(listed)))
+        threads = [
+            threading.Thread(target=self._try, args=(a,), name="verify")
+            for a in chosen
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _try(self, address: str) -> None:
+        """Opens and closes a connection, whose outcome the links record."""
+        with contextlib.suppress(OSError):
+            self._links.dial(address, CHECK_TIMEOUT_S).close()
 
     def _check(self) -> None:
+        """Tries the own links again."""
         due = self._links.list_checks(self._listed.get())
         if not due:
             return
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -90,6 +90,8 @@
         self._lock = threading.Lock()
         self._close: Callable[[], None] | None = None
         self.is_aborted = False
+        # Host that passes the current connection's bytes on; empty for none.
+        self.helper = ""
 
     def abort_all(self) -> None:
         """Aborts the current connection and every later one."""
@@ -106,10 +108,19 @@
         if close is not None:
             close()
 
-    def set_closer(self, close: Callable[[], None] | None) -> None:
-        """Sets how to close the current connection; closes it if aborted."""
+    def set_closer(
+        self, close: Callable[[], None] | None, helper: str | None = None
+    ) -> None:
+        """Sets how to close the current connection; closes it if aborted.
+
+        Args:
+            close: Closes it; None if there is none.
+            helper: Host that passes its bytes on; None to keep what is set.
+        """
         with self._lock:
             self._close = close
+            if helper is not None:
+                self.helper = helper
             should_close = self.is_aborted and close is not None
         if should_close and close is not None:
             close()
@@ -200,6 +211,11 @@
         """Ends the current attempt, so that another one resumes the answer."""
         self._abort.abort_current()
 
+    def has_lost_link(self, links: Links) -> bool:
+        """Returns whether bytes of its connection no longer arrive."""
+        first = self.parts[0].address
+        return links.is_lost(first, self._abort.helper)
+
     def begin(self) -> CompleteAnswer | Answer | errors.Refusal:
         """Returns a complete answer, the start of a stream, or a refusal."""
         self._fut = self._desk.arrive(self.job)
@@ -494,6 +510,21 @@
         )
 
 
+class Links(Protocol):
+    """Knows over which links upstreams are reached."""
+
+    def suspect(self) -> None:
+        """Has this host's own links checked soon."""
+
+    def is_lost(self, address: str, helper: str) -> bool:
+        """Returns whether open connections to an upstream are lost.
+
+        Args:
+            address: Of the upstream.
+            helper: Host that passes their bytes on; empty for none.
+        """
+
+
 class Watch(Protocol):
     """Watches streams for silence."""
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -91,6 +91,7 @@
         engines: Engines,
         checks_shared_silence: bool = True,
         host: str = "",
+        links: forward.Links | None = None,
     ) -> None:
         """Creates a watch; `start` starts its thread.
 
@@ -100,7 +101,9 @@
             checks_shared_silence: Whether to check for streams that fall
                 silent together or get no first event.
             host: This host's address as others know it.
+            links: Knows which connections are lost; None if nothing does.
         """
+        self._links = links
         self._desk = to
         self._checks_shared_silence = checks_shared_silence
         self._engines = engines
@@ -108,6 +111,8 @@
         self._streams: set[forward.Forwarder] = set()
         # When each rerouted stream was rerouted.
         self._rerouted_s: dict[forward.Forwarder, float] = {}
+        # When attempts with a lost connection were last to be ended.
+        self._lost_s: dict[forward.Forwarder, float] = {}
         # When a first engine was last asked for its report, by id.
         self._last_report_s: dict[str, float] = {}
         self._peeks = peeks.PeekSchedule(host)
@@ -192,6 +197,7 @@
         """Handles the streams that are silent now."""
         with self._lock:
             streams = list(self._streams)
+        streams = self._end_lost(streams, now_s)
         if self._checks_shared_silence:
             self._check_shared_silence(streams, now_s)
             self._check_first_events(streams, now_s)
@@ -210,6 +216,33 @@
             self._last_report_s[first.id] = now_s
             self._check_first_engine(first, silent)
 
+    def _end_lost(
+        self, streams: Sequence[forward.Forwarder], now_s: float
+    ) -> list[forward.Forwarder]:
+        """Ends silent attempts whose connection is lost; returns the others.
+
+        Another attempt resumes the answer over the way that is left. Without
+        this, its caller would leave, since the engine itself is sound.
+        """
+        links = self._links
+        if links is None:
+            return list(streams)
+        lost = [
+            s for s in streams if is_silent(s, now_s) and s.has_lost_link(links)
+        ]
+        for stream in lost:
+            asked_s = self._lost_s.get(stream, -math.inf)
+            if now_s - asked_s >= REPORT_INTERVAL_S:
+                self._lost_s[stream] = now_s
+                self._end_attempt(stream)
+        self._lost_s = {s: t for s, t in self._lost_s.items() if s in lost}
+        return [s for s in streams if s not in lost]
+
+    def _suspect_links(self) -> None:
+        """Has this host's links checked: it hears nothing of any engine."""
+        if self._links is not None:
+            self._links.suspect()
+
     def _check_shared_silence(
         self, streams: Sequence[forward.Forwarder], now_s: float
     ) -> None:
@@ -231,7 +264,10 @@
             ]
         ) | self._list_peer_suspects(begun, now_s)
         addresses = self._list_due(streams, suspects, now_s)
-        if not addresses or len(addresses) > MAX_PROBES:
+        if len(addresses) > MAX_PROBES:
+            self._suspect_links()
+            return
+        if not addresses:
             return
         addresses = {
             i: a for i, a in addresses.items() if self._desk.may_query(i)
@@ -242,6 +278,8 @@
         found = self._probe(addresses, active, now_s)
         # If no probe is answered, this host itself may be slow or cut off.
         if not any(found.values()):
+            if found:
+                self._suspect_links()
             return
         dead = frozenset(
             i for i, is_answered in found.items() if not is_answered
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -86,11 +86,14 @@
         abort: forward.AbortHandle,
     ) -> UpstreamAnswer | forward.AttemptFailure:
         """Sends a request and returns its response, body unread."""
-        conn = self._connect(job, start)
-        if isinstance(conn, forward.AttemptFailure):
-            return conn
+        link = self._connect(job, start)
+        if isinstance(link, forward.AttemptFailure):
+            return link
+        host, port = dialer.split_address(start.upstream.address)
+        conn = urllib3.connection.HTTPConnection(host, port)
+        conn.sock = link.sock
         handle = _AbortableConnection(conn)
-        abort.set_closer(handle.abort)
+        abort.set_closer(handle.abort, link.helper)
         left_s = job.deadline_s - time.monotonic()
         headers = _make_headers(call, job, start, resume_after, left_s)
         # urllib3 sets this on its socket before it sends and again before it
@@ -126,7 +129,7 @@
 
     def _connect(
         self, job: jobs.Job, start: jobs.Start
-    ) -> urllib3.connection.HTTPConnection | forward.AttemptFailure:
+    ) -> dialer.Link | forward.AttemptFailure:
         """Returns a connection to an upstream, or why there is none."""
         address = start.upstream.address
         try:
@@ -144,10 +147,7 @@
             decisions.record(
                 decisions.RequestHelped(job.id, start.upstream.id, link.helper)
             )
-        host, port = dialer.split_address(address)
-        conn = urllib3.connection.HTTPConnection(host, port)
-        conn.sock = link.sock
-        return conn
+        return link
 
 
 class _AbortableConnection:
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -12,6 +12,7 @@
 import enum
 import http
 import http.client
+import math
 import socket
 import threading
 import time
@@ -33,6 +34,9 @@
 # Helpers that must fail to reach an upstream before it counts as down.
 MIN_REFUTING: Final = 2
 
+# Shortest time between two checks of links that work as far as is known.
+MIN_VERIFY_INTERVAL_S: Final = 1.0
+
 # Seconds without an acknowledgement after which TCP gives up on a connection,
 # also while it only waits. Upstreams may be silent for a second.
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 2500
@@ -88,8 +92,12 @@
         self._reach = reach.Reach()
         self._state = reach.LinkState.SOUND
         self._on_change = on_change
-        # Set while own links are down and to be checked again.
+        # Set while own links are to be checked.
         self.needs_checks = threading.Event()
+        # Whether streams over several upstreams fell silent together, and when
+        # that was last checked.
+        self._is_suspected = False
+        self._verified_s = -math.inf
 
     def dial(self, address: str, timeout_s: float) -> socket.socket:
         """Returns a connected socket; see `open`."""
@@ -158,7 +166,7 @@
     def _note_changes(self, address: str) -> None:
         """Passes on a change of the links' state; starts or stops checks."""
         with self._lock:
-            if self._reach.needs_checks():
+            if self._reach.needs_checks() or self._is_suspected:
                 self.needs_checks.set()
             else:
                 self.needs_checks.clear()
@@ -170,6 +178,35 @@
             self._on_change(state)
         decisions.record(decisions.LinksChanged(state.value, address))
 
+    def suspect(self) -> None:
+        """Has this host's own links checked soon; see `forward.Links`."""
+        with self._lock:
+            if time.monotonic() - self._verified_s < MIN_VERIFY_INTERVAL_S:
+                return
+            self._is_suspected = True
+        self.needs_checks.set()
+
+    def take_suspicion(self) -> bool:
+        """Returns whether to check links that work as far as is known."""
+        with self._lock:
+            is_due = self._is_suspected and not self._reach.is_cut_off()
+            self._is_suspected = False
+            if is_due:
+                self._verified_s = time.monotonic()
+            return is_due
+
+    def is_lost(self, address: str, helper: str) -> bool:
+        """Returns whether open connections are lost; see `forward.Links`."""
+        if not helper:
+            return self.needs_helper(address)
+        candidates = self._list_candidates()
+        with self._lock:
+            is_paused = self._helpers.is_paused(helper, time.monotonic())
+        return is_paused or helper not in (
+            *candidates.local,
+            *candidates.remote,
+        )
+
     def is_cut_off(self) -> bool:
         """Returns whether this host reaches no upstream by itself."""
         with self._lock:
@@ -193,9 +230,8 @@
         """
         with self._lock:
             found = self._reach.list_checks(listed)
-        if not found:
-            # None of those that failed is listed any more.
-            self._note_changes("")
+        # Those that failed may not be listed any more.
+        self._note_changes("")
         return found
 
     def ask(self, host: str, address: str) -> socket.socket | NoTunnel:
--- a/egretspur/tunnels/helpers.py
+++ b/egretspur/tunnels/helpers.py
@@ -60,6 +60,11 @@
             found = local + self._list_open(candidates.remote, tried, now_s)
         return self._rng.choice(found) if found else None
 
+    def is_paused(self, host: str, now_s: float) -> bool:
+        """Returns whether a host refused or did not answer lately."""
+        pause = self._pauses.get(host)
+        return pause is not None and now_s < pause.until_s
+
     def record_helped(self, host: str) -> None:
         """Records that a host helped."""
         self._pauses.pop(host, None)
@@ -79,8 +84,5 @@
         self, hosts: Sequence[str], tried: Container[str], now_s: float
     ) -> list[str]:
         return [
-            h
-            for h in hosts
-            if h not in tried
-            and (h not in self._pauses or now_s >= self._pauses[h].until_s)
+            h for h in hosts if h not in tried and not self.is_paused(h, now_s)
         ]
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -52,6 +52,31 @@
     And no engine answers the host
     When the watch checks its streams 70 ms after the last events
     Then no stream is rerouted
+    And the host's own links are checked
+
+  Scenario: The connections of silent streams are lost
+    # Guards against callers that leave after two seconds of silence: the links
+    # of their host are down, and the engines are sound.
+    Given a watch over 6 streams on "a100-1" and 0 beside it
+    And the links that they came over are down
+    When the watch checks its streams 310 ms after the last events
+    Then 6 of the streams are ended
+    And no engine is asked for its report
+
+  Scenario: Kept connections live on while new ones are refused
+    Given a watch over 6 streams on "a100-1" and 2 beside it
+    And the links that they came over are down
+    When the watch checks its streams 70 ms after the last events
+    Then no stream is rerouted
+
+  Scenario: Lost connections, and no retry is left
+    # Guards against a budget that is asked twenty times a second for each.
+    Given hosts that may repeat nothing
+    And a watch over 6 streams on "a100-1" and 0 beside it
+    And the links that they came over are down
+    When the watch checks its streams every 50 ms for 2 s
+    Then 0 of the streams are ended
+    And a retry was asked for at most 8 times for each
 
   Scenario: Streams that wait for other requests' prefills
     Given a watch over 6 streams on "a100-1" and 2 beside it
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -6,6 +6,7 @@
 import re
 import time
 from typing import Any
+from unittest import mock
 
 import attrs
 from behave import given, then, when
@@ -62,6 +63,26 @@
         """Ends the attempt under way."""
         self.is_ended = True
 
+    def has_lost_link(self, links: Any) -> bool:
+        """Returns whether bytes of its connection no longer arrive."""
+        return bool(links.is_lost(self.parts[0].address, ""))
+
+
+@attrs.define
+class FakeLinks:
+    """The host's links to upstreams; see `forward.Links`."""
+
+    are_down: bool = False
+    suspicions: int = 0
+
+    def suspect(self) -> None:
+        """Counts the suspicion."""
+        self.suspicions += 1
+
+    def is_lost(self, address: str, helper: str) -> bool:
+        """Returns whether the links are down."""
+        return self.are_down
+
 
 @given('a watch over {count:d} streams on "{name}" and {more:d} beside it')
 def step_watch(context: Any, count: int, name: str, more: int) -> None:
@@ -70,7 +91,10 @@
     context.play = forward_steps.Play(
         desk.Desk(context.broker), engines=engines
     )
-    context.play.watch = watch.StreamWatch(context.play.desk, engines)
+    context.links = FakeLinks()
+    context.play.watch = watch.StreamWatch(
+        context.play.desk, engines, links=context.links
+    )
     roster = context.broker.fleet.roster
     layers = broker_steps.CHAIN[name]
     upstreams.put_entry(roster, fleets.make_upstream("a100-twin", layers), 0.0)
@@ -101,6 +125,33 @@
     context.play.engines.dead = {f"{name}:80"}
 
 
+@given("the links that they came over are down")
+def step_links_down(context: Any) -> None:
+    context.links.are_down = True
+    to = context.play.desk
+    context.reserve = mock.Mock(wraps=to.reserve_retry)
+    to.reserve_retry = context.reserve
+
+
+@then("the host's own links are checked")
+def step_links_checked(context: Any) -> None:
+    assert context.links.suspicions == 1
+
+
+@then("no engine is asked for its report")
+def step_no_report(context: Any) -> None:
+    assert not context.play.engines.asked, context.play.engines.asked
+
+
+@then("a retry was asked for at most {count:d} times for each")
+def step_few_retries(context: Any, count: int) -> None:
+    asked = collections.Counter(
+        call.args[0] for call in context.reserve.call_args_list
+    )
+    assert set(asked) == {s.job.id for s in context.streams}, asked
+    assert max(asked.values()) <= count, asked
+
+
 @given("no engine answers the host")
 def step_nobody(context: Any) -> None:
     entries = context.broker.fleet.roster.entries.values()
