Probe failed upstreams over new connections

At the cut hosts of the incident, where kept connections lived on and new ones were refused, upstreams were "back, answers probes" 38 to 61 times in 8 s, 0.15 s after each refusal, and every request met them again. Probes used a kept connection where there was one. What a probe is to show is whether requests get there, so it opens its own; kept connections stay for reports.

--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -31,6 +31,11 @@
 # longer leads to a dead upstream, or the link is down and a helper is asked.
 CONNECT_TIMEOUT_S: Final = 0.2
 
+# Longest wait for a connection and for an answer of calls that are no caller's
+# requests.
+CONTROL_CONNECT_S: Final = 0.3
+CONTROL_READ_S: Final = 0.5
+
 # A live engine returns its report within 2 ms, 1 ms of them to connect; a busy
 # host needs more time to read it.
 PEEK_TIMEOUT_S: Final = 0.03
@@ -321,8 +326,13 @@
         Args:
             links: Opens connections; None to use this host's own links only.
         """
+        dial = links.dial if links else None
         self._transport = transport.Transport(
-            0.3, 0.5, links.dial if links else None
+            CONTROL_CONNECT_S, CONTROL_READ_S, dial
+        )
+        # Keeps no connection; see `probe`.
+        self._probe_transport = transport.Transport(
+            CONTROL_CONNECT_S, CONTROL_READ_S, dial
         )
         self._peek_transport = transport.Transport(
             PEEK_TIMEOUT_S,
@@ -336,12 +346,23 @@
     def close(self) -> None:
         """Closes idle connections."""
         self._transport.close()
+        self._probe_transport.close()
         self._peek_transport.close()
 
     def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Returns an engine's report, or why it failed."""
         return self._get_report(self._transport, address, "report")
 
+    def probe(self, address: str) -> upstreams.EngineReport | str:
+        """Returns the report of an engine that failed, or why there is none.
+
+        Uses a new connection, as requests do: kept ones may live on while no
+        new one can be opened.
+        """
+        report = self._get_report(self._probe_transport, address, "report")
+        self._probe_transport.empty_pool(address)
+        return report
+
     def peek(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report within a short timeout, or why it failed.
 
@@ -386,9 +407,11 @@
 
         A late response or an error status counts as alive: a full or slow
         service responds late, and a draining one refuses. The list of upstreams
-        and the requests themselves show those states.
+        and the requests themselves show those states. Uses a new connection,
+        as `probe` does.
         """
-        res = self._transport.call("GET", address, health_path)
+        res = self._probe_transport.call("GET", address, health_path)
+        self._probe_transport.empty_pool(address)
         _log_control_call(address, "health", res)
         return not isinstance(res, transport.Failed) or res.is_timeout
 
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -98,6 +98,12 @@
       | 503 No\nNot-Executed: 1 | Server-Leaving: 0\n                  | nothing      |
       | 421 No                  | Server-Leaving: 1\nServer-Limit: 1\n | not at all   |
 
+  Scenario: A failed engine is probed while connections are kept to it
+    # Guards against an engine that counts as back because a kept connection
+    # lives on, though requests find no new one.
+    When an engine is asked for its report, and then probed twice as failed
+    Then both probes are answered over 3 connections
+
   Scenario Outline: An engine is probed twice
     # Guards against a new connection for each probe, and against a live engine
     # that is taken for dead because a kept connection was dropped.
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -256,6 +256,15 @@
     client.close()
 
 
+@when("an engine is asked for its report, and then probed twice as failed")
+def step_probed_as_failed(context: Any) -> None:
+    context.server = server = ReportServer()
+    client = upstream.EngineClient()
+    assert not isinstance(client.get_report(server.address), str)
+    context.reports = [client.probe(server.address) for _ in range(2)]
+    client.close()
+
+
 @then("both probes are answered over {count:d} connections")
 def step_answered_twice(context: Any, count: int) -> None:
     assert not any(isinstance(r, str) for r in context.reports), context.reports
