--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -47,7 +47,7 @@
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
 from egretspur.routing import broker, choice, desk, fleet, probes
-from egretspur.tunnels import dialer, helpers, server
+from egretspur.tunnels import dialer, helpers, reach, server
 
 # Limit on concurrent requests; each occupies a thread, started on demand.
 MAX_REQUESTS: Final = 600
@@ -294,6 +294,7 @@
             not self._draining.is_set()
             and self._versions.newest is not None
             and self._feeds.upstreams_sink.has_list
+            and self._links.get_state() is not reach.LinkState.CUT_OFF
         )
 
     def _get_version(self) -> int:
@@ -389,7 +390,7 @@
         cfg = self._versions.newest
         service = cfg.services.get(entry.service) if cfg else None
         if service is None or service.engine is not None:
-            report = self._engines.get_report(entry.address)
+            report = self._engines.probe(entry.address)
             return None if isinstance(report, str) else report
         is_alive = self._engines.is_alive(entry.address, service.health_path)
         return upstreams.PLAIN_REPORT if is_alive else None
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -30,6 +30,7 @@
     waiting,
 )
 from egretspur.routing import fleet as fleets
+from egretspur.tunnels import reach
 
 # Minimum delay before a request is sent again to an upstream that refused it:
 # sooner, the upstream is still as full.
@@ -40,6 +41,9 @@
 
 MAX_QUEUED: Final = 200
 
+# Reason of refusals while no upstream is reached, for the log and callers.
+CUT_OFF_REASON: Final = "this host reaches no upstream"
+
 
 class Broker:
     """Decision state of one host; see the module's docstring."""
@@ -379,6 +383,24 @@
         link = links.make_link(source, target)
         self.contention.links.record_stall(link, now_s)
 
+    def set_link_state(
+        self, state: reach.LinkState, now_s: float
+    ) -> list[jobs.Effect]:
+        """Sets how this host reaches upstreams.
+
+        If it reaches none, it refuses the requests that wait: they can't be
+        served here, and others would wait for their turns.
+        """
+        self.fleet.link_state = state
+        if not self.fleet.is_cut_off():
+            return self._start_queued(now_s)
+        waiting = [self.tickets[i] for i in self.queue.waiting]
+        return [
+            self._refuse(t, now_s, errors.ErrorKind.NO_ROUTE, CUT_OFF_REASON)
+            for t in waiting
+            if not t.is_begun
+        ]
+
     def set_host_count(self, hosts: int) -> None:
         """Sets how many hosts, with this one, share budgets and limits."""
         self.retry_budgets.hosts = max(1, hosts)
@@ -422,8 +444,11 @@
                 )
             ]
         opening = self.fleet.backpressure.find_opening(service.name, now_s)
-        # Requests to plain services wait only for rate limits.
-        is_queued = service.engine is not None or opening is not None
+        # Requests to plain services wait only for rate limits. At a host that
+        # reaches no upstream, only answers that have begun wait.
+        is_queued = (service.engine is not None or opening is not None) and (
+            ticket.is_begun or not self.fleet.is_cut_off()
+        )
         effects: list[jobs.Effect] = []
         server = self._queue_server
         is_behind = is_queued and server.has_waiting(service.name, now_s)
@@ -442,13 +467,12 @@
                 return [*effects, start]
         if is_queued:
             return [*effects, *self._enqueue(ticket, item, opening, now_s)]
+        reason = "no upstream is usable"
+        if self.fleet.is_cut_off():
+            reason = CUT_OFF_REASON
         return [
-            self._refuse(
-                ticket,
-                now_s,
-                errors.ErrorKind.NO_ROUTE,
-                "no upstream is usable",
-            )
+            *effects,
+            self._refuse(ticket, now_s, errors.ErrorKind.NO_ROUTE, reason),
         ]
 
     def _enqueue(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -360,7 +360,9 @@
 
     @handle.register
     def _(self, message: LinksChanged) -> None:
-        self._broker.fleet.link_state = message.state
+        self._pending.resolve(
+            self._broker.set_link_state(message.state, time.monotonic())
+        )
 
     @handle.register
     def _(self, message: LinkStalled) -> None:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -139,6 +139,10 @@
             self._log_state,
         )
 
+    def is_cut_off(self) -> bool:
+        """Returns whether this host reaches no upstream, nor a helper."""
+        return self.link_state is reach.LinkState.CUT_OFF
+
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
         return not self._is_closed(entry) and self.health.is_usable(
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -207,6 +207,11 @@
             *candidates.remote,
         )
 
+    def get_state(self) -> reach.LinkState:
+        """Returns how this host reaches upstreams."""
+        with self._lock:
+            return self._reach.get_state()
+
     def is_cut_off(self) -> bool:
         """Returns whether this host reaches no upstream by itself."""
         with self._lock:
--- a/tests/routing/broker.feature
+++ b/tests/routing/broker.feature
@@ -18,6 +18,17 @@
     And 0.4 s go by at the host
     Then the waiting ones are refused as not run, with a Retry-After of 0.7 to 2 s
 
+  Scenario: The host reaches no upstream, and no helper does for it
+    # Guards against callers that wait for what can't come, and against other
+    # hosts that let them go first.
+    Given a chain of engines with memory for about 45000 tokens
+    When 80 requests of 900 tokens arrive at once
+    Then the others wait
+    When the host loses its links and its helpers
+    Then nobody waits, and those that waited are refused as not run
+    When 3 more requests arrive while all engines are full
+    Then these are refused at once
+
   Scenario: Request memory used by other hosts counts
     # Guards against eight hosts that fill an engine eight times.
     Given a chain of engines with memory for about 45000 tokens
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -12,6 +12,7 @@
 from egretspur.admission import repeats, room, shared
 from egretspur.catalog import upstreams
 from egretspur.routing import broker, fleet, jobs, memory, waiting
+from egretspur.tunnels import reach
 from tests import fleets
 
 CHAIN = {
@@ -132,6 +133,35 @@
         assert 0 < used <= size, (name, used, size)
 
 
+@when("the host loses its links and its helpers")
+def step_cut_off(context: Any) -> None:
+    context.waited = set(context.broker.queue.waiting)
+    cut_off = reach.LinkState.CUT_OFF
+    take(context, context.broker.set_link_state(cut_off, context.now_s))
+
+
+@then("nobody waits, and those that waited are refused as not run")
+def step_nobody_waits(context: Any) -> None:
+    assert not context.broker.queue.waiting
+    assert set(context.refused) == context.waited
+    assert all(r.answer.not_run for r in context.refused.values())
+
+
+@when("{count:d} more requests arrive while all engines are full")
+def step_more(context: Any, count: int) -> None:
+    for name in CHAIN:
+        context.broker.fleet.memory.add(name, 1, 1e9)
+    context.names = [f"more{i}" for i in range(count)]
+    for name in context.names:
+        job = fleets.make_job(name, now_s=context.now_s)
+        take(context, context.broker.arrive(job, context.now_s))
+
+
+@then("these are refused at once")
+def step_refused_now(context: Any) -> None:
+    assert set(context.names) <= set(context.refused), context.refused
+
+
 @then("the others wait")
 def step_wait(context: Any) -> None:
     waiting = len(context.broker.queue.waiting)
--- a/tests/steps/partition_steps.py
+++ b/tests/steps/partition_steps.py
@@ -24,6 +24,9 @@
 # Tries for each second in which the network is whole again, and how long.
 AFTERWARDS_S: Final = 3.0
 
+# Time between two questions whether a host is ready, in s.
+READY_PERIOD_S: Final = 0.1
+
 # Time for which the site runs before the partition, in s.
 BEFORE_S: Final = 1.0
 
@@ -39,6 +42,7 @@
     # 0 if the answer was not complete.
     status: int
     is_whole: bool
+    took_s: float
 
 
 @attrs.define
@@ -51,6 +55,8 @@
     tries: list[Try] = attrs.Factory(list)
     stopped: threading.Event = attrs.Factory(threading.Event)
     threads: list[threading.Thread] = attrs.Factory(list)
+    # When the first host was asked whether it is ready, and whether it was.
+    readiness: list[tuple[float, bool]] = attrs.Factory(list)
     # When the partition began and ended.
     began_s: float = 0.0
     ended_s: float = 0.0
@@ -91,9 +97,20 @@
         except (urllib3.exceptions.HTTPError, OSError):
             # A failed try, as it is recorded.
             pass
-        self.tries.append(Try(request_id, path, ip, sent_s, status, is_whole))
+        took_s = time.monotonic() - sent_s
+        self.tries.append(
+            Try(request_id, path, ip, sent_s, status, is_whole, took_s)
+        )
+
+    def watch_readiness(self, end_s: float) -> None:
+        """Records until a time when the first host is ready."""
+        while (now_s := time.monotonic()) < end_s:
+            is_ready = sites.is_ready(self.site, self.site.hosts[0])
+            self.readiness.append((now_s, is_ready))
+            time.sleep(READY_PERIOD_S)
 
 
+@given("a site of {count:d} host, with {rate:d} requests a second for each")
 @given("a site of {count:d} hosts, with {rate:d} requests a second for each")
 def step_site(context: Any, count: int, rate: int) -> None:
     start_load(context, sites.start_site(count), rate)
@@ -122,12 +139,23 @@
 def step_cut(
     context: Any, one: int, other: int, seconds: int, how: str
 ) -> None:
-    site, load = context.play, context.load
+    site = context.play
     cut = context.cut = {site.hosts[one - 1], site.hosts[other - 1]}
+    cut_off(context, cut, seconds, how)
+
+
+@when("host 1 is cut off from all upstreams for {seconds:d} s: {how}")
+def step_cut_one(context: Any, seconds: int, how: str) -> None:
+    cut_off(context, {context.play.hosts[0]}, seconds, how)
+
+
+def cut_off(context: Any, cut: Collection[str], seconds: int, how: str) -> None:
+    """Cuts hosts off for a time, and waits until the load has ended."""
+    site, load = context.play, context.load
     load.began_s = time.monotonic()
     for ip in cut:
         site.partition(ip, how)
-    time.sleep(seconds)
+    load.watch_readiness(load.began_s + seconds)
     load.ended_s = time.monotonic()
     for ip in cut:
         site.partition(ip, "")
@@ -174,6 +202,30 @@
     check_served(context, set(context.play.hosts), end_s, end_s + AFTERWARDS_S)
 
 
+@then(
+    "first tries at host 1 from {delay:d} s after the cut began are refused"
+    " within {bound_s:g} s"
+)
+def step_refused(context: Any, delay: int, bound_s: float) -> None:
+    load = context.load
+    tries = [
+        t
+        for t in load.tries
+        if load.began_s + delay <= t.sent_s < load.ended_s - bound_s
+    ]
+    assert len(tries) > 10, len(tries)
+    wrong = [t for t in tries if t.status != 503 or t.took_s > bound_s]
+    allowed = FAILED_ALLOWED + len(tries) // FAILED_SHARE
+    assert len(wrong) <= allowed, wrong
+
+
+@then("the host was not ready from {delay:d} s after the cut began")
+def step_not_ready(context: Any, delay: int) -> None:
+    load = context.load
+    seen = [r for t, r in load.readiness if t >= load.began_s + delay]
+    assert seen and not any(seen), seen
+
+
 @then("no request that must not be repeated ran twice")
 def step_ran_once(context: Any) -> None:
     runs = collections.Counter(
