Heed what upstreams ask for in answers that a host passes on

To an upstream, the host that connects for another one is the sender. The head of a tunnel's first answer is now read by both.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -155,6 +155,9 @@
                 listed,
                 self._exchange.is_known,
                 lambda: self._draining.is_set(),
+                lambda upstream_id, head: self._desk.note_signals(
+                    upstream_id, upstream.read_signals(head)
+                ),
             ),
         )
         self._pages_client = transport.Transport(0.3, 1.0)
--- a/egretspur/daemons/tunnels.py
+++ b/egretspur/daemons/tunnels.py
@@ -10,7 +10,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from egretspur import guard
@@ -31,26 +31,26 @@
 
 
 class ListedAddresses:
-    """The addresses of the listed upstreams; shared between threads."""
+    """Listed upstreams by address; shared between threads."""
 
     def __init__(self, to: desk.Desk) -> None:
         self._desk = to
         self._lock = threading.Lock()
-        self._addresses: frozenset[str] = frozenset()
+        self._ids: Mapping[str, str] = {}
         self._read_s = -LISTED_TTL_S
 
-    def get(self) -> frozenset[str]:
-        """Returns the addresses."""
+    def get(self) -> Mapping[str, str]:
+        """Returns the ids of the upstreams by address."""
         now_s = time.monotonic()
         with self._lock:
             if now_s - self._read_s >= LISTED_TTL_S:
-                self._addresses = self._desk.query(_read_addresses)
+                self._ids = self._desk.query(_read_addresses)
                 self._read_s = now_s
-            return self._addresses
+            return self._ids
 
 
-def _read_addresses(state: broker.Broker) -> frozenset[str]:
-    return frozenset(e.address for e in state.fleet.roster.entries.values())
+def _read_addresses(state: broker.Broker) -> dict[str, str]:
+    return {e.address: e.id for e in state.fleet.roster.entries.values()}
 
 
 class Gate:
@@ -62,6 +62,7 @@
         listed: ListedAddresses,
         is_known: Callable[[str], bool],
         is_stopping: Callable[[], bool],
+        note_signals: Callable[[str, bytes], None],
     ) -> None:
         """Makes a gate.
 
@@ -70,7 +71,10 @@
             listed: The upstreams.
             is_known: Returns whether an address is a host's.
             is_stopping: Returns whether this host is stopping.
+            note_signals: Called with an upstream's id and the head of its
+                answer.
         """
+        self._note_signals = note_signals
         self._links = links
         self._listed = listed
         self._is_known = is_known
@@ -90,6 +94,12 @@
         """Records whether this host connected to an upstream."""
         self._links.record_direct(address, is_connected)
 
+    def note_head(self, address: str, head: bytes) -> None:
+        """Passes on what an upstream asks for in its answer."""
+        upstream_id = self._listed.get().get(address)
+        if upstream_id is not None:
+            self._note_signals(upstream_id, head)
+
 
 class LinkChecker:
     """Finds out when links that were down are back.
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import http.client
+import io
 import logging
 import math
 import socket
@@ -245,6 +247,25 @@
         self._res.close()
 
 
+def read_signals(head: bytes) -> signals.Signals:
+    """Returns the signals in the head of an answer, as bytes."""
+    line, _, fields = head.partition(b"\r\n")
+    words = line.split()
+    try:
+        status = int(words[1])
+        parsed = http.client.parse_headers(io.BytesIO(fields))
+    except (IndexError, ValueError, http.client.HTTPException):
+        # No answer in the protocol; the host that asked finds out.
+        return signals.NO_SIGNALS
+    if status == MISDIRECTED_STATUS:
+        return signals.NO_SIGNALS
+    # Joins fields that come twice, as the responses of requests have them.
+    found = urllib3.HTTPHeaderDict()
+    for name, value in parsed.items():
+        found.add(name, value)
+    return signals.read(status, found, names.LIMIT, names.LEAVING)
+
+
 def _get_head_timeout_s(start: jobs.Start) -> float:
     """Returns the timeout for the response's head, in seconds."""
     # A model's response begins with its first token, which may wait for a
--- a/egretspur/tunnels/server.py
+++ b/egretspur/tunnels/server.py
@@ -36,9 +36,13 @@
 
 MAX_QUESTION_BYTES: Final = 1024
 
+# Longest head of an answer that is read; the answer is passed on in any case.
+MAX_HEAD_BYTES: Final = 8192
+
 # Bytes that wait for one side to read, beyond which the other is not read.
 MAX_BUFFERED_BYTES: Final = 262_144
 
+_HEAD_END: Final = b"\r\n\r\n"
 _READ_BYTES: Final = 65_536
 _POLL_S: Final = 0.1
 _CLOSE_WITH_RESET: Final = struct.pack("ii", 1, 0)
@@ -61,6 +65,13 @@
     def record(self, address: str, is_connected: bool) -> None:
         """Records whether this host connected to an upstream."""
 
+    def note_head(self, address: str, head: bytes) -> None:
+        """Receives the head of an upstream's first answer.
+
+        To an upstream, this host is the one that sent the request: what it
+        asks for in its answer holds for this host too.
+        """
+
 
 class _Flow:
     """Bytes in one direction."""
@@ -74,14 +85,15 @@
         # The sink takes nothing more.
         self.is_broken = False
 
-    def read(self) -> None:
-        """Reads what has arrived and passes on what the sink takes."""
+    def read(self) -> bytes:
+        """Reads what has arrived, passes it on and returns it."""
         data = self.source.recv(_READ_BYTES)
         if not data:
             self.is_ended = True
         if not self.is_broken:
             self.waiting += data
         self.write()
+        return data
 
     def write(self) -> None:
         """Passes on what the sink takes."""
@@ -108,6 +120,8 @@
         # Bytes to and from the upstream, once it is connected.
         self.up: _Flow | None = None
         self.down: _Flow | None = None
+        # Begin of the first answer; None once its head was read.
+        self.head: bytearray | None = bytearray()
         # When it is closed unless it gets further.
         self.deadline_s: float | None = now_s + QUESTION_TIMEOUT_S
 
@@ -124,6 +138,18 @@
         self.down.waiting += _make_answer(http.HTTPStatus.OK)
         self.down.write()
 
+    def take_head(self, data: bytes) -> bytes:
+        """Adds bytes of the answer; returns its head once that is complete."""
+        if self.head is None:
+            return b""
+        self.head += data
+        end = self.head.find(_HEAD_END)
+        if end < 0 and len(self.head) < MAX_HEAD_BYTES:
+            return b""
+        found = bytes(self.head[: end + len(_HEAD_END)]) if end >= 0 else b""
+        self.head = None
+        return found
+
     def get_events(self, sock: socket.socket) -> int:
         """Returns the events of a socket to wait for."""
         if self.up is None or self.down is None:
@@ -263,7 +289,7 @@
     def _read_question(self, tunnel: _Tunnel) -> None:
         data = tunnel.client.recv(MAX_QUESTION_BYTES)
         tunnel.question += data
-        is_whole = b"\r\n\r\n" in tunnel.question
+        is_whole = _HEAD_END in tunnel.question
         if not data or (
             not is_whole and len(tunnel.question) >= MAX_QUESTION_BYTES
         ):
@@ -323,7 +349,10 @@
         if events & selectors.EVENT_WRITE:
             back.write()
         if events & selectors.EVENT_READ:
-            out.read()
+            data = out.read()
+            head = tunnel.take_head(data) if out is down else b""
+            if head:
+                self._gate.note_head(tunnel.address, head)
         if up.is_ended or down.is_broken:
             # A host closes when its answer is complete or its caller has left:
             # the upstream must stop its work.
--- a/tests/steps/tunnels_steps.py
+++ b/tests/steps/tunnels_steps.py
@@ -16,6 +16,8 @@
 import attrs
 from behave import given, then, when
 
+from egretspur import signals
+from egretspur.platform import upstream
 from egretspur.tunnels import dialer, helpers, reach, server
 from tests import sites, stage
 
@@ -104,6 +106,7 @@
 
     status: http.HTTPStatus = http.HTTPStatus.OK
     outcomes: list[bool] = attrs.Factory(list)
+    heads: list[bytes] = attrs.Factory(list)
 
     def check(self, host: str, address: str) -> http.HTTPStatus:
         """Returns the answer; only the usual host is known."""
@@ -113,6 +116,10 @@
         """Records an outcome."""
         self.outcomes.append(is_connected)
 
+    def note_head(self, address: str, head: bytes) -> None:
+        """Records a head."""
+        self.heads.append(head)
+
 
 @attrs.define
 class Play:
@@ -227,6 +234,31 @@
     assert context.play.host.recv(1) == b""
 
 
+@when('the upstream answers "{head}" in {parts:d} parts')
+def step_answers(context: Any, head: str, parts: int) -> None:
+    data = "\r\n".join([*head.split(","), "", "body"]).encode()
+    size = -(-len(data) // parts)
+    for i in range(0, len(data), size):
+        context.play.upstream.sendall(data[i : i + size])
+        time.sleep(0.02)
+    context.play.upstream.close()
+    assert read_all(context.play.host, len(data) + 1) == data
+
+
+@then("the helper learns {learnt}")
+def step_learns(context: Any, learnt: str) -> None:
+    heads = context.play.gate.heads
+    assert len(heads) <= 1, heads
+    found = upstream.read_signals(heads[0]) if heads else signals.NO_SIGNALS
+    wanted = {
+        "a backoff of 2.5 s": signals.Signals(backoff_s=2.5),
+        "a limit of 4": signals.Signals(per_s=4.0),
+        "that it leaves": signals.Signals(is_leaving=True),
+        "nothing": signals.NO_SIGNALS,
+    }[learnt]
+    assert found == wanted, found
+
+
 @when("the upstream resets the connection")
 def step_resets(context: Any) -> None:
     context.play.upstream.sendall(b"half of an answer")
--- a/tests/tunnels/tunnels.feature
+++ b/tests/tunnels/tunnels.feature
@@ -82,6 +82,24 @@
     And the upstream sends 100000 bytes and closes
     Then the other host reads 100000 bytes and the end
 
+  Scenario Outline: What an upstream asks for in an answer that is passed on
+    # Guards against a helper that goes on sending to an upstream which has
+    # asked it for rest, in an answer to another host's request.
+    Given an upstream and a host that helps
+    When another host is connected to it
+    And the upstream answers "<head>" in <parts> parts
+    Then the helper learns <learnt>
+
+    Examples:
+      | head                             | parts | learnt              |
+      | HTTP/1.1 503 x,Retry-After: 2.5  | 1     | a backoff of 2.5 s  |
+      | HTTP/1.1 503 x,Retry-After: 2.5  | 3     | a backoff of 2.5 s  |
+      | HTTP/1.1 200 x,Server-Limit: 4   | 1     | a limit of 4        |
+      | HTTP/1.1 200 x,Server-Leaving: 1 | 1     | that it leaves      |
+      | HTTP/1.1 200 x,Retry-After: 2.5  | 1     | nothing             |
+      | HTTP/1.1 421 x,Server-Limit: 4   | 1     | nothing             |
+      | no answer at all                 | 1     | nothing             |
+
   Scenario: An upstream that resets the connection
     # Guards against a broken answer that looks complete through a tunnel.
     Given an upstream and a host that helps
