--- a/tests/daemons/soak.feature
+++ b/tests/daemons/soak.feature
@@ -51,6 +51,13 @@
     Then no fault is found, and answers of each kind arrived
     And the store was replaced by copies
 
+  Scenario: Three hosts under faults, and hosts that are cut off from upstreams
+    # Guards against the same while hosts reach upstreams through others, which
+    # fail as well.
+    When a site of 3 hosts is soaked for 14 s with seed 21, and hosts that are cut off
+    Then no fault is found, and answers of each kind arrived
+    And hosts were cut off
+
   Scenario: Two hosts under faults, and upstreams that send throttling headers
     # Guards against requests beyond an upstream's rate limit, during its backoff,
     # or long after it announced that it leaves.
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,6 +19,8 @@
 
 ``--copies`` also restores the store from older copies of itself.
 
+``--links`` also cuts hosts off from all upstreams (`tests.fakes.partition`).
+
 Prints a JSON line for each finding and one with counts; the exit code is 1 if
 there are findings. The same seed gives the same plan of faults; which requests
 they affect depends on the machine.
@@ -106,6 +108,8 @@
     has_copies: bool = False
     # Whether upstreams also request limits, backoffs and drains.
     has_asking: bool = False
+    # Whether hosts are also cut off from all upstreams.
+    has_links: bool = False
     # Host of each request, by its id, and start and end times of the faults of
     # each target.
     request_hosts: dict[str, str] = attrs.Factory(dict)
@@ -178,6 +182,7 @@
             **FAULTS,
             **(COPIES if self.has_copies else {}),
             **(ASKING if self.has_asking else {}),
+            **(LINKS if self.has_links else {}),
         }
         name = self.rng.choice(sorted(faults))
         lasts_s = self.rng.uniform(*FAULT_DURATION_S)
@@ -255,6 +260,12 @@
         time.sleep(lasts_s)
         process.resume()
 
+    def cut_links(self, ip: str, lasts_s: float, how: str) -> None:
+        """Cuts a host off from all upstreams."""
+        self.site.partition(ip, how)
+        time.sleep(lasts_s)
+        self.site.partition(ip, "")
+
     def kill_host(self, ip: str, lasts_s: float) -> None:
         """Kills and restarts a host."""
         self.site.stage.processes[ip].kill()
@@ -397,6 +408,14 @@
     "plain_farewell": lambda s, n, t: s.drain_in_answers(n, t),
 }
 
+# Added by ``--links``; longer than other faults, so that hosts that are cut off
+# meet faults of those that help them.
+LINKS: Final[dict[str, Fault]] = {
+    "host_links_silent": lambda s, n, t: s.cut_links(n, 2 * t, "silent"),
+    "host_links_reset": lambda s, n, t: s.cut_links(n, 2 * t, "reset"),
+    "host_links_kept": lambda s, n, t: s.cut_links(n, 2 * t, "kept"),
+}
+
 # Added by ``--copies``; three times as likely as each of the others.
 COPIES: Final[dict[str, Fault]] = {
     f"store_copy{i}": lambda s, n, t: s.copy(n, t) for i in range(3)
@@ -410,6 +429,7 @@
     has_fatal: bool = False,
     has_copies: bool = False,
     has_asking: bool = False,
+    has_links: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Runs a soak; returns its record and the violations."""
     site = sites.start_site(hosts)
@@ -420,6 +440,7 @@
         rng,
         has_copies=has_copies,
         has_asking=has_asking,
+        has_links=has_links,
     )
     if has_fatal:
         soak.start_fatal(seed)
@@ -465,6 +486,9 @@
     parser.add_argument(
         "--asking", action="store_true", help="have upstreams ask for less"
     )
+    parser.add_argument(
+        "--links", action="store_true", help="cut hosts off from upstreams"
+    )
     args = parser.parse_args(argv)
     soak, found = run(
         args.seed,
@@ -473,6 +497,7 @@
         args.fatal,
         args.copies,
         args.asking,
+        args.links,
     )
     for finding in found:
         print(json.dumps({"finding": finding}))
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -56,6 +56,21 @@
     assert context.soak.faults, "no fault was made"
 
 
+@when(
+    "a site of {hosts:d} hosts is soaked for {seconds:d} s with seed {seed:d},"
+    " and hosts that are cut off"
+)
+def step_soaked_links(
+    context: Any, hosts: int, seconds: int, seed: int
+) -> None:
+    context.soak, context.found = soak.run(seed, seconds, hosts, has_links=True)
+
+
+@then("hosts were cut off")
+def step_were_cut_off(context: Any) -> None:
+    assert any(n in soak.LINKS for n in context.soak.faults)
+
+
 @when(
     "a site of {hosts:d} hosts is soaked for {seconds:d} s with seed {seed:d},"
     " and a request that crashes engines"
