--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -128,16 +128,17 @@
         """
         with self._lock:
             is_direct = not self._reach.needs_helper(address)
-        problem: OSError = ConnectionError("only helpers reach it")
-        if is_direct:
-            try:
-                return Link(self.open_direct(address, timeout_s), "")
-            except OSError as exc:
-                problem = exc
-        link = self._open_through_helper(address)
-        if link is None:
-            raise problem
-        return link
+        if not is_direct:
+            link = self._open_through_helper(address)
+            if link is not None:
+                return link
+        try:
+            return Link(self.open_direct(address, timeout_s), "")
+        except OSError:
+            link = self._open_through_helper(address) if is_direct else None
+            if link is None:
+                raise
+            return link
 
     def open_direct(self, address: str, timeout_s: float) -> socket.socket:
         """Connects over the own links only.
--- a/tests/steps/tunnels_steps.py
+++ b/tests/steps/tunnels_steps.py
@@ -435,6 +435,20 @@
     assert context.kinds[int(context.link.helper[1:])] == "connects"
 
 
+@when("its helper refuses, and the own links are back")
+def step_links_back(context: Any) -> None:
+    assert context.dialer.needs_helper("10.0.0.1:80")
+    context.kinds = ["refuses"]
+
+
+@then("the next connection goes over the own links")
+def step_own_links(context: Any) -> None:
+    with mock.patch.object(dialer, "connect", return_value="own"):
+        link = context.dialer.open("10.0.0.1:80", 0.2)
+    assert (link.sock, link.helper) == ("own", "")
+    assert not context.dialer.needs_helper("10.0.0.1:80")
+
+
 @then("{count:d} of them are asked, and it is unreachable")
 def step_asked(context: Any, count: int) -> None:
     assert len(context.asked) == count, context.asked
--- a/tests/tunnels/tunnels.feature
+++ b/tests/tunnels/tunnels.feature
@@ -149,6 +149,13 @@
     When an upstream is dialled that the own links don't reach
     Then it is connected through the one that connects
 
+  Scenario: No helper is left for a host that was helped
+    # Guards against a host that waits for helpers though its links are back.
+    Given hosts that help: one connects
+    When an upstream is dialled that the own links don't reach
+    And its helper refuses, and the own links are back
+    Then the next connection goes over the own links
+
   Scenario Outline: Helpers that do not reach an upstream either
     # Guards against one helper that is cut off itself and whose word is taken,
     # and against callers who wait while all helpers are asked of a dead one.
