--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -195,3 +195,12 @@
     And it heard now that 30 hosts have version 3
     And it heard now that 4 hosts have version 4
     Then 4 hosts are asked for the configuration, each as often
+
+  Scenario: Hosts that may connect upstreams for another one
+    Given host "10.1.0.1" in "kl-hall"
+    And it heard of host "10.1.0.2" in "kl-hall" 0.3 s ago, whose store answered 0 s ago
+    And it heard of host "10.1.0.3" in "kl-hall" 1.5 s ago, whose store answered 0 s ago
+    And it heard of host "10.2.0.1" in "pg-hall" 0.3 s ago, whose store answered 0 s ago
+    And it heard of host "10.2.0.2" in "pg-hall" 5.5 s ago, whose store answered 0 s ago
+    Then it may ask "10.1.0.2" near by and "10.2.0.1" elsewhere
+    And it opens tunnels for "10.1.0.3" and not for "10.9.0.9"
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -719,3 +719,15 @@
         if host != me:
             peers.record_update(make_news(host, "kl-hall", 5.0), now_s)
     return peers
+
+
+@then('it may ask "{near}" near by and "{far}" elsewhere')
+def step_may_ask(context: Any, near: str, far: str) -> None:
+    found = context.peers.list_helpers(100.0)
+    assert (list(found.local), list(found.remote)) == ([near], [far]), found
+
+
+@then('it opens tunnels for "{known}" and not for "{unknown}"')
+def step_opens_for(context: Any, known: str, unknown: str) -> None:
+    assert context.peers.is_known(known, 100.0)
+    assert not context.peers.is_known(unknown, 100.0)
