--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -112,23 +112,23 @@
                 lambda: self._draining.is_set(),
                 self._note_answer,
             ),
-            lambda state: self._desk.tell(desk.LinksChanged(state)),
+            lambda state: self._desk.tell(desk.ReachChanged(state)),
         )
-        self._links = self._tunnels.links
-        self._engines = upstream.EngineClient(self._links)
+        self._dialer = self._tunnels.dialer
+        self._engines = upstream.EngineClient(self._dialer)
         self._watch = watch.StreamWatch(
             self._desk,
             self._engines,
             enabled.silence,
             cfg.ip,
-            self._links,
+            self._dialer,
         )
         self._intake = intake.Intake(
             self._desk,
             upstream.UpstreamClient(
                 cfg.bounds.max_silence_s,
                 self._desk.note_signals,
-                self._links,
+                self._dialer,
             ),
             self._watch,
             rng,
@@ -288,7 +288,7 @@
             not self._draining.is_set()
             and self._versions.newest is not None
             and self._feeds.upstreams_sink.has_list
-            and self._links.get_state() is not reach.LinkState.CUT_OFF
+            and self._dialer.get_state() is not reach.ReachState.CUT_OFF
         )
 
     def _get_version(self) -> int:
--- a/egretspur/daemons/meters.py
+++ b/egretspur/daemons/meters.py
@@ -51,7 +51,7 @@
     "request_answered": "status",
     "upstream_changed": "state",
     "question_sent": "question",
-    "links_changed": "state",
+    "reach_changed": "state",
     "help_refused": "reason",
     "tunnel_refused": "reason",
     "repeat_taken": "service",
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -194,7 +194,7 @@
     return {
         "counts": codec.encode(state.counts),
         "hosts": state.retry_budgets.hosts,
-        "links": fleet.link_state.value,
+        "reach": fleet.reach_state.value,
         "list_age_s": round(now_s - state.list_read_s, 3),
         "waiting": [codec.encode(w) for w in state.queue.waiting.values()],
         "running": {
--- a/egretspur/daemons/router.py
+++ b/egretspur/daemons/router.py
@@ -91,7 +91,7 @@
                 ),
             ),
         )
-        dial = self._tunnels.links.dial
+        dial = self._tunnels.dialer.dial
         self._engines = engine.EngineClient(
             timing.connect_s,
             timing.first_event_s,
@@ -342,7 +342,7 @@
         return (
             self._has_table.is_set()
             and not self._draining.is_set()
-            and self._tunnels.links.get_state() is not reach.LinkState.CUT_OFF
+            and self._tunnels.dialer.get_state() is not reach.ReachState.CUT_OFF
         )
 
     def _dump_state(self) -> Any:
@@ -351,7 +351,7 @@
             "address": self.address,
             "draining": self._draining.is_set(),
             "in_flight": self._in_flight,
-            "links": self._tunnels.links.get_state().value,
+            "reach": self._tunnels.dialer.get_state().value,
             "open_tunnels": self._tunnels.open_tunnels,
             "traffic": codec.encode(self._traffic.get_dump()),
         }
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -219,7 +219,7 @@
 
 
 @attrs.frozen
-class LinksChanged:
+class ReachChanged:
     """How this host reaches upstreams has changed."""
 
     # One of: sound, helped (only through other hosts), cut_off.
@@ -478,7 +478,7 @@
     | UpstreamChanged
     | UpstreamLimited
     | LinkStalled
-    | LinksChanged
+    | ReachChanged
     | RequestHelped
     | HelpRefused
     | TunnelOpened
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -211,10 +211,10 @@
         """Ends the current attempt, so that another one resumes the answer."""
         self._abort.abort_current()
 
-    def has_lost_link(self, links: Links) -> bool:
+    def has_lost_link(self, reach: Reach) -> bool:
         """Returns whether bytes of its connection no longer arrive."""
         first = self.parts[0].address
-        return links.is_lost(first, self._abort.helper)
+        return reach.is_lost(first, self._abort.helper)
 
     def begin(self) -> CompleteAnswer | Answer | errors.Refusal:
         """Returns a complete answer, the start of a stream, or a refusal."""
@@ -510,8 +510,8 @@
         )
 
 
-class Links(Protocol):
-    """Knows over which links upstreams are reached."""
+class Reach(Protocol):
+    """Knows over which links a host reaches upstreams."""
 
     def suspect(self) -> None:
         """Has this host's own links checked soon."""
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -91,7 +91,7 @@
         engines: Engines,
         checks_shared_silence: bool = True,
         host: str = "",
-        links: forward.Links | None = None,
+        reach: forward.Reach | None = None,
     ) -> None:
         """Creates a watch; `start` starts its thread.
 
@@ -101,9 +101,9 @@
             checks_shared_silence: Whether to check for streams that fall
                 silent together or get no first event.
             host: This host's address as others know it.
-            links: Knows which connections are lost; None if nothing does.
+            reach: Knows which connections are lost; None if nothing does.
         """
-        self._links = links
+        self._reach = reach
         self._desk = to
         self._checks_shared_silence = checks_shared_silence
         self._engines = engines
@@ -224,11 +224,11 @@
         Another attempt resumes the answer over the way that is left. Without
         this, its caller would leave, since the engine itself is sound.
         """
-        links = self._links
-        if links is None:
+        reach = self._reach
+        if reach is None:
             return list(streams)
         lost = [
-            s for s in streams if is_silent(s, now_s) and s.has_lost_link(links)
+            s for s in streams if is_silent(s, now_s) and s.has_lost_link(reach)
         ]
         for stream in lost:
             asked_s = self._lost_s.get(stream, -math.inf)
@@ -238,10 +238,10 @@
         self._lost_s = {s: t for s, t in self._lost_s.items() if s in lost}
         return [s for s in streams if s not in lost]
 
-    def _suspect_links(self) -> None:
+    def _suspect_own_links(self) -> None:
         """Has this host's links checked: it hears nothing of any engine."""
-        if self._links is not None:
-            self._links.suspect()
+        if self._reach is not None:
+            self._reach.suspect()
 
     def _check_shared_silence(
         self, streams: Sequence[forward.Forwarder], now_s: float
@@ -265,7 +265,7 @@
         ) | self._list_peer_suspects(begun, now_s)
         addresses = self._list_due(streams, suspects, now_s)
         if len(addresses) > MAX_PROBES:
-            self._suspect_links()
+            self._suspect_own_links()
             return
         if not addresses:
             return
@@ -279,7 +279,7 @@
         # If no probe is answered, this host itself may be slow or cut off.
         if not any(found.values()):
             if found:
-                self._suspect_links()
+                self._suspect_own_links()
             return
         dead = frozenset(
             i for i, is_answered in found.items() if not is_answered
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -66,7 +66,7 @@
         note_signals: signals.SignalsCallback = lambda upstream_id, answer: (
             None
         ),
-        links: dialer.Dialer | None = None,
+        own: dialer.Dialer | None = None,
     ) -> None:
         """Makes a client.
 
@@ -75,12 +75,12 @@
                 that depends on a dead stage for a limited time and then report
                 it; after a longer silence the connection is dead.
             note_signals: Called with the signals in each response's head.
-            links: Opens connections, also through other hosts; None to use
-                this host's own links only.
+            own: Opens connections, also through other hosts; None to use this
+                host's own links only.
         """
         self._idle_timeout_s = idle_timeout_s
         self._note_signals = note_signals
-        self._links = links
+        self._dialer = own
 
     def open(
         self,
@@ -130,16 +130,16 @@
 
     def _connect(
         self, job: jobs.Job, start: jobs.Start
-    ) -> dialer.Link | forward.AttemptFailure:
+    ) -> dialer.Connection | forward.AttemptFailure:
         """Returns a connection to an upstream, or why there is none."""
         address = start.upstream.address
         try:
-            if self._links is None:
-                link = dialer.Link(
+            if self._dialer is None:
+                link = dialer.Connection(
                     dialer.connect(address, CONNECT_TIMEOUT_S), ""
                 )
             else:
-                link = self._links.open(address, CONNECT_TIMEOUT_S)
+                link = self._dialer.open(address, CONNECT_TIMEOUT_S)
         except OSError as exc:
             return forward.AttemptFailure(
                 jobs.FailureKind.UNREACHABLE, f"{address}: {exc!r}"
@@ -325,13 +325,14 @@
 class EngineClient:
     """Gets engines' reports and sends orders to engines."""
 
-    def __init__(self, links: dialer.Dialer | None = None) -> None:
+    def __init__(self, own: dialer.Dialer | None = None) -> None:
         """Makes a client.
 
         Args:
-            links: Opens connections; None to use this host's own links only.
+            own: Opens connections, also through other hosts; None to use this
+                host's own links only.
         """
-        dial = links.dial if links else None
+        dial = own.dial if own else None
         self._transport = transport.Transport(
             CONTROL_CONNECT_S, CONTROL_READ_S, dial
         )
@@ -342,7 +343,7 @@
         self._peek_transport = transport.Transport(
             PEEK_TIMEOUT_S,
             PEEK_TIMEOUT_S,
-            links.dial_known if links else None,
+            own.dial_known if own else None,
         )
         # When the last peek of each address was answered; missing after one
         # that failed.
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -383,15 +383,15 @@
         link = links.make_link(source, target)
         self.contention.links.record_stall(link, now_s)
 
-    def set_link_state(
-        self, state: reach.LinkState, now_s: float
+    def set_reach_state(
+        self, state: reach.ReachState, now_s: float
     ) -> list[jobs.Effect]:
         """Sets how this host reaches upstreams.
 
         If it reaches none, it refuses the requests that wait: they can't be
         served here, and others would wait for their turns.
         """
-        self.fleet.link_state = state
+        self.fleet.reach_state = state
         if not self.fleet.is_cut_off():
             return self._start_queued(now_s)
         waiting = [self.tickets[i] for i in self.queue.waiting]
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -157,10 +157,10 @@
 
 
 @attrs.frozen
-class LinksChanged:
+class ReachChanged:
     """How this host reaches upstreams has changed."""
 
-    state: reach.LinkState
+    state: reach.ReachState
 
 
 @attrs.frozen
@@ -359,9 +359,9 @@
         return self._unproductive.pause(message.upstream_id, time.monotonic())
 
     @handle.register
-    def _(self, message: LinksChanged) -> None:
+    def _(self, message: ReachChanged) -> None:
         self._pending.resolve(
-            self._broker.set_link_state(message.state, time.monotonic())
+            self._broker.set_reach_state(message.state, time.monotonic())
         )
 
     @handle.register
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -96,7 +96,7 @@
         """
         self.data_centre = data_centre
         # How this host reaches upstreams.
-        self.link_state = reach.LinkState.SOUND
+        self.reach_state = reach.ReachState.SOUND
         self.throttle = limits or throttle.Throttle()
         self._is_counting_excess = is_counting_excess
         self.roster = upstreams.Roster()
@@ -141,7 +141,7 @@
 
     def is_cut_off(self) -> bool:
         """Returns whether this host reaches no upstream, nor a helper."""
-        return self.link_state is reach.LinkState.CUT_OFF
+        return self.reach_state is reach.ReachState.CUT_OFF
 
     def is_usable(self, entry: upstreams.Upstream, now_s: float) -> bool:
         """Tells whether an upstream may be given work."""
@@ -237,7 +237,7 @@
 
     def list_dead(self, now_s: float) -> tuple[str, ...]:
         """Returns the dead upstreams to send to other hosts."""
-        if self.link_state is not reach.LinkState.SOUND:
+        if self.reach_state is not reach.ReachState.SOUND:
             return ()
         return self.health.list_dead(now_s)
 
@@ -266,7 +266,7 @@
                 only those in this data centre.
         """
         found = self.health.list_suspects(now_s)
-        if self.link_state is not reach.LinkState.SOUND:
+        if self.reach_state is not reach.ReachState.SOUND:
             found = ()
         if not is_speaker:
             return found
--- a/egretspur/tunnels/checks.py
+++ b/egretspur/tunnels/checks.py
@@ -24,7 +24,7 @@
 VERIFIED: Final = reach.MIN_FAILED + 1
 
 
-class LinkChecker:
+class ReachChecker:
     """Finds out when links that were down are back.
 
     Otherwise callers' requests would, each at the cost of a timeout.
@@ -32,23 +32,23 @@
 
     def __init__(
         self,
-        links: dialer.Dialer,
+        own: dialer.Dialer,
         list_upstreams: Callable[[], Mapping[str, str]],
         rng: random.Random,
     ) -> None:
         """Makes a checker; `start` starts it.
 
         Args:
-            links: The host's links.
+            own: The host's dialer.
             list_upstreams: Returns the listed upstreams by address.
             rng: Draws the upstreams to connect to.
         """
-        self._links = links
+        self._dialer = own
         self._list_upstreams = list_upstreams
         self._rng = rng
         self._stop = threading.Event()
         self._thread = threading.Thread(
-            target=self._run, name="links", daemon=True
+            target=self._run, name="reach", daemon=True
         )
 
     def start(self) -> None:
@@ -61,14 +61,14 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
-            if not self._links.needs_checks.wait(CHECK_PERIOD_S):
+            if not self._dialer.needs_checks.wait(CHECK_PERIOD_S):
                 continue
-            with guard.log_exceptions("links"):
-                if self._links.take_suspicion():
+            with guard.log_exceptions("reach"):
+                if self._dialer.take_suspicion():
                     self._verify()
                 else:
                     self._check()
-            if not self._links.needs_checks.is_set():
+            if not self._dialer.needs_checks.is_set():
                 continue
             self._stop.wait(CHECK_PERIOD_S)
 
@@ -92,15 +92,15 @@
     def _try(self, address: str) -> None:
         """Opens and closes a connection, whose outcome the links record."""
         with contextlib.suppress(OSError):
-            self._links.dial(address, CHECK_TIMEOUT_S).close()
+            self._dialer.dial(address, CHECK_TIMEOUT_S).close()
 
     def _check(self) -> None:
         """Tries the own links again."""
-        due = self._links.list_checks(self._list_upstreams())
+        due = self._dialer.list_checks(self._list_upstreams())
         if not due:
             return
         # A failure is recorded and changes nothing.
         with contextlib.suppress(OSError):
-            self._links.open_direct(
+            self._dialer.open_direct(
                 self._rng.choice(due), CHECK_TIMEOUT_S
             ).close()
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -55,7 +55,7 @@
 
 
 @attrs.frozen
-class Link:
+class Connection:
     """A connection to an upstream."""
 
     sock: socket.socket
@@ -72,7 +72,7 @@
         port: int,
         choice: helpers.Helpers,
         list_candidates: Callable[[], helpers.Candidates],
-        on_change: Callable[[reach.LinkState], None] = lambda state: None,
+        on_change: Callable[[reach.ReachState], None] = lambda state: None,
     ) -> None:
         """Makes a dialer.
 
@@ -90,7 +90,7 @@
         self._list_candidates = list_candidates
         self._lock = threading.Lock()
         self._reach = reach.Reach()
-        self._state = reach.LinkState.SOUND
+        self._state = reach.ReachState.SOUND
         self._on_change = on_change
         # Set while own links are to be checked.
         self.needs_checks = threading.Event()
@@ -116,7 +116,7 @@
             return self.dial(address, timeout_s)
         return connect(address, timeout_s)
 
-    def open(self, address: str, timeout_s: float) -> Link:
+    def open(self, address: str, timeout_s: float) -> Connection:
         """Connects to an upstream.
 
         Args:
@@ -133,7 +133,7 @@
             if link is not None:
                 return link
         try:
-            return Link(self.open_direct(address, timeout_s), "")
+            return Connection(self.open_direct(address, timeout_s), "")
         except OSError:
             link = self._open_through_helper(address) if is_direct else None
             if link is None:
@@ -177,10 +177,10 @@
             self._state = state
             # Under the lock, so that the last state is passed on last.
             self._on_change(state)
-        decisions.record(decisions.LinksChanged(state.value, address))
+        decisions.record(decisions.ReachChanged(state.value, address))
 
     def suspect(self) -> None:
-        """Has this host's own links checked soon; see `forward.Links`."""
+        """Has this host's own links checked soon; see `forward.Reach`."""
         with self._lock:
             if time.monotonic() - self._verified_s < MIN_VERIFY_INTERVAL_S:
                 return
@@ -197,7 +197,7 @@
             return is_due
 
     def is_lost(self, address: str, helper: str) -> bool:
-        """Returns whether open connections are lost; see `forward.Links`."""
+        """Returns whether open connections are lost; see `forward.Reach`."""
         if not helper:
             return self.needs_helper(address)
         candidates = self._list_candidates()
@@ -208,7 +208,7 @@
             *candidates.remote,
         )
 
-    def get_state(self) -> reach.LinkState:
+    def get_state(self) -> reach.ReachState:
         """Returns how this host reaches upstreams."""
         with self._lock:
             return self._reach.get_state()
@@ -264,7 +264,7 @@
             return NoTunnel.UPSTREAM_DOWN
         return NoTunnel.REFUSED
 
-    def _open_through_helper(self, address: str) -> Link | None:
+    def _open_through_helper(self, address: str) -> Connection | None:
         """Asks helpers for a connection; None if none of them has one."""
         with self._lock:
             if not self._reach.may_ask_helper(address, time.monotonic()):
@@ -282,7 +282,7 @@
             answer = self.ask(host, address)
             if isinstance(answer, socket.socket):
                 self._record_helped(host, address)
-                return Link(answer, host)
+                return Connection(answer, host)
             decisions.record(decisions.HelpRefused(host, address, answer.value))
             if answer is NoTunnel.UPSTREAM_DOWN:
                 refuting += 1
--- a/egretspur/tunnels/gate.py
+++ b/egretspur/tunnels/gate.py
@@ -34,8 +34,8 @@
 class Gate:
     """Opens tunnels to listed upstreams for known hosts; see `server.Rules`."""
 
-    def __init__(self, links: dialer.Dialer, sources: Sources) -> None:
-        self._links = links
+    def __init__(self, own: dialer.Dialer, sources: Sources) -> None:
+        self._dialer = own
         self._sources = sources
 
     def check(self, host: str, address: str) -> http.HTTPStatus:
@@ -45,15 +45,15 @@
             or address not in self._sources.list_upstreams()
         ):
             return http.HTTPStatus.FORBIDDEN
-        if self._sources.is_stopping() or self._links.is_cut_off():
+        if self._sources.is_stopping() or self._dialer.is_cut_off():
             return http.HTTPStatus.SERVICE_UNAVAILABLE
-        if self._links.has_failed_lately(address):
+        if self._dialer.has_failed_lately(address):
             return http.HTTPStatus.BAD_GATEWAY
         return http.HTTPStatus.OK
 
     def record(self, address: str, is_connected: bool) -> None:
         """Records whether this host connected to an upstream."""
-        self._links.record_direct(address, is_connected)
+        self._dialer.record_direct(address, is_connected)
 
     def note_head(self, address: str, head: bytes) -> None:
         """Passes on the head of an upstream's answer."""
--- a/egretspur/tunnels/reach.py
+++ b/egretspur/tunnels/reach.py
@@ -23,7 +23,7 @@
 REFUTED_S: Final = 1.0
 
 
-class LinkState(enum.Enum):
+class ReachState(enum.Enum):
     """How this host reaches upstreams."""
 
     # Over its own links, at least some of them.
@@ -81,21 +81,21 @@
         )
         return failed >= MIN_FAILED
 
-    def get_state(self) -> LinkState:
+    def get_state(self) -> ReachState:
         """Returns how this host reaches upstreams."""
         if not self.is_cut_off():
-            return LinkState.SOUND
+            return ReachState.SOUND
         is_helped = any(
             f.helped_s > self._connected_s for f in self._failing.values()
         )
-        return LinkState.HELPED if is_helped else LinkState.CUT_OFF
+        return ReachState.HELPED if is_helped else ReachState.CUT_OFF
 
     def needs_helper(self, address: str) -> bool:
         """Returns whether to ask a helper without trying the own links."""
         failing = self._failing.get(address)
         if failing is not None and failing.helped_s > failing.refuted_s:
             return True
-        return self.get_state() is LinkState.HELPED
+        return self.get_state() is ReachState.HELPED
 
     def may_ask_helper(self, address: str, now_s: float) -> bool:
         """Returns whether helpers may reach an upstream."""
--- a/egretspur/tunnels/tunnels.py
+++ b/egretspur/tunnels/tunnels.py
@@ -21,7 +21,7 @@
         rng: random.Random,
         list_candidates: Callable[[], helpers.Candidates],
         sources: gate.Sources,
-        on_change: Callable[[reach.LinkState], None] = lambda state: None,
+        on_change: Callable[[reach.ReachState], None] = lambda state: None,
     ) -> None:
         """Makes the parts; `start` starts them.
 
@@ -35,16 +35,16 @@
         """
         if not port:
             list_candidates = _list_none
-        self.links = dialer.Dialer(
+        self.dialer = dialer.Dialer(
             ip, port, helpers.Helpers(rng), list_candidates, on_change
         )
-        self._checker = checks.LinkChecker(
-            self.links, sources.list_upstreams, rng
+        self._checker = checks.ReachChecker(
+            self.dialer, sources.list_upstreams, rng
         )
         self._server = None
         if port:
             self._server = server.TunnelServer(
-                ip, port, gate.Gate(self.links, sources)
+                ip, port, gate.Gate(self.dialer, sources)
             )
 
     @property
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -136,8 +136,8 @@
 @when("the host loses its links and its helpers")
 def step_cut_off(context: Any) -> None:
     context.waited = set(context.broker.queue.waiting)
-    cut_off = reach.LinkState.CUT_OFF
-    take(context, context.broker.set_link_state(cut_off, context.now_s))
+    cut_off = reach.ReachState.CUT_OFF
+    take(context, context.broker.set_reach_state(cut_off, context.now_s))
 
 
 @then("nobody waits, and those that waited are refused as not run")
--- a/tests/steps/partition_router_steps.py
+++ b/tests/steps/partition_router_steps.py
@@ -90,7 +90,7 @@
 @when("the cut ends")
 def step_end(context: Any) -> None:
     state = context.play.call("GET", ROUTERS[0], "/state")
-    assert state["links"] == "helped", state["links"]
+    assert state["reach"] == "helped", state["reach"]
     context.play.partition(ROUTERS[0], "")
 
 
@@ -98,7 +98,7 @@
 def step_by_itself(context: Any, bound_s: float) -> None:
     stage.wait_until(
         lambda: (
-            context.play.call("GET", ROUTERS[0], "/state")["links"] == "sound"
+            context.play.call("GET", ROUTERS[0], "/state")["reach"] == "sound"
         ),
         bound_s,
         "the links are back",
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -70,7 +70,7 @@
 
 @attrs.define
 class FakeLinks:
-    """The host's links to upstreams; see `forward.Links`."""
+    """The host's links to upstreams; see `forward.Reach`."""
 
     are_down: bool = False
     suspicions: int = 0
@@ -93,7 +93,7 @@
     )
     context.links = FakeLinks()
     context.play.watch = watch.StreamWatch(
-        context.play.desk, engines, links=context.links
+        context.play.desk, engines, reach=context.links
     )
     roster = context.broker.fleet.roster
     layers = broker_steps.CHAIN[name]
--- a/tests/steps/suspects_steps.py
+++ b/tests/steps/suspects_steps.py
@@ -178,7 +178,7 @@
 @when("host a loses its links, and each of its requests fails")
 def step_loses_links(context: Any) -> None:
     state = context.hosts["a"].fleet
-    state.link_state = reach.LinkState.CUT_OFF
+    state.reach_state = reach.ReachState.CUT_OFF
     for upstream_id in state.roster.entries:
         state.health.mark_down(upstream_id, context.now_s - 5.0)
         for _ in range(3):
