--- a/egretspur/tunnels/checks.py
+++ b/egretspur/tunnels/checks.py
@@ -8,10 +8,10 @@
 import contextlib
 import random
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
-from egretspur import guard
+from egretspur import guard, transport
 from egretspur.tunnels import dialer, reach
 
 # Seconds between two attempts to connect over links that are down.
@@ -20,8 +20,8 @@
 # Longest wait for a connection in such an attempt.
 CHECK_TIMEOUT_S: Final = 0.2
 
-# Upstreams to connect to when the links are suspected: one may be down itself.
-VERIFIED: Final = reach.MIN_FAILED + 1
+# Upstreams to connect to at once: some may be down themselves.
+CHECKED_AT_ONCE: Final = reach.MIN_FAILED + 1
 
 
 class ReachChecker:
@@ -64,43 +64,49 @@
             if not self._dialer.needs_checks.wait(CHECK_PERIOD_S):
                 continue
             with guard.log_exceptions("reach"):
-                if self._dialer.take_suspicion():
-                    self._verify()
-                else:
-                    self._check()
+                self.check_once()
             if not self._dialer.needs_checks.is_set():
                 continue
             self._stop.wait(CHECK_PERIOD_S)
 
+    def check_once(self) -> None:
+        """Checks links that are suspected or known to be down."""
+        if self._dialer.take_suspicion():
+            self._verify()
+        else:
+            self._check()
+
     def _verify(self) -> None:
         """Connects to some upstreams, through helpers if need be.
 
         If the own links don't lead there and helpers do, this host knows that
         its links are down before any request has met them.
         """
-        listed = sorted(self._list_upstreams())
-        chosen = self._rng.sample(listed, min(VERIFIED, len(listed)))
+        self._try_some(list(self._list_upstreams()), self._dialer.dial)
+
+    def _check(self) -> None:
+        """Tries the own links again."""
+        due = self._dialer.list_checks(self._list_upstreams())
+        self._try_some(due, self._dialer.open_direct)
+
+    def _try_some(self, addresses: Sequence[str], dial: transport.Dial) -> None:
+        """Opens and closes connections to some upstreams at the same time.
+
+        The dialer records their outcomes.
+        """
+
+        def attempt(address: str) -> None:
+            with contextlib.suppress(OSError):
+                dial(address, CHECK_TIMEOUT_S).close()
+
+        chosen = self._rng.sample(
+            sorted(addresses), min(CHECKED_AT_ONCE, len(addresses))
+        )
         threads = [
-            threading.Thread(target=self._try, args=(a,), name="verify")
+            threading.Thread(target=attempt, args=(a,), name="reach")
             for a in chosen
         ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-
-    def _try(self, address: str) -> None:
-        """Opens and closes a connection, whose outcome the links record."""
-        with contextlib.suppress(OSError):
-            self._dialer.dial(address, CHECK_TIMEOUT_S).close()
-
-    def _check(self) -> None:
-        """Tries the own links again."""
-        due = self._dialer.list_checks(self._list_upstreams())
-        if not due:
-            return
-        # A failure is recorded and changes nothing.
-        with contextlib.suppress(OSError):
-            self._dialer.open_direct(
-                self._rng.choice(due), CHECK_TIMEOUT_S
-            ).close()
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -31,7 +31,8 @@
 # and not know it yet, or have just died.
 MAX_ASKED: Final = 3
 
-# Helpers that must fail to reach an upstream before it counts as down.
+# Helpers that must fail to reach an upstream before it counts as down, where
+# this host's own links are known not to lead there: they may be cut off too.
 MIN_REFUTING: Final = 2
 
 # Shortest time between two checks of links that work as far as is known.
@@ -164,6 +165,21 @@
                 self._reach.record_failed(address, now_s)
         self._note_changes(address)
 
+    def record_for_other(self, address: str, is_connected: bool) -> None:
+        """Records a connection over the own links for another host.
+
+        If it failed and this host has connected to nothing lately, its own
+        links are checked: the other host takes its word for it.
+        """
+        self.record_direct(address, is_connected)
+        with self._lock:
+            connected_s = self._reach.connected_s
+        if (
+            not is_connected
+            and time.monotonic() - connected_s >= MIN_VERIFY_INTERVAL_S
+        ):
+            self.suspect()
+
     def _note_changes(self, address: str) -> None:
         """Passes on a change of the links' state; starts or stops checks."""
         with self._lock:
@@ -269,7 +285,10 @@
         with self._lock:
             if not self._reach.may_ask_helper(address, time.monotonic()):
                 return None
-            needed = MIN_REFUTING if self._reach.is_cut_off() else 1
+            is_link_suspect = self._reach.is_cut_off() or (
+                self._reach.needs_helper(address)
+            )
+        needed = MIN_REFUTING if is_link_suspect else 1
         candidates = self._list_candidates()
         tried: set[str] = set()
         refuting = 0
--- a/egretspur/tunnels/gate.py
+++ b/egretspur/tunnels/gate.py
@@ -45,15 +45,25 @@
             or address not in self._sources.list_upstreams()
         ):
             return http.HTTPStatus.FORBIDDEN
-        if self._sources.is_stopping() or self._dialer.is_cut_off():
+        if self._sources.is_stopping():
             return http.HTTPStatus.SERVICE_UNAVAILABLE
         if self._dialer.has_failed_lately(address):
-            return http.HTTPStatus.BAD_GATEWAY
+            return self._get_failure()
         return http.HTTPStatus.OK
 
-    def record(self, address: str, is_connected: bool) -> None:
-        """Records whether this host connected to an upstream."""
-        self._dialer.record_direct(address, is_connected)
+    def record(self, address: str, is_connected: bool) -> http.HTTPStatus:
+        """Records whether this host connected; returns the answer to that."""
+        self._dialer.record_for_other(address, is_connected)
+        return http.HTTPStatus.OK if is_connected else self._get_failure()
+
+    def _get_failure(self) -> http.HTTPStatus:
+        """Returns the answer where there is no connection.
+
+        A host that reaches no upstream at all says nothing of this one.
+        """
+        if self._dialer.is_cut_off():
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
+        return http.HTTPStatus.BAD_GATEWAY
 
     def note_head(self, address: str, head: bytes) -> None:
         """Passes on the head of an upstream's answer."""
--- a/egretspur/tunnels/helpers.py
+++ b/egretspur/tunnels/helpers.py
@@ -58,6 +58,10 @@
         found = local
         if 2 * len(local) < len(candidates.local) or not local:
             found = local + self._list_open(candidates.remote, tried, now_s)
+        # If all are paused, the request would fail without asking.
+        found = found or [
+            h for h in (*candidates.local, *candidates.remote) if h not in tried
+        ]
         return self._rng.choice(found) if found else None
 
     def is_paused(self, host: str, now_s: float) -> bool:
--- a/egretspur/tunnels/reach.py
+++ b/egretspur/tunnels/reach.py
@@ -50,7 +50,7 @@
     def __init__(self) -> None:
         self._failing: dict[str, _Failing] = {}
         # When this host last connected to any upstream by itself.
-        self._connected_s = -math.inf
+        self.connected_s = -math.inf
 
     def record_connected(self, address: str, now_s: float) -> None:
         """Records a connection over this host's own links."""
@@ -58,7 +58,7 @@
             # The links are back, and with them the way to all upstreams.
             self._failing.clear()
         self._failing.pop(address, None)
-        self._connected_s = now_s
+        self.connected_s = now_s
 
     def record_failed(self, address: str, now_s: float) -> None:
         """Records that this host's own links led to no connection."""
@@ -77,7 +77,7 @@
     def is_cut_off(self) -> bool:
         """Returns whether this host reaches no upstream by itself."""
         failed = sum(
-            f.failed_s > self._connected_s for f in self._failing.values()
+            f.failed_s > self.connected_s for f in self._failing.values()
         )
         return failed >= MIN_FAILED
 
@@ -86,7 +86,7 @@
         if not self.is_cut_off():
             return ReachState.SOUND
         is_helped = any(
-            f.helped_s > self._connected_s for f in self._failing.values()
+            f.helped_s > self.connected_s for f in self._failing.values()
         )
         return ReachState.HELPED if is_helped else ReachState.CUT_OFF
 
@@ -115,11 +115,10 @@
         """
         for address in [a for a in self._failing if a not in listed]:
             del self._failing[address]
-        helped = [
-            a for a, f in self._failing.items() if f.helped_s > f.refuted_s
-        ]
-        # Without a helper, those that failed may be down themselves.
-        return helped or (list(listed) if self.is_cut_off() else [])
+        if self.is_cut_off():
+            # Those that failed may be down themselves by now.
+            return list(listed)
+        return [a for a, f in self._failing.items() if f.helped_s > f.refuted_s]
 
     def needs_checks(self) -> bool:
         """Returns whether there are upstreams to try again."""
--- a/egretspur/tunnels/server.py
+++ b/egretspur/tunnels/server.py
@@ -62,8 +62,8 @@
             OK to connect it.
         """
 
-    def record(self, address: str, is_connected: bool) -> None:
-        """Records whether this host connected to an upstream."""
+    def record(self, address: str, is_connected: bool) -> http.HTTPStatus:
+        """Records whether this host connected; returns the answer to that."""
 
     def note_head(self, address: str, head: bytes) -> None:
         """Receives the head of an upstream's first answer.
@@ -329,8 +329,7 @@
         tunnel.open()
 
     def _fail_connecting(self, tunnel: _Tunnel) -> None:
-        self._gate.record(tunnel.address, False)
-        self._refuse(tunnel, http.HTTPStatus.BAD_GATEWAY)
+        self._refuse(tunnel, self._gate.record(tunnel.address, False))
 
     def _refuse(self, tunnel: _Tunnel, status: http.HTTPStatus) -> None:
         decisions.record(
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -15,6 +15,7 @@
 from tests.membership import machine as membership
 from tests.orders import machine as orders
 from tests.routing import machine as routing
+from tests.tunnels import machine as tunnels
 
 MACHINES: dict[str, Any] = {
     "entries": entries.EntriesMachine,
@@ -25,6 +26,7 @@
     "membership": membership.MembershipMachine,
     "quarantine": quarantine.QuarantineMachine,
     "routing": routing.RoutingMachine,
+    "tunnels": tunnels.TunnelMachine,
 }
 
 
