Simplify what the read-through of the tunnels found

- server: deadlines of all tunnels were gone through twice in each turn of the loop, to wait and to expire; once now.
Its clock argument had no caller.
- transport.split_address serves the dialer, the server and the pools, which had their own.
- broker: a refusal was joined with effects that are always empty there.

--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -94,7 +94,7 @@
         link = self._connect(job, start)
         if isinstance(link, forward.AttemptFailure):
             return link
-        host, port = dialer.split_address(start.upstream.address)
+        host, port = transport.split_address(start.upstream.address)
         conn = urllib3.connection.HTTPConnection(host, port)
         conn.sock = link.sock
         handle = _AbortableConnection(conn)
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -470,10 +470,7 @@
         reason = "no upstream is usable"
         if self.fleet.is_cut_off():
             reason = CUT_OFF_REASON
-        return [
-            *effects,
-            self._refuse(ticket, now_s, errors.ErrorKind.NO_ROUTE, reason),
-        ]
+        return [self._refuse(ticket, now_s, errors.ErrorKind.NO_ROUTE, reason)]
 
     def _enqueue(
         self,
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -221,9 +221,9 @@
         with self._lock:
             pool = self._pools.get(address)
             if pool is None:
-                host, _, port = address.rpartition(":")
+                host, port = split_address(address)
                 pool = urllib3.HTTPConnectionPool(
-                    host, int(port), maxsize=POOL_SIZE, block=False
+                    host, port, maxsize=POOL_SIZE, block=False
                 )
                 # The pool calls it as a class.
                 pool.ConnectionCls = functools.partial(  # type: ignore[assignment]
@@ -231,3 +231,9 @@
                 )
                 self._pools[address] = pool
             return pool
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the host and the port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -21,7 +21,7 @@
 
 import attrs
 
-from egretspur import decisions
+from egretspur import decisions, transport
 from egretspur.tunnels import helpers, reach
 
 # Longest wait for a helper's connection. Its own attempt to connect takes less.
@@ -326,7 +326,7 @@
     Raises:
         OSError: There was no connection.
     """
-    sock = socket.create_connection(split_address(address), timeout_s)
+    sock = socket.create_connection(transport.split_address(address), timeout_s)
     set_options(sock)
     return sock
 
@@ -349,9 +349,3 @@
         UNACKNOWLEDGED_TIMEOUT_MS,
     ),
 )
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Returns the host and the port of an address."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/egretspur/tunnels/reach.py
+++ b/egretspur/tunnels/reach.py
@@ -43,6 +43,11 @@
     helped_s: float = -math.inf
     refuted_s: float = -math.inf
 
+    @property
+    def is_helped(self) -> bool:
+        """Whether helpers reach it, as far as is known."""
+        return self.helped_s > self.refuted_s
+
 
 class Reach:
     """Outcomes of connections to upstreams, by address."""
@@ -93,7 +98,7 @@
     def needs_helper(self, address: str) -> bool:
         """Returns whether to ask a helper without trying the own links."""
         failing = self._failing.get(address)
-        if failing is not None and failing.helped_s > failing.refuted_s:
+        if failing is not None and failing.is_helped:
             return True
         return self.get_state() is ReachState.HELPED
 
@@ -118,10 +123,10 @@
         if self.is_cut_off():
             # Those that failed may be down themselves by now.
             return list(listed)
-        return [a for a, f in self._failing.items() if f.helped_s > f.refuted_s]
+        return [a for a, f in self._failing.items() if f.is_helped]
 
     def needs_checks(self) -> bool:
         """Returns whether there are upstreams to try again."""
         return self.is_cut_off() or any(
-            f.helped_s > f.refuted_s for f in self._failing.values()
+            f.is_helped for f in self._failing.values()
         )
--- a/egretspur/tunnels/server.py
+++ b/egretspur/tunnels/server.py
@@ -16,10 +16,9 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
 from typing import Final, Protocol
 
-from egretspur import decisions, guard
+from egretspur import decisions, guard, transport
 from egretspur.tunnels import dialer
 
 _LOG: Final = logging.getLogger(__name__)
@@ -173,25 +172,17 @@
 class TunnelServer:
     """See the module's docstring."""
 
-    def __init__(
-        self,
-        ip: str,
-        port: int,
-        gate: Rules,
-        clock: Callable[[], float] = time.monotonic,
-    ) -> None:
+    def __init__(self, ip: str, port: int, gate: Rules) -> None:
         """Makes a server; `start` binds it.
 
         Args:
             ip: Address to listen on.
             port: TCP port, the same on all hosts.
             gate: Decides which tunnels to open.
-            clock: Monotonic time, in seconds.
         """
         self._ip = ip
         self._port = port
         self._gate = gate
-        self._clock = clock
         self._selector = selectors.DefaultSelector()
         self._listener: socket.socket | None = None
         self._tunnels: set[_Tunnel] = set()
@@ -226,18 +217,19 @@
         self._stop.set()
 
     def _run(self) -> None:
+        wait_s = _POLL_S
         while not self._stop.is_set():
             with guard.log_exceptions("tunnels"):
-                self._handle_events()
-                self._expire()
+                self._handle_events(wait_s)
+                wait_s = self._expire()
         for tunnel in list(self._tunnels):
             self._close(tunnel)
         if self._listener is not None:
             self._listener.close()
         self._selector.close()
 
-    def _handle_events(self) -> None:
-        for key, events in self._selector.select(self._compute_wait()):
+    def _handle_events(self, wait_s: float) -> None:
+        for key, events in self._selector.select(wait_s):
             if key.data is None:
                 self._accept()
                 continue
@@ -245,15 +237,6 @@
             if tunnel in self._tunnels:
                 self._handle(tunnel, sock, events)
 
-    def _compute_wait(self) -> float:
-        """Returns the seconds until the next deadline, within bounds."""
-        deadlines = [
-            t.deadline_s for t in self._tunnels if t.deadline_s is not None
-        ]
-        if not deadlines:
-            return _POLL_S
-        return min(_POLL_S, max(0.0, min(deadlines) - self._clock()))
-
     def _accept(self) -> None:
         assert self._listener is not None
         try:
@@ -263,7 +246,7 @@
             return
         client.setblocking(False)
         dialer.set_options(client)
-        tunnel = _Tunnel(client, host, self._clock())
+        tunnel = _Tunnel(client, host, time.monotonic())
         self._tunnels.add(tunnel)
         self._update(tunnel)
 
@@ -312,9 +295,9 @@
         tunnel.upstream = socket.socket()
         tunnel.upstream.setblocking(False)
         dialer.set_options(tunnel.upstream)
-        tunnel.deadline_s = self._clock() + CONNECT_TIMEOUT_S
+        tunnel.deadline_s = time.monotonic() + CONNECT_TIMEOUT_S
         problem = tunnel.upstream.connect_ex(
-            dialer.split_address(tunnel.address)
+            transport.split_address(tunnel.address)
         )
         if problem not in (0, errno.EINPROGRESS):
             self._fail_connecting(tunnel)
@@ -358,7 +341,7 @@
             self._close(tunnel)
         elif down.is_ended and not down.waiting and tunnel.deadline_s is None:
             tunnel.client.shutdown(socket.SHUT_WR)
-            tunnel.deadline_s = self._clock() + CLOSE_TIMEOUT_S
+            tunnel.deadline_s = time.monotonic() + CLOSE_TIMEOUT_S
 
     def _update(self, tunnel: _Tunnel) -> None:
         """Waits for the events that a tunnel needs now."""
@@ -374,16 +357,24 @@
             elif key.events != events:
                 self._selector.modify(sock, events, (tunnel, sock))
 
-    def _expire(self) -> None:
-        """Ends tunnels that were not opened or closed in time."""
-        now_s = self._clock()
+    def _expire(self) -> float:
+        """Ends tunnels that were not opened or closed in time.
+
+        Returns:
+            Seconds until the next one is due, at most `_POLL_S`.
+        """
+        now_s = time.monotonic()
+        wait_s = _POLL_S
         for tunnel in list(self._tunnels):
-            if tunnel.deadline_s is None or now_s < tunnel.deadline_s:
+            if tunnel.deadline_s is None:
                 continue
-            if tunnel.upstream is not None and tunnel.up is None:
+            if now_s < tunnel.deadline_s:
+                wait_s = min(wait_s, tunnel.deadline_s - now_s)
+            elif tunnel.upstream is not None and tunnel.up is None:
                 self._fail_connecting(tunnel)
             else:
                 self._close(tunnel)
+        return wait_s
 
     def _close(self, tunnel: _Tunnel, is_reset: bool = False) -> None:
         self._tunnels.discard(tunnel)
