Log the shared segments of a prompt, and whether a cut attempt had a head

On call one could not tell what the requests under which engines crash have in common: their fingerprints differ. request_admitted names the prompt segments that other requests may share (at most eight, never the last), attempt_failed whether the engine had begun to answer. No decision reads either yet.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -45,6 +45,8 @@
     version: int
     # Equal for retries of the request under another id.
     fingerprint: str
+    # Prompt segments that other requests may share; at most `MAX_NAMED`.
+    segments: tuple[str, ...]
 
 
 @attrs.frozen
@@ -137,6 +139,8 @@
     brought: int
     # As in `RequestAdmitted`.
     fingerprint: str
+    # Whether the upstream had begun to answer: the head of its answer arrived.
+    has_head: bool
 
 
 @attrs.frozen
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -479,6 +479,7 @@
         """Closes a failed attempt and reports it to the broker."""
         if self._watch is not None:
             self._watch.remove(self)
+        has_head = self._answer is not None
         if self._answer is not None:
             self._answer.close()
             self._answer = None
@@ -496,6 +497,7 @@
                 count,
                 new_count,
                 self.job.fingerprint,
+                has_head,
             )
         )
         self._fut = self._desk.fail(
@@ -506,6 +508,7 @@
                 blamed,
                 count > 0,
                 new_count > 0,
+                has_head,
             )
         )
 
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -45,6 +45,8 @@
     prompt_tokens: int
     max_answer_tokens: int
     expected_answer_tokens: int
+    # Prompt segments that other requests may share, in their order.
+    segments: tuple[str, ...] = ()
 
 
 class AnswerInterruptedError(ConnectionAbortedError):
@@ -170,6 +172,7 @@
             arrived_s=now_s,
             deadline_s=now_s + wait_s,
             fingerprint=_compute_fingerprint(inbound, workspace),
+            segments=inbound.segments,
         )
 
     def _record_admitted(self, job: jobs.Job) -> None:
@@ -185,6 +188,7 @@
                 job.deadline_s - job.arrived_s,
                 version,
                 job.fingerprint,
+                job.segments[: decisions.MAX_NAMED],
             )
         )
 
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -15,7 +15,7 @@
 import orjson
 
 from egretspur import checks, codec
-from egretspur.admission import quarantine
+from egretspur.admission import fingerprint, quarantine
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.membership import datagrams
 
@@ -34,6 +34,12 @@
 # Prompt tokens processed per step if the configuration does not set `chunk`.
 _DEFAULT_CHUNK_TOKENS: Final = 512
 
+# Prompt segments that are read of one request; a prompt may have hundreds.
+MAX_SEGMENTS: Final = 256
+
+# Ids of segments with more digits than this are replaced by a digest.
+_MAX_SEGMENT_DIGITS: Final = 16
+
 
 def decode_record(
     raw: bytes, decode: Callable[[Any], T]
@@ -314,3 +320,33 @@
         return None
     found = _NUMBER.findall(estimate)
     return TokenCounts(counts[0], counts[1], int(found[0]) if found else 0)
+
+
+_HEXADECIMAL = re.compile(r"[0-9a-fA-F]+")
+
+
+def decode_segments(value: str) -> tuple[str, ...]:
+    """Returns the ids of the prompt segments that requests may share.
+
+    The last segment is the request's own and left out. Entries without a valid
+    id are skipped.
+
+    Args:
+        value: Segments in order, as ID:TOKENS, separated by commas.
+    """
+    found: dict[str, None] = {}
+    for entry in value.split(",")[:-1]:
+        digits = entry.partition(":")[0].strip()
+        if _HEXADECIMAL.fullmatch(digits):
+            found[_normalize_segment(digits)] = None
+        if len(found) >= MAX_SEGMENTS:
+            break
+    return tuple(found)
+
+
+def _normalize_segment(digits: str) -> str:
+    """Returns one spelling for equal ids."""
+    digits = digits.lower().lstrip("0") or "0"
+    if len(digits) > _MAX_SEGMENT_DIGITS:
+        return fingerprint.compute(digits)
+    return digits
--- a/egretspur/platform/ingress.py
+++ b/egretspur/platform/ingress.py
@@ -54,6 +54,7 @@
         prompt_tokens=tokens.prompt if tokens else 0,
         max_answer_tokens=tokens.max_output if tokens else 0,
         expected_answer_tokens=tokens.estimate if tokens else 0,
+        segments=decode.decode_segments(fields.get(names.SEGMENTS, "")),
     )
 
 
--- a/egretspur/platform/names.py
+++ b/egretspur/platform/names.py
@@ -26,6 +26,8 @@
 RESUME_AFTER: Final = "Last-Event-Id"
 TOKENS: Final = "Token-Usage"
 LENGTH_ESTIMATE: Final = "Length-Hint"
+# Segments of the prompt in order, each as ID:TOKENS with the id in hexadecimal.
+SEGMENTS: Final = "Prefix-Hash"
 DEADLINE: Final = "Deadline-Ms"
 API_KEY: Final = "Authorization"
 
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -28,6 +28,9 @@
     # Identifies the same request under other ids and at other hosts; see
     # `egretspur.admission.fingerprint`.
     fingerprint: str = ""
+    # Prompt segments that other requests may share; see
+    # `egretspur.admission.segments`.
+    segments: tuple[str, ...] = ()
 
 
 class FailureKind(enum.Enum):
@@ -59,6 +62,8 @@
     is_begun: bool = False
     # Whether this attempt produced part of the answer.
     has_output: bool = False
+    # Whether the head of an answer had arrived.
+    has_head: bool = False
 
 
 @attrs.frozen
--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -18,6 +18,15 @@
     When a stream is asked for
     Then the caller gets events 1 to 4 and a cut answer
 
+  Scenario: A stream that is cut between its head and its first event
+    # Tells the request that an engine began to answer when it crashed from
+    # those that only waited there.
+    Given the first attempt is cut after events none
+    And the second attempt sends events 1, 2 and the end
+    When a stream is asked for
+    Then the caller gets events 1 to 2 and a whole answer
+    And attempt 1 is logged with the head of an answer and without events
+
   Scenario: A stream that ends within an event
     Given the first attempt ends within event 2
     And the second attempt sends events 2, 3 and the end
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -107,3 +107,21 @@
     When a caller's request with its own key, deadline and path is read
     Then the key, the deadline and the path are not forwarded
     And the target and the body are unchanged
+
+  Scenario Outline: Prompt segments that requests may share
+    When the prompt segments "<value>" are decoded
+    Then the shared segments are "<segments>"
+
+    Examples:
+      | value                                   | segments                |
+      |                                         |                         |
+      | 5c1e07a2:800                            |                         |
+      | 5c1e07a2:800,91bd3f06:410,e4402b7d:250  | 5c1e07a2 91bd3f06       |
+      | 005C1E07A2:800,5c1e07a2:1,e4402b7d:250  | 5c1e07a2                |
+      | 0:1,zz:2,:3,,x,1                        | 0                       |
+      | 5c1e07a2,1:1                            | 5c1e07a2                |
+      | 1234567890abcdef0:1,1:1                 | 4d7cb83129ed661c        |
+
+  Scenario: A request with hundreds of prompt segments
+    When a request with 900 prompt segments is decoded
+    Then it has 256 shared segments
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -397,6 +397,20 @@
     assert reason in matching[0][2], found
 
 
+@then(
+    "attempt {number:d} is logged with the head of an answer and without"
+    " events"
+)
+def step_head_logged(context: Any, number: int) -> None:
+    (found,) = [
+        f
+        for f in context.lines.fields
+        if f.get("event") == "attempt_failed" and f["attempt"] == number
+    ]
+    assert found["has_head"] is True, found
+    assert found["brought"] == 0, found
+
+
 @then("the engine of attempt 2 gets no further attempt of the request")
 def step_not_again(context: Any) -> None:
     assert len(context.play.sends.starts) == 2, context.play.sends.starts
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -468,3 +468,26 @@
     for _, found in context.pairs:
         kept = sum(id(r) in known for r in found.routes)
         assert kept >= len(context.first.routes) - 2, kept
+
+
+@when('the prompt segments "{value}" are decoded')
+@when('the prompt segments "" are decoded')
+def step_segments(context: Any, value: str = "") -> None:
+    context.segments = decode.decode_segments(value)
+
+
+@when("a request with {count:d} prompt segments is decoded")
+def step_many_segments(context: Any, count: int) -> None:
+    value = ",".join(f"{i + 1:x}:1" for i in range(count))
+    context.segments = decode.decode_segments(value)
+
+
+@then('the shared segments are "{segments}"')
+@then('the shared segments are ""')
+def step_shared(context: Any, segments: str = "") -> None:
+    assert context.segments == tuple(segments.split()), context.segments
+
+
+@then("it has {count:d} shared segments")
+def step_shared_count(context: Any, count: int) -> None:
+    assert len(context.segments) == count, len(context.segments)
