--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -1,12 +1,14 @@
 """Model of hosts and of engines that crash, without network or threads.
 
 Engines crash a moment after they begin to run a fatal request, and restart some
-seconds later. Hosts exchange the datagrams that they would send. The fatal
-request may arrive at any host.
+seconds later. Hosts exchange the datagrams that they would send. Fatal requests
+may arrive at any host; they have a fatal fingerprint, or a fatal segment in
+their prompts.
 """
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Callable
 from typing import Final
@@ -39,7 +41,8 @@
 # Time from an engine's crash until its restart.
 RESTART_DELAY_S: Final = 4.0
 
-# Time from the third crash until the bound on further attempts applies.
+# Time from the last crash that is allowed until the bound on further attempts
+# applies.
 SETTLE_S: Final = 3.0
 
 # Layers of the engines of each data centre: two engines hold the first half,
@@ -60,6 +63,14 @@
     is_begun: bool = False
 
 
+@attrs.frozen
+class Begun:
+    """A request that produced the first part of its answer."""
+
+    at_s: float
+    attempt: int
+
+
 @attrs.define
 class World:
     """Hosts, engines and the requests between them."""
@@ -88,6 +99,12 @@
     stored: dict[str, quarantine.CrashWeights] = attrs.Factory(dict)
     # Whether fatal requests produce part of their answer before the crash.
     crashes_after_output: bool = False
+    # Prompt segments that crash engines.
+    fatal_segments: set[str] = attrs.Factory(set)
+    # Attempts by request, and when requests arrived and began to be answered.
+    attempts: collections.Counter[str] = attrs.Factory(collections.Counter)
+    arrived_s: dict[str, float] = attrs.Factory(dict)
+    begun: dict[str, Begun] = attrs.Factory(dict)
 
     def add_hosts(self, count: int) -> None:
         """Starts hosts and engines in three data centres."""
@@ -164,13 +181,28 @@
         """Schedules a call."""
         self.due.append((self.now_s + seconds, work))
 
-    def send(self, host: peers.Host, fingerprint: str, id_: str = "") -> str:
+    def is_fatal(self, job: jobs.Job) -> bool:
+        """Returns whether a request crashes the engines that run it."""
+        return job.fingerprint.startswith(
+            FATAL
+        ) or not self.fatal_segments.isdisjoint(job.segments)
+
+    def send(
+        self,
+        host: peers.Host,
+        fingerprint: str,
+        id_: str = "",
+        segments: tuple[str, ...] = (),
+    ) -> str:
         """Sends a request; returns its id."""
         self.arrived += 1
         name = id_ or f"r{self.arrived}"
         job = attrs.evolve(
-            fleets.make_job(name, now_s=self.now_s), fingerprint=fingerprint
+            fleets.make_job(name, now_s=self.now_s),
+            fingerprint=fingerprint,
+            segments=segments,
         )
+        self.arrived_s[name] = self.now_s
         self.waiting[name] = (host, job)
         self.apply(host, host.state.arrive(job, self.now_s))
         return name
@@ -191,12 +223,13 @@
         run = Run(host, job, start, self.now_s)
         engine = start.upstream.id
         self.runs[job.id] = run
+        self.attempts[job.id] += 1
         if engine not in self.live:
             failure = jobs.Failure(
                 job.id, jobs.FailureKind.UNREACHABLE, "no listener"
             )
             self._fail(job.id, run, failure)
-        elif job.fingerprint.startswith(FATAL):
+        elif self.is_fatal(job):
             self.reached_s.append(self.now_s)
             self.schedule(RUN_S, lambda: self.crash_engine(engine))
             run.is_begun = self.crashes_after_output
@@ -210,6 +243,7 @@
             reason,
             is_begun=run.is_begun,
             has_output=run.is_begun,
+            has_head=run.is_begun or self.is_fatal(run.job),
         )
         self._fail(name, run, failure)
 
@@ -243,11 +277,14 @@
 
     def _answer(self) -> None:
         for name, run in list(self.runs.items()):
-            if run.job.fingerprint.startswith(FATAL):
+            if self.is_fatal(run.job):
                 continue
             age_s = self.now_s - run.began_s
             if age_s >= RUN_S and not run.is_begun:
                 run.is_begun = True
+                self.begun.setdefault(
+                    name, Begun(self.now_s, self.attempts[name])
+                )
                 run.host.state.record_answer_start(name, self.now_s)
             if age_s >= ANSWER_S:
                 del self.runs[name]
@@ -263,9 +300,13 @@
             report = upstreams.PLAIN_REPORT if entry.id in self.live else None
             host.state.fleet.apply_report(entry.id, report, self.now_s)
 
-    def count_late(self) -> int:
-        """Returns how often fatal requests reached engines past the bound."""
-        if len(self.crashed_s) < 3:
+    def count_late(self, allowed: int = 3) -> int:
+        """Returns how often fatal requests reached engines past the bound.
+
+        Args:
+            allowed: Crashes after which the bound applies.
+        """
+        if len(self.crashed_s) < allowed:
             return 0
-        bound_s = self.crashed_s[2] + SETTLE_S
+        bound_s = self.crashed_s[allowed - 1] + SETTLE_S
         return sum(1 for t in self.reached_s if t > bound_s)
