Let updates of several kinds travel apart from the peer update

The exchange knew of contention updates only. What is told of prompt segments has to travel apart as well, since older builds check a peer update's length. No change of behaviour.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -16,7 +16,7 @@
 import threading
 import time
 from collections.abc import Mapping, Sequence
-from typing import Final
+from typing import Any, Final
 
 from egretspur import (
     decisions,
@@ -43,6 +43,7 @@
     duty,
     exchange,
     hosts,
+    sidechannels,
 )
 from egretspur.orders import ranges
 from egretspur.platform import ingress, names, node, store, upstream
@@ -149,9 +150,7 @@
             self._make_update,
             self._aggregate,
             self._handle_updates,
-            exchange.ContentionHandlers(
-                self._make_contention, self._handle_contention
-            ),
+            self._make_kinds(),
         )
         self._pages_client = transport.Transport(0.3, 1.0)
         group = store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip)
@@ -416,6 +415,19 @@
         )
         return total
 
+    def _make_kinds(self) -> tuple[sidechannels.Kind[Any], ...]:
+        """Returns the updates that go to other hosts besides peer updates."""
+        return (
+            sidechannels.Kind(
+                contention.PREFIX,
+                contention.encode,
+                contention.decode,
+                self._make_contention,
+                self._handle_contention,
+                contention.END_UPDATES,
+            ),
+        )
+
     def _make_contention(self, is_speaker: bool) -> contention.ContentionUpdate:
         """Returns the contention update of this host or its data centre."""
         update: contention.ContentionUpdate = self._desk.query(
--- a/egretspur/membership/contention.py
+++ b/egretspur/membership/contention.py
@@ -2,9 +2,8 @@
 
 Hosts share what they need to know of each other while capacity is scarce: load
 of the links between data centres, waiting requests, and callers told to return.
-It travels apart from the peer update (`egretspur.membership.datagrams`), whose
-length older builds check, and only while there is anything to send. It may come
-from any sender: a field of the wrong type is refused with the reason.
+It travels apart from the peer update (`egretspur.membership.sidechannels`). It
+may come from any sender: a field of the wrong type is refused with the reason.
 """
 
 from __future__ import annotations
@@ -27,6 +26,9 @@
 # How the datagram of an update begins.
 PREFIX: Final = f'["{TAG}"'.encode()
 
+# Empty updates sent after the last one with content; see `sidechannels.Kind`.
+END_UPDATES: Final = 2
+
 # Size of an update in bytes, so that it fits into one packet, and how many
 # links and services are sent at most, by falling size of the update.
 MAX_BYTES: Final = 1200
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -18,12 +18,10 @@
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import Final
-
-import attrs
+from typing import Any, Final
 
 from egretspur import decisions, guard
-from egretspur.membership import contention, datagrams, hosts
+from egretspur.membership import datagrams, hosts, sidechannels
 from egretspur.tunnels import helpers
 
 _LOG: Final = logging.getLogger(__name__)
@@ -37,10 +35,6 @@
 # One datagram in this many also lists the peers of the host.
 PEER_LIST_INTERVAL: Final = 8
 
-# Empty contention updates sent after the last one with content. They end what
-# others hold back for this host; one of them may be lost.
-CONTENTION_END_UPDATES: Final = 2
-
 # A host that has just started doesn't read the store for others until it has
 # learned who does. Time for two datagrams, one of which may be lost.
 STARTUP_WAIT_S: Final = 0.6
@@ -63,16 +57,6 @@
 _Datagram = tuple[bytes, tuple[str, int]]
 
 
-@attrs.frozen
-class ContentionHandlers:
-    """Makes contention updates and handles received ones; see `Exchange`."""
-
-    # Returns this host's update, or as the speaker that of its data centre.
-    make: Callable[[bool], contention.ContentionUpdate]
-    # Receives the updates of others, oldest first.
-    handle: Callable[[Sequence[contention.ContentionUpdate]], None]
-
-
 class Exchange:
     """Sends and receives peer updates."""
 
@@ -84,7 +68,7 @@
         make_update: Callable[[Mapping[str, str]], datagrams.PeerUpdate],
         aggregate: Callable[[datagrams.PeerUpdate], datagrams.PeerUpdate],
         handle_updates: Callable[[Sequence[datagrams.PeerUpdate], int], None],
-        contention_handlers: ContentionHandlers | None = None,
+        kinds: Sequence[sidechannels.Kind[Any]] = (),
     ) -> None:
         """Makes an exchange.
 
@@ -97,18 +81,14 @@
                 host's; the speaker sends it to the other data centres.
             handle_updates: Receives the updates of others, oldest first, and
                 the number of hosts that share a retry budget.
-            contention_handlers: Makes contention updates and handles received
-                ones; None to exchange none.
+            kinds: Updates that are exchanged besides.
         """
         self._ip = ip
         self._port = port
         self._make_update = make_update
         self._aggregate = aggregate
         self._handle_updates = handle_updates
-        self._contention = contention_handlers
-        # Empty contention updates still to be sent, to this data centre (False)
-        # and as its speaker to others (True).
-        self._contention_left: dict[bool, int] = {}
+        self._channels = [sidechannels.SideChannel(k) for k in kinds]
         self._lock = threading.Lock()
         self._peers = peers
         self._decoder = datagrams.Decoder()
@@ -222,27 +202,22 @@
         peers = listed if turn % PEER_LIST_INTERVAL == 0 else {}
         update = self._make_update(peers)
         self._send_update(local, update)
-        self._send_contention(local, False)
+        self._send_others(local, False)
         if is_speaker and remote:
             self._send_update(remote, self._aggregate(update))
-            self._send_contention(remote, True)
+            self._send_others(remote, True)
 
     def _send_update(
         self, hosts: Iterable[str], update: datagrams.PeerUpdate
     ) -> None:
         self._send_to(hosts, datagrams.encode_update(update))
 
-    def _send_contention(self, hosts: Iterable[str], is_speaker: bool) -> None:
-        """Sends the contention update if there is any to report or to end."""
-        if self._contention is None:
-            return
-        update = self._contention.make(is_speaker)
-        left = CONTENTION_END_UPDATES
-        if update.is_empty():
-            left = self._contention_left.get(is_speaker, 0) - 1
-        self._contention_left[is_speaker] = left
-        if left >= 0:
-            self._send_to(hosts, contention.encode(update))
+    def _send_others(self, hosts: Sequence[str], is_speaker: bool) -> None:
+        """Sends the updates of other kinds that have anything to tell."""
+        for channel in self._channels:
+            data = channel.make_datagram(is_speaker)
+            if data is not None:
+                self._send_to(hosts, data)
 
     def _send_to(self, hosts: Iterable[str], data: bytes) -> None:
         for host in hosts:
@@ -279,22 +254,23 @@
     def _handle_batch(self, received: Iterable[_Datagram]) -> None:
         now_s = time.monotonic()
         updates = []
-        contention_updates = []
+        others: dict[bytes, list[Any]] = {}
         forwarded = []
         for data, (sender, _) in received:
-            update = self._decode(data)
+            channel = self._find_channel(data)
+            update = (channel or self._decoder).decode(data)
             if isinstance(update, datagrams.InvalidUpdate):
                 self._log_refused(sender, update, now_s)
                 continue
             if update.host == self._ip:
                 continue
-            if isinstance(update, contention.ContentionUpdate):
-                contention_updates.append(update)
+            if channel is not None:
+                others.setdefault(channel.prefix, []).append(update)
             else:
                 updates.append(update)
             if sender == update.host and self._peers.is_remote(update):
                 forwarded.append(data)
-        if not updates and not contention_updates:
+        if not updates and not others:
             return
         with self._lock:
             for peer_update in updates:
@@ -306,20 +282,15 @@
             self._send_to(local, data)
         if updates:
             self._handle_updates(updates, host_count)
-        if contention_updates and self._contention is not None:
-            self._contention.handle(contention_updates)
-
-    def _decode(
-        self, data: bytes
-    ) -> (
-        datagrams.PeerUpdate
-        | contention.ContentionUpdate
-        | datagrams.InvalidUpdate
-    ):
-        """Returns the update of either kind, or why it is refused."""
-        if data.startswith(contention.PREFIX):
-            return contention.decode(data)
-        return self._decoder.decode(data)
+        for channel in self._channels:
+            channel.handle(others.get(channel.prefix, ()))
+
+    def _find_channel(self, data: bytes) -> sidechannels.AnyChannel | None:
+        """Returns the channel of a datagram; None for a peer update."""
+        for channel in self._channels:
+            if data.startswith(channel.prefix):
+                return channel
+        return None
 
     def _log_refused(
         self, sender: str, refused: datagrams.InvalidUpdate, now_s: float
