Quarantine prompt segments under which upstreams crash

Cause: hosts kept evidence of crashes for a request's fingerprint (method, target, body). State about what requests share was kept for each request, so each of them began with a clean record. Change: crashes count for the segments of a prompt as well. A sequence of three crashes, each under a request sent after the one before, none of them answered and at least two requests different, quarantines the set of segments that these requests have in common. The first output of any request with a segment clears it of all earlier crashes, so a system prompt is not blamed. Hosts tell each other of crashes and answers in datagrams of their own, which older builds refuse and need not know; what is quarantined goes the way that fingerprints go: peer updates, the store, operators. Why it works: requests with the segment share it whatever else they hold, and those without it are answered.

--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -16,18 +16,22 @@
 Requests that run beside it are cut and retried as well. They differ in that
 they are answered in the end, which clears them, or were answered shortly
 before, and that most had produced a part of their answer.
+
+Sets of prompt segments are quarantined as well, under a key of their own, with
+every request that has all of them; `egretspur.admission.segments` finds them.
 """
 
 from __future__ import annotations
 
 import collections
 import enum
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 import attrs
 
 from egretspur.admission import fingerprint as fingerprints
+from egretspur.admission import segments as segment_sets
 
 # Crashes that quarantine a request. One may be a coincidence, and two may come
 # from the loss of a data centre that the request passed through.
@@ -88,6 +92,11 @@
     # Whether the attempt had produced a part of the answer.
     has_output: bool
     at_s: float
+    # Prompt segments that other requests may share.
+    segments: tuple[str, ...] = ()
+    # Whether the head of an answer had arrived, and when it was sent.
+    has_head: bool = False
+    sent_s: float = 0.0
 
     @property
     def weight(self) -> float:
@@ -104,10 +113,19 @@
     return not set(known) <= set(other)
 
 
+@attrs.frozen
+class CrashedAttempt:
+    """A cut attempt, and the start of an upstream that crashed under it."""
+
+    cut: CutAttempt
+    start: str
+
+
 @attrs.frozen
 class Change:
-    """A request was quarantined or released."""
+    """A request, or a set of segments, was quarantined or released."""
 
+    # Or the key of the segments.
     fingerprint: str
     # Empty if it was released.
     crashes: CrashWeights
@@ -143,7 +161,7 @@
                 unknown after a cut; then it counts as alive.
         """
         self._crash_check_s = crash_check_s
-        # By fingerprint, the most recently changed last.
+        # By fingerprint or key of segments, the most recently changed last.
         self._records: collections.OrderedDict[str, _Record] = (
             collections.OrderedDict()
         )
@@ -152,14 +170,26 @@
             collections.OrderedDict()
         )
         self._cuts: list[CutAttempt] = []
+        # Those whose upstreams turned out to have crashed.
+        self._crashed: list[CrashedAttempt] = []
         self._changes: list[Change] = []
+        # Quarantined sets of segments, by key.
+        self._blocked_segments: dict[str, frozenset[str]] = {}
 
-    def is_blocked(self, fingerprint: str) -> bool:
+    def is_blocked(
+        self, fingerprint: str, segments: Sequence[str] = ()
+    ) -> bool:
         """Tells whether a request must not be sent.
 
         A cut counts as a crash until the upstream's state is known, since a
         retry would be sent before that.
+
+        Args:
+            fingerprint: Of the request.
+            segments: Of its prompt.
         """
+        if self.list_blocked_segments(segments):
+            return True
         record = self._records.get(fingerprint)
         crashes = dict(record.crashes) if record else {}
         for cut in self._cuts:
@@ -167,15 +197,28 @@
                 crashes.setdefault(make_start_id(cut.upstreams[0]), cut.weight)
         return sum(crashes.values()) >= CRASH_THRESHOLD
 
-    def get_retry_after_s(self, fingerprint: str) -> float:
+    def list_blocked_segments(self, segments: Sequence[str]) -> list[str]:
+        """Returns the keys of quarantined segments that a prompt has."""
+        if not self._blocked_segments or not segments:
+            return []
+        found = frozenset(segments)
+        return [k for k, s in self._blocked_segments.items() if s <= found]
+
+    def get_retry_after_s(
+        self, fingerprint: str, segments: Sequence[str] = ()
+    ) -> float:
         """Returns the Retry-After of a blocked request, in seconds."""
         record = self._records.get(fingerprint)
-        is_confirmed = record is not None and record.is_quarantined
+        is_confirmed = (
+            record is not None and record.is_quarantined
+        ) or self.list_blocked_segments(segments)
         return RETRY_AFTER_S if is_confirmed else self._crash_check_s
 
     def record_cut(self, cut: CutAttempt, now_s: float) -> None:
         """Adds a cut attempt, for `resolve_cuts` to evaluate."""
-        if cut.fingerprint and not self._was_answered(cut.fingerprint, now_s):
+        if self._was_answered(cut.fingerprint, now_s):
+            cut = attrs.evolve(cut, fingerprint="")
+        if cut.fingerprint or cut.segments:
             self._cuts.append(cut)
 
     def resolve_cuts(
@@ -194,14 +237,41 @@
                 u for u, s in states.items() if s is UpstreamState.CRASHED
             ]
             if crashed:
-                crashes = {make_start_id(crashed[0]): cut.weight}
-                self._add_crashes(cut.fingerprint, crashes, True, now_s)
+                start = make_start_id(crashed[0])
+                self._crashed.append(CrashedAttempt(cut, start))
+                if cut.fingerprint:
+                    crashes = {start: cut.weight}
+                    self._add_crashes(cut.fingerprint, crashes, True, now_s)
             elif (
                 UpstreamState.UNKNOWN in states.values()
                 and now_s - cut.at_s < self._crash_check_s
             ):
                 self._cuts.append(cut)
 
+    def take_crashed(self) -> list[CrashedAttempt]:
+        """Returns the crashes confirmed since the last call."""
+        crashed, self._crashed = self._crashed, []
+        return crashed
+
+    def add_blame(
+        self, blame: segment_sets.Blame, is_own: bool, now_s: float
+    ) -> None:
+        """Quarantines a set of segments.
+
+        Args:
+            blame: The segments and the crashes under requests with them.
+            is_own: Whether this host itself saw the last of these crashes.
+            now_s: Monotonic time.
+        """
+        key = segment_sets.make_key(blame.segments)
+        if not self._was_answered(key, now_s):
+            self._add_crashes(key, blame.crashes, is_own, now_s)
+
+    def record_output(self, segments: Sequence[str], now_s: float) -> None:
+        """Releases segments under which a request began to be answered."""
+        for key in self.list_blocked_segments(segments):
+            self.record_answer(key, now_s)
+
     def record_answer(self, fingerprint: str, now_s: float) -> None:
         """Clears a request that was answered completely."""
         if not fingerprint:
@@ -210,7 +280,12 @@
         self._answered_at_s.move_to_end(fingerprint)
         if len(self._answered_at_s) > MAX_ANSWERS:
             self._answered_at_s.popitem(last=False)
-        self._cuts = [c for c in self._cuts if c.fingerprint != fingerprint]
+        self._cuts = [
+            attrs.evolve(c, fingerprint="")
+            if c.fingerprint == fingerprint
+            else c
+            for c in self._cuts
+        ]
         self._clear_crashes(fingerprint, True, now_s)
 
     def apply_peer_update(
@@ -290,7 +365,7 @@
         is_own: bool,
         now_s: float,
     ) -> None:
-        """Adds crashes to a request and quarantines it at the threshold."""
+        """Adds crashes to a record and quarantines it at the threshold."""
         record = self._get_record(fingerprint)
         record.is_own |= is_own
         for name, weight in crashes.items():
@@ -301,6 +376,9 @@
             return
         record.is_quarantined = True
         record.is_released = False
+        blocked = segment_sets.parse_key(fingerprint)
+        if blocked:
+            self._blocked_segments[fingerprint] = blocked
         self._changes.append(
             Change(fingerprint, dict(record.crashes), record.is_own)
         )
@@ -308,13 +386,14 @@
     def _clear_crashes(
         self, fingerprint: str, is_own: bool, now_s: float
     ) -> None:
-        """Removes a request's crashes and releases it from quarantine."""
+        """Removes a record's crashes and releases it from quarantine."""
         record = self._records.get(fingerprint)
         if record is None or not record.crashes:
             return
         if record.is_quarantined:
             record.is_released = True
             self._changes.append(Change(fingerprint, {}, is_own))
+        self._blocked_segments.pop(fingerprint, None)
         record.crashes.clear()
         record.is_quarantined = record.is_own = False
         record.at_s = now_s
@@ -339,7 +418,9 @@
         oldest = next(
             (f for f, r in self._records.items() if not r.is_quarantined), ""
         )
-        del self._records[oldest or next(iter(self._records))]
+        dropped = oldest or next(iter(self._records))
+        del self._records[dropped]
+        self._blocked_segments.pop(dropped, None)
 
 
 def make_start_id(upstream: str) -> str:
--- /dev/null
+++ b/egretspur/admission/segments.py
@@ -0,0 +1,325 @@
+"""Finds prompt segments under which upstreams crash: pure.
+
+Requests share segments of their prompts, such as a system prompt or a document.
+One segment may crash each upstream that begins to answer a request with it. No
+two such requests need be alike, so their fingerprints show nothing
+(`egretspur.admission.quarantine`); what they have in common does.
+
+Evidence against a segment is a sequence of crashes, each under a request with
+it that was sent after the crash before, and none of these requests answered:
+
+- The first output of any request with the segment refutes all crashes of
+  requests that were sent before. So segments of many requests, such as a system
+  prompt, are not blamed while some of these are answered.
+- A power loss is one crash in this sense, however many upstreams it ends: the
+  requests that it cut were all sent before it.
+- Of the requests that an upstream ran when it crashed, those whose answers had
+  begun with a head but no output come first. The others count only if there are
+  none such, and half.
+
+What is blamed is the set of all segments that these requests have in common and
+that no answer speaks for. Requests that have only some of them are sent; their
+answers or crashes then show which one it is.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Collection, Iterable, Mapping
+from typing import Final
+
+import attrs
+
+# Sum of weights of a sequence of crashes for which segments are blamed. Two may
+# be a coincidence.
+CRASH_THRESHOLD: Final = 3.0
+
+# Weight of a crash before the upstream had sent the head of its answer.
+HEADLESS_WEIGHT: Final = 0.5
+
+# Different requests that must have crashed upstreams: a single one is known by
+# its fingerprint.
+MIN_REQUESTS: Final = 2
+
+# Crashes kept, and segments of which the time of an answer is kept: more than a
+# large site has of either within minutes.
+MAX_CRASHES: Final = 1024
+MAX_ANSWERED: Final = 8192
+
+# A crash is published for this long after it was learned of, in some forty
+# updates, so that hosts which were cut off for some seconds receive it too.
+PUBLISH_S: Final = 10.0
+
+# Crashes and segments in one update, so that it fits into one packet.
+MAX_PUBLISHED: Final = 12
+MAX_PUBLISHED_SEGMENTS: Final = 6
+MAX_PUBLISHED_ANSWERS: Final = 24
+
+# Segments that are blamed together at most.
+MAX_BLAMED: Final = 6
+
+# Characters that tell a request from others in updates.
+_REQUEST_CHARS: Final = 6
+
+# How the key of a set of segments begins, and what separates its segments.
+_KEY_PREFIX: Final = "segments:"
+_KEY_SEPARATOR: Final = ","
+
+# Characters of a key: the store keeps no longer ones.
+_MAX_KEY_CHARS: Final = 250
+
+
+@attrs.frozen
+class Crash:
+    """A crash of an upstream that ran a request, before any of its output."""
+
+    # Start of the upstream, as `quarantine.make_start_id` names it.
+    start: str
+    # Begin of the request's fingerprint.
+    request: str
+    segments: frozenset[str]
+    # Whether the head of an answer had arrived.
+    has_head: bool
+    # Monotonic times at which the request was sent, and cut.
+    sent_s: float
+    cut_s: float
+
+    @property
+    def weight(self) -> float:
+        """Weight in a sequence of crashes."""
+        return 1.0 if self.has_head else HEADLESS_WEIGHT
+
+
+@attrs.frozen
+class PublishedCrash:
+    """A crash in an update to other hosts."""
+
+    start: str
+    request: str
+    segments: tuple[str, ...]
+    has_head: bool
+    sent_age_s: float
+    cut_age_s: float
+
+
+@attrs.frozen
+class Update:
+    """What one host knows of crashes and segments, for other hosts."""
+
+    crashes: tuple[PublishedCrash, ...] = ()
+    # Seconds since a request with a segment was answered.
+    answered: Mapping[str, float] = attrs.Factory(dict)
+
+    def is_empty(self) -> bool:
+        """Returns whether there is nothing to send."""
+        return not self.crashes
+
+
+@attrs.frozen
+class Blame:
+    """Segments that crash upstreams where they come together."""
+
+    segments: frozenset[str]
+    # Weight of each crash by upstream start.
+    crashes: Mapping[str, float]
+
+
+class SegmentEvidence:
+    """One host's evidence about segments; see the module's docstring."""
+
+    def __init__(self) -> None:
+        # By start and request, oldest first, with the time it was learned.
+        self._crashes: collections.OrderedDict[
+            tuple[str, str], tuple[Crash, float]
+        ] = collections.OrderedDict()
+        # Last answer by segment, the most recent last.
+        self._answered_s: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    def record_crash(self, crash: Crash, now_s: float) -> list[Blame]:
+        """Adds a crash; returns what is to be blamed now."""
+        if not crash.segments:
+            return []
+        self._add(crash, now_s)
+        return self._find_blame(crash.segments)
+
+    def record_answer(self, segments: Iterable[str], now_s: float) -> None:
+        """Records the first output of a request with these segments."""
+        for segment in segments:
+            self._set_answered(segment, now_s)
+
+    def apply_update(self, update: Update, now_s: float) -> list[Blame]:
+        """Merges another host's update; returns what is to be blamed now."""
+        for segment, age_s in update.answered.items():
+            self._set_answered(segment, now_s - age_s)
+        touched: set[str] = set()
+        for found in update.crashes:
+            if (found.start, found.request) in self._crashes:
+                continue
+            crash = Crash(
+                found.start,
+                found.request,
+                frozenset(found.segments),
+                found.has_head,
+                now_s - found.sent_age_s,
+                now_s - found.cut_age_s,
+            )
+            self._add(crash, now_s)
+            touched |= crash.segments
+        return self._find_blame(touched)
+
+    def make_update(self, now_s: float) -> Update:
+        """Returns the recent crashes, and the answers that refute them."""
+        recent = [
+            c for c, at_s in self._crashes.values() if now_s - at_s < PUBLISH_S
+        ]
+        if not recent:
+            return Update()
+        counts = collections.Counter(s for c in recent for s in c.segments)
+        answered = {
+            s: round(now_s - self._answered_s[s], 2)
+            for s, _ in counts.most_common()
+            if s in self._answered_s
+        }
+        recent.sort(key=lambda c: (c.has_head, c.cut_s), reverse=True)
+        return Update(
+            tuple(
+                self._publish(c, counts, now_s) for c in recent[:MAX_PUBLISHED]
+            ),
+            dict(list(answered.items())[:MAX_PUBLISHED_ANSWERS]),
+        )
+
+    def _publish(
+        self, crash: Crash, counts: Mapping[str, int], now_s: float
+    ) -> PublishedCrash:
+        """Returns a crash with the segments that are most likely to blame."""
+        ranked = sorted(
+            crash.segments,
+            key=lambda s: (self._is_refuted(s, crash), -counts[s], s),
+        )
+        return PublishedCrash(
+            crash.start,
+            crash.request,
+            tuple(ranked[:MAX_PUBLISHED_SEGMENTS]),
+            crash.has_head,
+            round(now_s - crash.sent_s, 2),
+            round(now_s - crash.cut_s, 2),
+        )
+
+    def _add(self, crash: Crash, now_s: float) -> None:
+        key = (crash.start, crash.request)
+        if key in self._crashes:
+            return
+        self._crashes[key] = (crash, now_s)
+        if len(self._crashes) > MAX_CRASHES:
+            self._crashes.popitem(last=False)
+
+    def _set_answered(self, segment: str, at_s: float) -> None:
+        known_s = self._answered_s.get(segment, -math.inf)
+        self._answered_s[segment] = max(known_s, at_s)
+        self._answered_s.move_to_end(segment)
+        if len(self._answered_s) > MAX_ANSWERED:
+            self._answered_s.popitem(last=False)
+
+    def _is_refuted(self, segment: str, crash: Crash) -> bool:
+        """Returns whether a request with a segment was answered since."""
+        return self._answered_s.get(segment, -math.inf) >= crash.sent_s
+
+    def _find_blame(self, segments: Collection[str]) -> list[Blame]:
+        """Returns what is blamed of some segments.
+
+        Segments that were answered last, or never, come first: what they
+        explain is not held against the others.
+        """
+        ranked = sorted(
+            segments,
+            key=lambda s: (self._answered_s.get(s, -math.inf), s),
+        )
+        crashes = [c for c, _ in self._crashes.values()]
+        found: list[Blame] = []
+        for segment in ranked:
+            if any(segment in b.segments for b in found):
+                continue
+            blame = self._blame(segment, crashes, found)
+            if blame is not None:
+                found.append(blame)
+        return found
+
+    def _blame(
+        self, segment: str, crashes: Iterable[Crash], known: Collection[Blame]
+    ) -> Blame | None:
+        """Returns the blame of a segment; None if there is not enough."""
+        with_head = {c.start for c in crashes if c.has_head}
+        against = sorted(
+            (
+                c
+                for c in crashes
+                if segment in c.segments
+                and not self._is_refuted(segment, c)
+                and (c.has_head or c.start not in with_head)
+                and not _is_explained(c, known)
+            ),
+            key=lambda c: c.cut_s,
+        )
+        chain = _find_sequence(against)
+        if (
+            sum(c.weight for c in chain) < CRASH_THRESHOLD
+            or len({c.request for c in chain}) < MIN_REQUESTS
+        ):
+            return None
+        common = frozenset.intersection(*(c.segments for c in against))
+        unanswered = {
+            s
+            for s in common
+            if not any(self._is_refuted(s, c) for c in against)
+        }
+        blamed = sorted(unanswered - {segment})[: MAX_BLAMED - 1]
+        return Blame(
+            frozenset([segment, *blamed]), {c.start: c.weight for c in chain}
+        )
+
+
+def make_key(segments: Collection[str]) -> str:
+    """Returns the key of a set of segments, for records and the store."""
+    kept = sorted(segments)
+    while True:
+        key = _KEY_PREFIX + _KEY_SEPARATOR.join(kept)
+        if len(key) <= _MAX_KEY_CHARS or len(kept) == 1:
+            return key[:_MAX_KEY_CHARS]
+        # Fewer segments are a wider set of requests.
+        kept.pop()
+
+
+def parse_key(key: str) -> frozenset[str]:
+    """Returns the segments of a key; none if it is that of a request."""
+    if not key.startswith(_KEY_PREFIX):
+        return frozenset()
+    return frozenset(key[len(_KEY_PREFIX) :].split(_KEY_SEPARATOR))
+
+
+def make_request_mark(fingerprint: str) -> str:
+    """Returns what tells a request from others in updates."""
+    return fingerprint[:_REQUEST_CHARS]
+
+
+def _is_explained(crash: Crash, known: Iterable[Blame]) -> bool:
+    """Returns whether other segments explain why an upstream crashed."""
+    return any(
+        crash.start in b.crashes and not b.segments <= crash.segments
+        for b in known
+    )
+
+
+def _find_sequence(crashes: Iterable[Crash]) -> list[Crash]:
+    """Returns crashes each of which was sent after the one before.
+
+    Args:
+        crashes: Ordered by the time at which they were cut.
+    """
+    chain: list[Crash] = []
+    for crash in crashes:
+        if not chain or crash.sent_s >= chain[-1].cut_s:
+            chain.append(crash)
+    return chain
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -27,7 +27,7 @@
     transport,
     web,
 )
-from egretspur.admission import repeats
+from egretspur.admission import repeats, segments
 from egretspur.catalog import (
     config,
     positions,
@@ -41,6 +41,7 @@
     contention,
     datagrams,
     duty,
+    evidence,
     exchange,
     hosts,
     sidechannels,
@@ -426,6 +427,13 @@
                 self._handle_contention,
                 contention.END_UPDATES,
             ),
+            sidechannels.Kind(
+                evidence.PREFIX,
+                evidence.encode,
+                evidence.decode,
+                self._make_evidence,
+                self._handle_evidence,
+            ),
         )
 
     def _make_contention(self, is_speaker: bool) -> contention.ContentionUpdate:
@@ -442,6 +450,18 @@
     ) -> None:
         self._desk.tell(desk.PeerContention(tuple(updates)))
 
+    def _make_evidence(self, is_speaker: bool) -> evidence.EvidenceUpdate:
+        """Returns what this host knows of prompt segments."""
+        found: segments.Update = self._desk.query(
+            lambda state: state.make_evidence(time.monotonic())
+        )
+        return evidence.EvidenceUpdate(self._cfg.ip, found)
+
+    def _handle_evidence(
+        self, updates: Sequence[evidence.EvidenceUpdate]
+    ) -> None:
+        self._desk.tell(desk.PeerEvidence(tuple(u.evidence for u in updates)))
+
     def _note_answer(
         self, upstream_id: str, status: int, fields: Mapping[str, str]
     ) -> None:
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -172,7 +172,7 @@
             arrived_s=now_s,
             deadline_s=now_s + wait_s,
             fingerprint=_compute_fingerprint(inbound, workspace),
-            segments=inbound.segments,
+            segments=_scope_segments(cfg.services.get(service), inbound),
         )
 
     def _record_admitted(self, job: jobs.Job) -> None:
@@ -216,6 +216,19 @@
     )
 
 
+def _scope_segments(
+    service: config.Service | None, inbound: InboundRequest
+) -> tuple[str, ...]:
+    """Returns a prompt's segments with the model that is to read them.
+
+    A segment that crashes the engines of one model may be harmless to another.
+    """
+    if service is None or service.engine is None:
+        return ()
+    model = service.engine.model
+    return tuple(f"{model}/{s}" for s in inbound.segments)
+
+
 def _estimate_tokens(
     service: config.Service | None, inbound: InboundRequest
 ) -> float:
--- /dev/null
+++ b/egretspur/membership/evidence.py
@@ -0,0 +1,128 @@
+"""Encoding of what a host knows of prompt segments as a datagram.
+
+It travels apart from the peer update (`egretspur.membership.sidechannels`), and
+only while upstreams crash. It may come from any sender: a field of the wrong
+type is refused with the reason. Read next: `egretspur.admission.segments`.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import attrs
+import orjson
+
+from egretspur import checks, codec
+from egretspur.admission import segments
+from egretspur.membership import datagrams
+
+# First element of the list, which tells it from a peer update.
+TAG: Final = "segments"
+
+# How the datagram of an update begins.
+PREFIX: Final = f'["{TAG}"'.encode()
+
+# Longest texts that are accepted: ids of segments with their model, and others.
+MAX_SEGMENT_CHARS: Final = 200
+MAX_MARK_CHARS: Final = 32
+
+
+@attrs.frozen
+class EvidenceUpdate:
+    """What a host knows of prompt segments."""
+
+    # Address of the sending host.
+    host: str
+    evidence: segments.Update
+
+    def is_empty(self) -> bool:
+        """Returns whether there is nothing to send."""
+        return self.evidence.is_empty()
+
+
+def encode(update: EvidenceUpdate) -> bytes:
+    """Returns the datagram for an update."""
+    found = update.evidence
+    return orjson.dumps(
+        [
+            TAG,
+            update.host,
+            {
+                "crashes": [
+                    [
+                        c.start,
+                        c.request,
+                        list(c.segments),
+                        c.has_head,
+                        c.sent_age_s,
+                        c.cut_age_s,
+                    ]
+                    for c in found.crashes
+                ],
+                "answered": dict(found.answered),
+            },
+        ]
+    )
+
+
+def decode(data: bytes) -> EvidenceUpdate | datagrams.InvalidUpdate:
+    """Returns the update in a datagram, or why it is refused.
+
+    Unknown fields are ignored, and a missing one means that there is nothing to
+    report: newer builds may send others.
+    """
+    try:
+        tag, host, fields = checks.check_row(codec.load_json(data), TAG, 3)
+        if tag != TAG:
+            raise checks.FieldError(TAG, f"begins with {tag!r:.40}")
+        table = checks.Table(fields, TAG)
+        rows = table.get("crashes") if table.has("crashes") else []
+        answered = (
+            table.get_table("answered").items() if table.has("answered") else ()
+        )
+        return EvidenceUpdate(
+            datagrams.check_host(host),
+            segments.Update(
+                tuple(
+                    _decode_crash(r)
+                    for r in checks.check_list(rows, "crashes")[
+                        : segments.MAX_PUBLISHED
+                    ]
+                ),
+                {
+                    _check_text(
+                        s, "answered", MAX_SEGMENT_CHARS
+                    ): checks.check_number(age_s, "answered")
+                    for s, age_s in answered
+                },
+            ),
+        )
+    except checks.FieldError as exc:
+        return datagrams.InvalidUpdate(exc.field, str(exc))
+    except codec.DecodeError as exc:
+        return datagrams.InvalidUpdate("bytes", str(exc))
+
+
+def _decode_crash(row: Any) -> segments.PublishedCrash:
+    start, request, found, has_head, sent_age_s, cut_age_s = checks.check_row(
+        row, "crashes", 6
+    )
+    listed = checks.check_list(found, "crashes")
+    return segments.PublishedCrash(
+        _check_text(start, "crashes", MAX_MARK_CHARS),
+        _check_text(request, "crashes", MAX_MARK_CHARS),
+        tuple(
+            _check_text(s, "crashes", MAX_SEGMENT_CHARS)
+            for s in listed[: segments.MAX_PUBLISHED_SEGMENTS]
+        ),
+        checks.check_flag(has_head, "crashes"),
+        checks.check_number(sent_age_s, "crashes"),
+        checks.check_number(cut_age_s, "crashes"),
+    )
+
+
+def _check_text(value: Any, field: str, most: int) -> str:
+    text = checks.check_text(value, field)
+    if len(text) > most:
+        raise checks.FieldError(field, f"longer than {most}: {text!r:.60}")
+    return text
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -14,7 +14,7 @@
 from egretspur import decisions, errors, mechanisms, signals
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import queue as queues
-from egretspur.admission import repeats, throttle, turns
+from egretspur.admission import repeats, segments, throttle, turns
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import (
     contention,
@@ -132,7 +132,14 @@
         self._record_failure(ticket, upstream_id, failure, now_s)
         if failure.kind is jobs.FailureKind.CUT:
             self._crashes.note_cut(
-                ticket.job.fingerprint, stages, failure.has_output, now_s
+                crashes.CutAttempt(
+                    ticket.job,
+                    stages,
+                    failure.has_output,
+                    failure.has_head,
+                    ticket.started_s,
+                ),
+                now_s,
             )
         refusal = self._check_retry(ticket, failure, now_s)
         if refusal is not None:
@@ -181,6 +188,7 @@
         if is_error:
             self._record_error(ticket.upstream_id, now_s)
             return
+        self._crashes.note_output(ticket.job, now_s)
         self.refusals.return_times.record_answer_start(
             ticket.job.service, now_s
         )
@@ -255,9 +263,16 @@
             return jobs.RerouteDecision(None)
         # The engines that it is moved to may crash under it as well.
         self._crashes.note_cut(
-            ticket.job.fingerprint, tuple(sorted(stalled)), has_output, now_s
+            crashes.CutAttempt(
+                ticket.job,
+                tuple(sorted(stalled)),
+                has_output,
+                has_output,
+                ticket.started_s,
+            ),
+            now_s,
         )
-        if self.quarantine.is_blocked(ticket.job.fingerprint):
+        if self._is_quarantined(ticket):
             return jobs.RerouteDecision(None, is_ended=True)
         decision = self._find_reroute(
             ticket, spec, stalled, self._can_resume(ticket), now_s
@@ -293,7 +308,7 @@
         ticket = self.tickets.get(job_id)
         if ticket is None:
             return False
-        if self.quarantine.is_blocked(ticket.job.fingerprint):
+        if self._is_quarantined(ticket):
             return True
         return self._can_resume(ticket) and self._take_retry(ticket, now_s)
 
@@ -377,6 +392,17 @@
             update.host, update.data_centre, update.spent, now_s, update.is_new
         )
 
+    def apply_evidence(self, update: segments.Update, now_s: float) -> None:
+        """Applies what another host knows of prompt segments.
+
+        The next `tick` refuses requests that wait and are quarantined by it.
+        """
+        self._crashes.apply_evidence(update, now_s)
+
+    def make_evidence(self, now_s: float) -> segments.Update:
+        """Returns what this host knows of prompt segments."""
+        return self._crashes.make_evidence(now_s)
+
     def note_link_stalled(self, source: str, target: str, now_s: float) -> None:
         """Notes that nothing comes over a link between data centres."""
         self._notes.append(decisions.LinkStalled(source, target))
@@ -433,8 +459,13 @@
 
     # Decisions.
 
+    def _is_quarantined(self, ticket: tickets.Ticket) -> bool:
+        """Returns whether a request must not be sent to any upstream."""
+        job = ticket.job
+        return self.quarantine.is_blocked(job.fingerprint, job.segments)
+
     def _admit(self, ticket: tickets.Ticket, now_s: float) -> list[jobs.Effect]:
-        if self.quarantine.is_blocked(ticket.job.fingerprint):
+        if self._is_quarantined(ticket):
             return [self._refuse_quarantined(ticket, now_s)]
         service = self._services.get(ticket.job.service)
         if service is None:
@@ -571,7 +602,7 @@
         return [
             self._refuse_quarantined(self.tickets[i], now_s)
             for i in list(self.queue.waiting)
-            if self.quarantine.is_blocked(self.tickets[i].job.fingerprint)
+            if self._is_quarantined(self.tickets[i])
         ]
 
     def _try_start(
@@ -698,7 +729,7 @@
         self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
     ) -> errors.Refusal | None:
         """Returns the final answer if the request may not be retried."""
-        is_held = self.quarantine.is_blocked(ticket.job.fingerprint)
+        is_held = self._is_quarantined(ticket)
         final = retries.check(ticket, failure, is_held, now_s)
         if final is None and not self._take_retry(ticket, now_s):
             final = retries.make_final(ticket, failure, "no retries left")
--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -1,16 +1,37 @@
 """Detects requests under which upstreams crashed, as a pure state machine.
 
-Connects the quarantine, which tracks requests, with the fleet, which tracks
-upstreams. Read next: `egretspur.admission.quarantine`.
+Connects the quarantine, which tracks requests, and the evidence about prompt
+segments with the fleet, which tracks upstreams. Read next:
+`egretspur.admission.quarantine` and `egretspur.admission.segments`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+
+import attrs
 
 from egretspur import decisions
 from egretspur.admission import quarantine as quarantines
+from egretspur.admission import segments
 from egretspur.routing import fleet as fleets
+from egretspur.routing import jobs
+from egretspur.tunnels import reach
+
+
+@attrs.frozen
+class CutAttempt:
+    """An attempt that broke off."""
+
+    job: jobs.Job
+    # Upstreams of which one may have crashed.
+    upstream_ids: tuple[str, ...]
+    # Whether the attempt had produced part of the answer.
+    has_output: bool
+    # Whether the head of an answer had arrived.
+    has_head: bool
+    # Monotonic time at which the attempt was sent.
+    sent_s: float
 
 
 class CrashDetector:
@@ -28,33 +49,77 @@
         # Quarantine changes to be logged; the caller that logs them clears it.
         self.notes: list[decisions.Decision] = []
         self._quarantine = quarantine
+        self._evidence = segments.SegmentEvidence()
         self._fleet = fleet
         # Changes to be written to the store.
         self._unsaved: list[quarantines.Change] = []
 
-    def note_cut(
-        self,
-        fingerprint: str,
-        upstream_ids: tuple[str, ...],
-        has_output: bool,
-        now_s: float,
-    ) -> None:
-        """Records that one of these upstreams may have crashed."""
-        if not upstream_ids:
+    def note_cut(self, cut: CutAttempt, now_s: float) -> None:
+        """Records that an upstream of an attempt may have crashed."""
+        if not cut.upstream_ids:
             return
         self._quarantine.record_cut(
             quarantines.CutAttempt(
-                fingerprint, upstream_ids, has_output, now_s
+                cut.job.fingerprint,
+                cut.upstream_ids,
+                cut.has_output,
+                now_s,
+                cut.job.segments,
+                cut.has_head,
+                cut.sent_s,
             ),
             now_s,
         )
         self.settle(now_s)
 
+    def note_output(self, job: jobs.Job, now_s: float) -> None:
+        """Records that upstreams produced the first part of an answer."""
+        self._evidence.record_answer(job.segments, now_s)
+        self._quarantine.record_output(job.segments, now_s)
+        self._note_changes()
+
     def settle(self, now_s: float) -> None:
         """Counts the upstreams that are known by now to have crashed."""
         self._quarantine.resolve_cuts(self._get_state, now_s)
+        for crashed in self._quarantine.take_crashed():
+            self._add_evidence(crashed, now_s)
+        self._note_changes()
+
+    def _add_evidence(
+        self, crashed: quarantines.CrashedAttempt, now_s: float
+    ) -> None:
+        """Adds a crash to the evidence about the segments of its request."""
+        cut = crashed.cut
+        # A host that is cut off takes upstreams for crashed that are not.
+        is_sound = self._fleet.reach_state is reach.ReachState.SOUND
+        if cut.has_output or not is_sound:
+            return
+        crash = segments.Crash(
+            crashed.start,
+            segments.make_request_mark(cut.fingerprint),
+            frozenset(cut.segments),
+            cut.has_head,
+            cut.sent_s,
+            cut.at_s,
+        )
+        blames = self._evidence.record_crash(crash, now_s)
+        self._blame(blames, True, now_s)
+
+    def _blame(
+        self, blames: Iterable[segments.Blame], is_own: bool, now_s: float
+    ) -> None:
+        for blame in blames:
+            self._quarantine.add_blame(blame, is_own, now_s)
+
+    def apply_evidence(self, update: segments.Update, now_s: float) -> None:
+        """Merges what another host knows of segments."""
+        self._blame(self._evidence.apply_update(update, now_s), False, now_s)
         self._note_changes()
 
+    def make_evidence(self, now_s: float) -> segments.Update:
+        """Returns what this host knows of segments, for other hosts."""
+        return self._evidence.make_update(now_s)
+
     def restore(
         self, ends: Mapping[str, quarantines.CrashWeights], now_s: float
     ) -> None:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -16,7 +16,7 @@
 import attrs
 
 from egretspur import actors, decisions, errors, signals
-from egretspur.admission import quarantine
+from egretspur.admission import quarantine, segments
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.membership import contention
 from egretspur.routing import broker, fleet, jobs, questions, unproductive
@@ -132,6 +132,13 @@
     updates: tuple[contention.ContentionUpdate, ...]
 
 
+@attrs.frozen
+class PeerEvidence:
+    """What other hosts know of prompt segments, oldest first."""
+
+    updates: tuple[segments.Update, ...]
+
+
 @attrs.frozen
 class MayQuery:
     """Asks whether an upstream may be queried now, given limit and backoff."""
@@ -340,6 +347,12 @@
         for update in message.updates:
             self._broker.contention.apply_peer_update(update, now_s)
 
+    @handle.register
+    def _(self, message: PeerEvidence) -> None:
+        now_s = time.monotonic()
+        for update in message.updates:
+            self._broker.apply_evidence(update, now_s)
+
     @handle.register
     def _(self, message: MayQuery) -> bool:
         return self._broker.fleet.backpressure.try_acquire_probe(
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -28,7 +28,7 @@
     # Identifies the same request under other ids and at other hosts; see
     # `egretspur.admission.fingerprint`.
     fingerprint: str = ""
-    # Prompt segments that other requests may share; see
+    # Prompt segments that other requests may share, with the model; see
     # `egretspur.admission.segments`.
     segments: tuple[str, ...] = ()
 
--- a/egretspur/routing/refusals.py
+++ b/egretspur/routing/refusals.py
@@ -113,7 +113,9 @@
         job = ticket.job
         after_s = 0.0
         if kind is errors.ErrorKind.QUARANTINED:
-            after_s = self._quarantine.get_retry_after_s(job.fingerprint)
+            after_s = self._quarantine.get_retry_after_s(
+                job.fingerprint, job.segments
+            )
         elif errors.ANSWERS[kind].not_run:
             backoff_s = self._backpressure.find_backoff_s(job.service, now_s)
             after_s = backoff_s or self.return_times.assign_delay_s(
--- a/tests/routing/peers.py
+++ b/tests/routing/peers.py
@@ -7,7 +7,7 @@
 import attrs
 
 from egretspur.daemons import news
-from egretspur.membership import datagrams
+from egretspur.membership import datagrams, evidence
 from egretspur.routing import broker
 
 # Scheduled work: its time and the function to call.
@@ -51,6 +51,7 @@
     own = news.make_update(host.state, host.ip, view, {}, now_s)
     near_data = datagrams.encode_update(own)
     wide_data = datagrams.encode_update(news.aggregate(host.state, own, now_s))
+    known = evidence.EvidenceUpdate(host.ip, host.state.make_evidence(now_s))
     near = [h for h in hosts if h.data_centre == host.data_centre]
     for other in hosts:
         is_near = other.data_centre == host.data_centre
@@ -61,6 +62,10 @@
         found = other.decoder.decode(near_data if is_near else wide_data)
         assert not isinstance(found, datagrams.InvalidUpdate), found
         other.state.apply_peer_update(news.make_broker_update(found), now_s)
+        if not known.is_empty():
+            told = evidence.decode(evidence.encode(known))
+            assert isinstance(told, evidence.EvidenceUpdate), told
+            other.state.apply_evidence(told.evidence, now_s)
         receivers.append(other)
     return receivers
 
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -398,8 +398,7 @@
 
 
 @then(
-    "attempt {number:d} is logged with the head of an answer and without"
-    " events"
+    "attempt {number:d} is logged with the head of an answer and without events"
 )
 def step_head_logged(context: Any, number: int) -> None:
     (found,) = [
