Don't take crashed upstreams for lost links

What callers saw, beside the crashes: requests refused with "this host reaches no upstream" (20 of 341 in the logs) while most engines lived. Two crashed engines were enough; such a host also refused to help others. The new scenario failed on the code before (sound, cut_off, cut_off, cut_off).

--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -38,6 +38,10 @@
 # Shortest time between two checks of links that work as far as is known.
 MIN_VERIFY_INTERVAL_S: Final = 1.0
 
+# Time since this host last connected to an upstream from which failures may be
+# those of its own links.
+MIN_DOUBT_S: Final = 0.25
+
 # Seconds without an acknowledgement after which TCP gives up on a connection,
 # also while it only waits. Upstreams may be silent for a second.
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 2500
@@ -129,17 +133,39 @@
         """
         with self._lock:
             is_direct = not self._reach.needs_helper(address)
-        if not is_direct:
-            link = self._open_through_helper(address)
-            if link is not None:
-                return link
+        if is_direct:
+            return self._open_or_ask(address, timeout_s)
+        link = self._open_through_helper(address)
+        if link is not None:
+            return link
+        return Connection(self.open_direct(address, timeout_s), "")
+
+    def _open_or_ask(self, address: str, timeout_s: float) -> Connection:
+        """Connects over the own links; asks helpers if that fails."""
         try:
-            return Connection(self.open_direct(address, timeout_s), "")
+            sock = self.connect_direct(address, timeout_s)
         except OSError:
-            link = self._open_through_helper(address) if is_direct else None
+            with self._lock:
+                self._reach.record_question(address, time.monotonic())
+            try:
+                link = self._open_through_helper(address)
+            finally:
+                with self._lock:
+                    self._reach.record_decided(address, time.monotonic())
+                self._note_changes(address)
             if link is None:
                 raise
             return link
+        self.record_direct(address, True)
+        return Connection(sock, "")
+
+    def connect_direct(self, address: str, timeout_s: float) -> socket.socket:
+        """Connects over the own links and records nothing.
+
+        Raises:
+            OSError: There was no connection.
+        """
+        return connect(address, timeout_s)
 
     def open_direct(self, address: str, timeout_s: float) -> socket.socket:
         """Connects over the own links only.
@@ -148,7 +174,7 @@
             OSError: There was no connection.
         """
         try:
-            sock = connect(address, timeout_s)
+            sock = self.connect_direct(address, timeout_s)
         except OSError:
             self.record_direct(address, False)
             raise
@@ -171,15 +197,26 @@
         If it failed and this host has connected to nothing lately, its own
         links are checked: the other host takes its word for it.
         """
-        self.record_direct(address, is_connected)
+        if is_connected:
+            self.record_direct(address, True)
+            return
+        now_s = time.monotonic()
         with self._lock:
+            self._reach.record_failed_for_other(address, now_s)
             connected_s = self._reach.connected_s
-        if (
-            not is_connected
-            and time.monotonic() - connected_s >= MIN_VERIFY_INTERVAL_S
-        ):
+        if now_s - connected_s >= MIN_VERIFY_INTERVAL_S:
             self.suspect()
 
+    def may_judge(self) -> bool:
+        """Returns whether a failure shows another host that it is upstream's.
+
+        Not if this host may be cut off itself: some connections failed, and
+        none was made since.
+        """
+        with self._lock:
+            quiet_s = time.monotonic() - self._reach.connected_s
+            return quiet_s < MIN_DOUBT_S or not self._reach.is_in_doubt()
+
     def _note_changes(self, address: str) -> None:
         """Passes on a change of the links' state; starts or stops checks."""
         with self._lock:
@@ -285,7 +322,7 @@
         with self._lock:
             if not self._reach.may_ask_helper(address, time.monotonic()):
                 return None
-            is_link_suspect = self._reach.is_cut_off() or (
+            is_link_suspect = self._reach.is_in_doubt() or (
                 self._reach.needs_helper(address)
             )
         needed = MIN_REFUTING if is_link_suspect else 1
--- a/egretspur/tunnels/gate.py
+++ b/egretspur/tunnels/gate.py
@@ -59,11 +59,11 @@
     def _get_failure(self) -> http.HTTPStatus:
         """Returns the answer where there is no connection.
 
-        A host that reaches no upstream at all says nothing of this one.
+        A host that may reach no upstream at all says nothing of this one.
         """
-        if self._dialer.is_cut_off():
-            return http.HTTPStatus.SERVICE_UNAVAILABLE
-        return http.HTTPStatus.BAD_GATEWAY
+        if self._dialer.may_judge():
+            return http.HTTPStatus.BAD_GATEWAY
+        return http.HTTPStatus.SERVICE_UNAVAILABLE
 
     def note_head(self, address: str, head: bytes) -> None:
         """Passes on the head of an upstream's answer."""
--- a/egretspur/tunnels/reach.py
+++ b/egretspur/tunnels/reach.py
@@ -1,8 +1,9 @@
 """Which upstreams this host reaches over its own links: pure.
 
 A connection fails because of the upstream or because of this host's links. If
-another host connects to the same upstream, a helper, it was the links. Read
-next: `egretspur.tunnels.dialer`.
+another host connects to the same upstream, a helper, it was the links; if that
+one fails as well, it was the upstream. Until helpers have been asked, nothing
+is concluded. Read next: `egretspur.tunnels.dialer`.
 """
 
 from __future__ import annotations
@@ -15,7 +16,8 @@
 import attrs
 
 # Upstreams to which connections must have failed, with no connection to any
-# other since, for a host to count as cut off: a single one has failed itself.
+# other since and no helper that failed there too, for a host to count as cut
+# off: a single one has failed itself.
 MIN_FAILED: Final = 2
 
 # Time for which helpers are not asked again for an upstream that none of them
@@ -42,6 +44,11 @@
     # When a helper last connected to it, and when helpers last failed to.
     helped_s: float = -math.inf
     refuted_s: float = -math.inf
+    # Connections for which helpers are being asked.
+    questions: int = 0
+    # The last failure was that of a connection for another host, which asks
+    # others itself.
+    is_for_other: bool = False
 
     @property
     def is_helped(self) -> bool:
@@ -67,7 +74,27 @@
 
     def record_failed(self, address: str, now_s: float) -> None:
         """Records that this host's own links led to no connection."""
-        self._failing.setdefault(address, _Failing(now_s)).failed_s = now_s
+        failing = self._failing.setdefault(address, _Failing(now_s))
+        failing.failed_s = now_s
+        failing.is_for_other = False
+
+    def record_failed_for_other(self, address: str, now_s: float) -> None:
+        """Records that a connection for another host failed."""
+        failing = self._failing.setdefault(
+            address, _Failing(now_s, is_for_other=True)
+        )
+        failing.failed_s = now_s
+
+    def record_question(self, address: str, now_s: float) -> None:
+        """Records a failure about which helpers are asked now."""
+        self.record_failed(address, now_s)
+        self._failing[address].questions += 1
+
+    def record_decided(self, address: str, now_s: float) -> None:
+        """Records the end of a question, whatever its outcome."""
+        failing = self._failing.get(address)
+        if failing is not None:
+            failing.questions = max(0, failing.questions - 1)
 
     def record_helped(self, address: str, now_s: float) -> None:
         """Records that a helper connected to an upstream."""
@@ -82,10 +109,23 @@
     def is_cut_off(self) -> bool:
         """Returns whether this host reaches no upstream by itself."""
         failed = sum(
-            f.failed_s > self.connected_s for f in self._failing.values()
+            self._is_suspect(f) and not f.questions and not f.is_for_other
+            for f in self._failing.values()
         )
         return failed >= MIN_FAILED
 
+    def is_in_doubt(self) -> bool:
+        """Returns whether this host may be cut off, for all that it knows."""
+        failed = sum(self._is_suspect(f) for f in self._failing.values())
+        return failed >= MIN_FAILED
+
+    def _is_suspect(self, failing: _Failing) -> bool:
+        """Returns whether this host's links may be why connections fail."""
+        if failing.failed_s <= self.connected_s:
+            return False
+        refuted_s = failing.failed_s - failing.refuted_s
+        return failing.is_helped or refuted_s >= REFUTED_S
+
     def get_state(self) -> ReachState:
         """Returns how this host reaches upstreams."""
         if not self.is_cut_off():
--- a/tests/steps/tunnels_steps.py
+++ b/tests/steps/tunnels_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import http
 import random
 import socket
@@ -30,15 +31,18 @@
 @when("connections end so: {outcomes}")
 def step_outcomes(context: Any, outcomes: str) -> None:
     context.reach = reach.Reach()
+    record = {
+        "fails": context.reach.record_failed,
+        "fails for another": context.reach.record_failed_for_other,
+        "connects": context.reach.record_connected,
+        "is helped": context.reach.record_helped,
+        "is refuted": context.reach.record_refuted,
+        "is in question": context.reach.record_question,
+        "is decided": context.reach.record_decided,
+    }
     for number, outcome in enumerate(outcomes.split(", ")):
         address, _, what = outcome.partition(" ")
-        record = {
-            "fails": context.reach.record_failed,
-            "connects": context.reach.record_connected,
-            "is helped": context.reach.record_helped,
-            "is refuted": context.reach.record_refuted,
-        }[what]
-        record(address, 10.0 + number)
+        record[what](address, 10.0 + number * 0.01)
 
 
 @then("the host's links are {state}")
@@ -430,6 +434,29 @@
     step_dialled(context)
 
 
+@when("two upstreams are dialled that nobody reaches")
+def step_dialled_dead(context: Any) -> None:
+    context.states = []
+    ask = context.dialer.ask
+
+    def watch(host: str, address: str) -> Any:
+        context.states.append(context.dialer.get_state())
+        return ask(host, address)
+
+    context.dialer.ask = watch
+    with refuse_direct():
+        for address in ("10.0.0.1:80", "10.0.0.2:80"):
+            with contextlib.suppress(OSError):
+                context.dialer.open(address, 0.2)
+    context.states.append(context.dialer.get_state())
+
+
+@then("the host's links were sound throughout")
+def step_sound(context: Any) -> None:
+    assert len(context.states) >= 3, context.states
+    assert set(context.states) == {reach.ReachState.SOUND}, context.states
+
+
 @then("it is connected through the one that connects")
 def step_through(context: Any) -> None:
     assert context.link.sock is context.connected
--- a/tests/tunnels/machine.py
+++ b/tests/tunnels/machine.py
@@ -51,11 +51,9 @@
         others = [f"h{i}" for i in range(HOSTS) if i != self.number]
         return helpers.Candidates(others, [])
 
-    def open_direct(self, address: str, timeout_s: float) -> socket.socket:
+    def connect_direct(self, address: str, timeout_s: float) -> socket.socket:
         """Connects if the links are sound and the upstream lives."""
-        is_connected = self.world.can_connect(self.number, address)
-        self.record_direct(address, is_connected)
-        if not is_connected:
+        if not self.world.can_connect(self.number, address):
             raise ConnectionRefusedError("simulated")
         return self.world.sock
 
@@ -140,6 +138,10 @@
         self.now_s = max(self.now_s, self.changed_s + SETTLED_S + 0.1)
         reached = []
         for _ in range(TRIES):
+            if reached and any(self.alive.values()) and not any(self.is_cut):
+                # No host may take dead upstreams for lost links.
+                state = self.dialers[host].get_state()
+                assert state is not reach.ReachState.CUT_OFF, state
             reached.append(self.check_dial(host, upstream))
             self.run_checks()
             self.now_s += reach.REFUTED_S + 0.1
--- a/tests/tunnels/tunnels.feature
+++ b/tests/tunnels/tunnels.feature
@@ -14,6 +14,15 @@
       | a fails, b fails, a is helped             | helped  |
       | a fails, b fails, a is helped, c connects | sound   |
       | a fails, a is helped, b fails             | helped  |
+      | a fails, a is refuted, b fails            | sound   |
+      | a fails, b fails, a is refuted            | sound   |
+      | a fails, b fails, a is refuted, c fails   | cut_off |
+      | a is refuted, a fails, b fails            | cut_off |
+      | a fails, b fails, a is refuted, a is helped | helped |
+      | a is in question, b is in question        | sound   |
+      | a is in question, b is in question, a is decided, b is decided | cut_off |
+      | a fails for another, b fails for another  | sound   |
+      | a fails for another, b fails, c fails     | cut_off |
 
   Scenario Outline: Which connections go through a helper at once
     # Guards against a timeout of the own links before each helped connection.
@@ -165,6 +174,13 @@
     And its helper refuses, and the own links are back
     Then the next connection goes over the own links
 
+  Scenario: Upstreams that crash are not taken for lost links
+    # Guards against a host that refuses its callers and helps nobody, since two
+    # upstreams refused connections in a row.
+    Given hosts that help: one fails, one fails
+    When two upstreams are dialled that nobody reaches
+    Then the host's links were sound throughout
+
   Scenario Outline: Helpers that do not reach an upstream either
     # Guards against one helper that is cut off itself and whose word is taken,
     # and against callers who wait while all helpers are asked of a dead one.
