Wait for refuting answers before a segment that was answered is blamed

A set of segments that were all answered before is blamed 0.6 s after the crash that sufficed, if no answer came by then; a set with one never answered at once. A request that was cut after the head of its answer is not retried if its crash, once certain, would blame its segments. Only hosts that saw a crash themselves write the quarantine to the store. The model crashes engines of a power loss at one moment now, as it was meant.

--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -253,19 +253,11 @@
         crashed, self._crashed = self._crashed, []
         return crashed
 
-    def add_blame(
-        self, blame: segment_sets.Blame, is_own: bool, now_s: float
-    ) -> None:
-        """Quarantines a set of segments.
-
-        Args:
-            blame: The segments and the crashes under requests with them.
-            is_own: Whether this host itself saw the last of these crashes.
-            now_s: Monotonic time.
-        """
+    def add_blame(self, blame: segment_sets.Blame, now_s: float) -> None:
+        """Quarantines a set of segments."""
         key = segment_sets.make_key(blame.segments)
         if not self._was_answered(key, now_s):
-            self._add_crashes(key, blame.crashes, is_own, now_s)
+            self._add_crashes(key, blame.crashes, blame.is_own, now_s)
 
     def record_output(self, segments: Sequence[str], now_s: float) -> None:
         """Releases segments under which a request began to be answered."""
--- a/egretspur/admission/segments.py
+++ b/egretspur/admission/segments.py
@@ -42,6 +42,10 @@
 # its fingerprint.
 MIN_REQUESTS: Final = 2
 
+# Segments that were answered before are blamed this long after their last crash
+# that is needed: until then other hosts may have an answer that refutes it.
+SETTLE_S: Final = 0.6
+
 # Crashes kept, and segments of which the time of an answer is kept: more than a
 # large site has of either within minutes.
 MAX_CRASHES: Final = 1024
@@ -123,27 +127,58 @@
     segments: frozenset[str]
     # Weight of each crash by upstream start.
     crashes: Mapping[str, float]
+    # Monotonic time of the crash that was one too many.
+    at_s: float
+    # Whether this host itself saw one of the crashes.
+    is_own: bool
+
+
+@attrs.frozen
+class _KnownCrash:
+    """A crash that this host knows of."""
+
+    crash: Crash
+    # Monotonic time at which it learned of it.
+    learned_s: float
+    is_own: bool
 
 
 class SegmentEvidence:
     """One host's evidence about segments; see the module's docstring."""
 
     def __init__(self) -> None:
-        # By start and request, oldest first, with the time it was learned.
-        self._crashes: collections.OrderedDict[
-            tuple[str, str], tuple[Crash, float]
-        ] = collections.OrderedDict()
+        # By start and request, oldest first.
+        self._crashes: collections.OrderedDict[tuple[str, str], _KnownCrash] = (
+            collections.OrderedDict()
+        )
         # Last answer by segment, the most recent last.
         self._answered_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        # Segments to be looked at again.
+        self._unsettled: set[str] = set()
 
     def record_crash(self, crash: Crash, now_s: float) -> list[Blame]:
         """Adds a crash; returns what is to be blamed now."""
         if not crash.segments:
             return []
-        self._add(crash, now_s)
-        return self._find_blame(crash.segments)
+        self._add(_KnownCrash(crash, now_s, True))
+        return self._find_blame(crash.segments, now_s)
+
+    def would_blame(self, crash: Crash, now_s: float) -> bool:
+        """Returns whether a crash that is not certain would lead to blame."""
+        key = (crash.start, crash.request)
+        if key in self._crashes or not crash.segments:
+            return False
+        self._crashes[key] = _KnownCrash(crash, now_s, True)
+        blames = self._list_blames(crash.segments)
+        del self._crashes[key]
+        return any(b.segments <= crash.segments for b in blames)
+
+    def find_settled(self, now_s: float) -> list[Blame]:
+        """Returns what is to be blamed by now."""
+        unsettled, self._unsettled = self._unsettled, set()
+        return self._find_blame(unsettled, now_s)
 
     def record_answer(self, segments: Iterable[str], now_s: float) -> None:
         """Records the first output of a request with these segments."""
@@ -166,14 +201,16 @@
                 now_s - found.sent_age_s,
                 now_s - found.cut_age_s,
             )
-            self._add(crash, now_s)
+            self._add(_KnownCrash(crash, now_s, False))
             touched |= crash.segments
-        return self._find_blame(touched)
+        return self._find_blame(touched, now_s)
 
     def make_update(self, now_s: float) -> Update:
         """Returns the recent crashes, and the answers that refute them."""
         recent = [
-            c for c, at_s in self._crashes.values() if now_s - at_s < PUBLISH_S
+            k.crash
+            for k in self._crashes.values()
+            if now_s - k.learned_s < PUBLISH_S
         ]
         if not recent:
             return Update()
@@ -208,11 +245,11 @@
             round(now_s - crash.cut_s, 2),
         )
 
-    def _add(self, crash: Crash, now_s: float) -> None:
-        key = (crash.start, crash.request)
+    def _add(self, known: _KnownCrash) -> None:
+        key = (known.crash.start, known.crash.request)
         if key in self._crashes:
             return
-        self._crashes[key] = (crash, now_s)
+        self._crashes[key] = known
         if len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
 
@@ -227,17 +264,32 @@
         """Returns whether a request with a segment was answered since."""
         return self._answered_s.get(segment, -math.inf) >= crash.sent_s
 
-    def _find_blame(self, segments: Collection[str]) -> list[Blame]:
-        """Returns what is blamed of some segments.
+    def _find_blame(
+        self, segments: Collection[str], now_s: float
+    ) -> list[Blame]:
+        """Returns what is blamed of some segments, and is certain by now."""
+        found = []
+        for blame in self._list_blames(segments):
+            is_answered = all(s in self._answered_s for s in blame.segments)
+            if is_answered and now_s - blame.at_s < SETTLE_S:
+                self._unsettled |= blame.segments
+            else:
+                found.append(blame)
+        return found
+
+    def _list_blames(self, segments: Collection[str]) -> list[Blame]:
+        """Returns what the crashes show of some segments.
 
-        Segments that were answered last, or never, come first: what they
-        explain is not held against the others.
+        Segments that were never answered come first, then those whose answer
+        is the longest ago: what they explain is not held against the others.
         """
+        if not segments:
+            return []
         ranked = sorted(
             segments,
             key=lambda s: (self._answered_s.get(s, -math.inf), s),
         )
-        crashes = [c for c, _ in self._crashes.values()]
+        crashes = [k.crash for k in self._crashes.values()]
         found: list[Blame] = []
         for segment in ranked:
             if any(segment in b.segments for b in found):
@@ -277,7 +329,10 @@
         }
         blamed = sorted(unanswered - {segment})[: MAX_BLAMED - 1]
         return Blame(
-            frozenset([segment, *blamed]), {c.start: c.weight for c in chain}
+            frozenset([segment, *blamed]),
+            {c.start: c.weight for c in chain},
+            _find_threshold(chain),
+            any(self._crashes[c.start, c.request].is_own for c in chain),
         )
 
 
@@ -323,3 +378,13 @@
         if not chain or crash.sent_s >= chain[-1].cut_s:
             chain.append(crash)
     return chain
+
+
+def _find_threshold(chain: Iterable[Crash]) -> float:
+    """Returns the time of the crash with which a sequence sufficed."""
+    weight = 0.0
+    for crash in chain:
+        weight += crash.weight
+        if weight >= CRASH_THRESHOLD:
+            return crash.cut_s
+    return math.inf
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -130,18 +130,14 @@
         self._release(ticket)
         ticket.is_begun |= failure.is_begun
         self._record_failure(ticket, upstream_id, failure, now_s)
+        is_suspected = False
         if failure.kind is jobs.FailureKind.CUT:
-            self._crashes.note_cut(
-                crashes.CutAttempt(
-                    ticket.job,
-                    stages,
-                    failure.has_output,
-                    failure.has_head,
-                    ticket.started_s,
-                ),
-                now_s,
+            cut = tickets.make_cut(
+                ticket, stages, failure.has_output, failure.has_head, now_s
             )
-        refusal = self._check_retry(ticket, failure, now_s)
+            self._crashes.note_cut(cut, now_s)
+            is_suspected = self._crashes.is_suspected(cut, now_s)
+        refusal = self._check_retry(ticket, failure, is_suspected, now_s)
         if refusal is not None:
             effects: list[jobs.Effect] = [self._end(ticket, now_s, refusal)]
         else:
@@ -263,12 +259,8 @@
             return jobs.RerouteDecision(None)
         # The engines that it is moved to may crash under it as well.
         self._crashes.note_cut(
-            crashes.CutAttempt(
-                ticket.job,
-                tuple(sorted(stalled)),
-                has_output,
-                has_output,
-                ticket.started_s,
+            tickets.make_cut(
+                ticket, tuple(sorted(stalled)), has_output, has_output, now_s
             ),
             now_s,
         )
@@ -726,10 +718,14 @@
                 self.fleet.record_error(upstream_id, now_s)
 
     def _check_retry(
-        self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
+        self,
+        ticket: tickets.Ticket,
+        failure: jobs.Failure,
+        is_suspected: bool,
+        now_s: float,
     ) -> errors.Refusal | None:
         """Returns the final answer if the request may not be retried."""
-        is_held = self._is_quarantined(ticket)
+        is_held = is_suspected or self._is_quarantined(ticket)
         final = retries.check(ticket, failure, is_held, now_s)
         if final is None and not self._take_retry(ticket, now_s):
             final = retries.make_final(ticket, failure, "no retries left")
--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -9,8 +9,6 @@
 
 from collections.abc import Iterable, Mapping
 
-import attrs
-
 from egretspur import decisions
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import segments
@@ -19,21 +17,6 @@
 from egretspur.tunnels import reach
 
 
-@attrs.frozen
-class CutAttempt:
-    """An attempt that broke off."""
-
-    job: jobs.Job
-    # Upstreams of which one may have crashed.
-    upstream_ids: tuple[str, ...]
-    # Whether the attempt had produced part of the answer.
-    has_output: bool
-    # Whether the head of an answer had arrived.
-    has_head: bool
-    # Monotonic time at which the attempt was sent.
-    sent_s: float
-
-
 class CrashDetector:
     """See the module's docstring."""
 
@@ -54,22 +37,11 @@
         # Changes to be written to the store.
         self._unsaved: list[quarantines.Change] = []
 
-    def note_cut(self, cut: CutAttempt, now_s: float) -> None:
+    def note_cut(self, cut: quarantines.CutAttempt, now_s: float) -> None:
         """Records that an upstream of an attempt may have crashed."""
-        if not cut.upstream_ids:
+        if not cut.upstreams:
             return
-        self._quarantine.record_cut(
-            quarantines.CutAttempt(
-                cut.job.fingerprint,
-                cut.upstream_ids,
-                cut.has_output,
-                now_s,
-                cut.job.segments,
-                cut.has_head,
-                cut.sent_s,
-            ),
-            now_s,
-        )
+        self._quarantine.record_cut(cut, now_s)
         self.settle(now_s)
 
     def note_output(self, job: jobs.Job, now_s: float) -> None:
@@ -83,37 +55,37 @@
         self._quarantine.resolve_cuts(self._get_state, now_s)
         for crashed in self._quarantine.take_crashed():
             self._add_evidence(crashed, now_s)
+        self._blame(self._evidence.find_settled(now_s), now_s)
         self._note_changes()
 
+    def is_suspected(self, cut: quarantines.CutAttempt, now_s: float) -> bool:
+        """Returns whether a cut request crashes upstreams, for all one knows.
+
+        Its retry would be sent before the state of its upstream is known.
+        """
+        if cut.has_output or not cut.has_head or not cut.upstreams:
+            return False
+        start = quarantines.make_start_id(cut.upstreams[0])
+        return self._evidence.would_blame(_make_crash(cut, start), now_s)
+
     def _add_evidence(
         self, crashed: quarantines.CrashedAttempt, now_s: float
     ) -> None:
         """Adds a crash to the evidence about the segments of its request."""
-        cut = crashed.cut
         # A host that is cut off takes upstreams for crashed that are not.
         is_sound = self._fleet.reach_state is reach.ReachState.SOUND
-        if cut.has_output or not is_sound:
+        if crashed.cut.has_output or not is_sound:
             return
-        crash = segments.Crash(
-            crashed.start,
-            segments.make_request_mark(cut.fingerprint),
-            frozenset(cut.segments),
-            cut.has_head,
-            cut.sent_s,
-            cut.at_s,
-        )
-        blames = self._evidence.record_crash(crash, now_s)
-        self._blame(blames, True, now_s)
-
-    def _blame(
-        self, blames: Iterable[segments.Blame], is_own: bool, now_s: float
-    ) -> None:
+        crash = _make_crash(crashed.cut, crashed.start)
+        self._blame(self._evidence.record_crash(crash, now_s), now_s)
+
+    def _blame(self, blames: Iterable[segments.Blame], now_s: float) -> None:
         for blame in blames:
-            self._quarantine.add_blame(blame, is_own, now_s)
+            self._quarantine.add_blame(blame, now_s)
 
     def apply_evidence(self, update: segments.Update, now_s: float) -> None:
         """Merges what another host knows of segments."""
-        self._blame(self._evidence.apply_update(update, now_s), False, now_s)
+        self._blame(self._evidence.apply_update(update, now_s), now_s)
         self._note_changes()
 
     def make_evidence(self, now_s: float) -> segments.Update:
@@ -155,3 +127,15 @@
             )
             if change.is_own:
                 self._unsaved.append(change)
+
+
+def _make_crash(cut: quarantines.CutAttempt, start: str) -> segments.Crash:
+    """Returns the crash of an upstream start under a cut attempt."""
+    return segments.Crash(
+        start,
+        segments.make_request_mark(cut.fingerprint),
+        frozenset(cut.segments),
+        cut.has_head,
+        cut.sent_s,
+        cut.at_s,
+    )
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from egretspur.admission import quarantine
 from egretspur.routing import jobs, paths
 
 
@@ -46,3 +47,30 @@
             self.upstream_id,
             *(p.id for p in self.parts if p.id != self.upstream_id),
         )
+
+
+def make_cut(
+    ticket: Ticket,
+    upstream_ids: tuple[str, ...],
+    has_output: bool,
+    has_head: bool,
+    now_s: float,
+) -> quarantine.CutAttempt:
+    """Returns the cut of a request's attempt, for the quarantine.
+
+    Args:
+        ticket: The request.
+        upstream_ids: Upstreams of which one may have crashed.
+        has_output: Whether the attempt had produced part of the answer.
+        has_head: Whether the head of an answer had arrived.
+        now_s: Monotonic time.
+    """
+    return quarantine.CutAttempt(
+        ticket.job.fingerprint,
+        upstream_ids,
+        has_output,
+        now_s,
+        ticket.job.segments,
+        has_head,
+        ticket.started_s,
+    )
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -10,7 +10,7 @@
 
 import collections
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import attrs
@@ -99,6 +99,8 @@
     stored: dict[str, quarantine.CrashWeights] = attrs.Factory(dict)
     # Whether fatal requests produce part of their answer before the crash.
     crashes_after_output: bool = False
+    # Whether engines send the head of an answer before they crash.
+    sends_head: bool = True
     # Prompt segments that crash engines.
     fatal_segments: set[str] = attrs.Factory(set)
     # Attempts by request, and when requests arrived and began to be answered.
@@ -158,15 +160,22 @@
 
     def crash_engine(self, upstream_id: str) -> None:
         """Crashes an engine; all attempts on it are cut."""
-        entry = self.live.pop(upstream_id, None)
-        if entry is None:
-            return
-        self.crashed_s.append(self.now_s)
-        assert entry.layers is not None
-        layers = f"{entry.layers.first}-{entry.layers.last}"
+        if upstream_id in self.live:
+            self.crash_engines([upstream_id])
+
+    def crash_engines(self, upstream_ids: Sequence[str]) -> None:
+        """Crashes engines at the same moment."""
+        entries = [self.live.pop(i) for i in upstream_ids]
+        self.crashed_s += [self.now_s] * len(entries)
         for name, run in list(self.runs.items()):
-            if run.start.upstream.id == upstream_id:
+            if run.start.upstream in entries:
                 self._cut(name, run)
+        for entry in entries:
+            self._schedule_restart(entry)
+
+    def _schedule_restart(self, entry: upstreams.Upstream) -> None:
+        assert entry.layers is not None
+        layers = f"{entry.layers.first}-{entry.layers.last}"
         self.schedule(UNLIST_DELAY_S, lambda: self._unlist(entry))
         self.schedule(
             RESTART_DELAY_S,
@@ -243,7 +252,8 @@
             reason,
             is_begun=run.is_begun,
             has_output=run.is_begun,
-            has_head=run.is_begun or self.is_fatal(run.job),
+            has_head=run.is_begun
+            or (self.sends_head and self.is_fatal(run.job)),
         )
         self._fail(name, run, failure)
 
--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -5,8 +5,12 @@
 import random
 from typing import Any, Final
 
+import attrs
 from behave import given, then, when
 
+from egretspur import errors
+from egretspur.admission import segments as segment_sets
+from tests import fleets
 from tests.routing import crashes
 
 # Seconds of sound requests before the first fatal one.
@@ -120,3 +124,258 @@
         crashed_s[-1] + RECOVER_S, world.now_s - crashes.RUN_S * 2
     )
     assert after >= before / 2, (before, after, len(world.crashed_s))
+
+
+@given("engines that crash before the head of their answer")
+def step_headless(context: Any) -> None:
+    context.world.sends_head = False
+
+
+@given('requests with the segments "{segments}" are answered for {seconds:g} s')
+def step_answered_before(context: Any, segments: str, seconds: float) -> None:
+    traffic, world = context.traffic, context.world
+    end_s = world.now_s + seconds
+    while world.now_s < end_s:
+        name = traffic.send_fatal(parse_segments(segments))
+        traffic.play(0.3)
+    assert name in world.begun
+
+
+@when(
+    'requests with the segments "{first}" and "{second}" arrive in turn every'
+    " {every_s:g} s for {seconds:g} s"
+)
+def step_in_turn(
+    context: Any, first: str, second: str, every_s: float, seconds: float
+) -> None:
+    traffic, world = context.traffic, context.world
+    traffic.fatal_from_s = world.now_s
+    end_s = world.now_s + seconds
+    while world.now_s < end_s:
+        for segments in (first, second):
+            traffic.send_fatal(parse_segments(segments))
+            traffic.play(every_s)
+
+
+@then(
+    "such requests reached engines at most {most:d} times more than"
+    " {after_s:g} s after the tenth crash"
+)
+def step_few_late_of_two(context: Any, most: int, after_s: float) -> None:
+    world = context.world
+    assert after_s == crashes.SETTLE_S
+    late = world.count_late(2 * ALLOWED_CRASHES)
+    assert late <= most, (late, len(world.crashed_s))
+
+
+def list_blocked(context: Any) -> set[str]:
+    """Returns the keys of segments that any host has in quarantine."""
+    return {
+        key
+        for host in context.world.hosts
+        for key in host.state.quarantine.list_quarantined()
+        if segment_sets.parse_key(key)
+    }
+
+
+@then('only segments with "{segment}" are quarantined')
+def step_only_with(context: Any, segment: str) -> None:
+    found = list_blocked(context)
+    assert found
+    for key in found:
+        assert segment in segment_sets.parse_key(key), found
+
+
+@then("no segment is quarantined")
+def step_none(context: Any) -> None:
+    assert not list_blocked(context), list_blocked(context)
+
+
+@then("no sound request was refused as quarantined")
+def step_sound_not_refused(context: Any) -> None:
+    refused = context.world.refused
+    found = [
+        n
+        for n in context.traffic.sound
+        if n in refused and refused[n].kind is errors.ErrorKind.QUARANTINED
+    ]
+    assert not found, found
+
+
+@when("{count:d} engines crash by themselves, one every {every_s:g} s")
+def step_crash_by_themselves(context: Any, count: int, every_s: float) -> None:
+    world = context.world
+    for _ in range(count):
+        world.crash_engine(world.rng.choice(sorted(world.live)))
+        context.traffic.play(every_s)
+
+
+@when(
+    '{count:d} requests with the segments "{segments}" run and {lost} lose'
+    " power"
+)
+def step_power_loss(context: Any, count: int, segments: str, lost: str) -> None:
+    world = context.world
+    for _ in range(count):
+        context.traffic.send_fatal(parse_segments(segments))
+    world.play(crashes.STEP_S)
+    place = lost.partition('"')[2].rstrip('"')
+    world.crash_engines(
+        [e.id for e in world.live.values() if place in ("", e.data_centre)]
+    )
+    assert len(world.crashed_s) >= 4
+    context.traffic.play(10.0)
+
+
+@then('a request with the segments "{segments}" is answered')
+def step_one_answered(context: Any, segments: str) -> None:
+    world = context.world
+    name = context.traffic.send_fatal(parse_segments(segments))
+    context.traffic.play(4.0)
+    assert name in world.answered, world.refused.get(name)
+
+
+@when(
+    'each fatal request with the segments "{fatal}" meets two with'
+    ' "{session}" on its engine, {times:d} times'
+)
+def step_beside(context: Any, fatal: str, session: str, times: int) -> None:
+    world, traffic = context.world, context.traffic
+    traffic.fatal_from_s = world.now_s
+    met = 0
+    for _ in range(times):
+        name = traffic.send_fatal(parse_segments(fatal))
+        run = world.runs.get(name)
+        if run is not None:
+            engine = run.start.upstream.id
+            for _ in range(100):
+                other = traffic.send_fatal(parse_segments(session))
+                found = world.runs.get(other)
+                met += bool(found and found.start.upstream.id == engine)
+                if met % 2 == 0 and met:
+                    break
+        traffic.play(0.5)
+    assert met >= 4, met
+
+
+@then(
+    'a request with the segments "{segments}" crashes at most one more engine'
+)
+def step_one_more(context: Any, segments: str) -> None:
+    world, traffic = context.world, context.traffic
+    before = len(world.reached_s)
+    for _ in range(10):
+        traffic.send_fatal(parse_segments(segments))
+        traffic.play(0.5)
+    assert len(world.reached_s) <= before + 1, len(world.reached_s) - before
+
+
+@when(
+    'a request with the segments "{segments}" arrives every {every_s:g} s at a'
+    " random host until {count:d} engines crashed"
+)
+def step_until_crashed(
+    context: Any, segments: str, every_s: float, count: int
+) -> None:
+    world, traffic = context.world, context.traffic
+    traffic.fatal_from_s = world.now_s
+    while len(world.crashed_s) < count:
+        traffic.send_fatal(parse_segments(segments))
+        traffic.play(every_s)
+
+
+@when("{count:d} hosts are restarted at once")
+def step_restart_some(context: Any, count: int) -> None:
+    for host in context.world.hosts[:count]:
+        context.world.restart(host)
+
+
+@when(
+    'the segment "{segment}" is quarantined while a request with it waits at'
+    " each host"
+)
+def step_quarantined_waiting(context: Any, segment: str) -> None:
+    world = context.world
+    context.running = world.send(
+        world.hosts[0], "running", segments=(segment, "other")
+    )
+    world.due.clear()
+    context.waiting = []
+    for host in world.hosts:
+        for upstream_id in world.live:
+            host.state.fleet.memory.add(upstream_id, 1, 1e12)
+        name = world.send(host, f"w-{host.ip}", segments=("system", segment))
+        assert name in world.waiting
+        context.waiting.append(name)
+    key = segment_sets.make_key([segment])
+    world.stored[key] = {"a": 1.0, "b": 1.0, "c": 1.0}
+    for host in world.hosts:
+        world.read_store(host)
+
+
+@then("these requests are refused at once, as not run")
+def step_refused_at_once(context: Any) -> None:
+    for name in context.waiting:
+        refusal = context.world.refused[name]
+        assert refusal.kind is errors.ErrorKind.QUARANTINED, refusal
+        assert refusal.answer.not_run
+
+
+@then("a running request with it is not rerouted")
+def step_running_not_rerouted(context: Any) -> None:
+    world = context.world
+    state = world.hosts[0].state
+    stage = state.tickets[context.running].parts[-1].id
+    state.fleet.health.mark_down(stage, world.now_s)
+    decision = state.reroute(context.running, frozenset([stage]), world.now_s)
+    assert decision.parts is None
+    assert decision.is_ended
+
+
+@then("one with it is refused, without a word on any other")
+def step_refused_only(context: Any) -> None:
+    world = context.world
+    state = world.hosts[0].state
+    for segments, is_blocked in (
+        (("bad",), True),
+        (("system", "bad", "x"), True),
+        (("system",), False),
+        (("ba",), False),
+        ((), False),
+    ):
+        found = state.quarantine.is_blocked("new", segments)
+        assert found == is_blocked, segments
+    job = attrs.evolve(
+        fleets.make_job("n", now_s=world.now_s), segments=("bad",)
+    )
+    (effect,) = state.arrive(job, world.now_s)
+    assert effect.refusal.retry_after_s == 60.0, effect
+
+
+@when("the cause is mended and an operator removes the segment from the store")
+def step_released(context: Any) -> None:
+    world = context.world
+    assert world.stored
+    world.fatal_segments.clear()
+    context.traffic.play(1.0)
+    for key in list(world.stored):
+        world.stored[key] = {}
+    for host in world.hosts:
+        world.read_store(host)
+    context.traffic.play(1.0)
+
+
+@when(
+    'a request with {count:d} segments of its own and "{segment}" arrives every'
+    " {every_s:g} s at a random host for {seconds:g} s"
+)
+def step_hundreds(
+    context: Any, count: int, segment: str, every_s: float, seconds: float
+) -> None:
+    traffic, world = context.traffic, context.world
+    traffic.fatal_from_s = world.now_s
+    end_s = world.now_s + seconds
+    while world.now_s < end_s:
+        own = [f"{world.arrived}-{i}" for i in range(count)]
+        traffic.send_fatal((*own, segment))
+        traffic.play(every_s)
--- a/tests/tunnels/machine.py
+++ b/tests/tunnels/machine.py
@@ -136,7 +136,7 @@
     def settle(self, host: int, upstream: str) -> None:
         """A host connects again and again once nothing changes any more."""
         self.now_s = max(self.now_s, self.changed_s + SETTLED_S + 0.1)
-        reached = []
+        reached: list[bool] = []
         for _ in range(TRIES):
             if reached and any(self.alive.values()) and not any(self.is_cut):
                 # No host may take dead upstreams for lost links.
