Keep the evidence about prompt segments inside the quarantine

Both routers have a quarantine; only the host's detector fed the evidence. No change of behaviour but one: a host that is cut off takes no upstream for crashed since a probe failed.

--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -25,7 +25,7 @@
 
 import collections
 import enum
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -113,14 +113,6 @@
     return not set(known) <= set(other)
 
 
-@attrs.frozen
-class CrashedAttempt:
-    """A cut attempt, and the start of an upstream that crashed under it."""
-
-    cut: CutAttempt
-    start: str
-
-
 @attrs.frozen
 class Change:
     """A request, or a set of segments, was quarantined or released."""
@@ -170,9 +162,8 @@
             collections.OrderedDict()
         )
         self._cuts: list[CutAttempt] = []
-        # Those whose upstreams turned out to have crashed.
-        self._crashed: list[CrashedAttempt] = []
         self._changes: list[Change] = []
+        self._evidence = segment_sets.SegmentEvidence()
         # Quarantined sets of segments, by key.
         self._blocked_segments: dict[str, frozenset[str]] = {}
 
@@ -237,33 +228,59 @@
                 u for u, s in states.items() if s is UpstreamState.CRASHED
             ]
             if crashed:
-                start = make_start_id(crashed[0])
-                self._crashed.append(CrashedAttempt(cut, start))
-                if cut.fingerprint:
-                    crashes = {start: cut.weight}
-                    self._add_crashes(cut.fingerprint, crashes, True, now_s)
+                self._record_crash(cut, make_start_id(crashed[0]), now_s)
             elif (
                 UpstreamState.UNKNOWN in states.values()
                 and now_s - cut.at_s < self._crash_check_s
             ):
                 self._cuts.append(cut)
+        self._add_blames(self._evidence.find_settled(now_s), now_s)
+
+    def _record_crash(self, cut: CutAttempt, start: str, now_s: float) -> None:
+        """Counts a crash against a request and the segments of its prompt."""
+        if cut.fingerprint:
+            crashes = {start: cut.weight}
+            self._add_crashes(cut.fingerprint, crashes, True, now_s)
+        if not cut.has_output:
+            crash = _make_crash(cut, start)
+            self._add_blames(self._evidence.record_crash(crash, now_s), now_s)
+
+    def _add_blames(
+        self, blames: Iterable[segment_sets.Blame], now_s: float
+    ) -> None:
+        """Quarantines sets of segments."""
+        for blame in blames:
+            key = segment_sets.make_key(blame.segments)
+            if not self._was_answered(key, now_s):
+                self._add_crashes(key, blame.crashes, blame.is_own, now_s)
 
-    def take_crashed(self) -> list[CrashedAttempt]:
-        """Returns the crashes confirmed since the last call."""
-        crashed, self._crashed = self._crashed, []
-        return crashed
+    def is_suspected(self, cut: CutAttempt, now_s: float) -> bool:
+        """Returns whether a cut request crashes upstreams, for all one knows.
 
-    def add_blame(self, blame: segment_sets.Blame, now_s: float) -> None:
-        """Quarantines a set of segments."""
-        key = segment_sets.make_key(blame.segments)
-        if not self._was_answered(key, now_s):
-            self._add_crashes(key, blame.crashes, blame.is_own, now_s)
+        Its retry would be sent before the state of its upstream is known.
+        """
+        if cut.has_output or not cut.has_head or not cut.upstreams:
+            return False
+        crash = _make_crash(cut, make_start_id(cut.upstreams[0]))
+        return self._evidence.would_blame(crash, now_s)
 
     def record_output(self, segments: Sequence[str], now_s: float) -> None:
-        """Releases segments under which a request began to be answered."""
+        """Records the first output of a request with these segments.
+
+        They are released if they are quarantined.
+        """
+        self._evidence.record_answer(segments, now_s)
         for key in self.list_blocked_segments(segments):
             self.record_answer(key, now_s)
 
+    def apply_evidence(self, update: segment_sets.Update, now_s: float) -> None:
+        """Merges what another host knows of segments."""
+        self._add_blames(self._evidence.apply_update(update, now_s), now_s)
+
+    def make_evidence(self, now_s: float) -> segment_sets.Update:
+        """Returns what this host knows of segments, for other hosts."""
+        return self._evidence.make_update(now_s)
+
     def record_answer(self, fingerprint: str, now_s: float) -> None:
         """Clears a request that was answered completely."""
         if not fingerprint:
@@ -415,6 +432,18 @@
         self._blocked_segments.pop(dropped, None)
 
 
+def _make_crash(cut: CutAttempt, start: str) -> segment_sets.Crash:
+    """Returns the crash of an upstream start under a cut attempt."""
+    return segment_sets.Crash(
+        start,
+        segment_sets.make_request_mark(cut.fingerprint),
+        frozenset(cut.segments),
+        cut.has_head,
+        cut.sent_s,
+        cut.at_s,
+    )
+
+
 def make_start_id(upstream: str) -> str:
     """Returns the id of an upstream's start in peer updates."""
     return fingerprints.compute(upstream)[:_START_ID_CHARS]
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -453,7 +453,7 @@
     def _make_evidence(self, is_speaker: bool) -> evidence.EvidenceUpdate:
         """Returns what this host knows of prompt segments."""
         found: segments.Update = self._desk.query(
-            lambda state: state.make_evidence(time.monotonic())
+            lambda state: state.quarantine.make_evidence(time.monotonic())
         )
         return evidence.EvidenceUpdate(self._cfg.ip, found)
 
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -136,7 +136,7 @@
                 ticket, stages, failure.has_output, failure.has_head, now_s
             )
             self._crashes.note_cut(cut, now_s)
-            is_suspected = self._crashes.is_suspected(cut, now_s)
+            is_suspected = self.quarantine.is_suspected(cut, now_s)
         refusal = self._check_retry(ticket, failure, is_suspected, now_s)
         if refusal is not None:
             effects: list[jobs.Effect] = [self._end(ticket, now_s, refusal)]
@@ -391,10 +391,6 @@
         """
         self._crashes.apply_evidence(update, now_s)
 
-    def make_evidence(self, now_s: float) -> segments.Update:
-        """Returns what this host knows of prompt segments."""
-        return self._crashes.make_evidence(now_s)
-
     def note_link_stalled(self, source: str, target: str, now_s: float) -> None:
         """Notes that nothing comes over a link between data centres."""
         self._notes.append(decisions.LinkStalled(source, target))
--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -1,13 +1,12 @@
 """Detects requests under which upstreams crashed, as a pure state machine.
 
-Connects the quarantine, which tracks requests, and the evidence about prompt
-segments with the fleet, which tracks upstreams. Read next:
-`egretspur.admission.quarantine` and `egretspur.admission.segments`.
+Connects the quarantine, which tracks requests and prompt segments, with the
+fleet, which tracks upstreams. Read next: `egretspur.admission.quarantine`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from egretspur import decisions
 from egretspur.admission import quarantine as quarantines
@@ -32,7 +31,6 @@
         # Quarantine changes to be logged; the caller that logs them clears it.
         self.notes: list[decisions.Decision] = []
         self._quarantine = quarantine
-        self._evidence = segments.SegmentEvidence()
         self._fleet = fleet
         # Changes to be written to the store.
         self._unsaved: list[quarantines.Change] = []
@@ -46,52 +44,19 @@
 
     def note_output(self, job: jobs.Job, now_s: float) -> None:
         """Records that upstreams produced the first part of an answer."""
-        self._evidence.record_answer(job.segments, now_s)
         self._quarantine.record_output(job.segments, now_s)
         self._note_changes()
 
     def settle(self, now_s: float) -> None:
         """Counts the upstreams that are known by now to have crashed."""
         self._quarantine.resolve_cuts(self._get_state, now_s)
-        for crashed in self._quarantine.take_crashed():
-            self._add_evidence(crashed, now_s)
-        self._blame(self._evidence.find_settled(now_s), now_s)
         self._note_changes()
 
-    def is_suspected(self, cut: quarantines.CutAttempt, now_s: float) -> bool:
-        """Returns whether a cut request crashes upstreams, for all one knows.
-
-        Its retry would be sent before the state of its upstream is known.
-        """
-        if cut.has_output or not cut.has_head or not cut.upstreams:
-            return False
-        start = quarantines.make_start_id(cut.upstreams[0])
-        return self._evidence.would_blame(_make_crash(cut, start), now_s)
-
-    def _add_evidence(
-        self, crashed: quarantines.CrashedAttempt, now_s: float
-    ) -> None:
-        """Adds a crash to the evidence about the segments of its request."""
-        # A host that is cut off takes upstreams for crashed that are not.
-        is_sound = self._fleet.reach_state is reach.ReachState.SOUND
-        if crashed.cut.has_output or not is_sound:
-            return
-        crash = _make_crash(crashed.cut, crashed.start)
-        self._blame(self._evidence.record_crash(crash, now_s), now_s)
-
-    def _blame(self, blames: Iterable[segments.Blame], now_s: float) -> None:
-        for blame in blames:
-            self._quarantine.add_blame(blame, now_s)
-
     def apply_evidence(self, update: segments.Update, now_s: float) -> None:
         """Merges what another host knows of segments."""
-        self._blame(self._evidence.apply_update(update, now_s), now_s)
+        self._quarantine.apply_evidence(update, now_s)
         self._note_changes()
 
-    def make_evidence(self, now_s: float) -> segments.Update:
-        """Returns what this host knows of segments, for other hosts."""
-        return self._evidence.make_update(now_s)
-
     def restore(
         self, ends: Mapping[str, quarantines.CrashWeights], now_s: float
     ) -> None:
@@ -111,7 +76,9 @@
         failed = self._fleet.health.failed.get(upstream_id)
         if failed is None:
             return quarantines.UpstreamState.ALIVE
-        if failed.is_down:
+        # A host that is cut off takes upstreams for down that are not.
+        is_sound = self._fleet.reach_state is reach.ReachState.SOUND
+        if failed.is_down and is_sound:
             return quarantines.UpstreamState.CRASHED
         return quarantines.UpstreamState.UNKNOWN
 
@@ -127,15 +94,3 @@
             )
             if change.is_own:
                 self._unsaved.append(change)
-
-
-def _make_crash(cut: quarantines.CutAttempt, start: str) -> segments.Crash:
-    """Returns the crash of an upstream start under a cut attempt."""
-    return segments.Crash(
-        start,
-        segments.make_request_mark(cut.fingerprint),
-        frozenset(cut.segments),
-        cut.has_head,
-        cut.sent_s,
-        cut.at_s,
-    )
--- a/tests/routing/peers.py
+++ b/tests/routing/peers.py
@@ -51,7 +51,9 @@
     own = news.make_update(host.state, host.ip, view, {}, now_s)
     near_data = datagrams.encode_update(own)
     wide_data = datagrams.encode_update(news.aggregate(host.state, own, now_s))
-    known = evidence.EvidenceUpdate(host.ip, host.state.make_evidence(now_s))
+    known = evidence.EvidenceUpdate(
+        host.ip, host.state.quarantine.make_evidence(now_s)
+    )
     near = [h for h in hosts if h.data_centre == host.data_centre]
     for other in hosts:
         is_near = other.data_centre == host.data_centre
