--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -115,6 +115,7 @@
                 self._note_answer,
             ),
             lambda state: self._desk.tell(desk.ReachChanged(state)),
+            names.REPORT_PATH,
         )
         self._dialer = self._tunnels.dialer
         self._engines = upstream.EngineClient(self._dialer)
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -214,7 +214,7 @@
     def has_lost_link(self, reach: Reach) -> bool:
         """Returns whether bytes of its connection no longer arrive."""
         first = self.parts[0].address
-        return reach.is_lost(first, self._abort.helper)
+        return reach.has_lost(first, self._abort.helper)
 
     def begin(self) -> CompleteAnswer | Answer | errors.Refusal:
         """Returns a complete answer, the start of a stream, or a refusal."""
@@ -519,7 +519,7 @@
     def suspect(self) -> None:
         """Has this host's own links checked soon."""
 
-    def is_lost(self, address: str, helper: str) -> bool:
+    def has_lost(self, address: str, helper: str) -> bool:
         """Returns whether open connections to an upstream are lost.
 
         Args:
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import math
 import socket
 import threading
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final
 
 import orjson
@@ -105,15 +106,16 @@
         # reads the head; a timeout set on the socket itself would be lost.
         conn.timeout = max(0.01, min(left_s, _get_head_timeout_s(start)))
         try:
-            conn.request(
-                call.method,
-                call.target,
-                body=call.body or None,
-                headers=headers,
-                preload_content=False,
-                decode_content=False,
-            )
-            res = conn.getresponse()
+            with self._expecting_answer(start.upstream.address, link, handle):
+                conn.request(
+                    call.method,
+                    call.target,
+                    body=call.body or None,
+                    headers=headers,
+                    preload_content=False,
+                    decode_content=False,
+                )
+                res = conn.getresponse()
         except Exception as exc:  # of urllib3, the socket or http.client
             handle.close()
             return forward.AttemptFailure(
@@ -128,6 +130,30 @@
             return lost
         return UpstreamAnswer(res, handle, job.deadline_s, self._idle_timeout_s)
 
+    @contextlib.contextmanager
+    def _expecting_answer(
+        self,
+        address: str,
+        link: dialer.Connection,
+        handle: _AbortableConnection,
+    ) -> Iterator[None]:
+        """Tells the dialer whether an own connection brings an answer."""
+        own = self._dialer
+        if own is None or link.helper:
+            yield
+            return
+        number = own.expect_answer(address, handle.abort)
+        try:
+            yield
+        except Exception:
+            # Not if the caller left, or another thread ended the attempt.
+            if not handle.is_aborted:
+                own.record_fruitless(address)
+            raise
+        finally:
+            own.end_answer(number)
+        own.record_answered(address)
+
     def _connect(
         self, job: jobs.Job, start: jobs.Start
     ) -> dialer.Connection | forward.AttemptFailure:
@@ -160,6 +186,7 @@
         self._sock: socket.socket = conn.sock
         self._lock = threading.Lock()
         self._is_closed = False
+        self.is_aborted = False
 
     def set_timeout(self, seconds: float) -> None:
         """Sets the timeout of a single read or write."""
@@ -172,6 +199,7 @@
 
     def abort(self) -> None:
         """Shuts the connection down and wakes the thread that reads it."""
+        self.is_aborted = True
         with self._lock:
             if self._is_closed:
                 return
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -22,7 +22,7 @@
 import attrs
 
 from egretspur import decisions, transport
-from egretspur.tunnels import helpers, reach
+from egretspur.tunnels import helpers, pending, reach
 
 # Longest wait for a helper's connection. Its own attempt to connect takes less.
 HELPER_TIMEOUT_S: Final = 0.25
@@ -99,8 +99,9 @@
         self._on_change = on_change
         # Set while own links are to be checked.
         self.needs_checks = threading.Event()
-        # Whether streams over several upstreams fell silent together, and when
-        # that was last checked.
+        self._pending = pending.PendingAnswers()
+        # Whether the links may be down though connections open, and when that
+        # was last checked.
         self._is_suspected = False
         self._verified_s = -math.inf
 
@@ -135,7 +136,7 @@
             is_direct = not self._reach.needs_helper(address)
         if is_direct:
             return self._open_or_ask(address, timeout_s)
-        link = self._open_through_helper(address)
+        link = self.open_through_helper(address)
         if link is not None:
             return link
         return Connection(self.open_direct(address, timeout_s), "")
@@ -148,7 +149,7 @@
             with self._lock:
                 self._reach.record_question(address, time.monotonic())
             try:
-                link = self._open_through_helper(address)
+                link = self.open_through_helper(address)
             finally:
                 with self._lock:
                     self._reach.record_decided(address, time.monotonic())
@@ -215,8 +216,54 @@
         """
         with self._lock:
             quiet_s = time.monotonic() - self._reach.connected_s
+            if self._reach.is_lost:
+                return False
             return quiet_s < MIN_DOUBT_S or not self._reach.is_in_doubt()
 
+    def expect_answer(self, address: str, abort: Callable[[], None]) -> int:
+        """Notes a request over an own connection; returns its id.
+
+        Args:
+            address: Of the upstream.
+            abort: Ends the request's connection, from any thread.
+        """
+        return self._pending.add(address, abort, time.monotonic())
+
+    def end_answer(self, number: int) -> None:
+        """Forgets a request whose answer began or that ended."""
+        self._pending.remove(number)
+
+    def record_answered(self, address: str) -> None:
+        """Records an answer over a new connection of this host."""
+        with self._lock:
+            was_lost = self._reach.is_lost
+            self._reach.record_answered(address, time.monotonic())
+        if was_lost:
+            self._note_changes(address)
+
+    def record_fruitless(self, address: str) -> None:
+        """Records that an own connection opened and ended with no answer."""
+        with self._lock:
+            self._reach.record_fruitless(address, time.monotonic())
+            is_suspect = self._reach.has_fruitless()
+        if is_suspect:
+            self.suspect()
+
+    def record_lost(self, address: str) -> None:
+        """Records that own connections bring nothing, though helpers' do."""
+        with self._lock:
+            self._reach.is_lost = True
+        self._pending.abort_overdue(time.monotonic())
+        self._note_changes(address)
+
+    def check_overdue(self) -> None:
+        """Has the links checked if answers are overdue and none came."""
+        now_s = time.monotonic()
+        with self._lock:
+            is_quiet = now_s - self._reach.answered_s >= pending.OVERDUE_S
+        if is_quiet and self._pending.has_overdue(now_s):
+            self.suspect()
+
     def _note_changes(self, address: str) -> None:
         """Passes on a change of the links' state; starts or stops checks."""
         with self._lock:
@@ -249,7 +296,7 @@
                 self._verified_s = time.monotonic()
             return is_due
 
-    def is_lost(self, address: str, helper: str) -> bool:
+    def has_lost(self, address: str, helper: str) -> bool:
         """Returns whether open connections are lost; see `forward.Reach`."""
         if not helper:
             return self.needs_helper(address)
@@ -271,6 +318,11 @@
         with self._lock:
             return self._reach.is_cut_off()
 
+    def is_lost(self) -> bool:
+        """Returns whether own connections open but bring no answers."""
+        with self._lock:
+            return self._reach.is_lost
+
     def needs_helper(self, address: str) -> bool:
         """Returns whether only helpers reach an upstream."""
         with self._lock:
@@ -317,7 +369,7 @@
             return NoTunnel.UPSTREAM_DOWN
         return NoTunnel.REFUSED
 
-    def _open_through_helper(self, address: str) -> Connection | None:
+    def open_through_helper(self, address: str) -> Connection | None:
         """Asks helpers for a connection; None if none of them has one."""
         with self._lock:
             if not self._reach.may_ask_helper(address, time.monotonic()):
--- a/egretspur/tunnels/gate.py
+++ b/egretspur/tunnels/gate.py
@@ -47,7 +47,7 @@
             return http.HTTPStatus.FORBIDDEN
         if self._sources.is_stopping():
             return http.HTTPStatus.SERVICE_UNAVAILABLE
-        if self._dialer.has_failed_lately(address):
+        if self._dialer.is_lost() or self._dialer.has_failed_lately(address):
             return self._get_failure()
         return http.HTTPStatus.OK
 
--- a/egretspur/tunnels/reach.py
+++ b/egretspur/tunnels/reach.py
@@ -3,7 +3,9 @@
 A connection fails because of the upstream or because of this host's links. If
 another host connects to the same upstream, a helper, it was the links; if that
 one fails as well, it was the upstream. Until helpers have been asked, nothing
-is concluded. Read next: `egretspur.tunnels.dialer`.
+is concluded. A connection that opens shows little by itself: something between
+may accept it and pass nothing on. Only an answer shows that links work. Read
+next: `egretspur.tunnels.dialer`.
 """
 
 from __future__ import annotations
@@ -63,15 +65,39 @@
         self._failing: dict[str, _Failing] = {}
         # When this host last connected to any upstream by itself.
         self.connected_s = -math.inf
+        # When an upstream last answered over a new connection of this host, and
+        # when connections to upstreams last ended without any answer.
+        self.answered_s = -math.inf
+        self._fruitless_s: dict[str, float] = {}
+        # Connections open but bring no answers, though helpers get some.
+        self.is_lost = False
 
     def record_connected(self, address: str, now_s: float) -> None:
         """Records a connection over this host's own links."""
-        if self.is_cut_off():
+        if self.is_cut_off() and not self.is_lost:
             # The links are back, and with them the way to all upstreams.
             self._failing.clear()
         self._failing.pop(address, None)
         self.connected_s = now_s
 
+    def record_answered(self, address: str, now_s: float) -> None:
+        """Records an answer over a new connection of this host."""
+        self.is_lost = False
+        self.answered_s = now_s
+        self._fruitless_s.pop(address, None)
+
+    def record_fruitless(self, address: str, now_s: float) -> None:
+        """Records a connection that opened and ended without an answer."""
+        self._fruitless_s[address] = now_s
+
+    def has_fruitless(self) -> bool:
+        """Returns whether connections open but may bring nothing."""
+        found = [
+            a for a, at_s in self._fruitless_s.items() if at_s > self.answered_s
+        ]
+        self._fruitless_s = {a: self._fruitless_s[a] for a in found}
+        return len(found) >= MIN_FAILED
+
     def record_failed(self, address: str, now_s: float) -> None:
         """Records that this host's own links led to no connection."""
         failing = self._failing.setdefault(address, _Failing(now_s))
@@ -108,6 +134,8 @@
 
     def is_cut_off(self) -> bool:
         """Returns whether this host reaches no upstream by itself."""
+        if self.is_lost:
+            return True
         failed = sum(
             self._is_suspect(f) and not f.questions and not f.is_for_other
             for f in self._failing.values()
@@ -130,6 +158,8 @@
         """Returns how this host reaches upstreams."""
         if not self.is_cut_off():
             return ReachState.SOUND
+        if self.is_lost:
+            return ReachState.HELPED
         is_helped = any(
             f.helped_s > self.connected_s for f in self._failing.values()
         )
--- a/egretspur/tunnels/tunnels.py
+++ b/egretspur/tunnels/tunnels.py
@@ -22,6 +22,7 @@
         list_candidates: Callable[[], helpers.Candidates],
         sources: gate.Sources,
         on_change: Callable[[reach.ReachState], None] = lambda state: None,
+        question_path: str = "/",
     ) -> None:
         """Makes the parts; `start` starts them.
 
@@ -32,6 +33,7 @@
             list_candidates: Returns the hosts that are alive.
             sources: What the gate needs to know.
             on_change: Receives each new state of the links; must not block.
+            question_path: Path of a question that every upstream answers.
         """
         if not port:
             list_candidates = _list_none
@@ -39,7 +41,7 @@
             ip, port, helpers.Helpers(rng), list_candidates, on_change
         )
         self._checker = checks.ReachChecker(
-            self.dialer, sources.list_upstreams, rng
+            self.dialer, sources.list_upstreams, rng, question_path
         )
         self._server = None
         if port:
--- a/tests/daemons/partition.feature
+++ b/tests/daemons/partition.feature
@@ -11,10 +11,13 @@
     And first tries at all hosts are served from 3 s after its end
 
     Examples:
-      | how    |
-      | silent |
-      | reset  |
-      | kept   |
+      | how           |
+      | silent        |
+      | reset         |
+      | kept          |
+      | opened-silent |
+      | opened-reset  |
+      | opened-kept   |
 
   Scenario: All hosts of a data centre are cut off
     # Guards against a data centre that finds no way around within itself.
--- a/tests/fakes/partition.py
+++ b/tests/fakes/partition.py
@@ -9,7 +9,9 @@
 - ``silent``: nothing arrives, on new connections and on open ones, until the
   partition ends;
 - ``reset``: new connections are refused and open ones reset;
-- ``kept``: new connections are refused, open ones live on.
+- ``kept``: new connections are refused, open ones live on;
+- ``opened-silent``, ``opened-reset``, ``opened-kept``: as these, but new
+  connections open first, as behind a middlebox that accepts them.
 """
 
 from __future__ import annotations
@@ -77,13 +79,15 @@
         super().__init__(*args, **kwargs)
         self._target: Any = None
         self._is_shut = False
+        # Whether it opened while its upstream was cut off.
+        self._is_new = False
 
     def connect(self, address: Any) -> None:
         """Connects, is refused, or hangs until its timeout."""
         how = self._begin(address)
         if how in ("reset", "kept"):
             raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
-        if how:
+        if how == "silent":
             address = self.network.blackhole_address
         super().connect(address)
 
@@ -92,7 +96,7 @@
         how = self._begin(address)
         if how in ("reset", "kept"):
             return errno.ECONNREFUSED
-        if how:
+        if how == "silent":
             address = self.network.blackhole_address
         return super().connect_ex(address)
 
@@ -100,7 +104,9 @@
         if self.family != socket.AF_INET or self.type != socket.SOCK_STREAM:
             return ""
         self._target = address
-        return self.network.get_how(address)
+        how = self.network.get_how(address)
+        self._is_new = bool(how)
+        return how
 
     def shutdown(self, how: int) -> None:
         """Shuts the connection down and wakes its reader."""
@@ -135,9 +141,11 @@
             ConnectionResetError: It is reset.
         """
         how = self.network.get_how(self._target) if self._target else ""
-        if how == "reset":
+        if how in ("reset", "opened-reset") or (
+            how == "opened-kept" and self._is_new
+        ):
             raise ConnectionResetError(errno.ECONNRESET, "reset")
-        return how
+        return "silent" if how == "opened-silent" else how
 
     def _wait_readable(self) -> None:
         """Waits until bytes may be received, or for the timeout."""
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -8,6 +8,7 @@
 
 from tests import fuzz
 from tests.admission import machine as quarantine
+from tests.admission import segments
 from tests.catalog import copies
 from tests.catalog import machine as entries
 from tests.claims import machine as claims
@@ -26,6 +27,7 @@
     "membership": membership.MembershipMachine,
     "quarantine": quarantine.QuarantineMachine,
     "routing": routing.RoutingMachine,
+    "segments": segments.SegmentMachine,
     "tunnels": tunnels.TunnelMachine,
 }
 
--- a/tests/steps/tunnels_steps.py
+++ b/tests/steps/tunnels_steps.py
@@ -19,7 +19,15 @@
 
 from egretspur import signals
 from egretspur.platform import upstream
-from egretspur.tunnels import dialer, gate, helpers, reach, server
+from egretspur.tunnels import (
+    checks,
+    dialer,
+    gate,
+    helpers,
+    pending,
+    reach,
+    server,
+)
 from tests import sites, stage
 
 CLIENT: Final = "127.0.0.1"
@@ -481,3 +489,104 @@
 def step_asked(context: Any, count: int) -> None:
     assert len(context.asked) == count, context.asked
     assert isinstance(context.problem, ConnectionRefusedError)
+
+
+class ScriptedDialer(dialer.Dialer):
+    """A dialer whose connections open, and are answered, silent or reset."""
+
+    def __init__(self, own: str, helped: str) -> None:
+        super().__init__(
+            CLIENT,
+            1,
+            helpers.Helpers(random.Random(1)),
+            lambda: helpers.Candidates(["h0"], []),
+        )
+        self.own = own
+        self.helped = helped
+        self.socks: list[socket.socket] = []
+
+    def connect_direct(self, address: str, timeout_s: float) -> socket.socket:
+        """Opens a connection."""
+        return self._open(self.own)
+
+    def ask(self, host: str, address: str) -> socket.socket | dialer.NoTunnel:
+        """Opens a connection through a helper."""
+        return self._open(self.helped)
+
+    def _open(self, kind: str) -> socket.socket:
+        near, far = socket.socketpair()
+        self.socks += [near, far]
+        if kind == "answered":
+            far.sendall(b"HTTP/1.1 200 OK")
+        elif kind == "reset":
+            far.close()
+        return near
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for sock in self.socks:
+            sock.close()
+
+
+@given(
+    "own connections that open and are {own}, and helpers' that are {helped}"
+)
+def step_scripted(context: Any, own: str, helped: str) -> None:
+    context.dialer = ScriptedDialer(own, helped)
+    context.add_cleanup(context.dialer.close)
+    listed = {f"10.0.0.{i}:80": f"u{i}" for i in range(1, 4)}
+    context.checker = checks.ReachChecker(
+        context.dialer, lambda: listed, random.Random(2)
+    )
+    context.ended = []
+    context.clock = time.monotonic
+
+
+@when("{count} requests end with no answer")
+@when("{count} request ends with no answer")
+def step_fruitless(context: Any, count: str) -> None:
+    for number in range({"one": 1, "two": 2}[count]):
+        context.dialer.record_fruitless(f"10.0.0.{number + 1}:80")
+
+
+@when("an answer is overdue")
+def step_overdue(context: Any) -> None:
+    context.dialer.expect_answer("10.0.0.1:80", lambda: context.ended.append(1))
+    later_s = time.monotonic() + pending.OVERDUE_S
+    context.patch = mock.patch("time.monotonic", lambda: later_s)
+    context.patch.start()
+    context.add_cleanup(context.patch.stop)
+    context.dialer.check_overdue()
+
+
+@when("the links are checked")
+def step_checked(context: Any) -> None:
+    if context.dialer.needs_checks.is_set():
+        context.checker.check_once()
+
+
+@when("own connections are answered again")
+def step_answered_again(context: Any) -> None:
+    context.dialer.own = "answered"
+
+
+@then("by then the host's links are {state}")
+def step_now(context: Any, state: str) -> None:
+    assert context.dialer.get_state().value == state, context.dialer.get_state()
+
+
+@then("the request is ended, so that it may be retried")
+def step_ended(context: Any) -> None:
+    assert context.ended == [1], context.ended
+
+
+@then("the host helps nobody")
+def step_helps_nobody(context: Any) -> None:
+    sources = gate.Sources(
+        lambda: {"10.0.0.1:80": "u1"},
+        lambda host: True,
+        lambda: False,
+        lambda upstream, status, given: None,
+    )
+    status = gate.Gate(context.dialer, sources).check("h1", "10.0.0.1:80")
+    assert status == http.HTTPStatus.SERVICE_UNAVAILABLE, status
--- a/tests/tunnels/tunnels.feature
+++ b/tests/tunnels/tunnels.feature
@@ -174,6 +174,34 @@
     And its helper refuses, and the own links are back
     Then the next connection goes over the own links
 
+  Scenario Outline: Connections that open and bring nothing
+    # Guards against a middlebox that accepts connections for which it has no
+    # way: a host would take it for the way to all upstreams.
+    Given own connections that open and are <own>, and helpers' that are <helped>
+    When <event>
+    And the links are checked
+    Then by then the host's links are <state>
+    When own connections are answered again
+    And the links are checked
+    Then by then the host's links are sound
+
+    Examples:
+      | own      | helped   | event                           | state  |
+      | silent   | answered | two requests end with no answer | helped |
+      | reset    | answered | two requests end with no answer | helped |
+      | silent   | answered | an answer is overdue            | helped |
+      | silent   | answered | one request ends with no answer | sound  |
+      | silent   | silent   | two requests end with no answer | sound  |
+      | answered | answered | two requests end with no answer | sound  |
+      | answered | answered | an answer is overdue            | sound  |
+
+  Scenario: Requests that wait on links which bring nothing
+    Given own connections that open and are silent, and helpers' that are answered
+    When an answer is overdue
+    And the links are checked
+    Then the request is ended, so that it may be retried
+    And the host helps nobody
+
   Scenario: Upstreams that crash are not taken for lost links
     # Guards against a host that refuses its callers and helps nobody, since two
     # upstreams refused connections in a row.
