Send the data centre with evidence about prompt segments

Found by the new process test (tests/daemons/crashing.feature): seven engines crashed at three hosts, three expected. A datagram of evidence had no data centre, which the exchange reads of each update to pass it on; the error dropped the whole batch, peer updates included, for as long as hosts had evidence to tell (the model of hosts has no exchange, so it missed it). Now quarantined after three crashes at all three hosts. Scenarios: evidence passes through speakers, past a host of an older build, malformed datagrams.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -456,7 +456,9 @@
         found: segments.Update = self._desk.query(
             lambda state: state.quarantine.make_evidence(time.monotonic())
         )
-        return evidence.EvidenceUpdate(self._cfg.ip, found)
+        return evidence.EvidenceUpdate(
+            self._cfg.ip, self._cfg.data_centre, found
+        )
 
     def _handle_evidence(
         self, updates: Sequence[evidence.EvidenceUpdate]
--- a/egretspur/membership/evidence.py
+++ b/egretspur/membership/evidence.py
@@ -33,6 +33,7 @@
 
     # Address of the sending host.
     host: str
+    data_centre: str
     evidence: segments.Update
 
     def is_empty(self) -> bool:
@@ -47,6 +48,7 @@
         [
             TAG,
             update.host,
+            update.data_centre,
             {
                 "crashes": [
                     [
@@ -72,7 +74,9 @@
     report: newer builds may send others.
     """
     try:
-        tag, host, fields = checks.check_row(codec.load_json(data), TAG, 3)
+        tag, host, data_centre, fields = checks.check_row(
+            codec.load_json(data), TAG, 4
+        )
         if tag != TAG:
             raise checks.FieldError(TAG, f"begins with {tag!r:.40}")
         table = checks.Table(fields, TAG)
@@ -82,6 +86,7 @@
         )
         return EvidenceUpdate(
             datagrams.check_host(host),
+            checks.check_text(data_centre, "data_centre"),
             segments.Update(
                 tuple(
                     _decode_crash(r)
--- a/egretspur/membership/sidechannels.py
+++ b/egretspur/membership/sidechannels.py
@@ -23,6 +23,10 @@
     def host(self) -> str:
         """Address of the sending host."""
 
+    @property
+    def data_centre(self) -> str:
+        """Data centre of the sending host; its speaker passes it on."""
+
     def is_empty(self) -> bool:
         """Returns whether there is nothing to send."""
 
--- a/tests/admission/segments.py
+++ b/tests/admission/segments.py
@@ -91,7 +91,7 @@
     def _publish(self, sender: int, receiver: int) -> None:
         source, target = self.hosts[sender], self.hosts[receiver]
         told = evidence.EvidenceUpdate(
-            "10.0.0.1", source.make_evidence(self.now_s)
+            "10.0.0.1", "kl-hall", source.make_evidence(self.now_s)
         )
         found = evidence.decode(evidence.encode(told))
         assert isinstance(found, evidence.EvidenceUpdate), found
--- a/tests/daemons/crashing.feature
+++ b/tests/daemons/crashing.feature
@@ -18,3 +18,17 @@
     And all hosts are killed and start again
     And it is sent 3 more times, after 0 s
     Then at most 0 more engines crashed
+
+  Scenario: Different requests that share a segment of their prompts
+    # Runs the failure of tests/routing/segments.feature with whole processes.
+    Given a store, four engines, two plain replicas and three hosts
+    And engines that crash after the head of an answer to prompts with the segment "bad5"
+    When requests with it, no two alike, are sent to the hosts 12 times
+    Then at most 5 engines crashed by then, and at least 3
+    When it is sent 6 more times, after 3 s
+    Then at most 3 more engines crashed
+    And each host answers other streams
+    When the store has it in quarantine
+    And all hosts are killed and start again
+    And it is sent 3 more times, after 0 s
+    Then at most 0 more engines crashed
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -10,7 +10,8 @@
 plain answer is lost after its request ran), ``delay_s`` (delay of an answer),
 ``limit``, ``rest_s`` and ``leaving`` (limit, backoff and drain that it requests
 in its answers; it refuses requests during a backoff), ``crash_on`` (the process
-exits when it starts a request whose body contains this text).
+exits when it starts a request whose body or prompt segments contain this text),
+``crash_after_head`` (it sends the head of the answer first).
 """
 
 from __future__ import annotations
@@ -21,11 +22,14 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, Final
 
 from egretspur import web
 from tests.fakes import base
 
+# Time for the head of an answer to be sent before the process exits.
+HEAD_DELAY_S: Final = 0.05
+
 
 class Replica:
     """State of one replica."""
@@ -46,6 +50,7 @@
             "rest_s": "",
             "leaving": False,
             "crash_on": "",
+            "crash_after_head": False,
         }
         self.held: dict[str, int] | None = None
         self.orders = 0
@@ -120,6 +125,16 @@
             raise
 
 
+class CrashingBody:
+    """Body before whose first event the process exits."""
+
+    def push(self, write: Callable[[bytes], Any]) -> None:
+        """Has the head sent, and exits."""
+        write(b"")
+        time.sleep(HEAD_DELAY_S)
+        os._exit(1)
+
+
 def make_app(replica: Replica) -> web.App:
     """Returns the replica's HTTP endpoints."""
     app = web.App()
@@ -155,7 +170,14 @@
                 f"ran {fields.get('Attempt-Id')}", file=sys.stderr, flush=True
             )
         crash_on = str(replica.faults["crash_on"])
-        if crash_on and crash_on.encode() in body:
+        is_fatal = crash_on and (
+            crash_on.encode() in body
+            or crash_on in fields.get("Prefix-Hash", "")
+        )
+        if is_fatal and replica.faults["crash_after_head"]:
+            head["Content-Type"] = "text/event-stream"
+            return web.Response(200, head, CrashingBody())
+        if is_fatal:
             os._exit(1)
         time.sleep(replica.faults["delay_s"])
         if not replica.layers:
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -155,6 +155,39 @@
     Then the host of kl-hall sends to one of pg-hall
     And all four keep receiving its updates
 
+  Scenario: Evidence about prompt segments reaches all data centres
+    # Guards against hosts that each need three crashes of their own, and against
+    # peer updates that are lost with what arrives beside them.
+    Given a host of kl-hall and four of pg-hall on this machine, and no spares
+    When all have heard of each other
+    And the host of kl-hall knows of a crash under prompt segments
+    Then all four of pg-hall learn of it
+    And all four keep receiving its updates
+
+  Scenario: Evidence about prompt segments at a host of an older build
+    Given a host of kl-hall and four of pg-hall on this machine, and no spares
+    And one of them knows no such evidence
+    When all have heard of each other
+    And the host of kl-hall knows of a crash under prompt segments
+    Then all four keep receiving its updates
+
+  Scenario Outline: Evidence about prompt segments from any sender
+    When the datagram <data> of evidence is read
+    Then it is refused for its "<field>"
+
+    Examples:
+      | data                                                             | field       |
+      | ["segments", "10.0.0.1", "kl-hall"]                              | segments    |
+      | ["segments", "x", "kl-hall", {}]                                 | host        |
+      | ["segments", "10.0.0.1", 5, {}]                                  | data_centre |
+      | ["segments", "10.0.0.1", "kl-hall", []]                          | segments    |
+      | ["segments", "10.0.0.1", "kl-hall", {"crashes": 4}]              | crashes     |
+      | ["segments", "10.0.0.1", "kl-hall", {"crashes": [["a"]]}]        | crashes     |
+      | ["segments", "10.0.0.1", "kl-hall", {"crashes": [["a", "r", ["s"], 1, 0, 0]]}] | crashes |
+      | ["segments", "10.0.0.1", "kl-hall", {"crashes": [["a", "r", ["s"], true, -1, 0]]}] | crashes |
+      | ["segments", "10.0.0.1", "kl-hall", {"answered": {"s": "x"}}]    | answered    |
+      | ["segments", "10.0.0.1", "kl-hall", {"answered": {"s": 1e999}}]  | bytes       |
+
   Scenario: Datagrams that arrive together
     # Guards against a host that spends most of its time on waking up, at 78
     # hosts.
--- a/tests/routing/peers.py
+++ b/tests/routing/peers.py
@@ -52,7 +52,7 @@
     near_data = datagrams.encode_update(own)
     wide_data = datagrams.encode_update(news.aggregate(host.state, own, now_s))
     known = evidence.EvidenceUpdate(
-        host.ip, host.state.quarantine.make_evidence(now_s)
+        host.ip, host.data_centre, host.state.quarantine.make_evidence(now_s)
     )
     near = [h for h in hosts if h.data_centre == host.data_centre]
     for other in hosts:
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -57,8 +57,10 @@
     closed: threading.Event = attrs.Factory(threading.Event)
     entries_lock: threading.Lock = attrs.Factory(threading.Lock)
     entries: dict[str, dict[str, Any]] = attrs.Factory(dict)
-    # Engines that are started crash on a request whose body contains this.
+    # Engines that are started crash on a request that contains this, before or
+    # after the head of the answer.
     crash_on: str = ""
+    crash_after_head: bool = False
     # Sockets that reserve the ports of the hosts.
     reserved: list[socket.socket] = attrs.Factory(list)
     # Bounds in the hosts' settings, in addition to those of all sites.
@@ -161,7 +163,13 @@
 
     def set_crash(self, name: str) -> None:
         """Makes an engine crash on requests that contain `crash_on`."""
-        self.set_fault(name, {"crash_on": self.crash_on})
+        self.set_fault(
+            name,
+            {
+                "crash_on": self.crash_on,
+                "crash_after_head": self.crash_after_head,
+            },
+        )
 
     def partition(self, ip: str, how: str) -> None:
         """Cuts a host off from all upstreams; see `tests.fakes.partition`.
--- a/tests/steps/crashing_site_steps.py
+++ b/tests/steps/crashing_site_steps.py
@@ -24,11 +24,22 @@
     # Ids under which it was sent, and engines that ended.
     context.ids = []
     context.ended = 0
+    context.segment = ""
     context.play.crash_on = text
     for name in list_engines(context):
         context.play.set_crash(name)
 
 
+@given(
+    "engines that crash after the head of an answer to prompts with the segment"
+    ' "{segment}"'
+)
+def step_fatal_segment(context: Any, segment: str) -> None:
+    context.play.crash_after_head = True
+    step_fatal(context, segment)
+    context.segment = segment
+
+
 def list_engines(context: Any) -> list[str]:
     """Returns the names of the engines that are listed."""
     return [n for n in context.play.entries if n.startswith("e")]
@@ -55,6 +66,9 @@
     sites.wait_serving(site, host)
     context.ids.append(f"fatal-{len(context.ids)}")
     fields = {"Attempt-Id": context.ids[-1]}
+    if context.segment:
+        context.body = BODY % context.ids[-1].encode()
+        fields["Prefix-Hash"] = f"5a:40,{context.segment}:9,{len(context.ids)}"
     try:
         site.post("/notes/x", "key-1", host, context.body, fields).read()
     except urllib3.exceptions.HTTPError:
@@ -79,6 +93,17 @@
         send_fatal(context)
 
 
+@when("requests with it, no two alike, are sent to the hosts {times:d} times")
+def step_unlike(context: Any, times: int) -> None:
+    for _ in range(times):
+        send_fatal(context)
+
+
+@then("at most {most:d} engines crashed by then, and at least {least:d}")
+def step_ended_by_then(context: Any, most: int, least: int) -> None:
+    assert least <= context.ended <= most, context.ended
+
+
 @when("it is sent {times:d} more times, after {after_s:g} s")
 def step_again(context: Any, times: int, after_s: float) -> None:
     time.sleep(after_s)
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -18,8 +18,16 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 
+from egretspur.admission import segments
 from egretspur.catalog import feeds, reading, upstreams
-from egretspur.membership import datagrams, duty, exchange, hosts
+from egretspur.membership import (
+    datagrams,
+    duty,
+    evidence,
+    exchange,
+    hosts,
+    sidechannels,
+)
 from egretspur.routing import jobs
 from tests import stage
 
@@ -458,11 +466,67 @@
             make_sender(ip, place),
             lambda news: news,
             make_taker(heard),
+            (make_evidence_kind(context.play, ip, place),),
         )
         context.play.exchanges.append(item)
         item.start()
 
 
+def make_evidence_kind(
+    play: Talkers, ip: str, place: str
+) -> sidechannels.Kind[evidence.EvidenceUpdate]:
+    """Returns the exchange of evidence; a host tells what `play` has of it."""
+
+    def make(is_speaker: bool) -> evidence.EvidenceUpdate:
+        known = play.known.get(ip, segments.Update())
+        return evidence.EvidenceUpdate(ip, place, known)
+
+    def handle(updates: Sequence[evidence.EvidenceUpdate]) -> None:
+        play.learned.setdefault(ip, []).extend(updates)
+
+    return sidechannels.Kind(
+        evidence.PREFIX, evidence.encode, evidence.decode, make, handle
+    )
+
+
+@given("one of them knows no such evidence")
+def step_older_build(context: Any) -> None:
+    context.play.exchanges[-1]._channels.clear()
+
+
+@when("the host of kl-hall knows of a crash under prompt segments")
+def step_knows_crash(context: Any) -> None:
+    crash = segments.PublishedCrash("start", "req", ("m/s",), True, 0.9, 0.5)
+    context.told = segments.Update((crash,), {"m/t": 0.25})
+    context.play.known["127.0.0.1"] = context.told
+
+
+@then("all four of pg-hall learn of it")
+def step_learn(context: Any) -> None:
+    others = [f"127.0.0.{i}" for i in range(2, 6)]
+    stage.wait_until(
+        lambda: all(ip in context.play.learned for ip in others),
+        10.0,
+        "all four learn of it",
+    )
+    for ip in others:
+        found = context.play.learned[ip][0]
+        assert found.evidence == context.told, found
+        assert found.data_centre == "kl-hall", found
+
+
+@when("the datagram {data} of evidence is read")
+def step_read_evidence(context: Any, data: str) -> None:
+    assert data.encode().startswith(evidence.PREFIX)
+    context.found = evidence.decode(data.encode())
+
+
+@then('it is refused for its "{field}"')
+def step_evidence_refused(context: Any, field: str) -> None:
+    assert isinstance(context.found, datagrams.InvalidUpdate), context.found
+    assert context.found.field == field, context.found
+
+
 @when("all have heard of each other")
 def step_all_heard(context: Any) -> None:
     first = context.play.exchanges[0]
@@ -504,6 +568,9 @@
 
     exchanges: list[exchange.Exchange] = attrs.Factory(list)
     heard: dict[str, dict[str, datagrams.PeerUpdate]] = attrs.Factory(dict)
+    # What hosts know of prompt segments, and learned of others.
+    known: dict[str, segments.Update] = attrs.Factory(dict)
+    learned: dict[str, list[evidence.EvidenceUpdate]] = attrs.Factory(dict)
 
     def close(self) -> None:
         """Closes all of them."""
