--- a/egretspur/admission/segments.py
+++ b/egretspur/admission/segments.py
@@ -158,6 +158,8 @@
         self._crashes: collections.OrderedDict[tuple[str, str], _KnownCrash] = (
             collections.OrderedDict()
         )
+        # The same crashes by segment.
+        self._by_segment: dict[str, dict[tuple[str, str], Crash]] = {}
         # Last answer by segment, the most recent last.
         self._answered_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -183,7 +185,8 @@
             for c in crashes
             if (c.start, c.request) not in self._crashes
         }
-        self._crashes.update(added)
+        for crash in added.values():
+            self._add(crash)
         touched = {s for k in added.values() for s in k.crash.segments}
         found = [
             b.segments
@@ -191,7 +194,7 @@
             if not self._is_answered(b.segments)
         ]
         for key in added:
-            del self._crashes[key]
+            self._remove(key)
         return found
 
     def find_settled(self, now_s: float) -> list[Blame]:
@@ -231,29 +234,30 @@
             for k in self._crashes.values()
             if now_s - k.learned_s < PUBLISH_S
         ]
-        if not recent:
-            return Update()
-        counts = collections.Counter(s for c in recent for s in c.segments)
-        answered = {
-            s: round(now_s - self._answered_s[s], 2)
-            for s, _ in counts.most_common()
-            if s in self._answered_s
-        }
         recent.sort(key=lambda c: (c.has_head, c.cut_s), reverse=True)
+        published = recent[:MAX_PUBLISHED]
+        known = {s for c in published for s in c.segments}
+        answered = sorted(
+            (s for s in known if s in self._answered_s),
+            key=lambda s: -self._answered_s[s],
+        )
         return Update(
-            tuple(
-                self._publish(c, counts, now_s) for c in recent[:MAX_PUBLISHED]
-            ),
-            dict(list(answered.items())[:MAX_PUBLISHED_ANSWERS]),
+            tuple(self._publish(c, now_s) for c in published),
+            {
+                s: round(now_s - self._answered_s[s], 2)
+                for s in answered[:MAX_PUBLISHED_ANSWERS]
+            },
         )
 
-    def _publish(
-        self, crash: Crash, counts: Mapping[str, int], now_s: float
-    ) -> PublishedCrash:
+    def _publish(self, crash: Crash, now_s: float) -> PublishedCrash:
         """Returns a crash with the segments that are most likely to blame."""
         ranked = sorted(
             crash.segments,
-            key=lambda s: (self._is_refuted(s, crash), -counts[s], s),
+            key=lambda s: (
+                self._is_refuted(s, crash),
+                -len(self._by_segment[s]),
+                s,
+            ),
         )
         return PublishedCrash(
             crash.start,
@@ -269,8 +273,17 @@
         if key in self._crashes:
             return
         self._crashes[key] = known
+        for segment in known.crash.segments:
+            self._by_segment.setdefault(segment, {})[key] = known.crash
         if len(self._crashes) > MAX_CRASHES:
-            self._crashes.popitem(last=False)
+            self._remove(next(iter(self._crashes)))
+
+    def _remove(self, key: tuple[str, str]) -> None:
+        for segment in self._crashes.pop(key).crash.segments:
+            listed = self._by_segment[segment]
+            del listed[key]
+            if not listed:
+                del self._by_segment[segment]
 
     def _set_answered(self, segment: str, at_s: float) -> None:
         known_s = self._answered_s.get(segment, -math.inf)
@@ -306,33 +319,45 @@
         Segments that were never answered come first, then those whose answer
         is the longest ago: what they explain is not held against the others.
         """
-        if not segments:
+        # A sequence is no longer than the crashes of its segment.
+        candidates = [
+            s
+            for s in segments
+            if len(self._by_segment.get(s, ())) >= CRASH_THRESHOLD
+        ]
+        if not candidates:
             return []
         ranked = sorted(
-            segments,
+            candidates,
             key=lambda s: (self._answered_s.get(s, -math.inf), s),
         )
-        crashes = [k.crash for k in self._crashes.values()]
+        with_head = {
+            k.crash.start for k in self._crashes.values() if k.crash.has_head
+        }
         found: list[Blame] = []
         for segment in ranked:
             if any(segment in b.segments for b in found):
                 continue
-            blame = self._blame(segment, crashes, found)
+            blame = self._blame(segment, with_head, found)
             if blame is not None:
                 found.append(blame)
         return found
 
     def _blame(
-        self, segment: str, crashes: Iterable[Crash], known: Collection[Blame]
+        self, segment: str, with_head: Collection[str], known: Collection[Blame]
     ) -> Blame | None:
-        """Returns the blame of a segment; None if there is not enough."""
-        with_head = {c.start for c in crashes if c.has_head}
+        """Returns the blame of a segment; None if there is not enough.
+
+        Args:
+            segment: The segment.
+            with_head: Starts that ran a request of which a head had arrived.
+            known: What is blamed already.
+        """
         against = sorted(
             (
                 c
-                for c in crashes
-                if segment in c.segments
-                and not self._is_refuted(segment, c)
+                for c in self._by_segment[segment].values()
+                if not self._is_refuted(segment, c)
                 and (c.has_head or c.start not in with_head)
                 and not _is_explained(c, known)
             ),
