Count no answer without output for the segments of its request

A stream that ended whole with no event at all spoke for its segments; a status 200 is no output. Seen red with such answers counted: a bad segment was not held after its third crash. Also from reading the change: pending crashes beyond what is kept are not removed twice, the state of lost links is set by the module that owns it.

--- a/egretspur/admission/segments.py
+++ b/egretspur/admission/segments.py
@@ -194,7 +194,8 @@
             if not self._is_answered(b.segments)
         ]
         for key in added:
-            self._remove(key)
+            if key in self._crashes:
+                self._remove(key)
         return found
 
     def find_settled(self, now_s: float) -> list[Blame]:
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -386,7 +386,8 @@
             if res is None:
                 break
             self._first_events += res
-        self._desk.tell(desk.AnswerStarted(self.job.id))
+        is_empty = not self._first_events
+        self._desk.tell(desk.AnswerStarted(self.job.id, is_empty=is_empty))
         return answer
 
     def _may_retry(self, answer: Answer) -> bool:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -167,7 +167,11 @@
         return self._start_queued(now_s)
 
     def record_answer_start(
-        self, job_id: str, now_s: float, is_error: bool = False
+        self,
+        job_id: str,
+        now_s: float,
+        is_error: bool = False,
+        is_empty: bool = False,
     ) -> None:
         """Records that the upstreams of a request began to answer.
 
@@ -175,6 +179,7 @@
             job_id: The request.
             now_s: Monotonic time.
             is_error: Whether the answer is an error, which the caller gets.
+            is_empty: Whether the answer is complete without any output.
         """
         ticket = self.tickets.get(job_id)
         if ticket is None or not ticket.upstream_id:
@@ -182,7 +187,8 @@
         if is_error:
             self._record_error(ticket.upstream_id, now_s)
             return
-        self._crashes.note_output(ticket.job, now_s)
+        if not is_empty:
+            self._crashes.note_output(ticket.job, now_s)
         self.refusals.return_times.record_answer_start(
             ticket.job.service, now_s
         )
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -58,6 +58,8 @@
     id: str
     # The answer is an error, which the caller gets.
     is_error: bool = False
+    # It is complete and has no output at all.
+    is_empty: bool = False
 
 
 @attrs.frozen
@@ -284,7 +286,7 @@
     @handle.register
     def _(self, message: AnswerStarted) -> None:
         self._broker.record_answer_start(
-            message.id, time.monotonic(), message.is_error
+            message.id, time.monotonic(), message.is_error, message.is_empty
         )
 
     @handle.register
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -252,7 +252,7 @@
     def record_lost(self, address: str) -> None:
         """Records that own connections bring nothing, though helpers' do."""
         with self._lock:
-            self._reach.is_lost = True
+            self._reach.record_lost()
         self._pending.abort_overdue(time.monotonic())
         self._note_changes(address)
 
--- a/egretspur/tunnels/reach.py
+++ b/egretspur/tunnels/reach.py
@@ -86,6 +86,10 @@
         self.answered_s = now_s
         self._fruitless_s.pop(address, None)
 
+    def record_lost(self) -> None:
+        """Records that connections open but bring no answers."""
+        self.is_lost = True
+
     def record_fruitless(self, address: str, now_s: float) -> None:
         """Records a connection that opened and ended without an answer."""
         self._fruitless_s[address] = now_s
--- a/tests/routing/segments.feature
+++ b/tests/routing/segments.feature
@@ -158,3 +158,14 @@
     And 12 sound requests a second with the segments "system"
     When a request with 200 segments of its own and "bad" arrives every 0.3 s at a random host for 30 s
     Then such requests reached engines at most 3 times more than 3 s after the fifth crash
+
+  Scenario: Answers without any output speak for no segment
+    # Guards against a bad segment that goes on crashing engines since its
+    # requests got a head and an end from one of them, and nothing between.
+    Given 8 hosts in three data centres
+    And engines that crash under the prompt segment "bad"
+    And 12 sound requests a second with the segments "system"
+    When a request with the segments "bad" arrives every 0.3 s at a random host until 2 engines crashed
+    And all hosts record an answer without output to a request with it
+    And a request with the segments "bad" arrives every 0.3 s at a random host until 3 engines crashed
+    Then only segments with "bad" are quarantined
--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import random
+from collections.abc import Sequence
 from typing import Any, Final
 
 import attrs
@@ -92,12 +94,21 @@
 def step_fatal_requests(
     context: Any, segments: str, every_s: float, seconds: float
 ) -> None:
+    send_for(context, (segments,), every_s, seconds)
+
+
+def send_for(
+    context: Any, kinds: Sequence[str], every_s: float, seconds: float
+) -> None:
+    """Sends requests of some kinds in turn, no two alike."""
     traffic, world = context.traffic, context.world
     traffic.fatal_from_s = world.now_s
     end_s = world.now_s + seconds
-    while world.now_s < end_s:
+    for segments in itertools.cycle(kinds):
         traffic.send_fatal(parse_segments(segments))
         traffic.play(every_s)
+        if world.now_s >= end_s:
+            return
 
 
 @then(
@@ -148,13 +159,7 @@
 def step_in_turn(
     context: Any, first: str, second: str, every_s: float, seconds: float
 ) -> None:
-    traffic, world = context.traffic, context.world
-    traffic.fatal_from_s = world.now_s
-    end_s = world.now_s + seconds
-    while world.now_s < end_s:
-        for segments in (first, second):
-            traffic.send_fatal(parse_segments(segments))
-            traffic.play(every_s)
+    send_for(context, (first, second), every_s, seconds)
 
 
 @then(
@@ -379,3 +384,16 @@
         own = [f"{world.arrived}-{i}" for i in range(count)]
         traffic.send_fatal((*own, segment))
         traffic.play(every_s)
+
+
+@when("all hosts record an answer without output to a request with it")
+def step_empty_answers(context: Any) -> None:
+    world = context.world
+    for host in world.hosts:
+        name = f"empty-{host.ip}"
+        job = attrs.evolve(
+            fleets.make_job(name, now_s=world.now_s), segments=("bad",)
+        )
+        assert host.state.arrive(job, world.now_s)
+        host.state.record_answer_start(name, world.now_s, is_empty=True)
+        host.state.finish(name, world.now_s, True)
