--- a/egretspur/tunnels/checks.py
+++ b/egretspur/tunnels/checks.py
@@ -99,6 +99,10 @@
             return
         if any(self._try_all(chosen, self._ask_through_helper)):
             self._dialer.record_lost(chosen[0])
+        else:
+            # The helpers that were asked may be cut off too and not know it. By
+            # then no request may be sent that would have the links checked.
+            self._dialer.keep_suspicion()
 
     def _check(self) -> None:
         """Tries the own links again."""
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -287,6 +287,12 @@
             self._is_suspected = True
         self.needs_checks.set()
 
+    def keep_suspicion(self) -> None:
+        """Has the own links checked again, since a check showed nothing."""
+        with self._lock:
+            self._is_suspected = True
+        self.needs_checks.set()
+
     def take_suspicion(self) -> bool:
         """Returns whether to check links that work as far as is known."""
         with self._lock:
--- a/tests/steps/tunnels_steps.py
+++ b/tests/steps/tunnels_steps.py
@@ -570,6 +570,11 @@
     context.dialer.own = "answered"
 
 
+@when("helpers' connections are answered")
+def step_helpers_answered(context: Any) -> None:
+    context.dialer.helped = "answered"
+
+
 @then("by then the host's links are {state}")
 def step_now(context: Any, state: str) -> None:
     assert context.dialer.get_state().value == state, context.dialer.get_state()
--- a/tests/tunnels/tunnels.feature
+++ b/tests/tunnels/tunnels.feature
@@ -195,6 +195,17 @@
       | answered | answered | two requests end with no answer | sound  |
       | answered | answered | an answer is overdue            | sound  |
 
+  Scenario: The first helpers are cut off as well and do not know it
+    # Guards against a host that refuses all its callers: a single check found no
+    # helper that gets answers, and then no request was sent that would have had
+    # the links checked again.
+    Given own connections that open and are reset, and helpers' that are reset
+    When two requests end with no answer
+    And the links are checked
+    And helpers' connections are answered
+    And the links are checked
+    Then by then the host's links are helped
+
   Scenario: Requests that wait on links which bring nothing
     Given own connections that open and are silent, and helpers' that are answered
     When an answer is overdue
