List gossip entries of a kind in one place, and name the crash threshold once

From reading the change again: the membership actor selected entries of a kind and sorted them by age in four places, two of them new; and the number of crashes that quarantines stood twice, though a blamed set of segments has to reach the quarantine's own. No change of behaviour.

--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -33,9 +33,10 @@
 from egretspur.admission import fingerprint as fingerprints
 from egretspur.admission import segments as segment_sets
 
-# Crashes that quarantine a request. One may be a coincidence, and two may come
-# from the loss of a data centre that the request passed through.
-CRASH_THRESHOLD: Final = 3.0
+# Crashes that quarantine a request, as for segments. One may be a coincidence,
+# and two may come from the loss of a data centre that the request passed
+# through.
+CRASH_THRESHOLD: Final = segment_sets.CRASH_THRESHOLD
 
 # Weight of a crash after the attempt had produced a part of the answer. A
 # poison request nearly always crashes its upstream before that; at weight 0 one
--- a/egretspur/membership/actor.py
+++ b/egretspur/membership/actor.py
@@ -539,47 +539,35 @@
             time.monotonic(),
         )
 
+    def _list_by_age(self, kind: entries.Kind) -> list[entries.StoredEntry]:
+        """Returns the entries of a kind from any host, the oldest first."""
+        return sorted(
+            (k for k in self._view.known.values() if k.entry.kind is kind),
+            key=lambda k: k.since_s,
+        )
+
     def _get_limits(self) -> dict[str, throttle.PublishedLimit]:
         """Returns the latest limit of each upstream start, from any host."""
         now_s = time.monotonic()
-        known = [
-            k
-            for k in self._view.known.values()
-            if k.entry.kind is entries.Kind.LIMIT
-        ]
         return {
             k.entry.name: throttle.PublishedLimit(
                 float(k.entry.value) if k.entry.value else None,
                 now_s - k.since_s,
             )
-            for k in sorted(known, key=lambda k: k.since_s)
+            for k in self._list_by_age(entries.Kind.LIMIT)
         }
 
     def _get_evidence(self) -> segments.Update:
         """Returns the latest crashes and answers, from any host."""
         now_s = time.monotonic()
-        known = sorted(
-            (
-                k
-                for k in self._view.known.values()
-                if k.entry.kind is entries.Kind.SEGMENT_CRASH
-            ),
-            key=lambda k: -k.since_s,
-        )
-        answers = sorted(
-            (
-                k
-                for k in self._view.known.values()
-                if k.entry.kind is entries.Kind.SEGMENT_ANSWER
-            ),
-            key=lambda k: k.since_s,
-        )
+        crashes = self._list_by_age(entries.Kind.SEGMENT_CRASH)
+        answers = self._list_by_age(entries.Kind.SEGMENT_ANSWER)
         return segments.Update(
             tuple(
                 news.unpack_crash(
                     k.entry.name, k.entry.value, now_s - k.since_s
                 )
-                for k in known[: segments.MAX_PUBLISHED]
+                for k in reversed(crashes[-segments.MAX_PUBLISHED :])
             ),
             # The last answer of each segment.
             {k.entry.name: now_s - k.since_s for k in answers},
@@ -588,14 +576,9 @@
     def _get_crashes(self) -> dict[str, dict[str, float]]:
         """Returns upstreams that crashed under requests since their answers."""
         now_s = time.monotonic()
-        known = [
-            k
-            for k in self._view.known.values()
-            if k.entry.kind is entries.Kind.CRASHED
-        ]
         found: dict[str, dict[str, float]] = {}
         # In order of time, so that an answer clears the crashes before it.
-        for item in sorted(known, key=lambda k: k.since_s):
+        for item in self._list_by_age(entries.Kind.CRASHED):
             fingerprint, _, start = item.entry.name.partition(CRASH_SEPARATOR)
             if start:
                 crashes = found.setdefault(fingerprint, {})
