Log who ended an attempt and a cut answer

What callers saw: closed connections in the middle of answers. In the logs, a time-out of the host's own, a reset by the upstream and an attempt that the watch ended all read as an exception's text, so who ended an answer could not be told. attempt_failed gets ended_by and silent_s; request_cut gets ended_by, the failed attempts, the silence and the time left; explain shows them with the changes of the configuration of the host that took the request.

No behaviour changed. Tests: platform/upstream.feature (who ended an attempt, with sockets), cli/explain.feature.

--- a/egretspur/cli/explain.py
+++ b/egretspur/cli/explain.py
@@ -3,7 +3,8 @@
 Reads the JSON lines that `egretspur.decisions` writes, from files or standard
 input, and prints in order of time which decisions were made for a request, from
 which data, and how the request ended. State changes of the upstreams on its
-path in that time are shown too, since one of them is usually the cause.
+path and of its host in that time are shown too, since one of them is usually
+the cause.
 """
 
 from __future__ import annotations
@@ -34,6 +35,17 @@
 )
 
 
+# Log events of planned work at a host.
+_HOST_CHANGES: Final = tuple(
+    decisions.make_event_name(c.__name__)
+    for c in (
+        decisions.ConfigurationApplied,
+        decisions.Reloaded,
+        decisions.Stopping,
+    )
+)
+
+
 @attrs.frozen
 class Line:
     """One line of a log."""
@@ -51,7 +63,7 @@
 
     request: str
     lines: list[Line] = attrs.Factory(list)
-    # Changes of the upstreams it was sent to.
+    # Changes of the upstreams it was sent to, and of its last host.
     changes: list[Line] = attrs.Factory(list)
     # Other ids under which the same request was sent, oldest first.
     other_ids: list[str] = attrs.Factory(list)
@@ -111,10 +123,15 @@
         (
             n
             for n in lines
-            if n.fields.get("upstream") in upstreams
+            if first_s <= n.time_s <= last_s
             and "request" not in n.fields
-            and n.fields.get("state") != "listed"
-            and first_s <= n.time_s <= last_s
+            and (
+                _is_host_change(n, last.process)
+                or (
+                    n.fields.get("upstream") in upstreams
+                    and n.fields.get("state") != "listed"
+                )
+            )
         ),
         key=lambda n: n.time_s,
     )
@@ -138,7 +155,7 @@
     if trace.other_ids:
         texts.append(f"the same request came as: {', '.join(trace.other_ids)}")
     if trace.changes:
-        texts.append("(* a change of an upstream on its path)")
+        texts.append("(* a change of an upstream on its path, or of its host)")
     if len(hosts) > 1:
         texts.append("(times are of several hosts' clocks and may be apart)")
     return texts
@@ -161,7 +178,7 @@
             f" {fields['reason']}"
         )
     if last.event == "request_cut":
-        return f"cut after {fields['events']} events: {fields['reason']}"
+        return _describe_cut(fields)
     return (
         f"its caller left after {fields['total_s']} s, having"
         f" {fields['events']} events and waited {fields['silent_s']} s for"
@@ -169,6 +186,18 @@
     )
 
 
+def _describe_cut(fields: dict[str, Any]) -> str:
+    """Returns how an answer was cut, and who ended its last attempt."""
+    text = f"cut after {fields['events']} events: {fields['reason']}"
+    if "ended_by" not in fields:
+        return text
+    failed = "; ".join(fields["failed"]) or "none"
+    return (
+        f"{text}; its last attempt was ended by the {fields['ended_by']}, with"
+        f" {fields['left_s']} s of the caller's time left; attempts: {failed}"
+    )
+
+
 def _explain_missing_end(trace: Trace) -> str:
     """Returns why the logs have no line for the end of a request."""
     if trace.restarted_s is None:
@@ -224,6 +253,11 @@
     return [r for r in found if r != trace.request]
 
 
+def _is_host_change(line: Line, process: str) -> bool:
+    """Returns whether a line tells of planned work at a host."""
+    return line.process == process and line.event in _HOST_CHANGES
+
+
 def _find_upstreams(lines: Iterable[Line]) -> set[str]:
     found: set[str] = set()
     for line in lines:
--- a/egretspur/daemons/meters.py
+++ b/egretspur/daemons/meters.py
@@ -48,6 +48,7 @@
     "request_refused": "kind",
     "caller_returned": "is_early",
     "attempt_failed": "why",
+    "request_cut": "ended_by",
     "request_answered": "status",
     "upstream_changed": "state",
     "question_sent": "question",
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -141,6 +141,10 @@
     fingerprint: str
     # Whether the upstream had begun to answer: the head of its answer arrived.
     has_head: bool
+    # Who ended it: host, upstream, caller or network.
+    ended_by: str
+    # Seconds without bytes before its end.
+    silent_s: float
 
 
 @attrs.frozen
@@ -176,9 +180,18 @@
     """The answer ended early; the caller received a part of it."""
 
     request: str
+    # Why no further attempt followed.
     reason: str
     events: int
     total_s: float
+    # Who ended the last attempt that ran: host, upstream, caller or network.
+    ended_by: str
+    # Failed attempts, oldest first, at most `MAX_NAMED`: first upstream, how
+    # it failed, who ended it and the silence before.
+    failed: tuple[str, ...]
+    # Seconds since the last event, and those left of the caller's time.
+    silent_s: float
+    left_s: float
 
 
 @attrs.frozen
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -12,14 +12,14 @@
 import logging
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final, Protocol
 
 import attrs
 
 from egretspur import decisions, errors
 from egretspur.catalog import config
-from egretspur.delivery import answers, events, silence
+from egretspur.delivery import answers, ends, events, silence
 from egretspur.routing import desk, jobs, paces, paths
 
 _LOG: Final = logging.getLogger(__name__)
@@ -51,6 +51,7 @@
     why: jobs.FailureKind
     reason: str
     blamed: tuple[str, ...] = ()
+    ended_by: ends.EndedBy = ends.EndedBy.UPSTREAM
 
 
 class Answer(Protocol):
@@ -135,6 +136,24 @@
     body: bytes
 
 
+@attrs.frozen
+class _FailedAttempt:
+    """A failed attempt, for the log."""
+
+    upstream: str
+    why: jobs.FailureKind
+    ended_by: ends.EndedBy
+    # Seconds without bytes before its end.
+    silent_s: float
+
+    def describe(self) -> str:
+        """Returns it as the log has it."""
+        return (
+            f"{self.upstream} {self.why.value} by {self.ended_by.value} after"
+            f" {self.silent_s:.2f} s of silence"
+        )
+
+
 Write = Callable[[bytes], None]
 
 
@@ -183,11 +202,14 @@
         # The current attempt has delivered an event, and the time of the first.
         self.has_begun = False
         self.begun_s = 0.0
+        # First upstream of the current attempt.
+        self._upstream = ""
         # Smoothed seconds between two events.
         self.smoothed_gap_s = silence.INITIAL_GAP_S
-        # For the log: number of attempts, times of the first and the last
-        # event, and the longest gap between two.
+        # For the log: number of attempts, the failed ones, times of the first
+        # and the last event, and the longest gap between two.
         self._attempts = 0
+        self._failed: list[_FailedAttempt] = []
         # Events forwarded before the current attempt.
         self._count_before = 0
         self._first_event_s = 0.0
@@ -274,15 +296,25 @@
         now_s = time.monotonic()
         total_s = now_s - self.job.arrived_s
         count = self._merge.count
+        silent_s = now_s - (self._last_event_s or self.job.arrived_s)
         if self.is_caller_gone:
-            silent_s = now_s - (self._last_event_s or self.job.arrived_s)
             decisions.record(
                 decisions.RequestLeft(self.job.id, count, silent_s, total_s)
             )
         elif refusal is not None:
             decisions.record(
                 decisions.RequestCut(
-                    self.job.id, refusal.reason, count, total_s
+                    self.job.id,
+                    refusal.reason,
+                    count,
+                    total_s,
+                    _find_ender(self._failed).value,
+                    tuple(
+                        f.describe()
+                        for f in self._failed[-decisions.MAX_NAMED :]
+                    ),
+                    silent_s,
+                    self.job.deadline_s - now_s,
                 )
             )
         elif status:
@@ -318,6 +350,7 @@
 
     def _open(self, start: jobs.Start, after: str) -> Answer | AttemptFailure:
         self._attempts += 1
+        self._upstream = start.upstream.id
         self.parts = start.parts
         self.last_activity_s = self.started_s = time.monotonic()
         self.expected_first_s = start.expected_first_s
@@ -488,6 +521,13 @@
         blamed = failure.blamed or tuple(self.stalled)
         count = self._merge.count
         new_count = count - self._count_before
+        ended_by = failure.ended_by
+        if self.is_caller_gone:
+            ended_by = ends.EndedBy.CALLER
+        silent_s = time.monotonic() - self.last_activity_s
+        self._failed.append(
+            _FailedAttempt(self._upstream, failure.why, ended_by, silent_s)
+        )
         decisions.record(
             decisions.AttemptFailed(
                 self.job.id,
@@ -499,6 +539,8 @@
                 new_count,
                 self.job.fingerprint,
                 has_head,
+                ended_by.value,
+                silent_s,
             )
         )
         self._fut = self._desk.fail(
@@ -539,6 +581,14 @@
         """Stops watching a stream."""
 
 
+def _find_ender(failed: Sequence[_FailedAttempt]) -> ends.EndedBy:
+    """Returns who ended the last attempt that an upstream may have run."""
+    for attempt in reversed(failed):
+        if attempt.why in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
+            return attempt.ended_by
+    return ends.EndedBy.HOST
+
+
 def _resolve(fut: desk.DecisionFuture, refusal: errors.Refusal) -> None:
     try:
         if not fut.done():
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -21,7 +21,7 @@
 
 from egretspur import codec, decisions, signals, transport
 from egretspur.catalog import upstreams
-from egretspur.delivery import forward
+from egretspur.delivery import ends, forward
 from egretspur.platform import decode, names
 from egretspur.routing import jobs, paths
 from egretspur.tunnels import dialer
@@ -119,7 +119,9 @@
         except Exception as exc:  # of urllib3, the socket or http.client
             handle.close()
             return forward.AttemptFailure(
-                jobs.FailureKind.CUT, f"{start.upstream.id}: {exc!r}"
+                jobs.FailureKind.CUT,
+                f"{start.upstream.id}: {exc!r}",
+                ended_by=handle.find_ender(exc),
             )
         answer = read_signals(res.status, res.headers)
         if answer is not None:
@@ -208,6 +210,12 @@
             except OSError:
                 _LOG.debug("connection already closed by the upstream")
 
+    def find_ender(self, exc: Exception) -> ends.EndedBy:
+        """Returns who ended the connection, given the error of its reader."""
+        if self.is_aborted:
+            return ends.EndedBy.HOST
+        return ends.classify_error(exc)
+
     def close(self) -> None:
         """Closes the connection; to be called by the reading thread only."""
         with self._lock:
@@ -251,7 +259,11 @@
         try:
             data = self._res.read1(_MAX_READ_BYTES)
         except Exception as exc:  # of urllib3, the socket or http.client
-            return forward.AttemptFailure(jobs.FailureKind.CUT, repr(exc))
+            return forward.AttemptFailure(
+                jobs.FailureKind.CUT,
+                repr(exc),
+                ended_by=self._handle.find_ender(exc),
+            )
         if not data and not self._may_end:
             return forward.AttemptFailure(
                 jobs.FailureKind.CUT, "closed before the body"
--- a/tests/cli/explain.feature
+++ b/tests/cli/explain.feature
@@ -35,6 +35,22 @@
       | request_left    | events=2 silent_s=2 total_s=3          | its caller left after 3 s, having 2 events and waited 2 s for the next |
       | path_chosen     | upstream=e1 path=                      | not in these logs; the host may have been killed                       |
 
+  Scenario: Who cut an answer, beside a change of the configuration
+    # Guards against a cut of which the logs don't say who ended it.
+    Given the log of host "kl-1"
+      | at    | event                 | request | fields                               |
+      | 10.00 | request_admitted      | r1      | route=notes                          |
+      | 10.01 | path_chosen           | r1      | upstream=e1 path=e1:0-40             |
+      | 10.20 | configuration_applied |         | version=7 routes=3                   |
+      | 12.51 | request_cut           | r1      | reason=stop events=3 total_s=2.5 ended_by=host failed=e1 left_s=6.5 |
+    And the log of host "kl-2"
+      | at    | event                 | request | fields                               |
+      | 10.30 | configuration_applied |         | version=7 routes=3                   |
+    When request "r1" is explained
+    Then the story has 3 lines of request "r1" in order of time, from host "kl-1"
+    And it shows 1 change, of the configuration
+    And it ends with "cut after 3 events: stop; its last attempt was ended by the host, with 6.5 s of the caller's time left; attempts: e1"
+
   Scenario: The host is killed
     Given the log of host "kl-1"
       | at    | event            | request | fields           |
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -59,6 +59,28 @@
     When the request to a silent upstream is aborted after 0.2 s
     Then it is taken as "cut" within 1 s
 
+  Scenario Outline: Who ended an attempt
+    # Guards against logs in which a time-out of the host's own and a reset by
+    # the upstream read alike.
+    When an upstream answers with "<bytes>" and then <end>
+    Then it was ended by the "<ender>"
+
+    Examples:
+      | bytes                                                                          | end    | ender    |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 9\n\nok | closes | upstream |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 9\n\nok | resets | upstream |
+      | HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\nContent-Length: 9\n\nok | waits  | host     |
+      |                                                                                | closes | upstream |
+      |                                                                                | waits  | host     |
+
+  Scenario: Who ended an attempt over a dead link
+    When a read fails since the other side acknowledges nothing
+    Then it was ended by the "network"
+
+  Scenario: Who ended an attempt that the host aborts
+    When the request to a silent upstream is aborted after 0.2 s
+    Then it was ended by the "host"
+
   Scenario Outline: A rate limit in a response
     # An invalid value must neither end the limit in force nor block all
     # requests.
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -194,6 +194,8 @@
         }
         if "path" in line:
             line["path"] = str(line["path"]).replace(",", " ")
+        if "failed" in line:
+            line["failed"] = [line["failed"]]
         if row["request"]:
             line["request"] = row["request"]
         context.log_texts.append(f"  {seconds} {host} {json.dumps(line)}")
@@ -225,12 +227,25 @@
     'the story has {count:d} lines of request "{request}"'
     " in order of time, from both hosts"
 )
-def step_story(context: Any, count: int, request: str) -> None:
+@then(
+    'the story has {count:d} lines of request "{request}"'
+    ' in order of time, from host "{host}"'
+)
+def step_story(
+    context: Any, count: int, request: str, host: str = "kl-1, kl-2"
+) -> None:
     lines = context.story.lines
     assert len(lines) == count, lines
     assert all(n.fields["request"] == request for n in lines)
     assert [n.time_s for n in lines] == sorted(n.time_s for n in lines)
-    assert context.told[0] == "request r1 on kl-1, kl-2"
+    assert context.told[0] == f"request r1 on {host}"
+
+
+@then("it shows {count:d} change, of the configuration")
+def step_configured(context: Any, count: int) -> None:
+    changes = [n for n in context.told if " s * " in n]
+    assert len(changes) == count, context.told
+    assert "configuration applied" in changes[0], context.told
 
 
 @then('it shows the change of "{shown}" and not the one of "{hidden}"')
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import io
 import socket
 import struct
@@ -10,10 +11,11 @@
 from typing import Any
 
 import attrs
+import urllib3
 from behave import then, when
 
 from egretspur import signals, web
-from egretspur.delivery import forward
+from egretspur.delivery import ends, forward
 from egretspur.platform import ingress, upstream
 from egretspur.routing import jobs, paths
 from tests import fleets
@@ -130,6 +132,26 @@
     context.took_s = time.monotonic() - context.began_s
 
 
+@when("a read fails since the other side acknowledges nothing")
+def step_unacknowledged(context: Any) -> None:
+    cause = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+    try:
+        try:
+            raise cause
+        except TimeoutError as exc:
+            # As urllib3 does with each time-out.
+            raise urllib3.exceptions.HTTPError("Read timed out.") from exc
+    except urllib3.exceptions.HTTPError as exc:
+        context.lost = forward.AttemptFailure(
+            jobs.FailureKind.CUT, "", ended_by=ends.classify_error(exc)
+        )
+
+
+@then('it was ended by the "{ender}"')
+def step_ender(context: Any, ender: str) -> None:
+    assert context.lost.ended_by.value == ender, context.lost
+
+
 @then('it is taken as "{outcome}"')
 def step_taken(context: Any, outcome: str) -> None:
     assert context.outcome_of.strip() == outcome, context.outcome_of
