--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -11,7 +11,8 @@
 ``limit``, ``rest_s`` and ``leaving`` (limit, backoff and drain that it requests
 in its answers; it refuses requests during a backoff), ``crash_on`` (the process
 exits when it starts a request whose body or prompt segments contain this text),
-``crash_after_head`` (it sends the head of the answer first).
+``crash_after_head`` (it sends the head of the answer first), ``halt_s`` (all
+streams pause for this long, counted from when the fault is set)).
 """
 
 from __future__ import annotations
@@ -51,6 +52,7 @@
             "leaving": False,
             "crash_on": "",
             "crash_after_head": False,
+            "halt_s": 0.0,
         }
         self.held: dict[str, int] | None = None
         self.orders = 0
@@ -111,6 +113,7 @@
         """Writes the events after the last one received by the caller."""
         faults = self._replica.faults
         sent = 0
+        has_halted = False
         try:
             for number in range(self._after + 1, faults["events"] + 1):
                 if sent == faults["cut_after"]:
@@ -119,6 +122,9 @@
                     raise ConnectionAbortedError("cut on request")
                 write(f"id: {number}\ndata: text {number}\n\n".encode())
                 sent += 1
+                if faults["halt_s"] and not has_halted:
+                    has_halted = True
+                    time.sleep(faults["halt_s"])
                 time.sleep(faults["pause_s"])
         except web.CallerDisconnected:
             self._replica.left += 1
