Don't end an attempt because its upstream is silent

What callers saw: answers cut in the middle although their engines went on a second later: 12 of 31 while half of the engines paused and the others refused, 18 of 30 while all paused (daemons/begun.feature, red before). Cause: the host's read time-out of stall_ms + 0.5 s, and 6 s before the head, ended the attempt; the one that followed was refused or ended the same way. Evidence: attempt_failed with ended_by host after 2.51 s of silence, twice, then "no attempts left" with 4.5 s of the caller's time left. Change: reads wait until the request's deadline. A connection that is lost without a word still shows within 2.5 s by TCP's own time-out and keep-alive probes, which the dialer sets, and a stage that stalls by the watch.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -128,11 +128,7 @@
         )
         self._intake = intake.Intake(
             self._desk,
-            upstream.UpstreamClient(
-                cfg.bounds.max_silence_s,
-                self._desk.note_signals,
-                self._dialer,
-            ),
+            upstream.UpstreamClient(self._desk.note_signals, self._dialer),
             self._watch,
             rng,
             names.RETRY_AFTER_DECIMALS,
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -49,6 +49,9 @@
 # have dropped the old one, and a dead engine must not be noticed much later.
 PEEK_REUSE_TIMEOUT_S: Final = 0.01
 
+# Timeout of a read or write whose deadline has passed.
+MIN_TIMEOUT_S: Final = 0.01
+
 _MAX_READ_BYTES: Final = 65536
 
 # Status of a response by another upstream than the intended one.
@@ -63,7 +66,6 @@
 
     def __init__(
         self,
-        idle_timeout_s: float,
         note_signals: signals.SignalsCallback = lambda upstream_id, answer: (
             None
         ),
@@ -71,15 +73,15 @@
     ) -> None:
         """Makes a client.
 
+        An upstream may be silent until the request's deadline: it may only be
+        slow. That its connection is lost shows by acknowledgements of TCP; see
+        `tunnels.dialer.connect`.
+
         Args:
-            idle_timeout_s: Longest silence within a stream. Stages hold work
-                that depends on a dead stage for a limited time and then report
-                it; after a longer silence the connection is dead.
             note_signals: Called with the signals in each response's head.
             own: Opens connections, also through other hosts; None to use this
                 host's own links only.
         """
-        self._idle_timeout_s = idle_timeout_s
         self._note_signals = note_signals
         self._dialer = own
 
@@ -104,7 +106,7 @@
         headers = _make_headers(call, job, start, resume_after, left_s)
         # urllib3 sets this on its socket before it sends and again before it
         # reads the head; a timeout set on the socket itself would be lost.
-        conn.timeout = max(0.01, min(left_s, _get_head_timeout_s(start)))
+        conn.timeout = max(MIN_TIMEOUT_S, left_s)
         try:
             with self._expecting_answer(start.upstream.address, link, handle):
                 conn.request(
@@ -130,7 +132,7 @@
         if lost is not None:
             handle.close()
             return lost
-        return UpstreamAnswer(res, handle, job.deadline_s, self._idle_timeout_s)
+        return UpstreamAnswer(res, handle, job.deadline_s)
 
     @contextlib.contextmanager
     def _expecting_answer(
@@ -232,10 +234,8 @@
         res: urllib3.BaseHTTPResponse,
         handle: _AbortableConnection,
         deadline_s: float,
-        idle_timeout_s: float,
     ) -> None:
         self._res = res
-        self._idle_timeout_s = idle_timeout_s
         self._handle = handle
         self._deadline_s = deadline_s
         # Whether the end of the connection is a valid end of the body. It is
@@ -255,7 +255,7 @@
     def read_some(self) -> bytes | forward.AttemptFailure:
         """Returns the next bytes; empty at the end of a complete body."""
         left_s = self._deadline_s - time.monotonic()
-        self._handle.set_timeout(max(0.01, min(left_s, self._idle_timeout_s)))
+        self._handle.set_timeout(max(MIN_TIMEOUT_S, left_s))
         try:
             data = self._res.read1(_MAX_READ_BYTES)
         except Exception as exc:  # of urllib3, the socket or http.client
@@ -290,13 +290,6 @@
     return signals.read(status, fields, names.LIMIT, names.LEAVING)
 
 
-def _get_head_timeout_s(start: jobs.Start) -> float:
-    """Returns the timeout for the response's head, in seconds."""
-    # A model's response begins with its first token, which may wait for a
-    # stalled stage and for other prompts.
-    return 6.0 if start.parts else 30.0
-
-
 def _make_headers(
     call: forward.Call,
     job: jobs.Job,
