Keep a begun answer until its deadline while it can't be resumed

Cause: a third refusal, an empty budget at that moment, or 0.7 of the caller's patience without a path were final, also for an answer that had begun. Change: such an answer waits in the queue until its deadline or its caller leaves. It takes its retry when it finds a path. After two attempts in a row that add nothing the next one is held back, 0.05 s doubling to 0.4 s, and others may start before it.

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -130,6 +130,7 @@
         self._release(ticket)
         ticket.is_begun |= failure.is_begun
         self._record_failure(ticket, upstream_id, failure, now_s)
+        ticket.fruitless = 0 if failure.has_output else ticket.fruitless + 1
         if failure.kind is jobs.FailureKind.CUT:
             cut = tickets.make_cut(
                 ticket, stages, failure.has_output, failure.has_head, now_s
@@ -139,6 +140,9 @@
         if refusal is not None:
             effects: list[jobs.Effect] = [self._end(ticket, now_s, refusal)]
         else:
+            if ticket.is_begun:
+                delay_s = retries.compute_resume_delay_s(ticket.fruitless)
+                ticket.postpone(delay_s, now_s)
             effects = self._admit(ticket, now_s)
         return effects + self._start_queued(now_s)
 
@@ -314,10 +318,13 @@
             return True
         if self.retry_budgets.spend(ticket.job.service, now_s):
             ticket.retry_taken_s = now_s
-        self._notes.append(
-            retries.make_budget_note(ticket, self.retry_budgets, now_s)
-        )
-        return ticket.retry_taken_s is not None
+        is_short = ticket.retry_taken_s is None
+        if not is_short or not ticket.is_shortage_noted:
+            self._notes.append(
+                retries.make_budget_note(ticket, self.retry_budgets, now_s)
+            )
+        ticket.is_shortage_noted = is_short
+        return not is_short
 
     def _return_retry(self, ticket: tickets.Ticket) -> None:
         """Returns a retry that was taken and not sent to the budget."""
@@ -469,8 +476,9 @@
         opening = self.fleet.backpressure.find_opening(service.name, now_s)
         # Requests to plain services wait only for rate limits. At a host that
         # reaches no upstream, only answers that have begun wait.
-        is_queued = (service.engine is not None or opening is not None) and (
-            ticket.is_begun or not self.fleet.is_cut_off()
+        is_queued = ticket.is_begun or (
+            (service.engine is not None or opening is not None)
+            and not self.fleet.is_cut_off()
         )
         effects: list[jobs.Effect] = []
         server = self._queue_server
@@ -602,20 +610,26 @@
     ) -> jobs.Start | None:
         """Starts a request if it has a path or a replica."""
         service = self._services.get(ticket.job.service)
-        if service is None:
+        if service is None or now_s < ticket.resume_from_s:
             return None
         refused = ticket.list_refused(now_s)
+        parts: tuple[paths.Part, ...] | None = ()
+        entry: upstreams.Upstream | None = None
         if service.engine is None:
-            replica = self.fleet.replicas.choose(
+            entry = self.fleet.replicas.choose(
                 service.name, ticket.failed, refused, now_s
             )
-            return self._start(ticket, replica, now_s) if replica else None
-        parts = self.search.find_path(
-            ticket.job, service.engine, ticket.failed, now_s, refused
-        )
-        if parts is None:
+        else:
+            parts = self.search.find_path(
+                ticket.job, service.engine, ticket.failed, now_s, refused
+            )
+            if parts:
+                entry = self.fleet.roster.entries[parts[0].id]
+        if entry is None or parts is None:
+            return None
+        if ticket.is_begun and not self._take_retry(ticket, now_s):
+            ticket.postpone(retries.BUDGET_DELAY_S, now_s)
             return None
-        entry = self.fleet.roster.entries[parts[0].id]
         ticket.parts = parts
         return self._start(ticket, entry, now_s)
 
@@ -723,7 +737,12 @@
         """Returns the final answer if the request may not be retried."""
         is_held = self._is_quarantined(ticket)
         final = retries.check(ticket, failure, is_held, now_s)
-        if final is None and not self._take_retry(ticket, now_s):
+        if (
+            final is None
+            # A begun answer takes its retry when it finds a path.
+            and not ticket.is_begun
+            and not self._take_retry(ticket, now_s)
+        ):
             final = retries.make_final(ticket, failure, "no retries left")
         if final is None:
             return None
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -1,8 +1,9 @@
 """Decides which failed requests may be retried, without the budget: pure.
 
 A request that may have run is retried only where that has no side effects, and
-never more often than its route allows. Read next:
-`egretspur.admission.repeats`.
+never more often than its route allows. An answer that its caller has begun to
+get is not given up before its deadline: it waits for an upstream that accepts
+it and for the budget. Read next: `egretspur.admission.repeats`.
 """
 
 from __future__ import annotations
@@ -19,6 +20,15 @@
 # Retries after upstreams refused a request without running it.
 MAX_REFUSALS: Final = 2
 
+# Delay before a begun answer is resumed once more after two attempts in a row
+# that added nothing to it; doubled after each further one, up to the maximum.
+# Each attempt uses up the retry budget, and its caller waits for seconds.
+RESUME_DELAY_S: Final = 0.05
+MAX_RESUME_DELAY_S: Final = 0.4
+
+# Delay before a begun answer looks for the retry budget again.
+BUDGET_DELAY_S: Final = 0.1
+
 
 @attrs.frozen
 class FinalError:
@@ -51,11 +61,22 @@
         return make_final(ticket, failure)
     if ticket.runs >= route.max_attempts:
         return make_final(ticket, failure, "no attempts left")
-    if ticket.refusals > MAX_REFUSALS:
+    if ticket.refusals > MAX_REFUSALS and not ticket.is_begun:
         return make_final(ticket, failure, "refused too often")
     return None
 
 
+def compute_resume_delay_s(fruitless: int) -> float:
+    """Returns the delay before a begun answer is resumed.
+
+    Args:
+        fruitless: Attempts in a row that added nothing to it.
+    """
+    if fruitless < 2:
+        return 0.0
+    return min(MAX_RESUME_DELAY_S, RESUME_DELAY_S * 2.0 ** (fruitless - 2))
+
+
 def make_final(
     ticket: tickets.Ticket, failure: jobs.Failure, why: str = ""
 ) -> FinalError:
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -34,11 +34,25 @@
     # When a retry was taken from the budget for its next attempt; None if it
     # holds none.
     retry_taken_s: float | None = None
+    # Attempts in a row that added nothing to a begun answer, and when the next
+    # one may start.
+    fruitless: int = 0
+    resume_from_s: float = 0.0
+    # Whether the log has a line on the empty budget for its next attempt.
+    is_shortage_noted: bool = False
 
     def list_refused(self, now_s: float) -> set[str]:
         """Returns the upstreams that it may not be sent to again yet."""
         return {i for i, t in self.refused.items() if now_s < t}
 
+    def is_held_back(self, now_s: float) -> bool:
+        """Returns whether others may start before it although it waits."""
+        return now_s < self.resume_from_s or bool(self.list_refused(now_s))
+
+    def postpone(self, delay_s: float, now_s: float) -> None:
+        """Holds its next attempt back."""
+        self.resume_from_s = now_s + delay_s
+
     def list_stages(self) -> tuple[str, ...]:
         """Returns the upstreams that run it, beginning with the first stage."""
         if not self.upstream_id:
--- a/egretspur/routing/waiting.py
+++ b/egretspur/routing/waiting.py
@@ -17,10 +17,6 @@
 # The rest is needed to process its prompt before the objective is missed.
 QUEUE_WAIT_FRACTION: Final = 0.7
 
-# Fraction of its route's `caller_silence_s` that an interrupted answer may wait
-# to be resumed. The rest is needed to process its text once more.
-RESUME_WAIT_FRACTION: Final = 0.7
-
 # Minimum interval between path searches for queued requests, unless this host
 # itself frees request memory. Reports and peer updates arrive some hundred
 # times a second, and each search takes milliseconds.
@@ -33,7 +29,8 @@
     hold_s = QUEUE_WAIT_FRACTION * job.route.objective_s
     due_s = job.arrived_s + hold_s
     if ticket.is_begun:
-        due_s = now_s + RESUME_WAIT_FRACTION * job.route.caller_silence_s
+        # Its caller decides how long to wait.
+        due_s = job.deadline_s
     elif ticket.runs or ticket.refusals:
         due_s = now_s + hold_s / 2
     return queues.Waiting(
@@ -85,7 +82,7 @@
     def has_waiting(self, service: str, now_s: float) -> bool:
         """Returns whether requests wait that could use free capacity."""
         return any(
-            w.graph == service and not self._tickets[w.id].list_refused(now_s)
+            w.graph == service and not self._tickets[w.id].is_held_back(now_s)
             for w in self._queue.waiting.values()
         )
 
@@ -126,8 +123,7 @@
 
         Args:
             stuck: Services to leave out, as they have no path, and ids of
-                requests that have none because upstreams refused them. More
-                are added.
+                requests that are held back. More are added.
             now_s: Monotonic time.
         """
         starts: list[jobs.Start] = []
@@ -148,7 +144,7 @@
                 start = self._try_start(ticket, now_s)
                 if start is None:
                     # Upstreams that refused this one may take others.
-                    is_held_back = bool(ticket.list_refused(now_s))
+                    is_held_back = ticket.is_held_back(now_s)
                     stuck.add(item.id if is_held_back else item.graph)
                     continue
                 queues.start(self._queue, item)
@@ -164,7 +160,11 @@
             waiting.values(), self._queue, now_s
         )
         items = queues.list_candidates(
-            self._queue, lambda item: item.id in yielding
+            self._queue,
+            lambda item: item.id in yielding or self._is_postponed(item, now_s),
         )
         services = {waiting[i].graph for i in yielding}
         return items, services - {i.graph for i in items}
+
+    def _is_postponed(self, item: queues.Waiting, now_s: float) -> bool:
+        return now_s < self._tickets[item.id].resume_from_s
--- /dev/null
+++ b/tests/routing/begun.feature
@@ -0,0 +1,37 @@
+Feature: Answers that have begun are given up only at their deadline
+
+  Scenario Outline: A begun answer is interrupted while <trouble>
+    # Guards against an answer that the host cuts at once though its caller
+    # would wait, and another attempt is possible a moment later.
+    Given an answer that has begun, with <trouble>
+    When its attempt is cut by the upstream
+    And 3 s go by while the trouble lasts
+    Then the answer is not given up
+    When the trouble ends
+    Then the answer is resumed within 0.5 s
+
+    Examples:
+      | trouble                                   |
+      | engines that refuse it                    |
+      | no retries left                           |
+      | no engine for its layers                  |
+
+  Scenario: A begun answer that waits does not hold others up
+    # Guards against a queue that stands still behind an answer that may not be
+    # resumed yet.
+    Given an answer that has begun, with no retries left
+    When its attempt is cut by the upstream
+    Then a new request starts at once
+
+  Scenario: A begun answer that is refused again and again
+    # Guards against a budget that one answer uses up.
+    Given an answer that has begun, with engines that refuse it
+    When its attempt is cut by the upstream
+    And 3 s go by while the trouble lasts
+    Then at most 14 retries are sent for it
+
+  Scenario: A begun answer at its deadline
+    Given an answer that has begun, with no engine for its layers
+    When its attempt is cut by the upstream
+    And 20 s go by while the trouble lasts
+    Then the answer is given up as one that may have run
