Move the messages of sending an attempt out of forward.py

No behaviour changed: Call, AttemptFailure, Answer, AttemptSender and AbortHandle stand in delivery/sending.py, so that what runs an attempt beside another one can use them without forward.py.

--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -10,7 +10,6 @@
 
 import concurrent.futures
 import logging
-import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final, Protocol
@@ -19,7 +18,7 @@
 
 from egretspur import decisions, errors
 from egretspur.catalog import config
-from egretspur.delivery import answers, ends, events, silence
+from egretspur.delivery import answers, ends, events, sending, silence
 from egretspur.routing import desk, jobs, paces, paths
 
 _LOG: Final = logging.getLogger(__name__)
@@ -29,104 +28,6 @@
 DEADLINE_MARGIN_S: Final = 0.05
 
 
-@attrs.frozen
-class Call:
-    """A caller's complete request, independent of the platform's format."""
-
-    id: str
-    method: str
-    # Path and query as the caller sent them.
-    target: str
-    # Headers to forward, without hop-by-hop headers and the API key.
-    headers: Mapping[str, str]
-    body: bytes
-    # Id of the event after which the caller resumes, as sent.
-    resume_after: str
-
-
-@attrs.frozen
-class AttemptFailure:
-    """An attempt that returned no answer or an incomplete one."""
-
-    why: jobs.FailureKind
-    reason: str
-    blamed: tuple[str, ...] = ()
-    ended_by: ends.EndedBy = ends.EndedBy.UPSTREAM
-
-
-class Answer(Protocol):
-    """An upstream's answer whose body has not been read."""
-
-    status: int
-    headers: Mapping[str, str]
-
-    def read_some(self) -> bytes | AttemptFailure:
-        """Blocks until bytes arrive and returns them; empty at the end."""
-
-    def abort(self) -> None:
-        """Ends the connection and wakes its reader; from any thread."""
-
-    def close(self) -> None:
-        """Closes the connection; from the reading thread only."""
-
-
-class AttemptSender(Protocol):
-    """Sends requests to upstreams."""
-
-    def open(
-        self,
-        call: Call,
-        job: jobs.Job,
-        start: jobs.Start,
-        resume_after: str,
-        abort: AbortHandle,
-    ) -> Answer | AttemptFailure:
-        """Sends a request and returns its answer, body unread."""
-
-
-class AbortHandle:
-    """Aborts a request's upstream connection from another thread."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._close: Callable[[], None] | None = None
-        self.is_aborted = False
-        # Host that passes the current connection's bytes on; empty for none.
-        self.helper = ""
-
-    def abort_all(self) -> None:
-        """Aborts the current connection and every later one."""
-        with self._lock:
-            self.is_aborted = True
-            close = self._close
-        if close is not None:
-            close()
-
-    def abort_current(self) -> None:
-        """Aborts the current connection only."""
-        with self._lock:
-            close = self._close
-        if close is not None:
-            close()
-
-    def set_closer(
-        self, close: Callable[[], None] | None, helper: str | None = None
-    ) -> None:
-        """Sets how to close the current connection; closes it if aborted.
-
-        Args:
-            close: Closes it; None if there is none.
-            helper: Host that passes its bytes on; None to keep what is set.
-        """
-        with self._lock:
-            self._close = close
-            if helper is not None:
-                self.helper = helper
-            should_close = self.is_aborted and close is not None
-        if should_close and close is not None:
-            close()
-
-
 @attrs.frozen
 class CompleteAnswer:
     """An answer with its complete body."""
@@ -166,10 +67,10 @@
 
     def __init__(
         self,
-        call: Call,
+        call: sending.Call,
         job: jobs.Job,
         to: desk.Desk,
-        sender: AttemptSender,
+        sender: sending.AttemptSender,
         watch: Watch | None = None,
     ) -> None:
         self.call = call
@@ -177,10 +78,10 @@
         self._desk = to
         self._sender = sender
         self._watch = watch
-        self._abort = AbortHandle()
+        self._abort = sending.AbortHandle()
         self._fut: desk.DecisionFuture | None = None
         self._merge = events.EventMerge()
-        self._answer: Answer | None = None
+        self._answer: sending.Answer | None = None
         # An upstream's error response, returned to the caller if every later
         # attempt fails as well.
         self._error_answer: CompleteAnswer | None = None
@@ -238,7 +139,7 @@
         first = self.parts[0].address
         return reach.has_lost(first, self._abort.helper)
 
-    def begin(self) -> CompleteAnswer | Answer | errors.Refusal:
+    def begin(self) -> CompleteAnswer | sending.Answer | errors.Refusal:
         """Returns a complete answer, the start of a stream, or a refusal."""
         self._fut = self._desk.arrive(self.job)
         while True:
@@ -246,17 +147,19 @@
             if isinstance(decision, errors.Refusal):
                 return self._error_answer or decision
             opened = self._open(decision, self.call.resume_after)
-            res: CompleteAnswer | Answer | AttemptFailure = opened
-            if not isinstance(opened, AttemptFailure):
+            res: CompleteAnswer | sending.Answer | sending.AttemptFailure = (
+                opened
+            )
+            if not isinstance(opened, sending.AttemptFailure):
                 res = self._read_first(opened)
-            if not isinstance(res, AttemptFailure):
+            if not isinstance(res, sending.AttemptFailure):
                 return res
             self._end_attempt(res)
 
     def run(self, write: Write) -> errors.Refusal | None:
         """Forwards a stream; returns why it ended early, if it did."""
         write(self._first_events)
-        failure: AttemptFailure | None = None
+        failure: sending.AttemptFailure | None = None
         while True:
             if failure is None:
                 failure = self._forward_events(write)
@@ -275,7 +178,7 @@
             if self._merge.last_id is not None:
                 after = str(self._merge.last_id)
             res = self._resume(decision, after)
-            failure = res if isinstance(res, AttemptFailure) else None
+            failure = res if isinstance(res, sending.AttemptFailure) else None
 
     def close(self) -> None:
         """Ends the request and closes an open connection."""
@@ -348,7 +251,9 @@
     def _make_timeout(self, reason: str) -> errors.Refusal:
         return errors.Refusal(errors.ErrorKind.TIMED_OUT, reason)
 
-    def _open(self, start: jobs.Start, after: str) -> Answer | AttemptFailure:
+    def _open(
+        self, start: jobs.Start, after: str
+    ) -> sending.Answer | sending.AttemptFailure:
         self._attempts += 1
         self._upstream = start.upstream.id
         self.parts = start.parts
@@ -363,24 +268,26 @@
         if self._watch is not None and start.parts:
             self._watch.add(self)
         res = self._sender.open(self.call, self.job, start, after, self._abort)
-        if isinstance(res, AttemptFailure):
+        if isinstance(res, sending.AttemptFailure):
             return res
         self._answer = res
         self._abort.set_closer(res.abort)
         return res
 
-    def _resume(self, start: jobs.Start, after: str) -> Answer | AttemptFailure:
+    def _resume(
+        self, start: jobs.Start, after: str
+    ) -> sending.Answer | sending.AttemptFailure:
         """Opens an attempt that resumes an answer already begun."""
         res = self._open(start, after)
-        if isinstance(res, AttemptFailure):
+        if isinstance(res, sending.AttemptFailure):
             return res
         mode = self._classify(res, has_begun=True)
         if isinstance(mode, answers.Unusable):
-            return AttemptFailure(jobs.FailureKind.FAILED, mode.reason)
+            return sending.AttemptFailure(jobs.FailureKind.FAILED, mode.reason)
         return res
 
     def _classify(
-        self, answer: Answer, has_begun: bool
+        self, answer: sending.Answer, has_begun: bool
     ) -> answers.ForwardMode | answers.Unusable:
         fields = {n.lower(): v for n, v in answer.headers.items()}
         return answers.classify(
@@ -391,15 +298,15 @@
         )
 
     def _read_first(
-        self, answer: Answer
-    ) -> CompleteAnswer | Answer | AttemptFailure:
+        self, answer: sending.Answer
+    ) -> CompleteAnswer | sending.Answer | sending.AttemptFailure:
         """Reads a plain answer completely, or a stream's first event."""
         if (
             self._classify(answer, has_begun=False)
             is answers.ForwardMode.BUFFERED
         ):
             body = self._read_body(answer)
-            if isinstance(body, AttemptFailure):
+            if isinstance(body, sending.AttemptFailure):
                 return body
             complete = CompleteAnswer(answer.status, answer.headers, body)
             if answer.status == 200 or not self._may_retry(answer):
@@ -409,12 +316,12 @@
                 )
                 return complete
             self._error_answer = complete
-            return AttemptFailure(
+            return sending.AttemptFailure(
                 jobs.FailureKind.FAILED, f"status {answer.status}"
             )
         while not self._first_events:
             res = self._read_events(answer)
-            if isinstance(res, AttemptFailure):
+            if isinstance(res, sending.AttemptFailure):
                 return res
             if res is None:
                 break
@@ -423,18 +330,20 @@
         self._desk.tell(desk.AnswerStarted(self.job.id, is_empty=is_empty))
         return answer
 
-    def _may_retry(self, answer: Answer) -> bool:
+    def _may_retry(self, answer: sending.Answer) -> bool:
         """Returns whether a failed request may be sent to another upstream."""
         return (
             answer.status >= 500
             and self.job.route.kind is not config.RouteKind.NON_IDEMPOTENT
         )
 
-    def _read_body(self, answer: Answer) -> bytes | AttemptFailure:
+    def _read_body(
+        self, answer: sending.Answer
+    ) -> bytes | sending.AttemptFailure:
         chunks: list[bytes] = []
         while True:
             data = answer.read_some()
-            if isinstance(data, AttemptFailure):
+            if isinstance(data, sending.AttemptFailure):
                 return data
             if not data:
                 answer.close()
@@ -442,18 +351,20 @@
                 return b"".join(chunks)
             chunks.append(data)
 
-    def _read_events(self, answer: Answer) -> bytes | AttemptFailure | None:
+    def _read_events(
+        self, answer: sending.Answer
+    ) -> bytes | sending.AttemptFailure | None:
         """Returns the next complete events; None at the end of the answer."""
         while True:
             data = answer.read_some()
-            if isinstance(data, AttemptFailure):
+            if isinstance(data, sending.AttemptFailure):
                 return data
             self.last_activity_s = time.monotonic()
             if not data:
                 return self._check_end(answer)
             passed = self._merge.feed(data)
             if isinstance(passed, events.StreamFault):
-                return AttemptFailure(
+                return sending.AttemptFailure(
                     jobs.FailureKind.CUT, f"events: {passed.value}"
                 )
             if passed:
@@ -463,21 +374,25 @@
                 self._record_event()
                 return passed
 
-    def _check_end(self, answer: Answer) -> AttemptFailure | None:
+    def _check_end(
+        self, answer: sending.Answer
+    ) -> sending.AttemptFailure | None:
         """Returns why a stream that ended is incomplete; None if it is not."""
         fault = self._merge.fault
         if fault is not None:
-            return AttemptFailure(
+            return sending.AttemptFailure(
                 jobs.FailureKind.CUT, f"events: {fault.value}"
             )
         if self._merge.has_partial_event():
-            return AttemptFailure(jobs.FailureKind.CUT, "ended within an event")
+            return sending.AttemptFailure(
+                jobs.FailureKind.CUT, "ended within an event"
+            )
         before = self._count_before
         unusable = answers.check_end(
             answer.status, before > 0, self._merge.count > before
         )
         return (
-            AttemptFailure(jobs.FailureKind.FAILED, unusable.reason)
+            sending.AttemptFailure(jobs.FailureKind.FAILED, unusable.reason)
             if unusable
             else None
         )
@@ -495,13 +410,13 @@
                 self._desk.tell(desk.AnswerPaused(ids))
         self._last_event_s = now_s
 
-    def _forward_events(self, write: Write) -> AttemptFailure | None:
+    def _forward_events(self, write: Write) -> sending.AttemptFailure | None:
         """Forwards events until the answer ends; None if it is complete."""
         answer = self._answer
         assert answer is not None
         while True:
             res = self._read_events(answer)
-            if isinstance(res, AttemptFailure):
+            if isinstance(res, sending.AttemptFailure):
                 return res
             if res is None:
                 answer.close()
@@ -509,7 +424,7 @@
                 return None
             write(res)
 
-    def _end_attempt(self, failure: AttemptFailure) -> None:
+    def _end_attempt(self, failure: sending.AttemptFailure) -> None:
         """Closes a failed attempt and reports it to the broker."""
         if self._watch is not None:
             self._watch.remove(self)
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -17,7 +17,7 @@
 from egretspur import decisions, errors, web
 from egretspur.admission import fingerprint, room
 from egretspur.catalog import config
-from egretspur.delivery import forward
+from egretspur.delivery import forward, sending
 from egretspur.routing import desk, jobs
 
 # Retry-After of a host that has no configuration yet.
@@ -32,7 +32,7 @@
 class InboundRequest:
     """A caller's request as received."""
 
-    call: forward.Call
+    call: sending.Call
     host: str
     # Path without the query.
     path: str
@@ -59,7 +59,7 @@
     def __init__(
         self,
         to: desk.Desk,
-        sender: forward.AttemptSender,
+        sender: sending.AttemptSender,
         watch: forward.Watch,
         rng: random.Random,
         retry_after_decimals: int = 0,
--- a/egretspur/platform/ingress.py
+++ b/egretspur/platform/ingress.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from egretspur import web
-from egretspur.delivery import forward, intake
+from egretspur.delivery import intake, sending
 from egretspur.platform import decode, names
 
 # Header fields not forwarded to upstreams: hop-by-hop fields, the key, and
@@ -36,7 +36,7 @@
     tokens = decode.decode_tokens(
         fields.get(names.TOKENS, ""), fields.get(names.LENGTH_ESTIMATE, "")
     )
-    call = forward.Call(
+    call = sending.Call(
         # Upstreams require an id, so a request without one gets a new one.
         id=fields.get(names.REQUEST_ID) or uuid.uuid4().hex[:16],
         method=req.method,
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -21,7 +21,7 @@
 
 from egretspur import codec, decisions, signals, transport
 from egretspur.catalog import upstreams
-from egretspur.delivery import ends, forward
+from egretspur.delivery import ends, sending
 from egretspur.platform import decode, names
 from egretspur.routing import jobs, paths
 from egretspur.tunnels import dialer
@@ -62,7 +62,7 @@
 
 
 class UpstreamClient:
-    """Sends callers' requests; see `forward.AttemptSender`."""
+    """Sends callers' requests; see `sending.AttemptSender`."""
 
     def __init__(
         self,
@@ -87,15 +87,15 @@
 
     def open(
         self,
-        call: forward.Call,
+        call: sending.Call,
         job: jobs.Job,
         start: jobs.Start,
         resume_after: str,
-        abort: forward.AbortHandle,
-    ) -> UpstreamAnswer | forward.AttemptFailure:
+        abort: sending.AbortHandle,
+    ) -> UpstreamAnswer | sending.AttemptFailure:
         """Sends a request and returns its response, body unread."""
         link = self._connect(job, start)
-        if isinstance(link, forward.AttemptFailure):
+        if isinstance(link, sending.AttemptFailure):
             return link
         host, port = transport.split_address(start.upstream.address)
         conn = urllib3.connection.HTTPConnection(host, port)
@@ -120,7 +120,7 @@
                 res = conn.getresponse()
         except Exception as exc:  # of urllib3, the socket or http.client
             handle.close()
-            return forward.AttemptFailure(
+            return sending.AttemptFailure(
                 jobs.FailureKind.CUT,
                 f"{start.upstream.id}: {exc!r}",
                 ended_by=handle.find_ender(exc),
@@ -160,7 +160,7 @@
 
     def _connect(
         self, job: jobs.Job, start: jobs.Start
-    ) -> dialer.Connection | forward.AttemptFailure:
+    ) -> dialer.Connection | sending.AttemptFailure:
         """Returns a connection to an upstream, or why there is none."""
         address = start.upstream.address
         try:
@@ -171,7 +171,7 @@
             else:
                 link = self._dialer.open(address, CONNECT_TIMEOUT_S)
         except OSError as exc:
-            return forward.AttemptFailure(
+            return sending.AttemptFailure(
                 jobs.FailureKind.UNREACHABLE, f"{address}: {exc!r}"
             )
         if link.helper:
@@ -227,7 +227,7 @@
 
 
 class UpstreamAnswer:
-    """A response whose body is being read; see `forward.Answer`."""
+    """A response whose body is being read; see `sending.Answer`."""
 
     def __init__(
         self,
@@ -252,20 +252,20 @@
             if name.lower() not in names.CONNECTION_FIELDS
         }
 
-    def read_some(self) -> bytes | forward.AttemptFailure:
+    def read_some(self) -> bytes | sending.AttemptFailure:
         """Returns the next bytes; empty at the end of a complete body."""
         left_s = self._deadline_s - time.monotonic()
         self._handle.set_timeout(max(MIN_TIMEOUT_S, left_s))
         try:
             data = self._res.read1(_MAX_READ_BYTES)
         except Exception as exc:  # of urllib3, the socket or http.client
-            return forward.AttemptFailure(
+            return sending.AttemptFailure(
                 jobs.FailureKind.CUT,
                 repr(exc),
                 ended_by=self._handle.find_ender(exc),
             )
         if not data and not self._may_end:
-            return forward.AttemptFailure(
+            return sending.AttemptFailure(
                 jobs.FailureKind.CUT, "closed before the body"
             )
         self._may_end = True
@@ -291,7 +291,7 @@
 
 
 def _make_headers(
-    call: forward.Call,
+    call: sending.Call,
     job: jobs.Job,
     start: jobs.Start,
     resume_after: str,
@@ -317,31 +317,31 @@
 
 
 def _check_head(
-    call: forward.Call, start: jobs.Start, res: Any
-) -> forward.AttemptFailure | None:
+    call: sending.Call, start: jobs.Start, res: Any
+) -> sending.AttemptFailure | None:
     """Returns why a response can't be forwarded; None if it can."""
     upstream_id = start.upstream.id
     if res.status == MISDIRECTED_STATUS:
         blamed = _find_faulty_stages(start, res) or (upstream_id,)
-        return forward.AttemptFailure(
+        return sending.AttemptFailure(
             jobs.FailureKind.MISDIRECTED,
             f"{upstream_id}: another upstream has its address",
             blamed,
         )
     if res.headers.get(names.NOT_RUN):
-        return forward.AttemptFailure(
+        return sending.AttemptFailure(
             jobs.FailureKind.REFUSED,
             f"{upstream_id}: refused with status {res.status}",
             _find_faulty_stages(start, res),
         )
     if res.headers.get(names.REQUEST_ID) != call.id:
-        return forward.AttemptFailure(
+        return sending.AttemptFailure(
             jobs.FailureKind.CUT,
             f"{upstream_id}: response to another request",
             (upstream_id,),
         )
     if not res.headers.get(names.SIGNATURE):
-        return forward.AttemptFailure(
+        return sending.AttemptFailure(
             jobs.FailureKind.FAILED,
             f"{upstream_id}: status {res.status} without {names.SIGNATURE}",
             (upstream_id,),
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -14,7 +14,7 @@
 
 from egretspur import decisions, errors
 from egretspur.catalog import upstreams
-from egretspur.delivery import events, forward, watch
+from egretspur.delivery import events, forward, sending, watch
 from egretspur.routing import desk, jobs, paths
 from tests import fleets, stage
 from tests.steps import broker_steps
@@ -117,14 +117,14 @@
 class Script:
     """What one attempt does."""
 
-    pieces: list[bytes | forward.AttemptFailure | str]
+    pieces: list[bytes | sending.AttemptFailure | str]
     status: int = 200
     content_type: str = ""
 
 
 @attrs.define
 class FakeAnswer:
-    """An answer that follows a script; see `forward.Answer`."""
+    """An answer that follows a script; see `sending.Answer`."""
 
     script: Script
     status: int = 200
@@ -132,7 +132,7 @@
     closed: threading.Event = attrs.Factory(threading.Event)
     deadline_s: float = 0.0
 
-    def read_some(self) -> bytes | forward.AttemptFailure:
+    def read_some(self) -> bytes | sending.AttemptFailure:
         """Returns the next piece; waits where the script says so."""
         if not self.script.pieces:
             return b""
@@ -140,7 +140,7 @@
         if piece == "silence":
             left_s = max(0.0, self.deadline_s - time.monotonic())
             self.closed.wait(min(left_s, 5.0))
-            return forward.AttemptFailure(
+            return sending.AttemptFailure(
                 jobs.FailureKind.CUT, "closed or silent"
             )
         assert not isinstance(piece, str)
@@ -157,7 +157,7 @@
 
 @attrs.define
 class FakeUpstreams:
-    """Attempts by script; see `forward.AttemptSender`."""
+    """Attempts by script; see `sending.AttemptSender`."""
 
     scripts: list[Script] = attrs.Factory(list)
     starts: list[jobs.Start] = attrs.Factory(list)
@@ -166,12 +166,12 @@
 
     def open(
         self,
-        call: forward.Call,
+        call: sending.Call,
         job: jobs.Job,
         start: jobs.Start,
         resume_after: str,
-        abort: forward.AbortHandle,
-    ) -> FakeAnswer | forward.AttemptFailure:
+        abort: sending.AbortHandle,
+    ) -> FakeAnswer | sending.AttemptFailure:
         """Begins the next attempt."""
         self.starts.append(start)
         self.afters.append(resume_after)
@@ -252,7 +252,7 @@
 @given("the {place} attempt is cut after events {numbers}")
 def step_cut(context: Any, place: str, numbers: str) -> None:
     pieces: list[Any] = [make_event(i) for i in parse_numbers(numbers)]
-    pieces.append(forward.AttemptFailure(jobs.FailureKind.CUT, "reset"))
+    pieces.append(sending.AttemptFailure(jobs.FailureKind.CUT, "reset"))
     context.play.sends.scripts.append(Script(pieces))
 
 
@@ -331,7 +331,7 @@
     job = attrs.evolve(
         fleets.make_job("r", kind, now_s=now_s), deadline_s=now_s + live_s
     )
-    call = forward.Call("r", "POST", "/x/", {}, b"", "")
+    call = sending.Call("r", "POST", "/x/", {}, b"", "")
     play = context.play
     return forward.Forwarder(call, job, play.desk, play.sends, play.watch)
 
@@ -453,7 +453,7 @@
     whole = b"".join(make_event(n) for n in numbers)
     cut = whole[: rng.randint(0, len(whole))]
     gap = b"".join(make_event(n) for n in numbers if n != after + 2)
-    lost = forward.AttemptFailure(jobs.FailureKind.CUT, "reset")
+    lost = sending.AttemptFailure(jobs.FailureKind.CUT, "reset")
     drawn: list[Script] = [
         Script([whole], 200, "text/event-stream"),
         Script([cut, lost], 200, "text/event-stream"),
@@ -478,12 +478,12 @@
 
     def open(
         self,
-        call: forward.Call,
+        call: sending.Call,
         job: jobs.Job,
         start: jobs.Start,
         resume_after: str,
-        abort: forward.AbortHandle,
-    ) -> FakeAnswer | forward.AttemptFailure:
+        abort: sending.AbortHandle,
+    ) -> FakeAnswer | sending.AttemptFailure:
         """Begins an attempt of any kind."""
         after = int(resume_after or 0)
         self.scripts = [draw_script(self._rng, after, self._count)]
@@ -497,7 +497,7 @@
         rng = random.Random(seed)
         count = rng.randint(1, 6)
         job = fleets.make_job("r", now_s=time.monotonic())
-        call = forward.Call("r", "POST", "/x/", {}, b"", "")
+        call = sending.Call("r", "POST", "/x/", {}, b"", "")
         sends = DrawnUpstreams(rng, count)
         run = forward.Forwarder(call, job, EagerDesk(4), sends)
         written: list[bytes] = []
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -15,12 +15,12 @@
 from behave import then, when
 
 from egretspur import signals, web
-from egretspur.delivery import ends, forward
+from egretspur.delivery import ends, sending
 from egretspur.platform import ingress, upstream
 from egretspur.routing import jobs, paths
 from tests import fleets
 
-CALL = forward.Call(
+CALL = sending.Call(
     "ID", "POST", "/x/a%20b?q=1", {"X-Own": "kept"}, b"body", ""
 )
 
@@ -67,7 +67,7 @@
 def send(
     context: Any,
     address: str,
-    call: forward.Call = CALL,
+    call: sending.Call = CALL,
     priority: int = 1,
     is_engine: bool = True,
 ) -> None:
@@ -81,16 +81,16 @@
         priority=priority,
     )
     start = jobs.Start("ID", entry, parts if is_engine else ())
-    context.leaving = forward.AbortHandle()
+    context.leaving = sending.AbortHandle()
     context.outcome_of = None
     context.backpressure = []
     answer = upstream.UpstreamClient(
         lambda upstream_id, answer: context.backpressure.append(answer)
     ).open(call, job, start, "", context.leaving)
     body = b""
-    while not isinstance(answer, forward.AttemptFailure):
+    while not isinstance(answer, sending.AttemptFailure):
         data = answer.read_some()
-        if isinstance(data, forward.AttemptFailure):
+        if isinstance(data, sending.AttemptFailure):
             answer.close()
             answer = data
             break
@@ -142,7 +142,7 @@
             # As urllib3 does with each time-out.
             raise urllib3.exceptions.HTTPError("Read timed out.") from exc
     except urllib3.exceptions.HTTPError as exc:
-        context.lost = forward.AttemptFailure(
+        context.lost = sending.AttemptFailure(
             jobs.FailureKind.CUT, "", ended_by=ends.classify_error(exc)
         )
 
