--- /dev/null
+++ b/egretspur/routing/attempts.py
@@ -0,0 +1,191 @@
+"""State changes of requests by their attempts: starts, ends, retries; pure.
+
+`egretspur.routing.broker` decides when an attempt starts; what its start, end
+and failure change in the state of upstreams, the quarantine and the retry
+budget is here, for the attempt that answers the caller as well as for one
+that runs beside it (`egretspur.routing.handovers`). Read next:
+`egretspur.routing.occupancy` and `egretspur.routing.retries`.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from egretspur import decisions
+from egretspur.admission import repeats, throttle
+from egretspur.catalog import config, upstreams
+from egretspur.routing import crashes as crash_detector
+from egretspur.routing import (
+    fleet,
+    jobs,
+    links,
+    occupancy,
+    paths,
+    retries,
+    tickets,
+)
+
+# Minimum delay before a request is sent again to an upstream that refused it:
+# sooner, the upstream is still as full.
+REFUSAL_DELAY_S: Final = 0.1
+
+
+class Attempts:
+    """Attempts of one host's requests; see the module's docstring."""
+
+    def __init__(
+        self,
+        state: fleet.Fleet,
+        limits: throttle.Throttle,
+        load: links.Links,
+        crashes: crash_detector.CrashDetector,
+        budgets: repeats.RetryBudgets,
+    ) -> None:
+        """Makes the state of no attempts.
+
+        Args:
+            state: Upstreams; their health follows failures.
+            limits: Rate limits of upstreams.
+            load: Load of the links between data centres.
+            crashes: Learns of attempts that were cut.
+            budgets: Retry budgets.
+        """
+        self.counts = jobs.Counts()
+        # Monotonic time at which the list of upstreams was last read.
+        self.list_read_s = 0.0
+        # Decisions to be logged; the broker clears them.
+        self.notes: list[decisions.Decision] = []
+        self.occupancy = occupancy.Occupancy(state, limits, load)
+        self._fleet = state
+        self._crashes = crashes
+        self._budgets = budgets
+
+    def start(
+        self,
+        ticket: tickets.Ticket,
+        attempt: tickets.Attempt,
+        entry: upstreams.Upstream,
+        spec: config.EngineSpec | None,
+        now_s: float,
+    ) -> jobs.Start:
+        """Records that an attempt is sent.
+
+        Args:
+            ticket: The request.
+            attempt: Its new attempt.
+            entry: First upstream of the attempt.
+            spec: Of the request's service; None for a plain one.
+            now_s: Monotonic time.
+        """
+        ticket.attempts += 1
+        if ticket.retry_taken_s is not None:
+            ticket.retry_taken_s = None
+            self.counts.repeats += 1
+        self.notes.append(self._describe_start(ticket, attempt, spec, now_s))
+        self.occupancy.add(ticket.job, attempt, spec, now_s)
+        self.counts.started += 1
+        first_s = 0.0
+        if spec is not None:
+            first_s = paths.estimate_first_event_s(
+                attempt.parts, ticket.job.tokens, spec
+            )
+        return jobs.Start(ticket.job.id, entry, attempt.parts, first_s)
+
+    def release(self, ticket: tickets.Ticket) -> tickets.Attempt | None:
+        """Ends the current attempt of a request; returns it."""
+        attempt, ticket.current = ticket.current, None
+        if attempt is not None:
+            self.occupancy.remove(ticket.job, attempt)
+        return attempt
+
+    def record_failure(
+        self,
+        ticket: tickets.Ticket,
+        attempt: tickets.Attempt | None,
+        failure: jobs.Failure,
+        now_s: float,
+    ) -> None:
+        """Records what a failed attempt shows of the upstreams."""
+        first_id = attempt.upstream_id if attempt else ""
+        if failure.kind is jobs.FailureKind.REFUSED:
+            ticket.refusals += 1
+        elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
+            ticket.runs += 1
+        is_cut = failure.kind is jobs.FailureKind.CUT
+        blamed = set(failure.blamed) or {first_id} - {""}
+        ticket.failed |= blamed
+        if failure.kind is jobs.FailureKind.REFUSED:
+            until_s = now_s + REFUSAL_DELAY_S
+            ticket.refused.update(dict.fromkeys(blamed, until_s))
+        for upstream_id in blamed:
+            self._record_blame(upstream_id, failure, now_s)
+        if is_cut:
+            cut = tickets.make_cut(
+                ticket,
+                attempt,
+                attempt.list_stages() if attempt else (),
+                failure.has_output,
+                failure.has_head,
+                now_s,
+            )
+            self._crashes.note_cut(cut, now_s)
+
+    def _record_blame(
+        self, upstream_id: str, failure: jobs.Failure, now_s: float
+    ) -> None:
+        """Records a failure of one upstream that may have caused it."""
+        is_cut = failure.kind is jobs.FailureKind.CUT
+        self._fleet.replicas.record_failure(upstream_id, is_cut, now_s)
+        if failure.kind is jobs.FailureKind.UNREACHABLE:
+            self._fleet.health.mark_down(
+                upstream_id, now_s, "a request found no connection"
+            )
+        elif is_cut:
+            self._fleet.health.record_fault(upstream_id, now_s)
+        elif failure.blamed:
+            # It may also be down; the probe finds out.
+            self._fleet.health.record_refusal(upstream_id, now_s)
+            self._fleet.health.record_fault(upstream_id, now_s, False)
+        elif failure.kind is jobs.FailureKind.FAILED:
+            self._fleet.record_error(upstream_id, now_s)
+
+    def take_retry(self, ticket: tickets.Ticket, now_s: float) -> bool:
+        """Takes a retry from the budget, unless the request holds one."""
+        if ticket.retry_taken_s is not None:
+            return True
+        if self._budgets.spend(ticket.job.service, now_s):
+            ticket.retry_taken_s = now_s
+        is_short = ticket.retry_taken_s is None
+        if not is_short or not ticket.is_shortage_noted:
+            self.notes.append(
+                retries.make_budget_note(ticket, self._budgets, now_s)
+            )
+        ticket.is_shortage_noted = is_short
+        return not is_short
+
+    def return_retry(self, ticket: tickets.Ticket) -> None:
+        """Returns a retry that was taken and not sent to the budget."""
+        if ticket.retry_taken_s is not None:
+            self._budgets.refund(ticket.job.service, ticket.retry_taken_s)
+            ticket.retry_taken_s = None
+
+    def _describe_start(
+        self,
+        ticket: tickets.Ticket,
+        attempt: tickets.Attempt,
+        spec: config.EngineSpec | None,
+        now_s: float,
+    ) -> decisions.PathChosen:
+        step_s, free = 0.0, 1.0
+        if spec is not None and attempt.parts:
+            step_s, free = self._fleet.describe_path(spec, attempt.parts, now_s)
+        return decisions.PathChosen(
+            ticket.job.id,
+            ticket.attempts,
+            attempt.upstream_id,
+            paths.format_path(attempt.parts),
+            step_s,
+            free,
+            now_s - self.list_read_s,
+            self._fleet.memory.count_peers(now_s),
+        )
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -19,11 +19,11 @@
 from egretspur.admission import repeats, segments, throttle, turns
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.routing import (
+    attempts,
     contention,
     crashes,
     jobs,
     links,
-    occupancy,
     paths,
     questions,
     refusals,
@@ -35,10 +35,6 @@
 from egretspur.routing import fleet as fleets
 from egretspur.tunnels import reach
 
-# Minimum delay before a request is sent again to an upstream that refused it:
-# sooner, the upstream is still as full.
-REFUSAL_DELAY_S: Final = 0.1
-
 # Maximum fraction by which a backoff exceeds what the upstream asked for.
 BACKOFF_JITTER: Final = 0.1
 
@@ -70,7 +66,6 @@
         self.turns = turns.Turns(data_centre, rng)
         self.quarantine = quarantines.Quarantine()
         self._crashes = crashes.CrashDetector(self.quarantine, self.fleet)
-        self.counts = jobs.Counts()
         self.tickets: dict[str, tickets.Ticket] = {}
         self._queue_server = waiting.QueueServer(
             self.queue,
@@ -88,23 +83,38 @@
             self.retry_budgets,
             self.turns.count_waiting,
         )
-        self._occupancy = occupancy.Occupancy(self.fleet, self.throttle, load)
+        self._attempts = attempts.Attempts(
+            self.fleet,
+            self.throttle,
+            load,
+            self._crashes,
+            self.retry_budgets,
+        )
         self.contention = contention.Contention(
             load, self.refusals.promises, self.turns, self.queue
         )
         self._rng = rng
         self._services: Mapping[str, config.Service] = {}
-        # Monotonic time at which the list of upstreams was last read.
-        self.list_read_s = 0.0
         # Decisions since the last `take_notes`, to be logged.
         self._notes: list[decisions.Decision] = []
 
+    @property
+    def counts(self) -> jobs.Counts:
+        """Totals since the process started."""
+        return self._attempts.counts
+
+    @property
+    def list_read_s(self) -> float:
+        """Monotonic time at which the list of upstreams was last read."""
+        return self._attempts.list_read_s
+
     def take_notes(self) -> list[decisions.Decision]:
         """Returns the decisions made since the last call, for the log."""
         sources = (
             self._notes,
             self.fleet.log_events,
             self._crashes.notes,
+            self._attempts.notes,
             self.refusals.notes,
         )
         notes = [n for source in sources for n in source]
@@ -129,9 +139,9 @@
         ticket = self.tickets.get(failure.id)
         if ticket is None:
             return []
-        attempt = self._release(ticket)
+        attempt = self._attempts.release(ticket)
         ticket.is_begun |= failure.is_begun
-        self._record_failure(ticket, attempt, failure, now_s)
+        self._attempts.record_failure(ticket, attempt, failure, now_s)
         ticket.fruitless = 0 if failure.has_output else ticket.fruitless + 1
         refusal = self._check_retry(ticket, failure, now_s)
         if refusal is not None:
@@ -162,8 +172,8 @@
         queues.remove(self.queue, job_id)
         if ticket.current is not None:
             queues.record_finish(self.queue, ticket.job.service, now_s)
-        self._release(ticket)
-        self._return_retry(ticket)
+        self._attempts.release(ticket)
+        self._attempts.return_retry(ticket)
         self.counts.finished += 1
         return self._start_queued(now_s)
 
@@ -286,11 +296,11 @@
         decision = self._find_reroute(
             ticket, spec, stalled, self._can_resume(ticket), now_s
         )
-        if decision.is_ended and not self._take_retry(ticket, now_s):
+        if decision.is_ended and not self._attempts.take_retry(ticket, now_s):
             decision = self._find_reroute(ticket, spec, stalled, False, now_s)
         if decision.parts is not None:
             ticket.current = attrs.evolve(attempt, parts=decision.parts)
-            self._occupancy.move(
+            self._attempts.occupancy.move(
                 ticket.job, attempt, ticket.current, spec, now_s
             )
         return decision
@@ -320,27 +330,9 @@
             return False
         if self._is_quarantined(ticket):
             return True
-        return self._can_resume(ticket) and self._take_retry(ticket, now_s)
-
-    def _take_retry(self, ticket: tickets.Ticket, now_s: float) -> bool:
-        """Takes a retry from the budget, unless the request holds one."""
-        if ticket.retry_taken_s is not None:
-            return True
-        if self.retry_budgets.spend(ticket.job.service, now_s):
-            ticket.retry_taken_s = now_s
-        is_short = ticket.retry_taken_s is None
-        if not is_short or not ticket.is_shortage_noted:
-            self._notes.append(
-                retries.make_budget_note(ticket, self.retry_budgets, now_s)
-            )
-        ticket.is_shortage_noted = is_short
-        return not is_short
-
-    def _return_retry(self, ticket: tickets.Ticket) -> None:
-        """Returns a retry that was taken and not sent to the budget."""
-        if ticket.retry_taken_s is not None:
-            self.retry_budgets.refund(ticket.job.service, ticket.retry_taken_s)
-            ticket.retry_taken_s = None
+        return self._can_resume(ticket) and self._attempts.take_retry(
+            ticket, now_s
+        )
 
     def restore_quarantine(
         self, ends: Mapping[str, quarantines.CrashWeights], now_s: float
@@ -377,7 +369,7 @@
         now_s: float,
     ) -> list[jobs.Effect]:
         """Replaces the list of upstreams; entries are keyed by name."""
-        self.list_read_s = now_s
+        self._attempts.list_read_s = now_s
         with self.fleet.recording_list_changes(now_s):
             upstreams.replace_entries(self.fleet.roster, entries, now_s)
         return self.refresh(now_s)
@@ -390,7 +382,7 @@
         now_s: float,
     ) -> list[jobs.Effect]:
         """Applies changes of the list of upstreams; None removes one."""
-        self.list_read_s = now_s
+        self._attempts.list_read_s = now_s
         with self.fleet.recording_list_changes(now_s):
             for name, entry in entries:
                 upstreams.apply_record(self.fleet.roster, name, entry, now_s)
@@ -637,106 +629,14 @@
                 entry = self.fleet.roster.entries[parts[0].id]
         if entry is None or parts is None:
             return None
-        if ticket.is_begun and not self._take_retry(ticket, now_s):
+        if ticket.is_begun and not self._attempts.take_retry(ticket, now_s):
             ticket.postpone(retries.BUDGET_DELAY_S, now_s)
             return None
         ticket.current = tickets.Attempt(entry.id, parts, now_s)
-        return self._start(ticket, ticket.current, entry, now_s)
-
-    def _start(
-        self,
-        ticket: tickets.Ticket,
-        attempt: tickets.Attempt,
-        entry: upstreams.Upstream,
-        now_s: float,
-    ) -> jobs.Start:
-        ticket.attempts += 1
-        if ticket.retry_taken_s is not None:
-            ticket.retry_taken_s = None
-            self.counts.repeats += 1
-        spec = self._get_spec(ticket.job.service)
-        self._notes.append(self._describe_start(ticket, attempt, spec, now_s))
-        self._occupancy.add(ticket.job, attempt, spec, now_s)
-        self.counts.started += 1
-        first_s = 0.0
-        if spec is not None:
-            first_s = paths.estimate_first_event_s(
-                attempt.parts, ticket.job.tokens, spec
-            )
-        return jobs.Start(ticket.job.id, entry, attempt.parts, first_s)
-
-    def _describe_start(
-        self,
-        ticket: tickets.Ticket,
-        attempt: tickets.Attempt,
-        spec: config.EngineSpec | None,
-        now_s: float,
-    ) -> decisions.PathChosen:
-        step_s, free = 0.0, 1.0
-        if spec is not None and attempt.parts:
-            step_s, free = self.fleet.describe_path(spec, attempt.parts, now_s)
-        return decisions.PathChosen(
-            ticket.job.id,
-            ticket.attempts,
-            attempt.upstream_id,
-            paths.format_path(attempt.parts),
-            step_s,
-            free,
-            now_s - self.list_read_s,
-            self.fleet.memory.count_peers(now_s),
+        return self._attempts.start(
+            ticket, ticket.current, entry, service.engine, now_s
         )
 
-    def _release(self, ticket: tickets.Ticket) -> tickets.Attempt | None:
-        """Ends the current attempt; returns it."""
-        attempt, ticket.current = ticket.current, None
-        if attempt is not None:
-            self._occupancy.remove(ticket.job, attempt)
-        return attempt
-
-    def _record_failure(
-        self,
-        ticket: tickets.Ticket,
-        attempt: tickets.Attempt | None,
-        failure: jobs.Failure,
-        now_s: float,
-    ) -> None:
-        """Records what a failed attempt shows of the upstreams."""
-        first_id = attempt.upstream_id if attempt else ""
-        if failure.kind is jobs.FailureKind.REFUSED:
-            ticket.refusals += 1
-        elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
-            ticket.runs += 1
-        is_cut = failure.kind is jobs.FailureKind.CUT
-        blamed = set(failure.blamed) or {first_id} - {""}
-        ticket.failed |= blamed
-        if failure.kind is jobs.FailureKind.REFUSED:
-            until_s = now_s + REFUSAL_DELAY_S
-            ticket.refused.update(dict.fromkeys(blamed, until_s))
-        for upstream_id in blamed:
-            self.fleet.replicas.record_failure(upstream_id, is_cut, now_s)
-            if failure.kind is jobs.FailureKind.UNREACHABLE:
-                self.fleet.health.mark_down(
-                    upstream_id, now_s, "a request found no connection"
-                )
-            elif is_cut:
-                self.fleet.health.record_fault(upstream_id, now_s)
-            elif failure.blamed:
-                # It may also be down; the probe finds out.
-                self.fleet.health.record_refusal(upstream_id, now_s)
-                self.fleet.health.record_fault(upstream_id, now_s, False)
-            elif failure.kind is jobs.FailureKind.FAILED:
-                self.fleet.record_error(upstream_id, now_s)
-        if is_cut:
-            cut = tickets.make_cut(
-                ticket,
-                attempt,
-                attempt.list_stages() if attempt else (),
-                failure.has_output,
-                failure.has_head,
-                now_s,
-            )
-            self._crashes.note_cut(cut, now_s)
-
     def _check_retry(
         self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
     ) -> errors.Refusal | None:
@@ -747,7 +647,7 @@
             final is None
             # A begun answer takes its retry when it finds a path.
             and not ticket.is_begun
-            and not self._take_retry(ticket, now_s)
+            and not self._attempts.take_retry(ticket, now_s)
         ):
             final = retries.make_final(ticket, failure, "no retries left")
         if final is None:
@@ -770,8 +670,8 @@
         """Ends a request with its final answer."""
         self.tickets.pop(ticket.job.id, None)
         queues.remove(self.queue, ticket.job.id)
-        self._release(ticket)
-        self._return_retry(ticket)
+        self._attempts.release(ticket)
+        self._attempts.return_retry(ticket)
         self.counts.refused += 1
         self._notes.append(
             decisions.RequestRefused(
--- a/tests/admission/contention.py
+++ b/tests/admission/contention.py
@@ -20,7 +20,15 @@
 from egretspur.admission import queue as queues
 from egretspur.admission import turns
 from egretspur.membership import exchange
-from egretspur.routing import broker, jobs, memory, probes, tickets, waiting
+from egretspur.routing import (
+    attempts,
+    broker,
+    jobs,
+    memory,
+    probes,
+    tickets,
+    waiting,
+)
 from tests import fleets
 
 # Objective of each priority, as the customers' routes have them.
@@ -175,7 +183,7 @@
         ):
             return None
         if self.running >= self.capacity:
-            ticket.refused[ENTRY.id] = self.now_s + broker.REFUSAL_DELAY_S
+            ticket.refused[ENTRY.id] = self.now_s + attempts.REFUSAL_DELAY_S
             return None
         host.running += 1
         self.running += 1
