Let another attempt take over from a silent one before that is ended

What callers saw: answers cut though their engine only stood still for a moment. The watch ended an attempt once its first engine gave no report for 0.5 s, its connection was believed lost, or another data centre seemed better; it asked for a retry of the budget, not for a path, room or an engine that accepts it. Cause: the old attempt was let go before the new one was sure. The users' record has this form: one run at a replica, then nothing. Change: once the caller has part of the answer, another attempt runs beside the silent one (delivery/handover.py, routing/handovers.py) over another first engine, within the route's attempts and the budget. It takes over with its first bytes; if the silent one goes on first, the other is dropped; if it is refused, nothing is lost; if the silent one breaks meanwhile, the other is the attempt. Only a lost connection may be replaced at the same first engine. A quarantined request whose answer has begun is no longer ended either. Silence of more than stall_ms + 0.5 s at an engine that answers reports starts such an attempt too. Evidence: delivery/forward.feature, 5 scenarios; silence.feature has one row more. Its row with retries "as usual" ended attempts although no other engine held the first layers, which is this fault: there is one now, and a row without one, where nothing is ended.

--- a/egretspur/bounds.py
+++ b/egretspur/bounds.py
@@ -40,10 +40,9 @@
 
     @property
     def max_silence_s(self) -> float:
-        """Longest silence of a stream whose connection may be alive.
+        """Longest silence of a stream whose upstream and connection are sound.
 
-        A stalled answer may still resume until the platform cuts it. If this
-        host ended it sooner, it could lose an answer that would have resumed.
+        The platform cuts stalled work by then, and the cut reaches this host.
         """
         return self.stall_s + CUT_DELAY_S
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -125,6 +125,7 @@
             enabled.silence,
             cfg.ip,
             self._dialer,
+            cfg.bounds.max_silence_s,
         )
         self._intake = intake.Intake(
             self._desk,
--- a/egretspur/delivery/answers.py
+++ b/egretspur/delivery/answers.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
@@ -55,6 +56,12 @@
     return Unusable(f"{media_type} instead of the remaining events")
 
 
+def get_content_type(headers: Mapping[str, str]) -> str:
+    """Returns an answer's Content-Type header; empty if it is missing."""
+    fields = {name.lower(): value for name, value in headers.items()}
+    return fields.get("content-type", "")
+
+
 def check_end(
     status: int, has_begun: bool, has_new_events: bool
 ) -> Unusable | None:
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -10,6 +10,7 @@
 
 import concurrent.futures
 import logging
+import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final, Protocol
@@ -18,7 +19,14 @@
 
 from egretspur import decisions, errors
 from egretspur.catalog import config
-from egretspur.delivery import answers, ends, events, sending, silence
+from egretspur.delivery import (
+    answers,
+    ends,
+    events,
+    handover,
+    sending,
+    silence,
+)
 from egretspur.routing import desk, jobs, paces, paths
 
 _LOG: Final = logging.getLogger(__name__)
@@ -55,6 +63,14 @@
         )
 
 
+@attrs.frozen
+class _TakenOver:
+    """An attempt that took over from a failed one."""
+
+    # How it failed before it brought anything; None if it did not.
+    failure: sending.AttemptFailure | None
+
+
 Write = Callable[[bytes], None]
 
 
@@ -79,6 +95,14 @@
         self._sender = sender
         self._watch = watch
         self._abort = sending.AbortHandle()
+        self._lock = threading.Lock()
+        # An attempt that runs beside a silent one, and whether it takes over;
+        # used under the lock.
+        self._handover: handover.Handover | None = None
+        self._is_handed_over = False
+        self._is_closed = False
+        # Bytes of the current attempt that were read before it took over.
+        self._unread = b""
         self._fut: desk.DecisionFuture | None = None
         self._merge = events.EventMerge()
         self._answer: sending.Answer | None = None
@@ -121,6 +145,7 @@
         """Ends the request after its caller disconnected; from any thread."""
         self.is_caller_gone = True
         self._abort.abort_all()
+        self._cancel_handover()
         fut = self._fut
         if fut is not None:
             _resolve(
@@ -130,10 +155,76 @@
                 ),
             )
 
+    @property
+    def is_delivering(self) -> bool:
+        """Whether the caller has received part of the answer."""
+        return self._merge.count > 0
+
     def interrupt(self) -> None:
-        """Ends the current attempt, so that another one resumes the answer."""
+        """Ends the current attempt, so that another one follows.
+
+        Only for answers that have not begun; see `hand_over`.
+        """
         self._abort.abort_current()
 
+    def hand_over(self, is_lost: bool = False) -> None:
+        """Runs another attempt beside the current one, which may be dead.
+
+        It takes over with its first bytes, unless the current one goes on
+        before.
+
+        Args:
+            is_lost: Whether the connection of the current one is lost.
+        """
+        with self._lock:
+            running = self._handover
+            if self._is_closed or (running and not running.ended.is_set()):
+                return
+            if self._is_handed_over:
+                return
+            count = self._merge.count
+            self._handover = handover.Handover(
+                self.call,
+                self.job,
+                self._desk,
+                self._sender,
+                self._get_resume_after(),
+                count,
+                is_lost,
+                lambda other: self._accept_handover(other, count),
+            )
+            self._handover.start()
+
+    def _accept_handover(self, other: handover.Handover, count: int) -> bool:
+        """Takes over an attempt unless the current one went on meanwhile.
+
+        Args:
+            other: The handover of the attempt.
+            count: Number of events delivered when it was sent.
+        """
+        with self._lock:
+            if self._is_closed or other is not self._handover:
+                return False
+            if self.is_caller_gone or self._merge.count != count:
+                return False
+            self._is_handed_over = True
+        # Wakes the thread that reads the current attempt.
+        self._abort.abort_current()
+        return True
+
+    def _cancel_handover(self) -> None:
+        """Ends an attempt that has not taken over."""
+        with self._lock:
+            other = None if self._is_handed_over else self._handover
+        if other is not None:
+            other.cancel()
+
+    def _get_resume_after(self) -> str:
+        """Returns the id of the last event that the caller has."""
+        if self._merge.last_id is None:
+            return self.call.resume_after
+        return str(self._merge.last_id)
+
     def has_lost_link(self, reach: Reach) -> bool:
         """Returns whether bytes of its connection no longer arrive."""
         first = self.parts[0].address
@@ -170,18 +261,57 @@
                 return errors.Refusal(
                     errors.ErrorKind.CALLER_GONE, "caller disconnected"
                 )
+            taken_over = self._take_over(failure)
+            if taken_over is not None:
+                failure = taken_over.failure
+                continue
             self._end_attempt(failure)
             decision = self._wait()
             if isinstance(decision, errors.Refusal):
                 return decision
-            after = self.call.resume_after
-            if self._merge.last_id is not None:
-                after = str(self._merge.last_id)
-            res = self._resume(decision, after)
+            res = self._resume(decision, self._get_resume_after())
             failure = res if isinstance(res, sending.AttemptFailure) else None
 
+    def _take_over(self, failure: sending.AttemptFailure) -> _TakenOver | None:
+        """Replaces a failed attempt by the one beside it.
+
+        Returns:
+            None if there is none.
+        """
+        with self._lock:
+            other, self._handover = self._handover, None
+            self._is_handed_over = False
+        start = other.adopt() if other else None
+        if other is None or start is None:
+            return None
+        self._desk.tell(desk.TakeOver(self._close_attempt(failure)))
+        self._begin_attempt(start)
+        # It may be silent as well, and be replaced in turn.
+        self._abort.set_closer(other.cancel, other.helper)
+        if not other.ended.wait(self.job.deadline_s - time.monotonic()):
+            other.cancel()
+            other.ended.wait()
+        if other.answer is None:
+            return _TakenOver(
+                other.failure
+                or sending.AttemptFailure(
+                    jobs.FailureKind.CUT,
+                    "ended by an error of this host",
+                    ended_by=ends.EndedBy.HOST,
+                )
+            )
+        self._answer = other.answer
+        self._abort.set_closer(other.answer.abort, other.helper)
+        self._unread = other.first_bytes
+        return _TakenOver(None)
+
     def close(self) -> None:
         """Ends the request and closes an open connection."""
+        with self._lock:
+            self._is_closed = True
+            other = self._handover
+        if other is not None:
+            other.close()
         if self._watch is not None:
             self._watch.remove(self)
         if self._answer is not None:
@@ -254,7 +384,17 @@
     def _open(
         self, start: jobs.Start, after: str
     ) -> sending.Answer | sending.AttemptFailure:
-        self._attempts += 1
+        self._begin_attempt(start)
+        res = self._sender.open(self.call, self.job, start, after, self._abort)
+        if isinstance(res, sending.AttemptFailure):
+            return res
+        self._answer = res
+        self._abort.set_closer(res.abort)
+        return res
+
+    def _begin_attempt(self, start: jobs.Start) -> None:
+        """Sets what is known of the current attempt."""
+        self._attempts = max(self._attempts + 1, start.number)
         self._upstream = start.upstream.id
         self.parts = start.parts
         self.last_activity_s = self.started_s = time.monotonic()
@@ -267,12 +407,6 @@
         # the first event, so a stage that is already dead delays both.
         if self._watch is not None and start.parts:
             self._watch.add(self)
-        res = self._sender.open(self.call, self.job, start, after, self._abort)
-        if isinstance(res, sending.AttemptFailure):
-            return res
-        self._answer = res
-        self._abort.set_closer(res.abort)
-        return res
 
     def _resume(
         self, start: jobs.Start, after: str
@@ -289,10 +423,9 @@
     def _classify(
         self, answer: sending.Answer, has_begun: bool
     ) -> answers.ForwardMode | answers.Unusable:
-        fields = {n.lower(): v for n, v in answer.headers.items()}
         return answers.classify(
             answer.status,
-            fields.get("content-type", ""),
+            answers.get_content_type(answer.headers),
             self.job.route.kind is config.RouteKind.STREAMING,
             has_begun,
         )
@@ -356,7 +489,9 @@
     ) -> bytes | sending.AttemptFailure | None:
         """Returns the next complete events; None at the end of the answer."""
         while True:
-            data = answer.read_some()
+            data: bytes | sending.AttemptFailure
+            data, self._unread = self._unread, b""
+            data = data or answer.read_some()
             if isinstance(data, sending.AttemptFailure):
                 return data
             self.last_activity_s = time.monotonic()
@@ -372,6 +507,8 @@
                     self.begun_s = self.last_activity_s
                 self.has_begun = True
                 self._record_event()
+                if self._handover is not None:
+                    self._cancel_handover()
                 return passed
 
     def _check_end(
@@ -426,6 +563,10 @@
 
     def _end_attempt(self, failure: sending.AttemptFailure) -> None:
         """Closes a failed attempt and reports it to the broker."""
+        self._fut = self._desk.fail(self._close_attempt(failure))
+
+    def _close_attempt(self, failure: sending.AttemptFailure) -> jobs.Failure:
+        """Closes and logs a failed attempt; returns its failure."""
         if self._watch is not None:
             self._watch.remove(self)
         has_head = self._answer is not None
@@ -458,16 +599,15 @@
                 silent_s,
             )
         )
-        self._fut = self._desk.fail(
-            jobs.Failure(
-                self.job.id,
-                failure.why,
-                failure.reason,
-                blamed,
-                count > 0,
-                new_count > 0,
-                has_head,
-            )
+        return jobs.Failure(
+            self.job.id,
+            failure.why,
+            failure.reason,
+            blamed,
+            count > 0,
+            new_count > 0,
+            has_head,
+            ended_by is ends.EndedBy.HOST,
         )
 
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -92,6 +92,7 @@
         checks_shared_silence: bool = True,
         host: str = "",
         reach: forward.Reach | None = None,
+        max_silence_s: float = math.inf,
     ) -> None:
         """Creates a watch; `start` starts its thread.
 
@@ -102,7 +103,10 @@
                 silent together or get no first event.
             host: This host's address as others know it.
             reach: Knows which connections are lost; None if nothing does.
+            max_silence_s: Silence after which a connection may be lost though
+                nothing shows it.
         """
+        self._max_silence_s = max_silence_s
         self._reach = reach
         self._desk = to
         self._checks_shared_silence = checks_shared_silence
@@ -234,7 +238,7 @@
             asked_s = self._lost_s.get(stream, -math.inf)
             if now_s - asked_s >= REPORT_INTERVAL_S:
                 self._lost_s[stream] = now_s
-                self._end_attempt(stream)
+                self._end_attempt(stream, is_lost=True)
         self._lost_s = {s: t for s, t in self._lost_s.items() if s in lost}
         return [s for s in streams if s not in lost]
 
@@ -512,16 +516,29 @@
             if stalled and self._reroute(stream, stalled):
                 continue
             silent_s = time.monotonic() - stream.last_activity_s
-            if silent_s > _get_abort_silence_s(stream) and stalled:
+            limit_s = self._max_silence_s
+            if stalled:
+                limit_s = _get_abort_silence_s(stream)
+            if silent_s > limit_s:
                 self._end_attempt(stream)
 
-    def _end_attempt(self, stream: forward.Forwarder) -> None:
-        """Ends a silent attempt if a retry is allowed.
+    def _end_attempt(
+        self, stream: forward.Forwarder, is_lost: bool = False
+    ) -> None:
+        """Replaces a silent attempt if a retry is allowed.
 
         Otherwise it continues: its engine may only be slow, and if it is dead
-        the platform cuts the answer itself.
+        the platform cuts the answer itself. For the same reason, the attempt
+        of an answer that has begun also continues until another one has
+        brought something.
+
+        Args:
+            stream: The stream.
+            is_lost: Whether the connection of its attempt is lost.
         """
-        if self._desk.reserve_retry(stream.job.id):
+        if stream.is_delivering:
+            stream.hand_over(is_lost)
+        elif self._desk.reserve_retry(stream.job.id):
             stream.interrupt()
 
     def _reroute(
@@ -538,7 +555,10 @@
             return now_s - rerouted_s < _get_abort_silence_s(stream)
         decision = self._desk.reroute(stream.job.id, stalled, stream.has_begun)
         if decision.is_ended:
-            stream.interrupt()
+            if stream.is_delivering:
+                stream.hand_over()
+            else:
+                stream.interrupt()
             return True
         if decision.parts is None:
             return False
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -89,7 +89,9 @@
             first_s = paths.estimate_first_event_s(
                 attempt.parts, ticket.job.tokens, spec
             )
-        return jobs.Start(ticket.job.id, entry, attempt.parts, first_s)
+        return jobs.Start(
+            ticket.job.id, entry, attempt.parts, first_s, ticket.attempts
+        )
 
     def release(self, ticket: tickets.Ticket) -> tickets.Attempt | None:
         """Ends the current attempt of a request; returns it."""
@@ -111,6 +113,7 @@
             ticket.refusals += 1
         elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
             ticket.runs += 1
+            ticket.ran.append(tickets.Run(first_id, failure.is_own))
         is_cut = failure.kind is jobs.FailureKind.CUT
         blamed = set(failure.blamed) or {first_id} - {""}
         ticket.failed |= blamed
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -22,6 +22,7 @@
     attempts,
     contention,
     crashes,
+    handovers,
     jobs,
     links,
     paths,
@@ -90,6 +91,9 @@
             self._crashes,
             self.retry_budgets,
         )
+        self._handovers = handovers.Handovers(
+            self.fleet, self.search, self._attempts
+        )
         self.contention = contention.Contention(
             load, self.refusals.promises, self.turns, self.queue
         )
@@ -140,6 +144,7 @@
         if ticket is None:
             return []
         attempt = self._attempts.release(ticket)
+        self._handovers.release(ticket)
         ticket.is_begun |= failure.is_begun
         self._attempts.record_failure(ticket, attempt, failure, now_s)
         ticket.fruitless = 0 if failure.has_output else ticket.fruitless + 1
@@ -174,6 +179,7 @@
             queues.record_finish(self.queue, ticket.job.service, now_s)
         self._attempts.release(ticket)
         self._attempts.return_retry(ticket)
+        self._handovers.release(ticket)
         self.counts.finished += 1
         return self._start_queued(now_s)
 
@@ -292,7 +298,9 @@
             now_s,
         )
         if self._is_quarantined(ticket):
-            return jobs.RerouteDecision(None, is_ended=True)
+            # An answer that has begun ends only with its attempt.
+            is_ended = not (has_output or ticket.is_begun)
+            return jobs.RerouteDecision(None, is_ended)
         decision = self._find_reroute(
             ticket, spec, stalled, self._can_resume(ticket), now_s
         )
@@ -334,6 +342,44 @@
             ticket, now_s
         )
 
+    def start_handover(
+        self, job_id: str, is_lost: bool, now_s: float
+    ) -> jobs.Start | None:
+        """Starts an attempt beside a silent one; see `handovers.Handovers`."""
+        ticket = self.tickets.get(job_id)
+        spec = self._get_spec(ticket.job.service) if ticket else None
+        if ticket is None or spec is None or self._is_quarantined(ticket):
+            return None
+        if not self._mechanisms.resuming:
+            return None
+        return self._handovers.start(ticket, spec, is_lost, now_s)
+
+    def drop_handover(
+        self, job_id: str, failure: jobs.Failure | None, now_s: float
+    ) -> list[jobs.Effect]:
+        """Ends the attempt beside a silent one.
+
+        Args:
+            job_id: The request.
+            failure: How it failed; None if the silent one went on first.
+            now_s: Monotonic time.
+        """
+        ticket = self.tickets.get(job_id)
+        if ticket is None:
+            return []
+        self._handovers.drop(ticket, failure, now_s)
+        return self._start_queued(now_s)
+
+    def take_over(
+        self, failure: jobs.Failure, now_s: float
+    ) -> list[jobs.Effect]:
+        """Replaces a silent attempt, which ended so, by the one beside it."""
+        ticket = self.tickets.get(failure.id)
+        if ticket is None:
+            return []
+        self._handovers.take_over(ticket, failure, now_s)
+        return self._start_queued(now_s)
+
     def restore_quarantine(
         self, ends: Mapping[str, quarantines.CrashWeights], now_s: float
     ) -> list[jobs.Effect]:
@@ -622,8 +668,16 @@
                 service.name, ticket.failed, refused, now_s
             )
         else:
+            choices = None
+            if ticket.is_begun:
+                choices = self._handovers.list_first_choices(ticket)
             parts = self.search.find_path(
-                ticket.job, service.engine, ticket.failed, now_s, refused
+                ticket.job,
+                service.engine,
+                ticket.failed,
+                now_s,
+                refused,
+                choices,
             )
             if parts:
                 entry = self.fleet.roster.entries[parts[0].id]
@@ -642,7 +696,9 @@
     ) -> errors.Refusal | None:
         """Returns the final answer if the request may not be retried."""
         is_held = self._is_quarantined(ticket)
-        final = retries.check(ticket, failure, is_held, now_s)
+        final = retries.check(
+            ticket, failure, is_held, self._is_exhausted(ticket, now_s), now_s
+        )
         if (
             final is None
             # A begun answer takes its retry when it finds a path.
@@ -654,6 +710,10 @@
             return None
         return self.refusals.make(ticket, final.kind, final.reason, now_s)
 
+    def _is_exhausted(self, ticket: tickets.Ticket, now_s: float) -> bool:
+        """Returns whether no attempts are left to a request by its route."""
+        return ticket.runs >= ticket.job.route.max_attempts
+
     def _refuse(
         self,
         ticket: tickets.Ticket,
@@ -671,6 +731,7 @@
         self.tickets.pop(ticket.job.id, None)
         queues.remove(self.queue, ticket.job.id)
         self._attempts.release(ticket)
+        self._handovers.release(ticket)
         self._attempts.return_retry(ticket)
         self.counts.refused += 1
         self._notes.append(
--- a/egretspur/routing/cards.py
+++ b/egretspur/routing/cards.py
@@ -51,6 +51,13 @@
         """Returns the engines of all data centres."""
         return self.list_in(self.data_centres)
 
+    def limit_first(self, ids: Container[str]) -> Candidates:
+        """Returns the candidates without other engines for the first layer."""
+        return Candidates(
+            self.data_centres,
+            lambda d: [c for c in self.get(d) if c.first or c.id in ids],
+        )
+
     def exclude(self, ids: Container[str]) -> Candidates:
         """Returns the candidates without the given engines."""
         if not ids:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -87,6 +87,32 @@
     id: str
 
 
+@attrs.frozen
+class StartHandover:
+    """Asks to start an attempt beside a silent one."""
+
+    id: str
+    # Whether the connection of the silent one is lost.
+    is_lost: bool
+
+
+@attrs.frozen
+class DropHandover:
+    """The attempt beside a silent one has ended."""
+
+    id: str
+    # None if the silent one went on first.
+    failure: jobs.Failure | None
+
+
+@attrs.frozen
+class TakeOver:
+    """The attempt beside a silent one replaces it."""
+
+    # How the silent one ended.
+    failure: jobs.Failure
+
+
 @attrs.frozen
 class Configure:
     """A new configuration."""
@@ -310,6 +336,26 @@
     def _(self, message: ReserveRetry) -> bool:
         return self._broker.reserve_retry(message.id, time.monotonic())
 
+    @handle.register
+    def _(self, message: StartHandover) -> jobs.Start | None:
+        return self._broker.start_handover(
+            message.id, message.is_lost, time.monotonic()
+        )
+
+    @handle.register
+    def _(self, message: DropHandover) -> None:
+        self._pending.resolve(
+            self._broker.drop_handover(
+                message.id, message.failure, time.monotonic()
+            )
+        )
+
+    @handle.register
+    def _(self, message: TakeOver) -> None:
+        self._pending.resolve(
+            self._broker.take_over(message.failure, time.monotonic())
+        )
+
     @handle.register
     def _(self, message: Configure) -> None:
         self._pending.resolve(
@@ -500,6 +546,13 @@
         is_reserved: bool = actors.ask(self._ref, ReserveRetry(job_id))
         return is_reserved
 
+    def start_handover(self, job_id: str, is_lost: bool) -> jobs.Start | None:
+        """Starts an attempt beside a silent one; None if none is possible."""
+        start: jobs.Start | None = actors.ask(
+            self._ref, StartHandover(job_id, is_lost)
+        )
+        return start
+
     def pause_unproductive(self, upstream_id: str) -> bool:
         """Pauses an unproductive engine; returns whether it was paused."""
         is_paused: bool = actors.ask(self._ref, EngineUnproductive(upstream_id))
--- /dev/null
+++ b/egretspur/routing/handovers.py
@@ -0,0 +1,162 @@
+"""Attempts that run beside a silent one, and replace it: pure.
+
+An upstream that is silent may only be slow, so its attempt is not ended once
+the caller has part of the answer. Another attempt runs beside it over another
+first upstream. It takes over when it has brought something; it is dropped if
+the silent one goes on first, and if it fails nothing is lost. Read next:
+`egretspur.delivery.handover`, which runs it.
+"""
+
+from __future__ import annotations
+
+from egretspur.admission import quarantine
+from egretspur.catalog import config
+from egretspur.routing import (
+    attempts,
+    fleet,
+    jobs,
+    retries,
+    search,
+    tickets,
+)
+
+_State = quarantine.UpstreamState
+
+
+class Handovers:
+    """Second attempts of one host's requests; see the module's docstring."""
+
+    def __init__(
+        self,
+        state: fleet.Fleet,
+        paths_search: search.Search,
+        own_attempts: attempts.Attempts,
+    ) -> None:
+        """Makes the state of no second attempts.
+
+        Args:
+            state: Upstreams.
+            paths_search: Finds paths.
+            own_attempts: Records starts, ends and failures.
+        """
+        self._fleet = state
+        self._search = paths_search
+        self._attempts = own_attempts
+
+    def start(
+        self,
+        ticket: tickets.Ticket,
+        spec: config.EngineSpec,
+        is_lost: bool,
+        now_s: float,
+    ) -> jobs.Start | None:
+        """Starts an attempt beside the current one, if one is allowed.
+
+        Args:
+            ticket: The request.
+            spec: Of its service.
+            is_lost: Whether the connection of the current one is lost.
+            now_s: Monotonic time.
+
+        Returns:
+            None if one runs already, no path has room, or none is left by the
+            route or the retry budget.
+        """
+        current = ticket.current
+        route = ticket.job.route
+        if current is None or ticket.next is not None:
+            return None
+        if not route.is_resumable or now_s < ticket.resume_from_s:
+            return None
+        choices = self.list_first_choices(ticket)
+        never = ticket.list_refused(now_s)
+        if not is_lost:
+            # It can't run two attempts under one id.
+            never.add(current.upstream_id)
+        parts = self._search.find_path(
+            ticket.job, spec, ticket.failed, now_s, never, choices
+        )
+        if parts is None:
+            return None
+        if not self._attempts.take_retry(ticket, now_s):
+            ticket.postpone(retries.BUDGET_DELAY_S, now_s)
+            return None
+        entry = self._fleet.roster.entries[parts[0].id]
+        ticket.next = tickets.Attempt(entry.id, parts, now_s)
+        return self._attempts.start(ticket, ticket.next, entry, spec, now_s)
+
+    def drop(
+        self,
+        ticket: tickets.Ticket,
+        failure: jobs.Failure | None,
+        now_s: float,
+    ) -> None:
+        """Ends the second attempt.
+
+        Args:
+            ticket: The request.
+            failure: How it failed; None if the current one went on first.
+            now_s: Monotonic time.
+        """
+        attempt = self.release(ticket)
+        if attempt is None:
+            return
+        if failure is None:
+            ticket.ran.append(tickets.Run(attempt.upstream_id, True))
+            return
+        self._attempts.record_failure(ticket, attempt, failure, now_s)
+
+    def take_over(
+        self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
+    ) -> None:
+        """Makes the second attempt the current one.
+
+        Args:
+            ticket: The request.
+            failure: How the attempt that it replaces ended.
+            now_s: Monotonic time.
+        """
+        ticket.is_begun = True
+        replaced = self._attempts.release(ticket)
+        self._attempts.record_failure(ticket, replaced, failure, now_s)
+        ticket.current, ticket.next = ticket.next, None
+        ticket.fruitless = 0
+
+    def release(self, ticket: tickets.Ticket) -> tickets.Attempt | None:
+        """Ends the second attempt of a request; returns it."""
+        attempt, ticket.next = ticket.next, None
+        if attempt is not None:
+            self._attempts.occupancy.remove(ticket.job, attempt)
+        return attempt
+
+    def list_first_choices(
+        self, ticket: tickets.Ticket
+    ) -> frozenset[str] | None:
+        """Returns the first upstreams that a begun answer may be sent to.
+
+        Its route limits the upstreams that run it. Those that are gone or
+        down by now don't count, and it may return to one that ran it.
+
+        Returns:
+            None if it may be sent to any.
+        """
+        used = {
+            r.upstream_id
+            for r in ticket.ran
+            if self._get_state(r.upstream_id) is not _State.CRASHED
+        }
+        if ticket.current is not None:
+            used.add(ticket.current.upstream_id)
+        if ticket.next is not None:
+            used.add(ticket.next.upstream_id)
+        if len(used) < ticket.job.route.max_attempts:
+            return None
+        return frozenset(used)
+
+    def _get_state(self, upstream_id: str) -> _State:
+        if upstream_id not in self._fleet.roster.entries:
+            return _State.CRASHED
+        failed = self._fleet.health.failed.get(upstream_id)
+        if failed is None:
+            return _State.ALIVE
+        return _State.CRASHED if failed.is_down else _State.UNKNOWN
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -64,6 +64,8 @@
     has_output: bool = False
     # Whether the head of an answer had arrived.
     has_head: bool = False
+    # Whether this host ended it.
+    is_own: bool = False
 
 
 @attrs.frozen
@@ -76,6 +78,8 @@
     parts: tuple[paths.Part, ...]
     # Expected seconds until the first event; 0 for plain services.
     expected_first_s: float = 0.0
+    # Counts the request's attempts, from 1.
+    number: int = 0
 
 
 @attrs.frozen
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -3,7 +3,8 @@
 A request that may have run is retried only where that has no side effects, and
 never more often than its route allows. An answer that its caller has begun to
 get is not given up before its deadline: it waits for an upstream that accepts
-it and for the budget. Read next: `egretspur.admission.repeats`.
+it and for the budget; `egretspur.routing.handovers` limits the upstreams that
+run it. Read next: `egretspur.admission.repeats`.
 """
 
 from __future__ import annotations
@@ -39,7 +40,11 @@
 
 
 def check(
-    ticket: tickets.Ticket, failure: jobs.Failure, is_held: bool, now_s: float
+    ticket: tickets.Ticket,
+    failure: jobs.Failure,
+    is_held: bool,
+    is_exhausted: bool,
+    now_s: float,
 ) -> FinalError | None:
     """Returns why a request may not be retried; None if it may.
 
@@ -47,6 +52,7 @@
         ticket: The request, with the failed attempt counted.
         failure: How the attempt failed.
         is_held: Whether the request is quarantined.
+        is_exhausted: Whether no attempts are left by its route.
         now_s: Monotonic time.
     """
     route = ticket.job.route
@@ -59,7 +65,7 @@
         )
     if ticket.runs and not _may_run_again(route):
         return make_final(ticket, failure)
-    if ticket.runs >= route.max_attempts:
+    if is_exhausted:
         return make_final(ticket, failure, "no attempts left")
     if ticket.refusals > MAX_REFUSALS and not ticket.is_begun:
         return make_final(ticket, failure, "refused too often")
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -75,6 +75,7 @@
         failed: Container[str],
         now_s: float,
         refused: Collection[str] = (),
+        first_choices: Collection[str] | None = None,
     ) -> tuple[paths.Part, ...] | None:
         """Finds a path, avoiding engines that failed the request if possible.
 
@@ -88,14 +89,17 @@
             failed: Engines that failed the request.
             now_s: Monotonic time.
             refused: Engines that just refused the request; never used.
+            first_choices: Engines that a path may begin with; None for any.
         """
         if self._has_just_failed(job, now_s):
             return None
         candidates = self.list_candidates(job, spec, now_s).exclude(refused)
+        if first_choices is not None:
+            candidates = candidates.limit_first(first_choices)
         parts = self.choose(job, spec, candidates.exclude(failed), now_s)
         if parts is None and failed:
             parts = self.choose(job, spec, candidates, now_s)
-        if parts is None and not refused:
+        if parts is None and not refused and first_choices is None:
             self._failed_searches[job.service] = _FailedSearch(
                 job.tokens,
                 now_s + NO_PATH_RETRY_DELAY_S,
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -30,6 +30,16 @@
         )
 
 
+@attrs.frozen
+class Run:
+    """An attempt that has ended and that an upstream may have run."""
+
+    # First upstream of its path.
+    upstream_id: str
+    # Whether this host ended it; otherwise the upstream or the network did.
+    is_own: bool
+
+
 @attrs.define
 class Ticket:
     """A request that this host has accepted."""
@@ -44,6 +54,9 @@
     is_begun: bool = False
     # The attempt whose events the caller gets; None if none is in flight.
     current: Attempt | None = None
+    # An attempt that runs beside it, to replace it; None if there is none.
+    next: Attempt | None = None
+    ran: list[Run] = attrs.Factory(list)
     # Upstreams where an attempt failed.
     failed: set[str] = attrs.Factory(set)
     # Upstreams that refused it, and until when it is not sent there again.
@@ -55,6 +68,9 @@
     # one may start.
     fruitless: int = 0
     resume_from_s: float = 0.0
+    # Time until which it waits to learn which of the upstreams that ended its
+    # attempts are alive; 0 if it does not.
+    verdict_by_s: float = 0.0
     # Whether the log has a line on the empty budget for its next attempt.
     is_shortage_noted: bool = False
 
--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -121,6 +121,42 @@
     Then the caller gets events 1 to 3 and a whole answer
     And the first engine gets no further attempts
 
+  Scenario: A silent engine goes on before another one brings anything
+    # Guards against an answer that is ended though its engine was only slow.
+    Given a watch, and an engine that pauses 1.5 s after event 1 of 3
+    And the second attempt brings nothing for 5 s
+    When a stream is asked for
+    Then the caller gets events 1 to 3 and a whole answer
+    And the second attempt's connection is closed
+
+  Scenario: A silent engine goes on after all others refused
+    # Guards against an answer that is ended before another engine accepts it.
+    Given a watch, and an engine that pauses 1.5 s after event 1 of 3
+    And every other attempt is refused
+    When a stream is asked for
+    Then the caller gets events 1 to 3 and a whole answer
+
+  Scenario: Another engine brings the rest before the silent one goes on
+    Given a watch, and an engine that pauses 5 s after event 1 of 3
+    And the second attempt sends events 2, 3 and the end
+    When a stream is asked for
+    Then the caller gets events 1 to 3 and a whole answer
+    And the first attempt is logged as ended by the host
+
+  Scenario: A silent attempt breaks while another one waits for its engine
+    Given a watch, and an engine that is cut 1 s after event 1
+    And the second attempt pauses 1 s before events 2 and 3
+    When a stream is asked for
+    Then the caller gets events 1 to 3 and a whole answer
+    And 2 attempts were made
+
+  Scenario: The caller leaves while two attempts run
+    # Guards against engines that work for disconnected callers.
+    Given a watch, and an engine that stops responding after event 1
+    And the second attempt brings nothing for 5 s
+    When a stream is asked for and the caller leaves after 1.2 s
+    Then the connections of 2 attempts are closed within 0.5 s
+
   @fuzz
   Scenario: Random sequences of attempts
     When attempts of all kinds follow each other
--- a/tests/delivery/silence.feature
+++ b/tests/delivery/silence.feature
@@ -32,18 +32,21 @@
     And the desk marks "a100-1" as down
 
   Scenario Outline: The first engine does not respond for a moment
-    # Guards against attempts that are ended while no retry is allowed: an
-    # engine that does not respond is no reason to end an answer early.
+    # Guards against attempts that are ended while no retry is allowed or no
+    # other path is there: an engine that does not respond is no reason to end
+    # an answer early.
     Given hosts that may repeat <repeats>
     And a watch over 6 streams on "a100-1" and 0 beside it
+    And <others> engine more for the first layers
     And the first engine answers no report request
     When the watch checks its streams 1200 ms after the last events
     Then <count> of the streams are ended
 
     Examples:
-      | repeats  | count |
-      | nothing  | 0     |
-      | as usual | 6     |
+      | repeats  | others | count |
+      | nothing  | 1      | 0     |
+      | as usual | 1      | 6     |
+      | as usual | 0      | 0     |
 
   Scenario: A host that gets no response from any engine
     # Guards against a host that pauses for a moment and reroutes all its
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -7,18 +7,21 @@
 import threading
 import time
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, Final
 
 import attrs
 from behave import given, then, when
 
 from egretspur import decisions, errors
 from egretspur.catalog import upstreams
-from egretspur.delivery import events, forward, sending, watch
+from egretspur.delivery import ends, events, forward, sending, watch
 from egretspur.routing import desk, jobs, paths
 from tests import fleets, stage
 from tests.steps import broker_steps
 
+# Interval of the desk's timers, in s.
+TICK_S: Final = 0.02
+
 
 def make_event(number: int) -> bytes:
     """Returns an event."""
@@ -117,9 +120,12 @@
 class Script:
     """What one attempt does."""
 
-    pieces: list[bytes | sending.AttemptFailure | str]
+    # Bytes, failures, pauses in seconds, or "silence".
+    pieces: list[bytes | sending.AttemptFailure | float | str]
     status: int = 200
     content_type: str = ""
+    # Why it is refused; None if it is not.
+    refusal: sending.AttemptFailure | None = None
 
 
 @attrs.define
@@ -138,11 +144,22 @@
             return b""
         piece = self.script.pieces.pop(0)
         if piece == "silence":
-            left_s = max(0.0, self.deadline_s - time.monotonic())
-            self.closed.wait(min(left_s, 5.0))
-            return sending.AttemptFailure(
-                jobs.FailureKind.CUT, "closed or silent"
+            piece = 5.0
+            self.script.pieces.insert(
+                0,
+                sending.AttemptFailure(
+                    jobs.FailureKind.CUT, "closed or silent"
+                ),
             )
+        if isinstance(piece, float):
+            left_s = max(0.0, self.deadline_s - time.monotonic())
+            if self.closed.wait(min(left_s, piece)):
+                return sending.AttemptFailure(
+                    jobs.FailureKind.CUT,
+                    "closed",
+                    ended_by=ends.EndedBy.HOST,
+                )
+            return self.read_some()
         assert not isinstance(piece, str)
         return piece
 
@@ -163,6 +180,8 @@
     starts: list[jobs.Start] = attrs.Factory(list)
     afters: list[str] = attrs.Factory(list)
     answers: list[FakeAnswer] = attrs.Factory(list)
+    # Each attempt after those by script.
+    later: Script = attrs.Factory(lambda: Script([]))
 
     def open(
         self,
@@ -175,7 +194,9 @@
         """Begins the next attempt."""
         self.starts.append(start)
         self.afters.append(resume_after)
-        script = self.scripts.pop(0)
+        script = self.scripts.pop(0) if self.scripts else self.later
+        if script.refusal is not None:
+            return script.refusal
         headers = {"X": "1"}
         if script.content_type:
             headers["Content-Type"] = script.content_type
@@ -230,9 +251,19 @@
     sends: FakeUpstreams = attrs.Factory(FakeUpstreams)
     engines: FakeEngines = attrs.Factory(FakeEngines)
     watch: watch.StreamWatch | None = None
+    closed: threading.Event = attrs.Factory(threading.Event)
+
+    def start(self) -> None:
+        """Starts to run the desk's timers, as a host does."""
+        threading.Thread(target=self._tick, daemon=True).start()
+
+    def _tick(self) -> None:
+        while not self.closed.wait(TICK_S):
+            self.desk.tick()
 
     def close(self) -> None:
         """Stops the threads."""
+        self.closed.set()
         if self.watch:
             self.watch.close()
         self.desk.close()
@@ -242,6 +273,7 @@
 def step_desk(context: Any) -> None:
     broker_steps.step_chain_plain(context)
     context.play = Play(desk.Desk(context.broker))
+    context.play.start()
 
 
 def parse_numbers(text: str) -> list[int]:
@@ -325,6 +357,87 @@
     upstreams.put_entry(context.broker.fleet.roster, twin, 0.0)
 
 
+def start_watch(context: Any) -> None:
+    """Starts a watch whose first engine does not respond, with a twin."""
+    play = context.play
+    play.engines.stalled = "dark"
+    play.watch = watch.StreamWatch(play.desk, play.engines)
+    play.watch.start()
+    for i in range(3):
+        twin = fleets.make_upstream(f"a100-twin{i}", "0-25")
+        upstreams.put_entry(context.broker.fleet.roster, twin, 0.0)
+
+
+@given(
+    "a watch, and an engine that pauses {seconds:g} s after event 1 of {last:d}"
+)
+def step_pauses(context: Any, seconds: float, last: int) -> None:
+    pieces: list[Any] = [make_event(1), seconds]
+    pieces += [make_event(i) for i in range(2, last + 1)]
+    context.play.sends.scripts.append(Script(pieces))
+    start_watch(context)
+
+
+@given("a watch, and an engine that is cut {seconds:g} s after event 1")
+def step_cut_later(context: Any, seconds: float) -> None:
+    lost = sending.AttemptFailure(jobs.FailureKind.CUT, "reset")
+    context.play.sends.scripts.append(Script([make_event(1), seconds, lost]))
+    start_watch(context)
+
+
+@given("the second attempt brings nothing for {seconds:g} s")
+def step_brings_nothing(context: Any, seconds: float) -> None:
+    context.play.sends.scripts.append(Script([float(seconds)]))
+
+
+@given("every other attempt is refused")
+def step_all_refused(context: Any) -> None:
+    refusal = sending.AttemptFailure(jobs.FailureKind.REFUSED, "full")
+    context.play.sends.later = Script([], refusal=refusal)
+
+
+@given("the second attempt pauses {seconds:g} s before events 2 and 3")
+def step_second_pauses(context: Any, seconds: float) -> None:
+    context.play.sends.scripts.append(
+        Script([float(seconds), make_event(2), make_event(3)])
+    )
+
+
+@given("the second attempt is cut {seconds:g} s later")
+def step_second_cut(context: Any, seconds: float) -> None:
+    lost = sending.AttemptFailure(jobs.FailureKind.CUT, "reset")
+    context.play.sends.scripts.append(Script([float(seconds), lost]))
+
+
+@then("the second attempt's connection is closed")
+def step_second_closed(context: Any) -> None:
+    assert len(context.play.sends.answers) == 2, context.play.sends.answers
+    assert context.play.sends.answers[1].closed.wait(1.0)
+
+
+@then("the connections of {count:d} attempts are closed within {seconds:g} s")
+def step_all_closed(context: Any, count: int, seconds: float) -> None:
+    answers = context.play.sends.answers
+    assert len(answers) == count, answers
+    assert all(a.closed.wait(seconds) for a in answers), answers
+
+
+@then("the first attempt is logged as ended by the host")
+def step_by_host(context: Any) -> None:
+    (line,) = [
+        f
+        for f in context.lines.fields
+        if f.get("event") == "attempt_failed" and f["attempt"] == 1
+    ]
+    assert line["ended_by"] == "host", line
+    assert context.play.sends.answers[0].closed.is_set()
+
+
+@then("{count:d} attempts were made")
+def step_count_attempts(context: Any, count: int) -> None:
+    assert len(context.play.sends.starts) == count, context.play.sends.starts
+
+
 def make_forward(context: Any, kind: str, live_s: float) -> forward.Forwarder:
     """Returns a request that arrives now."""
     now_s = time.monotonic()
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -52,7 +52,10 @@
     expected_first_s: float = 0.05
     smoothed_gap_s: float = 0.02
     stalled: set[str] = attrs.Factory(set)
+    # Its attempt was ended, or one runs beside it.
     is_ended: bool = False
+    # Starts an attempt beside it; see `desk.Desk.start_handover`.
+    start_beside: Any = None
 
     @property
     def call(self) -> Any:
@@ -63,6 +66,17 @@
         """Ends the attempt under way."""
         self.is_ended = True
 
+    @property
+    def is_delivering(self) -> bool:
+        """Whether its caller has part of the answer."""
+        return self.has_begun
+
+    def hand_over(self, is_lost: bool = False) -> None:
+        """Runs another attempt beside the one under way, if there may be."""
+        if not self.is_ended:
+            start = self.start_beside(self.job.id, is_lost)
+            self.is_ended = start is not None
+
     def has_lost_link(self, links: Any) -> bool:
         """Returns whether bytes of its connection no longer arrive."""
         return bool(links.is_lost(self.parts[0].address, ""))
@@ -111,7 +125,9 @@
             parts = (parts[0], twin, *parts[2:])
         # The streams beside the stage have just had an event.
         late_s = 0.065 if i >= count else 0.0
-        context.streams.append(Stream(job, parts, context.heard_s + late_s))
+        stream = Stream(job, parts, context.heard_s + late_s)
+        stream.start_beside = context.play.desk.start_handover
+        context.streams.append(stream)
         context.play.watch.add(context.streams[-1])
     context.on, context.beside = (
         context.streams[:count],
@@ -129,8 +145,9 @@
 def step_links_down(context: Any) -> None:
     context.links.are_down = True
     to = context.play.desk
-    context.reserve = mock.Mock(wraps=to.reserve_retry)
-    to.reserve_retry = context.reserve
+    context.reserve = mock.Mock(wraps=to.start_handover)
+    for stream in context.streams:
+        stream.start_beside = context.reserve
 
 
 @then("the host's own links are checked")
@@ -158,6 +175,14 @@
     context.play.engines.dead = {e.address for e in entries}
 
 
+@given("{count:d} engine more for the first layers")
+def step_more_first(context: Any, count: int) -> None:
+    roster = context.broker.fleet.roster
+    for i in range(count):
+        other = fleets.make_upstream(f"a100-more{i}", "0-25")
+        upstreams.put_entry(roster, other, 0.0)
+
+
 @given("the first engine answers no report request")
 def step_first_dark(context: Any) -> None:
     context.play.engines.stalled = "dark"
