Count only live upstreams that ended a begun answer's attempts

Cause: each attempt that had reached an engine counted against max_attempts, whether that engine was alive, gone, or the host itself had ended the attempt. Change: for a begun answer only attempts count that live upstreams ended. Where that is not known yet, the answer waits for the probes, 1 s at most. The number of replicas that run it is limited apart, by the first engines to choose from.

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -494,6 +494,7 @@
         effects: list[jobs.Effect] = []
         for item in queues.expire(self.queue, now_s):
             effects.append(self._refuse_expired(self.tickets[item.id], now_s))
+        effects += self._refuse_exhausted(now_s)
         return effects + self._start_queued(now_s)
 
     def is_busy(self) -> bool:
@@ -600,6 +601,30 @@
         refusal = self.refusals.make_rate_limited(ticket, opening, now_s)
         return self._end(ticket, now_s, refusal)
 
+    def _refuse_exhausted(self, now_s: float) -> list[jobs.Effect]:
+        """Ends begun answers whose upstreams are alive and ended them."""
+        waiting = [self.tickets[i] for i in self.queue.waiting]
+        return [
+            self._refuse(
+                t,
+                now_s,
+                errors.ErrorKind.UPSTREAM_FAILED,
+                "no attempts left; upstreams ended them",
+            )
+            for t in waiting
+            if t.verdict_by_s and self._is_exhausted(t, now_s)
+        ]
+
+    def _is_undecided(self, ticket: tickets.Ticket, now_s: float) -> bool:
+        """Returns whether a begun answer waits to learn who ended it."""
+        if not ticket.verdict_by_s:
+            return False
+        is_exhausted = self._is_exhausted(ticket, now_s)
+        if ticket.verdict_by_s or is_exhausted:
+            ticket.postpone(retries.VERDICT_DELAY_S, now_s)
+            return True
+        return False
+
     def _refuse_expired(
         self, ticket: tickets.Ticket, now_s: float
     ) -> questions.Refuse:
@@ -660,6 +685,8 @@
         service = self._services.get(ticket.job.service)
         if service is None or now_s < ticket.resume_from_s:
             return None
+        if ticket.is_begun and self._is_undecided(ticket, now_s):
+            return None
         refused = ticket.list_refused(now_s)
         parts: tuple[paths.Part, ...] | None = ()
         entry: upstreams.Upstream | None = None
@@ -712,6 +739,8 @@
 
     def _is_exhausted(self, ticket: tickets.Ticket, now_s: float) -> bool:
         """Returns whether no attempts are left to a request by its route."""
+        if ticket.is_begun:
+            return self._handovers.is_exhausted(ticket, now_s)
         return ticket.runs >= ticket.job.route.max_attempts
 
     def _refuse(
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from egretspur.admission import quarantine
 from egretspur.catalog import config
 from egretspur.routing import (
@@ -20,6 +22,9 @@
     tickets,
 )
 
+# Time in which probes show whether an upstream that ended an attempt is alive.
+VERDICT_WAIT_S: Final = 1.0
+
 _State = quarantine.UpstreamState
 
 
@@ -153,6 +158,25 @@
             return None
         return frozenset(used)
 
+    def is_exhausted(self, ticket: tickets.Ticket, now_s: float) -> bool:
+        """Returns whether upstreams ended as many attempts as its route allows.
+
+        Those that are gone or down by now don't count. Where that is not known
+        yet, a begun answer waits for the probes.
+        """
+        states = [
+            self._get_state(r.upstream_id) for r in ticket.ran if not r.is_own
+        ]
+        limit = ticket.job.route.max_attempts
+        if states.count(_State.ALIVE) >= limit:
+            return True
+        if len(states) - states.count(_State.CRASHED) < limit:
+            ticket.verdict_by_s = 0.0
+            return False
+        if not ticket.verdict_by_s:
+            ticket.verdict_by_s = now_s + VERDICT_WAIT_S
+        return now_s >= ticket.verdict_by_s
+
     def _get_state(self, upstream_id: str) -> _State:
         if upstream_id not in self._fleet.roster.entries:
             return _State.CRASHED
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -30,6 +30,9 @@
 # Delay before a begun answer looks for the retry budget again.
 BUDGET_DELAY_S: Final = 0.1
 
+# Delay before a begun answer looks again whether upstreams that ended it live.
+VERDICT_DELAY_S: Final = 0.05
+
 
 @attrs.frozen
 class FinalError:
--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -150,6 +150,13 @@
     Then the caller gets events 1 to 3 and a whole answer
     And 2 attempts were made
 
+  Scenario: Both a silent attempt and the one beside it break
+    Given a watch, and an engine that is cut 1 s after event 1
+    And the second attempt is cut 1 s later
+    And the third attempt sends events 2, 3 and the end
+    When a stream is asked for
+    Then the caller gets events 1 to 3 and a whole answer
+
   Scenario: The caller leaves while two attempts run
     # Guards against engines that work for disconnected callers.
     Given a watch, and an engine that stops responding after event 1
--- a/tests/routing/begun.feature
+++ b/tests/routing/begun.feature
@@ -35,3 +35,25 @@
     When its attempt is cut by the upstream
     And 20 s go by while the trouble lasts
     Then the answer is given up as one that may have run
+
+  Scenario Outline: An answer whose engines ended its attempts
+    # Guards against an answer given up since replicas that are gone by now, or
+    # refused it, count among its attempts.
+    Given an answer that has begun, with three engines for the first layers
+    When its attempt is cut by the upstream, and that engine <first>
+    And its next attempt is cut as well, and that engine <second>
+    Then the answer is <outcome>
+
+    Examples:
+      | first                 | second                | outcome                |
+      | is gone from the list | is gone from the list | resumed within 0.5 s   |
+      | is gone from the list | is found down         | resumed within 1.5 s   |
+      | is found down         | answers probes        | resumed within 0.5 s   |
+      | answers probes        | is found down         | resumed within 1.5 s   |
+      | answers probes        | answers probes        | given up within 1.5 s  |
+
+  Scenario: An attempt that this host ended counts as a replica that ran it
+    # Guards against more replicas than the route allows.
+    Given an answer that has begun, with three engines for the first layers
+    When this host ends its attempt, and the next one is cut by the upstream
+    Then the answer is resumed at one of the engines that ran it
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -8,7 +8,9 @@
 
 from egretspur import errors
 from egretspur.admission import repeats
+from egretspur.catalog import upstreams
 from egretspur.routing import jobs
+from tests import fleets
 from tests.steps import broker_steps
 
 NAME: Final = "r"
@@ -39,6 +41,10 @@
             return
         while budgets.spend("llm", now_s):
             pass
+    if context.trouble == "three engines for the first layers":
+        for i in range(2):
+            twin = fleets.make_upstream(f"a100-twin{i}", "0-25")
+            upstreams.put_entry(broker.fleet.roster, twin, now_s)
     if context.trouble == "no engine for its layers":
         sign = 1 if is_on else -1
         broker.fleet.memory.add("a100-1", sign, sign * 1e9)
@@ -74,9 +80,18 @@
             context.sent += 1
             fail(context, jobs.FailureKind.REFUSED, False)
         context.now_s += TICK_S
+        probe(context)
         broker_steps.take(context, context.broker.tick(context.now_s))
 
 
+def probe(context: Any) -> None:
+    """Probes the engines that are due, as far as their fate is told."""
+    state = context.broker.fleet
+    for entry in state.take_probes(context.now_s):
+        is_alive = getattr(context, "probed", {}).get(entry.id, True)
+        state.record_probe(entry.id, is_alive, 1.0, context.now_s)
+
+
 @when("{seconds:g} s go by while the trouble lasts")
 def step_lasts(context: Any, seconds: float) -> None:
     play(context, seconds)
@@ -114,3 +129,51 @@
 def step_given_up(context: Any) -> None:
     refusal = context.refused[NAME]
     assert not errors.ANSWERS[refusal.kind].not_run, refusal
+
+
+@when("its attempt is cut by the upstream, and that engine {fate}")
+@when("its next attempt is cut as well, and that engine {fate}")
+def step_cut_and(context: Any, fate: str) -> None:
+    engine = context.started.pop(NAME).upstream.id
+    fail(context, jobs.FailureKind.CUT, True)
+    meet_fate(context, engine, fate)
+    play(context, 0.5, until_started=True)
+
+
+def meet_fate(context: Any, engine: str, fate: str) -> None:
+    """Lets the host learn what became of an engine."""
+    state = context.broker.fleet
+    if fate == "is gone from the list":
+        upstreams.apply_record(state.roster, engine, None, context.now_s)
+        # A moment passes until a removed entry is given up.
+        play(context, 0.1)
+        state.roster.entries.pop(engine, None)
+    is_alive = fate == "answers probes"
+    context.probed = getattr(context, "probed", {}) | {engine: is_alive}
+
+
+@then("the answer is given up within {seconds:g} s")
+def step_over(context: Any, seconds: float) -> None:
+    play(context, seconds, until_started=True)
+    assert NAME in context.refused, context.started
+    assert "no attempts left" in context.refused[NAME].reason
+
+
+@when("this host ends its attempt, and the next one is cut by the upstream")
+def step_own_and_cut(context: Any) -> None:
+    start = context.started.pop(NAME)
+    context.engines = {start.upstream.id}
+    failure = jobs.Failure(
+        NAME, jobs.FailureKind.CUT, "test", is_begun=True, is_own=True
+    )
+    broker_steps.take(context, context.broker.fail(failure, context.now_s))
+    play(context, 0.5, until_started=True)
+    context.engines.add(context.started.pop(NAME).upstream.id)
+    assert len(context.engines) == 2, context.engines
+    fail(context, jobs.FailureKind.CUT, True)
+
+
+@then("the answer is resumed at one of the engines that ran it")
+def step_same_engines(context: Any) -> None:
+    play(context, 1.0, until_started=True)
+    assert context.started[NAME].upstream.id in context.engines
