Keep a dropped service known while its requests run

Cause: the broker knew the services of the newest configuration only, and the list of upstreams was reduced to them. Change: services stay known until the next configuration that finds none of their requests. New requests follow the newest configuration as before. Evidence: routing/begun.feature, both rows red on the code before.

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -403,10 +403,16 @@
     def configure(
         self, cfg: config.Configuration, now_s: float = 0.0
     ) -> list[jobs.Effect]:
-        """Applies a new configuration."""
-        self._services = cfg.services
+        """Applies a new configuration.
+
+        Services that it lacks stay known while requests for them run or wait:
+        these are still resumed and retried.
+        """
+        used = {t.job.service for t in self.tickets.values()}
+        kept = {n: s for n, s in self._services.items() if n in used}
+        self._services = {**kept, **cfg.services}
         with self.fleet.recording_list_changes(now_s):
-            upstreams.configure(self.fleet.roster, cfg.services, now_s)
+            upstreams.configure(self.fleet.roster, self._services, now_s)
         return self.refresh(now_s)
 
     def replace_upstreams(
--- a/tests/routing/begun.feature
+++ b/tests/routing/begun.feature
@@ -30,6 +30,26 @@
     And 3 s go by while the trouble lasts
     Then at most 14 retries are sent for it
 
+  Scenario Outline: The service of an answer leaves the configuration
+    # Guards against an answer that a change of the configuration cuts, since
+    # its upstreams are no longer known when its attempt ends.
+    Given an answer that <state>, with three engines for the first layers
+    When its service leaves the configuration
+    And its attempt is cut by the upstream
+    Then the answer is resumed within 0.5 s
+
+    Examples:
+      | state     |
+      | has begun |
+      | has not begun |
+
+  Scenario: The services of answers that have ended are forgotten
+    Given an answer that has begun, with three engines for the first layers
+    When its service leaves the configuration
+    And its answer is complete
+    And the next configuration comes
+    Then no engine of that service is known
+
   Scenario: A begun answer at its deadline
     Given an answer that has begun, with no engine for its layers
     When its attempt is cut by the upstream
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -4,6 +4,7 @@
 
 from typing import Any, Final
 
+import attrs
 from behave import given, then, when
 
 from egretspur import errors
@@ -19,8 +20,15 @@
 TICK_S: Final = 0.02
 
 
+@given("an answer that has not begun, with {trouble}")
+def step_not_begun(context: Any, trouble: str) -> None:
+    step_begun(context, trouble)
+    context.is_begun = False
+
+
 @given("an answer that has begun, with {trouble}")
 def step_begun(context: Any, trouble: str) -> None:
+    context.is_begun = True
     context.trouble = trouble
     context.budget = repeats.Options(0.0, 20.0, 10.0)
     broker_steps.make_chain(context)
@@ -62,8 +70,8 @@
         NAME,
         kind,
         "test",
-        is_begun=True,
-        has_output=has_output,
+        is_begun=context.is_begun,
+        has_output=has_output and context.is_begun,
         has_head=has_output,
     )
     broker_steps.take(context, context.broker.fail(failure, context.now_s))
@@ -113,6 +121,35 @@
     assert NAME in context.started, (context.refused, context.sent)
 
 
+def drop_service(context: Any, version: int) -> None:
+    """Puts a configuration without the model's service in force."""
+    cfg = fleets.make_config(version)
+    services = {n: s for n, s in cfg.services.items() if n != "llm"}
+    cfg = attrs.evolve(cfg, services=services)
+    broker_steps.take(context, context.broker.configure(cfg, context.now_s))
+
+
+@when("its service leaves the configuration")
+def step_service_leaves(context: Any) -> None:
+    drop_service(context, 2)
+
+
+@when("its answer is complete")
+def step_complete(context: Any) -> None:
+    broker_steps.take(context, context.broker.finish(NAME, context.now_s, True))
+
+
+@when("the next configuration comes")
+def step_next_configuration(context: Any) -> None:
+    drop_service(context, 3)
+
+
+@then("no engine of that service is known")
+def step_no_engine(context: Any) -> None:
+    known = context.broker.fleet.roster.entries.values()
+    assert not [e for e in known if e.service == "llm"], known
+
+
 @then("a new request starts at once")
 def step_new(context: Any) -> None:
     assert NAME not in context.started
