Take a response that the host itself ended for cut, not complete

What callers would see: an answer without a length that looks whole though its end is missing, when the host ends its attempt (a stall, a handover): the host's own shutdown reads like the end of the connection, with which such a body ends. Found by reading every place where the host ends an attempt; not seen by callers. Change: an empty read after the host's own abort is a cut where the head names no length. Evidence: platform/upstream.feature, red on the code before ("200 ok").

--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -238,13 +238,16 @@
         self._res = res
         self._handle = handle
         self._deadline_s = deadline_s
-        # Whether the end of the connection is a valid end of the body. It is
-        # not while an unannounced body is empty: the head may be truncated.
-        self._may_end = (
+        # Whether the head tells where the body ends; otherwise the connection
+        # ends with it.
+        self._has_length = (
             res.status in _EMPTY_STATUSES
             or "Content-Length" in res.headers
             or "Transfer-Encoding" in res.headers
         )
+        # Whether the end of the connection is a valid end of the body. It is
+        # not while an unannounced body is empty: the head may be truncated.
+        self._may_end = self._has_length
         self.status = res.status
         self.headers: Mapping[str, str] = {
             name: value
@@ -264,6 +267,12 @@
                 repr(exc),
                 ended_by=self._handle.find_ender(exc),
             )
+        if not (data or self._has_length) and self._handle.is_aborted:
+            return sending.AttemptFailure(
+                jobs.FailureKind.CUT,
+                "ended by this host",
+                ended_by=ends.EndedBy.HOST,
+            )
         if not data and not self._may_end:
             return sending.AttemptFailure(
                 jobs.FailureKind.CUT, "closed before the body"
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -81,6 +81,13 @@
     When the request to a silent upstream is aborted after 0.2 s
     Then it was ended by the "host"
 
+  Scenario: The host ends a response without a length
+    # Guards against an answer that looks complete since the host itself closed
+    # the connection with which it would have ended.
+    When the host ends a response that began with "HTTP/1.1 200 OK\nAttempt-Id: ID\nReplica-Signature: s\n\nok"
+    Then it is taken as "cut"
+    And it was ended by the "host"
+
   Scenario Outline: A rate limit in a response
     # An invalid value must neither end the limit in force nor block all
     # requests.
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -18,7 +18,7 @@
 from egretspur.delivery import ends, sending
 from egretspur.platform import ingress, upstream
 from egretspur.routing import jobs, paths
-from tests import fleets
+from tests import fleets, stage
 
 CALL = sending.Call(
     "ID", "POST", "/x/a%20b?q=1", {"X-Own": "kept"}, b"body", ""
@@ -88,6 +88,7 @@
         lambda upstream_id, answer: context.backpressure.append(answer)
     ).open(call, job, start, "", context.leaving)
     body = b""
+    context.answer = answer
     while not isinstance(answer, sending.AttemptFailure):
         data = answer.read_some()
         if isinstance(data, sending.AttemptFailure):
@@ -132,6 +133,18 @@
     context.took_s = time.monotonic() - context.began_s
 
 
+@when('the host ends a response that began with "{data}"')
+def step_host_ends(context: Any, data: str) -> None:
+    context.play = Listener(data.replace("\\n", "\r\n").encode(), "waits")
+    context.answer = None
+    thread = threading.Thread(target=send, args=(context, context.play.start()))
+    thread.start()
+    stage.wait_until(lambda: context.answer is not None, 2.0, "an answer")
+    context.answer.abort()
+    thread.join(5.0)
+    assert not thread.is_alive()
+
+
 @when("a read fails since the other side acknowledges nothing")
 def step_unacknowledged(context: Any) -> None:
     cause = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
