Complete an answer that two upstreams end after its last event

Cause: a resumed answer without a new event was never complete, since a faulty upstream's empty answer looks the same. Change: such an end is a failure of its own kind, counts against no attempt, and is confirmed if another first upstream ends the answer at the same event. Without another upstream it stays cut, as before.

--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -31,6 +31,12 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+_NOT_RUN: Final = (
+    jobs.FailureKind.UNREACHABLE,
+    jobs.FailureKind.REFUSED,
+    jobs.FailureKind.MISDIRECTED,
+)
+
 # A timed-out request is answered this long before its deadline, since an
 # answer sent at the deadline would reach the caller after it.
 DEADLINE_MARGIN_S: Final = 0.05
@@ -63,6 +69,23 @@
         )
 
 
+@attrs.frozen
+class _EndClaim:
+    """An upstream ended a resumed answer without another event."""
+
+    # Events that the caller had.
+    count: int
+    upstream: str
+
+    def confirms(self, other: _EndClaim) -> bool:
+        """Returns whether another upstream claimed the same end.
+
+        A single one may have failed: its answer looks complete though events
+        are missing.
+        """
+        return self.count == other.count and self.upstream != other.upstream
+
+
 @attrs.frozen
 class _TakenOver:
     """An attempt that took over from a failed one."""
@@ -129,6 +152,9 @@
         self.begun_s = 0.0
         # First upstream of the current attempt.
         self._upstream = ""
+        # That the answer ends after the events delivered; None if no resumed
+        # attempt ended there.
+        self._end_claim: _EndClaim | None = None
         # Smoothed seconds between two events.
         self.smoothed_gap_s = silence.INITIAL_GAP_S
         # For the log: number of attempts, the failed ones, times of the first
@@ -524,15 +550,15 @@
             return sending.AttemptFailure(
                 jobs.FailureKind.CUT, "ended within an event"
             )
-        before = self._count_before
-        unusable = answers.check_end(
-            answer.status, before > 0, self._merge.count > before
-        )
-        return (
-            sending.AttemptFailure(jobs.FailureKind.FAILED, unusable.reason)
-            if unusable
-            else None
-        )
+        before, count = self._count_before, self._merge.count
+        unusable = answers.check_end(answer.status, before > 0, count > before)
+        if unusable is None:
+            return None
+        claim = _EndClaim(count, self._upstream)
+        if self._end_claim is not None and claim.confirms(self._end_claim):
+            return None
+        self._end_claim = claim
+        return sending.AttemptFailure(jobs.FailureKind.EMPTY, unusable.reason)
 
     def _record_event(self) -> None:
         now_s = self.last_activity_s
@@ -639,7 +665,7 @@
 def _find_ender(failed: Sequence[_FailedAttempt]) -> ends.EndedBy:
     """Returns who ended the last attempt that an upstream may have run."""
     for attempt in reversed(failed):
-        if attempt.why in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
+        if attempt.why not in _NOT_RUN:
             return attempt.ended_by
     return ends.EndedBy.HOST
 
--- a/egretspur/delivery/handover.py
+++ b/egretspur/delivery/handover.py
@@ -165,7 +165,7 @@
         data = answer.read_some()
         if data == b"":
             return sending.AttemptFailure(
-                jobs.FailureKind.FAILED, "no events after those delivered"
+                jobs.FailureKind.EMPTY, "no events after those delivered"
             )
         return data
 
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -114,6 +114,10 @@
         elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
             ticket.runs += 1
             ticket.ran.append(tickets.Run(first_id, failure.is_own))
+        elif failure.kind is jobs.FailureKind.EMPTY:
+            ticket.runs += 1
+            ticket.ran.append(tickets.Run(first_id, is_own=True))
+            ticket.ended_at.add(first_id)
         is_cut = failure.kind is jobs.FailureKind.CUT
         blamed = set(failure.blamed) or {first_id} - {""}
         ticket.failed |= blamed
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -693,12 +693,12 @@
             return None
         if ticket.is_begun and self._is_undecided(ticket, now_s):
             return None
-        refused = ticket.list_refused(now_s)
+        avoided = ticket.list_avoided(now_s)
         parts: tuple[paths.Part, ...] | None = ()
         entry: upstreams.Upstream | None = None
         if service.engine is None:
             entry = self.fleet.replicas.choose(
-                service.name, ticket.failed, refused, now_s
+                service.name, ticket.failed, avoided, now_s
             )
         else:
             choices = None
@@ -709,7 +709,7 @@
                 service.engine,
                 ticket.failed,
                 now_s,
-                refused,
+                avoided,
                 choices,
             )
             if parts:
@@ -729,9 +729,13 @@
     ) -> errors.Refusal | None:
         """Returns the final answer if the request may not be retried."""
         is_held = self._is_quarantined(ticket)
-        final = retries.check(
-            ticket, failure, is_held, self._is_exhausted(ticket, now_s), now_s
-        )
+        is_exhausted = self._is_exhausted(ticket, now_s)
+        if failure.kind is jobs.FailureKind.EMPTY:
+            spec = self._get_spec(ticket.job.service)
+            is_exhausted |= spec is None or not self._handovers.may_confirm_end(
+                ticket, spec, now_s
+            )
+        final = retries.check(ticket, failure, is_held, is_exhausted, now_s)
         if (
             final is None
             # A begun answer takes its retry when it finds a path.
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -74,7 +74,7 @@
         if not route.is_resumable or now_s < ticket.resume_from_s:
             return None
         choices = self.list_first_choices(ticket)
-        never = ticket.list_refused(now_s)
+        never = ticket.list_avoided(now_s)
         if not is_lost:
             # It can't run two attempts under one id.
             never.add(current.upstream_id)
@@ -158,6 +158,24 @@
             return None
         return frozenset(used)
 
+    def may_confirm_end(
+        self, ticket: tickets.Ticket, spec: config.EngineSpec, now_s: float
+    ) -> bool:
+        """Returns whether another upstream may tell if an answer is complete.
+
+        One that ended it without anything after what the caller has may have
+        failed; two of them are right.
+        """
+        parts = self._search.find_path(
+            ticket.job,
+            spec,
+            (),
+            now_s,
+            ticket.list_avoided(now_s),
+            self.list_first_choices(ticket),
+        )
+        return parts is not None
+
     def is_exhausted(self, ticket: tickets.Ticket, now_s: float) -> bool:
         """Returns whether upstreams ended as many attempts as its route allows.
 
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -47,6 +47,8 @@
     CUT = "cut"
     # The upstream answered with a failure.
     FAILED = "failed"
+    # The upstream ended the answer without anything after what the caller has.
+    EMPTY = "empty"
 
 
 @attrs.frozen
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -68,12 +68,18 @@
     # one may start.
     fruitless: int = 0
     resume_from_s: float = 0.0
+    # Upstreams that ended it without anything after what its caller has.
+    ended_at: set[str] = attrs.Factory(set)
     # Time until which it waits to learn which of the upstreams that ended its
     # attempts are alive; 0 if it does not.
     verdict_by_s: float = 0.0
     # Whether the log has a line on the empty budget for its next attempt.
     is_shortage_noted: bool = False
 
+    def list_avoided(self, now_s: float) -> set[str]:
+        """Returns the upstreams that it must not be sent to now."""
+        return self.list_refused(now_s) | self.ended_at
+
     def list_refused(self, now_s: float) -> set[str]:
         """Returns the upstreams that it may not be sent to again yet."""
         return {i for i, t in self.refused.items() if now_s < t}
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -378,6 +378,13 @@
     start_watch(context)
 
 
+@given("two more engines for the first layers")
+def step_more_engines(context: Any) -> None:
+    for i in range(2):
+        twin = fleets.make_upstream(f"a100-twin{i}", "0-25")
+        upstreams.put_entry(context.broker.fleet.roster, twin, 0.0)
+
+
 @given("a watch, and an engine that is cut {seconds:g} s after event 1")
 def step_cut_later(context: Any, seconds: float) -> None:
     lost = sending.AttemptFailure(jobs.FailureKind.CUT, "reset")
