--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -17,11 +17,10 @@
 
 import attrs
 
-from egretspur import decisions, errors
+from egretspur import decisions, ends, errors
 from egretspur.catalog import config
 from egretspur.delivery import (
     answers,
-    ends,
     events,
     handover,
     sending,
--- a/egretspur/delivery/handover.py
+++ b/egretspur/delivery/handover.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from egretspur import decisions, guard
-from egretspur.delivery import answers, ends, sending
+from egretspur import decisions, ends, guard
+from egretspur.delivery import answers, sending
 from egretspur.routing import desk, jobs
 
 # Attempts in a row, if upstreams refuse them or can't be reached.
--- a/egretspur/delivery/sending.py
+++ b/egretspur/delivery/sending.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from egretspur.delivery import ends
+from egretspur import ends
 from egretspur.routing import jobs
 
 
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -19,9 +19,9 @@
 import urllib3
 import urllib3.connection
 
-from egretspur import codec, decisions, signals, transport
+from egretspur import codec, decisions, ends, signals, transport
 from egretspur.catalog import upstreams
-from egretspur.delivery import ends, sending
+from egretspur.delivery import sending
 from egretspur.platform import decode, names
 from egretspur.routing import jobs, paths
 from egretspur.tunnels import dialer
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -12,9 +12,9 @@
 import attrs
 from behave import given, then, when
 
-from egretspur import decisions, errors
+from egretspur import decisions, ends, errors
 from egretspur.catalog import upstreams
-from egretspur.delivery import ends, events, forward, sending, watch
+from egretspur.delivery import events, forward, sending, watch
 from egretspur.routing import desk, jobs, paths
 from tests import fleets, stage
 from tests.steps import broker_steps
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -14,8 +14,8 @@
 import urllib3
 from behave import then, when
 
-from egretspur import signals, web
-from egretspur.delivery import ends, sending
+from egretspur import ends, signals, web
+from egretspur.delivery import sending
 from egretspur.platform import ingress, upstream
 from egretspur.routing import jobs, paths
 from tests import fleets, stage
