Keep begun answers at the product's router while engines are silent or gone

What callers would see: an error in the middle of an answer although its engines went on, or others were there: the router ended an attempt after between_events_s of silence, whether another path was there or not, and gave an answer up after six attempts, whoever had ended them. Change: a silent attempt is read further unless one of its engines is known to be down or another path avoids all of them; a begun answer counts only attempts that usable upstreams ended; after two in a row that add nothing the next is held back while others start; upstreams that failed it once are used again if no other is left (with three of them it blocked its graph's queue until its deadline). attempt_failed, request_cut and request_left are logged here too.

--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -26,7 +26,7 @@
 import urllib3
 from urllib3 import exceptions
 
-from egretspur import codec, errors, signals, transport
+from egretspur import codec, ends, errors, signals, transport
 from egretspur.clients import fields
 from egretspur.intents import records
 
@@ -160,6 +160,10 @@
     upstream_failed: bool = False
     # The engine's error event, if it refused the attempt with one.
     refusal: ErrorEvent | None = None
+    ended_by: ends.EndedBy = ends.EndedBy.UPSTREAM
+    # Nothing arrived in time. The connection is still open, and the attempt
+    # may go on.
+    is_silent: bool = False
 
 
 class EngineClient:
@@ -218,7 +222,14 @@
         )
         if isinstance(res, transport.Failed):
             return StreamFailure(
-                res.reason, res.maybe_sent, upstream_failed=not res.is_timeout
+                res.reason,
+                res.maybe_sent,
+                upstream_failed=not res.is_timeout,
+                ended_by=(
+                    ends.EndedBy.HOST
+                    if res.is_timeout
+                    else ends.EndedBy.UPSTREAM
+                ),
             )
         answer = fields.read(res.status, res.headers)
         self._note_signals(call.route[-1].upstream, answer)
@@ -342,7 +353,11 @@
         try:
             data = self._res.read1(_MAX_READ_BYTES)
         except (exceptions.ReadTimeoutError, TimeoutError) as exc:
-            return StreamFailure(f"{self._address}: {exc}", maybe_started=True)
+            return StreamFailure(
+                f"{self._address}: {exc}",
+                maybe_started=True,
+                ended_by=ends.classify_error(exc),
+            )
         except (exceptions.HTTPError, OSError, ValueError) as exc:
             return StreamFailure(
                 f"{self._address}: {exc}",
--- a/egretspur/delivery/pump.py
+++ b/egretspur/delivery/pump.py
@@ -17,6 +17,7 @@
 
 import attrs
 
+from egretspur import ends
 from egretspur.clients import engine
 
 _LOG: Final = logging.getLogger(__name__)
@@ -95,7 +96,8 @@
             max_silence_s: Maximum seconds until the next event.
 
         Returns:
-            Why the stream broke; None if the consumer stopped it.
+            Why the stream broke; None if the consumer stopped it. One that is
+            only silent may be run again.
         """
         entry = _Entry(stream, consumer, time.monotonic(), max_silence_s)
         stream.set_event_timeout()
@@ -124,7 +126,12 @@
             if ready:
                 time.sleep(ROUND_SLEEP_S)
         for entry in list(self._entries):
-            self._end(entry, engine.StreamFailure("router is stopping", True))
+            self._end(
+                entry,
+                engine.StreamFailure(
+                    "router is stopping", True, ended_by=ends.EndedBy.HOST
+                ),
+            )
 
     def _register_new(self) -> None:
         """Registers added streams until there are none left.
@@ -195,7 +202,10 @@
                 self._end(
                     entry,
                     engine.StreamFailure(
-                        f"silent for {silent_s:.2f} s", maybe_started=True
+                        f"silent for {silent_s:.2f} s",
+                        maybe_started=True,
+                        ended_by=ends.EndedBy.HOST,
+                        is_silent=True,
                     ),
                 )
 
--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -10,22 +10,19 @@
 from __future__ import annotations
 
 import concurrent.futures
-import logging
 import time
 from collections.abc import Callable
 from typing import Final
 
 import attrs
 
-from egretspur import errors, web
+from egretspur import decisions, ends, errors, web
 from egretspur.clients import engine
 from egretspur.delivery import attempts
 from egretspur.delivery import pump as pumps
 from egretspur.routing import actor as traffics
 from egretspur.routing import requests
 
-_LOG: Final = logging.getLogger(__name__)
-
 # Interval between checks whether a waiting caller has disconnected.
 DISCONNECT_CHECK_INTERVAL_S: Final = 0.1
 
@@ -132,6 +129,11 @@
         # Failure after the tokens that `begin` returned, handled by `run`.
         self._pending_failure: requests.Failure | None = None
         self.pipeline = ""
+        # For the log: when the request came, when events last arrived or an
+        # attempt began, the failed attempts, and who ended the last one.
+        self._began_s = self._active_s = time.monotonic()
+        self._failed: list[str] = []
+        self._ended_by = ends.EndedBy.HOST.value
 
     def begin(self) -> list[str] | Result:
         """Returns the first tokens, or the result if there are none."""
@@ -171,6 +173,7 @@
                 return self._make_completion()
             decision = self._wait(self._traffic.fail(failure))
             if isinstance(decision, errors.Refusal):
+                self._record_cut(decision)
                 return decision
             failure = self._open(decision)
 
@@ -182,6 +185,7 @@
     def handle_events(self, events: list[engine.Event]) -> bool:
         """Handles events from the pump; False once the attempt has ended."""
         texts: list[str] = []
+        self._active_s = time.monotonic()
         self._fault = self._accept(events, texts)
         if texts:
             assert self._write is not None
@@ -217,7 +221,7 @@
         if isinstance(opened, engine.StreamFailure):
             return self._end_broken(grant, opened)
         self._stream = opened
-        self._reported_s = time.monotonic()
+        self._reported_s = self._active_s = time.monotonic()
         self._reported_tokens = len(self._merge.tokens)
         self._first_position = len(self._merge.tokens)
         return None
@@ -250,6 +254,8 @@
         if len(self._merge.tokens) == self._first_position:
             max_silence_s = self._deps.first_event_s
         broken = self._deps.pump.run(stream, self, max_silence_s)
+        while broken is not None and self._may_go_on(broken):
+            broken = self._deps.pump.run(stream, self, stream.max_silence_s)
         if self._caller_error is not None:
             raise self._caller_error
         if broken is not None:
@@ -259,6 +265,19 @@
         self._finish_stream()
         return None
 
+    def _may_go_on(self, broken: engine.StreamFailure) -> bool:
+        """Returns whether a silent attempt is read further.
+
+        Its engines may only be slow, so it is ended only if there is another
+        path; its caller decides how long to wait.
+        """
+        return (
+            broken.is_silent
+            and self._caller_error is None
+            and not self._is_caller_gone()
+            and not self._traffic.may_replace(self._prompt.id)
+        )
+
     def _finish_stream(self) -> None:
         """Returns the connection of a finished attempt to its pool."""
         stream, self._stream, self._grant = self._stream, None, None
@@ -315,6 +334,60 @@
         self._reported_s = now
         self._reported_tokens = count
 
+    def _record_failure(
+        self, why: str, reason: str, blamed: tuple[str, ...], ended_by: str
+    ) -> None:
+        """Logs a failed attempt."""
+        count = len(self._merge.tokens)
+        silent_s = time.monotonic() - self._active_s
+        self._failed.append(
+            f"{', '.join(blamed) or self.pipeline} {why} by {ended_by} after"
+            f" {silent_s:.2f} s of silence"
+        )
+        self._ended_by = ended_by
+        decisions.record(
+            decisions.AttemptFailed(
+                self._prompt.id,
+                self._merge.attempt,
+                why,
+                reason,
+                blamed,
+                count,
+                count - self._first_position,
+                self._prompt.fingerprint,
+                self._stream is not None,
+                ended_by,
+                silent_s,
+            )
+        )
+
+    def _record_cut(self, refusal: errors.Refusal) -> None:
+        """Logs that an answer ended early."""
+        now_s = time.monotonic()
+        if refusal.kind is errors.ErrorKind.CALLER_GONE:
+            decisions.record(
+                decisions.RequestLeft(
+                    self._prompt.id,
+                    len(self._merge.tokens),
+                    now_s - self._active_s,
+                    now_s - self._began_s,
+                )
+            )
+            return
+        decisions.record(
+            decisions.RequestCut(
+                self._prompt.id,
+                refusal.reason,
+                len(self._merge.tokens),
+                now_s - self._began_s,
+                self._ended_by,
+                tuple(self._failed[-decisions.MAX_NAMED :]),
+                now_s - self._active_s,
+                # Prompts have no deadline of their own once they have begun.
+                0.0,
+            )
+        )
+
     def _end_broken(
         self, grant: requests.Grant, broken: engine.StreamFailure
     ) -> requests.Failure:
@@ -329,6 +402,9 @@
             blamed = (grant.path.edges[-1].upstream,)
         if broken.refusal:
             return self._end_refused(grant, broken)
+        self._record_failure(
+            "cut", broken.reason, blamed, broken.ended_by.value
+        )
         has_head = self._stream is not None
         if broken.maybe_started:
             self._cancel_attempt()
@@ -339,6 +415,7 @@
             is_cut=broken.maybe_started,
             has_brought=len(self._merge.tokens) > self._first_position,
             has_head=has_head,
+            is_own=broken.ended_by is ends.EndedBy.HOST,
         )
 
     def _end_refused(
@@ -359,18 +436,14 @@
     def _end_fault(
         self, grant: requests.Grant, fault: attempts.Fault
     ) -> requests.Failure:
-        _LOG.info(
-            "attempt failed",
-            extra={
-                "request": self._prompt.id,
-                "attempt": self._merge.attempt,
-                "why": fault.cause.value,
-                "reason": fault.reason,
-                "position": len(self._merge.tokens),
-            },
+        blamed = (fault.upstream,) if fault.upstream else ()
+        self._record_failure(
+            fault.cause.value,
+            fault.reason,
+            blamed,
+            ends.EndedBy.UPSTREAM.value,
         )
         self._cancel_attempt()
-        blamed = (fault.upstream,) if fault.upstream else ()
         failure = self._make_failure(
             f"{fault.cause.value}: {fault.reason}", blamed, maybe_started=True
         )
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -41,6 +41,13 @@
     fut: DecisionFuture
 
 
+@attrs.frozen
+class MayReplace:
+    """Asks whether a silent attempt may be ended and replaced."""
+
+    id: str
+
+
 @attrs.frozen
 class Finish:
     """Reports that a request has ended."""
@@ -187,6 +194,10 @@
         if message.failure.leaving:
             self._on_urgent()
 
+    @handle.register
+    def _(self, message: MayReplace) -> bool:
+        return self._dispatcher.may_replace(message.id, time.monotonic())
+
     @handle.register
     def _(self, message: Finish) -> None:
         self._questions.forget(message.id)
@@ -338,6 +349,11 @@
         self._ref.tell(Fail(failure, fut))
         return fut
 
+    def may_replace(self, request_id: str) -> bool:
+        """Returns whether a silent attempt may be ended and replaced."""
+        may_replace: bool = actors.ask(self._ref, MayReplace(request_id))
+        return may_replace
+
     def finish(self, request_id: str, is_answered: bool) -> None:
         """Reports that a request was answered completely or has ended."""
         self._ref.tell(Finish(request_id, is_answered))
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -24,6 +24,7 @@
     network,
     questions,
     requests,
+    retries,
     shares,
     tables,
 )
@@ -121,6 +122,7 @@
             return []
         path = self._release_path(ticket)
         ticket.begun = ticket.begun or failure.delivered > 0
+        ticket.fruitless = 0 if failure.has_brought else ticket.fruitless + 1
         ticket.maybe_started |= failure.maybe_started or ticket.begun
         if failure.busy:
             return self._handle_busy(ticket, path, failure, now_s)
@@ -144,16 +146,36 @@
                 *self._refuse_quarantined(failure.id, failure.reason, now_s),
                 *self._start_waiting(now_s),
             ]
-        if ticket.attempts >= self._retries.attempts:
+        if self._is_exhausted(ticket, failure):
             return self._give_up(ticket, failure, "no attempts left", now_s)
         if ticket.begun:
             self.counts.resumes += 1
+            delay_s = retries.compute_resume_delay_s(ticket.fruitless)
+            ticket.resume_from_s = now_s + delay_s
         elif budgets.spend(self.budget):
             self.counts.retries += 1
         else:
             return self._give_up(ticket, failure, "no retries left", now_s)
         return [*self._admit(ticket, now_s), *self._start_waiting(now_s)]
 
+    def may_replace(self, request_id: str, now_s: float) -> bool:
+        """Returns whether a silent attempt may be ended and replaced.
+
+        Its engines may only be slow. Unless one of them is known to be down, it
+        is ended only if another path avoids all of them.
+        """
+        ticket = self.tickets.get(request_id)
+        graph = self.network.graphs.get(ticket.graph) if ticket else None
+        if ticket is None or ticket.path is None or graph is None:
+            return True
+        stages = {e.upstream for e in ticket.path.edges}
+        if any(not self.network.is_usable(name) for name in stages):
+            return True
+        avoid = self.network.list_backing_off(now_s) | ticket.failed | stages
+        state = self._make_network_state(now_s)
+        path = graphs.choose_path(graph, state, self._rng, avoid)
+        return path is not None
+
     def progress(self, message: requests.Progress, now_s: float) -> None:
         """Updates load and speed estimates from received tokens."""
         ticket = self.tickets.get(message.id)
@@ -346,6 +368,25 @@
             )
         ]
 
+    def _is_exhausted(
+        self, ticket: requests.Ticket, failure: requests.Failure
+    ) -> bool:
+        """Returns whether no attempts are left to a request.
+
+        For a begun answer, only those count that upstreams ended which are
+        alive by now.
+        """
+        limit = self._retries.attempts
+        if not ticket.begun:
+            return ticket.attempts >= limit
+        if not failure.is_own:
+            ticket.ended_by.append(ticket.incarnation_ids)
+        alive = sum(
+            all(self.network.is_incarnation_usable(i) for i in ids)
+            for ids in ticket.ended_by
+        )
+        return alive >= limit
+
     def _admit(
         self, ticket: requests.Ticket, now_s: float
     ) -> list[requests.Effect]:
@@ -443,7 +484,10 @@
             started = False
             for item in queues.list_candidates(
                 self.queue,
-                lambda waiting: self._is_at_limit(waiting, limit_check),
+                lambda waiting: (
+                    now_s < self.tickets[waiting.id].resume_from_s
+                    or self._is_at_limit(waiting, limit_check)
+                ),
             ):
                 if item.graph in stuck:
                     continue
@@ -463,14 +507,9 @@
     ) -> requests.Grant | None:
         graph = self.network.graphs.get(ticket.graph)
         binding = self.network.bindings.get(ticket.key)
-        if graph is None or binding is None:
+        if graph is None or binding is None or now_s < ticket.resume_from_s:
             return None
-        state = graphs.NetworkState(
-            self.network.loads,
-            self.network.links,
-            now_s,
-            self.availability.list_closed(now_s),
-        )
+        state = self._make_network_state(now_s)
         backing_off = self.network.list_backing_off(now_s)
         avoid = backing_off | ticket.failed | ticket.suspected
         path = graphs.choose_path(graph, state, self._rng, avoid)
@@ -478,6 +517,9 @@
             path = graphs.choose_path(
                 graph, state, self._rng, backing_off | ticket.failed
             )
+        if path is None and ticket.begun:
+            # Those that failed it once are all that is left.
+            path = graphs.choose_path(graph, state, self._rng, backing_off)
         if path is None:
             return None
         for edge in path.edges:
@@ -501,6 +543,14 @@
             self.network.deployments[graph.label],
         )
 
+    def _make_network_state(self, now_s: float) -> graphs.NetworkState:
+        return graphs.NetworkState(
+            self.network.loads,
+            self.network.links,
+            now_s,
+            self.availability.list_closed(now_s),
+        )
+
     def _release_path(self, ticket: requests.Ticket) -> graphs.Path | None:
         path = ticket.path
         if path is None:
@@ -590,7 +640,9 @@
     ) -> bool:
         """Returns whether other requests of its graph wait and may start."""
         return any(
-            w.graph == item.graph and not self._is_at_limit(w, limit_check)
+            w.graph == item.graph
+            and self._now_s >= self.tickets[w.id].resume_from_s
+            and not self._is_at_limit(w, limit_check)
             for w in self.queue.waiting.values()
         )
 
--- a/egretspur/routing/network.py
+++ b/egretspur/routing/network.py
@@ -150,12 +150,19 @@
             return quarantine.UpstreamState.CRASHED
         return quarantine.UpstreamState.UNKNOWN
 
+    def is_incarnation_usable(self, incarnation_id: str) -> bool:
+        """Returns whether an incarnation runs as far as is known."""
+        name = incarnation_id.rpartition(ID_SEPARATOR)[0]
+        state = self.get_incarnation_state(incarnation_id)
+        is_crashed = state is quarantine.UpstreamState.CRASHED
+        return not is_crashed and self.is_usable(name)
+
     def list_usable(self, service: str) -> list[tables.Upstream]:
         """Returns the usable replicas of a plain service."""
         return [
             u
             for u in self.upstreams.values()
-            if u.service == service and self._is_usable(u.name)
+            if u.service == service and self.is_usable(u.name)
         ]
 
     def begin_probes(self, routers: int, now_s: float) -> None:
@@ -242,7 +249,8 @@
         if changed:
             self.rebuild()
 
-    def _is_usable(self, name: str) -> bool:
+    def is_usable(self, name: str) -> bool:
+        """Returns whether an upstream is listed, stays, and is not down."""
         upstream = self.upstreams.get(name)
         if upstream is None or upstream.leaving:
             return False
@@ -272,7 +280,7 @@
                 chosen[0].layers,
                 chosen,
                 speeds,
-                self._is_usable,
+                self.is_usable,
             )
         self.graphs = built
 
--- a/egretspur/routing/requests.py
+++ b/egretspur/routing/requests.py
@@ -45,6 +45,8 @@
     has_brought: bool = False
     # The head of an answer had arrived.
     has_head: bool = False
+    # This router ended it.
+    is_own: bool = False
 
 
 @attrs.frozen
@@ -98,6 +100,12 @@
     incarnation_ids: tuple[str, ...] = ()
     # Monotonic time at which its current attempt was granted.
     sent_s: float = 0.0
+    # Upstream incarnations of the attempts that these ended, once it had begun.
+    ended_by: list[tuple[str, ...]] = attrs.Factory(list)
+    # Attempts in a row that added nothing to the answer, and when the next one
+    # may start.
+    fruitless: int = 0
+    resume_from_s: float = 0.0
     # Upstreams that failed it, and those that may have.
     failed: set[str] = attrs.Factory(set)
     suspected: set[str] = attrs.Factory(set)
--- a/tests/delivery/relay.feature
+++ b/tests/delivery/relay.feature
@@ -13,6 +13,25 @@
       | 0      | 5     |
       | 1      | 2     |
 
+  Scenario Outline: A silent attempt
+    # Guards against a begun answer that is ended though its engines are only
+    # slow and there is no other path.
+    Given an attempt that has delivered 1 tokens
+    And <others> that could replace it
+    When its stream is silent 3 times and then goes on to its end
+    Then the answer is <outcome>
+
+    Examples:
+      | others     | outcome                   |
+      | no path    | whole after one attempt   |
+      | a path     | whole after two attempts  |
+
+  Scenario: The caller of a silent attempt leaves
+    Given an attempt that has delivered 1 tokens
+    And no path that could replace it
+    When its stream is silent until its caller leaves
+    Then the request ends as one whose caller left, and is logged so
+
   Scenario: An answer that is completely buffered
     # Guards against a pump that sleeps for ever while marked busy, which under
     # load happened once in dozens of runs: an answer arrives completely with
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import json
+import logging
 import re
 import socket
 import threading
@@ -12,10 +13,12 @@
 import attrs
 from behave import given, then, when
 
+from egretspur import decisions, ends, errors
 from egretspur.clients import engine
 from egretspur.delivery import pump, relay
 from egretspur.intents import records
 from egretspur.routing import graph, requests, tables
+from tests.steps import forward_steps
 
 FIRST_S = 5.0
 BETWEEN_S = 2.0
@@ -33,6 +36,11 @@
     bound_s: float = 0.0
     sent: int = 0
     request: str = ""
+    attempts: int = 0
+    # Runs of the stream until its end; all but the last find it silent.
+    silences: int = 0
+    has_path: bool = False
+    is_caller_gone: bool = False
 
     def arrive(self, arrival: requests.Arrival) -> Any:
         """Grants a path at once."""
@@ -41,16 +49,45 @@
         return fut
 
     def fail(self, failure: requests.Failure) -> Any:
-        """Grants another path."""
+        """Grants another path, or refuses if the caller left."""
+        if self.is_caller_gone:
+            fut: concurrent.futures.Future[Any] = concurrent.futures.Future()
+            return fut
         return self.arrive(requests.Arrival(failure.id, "w", "m"))
 
+    def may_replace(self, request_id: str) -> bool:
+        """Returns whether there is another path."""
+        return self.has_path
+
     def run(self, *args: Any) -> Any:
         """As engine, returns a stream; as pump, records the limit and stops."""
         if len(args) == 1:
             self.request = args[0].request
+            self.attempts += 1
             return self
         self.bound_s = args[2]
-        raise StopIteration
+        if not self.silences:
+            raise StopIteration
+        return self.run_silent(args[1])
+
+    def run_silent(self, consumer: Any) -> Any:
+        """As pump, finds the stream silent several times, then at its end."""
+        self.silences -= 1
+        if self.silences and self.attempts == 1:
+            return engine.StreamFailure(
+                "silent",
+                maybe_started=True,
+                ended_by=ends.EndedBy.HOST,
+                is_silent=True,
+            )
+        consumer.handle_events([engine.EndEvent("q", self.attempts, 1, 0)])
+        return None
+
+    def finish(self, *args: Any) -> None:
+        """Does nothing."""
+
+    def tell(self, message: Any) -> None:
+        """Does nothing."""
 
     def read(self) -> Any:
         """Returns the first tokens, or breaks without any."""
@@ -83,7 +120,9 @@
     stub: Any = context.stub
     tools = relay.RelayDependencies(stub, stub, stub, stub, FIRST_S)
     prompt = relay.Prompt("q", "w", "m", "text", 10)
-    context.relay = relay.Relay(prompt, tools, lambda: False)
+    context.relay = relay.Relay(
+        prompt, tools, lambda: bool(context.stub.is_caller_gone)
+    )
     assert context.relay.begin() == ["t"]
     if not tokens:
         # A second attempt, which has delivered no token.
@@ -98,6 +137,52 @@
         pass
 
 
+@given("no path that could replace it")
+def step_no_path(context: Any) -> None:
+    context.stub.has_path = False
+
+
+@given("a path that could replace it")
+def step_path(context: Any) -> None:
+    context.stub.has_path = True
+
+
+@when("its stream is silent {times:d} times and then goes on to its end")
+def step_silent_times(context: Any, times: int) -> None:
+    context.stub.silences = times + 1
+    context.end = context.relay.run(lambda texts: None)
+
+
+@then("the answer is whole after {count} attempts")
+@then("the answer is whole after {count} attempt")
+def step_whole_after(context: Any, count: str) -> None:
+    assert isinstance(context.end, relay.Completion), context.end
+    assert context.stub.attempts == {"one": 1, "two": 2}[count]
+
+
+@when("its stream is silent until its caller leaves")
+def step_silent_left(context: Any) -> None:
+    context.stub.silences = 1_000_000
+    lines = context.lines = forward_steps.Lines()
+    level = decisions.LOGGER.level
+    decisions.LOGGER.setLevel(logging.INFO)
+    decisions.LOGGER.addHandler(lines)
+    context.add_cleanup(decisions.LOGGER.setLevel, level)
+    context.add_cleanup(decisions.LOGGER.removeHandler, lines)
+    gone = threading.Timer(
+        0.3, lambda: setattr(context.stub, "is_caller_gone", True)
+    )
+    gone.start()
+    context.end = context.relay.run(lambda texts: None)
+
+
+@then("the request ends as one whose caller left, and is logged so")
+def step_left(context: Any) -> None:
+    assert context.end.kind is errors.ErrorKind.CALLER_GONE, context.end
+    logged = [f.get("event") for f in context.lines.fields]
+    assert logged[-1] == "request_left", logged
+
+
 @then("its silence limit is {bound:g} s")
 def step_bound(context: Any, bound: float) -> None:
     assert context.stub.bound_s == bound, context.stub
