Use engines that only other hosts suspect where there is no other path

Cause: what others say is refuted by an answer of the engine to this host, and no stream was sent that could get one. Evidence: logs of the sound hosts (path_missing with e0 as down, upstream_changed only to suspected); routing/suspects.feature, red on the code before. Change: the path search tries again with engines that only others suspect. Once this host's own attempt or probe fails there, they are left out as before. The runner prints the assertion of each scenario that fails, known red or not.

--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -490,13 +490,25 @@
         self.backpressure.remove_unlisted(listed)
 
     def list_candidates(
-        self, service: str, spec: config.EngineSpec, now_s: float
+        self,
+        service: str,
+        spec: config.EngineSpec,
+        now_s: float,
+        believes_peers: bool = True,
     ) -> cards.Candidates:
-        """Returns the candidates for a path: usable engines with layers."""
+        """Returns the candidates for a path: usable engines with layers.
+
+        Args:
+            service: Their service.
+            spec: Of the service.
+            now_s: Monotonic time.
+            believes_peers: Whether to leave out those that only other hosts
+                suspect.
+        """
         by_data_centre = self._group_by_data_centre(service)
 
         def read(data_centre: str) -> list[paths.Candidate]:
-            unusable = self.health.list_unusable(now_s)
+            unusable = self.health.list_unusable(now_s, believes_peers)
             usable = [
                 e
                 for e in by_data_centre[data_centre]
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -151,10 +151,16 @@
             and not self.outliers.is_ejected(upstream_id, now_s)
         )
 
-    def list_unusable(self, now_s: float) -> set[str]:
+    def list_unusable(
+        self, now_s: float, believes_peers: bool = True
+    ) -> set[str]:
         """Returns the upstreams that are not usable; see `is_usable`.
 
         A path search asks for all upstreams, few of which have any state.
+
+        Args:
+            now_s: Monotonic time.
+            believes_peers: Whether those count that only others suspect.
         """
         ejected = self.outliers.list_ejected(now_s)
         return set(ejected) | {
@@ -166,9 +172,17 @@
                 self.peer_suspects,
             )
             for i in table
-            if not self.is_usable(i, now_s)
+            if not self.is_sound(i, now_s)
+            or (believes_peers and self.is_suspected(i, now_s))
         }
 
+    def has_hearsay(self, now_s: float) -> bool:
+        """Returns whether others suspect upstreams that this host does not."""
+        return any(
+            now_s < until_s and self.is_sound(i, now_s)
+            for i, until_s in self.peer_suspects.items()
+        )
+
     def is_suspected(self, upstream_id: str, now_s: float) -> bool:
         """Tells whether another host suspects an upstream."""
         return now_s < self.peer_suspects.get(upstream_id, -math.inf)
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -63,10 +63,24 @@
         self._failed_searches: dict[str, _FailedSearch] = {}
 
     def list_candidates(
-        self, job: jobs.Job, spec: config.EngineSpec, now_s: float
+        self,
+        job: jobs.Job,
+        spec: config.EngineSpec,
+        now_s: float,
+        believes_peers: bool = True,
     ) -> cards.Candidates:
-        """Returns the candidate engines for a request."""
-        return self._fleet.list_candidates(job.service, spec, now_s)
+        """Returns the candidate engines for a request.
+
+        Args:
+            job: The request.
+            spec: Of the request's service.
+            now_s: Monotonic time.
+            believes_peers: Whether to leave out those that only other hosts
+                suspect.
+        """
+        return self._fleet.list_candidates(
+            job.service, spec, now_s, believes_peers
+        )
 
     def find_path(
         self,
@@ -81,7 +95,9 @@
 
         Often it is unknown which stage broke an answer, and the first one is
         blamed. If no path avoids the blamed engine, it is used again while it
-        is usable.
+        is usable. If there is none at all, engines are used that only other
+        hosts suspect: a request that would be refused otherwise is better
+        tried.
 
         Args:
             job: The request.
@@ -93,12 +109,20 @@
         """
         if self._has_just_failed(job, now_s):
             return None
-        candidates = self.list_candidates(job, spec, now_s).exclude(refused)
-        if first_choices is not None:
-            candidates = candidates.limit_first(first_choices)
-        parts = self.choose(job, spec, candidates.exclude(failed), now_s)
-        if parts is None and failed:
-            parts = self.choose(job, spec, candidates, now_s)
+        parts = None
+        for believes_peers in (True, False):
+            if not believes_peers and not self._fleet.health.has_hearsay(now_s):
+                break
+            candidates = self.list_candidates(
+                job, spec, now_s, believes_peers
+            ).exclude(refused)
+            if first_choices is not None:
+                candidates = candidates.limit_first(first_choices)
+            parts = self.choose(job, spec, candidates.exclude(failed), now_s)
+            if parts is None and failed:
+                parts = self.choose(job, spec, candidates, now_s)
+            if parts is not None:
+                break
         if parts is None and not refused and first_choices is None:
             self._failed_searches[job.service] = _FailedSearch(
                 job.tokens,
--- a/tests/routing/suspects.feature
+++ b/tests/routing/suspects.feature
@@ -13,6 +13,15 @@
     And 0.1 s later the hosts exchange peer updates
     Then the paths of hosts b, c and d go without "l40s-0-kl-hall"
 
+  Scenario: The only engines for some layers are suspected by another host
+    # Guards against hosts with sound links that refuse streams on the word of
+    # one without, for as long as no stream of theirs shows that it is wrong.
+    When host a loses its links, and each of its requests fails
+    And host a keeps saying that all engines fail
+    And 0.1 s later the hosts exchange peer updates
+    Then a request of host b is tried
+    And no request of host b is tried once its own attempts fail
+
   Scenario: An engine that lacks memory for one request
     # It answers the probe within 10 ms, so the other hosts may use it.
     When a request of host a is refused on behalf of "l40s-0-kl-hall", which answers its probe
--- a/tests/run.py
+++ b/tests/run.py
@@ -66,7 +66,8 @@
         str(pathlib.Path(sys.executable).with_name("behave")),
         "--no-color",
         "--format",
-        "progress",
+        # Prints the assertion of a step that failed.
+        "progress3",
         feature,
     ]
     try:
@@ -125,7 +126,7 @@
     red = 0
     for result in results:
         unknown = [n for n in result.failing if n not in known]
-        if unknown:
+        if result.failing:
             print(result.output)
         for name in result.failing:
             mark = "known red" if name in known else "FAILED"
--- a/tests/steps/suspects_steps.py
+++ b/tests/steps/suspects_steps.py
@@ -158,6 +158,33 @@
     context.said["a"] = (one, other)
 
 
+@when("host a keeps saying that all engines fail")
+def step_says_all(context: Any) -> None:
+    entries = context.hosts["a"].fleet.roster.entries.values()
+    context.said["a"] = tuple(e.id for e in entries if e.service == "llm")
+
+
+@then("a request of host b is tried")
+def step_tried(context: Any) -> None:
+    job = fleets.make_job("tried", now_s=context.now_s)
+    context.effects = context.hosts["b"].arrive(job, context.now_s)
+    assert [type(e) for e in context.effects] == [jobs.Start], context.effects
+
+
+@then("no request of host b is tried once its own attempts fail")
+def step_own_word(context: Any) -> None:
+    state = context.hosts["b"]
+    (start,) = context.effects
+    for part in start.parts:
+        state.fleet.health.mark_down(part.id, context.now_s)
+    for entry in list(state.fleet.roster.entries.values()):
+        if entry.service == "llm" and entry.layers.first == 0:
+            state.fleet.health.mark_down(entry.id, context.now_s)
+    job = fleets.make_job("later", now_s=context.now_s)
+    effects = state.arrive(job, context.now_s)
+    assert not [e for e in effects if isinstance(e, jobs.Start)], effects
+
+
 @when('host a keeps saying that "{upstream}" is dead')
 def step_says_dead(context: Any, upstream: str) -> None:
     context.said["a"] = context.said_dead["a"] = (upstream,)
