Wait until the host knows that an upstream left before the store is replaced

Six requests that went to the other of two replicas, 1 in 64 by chance and tried again until it happens, were taken for the host's knowledge; the store then came back without the removal, which nobody had read.

--- a/tests/daemons/copies.feature
+++ b/tests/daemons/copies.feature
@@ -18,6 +18,6 @@
     # lacks the removal of its entry.
     Given a store, four engines, two plain replicas and a host
     When an upstream leaves
-    Then within 4 s no request reaches it
+    Then within 4 s the host knows that it left, and no request reaches it
     When the store comes back from a copy of 60 s ago
     Then for 3 s no request reaches it
--- a/tests/steps/hostcopies_steps.py
+++ b/tests/steps/hostcopies_steps.py
@@ -26,6 +26,22 @@
     host_steps.step_upstream_leaves(context)
 
 
+@then(
+    "within {seconds:g} s the host knows that it left, and no request reaches"
+    " it"
+)
+def step_known(context: Any, seconds: float) -> None:
+    process = context.play.stage.processes["127.0.0.1"]
+
+    def is_gone() -> bool:
+        lines = [json.loads(n) for n in process.lines if '"s4"' in n]
+        return any(n.get("state") == "gone" for n in lines)
+
+    # That some requests go elsewhere may be chance.
+    stage.wait_until(is_gone, seconds, "the host reads that it left")
+    host_steps.step_no_reach(context, seconds)
+
+
 @then('for {seconds:d} s "{path}" with key "{key}" is answered {status:d}')
 def step_for(
     context: Any, seconds: int, path: str, key: str, status: int
