--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -12,14 +12,15 @@
 import logging
 import threading
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from typing import Final, Protocol
 
 import attrs
 
-from egretspur import decisions, ends, errors
+from egretspur import ends, errors
 from egretspur.catalog import config
 from egretspur.delivery import (
+    answer_log,
     answers,
     events,
     handover,
@@ -30,12 +31,6 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-_NOT_RUN: Final = (
-    jobs.FailureKind.UNREACHABLE,
-    jobs.FailureKind.REFUSED,
-    jobs.FailureKind.MISDIRECTED,
-)
-
 # A timed-out request is answered this long before its deadline, since an
 # answer sent at the deadline would reach the caller after it.
 DEADLINE_MARGIN_S: Final = 0.05
@@ -50,24 +45,6 @@
     body: bytes
 
 
-@attrs.frozen
-class _FailedAttempt:
-    """A failed attempt, for the log."""
-
-    upstream: str
-    why: jobs.FailureKind
-    ended_by: ends.EndedBy
-    # Seconds without bytes before its end.
-    silent_s: float
-
-    def describe(self) -> str:
-        """Returns it as the log has it."""
-        return (
-            f"{self.upstream} {self.why.value} by {self.ended_by.value} after"
-            f" {self.silent_s:.2f} s of silence"
-        )
-
-
 @attrs.frozen
 class _EndClaim:
     """An upstream ended a resumed answer without another event."""
@@ -156,15 +133,9 @@
         self._end_claim: _EndClaim | None = None
         # Smoothed seconds between two events.
         self.smoothed_gap_s = silence.INITIAL_GAP_S
-        # For the log: number of attempts, the failed ones, times of the first
-        # and the last event, and the longest gap between two.
-        self._attempts = 0
-        self._failed: list[_FailedAttempt] = []
+        self._log = answer_log.AnswerLog(job)
         # Events forwarded before the current attempt.
         self._count_before = 0
-        self._first_event_s = 0.0
-        self._last_event_s = 0.0
-        self._max_gap_s = 0.0
 
     def abandon(self) -> None:
         """Ends the request after its caller disconnected; from any thread."""
@@ -351,43 +322,13 @@
             status: Status of the answer that was forwarded; 0 if none was.
             refusal: Why the answer ended early, if it did.
         """
-        now_s = time.monotonic()
-        total_s = now_s - self.job.arrived_s
         count = self._merge.count
-        silent_s = now_s - (self._last_event_s or self.job.arrived_s)
         if self.is_caller_gone:
-            decisions.record(
-                decisions.RequestLeft(self.job.id, count, silent_s, total_s)
-            )
+            self._log.record_left(count)
         elif refusal is not None:
-            decisions.record(
-                decisions.RequestCut(
-                    self.job.id,
-                    refusal.reason,
-                    count,
-                    total_s,
-                    _find_ender(self._failed).value,
-                    tuple(
-                        f.describe()
-                        for f in self._failed[-decisions.MAX_NAMED :]
-                    ),
-                    silent_s,
-                    self.job.deadline_s - now_s,
-                )
-            )
+            self._log.record_cut(refusal, count)
         elif status:
-            first_s = (self._first_event_s or now_s) - self.job.arrived_s
-            decisions.record(
-                decisions.RequestAnswered(
-                    self.job.id,
-                    status,
-                    self._attempts,
-                    count,
-                    first_s,
-                    self._max_gap_s,
-                    total_s,
-                )
-            )
+            self._log.record_answered(status, count)
 
     def _wait(self) -> desk.Decision:
         """Waits for a decision, the caller's disconnect or the deadline."""
@@ -419,7 +360,7 @@
 
     def _begin_attempt(self, start: jobs.Start) -> None:
         """Sets what is known of the current attempt."""
-        self._attempts = max(self._attempts + 1, start.number)
+        self._log.note_attempt(start)
         self._upstream = start.upstream.id
         self.parts = start.parts
         self.last_activity_s = self.started_s = time.monotonic()
@@ -560,17 +501,13 @@
         return sending.AttemptFailure(jobs.FailureKind.EMPTY, unusable.reason)
 
     def _record_event(self) -> None:
-        now_s = self.last_activity_s
-        if not self._first_event_s:
-            self._first_event_s = now_s
-        else:
-            gap_s = now_s - self._last_event_s
-            self._max_gap_s = max(self._max_gap_s, gap_s)
-            self.smoothed_gap_s = silence.smooth_gap(self.smoothed_gap_s, gap_s)
-            if gap_s > (self.job.route.gap_s or paces.SUSPICIOUS_GAP_S):
-                ids = tuple(p.id for p in self.parts)
-                self._desk.tell(desk.AnswerPaused(ids))
-        self._last_event_s = now_s
+        gap_s = self._log.note_event(self.last_activity_s)
+        if gap_s is None:
+            return
+        self.smoothed_gap_s = silence.smooth_gap(self.smoothed_gap_s, gap_s)
+        if gap_s > (self.job.route.gap_s or paces.SUSPICIOUS_GAP_S):
+            ids = tuple(p.id for p in self.parts)
+            self._desk.tell(desk.AnswerPaused(ids))
 
     def _forward_events(self, write: Write) -> sending.AttemptFailure | None:
         """Forwards events until the answer ends; None if it is complete."""
@@ -606,25 +543,7 @@
         if self.is_caller_gone:
             ended_by = ends.EndedBy.CALLER
         silent_s = time.monotonic() - self.last_activity_s
-        self._failed.append(
-            _FailedAttempt(self._upstream, failure.why, ended_by, silent_s)
-        )
-        decisions.record(
-            decisions.AttemptFailed(
-                self.job.id,
-                self._attempts,
-                failure.why.value,
-                failure.reason,
-                blamed,
-                count,
-                new_count,
-                self.job.fingerprint,
-                has_head,
-                ended_by.value,
-                silent_s,
-            )
-        )
-        return jobs.Failure(
+        failed = jobs.Failure(
             self.job.id,
             failure.why,
             failure.reason,
@@ -634,6 +553,10 @@
             has_head,
             ended_by is ends.EndedBy.HOST,
         )
+        self._log.record_failure(
+            self._upstream, failed, ended_by, silent_s, count, new_count
+        )
+        return failed
 
 
 class Reach(Protocol):
@@ -661,14 +584,6 @@
         """Stops watching a stream."""
 
 
-def _find_ender(failed: Sequence[_FailedAttempt]) -> ends.EndedBy:
-    """Returns who ended the last attempt that an upstream may have run."""
-    for attempt in reversed(failed):
-        if attempt.why not in _NOT_RUN:
-            return attempt.ended_by
-    return ends.EndedBy.HOST
-
-
 def _resolve(fut: desk.DecisionFuture, refusal: errors.Refusal) -> None:
     try:
         if not fut.done():
--- a/egretspur/delivery/handover.py
+++ b/egretspur/delivery/handover.py
@@ -19,12 +19,6 @@
 # Attempts in a row, if upstreams refuse them or can't be reached.
 MAX_TRIES: Final = 3
 
-_NOT_RUN: Final = (
-    jobs.FailureKind.UNREACHABLE,
-    jobs.FailureKind.REFUSED,
-    jobs.FailureKind.MISDIRECTED,
-)
-
 
 class Handover:
     """See the module's docstring; `start` is called once."""
@@ -197,7 +191,7 @@
         self._desk.tell(
             desk.DropHandover(self._job.id, None if is_cancelled else reported)
         )
-        return not is_cancelled and failure.why in _NOT_RUN
+        return not is_cancelled and failure.why in jobs.NOT_RUN
 
     def _log_failure(
         self,
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Final
 
 import attrs
 
@@ -51,6 +52,14 @@
     EMPTY = "empty"
 
 
+# Failures after which no upstream has run the request.
+NOT_RUN: Final = (
+    FailureKind.UNREACHABLE,
+    FailureKind.REFUSED,
+    FailureKind.MISDIRECTED,
+)
+
+
 @attrs.frozen
 class Failure:
     """A failed attempt."""
