--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -91,8 +91,13 @@
             self._crashes,
             self.retry_budgets,
         )
-        self._handovers = handovers.Handovers(
-            self.fleet, self.search, self._attempts
+        self.handovers = handovers.Handovers(
+            self.fleet,
+            self.search if using.resuming else None,
+            self._attempts,
+            self.tickets,
+            self._get_spec,
+            self._is_quarantined,
         )
         self.contention = contention.Contention(
             load, self.refusals.promises, self.turns, self.queue
@@ -144,7 +149,7 @@
         if ticket is None:
             return []
         attempt = self._attempts.release(ticket)
-        self._handovers.release(ticket)
+        self.handovers.release(ticket)
         ticket.is_begun |= failure.is_begun
         self._attempts.record_failure(ticket, attempt, failure, now_s)
         ticket.fruitless = 0 if failure.has_output else ticket.fruitless + 1
@@ -179,7 +184,7 @@
             queues.record_finish(self.queue, ticket.job.service, now_s)
         self._attempts.release(ticket)
         self._attempts.return_retry(ticket)
-        self._handovers.release(ticket)
+        self.handovers.release(ticket)
         self.counts.finished += 1
         return self._start_queued(now_s)
 
@@ -342,44 +347,6 @@
             ticket, now_s
         )
 
-    def start_handover(
-        self, job_id: str, is_lost: bool, now_s: float
-    ) -> jobs.Start | None:
-        """Starts an attempt beside a silent one; see `handovers.Handovers`."""
-        ticket = self.tickets.get(job_id)
-        spec = self._get_spec(ticket.job.service) if ticket else None
-        if ticket is None or spec is None or self._is_quarantined(ticket):
-            return None
-        if not self._mechanisms.resuming:
-            return None
-        return self._handovers.start(ticket, spec, is_lost, now_s)
-
-    def drop_handover(
-        self, job_id: str, failure: jobs.Failure | None, now_s: float
-    ) -> list[jobs.Effect]:
-        """Ends the attempt beside a silent one.
-
-        Args:
-            job_id: The request.
-            failure: How it failed; None if the silent one went on first.
-            now_s: Monotonic time.
-        """
-        ticket = self.tickets.get(job_id)
-        if ticket is None:
-            return []
-        self._handovers.drop(ticket, failure, now_s)
-        return self._start_queued(now_s)
-
-    def take_over(
-        self, failure: jobs.Failure, now_s: float
-    ) -> list[jobs.Effect]:
-        """Replaces a silent attempt, which ended so, by the one beside it."""
-        ticket = self.tickets.get(failure.id)
-        if ticket is None:
-            return []
-        self._handovers.take_over(ticket, failure, now_s)
-        return self._start_queued(now_s)
-
     def restore_quarantine(
         self, ends: Mapping[str, quarantines.CrashWeights], now_s: float
     ) -> list[jobs.Effect]:
@@ -703,7 +670,7 @@
         else:
             choices = None
             if ticket.is_begun:
-                choices = self._handovers.list_first_choices(ticket)
+                choices = self.handovers.list_first_choices(ticket)
             parts = self.search.find_path(
                 ticket.job,
                 service.engine,
@@ -732,7 +699,7 @@
         is_exhausted = self._is_exhausted(ticket, now_s)
         if failure.kind is jobs.FailureKind.EMPTY:
             spec = self._get_spec(ticket.job.service)
-            is_exhausted |= spec is None or not self._handovers.may_confirm_end(
+            is_exhausted |= spec is None or not self.handovers.may_confirm_end(
                 ticket, spec, now_s
             )
         final = retries.check(ticket, failure, is_held, is_exhausted, now_s)
@@ -750,7 +717,7 @@
     def _is_exhausted(self, ticket: tickets.Ticket, now_s: float) -> bool:
         """Returns whether no attempts are left to a request by its route."""
         if ticket.is_begun:
-            return self._handovers.is_exhausted(ticket, now_s)
+            return self.handovers.is_exhausted(ticket, now_s)
         return ticket.runs >= ticket.job.route.max_attempts
 
     def _refuse(
@@ -770,7 +737,7 @@
         self.tickets.pop(ticket.job.id, None)
         queues.remove(self.queue, ticket.job.id)
         self._attempts.release(ticket)
-        self._handovers.release(ticket)
+        self.handovers.release(ticket)
         self._attempts.return_retry(ticket)
         self.counts.refused += 1
         self._notes.append(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -338,23 +338,21 @@
 
     @handle.register
     def _(self, message: StartHandover) -> jobs.Start | None:
-        return self._broker.start_handover(
+        return self._broker.handovers.start(
             message.id, message.is_lost, time.monotonic()
         )
 
     @handle.register
     def _(self, message: DropHandover) -> None:
-        self._pending.resolve(
-            self._broker.drop_handover(
-                message.id, message.failure, time.monotonic()
-            )
-        )
+        now_s = time.monotonic()
+        self._broker.handovers.drop(message.id, message.failure, now_s)
+        self._pending.resolve(self._broker.refresh(now_s))
 
     @handle.register
     def _(self, message: TakeOver) -> None:
-        self._pending.resolve(
-            self._broker.take_over(message.failure, time.monotonic())
-        )
+        now_s = time.monotonic()
+        self._broker.handovers.take_over(message.failure, now_s)
+        self._pending.resolve(self._broker.refresh(now_s))
 
     @handle.register
     def _(self, message: Configure) -> None:
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from egretspur.admission import quarantine
@@ -34,32 +35,36 @@
     def __init__(
         self,
         state: fleet.Fleet,
-        paths_search: search.Search,
+        paths_search: search.Search | None,
         own_attempts: attempts.Attempts,
+        held: Mapping[str, tickets.Ticket],
+        get_spec: Callable[[str], config.EngineSpec | None],
+        is_quarantined: Callable[[tickets.Ticket], bool],
     ) -> None:
         """Makes the state of no second attempts.
 
         Args:
             state: Upstreams.
-            paths_search: Finds paths.
+            paths_search: Finds paths; None if answers are not resumed.
             own_attempts: Records starts, ends and failures.
+            held: Tickets of this host's requests, by id.
+            get_spec: Returns what is known of a model's service by its name.
+            is_quarantined: Tells whether a request must not be sent.
         """
         self._fleet = state
         self._search = paths_search
         self._attempts = own_attempts
+        self._tickets = held
+        self._get_spec = get_spec
+        self._is_quarantined = is_quarantined
 
     def start(
-        self,
-        ticket: tickets.Ticket,
-        spec: config.EngineSpec,
-        is_lost: bool,
-        now_s: float,
+        self, job_id: str, is_lost: bool, now_s: float
     ) -> jobs.Start | None:
         """Starts an attempt beside the current one, if one is allowed.
 
         Args:
-            ticket: The request.
-            spec: Of its service.
+            job_id: The request.
             is_lost: Whether the connection of the current one is lost.
             now_s: Monotonic time.
 
@@ -67,6 +72,12 @@
             None if one runs already, no path has room, or none is left by the
             route or the retry budget.
         """
+        ticket = self._tickets.get(job_id)
+        spec = self._get_spec(ticket.job.service) if ticket else None
+        if ticket is None or spec is None or self._search is None:
+            return None
+        if self._is_quarantined(ticket):
+            return None
         current = ticket.current
         route = ticket.job.route
         if current is None or ticket.next is not None:
@@ -91,36 +102,34 @@
         return self._attempts.start(ticket, ticket.next, entry, spec, now_s)
 
     def drop(
-        self,
-        ticket: tickets.Ticket,
-        failure: jobs.Failure | None,
-        now_s: float,
+        self, job_id: str, failure: jobs.Failure | None, now_s: float
     ) -> None:
         """Ends the second attempt.
 
         Args:
-            ticket: The request.
+            job_id: The request.
             failure: How it failed; None if the current one went on first.
             now_s: Monotonic time.
         """
-        attempt = self.release(ticket)
-        if attempt is None:
+        ticket = self._tickets.get(job_id)
+        attempt = self.release(ticket) if ticket else None
+        if ticket is None or attempt is None:
             return
         if failure is None:
             ticket.ran.append(tickets.Run(attempt.upstream_id, True))
             return
         self._attempts.record_failure(ticket, attempt, failure, now_s)
 
-    def take_over(
-        self, ticket: tickets.Ticket, failure: jobs.Failure, now_s: float
-    ) -> None:
+    def take_over(self, failure: jobs.Failure, now_s: float) -> None:
         """Makes the second attempt the current one.
 
         Args:
-            ticket: The request.
             failure: How the attempt that it replaces ended.
             now_s: Monotonic time.
         """
+        ticket = self._tickets.get(failure.id)
+        if ticket is None:
+            return
         ticket.is_begun = True
         replaced = self._attempts.release(ticket)
         self._attempts.record_failure(ticket, replaced, failure, now_s)
@@ -166,6 +175,8 @@
         One that ended it without anything after what the caller has may have
         failed; two of them are right.
         """
+        if self._search is None:
+            return False
         parts = self._search.find_path(
             ticket.job,
             spec,
