Let others start while a begun answer finds no path

What callers would see: requests refused for want of capacity while there is room for them: a begun answer goes first, waits until its deadline now, and may need more memory than is free, or one engine. Change: a begun answer is tried first in each pass and then only itself left out. Evidence: routing/begun.feature, one scenario red on the code before.

--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -509,7 +509,8 @@
             # Serve the requests that wait already before this one.
             effects = self._refuse_all_quarantined(now_s)
             effects += server.serve(now_s)
-            is_behind = server.has_waiting(service.name, now_s)
+            # Begun answers that found no path may need another than this one.
+            is_behind = server.has_waiting(service.name, now_s, False)
         item = waiting.make_item(ticket, now_s)
         if is_queued and not is_behind:
             is_behind = server.must_yield(item, now_s)
--- a/egretspur/routing/waiting.py
+++ b/egretspur/routing/waiting.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from typing import Final
 
 from egretspur.admission import queue as queues
@@ -79,10 +79,20 @@
         # yielded. They cost no search and are served at each tick.
         self._yielding: set[str] = set()
 
-    def has_waiting(self, service: str, now_s: float) -> bool:
-        """Returns whether requests wait that could use free capacity."""
+    def has_waiting(
+        self, service: str, now_s: float, counts_begun: bool = True
+    ) -> bool:
+        """Returns whether requests wait that could use free capacity.
+
+        Args:
+            service: Their service.
+            now_s: Monotonic time.
+            counts_begun: Whether begun answers count.
+        """
         return any(
-            w.graph == service and not self._tickets[w.id].is_held_back(now_s)
+            w.graph == service
+            and (counts_begun or not w.is_begun)
+            and not self._tickets[w.id].is_held_back(now_s)
             for w in self._queue.waiting.values()
         )
 
@@ -129,7 +139,7 @@
         starts: list[jobs.Start] = []
         self._yielding = set()
         while self._queue.waiting:
-            candidates, yielding = self._list_candidates(now_s)
+            candidates, yielding = self._list_candidates(stuck, now_s)
             self._yielding |= yielding - stuck
             stuck |= yielding
             items = [
@@ -143,25 +153,35 @@
                 ticket = self._tickets[item.id]
                 start = self._try_start(ticket, now_s)
                 if start is None:
-                    # Upstreams that refused this one may take others.
-                    is_held_back = ticket.is_held_back(now_s)
-                    stuck.add(item.id if is_held_back else item.graph)
+                    # Upstreams that refused this one may take others, and a
+                    # begun answer may need more memory or a certain engine.
+                    is_alone = item.is_begun or ticket.is_held_back(now_s)
+                    stuck.add(item.id if is_alone else item.graph)
                     continue
                 queues.start(self._queue, item)
                 starts.append(start)
         return starts
 
     def _list_candidates(
-        self, now_s: float
+        self, stuck: Container[str], now_s: float
     ) -> tuple[list[queues.Waiting], set[str]]:
-        """Returns the next request of each service, and services that yield."""
+        """Returns the next request of each service, and services that yield.
+
+        Args:
+            stuck: Ids of begun answers to leave out.
+            now_s: Monotonic time.
+        """
         waiting = self._queue.waiting
         yielding = self._turns.find_yielding(
             waiting.values(), self._queue, now_s
         )
         items = queues.list_candidates(
             self._queue,
-            lambda item: item.id in yielding or self._is_postponed(item, now_s),
+            lambda item: (
+                item.id in yielding
+                or (item.is_begun and item.id in stuck)
+                or self._is_postponed(item, now_s)
+            ),
         )
         services = {waiting[i].graph for i in yielding}
         return items, services - {i.graph for i in items}
--- a/tests/routing/begun.feature
+++ b/tests/routing/begun.feature
@@ -23,6 +23,16 @@
     When its attempt is cut by the upstream
     Then a new request starts at once
 
+  Scenario: A begun answer that finds no room does not hold smaller ones up
+    # Guards against a queue that stands still for seconds behind an answer that
+    # waits for more memory, or for one engine.
+    Given an answer that has begun, with too little memory for it
+    When its attempt is cut by the upstream
+    And a request that needs less memory arrives and 0.2 s go by
+    Then that request has started, and the answer waits
+    When the trouble ends
+    Then the answer is resumed within 0.5 s
+
   Scenario: A begun answer that is refused again and again
     # Guards against a budget that one answer uses up.
     Given an answer that has begun, with engines that refuse it
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -16,6 +16,9 @@
 
 NAME: Final = "r"
 
+# Memory on each layer of a small request, in tokens.
+SMALL_TOKENS: Final = 100.0
+
 # Interval of the broker's ticks, in s.
 TICK_S: Final = 0.02
 
@@ -53,11 +56,47 @@
         for i in range(2):
             twin = fleets.make_upstream(f"a100-twin{i}", "0-25")
             upstreams.put_entry(broker.fleet.roster, twin, now_s)
+    if context.trouble == "too little memory for it":
+        (fill if is_on else give_back)(context)
     if context.trouble == "no engine for its layers":
         sign = 1 if is_on else -1
         broker.fleet.memory.add("a100-1", sign, sign * 1e9)
 
 
+def fill(context: Any) -> None:
+    """Takes all memory of the engines that is free, but for some tokens."""
+    broker = context.broker
+    job = fleets.make_job("any", now_s=context.now_s)
+    found = broker.search.list_candidates(job, fleets.SPEC, context.now_s)
+    context.taken = {
+        # The answer gives its own memory back when its attempt is cut.
+        c.id: c.free + (job.tokens - 2 * SMALL_TOKENS) * (c.last - c.first)
+        for c in found.list_all()
+    }
+    for name, used in context.taken.items():
+        broker.fleet.memory.add(name, 1, used)
+
+
+def give_back(context: Any) -> None:
+    """Frees the memory that was taken."""
+    for name, used in context.taken.items():
+        context.broker.fleet.memory.add(name, -1, -used)
+
+
+@when("a request that needs less memory arrives and {seconds:g} s go by")
+def step_small(context: Any, seconds: float) -> None:
+    job = fleets.make_job("small", tokens=SMALL_TOKENS, now_s=context.now_s)
+    broker_steps.take(context, context.broker.arrive(job, context.now_s))
+    play(context, seconds)
+
+
+@then("that request has started, and the answer waits")
+def step_small_started(context: Any) -> None:
+    assert "small" in context.started, context.refused
+    assert NAME not in context.started
+    assert NAME not in context.refused
+
+
 @when("its attempt is cut by the upstream")
 def step_cut(context: Any) -> None:
     context.started.pop(NAME)
