End the silent attempt under the lock when another one takes over

Found by reading: if the silent attempt failed by itself between the decision and its end, its handle was by then that of the attempt that took over, which was ended in its place. The answer would have waited for yet another one. The window is some microseconds; not seen. forward.feature and silence.feature pass.

--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -3,7 +3,9 @@
 There is one `Forwarder` for each request, in the thread of the caller's
 connection. `egretspur.routing.broker` decides where an attempt is sent and
 what follows a failure, `egretspur.delivery.answers` whether an answer is
-usable, and `egretspur.delivery.events` which of its bytes are forwarded.
+usable, and `egretspur.delivery.events` which of its bytes are forwarded. Once
+the caller has part of the answer, a silent attempt is replaced only by one that
+has brought something (`egretspur.delivery.handover`).
 """
 
 from __future__ import annotations
@@ -204,8 +206,10 @@
             if self.is_caller_gone or self._merge.count != count:
                 return False
             self._is_handed_over = True
-        # Wakes the thread that reads the current attempt.
-        self._abort.abort_current()
+            # Wakes the thread that reads the current attempt. Under the lock,
+            # since that thread may have ended it by itself: the handle would
+            # then be that of the attempt which takes over.
+            self._abort.abort_current()
         return True
 
     def _cancel_handover(self) -> None:
