--- a/tests/catalog/copies.feature
+++ b/tests/catalog/copies.feature
@@ -99,3 +99,11 @@
     Then the first writes "f1" at once
     And one of them has "f2" written within 3 s
     And what is seen written meanwhile is written by nobody else
+
+  Scenario: A removal right after a restore, and a snapshot of another host
+    # Guards against an upstream that has left and that one host lists for good:
+    # that host read the store before the other one, which gave it a snapshot.
+    Given three hosts with the list of three upstreams
+    When the store loses its last record, and then an upstream leaves
+    And the first host reads, all read 5 s later, and the second one gives the first a snapshot
+    Then all hosts list the upstreams that are alive, once these have written again
--- a/tests/steps/copies_steps.py
+++ b/tests/steps/copies_steps.py
@@ -13,6 +13,7 @@
 from egretspur.catalog import feeds, positions, quarantined, tables
 from egretspur.platform import store
 from tests import listing
+from tests.catalog import copies
 from tests.steps import platform_steps
 
 HOSTS = 3
@@ -322,3 +323,32 @@
         host.writer.write_due()
     written = [n for h in context.quarantine_hosts for n in h.written]
     assert sorted(written) == ["f1", "f2"], written
+
+
+@given("three hosts with the list of three upstreams")
+def step_machine(context: Any) -> None:
+    context.machine = copies.CopiesMachine()
+    context.machine.pass_time(5.0)
+
+
+@when("the store loses its last record, and then an upstream leaves")
+def step_lost_then_left(context: Any) -> None:
+    context.machine.copy(1, 0)
+    context.machine.end(1)
+
+
+@when(
+    "the first host reads, all read 5 s later, and the second one gives the"
+    " first a snapshot"
+)
+def step_read_and_give(context: Any) -> None:
+    context.machine.read(0)
+    context.machine.pass_time(5.0)
+    context.machine.hand_over(1, 0)
+
+
+@then(
+    "all hosts list the upstreams that are alive, once these have written again"
+)
+def step_lists(context: Any) -> None:
+    context.machine.teardown()
