--- a/tests/catalog/copies.feature
+++ b/tests/catalog/copies.feature
@@ -107,3 +107,9 @@
     When the store loses its last record, and then an upstream leaves
     And the first host reads, all read 5 s later, and the second one gives the first a snapshot
     Then all hosts list the upstreams that are alive, once these have written again
+
+  Scenario: An upstream that started again leaves some seconds after a restore
+    # Guards against the same where no host reads twice before the snapshot.
+    Given three hosts that know one upstream as draining and one as started again
+    When the store loses both records, all read 5 s later, and the second one leaves
+    Then all hosts list the upstreams that are alive, once these have written again
--- a/tests/steps/copies_steps.py
+++ b/tests/steps/copies_steps.py
@@ -347,6 +347,27 @@
     context.machine.hand_over(1, 0)
 
 
+@given(
+    "three hosts that know one upstream as draining and one as started again"
+)
+def step_drained_and_started(context: Any) -> None:
+    context.machine = copies.CopiesMachine()
+    context.machine.drain(2)
+    context.machine.restart(1)
+    context.machine.pass_time(5.0)
+
+
+@when(
+    "the store loses both records, all read 5 s later, and the second one"
+    " leaves"
+)
+def step_lost_both(context: Any) -> None:
+    context.machine.copy(2, 0)
+    context.machine.pass_time(5.0)
+    context.machine.end(1)
+    context.machine.pass_time(5.0)
+
+
 @then(
     "all hosts list the upstreams that are alive, once these have written again"
 )
