--- a/egretspur/delivery/answer_log.py
+++ b/egretspur/delivery/answer_log.py
@@ -26,9 +26,8 @@
 
     def describe(self) -> str:
         """Returns it as the log has it."""
-        return (
-            f"{self.upstream} {self.why.value} by {self.ended_by.value} after"
-            f" {self.silent_s:.2f} s of silence"
+        return describe_attempt(
+            self.upstream, self.why.value, self.ended_by.value, self.silent_s
         )
 
 
@@ -149,6 +148,20 @@
         return now_s - (self._last_event_s or self._job.arrived_s)
 
 
+def describe_attempt(
+    upstream: str, why: str, ended_by: str, silent_s: float
+) -> str:
+    """Returns a failed attempt as `decisions.RequestCut` has it.
+
+    Args:
+        upstream: Upstream, or path, of the attempt.
+        why: How it failed.
+        ended_by: Who ended it.
+        silent_s: Seconds without bytes before its end.
+    """
+    return f"{upstream} {why} by {ended_by} after {silent_s:.2f} s of silence"
+
+
 def _find_ender(failed: Sequence[_FailedAttempt]) -> ends.EndedBy:
     """Returns who ended the last attempt that an upstream may have run."""
     for attempt in reversed(failed):
--- a/egretspur/delivery/answers.py
+++ b/egretspur/delivery/answers.py
@@ -35,16 +35,21 @@
 
 
 def classify(
-    status: int, content_type: str, is_streaming: bool, has_begun: bool
+    status: int,
+    headers: Mapping[str, str],
+    is_streaming: bool,
+    has_begun: bool,
 ) -> ForwardMode | Unusable:
     """Returns how to forward an answer, given its status and headers.
 
     Args:
         status: HTTP status.
-        content_type: Content-Type header; empty if missing.
+        headers: Header fields, by names in any case.
         is_streaming: Whether the route's answers are event streams.
         has_begun: Whether the caller has received part of its answer.
     """
+    fields = {name.lower(): value for name, value in headers.items()}
+    content_type = fields.get("content-type", "")
     media_type = content_type.partition(";")[0].strip().lower()
     is_events = media_type in ("", EVENTS_TYPE)
     if is_streaming and status == 200 and is_events:
@@ -56,12 +61,6 @@
     return Unusable(f"{media_type} instead of the remaining events")
 
 
-def get_content_type(headers: Mapping[str, str]) -> str:
-    """Returns an answer's Content-Type header; empty if it is missing."""
-    fields = {name.lower(): value for name, value in headers.items()}
-    return fields.get("content-type", "")
-
-
 def check_end(
     status: int, has_begun: bool, has_new_events: bool
 ) -> Unusable | None:
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -395,7 +395,7 @@
     ) -> answers.ForwardMode | answers.Unusable:
         return answers.classify(
             answer.status,
-            answers.get_content_type(answer.headers),
+            answer.headers,
             self.job.route.kind is config.RouteKind.STREAMING,
             has_begun,
         )
--- a/egretspur/delivery/handover.py
+++ b/egretspur/delivery/handover.py
@@ -150,7 +150,7 @@
         """Returns the first bytes of an answer that continues the stream."""
         mode = answers.classify(
             answer.status,
-            answers.get_content_type(answer.headers),
+            answer.headers,
             is_streaming=True,
             has_begun=True,
         )
--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -18,7 +18,7 @@
 
 from egretspur import decisions, ends, errors, web
 from egretspur.clients import engine
-from egretspur.delivery import attempts
+from egretspur.delivery import answer_log, attempts
 from egretspur.delivery import pump as pumps
 from egretspur.routing import actor as traffics
 from egretspur.routing import requests
@@ -340,9 +340,9 @@
         """Logs a failed attempt."""
         count = len(self._merge.tokens)
         silent_s = time.monotonic() - self._active_s
+        where = ", ".join(blamed) or self.pipeline
         self._failed.append(
-            f"{', '.join(blamed) or self.pipeline} {why} by {ended_by} after"
-            f" {silent_s:.2f} s of silence"
+            answer_log.describe_attempt(where, why, ended_by, silent_s)
         )
         self._ended_by = ended_by
         decisions.record(
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -593,11 +593,12 @@
         """Returns whether a begun answer waits to learn who ended it."""
         if not ticket.verdict_by_s:
             return False
-        is_exhausted = self._is_exhausted(ticket, now_s)
-        if ticket.verdict_by_s or is_exhausted:
-            ticket.postpone(retries.VERDICT_DELAY_S, now_s)
-            return True
-        return False
+        # Ends the wait if enough of them are known to be gone.
+        self._is_exhausted(ticket, now_s)
+        if not ticket.verdict_by_s:
+            return False
+        ticket.postpone(retries.VERDICT_DELAY_S, now_s)
+        return True
 
     def _refuse_expired(
         self, ticket: tickets.Ticket, now_s: float
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -109,20 +109,20 @@
         """
         if self._has_just_failed(job, now_s):
             return None
-        parts = None
-        for believes_peers in (True, False):
-            if not believes_peers and not self._fleet.health.has_hearsay(now_s):
-                break
-            candidates = self.list_candidates(
-                job, spec, now_s, believes_peers
-            ).exclude(refused)
+
+        def find(believes_peers: bool) -> tuple[paths.Part, ...] | None:
+            found = self.list_candidates(job, spec, now_s, believes_peers)
+            candidates = found.exclude(refused)
             if first_choices is not None:
                 candidates = candidates.limit_first(first_choices)
             parts = self.choose(job, spec, candidates.exclude(failed), now_s)
             if parts is None and failed:
                 parts = self.choose(job, spec, candidates, now_s)
-            if parts is not None:
-                break
+            return parts
+
+        parts = find(believes_peers=True)
+        if parts is None and self._fleet.health.has_hearsay(now_s):
+            parts = find(believes_peers=False)
         if parts is None and not refused and first_choices is None:
             self._failed_searches[job.service] = _FailedSearch(
                 job.tokens,
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -131,10 +131,6 @@
             stream.ended_s = time.monotonic()
             pool.clear()
 
-    def list_running(self, at_s: float) -> list[Stream]:
-        """Returns the streams that ran at a time."""
-        return [s for s in self.streams if s.sent_s < at_s < s.ended_s]
-
 
 def _read_lines(res: urllib3.BaseHTTPResponse) -> Any:
     rest = b""
