Judge in one place whether an upstream that ended an attempt is alive

No behaviour changed: the crash detector and the handovers had the same steps but for upstreams that are down, which only a host with sound links may take for crashed, and which never count as attempts of a begun answer. make check; 149 scenarios of routing and delivery/forward pass.

--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -71,16 +71,9 @@
 
     def _get_state(self, upstream_id: str) -> quarantines.UpstreamState:
         """Returns the state of an upstream whose answer was cut."""
-        if upstream_id not in self._fleet.roster.entries:
-            return quarantines.UpstreamState.CRASHED
-        failed = self._fleet.health.failed.get(upstream_id)
-        if failed is None:
-            return quarantines.UpstreamState.ALIVE
         # A host that is cut off takes upstreams for down that are not.
         is_sound = self._fleet.reach_state is reach.ReachState.SOUND
-        if failed.is_down and is_sound:
-            return quarantines.UpstreamState.CRASHED
-        return quarantines.UpstreamState.UNKNOWN
+        return get_state(self._fleet, upstream_id, is_sound)
 
     def _note_changes(self) -> None:
         for change in self._quarantine.take_changes():
@@ -94,3 +87,24 @@
             )
             if change.is_own:
                 self._unsaved.append(change)
+
+
+def get_state(
+    state: fleets.Fleet, upstream_id: str, counts_down: bool
+) -> quarantines.UpstreamState:
+    """Returns the state of an upstream that ended an attempt.
+
+    Args:
+        state: Upstreams.
+        upstream_id: The upstream.
+        counts_down: Whether one that is down counts as crashed; otherwise that
+            is unknown.
+    """
+    if upstream_id not in state.roster.entries:
+        return quarantines.UpstreamState.CRASHED
+    failed = state.health.failed.get(upstream_id)
+    if failed is None:
+        return quarantines.UpstreamState.ALIVE
+    if failed.is_down and counts_down:
+        return quarantines.UpstreamState.CRASHED
+    return quarantines.UpstreamState.UNKNOWN
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -16,6 +16,7 @@
 from egretspur.catalog import config
 from egretspur.routing import (
     attempts,
+    crashes,
     fleet,
     jobs,
     retries,
@@ -206,10 +207,5 @@
             ticket.verdict_by_s = now_s + VERDICT_WAIT_S
         return now_s >= ticket.verdict_by_s
 
-    def _get_state(self, upstream_id: str) -> _State:
-        if upstream_id not in self._fleet.roster.entries:
-            return _State.CRASHED
-        failed = self._fleet.health.failed.get(upstream_id)
-        if failed is None:
-            return _State.ALIVE
-        return _State.CRASHED if failed.is_down else _State.UNKNOWN
+    def _get_state(self, upstream_id: str) -> quarantine.UpstreamState:
+        return crashes.get_state(self._fleet, upstream_id, counts_down=True)
