--- a/review/rig.py
+++ b/review/rig.py
@@ -143,6 +143,7 @@
         self.name = name
         self.service = service
         self.is_engine = is_engine
+        self.is_draining = False
         self.runs: list[str] = []
         self._record = record
         self._serve = serve
@@ -164,7 +165,7 @@
             "zone": ZONE,
             "version": "v1",
             "slots": 96,
-            "state": "ready",
+            "state": "draining" if self.is_draining else "ready",
             "cold_left_ms": 0,
             "seq_no": self._orders,
         }
@@ -446,6 +447,9 @@
         self.store = ""
         self.processes: list[subprocess.Popen[str]] = []
         self.replicas: list[Replica] = []
+        self.zones = [ZONE]
+        # Held while an entry is written.
+        self.write_lock = threading.RLock()
         self._closed = threading.Event()
         self._ports: dict[str, int] = {}
 
@@ -518,8 +522,14 @@
                 self._write_entries()
 
     def _write_entries(self) -> None:
-        for replica in self.replicas:
-            self.write("keyed.servers", replica.name, replica.make_entry())
+        for replica in list(self.replicas):
+            with self.write_lock:
+                if replica in self.replicas:
+                    self.write_entry(replica)
+
+    def write_entry(self, replica: Replica) -> None:
+        """Writes the entry of a replica."""
+        self.write("keyed.servers", replica.name, replica.make_entry())
 
     def reserve_ports(self, ips: list[str]) -> None:
         """Chooses ports that are free at all addresses of hosts."""
@@ -527,9 +537,18 @@
             self._ports[name] = find_port(ips)
 
     def start_host(
-        self, ip: str, ips: list[str]
+        self, ip: str, ips: list[str], zone: str = ZONE
     ) -> tuple[subprocess.Popen[str], Caller]:
-        """Starts a host by the command of the deploy file."""
+        """Starts a host by the command of the deploy file.
+
+        Args:
+            ip: Its address.
+            ips: Addresses of the hosts to contact first.
+            zone: Its zone.
+
+        Returns:
+            Its process, and a caller of it.
+        """
         listen = {
             n: f"{ip}:{self._ports[n]}"
             for n in ("frontend", "ready", "control_plane")
@@ -541,9 +560,9 @@
             "machine_class": "edge",
             "serves": ["edge", "control_plane"],
             "ip": ip,
-            "zone": ZONE,
+            "zone": zone,
             "region": "my-west",
-            "zones": {ZONE: "my-west"},
+            "zones": dict.fromkeys(self.zones, "my-west"),
             "listen": listen,
             "port_range": [self._ports["exchange"], self._ports["exchange"]],
             "seeds": [f"{i}:{self._ports['control_plane']}" for i in ips],
