--- a/review/rig.py
+++ b/review/rig.py
@@ -151,12 +151,27 @@
         self.accepting = threading.Event()
         self.accepting.set()
         self._lock = threading.Lock()
+        self._is_ended = False
+        # Open channels.
+        self._socks: set[socket.socket] = set()
         self._orders = 0
         self._held: dict[str, int] | None = None
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def exit(self) -> None:
+        """Ends the replica: its channels are reset, and no new ones open."""
+        self._is_ended = True
+        # Wakes the thread that accepts.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        with self._lock:
+            socks = list(self._socks)
+        for sock in socks:
+            with contextlib.suppress(OSError):
+                reset(sock)
+
     def make_entry(self) -> dict[str, Any]:
         """Returns its entry in the store."""
         entry: dict[str, Any] = {
@@ -174,19 +189,29 @@
         return entry
 
     def _accept(self) -> None:
-        while True:
+        while not self._is_ended:
             self.accepting.wait()
-            sock, _ = self._listener.accept()
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                # The replica has ended.
+                return
             threading.Thread(
                 target=self._handle, args=(sock,), daemon=True
             ).start()
 
     def _handle(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError, ValueError), sock:
+            with self._lock:
+                self._socks.add(sock)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            req = read_request(sock)
-            if req is not None:
-                self._answer(sock, req)
+            try:
+                req = read_request(sock)
+                if req is not None:
+                    self._answer(sock, req)
+            finally:
+                with self._lock:
+                    self._socks.discard(sock)
 
     def _answer(self, sock: socket.socket, req: Request) -> None:
         if req.target == "/egretspur/report":
@@ -503,10 +528,13 @@
 
     def write(self, topic: str, key: str, value: Any) -> None:
         """Writes to the store as operator and replicas do."""
-        body = {"topic": topic, "key": key, "value": value}
+        self.set_store("/write", {"topic": topic, "key": key, "value": value})
+
+    def set_store(self, path: str, value: dict[str, Any]) -> None:
+        """Sets a fault of the store, or restores it from a copy."""
         urllib.request.urlopen(
             urllib.request.Request(
-                f"http://{self.store}/write", json.dumps(body).encode()
+                f"http://{self.store}{path}", json.dumps(value).encode()
             ),
             timeout=10.0,
         ).close()
