--- a/review/2/play.py
+++ b/review/2/play.py
@@ -197,10 +197,12 @@
         request_id = f"{kind.path.strip('/')}-{number}"
         fields = MODEL_FIELDS if kind.is_stream else {}
         body = b"" if kind.method == "GET" else request_id.encode()
+        self._site.record.write(f"send {request_id}")
         answer = self._caller.ask(
             kind.method, f"{kind.path}{number}", request_id, body, fields
         )
         self.counts[f"{kind.path} {answer.status}"] += 1
+        self._site.record.write(f"answer {request_id} {answer.describe()}")
         sent = kind.broken_off.get(request_id)
         if sent is not None:
             self._site.record.write(
