--- a/review/build.sh
+++ b/review/build.sh
@@ -8,4 +8,3 @@
 import tests.fakes.store, tests.fakes.replica, tests.stage
 import egretspur.daemons.host
 "
-python3 -m compileall -q review tests/fakes tests/stage.py || true
