Take a response as complete only if head, framing and body came

Cause: http.client takes the end of a connection for the end of a head, of a chunk's size and of the trailer, drops what follows a line that is no field, and reads on to the end of the connection where a length is no number. The claim's place, _has_length, is where callers' requests showed it; calls to engines, the store and other hosts had no such check at all.

Change: responses.Connection under transport.Transport and platform/upstream reads each line whole or fails, checks lengths, codings and chunk sizes by RFC 9112, 6.3, and skips interim responses, which were taken for the answer.

--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -19,7 +19,7 @@
 import urllib3
 import urllib3.connection
 
-from egretspur import codec, decisions, ends, signals, transport
+from egretspur import codec, decisions, ends, responses, signals, transport
 from egretspur.catalog import upstreams
 from egretspur.delivery import sending
 from egretspur.platform import decode, names
@@ -98,7 +98,7 @@
         if isinstance(link, sending.AttemptFailure):
             return link
         host, port = transport.split_address(start.upstream.address)
-        conn = urllib3.connection.HTTPConnection(host, port)
+        conn = responses.Connection(host, port)
         conn.sock = link.sock
         handle = _AbortableConnection(conn)
         abort.set_closer(handle.abort, link.helper)
@@ -246,7 +246,8 @@
             or "Transfer-Encoding" in res.headers
         )
         # Whether the end of the connection is a valid end of the body. It is
-        # not while an unannounced body is empty: the head may be truncated.
+        # not while an unannounced body is empty: an upstream that dies right
+        # after the head ends its connection in the same way.
         self._may_end = self._has_length
         self.status = res.status
         self.headers: Mapping[str, str] = {
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -16,10 +16,9 @@
 
 import attrs
 import urllib3
-import urllib3.connection
 from urllib3 import exceptions
 
-from egretspur import codec
+from egretspur import codec, responses
 
 # Returns a connected socket for an address and a timeout in seconds; raises
 # OSError.
@@ -70,7 +69,7 @@
     is_new = False
 
 
-class _NotedConnection(urllib3.connection.HTTPConnection):
+class _NotedConnection(responses.Connection):
     """A connection that notes when it is opened, by a function if given."""
 
     def __init__(
--- /dev/null
+++ b/tests/responses.feature
@@ -0,0 +1,65 @@
+Feature: Responses that are complete only if all of them came
+
+  Scenario Outline: Responses that break off anywhere
+    # Guards against a response that broke off and is taken for a complete one:
+    # within a head, for example, the rest of which would tell its length.
+    When <reader> reads responses that break off anywhere, 1500 times
+    Then all that it takes as complete came whole, and all that came whole
+
+    Examples:
+      | reader                              |
+      | the client of callers' requests     |
+      | the client of calls among processes |
+
+  Scenario Outline: Responses that do not tell where they end
+    # Guards against a response that is read to the end of its connection, or
+    # as empty, since its framing is not understood.
+    When an upstream sends "<head>" and a body that ends with its connection
+    Then it is taken as "<outcome>"
+
+    Examples:
+      | head                                                | outcome |
+      | Content-Length: 2                                   | 200 ok  |
+      | Content-Length: 2\nContent-Length: 2                | 200 ok  |
+      | Content-Length: 2, 2                                | 200 ok  |
+      | X-Other: 1                                          | 200 ok  |
+      | Content-Type: multipart/mixed                       | 200 ok  |
+      | Content-Length:                                     | cut     |
+      | Content-Length: two                                 | cut     |
+      | Content-Length: -2                                  | cut     |
+      | Content-Length: +2                                  | cut     |
+      | Content-Length: 0_2                                 | cut     |
+      | Content-Length: 2\nContent-Length: 1                | cut     |
+      | Content-Length: 99999999999999999999999999          | cut     |
+      | Transfer-Encoding:                                  | cut     |
+      | Transfer-Encoding: chunke                           | cut     |
+      | Transfer-Encoding: gzip, chunked                    | cut     |
+      | Transfer-Encoding: chunked                          | cut     |
+      | X-Other                                             | cut     |
+      | X-Other\nContent-Length: 2                          | cut     |
+
+  Scenario Outline: Chunks whose size is no number
+    When an upstream sends chunks "<chunks>"
+    Then it is taken as "<outcome>"
+
+    Examples:
+      | chunks                                  | outcome |
+      | 2\nok\n0\n\n                            | 200 ok  |
+      | 2;a="b"\nok\n0;c\nX-Trailer: 1\n\n      | 200 ok  |
+      | 2 \nok\n000\n\n                         | 200 ok  |
+      | 0x2\nok\n0\n\n                          | cut     |
+      | +2\nok\n0\n\n                           | cut     |
+      | -2\nok\n0\n\n                           | cut     |
+      | 2\nok\n\n                               | cut     |
+      | 2\nok\n0\nX-Trailer: 1                  | cut     |
+      | fffffffffffffffffff\nok\n0\n\n          | cut     |
+
+  Scenario Outline: Interim responses
+    When an upstream sends an interim response of status <status> first
+    Then it is taken as "200 ok"
+
+    Examples:
+      | status |
+      | 100    |
+      | 102    |
+      | 103    |
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -86,6 +86,7 @@
     start = jobs.Start("ID", entry, parts if is_engine else ())
     context.leaving = sending.AbortHandle()
     context.outcome_of = None
+    context.outcome_body = None
     context.backpressure = []
     answer = upstream.UpstreamClient(
         lambda upstream_id, answer: context.backpressure.append(answer), own
@@ -101,7 +102,8 @@
         body += data
         if not data:
             answer.close()
-            context.outcome_of = f"{answer.status} {body.decode()}"
+            context.outcome_body = body
+            context.outcome_of = f"{answer.status} {body.decode('latin-1')}"
             return
     context.lost = answer
     context.outcome_of = answer.why.value
