Reset connections whose end would make a broken answer look complete

What callers saw: a caller of HTTP/1.0 reads an answer without a length to the end of its connection. Where the host broke the answer off, stopped or was killed, the connection ended in the ordinary way, and the part that had come looked like the whole.

Cause: the end of a connection was the only sign of completeness, and closing a socket, by the program or by the kernel, is an ordinary end by default.

Change: as soon as the head of such an answer is built, its socket is set to reset on any close; only a response that was written and sent completely sets it back.

--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+import socket
+import struct
 import threading
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
@@ -237,7 +240,21 @@
         # stopping, and its next request on one fails on a closed socket.
         if self.channel.server.adj.egretspur_draining.is_set():
             self.set_close_on_finish()
-        return super().build_response_header()
+        header = super().build_response_header()
+        if self.has_body and not self._tells_length():
+            self.channel.break_on_close()
+        return header
+
+    def finish(self) -> None:
+        """Ends a response that is complete."""
+        super().finish()
+        self.channel.is_whole = True
+
+    def _tells_length(self) -> bool:
+        """Returns whether the response itself tells where its body ends."""
+        return self.chunked_response or any(
+            name == "Content-Length" for name, _ in self.response_headers
+        )
 
     def get_environment(self) -> Any:
         """Returns the WSGI environment, with the connection in it."""
@@ -255,6 +272,24 @@
     # Called when the caller disconnects while its request is being served.
     on_disconnect: Callable[[], None] | None = None
 
+    # Whether the last response was written completely.
+    is_whole = False
+
+    def break_on_close(self) -> None:
+        """Makes each end of the connection a reset, also that by the kernel.
+
+        For a response that ends with its connection, as HTTP/1.0 has it: its
+        caller would take any other end for that of the whole response.
+        """
+        self.is_whole = False
+        self._set_reset(True)
+
+    def _set_reset(self, is_on: bool) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, 0)
+            )
+
     def handle_read(self) -> None:
         """Reads from the socket; notifies the handler of a disconnect."""
         super().handle_read()
@@ -263,6 +298,8 @@
 
     def handle_close(self) -> None:
         """Closes the socket and notifies the handler."""
+        if self.is_whole and not self.total_outbufs_len:
+            self._set_reset(False)
         super().handle_close()
         self._notify_disconnect()
 
