Close a caller's connection that is closed already

What callers would have seen: after one of them reset its connection, a host that accepts connections and answers nobody.

Cause: waitress closes a connection twice where it can be read and is broken off at once, and the second time there is no socket to set an option of: an AttributeError, which ends the server's thread.

--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -285,8 +285,12 @@
         self._set_reset(True)
 
     def _set_reset(self, is_on: bool) -> None:
+        sock = self.socket
+        if sock is None:
+            # Closed already: a connection may be closed more than once.
+            return
         with contextlib.suppress(OSError):
-            self.socket.setsockopt(
+            sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, 0)
             )
 
--- a/tests/steps/web_steps.py
+++ b/tests/steps/web_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import time
 from collections.abc import Callable
 from typing import Any, Final
@@ -85,3 +86,20 @@
 def step_part(context: Any) -> None:
     assert 0 < context.data.count(b"id: ") < EVENTS, context.data
     assert context.is_broken, context.data[-60:]
+
+
+@when("{count:d} callers reset their connections after an answer")
+def step_hang_up(context: Any, count: int) -> None:
+    host, _, port = context.process.address.rpartition(":")
+    for _ in range(count):
+        with socket.create_connection((host, int(port)), 5.0) as sock:
+            sock.sendall(b"GET /runs HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b"200 OK" in sock.recv(65_536)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+
+
+@then("the server answers")
+def step_answers(context: Any) -> None:
+    assert context.play.call("GET", "e", "/runs") == []
--- a/tests/web.feature
+++ b/tests/web.feature
@@ -13,3 +13,10 @@
       | the answer breaks off after 5 events | a part and a broken connection |
       | the server is killed                | a part and a broken connection |
       | the server stops                    | a part and a broken connection |
+
+  Scenario: Callers that hang up after their answers
+    # Guards against a server that serves nobody any more, since it closes a
+    # connection that is closed.
+    Given a server of streams of 20 events
+    When 20 callers reset their connections after an answer
+    Then the server answers
