Take from another host only the restored entries that it really has

And an override of a record of the copy lasts until a later record: a removal that is learnt by a whole read leaves none.

Change: of a host that has read the same copy, only keys are taken as kept that this one has, until the earlier of both waits; an override whose key has no record any more has ended.

--- a/egretspur/catalog/tables.py
+++ b/egretspur/catalog/tables.py
@@ -131,6 +131,8 @@
         before = self._newest.position
         fresh = {r.record.key: r for r in records}
         previous = before if before and before.era != at.era else None
+        if merge_info is not None and before is not None and previous is None:
+            merge_info = self._check_kept(merge_info, fresh)
         if previous is not None:
             self._overrides = self._find_surviving(fresh, merge_info)
             self._overrides.update(
@@ -197,12 +199,49 @@
     def _drop_ended_overrides(
         self, fresh: Mapping[str, DecodedRecord[T]]
     ) -> None:
-        """Removes overrides of keys of which a later record was read."""
+        """Removes overrides of keys that have a later record, or none now."""
         for key, override in list(self._overrides.items()):
             decoded = fresh.get(key)
-            if decoded is not None and not override.ignores(decoded.record):
+            if decoded is None:
+                # The copy had a record of the key, which was removed since.
+                is_ended = override.offset is not None
+            else:
+                is_ended = not override.ignores(decoded.record)
+            if is_ended:
                 del self._overrides[key]
 
+    def _check_kept(
+        self,
+        merge_info: handover.MergeInfo,
+        fresh: dict[str, DecodedRecord[T]],
+    ) -> handover.MergeInfo:
+        """Corrects what another host keeps that has read the same copy.
+
+        The copy lacks these keys, and the other host waits for their writers. A
+        key that this host has not is gone by what it read or waited for itself.
+        A key that both keep ends with the earlier wait.
+
+        Args:
+            merge_info: Sent by the other host.
+            fresh: The records that it sent; those of keys that are gone are
+                removed.
+
+        Returns:
+            What remains of `merge_info`.
+        """
+        overrides = dict(merge_info.overrides)
+        for key, theirs in merge_info.overrides.items():
+            if theirs.offset is not None:
+                continue
+            if key not in self._values:
+                del overrides[key]
+                fresh.pop(key, None)
+                continue
+            mine = self._overrides.get(key)
+            if mine is not None and mine.offset is None:
+                overrides[key] = min(mine, theirs, key=lambda o: o.until_s)
+        return attrs.evolve(merge_info, overrides=overrides)
+
     def _find_surviving(
         self,
         fresh: Mapping[str, DecodedRecord[T]],
