Wait for restored entries as long as the platform says, from the store's return

Cause: an entry that the copy lacks was kept for 4 s from the host's own read, where the page says that it is gone when it is still missing about two seconds after the store's return. Its end was noticed at the next periodic read, 0.8 s later at most, and the copy was read a period after it was noticed.

It asked no other host, since after 4 s it knew none as alive.

Change: 2.5 s; the read that ends the wait comes when it ends; a copy is read at once; a host that has read nothing for 2 s asks other hosts first, those of its settings if it knows none as alive. How long removed records are withheld follows the installation's heartbeat. Of what another host only keeps, only what this one only keeps as well is taken.

--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -197,6 +197,8 @@
     def _run(self) -> None:
         since: positions.Position | None = None
         backoff_s = INITIAL_BACKOFF_S
+        # Limits the calls if the full state can't be read either.
+        was_expired = False
         while not self._stop.is_set():
             began_s = time.monotonic()
             res, since = self._read(since)
@@ -209,6 +211,11 @@
             if isinstance(res, Expired) or not res.is_from_peer:
                 self._record_answer()
                 backoff_s = INITIAL_BACKOFF_S
+            if isinstance(res, Expired) and not was_expired:
+                # What is believed may be wrong until the full state is read.
+                was_expired = True
+                continue
+            was_expired = False
             period_s = self._get_timing().period_s
             wait_s = began_s + period_s - time.monotonic()
             if wait_s > 0:
--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -27,10 +27,15 @@
 from egretspur.catalog import feeds, positions
 
 T = TypeVar("T")
+R = TypeVar("R")
 
 # Hosts called for one read; each call may take a full time-out.
 MAX_HOSTS_CALLED: Final = 3
 
+# Time without a read after which the whole state is asked of other hosts first,
+# in seconds: this host stood still, or reached nothing.
+LONG_PAUSE_S: Final = 2.0
+
 # zlib level of snapshots. A configuration of 1,640 routes has some hundred
 # kilobytes, and a tenth of that compressed; hosts have links of 10 Mbit/s.
 COMPRESSION_LEVEL: Final = 1
@@ -370,6 +375,7 @@
         fetch: FetchSnapshot,
         is_peers_first: Callable[[], bool],
         list_initial_hosts: ListHosts = list,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Makes a source.
 
@@ -381,6 +387,7 @@
                 or only when the store does not answer.
             list_initial_hosts: Returns the hosts to call before the first read
                 of the store, when no peer update has arrived yet.
+            clock: Returns the monotonic time in seconds.
         """
         self._topic = topic
         self._list_hosts = list_hosts
@@ -388,6 +395,10 @@
         self._is_peers_first = is_peers_first
         self._list_initial_hosts = list_initial_hosts
         self._has_read = False
+        self._clock = clock
+        # When the last read that succeeded began: this host may have stood
+        # still before it received the answer.
+        self._read_s = -math.inf
 
     def read_newest(
         self,
@@ -399,28 +410,42 @@
         from the store, which takes a small host's link more than half a second,
         and a twentieth of that from another host.
         """
+        began_s = self._clock()
+        hosts: list[str] = []
         if not self._has_read:
             self._has_read = True
-            found = self._fetch_from_hosts(self._list_initial_hosts(), None)
-            if found is not None:
-                return found
+            hosts = self._list_initial_hosts()
+        elif began_s - self._read_s > LONG_PAUSE_S:
+            # What changed while this host stood still is known to the others:
+            # a copy of the store, for example, doesn't say how old it is.
+            hosts = self._list_hosts() or self._list_initial_hosts()
+        found = self._fetch_from_hosts(hosts, None)
+        if found is not None:
+            return self._note(found, began_s)
         res = self._topic.read_newest()
         if isinstance(res, feeds.FullState):
-            return res
+            return self._note(res, began_s)
         return self._fall_back(None, res)
 
+    def _note(self, res: R, began_s: float) -> R:
+        """Returns the result of a read, and notes when it began."""
+        if isinstance(res, feeds.FullState | feeds.Changes):
+            self._read_s = began_s
+        return res
+
     def read_changes(
         self, since: positions.Position, wait_s: float
     ) -> feeds.Result[T]:
         """Returns the changes since a position."""
+        began_s = self._clock()
         is_first = self._is_peers_first()
         hosts = self._list_hosts() if is_first else []
         found = self._fetch_from_hosts(hosts, since)
         if found is not None:
-            return found
+            return self._note(found, began_s)
         res = self._topic.read_changes(since, wait_s)
         if is_first or not isinstance(res, feeds.Unavailable):
-            return res
+            return self._note(res, began_s)
         return self._fall_back(since, res)
 
     def _fall_back(
--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 import attrs
@@ -54,11 +55,15 @@
     return feeds.Timing(0.0, NON_READER_PERIOD_S)
 
 
-def get_list_timing(is_reader: bool) -> feeds.Timing:
-    """Returns the timing of the feed of the list of upstreams."""
-    return feeds.Timing(
-        0.0, LIST_PERIOD_S if is_reader else NON_READER_PERIOD_S
-    )
+def get_list_timing(is_reader: bool, due_s: float = math.inf) -> feeds.Timing:
+    """Returns the timing of the feed of the list of upstreams.
+
+    Args:
+        is_reader: Whether this host reads the store for its data centre.
+        due_s: Seconds until the list changes without a record.
+    """
+    period_s = LIST_PERIOD_S if is_reader else NON_READER_PERIOD_S
+    return feeds.Timing(0.0, min(period_s, due_s))
 
 
 def is_config_stale(mine: ReadState, other: ReadState) -> bool:
--- a/egretspur/catalog/tables.py
+++ b/egretspur/catalog/tables.py
@@ -13,7 +13,7 @@
 import math
 import time
 from collections.abc import Callable, Collection, Mapping, Sequence
-from typing import Final, Generic, TypeAlias, TypeVar
+from typing import Generic, TypeAlias, TypeVar
 
 import attrs
 
@@ -21,11 +21,6 @@
 
 T = TypeVar("T")
 
-# How long a record of the copy is withheld whose key was removed later: twice
-# the time after which the store removes an entry whose writer is silent. A
-# record that remains longer was rewritten.
-WITHHELD_S: Final = 8.0
-
 Value: TypeAlias = T | feeds.Unreadable
 Changed: TypeAlias = tuple[tuple[str, T | feeds.Unreadable | None], ...]
 
@@ -50,6 +45,9 @@
     keep_missing_s: float = math.inf
     # Whether known values supersede later records as well as those of a copy.
     is_monotonic: bool = False
+    # How long a record of the copy is withheld whose key was removed later, in
+    # seconds. One that remains longer was rewritten.
+    withheld_s: float = 8.0
 
 
 @attrs.frozen
@@ -107,6 +105,14 @@
         """Returns the position of the last read; None before the first."""
         return self._newest.position
 
+    def get_due_s(self) -> float:
+        """Returns the seconds until a value changes without a record.
+
+        A read at that time ends the override; infinite if there is none.
+        """
+        ends = [o.until_s for o in self._overrides.values()]
+        return max(0.0, min(ends, default=math.inf) - self._clock())
+
     def export(self, since: positions.Position | None) -> bytes | None:
         """Returns the packed snapshot for a host that has read to `since`."""
         return self._newest.pack_since(since)
@@ -217,9 +223,11 @@
     ) -> handover.MergeInfo:
         """Corrects what another host keeps that has read the same copy.
 
-        The copy lacks these keys, and the other host waits for their writers. A
-        key that this host has not is gone by what it read or waited for itself.
-        A key that both keep ends with the earlier wait.
+        The copy lacks these keys, and the other host, which has read as far as
+        this one or further, waits for their writers. A key that this host does
+        not only keep as well is gone: it read a record that is no longer there,
+        or has read the removal or waited itself. A key that both keep ends with
+        the earlier wait.
 
         Args:
             merge_info: Sent by the other host.
@@ -233,13 +241,12 @@
         for key, theirs in merge_info.overrides.items():
             if theirs.offset is not None:
                 continue
-            if key not in self._values:
-                del overrides[key]
-                fresh.pop(key, None)
-                continue
             mine = self._overrides.get(key)
             if mine is not None and mine.offset is None:
                 overrides[key] = min(mine, theirs, key=lambda o: o.until_s)
+                continue
+            del overrides[key]
+            fresh.pop(key, None)
         return attrs.evolve(merge_info, overrides=overrides)
 
     def _find_surviving(
@@ -274,7 +281,7 @@
         another host keeps despite the copy have no such offset.
         """
         kept = merge_info.overrides if merge_info else {}
-        until_s = self._clock() + WITHHELD_S
+        until_s = self._clock() + self._policy.withheld_s
         return {
             key: handover.Override(decoded.record.offset, until_s)
             for key, decoded in fresh.items()
--- a/egretspur/daemons/follow.py
+++ b/egretspur/daemons/follow.py
@@ -190,7 +190,9 @@
             "upstreams",
             self._make_source(upstreams_topic, hosts.list_alive),
             self.upstreams_sink,
-            lambda: reading.get_list_timing(hosts.is_reader()),
+            lambda: reading.get_list_timing(
+                hosts.is_reader(), upstreams_topic.table.get_due_s()
+            ),
         )
         self._quarantine_feed = feeds.Feed(
             "quarantine",
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -32,6 +32,13 @@
 CALL_TIMEOUT_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
 
+# Time after the store's return from a copy in which living upstreams write
+# their entries again. The platform says about two seconds.
+REWRITTEN_S: Final = 2.5
+
+# A record that was removed is withheld for so many times the life of an entry.
+WITHHELD_FACTOR: Final = 2.0
+
 _LENGTH: Final = struct.Struct(">I")
 _OFFSETS: Final = struct.Struct(">QQ")
 
@@ -409,7 +416,11 @@
         store,
         names.UPSTREAMS_TOPIC,
         decode.decode_upstream,
-        tables.Policy(upstreams.supersedes_restored, lapse_s),
+        tables.Policy(
+            upstreams.supersedes_restored,
+            REWRITTEN_S,
+            withheld_s=WITHHELD_FACTOR * lapse_s,
+        ),
         clock=clock,
     )
 
--- a/tests/catalog/catalog.feature
+++ b/tests/catalog/catalog.feature
@@ -68,6 +68,7 @@
     Given a feed whose source forgot its history and an entry
     When it reads on
     Then it takes the newest state as a whole, without the entry
+    And it paused between 2 reads only
 
   Scenario: A store that does not answer
     Given a feed whose source fails 6 times
@@ -132,6 +133,28 @@
     When it reads all once more
     Then the store was asked for all once
 
+  Scenario Outline: A host that has to read all again after a pause
+    # Guards against a host that stood still while the store came back from a
+    # copy, and takes the time of its own read for that of the store's return.
+    Given a source that asks other hosts at its start
+    When it reads all while no host answers
+    And it reads all <pause> s later while a host answers
+    Then the store was called <calls> times
+
+    Examples:
+      | pause | calls |
+      | 1.9   | 2     |
+      | 2.1   | 1     |
+
+  Scenario Outline: The next read of a list from which entries will lapse
+    Given a reader with <left> s left until an entry lapses
+    Then it reads the list again within <period> s
+
+    Examples:
+      | left | period |
+      | 0.3  | 0.3    |
+      | 2.0  | 0.8    |
+
   Scenario: A host that starts before all others
     Given a source that asks other hosts at its start
     When it reads all while no host answers
--- a/tests/catalog/copies.feature
+++ b/tests/catalog/copies.feature
@@ -27,6 +27,15 @@
     And all of them read
     Then all have "a b"
 
+  Scenario: An upstream has left before the store's return
+    # Guards against requests to an upstream whose entry nobody writes again,
+    # from a host that stood still meanwhile.
+    Given hosts that have read "a b c"
+    When the store loses the last 1 records, and "-" are written
+    And all of them read
+    Then all have "a b c"
+    And 2.6 s later all have "a b"
+
   Scenario: The draining state of an upstream is lost
     # Guards against late requests to a draining upstream, from hosts that
     # received the list from others after the restore.
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -17,6 +17,7 @@
     feeds,
     handover,
     positions,
+    reading,
     upstreams,
 )
 from tests import fleets
@@ -253,6 +254,22 @@
     assert context.sink.values == {"a": "1", "c": "3"}, context.sink.values
 
 
+@then("it paused between {count:d} reads only")
+def step_read_pauses(context: Any, count: int) -> None:
+    # None between the end of the history and the newest state.
+    assert len(context.pauses) == count + 1, context.pauses
+
+
+@given("a reader with {left_s:g} s left until an entry lapses")
+def step_lapsing(context: Any, left_s: float) -> None:
+    context.timing = reading.get_list_timing(True, left_s)
+
+
+@then("it reads the list again within {period_s:g} s")
+def step_period(context: Any, period_s: float) -> None:
+    assert context.timing.period_s == period_s, context.timing
+
+
 @given("a feed whose source fails {times:d} times")
 def step_fails(context: Any, times: int) -> None:
     answers: list[Answer] = [feeds.Unavailable("down")] * times
@@ -442,7 +459,10 @@
 
     def read_newest(self) -> Any:
         """Reads the store."""
-        return self.read_changes(at(0), 0.0)
+        res = self.read_changes(at(0), 0.0)
+        if isinstance(res, feeds.Unavailable):
+            return res
+        return feeds.FullState({}, at(0))
 
     def read_changes(self, since: positions.Position, wait_s: float) -> Any:
         """Reads the store."""
@@ -477,6 +497,7 @@
 
 @given("a source that asks other hosts at its start")
 def step_source_start(context: Any) -> None:
+    context.now_s = 10.0
     context.topic = Topic()
     context.handed = {"h1": None, "h2": None}
     context.source = handover.HandoverSource(
@@ -485,6 +506,7 @@
         lambda host, topic, since: context.handed[host],
         lambda: False,
         lambda: ["h1", "h2"],
+        lambda: context.now_s,
     )
 
 
@@ -494,6 +516,17 @@
     context.res = context.source.read_newest()
 
 
+@when("it reads all {pause_s:g} s later while a host answers")
+def step_read_later(context: Any, pause_s: float) -> None:
+    context.now_s += pause_s
+    step_first_answered(context)
+
+
+@then("the store was called {calls:d} times")
+def step_store_calls(context: Any, calls: int) -> None:
+    assert context.topic.calls == calls, context.topic.calls
+
+
 @when("it reads all while no host answers")
 @when("it reads all once more")
 def step_read_all(context: Any) -> None:
--- a/tests/steps/copies_steps.py
+++ b/tests/steps/copies_steps.py
@@ -119,6 +119,13 @@
     check(context, context.hosts, living)
 
 
+@then('{seconds:g} s later all have "{living}"')
+def step_after(context: Any, seconds: float, living: str) -> None:
+    context.now_s += seconds
+    read(context, context.hosts)
+    check(context, context.hosts, living)
+
+
 @then("the last one's era is the store's")
 def step_era(context: Any) -> None:
     assert context.hosts[-1].position.era == context.log.era
