Set a connection back only if its close was to be a reset

A call to the system for each connection that callers close, on every answer, for the few of HTTP/1.0. web.feature and tunnels.feature pass; no behaviour changed.

--- a/egretspur/tunnels/heads.py
+++ b/egretspur/tunnels/heads.py
@@ -1,4 +1,4 @@
-"""Heads of messages on a tunnel's way: free of I/O."""
+"""Heads of HTTP messages that tunnels read: free of I/O."""
 
 from __future__ import annotations
 
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -275,6 +275,9 @@
     # Whether the last response was written completely.
     is_whole = False
 
+    # Whether a close resets the connection.
+    breaks_on_close = False
+
     def break_on_close(self) -> None:
         """Makes each end of the connection a reset, also that by the kernel.
 
@@ -282,6 +285,7 @@
         caller would take any other end for that of the whole response.
         """
         self.is_whole = False
+        self.breaks_on_close = True
         self._set_reset(True)
 
     def _set_reset(self, is_on: bool) -> None:
@@ -302,7 +306,11 @@
 
     def handle_close(self) -> None:
         """Closes the socket and notifies the handler."""
-        if self.is_whole and not self.total_outbufs_len:
+        if (
+            self.breaks_on_close
+            and self.is_whole
+            and not self.total_outbufs_len
+        ):
             self._set_reset(False)
         super().handle_close()
         self._notify_disconnect()
