--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -13,7 +13,8 @@
 exits when it starts a request whose body or prompt segments contain this text),
 ``crash_after_head`` (it sends the head of the answer first), ``halt_s`` (all
 streams pause for this long, counted from when the fault is set), ``unframed``
-(streams have no length and no chunks and end with their connection).
+(answers have no length and no chunks and end with their connection; plain ones
+come in as many parts as there are ``events``).
 """
 
 from __future__ import annotations
@@ -115,8 +116,7 @@
         """Writes the events after the last one received by the caller."""
         faults = self._replica.faults
         if faults["unframed"]:
-            # The server uses no chunks in an answer of this version.
-            write.__self__.version = "1.0"  # type: ignore[attr-defined]
+            end_with_connection(write)
         sent = 0
         has_halted = False
         try:
@@ -136,6 +136,27 @@
             raise
 
 
+class Parts:
+    """Body of a plain answer that ends with its connection."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def push(self, write: Callable[[bytes], Any]) -> None:
+        """Writes all parts."""
+        faults = self._replica.faults
+        end_with_connection(write)
+        for number in range(1, faults["events"] + 1):
+            write(f"part {number}\n".encode())
+            time.sleep(faults["pause_s"])
+
+
+def end_with_connection(write: Callable[[bytes], Any]) -> None:
+    """Makes an answer that begins end with its connection."""
+    # The server uses no chunks in an answer of this version.
+    write.__self__.version = "1.0"  # type: ignore[attr-defined]
+
+
 class CrashingBody:
     """Body before whose first event the process exits."""
 
@@ -195,6 +216,8 @@
             status = replica.faults["status"]
             if replica.faults["lose"]:
                 raise ConnectionAbortedError("answer lost on request")
+            if replica.faults["unframed"]:
+                return web.Response(status, head, Parts(replica))
             return web.Response(status, head, replica.name.encode())
         after = int(fields.get("Last-Event-Id") or 0)
         if after and replica.faults["resumed_status"] != 200:
