--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -418,7 +418,7 @@
             ),
             has_brought=len(self._merge.tokens) > self._first_position,
             has_head=has_head,
-            is_own=broken.ended_by in (ends.EndedBy.HOST, ends.EndedBy.HELPER),
+            is_own=broken.ended_by.is_own_side,
         )
 
     def _end_refused(
--- a/egretspur/ends.py
+++ b/egretspur/ends.py
@@ -33,6 +33,11 @@
     # Neither end: packets on an open connection were no longer acknowledged.
     NETWORK = "network"
 
+    @property
+    def is_own_side(self) -> bool:
+        """Whether this host, or the helper that it asked, ended it."""
+        return self in (EndedBy.HOST, EndedBy.HELPER)
+
 
 class HelperLostError(ConnectionError):
     """A connection through another host ended, though not by the upstream."""
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -57,9 +57,6 @@
 # Status of a response by another upstream than the intended one.
 MISDIRECTED_STATUS: Final = 421
 
-# Statuses of responses that have no body.
-_EMPTY_STATUSES: Final = (204, 304)
-
 
 class UpstreamClient:
     """Sends callers' requests; see `sending.AttemptSender`."""
@@ -240,11 +237,7 @@
         self._deadline_s = deadline_s
         # Whether the head tells where the body ends; otherwise the connection
         # ends with it.
-        self._has_length = (
-            res.status in _EMPTY_STATUSES
-            or "Content-Length" in res.headers
-            or "Transfer-Encoding" in res.headers
-        )
+        self._has_length = responses.tells_end(res.status, res.headers)
         # Whether the end of the connection is a valid end of the body. It is
         # not while an unannounced body is empty: an upstream that dies right
         # after the head ends its connection in the same way.
--- a/egretspur/responses.py
+++ b/egretspur/responses.py
@@ -16,7 +16,7 @@
 import io
 import re
 import socket
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import urllib3.connection
@@ -28,7 +28,7 @@
 
 _LENGTH: Final = re.compile(r"[0-9]{1,18}")
 
-# Statuses of responses that have no body, besides the interim ones.
+# Statuses of final responses that have no body.
 _EMPTY_STATUSES: Final = (
     http.HTTPStatus.NO_CONTENT,
     http.HTTPStatus.NOT_MODIFIED,
@@ -140,6 +140,22 @@
             self.length = _parse_length(given)
 
 
+def tells_end(status: int, fields: Mapping[str, str]) -> bool:
+    """Returns whether a head tells where the body ends.
+
+    Otherwise the end of the connection does.
+
+    Args:
+        status: HTTP status of a final response.
+        fields: Header fields; finds names in any case.
+    """
+    return (
+        status in _EMPTY_STATUSES
+        or "Content-Length" in fields
+        or "Transfer-Encoding" in fields
+    )
+
+
 def _parse_length(given: Sequence[str]) -> int:
     """Returns the length that header fields state, which may repeat it."""
     lengths = {text.strip() for text in ",".join(given).split(",")}
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -113,10 +113,7 @@
             ticket.refusals += 1
         elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
             ticket.runs += 1
-            is_own = failure.ended_by in (
-                ends.EndedBy.HOST,
-                ends.EndedBy.HELPER,
-            )
+            is_own = failure.ended_by.is_own_side
             ticket.ran.append(tickets.Run(first_id, is_own))
         elif failure.kind is jobs.FailureKind.EMPTY:
             ticket.runs += 1
