--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -5,6 +5,9 @@
 
 Faults: ``events`` (number per stream), ``pause_s`` (interval between them),
 ``cut_after`` (number of events after which a stream is cut off),
+``break_after`` (number of events after which each stream is broken off),
+``stall_s`` (after it has broken one off, it accepts connections and answers
+nothing on any of them for this time, as a process that stands still),
 ``resumed_status`` (status of a resumed stream), ``status`` (of a plain
 answer), ``refuse`` (answers that the request was not executed), ``lose`` (a
 plain answer is lost after its request ran), ``delay_s`` (delay of an answer),
@@ -44,6 +47,8 @@
             "events": 5,
             "pause_s": 0.02,
             "cut_after": -1,
+            "break_after": -1,
+            "stall_s": 0.0,
             "resumed_status": 200,
             "status": 200,
             "refuse": False,
@@ -63,8 +68,23 @@
         self.runs: list[dict[str, str]] = []
         # Number of streams that the caller closed before their end.
         self.left = 0
+        # Monotonic time until which it answers nothing.
+        self.stalled_until_s = 0.0
         self.lock = threading.Lock()
 
+    def wait_stalled(self) -> None:
+        """Returns once the replica answers again."""
+        while (left_s := self.stalled_until_s - time.monotonic()) > 0.0:
+            time.sleep(left_s)
+
+    def break_off(self, write: Callable[[bytes], Any]) -> None:
+        """Ends a stream within an event; the replica stalls if it is to."""
+        write(b"id: 9")
+        stall_s = self.faults["stall_s"]
+        if stall_s:
+            self.stalled_until_s = time.monotonic() + stall_s
+        raise ConnectionAbortedError("cut on request")
+
     def report(self) -> dict[str, Any]:
         """Returns the report."""
         return {
@@ -121,10 +141,12 @@
         has_halted = False
         try:
             for number in range(self._after + 1, faults["events"] + 1):
+                self._replica.wait_stalled()
+                if sent == faults["break_after"]:
+                    self._replica.break_off(write)
                 if sent == faults["cut_after"]:
                     faults["cut_after"] = -1
-                    write(b"id: 9")
-                    raise ConnectionAbortedError("cut on request")
+                    self._replica.break_off(write)
                 write(f"id: {number}\ndata: text {number}\n\n".encode())
                 sent += 1
                 if faults["halt_s"] and not has_halted:
@@ -171,12 +193,18 @@
     """Returns the replica's HTTP endpoints."""
     app = web.App()
 
+    def report(req: web.Request) -> web.Response:
+        replica.wait_stalled()
+        return base.reply(replica.report())
+
     def order(req: web.Request) -> web.Response:
+        replica.wait_stalled()
         return base.reply({}, replica.order(base.read_json(req)))
 
     def run(req: web.Request) -> web.Response:
         fields = req.get_headers()
         body = req.read_body()
+        replica.wait_stalled()
         head = {
             "Attempt-Id": fields.get("Attempt-Id", ""),
             "Replica-Signature": f"sig-{replica.name}",
@@ -225,7 +253,7 @@
         head["Content-Type"] = "text/event-stream"
         return web.Response(200, head, Events(replica, after))
 
-    app.add("GET", "/egretspur/report", lambda r: base.reply(replica.report()))
+    app.add("GET", "/egretspur/report", report)
     app.add("POST", "/egretspur/order", order)
     app.add("GET", "/healthz", lambda r: base.reply({}))
     app.add("GET", "/runs", lambda r: base.reply(replica.runs))
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import collections
 import itertools
 import json
 import signal
@@ -33,6 +34,14 @@
 # Seconds for which a stream or a process pauses.
 HALT_S: Final = 3.5
 
+# Events after which engines break a stream off, and seconds for which they
+# stall after that.
+BREAK_EVENTS: Final = 4
+STALL_S: Final = 1.2
+
+# Seconds for which engines break off streams.
+BREAKING_S: Final = 10.0
+
 # Seconds between two starts or ends of engines that are replaced.
 REPLACE_PERIOD_S: Final = 1.2
 
@@ -264,6 +273,20 @@
     site.write("keyed.op", "config", sites.make_config(["key-1"], 4))
 
 
+def play_broken_off(site: sites.Site, stall_s: float = 0.0) -> None:
+    """All engines break each stream off."""
+    for name in list_engines(site):
+        site.set_fault(name, {"break_after": BREAK_EVENTS, "stall_s": stall_s})
+    time.sleep(BREAKING_S)
+    for name in list_engines(site):
+        site.set_fault(name, {"break_after": -1, "stall_s": 0.0})
+
+
+def play_broken_stall(site: sites.Site) -> None:
+    """All engines break each stream off, and stall after that."""
+    play_broken_off(site, STALL_S)
+
+
 def _end_engine(site: sites.Site, name: str) -> None:
     process = site.stage.processes[name].popen
     process.terminate()
@@ -278,6 +301,8 @@
     "half are replaced": play_replaced,
     "half exit": play_exit,
     "the service is dropped": play_dropped_service,
+    "all break off": play_broken_off,
+    "all break off and stall": play_broken_stall,
 }
 
 
@@ -296,6 +321,15 @@
     ]
 
 
+def count_engines(site: sites.Site) -> dict[str, int]:
+    """Returns on how many engines each request ran, as the engines saw it."""
+    ran: dict[str, set[str]] = {}
+    for run in site.get_runs():
+        names = ran.setdefault(run["Attempt-Id"], set())
+        names.add(run["Target-Replica"])
+    return {request: len(names) for request, names in ran.items()}
+
+
 def find_lines(site: sites.Site, request: str) -> list[dict[str, Any]]:
     """Returns the log lines of the hosts that name a request."""
     return [
@@ -314,6 +348,12 @@
     parser.add_argument("--hosts", type=int, default=8)
     parser.add_argument("--engines", type=int, default=14)
     parser.add_argument("--streams-per-s", type=float, default=8.0)
+    parser.add_argument(
+        "--over",
+        action="store_true",
+        help="show the streams that ran on more engines than their route has"
+        " attempts, instead of those that were cut",
+    )
     args = parser.parse_args()
     streams = start(args.hosts, args.engines, args.streams_per_s)
     try:
@@ -322,6 +362,12 @@
         refused = [s for s in streams.streams if s.status != 200]
         print(f"{args.history}: cut {len(cut)} of {len(ran)}")
         print(f"of all {len(streams.streams)}, without a 200: {len(refused)}")
+        counts = count_engines(streams.site)
+        ids = {s.id for s in streams.streams}
+        spread = collections.Counter(n for i, n in counts.items() if i in ids)
+        print(f"streams by the number of engines that ran them: {spread}")
+        if args.over:
+            cut = [s for s in streams.streams if counts.get(s.id, 0) > 2]
         for stream in cut:
             print(json.dumps(attrs.asdict(stream)))
             for fields in find_lines(streams.site, stream.id):
