Log why upstreams that ran a request don't count against its route's limit

Callers' requests ran on more replicas than max_attempts allows; the log told which upstream each attempt chose and, on other lines, which were down, but not what was left out of the count at a choice, nor why, so the three hypotheses of docs/incidents/silence-taken-for-an-end.md could not be told apart.

`runs_not_counted` is written for each attempt at an upstream beyond the limit, with those that count and those that don't and why; `requests_over_limit` counts them. What shows that an upstream ended moves to routing/detection.py. No decision changes.

--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -26,6 +26,7 @@
     "requests_started": "Attempts given to an upstream",
     "requests_queued": "Requests that waited for request memory",
     "requests_repeated": "Attempts beyond a request's first",
+    "requests_over_limit": "Attempts at more upstreams than the route allows",
     "requests_refused": "Requests answered without an upstream's answer",
     "requests_finished": "Requests that are over",
     "requests_in_flight": "Requests at upstreams now",
@@ -165,6 +166,7 @@
             "requests_started": counts.started,
             "requests_queued": counts.queued,
             "requests_repeated": counts.repeats,
+            "requests_over_limit": counts.over_limit,
             "requests_refused": counts.refused,
             "requests_finished": counts.finished,
             "requests_in_flight": sum(
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -122,6 +122,25 @@
     peers: int
 
 
+@attrs.frozen
+class RunsNotCounted:
+    """An answer is sent on though more upstreams ran it than its route allows.
+
+    Some of them don't count, since they ended or are cut off.
+    """
+
+    request: str
+    attempt: int
+    # Upstream of this attempt.
+    upstream: str
+    # Upstreams of the route at most.
+    limit: int
+    # Upstreams that ran it and count.
+    counted: tuple[str, ...]
+    # Upstreams that ran it and don't, each with the reason.
+    not_counted: tuple[str, ...]
+
+
 @attrs.frozen
 class AttemptFailed:
     """An attempt got no answer, or its answer broke off."""
@@ -487,6 +506,7 @@
     | RequestRefused
     | CallerReturned
     | PathChosen
+    | RunsNotCounted
     | AttemptFailed
     | RequestMoved
     | RequestAnswered
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Final
 
 from egretspur import decisions, ends
@@ -16,6 +17,7 @@
 from egretspur.catalog import config, upstreams
 from egretspur.routing import crashes as crash_detector
 from egretspur.routing import (
+    detection,
     fleet,
     jobs,
     links,
@@ -67,6 +69,7 @@
         entry: upstreams.Upstream,
         spec: config.EngineSpec | None,
         now_s: float,
+        is_beside: bool = False,
     ) -> jobs.Start:
         """Records that an attempt is sent.
 
@@ -76,12 +79,19 @@
             entry: First upstream of the attempt.
             spec: Of the request's service; None for a plain one.
             now_s: Monotonic time.
+            is_beside: Whether it runs beside the current one.
         """
+        ran = ticket.list_ran()
+        if is_beside:
+            ticket.next = attempt
+        else:
+            ticket.current = attempt
         ticket.attempts += 1
         if ticket.retry_taken_s is not None:
             ticket.retry_taken_s = None
             self.counts.repeats += 1
         self.notes.append(self._describe_start(ticket, attempt, spec, now_s))
+        self._note_over_limit(ticket, attempt, ran, now_s)
         self.occupancy.add(ticket.job, attempt, spec, now_s)
         self.counts.started += 1
         first_s = 0.0
@@ -180,6 +190,30 @@
             self._budgets.refund(ticket.job.service, ticket.retry_taken_s)
             ticket.retry_taken_s = None
 
+    def _note_over_limit(
+        self,
+        ticket: tickets.Ticket,
+        attempt: tickets.Attempt,
+        ran: Collection[str],
+        now_s: float,
+    ) -> None:
+        """Records an attempt at an upstream beyond the limit of the route."""
+        limit = ticket.job.route.max_attempts
+        if attempt.upstream_id in ran or len(ran) < limit:
+            return
+        reasons = {i: detection.explain_end(self._fleet, i, now_s) for i in ran}
+        self.counts.over_limit += 1
+        self.notes.append(
+            decisions.RunsNotCounted(
+                ticket.job.id,
+                ticket.attempts,
+                attempt.upstream_id,
+                limit,
+                tuple(i for i, reason in reasons.items() if not reason),
+                tuple(f"{i}: {why}" for i, why in reasons.items() if why),
+            )
+        )
+
     def _describe_start(
         self,
         ticket: tickets.Ticket,
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -688,9 +688,9 @@
         if ticket.is_begun and not self._attempts.take_retry(ticket, now_s):
             ticket.postpone(retries.BUDGET_DELAY_S, now_s)
             return None
-        ticket.current = tickets.Attempt(entry.id, parts, now_s)
+        attempt = tickets.Attempt(entry.id, parts, now_s)
         return self._attempts.start(
-            ticket, ticket.current, entry, service.engine, now_s
+            ticket, attempt, entry, service.engine, now_s
         )
 
     def _check_retry(
--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -11,8 +11,8 @@
 from egretspur import decisions
 from egretspur.admission import quarantine as quarantines
 from egretspur.admission import segments
+from egretspur.routing import detection, jobs
 from egretspur.routing import fleet as fleets
-from egretspur.routing import jobs
 from egretspur.tunnels import reach
 
 
@@ -73,7 +73,7 @@
         """Returns the state of an upstream whose answer was cut."""
         # A host that is cut off takes upstreams for down that are not.
         is_sound = self._fleet.reach_state is reach.ReachState.SOUND
-        return get_state(self._fleet, upstream_id, is_sound)
+        return detection.get_state(self._fleet, upstream_id, is_sound)
 
     def _note_changes(self) -> None:
         for change in self._quarantine.take_changes():
@@ -87,24 +87,3 @@
             )
             if change.is_own:
                 self._unsaved.append(change)
-
-
-def get_state(
-    state: fleets.Fleet, upstream_id: str, counts_down: bool
-) -> quarantines.UpstreamState:
-    """Returns the state of an upstream that ended an attempt.
-
-    Args:
-        state: Upstreams.
-        upstream_id: The upstream.
-        counts_down: Whether one that is down counts as crashed; otherwise that
-            is unknown.
-    """
-    if upstream_id not in state.roster.entries:
-        return quarantines.UpstreamState.CRASHED
-    failed = state.health.failed.get(upstream_id)
-    if failed is None:
-        return quarantines.UpstreamState.ALIVE
-    if failed.is_down and counts_down:
-        return quarantines.UpstreamState.CRASHED
-    return quarantines.UpstreamState.UNKNOWN
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -16,7 +16,7 @@
 from egretspur.catalog import config
 from egretspur.routing import (
     attempts,
-    crashes,
+    detection,
     fleet,
     jobs,
     retries,
@@ -99,8 +99,10 @@
             ticket.postpone(retries.BUDGET_DELAY_S, now_s)
             return None
         entry = self._fleet.roster.entries[parts[0].id]
-        ticket.next = tickets.Attempt(entry.id, parts, now_s)
-        return self._attempts.start(ticket, ticket.next, entry, spec, now_s)
+        attempt = tickets.Attempt(entry.id, parts, now_s)
+        return self._attempts.start(
+            ticket, attempt, entry, spec, now_s, is_beside=True
+        )
 
     def drop(
         self, job_id: str, failure: jobs.Failure | None, now_s: float
@@ -155,15 +157,12 @@
         Returns:
             None if it may be sent to any.
         """
+        current = {a.upstream_id for a in (ticket.current, ticket.next) if a}
         used = {
-            r.upstream_id
-            for r in ticket.ran
-            if self._get_state(r.upstream_id) is not _State.CRASHED
+            i
+            for i in ticket.list_ran()
+            if i in current or self._get_state(i) is not _State.CRASHED
         }
-        if ticket.current is not None:
-            used.add(ticket.current.upstream_id)
-        if ticket.next is not None:
-            used.add(ticket.next.upstream_id)
         if len(used) < ticket.job.route.max_attempts:
             return None
         return frozenset(used)
@@ -208,4 +207,4 @@
         return now_s >= ticket.verdict_by_s
 
     def _get_state(self, upstream_id: str) -> quarantine.UpstreamState:
-        return crashes.get_state(self._fleet, upstream_id, counts_down=True)
+        return detection.get_state(self._fleet, upstream_id, counts_down=True)
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -116,6 +116,8 @@
     started: int = 0
     queued: int = 0
     repeats: int = 0
+    # Attempts at more upstreams than a route allows, of which some don't count.
+    over_limit: int = 0
     refused: int = 0
     finished: int = 0
 
