Count upstreams that are only silent against a route's limit

Cause: a begun answer may be sent to another upstream for each one that ended since. `list_first_choices` took "down" for ended, and an upstream is down as soon as a probe of it or a stream over it is silent for half a second. A sound one that stands still for a second and goes on was not counted, and a third one ran the request.

Evidence (runs_not_counted): every engine that was too many was chosen while others that had run the request were "down for 0.05 s" to 8 s; none was gone.

Change: not counted is only one whose end shows (routing/detection.py): it is not listed (the platform's word, or another start), its connections are refused, or none opened for 2.5 s of probes, by a host whose own links work. A probe says which of these it saw. An answer whose upstreams are used up and silent waits, and goes back to the one that goes on; those that it waits for are probed every 0.3 s, since the intervals between probes grow beyond its caller's patience. When it is given up does not change.

Steps that model a crashed engine now say that it refuses connections.

--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -107,6 +107,17 @@
     born_ms: int | None = None
 
 
+@attrs.frozen
+class ProbeFailed:
+    """A probe that got no answer."""
+
+    reason: str
+    # Whether a connection opened: then the upstream may only stand still.
+    is_connected: bool
+    # Whether the connection was refused: nobody listens at the address.
+    is_refused: bool = False
+
+
 # Report of a plain service, whose health page has no values.
 PLAIN_REPORT: Final = EngineReport(None, False, 0, 0.0, 0.0, 1.0, ())
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -378,14 +378,13 @@
 
     def _probe(
         self, entry: upstreams.Upstream
-    ) -> upstreams.EngineReport | None:
+    ) -> upstreams.EngineReport | upstreams.ProbeFailed:
         cfg = self._versions.newest
         service = cfg.services.get(entry.service) if cfg else None
         if service is None or service.engine is not None:
-            report = self._engines.probe(entry.address)
-            return None if isinstance(report, str) else report
-        is_alive = self._engines.is_alive(entry.address, service.health_path)
-        return upstreams.PLAIN_REPORT if is_alive else None
+            return self._engines.probe(entry.address)
+        failed = self._engines.check(entry.address, service.health_path)
+        return failed or upstreams.PLAIN_REPORT
 
     def _make_update(self, peers: Mapping[str, str]) -> datagrams.PeerUpdate:
         """Returns this host's update for the others of its data centre."""
--- a/egretspur/ends.py
+++ b/egretspur/ends.py
@@ -56,6 +56,11 @@
     return EndedBy.UPSTREAM
 
 
+def is_refused(exc: BaseException) -> bool:
+    """Returns whether a connection failed since nobody listens there."""
+    return any(isinstance(e, ConnectionRefusedError) for e in _list_causes(exc))
+
+
 def _list_causes(exc: BaseException | None) -> Iterator[BaseException]:
     """Yields an error and those that led to it."""
     seen: set[int] = set()
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -396,15 +396,21 @@
         """Returns an engine's report, or why it failed."""
         return self._get_report(self._transport, address, "report")
 
-    def probe(self, address: str) -> upstreams.EngineReport | str:
+    def probe(
+        self, address: str
+    ) -> upstreams.EngineReport | upstreams.ProbeFailed:
         """Returns the report of an engine that failed, or why there is none.
 
         Uses a new connection, as requests do: kept ones may live on while no
         new one can be opened.
         """
-        return _decode_report(
-            address, self._call_anew(address, names.REPORT_PATH, "report")
-        )
+        res = self._call_anew(address, names.REPORT_PATH, "report")
+        if isinstance(res, transport.Failed):
+            return _make_probe_failed(res)
+        report = _decode_report(address, res)
+        if isinstance(report, str):
+            return upstreams.ProbeFailed(report, is_connected=True)
+        return report
 
     def peek(self, address: str) -> upstreams.EngineReport | str:
         """Returns a report within a short timeout, or why it failed.
@@ -453,8 +459,10 @@
                 own.record_unanswered_probe(address)
         return res
 
-    def is_alive(self, address: str, health_path: str) -> bool:
-        """Returns whether a plain service accepts connections.
+    def check(
+        self, address: str, health_path: str
+    ) -> upstreams.ProbeFailed | None:
+        """Returns why a plain service is not alive; None if it is.
 
         A late response or an error status counts as alive: a full or slow
         service responds late, and a draining one refuses. The list of upstreams
@@ -462,7 +470,9 @@
         as `probe` does.
         """
         res = self._call_anew(address, health_path, "health")
-        return not isinstance(res, transport.Failed) or res.is_timeout
+        if not isinstance(res, transport.Failed) or res.is_timeout:
+            return None
+        return _make_probe_failed(res)
 
     def place(
         self, address: str, layers: upstreams.Layers, expected: int
@@ -512,6 +522,11 @@
         return f"{address}: status {res.status}: {res.body[:200]!r}"
 
 
+def _make_probe_failed(res: transport.Failed) -> upstreams.ProbeFailed:
+    """Returns what a probe without an answer shows."""
+    return upstreams.ProbeFailed(res.reason, res.maybe_sent, res.is_refused)
+
+
 def _decode_report(
     address: str, res: transport.Reply | transport.Failed
 ) -> upstreams.EngineReport | str:
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -91,7 +91,7 @@
             ticket.retry_taken_s = None
             self.counts.repeats += 1
         self.notes.append(self._describe_start(ticket, attempt, spec, now_s))
-        self._note_over_limit(ticket, attempt, ran, now_s)
+        self._note_over_limit(ticket, attempt, ran)
         self.occupancy.add(ticket.job, attempt, spec, now_s)
         self.counts.started += 1
         first_s = 0.0
@@ -195,13 +195,12 @@
         ticket: tickets.Ticket,
         attempt: tickets.Attempt,
         ran: Collection[str],
-        now_s: float,
     ) -> None:
         """Records an attempt at an upstream beyond the limit of the route."""
         limit = ticket.job.route.max_attempts
         if attempt.upstream_id in ran or len(ran) < limit:
             return
-        reasons = {i: detection.explain_end(self._fleet, i, now_s) for i in ran}
+        reasons = {i: detection.explain_end(self._fleet, i) for i in ran}
         self.counts.over_limit += 1
         self.notes.append(
             decisions.RunsNotCounted(
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -468,6 +468,8 @@
         for item in queues.expire(self.queue, now_s):
             effects.append(self._refuse_expired(self.tickets[item.id], now_s))
         effects += self._refuse_exhausted(now_s)
+        waiting = [self.tickets[i] for i in self.queue.waiting]
+        self.handovers.advance_probes(waiting, now_s)
         return effects + self._start_queued(now_s)
 
     def is_busy(self) -> bool:
--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -71,9 +71,11 @@
 
     def _get_state(self, upstream_id: str) -> quarantines.UpstreamState:
         """Returns the state of an upstream whose answer was cut."""
-        # A host that is cut off takes upstreams for down that are not.
         is_sound = self._fleet.reach_state is reach.ReachState.SOUND
-        return detection.get_state(self._fleet, upstream_id, is_sound)
+        # A host that is cut off takes upstreams for down that are not.
+        if is_sound and self._fleet.health.is_down(upstream_id):
+            return quarantines.UpstreamState.CRASHED
+        return detection.get_state(self._fleet, upstream_id)
 
     def _note_changes(self) -> None:
         for change in self._quarantine.take_changes():
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -243,8 +243,7 @@
     """The result of a probe."""
 
     upstream_id: str
-    # None if the upstream did not answer.
-    report: upstreams.EngineReport | None
+    report: upstreams.EngineReport | upstreams.ProbeFailed
 
 
 @attrs.frozen
--- a/egretspur/routing/detection.py
+++ b/egretspur/routing/detection.py
@@ -1,42 +1,45 @@
 """Failure detection: what shows that an upstream has ended: pure.
 
-Read next: `egretspur.routing.health`.
+An upstream that is silent gets no requests, but may be sound and go on. Where
+it matters whether it has ended, only these show it: it is no longer listed,
+another start of it is known, its connections are refused, or none opens for
+seconds. Read next: `egretspur.routing.health`.
 """
 
 from __future__ import annotations
 
 from egretspur.admission import quarantine
 from egretspur.routing import fleet as fleets
+from egretspur.tunnels import reach
 
 _State = quarantine.UpstreamState
 
 
 def get_state(
-    state: fleets.Fleet, upstream_id: str, counts_down: bool
+    state: fleets.Fleet, upstream_id: str
 ) -> quarantine.UpstreamState:
-    """Returns the state of an upstream that ended an attempt.
-
-    Args:
-        state: Upstreams.
-        upstream_id: The upstream.
-        counts_down: Whether one that is down counts as crashed; otherwise that
-            is unknown.
-    """
-    if upstream_id not in state.roster.entries:
+    """Returns the state of an upstream that ended an attempt."""
+    if explain_end(state, upstream_id):
         return _State.CRASHED
-    failed = state.health.failed.get(upstream_id)
-    if failed is None:
+    if upstream_id not in state.health.failed:
         return _State.ALIVE
-    if failed.is_down and counts_down:
-        return _State.CRASHED
     return _State.UNKNOWN
 
 
-def explain_end(state: fleets.Fleet, upstream_id: str, now_s: float) -> str:
-    """Returns why an upstream counts as ended; empty if it does not."""
+def is_gone_or_down(state: fleets.Fleet, upstream_id: str) -> bool:
+    """Returns whether an upstream ended, or can't be used until it answers."""
+    return get_state(
+        state, upstream_id
+    ) is _State.CRASHED or state.health.is_down(upstream_id)
+
+
+def explain_end(state: fleets.Fleet, upstream_id: str) -> str:
+    """Returns what shows that an upstream ended or is cut off; empty if none.
+
+    A host whose own links fail finds upstreams unreachable that are not.
+    """
     if upstream_id not in state.roster.entries:
         return "not listed"
-    failed = state.health.failed.get(upstream_id)
-    if failed is None or not failed.is_down:
+    if state.reach_state is not reach.ReachState.SOUND:
         return ""
-    return f"down for {now_s - failed.since_s:.2f} s"
+    return state.health.explain_end(upstream_id)
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -383,17 +383,20 @@
     def apply_report(
         self,
         upstream_id: str,
-        report: upstreams.EngineReport | None,
+        report: upstreams.EngineReport | upstreams.ProbeFailed,
         now_s: float,
     ) -> None:
-        """Applies an engine's probe report; None if the probe failed.
+        """Applies an engine's probe report, or why it gave none.
 
         A report of another incarnation says nothing about this one. A newer
         incarnation replaces the entry at once.
         """
         entry = self.roster.entries.get(upstream_id)
-        if report is None or entry is None:
-            self.record_probe(upstream_id, report is not None, 1.0, now_s)
+        if isinstance(report, upstreams.ProbeFailed):
+            self.record_probe(upstream_id, False, 1.0, now_s, report)
+            return
+        if entry is None:
+            self.record_probe(upstream_id, True, 1.0, now_s)
             return
         if not upstreams.is_other_start(entry, report):
             self._apply_memory_report(upstream_id, report, now_s)
@@ -406,16 +409,29 @@
         self.health.record_inconclusive_probe(upstream_id)
 
     def record_probe(
-        self, upstream_id: str, is_ok: bool, pace: float, now_s: float
+        self,
+        upstream_id: str,
+        is_ok: bool,
+        pace: float,
+        now_s: float,
+        failed: upstreams.ProbeFailed | None = None,
     ) -> None:
-        """Records whether an upstream answered a probe, and its pace."""
+        """Records whether an upstream answered a probe, and its pace.
+
+        Args:
+            upstream_id: The upstream.
+            is_ok: Whether it answered.
+            pace: Its pace; see `upstreams.EngineReport`.
+            now_s: Monotonic time.
+            failed: What is known of a probe without an answer.
+        """
         self._update_count += 1
         if is_ok and self.paces.record_pace(upstream_id, pace):
             is_slow = pace > paces.SLOW_THRESHOLD
             self._log_state(
                 upstream_id, "slow" if is_slow else "back", f"pace {pace}"
             )
-        self.health.record_probe(upstream_id, is_ok, now_s)
+        self.health.record_probe(upstream_id, is_ok, now_s, failed)
 
     def _apply_memory_report(
         self, upstream_id: str, report: upstreams.EngineReport, now_s: float
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -9,10 +9,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
-from egretspur.admission import quarantine
 from egretspur.catalog import config
 from egretspur.routing import (
     attempts,
@@ -27,7 +26,8 @@
 # Time in which probes show whether an upstream that ended an attempt is alive.
 VERDICT_WAIT_S: Final = 1.0
 
-_State = quarantine.UpstreamState
+# Interval between probes of an upstream that a begun answer waits for.
+AWAITED_PROBE_S: Final = 0.3
 
 
 class Handovers:
@@ -151,8 +151,8 @@
     ) -> frozenset[str] | None:
         """Returns the first upstreams that a begun answer may be sent to.
 
-        Its route limits the upstreams that run it. Those that are gone or
-        down by now don't count, and it may return to one that ran it.
+        Its route limits the upstreams that run it. Those that are known to
+        have ended don't count, and it may return to one that ran it.
 
         Returns:
             None if it may be sent to any.
@@ -161,12 +161,32 @@
         used = {
             i
             for i in ticket.list_ran()
-            if i in current or self._get_state(i) is not _State.CRASHED
+            if i in current or not detection.explain_end(self._fleet, i)
         }
         if len(used) < ticket.job.route.max_attempts:
             return None
         return frozenset(used)
 
+    def advance_probes(
+        self, waiting: Iterable[tickets.Ticket], now_s: float
+    ) -> None:
+        """Has upstreams that a begun answer waits for probed sooner.
+
+        The intervals between probes of one that is down grow to more than its
+        caller waits.
+
+        Args:
+            waiting: Requests in the queue.
+            now_s: Monotonic time.
+        """
+        health = self._fleet.health
+        for ticket in waiting:
+            choices = self.list_first_choices(ticket) if ticket.is_begun else ()
+            for upstream_id in choices or ():
+                failed = health.failed.get(upstream_id)
+                if failed and now_s - failed.probed_s >= AWAITED_PROBE_S:
+                    health.advance_probe(upstream_id, now_s)
+
     def may_confirm_end(
         self, ticket: tickets.Ticket, spec: config.EngineSpec, now_s: float
     ) -> bool:
@@ -190,21 +210,21 @@
     def is_exhausted(self, ticket: tickets.Ticket, now_s: float) -> bool:
         """Returns whether upstreams ended as many attempts as its route allows.
 
-        Those that are gone or down by now don't count. Where that is not known
-        yet, a begun answer waits for the probes.
+        Those that are gone or down by now don't count: the answer waits, for
+        one of them to go on or to be known as ended. Where that is not known
+        yet, it waits for the probes.
         """
-        states = [
-            self._get_state(r.upstream_id) for r in ticket.ran if not r.is_own
+        enders = [r.upstream_id for r in ticket.ran if not r.is_own]
+        enders = [
+            i for i in enders if not detection.is_gone_or_down(self._fleet, i)
         ]
+        alive = [i for i in enders if i not in self._fleet.health.failed]
         limit = ticket.job.route.max_attempts
-        if states.count(_State.ALIVE) >= limit:
+        if len(alive) >= limit:
             return True
-        if len(states) - states.count(_State.CRASHED) < limit:
+        if len(enders) < limit:
             ticket.verdict_by_s = 0.0
             return False
         if not ticket.verdict_by_s:
             ticket.verdict_by_s = now_s + VERDICT_WAIT_S
         return now_s >= ticket.verdict_by_s
-
-    def _get_state(self, upstream_id: str) -> quarantine.UpstreamState:
-        return detection.get_state(self._fleet, upstream_id, counts_down=True)
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from egretspur.catalog import upstreams
 from egretspur.routing import outliers
 
 # Backoff between two probes of an upstream that is down: the minimum doubles
@@ -32,6 +33,10 @@
 DEAD_AFTER_S: Final = 0.6
 DEAD_PROBE_FAILURES: Final = 2
 
+# An upstream to which no connection opens for this time is cut off or without
+# power. The platform gives up work that depends on a silent one after 2 s.
+CUT_OFF_AFTER_S: Final = 2.5
+
 # Pause after an engine refused a part of a path, because it leaves, drops
 # layers or lacks memory. Doubles with each consecutive refusal.
 MIN_REFUSAL_PAUSE_S: Final = 0.25
@@ -73,6 +78,11 @@
     is_recovering: bool = False
     # Time of the last failed probe.
     probed_s: float = -math.inf
+    # Whether that probe's connection was refused.
+    is_refused: bool = False
+    # Time of the first of the failed probes in a row for which no connection
+    # opened; None if one opened for the last.
+    unopened_s: float | None = None
 
 
 @attrs.define
@@ -413,8 +423,21 @@
             failed.next_probe_s = min(failed.next_probe_s, now_s)
             failed.is_recovering = True
 
-    def record_probe(self, upstream_id: str, is_ok: bool, now_s: float) -> None:
-        """Records the result of a probe."""
+    def record_probe(
+        self,
+        upstream_id: str,
+        is_ok: bool,
+        now_s: float,
+        why: upstreams.ProbeFailed | None = None,
+    ) -> None:
+        """Records the result of a probe.
+
+        Args:
+            upstream_id: The upstream.
+            is_ok: Whether it answered.
+            now_s: Monotonic time.
+            why: What is known of a probe without an answer.
+        """
         if is_ok:
             self._answered_s[upstream_id] = now_s
             self.peer_suspects.pop(upstream_id, None)
@@ -430,7 +453,15 @@
             return
         failed.is_probing = failed.is_recovering = False
         failed.probed_s = now_s
-        self._set_down(upstream_id, failed, "does not answer probes", now_s)
+        failed.is_refused = why is not None and why.is_refused
+        if why is None or why.is_connected:
+            failed.unopened_s = None
+        elif failed.unopened_s is None:
+            failed.unopened_s = now_s
+        reason = "does not answer probes"
+        if failed.is_refused:
+            reason = "refuses connections"
+        self._set_down(upstream_id, failed, reason, now_s)
         pause_s = MIN_PROBE_INTERVAL_S * 2**failed.failures
         failed.failures += 1
         if failed.failures == DEAD_PROBE_FAILURES:
@@ -439,6 +470,29 @@
             )
         failed.next_probe_s = now_s + min(pause_s, MAX_PROBE_INTERVAL_S)
 
+    def explain_end(self, upstream_id: str) -> str:
+        """Returns what shows that an upstream ended or is cut off.
+
+        That it is silent does not: a sound one may stand still for a second or
+        two, and then go on.
+
+        Returns:
+            Empty if nothing shows it, or it has answered since.
+        """
+        failed = self.failed.get(upstream_id)
+        if failed is None:
+            return ""
+        if self._answered_s.get(upstream_id, -math.inf) > failed.probed_s:
+            return ""
+        if failed.is_refused:
+            return "refuses connections"
+        if failed.unopened_s is None:
+            return ""
+        unopened_s = failed.probed_s - failed.unopened_s
+        if unopened_s < CUT_OFF_AFTER_S:
+            return ""
+        return f"no connection for {unopened_s:.1f} s"
+
     def _advance_dead(self, now_s: float) -> None:
         """Has all dead upstreams probed at once, as one has recovered.
 
--- a/egretspur/routing/probes.py
+++ b/egretspur/routing/probes.py
@@ -28,8 +28,15 @@
 # probe times out, and half of a data centre may be unreachable.
 MAX_PROBES: Final = 4
 
-# Probes an upstream; returns its report, or None if it did not answer.
-Probe = Callable[[upstreams.Upstream], upstreams.EngineReport | None]
+# Probes an upstream; returns its report, or why there is none.
+Probe = Callable[
+    [upstreams.Upstream], upstreams.EngineReport | upstreams.ProbeFailed
+]
+
+# Result of a probe that ended by an error of this host.
+PROBE_ERROR: Final = upstreams.ProbeFailed(
+    "an error of this host", is_connected=True
+)
 
 
 class Prober:
@@ -85,7 +92,7 @@
                     self._save(due.unsaved)
 
     def _probe_upstream(self, entry: upstreams.Upstream) -> None:
-        report = None
+        report: upstreams.EngineReport | upstreams.ProbeFailed = PROBE_ERROR
         with guard.log_exceptions("probe"):
             report = self._probe(entry)
         # Sent also after an error; without a result, the upstream would never
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -18,7 +18,7 @@
 import urllib3
 from urllib3 import exceptions
 
-from egretspur import codec, responses
+from egretspur import codec, ends, responses
 
 # Returns a connected socket for an address and a timeout in seconds; raises
 # OSError.
@@ -61,6 +61,8 @@
     is_timeout: bool = False
     # As in `Reply`.
     is_new_connection: bool = True
+    # True if the connection was refused: nobody listens at the address.
+    is_refused: bool = False
 
 
 class _Opened(threading.local):
@@ -180,7 +182,11 @@
             exceptions.ClosedPoolError,
             exceptions.EmptyPoolError,
         ) as exc:
-            return Failed(f"{address}: {exc}", maybe_sent=False)
+            return Failed(
+                f"{address}: {exc}",
+                maybe_sent=False,
+                is_refused=ends.is_refused(exc),
+            )
         except (exceptions.HTTPError, OSError) as exc:
             # The connection broke or timed out after bytes were sent. The other
             # side may be processing them, so a caller can't be promised that
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -33,6 +33,9 @@
 from egretspur import web
 from tests.fakes import base
 
+# Least time between two stalls of a replica.
+STALL_GAP_S: Final = 1.0
+
 # Time for the head of an answer to be sent before the process exits.
 HEAD_DELAY_S: Final = 0.05
 
@@ -69,7 +72,7 @@
         # Number of streams that the caller closed before their end.
         self.left = 0
         # Monotonic time until which it answers nothing.
-        self.stalled_until_s = 0.0
+        self.stalled_until_s = -STALL_GAP_S
         self.lock = threading.Lock()
 
     def wait_stalled(self) -> None:
@@ -81,8 +84,9 @@
         """Ends a stream within an event; the replica stalls if it is to."""
         write(b"id: 9")
         stall_s = self.faults["stall_s"]
-        if stall_s:
-            self.stalled_until_s = time.monotonic() + stall_s
+        now_s = time.monotonic()
+        if stall_s and now_s - self.stalled_until_s > STALL_GAP_S:
+            self.stalled_until_s = now_s + stall_s
         raise ConnectionAbortedError("cut on request")
 
     def report(self) -> dict[str, Any]:
--- a/tests/routing/begun.feature
+++ b/tests/routing/begun.feature
@@ -82,6 +82,35 @@
       | answers probes        | is found down         | resumed within 1.5 s   |
       | answers probes        | answers probes        | given up within 1.5 s  |
 
+  Scenario Outline: Engines end an answer's attempts, and some stand still
+    # Guards against more replicas than the route allows: an engine that is only
+    # silent for a second taken for one that has ended.
+    Given an answer that has begun, with three engines for the first layers
+    When its attempt is cut by the upstream, and that engine <first>
+    And its next attempt is cut as well, and that engine <second>
+    Then it is sent to no other engine for 1.2 s
+    When the engines that stand still go on
+    Then the answer is resumed at one of the engines that ran it
+
+    Examples:
+      | first          | second         |
+      | stands still   | stands still   |
+      | stands still   | answers probes |
+      | answers probes | stands still   |
+
+  Scenario Outline: Engines end an answer's attempts, and one has ended
+    # Guards against a caller that waits for an engine which can't go on.
+    Given an answer that has begun, with three engines for the first layers
+    When its attempt is cut by the upstream, and that engine <first>
+    And its next attempt is cut as well, and that engine stands still
+    Then it is sent to the third engine within <seconds> s
+
+    Examples:
+      | first                 | seconds |
+      | refuses connections   | 0.1     |
+      | is gone from the list | 0.1     |
+      | can't be reached      | 4       |
+
   Scenario: An attempt that this host ended counts as a replica that ran it
     # Guards against more replicas than the route allows.
     Given an answer that has begun, with three engines for the first layers
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -51,6 +51,9 @@
 
 FATAL: Final = "fatal"
 
+# Probe of an engine whose process has ended.
+REFUSED: Final = upstreams.ProbeFailed("refused", False, is_refused=True)
+
 
 @attrs.define
 class Run:
@@ -307,7 +310,9 @@
 
     def _probe(self, host: peers.Host) -> None:
         for entry in host.state.fleet.take_probes(self.now_s):
-            report = upstreams.PLAIN_REPORT if entry.id in self.live else None
+            report: upstreams.EngineReport | upstreams.ProbeFailed = REFUSED
+            if entry.id in self.live:
+                report = upstreams.PLAIN_REPORT
             host.state.fleet.apply_report(entry.id, report, self.now_s)
 
     def count_late(self, allowed: int = 3) -> int:
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -19,6 +19,14 @@
 # Memory on each layer of a small request, in tokens.
 SMALL_TOKENS: Final = 100.0
 
+# An engine's fate after it ended an attempt, and what probes of it show.
+ALIVE: Final = "answers probes"
+PROBES: Final = {
+    "stands still": upstreams.ProbeFailed("read timed out", is_connected=True),
+    "refuses connections": upstreams.ProbeFailed("refused", False, True),
+    "can't be reached": upstreams.ProbeFailed("connect timed out", False),
+}
+
 # Interval of the broker's ticks, in s.
 TICK_S: Final = 0.02
 
@@ -135,8 +143,10 @@
     """Probes the engines that are due, as far as their fate is told."""
     state = context.broker.fleet
     for entry in state.take_probes(context.now_s):
-        is_alive = getattr(context, "probed", {}).get(entry.id, True)
-        state.record_probe(entry.id, is_alive, 1.0, context.now_s)
+        fate = getattr(context, "fates", {}).get(entry.id, ALIVE)
+        state.record_probe(
+            entry.id, fate == ALIVE, 1.0, context.now_s, PROBES.get(fate)
+        )
 
 
 @when("{seconds:g} s go by while the trouble lasts")
@@ -211,6 +221,7 @@
 @when("its next attempt is cut as well, and that engine {fate}")
 def step_cut_and(context: Any, fate: str) -> None:
     engine = context.started.pop(NAME).upstream.id
+    context.engines = getattr(context, "engines", set()) | {engine}
     fail(context, jobs.FailureKind.CUT, True)
     meet_fate(context, engine, fate)
     play(context, 0.5, until_started=True)
@@ -224,8 +235,25 @@
         # A moment passes until a removed entry is given up.
         play(context, 0.1)
         state.roster.entries.pop(engine, None)
-    is_alive = fate == "answers probes"
-    context.probed = getattr(context, "probed", {}) | {engine: is_alive}
+    context.fates = getattr(context, "fates", {}) | {engine: fate}
+
+
+@then("it is sent to no other engine for {seconds:g} s")
+def step_no_other(context: Any, seconds: float) -> None:
+    play(context, seconds, until_started=True)
+    if NAME in context.started:
+        assert context.started[NAME].upstream.id in context.engines
+
+
+@when("the engines that stand still go on")
+def step_go_on(context: Any) -> None:
+    context.fates = {}
+
+
+@then("it is sent to the third engine within {seconds:g} s")
+def step_third(context: Any, seconds: float) -> None:
+    play(context, seconds, until_started=True)
+    assert context.started[NAME].upstream.id not in context.engines
 
 
 @then("the answer is given up within {seconds:g} s")
--- a/tests/steps/begun_steps.py
+++ b/tests/steps/begun_steps.py
@@ -46,6 +46,23 @@
     assert not cut, (len(cut), len(context.ran), cut)
 
 
+@then("no stream ran on more than {most:d} engines, and {least:d} ran on them")
+def step_engines(context: Any, most: int, least: int) -> None:
+    site = context.play
+    counts = streams.count_engines(site)
+    spread = [counts.get(s.id, 0) for s in context.streams.streams]
+    over = {
+        s.id: [
+            (f["event"], f.get("upstream"), f.get("not_counted"))
+            for f in streams.find_lines(site, s.id)
+        ]
+        for s in context.streams.streams
+        if counts.get(s.id, 0) > most
+    }
+    assert spread.count(most) >= least, spread
+    assert not over, (len(over), len(spread), over)
+
+
 @when("hosts 1 and 3 are behind a middlebox for {seconds:g} s: {how}")
 def step_middlebox(context: Any, seconds: float, how: str) -> None:
     site = context.play
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -254,7 +254,9 @@
         return
     failure = jobs.Failure(job.id, jobs.FailureKind.CUT, "reset")
     host.state.fail(failure, world.now_s)
-    host.state.fleet.apply_report(start.upstream.id, None, world.now_s)
+    host.state.fleet.apply_report(
+        start.upstream.id, crashes.REFUSED, world.now_s
+    )
     host.state.tick(world.now_s)
 
 
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -253,7 +253,7 @@
     """Returns a prober whose desk fails at the first question."""
     make_desk(context)
     context.desk.tick = FailOnce(desk.Due)
-    found = probes.Prober(context.desk, lambda entry: None)
+    found = probes.Prober(context.desk, lambda entry: probes.PROBE_ERROR)
     return found, context.desk.tick
 
 
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -287,6 +287,19 @@
     play_broken_off(site, STALL_S)
 
 
+def play_some_stall(site: sites.Site) -> None:
+    """Engines break off one stream each, two a second, and stall after that."""
+    names = list_engines(site)
+    end_s = time.monotonic() + BREAKING_S
+    for name in itertools.cycle(names):
+        if time.monotonic() >= end_s:
+            break
+        site.set_fault(name, {"cut_after": BREAK_EVENTS, "stall_s": STALL_S})
+        time.sleep(0.5)
+    for name in names:
+        site.set_fault(name, {"cut_after": -1, "stall_s": 0.0})
+
+
 def _end_engine(site: sites.Site, name: str) -> None:
     process = site.stage.processes[name].popen
     process.terminate()
@@ -303,6 +316,7 @@
     "the service is dropped": play_dropped_service,
     "all break off": play_broken_off,
     "all break off and stall": play_broken_stall,
+    "some break off and stall": play_some_stall,
 }
 
 
@@ -359,6 +373,8 @@
     try:
         ran = play(streams, args.history)
         cut = [s for s in ran if s.is_cut]
+        whole = sum(s.is_whole for s in streams.streams)
+        print(f"whole: {whole} of {len(streams.streams)}")
         refused = [s for s in streams.streams if s.status != 200]
         print(f"{args.history}: cut {len(cut)} of {len(ran)}")
         print(f"of all {len(streams.streams)}, without a 200: {len(refused)}")
