--- a/tests/streams.py
+++ b/tests/streams.py
@@ -39,6 +39,10 @@
 BREAK_EVENTS: Final = 4
 STALL_S: Final = 1.2
 
+# How often each engine breaks off one stream, and the seconds between two.
+STALL_ROUNDS: Final = 3
+STALL_PERIOD_S: Final = 3.5
+
 # Seconds for which engines break off streams.
 BREAKING_S: Final = 10.0
 
@@ -287,6 +291,18 @@
     play_broken_off(site, STALL_S)
 
 
+def play_each_stalls(site: sites.Site) -> None:
+    """Each engine breaks off one stream every few seconds, and stalls."""
+    names = list_engines(site)
+    fault = {"cut_after": BREAK_EVENTS, "stall_s": STALL_S}
+    for _ in range(STALL_ROUNDS):
+        for name in names:
+            site.set_fault(name, fault)
+        time.sleep(STALL_PERIOD_S)
+    for name in names:
+        site.set_fault(name, {"cut_after": -1, "stall_s": 0.0})
+
+
 def play_some_stall(site: sites.Site) -> None:
     """Engines break off one stream each, two a second, and stall after that."""
     names = list_engines(site)
@@ -317,6 +333,7 @@
     "all break off": play_broken_off,
     "all break off and stall": play_broken_stall,
     "some break off and stall": play_some_stall,
+    "each breaks off once and stalls": play_each_stalls,
 }
 
 
