Don't count a crash against a request while its upstream is only silent

Callers would see: a sound request, or all that share a segment of its prompt, refused as quarantined for a minute, at all hosts, since engines that broke it off stood still for a second. The same cause as of requests on more replicas than allowed: silence taken for an end.

Cause: the quarantine counted each upstream that was "down" after a cut, which is so after half a second without an answer; also the silent engines that a running request is moved off.

Change: a crash counts once its end shows (routing/detection.py). Until then the cut stays a suspicion, which blocks the request as before, for at most 5 s: the platform removes a silent server after three heartbeats. A process that crashed refuses connections, which is known as soon as before. That of an upstream whose host lost power shows 2.5 s after its first failed probe or at its removal, not after 0.5 s.

Test: "A request whose engines stand still for a second", red with the old belief in place (refused after 3 cuts), green now. The model's probes of crashed engines are refused.

--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -25,7 +25,7 @@
 
 import collections
 import enum
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -47,6 +47,10 @@
 # later. If its state is still unknown after this time, it counts as alive.
 CRASH_CHECK_S: Final = 2.0
 
+# Longest wait for a silent upstream to go on or to be known as ended: three
+# heartbeats, after which the platform removes it, and a read of the list.
+SILENCE_CHECK_S: Final = 5.0
+
 # A change to a request's record is published for this long, in some forty
 # datagrams, so that hosts which were cut off for some seconds receive it too.
 PUBLISH_S: Final = 10.0
@@ -81,6 +85,8 @@
     ALIVE = "alive"
     # The probes have not completed.
     UNKNOWN = "unknown"
+    # It does not answer; a sound one may be silent for a second or two.
+    SILENT = "silent"
 
 
 @attrs.frozen
@@ -235,15 +241,18 @@
             ]
             if crashed:
                 self._record_crash(cut, make_start_id(crashed[0]), now_s)
-            elif (
-                UpstreamState.UNKNOWN in states.values()
-                and now_s - cut.at_s < self._crash_check_s
-            ):
+            elif now_s - cut.at_s < self._get_check_s(states.values()):
                 self._cuts.append(cut)
         self._add_blames(self._evidence.find_settled(now_s), now_s)
         if cuts:
             self._update_suspected()
 
+    def _get_check_s(self, states: Collection[UpstreamState]) -> float:
+        """Returns how long to wait for these states to become known."""
+        if UpstreamState.SILENT in states:
+            return max(self._crash_check_s, SILENCE_CHECK_S)
+        return self._crash_check_s if UpstreamState.UNKNOWN in states else 0.0
+
     def _update_suspected(self) -> None:
         """Finds the segments to blame if the pending cuts were crashes."""
         self._suspected = self._evidence.list_suspected(
--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -13,7 +13,6 @@
 from egretspur.admission import segments
 from egretspur.routing import detection, jobs
 from egretspur.routing import fleet as fleets
-from egretspur.tunnels import reach
 
 
 class CrashDetector:
@@ -71,10 +70,6 @@
 
     def _get_state(self, upstream_id: str) -> quarantines.UpstreamState:
         """Returns the state of an upstream whose answer was cut."""
-        is_sound = self._fleet.reach_state is reach.ReachState.SOUND
-        # A host that is cut off takes upstreams for down that are not.
-        if is_sound and self._fleet.health.is_down(upstream_id):
-            return quarantines.UpstreamState.CRASHED
         return detection.get_state(self._fleet, upstream_id)
 
     def _note_changes(self) -> None:
--- a/egretspur/routing/detection.py
+++ b/egretspur/routing/detection.py
@@ -21,16 +21,16 @@
     """Returns the state of an upstream that ended an attempt."""
     if explain_end(state, upstream_id):
         return _State.CRASHED
-    if upstream_id not in state.health.failed:
+    failed = state.health.failed.get(upstream_id)
+    if failed is None:
         return _State.ALIVE
-    return _State.UNKNOWN
+    return _State.SILENT if failed.is_down else _State.UNKNOWN
 
 
-def is_gone_or_down(state: fleets.Fleet, upstream_id: str) -> bool:
+def is_gone_or_silent(state: fleets.Fleet, upstream_id: str) -> bool:
     """Returns whether an upstream ended, or can't be used until it answers."""
-    return get_state(
-        state, upstream_id
-    ) is _State.CRASHED or state.health.is_down(upstream_id)
+    found = get_state(state, upstream_id)
+    return found in (_State.CRASHED, _State.SILENT)
 
 
 def explain_end(state: fleets.Fleet, upstream_id: str) -> str:
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -216,7 +216,7 @@
         """
         enders = [r.upstream_id for r in ticket.ran if not r.is_own]
         enders = [
-            i for i in enders if not detection.is_gone_or_down(self._fleet, i)
+            i for i in enders if not detection.is_gone_or_silent(self._fleet, i)
         ]
         alive = [i for i in enders if i not in self._fleet.health.failed]
         limit = ticket.job.route.max_attempts
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -51,7 +51,8 @@
 
 FATAL: Final = "fatal"
 
-# Probe of an engine whose process has ended.
+# Probes of an engine whose process stands still, or has ended.
+SILENT: Final = upstreams.ProbeFailed("read timed out", is_connected=True)
 REFUSED: Final = upstreams.ProbeFailed("refused", False, is_refused=True)
 
 
@@ -106,6 +107,8 @@
     sends_head: bool = True
     # Prompt segments that crash engines.
     fatal_segments: set[str] = attrs.Factory(set)
+    # Time until which engines stand still, by id.
+    still_until_s: dict[str, float] = attrs.Factory(dict)
     # Attempts by request, and when requests arrived and began to be answered.
     attempts: collections.Counter[str] = attrs.Factory(collections.Counter)
     arrived_s: dict[str, float] = attrs.Factory(dict)
@@ -313,6 +316,8 @@
             report: upstreams.EngineReport | upstreams.ProbeFailed = REFUSED
             if entry.id in self.live:
                 report = upstreams.PLAIN_REPORT
+            if self.now_s < self.still_until_s.get(entry.id, 0.0):
+                report = SILENT
             host.state.fleet.apply_report(entry.id, report, self.now_s)
 
     def count_late(self, allowed: int = 3) -> int:
--- a/tests/routing/crashing.feature
+++ b/tests/routing/crashing.feature
@@ -85,6 +85,13 @@
     When 4 replicas crash under it
     Then it is not quarantined
 
+  Scenario: A request whose engines stand still for a second
+    # Guards against a sound request that is refused, since engines that were
+    # only silent were taken for crashed.
+    Given 8 hosts in three data centres
+    When a request is cut 6 times by engines that stand still for 1.2 s after it
+    Then it is not quarantined
+
   Scenario: An operator releases a request
     Given 8 hosts in three data centres
     When a request that crashes engines arrives every 0.6 s at a random host for 6 s
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -204,20 +204,37 @@
     assert third.parts is None and third.is_ended
 
 
+@when(
+    "a request is cut {times:d} times by engines that stand still for"
+    " {seconds:g} s after it"
+)
+def step_cut_still(context: Any, times: int, seconds: float) -> None:
+    cut(context, times, seconds)
+
+
 @when("a request is cut {times:d} times by engines that answer probes")
 def step_cut_alive(context: Any, times: int) -> None:
+    cut(context, times, 0.0)
+
+
+def cut(context: Any, times: int, still_s: float) -> None:
+    """Sends a request again and again, cut by an engine each time."""
     world = context.world
     for number in range(times):
         host = world.hosts[number % len(world.hosts)]
         name = world.send(host, "x")
+        assert name in world.runs, f"refused after {number} cuts"
         run = world.runs.pop(name)
         world.waiting[name] = (host, run.job)
+        world.still_until_s[run.start.upstream.id] = world.now_s + still_s
         failure = jobs.Failure(name, jobs.FailureKind.CUT, "reset")
         world.apply(host, host.state.fail(failure, world.now_s))
         if name in world.runs:
             del world.runs[name]
             host.state.finish(name, world.now_s)
         world.play(0.3)
+        # Once probes show that it goes on.
+        world.play(2.0 * still_s)
 
 
 @then("it is not quarantined")
