Don't take an upstream for ended because its record is invalid

Callers would see: a request runs on more replicas than its route allows, since one of them is no longer listed by this host, though it lives.

Cause: an upstream whose newest record can't be read for 4 s, or does not fit the configuration, is removed from the host's list. "Not listed" was read as the platform's word that it is gone.

Change: the list remembers which it removed so (`withdrawn`), until the platform removes the entry or another start takes its name or address. Only then has it ended, for the limit of a route and for the quarantine.

Test: "The record of an engine that ended an attempt is invalid", 2 of 2 rows red with the old reading in place, green now.

--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -165,6 +165,9 @@
     # Ids whose newest record can't be read or does not fit; these get no
     # requests.
     unreadable: set[str] = attrs.Factory(set)
+    # Upstreams that were removed although nothing says that they ended: their
+    # newest record can't be read or does not fit. By name.
+    withdrawn: dict[str, Upstream] = attrs.Factory(dict)
     # Ids that have reported that they drain; a start never stops draining.
     draining: set[str] = attrs.Factory(set)
     # Layers that engines reported, and the monotonic time until which these
@@ -198,12 +201,26 @@
             winners[entry.address] = entry
     ids = {e.id for e in winners.values()}
     for upstream_id in set(roster.entries) - ids - roster.unreadable:
-        _remove(roster, upstream_id)
+        if roster.entries[upstream_id].name in roster.misfits:
+            _withdraw(roster, upstream_id)
+        else:
+            _remove(roster, upstream_id)
     for entry in winners.values():
         if entry.id not in roster.entries or entry.id in roster.unreadable:
             _update_entry(roster, entry, now_s)
 
 
+def has_ended(roster: Roster, upstream_id: str) -> bool:
+    """Returns whether an upstream ended by the list.
+
+    It was removed from the list, or another start at its address or under its
+    name is known.
+    """
+    return upstream_id not in roster.entries and not any(
+        e.id == upstream_id for e in roster.withdrawn.values()
+    )
+
+
 def supersedes_restored(known: Upstream, copied: Upstream) -> bool:
     """Returns whether a known entry supersedes that of a restored store.
 
@@ -251,6 +268,9 @@
         _suspend(roster, entry.name, now_s)
         return
     _record_start(roster, entry)
+    for name, gone in list(roster.withdrawn.items()):
+        if name == entry.name or gone.address == entry.address:
+            del roster.withdrawn[name]
     known = roster.by_name.get(entry.name)
     if known is not None and known != entry.id:
         _remove(roster, known)
@@ -381,6 +401,7 @@
     """Removes an entry, after the grace period if one is running."""
     roster.newest_entries.pop(name, None)
     roster.misfits.pop(name, None)
+    roster.withdrawn.pop(name, None)
     upstream_id = roster.by_name.get(name)
     if upstream_id is None:
         return
@@ -441,7 +462,10 @@
     """
     late = [i for i, due_s in roster.missing.items() if now_s >= due_s]
     for upstream_id in late:
-        _remove(roster, upstream_id)
+        if upstream_id in roster.unreadable:
+            _withdraw(roster, upstream_id)
+        else:
+            _remove(roster, upstream_id)
     old = [
         i
         for i, (_, until_s) in roster.reported_layers.items()
@@ -456,6 +480,13 @@
     return bool(late or old)
 
 
+def _withdraw(roster: Roster, upstream_id: str) -> None:
+    """Removes an upstream that may go on though its record is invalid."""
+    entry = roster.entries[upstream_id]
+    roster.withdrawn[entry.name] = entry
+    _remove(roster, upstream_id)
+
+
 def _remove(roster: Roster, upstream_id: str) -> None:
     entry = roster.entries.pop(upstream_id, None)
     if entry is not None:
--- a/egretspur/routing/detection.py
+++ b/egretspur/routing/detection.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from egretspur.admission import quarantine
+from egretspur.catalog import upstreams
 from egretspur.routing import fleet as fleets
 from egretspur.tunnels import reach
 
@@ -21,6 +22,8 @@
     """Returns the state of an upstream that ended an attempt."""
     if explain_end(state, upstream_id):
         return _State.CRASHED
+    if upstream_id not in state.roster.entries:
+        return _State.UNKNOWN
     failed = state.health.failed.get(upstream_id)
     if failed is None:
         return _State.ALIVE
@@ -38,7 +41,7 @@
 
     A host whose own links fail finds upstreams unreachable that are not.
     """
-    if upstream_id not in state.roster.entries:
+    if upstreams.has_ended(state.roster, upstream_id):
         return "not listed"
     if state.reach_state is not reach.ReachState.SOUND:
         return ""
--- a/tests/routing/begun.feature
+++ b/tests/routing/begun.feature
@@ -98,6 +98,21 @@
       | stands still   | answers probes |
       | answers probes | stands still   |
 
+  Scenario Outline: The record of an engine that ended an attempt is invalid
+    # Guards against more replicas than the route allows: an engine whose record
+    # can't be read taken for one that was removed from the list.
+    Given an answer that has begun, with three engines for the first layers
+    When its attempt is cut by the upstream, and that engine <record>
+    And its next attempt is cut as well, and that engine stands still
+    Then it is sent to no other engine for 1.2 s
+    When the engines that stand still go on
+    Then the answer is resumed at one of the engines that ran it
+
+    Examples:
+      | record                       |
+      | has a record of other bytes  |
+      | has a record that is no fit  |
+
   Scenario Outline: Engines end an answer's attempts, and one has ended
     # Guards against a caller that waits for an engine which can't go on.
     Given an answer that has begun, with three engines for the first layers
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -9,7 +9,7 @@
 
 from egretspur import ends, errors
 from egretspur.admission import repeats
-from egretspur.catalog import upstreams
+from egretspur.catalog import feeds, upstreams
 from egretspur.routing import jobs
 from tests import fleets
 from tests.steps import broker_steps
@@ -235,6 +235,19 @@
         # A moment passes until a removed entry is given up.
         play(context, 0.1)
         state.roster.entries.pop(engine, None)
+    if fate.startswith("has a record"):
+        record: upstreams.Upstream | feeds.Unreadable = feeds.Unreadable(
+            "bytes", "test"
+        )
+        if fate == "has a record that is no fit":
+            record = attrs.evolve(
+                state.roster.entries[engine], accelerator="none"
+            )
+        upstreams.apply_record(state.roster, engine, record, context.now_s)
+        context.now_s += upstreams.UNREADABLE_GRACE_S
+        broker_steps.take(context, context.broker.tick(context.now_s))
+        assert engine not in state.roster.entries
+        fate = ALIVE
     context.fates = getattr(context, "fates", {}) | {engine: fate}
 
 
