Keep what hosts logged when a soak or a partition scenario is red

Two scenarios of KNOWN-RED.txt were each red once beside load and could not be traced: the soak kept no log of its hosts, the partition scenario told statuses and no reasons. A soak with findings now writes its hosts' lines to a temporary folder and names it; first tries that fail are told with the reason of the host.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -33,8 +33,10 @@
 import contextlib
 import json
 import math
+import pathlib
 import random
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -465,12 +467,23 @@
                 sites.wait_serving(site, ip)
             except AssertionError as exc:
                 found.append(f"after the faults: {exc}")
+        if found:
+            found.append(f"logs of the hosts: {keep_logs(site)}")
         return soak, found
     finally:
         soak.stopped.set()
         site.close()
 
 
+def keep_logs(site: sites.Site) -> pathlib.Path:
+    """Writes what the hosts logged to files; returns their folder."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="egretspur-soak-"))
+    for ip in site.hosts:
+        lines = list(site.stage.processes[ip].lines)
+        (folder / f"{ip}.log").write_text("".join(lines), "utf-8")
+    return folder
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Entry point."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/steps/partition_steps.py
+++ b/tests/steps/partition_steps.py
@@ -12,7 +12,7 @@
 import urllib3
 from behave import given, then, when
 
-from tests import sites, soak
+from tests import sites, soak, streams
 
 # Time after the begin or end of a partition from which requests count, in s.
 CONTACT_S: Final = 3.0
@@ -176,7 +176,22 @@
     failed = [t for t in tries if t.status != 200 or not t.is_whole]
     kinds = collections.Counter((t.host, t.path, t.status) for t in failed)
     allowed = FAILED_ALLOWED + len(tries) // FAILED_SHARE
-    assert len(failed) <= allowed, f"{len(failed)} of {len(tries)}: {kinds}"
+    assert len(failed) <= allowed, (
+        f"{len(failed)} of {len(tries)}: {kinds},"
+        f" {list_reasons(context.play, failed, from_s)}"
+    )
+
+
+def list_reasons(
+    site: sites.Site, failed: Collection[Try], from_s: float
+) -> list[tuple[float, str, str]]:
+    """Returns when failed tries were sent, and how their hosts ended them."""
+    return [
+        (round(t.sent_s - from_s, 2), fields["event"], fields["reason"])
+        for t in failed
+        for fields in streams.find_lines(site, t.id)
+        if fields["event"] in ("request_refused", "request_cut")
+    ]
 
 
 @then(
