--- a/tests/soak.py
+++ b/tests/soak.py
@@ -73,6 +73,9 @@
 QUARANTINE_DEADLINE_S: Final = 4.0
 MAX_LATE_RUNS: Final = 3
 
+# Longest time until a line that an upstream printed has been read.
+RUNS_PRINTED_S: Final = 5.0
+
 # Age of the copy from which the store is restored, in seconds.
 COPY_BACK_S: Final = 6.0
 
@@ -301,6 +304,7 @@
 
     def find_violations(self) -> list[str]:
         """Returns the violations seen in the soak."""
+        self._await_runs()
         runs = self.count_runs()
         found = [f for a in self.answers if (f := check(a, runs[a.id]))]
         for name, process in self.site.stage.processes.items():
@@ -313,6 +317,16 @@
             found.append(f"what ended three engines reached {late} more")
         return found
 
+    def _await_runs(self) -> None:
+        """Waits for what upstreams printed of the last answers' runs."""
+        answered = {a.id for a in self.answers if a.status == 200}
+        with contextlib.suppress(AssertionError):
+            stage.wait_until(
+                lambda: not answered - set(self.count_runs()),
+                RUNS_PRINTED_S,
+                "the runs of all answers are printed",
+            )
+
     def count_runs(self) -> collections.Counter[str]:
         """Returns how often each request ran, including on killed upstreams."""
         runs: collections.Counter[str] = collections.Counter()
