Refuse token counts that are no size with a 400 that names the field

Cause: int() refuses more than 4,300 digits, a float holds 308, and isdigit() is true of characters that int() does not read.

Change: token counts of more than nine digits get a 400 at once, before anything is reserved, logged as request_refused. A longer deadline than twelve digits is as good as none: the route's time holds. Only the digits 0 to 9 are digits.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -19,6 +19,7 @@
 from typing import Any, Final
 
 from egretspur import (
+    codec,
     decisions,
     errors,
     guard,
@@ -312,7 +313,12 @@
         return app
 
     def _serve(self, req: web.Request) -> web.Response:
-        return self._intake.serve(ingress.read_request(req), req)
+        try:
+            inbound = ingress.read_request(req)
+        except codec.DecodeError as exc:
+            refusal = errors.Refusal(errors.ErrorKind.BAD_REQUEST, str(exc))
+            return self._intake.refuse(ingress.read_id(req), refusal)
+        return self._intake.serve(inbound, req)
 
     def _make_ready_app(self) -> web.App:
         def get_ready(req: web.Request) -> web.Response:
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -100,16 +100,7 @@
         """Serves one request."""
         job = self.make_job(inbound, time.monotonic())
         if isinstance(job, errors.Refusal):
-            decisions.record(
-                decisions.RequestRefused(
-                    inbound.call.id,
-                    job.kind.value,
-                    job.reason,
-                    job.retry_after_s,
-                    0.0,
-                )
-            )
-            return web.reply_refusal(job, self._decimals)
+            return self.refuse(inbound.call.id, job)
         self._record_admitted(job)
         forwarder = forward.Forwarder(
             inbound.call, job, self._desk, self._sender, self._watch
@@ -133,6 +124,19 @@
         body = _StreamBody(forwarder, self._end)
         return web.Response(res.status, dict(res.headers), body)
 
+    def refuse(self, request: str, refusal: errors.Refusal) -> web.Response:
+        """Refuses a request that was not admitted."""
+        decisions.record(
+            decisions.RequestRefused(
+                request,
+                refusal.kind.value,
+                refusal.reason,
+                refusal.retry_after_s,
+                0.0,
+            )
+        )
+        return web.reply_refusal(refusal, self._decimals)
+
     def make_job(
         self, inbound: InboundRequest, now_s: float
     ) -> jobs.Job | errors.Refusal:
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -18,6 +18,7 @@
 from egretspur.admission import fingerprint, quarantine
 from egretspur.catalog import config, feeds, upstreams
 from egretspur.membership import datagrams
+from egretspur.platform import names
 
 T = TypeVar("T")
 
@@ -310,16 +311,45 @@
     estimate: int
 
 
-_NUMBER = re.compile(r"\d+")
+_NUMBER = re.compile(r"[0-9]+")
+
+
+# Digits of the largest token count that a request may have.
+_MAX_TOKEN_DIGITS: Final = 9
+
+# Digits of the longest time that a caller may wait, in milliseconds: years.
+# Longer ones are as good as none.
+_MAX_DEADLINE_DIGITS: Final = 12
 
 
 def decode_tokens(usage: str, estimate: str) -> TokenCounts | None:
-    """Returns a request's token counts; None if it has none."""
-    counts = [int(n) for n in _NUMBER.findall(usage)]
+    """Returns a request's token counts; None if it has none.
+
+    Raises:
+        codec.DecodeError: A count is too large to be one; names the field.
+    """
+    counts = _decode_counts(names.TOKENS, usage)
     if len(counts) < 2:
         return None
-    found = _NUMBER.findall(estimate)
-    return TokenCounts(counts[0], counts[1], int(found[0]) if found else 0)
+    found = _decode_counts(names.LENGTH_ESTIMATE, estimate)
+    return TokenCounts(counts[0], counts[1], found[0] if found else 0)
+
+
+def _decode_counts(field: str, value: str) -> list[int]:
+    found = [n.lstrip("0") or "0" for n in _NUMBER.findall(value)]
+    if any(len(n) > _MAX_TOKEN_DIGITS for n in found):
+        raise codec.DecodeError(
+            f"{field}: more than {_MAX_TOKEN_DIGITS} digits in a number"
+        )
+    return [int(n) for n in found]
+
+
+def decode_deadline_s(value: str) -> float | None:
+    """Returns how long a caller waits; None if it does not say."""
+    digits = value.lstrip("0") or "0"
+    if not _NUMBER.fullmatch(value) or len(digits) > _MAX_DEADLINE_DIGITS:
+        return None
+    return int(digits) / 1000
 
 
 _HEXADECIMAL = re.compile(r"[0-9a-fA-F]+")
--- a/egretspur/platform/ingress.py
+++ b/egretspur/platform/ingress.py
@@ -30,15 +30,18 @@
 
 
 def read_request(req: web.Request) -> intake.InboundRequest:
-    """Decodes a caller's request."""
+    """Decodes a caller's request.
+
+    Raises:
+        codec.DecodeError: A field has a value that it can't have.
+    """
     fields = req.get_headers()
     target = req.get_target()
     tokens = decode.decode_tokens(
         fields.get(names.TOKENS, ""), fields.get(names.LENGTH_ESTIMATE, "")
     )
     call = sending.Call(
-        # Upstreams require an id, so a request without one gets a new one.
-        id=fields.get(names.REQUEST_ID) or uuid.uuid4().hex[:16],
+        id=read_id(req),
         method=req.method,
         target=target,
         headers={n: v for n, v in fields.items() if n not in _DROPPED_HEADERS},
@@ -50,7 +53,9 @@
         host=fields.get("Host", ""),
         path=target.partition("?")[0],
         key=_read_key(fields.get(names.API_KEY, "")),
-        caller_timeout_s=_read_timeout_s(fields.get(names.DEADLINE, "")),
+        caller_timeout_s=decode.decode_deadline_s(
+            fields.get(names.DEADLINE, "")
+        ),
         prompt_tokens=tokens.prompt if tokens else 0,
         max_answer_tokens=tokens.max_output if tokens else 0,
         expected_answer_tokens=tokens.estimate if tokens else 0,
@@ -58,11 +63,15 @@
     )
 
 
+def read_id(req: web.Request) -> str:
+    """Returns a request's id; a new one if it has none.
+
+    Upstreams require an id.
+    """
+    return req.get_header(names.REQUEST_ID) or uuid.uuid4().hex[:16]
+
+
 def _read_key(value: str) -> str:
     if value.lower().startswith(_BEARER):
         return value[len(_BEARER) :].strip()
     return ""
-
-
-def _read_timeout_s(value: str) -> float | None:
-    return int(value) / 1000 if value.isdigit() else None
