Pass on every method; 405 with Allow where a host's page takes another

Routes name no methods, and PROTOCOL.md has the method forwarded unchanged: so it is.

A host's and a daemon's own pages have methods: one that a page does not take gets 405 with Allow, and OPTIONS tells them.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -308,8 +308,8 @@
 
     def _make_app(self) -> web.App:
         app = web.App()
-        for method in ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"):
-            app.add(method, "/{rest*}", self._serve)
+        # Routes name no methods; the upstream decides.
+        app.add("*", "/{rest*}", self._serve)
         return app
 
     def _serve(self, req: web.Request) -> web.Response:
--- a/egretspur/errors.py
+++ b/egretspur/errors.py
@@ -20,6 +20,7 @@
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
     NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_KEY = "unknown_key"
@@ -67,6 +68,9 @@
     ErrorKind.NOT_FOUND: Answer(
         404, True, False, "There is nothing by this name; check the name."
     ),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(
+        405, True, False, "Nothing by this name takes this method; see Allow."
+    ),
     ErrorKind.UNKNOWN_MODEL: Answer(
         404,
         True,
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -204,11 +204,7 @@
     def _handle(self, req: Request) -> Response:
         handler = self._find(req)
         if handler is None:
-            return reply_refusal(
-                errors.Refusal(
-                    errors.ErrorKind.NOT_FOUND, f"{req.method} {req.path}"
-                )
-            )
+            return self._reply_unhandled(req)
         try:
             return handler(req)
         except codec.DecodeError as exc:
@@ -221,6 +217,27 @@
                 errors.Refusal(errors.ErrorKind.INTERNAL, repr(exc))
             )
 
+    def _reply_unhandled(self, req: Request) -> Response:
+        """Answers a request that no route takes."""
+        have = req.path.strip("/").split("/")
+        allowed = {m for m, w, _ in self._routes if _match(w, have) is not None}
+        if not allowed:
+            return reply_refusal(
+                errors.Refusal(
+                    errors.ErrorKind.NOT_FOUND, f"{req.method} {req.path}"
+                )
+            )
+        fields = {"Allow": ", ".join(sorted(allowed | {"OPTIONS"}))}
+        if req.method == "OPTIONS":
+            return Response(200, fields)
+        res = reply_refusal(
+            errors.Refusal(
+                errors.ErrorKind.METHOD_NOT_ALLOWED, f"{req.method} {req.path}"
+            )
+        )
+        res.headers.update(fields)
+        return res
+
     def _find(self, req: Request) -> Handler | None:
         have = req.path.strip("/").split("/")
         for method, want, handler in self._routes:
@@ -527,6 +544,7 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    405: "Method Not Allowed",
     409: "Conflict",
     413: "Content Too Large",
     429: "Too Many Requests",
