--- a/egretspur/delivery/answer_log.py
+++ b/egretspur/delivery/answer_log.py
@@ -80,20 +80,8 @@
         self._failed.append(
             _FailedAttempt(upstream, failure.kind, failure.ended_by, silent_s)
         )
-        decisions.record(
-            decisions.AttemptFailed(
-                self._job.id,
-                self._attempts,
-                failure.kind.value,
-                failure.reason,
-                failure.blamed,
-                count,
-                new_count,
-                self._job.fingerprint,
-                failure.has_head,
-                failure.ended_by.value,
-                silent_s,
-            )
+        record_attempt_failure(
+            self._job, self._attempts, failure, silent_s, count, new_count
         )
 
     def record_left(self, count: int) -> None:
@@ -146,6 +134,41 @@
         return now_s - (self._last_event_s or self._job.arrived_s)
 
 
+def record_attempt_failure(
+    job: jobs.Job,
+    number: int,
+    failure: jobs.Failure,
+    silent_s: float,
+    count: int,
+    new_count: int,
+) -> None:
+    """Logs a failed attempt.
+
+    Args:
+        job: The request.
+        number: Of the attempt, from 1.
+        failure: How it failed.
+        silent_s: Seconds without bytes before its end.
+        count: Events that the caller has received.
+        new_count: Events that the attempt produced.
+    """
+    decisions.record(
+        decisions.AttemptFailed(
+            job.id,
+            number,
+            failure.kind.value,
+            failure.reason,
+            failure.blamed,
+            count,
+            new_count,
+            job.fingerprint,
+            failure.has_head,
+            failure.ended_by.value,
+            silent_s,
+        )
+    )
+
+
 def describe_attempt(
     upstream: str, why: str, ended_by: str, silent_s: float
 ) -> str:
--- a/egretspur/delivery/handover.py
+++ b/egretspur/delivery/handover.py
@@ -12,8 +12,10 @@
 from collections.abc import Callable
 from typing import Final
 
-from egretspur import decisions, ends, guard
-from egretspur.delivery import answers, sending
+import attrs
+
+from egretspur import ends, guard
+from egretspur.delivery import answer_log, answers, sending
 from egretspur.routing import desk, jobs
 
 # Attempts in a row, if upstreams refuse them or can't be reached.
@@ -177,8 +179,6 @@
         failure = self.failure
         assert failure is not None and start is not None
         is_cancelled = self._abort.is_aborted
-        if not is_cancelled:
-            self._log_failure(start, failure, has_head)
         reported = jobs.Failure(
             self._job.id,
             failure.why,
@@ -188,29 +188,20 @@
             has_head=has_head,
             ended_by=failure.ended_by,
         )
+        if not is_cancelled:
+            self._log_failure(start, reported)
         self._desk.tell(
             desk.DropHandover(self._job.id, None if is_cancelled else reported)
         )
         return not is_cancelled and failure.why in jobs.NOT_RUN
 
-    def _log_failure(
-        self,
-        start: jobs.Start,
-        failure: sending.AttemptFailure,
-        has_head: bool,
-    ) -> None:
-        decisions.record(
-            decisions.AttemptFailed(
-                self._job.id,
-                start.number,
-                failure.why.value,
-                f"beside a silent attempt: {failure.reason}",
-                failure.blamed,
-                self._count,
-                0,
-                self._job.fingerprint,
-                has_head,
-                failure.ended_by.value,
-                time.monotonic() - self._sent_s,
-            )
+    def _log_failure(self, start: jobs.Start, failure: jobs.Failure) -> None:
+        reason = f"beside a silent attempt: {failure.reason}"
+        answer_log.record_attempt_failure(
+            self._job,
+            start.number,
+            attrs.evolve(failure, reason=reason),
+            time.monotonic() - self._sent_s,
+            self._count,
+            0,
         )
