Don't send an attempt beside a silent one that ended while it was chosen

Callers would see: a request runs on more replicas than its route allows, and one engine works on it for nobody until the deadline.

Cause: a silent attempt may end between the question for another one and the answer. The request then goes on without it (`adopt` returns none), but the handover's thread sent the attempt that the desk had chosen. The desk dropped it with the failed one and counted it nowhere; no one read its answer or closed it.

Change: once the handover was asked for its attempt in vain, it sends none, and tells the desk that the chosen one was not sent, so that it does not count.

--- a/egretspur/delivery/handover.py
+++ b/egretspur/delivery/handover.py
@@ -86,7 +86,7 @@
 
         Returns:
             The attempt, whose outcome is known once `ended` is set; None if no
-            attempt runs.
+            attempt runs. Then none is sent any more.
         """
         with self._lock:
             self._is_adopted = True
@@ -116,7 +116,15 @@
                 return
             self._sent_s = time.monotonic()
             with self._lock:
-                self._attempt = start
+                is_late = self._is_adopted
+                if not is_late:
+                    self._attempt = start
+            if is_late:
+                # The request went on without it while it was being chosen.
+                self._desk.tell(
+                    desk.DropHandover(self._job.id, None, is_sent=False)
+                )
+                return
             self.failure = self._run_attempt(start)
             if self.failure is None or not self._end_attempt():
                 return
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -101,8 +101,10 @@
     """The attempt beside a silent one has ended."""
 
     id: str
-    # None if the silent one went on first.
+    # None if the silent one went on first, or ended before it was sent.
     failure: jobs.Failure | None
+    # Whether an upstream may have run it.
+    is_sent: bool = True
 
 
 @attrs.frozen
@@ -344,7 +346,9 @@
     @handle.register
     def _(self, message: DropHandover) -> None:
         now_s = time.monotonic()
-        self._broker.handovers.drop(message.id, message.failure, now_s)
+        self._broker.handovers.drop(
+            message.id, message.failure, now_s, message.is_sent
+        )
         self._pending.resolve(self._broker.refresh(now_s))
 
     @handle.register
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -105,18 +105,23 @@
         )
 
     def drop(
-        self, job_id: str, failure: jobs.Failure | None, now_s: float
+        self,
+        job_id: str,
+        failure: jobs.Failure | None,
+        now_s: float,
+        is_sent: bool = True,
     ) -> None:
         """Ends the second attempt.
 
         Args:
             job_id: The request.
-            failure: How it failed; None if the current one went on first.
+            failure: How it failed; None if it was not needed any more.
             now_s: Monotonic time.
+            is_sent: Whether an upstream may have run it.
         """
         ticket = self._tickets.get(job_id)
         attempt = self.release(ticket) if ticket else None
-        if ticket is None or attempt is None:
+        if ticket is None or attempt is None or not is_sent:
             return
         if failure is None:
             ticket.ran.append(tickets.Run(attempt.upstream_id, True))
