Soak: engines that break off and stand still, and how many ran a request

The soak was green on code on which a request ran on more replicas than its route allows: it counted runs of calls that may run once, and its engines either cut a stream or were paused. `--stalls` adds eight engines, so that three hold each layer, and has all of them break off a stream and stand still for 1.2 s. In each soak without cut links, a request that ran on more engines that live than its route allows is a finding. Seeds of the other scenarios draw the same plans.

--- a/tests/daemons/soak.feature
+++ b/tests/daemons/soak.feature
@@ -58,6 +58,13 @@
     Then no fault is found, and answers of each kind arrived
     And hosts were cut off
 
+  Scenario: Two hosts under faults, and engines that break off and stand still
+    # Guards against more replicas than the route allows, while engines are silent
+    # and go on, and others end.
+    When a site of 2 hosts is soaked for 20 s with seed 31, and engines that stand still
+    Then no fault is found, and answers of each kind arrived
+    And engines stood still
+
   Scenario: Two hosts under faults, and upstreams that send throttling headers
     # Guards against requests beyond an upstream's rate limit, during its backoff,
     # or long after it announced that it leaves.
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -29,6 +29,9 @@
 # Data centre of the upstreams, and of hosts unless a test says otherwise.
 HOME: Final = "kl-hall"
 
+# Upstreams that may run a request, by its route.
+MAX_ATTEMPTS: Final = 2
+
 # Time for which a draining upstream continues to serve, in seconds.
 DRAIN_S: Final = 2.5
 
@@ -215,7 +218,7 @@
                 "slo_ms": 500,
                 "priority": 1,
                 "service": service,
-                "max_attempts": 2,
+                "max_attempts": MAX_ATTEMPTS,
                 "resumable": kind == "streaming",
             }
         )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,6 +19,9 @@
 
 ``--copies`` also restores the store from older copies of itself.
 
+``--stalls`` adds engines, and has some break off streams and then stand still;
+no request may run on more engines that live than its route allows.
+
 ``--links`` also cuts hosts off from all upstreams (`tests.fakes.partition`).
 
 Prints a JSON line for each finding and one with counts; the exit code is 1 if
@@ -76,6 +79,10 @@
 # Longest time until a line that an upstream printed has been read.
 RUNS_PRINTED_S: Final = 5.0
 
+# Engines that ``--stalls`` adds, and the seconds for which one stands still.
+MORE_ENGINES: Final = 8
+STALL_S: Final = 1.2
+
 # Age of the copy from which the store is restored, in seconds.
 COPY_BACK_S: Final = 6.0
 
@@ -115,6 +122,8 @@
     has_asking: bool = False
     # Whether hosts are also cut off from all upstreams.
     has_links: bool = False
+    # Whether engines also stand still after they broke a stream off.
+    has_stalls: bool = False
     # Host of each request, by its id, and start and end times of the faults of
     # each target.
     request_hosts: dict[str, str] = attrs.Factory(dict)
@@ -188,6 +197,7 @@
             **(COPIES if self.has_copies else {}),
             **(ASKING if self.has_asking else {}),
             **(LINKS if self.has_links else {}),
+            **(STALLS if self.has_stalls else {}),
         }
         name = self.rng.choice(sorted(faults))
         lasts_s = self.rng.uniform(*FAULT_DURATION_S)
@@ -244,6 +254,18 @@
         for other in others:
             self._set_resumed(other, 200)
 
+    def stall(self, lasts_s: float) -> None:
+        """Has each engine break off a stream, and stand still after it."""
+        fault = {"cut_after": 2, "stall_s": STALL_S}
+        off = {k: FAULTS_OFF[k] for k in fault}
+        engines = self._list_victims("engine_")
+        for faults in (fault, off):
+            for name in engines:
+                with contextlib.suppress(RuntimeError):
+                    # The engine may have been killed.
+                    self.site.set_fault(name, faults)
+            time.sleep(lasts_s)
+
     def _set_resumed(self, name: str, status: int) -> None:
         with contextlib.suppress(RuntimeError):
             # The engine may have been killed.
@@ -312,11 +334,33 @@
                 list(process.lines), self.request_hosts
             )
             found += asking.find_violations(name, arrivals, self.fault_times)
+        if not self.has_links:
+            found += self._find_spread()
         late = count_late(self.fatal, runs)
         if late > MAX_LATE_RUNS:
             found.append(f"what ended three engines reached {late} more")
         return found
 
+    def _find_spread(self) -> list[str]:
+        """Returns the requests that ran on more engines than allowed.
+
+        Engines that have ended don't count.
+        """
+        ran: collections.defaultdict[str, set[str]] = collections.defaultdict(
+            set
+        )
+        for name, process in self.site.stage.processes.items():
+            if process.popen.poll() is not None:
+                continue
+            for line in list(process.lines):
+                if line.startswith("ran "):
+                    ran[line.split()[1]].add(name)
+        return [
+            f"{request}: ran on {sorted(names)}"
+            for request, names in ran.items()
+            if len(names) > sites.MAX_ATTEMPTS
+        ]
+
     def _await_runs(self) -> None:
         """Waits for what upstreams printed of the last answers' runs."""
         answered = {a.id for a in self.answers if a.status == 200}
@@ -390,6 +434,7 @@
     "delay_s": 0.0,
     "limit": "",
     "rest_s": "",
+    "stall_s": 0.0,
 }
 
 Fault = Callable[[Soak, str, float], None]
@@ -432,6 +477,12 @@
     "host_links_kept": lambda s, n, t: s.cut_links(n, 2 * t, "kept"),
 }
 
+# Added by ``--stalls``; three times as likely as each of the others. All
+# engines take part in one, so one is made at a time, like a fault of the store.
+STALLS: Final[dict[str, Fault]] = {
+    f"store_engines_stall{i}": lambda s, n, t: s.stall(t) for i in range(3)
+}
+
 # Added by ``--copies``; three times as likely as each of the others.
 COPIES: Final[dict[str, Fault]] = {
     f"store_copy{i}": lambda s, n, t: s.copy(n, t) for i in range(3)
@@ -446,9 +497,14 @@
     has_copies: bool = False,
     has_asking: bool = False,
     has_links: bool = False,
+    has_stalls: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Runs a soak; returns its record and the violations."""
     site = sites.start_site(hosts)
+    if has_stalls:
+        # Three hold each layer, so that a request may reach a third one.
+        for number in range(MORE_ENGINES):
+            site.start_upstream(f"em{number}")
     rng = random.Random(seed)
     soak = Soak(
         site,
@@ -457,6 +513,7 @@
         has_copies=has_copies,
         has_asking=has_asking,
         has_links=has_links,
+        has_stalls=has_stalls,
     )
     if has_fatal:
         soak.start_fatal(seed)
@@ -516,6 +573,9 @@
     parser.add_argument(
         "--links", action="store_true", help="cut hosts off from upstreams"
     )
+    parser.add_argument(
+        "--stalls", action="store_true", help="have engines stand still"
+    )
     args = parser.parse_args(argv)
     soak, found = run(
         args.seed,
@@ -525,6 +585,7 @@
         args.copies,
         args.asking,
         args.links,
+        args.stalls,
     )
     for finding in found:
         print(json.dumps({"finding": finding}))
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -93,6 +93,23 @@
     )
 
 
+@when(
+    "a site of {hosts:d} hosts is soaked for {seconds:d} s with seed {seed:d},"
+    " and engines that stand still"
+)
+def step_soaked_stalls(
+    context: Any, hosts: int, seconds: int, seed: int
+) -> None:
+    context.soak, context.found = soak.run(
+        seed, seconds, hosts, has_stalls=True
+    )
+
+
+@then("engines stood still")
+def step_stood_still(context: Any) -> None:
+    assert any(n in soak.STALLS for n in context.soak.faults)
+
+
 @then("the store was replaced by copies")
 def step_copies(context: Any) -> None:
     assert any(n.startswith("store_copy") for n in context.soak.faults)
