Decide in one place whether a removed upstream may go on; read printed runs once

Two callers chose between removing an upstream and remembering it as withdrawn, by two halves of one condition: its record can't be read, or does not fit. Now _remove_or_withdraw. The soak read the printed runs of upstreams in two loops, and had the stall of tests/streams.py as a constant of its own.

--- a/egretspur/catalog/upstreams.py
+++ b/egretspur/catalog/upstreams.py
@@ -201,10 +201,7 @@
             winners[entry.address] = entry
     ids = {e.id for e in winners.values()}
     for upstream_id in set(roster.entries) - ids - roster.unreadable:
-        if roster.entries[upstream_id].name in roster.misfits:
-            _withdraw(roster, upstream_id)
-        else:
-            _remove(roster, upstream_id)
+        _remove_or_withdraw(roster, upstream_id)
     for entry in winners.values():
         if entry.id not in roster.entries or entry.id in roster.unreadable:
             _update_entry(roster, entry, now_s)
@@ -462,10 +459,7 @@
     """
     late = [i for i, due_s in roster.missing.items() if now_s >= due_s]
     for upstream_id in late:
-        if upstream_id in roster.unreadable:
-            _withdraw(roster, upstream_id)
-        else:
-            _remove(roster, upstream_id)
+        _remove_or_withdraw(roster, upstream_id)
     old = [
         i
         for i, (_, until_s) in roster.reported_layers.items()
@@ -480,10 +474,13 @@
     return bool(late or old)
 
 
-def _withdraw(roster: Roster, upstream_id: str) -> None:
-    """Removes an upstream that may go on though its record is invalid."""
-    entry = roster.entries[upstream_id]
-    roster.withdrawn[entry.name] = entry
+def _remove_or_withdraw(roster: Roster, upstream_id: str) -> None:
+    """Removes an upstream; one whose record is invalid may go on."""
+    entry = roster.entries.get(upstream_id)
+    if entry is not None and (
+        upstream_id in roster.unreadable or entry.name in roster.misfits
+    ):
+        roster.withdrawn[entry.name] = entry
     _remove(roster, upstream_id)
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -48,7 +48,7 @@
 import attrs
 import urllib3
 
-from tests import asking, sites, stage
+from tests import asking, sites, stage, streams
 
 EVENTS: Final = 5
 
@@ -79,9 +79,8 @@
 # Longest time until a line that an upstream printed has been read.
 RUNS_PRINTED_S: Final = 5.0
 
-# Engines that ``--stalls`` adds, and the seconds for which one stands still.
+# Engines that ``--stalls`` adds.
 MORE_ENGINES: Final = 8
-STALL_S: Final = 1.2
 
 # Age of the copy from which the store is restored, in seconds.
 COPY_BACK_S: Final = 6.0
@@ -256,7 +255,7 @@
 
     def stall(self, lasts_s: float) -> None:
         """Has each engine break off a stream, and stand still after it."""
-        fault = {"cut_after": 2, "stall_s": STALL_S}
+        fault = {"cut_after": 2, "stall_s": streams.STALL_S}
         off = {k: FAULTS_OFF[k] for k in fault}
         engines = self._list_victims("engine_")
         for faults in (fault, off):
@@ -350,11 +349,9 @@
             set
         )
         for name, process in self.site.stage.processes.items():
-            if process.popen.poll() is not None:
-                continue
-            for line in list(process.lines):
-                if line.startswith("ran "):
-                    ran[line.split()[1]].add(name)
+            if process.popen.poll() is None:
+                for request in list_runs(process):
+                    ran[request].add(name)
         return [
             f"{request}: ran on {sorted(names)}"
             for request, names in ran.items()
@@ -375,12 +372,19 @@
         """Returns how often each request ran, including on killed upstreams."""
         runs: collections.Counter[str] = collections.Counter()
         for process in self.site.stage.processes.values():
-            for line in list(process.lines):
-                if line.startswith("ran "):
-                    runs[line.split()[1]] += 1
+            runs.update(list_runs(process))
         return runs
 
 
+def list_runs(process: stage.Process) -> list[str]:
+    """Returns the request of each run that an upstream printed."""
+    return [
+        line.split()[1]
+        for line in list(process.lines)
+        if line.startswith("ran ")
+    ]
+
+
 def check(answer: Answer, runs: int) -> str:
     """Returns the violation in an answer; empty if there is none."""
     request = f"{answer.id} {answer.path} at {answer.host}: "
