--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -17,13 +17,16 @@
 ``crash_after_head`` (it sends the head of the answer first), ``halt_s`` (all
 streams pause for this long, counted from when the fault is set), ``unframed``
 (answers have no length and no chunks and end with their connection; plain ones
-come in as many parts as there are ``events``).
+come in as many parts as there are ``events``), ``reset_share`` (share of the
+requests that were read and whose connection is then reset, at random),
+``read_delay_s`` (a request that was sent is read so much later).
 """
 
 from __future__ import annotations
 
 import json
 import os
+import random
 import sys
 import threading
 import time
@@ -64,11 +67,16 @@
             "crash_after_head": False,
             "halt_s": 0.0,
             "unframed": False,
+            "reset_share": 0.0,
+            "read_delay_s": 0.0,
         }
         self.held: dict[str, int] | None = None
         self.orders = 0
         # Started requests: the header fields that a host sent.
         self.runs: list[dict[str, str]] = []
+        # All requests that arrived: id, when, in monotonic seconds, and how
+        # many milliseconds their callers still wait.
+        self.arrivals: list[tuple[str, float, int]] = []
         # Number of streams that the caller closed before their end.
         self.left = 0
         # Monotonic time until which it answers nothing.
@@ -207,8 +215,18 @@
 
     def run(req: web.Request) -> web.Response:
         fields = req.get_headers()
+        time.sleep(replica.faults["read_delay_s"])
+        replica.arrivals.append(
+            (
+                fields.get("Attempt-Id", ""),
+                time.monotonic(),
+                int(fields.get("Deadline-Ms") or -1),
+            )
+        )
         body = req.read_body()
         replica.wait_stalled()
+        if random.random() < replica.faults["reset_share"]:
+            raise ConnectionAbortedError("reset on request")
         head = {
             "Attempt-Id": fields.get("Attempt-Id", ""),
             "Replica-Signature": f"sig-{replica.name}",
@@ -261,6 +279,7 @@
     app.add("POST", "/egretspur/order", order)
     app.add("GET", "/healthz", lambda r: base.reply({}))
     app.add("GET", "/runs", lambda r: base.reply(replica.runs))
+    app.add("GET", "/arrivals", lambda r: base.reply(replica.arrivals))
     app.add("GET", "/left", lambda r: base.reply(replica.left))
     base.add_faults(app, replica.faults)
     app.add("*", "/{rest*}", run)
--- /dev/null
+++ b/tests/retrying.py
@@ -0,0 +1,469 @@
+"""Requests whose attempts fail, while hosts stop, are killed and start again.
+
+``python -m tests.retrying HISTORY`` plays one history on a site of processes
+and prints how much of the retry budget the worst window took, as the upstreams
+counted it, and how many requests broke the other limits on retries. The
+scenarios of `tests/daemons/retrying.feature` play small ones.
+"""
+
+from __future__ import annotations
+
+import argparse
+import bisect
+import collections
+import itertools
+import json
+import sys
+import threading
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Final
+
+import attrs
+import urllib3
+
+from tests import sites, stage
+
+# Of the budget, as the hosts' settings have it.
+RATIO: Final = 0.2
+WINDOW_S: Final = 10.0
+
+# Upstreams that may run a request.
+MAX_ATTEMPTS: Final = 4
+
+# Share of the requests that are reset.
+RESET_SHARE: Final = 0.75
+
+# Seconds before upstreams fail, from then until hosts are disturbed, and after
+# a history.
+FAILING_S: Final = 8.0
+BEFORE_S: Final = 9.0
+AFTER_S: Final = 5.0
+
+# How late upstreams read requests, and for how long they do.
+READ_DELAY_S: Final = 1.5
+READ_LATE_S: Final = 4.0
+
+# Seconds for which hosts stand still, for short and long, and the time between
+# two stops.
+STOP_S: Final = 1.5
+LONG_STOP_S: Final = 4.0
+PERIOD_S: Final = 4.0
+ROUNDS: Final = 3
+
+# Time between two hosts that are stopped, killed or drained in turn.
+TURN_S: Final = 2.0
+
+# How long a caller waits, and how much later an attempt may end, in s.
+PATIENCE_S: Final = 9.0
+DEADLINE_SLACK_S: Final = 0.5
+
+
+@attrs.define
+class Request:
+    """One request, sent once."""
+
+    id: str
+    service: str
+    sent_s: float
+    # 0 if there was no answer.
+    status: int = 0
+
+
+@attrs.define
+class Callers:
+    """Callers that send requests at a fixed rate, to all hosts in turn."""
+
+    site: sites.Site
+    per_s: float
+    requests: list[Request] = attrs.Factory(list)
+    stopped: threading.Event = attrs.Factory(threading.Event)
+    threads: list[threading.Thread] = attrs.Factory(list)
+
+    def start(self) -> None:
+        """Starts to send."""
+        thread = threading.Thread(target=self._send, daemon=True)
+        thread.start()
+        self.threads.append(thread)
+
+    def close(self) -> None:
+        """Stops sending and waits for the answers."""
+        self.stopped.set()
+        for thread in list(self.threads):
+            thread.join(PATIENCE_S + 3.0)
+
+    def _send(self) -> None:
+        began_s = time.monotonic()
+        for number in itertools.count():
+            left_s = began_s + number / self.per_s - time.monotonic()
+            if self.stopped.wait(max(0.0, left_s)):
+                return
+            service = "llm" if number % 3 == 2 else "desk"
+            # Each host gets requests of both services.
+            host = self.site.hosts[(number // 3) % len(self.site.hosts)]
+            request = Request(f"r{number}", service, time.monotonic())
+            self.requests.append(request)
+            thread = threading.Thread(
+                target=self._run, args=(request, host), daemon=True
+            )
+            self.threads.append(thread)
+            thread.start()
+
+    def _run(self, request: Request, host: str) -> None:
+        # No pool: a connection that was cut must not be shared.
+        pool = urllib3.PoolManager(retries=False, timeout=PATIENCE_S)
+        path = "/notes/x" if request.service == "llm" else "/cards/x"
+        url = f"http://{host}:{self.site.ports['frontend']}{path}"
+        fields = {
+            "Host": sites.HOST,
+            "Attempt-Id": request.id,
+            "Token-Usage": "20,20",
+            "Deadline-Ms": str(int(PATIENCE_S * 1000)),
+            "Authorization": "Bearer key-1",
+        }
+        try:
+            res = pool.request("POST", url, body=b"{}", headers=fields)
+            request.status = res.status
+        except (urllib3.exceptions.HTTPError, OSError):
+            # No whole answer, as it is recorded.
+            pass
+        finally:
+            pool.clear()
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached an upstream."""
+
+    request: str
+    at_s: float
+    upstream: str
+    # Seconds that its caller still waits, as the host says.
+    left_s: float
+
+
+@attrs.frozen
+class Window:
+    """Retries that a service got in a window, and what all hosts may send."""
+
+    service: str
+    start_s: float
+    sent: int
+    allowed: float
+
+    @property
+    def use(self) -> float:
+        """Retries as a fraction of those allowed."""
+        return self.sent / self.allowed
+
+
+def find_worst(
+    arrivals: Sequence[Arrival],
+    requests: Sequence[Request],
+    service: str,
+    allowance: float,
+) -> Window:
+    """Returns the window with the most retries, compared to those allowed.
+
+    Args:
+        arrivals: What upstreams of the service got, from earliest to latest.
+        requests: All that callers sent.
+        service: Name of the service.
+        allowance: Retries in a window in addition to those of the requests.
+    """
+    known = {r.id for r in requests}
+    seen: set[str] = set()
+    retries = []
+    for arrival in arrivals:
+        if arrival.request in seen:
+            retries.append(arrival.at_s)
+        elif arrival.request in known:
+            seen.add(arrival.request)
+    sent = sorted(r.sent_s for r in requests if r.service == service)
+
+    def count(start_s: float) -> int:
+        end = bisect.bisect_left(sent, start_s + WINDOW_S)
+        return end - bisect.bisect_left(sent, start_s)
+
+    worst = Window(service, 0.0, 0, allowance)
+    for i, start_s in enumerate(retries):
+        window = Window(
+            service,
+            start_s,
+            bisect.bisect_left(retries, start_s + WINDOW_S) - i,
+            allowance
+            + RATIO * max(count(start_s - WINDOW_S * k / 2) for k in range(3)),
+        )
+        worst = max(worst, window, key=lambda w: w.use)
+    return worst
+
+
+@attrs.define
+class Play:
+    """A site whose upstreams reset most requests, and its callers."""
+
+    site: sites.Site
+    callers: Callers
+    allowance: float
+    began_s: float = 0.0
+
+    def close(self) -> None:
+        """Stops all processes."""
+        self.callers.stopped.set()
+        self.site.close()
+
+    def run(self, history: str) -> list[Window]:
+        """Plays a history; returns the worst window of each service."""
+        self.began_s = time.monotonic()
+        self.callers.start()
+        time.sleep(FAILING_S)
+        HISTORIES[history](self.site)
+        time.sleep(AFTER_S)
+        self.callers.close()
+        return [self.find_worst(s) for s in ("desk", "llm")]
+
+    def find_worst(self, service: str) -> Window:
+        """Returns the worst window of a service."""
+        return find_worst(
+            self.list_arrivals(service),
+            self.callers.requests,
+            service,
+            self.allowance,
+        )
+
+    def list_arrivals(self, service: str) -> list[Arrival]:
+        """Returns what a service's upstreams got, from earliest to latest."""
+        found = [
+            Arrival(request, at_s, name, left_ms / 1000.0)
+            for name, entry in self.site.entries.items()
+            if entry["service"] == service
+            for request, at_s, left_ms in self.site.stage.call(
+                "GET", name, "/arrivals"
+            )
+        ]
+        return sorted(found, key=lambda a: a.at_s)
+
+    def count_over_limit(self) -> int:
+        """Returns how many requests reached more upstreams than allowed."""
+        names: dict[str, set[str]] = {}
+        for arrival in self._list_all_arrivals():
+            names.setdefault(arrival.request, set()).add(arrival.upstream)
+        own = {r.id for r in self.callers.requests}
+        return sum(len(names[i]) > MAX_ATTEMPTS for i in own if i in names)
+
+    def count_long_deadlines(self) -> int:
+        """Returns how many attempts were handed more time than was left."""
+        sent = {r.id: r.sent_s for r in self.callers.requests}
+        first_end_s: dict[str, float] = {}
+        count = 0
+        for arrival in self._list_all_arrivals():
+            if arrival.request not in sent:
+                continue
+            end_s = arrival.at_s + arrival.left_s
+            first_s = first_end_s.setdefault(arrival.request, end_s)
+            own_s = sent[arrival.request] + PATIENCE_S
+            is_longer = arrival.left_s > PATIENCE_S + DEADLINE_SLACK_S
+            is_later = end_s > max(first_s, own_s) + DEADLINE_SLACK_S
+            count += is_longer or is_later or arrival.left_s < 0.0
+        return count
+
+    def _list_all_arrivals(self) -> list[Arrival]:
+        found = self.list_arrivals("desk") + self.list_arrivals("llm")
+        return sorted(found, key=lambda a: a.at_s)
+
+
+def start(hosts: int, upstreams: int, per_s: float, allowance: float) -> Play:
+    """Starts a site and waits until its hosts serve.
+
+    Args:
+        hosts: Number of hosts.
+        upstreams: Number of engines, and of plain replicas.
+        per_s: Requests a second, two plain ones for each stream.
+        allowance: Retries in a window in addition to those of the requests.
+    """
+    site = sites.start_site(
+        hosts,
+        retry_budget_ratio=RATIO,
+        retry_allowance=allowance,
+        budget_window_s=WINDOW_S,
+    )
+    site.write(
+        "keyed.op", "config", sites.make_config(["key-1"], 3, MAX_ATTEMPTS)
+    )
+    for number in range(4, upstreams):
+        site.start_upstream(f"e{number}")
+    for number in range(6, 4 + upstreams):
+        site.start_upstream(f"s{number}")
+    stage.wait_until(
+        lambda: all(
+            e["layer_count"]
+            for e in site.entries.values()
+            if e["service"] == "llm"
+        ),
+        30.0,
+        "all engines hold layers",
+    )
+    return Play(site, Callers(site, per_s), allowance)
+
+
+# Histories. Upstreams fail from their start, or a little later.
+
+
+def set_faults(site: sites.Site, **faults: float) -> None:
+    """Sets faults of all upstreams."""
+    for name in site.entries:
+        site.set_fault(name, faults)
+
+
+def fail(site: sites.Site) -> None:
+    """Has upstreams reset most requests, and hosts use up the budget."""
+    set_faults(site, reset_share=RESET_SHARE)
+    time.sleep(BEFORE_S)
+
+
+def play_nothing(site: sites.Site) -> None:
+    """Hosts are undisturbed."""
+    fail(site)
+    time.sleep(ROUNDS * PERIOD_S)
+
+
+def play_read_late(site: sites.Site) -> None:
+    """Upstreams read requests late at first, and at once later."""
+    set_faults(site, reset_share=RESET_SHARE, read_delay_s=READ_DELAY_S)
+    time.sleep(READ_LATE_S)
+    set_faults(site, read_delay_s=0.0)
+    time.sleep(WINDOW_S - READ_LATE_S)
+
+
+def play_fail_while_stopped(site: sites.Site) -> None:
+    """All hosts stand still for long while upstreams begin to fail."""
+    for ip in site.hosts:
+        site.stage.processes[ip].pause()
+    set_faults(site, reset_share=RESET_SHARE)
+    time.sleep(LONG_STOP_S)
+    for ip in site.hosts:
+        site.stage.processes[ip].resume()
+    time.sleep(WINDOW_S)
+
+
+def stop_hosts(site: sites.Site, hosts: Sequence[str]) -> None:
+    """Stops hosts together, several times."""
+    for _ in range(ROUNDS):
+        for ip in hosts:
+            site.stage.processes[ip].pause()
+        time.sleep(STOP_S)
+        for ip in hosts:
+            site.stage.processes[ip].resume()
+        time.sleep(PERIOD_S)
+
+
+def play_all_stop(site: sites.Site) -> None:
+    """All hosts stand still at the same time."""
+    fail(site)
+    stop_hosts(site, site.hosts)
+
+
+def play_half_stop(site: sites.Site) -> None:
+    """Every second host stands still at the same time."""
+    fail(site)
+    stop_hosts(site, site.hosts[::2])
+
+
+def play_stop_in_turn(site: sites.Site) -> None:
+    """Hosts stand still, one after the other."""
+    fail(site)
+    for ip in site.hosts:
+        site.stage.processes[ip].pause()
+        time.sleep(STOP_S)
+        site.stage.processes[ip].resume()
+
+
+def restart_host(site: sites.Site, ip: str) -> None:
+    """Kills a host and starts it again at once."""
+    site.stage.processes[ip].kill()
+    site.hosts.remove(ip)
+    sites.start_host(site, ip)
+
+
+def play_all_killed(site: sites.Site) -> None:
+    """All hosts are killed, several times, and start again at once."""
+    fail(site)
+    for _ in range(ROUNDS):
+        for ip in list(site.hosts):
+            site.stage.processes[ip].popen.kill()
+        for ip in list(site.hosts):
+            restart_host(site, ip)
+        time.sleep(PERIOD_S)
+
+
+def play_killed_in_turn(site: sites.Site) -> None:
+    """Hosts are killed one after the other, and start again at once."""
+    fail(site)
+    for ip in list(site.hosts):
+        restart_host(site, ip)
+        time.sleep(TURN_S)
+
+
+HISTORIES: Final[Mapping[str, Callable[[sites.Site], None]]] = {
+    "nothing happens": play_nothing,
+    "upstreams read late": play_read_late,
+    "upstreams fail while all hosts stop": play_fail_while_stopped,
+    "all hosts stop": play_all_stop,
+    "every second host stops": play_half_stop,
+    "hosts stop in turn": play_stop_in_turn,
+    "all hosts are killed": play_all_killed,
+    "hosts are killed in turn": play_killed_in_turn,
+}
+
+
+def main() -> int:
+    """Entry point."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("history", choices=HISTORIES)
+    parser.add_argument("--hosts", type=int, default=8)
+    parser.add_argument("--upstreams", type=int, default=8)
+    parser.add_argument("--per-s", type=float, default=90.0)
+    parser.add_argument("--allowance", type=float, default=30.0)
+    parser.add_argument("--dump", help="file for arrivals, requests and logs")
+    args = parser.parse_args()
+    play = start(args.hosts, args.upstreams, args.per_s, args.allowance)
+    try:
+        for window in play.run(args.history):
+            print(
+                f"{args.history}: {window.service}: {window.sent} of"
+                f" {window.allowed:.0f} ({window.use:.2f}) from"
+                f" {window.start_s - play.began_s:.1f} s"
+            )
+        statuses = collections.Counter(r.status for r in play.callers.requests)
+        print(f"statuses: {dict(statuses)}")
+        print(
+            f"on more upstreams than allowed: {play.count_over_limit()};"
+            f" attempts with too much time: {play.count_long_deadlines()}"
+        )
+        if args.dump:
+            dump(play, args.dump)
+    finally:
+        play.close()
+    return 0
+
+
+def dump(play: Play, path: str) -> None:
+    """Writes what a play left, for a closer look."""
+    data: dict[str, Any] = {
+        "began_s": play.began_s,
+        "arrivals": {
+            s: [(a.request, a.at_s) for a in play.list_arrivals(s)]
+            for s in ("desk", "llm")
+        },
+        "requests": [attrs.asdict(r) for r in play.callers.requests],
+        "logs": {
+            ip: list(play.site.stage.processes[ip].lines)
+            for ip in play.site.hosts
+        },
+    }
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(data, file)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -68,6 +68,8 @@
     reserved: list[socket.socket] = attrs.Factory(list)
     # Bounds in the hosts' settings, in addition to those of all sites.
     bounds: dict[str, float] = attrs.Factory(dict)
+    # Upstreams that may run a request.
+    max_attempts: int = MAX_ATTEMPTS
     # Data centres of the hosts that are not in `HOME`, by address.
     zones: dict[str, str] = attrs.Factory(dict)
 
@@ -200,7 +202,9 @@
         return runs
 
 
-def make_config(keys: list[str], version: int) -> dict[str, Any]:
+def make_config(
+    keys: list[str], version: int, max_attempts: int = MAX_ATTEMPTS
+) -> dict[str, Any]:
     """Returns a configuration in the form that operators write."""
     routes = []
     for prefix, kind, service in (
@@ -218,7 +222,7 @@
                 "slo_ms": 500,
                 "priority": 1,
                 "service": service,
-                "max_attempts": MAX_ATTEMPTS,
+                "max_attempts": max_attempts,
                 "resumable": kind == "streaming",
             }
         )
