Log how many retries are unsettled, how many requests count, and pauses of a host

The log told what a host had sent and might send, not what its share came from nor whether its retries had reached an upstream, so two hypotheses (retries counted when they are decided, requests counted when they are read) looked the same. A retry is an object now that its attempt settles once the upstream has answered or the attempt has ended; what counts against the budget is unchanged.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from egretspur.admission import shared
+from egretspur.admission import pauses, shared
 
 
 @attrs.frozen
@@ -48,6 +48,7 @@
         """
         # Hosts that share the budgets, this one included.
         self.hosts = 1
+        self.pauses = pauses.PauseDetector()
         self._options = options
         self._rng = rng or random.Random()
         self._since_s = options.since_s
@@ -66,21 +67,16 @@
         """Counts a request's first attempt."""
         self._get(service).earn(now_s)
 
-    def spend(self, service: str, now_s: float) -> bool:
-        """Takes one retry; returns whether one was available."""
+    def spend(self, service: str, now_s: float) -> shared.Retry | None:
+        """Takes one retry; returns None if none was available."""
         others = self._ledger.sum_peers(service, now_s)
         return self._get(service).spend(
             self.hosts, now_s, others, self._get_age_s(now_s)
         )
 
-    def refund(self, service: str, taken_s: float) -> None:
-        """Returns a retry to the budget that was taken but not sent.
-
-        Args:
-            service: Service of the retry.
-            taken_s: Time at which it was taken.
-        """
-        self._get(service).refund(taken_s)
+    def refund(self, service: str, retry: shared.Retry) -> None:
+        """Returns a retry to a service's budget that was taken but not sent."""
+        self._get(service).refund(retry)
 
     def get_balance(self, service: str, now_s: float) -> shared.Balance:
         """Returns this host's balance of a service's budget."""
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -78,12 +78,33 @@
 NOTHING_SPENT: Final = Spent()
 
 
+@attrs.define(eq=False)
+class Retry:
+    """A retry that was taken from the budget.
+
+    The host can't tell when it reaches an upstream, only that it has: once the
+    upstream has answered or the attempt has ended.
+    """
+
+    taken_s: float
+    # By when it has reached an upstream; infinite until that is known.
+    reached_by_s: float = math.inf
+
+    def settle(self, now_s: float) -> None:
+        """Records that it has reached an upstream, unless that is known."""
+        self.reached_by_s = min(self.reached_by_s, now_s)
+
+
 @attrs.frozen
 class Balance:
     """A host's use of the budget, for the log."""
 
     # Retries in the last window.
     sent: int = 0
+    # Of these, how many may not have reached an upstream yet.
+    unsettled: int = 0
+    # Requests in the last window.
+    requests: int = 0
     # Retries that it may send in a window: guaranteed and borrowed ones.
     guaranteed: float = 0.0
     borrowed: float = 0.0
@@ -101,9 +122,9 @@
     # Fraction of a retry that a new host has from its start, drawn at random:
     # many hosts with a share below one retry then get about its sum in total.
     start_credit: float = 0.0
-    # Times of this host's requests and retries of the last window.
+    # Times of this host's requests of the last window, and its retries.
     _requests: collections.deque[float] = attrs.Factory(collections.deque)
-    _retries: collections.deque[float] = attrs.Factory(collections.deque)
+    _retries: collections.deque[Retry] = attrs.Factory(collections.deque)
     # Retries borrowed from the pool, and when the next loan may be taken.
     _borrowed: float = 0.0
     _next_loan_s: float = 0.0
@@ -119,8 +140,8 @@
         now_s: float,
         others: Spent = NOTHING_SPENT,
         age_s: float = math.inf,
-    ) -> bool:
-        """Takes one retry; returns whether one was available.
+    ) -> Retry | None:
+        """Takes one retry; returns None if none was available.
 
         Args:
             hosts: Hosts that share the budget, this one included.
@@ -134,14 +155,15 @@
         if wanted > firm + self._borrowed and not self._is_new(age_s):
             self._borrow(hosts, now_s, others)
         if wanted > firm + self._borrowed:
-            return False
-        self._retries.append(now_s)
-        return True
+            return None
+        retry = Retry(now_s)
+        self._retries.append(retry)
+        return retry
 
-    def refund(self, taken_s: float) -> None:
-        """Returns a retry to the budget that was taken at `taken_s`, unsent."""
-        if taken_s in self._retries:
-            self._retries.remove(taken_s)
+    def refund(self, retry: Retry) -> None:
+        """Returns a retry to the budget that was taken and not sent."""
+        if retry in self._retries:
+            self._retries.remove(retry)
 
     def report_spent(
         self, hosts: int, now_s: float, age_s: float = math.inf
@@ -158,6 +180,8 @@
         """Returns this host's balance as of its last retry."""
         return Balance(
             len(self._retries),
+            sum(math.isinf(r.reached_by_s) for r in self._retries),
+            len(self._requests),
             self._get_guaranteed(hosts, age_s),
             self._borrowed,
         )
@@ -217,9 +241,12 @@
         return allowed + self.ratio * requests
 
     def _drop_expired(self, now_s: float) -> None:
-        for times in (self._requests, self._retries):
-            while times and now_s - times[0] >= self.window_s:
-                times.popleft()
+        requests = self._requests
+        while requests and now_s - requests[0] >= self.window_s:
+            requests.popleft()
+        retries = self._retries
+        while retries and now_s - retries[0].taken_s >= self.window_s:
+            retries.popleft()
 
 
 @attrs.frozen
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -374,9 +374,13 @@
 
     request: str
     service: str
-    # Retries of this host in the last window, and those that it may send: its
-    # guaranteed share, and what it has borrowed.
+    # Retries of this host in the last window, and how many of them may not have
+    # reached an upstream yet.
     sent: int
+    unsettled: int
+    # Requests of this host in the last window.
+    requests: int
+    # Retries that it may send: its guaranteed share, and what it has borrowed.
     part: float
     borrowed: float
     # Hosts that share the budget, as far as this host knows.
@@ -393,6 +397,16 @@
     """A retry was not sent because the shared budget allowed none."""
 
 
+@attrs.frozen
+class Paused:
+    """This host did nothing for a while; what arrived meanwhile was read late.
+
+    It was stopped, or had no processor time.
+    """
+
+    paused_s: float
+
+
 @attrs.frozen
 class QuarantineChanged:
     """A request was quarantined or released."""
@@ -529,6 +543,7 @@
     | OrderDone
     | RepeatTaken
     | BudgetEmpty
+    | Paused
     | QuarantineChanged
     | QuarantineSaved
     | StoreLost
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -12,6 +12,8 @@
 from collections.abc import Collection
 from typing import Final
 
+import attrs
+
 from egretspur import decisions, ends
 from egretspur.admission import repeats, throttle
 from egretspur.catalog import config, upstreams
@@ -82,14 +84,15 @@
             is_beside: Whether it runs beside the current one.
         """
         ran = ticket.list_ran()
+        if ticket.retry is not None:
+            attempt = attrs.evolve(attempt, retry=ticket.retry)
+            ticket.retry = None
+            self.counts.repeats += 1
         if is_beside:
             ticket.next = attempt
         else:
             ticket.current = attempt
         ticket.attempts += 1
-        if ticket.retry_taken_s is not None:
-            ticket.retry_taken_s = None
-            self.counts.repeats += 1
         self.notes.append(self._describe_start(ticket, attempt, spec, now_s))
         self._note_over_limit(ticket, attempt, ran)
         self.occupancy.add(ticket.job, attempt, spec, now_s)
@@ -103,10 +106,13 @@
             ticket.job.id, entry, attempt.parts, first_s, ticket.attempts
         )
 
-    def release(self, ticket: tickets.Ticket) -> tickets.Attempt | None:
+    def release(
+        self, ticket: tickets.Ticket, now_s: float
+    ) -> tickets.Attempt | None:
         """Ends the current attempt of a request; returns it."""
         attempt, ticket.current = ticket.current, None
         if attempt is not None:
+            attempt.settle_retry(now_s)
             self.occupancy.remove(ticket.job, attempt)
         return attempt
 
@@ -172,11 +178,10 @@
 
     def take_retry(self, ticket: tickets.Ticket, now_s: float) -> bool:
         """Takes a retry from the budget, unless the request holds one."""
-        if ticket.retry_taken_s is not None:
+        if ticket.retry is not None:
             return True
-        if self._budgets.spend(ticket.job.service, now_s):
-            ticket.retry_taken_s = now_s
-        is_short = ticket.retry_taken_s is None
+        ticket.retry = self._budgets.spend(ticket.job.service, now_s)
+        is_short = ticket.retry is None
         if not is_short or not ticket.is_shortage_noted:
             self.notes.append(
                 retries.make_budget_note(ticket, self._budgets, now_s)
@@ -186,9 +191,9 @@
 
     def return_retry(self, ticket: tickets.Ticket) -> None:
         """Returns a retry that was taken and not sent to the budget."""
-        if ticket.retry_taken_s is not None:
-            self._budgets.refund(ticket.job.service, ticket.retry_taken_s)
-            ticket.retry_taken_s = None
+        if ticket.retry is not None:
+            self._budgets.refund(ticket.job.service, ticket.retry)
+            ticket.retry = None
 
     def _note_over_limit(
         self,
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -148,8 +148,8 @@
         ticket = self.tickets.get(failure.id)
         if ticket is None:
             return []
-        attempt = self._attempts.release(ticket)
-        self.handovers.release(ticket)
+        attempt = self._attempts.release(ticket, now_s)
+        self.handovers.release(ticket, now_s)
         ticket.is_begun |= failure.is_begun
         self._attempts.record_failure(ticket, attempt, failure, now_s)
         ticket.fruitless = 0 if failure.has_output else ticket.fruitless + 1
@@ -182,9 +182,9 @@
         queues.remove(self.queue, job_id)
         if ticket.current is not None:
             queues.record_finish(self.queue, ticket.job.service, now_s)
-        self._attempts.release(ticket)
+        self._attempts.release(ticket, now_s)
         self._attempts.return_retry(ticket)
-        self.handovers.release(ticket)
+        self.handovers.release(ticket, now_s)
         self.counts.finished += 1
         return self._start_queued(now_s)
 
@@ -207,6 +207,7 @@
         attempt = ticket.current if ticket else None
         if ticket is None or attempt is None:
             return
+        attempt.settle_retry(now_s)
         if is_error:
             self._record_error(attempt.upstream_id, now_s)
             return
@@ -459,8 +460,17 @@
         self._crashes.settle(now_s)
         return self._start_queued(now_s)
 
-    def tick(self, now_s: float) -> list[jobs.Effect]:
-        """Refuses requests that waited too long and starts what it can."""
+    def tick(self, now_s: float, suspended_s: float = 0.0) -> list[jobs.Effect]:
+        """Refuses requests that waited too long and starts what it can.
+
+        Args:
+            now_s: Monotonic time.
+            suspended_s: Seconds for which this machine was suspended since it
+                started; the monotonic time doesn't count them.
+        """
+        paused_s = self.retry_budgets.pauses.tick(now_s, suspended_s)
+        if paused_s:
+            self._notes.append(decisions.Paused(paused_s))
         with self.fleet.recording_list_changes(now_s):
             upstreams.expire_entries(self.fleet.roster, now_s)
         self._crashes.settle(now_s)
@@ -740,8 +750,8 @@
         """Ends a request with its final answer."""
         self.tickets.pop(ticket.job.id, None)
         queues.remove(self.queue, ticket.job.id)
-        self._attempts.release(ticket)
-        self.handovers.release(ticket)
+        self._attempts.release(ticket, now_s)
+        self.handovers.release(ticket, now_s)
         self._attempts.return_retry(ticket)
         self.counts.refused += 1
         self._notes.append(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -449,7 +449,8 @@
     @handle.register
     def _(self, message: Tick) -> Due:
         now_s = time.monotonic()
-        self._pending.resolve(self._broker.tick(now_s))
+        suspended_s = time.clock_gettime(time.CLOCK_BOOTTIME) - now_s
+        self._pending.resolve(self._broker.tick(now_s, suspended_s))
         state = self._broker.fleet
         return Due(
             tuple(state.take_probes(now_s)),
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -120,7 +120,7 @@
             is_sent: Whether an upstream may have run it.
         """
         ticket = self._tickets.get(job_id)
-        attempt = self.release(ticket) if ticket else None
+        attempt = self.release(ticket, now_s) if ticket else None
         if ticket is None or attempt is None or not is_sent:
             return
         if failure is None:
@@ -139,15 +139,20 @@
         if ticket is None:
             return
         ticket.is_begun = True
-        replaced = self._attempts.release(ticket)
+        replaced = self._attempts.release(ticket, now_s)
         self._attempts.record_failure(ticket, replaced, failure, now_s)
         ticket.current, ticket.next = ticket.next, None
+        if ticket.current is not None:
+            ticket.current.settle_retry(now_s)
         ticket.fruitless = 0
 
-    def release(self, ticket: tickets.Ticket) -> tickets.Attempt | None:
+    def release(
+        self, ticket: tickets.Ticket, now_s: float
+    ) -> tickets.Attempt | None:
         """Ends the second attempt of a request; returns it."""
         attempt, ticket.next = ticket.next, None
         if attempt is not None:
+            attempt.settle_retry(now_s)
             self._attempts.occupancy.remove(ticket.job, attempt)
         return attempt
 
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -104,14 +104,14 @@
     service = ticket.job.service
     standing = budgets.get_balance(service, now_s)
     make = (
-        decisions.BudgetEmpty
-        if ticket.retry_taken_s is None
-        else decisions.RepeatTaken
+        decisions.BudgetEmpty if ticket.retry is None else decisions.RepeatTaken
     )
     return make(
         ticket.job.id,
         service,
         standing.sent,
+        standing.unsettled,
+        standing.requests,
         standing.guaranteed,
         standing.borrowed,
         budgets.hosts,
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from egretspur.admission import quarantine
+from egretspur.admission import quarantine, shared
 from egretspur.routing import jobs, paths
 
 
@@ -21,6 +21,13 @@
     parts: tuple[paths.Part, ...]
     # Monotonic time.
     started_s: float
+    # Retry that it was sent with; None for a request's first attempt.
+    retry: shared.Retry | None = None
+
+    def settle_retry(self, now_s: float) -> None:
+        """Records that it has reached an upstream, or never will."""
+        if self.retry is not None:
+            self.retry.settle(now_s)
 
     def list_stages(self) -> tuple[str, ...]:
         """Returns the upstreams that run it, beginning with the first stage."""
@@ -62,9 +69,9 @@
     failed: set[str] = attrs.Factory(set)
     # Upstreams that refused it, and until when it is not sent there again.
     refused: dict[str, float] = attrs.Factory(dict)
-    # When a retry was taken from the budget for its next attempt; None if it
+    # Retry that was taken from the budget for its next attempt; None if it
     # holds none.
-    retry_taken_s: float | None = None
+    retry: shared.Retry | None = None
     # Attempts in a row that added nothing to a begun answer, and when the next
     # one may start.
     fruitless: int = 0
