Count a retry until a window after it has reached an upstream

What callers saw: nothing by themselves; upstreams got more retries in ten seconds than all hosts together may send (BUDGET, retries in a window).

Cause: the budget counted a retry from when it was taken. Upstreams count its arrival, which follows after a thread, a queue, a pause of the process or an upstream that reads late. Retries of one burst expire together a window later, so the next burst goes out at once: each tenth of a second by which the first one was held up moves six to ten of its retries into the next one's window.

Change: a retry counts while it is on its way, and for a window after the host knows that it has arrived: the upstream has answered or the attempt has ended. No slack is guessed; whatever arrives in one window was in the books when its last retry was taken.

Models of the budget settle their retries where they send them; their checks and bounds are the same.

--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -83,7 +83,9 @@
     """A retry that was taken from the budget.
 
     The host can't tell when it reaches an upstream, only that it has: once the
-    upstream has answered or the attempt has ended.
+    upstream has answered or the attempt has ended. It counts for a window from
+    then. Were it counted from when it was taken, one that is held up on the way
+    would reach the upstream after its place has been given to another.
     """
 
     taken_s: float
@@ -99,7 +101,7 @@
 class Balance:
     """A host's use of the budget, for the log."""
 
-    # Retries in the last window.
+    # Retries that count in the last window.
     sent: int = 0
     # Of these, how many may not have reached an upstream yet.
     unsettled: int = 0
@@ -122,9 +124,10 @@
     # Fraction of a retry that a new host has from its start, drawn at random:
     # many hosts with a share below one retry then get about its sum in total.
     start_credit: float = 0.0
-    # Times of this host's requests of the last window, and its retries.
+    # Times of this host's requests of the last window, and its retries that
+    # may have reached an upstream in it, or may still reach one.
     _requests: collections.deque[float] = attrs.Factory(collections.deque)
-    _retries: collections.deque[Retry] = attrs.Factory(collections.deque)
+    _retries: list[Retry] = attrs.Factory(list)
     # Retries borrowed from the pool, and when the next loan may be taken.
     _borrowed: float = 0.0
     _next_loan_s: float = 0.0
@@ -244,9 +247,9 @@
         requests = self._requests
         while requests and now_s - requests[0] >= self.window_s:
             requests.popleft()
-        retries = self._retries
-        while retries and now_s - retries[0].taken_s >= self.window_s:
-            retries.popleft()
+        self._retries = [
+            r for r in self._retries if now_s - r.reached_by_s < self.window_s
+        ]
 
 
 @attrs.frozen
--- a/tests/admission/sharing.py
+++ b/tests/admission/sharing.py
@@ -1,10 +1,11 @@
 """Hosts that share a retry budget: a model without network, and its oracle.
 
 Each host has the product's `RetryBudgets` and `Peers`; peer updates are passed
-between them as `egretspur.membership.exchange` sends them. Hosts restart, data
-centres are cut off, updates are late or lost. The oracle knows only the
-requests and retries of all hosts: no window may have more retries than are
-allowed for the requests in it, in the one before, or half a window before.
+between them as `egretspur.membership.exchange` sends them. Hosts restart and
+pause, data centres are cut off, updates are late or lost, and upstreams read
+retries late. The oracle knows only when callers sent requests and upstreams got
+retries: no window may have more retries than are allowed for the requests in
+it, in the one before, or half a window before.
 """
 
 from __future__ import annotations
@@ -43,6 +44,9 @@
     has_received: bool = False
     # Whether it neither sends nor receives updates.
     is_cut_off: bool = False
+    # Whether it does nothing, and the requests it has to read after that.
+    is_paused: bool = False
+    unread: int = 0
 
 
 class Fleet:
@@ -65,6 +69,10 @@
         self.options = repeats.Options(RATIO, allowance, WINDOW_S, math.inf)
         self.request_times: list[float] = []
         self.retry_times: list[float] = []
+        # How late upstreams read retries, and those not read yet, with the
+        # times at which they are.
+        self.read_delay_s = 0.0
+        self._unread: list[tuple[float, shared.Retry]] = []
         # Data centres that are cut off from all others.
         self.partitioned: set[str] = set()
         self.hosts: list[Host] = []
@@ -89,6 +97,8 @@
             )
             host.update_count = 0
             host.has_received = False
+            host.is_paused = False
+            host.unread = 0
 
     def _make_state(
         self, ip: str, data_centre: str
@@ -101,19 +111,41 @@
         )
 
     def send_request(self, host: Host) -> None:
-        """Has a host send a request."""
-        host.repeats.earn(SERVICE, self.now_s)
+        """Sends a request to a host, which passes it on unless it pauses."""
         self.request_times.append(self.now_s)
+        if host.is_paused:
+            host.unread += 1
+        else:
+            host.repeats.earn(SERVICE, self.now_s)
 
     def send_retries(self, host: Host, max_count: int) -> None:
         """Has a host send all retries that it may, up to a maximum."""
+        if host.is_paused:
+            return
         for _ in range(max_count):
-            if not host.repeats.spend(SERVICE, self.now_s):
+            retry = host.repeats.spend(SERVICE, self.now_s)
+            if retry is None:
                 return
-            self.retry_times.append(self.now_s)
+            bisect.insort(self.retry_times, self.now_s + self.read_delay_s)
+            self._unread.append((self.now_s + self.read_delay_s, retry))
+
+    def run_hosts(self) -> None:
+        """Has hosts that don't pause read what has arrived."""
+        arrived = [r for at_s, r in self._unread if at_s <= self.now_s]
+        self._unread = [u for u in self._unread if u[0] > self.now_s]
+        for retry in arrived:
+            retry.settle(self.now_s)
+        for host in self.hosts:
+            if host.is_paused:
+                continue
+            host.repeats.pauses.tick(self.now_s, 0.0)
+            for _ in range(host.unread):
+                host.repeats.earn(SERVICE, self.now_s)
+            host.unread = 0
 
     def send_updates(self) -> None:
         """Has each host send its update once, in random order."""
+        self.run_hosts()
         for host in self.rng.sample(self.hosts, len(self.hosts)):
             self._send_update(host)
         for host in self.hosts:
@@ -122,6 +154,8 @@
                 host.repeats.hosts = max(sharing, len(self._seeds))
 
     def _send_update(self, host: Host) -> None:
+        if host.is_paused:
+            return
         host.update_count += 1
         names = host.update_count % exchange.PEER_LIST_INTERVAL == 0
         named = host.peers.list_recent(self.now_s) if names else {}
@@ -178,6 +212,8 @@
     def _reaches(self, sender: Host, host: Host) -> bool:
         if sender is host or sender.is_cut_off or host.is_cut_off:
             return False
+        if host.is_paused:
+            return False
         if sender.data_centre != host.data_centre and {
             sender.data_centre,
             host.data_centre,
--- a/tests/admission/starts.feature
+++ b/tests/admission/starts.feature
@@ -64,7 +64,24 @@
       | a third of the hosts are removed | 16 s |
       | a third of the hosts are moved   | 16 s |
 
+  Scenario Outline: Upstreams read retries late for a while
+    # Guards against retries that count from when they are taken: an upstream
+    # gets them later, in a window in which their places are given away.
+    Given 15 hosts in 3 data centres, and upstreams that fail
+    When upstreams read retries <delay> s late from 12 s to <end> s
+    And <hosts> restart at 20 s
+    Then no window has more retries than all hosts together may send
+    And the worst window has at least half of them
+
+    Examples:
+      | delay | end | hosts     |
+      | 0.3   | 14  | no hosts  |
+      | 1.5   | 14  | no hosts  |
+      | 1.5   | 17  | no hosts  |
+      | 1.5   | 17  | all hosts |
+      | 4     | 14  | no hosts  |
+
   @fuzz
-  Scenario: Random restarts, partitions and lost updates
+  Scenario: Random restarts, partitions, lost updates and late reads
     When hosts restart, are cut off and lose updates at random
     Then no window of any history has more retries than may be sent
--- a/tests/admission/starts.py
+++ b/tests/admission/starts.py
@@ -82,6 +82,11 @@
         """A host is cut off from all others, or reconnects."""
         self.fleet.hosts[host].is_cut_off = is_cut_off
 
+    @stateful.rule(delay_s=st.sampled_from([0.0, 0.0, 0.4, 1.5, 4.0]))
+    def set_read_delay(self, delay_s: float) -> None:
+        """Upstreams read retries so much later from now on."""
+        self.fleet.read_delay_s = delay_s
+
     @stateful.rule(loss_rate=st.sampled_from([0.0, 0.05, 0.4]))
     def set_loss_rate(self, loss_rate: float) -> None:
         """This fraction of updates is lost from now on."""
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -58,8 +58,8 @@
             # The window of the retries has passed.
             context.now_s += 11.0
             return
-        while budgets.spend("llm", now_s):
-            pass
+        while (retry := budgets.spend("llm", now_s)) is not None:
+            retry.settle(now_s)
     if context.trouble == "three engines for the first layers":
         for i in range(2):
             twin = fleets.make_upstream(f"a100-twin{i}", "0-25")
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -253,7 +253,8 @@
         now_s = i / rate
         budget = rng.choice(context.budgets)
         budget.earn(now_s)
-        while budget.spend(count, now_s):
+        while (retry := budget.spend(count, now_s)) is not None:
+            retry.settle(now_s)
             context.repeats.append(now_s)
 
 
@@ -268,7 +269,8 @@
             budget.earn(i / rate)
         now_s = seconds - 0.01
         count = 0
-        while budget.spend(len(context.budgets), now_s):
+        while (retry := budget.spend(len(context.budgets), now_s)) is not None:
+            retry.settle(now_s)
             count += 1
         context.at_once.append(count)
 
--- /dev/null
+++ b/tests/steps/retrying_steps.py
@@ -0,0 +1,44 @@
+"""Steps on the retries of hosts that run as processes."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from behave import given, then, when
+
+from tests import retrying
+
+# Engines, and plain replicas, of a small site.
+UPSTREAMS: Final = 4
+
+
+@given(
+    "a site of {hosts:d} hosts, with {per_s:d} requests a second and"
+    " {allowance:d} retries allowed"
+)
+def step_site(context: Any, hosts: int, per_s: int, allowance: int) -> None:
+    context.retrying = retrying.start(hosts, UPSTREAMS, per_s, allowance)
+    context.add_cleanup(context.retrying.close)
+
+
+@when("upstreams read late")
+def step_read_late(context: Any) -> None:
+    context.windows = context.retrying.run("upstreams read late")
+
+
+@when("upstreams fail while all hosts stop")
+def step_all_stop(context: Any) -> None:
+    context.windows = context.retrying.run(
+        "upstreams fail while all hosts stop"
+    )
+
+
+@then("no window of a service has more retries than allowed")
+def step_within_budget(context: Any) -> None:
+    assert all(w.sent for w in context.windows), context.windows
+    assert all(w.use <= 1.0 for w in context.windows), context.windows
+
+
+@then("no request reaches more upstreams than allowed")
+def step_within_attempts(context: Any) -> None:
+    assert context.retrying.count_over_limit() == 0
--- a/tests/steps/shared_steps.py
+++ b/tests/steps/shared_steps.py
@@ -60,8 +60,10 @@
         """Has a host ask for a repeat."""
         others = host.ledger.sum_peers(SERVICE, self.now_s)
         count = len(self.hosts)
-        if not host.budget.spend(count, self.now_s, others):
+        retry = host.budget.spend(count, self.now_s, others)
+        if retry is None:
             return False
+        retry.settle(self.now_s)
         host.repeats.append(self.now_s)
         return True
 
--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import re
 from collections.abc import Callable, Sequence
@@ -137,6 +138,34 @@
     play.plan(end, fleet.partitioned.clear)
 
 
+@when("upstreams read retries {delay:g} s late from {begin:d} s to {end:d} s")
+def step_read_late(context: Any, delay: float, begin: int, end: int) -> None:
+    play = context.starts
+    fleet = play.fleet
+    for at_s, delay_s in ((begin, delay), (end, 0.0)):
+        play.plan(at_s, functools.partial(set_read_delay, fleet, delay_s))
+
+
+def set_read_delay(fleet: sharing.Fleet, delay_s: float) -> None:
+    """Sets how late upstreams read retries."""
+    fleet.read_delay_s = delay_s
+
+
+@when("{hosts} pause for {seconds:g} s at {when}")
+def step_pause(context: Any, hosts: str, seconds: float, when: str) -> None:
+    play = context.starts
+    for at_s in map(float, re.findall(r"\d+", when)):
+        chosen = pick(play.fleet, hosts)
+        play.plan(at_s, functools.partial(set_paused, chosen, True))
+        play.plan(at_s + seconds, functools.partial(set_paused, chosen, False))
+
+
+def set_paused(hosts: Sequence[sharing.Host], is_paused: bool) -> None:
+    """Makes hosts pause, or go on."""
+    for host in hosts:
+        host.is_paused = is_paused
+
+
 @when("a third as many hosts are added at {at:d} s")
 def step_added(context: Any, at: int) -> None:
     context.starts.plan(at, lambda: add_third(context.starts.fleet))
