Count requests from when they may have arrived, not from when a paused host reads them

What callers saw: nothing by themselves; after all hosts had stood still for seconds, upstreams got more retries in ten seconds than all hosts together may send (BUDGET, retries in a window).

Cause: the retries that requests earn are a fifth of those of a window, and a request counted from when its host read it. What callers send during a pause is read at once after it, so a window that begins with that holds the requests of the window and of the pause.

Change: a host that missed its ticks, or whose machine was suspended, dates the requests that it reads after that back to the pause's beginning, for as long after the pause as it lasted.

--- a/egretspur/admission/pauses.py
+++ b/egretspur/admission/pauses.py
@@ -1,7 +1,8 @@
 """Detects that this host did nothing for a while: pure.
 
 A process may be stopped, suspended with its machine, or have no processor time.
-Read next: `egretspur.admission.repeats`.
+What arrives meanwhile is read together afterwards. Read next:
+`egretspur.admission.repeats`.
 """
 
 from __future__ import annotations
@@ -20,6 +21,9 @@
     def __init__(self) -> None:
         self._ticked_s = math.inf
         self._suspended_s = 0.0
+        # Since when what is read may have waited, and until when that is so.
+        self._behind_since_s = -math.inf
+        self._behind_until_s = -math.inf
 
     def tick(self, now_s: float, suspended_s: float) -> float:
         """Returns for how many seconds the host has paused; 0 if it has not.
@@ -33,4 +37,26 @@
             gap_s += suspended_s - self._suspended_s
         self._ticked_s = now_s
         self._suspended_s = suspended_s
-        return gap_s if gap_s > MAX_TICK_GAP_S else 0.0
+        if gap_s <= MAX_TICK_GAP_S:
+            return 0.0
+        self._record(now_s - gap_s, now_s)
+        return gap_s
+
+    def get_earliest_arrival_s(self, now_s: float) -> float:
+        """Returns since when a request that is read now may have waited."""
+        if now_s - self._ticked_s > MAX_TICK_GAP_S:
+            # A pause has just ended; the next tick records it.
+            return self._ticked_s
+        if now_s < self._behind_until_s:
+            return self._behind_since_s
+        return now_s
+
+    def _record(self, began_s: float, ended_s: float) -> None:
+        """Records a pause.
+
+        A host that runs reads at least twice as fast as requests arrive: it has
+        caught up after as long as it paused.
+        """
+        left_s = max(0.0, self._behind_until_s - began_s)
+        self._behind_since_s = began_s - left_s
+        self._behind_until_s = ended_s + (ended_s - self._behind_since_s)
--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -64,8 +64,14 @@
         return now_s - self._since_s
 
     def earn(self, service: str, now_s: float) -> None:
-        """Counts a request's first attempt."""
-        self._get(service).earn(now_s)
+        """Counts a request that is read now.
+
+        It counts from when it may have arrived: the requests that arrived
+        during a pause are read within a moment, and beside those of the window
+        after it they would earn the retries of more than a window.
+        """
+        arrived_s = self.pauses.get_earliest_arrival_s(now_s)
+        self._get(service).earn(arrived_s)
 
     def spend(self, service: str, now_s: float) -> shared.Retry | None:
         """Takes one retry; returns None if none was available."""
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -24,6 +24,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import math
 from collections.abc import Mapping
@@ -132,10 +133,15 @@
     _borrowed: float = 0.0
     _next_loan_s: float = 0.0
 
-    def earn(self, now_s: float) -> None:
-        """Counts a first attempt."""
-        self._requests.append(now_s)
-        self._drop_expired(now_s)
+    def earn(self, arrived_s: float) -> None:
+        """Counts a request.
+
+        Args:
+            arrived_s: Monotonic time at which it arrived.
+        """
+        # Only those read after a pause are older than others.
+        bisect.insort(self._requests, arrived_s)
+        self._drop_expired(arrived_s)
 
     def spend(
         self,
--- a/tests/admission/starts.feature
+++ b/tests/admission/starts.feature
@@ -81,7 +81,23 @@
       | 1.5   | 17  | all hosts |
       | 4     | 14  | no hosts  |
 
+  Scenario Outline: Hosts pause, and read what arrived meanwhile
+    # Guards against requests that count from when they are read: those of a
+    # pause earn retries beside those of a whole window after it.
+    Given 15 hosts in 3 data centres, and upstreams that fail
+    When <hosts> pause for <seconds> s at <when>
+    Then no window has more retries than all hosts together may send
+    And the worst window has at least half of them
+
+    Examples:
+      | hosts             | seconds | when                 |
+      | all hosts         | 1.5     | 14 s, 18 s and 22 s  |
+      | all hosts         | 4       | 12 s                 |
+      | all hosts         | 4       | 14 s and 22 s        |
+      | all hosts         | 8       | 14 s                 |
+      | half of the hosts | 4       | 12 s                 |
+
   @fuzz
-  Scenario: Random restarts, partitions, lost updates and late reads
-    When hosts restart, are cut off and lose updates at random
+  Scenario: Random restarts, pauses, partitions, lost updates and late reads
+    When hosts restart, pause, are cut off and lose updates at random
     Then no window of any history has more retries than may be sent
--- a/tests/admission/starts.py
+++ b/tests/admission/starts.py
@@ -65,6 +65,12 @@
         """Some hosts restart."""
         self.fleet.restart(self.fleet.hosts[i] for i in sorted(hosts))
 
+    @stateful.rule(hosts=st.sets(HOST, min_size=1), are_paused=st.booleans())
+    def pause(self, hosts: set[int], are_paused: bool) -> None:
+        """Some hosts pause, or go on."""
+        for i in sorted(hosts):
+            self.fleet.hosts[i].is_paused = are_paused
+
     @stateful.rule()
     def restart_all(self) -> None:
         """All hosts restart at the same time."""
--- a/tests/daemons/retrying.feature
+++ b/tests/daemons/retrying.feature
@@ -11,3 +11,4 @@
     Examples:
       | history                              |
       | upstreams read late                  |
+      | upstreams fail while all hosts stop  |
--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -210,7 +210,7 @@
     assert context.worst[0] >= 0.5, context.worst
 
 
-@when("hosts restart, are cut off and lose updates at random")
+@when("hosts restart, pause, are cut off and lose updates at random")
 def step_fuzz(context: Any) -> None:
     context.machine = starts.SharingMachine
 
