--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -104,6 +104,7 @@
         # urllib3 sets this on its socket before it sends and again before it
         # reads the head; a timeout set on the socket itself would be lost.
         conn.timeout = max(MIN_TIMEOUT_S, left_s)
+        conn.bounds.deadline_s = job.deadline_s
         try:
             with self._expecting_answer(start.upstream.address, link, handle):
                 conn.request(
@@ -181,7 +182,7 @@
 class _AbortableConnection:
     """A connection that one thread reads and any thread may abort."""
 
-    def __init__(self, conn: urllib3.connection.HTTPConnection) -> None:
+    def __init__(self, conn: responses.Connection) -> None:
         self._conn = conn
         # Kept here since urllib3 drops it once the response's head is read.
         self._sock: socket.socket = conn.sock
@@ -201,6 +202,7 @@
     def abort(self) -> None:
         """Shuts the connection down and wakes the thread that reads it."""
         self.is_aborted = True
+        self._conn.bounds.is_ended = True
         with self._lock:
             if self._is_closed:
                 return
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import functools
+import math
 import socket
 import threading
+import time
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
@@ -27,6 +29,12 @@
 # Idle connections kept to one address.
 POOL_SIZE: Final = 64
 
+# Most bytes of the body of an answer that a call reads whole.
+MAX_BODY_BYTES: Final = 16 << 20
+
+# Time for a whole answer, as a multiple of the longest silence in it.
+ANSWER_TIME_FACTOR: Final = 4.0
+
 # Longest wait for a connection where a call sets no time-out.
 DIAL_TIMEOUT_S: Final = 1.0
 
@@ -66,13 +74,19 @@
 
 
 class _Opened(threading.local):
-    """Whether the current call of a thread opened a connection."""
+    """What a thread's current call sets for its connection, and learns of it.
+
+    The pool of connections passes nothing of this on.
+    """
 
+    # Whether the call opened a connection.
     is_new = False
+    # Monotonic time by which its answer must have come.
+    deadline_s = math.inf
 
 
 class _NotedConnection(responses.Connection):
-    """A connection that notes when it is opened, by a function if given."""
+    """A connection that follows a thread's call; see `_Opened`."""
 
     def __init__(
         self, opened: _Opened, dial: Dial | None, *args: Any, **kwargs: Any
@@ -95,6 +109,11 @@
         except OSError as exc:
             raise exceptions.NewConnectionError(self, str(exc)) from exc
 
+    def getresponse(self) -> Any:
+        """Returns the response to the request that was sent last."""
+        self.bounds.deadline_s = self._opened.deadline_s
+        return super().getresponse()
+
 
 class Transport:
     """Pools of connections by address; shared between threads."""
@@ -132,17 +151,43 @@
             path: Path with query.
             body: Bytes to send.
             headers: Header fields to send.
-            read_s: Longest silence in seconds; the transport's if None.
+            read_s: Longest silence in seconds; the transport's if None. The
+                whole answer may take `ANSWER_TIME_FACTOR` times as long.
         """
-        res = self.open(method, address, path, body, headers, read_s)
+        timeout = self._make_timeout(read_s)
+        silence_s = timeout.read_timeout
+        if isinstance(silence_s, (int, float)):
+            self._opened.deadline_s = (
+                time.monotonic() + ANSWER_TIME_FACTOR * silence_s
+            )
+        try:
+            return self._call(method, address, path, body, headers, timeout)
+        finally:
+            self._opened.deadline_s = math.inf
+
+    def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+        timeout: urllib3.Timeout,
+    ) -> Reply | Failed:
+        res = self._open(method, address, path, body, headers, timeout)
         if isinstance(res, Failed):
             return res
+        problem = f"body of more than {MAX_BODY_BYTES} bytes"
+        data = b""
         try:
-            data = res.read()
+            data = res.read(MAX_BODY_BYTES + 1)
+            is_whole = len(data) <= MAX_BODY_BYTES
         except (exceptions.HTTPError, OSError) as exc:
+            is_whole, problem = False, str(exc)
+        if not is_whole:
             self.discard(address, res)
             return Failed(
-                f"{address}: {exc}",
+                f"{address}: {problem}",
                 maybe_sent=True,
                 is_new_connection=self._opened.is_new,
             )
@@ -159,11 +204,24 @@
         read_s: float | None = None,
     ) -> urllib3.BaseHTTPResponse | Failed:
         """Sends one request and returns its answer, body unread."""
-        timeout = self._timeout
-        if read_s is not None:
-            timeout = urllib3.Timeout(
-                connect=timeout.connect_timeout, read=read_s
-            )
+        timeout = self._make_timeout(read_s)
+        return self._open(method, address, path, body, headers, timeout)
+
+    def _make_timeout(self, read_s: float | None) -> urllib3.Timeout:
+        if read_s is None:
+            return self._timeout
+        connect_s = self._timeout.connect_timeout
+        return urllib3.Timeout(connect=connect_s, read=read_s)
+
+    def _open(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+        timeout: urllib3.Timeout,
+    ) -> urllib3.BaseHTTPResponse | Failed:
         self._opened.is_new = False
         try:
             return self._get_pool(address).urlopen(
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -19,7 +19,9 @@
 (answers have no length and no chunks and end with their connection; plain ones
 come in as many parts as there are ``events``), ``reset_share`` (share of the
 requests that were read and whose connection is then reset, at random),
-``read_delay_s`` (a request that was sent is read so much later).
+``read_delay_s`` (a request that was sent is read so much later), ``endless``
+(name of the bytes in `ENDLESS` that it answers without end, as fast as the
+connection takes them, or at intervals of ``endless_pause_s``).
 """
 
 from __future__ import annotations
@@ -27,6 +29,7 @@
 import json
 import os
 import random
+import socket
 import sys
 import threading
 import time
@@ -39,6 +42,18 @@
 # Least time between two stalls of a replica.
 STALL_GAP_S: Final = 1.0
 
+# Answers without end: what comes first, and what is repeated.
+_CHUNKED: Final = b"HEADTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS: Final[Mapping[str, tuple[bytes, bytes]]] = {
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "header bytes": (b"HEADX-Long: ", b"a"),
+    "header fields": (b"HEAD", b"X-More: 1\r\n" * 1000),
+    "a chunked body": (_CHUNKED, b"8000\r\n" + b"b" * 0x8000 + b"\r\n"),
+    "a body": (b"HEAD\r\n", b"b" * 0x8000),
+    "trailers": (_CHUNKED + b"2\r\nok\r\n0\r\n", b"X-T: 1\r\n" * 1000),
+    "bytes of trailers": (_CHUNKED + b"2\r\nok\r\n0\r\nX-T: ", b"a"),
+}
+
 # Time for the head of an answer to be sent before the process exits.
 HEAD_DELAY_S: Final = 0.05
 
@@ -69,6 +84,8 @@
             "unframed": False,
             "reset_share": 0.0,
             "read_delay_s": 0.0,
+            "endless": "",
+            "endless_pause_s": 0.0,
         }
         self.held: dict[str, int] | None = None
         self.orders = 0
@@ -185,6 +202,40 @@
             time.sleep(faults["pause_s"])
 
 
+class EndlessBody:
+    """Answers bytes without end, until the host closes the connection."""
+
+    def __init__(self, replica: Replica, request_id: str) -> None:
+        self._replica = replica
+        self._id = request_id
+
+    def push(self, write: Callable[[bytes], Any]) -> None:
+        """Writes to the connection itself, past the server."""
+        sock = write.__self__.channel.socket  # type: ignore[attr-defined]
+        first, unit = ENDLESS[self._replica.faults["endless"]]
+        pause_s = self._replica.faults["endless_pause_s"]
+        head = (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {self._id}\r\n"
+            f"Replica-Signature: sig-{self._replica.name}\r\n"
+        )
+        data = first.replace(b"HEAD", head.encode())
+        try:
+            while True:
+                data = data[_send_some(sock, data) :] or unit
+                time.sleep(pause_s)
+        except OSError as exc:
+            raise ConnectionAbortedError("the host has closed") from exc
+
+
+def _send_some(sock: socket.socket, data: bytes) -> int:
+    """Sends what a connection takes now; returns how much that was."""
+    try:
+        return sock.send(data)
+    except BlockingIOError:
+        time.sleep(0.002)
+        return 0
+
+
 def end_with_connection(write: Callable[[bytes], Any]) -> None:
     """Makes an answer that begins end with its connection."""
     # The server uses no chunks in an answer of this version.
@@ -242,6 +293,9 @@
             return web.Response(503, {"Not-Executed": "1"}, b"")
         if fields.get("Target-Replica") != replica.name:
             return web.Response(421, {"Replica-Id": replica.name}, b"")
+        if replica.faults["endless"]:
+            endless = EndlessBody(replica, fields.get("Attempt-Id", ""))
+            return web.Response(200, head, endless)
         path = fields.get("Hop-Count", "")
         if replica.layers and not replica.covers(path):
             return web.Response(421, {"Replica-Id": replica.name}, b"")
--- a/tests/responses.feature
+++ b/tests/responses.feature
@@ -63,3 +63,20 @@
       | 100    |
       | 102    |
       | 103    |
+
+  Scenario Outline: Responses that go on without end
+    # Guards against a read that outlives its deadline, or its request, because
+    # bytes that are no answer keep coming.
+    When <reader> reads responses that go on without end, 40 times, and <end>
+    Then each of them has ended
+
+    Examples:
+      | reader                              | end                   |
+      | the client of callers' requests     | their deadline passes |
+      | the client of callers' requests     | their callers leave   |
+      | the client of calls among processes | their deadline passes |
+
+  Scenario: Interim responses, and silence between them
+    # Guards against a sound upstream that is cut for the time it takes.
+    When an upstream sends an interim response, and 3.5 s later the final one
+    Then it is taken as "200 ok"
--- a/tests/steps/responses_steps.py
+++ b/tests/steps/responses_steps.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import threading
+import time
 from collections.abc import Callable
 from typing import Any, Final
 from unittest import mock
@@ -13,7 +16,11 @@
 from hypothesis import strategies as st
 
 from egretspur import ends, transport
+from egretspur.delivery import sending
+from egretspur.platform import upstream
+from egretspur.routing import jobs
 from egretspur.tunnels import dialer
+from tests import fleets
 from tests.steps import upstream_steps
 
 HEAD: Final = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Signature: s\r\n"
@@ -193,3 +200,164 @@
 def step_interim(context: Any, status: int) -> None:
     first = f"HTTP/1.1 {status} x\r\nLink: a\r\n\r\n"
     answer(context, f"{first}{HEAD}Content-Length: 2\r\n\r\nok".encode())
+
+
+# What a sender repeats without end.
+UNITS: Final = (
+    b"a",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 102 x\r\nX-I: 1\r\n\r\n",
+    b"X-More: 1\r\n",
+    b"\r\n",
+    b"5\r\nabcde\r\n",
+    b"5;" + b"e" * 500 + b"\r\nabcde\r\n",
+    b"id: 1\n\n",
+)
+
+# Bytes sent together at most, and the pauses between two sends in s: from a
+# byte now and then to some megabytes a second.
+MAX_SENT_BYTES: Final = 30_000
+PAUSES_S: Final = (0.1, 0.01)
+
+# How long readers live, and how long it may take until they are seen to end.
+LIFE_S: Final = 0.4
+SEEN_S: Final = 10.0
+
+
+@attrs.frozen
+class Endless:
+    """A beginning of a response, and bytes that follow without end."""
+
+    prefix: bytes
+    unit: bytes
+    pause_s: float
+
+    def send(self, sock: socket.socket) -> None:
+        """Sends until the other end closes."""
+        with contextlib.suppress(OSError):
+            sock.sendall(self.prefix)
+            while True:
+                sock.sendall(self.unit)
+                time.sleep(self.pause_s)
+
+
+@st.composite
+def draw_endless(draw: Any) -> Endless:
+    """Draws bytes that may be the beginning of a response."""
+    whole = draw(draw_response())
+    unit = draw(st.one_of(st.sampled_from(UNITS), st.binary(min_size=1)))
+    many = MAX_SENT_BYTES // len(unit)
+    return Endless(
+        (whole.head + whole.framed_body)[: whole.cut],
+        unit * draw(st.sampled_from((1, 1, many))),
+        draw(st.sampled_from(PAUSES_S)),
+    )
+
+
+def read_request(sock: socket.socket, life_s: float, leave_s: float) -> None:
+    """Reads as the client of callers' requests, until it ends."""
+    link = dialer.Connection(sock, "")
+    own = mock.Mock(open=mock.Mock(return_value=link))
+    job = attrs.evolve(
+        fleets.make_job("ID", "idempotent", now_s=time.monotonic()),
+        deadline_s=time.monotonic() + life_s,
+    )
+    abort = sending.AbortHandle()
+    threading.Timer(leave_s, abort.abort_all).start()
+    entry = attrs.evolve(fleets.make_upstream("app-0"), address="h:1")
+    answer = upstream.UpstreamClient(own=own).open(
+        upstream_steps.CALL, job, jobs.Start("ID", entry, ()), "", abort
+    )
+    if isinstance(answer, sending.AttemptFailure):
+        return
+    abort.set_closer(answer.abort)
+    while True:
+        data = answer.read_some()
+        if not data or isinstance(data, sending.AttemptFailure):
+            answer.close()
+            return
+
+
+def read_call(sock: socket.socket, life_s: float, leave_s: float) -> None:
+    """Reads as the client of calls among processes, until it ends."""
+    silence_s = life_s / transport.ANSWER_TIME_FACTOR
+    client = transport.Transport(1.0, silence_s, lambda address, s: sock)
+    client.call("GET", "127.0.0.1:1", "/")
+    client.close()
+
+
+def connect_pair() -> tuple[socket.socket, socket.socket]:
+    """Returns both ends of a TCP connection.
+
+    Bytes that arrive after one was shut down can still be read.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+    return near, far
+
+
+def check_ends(reader: str, end: str, drawn: Endless) -> None:
+    """Checks that a reader ends though bytes keep coming."""
+    read = read_request if "requests" in reader else read_call
+    leaves = end == "their callers leave"
+    life_s, leave_s = (60.0, LIFE_S) if leaves else (LIFE_S, 60.0)
+    near, far = connect_pair()
+    sender = threading.Thread(target=drawn.send, args=(far,), daemon=True)
+    sender.start()
+    thread = threading.Thread(
+        target=read, args=(near, life_s, leave_s), daemon=True
+    )
+    thread.start()
+    thread.join(SEEN_S)
+    has_ended = not thread.is_alive()
+    far.close()
+    assert has_ended, (drawn.prefix, drawn.unit[:50], drawn.pause_s)
+
+
+@when(
+    "{reader} reads responses that go on without end, {count:d} times, and"
+    " {end}"
+)
+def step_endless(context: Any, reader: str, count: int, end: str) -> None:
+    @hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        # A read that does not end takes seconds, and so would its shrinking.
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(draw_endless())
+    def run(drawn: Endless) -> None:
+        check_ends(reader, end, drawn)
+
+    run()
+    context.finished = True
+
+
+@then("each of them has ended")
+def step_ended(context: Any) -> None:
+    assert context.finished
+
+
+@when(
+    "an upstream sends an interim response, and {seconds:g} s later the final"
+    " one"
+)
+def step_slow_interim(context: Any, seconds: float) -> None:
+    near, far = socket.socketpair()
+    context.add_cleanup(far.close)
+    final = f"{HEAD}Content-Length: 2\r\n\r\nok".encode()
+
+    def send() -> None:
+        far.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        time.sleep(seconds)
+        far.sendall(final)
+
+    threading.Thread(target=send, daemon=True).start()
+    link = dialer.Connection(near, "")
+    own = mock.Mock(open=mock.Mock(return_value=link))
+    with mock.patch.object(upstream_steps, "LIVE_S", 20.0):
+        upstream_steps.send(context, "h:1", own=own)
