Bound the memory of plain answers that are held whole

What callers saw: no answer from hosts whose upstream sends a body without end; on such a host the others were late too, since it grew with what the link brought.

Cause: a plain answer is forwarded only once all of it has come, and nothing bounded how much that is.

Change: a body may take a thirty-second part of the host's memory (of the settings), all bodies together an eighth; the first 64 KiB of each are free, so that large ones keep no small one out. What is larger is a failure of the upstream like any other: it is retried elsewhere.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -37,7 +37,7 @@
     upstreams,
 )
 from egretspur.daemons import follow, listed, meters, news, pages
-from egretspur.delivery import intake, watch
+from egretspur.delivery import buffers, intake, watch
 from egretspur.membership import (
     contention,
     datagrams,
@@ -134,6 +134,7 @@
             self._watch,
             rng,
             names.RETRY_AFTER_DECIMALS,
+            buffers.BodyBuffers(cfg.memory_bytes),
         )
         self._meters = meters.Meters()
         decisions.LOGGER.addHandler(self._meters)
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -24,6 +24,7 @@
 from egretspur.delivery import (
     answer_log,
     answers,
+    buffers,
     events,
     handover,
     sending,
@@ -89,12 +90,16 @@
         to: desk.Desk,
         sender: sending.AttemptSender,
         watch: Watch | None = None,
+        bodies: buffers.BodyBuffers | None = None,
     ) -> None:
         self.call = call
         self.job = job
         self._desk = to
         self._sender = sender
         self._watch = watch
+        self._bodies = bodies or buffers.BodyBuffers()
+        # Bytes held of the body of a plain answer.
+        self._body_bytes = 0
         self._abort = sending.AbortHandle()
         self._lock = threading.Lock()
         # An attempt that runs beside a silent one, and whether it takes over;
@@ -317,6 +322,7 @@
         if self._answer is not None:
             self._answer.close()
             self._answer = None
+        self._resize_body(0)
         self._desk.tell(desk.Finish(self.job.id, self._is_answered))
 
     def record_end(self, status: int, refusal: errors.Refusal | None) -> None:
@@ -444,16 +450,27 @@
         self, answer: sending.Answer
     ) -> bytes | sending.AttemptFailure:
         chunks: list[bytes] = []
+        self._resize_body(0)
         while True:
             data = answer.read_some()
             if isinstance(data, sending.AttemptFailure):
                 return data
+            excess = self._resize_body(self._body_bytes + len(data))
+            if excess:
+                return sending.AttemptFailure(jobs.FailureKind.CUT, excess)
             if not data:
                 answer.close()
                 self._answer = None
                 return b"".join(chunks)
             chunks.append(data)
 
+    def _resize_body(self, size: int) -> str:
+        """Changes how many bytes of a body are held; returns why it can't."""
+        excess = self._bodies.resize(self._body_bytes, size)
+        if not excess:
+            self._body_bytes = size
+        return excess
+
     def _read_events(
         self, answer: sending.Answer
     ) -> bytes | sending.AttemptFailure | None:
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -17,7 +17,7 @@
 from egretspur import decisions, errors, web
 from egretspur.admission import fingerprint, room
 from egretspur.catalog import config
-from egretspur.delivery import forward, sending
+from egretspur.delivery import buffers, forward, sending
 from egretspur.routing import desk, jobs
 
 # Retry-After of a host that has no configuration yet.
@@ -63,6 +63,7 @@
         watch: forward.Watch,
         rng: random.Random,
         retry_after_decimals: int = 0,
+        bodies: buffers.BodyBuffers | None = None,
     ) -> None:
         """Makes an intake without a configuration.
 
@@ -73,7 +74,10 @@
             rng: Draws the targets of split routes.
             retry_after_decimals: Decimal places of Retry-After that the
                 callers' clients read.
+            bodies: Bounds the memory of plain answers; None for bounds of
+                their own.
         """
+        self._bodies = bodies or buffers.BodyBuffers()
         self._decimals = retry_after_decimals
         self._desk = to
         self._sender = sender
@@ -103,7 +107,12 @@
             return self.refuse(inbound.call.id, job)
         self._record_admitted(job)
         forwarder = forward.Forwarder(
-            inbound.call, job, self._desk, self._sender, self._watch
+            inbound.call,
+            job,
+            self._desk,
+            self._sender,
+            self._watch,
+            self._bodies,
         )
         with self._lock:
             self.in_flight += 1
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -24,6 +24,7 @@
 }
 
 _DEFAULT_HEARTBEAT_MS: Final = 1200
+_DEFAULT_MEMORY_MB: Final = 300
 
 
 @attrs.frozen(kw_only=True)
@@ -54,6 +55,8 @@
     retry_allowance: float
     retry_window_s: float
     bounds: bounds.Bounds
+    # Memory that the process may use.
+    memory_bytes: int
 
 
 class SettingsError(ValueError):
@@ -122,4 +125,7 @@
             stall_s=limits["stall_ms"] / 1000,
             heartbeat_s=data.get("heartbeat_ms", _DEFAULT_HEARTBEAT_MS) / 1000,
         ),
+        memory_bytes=int(
+            data.get("limits", {}).get("memory_mb", _DEFAULT_MEMORY_MB) * 1e6
+        ),
     )
--- a/tests/daemons/endless.feature
+++ b/tests/daemons/endless.feature
@@ -16,3 +16,5 @@
       | header fields     | 0     |
       | trailers          | 0     |
       | bytes of trailers | 0.1   |
+      | a chunked body    | 0     |
+      | a body            | 0     |
