--- a/egretspur/responses.py
+++ b/egretspur/responses.py
@@ -59,6 +59,11 @@
 MAX_HEAD_S: Final = 3.0
 
 
+# A time-out of a socket is lowered only by more than this, in seconds: each
+# change is a system call.
+TIMEOUT_SLACK_S: Final = 0.05
+
+
 class ResponseError(http.client.HTTPException):
     """A response broke off, or it doesn't tell where it ends."""
 
@@ -135,8 +140,9 @@
             raise ResponseError(f"no end of a head within {MAX_HEAD_S} s")
         left_s = min(bounds.deadline_s, self._head_by_s) - now_s
         timeout_s = self._sock.gettimeout()
-        is_shorter = timeout_s is None or left_s < timeout_s
-        if math.isfinite(left_s) and is_shorter:
+        is_shorter = timeout_s is None or left_s < timeout_s - TIMEOUT_SLACK_S
+        is_changed = math.isfinite(left_s) and is_shorter
+        if is_changed:
             self._sock.settimeout(left_s)
         try:
             count: int | None = self._raw.readinto(buffer)
@@ -146,6 +152,9 @@
                     f"no end of a head within {MAX_HEAD_S} s"
                 ) from exc
             raise
+        finally:
+            if is_changed:
+                self._sock.settimeout(timeout_s)
         if self._awaits_head and count:
             self._awaits_head = False
             self._head_by_s = time.monotonic() + MAX_HEAD_S
