Drop what bounded reads and the retry budget carried twice or not at all

What callers saw: nothing; found by reading the whole change once more, behaviour is unchanged.

Transport.call went through a copy of open with seven parameters; it calls open again and only reads the body apart. The bound on a head's time is checked in one place. Retry.taken_s and BodyBuffers.held_bytes were read by nobody. Buffers of bodies had a second default of a host's memory and were made anew for each request that was given none; whoever makes an intake passes its buffers now. Tests and bench have a host's memory in one place.

--- a/bench/duties.py
+++ b/bench/duties.py
@@ -125,7 +125,7 @@
         retry_allowance=574.0,
         retry_window_s=10.0,
         bounds=bounds.Bounds(),
-        memory_bytes=300_000_000,
+        memory_bytes=fleets.MEMORY_BYTES,
     )
 
 
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -89,7 +89,6 @@
     would reach the upstream after its place has been given to another.
     """
 
-    taken_s: float
     # By when it has reached an upstream; infinite until that is known.
     reached_by_s: float = math.inf
 
@@ -165,7 +164,7 @@
             self._borrow(hosts, now_s, others)
         if wanted > firm + self._borrowed:
             return None
-        retry = Retry(now_s)
+        retry = Retry()
         self._retries.append(retry)
         return retry
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -133,8 +133,8 @@
             upstream.UpstreamClient(self._desk.note_signals, self._dialer),
             self._watch,
             rng,
-            names.RETRY_AFTER_DECIMALS,
             buffers.BodyBuffers(cfg.memory_bytes),
+            names.RETRY_AFTER_DECIMALS,
         )
         self._meters = meters.Meters()
         decisions.LOGGER.addHandler(self._meters)
--- a/egretspur/delivery/buffers.py
+++ b/egretspur/delivery/buffers.py
@@ -19,14 +19,11 @@
 # one from being read.
 FREE_BYTES: Final = 1 << 16
 
-# Memory of a process where the settings don't state it.
-DEFAULT_MEMORY_BYTES: Final = 300 << 20
-
 
 class BodyBuffers:
     """Counts the bytes of bodies that are held; shared between threads."""
 
-    def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES) -> None:
+    def __init__(self, memory_bytes: int) -> None:
         """Makes buffers that hold nothing.
 
         Args:
@@ -37,11 +34,6 @@
         self._lock = threading.Lock()
         self._held_bytes = 0
 
-    @property
-    def held_bytes(self) -> int:
-        """Bytes held of all bodies, without the first of each."""
-        return self._held_bytes
-
     def resize(self, before: int, after: int) -> str:
         """Changes how many bytes of a body are held.
 
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -89,15 +89,15 @@
         job: jobs.Job,
         to: desk.Desk,
         sender: sending.AttemptSender,
+        bodies: buffers.BodyBuffers,
         watch: Watch | None = None,
-        bodies: buffers.BodyBuffers | None = None,
     ) -> None:
         self.call = call
         self.job = job
         self._desk = to
         self._sender = sender
         self._watch = watch
-        self._bodies = bodies or buffers.BodyBuffers()
+        self._bodies = bodies
         # Bytes held of the body of a plain answer.
         self._body_bytes = 0
         self._abort = sending.AbortHandle()
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -62,8 +62,8 @@
         sender: sending.AttemptSender,
         watch: forward.Watch,
         rng: random.Random,
+        bodies: buffers.BodyBuffers,
         retry_after_decimals: int = 0,
-        bodies: buffers.BodyBuffers | None = None,
     ) -> None:
         """Makes an intake without a configuration.
 
@@ -72,12 +72,11 @@
             sender: Sends them to upstreams.
             watch: Watches streams for silence.
             rng: Draws the targets of split routes.
+            bodies: Bounds the memory of plain answers.
             retry_after_decimals: Decimal places of Retry-After that the
                 callers' clients read.
-            bodies: Bounds the memory of plain answers; None for bounds of
-                their own.
         """
-        self._bodies = bodies or buffers.BodyBuffers()
+        self._bodies = bodies
         self._decimals = retry_after_decimals
         self._desk = to
         self._sender = sender
@@ -111,8 +110,8 @@
             job,
             self._desk,
             self._sender,
-            self._watch,
             self._bodies,
+            self._watch,
         )
         with self._lock:
             self.in_flight += 1
--- a/egretspur/responses.py
+++ b/egretspur/responses.py
@@ -136,8 +136,7 @@
             raise ConnectionAbortedError("ended by this process")
         if now_s >= bounds.deadline_s:
             raise TimeoutError("the deadline of the response has passed")
-        if now_s >= self._head_by_s:
-            raise ResponseError(f"no end of a head within {MAX_HEAD_S} s")
+        self._check_head()
         left_s = min(bounds.deadline_s, self._head_by_s) - now_s
         timeout_s = self._sock.gettimeout()
         is_shorter = timeout_s is None or left_s < timeout_s - TIMEOUT_SLACK_S
@@ -146,11 +145,8 @@
             self._sock.settimeout(left_s)
         try:
             count: int | None = self._raw.readinto(buffer)
-        except TimeoutError as exc:
-            if time.monotonic() >= self._head_by_s:
-                raise ResponseError(
-                    f"no end of a head within {MAX_HEAD_S} s"
-                ) from exc
+        except TimeoutError:
+            self._check_head()
             raise
         finally:
             if is_changed:
@@ -160,6 +156,11 @@
             self._head_by_s = time.monotonic() + MAX_HEAD_S
         return count
 
+    def _check_head(self) -> None:
+        """Raises an error if a head or the trailers take too long."""
+        if time.monotonic() >= self._head_by_s:
+            raise ResponseError(f"no end of a head within {MAX_HEAD_S} s")
+
     def close(self) -> None:
         """Closes the reader of the socket."""
         if not self.closed:
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -129,7 +129,8 @@
             dial: Opens connections; None for plain TCP.
         """
         self._dial = dial
-        self._timeout = urllib3.Timeout(connect=connect_s, read=read_s)
+        self._connect_s = connect_s
+        self._read_s = read_s
         self._lock = threading.Lock()
         self._opened = _Opened()
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
@@ -154,29 +155,22 @@
             read_s: Longest silence in seconds; the transport's if None. The
                 whole answer may take `ANSWER_TIME_FACTOR` times as long.
         """
-        timeout = self._make_timeout(read_s)
-        silence_s = timeout.read_timeout
-        if isinstance(silence_s, (int, float)):
-            self._opened.deadline_s = (
-                time.monotonic() + ANSWER_TIME_FACTOR * silence_s
-            )
+        silence_s = self._read_s if read_s is None else read_s
+        self._opened.deadline_s = (
+            time.monotonic() + ANSWER_TIME_FACTOR * silence_s
+        )
         try:
-            return self._call(method, address, path, body, headers, timeout)
+            res = self.open(method, address, path, body, headers, silence_s)
+            if isinstance(res, Failed):
+                return res
+            return self._read_whole(address, res)
         finally:
             self._opened.deadline_s = math.inf
 
-    def _call(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: bytes | None,
-        headers: Mapping[str, str] | None,
-        timeout: urllib3.Timeout,
+    def _read_whole(
+        self, address: str, res: urllib3.BaseHTTPResponse
     ) -> Reply | Failed:
-        res = self._open(method, address, path, body, headers, timeout)
-        if isinstance(res, Failed):
-            return res
+        """Reads the body of an answer and gives its connection back."""
         problem = f"body of more than {MAX_BODY_BYTES} bytes"
         data = b""
         try:
@@ -204,24 +198,10 @@
         read_s: float | None = None,
     ) -> urllib3.BaseHTTPResponse | Failed:
         """Sends one request and returns its answer, body unread."""
-        timeout = self._make_timeout(read_s)
-        return self._open(method, address, path, body, headers, timeout)
-
-    def _make_timeout(self, read_s: float | None) -> urllib3.Timeout:
-        if read_s is None:
-            return self._timeout
-        connect_s = self._timeout.connect_timeout
-        return urllib3.Timeout(connect=connect_s, read=read_s)
-
-    def _open(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: bytes | None,
-        headers: Mapping[str, str] | None,
-        timeout: urllib3.Timeout,
-    ) -> urllib3.BaseHTTPResponse | Failed:
+        timeout = urllib3.Timeout(
+            connect=self._connect_s,
+            read=self._read_s if read_s is None else read_s,
+        )
         self._opened.is_new = False
         try:
             return self._get_pool(address).urlopen(
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -42,6 +42,9 @@
     "cj-hall": {"a100": 1, "l40s": 3, "l4": 8},
 }
 
+# Memory of a host, as the platform's settings have it.
+MEMORY_BYTES: Final = 300_000_000
+
 BUDGET: Final = repeats.Options(0.2, 200.0, 10.0)
 
 
--- a/tests/steps/endless_steps.py
+++ b/tests/steps/endless_steps.py
@@ -12,7 +12,7 @@
 import urllib3
 from behave import given, then, when
 
-from tests import sites
+from tests import fleets, sites
 
 # Calls a second at all hosts together, and how long each may take.
 CALLS_PER_S: Final = 15.0
@@ -21,9 +21,6 @@
 # Until an answer that was sent at the deadline is seen.
 SLACK_S: Final = 0.5
 
-# Memory that a host may use, as the platform's settings have it.
-MEMORY_KB: Final = 300 * 1000
-
 
 @attrs.frozen
 class Call:
@@ -100,7 +97,7 @@
     site = context.play
     peaks = {ip: read_peak_kb(site, ip) for ip in site.hosts}
     print("peak memory, kB", peaks)
-    assert max(peaks.values()) <= MEMORY_KB, peaks
+    assert max(peaks.values()) <= fleets.MEMORY_BYTES / 1000, peaks
 
 
 def read_peak_kb(site: sites.Site, ip: str) -> int:
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -14,7 +14,7 @@
 
 from egretspur import decisions, ends, errors
 from egretspur.catalog import upstreams
-from egretspur.delivery import events, forward, sending, watch
+from egretspur.delivery import buffers, events, forward, sending, watch
 from egretspur.routing import desk, jobs, paths
 from tests import fleets, stage
 from tests.steps import broker_steps
@@ -453,7 +453,10 @@
     )
     call = sending.Call("r", "POST", "/x/", {}, b"", "")
     play = context.play
-    return forward.Forwarder(call, job, play.desk, play.sends, play.watch)
+    bodies = buffers.BodyBuffers(fleets.MEMORY_BYTES)
+    return forward.Forwarder(
+        call, job, play.desk, play.sends, bodies, play.watch
+    )
 
 
 class Lines(logging.Handler):
@@ -619,7 +622,8 @@
         job = fleets.make_job("r", now_s=time.monotonic())
         call = sending.Call("r", "POST", "/x/", {}, b"", "")
         sends = DrawnUpstreams(rng, count)
-        run = forward.Forwarder(call, job, EagerDesk(4), sends)
+        bodies = buffers.BodyBuffers(fleets.MEMORY_BYTES)
+        run = forward.Forwarder(call, job, EagerDesk(4), sends, bodies)
         written: list[bytes] = []
         res = run.begin()
         end = (
--- a/tests/steps/odd_steps.py
+++ b/tests/steps/odd_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from egretspur import errors, web
-from egretspur.delivery import intake
+from egretspur.delivery import buffers, intake
 from egretspur.platform import ingress, names
 from tests import fleets
 
@@ -48,6 +48,7 @@
             None,  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
             random.Random(1),
+            buffers.BodyBuffers(fleets.MEMORY_BYTES),
         )
         self._intake.configure(fleets.make_config())
         self.app = web.App()
