One oracle of the retry budget, one kind of caller threads, one sender in tests

tests/retrying.py had written the oracle of tests/admission/sharing.py again, and the threads of callers of tests/streams.py and of the partition steps; each is one piece now (sharing.find_worst_window, stage.CallerThreads), and so are a caller's header fields (sites.make_fields). The generated responses without end are read by the step that already sends as the client of callers' requests, whose life is a parameter in place of a patched constant. Site.max_attempts was read by nobody.

--- a/tests/admission/sharing.py
+++ b/tests/admission/sharing.py
@@ -13,7 +13,7 @@
 import bisect
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 import attrs
@@ -31,6 +31,20 @@
 UPDATE_INTERVAL_S: Final = exchange.SEND_PERIOD_S
 
 
+@attrs.frozen
+class Window:
+    """Retries that a service got in a window, and what all hosts may send."""
+
+    start_s: float
+    sent: int
+    allowed: float
+
+    @property
+    def use(self) -> float:
+        """Retries as a fraction of those allowed."""
+        return self.sent / self.allowed
+
+
 @attrs.define(eq=False)
 class Host:
     """One host, whose state is lost when it restarts."""
@@ -228,21 +242,33 @@
             news.host, news.data_centre, news.spent, self.now_s, news.is_new
         )
 
-    def find_worst_window(self) -> tuple[float, int, float]:
-        """Returns the worst window: fraction of allowed, sent, allowed."""
-        worst = (0.0, 0, 0.0)
-        for i, start_s in enumerate(self.retry_times):
-            end_s = start_s + WINDOW_S
-            sent = bisect.bisect_left(self.retry_times, end_s) - i
-            allowed = self._get_allowed(start_s)
-            worst = max(worst, (sent / allowed, sent, allowed))
-        return worst
-
-    def _get_allowed(self, start_s: float) -> float:
-        """Returns the retries allowed in the window that begins then."""
-        counts = [
-            bisect.bisect_left(self.request_times, at_s + WINDOW_S)
-            - bisect.bisect_left(self.request_times, at_s)
+    def find_worst_window(self) -> Window:
+        """Returns the worst window of the history."""
+        return find_worst_window(
+            self.retry_times, self.request_times, self.options.allowance
+        )
+
+
+def find_worst_window(
+    retry_times: Sequence[float],
+    request_times: Sequence[float],
+    allowance: float,
+) -> Window:
+    """Returns the window with the most retries, compared to those allowed.
+
+    Args:
+        retry_times: When upstreams got retries, from earliest to latest.
+        request_times: When callers sent requests, from earliest to latest.
+        allowance: Retries in a window in addition to those of the requests.
+    """
+    worst = Window(0.0, 0, allowance)
+    for i, start_s in enumerate(retry_times):
+        sent = bisect.bisect_left(retry_times, start_s + WINDOW_S) - i
+        requests = max(
+            bisect.bisect_left(request_times, at_s + WINDOW_S)
+            - bisect.bisect_left(request_times, at_s)
             for at_s in (start_s, start_s - WINDOW_S / 2, start_s - WINDOW_S)
-        ]
-        return self.options.allowance + RATIO * max(counts)
+        )
+        window = Window(start_s, sent, allowance + RATIO * requests)
+        worst = max(worst, window, key=lambda w: w.use)
+    return worst
--- a/tests/admission/starts.py
+++ b/tests/admission/starts.py
@@ -101,4 +101,4 @@
     def teardown(self) -> None:
         """Checks all windows of the history."""
         worst = self.fleet.find_worst_window()
-        assert worst[0] <= 1.0, worst
+        assert worst.use <= 1.0, worst
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 import argparse
-import bisect
 import collections
 import itertools
 import json
 import sys
-import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
@@ -23,10 +21,7 @@
 import urllib3
 
 from tests import sites, stage
-
-# Of the budget, as the hosts' settings have it.
-RATIO: Final = 0.2
-WINDOW_S: Final = 10.0
+from tests.admission import sharing
 
 # Upstreams that may run a request.
 MAX_ATTEMPTS: Final = 4
@@ -77,50 +72,39 @@
     site: sites.Site
     per_s: float
     requests: list[Request] = attrs.Factory(list)
-    stopped: threading.Event = attrs.Factory(threading.Event)
-    threads: list[threading.Thread] = attrs.Factory(list)
+    threads: stage.CallerThreads = attrs.Factory(stage.CallerThreads)
 
     def start(self) -> None:
         """Starts to send."""
-        thread = threading.Thread(target=self._send, daemon=True)
-        thread.start()
-        self.threads.append(thread)
+        self.threads.start(self._send)
 
     def close(self) -> None:
         """Stops sending and waits for the answers."""
-        self.stopped.set()
-        for thread in list(self.threads):
-            thread.join(PATIENCE_S + 3.0)
+        self.threads.close()
 
     def _send(self) -> None:
         began_s = time.monotonic()
         for number in itertools.count():
             left_s = began_s + number / self.per_s - time.monotonic()
-            if self.stopped.wait(max(0.0, left_s)):
+            if self.threads.stopped.wait(max(0.0, left_s)):
                 return
             service = "llm" if number % 3 == 2 else "desk"
             # Each host gets requests of both services.
             host = self.site.hosts[(number // 3) % len(self.site.hosts)]
             request = Request(f"r{number}", service, time.monotonic())
             self.requests.append(request)
-            thread = threading.Thread(
-                target=self._run, args=(request, host), daemon=True
-            )
-            self.threads.append(thread)
-            thread.start()
+            self.threads.start(self._run, request, host)
 
     def _run(self, request: Request, host: str) -> None:
         # No pool: a connection that was cut must not be shared.
         pool = urllib3.PoolManager(retries=False, timeout=PATIENCE_S)
         path = "/notes/x" if request.service == "llm" else "/cards/x"
         url = f"http://{host}:{self.site.ports['frontend']}{path}"
-        fields = {
-            "Host": sites.HOST,
+        own = {
             "Attempt-Id": request.id,
-            "Token-Usage": "20,20",
             "Deadline-Ms": str(int(PATIENCE_S * 1000)),
-            "Authorization": "Bearer key-1",
         }
+        fields = sites.make_fields("key-1", **own)
         try:
             res = pool.request("POST", url, body=b"{}", headers=fields)
             request.status = res.status
@@ -142,62 +126,6 @@
     left_s: float
 
 
-@attrs.frozen
-class Window:
-    """Retries that a service got in a window, and what all hosts may send."""
-
-    service: str
-    start_s: float
-    sent: int
-    allowed: float
-
-    @property
-    def use(self) -> float:
-        """Retries as a fraction of those allowed."""
-        return self.sent / self.allowed
-
-
-def find_worst(
-    arrivals: Sequence[Arrival],
-    requests: Sequence[Request],
-    service: str,
-    allowance: float,
-) -> Window:
-    """Returns the window with the most retries, compared to those allowed.
-
-    Args:
-        arrivals: What upstreams of the service got, from earliest to latest.
-        requests: All that callers sent.
-        service: Name of the service.
-        allowance: Retries in a window in addition to those of the requests.
-    """
-    known = {r.id for r in requests}
-    seen: set[str] = set()
-    retries = []
-    for arrival in arrivals:
-        if arrival.request in seen:
-            retries.append(arrival.at_s)
-        elif arrival.request in known:
-            seen.add(arrival.request)
-    sent = sorted(r.sent_s for r in requests if r.service == service)
-
-    def count(start_s: float) -> int:
-        end = bisect.bisect_left(sent, start_s + WINDOW_S)
-        return end - bisect.bisect_left(sent, start_s)
-
-    worst = Window(service, 0.0, 0, allowance)
-    for i, start_s in enumerate(retries):
-        window = Window(
-            service,
-            start_s,
-            bisect.bisect_left(retries, start_s + WINDOW_S) - i,
-            allowance
-            + RATIO * max(count(start_s - WINDOW_S * k / 2) for k in range(3)),
-        )
-        worst = max(worst, window, key=lambda w: w.use)
-    return worst
-
-
 @attrs.define
 class Play:
     """A site whose upstreams reset most requests, and its callers."""
@@ -209,10 +137,10 @@
 
     def close(self) -> None:
         """Stops all processes."""
-        self.callers.stopped.set()
+        self.callers.threads.stopped.set()
         self.site.close()
 
-    def run(self, history: str) -> list[Window]:
+    def run(self, history: str) -> dict[str, sharing.Window]:
         """Plays a history; returns the worst window of each service."""
         self.began_s = time.monotonic()
         self.callers.start()
@@ -220,15 +148,24 @@
         HISTORIES[history](self.site)
         time.sleep(AFTER_S)
         self.callers.close()
-        return [self.find_worst(s) for s in ("desk", "llm")]
+        return {s: self.find_worst(s) for s in ("desk", "llm")}
 
-    def find_worst(self, service: str) -> Window:
+    def find_worst(self, service: str) -> sharing.Window:
         """Returns the worst window of a service."""
-        return find_worst(
-            self.list_arrivals(service),
-            self.callers.requests,
-            service,
-            self.allowance,
+        sent = {
+            r.id: r.sent_s
+            for r in self.callers.requests
+            if r.service == service
+        }
+        seen: set[str] = set()
+        retry_times = []
+        for arrival in self.list_arrivals(service):
+            if arrival.request in seen:
+                retry_times.append(arrival.at_s)
+            elif arrival.request in sent:
+                seen.add(arrival.request)
+        return sharing.find_worst_window(
+            retry_times, sorted(sent.values()), self.allowance
         )
 
     def list_arrivals(self, service: str) -> list[Arrival]:
@@ -283,9 +220,9 @@
     """
     site = sites.start_site(
         hosts,
-        retry_budget_ratio=RATIO,
+        retry_budget_ratio=sharing.RATIO,
         retry_allowance=allowance,
-        budget_window_s=WINDOW_S,
+        budget_window_s=sharing.WINDOW_S,
     )
     site.write(
         "keyed.op", "config", sites.make_config(["key-1"], 3, MAX_ATTEMPTS)
@@ -332,7 +269,7 @@
     set_faults(site, reset_share=RESET_SHARE, read_delay_s=READ_DELAY_S)
     time.sleep(READ_LATE_S)
     set_faults(site, read_delay_s=0.0)
-    time.sleep(WINDOW_S - READ_LATE_S)
+    time.sleep(sharing.WINDOW_S - READ_LATE_S)
 
 
 def play_fail_while_stopped(site: sites.Site) -> None:
@@ -343,7 +280,7 @@
     time.sleep(LONG_STOP_S)
     for ip in site.hosts:
         site.stage.processes[ip].resume()
-    time.sleep(WINDOW_S)
+    time.sleep(sharing.WINDOW_S)
 
 
 def stop_hosts(site: sites.Site, hosts: Sequence[str]) -> None:
@@ -428,9 +365,9 @@
     args = parser.parse_args()
     play = start(args.hosts, args.upstreams, args.per_s, args.allowance)
     try:
-        for window in play.run(args.history):
+        for service, window in play.run(args.history).items():
             print(
-                f"{args.history}: {window.service}: {window.sent} of"
+                f"{args.history}: {service}: {window.sent} of"
                 f" {window.allowed:.0f} ({window.use:.2f}) from"
                 f" {window.start_s - play.began_s:.1f} s"
             )
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -68,8 +68,6 @@
     reserved: list[socket.socket] = attrs.Factory(list)
     # Bounds in the hosts' settings, in addition to those of all sites.
     bounds: dict[str, float] = attrs.Factory(dict)
-    # Upstreams that may run a request.
-    max_attempts: int = MAX_ATTEMPTS
     # Data centres of the hosts that are not in `HOME`, by address.
     zones: dict[str, str] = attrs.Factory(dict)
 
@@ -124,14 +122,7 @@
             "POST",
             f"http://{host}:{self.ports['frontend']}{path}",
             body=body,
-            headers={
-                "Host": HOST,
-                "Attempt-Id": f"a{time.monotonic_ns()}",
-                "Token-Usage": "20,20",
-                "Deadline-Ms": "9000",
-                "Authorization": f"Bearer {key}",
-                **more,
-            },
+            headers=make_fields(key, **more),
             preload_content=False,
         )
 
@@ -202,6 +193,18 @@
         return runs
 
 
+def make_fields(key: str, **more: str) -> dict[str, str]:
+    """Returns the header fields of a caller's request."""
+    return {
+        "Host": HOST,
+        "Attempt-Id": f"a{time.monotonic_ns()}",
+        "Token-Usage": "20,20",
+        "Deadline-Ms": "9000",
+        "Authorization": f"Bearer {key}",
+        **more,
+    }
+
+
 def make_config(
     keys: list[str], version: int, max_attempts: int = MAX_ATTEMPTS
 ) -> dict[str, Any]:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -21,6 +21,9 @@
 
 START_TIMEOUT_S: Final = 20.0
 
+# Longest wait for the answers of callers that were stopped.
+ANSWERS_TIMEOUT_S: Final = 15.0
+
 
 @attrs.define
 class Process:
@@ -50,6 +53,26 @@
         self.popen.send_signal(signal.SIGCONT)
 
 
+@attrs.define
+class CallerThreads:
+    """Threads of callers, until they are stopped."""
+
+    stopped: threading.Event = attrs.Factory(threading.Event)
+    _threads: list[threading.Thread] = attrs.Factory(list)
+
+    def start(self, target: Callable[..., None], *args: Any) -> None:
+        """Starts a thread."""
+        thread = threading.Thread(target=target, args=args, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def close(self) -> None:
+        """Stops the callers and waits for their answers."""
+        self.stopped.set()
+        for thread in list(self._threads):
+            thread.join(ANSWERS_TIMEOUT_S)
+
+
 @attrs.define
 class Stage:
     """All processes of one scene."""
--- a/tests/steps/partition_steps.py
+++ b/tests/steps/partition_steps.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import collections
-import threading
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from typing import Any, Final
 
 import attrs
 import urllib3
 from behave import given, then, when
 
-from tests import sites, soak, streams
+from tests import sites, soak, stage, streams
 
 # Time after the begin or end of a partition from which requests count, in s.
 CONTACT_S: Final = 3.0
@@ -53,8 +52,7 @@
     # Seconds between two requests of one host.
     period_s: float
     tries: list[Try] = attrs.Factory(list)
-    stopped: threading.Event = attrs.Factory(threading.Event)
-    threads: list[threading.Thread] = attrs.Factory(list)
+    threads: stage.CallerThreads = attrs.Factory(stage.CallerThreads)
     # When the first host was asked whether it is ready, and whether it was.
     readiness: list[tuple[float, bool]] = attrs.Factory(list)
     # When the partition began and ended.
@@ -64,26 +62,21 @@
     def start(self) -> None:
         """Starts a thread for each host."""
         for ip in self.site.hosts:
-            self._start_thread(self._send_to, ip)
+            self.threads.start(self._send_to, ip)
 
     def close(self) -> None:
         """Stops to send and waits for the answers."""
-        self.stopped.set()
-        for thread in list(self.threads):
-            thread.join(15.0)
-
-    def _start_thread(self, target: Callable[..., None], *args: Any) -> None:
-        thread = threading.Thread(target=target, args=args, daemon=True)
-        self.threads.append(thread)
-        thread.start()
+        self.threads.close()
 
     def _send_to(self, ip: str) -> None:
         count = 0
         next_s = time.monotonic()
-        while not self.stopped.wait(max(0.0, next_s - time.monotonic())):
+        while not self.threads.stopped.wait(
+            max(0.0, next_s - time.monotonic())
+        ):
             next_s += self.period_s
             path = soak.PATHS[count % len(soak.PATHS)]
-            self._start_thread(self._try, f"try-{ip}-{count}", path, ip)
+            self.threads.start(self._try, f"try-{ip}-{count}", path, ip)
             count += 1
 
     def _try(self, request_id: str, path: str, ip: str) -> None:
--- a/tests/steps/responses_steps.py
+++ b/tests/steps/responses_steps.py
@@ -16,11 +16,7 @@
 from hypothesis import strategies as st
 
 from egretspur import ends, transport
-from egretspur.delivery import sending
-from egretspur.platform import upstream
-from egretspur.routing import jobs
 from egretspur.tunnels import dialer
-from tests import fleets
 from tests.steps import upstream_steps
 
 HEAD: Final = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Signature: s\r\n"
@@ -256,26 +252,14 @@
 
 def read_request(sock: socket.socket, life_s: float, leave_s: float) -> None:
     """Reads as the client of callers' requests, until it ends."""
+    context = mock.Mock()
     link = dialer.Connection(sock, "")
     own = mock.Mock(open=mock.Mock(return_value=link))
-    job = attrs.evolve(
-        fleets.make_job("ID", "idempotent", now_s=time.monotonic()),
-        deadline_s=time.monotonic() + life_s,
-    )
-    abort = sending.AbortHandle()
-    threading.Timer(leave_s, abort.abort_all).start()
-    entry = attrs.evolve(fleets.make_upstream("app-0"), address="h:1")
-    answer = upstream.UpstreamClient(own=own).open(
-        upstream_steps.CALL, job, jobs.Start("ID", entry, ()), "", abort
-    )
-    if isinstance(answer, sending.AttemptFailure):
-        return
-    abort.set_closer(answer.abort)
-    while True:
-        data = answer.read_some()
-        if not data or isinstance(data, sending.AttemptFailure):
-            answer.close()
-            return
+    leaver = threading.Timer(leave_s, lambda: context.leaving.abort_all())
+    # The process must not wait for it.
+    leaver.daemon = True
+    leaver.start()
+    upstream_steps.send(context, "h:1", own=own, live_s=life_s)
 
 
 def read_call(sock: socket.socket, life_s: float, leave_s: float) -> None:
@@ -359,5 +343,4 @@
     threading.Thread(target=send, daemon=True).start()
     link = dialer.Connection(near, "")
     own = mock.Mock(open=mock.Mock(return_value=link))
-    with mock.patch.object(upstream_steps, "LIVE_S", 20.0):
-        upstream_steps.send(context, "h:1", own=own)
+    upstream_steps.send(context, "h:1", own=own, live_s=20.0)
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -35,8 +35,8 @@
 
 @then("no window of a service has more retries than allowed")
 def step_within_budget(context: Any) -> None:
-    assert all(w.sent for w in context.windows), context.windows
-    assert all(w.use <= 1.0 for w in context.windows), context.windows
+    assert all(w.sent for w in context.windows.values()), context.windows
+    assert all(w.use <= 1.0 for w in context.windows.values()), context.windows
 
 
 @then("no request reaches more upstreams than allowed")
--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -202,12 +202,12 @@
 def step_kept(context: Any) -> None:
     context.starts.run()
     context.worst = context.starts.fleet.find_worst_window()
-    assert context.worst[0] <= 1.0, context.worst
+    assert context.worst.use <= 1.0, context.worst
 
 
 @then("the worst window has at least half of them")
 def step_used(context: Any) -> None:
-    assert context.worst[0] >= 0.5, context.worst
+    assert context.worst.use >= 0.5, context.worst
 
 
 @when("hosts restart, pause, are cut off and lose updates at random")
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -73,6 +73,7 @@
     priority: int = 1,
     is_engine: bool = True,
     own: dialer.Dialer | None = None,
+    live_s: float = LIVE_S,
 ) -> None:
     """Sends a call to an address and reads the answer whole."""
     entry = attrs.evolve(fleets.make_upstream("app-0"), address=address)
@@ -80,7 +81,7 @@
     now_s = time.monotonic()
     job = attrs.evolve(
         fleets.make_job("ID", "non_idempotent", now_s=now_s),
-        deadline_s=now_s + LIVE_S,
+        deadline_s=now_s + live_s,
         priority=priority,
     )
     start = jobs.Start("ID", entry, parts if is_engine else ())
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -85,47 +85,32 @@
     site: sites.Site
     per_s: float
     streams: list[Stream] = attrs.Factory(list)
-    stopped: threading.Event = attrs.Factory(threading.Event)
-    threads: list[threading.Thread] = attrs.Factory(list)
+    threads: stage.CallerThreads = attrs.Factory(stage.CallerThreads)
 
     def start(self) -> None:
         """Starts the callers."""
-        thread = threading.Thread(target=self._send, daemon=True)
-        thread.start()
-        self.threads.append(thread)
+        self.threads.start(self._send)
 
     def close(self) -> None:
         """Stops the callers and waits for their answers."""
-        self.stopped.set()
-        for thread in list(self.threads):
-            thread.join(15.0)
+        self.threads.close()
 
     def _send(self) -> None:
         for number in itertools.count():
-            if self.stopped.wait(1.0 / self.per_s):
+            if self.threads.stopped.wait(1.0 / self.per_s):
                 return
             hosts = self.site.hosts
             stream = Stream(
                 f"stream-{number}", hosts[number % len(hosts)], time.monotonic()
             )
             self.streams.append(stream)
-            thread = threading.Thread(
-                target=self._run, args=(stream,), daemon=True
-            )
-            self.threads.append(thread)
-            thread.start()
+            self.threads.start(self._run, stream)
 
     def _run(self, stream: Stream) -> None:
         # No pool: a connection that was cut must not be shared.
         pool = urllib3.PoolManager(retries=False, timeout=20.0)
         url = f"http://{stream.host}:{self.site.ports['frontend']}/notes/x"
-        fields = {
-            "Host": sites.HOST,
-            "Attempt-Id": stream.id,
-            "Token-Usage": "20,20",
-            "Deadline-Ms": "9000",
-            "Authorization": "Bearer key-1",
-        }
+        fields = sites.make_fields("key-1", **{"Attempt-Id": stream.id})
         try:
             res = pool.request(
                 "POST", url, body=b"{}", headers=fields, preload_content=False
