--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -10,9 +10,13 @@
 
 import argparse
 import collections
+import functools
 import itertools
 import json
+import random
+import signal
 import sys
+import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
@@ -49,6 +53,19 @@
 # Time between two hosts that are stopped, killed or drained in turn.
 TURN_S: Final = 2.0
 
+# Time between two of many kills of all hosts, or of one, and how often.
+KILL_PERIOD_S: Final = 3.0
+KILLS: Final = 7
+
+# Time from an end of a host's process until it is started again.
+SUPERVISION_S: Final = 0.05
+
+# Random signals: for how long, and the time between two, in s.
+SIGNALS_S: Final = 24.0
+SIGNAL_INTERVAL_S: Final = (0.1, 1.0)
+RANDOM_STOP_S: Final = (0.3, 3.0)
+MAX_SIGNALLED: Final = 4
+
 # How long a caller waits, and how much later an attempt may end, in s.
 PATIENCE_S: Final = 9.0
 DEADLINE_SLACK_S: Final = 0.5
@@ -209,7 +226,14 @@
         return sorted(found, key=lambda a: a.at_s)
 
 
-def start(hosts: int, upstreams: int, per_s: float, allowance: float) -> Play:
+def start(
+    hosts: int,
+    upstreams: int,
+    per_s: float,
+    allowance: float,
+    keeps_settings: bool = False,
+    seed: int = 0,
+) -> Play:
     """Starts a site and waits until its hosts serve.
 
     Args:
@@ -217,6 +241,9 @@
         upstreams: Number of engines, and of plain replicas.
         per_s: Requests a second, two plain ones for each stream.
         allowance: Retries in a window in addition to those of the requests.
+        keeps_settings: Whether a host starts again with the settings of its
+            first start.
+        seed: Draws random signals.
     """
     site = sites.start_site(
         hosts,
@@ -224,6 +251,8 @@
         retry_allowance=allowance,
         budget_window_s=sharing.WINDOW_S,
     )
+    site.keeps_settings = keeps_settings
+    site.seed = seed
     site.write(
         "keyed.op", "config", sites.make_config(["key-1"], 3, MAX_ATTEMPTS)
     )
@@ -341,6 +370,87 @@
         time.sleep(TURN_S)
 
 
+@attrs.define
+class Supervisor:
+    """Starts hosts again whose processes have ended."""
+
+    site: sites.Site
+    stopped: threading.Event = attrs.Factory(threading.Event)
+    _threads: list[threading.Thread] = attrs.Factory(list)
+
+    def start(self) -> None:
+        """Begins to watch the hosts' processes."""
+        thread = threading.Thread(target=self._watch, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def close(self) -> None:
+        """Starts no more hosts."""
+        self.stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _watch(self) -> None:
+        while not self.stopped.wait(SUPERVISION_S):
+            for ip in list(self.site.hosts):
+                if self.site.stage.processes[ip].popen.poll() is not None:
+                    sites.start_host(self.site, ip)
+                    self.site.hosts.remove(ip)
+
+
+def play_all_killed_often(site: sites.Site) -> None:
+    """All hosts are killed every few seconds."""
+    fail(site)
+    for _ in range(KILLS):
+        for ip in list(site.hosts):
+            site.stage.processes[ip].popen.kill()
+        for ip in list(site.hosts):
+            restart_host(site, ip)
+        time.sleep(KILL_PERIOD_S)
+
+
+def play_down_for_long(site: sites.Site) -> None:
+    """All hosts are down for more than a window, and start together."""
+    fail(site)
+    hosts = list(site.hosts)
+    for ip in hosts:
+        site.stage.processes[ip].kill()
+    time.sleep(sharing.WINDOW_S + 1.0)
+    for ip in hosts:
+        site.hosts.remove(ip)
+        sites.start_host(site, ip)
+    time.sleep(sharing.WINDOW_S)
+
+
+def play_random_signals(site: sites.Site) -> None:
+    """Hosts are killed, stopped and terminated at random."""
+    rng = random.Random(site.seed)
+    supervisor = Supervisor(site)
+    supervisor.start()
+    fail(site)
+    end_s = time.monotonic() + SIGNALS_S
+    while time.monotonic() < end_s:
+        count = rng.randint(1, MAX_SIGNALLED)
+        for ip in rng.sample(sorted(site.hosts), count):
+            send_random_signal(site.stage.processes[ip], rng)
+        time.sleep(rng.uniform(*SIGNAL_INTERVAL_S))
+    supervisor.close()
+
+
+def send_random_signal(process: stage.Process, rng: random.Random) -> None:
+    """Kills, terminates or stops a process, which goes on after a while."""
+    if process.popen.poll() is not None:
+        return
+    kind = rng.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
+    process.popen.send_signal(kind)
+    if kind is signal.SIGSTOP:
+        stop_s = rng.uniform(*RANDOM_STOP_S)
+        go_on = functools.partial(process.popen.send_signal, signal.SIGCONT)
+        timer = threading.Timer(stop_s, go_on)
+        timer.daemon = True
+        timer.start()
+
+
 HISTORIES: Final[Mapping[str, Callable[[sites.Site], None]]] = {
     "nothing happens": play_nothing,
     "upstreams read late": play_read_late,
@@ -350,6 +460,9 @@
     "hosts stop in turn": play_stop_in_turn,
     "all hosts are killed": play_all_killed,
     "hosts are killed in turn": play_killed_in_turn,
+    "all hosts are killed often": play_all_killed_often,
+    "all hosts are down for long": play_down_for_long,
+    "hosts get random signals": play_random_signals,
 }
 
 
@@ -361,9 +474,22 @@
     parser.add_argument("--upstreams", type=int, default=8)
     parser.add_argument("--per-s", type=float, default=90.0)
     parser.add_argument("--allowance", type=float, default=30.0)
+    parser.add_argument(
+        "--kept-settings",
+        action="store_true",
+        help="start hosts again with the settings of their first start",
+    )
+    parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--dump", help="file for arrivals, requests and logs")
     args = parser.parse_args()
-    play = start(args.hosts, args.upstreams, args.per_s, args.allowance)
+    play = start(
+        args.hosts,
+        args.upstreams,
+        args.per_s,
+        args.allowance,
+        args.kept_settings,
+        args.seed,
+    )
     try:
         for service, window in play.run(args.history).items():
             print(
@@ -393,10 +519,13 @@
             for s in ("desk", "llm")
         },
         "requests": [attrs.asdict(r) for r in play.callers.requests],
-        "logs": {
-            ip: list(play.site.stage.processes[ip].lines)
-            for ip in play.site.hosts
-        },
+        "logs": [
+            (p.name, list(p.lines))
+            for p in (
+                *play.site.ended,
+                *(play.site.stage.processes[ip] for ip in play.site.hosts),
+            )
+        ],
     }
     with open(path, "w", encoding="utf-8") as file:
         json.dump(data, file)
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -70,6 +70,12 @@
     bounds: dict[str, float] = attrs.Factory(dict)
     # Data centres of the hosts that are not in `HOME`, by address.
     zones: dict[str, str] = attrs.Factory(dict)
+    # Whether a host starts again with the settings of its first start.
+    keeps_settings: bool = False
+    # Draws what happens at random.
+    seed: int = 0
+    # Former processes of hosts that have started again.
+    ended: list[stage.Process] = attrs.Factory(list)
 
     def leave(self, name: str) -> None:
         """Removes an upstream from the list."""
@@ -304,7 +310,7 @@
         "listen": listen,
         "port_range": [site.ports["exchange"], 0],
         "seeds": ["127.0.0.1:1"],
-        "bootstrap": not path.exists(),
+        "bootstrap": site.keeps_settings or not path.exists(),
         "platform": {"address": site.stage.processes["store"].address},
         "bounds": {"grace_s": 7, **site.bounds},
     }
@@ -323,6 +329,8 @@
         text=True,
     )
     process = stage.Process(ip, popen, listen["frontend"])
+    if ip in site.stage.processes:
+        site.ended.append(site.stage.processes[ip])
     threading.Thread(target=collect_lines, args=(process,), daemon=True).start()
     site.stage.processes[ip] = process
     site.hosts.append(ip)
