Log for how long a host has been told of the others when it takes a retry

What callers saw: nothing new; for operators. The log could not tell whether a young process takes retries of a whole part because it believes that nothing was spent, or because it counts itself alone.

Change: `repeat_taken` and `budget_empty` have `heard_s`, null before the first update of another host.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -52,6 +52,8 @@
         self._options = options
         self._rng = rng or random.Random()
         self._since_s = options.since_s
+        # Time of the first peer update; infinite if there was none yet.
+        self._heard_since_s = math.inf
         self._budgets: dict[str, shared.SharedBudget] = {}
         self._ledger = shared.PeerLedger(data_centre, options.window_s)
 
@@ -89,6 +91,12 @@
         budget = self._get(service)
         return budget.get_balance(self.hosts, self._get_age_s(now_s))
 
+    def get_heard_s(self, now_s: float) -> float | None:
+        """Returns the seconds since the first peer update, if there was one."""
+        if math.isinf(self._heard_since_s):
+            return None
+        return now_s - self._heard_since_s
+
     def apply_peer_update(
         self,
         host: str,
@@ -108,6 +116,7 @@
                 a window.
         """
         self._since_s = min(self._since_s, now_s)
+        self._heard_since_s = min(self._heard_since_s, now_s)
         self._ledger.apply_peer_update(host, data_centre, spent, now_s, is_new)
 
     def list_spent(self, now_s: float) -> dict[str, shared.Spent]:
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -385,6 +385,8 @@
     borrowed: float
     # Hosts that share the budget, as far as this host knows.
     hosts: int
+    # Seconds since the first update of another host; None if there was none.
+    heard_s: float | None
 
 
 @attrs.frozen
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -115,6 +115,7 @@
         standing.guaranteed,
         standing.borrowed,
         budgets.hosts,
+        budgets.get_heard_s(now_s),
     )
 
 
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -522,7 +522,7 @@
         "logs": [
             (p.name, list(p.lines))
             for p in (
-                *play.site.ended,
+                *play.site.stage.ended,
                 *(play.site.stage.processes[ip] for ip in play.site.hosts),
             )
         ],
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -74,8 +74,6 @@
     keeps_settings: bool = False
     # Draws what happens at random.
     seed: int = 0
-    # Former processes of hosts that have started again.
-    ended: list[stage.Process] = attrs.Factory(list)
 
     def leave(self, name: str) -> None:
         """Removes an upstream from the list."""
@@ -330,7 +328,7 @@
     )
     process = stage.Process(ip, popen, listen["frontend"])
     if ip in site.stage.processes:
-        site.ended.append(site.stage.processes[ip])
+        site.stage.ended.append(site.stage.processes[ip])
     threading.Thread(target=collect_lines, args=(process,), daemon=True).start()
     site.stage.processes[ip] = process
     site.hosts.append(ip)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -81,6 +81,8 @@
         lambda: pathlib.Path(tempfile.mkdtemp(prefix="egretspur-"))
     )
     processes: dict[str, Process] = attrs.Factory(dict)
+    # Former processes, whose name another one has now.
+    ended: list[Process] = attrs.Factory(list)
     conns: transport.Transport = attrs.Factory(
         lambda: transport.Transport(1.0, 30.0)
     )
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -409,6 +409,7 @@
     assert (line["request"], line["service"]) == ("r", "llm"), line
     found = (line["sent"], int(line["part"]), line["hosts"])
     assert found == (sent, part, 1), found
+    assert line["heard_s"] is None, line
 
 
 @when("a request runs and its first engine refuses it")
