Don't conclude from the settings that no retry was sent before a start

Cause: `bootstrap` of the settings says that the whole system starts for the first time. A host took it for knowledge that no retry had been sent before its start, so each of its processes had a whole part of the budget at once, and before the first update of another host the part of all. A supervisor that starts a process that died with the same file makes the word false, and no host can see that.

Change: the setting is not read any more. Each start is new until it has been told of the others for a window; options of the budget that say nothing mean that, too.

--- a/bench/fleetplay.py
+++ b/bench/fleetplay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
@@ -218,7 +219,7 @@
                             spec.accelerators[kind],
                         )
                     )
-        options = repeats.Options(0.2, 200.0, 10.0)
+        options = repeats.Options(0.2, 200.0, 10.0, -math.inf)
         self._brokers = {
             place: broker.Broker(
                 place, options, random.Random(day.seed), policy.using
--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -26,8 +26,10 @@
     allowance: float
     window_s: float
     # Time since which this host receives peer updates; infinite if it has not
-    # received any yet.
-    since_s: float = -math.inf
+    # received any yet. Nothing else tells what was spent before its start: not
+    # even settings that call it the first one, since a supervisor may start
+    # each later process with the same.
+    since_s: float = math.inf
 
 
 class RetryBudgets:
@@ -52,8 +54,6 @@
         self._options = options
         self._rng = rng or random.Random()
         self._since_s = options.since_s
-        # Time of the first peer update; infinite if there was none yet.
-        self._heard_since_s = math.inf
         self._budgets: dict[str, shared.SharedBudget] = {}
         self._ledger = shared.PeerLedger(data_centre, options.window_s)
 
@@ -93,9 +93,8 @@
 
     def get_heard_s(self, now_s: float) -> float | None:
         """Returns the seconds since the first peer update, if there was one."""
-        if math.isinf(self._heard_since_s):
-            return None
-        return now_s - self._heard_since_s
+        age_s = self._get_age_s(now_s)
+        return age_s if math.isfinite(age_s) else None
 
     def apply_peer_update(
         self,
@@ -116,7 +115,6 @@
                 a window.
         """
         self._since_s = min(self._since_s, now_s)
-        self._heard_since_s = min(self._heard_since_s, now_s)
         self._ledger.apply_peer_update(host, data_centre, spent, now_s, is_new)
 
     def list_spent(self, now_s: float) -> dict[str, shared.Spent]:
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -524,10 +524,7 @@
 def _make_budget_options(cfg: node.HostSettings) -> repeats.Options:
     """Returns the options of the retry budgets of a host that has started."""
     since_s = math.inf
-    if cfg.is_first_start:
-        # No retry can have been spent before.
-        since_s = -math.inf
-    elif not set(_strip_ports(cfg.seeds)) - {cfg.ip}:
+    if not set(_strip_ports(cfg.seeds)) - {cfg.ip}:
         # No other host can send what was spent.
         since_s = time.monotonic()
     return repeats.Options(
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -35,8 +35,6 @@
     ip: str
     data_centre: str
     data_centres: tuple[str, ...]
-    # No host of this installation has run before.
-    is_first_start: bool = False
     # Addresses for callers and for the load balancer's readiness checks.
     listen: str
     listen_ready: str
@@ -108,7 +106,6 @@
         ip=data["ip"],
         data_centre=data["zone"],
         data_centres=tuple(sorted(data["zones"])),
-        is_first_start=data.get("bootstrap") is True,
         listen=data["listen"]["frontend"],
         listen_ready=data["listen"]["ready"],
         listen_control=data["listen"]["control_plane"],
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Final
 
@@ -45,7 +46,7 @@
 # Memory of a host, as the platform's settings have it.
 MEMORY_BYTES: Final = 300_000_000
 
-BUDGET: Final = repeats.Options(0.2, 200.0, 10.0)
+BUDGET: Final = repeats.Options(0.2, 200.0, 10.0, -math.inf)
 
 
 def parse_layers(text: str) -> upstreams.Layers | None:
--- a/tests/routing/replicas.py
+++ b/tests/routing/replicas.py
@@ -10,6 +10,7 @@
 import collections
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 from typing import Final
@@ -65,7 +66,9 @@
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._counter = itertools.count()
-        options = repeats.Options(0.2, hosts * RETRIES_PER_HOST, 10.0)
+        options = repeats.Options(
+            0.2, hosts * RETRIES_PER_HOST, 10.0, -math.inf
+        )
         self.hosts = [
             broker.Broker(p, options, random.Random(i))
             for i, p in zip(
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, Final
 
 import attrs
@@ -41,7 +42,7 @@
 def step_begun(context: Any, trouble: str) -> None:
     context.is_begun = True
     context.trouble = trouble
-    context.budget = repeats.Options(0.0, 20.0, 10.0)
+    context.budget = repeats.Options(0.0, 20.0, 10.0, -math.inf)
     broker_steps.make_chain(context)
     broker_steps.arrive(context, NAME)
     context.sent = 0
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
@@ -59,7 +60,7 @@
 @given("hosts that may repeat {what}")
 def step_budget(context: Any, what: str) -> None:
     if what == "nothing":
-        context.budget = repeats.Options(0.0, 0.0, 10.0)
+        context.budget = repeats.Options(0.0, 0.0, 10.0, -math.inf)
 
 
 @given("a chain of engines with memory for about 45000 tokens")
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -21,7 +21,7 @@
 def make_broker(entry: upstreams.Upstream) -> broker.Broker:
     """Returns a host that has just read a list with one engine."""
     made = broker.Broker(
-        "kl-hall", repeats.Options(0.2, 10.0, 10.0), random.Random(1)
+        "kl-hall", repeats.Options(0.2, 10.0, 10.0, -math.inf), random.Random(1)
     )
     made.replace_upstreams({entry.id: entry}, 0.0)
     return made
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -21,6 +21,16 @@
     context.add_cleanup(context.retrying.close)
 
 
+@given("hosts that start again with the settings of their first start")
+def step_keep_settings(context: Any) -> None:
+    context.retrying.site.keeps_settings = True
+
+
+@when("all hosts are killed three times")
+def step_all_killed(context: Any) -> None:
+    context.windows = context.retrying.run("all hosts are killed")
+
+
 @when("upstreams read late")
 def step_read_late(context: Any) -> None:
     context.windows = context.retrying.run("upstreams read late")
