Let the store say that a host is the only one, not its settings

What callers saw: nothing yet.

A host whose settings name no other host as a seed took itself for the only one and counted its books as whole a window after its start. If no update passes between it and the others, it has the part of all, which the others have too.

Change: a host is the only one if the store lists itself alone, and neither seeds nor other data centres nor updates name another. Otherwise its time begins with the first update. A single host starts to count a moment later than before, once the store has answered.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -25,10 +25,10 @@
     # Retries allowed in a window in addition.
     allowance: float
     window_s: float
-    # Time since which this host receives peer updates; infinite if it has not
-    # received any yet. Nothing else tells what was spent before its start: not
-    # even settings that call it the first one, since a supervisor may start
-    # each later process with the same.
+    # Time since which this host receives peer updates, or knows that it is the
+    # only host; infinite if it doesn't yet. Nothing else tells what was spent
+    # before its start: not even settings that call it the first one, since a
+    # supervisor may start each later process with the same.
     since_s: float = math.inf
 
 
@@ -62,7 +62,7 @@
         return self._get_age_s(now_s) < self._options.window_s
 
     def _get_age_s(self, now_s: float) -> float:
-        """Returns for how long this host has received peer updates."""
+        """Returns for how long this host has known of the others' retries."""
         return now_s - self._since_s
 
     def earn(self, service: str, now_s: float) -> None:
@@ -92,10 +92,17 @@
         return budget.get_balance(self.hosts, self._get_age_s(now_s))
 
     def get_heard_s(self, now_s: float) -> float | None:
-        """Returns the seconds since the first peer update, if there was one."""
+        """Returns for how long it has known of the other hosts' retries.
+
+        None if it doesn't yet.
+        """
         age_s = self._get_age_s(now_s)
         return age_s if math.isfinite(age_s) else None
 
+    def note_sole(self, now_s: float) -> None:
+        """Records that no other host is there to tell of its retries."""
+        self._since_s = min(self._since_s, now_s)
+
     def apply_peer_update(
         self,
         host: str,
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -97,7 +97,9 @@
         self._desk = desk.Desk(
             broker.Broker(
                 cfg.data_centre,
-                _make_budget_options(cfg),
+                repeats.Options(
+                    cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s
+                ),
                 rng,
                 enabled,
                 cfg.ip,
@@ -152,6 +154,7 @@
             self._aggregate,
             self._handle_updates,
             self._make_kinds(),
+            lambda: self._desk.tell(desk.SoleHost()),
         )
         self._pages_client = transport.Transport(0.3, 1.0)
         group = store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip)
@@ -521,17 +524,6 @@
                     self._reload()
 
 
-def _make_budget_options(cfg: node.HostSettings) -> repeats.Options:
-    """Returns the options of the retry budgets of a host that has started."""
-    since_s = math.inf
-    if not set(_strip_ports(cfg.seeds)) - {cfg.ip}:
-        # No other host can send what was spent.
-        since_s = time.monotonic()
-    return repeats.Options(
-        cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s, since_s
-    )
-
-
 def _strip_ports(addresses: Sequence[str]) -> list[str]:
     """Returns the addresses without their ports."""
     return [a.rpartition(":")[0] for a in addresses]
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -69,6 +69,7 @@
         aggregate: Callable[[datagrams.PeerUpdate], datagrams.PeerUpdate],
         handle_updates: Callable[[Sequence[datagrams.PeerUpdate], int], None],
         kinds: Sequence[sidechannels.Kind[Any]] = (),
+        handle_sole: Callable[[], None] = lambda: None,
     ) -> None:
         """Makes an exchange.
 
@@ -82,12 +83,15 @@
             handle_updates: Receives the updates of others, oldest first, and
                 the number of hosts that share a retry budget.
             kinds: Updates that are exchanged besides.
+            handle_sole: Called if the store lists no other host, and no other
+                source has named one either.
         """
         self._ip = ip
         self._port = port
         self._make_update = make_update
         self._aggregate = aggregate
         self._handle_updates = handle_updates
+        self._handle_sole = handle_sole
         self._channels = [sidechannels.SideChannel(k) for k in kinds]
         self._lock = threading.Lock()
         self._peers = peers
@@ -130,6 +134,9 @@
         """Adds hosts that the store lists as members."""
         with self._lock:
             self._peers.add_members(hosts, time.monotonic())
+            is_sole = self._peers.is_sole()
+        if is_sole:
+            self._handle_sole()
 
     def may_be_deputy(self) -> bool:
         """Returns whether this is the first host while none has the store."""
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -205,6 +205,11 @@
         """Returns a host's data centre; this host's own until it is known."""
         return self._host_data_centres.get(host, self._data_centre)
 
+    def is_sole(self) -> bool:
+        """Returns whether no source has named any other host."""
+        others = self._data_centres - {self._data_centre}
+        return not (self._seeds or self._known or others)
+
     def is_alone(self, now_s: float) -> bool:
         """Returns whether no local host has sent an update recently."""
         return not any(
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -155,6 +155,11 @@
     hosts: int
 
 
+@attrs.frozen
+class SoleHost:
+    """The store lists no other host, and no other source names one."""
+
+
 @attrs.frozen
 class PeerContention:
     """Contention updates of other hosts, oldest first."""
@@ -390,6 +395,10 @@
         for update in message.updates:
             self._broker.apply_peer_update(update, now_s)
 
+    @handle.register
+    def _(self, message: SoleHost) -> None:
+        self._broker.retry_budgets.note_sole(time.monotonic())
+
     @handle.register
     def _(self, message: PeerContention) -> None:
         now_s = time.monotonic()
--- /dev/null
+++ b/tests/daemons/starting.feature
@@ -0,0 +1,18 @@
+Feature: Retries of hosts that start again as processes
+
+  Scenario: All hosts are killed, and start with the settings of their first start
+    # Guards against retries beyond the budget by hosts that conclude from their
+    # settings that none were sent before their start.
+    Given a site of 3 hosts, with 36 requests a second and 20 retries allowed
+    And hosts that start again with the settings of their first start
+    When all hosts are killed three times
+    Then no window of a service has more retries than allowed
+    And no request reaches more upstreams than allowed
+
+  Scenario: A host starts, and no update passes between it and the others
+    # Guards against retries beyond the budget by a host that takes itself for the
+    # only one, since its settings name no other.
+    Given a site of 3 hosts, with 36 requests a second and 20 retries allowed
+    When a host starts unheard
+    Then no window of a service has more retries than allowed
+    And no request reaches more upstreams than allowed
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -237,3 +237,18 @@
     And it heard of host "10.2.0.2" in "pg-hall" 5.5 s ago, whose store answered 0 s ago
     Then it may ask "10.1.0.2" near by and "10.2.0.1" elsewhere
     And it opens tunnels for "10.1.0.3" and not for "10.9.0.9"
+
+  Scenario Outline: The store lists the hosts
+    # Guards against a host that takes itself for the only one.
+    Given one host, which <knows>
+    When the store lists <members> as members
+    Then it <is> the only host as far as it knows
+
+    Examples:
+      | knows                                   | members            | is     |
+      | knows no other                          | itself             | is     |
+      | knows no other                          | itself and another | is not |
+      | knows no other                          | another            | is not |
+      | has another seed                        | itself             | is not |
+      | knows that there is another data centre | itself             | is not |
+      | has been told of another                | itself             | is not |
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -398,6 +398,18 @@
                     self.site.hosts.remove(ip)
 
 
+def play_start_unheard(site: sites.Site) -> None:
+    """The first host starts again, and no update passes to it or from it."""
+    fail(site)
+    shared_port = site.ports["exchange"]
+    first = site.hosts[0]
+    site.ports["exchange"], socks = sites.reserve_exchange_port((first,))
+    site.reserved += socks
+    restart_host(site, first)
+    site.ports["exchange"] = shared_port
+    time.sleep(2 * sharing.WINDOW_S)
+
+
 def play_all_killed_often(site: sites.Site) -> None:
     """All hosts are killed every few seconds."""
     fail(site)
@@ -460,6 +472,7 @@
     "hosts stop in turn": play_stop_in_turn,
     "all hosts are killed": play_all_killed,
     "hosts are killed in turn": play_killed_in_turn,
+    "a host starts unheard": play_start_unheard,
     "all hosts are killed often": play_all_killed_often,
     "all hosts are down for long": play_down_for_long,
     "hosts get random signals": play_random_signals,
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -792,3 +792,44 @@
 def step_opens_for(context: Any, known: str, unknown: str) -> None:
     assert context.peers.is_known(known, 100.0)
     assert not context.peers.is_known(unknown, 100.0)
+
+
+@given("one host, which {knows}")
+def step_knows(context: Any, knows: str) -> None:
+    seeds = IPS[1:2] if knows == "has another seed" else IPS[:1]
+    places = ["kl-hall"]
+    if knows == "knows that there is another data centre":
+        places.append("pg-hall")
+    peers = hosts.Peers(IPS[0], "kl-hall", seeds, data_centres=places)
+    if knows == "has been told of another":
+        peers.record_update(make_news(IPS[1]), 0.0)
+    context.sole = 0
+
+    def count() -> None:
+        context.sole += 1
+
+    context.exchange = exchange.Exchange(
+        peers,
+        IPS[0],
+        stage.find_udp_port([IPS[0]]),
+        make_sender(IPS[0]),
+        lambda news: news,
+        lambda news, hosts: None,
+        handle_sole=count,
+    )
+
+
+@when("the store lists {members} as members")
+def step_lists(context: Any, members: str) -> None:
+    listed = {
+        "itself": IPS[:1],
+        "itself and another": IPS[:2],
+        "another": IPS[1:2],
+    }
+    context.exchange.add_members(tuple(listed[members]))
+    context.exchange.close()
+
+
+@then("it {verb} the only host as far as it knows")
+def step_sole(context: Any, verb: str) -> None:
+    assert context.sole == (verb == "is"), context.sole
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -31,6 +31,11 @@
     context.windows = context.retrying.run("all hosts are killed")
 
 
+@when("a host starts unheard")
+def step_unheard(context: Any) -> None:
+    context.windows = context.retrying.run("a host starts unheard")
+
+
 @when("upstreams read late")
 def step_read_late(context: Any) -> None:
     context.windows = context.retrying.run("upstreams read late")
