--- a/tests/steps/helped_steps.py
+++ b/tests/steps/helped_steps.py
@@ -17,6 +17,9 @@
 CONTACT_S: Final = 3.0
 AROUND_S: Final = 2.5
 
+# Log lines that tell how an attempt, or a request, ended.
+ENDING_EVENTS: Final = ("attempt_failed", "request_refused", "request_cut")
+
 # Shorter than a stream.
 GRACE_S: Final = 1.0
 
@@ -78,8 +81,29 @@
         for s in context.streams.streams
         if s.host == context.play.hosts[0] and s.sent_s >= context.began_s
     ]
-    whole = [s for s in ran if s.is_whole]
-    assert len(whole) >= max(least, 0.9 * len(ran)), (len(whole), len(ran))
+    lost = [s for s in ran if not s.is_whole]
+    assert len(ran) - len(lost) >= max(least, 0.9 * len(ran)), (
+        f"{len(lost)} of {len(ran)}: {list_ends(context, lost)}"
+    )
+
+
+def list_ends(
+    context: Any, lost: list[streams.Stream]
+) -> list[tuple[float, int, int, list[str]]]:
+    """Returns when streams were sent, what came, and what hosts logged."""
+    return [
+        (
+            round(s.sent_s - context.began_s, 2),
+            s.status,
+            s.events,
+            [
+                f"{fields['event']}: {fields.get('reason')}"
+                for fields in streams.find_lines(context.play, s.id)
+                if fields["event"] in ENDING_EVENTS
+            ],
+        )
+        for s in lost
+    ]
 
 
 # Parts of a plain answer, and the time between two of them.
