End an engine's events by one absolute time, and bound one event

What callers saw: nothing yet. An engine of `egretspur-router` that sends bytes without end, none of which ends an event, was read for as long as it sends; the router's memory grew with it, and the thread that reads all streams waited for each chunk's head.

Cause: silence was counted from the last bytes, not from the last event, and an answer's head had no time of its own but between two bytes.

Change: a head has the time of a first event and three seconds; an event that has begun has three seconds and 1 MiB; reading what is ready takes a quarter of a second.

--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -18,7 +18,9 @@
 from __future__ import annotations
 
 import io
+import math
 import socket
+import time
 from typing import Any, Final
 
 import attrs
@@ -35,6 +37,11 @@
 # Timeout for the rest of a partially received event.
 PARTIAL_EVENT_TIMEOUT_S: Final = 0.25
 
+# Bytes of one event, and time from its first byte to its end. Longer than a
+# sound engine or a link stands still.
+MAX_EVENT_BYTES: Final = 1 << 20
+MAX_EVENT_S: Final = 3.0
+
 # Length of the line break that ends a chunk of a chunked response.
 CHUNK_END_BYTES: Final = 2
 
@@ -219,6 +226,7 @@
             codec.dump(call),
             {"Content-Type": "application/json"},
             self._first_event_s,
+            self._first_event_s + MAX_EVENT_S,
         )
         if isinstance(res, transport.Failed):
             return StreamFailure(
@@ -286,6 +294,9 @@
         self._address = address
         self._transport = conns
         self._partial_line = b""
+        # Monotonic time by which the event that has begun must have ended.
+        self._event_by_s = math.inf
+        self._bounds = transport.get_bounds(res)
         # Longest silence in seconds between two events.
         self.max_silence_s = max_silence_s
         # Set after an end or error event.
@@ -303,7 +314,8 @@
         """
         events: list[Event] = []
         while not events:
-            data = self._read_some()
+            # Silence ends by the socket's time-out.
+            data = self._read_some(self.max_silence_s + MAX_EVENT_S)
             if isinstance(data, StreamFailure):
                 return data
             events = self._parse(data)
@@ -318,7 +330,7 @@
         """
         events: list[Event] = []
         while not self.ended:
-            data = self._read_some()
+            data = self._read_some(PARTIAL_EVENT_TIMEOUT_S)
             if isinstance(data, StreamFailure):
                 self.failure = data
                 return events or data
@@ -335,6 +347,7 @@
         """Releases the connection for reuse after the end event."""
         try:
             self.sock.settimeout(PARTIAL_EVENT_TIMEOUT_S)
+            self._bounds.deadline_s = time.monotonic() + PARTIAL_EVENT_TIMEOUT_S
             if self._partial_line or self._res.read(1):
                 # On a reused connection, stray bytes after the end would be
                 # read as the start of the next response.
@@ -349,7 +362,16 @@
         """Closes the connection, to prevent its reuse."""
         self._transport.discard(self._address, self._res)
 
-    def _read_some(self) -> bytes | StreamFailure:
+    def _read_some(self, wait_s: float) -> bytes | StreamFailure:
+        """Reads some bytes.
+
+        Args:
+            wait_s: Longest time until some have come, in seconds.
+        """
+        # Bytes of the framing may come without end as well.
+        self._bounds.deadline_s = min(
+            time.monotonic() + wait_s, self._event_by_s
+        )
         try:
             data = self._res.read1(_MAX_READ_BYTES)
         except (exceptions.ReadTimeoutError, TimeoutError) as exc:
@@ -371,6 +393,12 @@
                 f"{self._address}: closed without end event",
                 maybe_started=True,
             )
+        if len(self._partial_line) + len(data) > MAX_EVENT_BYTES:
+            return StreamFailure(
+                f"{self._address}: an event of more than"
+                f" {MAX_EVENT_BYTES} bytes",
+                maybe_started=True,
+            )
         return data
 
     def has_buffered(self) -> bool:
@@ -393,6 +421,10 @@
         lines = (self._partial_line + data).split(b"\n")
         self._partial_line = lines.pop()
         events = [parse_event(line) for line in lines if line]
+        if events and not self._partial_line:
+            self._event_by_s = math.inf
+        elif events or math.isinf(self._event_by_s):
+            self._event_by_s = time.monotonic() + MAX_EVENT_S
         if events and not isinstance(events[-1], TokenEvent):
             self.ended = True
         return events
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -81,8 +81,9 @@
 
     # Whether the call opened a connection.
     is_new = False
-    # Monotonic time by which its answer must have come.
+    # Monotonic times by which its answer, and the head of it, must have come.
     deadline_s = math.inf
+    head_by_s = math.inf
 
 
 class _NotedConnection(responses.Connection):
@@ -111,8 +112,11 @@
 
     def getresponse(self) -> Any:
         """Returns the response to the request that was sent last."""
-        self.bounds.deadline_s = self._opened.deadline_s
-        return super().getresponse()
+        deadline_s = self._opened.deadline_s
+        self.bounds.deadline_s = min(deadline_s, self._opened.head_by_s)
+        res = super().getresponse()
+        self.bounds.deadline_s = deadline_s
+        return res
 
 
 class Transport:
@@ -196,13 +200,26 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         read_s: float | None = None,
+        head_s: float = math.inf,
     ) -> urllib3.BaseHTTPResponse | Failed:
-        """Sends one request and returns its answer, body unread."""
+        """Sends one request and returns its answer, body unread.
+
+        Args:
+            method: HTTP method.
+            address: IP and port.
+            path: Path with query.
+            body: Bytes to send.
+            headers: Header fields to send.
+            read_s: Longest silence in seconds; the transport's if None.
+            head_s: Longest time until the end of the answer's head, in
+                seconds.
+        """
         timeout = urllib3.Timeout(
             connect=self._connect_s,
             read=self._read_s if read_s is None else read_s,
         )
         self._opened.is_new = False
+        self._opened.head_by_s = time.monotonic() + head_s
         try:
             return self._get_pool(address).urlopen(
                 method,
@@ -235,6 +252,8 @@
             return Failed(
                 f"{address}: {exc}", True, is_timeout, self._opened.is_new
             )
+        finally:
+            self._opened.head_by_s = math.inf
 
     def discard(self, address: str, res: urllib3.BaseHTTPResponse) -> None:
         """Closes a connection that broke mid-answer, and its pool."""
@@ -276,6 +295,13 @@
             return pool
 
 
+def get_bounds(res: urllib3.BaseHTTPResponse) -> responses.ReadBounds:
+    """Returns the bounds within which an open answer is read."""
+    conn = res.connection
+    assert isinstance(conn, responses.Connection)
+    return conn.bounds
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Returns the host and the port of an address."""
     host, _, port = address.rpartition(":")
--- a/tests/responses.feature
+++ b/tests/responses.feature
@@ -75,6 +75,7 @@
       | the client of callers' requests     | their deadline passes |
       | the client of callers' requests     | their callers leave   |
       | the client of calls among processes | their deadline passes |
+      | the client of engines               | their deadline passes |
 
   Scenario: Interim responses, and silence between them
     # Guards against a sound upstream that is cut for the time it takes.
--- a/tests/steps/responses_steps.py
+++ b/tests/steps/responses_steps.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from egretspur import ends, transport
+from egretspur.clients import engine
 from egretspur.tunnels import dialer
 from tests.steps import upstream_steps
 
@@ -270,6 +271,27 @@
     client.close()
 
 
+def read_events(sock: socket.socket, life_s: float, leave_s: float) -> None:
+    """Reads as the client of engines, until the attempt ends."""
+    client = engine.EngineClient(1.0, life_s, life_s, dial=lambda a, s: sock)
+    hop = engine.Hop("u", "127.0.0.1:1", 0, 4)
+    call = engine.RunCall("q", 1, "m", "", "v", "text", (), 9, 1, (hop,))
+    stream = client.run(call)
+    while isinstance(stream, engine.EventStream) and not stream.ended:
+        if isinstance(stream.read(), engine.StreamFailure):
+            break
+    if isinstance(stream, engine.EventStream):
+        stream.discard()
+    client.close()
+
+
+ENDLESS_READERS: Final = {
+    "the client of callers' requests": read_request,
+    "the client of calls among processes": read_call,
+    "the client of engines": read_events,
+}
+
+
 def connect_pair() -> tuple[socket.socket, socket.socket]:
     """Returns both ends of a TCP connection.
 
@@ -283,7 +305,7 @@
 
 def check_ends(reader: str, end: str, drawn: Endless) -> None:
     """Checks that a reader ends though bytes keep coming."""
-    read = read_request if "requests" in reader else read_call
+    read = ENDLESS_READERS[reader]
     leaves = end == "their callers leave"
     life_s, leave_s = (60.0, LIFE_S) if leaves else (LIFE_S, 60.0)
     near, far = connect_pair()
