Soak: upstreams that answer without end, and hosts that start with the settings of their first start

What callers saw: nothing; tests only.

Soaks with an odd seed start hosts again with the settings of their first start. Draws of the other faults are unchanged.

--- a/tests/sites.py
+++ b/tests/sites.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import socket
 import subprocess
 import sys
@@ -341,6 +342,15 @@
         process.lines.append(line)
 
 
+def read_peak_kb(site: Site, ip: str) -> int:
+    """Returns the most memory that a host has used."""
+    pid = site.stage.processes[ip].popen.pid
+    status = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    assert found is not None, status
+    return int(found[1])
+
+
 def is_ready(site: Site, ip: str = "127.0.0.1") -> bool:
     """Returns whether a host is ready."""
     url = f"http://{ip}:{site.ports['ready']}/egretspur/readyz"
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -22,6 +22,12 @@
 ``--stalls`` adds engines, and has some break off streams and then stand still;
 no request may run on more engines that live than its route allows.
 
+``--endless`` has upstreams answer bytes without end; no host may need more
+memory than its settings allow.
+
+In soaks with an odd seed, hosts start again with the settings of their first
+start.
+
 ``--links`` also cuts hosts off from all upstreams (`tests.fakes.partition`).
 
 Prints a JSON line for each finding and one with counts; the exit code is 1 if
@@ -48,7 +54,8 @@
 import attrs
 import urllib3
 
-from tests import asking, sites, stage, streams
+from tests import asking, fleets, sites, stage, streams
+from tests.fakes import replica
 
 EVENTS: Final = 5
 
@@ -82,6 +89,9 @@
 # Engines that ``--stalls`` adds.
 MORE_ENGINES: Final = 8
 
+# Pauses between two parts of an answer without end, in seconds.
+ENDLESS_PAUSES_S: Final = (0.0, 0.01, 0.1)
+
 # Age of the copy from which the store is restored, in seconds.
 COPY_BACK_S: Final = 6.0
 
@@ -123,6 +133,8 @@
     has_links: bool = False
     # Whether engines also stand still after they broke a stream off.
     has_stalls: bool = False
+    # Whether upstreams also answer bytes without end.
+    has_endless: bool = False
     # Host of each request, by its id, and start and end times of the faults of
     # each target.
     request_hosts: dict[str, str] = attrs.Factory(dict)
@@ -197,6 +209,7 @@
             **(ASKING if self.has_asking else {}),
             **(LINKS if self.has_links else {}),
             **(STALLS if self.has_stalls else {}),
+            **(ENDLESS if self.has_endless else {}),
         }
         name = self.rng.choice(sorted(faults))
         lasts_s = self.rng.uniform(*FAULT_DURATION_S)
@@ -270,6 +283,12 @@
             # The engine may have been killed.
             self.site.set_fault(name, {"resumed_status": status})
 
+    def send_endless(self, name: str, lasts_s: float) -> None:
+        """Has an upstream answer bytes without end, at some speed."""
+        kind = self.rng.choice(sorted(replica.ENDLESS))
+        pause_s = self.rng.choice(ENDLESS_PAUSES_S)
+        self.set_fault(name, lasts_s, endless=kind, endless_pause_s=pause_s)
+
     def copy(self, name: str, lasts_s: float) -> None:
         """Takes the store down and restores it from a copy.
 
@@ -335,11 +354,21 @@
             found += asking.find_violations(name, arrivals, self.fault_times)
         if not self.has_links:
             found += self._find_spread()
+        found += self._find_large()
         late = count_late(self.fatal, runs)
         if late > MAX_LATE_RUNS:
             found.append(f"what ended three engines reached {late} more")
         return found
 
+    def _find_large(self) -> list[str]:
+        """Returns the hosts that have needed too much memory."""
+        peaks = {ip: sites.read_peak_kb(self.site, ip) for ip in self.ips}
+        return [
+            f"{ip} needed {peak} kB"
+            for ip, peak in peaks.items()
+            if peak > fleets.MEMORY_BYTES / 1000
+        ]
+
     def _find_spread(self) -> list[str]:
         """Returns the requests that ran on more engines than allowed.
 
@@ -439,6 +468,8 @@
     "limit": "",
     "rest_s": "",
     "stall_s": 0.0,
+    "endless": "",
+    "endless_pause_s": 0.0,
 }
 
 Fault = Callable[[Soak, str, float], None]
@@ -487,6 +518,13 @@
     f"store_engines_stall{i}": lambda s, n, t: s.stall(t) for i in range(3)
 }
 
+# Added by ``--endless``.
+ENDLESS: Final[dict[str, Fault]] = {
+    "engine_endless": lambda s, n, t: s.send_endless(n, t),
+    "plain_endless": lambda s, n, t: s.send_endless(n, t),
+    "plain_endless_too": lambda s, n, t: s.send_endless(n, t),
+}
+
 # Added by ``--copies``; three times as likely as each of the others.
 COPIES: Final[dict[str, Fault]] = {
     f"store_copy{i}": lambda s, n, t: s.copy(n, t) for i in range(3)
@@ -502,9 +540,11 @@
     has_asking: bool = False,
     has_links: bool = False,
     has_stalls: bool = False,
+    has_endless: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Runs a soak; returns its record and the violations."""
     site = sites.start_site(hosts)
+    site.keeps_settings = seed % 2 == 1
     if has_stalls:
         # Three hold each layer, so that a request may reach a third one.
         for number in range(MORE_ENGINES):
@@ -518,6 +558,7 @@
         has_asking=has_asking,
         has_links=has_links,
         has_stalls=has_stalls,
+        has_endless=has_endless,
     )
     if has_fatal:
         soak.start_fatal(seed)
@@ -580,6 +621,9 @@
     parser.add_argument(
         "--stalls", action="store_true", help="have engines stand still"
     )
+    parser.add_argument(
+        "--endless", action="store_true", help="have upstreams answer no end"
+    )
     args = parser.parse_args(argv)
     soak, found = run(
         args.seed,
@@ -590,6 +634,7 @@
         args.asking,
         args.links,
         args.stalls,
+        args.endless,
     )
     for finding in found:
         print(json.dumps({"finding": finding}))
--- a/tests/steps/endless_steps.py
+++ b/tests/steps/endless_steps.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import concurrent.futures
-import pathlib
-import re
 import time
 from typing import Any, Final
 
@@ -95,15 +93,6 @@
 @then("no host needs more memory than it may")
 def step_memory(context: Any) -> None:
     site = context.play
-    peaks = {ip: read_peak_kb(site, ip) for ip in site.hosts}
+    peaks = {ip: sites.read_peak_kb(site, ip) for ip in site.hosts}
     print("peak memory, kB", peaks)
     assert max(peaks.values()) <= fleets.MEMORY_BYTES / 1000, peaks
-
-
-def read_peak_kb(site: sites.Site, ip: str) -> int:
-    """Returns the most memory that a host has used."""
-    pid = site.stage.processes[ip].popen.pid
-    status = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
-    found = re.search(r"VmHWM:\s+(\d+) kB", status)
-    assert found is not None, status
-    return int(found[1])
