Apply upstreams' flow-control signals where their limits are kept

What callers saw: nothing; behaviour is the same. The broker is the largest file of the routing slice and had the reading of limits, backoffs and announced ends, whose state is in routing/backpressure.py; it goes there, with the jitter of backoffs. In tests, the two histories that kill all hosts share one loop.

--- a/egretspur/routing/backpressure.py
+++ b/egretspur/routing/backpressure.py
@@ -7,15 +7,20 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Container, Mapping
+from typing import Final
 
 import attrs
 
-from egretspur import decisions
+from egretspur import decisions, signals
 from egretspur.admission import throttle
 from egretspur.catalog import upstreams
 from egretspur.routing import health, paths
 
+# A backoff lasts up to this fraction longer than asked for.
+BACKOFF_JITTER: Final = 0.1
+
 
 class Backpressure:
     """Limits, backoffs and announced departures of upstreams."""
@@ -27,6 +32,7 @@
         state: health.Health,
         limits: throttle.Throttle,
         log_events: list[decisions.Decision],
+        rng: random.Random,
     ) -> None:
         """Makes a state without limits, backoffs or departures.
 
@@ -36,6 +42,7 @@
             state: Health of the upstreams, with their backoffs.
             limits: This host's shares of their rate limits.
             log_events: Receives changes of limits and states for the log.
+            rng: Draws how much longer than asked for a backoff lasts.
         """
         # Number of times that a limit was set, changed or lifted.
         self.changes = 0
@@ -44,6 +51,7 @@
         self._health = state
         self._throttle = limits
         self._log_events = log_events
+        self._rng = rng
         # Upstreams that announced in an answer that they leave.
         self._leaving: set[str] = set()
 
@@ -71,21 +79,58 @@
             ):
                 self._log_limit(upstream_id, limit.per_s, False)
 
-    def record_limit(
+    def apply_signals(
+        self, upstream_id: str, answer: signals.Signals, now_s: float
+    ) -> None:
+        """Applies the signals that came with an upstream's answer.
+
+        Args:
+            upstream_id: The upstream, which may have left the list.
+            answer: Its signals.
+            now_s: Monotonic time.
+        """
+        for value in (answer.per_s, answer.backoff_s):
+            if isinstance(value, signals.Unreadable):
+                self._record_unreadable(upstream_id, value)
+        if upstream_id not in self._roster.entries:
+            return
+        if answer.is_leaving:
+            self._record_leaving(upstream_id)
+        if isinstance(answer.backoff_s, float):
+            self._record_backoff(upstream_id, answer.backoff_s, now_s)
+        if not isinstance(answer.per_s, signals.Unreadable):
+            self._record_limit(upstream_id, answer.per_s, now_s)
+
+    def _record_unreadable(
+        self, upstream_id: str, value: signals.Unreadable
+    ) -> None:
+        if self._throttle.record_unreadable(upstream_id):
+            self._log_events.append(
+                decisions.EntryLeftOut(
+                    "answers", upstream_id, value.field, value.problem
+                )
+            )
+
+    def _record_limit(
         self, upstream_id: str, per_s: float | None, now_s: float
     ) -> None:
         """Records the limit in an upstream's answer; None if it had none."""
         if self._throttle.record_limit(upstream_id, per_s, now_s):
             self._log_limit(upstream_id, per_s, True)
 
-    def record_backoff(
-        self, upstream_id: str, backoff_s: float, now_s: float
+    def _record_backoff(
+        self, upstream_id: str, asked_s: float, now_s: float
     ) -> None:
-        """Records a backoff that an upstream asked this host for."""
+        """Records a backoff that an upstream asked this host for.
+
+        With jitter, so that hosts that got the signal together do not resume
+        together.
+        """
+        backoff_s = asked_s * (1.0 + self._rng.uniform(0.0, BACKOFF_JITTER))
         self._health.record_backoff(upstream_id, now_s + backoff_s)
         self._log_state(upstream_id, "backoff", f"asked for {backoff_s:g} s")
 
-    def record_leaving(self, upstream_id: str) -> None:
+    def _record_leaving(self, upstream_id: str) -> None:
         """Records that an upstream announced that it leaves."""
         if upstream_id not in self._leaving:
             self._leaving.add(upstream_id)
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -36,9 +36,6 @@
 from egretspur.routing import fleet as fleets
 from egretspur.tunnels import reach
 
-# Maximum fraction by which a backoff exceeds what the upstream asked for.
-BACKOFF_JITTER: Final = 0.1
-
 MAX_QUEUED: Final = 200
 
 # Reason of refusals while no upstream is reached, for the log and callers.
@@ -234,38 +231,9 @@
         self, upstream_id: str, answer: signals.Signals, now_s: float
     ) -> list[jobs.Effect]:
         """Applies the flow-control signals that came with an answer."""
-        for value in (answer.per_s, answer.backoff_s):
-            if isinstance(value, signals.Unreadable):
-                self._note_unreadable(upstream_id, value)
-        if upstream_id not in self.fleet.roster.entries:
-            return []
-        if answer.is_leaving:
-            self.fleet.backpressure.record_leaving(upstream_id)
-        if isinstance(answer.backoff_s, float):
-            # Jitter, so that hosts that got the signal together do not resume
-            # together.
-            backoff_s = answer.backoff_s * (
-                1.0 + self._rng.uniform(0.0, BACKOFF_JITTER)
-            )
-            self.fleet.backpressure.record_backoff(
-                upstream_id, backoff_s, now_s
-            )
-        if not isinstance(answer.per_s, signals.Unreadable):
-            self.fleet.backpressure.record_limit(
-                upstream_id, answer.per_s, now_s
-            )
+        self.fleet.backpressure.apply_signals(upstream_id, answer, now_s)
         return self._start_queued(now_s)
 
-    def _note_unreadable(
-        self, upstream_id: str, value: signals.Unreadable
-    ) -> None:
-        if self.throttle.record_unreadable(upstream_id):
-            self._notes.append(
-                decisions.EntryLeftOut(
-                    "answers", upstream_id, value.field, value.problem
-                )
-            )
-
     def reroute(
         self,
         job_id: str,
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -91,9 +91,10 @@
             is_counting_excess: Whether memory that engines report beyond the
                 hosts' own count reduces their free memory.
             limits: This host's shares of the upstreams' rate limits.
-            rng: Draws replicas of plain services.
+            rng: Draws replicas of plain services, and delays.
             host: This host's address as others know it.
         """
+        rng = rng or random.Random()
         self.data_centre = data_centre
         # How this host reaches upstreams.
         self.reach_state = reach.ReachState.SOUND
@@ -127,10 +128,11 @@
             self.health,
             self.throttle,
             self.log_events,
+            rng,
         )
         self.replicas = replicas.Replicas(
             data_centre,
-            rng or random.Random(),
+            rng,
             self.memory,
             self.health,
             self.throttle,
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -351,15 +351,25 @@
     sites.start_host(site, ip)
 
 
-def play_all_killed(site: sites.Site) -> None:
-    """All hosts are killed, several times, and start again at once."""
+def kill_all(site: sites.Site, times: int, period_s: float) -> None:
+    """Kills all hosts, several times, and starts them again at once."""
     fail(site)
-    for _ in range(ROUNDS):
+    for _ in range(times):
         for ip in list(site.hosts):
             site.stage.processes[ip].popen.kill()
         for ip in list(site.hosts):
             restart_host(site, ip)
-        time.sleep(PERIOD_S)
+        time.sleep(period_s)
+
+
+def play_all_killed(site: sites.Site) -> None:
+    """All hosts are killed a few times."""
+    kill_all(site, ROUNDS, PERIOD_S)
+
+
+def play_all_killed_often(site: sites.Site) -> None:
+    """All hosts are killed every few seconds."""
+    kill_all(site, KILLS, KILL_PERIOD_S)
 
 
 def play_killed_in_turn(site: sites.Site) -> None:
@@ -410,17 +420,6 @@
     time.sleep(2 * sharing.WINDOW_S)
 
 
-def play_all_killed_often(site: sites.Site) -> None:
-    """All hosts are killed every few seconds."""
-    fail(site)
-    for _ in range(KILLS):
-        for ip in list(site.hosts):
-            site.stage.processes[ip].popen.kill()
-        for ip in list(site.hosts):
-            restart_host(site, ip)
-        time.sleep(KILL_PERIOD_S)
-
-
 def play_down_for_long(site: sites.Site) -> None:
     """All hosts are down for more than a window, and start together."""
     fail(site)
