Count a retry until a window after all attempts of its request can have been read

Cause: a retry counted until a window after its attempt's end, also where this host had ended the attempt itself, with no answer. An upstream that stands still reads it later, in a window in which its place has been given to another. The first attempt of a request, if read last, is the arrival beyond the first as well.

Change: each attempt is known by when it has been read: when its upstream answers or ends it, else a window after this side ended it. A retry counts until a window after the last of its request's attempts so far.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -57,6 +57,16 @@
         self._budgets: dict[str, shared.SharedBudget] = {}
         self._ledger = shared.PeerLedger(data_centre, options.window_s)
 
+    def settle_unanswered(self, sending: shared.Sending, now_s: float) -> None:
+        """Records that this side has ended an attempt that was not answered.
+
+        It can't be taken back: an upstream that stands still reads it when it
+        goes on. Nothing short of its own answer shows that it has been read,
+        since other connections may be faster. One that is read later than a
+        window after its end is not counted.
+        """
+        sending.settle(now_s + self._options.window_s)
+
     def is_new(self, now_s: float) -> bool:
         """Tells whether retries from before this host's start may count."""
         return self._get_age_s(now_s) < self._options.window_s
@@ -89,7 +99,7 @@
     def get_balance(self, service: str, now_s: float) -> shared.Balance:
         """Returns this host's balance of a service's budget."""
         budget = self._get(service)
-        return budget.get_balance(self.hosts, self._get_age_s(now_s))
+        return budget.get_balance(self.hosts, now_s, self._get_age_s(now_s))
 
     def get_heard_s(self, now_s: float) -> float | None:
         """Returns for how long it has known of the other hosts' retries.
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -79,22 +79,40 @@
 NOTHING_SPENT: Final = Spent()
 
 
+@attrs.define(eq=False)
+class Sending:
+    """An attempt on its way to an upstream.
+
+    The host can't tell when an upstream reads it, only that it has: once the
+    upstream has answered or ended the attempt.
+    """
+
+    # By when it has been read, or never will be; infinite until that is known.
+    read_by_s: float = math.inf
+
+    def settle(self, now_s: float) -> None:
+        """Records that it has been read, unless an earlier time is known."""
+        self.read_by_s = min(self.read_by_s, now_s)
+
+
 @attrs.define(eq=False)
 class Retry:
     """A retry that was taken from the budget.
 
-    The host can't tell when it reaches an upstream, only that it has: once the
-    upstream has answered or the attempt has ended. It counts for a window from
-    then. Were it counted from when it was taken, one that is held up on the way
-    would reach the upstream after its place has been given to another.
+    It counts for a window from when its request's attempts have been read, for
+    the host can't tell which of them an upstream reads last. Were it counted
+    from when it was taken, one that is held up on the way would reach the
+    upstream after its place has been given to another.
     """
 
-    # By when it has reached an upstream; infinite until that is known.
-    reached_by_s: float = math.inf
+    # The attempt that is sent with it, and those of the same request before.
+    sending: Sending = attrs.Factory(Sending)
+    earlier: tuple[Sending, ...] = ()
 
-    def settle(self, now_s: float) -> None:
-        """Records that it has reached an upstream, unless that is known."""
-        self.reached_by_s = min(self.reached_by_s, now_s)
+    @property
+    def reached_by_s(self) -> float:
+        """By when upstreams have read it; infinite until that is known."""
+        return max(s.read_by_s for s in (self.sending, *self.earlier))
 
 
 @attrs.frozen
@@ -184,11 +202,13 @@
             self._return_unused(hosts, 0.0)
         return self._summarize(hosts)
 
-    def get_balance(self, hosts: int, age_s: float = math.inf) -> Balance:
+    def get_balance(
+        self, hosts: int, now_s: float, age_s: float = math.inf
+    ) -> Balance:
         """Returns this host's balance as of its last retry."""
         return Balance(
             len(self._retries),
-            sum(math.isinf(r.reached_by_s) for r in self._retries),
+            sum(r.reached_by_s > now_s for r in self._retries),
             len(self._requests),
             self._get_guaranteed(hosts, age_s),
             self._borrowed,
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -85,9 +85,11 @@
         """
         ran = ticket.list_ran()
         if ticket.retry is not None:
-            attempt = attrs.evolve(attempt, retry=ticket.retry)
+            ticket.retry.earlier = tuple(ticket.sendings)
+            attempt = attrs.evolve(attempt, sending=ticket.retry.sending)
             ticket.retry = None
             self.counts.repeats += 1
+        ticket.sendings.append(attempt.sending)
         if is_beside:
             ticket.next = attempt
         else:
@@ -107,15 +109,47 @@
         )
 
     def release(
-        self, ticket: tickets.Ticket, now_s: float
+        self,
+        ticket: tickets.Ticket,
+        now_s: float,
+        failure: jobs.Failure | None = None,
     ) -> tickets.Attempt | None:
-        """Ends the current attempt of a request; returns it."""
+        """Ends the current attempt of a request; returns it.
+
+        Args:
+            ticket: The request.
+            now_s: Monotonic time.
+            failure: How the attempt failed; None if this side ended it, or
+                nothing was missing.
+        """
         attempt, ticket.current = ticket.current, None
         if attempt is not None:
-            attempt.settle_retry(now_s)
+            self.settle(attempt, now_s, failure)
             self.occupancy.remove(ticket.job, attempt)
         return attempt
 
+    def settle(
+        self,
+        attempt: tickets.Attempt,
+        now_s: float,
+        failure: jobs.Failure | None = None,
+    ) -> None:
+        """Records what the end of an attempt tells of its reading.
+
+        Args:
+            attempt: The attempt.
+            now_s: Monotonic time.
+            failure: As in `release`.
+        """
+        if failure is not None and (
+            failure.ended_by is ends.EndedBy.UPSTREAM
+            or failure.kind is jobs.FailureKind.UNREACHABLE
+        ):
+            # It has been read, or was not sent.
+            attempt.sending.settle(now_s)
+        else:
+            self._budgets.settle_unanswered(attempt.sending, now_s)
+
     def record_failure(
         self,
         ticket: tickets.Ticket,
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -145,7 +145,7 @@
         ticket = self.tickets.get(failure.id)
         if ticket is None:
             return []
-        attempt = self._attempts.release(ticket, now_s)
+        attempt = self._attempts.release(ticket, now_s, failure)
         self.handovers.release(ticket, now_s)
         ticket.is_begun |= failure.is_begun
         self._attempts.record_failure(ticket, attempt, failure, now_s)
@@ -176,6 +176,8 @@
             return []
         if is_answered:
             self.quarantine.record_answer(ticket.job.fingerprint, now_s)
+            if ticket.current is not None:
+                ticket.current.sending.settle(now_s)
         queues.remove(self.queue, job_id)
         if ticket.current is not None:
             queues.record_finish(self.queue, ticket.job.service, now_s)
@@ -204,7 +206,7 @@
         attempt = ticket.current if ticket else None
         if ticket is None or attempt is None:
             return
-        attempt.settle_retry(now_s)
+        attempt.sending.settle(now_s)
         if is_error:
             self._record_error(attempt.upstream_id, now_s)
             return
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -120,7 +120,9 @@
             is_sent: Whether an upstream may have run it.
         """
         ticket = self._tickets.get(job_id)
-        attempt = self.release(ticket, now_s) if ticket else None
+        if ticket is not None and ticket.next is not None and not is_sent:
+            ticket.next.sending.settle(now_s)
+        attempt = self.release(ticket, now_s, failure) if ticket else None
         if ticket is None or attempt is None or not is_sent:
             return
         if failure is None:
@@ -139,20 +141,29 @@
         if ticket is None:
             return
         ticket.is_begun = True
-        replaced = self._attempts.release(ticket, now_s)
+        replaced = self._attempts.release(ticket, now_s, failure)
         self._attempts.record_failure(ticket, replaced, failure, now_s)
         ticket.current, ticket.next = ticket.next, None
         if ticket.current is not None:
-            ticket.current.settle_retry(now_s)
+            ticket.current.sending.settle(now_s)
         ticket.fruitless = 0
 
     def release(
-        self, ticket: tickets.Ticket, now_s: float
+        self,
+        ticket: tickets.Ticket,
+        now_s: float,
+        failure: jobs.Failure | None = None,
     ) -> tickets.Attempt | None:
-        """Ends the second attempt of a request; returns it."""
+        """Ends the second attempt of a request; returns it.
+
+        Args:
+            ticket: The request.
+            now_s: Monotonic time.
+            failure: How the attempt failed; None if this side ended it.
+        """
         attempt, ticket.next = ticket.next, None
         if attempt is not None:
-            attempt.settle_retry(now_s)
+            self._attempts.settle(attempt, now_s, failure)
             self._attempts.occupancy.remove(ticket.job, attempt)
         return attempt
 
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -21,13 +21,8 @@
     parts: tuple[paths.Part, ...]
     # Monotonic time.
     started_s: float
-    # Retry that it was sent with; None for a request's first attempt.
-    retry: shared.Retry | None = None
-
-    def settle_retry(self, now_s: float) -> None:
-        """Records that it has reached an upstream, or never will."""
-        if self.retry is not None:
-            self.retry.settle(now_s)
+    # Its way to the upstream, for the retry budget.
+    sending: shared.Sending = attrs.Factory(shared.Sending)
 
     def list_stages(self) -> tuple[str, ...]:
         """Returns the upstreams that run it, beginning with the first stage."""
@@ -59,6 +54,8 @@
     refusals: int = 0
     # All attempts.
     attempts: int = 0
+    # Their ways to upstreams, from the first attempt on.
+    sendings: list[shared.Sending] = attrs.Factory(list)
     is_begun: bool = False
     # The attempt whose events the caller gets; None if none is in flight.
     current: Attempt | None = None
--- a/tests/admission/sharing.py
+++ b/tests/admission/sharing.py
@@ -148,7 +148,7 @@
         arrived = [r for at_s, r in self._unread if at_s <= self.now_s]
         self._unread = [u for u in self._unread if u[0] > self.now_s]
         for retry in arrived:
-            retry.settle(self.now_s)
+            retry.sending.settle(self.now_s)
         for host in self.hosts:
             if host.is_paused:
                 continue
--- a/tests/daemons/retrying.feature
+++ b/tests/daemons/retrying.feature
@@ -12,3 +12,12 @@
       | history                              |
       | upstreams read late                  |
       | upstreams fail while all hosts stop  |
+
+  Scenario: Callers leave while upstreams read late
+    # Guards against more retries than allowed, since those whose callers have
+    # left reach upstreams after their places in the budget are given away.
+    Given a site of 3 hosts, with 36 requests a second and 20 retries allowed
+    And callers that wait for 1 s
+    When callers leave and upstreams read late
+    Then no window of a service has more retries than allowed
+    And no request reaches more upstreams than allowed
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -43,6 +43,10 @@
 READ_DELAY_S: Final = 1.5
 READ_LATE_S: Final = 4.0
 
+# The same while callers leave meanwhile.
+LATE_S: Final = 3.0
+LEFT_S: Final = 3.0
+
 # Seconds for which hosts stand still, for short and long, and the time between
 # two stops.
 STOP_S: Final = 1.5
@@ -88,6 +92,8 @@
 
     site: sites.Site
     per_s: float
+    # How long a caller waits, in seconds.
+    patience_s: float = PATIENCE_S
     requests: list[Request] = attrs.Factory(list)
     threads: stage.CallerThreads = attrs.Factory(stage.CallerThreads)
 
@@ -114,12 +120,12 @@
 
     def _run(self, request: Request, host: str) -> None:
         # No pool: a connection that was cut must not be shared.
-        pool = urllib3.PoolManager(retries=False, timeout=PATIENCE_S)
+        pool = urllib3.PoolManager(retries=False, timeout=self.patience_s)
         path = "/notes/x" if request.service == "llm" else "/cards/x"
         url = f"http://{host}:{self.site.ports['frontend']}{path}"
         own = {
             "Attempt-Id": request.id,
-            "Deadline-Ms": str(int(PATIENCE_S * 1000)),
+            "Deadline-Ms": str(int(self.patience_s * 1000)),
         }
         fields = sites.make_fields("key-1", **own)
         try:
@@ -215,8 +221,9 @@
                 continue
             end_s = arrival.at_s + arrival.left_s
             first_s = first_end_s.setdefault(arrival.request, end_s)
-            own_s = sent[arrival.request] + PATIENCE_S
-            is_longer = arrival.left_s > PATIENCE_S + DEADLINE_SLACK_S
+            patience_s = self.callers.patience_s
+            own_s = sent[arrival.request] + patience_s
+            is_longer = arrival.left_s > patience_s + DEADLINE_SLACK_S
             is_later = end_s > max(first_s, own_s) + DEADLINE_SLACK_S
             count += is_longer or is_later or arrival.left_s < 0.0
         return count
@@ -233,6 +240,7 @@
     allowance: float,
     keeps_settings: bool = False,
     seed: int = 0,
+    patience_s: float = PATIENCE_S,
 ) -> Play:
     """Starts a site and waits until its hosts serve.
 
@@ -244,6 +252,7 @@
         keeps_settings: Whether a host starts again with the settings of its
             first start.
         seed: Draws random signals.
+        patience_s: How long a caller waits.
     """
     site = sites.start_site(
         hosts,
@@ -269,7 +278,7 @@
         30.0,
         "all engines hold layers",
     )
-    return Play(site, Callers(site, per_s), allowance)
+    return Play(site, Callers(site, per_s, patience_s), allowance)
 
 
 # Histories. Upstreams fail from their start, or a little later.
@@ -301,6 +310,33 @@
     time.sleep(sharing.WINDOW_S - READ_LATE_S)
 
 
+def play_left_and_read_late(site: sites.Site) -> None:
+    """Half of the upstreams read late, when callers have left; others fail."""
+    names = sorted(site.entries)
+    for name in names[::2]:
+        site.set_fault(name, {"read_delay_s": LATE_S})
+    for name in names[1::2]:
+        site.set_fault(name, {"reset_share": 1.0})
+    time.sleep(LEFT_S)
+    set_faults(site, reset_share=RESET_SHARE, read_delay_s=0.0)
+    time.sleep(sharing.WINDOW_S)
+
+
+def play_upstreams_stop(site: sites.Site) -> None:
+    """Half of the upstreams stand still, several times, and others fail."""
+    names = sorted(site.entries)
+    for name in names[1::2]:
+        site.set_fault(name, {"reset_share": 1.0})
+    for _ in range(ROUNDS):
+        for name in names[::2]:
+            site.stage.processes[name].pause()
+        time.sleep(LEFT_S)
+        for name in names[::2]:
+            site.stage.processes[name].resume()
+        time.sleep(PERIOD_S)
+    time.sleep(sharing.WINDOW_S - PERIOD_S)
+
+
 def play_fail_while_stopped(site: sites.Site) -> None:
     """All hosts stand still for long while upstreams begin to fail."""
     for ip in site.hosts:
@@ -465,6 +501,8 @@
 HISTORIES: Final[Mapping[str, Callable[[sites.Site], None]]] = {
     "nothing happens": play_nothing,
     "upstreams read late": play_read_late,
+    "callers leave and upstreams read late": play_left_and_read_late,
+    "upstreams stop": play_upstreams_stop,
     "upstreams fail while all hosts stop": play_fail_while_stopped,
     "all hosts stop": play_all_stop,
     "every second host stops": play_half_stop,
@@ -492,6 +530,7 @@
         help="start hosts again with the settings of their first start",
     )
     parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--patience-s", type=float, default=PATIENCE_S)
     parser.add_argument("--dump", help="file for arrivals, requests and logs")
     args = parser.parse_args()
     play = start(
@@ -501,6 +540,7 @@
         args.allowance,
         args.kept_settings,
         args.seed,
+        args.patience_s,
     )
     try:
         for service, window in play.run(args.history).items():
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -60,7 +60,7 @@
             context.now_s += 11.0
             return
         while (retry := budgets.spend("llm", now_s)) is not None:
-            retry.settle(now_s)
+            retry.sending.settle(now_s)
     if context.trouble == "three engines for the first layers":
         for i in range(2):
             twin = fleets.make_upstream(f"a100-twin{i}", "0-25")
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -255,7 +255,7 @@
         budget = rng.choice(context.budgets)
         budget.earn(now_s)
         while (retry := budget.spend(count, now_s)) is not None:
-            retry.settle(now_s)
+            retry.sending.settle(now_s)
             context.repeats.append(now_s)
 
 
@@ -271,7 +271,7 @@
         now_s = seconds - 0.01
         count = 0
         while (retry := budget.spend(len(context.budgets), now_s)) is not None:
-            retry.settle(now_s)
+            retry.sending.settle(now_s)
             count += 1
         context.at_once.append(count)
 
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -36,6 +36,18 @@
     context.windows = context.retrying.run("a host starts unheard")
 
 
+@given("callers that wait for {seconds:g} s")
+def step_patience(context: Any, seconds: float) -> None:
+    context.retrying.callers.patience_s = seconds
+
+
+@when("callers leave and upstreams read late")
+def step_left_and_read_late(context: Any) -> None:
+    context.windows = context.retrying.run(
+        "callers leave and upstreams read late"
+    )
+
+
 @when("upstreams read late")
 def step_read_late(context: Any) -> None:
     context.windows = context.retrying.run("upstreams read late")
--- a/tests/steps/shared_steps.py
+++ b/tests/steps/shared_steps.py
@@ -63,7 +63,7 @@
         retry = host.budget.spend(count, self.now_s, others)
         if retry is None:
             return False
-        retry.settle(self.now_s)
+        retry.sending.settle(self.now_s)
         host.repeats.append(self.now_s)
         return True
 
