--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -10,7 +10,7 @@
 
 import argparse
 import collections
-import functools
+import contextlib
 import itertools
 import json
 import random
@@ -70,6 +70,13 @@
 RANDOM_STOP_S: Final = (0.3, 3.0)
 MAX_SIGNALLED: Final = 4
 
+# Faults that upstreams have at random, by name.
+RANDOM_FAULTS: Final[Mapping[str, Sequence[Any]]] = {
+    "reset_share": (0.0, RESET_SHARE, 1.0),
+    "read_delay_s": (0.0, 0.0, READ_DELAY_S, LATE_S),
+    "refuse": (False, False, True),
+}
+
 # How long a caller waits, and how much later an attempt may end, in s.
 PATIENCE_S: Final = 9.0
 DEADLINE_SLACK_S: Final = 0.5
@@ -484,18 +491,55 @@
     supervisor.close()
 
 
+def play_all_at_random(site: sites.Site) -> None:
+    """Hosts, upstreams and the store are disturbed at random, and overlap."""
+    rng = random.Random(site.seed)
+    supervisor = Supervisor(site)
+    supervisor.start()
+    names = sorted(site.entries)
+    end_s = time.monotonic() + SIGNALS_S
+    while time.monotonic() < end_s:
+        what = rng.random()
+        if what < 0.3:
+            for ip in rng.sample(
+                sorted(site.hosts), rng.randint(1, MAX_SIGNALLED)
+            ):
+                send_random_signal(site.stage.processes[ip], rng)
+        elif what < 0.5:
+            for name in rng.sample(names, rng.randint(1, len(names))):
+                stop_for_a_while(site.stage.processes[name], rng)
+        elif what < 0.55:
+            stop_for_a_while(site.stage.processes["store"], rng)
+        else:
+            faults = {k: rng.choice(v) for k, v in RANDOM_FAULTS.items()}
+            for name in rng.sample(names, rng.randint(1, len(names))):
+                with contextlib.suppress(RuntimeError):
+                    # It may stand still.
+                    site.set_fault(name, faults)
+        time.sleep(rng.uniform(*SIGNAL_INTERVAL_S))
+    time.sleep(RANDOM_STOP_S[1])
+    supervisor.close()
+    set_faults(site, reset_share=RESET_SHARE, read_delay_s=0.0, refuse=False)
+    time.sleep(sharing.WINDOW_S)
+
+
 def send_random_signal(process: stage.Process, rng: random.Random) -> None:
     """Kills, terminates or stops a process, which goes on after a while."""
     if process.popen.poll() is not None:
         return
     kind = rng.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
-    process.popen.send_signal(kind)
     if kind is signal.SIGSTOP:
-        stop_s = rng.uniform(*RANDOM_STOP_S)
-        go_on = functools.partial(process.popen.send_signal, signal.SIGCONT)
-        timer = threading.Timer(stop_s, go_on)
-        timer.daemon = True
-        timer.start()
+        stop_for_a_while(process, rng)
+    else:
+        process.popen.send_signal(kind)
+
+
+def stop_for_a_while(process: stage.Process, rng: random.Random) -> None:
+    """Stops a process, which goes on after a while."""
+    process.pause()
+    timer = threading.Timer(rng.uniform(*RANDOM_STOP_S), process.resume)
+    timer.daemon = True
+    timer.start()
 
 
 HISTORIES: Final[Mapping[str, Callable[[sites.Site], None]]] = {
@@ -513,6 +557,7 @@
     "all hosts are killed often": play_all_killed_often,
     "all hosts are down for long": play_down_for_long,
     "hosts get random signals": play_random_signals,
+    "all at random": play_all_at_random,
 }
 
 
