--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -70,6 +70,14 @@
 RANDOM_STOP_S: Final = (0.3, 3.0)
 MAX_SIGNALLED: Final = 4
 
+# How often each of the random disturbances is drawn.
+WEIGHTS: Final[Mapping[str, int]] = {
+    "hosts signalled": 6,
+    "upstreams stopped": 4,
+    "store stopped": 1,
+    "upstreams fail": 9,
+}
+
 # Faults that upstreams have at random, by name.
 RANDOM_FAULTS: Final[Mapping[str, Sequence[Any]]] = {
     "reset_share": (0.0, RESET_SHARE, 1.0),
@@ -499,17 +507,17 @@
     names = sorted(site.entries)
     end_s = time.monotonic() + SIGNALS_S
     while time.monotonic() < end_s:
-        what = rng.random()
-        if what < 0.3:
+        (victims,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
+        if victims == "hosts signalled":
             for ip in rng.sample(
                 sorted(site.hosts), rng.randint(1, MAX_SIGNALLED)
             ):
                 send_random_signal(site.stage.processes[ip], rng)
-        elif what < 0.5:
+        elif victims == "store stopped":
+            stop_for_a_while(site.stage.processes["store"], rng)
+        elif victims == "upstreams stopped":
             for name in rng.sample(names, rng.randint(1, len(names))):
                 stop_for_a_while(site.stage.processes[name], rng)
-        elif what < 0.55:
-            stop_for_a_while(site.stage.processes["store"], rng)
         else:
             faults = {k: rng.choice(v) for k, v in RANDOM_FAULTS.items()}
             for name in rng.sample(names, rng.randint(1, len(names))):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -285,8 +285,10 @@
 
     def send_endless(self, name: str, lasts_s: float) -> None:
         """Has an upstream answer bytes without end, at some speed."""
-        kind = self.rng.choice(sorted(replica.ENDLESS))
-        pause_s = self.rng.choice(ENDLESS_PAUSES_S)
+        # Apart from the plan's draws, which other threads go on with.
+        rng = random.Random(f"{name} {lasts_s}")
+        kind = rng.choice(sorted(replica.ENDLESS))
+        pause_s = rng.choice(ENDLESS_PAUSES_S)
         self.set_fault(name, lasts_s, endless=kind, endless_pause_s=pause_s)
 
     def copy(self, name: str, lasts_s: float) -> None:
