Wait for an engine's first token as long as the settings say

What callers of egretspur-router would have seen: answers cut while a sound engine reads a long prompt, where the wait for the first event is set to more than three seconds above that between events.

Cause: the absolute time of a read was made from the wait between events, also for the first one, whose wait is the time-out of the socket.

Change: it is made from the socket's time-out.

Evidence: tests/delivery/relay.feature, "An engine reads a long prompt after the head of its answer": read timed out before, the token now. tests/responses.feature, "Responses that go on without end": 4 passed, 0 failed.

--- a/egretspur/clients/engine.py
+++ b/egretspur/clients/engine.py
@@ -314,8 +314,10 @@
         """
         events: list[Event] = []
         while not events:
-            # Silence ends by the socket's time-out.
-            data = self._read_some(self.max_silence_s + MAX_EVENT_S)
+            # Silence ends by the socket's time-out, that before a first event
+            # later than others.
+            silence_s = self.sock.gettimeout() or 0.0
+            data = self._read_some(silence_s + MAX_EVENT_S)
             if isinstance(data, StreamFailure):
                 return data
             events = self._parse(data)
--- a/tests/delivery/relay.feature
+++ b/tests/delivery/relay.feature
@@ -49,6 +49,13 @@
     Then the attempt ends at once, and the caller has all tokens
     And the next answer of that engine is forwarded
 
+  Scenario: An engine reads a long prompt after the head of its answer
+    # Guards against a sound engine that is cut while it reads a prompt, since the
+    # wait for its first token is bounded by that for later ones.
+    Given an engine that begins to answer, and writes its first token 3.5 s later
+    When a router reads it that waits 8 s for the first token, and 0.1 s for others
+    Then it has the token
+
   Scenario: A connection that the pump can't register
     # Guards against the failure of one answer stalling all others.
     Given a pump that was handed an answer whose connection is closed
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -8,6 +8,7 @@
 import re
 import socket
 import threading
+import time
 from typing import Any
 
 import attrs
@@ -380,3 +381,40 @@
     assert len(taking.events) == 2, taking.events
     context.pump.close()
     context.client.close()
+
+
+@given(
+    "an engine that begins to answer, and writes its first token {late:g} s"
+    " later"
+)
+def step_late_engine(context: Any, late: float) -> None:
+    server = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(server.close)
+    port = server.getsockname()[1]
+    context.hop = engine.Hop("u", f"127.0.0.1:{port}", 0, 4)
+
+    def serve() -> None:
+        conn, _ = server.accept()
+        with conn:
+            read_request(conn)
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            conn.sendall(head)
+            time.sleep(late)
+            conn.sendall(make_chunks(make_token("q", 0)) + b"0\r\n\r\n")
+
+    threading.Thread(target=serve, daemon=True).start()
+
+
+@when(
+    "a router reads it that waits {first:g} s for the first token, and"
+    " {between:g} s for others"
+)
+def step_read_late(context: Any, first: float, between: float) -> None:
+    context.client = engine.EngineClient(SILENCE_S, first, between)
+    context.first = open_stream(context, "q").read()
+    context.client.close()
+
+
+@then("it has the token")
+def step_has_token(context: Any) -> None:
+    assert isinstance(context.first, list), context.first
