Settle an attempt in one place; don't look for expired retries at each request

What callers saw: nothing; behaviour is the same.

Ends of attempts passed the failure down through three functions so that it could be read before a default was set, and an attempt that was not sent was settled by a nested condition before its release. The earlier of two times wins whichever is set first, so each release sets the default, and record_failure, which has the failure anyway, the earlier time. Both releases share what they did alike.

A request removes expired requests alone now.

--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -158,7 +158,7 @@
         """
         # Only those read after a pause are older than others.
         bisect.insort(self._requests, arrived_s)
-        self._drop_expired(arrived_s)
+        self._drop_expired_requests(arrived_s)
 
     def spend(
         self,
@@ -268,10 +268,13 @@
         allowed = self.allowance * min(1.0, host_count / max(1, hosts))
         return allowed + self.ratio * requests
 
-    def _drop_expired(self, now_s: float) -> None:
+    def _drop_expired_requests(self, now_s: float) -> None:
         requests = self._requests
         while requests and now_s - requests[0] >= self.window_s:
             requests.popleft()
+
+    def _drop_expired(self, now_s: float) -> None:
+        self._drop_expired_requests(now_s)
         self._retries = [
             r for r in self._retries if now_s - r.reached_by_s < self.window_s
         ]
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -109,46 +109,20 @@
         )
 
     def release(
-        self,
-        ticket: tickets.Ticket,
-        now_s: float,
-        failure: jobs.Failure | None = None,
+        self, ticket: tickets.Ticket, now_s: float
     ) -> tickets.Attempt | None:
-        """Ends the current attempt of a request; returns it.
-
-        Args:
-            ticket: The request.
-            now_s: Monotonic time.
-            failure: How the attempt failed; None if this side ended it, or
-                nothing was missing.
-        """
+        """Ends the current attempt of a request; returns it."""
         attempt, ticket.current = ticket.current, None
         if attempt is not None:
-            self.settle(attempt, now_s, failure)
-            self.occupancy.remove(ticket.job, attempt)
+            self.end(ticket, attempt, now_s)
         return attempt
 
-    def settle(
-        self,
-        attempt: tickets.Attempt,
-        now_s: float,
-        failure: jobs.Failure | None = None,
+    def end(
+        self, ticket: tickets.Ticket, attempt: tickets.Attempt, now_s: float
     ) -> None:
-        """Records what the end of an attempt tells of its reading.
-
-        Args:
-            attempt: The attempt.
-            now_s: Monotonic time.
-            failure: As in `release`.
-        """
-        if failure is not None and (
-            failure.ended_by is ends.EndedBy.UPSTREAM
-            or failure.kind is jobs.FailureKind.UNREACHABLE
-        ):
-            # It has been read, or was not sent.
-            attempt.sending.settle(now_s)
-        else:
-            self._budgets.settle_unanswered(attempt.sending, now_s)
+        """Ends an attempt, which may not have been read yet."""
+        self._budgets.settle_unanswered(attempt.sending, now_s)
+        self.occupancy.remove(ticket.job, attempt)
 
     def record_failure(
         self,
@@ -158,6 +132,12 @@
         now_s: float,
     ) -> None:
         """Records what a failed attempt shows of the upstreams."""
+        if attempt is not None and (
+            failure.ended_by is ends.EndedBy.UPSTREAM
+            or failure.kind is jobs.FailureKind.UNREACHABLE
+        ):
+            # It has been read, or was not sent.
+            attempt.sending.settle(now_s)
         first_id = attempt.upstream_id if attempt else ""
         if failure.kind is jobs.FailureKind.REFUSED:
             ticket.refusals += 1
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -145,7 +145,7 @@
         ticket = self.tickets.get(failure.id)
         if ticket is None:
             return []
-        attempt = self._attempts.release(ticket, now_s, failure)
+        attempt = self._attempts.release(ticket, now_s)
         self.handovers.release(ticket, now_s)
         ticket.is_begun |= failure.is_begun
         self._attempts.record_failure(ticket, attempt, failure, now_s)
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -120,10 +120,11 @@
             is_sent: Whether an upstream may have run it.
         """
         ticket = self._tickets.get(job_id)
-        if ticket is not None and ticket.next is not None and not is_sent:
-            ticket.next.sending.settle(now_s)
-        attempt = self.release(ticket, now_s, failure) if ticket else None
-        if ticket is None or attempt is None or not is_sent:
+        attempt = self.release(ticket, now_s) if ticket else None
+        if ticket is None or attempt is None:
+            return
+        if not is_sent:
+            attempt.sending.settle(now_s)
             return
         if failure is None:
             ticket.ran.append(tickets.Run(attempt.upstream_id, True))
@@ -141,7 +142,7 @@
         if ticket is None:
             return
         ticket.is_begun = True
-        replaced = self._attempts.release(ticket, now_s, failure)
+        replaced = self._attempts.release(ticket, now_s)
         self._attempts.record_failure(ticket, replaced, failure, now_s)
         ticket.current, ticket.next = ticket.next, None
         if ticket.current is not None:
@@ -149,22 +150,12 @@
         ticket.fruitless = 0
 
     def release(
-        self,
-        ticket: tickets.Ticket,
-        now_s: float,
-        failure: jobs.Failure | None = None,
+        self, ticket: tickets.Ticket, now_s: float
     ) -> tickets.Attempt | None:
-        """Ends the second attempt of a request; returns it.
-
-        Args:
-            ticket: The request.
-            now_s: Monotonic time.
-            failure: How the attempt failed; None if this side ended it.
-        """
+        """Ends the second attempt of a request; returns it."""
         attempt, ticket.next = ticket.next, None
         if attempt is not None:
-            self._attempts.settle(attempt, now_s, failure)
-            self._attempts.occupancy.remove(ticket.job, attempt)
+            self._attempts.end(ticket, attempt, now_s)
         return attempt
 
     def list_first_choices(
