Tests: one list of a request's ends, one loop of stops, one kind of threads, steps made of the histories

Hosts and upstreams that stop together share one loop. The supervisor of retrying has the threads of stage.CallerThreads. Steps of retrying are made of its histories as those of begun are, in place of one function each; "all hosts are killed three times" reads as the history is named, "all hosts are killed". The soak's two names for a plain replica without end are made in one place; their order, and so its plan, is the same.

--- a/tests/daemons/starting.feature
+++ b/tests/daemons/starting.feature
@@ -5,7 +5,7 @@
     # settings that none were sent before their start.
     Given a site of 3 hosts, with 36 requests a second and 20 retries allowed
     And hosts that start again with the settings of their first start
-    When all hosts are killed three times
+    When all hosts are killed
     Then no window of a service has more retries than allowed
     And no request reaches more upstreams than allowed
 
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -342,13 +342,7 @@
     names = sorted(site.entries)
     for name in names[1::2]:
         site.set_fault(name, {"reset_share": 1.0})
-    for _ in range(ROUNDS):
-        for name in names[::2]:
-            site.stage.processes[name].pause()
-        time.sleep(LEFT_S)
-        for name in names[::2]:
-            site.stage.processes[name].resume()
-        time.sleep(PERIOD_S)
+    stop_together(site, names[::2], LEFT_S)
     time.sleep(sharing.WINDOW_S - PERIOD_S)
 
 
@@ -363,27 +357,29 @@
     time.sleep(sharing.WINDOW_S)
 
 
-def stop_hosts(site: sites.Site, hosts: Sequence[str]) -> None:
-    """Stops hosts together, several times."""
+def stop_together(
+    site: sites.Site, names: Sequence[str], seconds: float
+) -> None:
+    """Stops processes together, several times."""
     for _ in range(ROUNDS):
-        for ip in hosts:
-            site.stage.processes[ip].pause()
-        time.sleep(STOP_S)
-        for ip in hosts:
-            site.stage.processes[ip].resume()
+        for name in names:
+            site.stage.processes[name].pause()
+        time.sleep(seconds)
+        for name in names:
+            site.stage.processes[name].resume()
         time.sleep(PERIOD_S)
 
 
 def play_all_stop(site: sites.Site) -> None:
     """All hosts stand still at the same time."""
     fail(site)
-    stop_hosts(site, site.hosts)
+    stop_together(site, site.hosts, STOP_S)
 
 
 def play_half_stop(site: sites.Site) -> None:
     """Every second host stands still at the same time."""
     fail(site)
-    stop_hosts(site, site.hosts[::2])
+    stop_together(site, site.hosts[::2], STOP_S)
 
 
 def play_stop_in_turn(site: sites.Site) -> None:
@@ -436,23 +432,18 @@
     """Starts hosts again whose processes have ended."""
 
     site: sites.Site
-    stopped: threading.Event = attrs.Factory(threading.Event)
-    _threads: list[threading.Thread] = attrs.Factory(list)
+    threads: stage.CallerThreads = attrs.Factory(stage.CallerThreads)
 
     def start(self) -> None:
         """Begins to watch the hosts' processes."""
-        thread = threading.Thread(target=self._watch, daemon=True)
-        self._threads.append(thread)
-        thread.start()
+        self.threads.start(self._watch)
 
     def close(self) -> None:
         """Starts no more hosts."""
-        self.stopped.set()
-        for thread in self._threads:
-            thread.join()
+        self.threads.close()
 
     def _watch(self) -> None:
-        while not self.stopped.wait(SUPERVISION_S):
+        while not self.threads.stopped.wait(SUPERVISION_S):
             for ip in list(self.site.hosts):
                 if self.site.stage.processes[ip].popen.poll() is not None:
                     sites.start_host(self.site, ip)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -520,11 +520,10 @@
     f"store_engines_stall{i}": lambda s, n, t: s.stall(t) for i in range(3)
 }
 
-# Added by ``--endless``.
+# Added by ``--endless``; twice as likely at plain replicas.
 ENDLESS: Final[dict[str, Fault]] = {
-    "engine_endless": lambda s, n, t: s.send_endless(n, t),
-    "plain_endless": lambda s, n, t: s.send_endless(n, t),
-    "plain_endless_too": lambda s, n, t: s.send_endless(n, t),
+    name: lambda s, n, t: s.send_endless(n, t)
+    for name in ("engine_endless", "plain_endless0", "plain_endless1")
 }
 
 # Added by ``--copies``; three times as likely as each of the others.
--- a/tests/steps/helped_steps.py
+++ b/tests/steps/helped_steps.py
@@ -17,9 +17,6 @@
 CONTACT_S: Final = 3.0
 AROUND_S: Final = 2.5
 
-# Log lines that tell how an attempt, or a request, ended.
-ENDING_EVENTS: Final = ("attempt_failed", "request_refused", "request_cut")
-
 # Shorter than a stream.
 GRACE_S: Final = 1.0
 
@@ -83,29 +80,20 @@
     ]
     lost = [s for s in ran if not s.is_whole]
     assert len(ran) - len(lost) >= max(least, 0.9 * len(ran)), (
-        f"{len(lost)} of {len(ran)}: {list_ends(context, lost)}"
+        len(lost),
+        len(ran),
+        [
+            (
+                round(s.sent_s - context.began_s, 2),
+                s.status,
+                s.events,
+                streams.find_ends(context.play, s.id),
+            )
+            for s in lost
+        ],
     )
 
 
-def list_ends(
-    context: Any, lost: list[streams.Stream]
-) -> list[tuple[float, int, int, list[str]]]:
-    """Returns when streams were sent, what came, and what hosts logged."""
-    return [
-        (
-            round(s.sent_s - context.began_s, 2),
-            s.status,
-            s.events,
-            [
-                f"{fields['event']}: {fields.get('reason')}"
-                for fields in streams.find_lines(context.play, s.id)
-                if fields["event"] in ENDING_EVENTS
-            ],
-        )
-        for s in lost
-    ]
-
-
 # Parts of a plain answer, and the time between two of them.
 PARTS: Final = 50
 PART_PAUSE_S: Final = 0.03
--- a/tests/steps/partition_steps.py
+++ b/tests/steps/partition_steps.py
@@ -177,13 +177,11 @@
 
 def list_reasons(
     site: sites.Site, failed: Collection[Try], from_s: float
-) -> list[tuple[float, str, str]]:
+) -> list[tuple[float, list[tuple[str, str]]]]:
     """Returns when failed tries were sent, and how their hosts ended them."""
     return [
-        (round(t.sent_s - from_s, 2), fields["event"], fields["reason"])
+        (round(t.sent_s - from_s, 2), streams.find_ends(site, t.id))
         for t in failed
-        for fields in streams.find_lines(site, t.id)
-        if fields["event"] in ("request_refused", "request_cut")
     ]
 
 
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -26,38 +26,18 @@
     context.retrying.site.keeps_settings = True
 
 
-@when("all hosts are killed three times")
-def step_all_killed(context: Any) -> None:
-    context.windows = context.retrying.run("all hosts are killed")
-
-
-@when("a host starts unheard")
-def step_unheard(context: Any) -> None:
-    context.windows = context.retrying.run("a host starts unheard")
-
-
 @given("callers that wait for {seconds:g} s")
 def step_patience(context: Any, seconds: float) -> None:
     context.retrying.callers.patience_s = seconds
 
 
-@when("callers leave and upstreams read late")
-def step_left_and_read_late(context: Any) -> None:
-    context.windows = context.retrying.run(
-        "callers leave and upstreams read late"
-    )
-
-
-@when("upstreams read late")
-def step_read_late(context: Any) -> None:
-    context.windows = context.retrying.run("upstreams read late")
+def play(context: Any, history: str) -> None:
+    """Plays a history; keeps the worst window of each service."""
+    context.windows = context.retrying.run(history)
 
 
-@when("upstreams fail while all hosts stop")
-def step_all_stop(context: Any) -> None:
-    context.windows = context.retrying.run(
-        "upstreams fail while all hosts stop"
-    )
+for _history in retrying.HISTORIES:
+    when(_history)(lambda context, history=_history: play(context, history))
 
 
 @then("no window of a service has more retries than allowed")
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -49,6 +49,9 @@
 # Seconds between two starts or ends of engines that are replaced.
 REPLACE_PERIOD_S: Final = 1.2
 
+# Log lines that tell how an attempt, or a request, ended.
+ENDING_EVENTS: Final = ("attempt_failed", "request_refused", "request_cut")
+
 # Seconds for which a replaced engine drains before its process exits.
 DRAIN_S: Final = 3.3
 
@@ -357,6 +360,15 @@
     ]
 
 
+def find_ends(site: sites.Site, request: str) -> list[tuple[str, str]]:
+    """Returns how a request and its attempts ended, as hosts logged it."""
+    return [
+        (fields["event"], fields["reason"])
+        for fields in find_lines(site, request)
+        if fields["event"] in ENDING_EVENTS
+    ]
+
+
 def main() -> int:
     """Entry point."""
     parser = argparse.ArgumentParser(description=__doc__)
