--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -65,6 +65,7 @@
         since other connections may be faster. One that is read later than a
         window after its end is not counted.
         """
+        sending.is_given_up |= math.isinf(sending.read_by_s)
         sending.settle(now_s + self._options.window_s)
 
     def is_new(self, now_s: float) -> bool:
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -89,6 +89,8 @@
 
     # By when it has been read, or never will be; infinite until that is known.
     read_by_s: float = math.inf
+    # Whether this side ended it unanswered.
+    is_given_up: bool = False
 
     def settle(self, now_s: float) -> None:
         """Records that it has been read, unless an earlier time is known."""
@@ -114,6 +116,11 @@
         """By when upstreams have read it; infinite until that is known."""
         return max(s.read_by_s for s in (self.sending, *self.earlier))
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether one of its request's attempts ended unanswered."""
+        return any(s.is_given_up for s in (self.sending, *self.earlier))
+
 
 @attrs.frozen
 class Balance:
@@ -123,6 +130,10 @@
     sent: int = 0
     # Of these, how many may not have reached an upstream yet.
     unsettled: int = 0
+    # How many have an attempt that this host ended unanswered, and how many
+    # such ones have left the books since its start.
+    given_up: int = 0
+    forgotten: int = 0
     # Requests in the last window.
     requests: int = 0
     # Retries that it may send in a window: guaranteed and borrowed ones.
@@ -149,6 +160,8 @@
     # Retries borrowed from the pool, and when the next loan may be taken.
     _borrowed: float = 0.0
     _next_loan_s: float = 0.0
+    # Retries that left the books though an attempt had ended unanswered.
+    _forgotten: int = 0
 
     def earn(self, arrived_s: float) -> None:
         """Counts a request.
@@ -209,6 +222,8 @@
         return Balance(
             len(self._retries),
             sum(r.reached_by_s > now_s for r in self._retries),
+            sum(r.is_given_up for r in self._retries),
+            self._forgotten,
             len(self._requests),
             self._get_guaranteed(hosts, age_s),
             self._borrowed,
@@ -275,9 +290,12 @@
 
     def _drop_expired(self, now_s: float) -> None:
         self._drop_expired_requests(now_s)
-        self._retries = [
-            r for r in self._retries if now_s - r.reached_by_s < self.window_s
+        expired = [
+            r for r in self._retries if now_s - r.reached_by_s >= self.window_s
         ]
+        for retry in expired:
+            self._retries.remove(retry)
+            self._forgotten += retry.is_given_up
 
 
 @attrs.frozen
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -111,6 +111,8 @@
         service,
         standing.sent,
         standing.unsettled,
+        standing.given_up,
+        standing.forgotten,
         standing.requests,
         standing.guaranteed,
         standing.borrowed,
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -19,9 +19,11 @@
 (answers have no length and no chunks and end with their connection; plain ones
 come in as many parts as there are ``events``), ``reset_share`` (share of the
 requests that were read and whose connection is then reset, at random),
-``read_delay_s`` (a request that was sent is read so much later), ``endless``
-(name of the bytes in `ENDLESS` that it answers without end, as fast as the
-connection takes them, or at intervals of ``endless_pause_s``).
+``read_delay_s`` (a request that was sent is read so much later),
+``reads_from_s`` (monotonic time before which it reads no request; probes are
+answered), ``endless`` (name of the bytes in `ENDLESS` that it answers without
+end, as fast as the connection takes them, or at intervals of
+``endless_pause_s``).
 """
 
 from __future__ import annotations
@@ -54,6 +56,9 @@
     "bytes of trailers": (_CHUNKED + b"2\r\nok\r\n0\r\nX-T: ", b"a"),
 }
 
+# Requests at once; while it reads nothing, each that arrives takes one.
+THREADS: Final = 256
+
 # Time for the head of an answer to be sent before the process exits.
 HEAD_DELAY_S: Final = 0.05
 
@@ -84,6 +89,7 @@
             "unframed": False,
             "reset_share": 0.0,
             "read_delay_s": 0.0,
+            "reads_from_s": 0.0,
             "endless": "",
             "endless_pause_s": 0.0,
         }
@@ -267,6 +273,10 @@
     def run(req: web.Request) -> web.Response:
         fields = req.get_headers()
         time.sleep(replica.faults["read_delay_s"])
+        while (
+            held_s := replica.faults["reads_from_s"] - time.monotonic()
+        ) > 0.0:
+            time.sleep(held_s)
         replica.arrivals.append(
             (
                 fields.get("Attempt-Id", ""),
@@ -368,7 +378,7 @@
     )
     args = parser.parse_args()
     replica = Replica(args.name, args.layers)
-    return base.run(make_app(replica), args.listen, 64)
+    return base.run(make_app(replica), args.listen, THREADS)
 
 
 if __name__ == "__main__":
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -11,8 +11,10 @@
 import argparse
 import collections
 import contextlib
+import functools
 import itertools
 import json
+import pathlib
 import random
 import signal
 import sys
@@ -47,6 +49,12 @@
 LATE_S: Final = 3.0
 LEFT_S: Final = 3.0
 
+# How long upstreams read nothing; and until hosts are killed meanwhile, and
+# after that.
+HELD_S: Final = 28.0
+HELD_BEFORE_KILL_S: Final = 10.0
+HELD_AFTER_KILL_S: Final = 10.0
+
 # Seconds for which hosts stand still, for short and long, and the time between
 # two stops.
 STOP_S: Final = 1.5
@@ -256,6 +264,7 @@
     keeps_settings: bool = False,
     seed: int = 0,
     patience_s: float = PATIENCE_S,
+    tree: pathlib.Path | None = None,
 ) -> Play:
     """Starts a site and waits until its hosts serve.
 
@@ -268,9 +277,11 @@
             first start.
         seed: Draws random signals.
         patience_s: How long a caller waits.
+        tree: Checkout whose hosts are played; this one if None.
     """
     site = sites.start_site(
         hosts,
+        tree=tree,
         retry_budget_ratio=sharing.RATIO,
         retry_allowance=allowance,
         budget_window_s=sharing.WINDOW_S,
@@ -346,6 +357,56 @@
     time.sleep(sharing.WINDOW_S - PERIOD_S)
 
 
+def hold_half(site: sites.Site, for_s: float, is_stopped: bool) -> list[str]:
+    """Has half of the upstreams read nothing, and the others fail.
+
+    Args:
+        site: The site.
+        for_s: For how long.
+        is_stopped: Whether they are stopped; otherwise they answer probes.
+
+    Returns:
+        The former.
+    """
+    set_faults(site, reset_share=RESET_SHARE)
+    names = sorted(site.entries)[::2]
+    for name in names:
+        if is_stopped:
+            site.stage.processes[name].pause()
+        else:
+            site.set_fault(name, {"reads_from_s": time.monotonic() + for_s})
+    return names
+
+
+def release(site: sites.Site, names: Sequence[str]) -> None:
+    """Has upstreams read again, which fail as well from then on."""
+    for name in names:
+        site.stage.processes[name].resume()
+    time.sleep(sharing.WINDOW_S)
+
+
+def play_held_for_long(site: sites.Site, is_stopped: bool = False) -> None:
+    """Half of the upstreams read nothing for windows, and others fail."""
+    end_s = time.monotonic() + HELD_S
+    held = hold_half(site, HELD_S, is_stopped)
+    time.sleep(end_s - time.monotonic())
+    release(site, held)
+
+
+def play_killed_while_held(site: sites.Site, is_stopped: bool = False) -> None:
+    """All hosts are killed while half of the upstreams read nothing."""
+    held_s = HELD_BEFORE_KILL_S + HELD_AFTER_KILL_S
+    end_s = time.monotonic() + held_s
+    held = hold_half(site, held_s, is_stopped)
+    time.sleep(HELD_BEFORE_KILL_S)
+    for ip in list(site.hosts):
+        site.stage.processes[ip].popen.kill()
+    for ip in list(site.hosts):
+        restart_host(site, ip)
+    time.sleep(max(0.0, end_s - time.monotonic()))
+    release(site, held)
+
+
 def play_fail_while_stopped(site: sites.Site) -> None:
     """All hosts stand still for long while upstreams begin to fail."""
     for ip in site.hosts:
@@ -546,6 +607,16 @@
     "upstreams read late": play_read_late,
     "callers leave and upstreams read late": play_left_and_read_late,
     "upstreams stop": play_upstreams_stop,
+    "upstreams stop for long": functools.partial(
+        play_held_for_long, is_stopped=True
+    ),
+    "upstreams read nothing for long": play_held_for_long,
+    "all hosts are killed while upstreams stop": functools.partial(
+        play_killed_while_held, is_stopped=True
+    ),
+    "all hosts are killed while upstreams read nothing": (
+        play_killed_while_held
+    ),
     "upstreams fail while all hosts stop": play_fail_while_stopped,
     "all hosts stop": play_all_stop,
     "every second host stops": play_half_stop,
@@ -575,6 +646,9 @@
     )
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--patience-s", type=float, default=PATIENCE_S)
+    parser.add_argument(
+        "--tree", type=pathlib.Path, help="checkout whose hosts are played"
+    )
     parser.add_argument("--dump", help="file for arrivals, requests and logs")
     args = parser.parse_args()
     play = start(
@@ -585,6 +659,7 @@
         args.kept_settings,
         args.seed,
         args.patience_s,
+        args.tree,
     )
     try:
         for service, window in play.run(args.history).items():
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -75,6 +75,8 @@
     keeps_settings: bool = False
     # Draws what happens at random.
     seed: int = 0
+    # Checkout whose hosts are started; this one if None.
+    tree: pathlib.Path | None = None
 
     def leave(self, name: str) -> None:
         """Removes an upstream from the list."""
@@ -105,7 +107,10 @@
         """Writes one entry, with the layers that an engine reports."""
         entry = self.entries[name]
         try:
-            if entry["service"] == "llm":
+            # One that stands still keeps its entry; waiting for it would make
+            # those of the others old.
+            is_paused = self.stage.processes[name].is_paused
+            if entry["service"] == "llm" and not is_paused:
                 report = self.stage.call("GET", name, "/egretspur/report")
                 entry["layer_count"] = report["layer_count"]
             self.write("keyed.servers", name, entry)
@@ -325,6 +330,7 @@
         ],
         stdout=subprocess.PIPE,
         env={**os.environ, "EGRETSPUR_NODE_FILE": str(path)},
+        cwd=site.tree,
         text=True,
     )
     process = stage.Process(ip, popen, listen["frontend"])
@@ -369,15 +375,21 @@
         return False
 
 
-def start_site(hosts: int, zones: Sequence[str] = (), **bounds: float) -> Site:
+def start_site(
+    hosts: int,
+    zones: Sequence[str] = (),
+    tree: pathlib.Path | None = None,
+    **bounds: float,
+) -> Site:
     """Starts a site with four engines, two plain replicas and hosts.
 
     Args:
         hosts: Number of hosts.
         zones: Data centres of the last hosts; the others are in `HOME`.
+        tree: Checkout whose hosts are started; this one if None.
         **bounds: Bounds in the hosts' settings.
     """
-    site = Site(bounds=bounds)
+    site = Site(bounds=bounds, tree=tree)
     ips = tuple(f"127.0.0.{i + 1}" for i in range(max(2, hosts)))
     site.zones.update(zip(ips[hosts - len(zones) : hosts], zones, strict=True))
     for name in ("frontend", "ready", "control_plane"):
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -34,6 +34,7 @@
     address: str
     # Lines of its output, the newest last.
     lines: list[str] = attrs.Factory(list)
+    is_paused: bool = False
 
     def kill(self) -> None:
         """Kills it and waits for its exit."""
@@ -46,11 +47,13 @@
 
     def pause(self) -> None:
         """Freezes it with SIGSTOP."""
+        self.is_paused = True
         self.popen.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Resumes it with SIGCONT."""
         self.popen.send_signal(signal.SIGCONT)
+        self.is_paused = False
 
 
 @attrs.define
