--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -78,10 +78,14 @@
 RANDOM_STOP_S: Final = (0.3, 3.0)
 MAX_SIGNALLED: Final = 4
 
+# How long upstreams read nothing at random, in s.
+RANDOM_HELD_S: Final = (2.0, 20.0)
+
 # How often each of the random disturbances is drawn.
 WEIGHTS: Final[Mapping[str, int]] = {
     "hosts signalled": 6,
     "upstreams stopped": 4,
+    "upstreams read nothing": 4,
     "store stopped": 1,
     "upstreams fail": 9,
 }
@@ -93,6 +97,9 @@
     "refuse": (False, False, True),
 }
 
+# Data centres without upstreams.
+FAR: Final = ("pg-hall", "cj-hall")
+
 # How long a caller waits, and how much later an attempt may end, in s.
 PATIENCE_S: Final = 9.0
 DEADLINE_SLACK_S: Final = 0.5
@@ -265,6 +272,7 @@
     seed: int = 0,
     patience_s: float = PATIENCE_S,
     tree: pathlib.Path | None = None,
+    far: int = 0,
 ) -> Play:
     """Starts a site and waits until its hosts serve.
 
@@ -278,9 +286,11 @@
         seed: Draws random signals.
         patience_s: How long a caller waits.
         tree: Checkout whose hosts are played; this one if None.
+        far: Hosts that are in two other data centres than the upstreams.
     """
     site = sites.start_site(
         hosts,
+        [FAR[i % len(FAR)] for i in range(far)],
         tree=tree,
         retry_budget_ratio=sharing.RATIO,
         retry_allowance=allowance,
@@ -357,6 +367,15 @@
     time.sleep(sharing.WINDOW_S - PERIOD_S)
 
 
+def hold(site: sites.Site, names: Sequence[str], for_s: float) -> None:
+    """Has upstreams read no request for a while."""
+    until_s = time.monotonic() + for_s
+    for name in names:
+        with contextlib.suppress(RuntimeError):
+            # It may stand still.
+            site.set_fault(name, {"reads_from_s": until_s})
+
+
 def hold_half(site: sites.Site, for_s: float, is_stopped: bool) -> list[str]:
     """Has half of the upstreams read nothing, and the others fail.
 
@@ -370,11 +389,11 @@
     """
     set_faults(site, reset_share=RESET_SHARE)
     names = sorted(site.entries)[::2]
+    if not is_stopped:
+        hold(site, names, for_s)
+        return names
     for name in names:
-        if is_stopped:
-            site.stage.processes[name].pause()
-        else:
-            site.set_fault(name, {"reads_from_s": time.monotonic() + for_s})
+        site.stage.processes[name].pause()
     return names
 
 
@@ -567,6 +586,9 @@
                 send_random_signal(site.stage.processes[ip], rng)
         elif victims == "store stopped":
             stop_for_a_while(site.stage.processes["store"], rng)
+        elif victims == "upstreams read nothing":
+            held = rng.sample(names, rng.randint(1, len(names) // 2))
+            hold(site, held, rng.uniform(*RANDOM_HELD_S))
         elif victims == "upstreams stopped":
             for name in rng.sample(names, rng.randint(1, len(names))):
                 stop_for_a_while(site.stage.processes[name], rng)
@@ -580,7 +602,8 @@
     time.sleep(RANDOM_STOP_S[1])
     supervisor.close()
     set_faults(site, reset_share=RESET_SHARE, read_delay_s=0.0, refuse=False)
-    time.sleep(sharing.WINDOW_S)
+    # All that was held up is read by then.
+    time.sleep(RANDOM_HELD_S[1])
 
 
 def send_random_signal(process: stage.Process, rng: random.Random) -> None:
@@ -646,6 +669,9 @@
     )
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--patience-s", type=float, default=PATIENCE_S)
+    parser.add_argument(
+        "--far", type=int, default=0, help="hosts in other data centres"
+    )
     parser.add_argument(
         "--tree", type=pathlib.Path, help="checkout whose hosts are played"
     )
@@ -660,6 +686,7 @@
         args.seed,
         args.patience_s,
         args.tree,
+        args.far,
     )
     try:
         for service, window in play.run(args.history).items():
