Keep a retry in the books until something shows that its attempts were read

Callers saw: after upstreams that had read nothing for a while went on, nobody's requests were retried, as the service had got more retries than allowed.

Cause: an attempt that its host ended unanswered counted as read a window later, whatever its upstream did. A request can't be taken back: its bytes stay in the receive buffer of the upstream's machine after a close or a reset, and are read when it goes on.

Evidence: upstreams read nothing from second 8 to 36: at 35.9 s all 194 retries of streams in the books had been given up and counted as arrived; 50 had left.

Change: a host notes for each upstream what it may still read. An attempt that was ended unanswered counts as read a window after the upstream has answered a later one, since connections differ in how fast they are read, or at once when the upstream has ended (not listed, another start, connections refused or none opened). Nothing else ends it. An answer that had begun shows that its attempt was read, whoever ended it.

--- /dev/null
+++ b/egretspur/admission/arrivals.py
@@ -0,0 +1,140 @@
+"""What upstreams may still read of the requests that a host sent: pure.
+
+A request can't be taken back once it is written: its bytes stay in the receive
+buffer of the upstream's machine, also after its connection was closed or reset
+and after the process that sent it has ended. An upstream that reads nothing for
+a while reads them when it goes on. Until something shows that an attempt has
+been read, or never will be, it may arrive at any time.
+
+An upstream that answers later attempts has read the earlier ones within a
+window, since connections differ in how fast they are read. Read next:
+`egretspur.admission.shared`, whose retries count until they have arrived.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Container
+
+import attrs
+
+
+@attrs.define(eq=False)
+class Sending:
+    """An attempt on its way to an upstream."""
+
+    # Empty until it is sent.
+    upstream_id: str = ""
+    sent_s: float = -math.inf
+    # When this side ended it, unanswered.
+    ended_s: float = math.inf
+    # By when it has been read, or never will be; infinite until that is known.
+    read_by_s: float = math.inf
+
+    @property
+    def is_unread(self) -> bool:
+        """Whether nothing shows yet by when it has been read."""
+        return math.isinf(self.read_by_s)
+
+    @property
+    def is_given_up(self) -> bool:
+        """Whether it ended unanswered, and may be read at any time."""
+        return self.is_unread and math.isfinite(self.ended_s)
+
+    def settle(self, now_s: float) -> None:
+        """Records that it has been read, unless an earlier time is known."""
+        self.read_by_s = min(self.read_by_s, now_s)
+
+
+@attrs.define
+class _Upstream:
+    """Attempts that one upstream may not have read yet."""
+
+    # Oldest first.
+    unread: list[Sending] = attrs.Factory(list)
+    # When the newest of the attempts that it read was sent.
+    read_sent_s: float = -math.inf
+
+    def drop_read(self) -> None:
+        """Drops what it has read, or will have by a known time."""
+        self.unread = [s for s in self.unread if s.is_unread]
+
+
+class Arrivals:
+    """Attempts of one host that upstreams may not have read yet."""
+
+    def __init__(self, window_s: float) -> None:
+        """Makes a state without attempts.
+
+        Args:
+            window_s: By how much other connections may be slower than the one
+                that shows that an upstream reads.
+        """
+        self._window_s = window_s
+        self._upstreams: dict[str, _Upstream] = {}
+
+    def send(self, sending: Sending, upstream_id: str, now_s: float) -> None:
+        """Records that an attempt is sent."""
+        sending.upstream_id = upstream_id
+        sending.sent_s = now_s
+        upstream = self._upstreams.setdefault(upstream_id, _Upstream())
+        upstream.unread.append(sending)
+
+    def settle(self, sending: Sending, now_s: float) -> None:
+        """Records that an upstream answered or ended an attempt.
+
+        It has read it then, and reads others as well.
+        """
+        sending.settle(now_s)
+        upstream = self._upstreams.get(sending.upstream_id)
+        if upstream is None:
+            return
+        upstream.read_sent_s = max(upstream.read_sent_s, sending.sent_s)
+        for other in upstream.unread:
+            if other.is_given_up and other.sent_s <= sending.sent_s:
+                other.settle(now_s + self._window_s)
+        upstream.drop_read()
+
+    def cancel(self, sending: Sending, now_s: float) -> None:
+        """Records that an attempt was not written, so it is never read."""
+        sending.settle(now_s)
+        upstream = self._upstreams.get(sending.upstream_id)
+        if upstream is not None:
+            upstream.drop_read()
+
+    def give_up(self, sending: Sending, now_s: float) -> None:
+        """Records that this side has ended an attempt, unless it was read."""
+        if not sending.is_unread:
+            return
+        sending.ended_s = now_s
+        upstream = self._upstreams.get(sending.upstream_id)
+        if upstream is None:
+            # It was never sent.
+            sending.settle(now_s)
+        elif upstream.read_sent_s >= sending.sent_s:
+            sending.settle(now_s + self._window_s)
+            upstream.drop_read()
+
+    def list_pending(self) -> list[str]:
+        """Returns the upstreams that may read attempts that were given up."""
+        return [
+            i
+            for i, u in self._upstreams.items()
+            if any(s.is_given_up for s in u.unread)
+        ]
+
+    def note_end(self, upstream_id: str, now_s: float) -> None:
+        """Records that an upstream has ended: it reads nothing any more."""
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None:
+            return
+        for sending in upstream.unread:
+            if sending.is_given_up:
+                sending.settle(now_s)
+        upstream.drop_read()
+
+    def remove_unused(self, listed: Container[str]) -> None:
+        """Drops the state of unlisted upstreams that have nothing to read."""
+        for upstream_id, upstream in list(self._upstreams.items()):
+            if upstream_id not in listed and not upstream.unread:
+                del self._upstreams[upstream_id]
--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from egretspur.admission import pauses, shared
+from egretspur.admission import arrivals, pauses, shared
 
 
 @attrs.frozen
@@ -51,23 +51,13 @@
         # Hosts that share the budgets, this one included.
         self.hosts = 1
         self.pauses = pauses.PauseDetector()
+        self.arrivals = arrivals.Arrivals(options.window_s)
         self._options = options
         self._rng = rng or random.Random()
         self._since_s = options.since_s
         self._budgets: dict[str, shared.SharedBudget] = {}
         self._ledger = shared.PeerLedger(data_centre, options.window_s)
 
-    def settle_unanswered(self, sending: shared.Sending, now_s: float) -> None:
-        """Records that this side has ended an attempt that was not answered.
-
-        It can't be taken back: an upstream that stands still reads it when it
-        goes on. Nothing short of its own answer shows that it has been read,
-        since other connections may be faster. One that is read later than a
-        window after its end is not counted.
-        """
-        sending.is_given_up |= math.isinf(sending.read_by_s)
-        sending.settle(now_s + self._options.window_s)
-
     def is_new(self, now_s: float) -> bool:
         """Tells whether retries from before this host's start may count."""
         return self._get_age_s(now_s) < self._options.window_s
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -32,6 +32,8 @@
 
 import attrs
 
+from egretspur.admission import arrivals
+
 # Fraction of the allowance that is used. The rest is for new hosts, for windows
 # that start at other times than here, and for retries in flight.
 USED_FRACTION: Final = 0.85
@@ -79,24 +81,6 @@
 NOTHING_SPENT: Final = Spent()
 
 
-@attrs.define(eq=False)
-class Sending:
-    """An attempt on its way to an upstream.
-
-    The host can't tell when an upstream reads it, only that it has: once the
-    upstream has answered or ended the attempt.
-    """
-
-    # By when it has been read, or never will be; infinite until that is known.
-    read_by_s: float = math.inf
-    # Whether this side ended it unanswered.
-    is_given_up: bool = False
-
-    def settle(self, now_s: float) -> None:
-        """Records that it has been read, unless an earlier time is known."""
-        self.read_by_s = min(self.read_by_s, now_s)
-
-
 @attrs.define(eq=False)
 class Retry:
     """A retry that was taken from the budget.
@@ -108,18 +92,22 @@
     """
 
     # The attempt that is sent with it, and those of the same request before.
-    sending: Sending = attrs.Factory(Sending)
-    earlier: tuple[Sending, ...] = ()
+    sending: arrivals.Sending = attrs.Factory(arrivals.Sending)
+    earlier: tuple[arrivals.Sending, ...] = ()
 
     @property
     def reached_by_s(self) -> float:
         """By when upstreams have read it; infinite until that is known."""
-        return max(s.read_by_s for s in (self.sending, *self.earlier))
+        return max(s.read_by_s for s in self.list_sendings())
 
     @property
     def is_given_up(self) -> bool:
-        """Whether one of its request's attempts ended unanswered."""
-        return any(s.is_given_up for s in (self.sending, *self.earlier))
+        """Whether one of its request's attempts ended and is unread."""
+        return any(s.is_given_up for s in self.list_sendings())
+
+    def list_sendings(self) -> tuple[arrivals.Sending, ...]:
+        """Returns the attempts of its request up to its own."""
+        return (self.sending, *self.earlier)
 
 
 @attrs.frozen
@@ -130,10 +118,9 @@
     sent: int = 0
     # Of these, how many may not have reached an upstream yet.
     unsettled: int = 0
-    # How many have an attempt that this host ended unanswered, and how many
-    # such ones have left the books since its start.
+    # How many have an attempt that this host ended unanswered, and that its
+    # upstream may read at any time.
     given_up: int = 0
-    forgotten: int = 0
     # Requests in the last window.
     requests: int = 0
     # Retries that it may send in a window: guaranteed and borrowed ones.
@@ -160,8 +147,6 @@
     # Retries borrowed from the pool, and when the next loan may be taken.
     _borrowed: float = 0.0
     _next_loan_s: float = 0.0
-    # Retries that left the books though an attempt had ended unanswered.
-    _forgotten: int = 0
 
     def earn(self, arrived_s: float) -> None:
         """Counts a request.
@@ -223,7 +208,6 @@
             len(self._retries),
             sum(r.reached_by_s > now_s for r in self._retries),
             sum(r.is_given_up for r in self._retries),
-            self._forgotten,
             len(self._requests),
             self._get_guaranteed(hosts, age_s),
             self._borrowed,
@@ -290,12 +274,9 @@
 
     def _drop_expired(self, now_s: float) -> None:
         self._drop_expired_requests(now_s)
-        expired = [
-            r for r in self._retries if now_s - r.reached_by_s >= self.window_s
+        self._retries = [
+            r for r in self._retries if now_s - r.reached_by_s < self.window_s
         ]
-        for retry in expired:
-            self._retries.remove(retry)
-            self._forgotten += retry.is_given_up
 
 
 @attrs.frozen
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -378,10 +378,9 @@
     # reached an upstream yet.
     sent: int
     unsettled: int
-    # How many of them have an attempt that this host ended unanswered, and how
-    # many such ones it has stopped to count since its start.
+    # How many of them have an attempt that this host ended unanswered, and that
+    # its upstream may read at any time.
     given_up: int
-    forgotten: int
     # Requests of this host in the last window.
     requests: int
     # Retries that it may send: its guaranteed share, and what it has borrowed.
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -63,6 +63,7 @@
         self._fleet = state
         self._crashes = crashes
         self._budgets = budgets
+        self.arrivals = budgets.arrivals
 
     def start(
         self,
@@ -99,6 +100,7 @@
         self._note_over_limit(ticket, attempt, ran)
         self.occupancy.add(ticket.job, attempt, spec, now_s)
         self.counts.started += 1
+        self.arrivals.send(attempt.sending, entry.id, now_s)
         first_s = 0.0
         if spec is not None:
             first_s = paths.estimate_first_event_s(
@@ -121,7 +123,7 @@
         self, ticket: tickets.Ticket, attempt: tickets.Attempt, now_s: float
     ) -> None:
         """Ends an attempt, which may not have been read yet."""
-        self._budgets.settle_unanswered(attempt.sending, now_s)
+        self.arrivals.give_up(attempt.sending, now_s)
         self.occupancy.remove(ticket.job, attempt)
 
     def record_failure(
@@ -132,12 +134,11 @@
         now_s: float,
     ) -> None:
         """Records what a failed attempt shows of the upstreams."""
-        if attempt is not None and (
-            failure.ended_by is ends.EndedBy.UPSTREAM
-            or failure.kind is jobs.FailureKind.UNREACHABLE
-        ):
-            # It has been read, or was not sent.
-            attempt.sending.settle(now_s)
+        if attempt is not None:
+            if failure.kind is jobs.FailureKind.UNREACHABLE:
+                self.arrivals.cancel(attempt.sending, now_s)
+            elif failure.was_read:
+                self.arrivals.settle(attempt.sending, now_s)
         first_id = attempt.upstream_id if attempt else ""
         if failure.kind is jobs.FailureKind.REFUSED:
             ticket.refusals += 1
@@ -194,6 +195,7 @@
         """Takes a retry from the budget, unless the request holds one."""
         if ticket.retry is not None:
             return True
+        self.note_ends(now_s)
         ticket.retry = self._budgets.spend(ticket.job.service, now_s)
         is_short = ticket.retry is None
         if not is_short or not ticket.is_shortage_noted:
@@ -203,6 +205,13 @@
         ticket.is_shortage_noted = is_short
         return not is_short
 
+    def note_ends(self, now_s: float) -> None:
+        """Records which upstreams have ended with what they have not read."""
+        for upstream_id in self.arrivals.list_pending():
+            if detection.explain_end(self._fleet, upstream_id):
+                self.arrivals.note_end(upstream_id, now_s)
+        self.arrivals.remove_unused(self._fleet.roster.entries)
+
     def return_retry(self, ticket: tickets.Ticket) -> None:
         """Returns a retry that was taken and not sent to the budget."""
         if ticket.retry is not None:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -177,7 +177,7 @@
         if is_answered:
             self.quarantine.record_answer(ticket.job.fingerprint, now_s)
             if ticket.current is not None:
-                ticket.current.sending.settle(now_s)
+                self._attempts.arrivals.settle(ticket.current.sending, now_s)
         queues.remove(self.queue, job_id)
         if ticket.current is not None:
             queues.record_finish(self.queue, ticket.job.service, now_s)
@@ -206,7 +206,7 @@
         attempt = ticket.current if ticket else None
         if ticket is None or attempt is None:
             return
-        attempt.sending.settle(now_s)
+        self._attempts.arrivals.settle(attempt.sending, now_s)
         if is_error:
             self._record_error(attempt.upstream_id, now_s)
             return
@@ -427,6 +427,7 @@
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts queued requests after the upstreams changed."""
         self.fleet.remove_unlisted()
+        self._attempts.note_ends(now_s)
         self._crashes.settle(now_s)
         return self._start_queued(now_s)
 
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -124,7 +124,7 @@
         if ticket is None or attempt is None:
             return
         if not is_sent:
-            attempt.sending.settle(now_s)
+            self._attempts.arrivals.cancel(attempt.sending, now_s)
             return
         if failure is None:
             ticket.ran.append(tickets.Run(attempt.upstream_id, True))
@@ -146,7 +146,7 @@
         self._attempts.record_failure(ticket, replaced, failure, now_s)
         ticket.current, ticket.next = ticket.next, None
         if ticket.current is not None:
-            ticket.current.sending.settle(now_s)
+            self._attempts.arrivals.settle(ticket.current.sending, now_s)
         ticket.fruitless = 0
 
     def release(
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -79,6 +79,12 @@
     # Who ended it.
     ended_by: ends.EndedBy = ends.EndedBy.UPSTREAM
 
+    @property
+    def was_read(self) -> bool:
+        """Whether it shows that an upstream had read the request."""
+        is_upstream = self.ended_by is ends.EndedBy.UPSTREAM
+        return is_upstream or self.has_head or self.has_output
+
 
 @attrs.frozen
 class Start:
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -112,7 +112,6 @@
         standing.sent,
         standing.unsettled,
         standing.given_up,
-        standing.forgotten,
         standing.requests,
         standing.guaranteed,
         standing.borrowed,
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from egretspur.admission import quarantine, shared
+from egretspur.admission import arrivals, quarantine, shared
 from egretspur.routing import jobs, paths
 
 
@@ -22,7 +22,7 @@
     # Monotonic time.
     started_s: float
     # Its way to the upstream, for the retry budget.
-    sending: shared.Sending = attrs.Factory(shared.Sending)
+    sending: arrivals.Sending = attrs.Factory(arrivals.Sending)
 
     def list_stages(self) -> tuple[str, ...]:
         """Returns the upstreams that run it, beginning with the first stage."""
@@ -55,7 +55,7 @@
     # All attempts.
     attempts: int = 0
     # Their ways to upstreams, from the first attempt on.
-    sendings: list[shared.Sending] = attrs.Factory(list)
+    sendings: list[arrivals.Sending] = attrs.Factory(list)
     is_begun: bool = False
     # The attempt whose events the caller gets; None if none is in flight.
     current: Attempt | None = None
--- /dev/null
+++ b/tests/admission/arrivals.feature
@@ -0,0 +1,18 @@
+Feature: Requests that upstreams may still read
+
+  Scenario Outline: A retried attempt that was ended unanswered
+    # Guards against retries beyond the budget, since an upstream reads a request
+    # long after its host has ended it.
+    Given a host that has used up its retries at 0 s, each attempt ended unanswered
+    When <what> happens at <when> s
+    Then <which> of its retries count at <at> s
+
+    Examples:
+      | what                                     | when | which | at  |
+      | nothing                                  | 0    | all   | 200 |
+      | an answer to a later attempt             | 100  | all   | 119 |
+      | an answer to a later attempt             | 100  | none  | 121 |
+      | an answer to an earlier attempt          | 100  | all   | 200 |
+      | an answer to a later attempt elsewhere   | 100  | all   | 200 |
+      | the end of the upstream                  | 100  | all   | 109 |
+      | the end of the upstream                  | 100  | none  | 111 |
