Send no retry to an upstream that answers nothing, and new requests only to try it

Callers saw: while half of the upstreams read nothing, hosts went on sending to them: of 400 plain calls of ten seconds 55 were answered, of 240 streams three.

Cause: a plain replica that stands still is not suspected before a caller's deadline, and one that answers probes but reads no request never. An engine is suspected only while streams beside it have their first events in time. Nothing bounds how many unread requests an upstream holds, and all of them that were retried arrive at once when it goes on, also those of hosts that were killed.

Evidence: killed at 18 s, 214 streams and 155 plain calls arrive within one second at 28.3 s, nearly all of callers from before the kill.

Change: an upstream that was sent something and answered nothing for 1 s, or for four times as long as an answer is expected to take, is silent. A retry does not go there. New requests try it each time that it has been silent for twice as long, or if there is no other. A plain one is probed as often. The choice of replica or path moves from broker.py to targets.py.

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -15,9 +15,16 @@
 
 import math
 from collections.abc import Container
+from typing import Final
 
 import attrs
 
+# An upstream is silent if it has answered nothing for this long although it was
+# sent something, or for this many times as long as an answer is expected to
+# take.
+MIN_SILENCE_S: Final = 1.0
+SILENCE_FACTOR: Final = 4.0
+
 
 @attrs.define(eq=False)
 class Sending:
@@ -26,6 +33,8 @@
     # Empty until it is sent.
     upstream_id: str = ""
     sent_s: float = -math.inf
+    # Seconds in which an answer is expected.
+    expected_s: float = 0.0
     # When this side ended it, unanswered.
     ended_s: float = math.inf
     # By when it has been read, or never will be; infinite until that is known.
@@ -52,8 +61,30 @@
 
     # Oldest first.
     unread: list[Sending] = attrs.Factory(list)
-    # When the newest of the attempts that it read was sent.
+    # When the newest attempt was sent, and the newest of those that it read.
+    sent_s: float = -math.inf
     read_sent_s: float = -math.inf
+    # When it last read or answered an attempt.
+    active_s: float = -math.inf
+    # When it was last reported as silent.
+    reported_s: float = -math.inf
+
+    def get_silent_s(self, now_s: float) -> float:
+        """Returns for how long it has answered nothing of what it was sent."""
+        if not self.unread:
+            return 0.0
+        return now_s - max(self.active_s, self.unread[0].sent_s)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Tells whether it should have answered something by now."""
+        if not self.unread:
+            return False
+        expected_s = SILENCE_FACTOR * self.unread[0].expected_s
+        return self.get_silent_s(now_s) >= max(MIN_SILENCE_S, expected_s)
+
+    def is_due(self, last_s: float, now_s: float) -> bool:
+        """Tells whether it has been silent for twice as long as at a time."""
+        return now_s - last_s >= self.get_silent_s(now_s) / 2
 
     def drop_read(self) -> None:
         """Drops what it has read, or will have by a known time."""
@@ -73,12 +104,27 @@
         self._window_s = window_s
         self._upstreams: dict[str, _Upstream] = {}
 
-    def send(self, sending: Sending, upstream_id: str, now_s: float) -> None:
-        """Records that an attempt is sent."""
+    def send(
+        self,
+        sending: Sending,
+        upstream_id: str,
+        now_s: float,
+        expected_s: float = 0.0,
+    ) -> None:
+        """Records that an attempt is sent.
+
+        Args:
+            sending: The attempt.
+            upstream_id: The upstream that it is sent to.
+            now_s: Monotonic time.
+            expected_s: Seconds in which an answer is expected.
+        """
         sending.upstream_id = upstream_id
         sending.sent_s = now_s
+        sending.expected_s = expected_s
         upstream = self._upstreams.setdefault(upstream_id, _Upstream())
         upstream.unread.append(sending)
+        upstream.sent_s = now_s
 
     def settle(self, sending: Sending, now_s: float) -> None:
         """Records that an upstream answered or ended an attempt.
@@ -89,6 +135,7 @@
         upstream = self._upstreams.get(sending.upstream_id)
         if upstream is None:
             return
+        upstream.active_s = now_s
         upstream.read_sent_s = max(upstream.read_sent_s, sending.sent_s)
         for other in upstream.unread:
             if other.is_given_up and other.sent_s <= sending.sent_s:
@@ -133,6 +180,37 @@
                 sending.settle(now_s)
         upstream.drop_read()
 
+    def is_silent(self, upstream_id: str, now_s: float) -> bool:
+        """Tells whether an upstream answers nothing of what it is sent."""
+        upstream = self._upstreams.get(upstream_id)
+        return upstream is not None and upstream.is_silent(now_s)
+
+    def list_silent(self, now_s: float) -> set[str]:
+        """Returns the upstreams that answer nothing of what they are sent."""
+        return {i for i, u in self._upstreams.items() if u.is_silent(now_s)}
+
+    def list_avoided(self, now_s: float) -> set[str]:
+        """Returns the silent upstreams that are not due for another request.
+
+        They are tried each time that they have been silent for twice as long.
+        """
+        return {
+            i
+            for i, u in self._upstreams.items()
+            if u.is_silent(now_s) and not u.is_due(u.sent_s, now_s)
+        }
+
+    def take_suspects(self, now_s: float) -> list[str]:
+        """Returns silent upstreams to be probed, each from time to time."""
+        suspects = []
+        for upstream_id, upstream in self._upstreams.items():
+            if not upstream.is_silent(now_s):
+                continue
+            if upstream.is_due(upstream.reported_s, now_s):
+                upstream.reported_s = now_s
+                suspects.append(upstream_id)
+        return suspects
+
     def remove_unused(self, listed: Container[str]) -> None:
         """Drops the state of unlisted upstreams that have nothing to read."""
         for upstream_id, upstream in list(self._upstreams.items()):
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -100,12 +100,13 @@
         self._note_over_limit(ticket, attempt, ran)
         self.occupancy.add(ticket.job, attempt, spec, now_s)
         self.counts.started += 1
-        self.arrivals.send(attempt.sending, entry.id, now_s)
         first_s = 0.0
+        answer_s = self._fleet.replicas.get_response_s(entry.id)
         if spec is not None:
-            first_s = paths.estimate_first_event_s(
+            first_s = answer_s = paths.estimate_first_event_s(
                 attempt.parts, ticket.job.tokens, spec
             )
+        self.arrivals.send(attempt.sending, entry.id, now_s, answer_s)
         return jobs.Start(
             ticket.job.id, entry, attempt.parts, first_s, ticket.attempts
         )
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -25,11 +25,11 @@
     handovers,
     jobs,
     links,
-    paths,
     questions,
     refusals,
     retries,
     search,
+    targets,
     tickets,
     waiting,
 )
@@ -96,6 +96,12 @@
             self._get_spec,
             self._is_quarantined,
         )
+        self._targets = targets.Targets(
+            self.fleet,
+            self.search,
+            self.handovers,
+            self.retry_budgets.arrivals,
+        )
         self.contention = contention.Contention(
             load, self.refusals.promises, self.turns, self.queue
         )
@@ -446,6 +452,7 @@
             upstreams.expire_entries(self.fleet.roster, now_s)
         self._crashes.settle(now_s)
         effects: list[jobs.Effect] = []
+        self._suspect_silent(now_s)
         for item in queues.expire(self.queue, now_s):
             effects.append(self._refuse_expired(self.tickets[item.id], now_s))
         effects += self._refuse_exhausted(now_s)
@@ -453,6 +460,16 @@
         self.handovers.advance_probes(waiting, now_s)
         return effects + self._start_queued(now_s)
 
+    def _suspect_silent(self, now_s: float) -> None:
+        """Has plain replicas probed that answer nothing they are sent.
+
+        Engines are probed once their streams are silent.
+        """
+        for upstream_id in self._attempts.arrivals.take_suspects(now_s):
+            entry = self.fleet.roster.entries.get(upstream_id)
+            if entry is not None and self._get_spec(entry.service) is None:
+                self.fleet.health.suspect(upstream_id, now_s)
+
     def is_busy(self) -> bool:
         """Returns whether `tick` is to be called at short intervals."""
         return (
@@ -645,35 +662,15 @@
             return None
         if ticket.is_begun and self._is_undecided(ticket, now_s):
             return None
-        avoided = ticket.list_avoided(now_s)
-        parts: tuple[paths.Part, ...] | None = ()
-        entry: upstreams.Upstream | None = None
-        if service.engine is None:
-            entry = self.fleet.replicas.choose(
-                service.name, ticket.failed, avoided, now_s
-            )
-        else:
-            choices = None
-            if ticket.is_begun:
-                choices = self.handovers.list_first_choices(ticket)
-            parts = self.search.find_path(
-                ticket.job,
-                service.engine,
-                ticket.failed,
-                now_s,
-                avoided,
-                choices,
-            )
-            if parts:
-                entry = self.fleet.roster.entries[parts[0].id]
-        if entry is None or parts is None:
+        target = self._targets.choose(ticket, service, now_s)
+        if target is None:
             return None
         if ticket.is_begun and not self._attempts.take_retry(ticket, now_s):
             ticket.postpone(retries.BUDGET_DELAY_S, now_s)
             return None
-        attempt = tickets.Attempt(entry.id, parts, now_s)
+        attempt = tickets.Attempt(target.entry.id, target.parts, now_s)
         return self._attempts.start(
-            ticket, attempt, entry, service.engine, now_s
+            ticket, attempt, target.entry, service.engine, now_s
         )
 
     def _check_retry(
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -85,7 +85,7 @@
             return None
         if not route.is_resumable or now_s < ticket.resume_from_s:
             return None
-        choices = self.list_first_choices(ticket)
+        choices = self.list_first_choices(ticket, now_s)
         never = ticket.list_avoided(now_s)
         if not is_lost:
             # It can't run two attempts under one id.
@@ -159,16 +159,40 @@
         return attempt
 
     def list_first_choices(
-        self, ticket: tickets.Ticket
+        self, ticket: tickets.Ticket, now_s: float, is_limited: bool = True
     ) -> frozenset[str] | None:
-        """Returns the first upstreams that a begun answer may be sent to.
+        """Returns the first upstreams that a request may be sent to.
 
-        Its route limits the upstreams that run it. Those that are known to
-        have ended don't count, and it may return to one that ran it.
+        A retry goes to none that is silent: it would be lost for its caller,
+        and nobody would know when it is read.
+
+        Args:
+            ticket: The request.
+            now_s: Monotonic time.
+            is_limited: Whether to apply the limit of its route.
 
         Returns:
             None if it may be sent to any.
         """
+        choices = self._list_allowed(ticket) if is_limited else None
+        if not ticket.attempts:
+            return choices
+        silent = self._attempts.arrivals.list_silent(now_s)
+        if not silent:
+            return choices
+        if choices is None:
+            return frozenset(self._fleet.roster.entries) - silent
+        # A begun answer may have no others.
+        return (choices - silent) or (
+            choices - self._attempts.arrivals.list_avoided(now_s)
+        )
+
+    def _list_allowed(self, ticket: tickets.Ticket) -> frozenset[str] | None:
+        """Returns the first upstreams that its route allows; None for all.
+
+        Its route limits the upstreams that run a begun answer. Those that are
+        known to have ended don't count, and it may return to one that ran it.
+        """
         current = {a.upstream_id for a in (ticket.current, ticket.next) if a}
         used = {
             i
@@ -193,7 +217,7 @@
         """
         health = self._fleet.health
         for ticket in waiting:
-            choices = self.list_first_choices(ticket) if ticket.is_begun else ()
+            choices = self._list_allowed(ticket) if ticket.is_begun else ()
             for upstream_id in choices or ():
                 failed = health.failed.get(upstream_id)
                 if failed and now_s - failed.probed_s >= AWAITED_PROBE_S:
@@ -215,7 +239,7 @@
             (),
             now_s,
             ticket.list_avoided(now_s),
-            self.list_first_choices(ticket),
+            self.list_first_choices(ticket, now_s),
         )
         return parts is not None
 
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -293,6 +293,10 @@
         """Returns the upstreams that other hosts suspect now."""
         return tuple(i for i, t in self.peer_suspects.items() if now_s < t)
 
+    def suspect(self, upstream_id: str, now_s: float) -> None:
+        """Has an upstream probed, which still gets requests meanwhile."""
+        self.failed.setdefault(upstream_id, Failed(now_s, False, now_s))
+
     def record_fault(
         self, upstream_id: str, now_s: float, is_cut: bool = True
     ) -> None:
@@ -307,10 +311,8 @@
             is_cut: Whether a connection broke; otherwise work was refused.
         """
         self.faults.setdefault(upstream_id, Faults()).record(True, now_s)
-        failed = self.failed.setdefault(
-            upstream_id, Failed(now_s, False, now_s)
-        )
-        failed.is_cut |= is_cut
+        self.suspect(upstream_id, now_s)
+        self.failed[upstream_id].is_cut |= is_cut
 
     def record_error(
         self, upstream_id: str, group: Collection[str], now_s: float
--- a/egretspur/routing/replicas.py
+++ b/egretspur/routing/replicas.py
@@ -159,6 +159,11 @@
         # Usable replicas at the last choice, by service.
         self._usable: dict[str, set[str]] = {}
 
+    def get_response_s(self, upstream_id: str) -> float:
+        """Returns the smoothed response time; 0 unless it is a replica."""
+        replica = self._replicas.get(upstream_id)
+        return replica.response_s if replica else 0.0
+
     def record_answer(
         self, upstream_id: str, seconds: float, now_s: float
     ) -> None:
@@ -217,6 +222,7 @@
         avoid: Collection[str],
         refused: Collection[str],
         now_s: float,
+        silent: Collection[str] = (),
     ) -> upstreams.Upstream | None:
         """Returns the replica for a request; None if there is none.
 
@@ -225,6 +231,7 @@
             avoid: Replicas to use only if there is no other.
             refused: Replicas never to use.
             now_s: Monotonic time.
+            silent: Replicas that answer nothing, to use only if all do so.
         """
         usable = self._list_usable(service, now_s)
         self._note_usable(service, {e.id for e in usable}, now_s)
@@ -237,6 +244,7 @@
         cut_off = self._list_cut_off(now_s)
         # Each condition holds only if it leaves a replica. A paused one may be
         # idle by now, so it is tried before those that failed this request.
+        allowed = [e for e in allowed if e.id not in silent] or allowed
         allowed = [e for e in allowed if e.id not in avoid] or allowed
         allowed = [
             e for e in allowed if e.data_centre not in cut_off
--- /dev/null
+++ b/egretspur/routing/targets.py
@@ -0,0 +1,103 @@
+"""Where a request is sent: its replica, or its path through engines: pure.
+
+An upstream that answers nothing of what it is sent may be stopped, or read
+nothing, and answer probes all the same. New requests go there only to try it,
+each time that it has been silent for twice as long, or if there is no other.
+A retry does not go there: it would be lost for its caller as the first attempt
+was, and nobody could tell when it is read. Read next:
+`egretspur.admission.arrivals`.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from egretspur.admission import arrivals
+from egretspur.catalog import config, upstreams
+from egretspur.routing import fleet as fleets
+from egretspur.routing import handovers, paths, search, tickets
+
+
+@attrs.frozen
+class Target:
+    """An upstream for a request."""
+
+    # The replica, or the first engine of the path.
+    entry: upstreams.Upstream
+    # Path through the engines; empty for a plain service.
+    parts: tuple[paths.Part, ...] = ()
+
+
+class Targets:
+    """Chooses where one host's requests are sent."""
+
+    def __init__(
+        self,
+        state: fleets.Fleet,
+        path_search: search.Search,
+        second: handovers.Handovers,
+        sent: arrivals.Arrivals,
+    ) -> None:
+        """Makes it.
+
+        Args:
+            state: Upstreams.
+            path_search: Finds paths.
+            second: Tells which engines an answer that has begun may use.
+            sent: Tells which upstreams are silent.
+        """
+        self._fleet = state
+        self._search = path_search
+        self._handovers = second
+        self._arrivals = sent
+
+    def choose(
+        self, ticket: tickets.Ticket, service: config.Service, now_s: float
+    ) -> Target | None:
+        """Returns where a request is sent; None if nothing has room for it."""
+        if service.engine is None:
+            return self._choose_replica(ticket, service.name, now_s)
+        avoided = self._arrivals.list_avoided(now_s)
+        if ticket.attempts or not avoided:
+            choices = self._handovers.list_first_choices(
+                ticket, now_s, ticket.is_begun
+            )
+            return self._find(ticket, service.engine, choices, now_s)
+        rest = frozenset(self._fleet.roster.entries) - avoided
+        return self._find(ticket, service.engine, rest, now_s) or self._find(
+            ticket, service.engine, None, now_s
+        )
+
+    def _choose_replica(
+        self, ticket: tickets.Ticket, service: str, now_s: float
+    ) -> Target | None:
+        never = ticket.list_avoided(now_s)
+        if ticket.attempts:
+            never |= self._arrivals.list_silent(now_s)
+        entry = self._fleet.replicas.choose(
+            service,
+            ticket.failed,
+            never,
+            now_s,
+            self._arrivals.list_avoided(now_s),
+        )
+        return Target(entry) if entry is not None else None
+
+    def _find(
+        self,
+        ticket: tickets.Ticket,
+        spec: config.EngineSpec,
+        first_choices: frozenset[str] | None,
+        now_s: float,
+    ) -> Target | None:
+        parts = self._search.find_path(
+            ticket.job,
+            spec,
+            ticket.failed,
+            now_s,
+            ticket.list_avoided(now_s),
+            first_choices,
+        )
+        if not parts:
+            return None
+        return Target(self._fleet.roster.entries[parts[0].id], parts)
--- a/tests/admission/arrivals.feature
+++ b/tests/admission/arrivals.feature
@@ -16,3 +16,17 @@
       | an answer to a later attempt elsewhere   | 100  | all   | 200 |
       | the end of the upstream                  | 100  | all   | 109 |
       | the end of the upstream                  | 100  | none  | 111 |
+
+  Scenario Outline: An upstream that answers nothing
+    # Guards against requests that go to an upstream that reads nothing.
+    Given an upstream that <answered>, and a request sent at 0 s
+    Then at <when> s it <state>
+
+    Examples:
+      | answered               | when | state                        |
+      | answered all before    | 0.5  | is not silent                |
+      | answered all before    | 1.4  | is silent and not tried      |
+      | answered all before    | 3    | is silent and tried          |
+      | answers others         | 3    | is not silent                |
+      | takes 1 s for answers  | 3    | is not silent                |
+      | takes 1 s for answers  | 5    | is silent and tried          |
--- /dev/null
+++ b/tests/routing/targets.feature
@@ -0,0 +1,27 @@
+Feature: Where a host sends requests while upstreams answer nothing
+
+  Scenario Outline: One of two upstreams answers nothing
+    # Guards against requests that go on to an upstream which reads nothing: they
+    # are lost for their callers, and read when nobody counts them any more.
+    Given a chain of engines and two plain replicas
+    And a twin of its first engine
+    When <count> requests of kind "<kind>" are sent to one of the two, which answers none
+    And 2 s pass in which the other one answers 20 requests
+    Then at most 3 of these went to the silent one
+    When a request fails at the other one
+    Then it is not sent to the silent one
+    When the silent one answers what it was sent
+    Then it gets requests again
+
+    Examples:
+      | kind       | count |
+      | idempotent | 1     |
+      | idempotent | 4     |
+      | streaming  | 1     |
+
+  Scenario: A plain replica that answers nothing is probed
+    # Guards against a replica that stands still and is not found out before a
+    # caller's deadline.
+    Given a chain of engines and two plain replicas
+    When 1 requests of kind "idempotent" are sent to one of the two, which answers none
+    Then it is probed within 1.5 s
--- a/tests/steps/arrivals_steps.py
+++ b/tests/steps/arrivals_steps.py
@@ -95,3 +95,36 @@
     context.budgets.list_spent(at)
     sent = context.budgets.get_balance(SERVICE, at).sent
     assert sent == (context.taken if which == "all" else 0), sent
+
+
+@given("an upstream that {how}, and a request sent at 0 s")
+def step_upstream(context: Any, how: str) -> None:
+    sent = context.sent = arrivals.Arrivals(WINDOW_S)
+    before = arrivals.Sending()
+    sent.send(before, UPSTREAM, -1.0)
+    sent.settle(before, -0.5)
+    expected_s = 1.0 if how.startswith("takes") else 0.05
+    sent.send(arrivals.Sending(), UPSTREAM, 0.0, expected_s)
+    if how == "answers others":
+        other = arrivals.Sending()
+        sent.send(other, UPSTREAM, 0.1)
+        sent.settle(other, ANSWER_S)
+
+
+@then("at {at:g} s it is not silent")
+def step_not_silent(context: Any, at: float) -> None:
+    assert not context.sent.is_silent(UPSTREAM, at)
+    assert not context.sent.list_avoided(at)
+
+
+@then("at {at:g} s it is silent and tried")
+def step_tried(context: Any, at: float) -> None:
+    assert context.sent.list_silent(at) == {UPSTREAM}
+    assert not context.sent.list_avoided(at)
+
+
+@then("at {at:g} s it is silent and not tried")
+def step_not_tried(context: Any, at: float) -> None:
+    context.sent.send(arrivals.Sending(), UPSTREAM, at - 0.1)
+    assert context.sent.list_silent(at) == {UPSTREAM}
+    assert context.sent.list_avoided(at) == {UPSTREAM}
