Keep to the reserve while upstreams may hold requests of a host's earlier process

Callers saw: after all hosts had been killed while some upstreams read nothing, retries stopped, as the service had got more than allowed when those went on.

Cause: a start had its whole share a window after it had heard the others. What its former process had sent to an upstream that reads nothing is still there then, and nobody counts it.

Change: an upstream that was listed when a host started, and that has answered nothing since although it was sent something or accepts probes' connections, may hold a backlog. Until two windows after it answered, or at once when it has ended, the host has no more than its part of the reserve for that service. One that joins later holds nothing of an earlier process.

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -189,6 +189,14 @@
         """Returns the upstreams that answer nothing of what they are sent."""
         return {i for i, u in self._upstreams.items() if u.is_silent(now_s)}
 
+    def list_unproven(self, now_s: float) -> list[str]:
+        """Returns the silent upstreams that have never answered anything."""
+        return [
+            i
+            for i, u in self._upstreams.items()
+            if math.isinf(u.active_s) and u.is_silent(now_s)
+        ]
+
     def list_avoided(self, now_s: float) -> set[str]:
         """Returns the silent upstreams that are not due for another request.
 
--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -10,10 +10,15 @@
 import math
 import random
 from collections.abc import Mapping
+from typing import Final
 
 import attrs
 
-from egretspur.admission import arrivals, pauses, shared
+from egretspur.admission import arrivals, backlogs, pauses, shared
+
+# Windows for which a host counts as new at most while upstreams may hold
+# requests of earlier processes: it has its whole part of the reserve then.
+NEW_FRACTION: Final = 0.999
 
 
 @attrs.frozen
@@ -52,6 +57,7 @@
         self.hosts = 1
         self.pauses = pauses.PauseDetector()
         self.arrivals = arrivals.Arrivals(options.window_s)
+        self.backlogs = backlogs.Backlogs(options.window_s)
         self._options = options
         self._rng = rng or random.Random()
         self._since_s = options.since_s
@@ -66,6 +72,16 @@
         """Returns for how long this host has known of the others' retries."""
         return now_s - self._since_s
 
+    def _get_known_s(self, service: str, now_s: float) -> float:
+        """Returns for how long it has known of all retries to a service.
+
+        It does not while an upstream may read what was sent before its start.
+        """
+        age_s = self._get_age_s(now_s)
+        if self.backlogs.may_count(service, now_s):
+            return min(age_s, NEW_FRACTION * self._options.window_s)
+        return age_s
+
     def earn(self, service: str, now_s: float) -> None:
         """Counts a request that is read now.
 
@@ -80,7 +96,7 @@
         """Takes one retry; returns None if none was available."""
         others = self._ledger.sum_peers(service, now_s)
         return self._get(service).spend(
-            self.hosts, now_s, others, self._get_age_s(now_s)
+            self.hosts, now_s, others, self._get_known_s(service, now_s)
         )
 
     def refund(self, service: str, retry: shared.Retry) -> None:
@@ -90,7 +106,8 @@
     def get_balance(self, service: str, now_s: float) -> shared.Balance:
         """Returns this host's balance of a service's budget."""
         budget = self._get(service)
-        return budget.get_balance(self.hosts, now_s, self._get_age_s(now_s))
+        known_s = self._get_known_s(service, now_s)
+        return budget.get_balance(self.hosts, now_s, known_s)
 
     def get_heard_s(self, now_s: float) -> float | None:
         """Returns for how long it has known of the other hosts' retries.
@@ -127,9 +144,10 @@
 
     def list_spent(self, now_s: float) -> dict[str, shared.Spent]:
         """Returns what this host has spent, by service."""
-        age_s = self._get_age_s(now_s)
         return {
-            service: budget.report_spent(self.hosts, now_s, age_s)
+            service: budget.report_spent(
+                self.hosts, now_s, self._get_known_s(service, now_s)
+            )
             for service, budget in self._budgets.items()
         }
 
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -27,6 +27,7 @@
     paths,
     retries,
     tickets,
+    unread,
 )
 
 # Minimum delay before a request is sent again to an upstream that refused it:
@@ -64,6 +65,7 @@
         self._crashes = crashes
         self._budgets = budgets
         self.arrivals = budgets.arrivals
+        self.unread = unread.UnreadRequests(state, budgets)
 
     def start(
         self,
@@ -196,7 +198,7 @@
         """Takes a retry from the budget, unless the request holds one."""
         if ticket.retry is not None:
             return True
-        self.note_ends(now_s)
+        self.unread.update(now_s)
         ticket.retry = self._budgets.spend(ticket.job.service, now_s)
         is_short = ticket.retry is None
         if not is_short or not ticket.is_shortage_noted:
@@ -206,13 +208,6 @@
         ticket.is_shortage_noted = is_short
         return not is_short
 
-    def note_ends(self, now_s: float) -> None:
-        """Records which upstreams have ended with what they have not read."""
-        for upstream_id in self.arrivals.list_pending():
-            if detection.explain_end(self._fleet, upstream_id):
-                self.arrivals.note_end(upstream_id, now_s)
-        self.arrivals.remove_unused(self._fleet.roster.entries)
-
     def return_retry(self, ticket: tickets.Ticket) -> None:
         """Returns a retry that was taken and not sent to the budget."""
         if ticket.retry is not None:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -433,7 +433,7 @@
     def refresh(self, now_s: float) -> list[jobs.Effect]:
         """Starts queued requests after the upstreams changed."""
         self.fleet.remove_unlisted()
-        self._attempts.note_ends(now_s)
+        self._attempts.unread.update(now_s)
         self._crashes.settle(now_s)
         return self._start_queued(now_s)
 
@@ -452,7 +452,8 @@
             upstreams.expire_entries(self.fleet.roster, now_s)
         self._crashes.settle(now_s)
         effects: list[jobs.Effect] = []
-        self._suspect_silent(now_s)
+        self._attempts.unread.update(now_s)
+        self._attempts.unread.suspect_silent(now_s)
         for item in queues.expire(self.queue, now_s):
             effects.append(self._refuse_expired(self.tickets[item.id], now_s))
         effects += self._refuse_exhausted(now_s)
@@ -460,16 +461,6 @@
         self.handovers.advance_probes(waiting, now_s)
         return effects + self._start_queued(now_s)
 
-    def _suspect_silent(self, now_s: float) -> None:
-        """Has plain replicas probed that answer nothing they are sent.
-
-        Engines are probed once their streams are silent.
-        """
-        for upstream_id in self._attempts.arrivals.take_suspects(now_s):
-            entry = self.fleet.roster.entries.get(upstream_id)
-            if entry is not None and self._get_spec(entry.service) is None:
-                self.fleet.health.suspect(upstream_id, now_s)
-
     def is_busy(self) -> bool:
         """Returns whether `tick` is to be called at short intervals."""
         return (
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -472,6 +472,17 @@
             )
         failed.next_probe_s = now_s + min(pause_s, MAX_PROBE_INTERVAL_S)
 
+    def list_mute(self) -> list[str]:
+        """Returns upstreams that accept connections and never answered."""
+        return [
+            i
+            for i, f in self.failed.items()
+            if f.failures
+            and not f.is_refused
+            and f.unopened_s is None
+            and i not in self._answered_s
+        ]
+
     def explain_end(self, upstream_id: str) -> str:
         """Returns what shows that an upstream ended or is cut off.
 
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -55,6 +55,11 @@
 HELD_BEFORE_KILL_S: Final = 10.0
 HELD_AFTER_KILL_S: Final = 10.0
 
+# The same where hosts are killed soon, and have their whole part again before
+# upstreams go on.
+SOON_S: Final = 2.0
+UNTIL_WHOLE_S: Final = 13.0
+
 # Seconds for which hosts stand still, for short and long, and the time between
 # two stops.
 STOP_S: Final = 1.5
@@ -97,6 +102,9 @@
     "refuse": (False, False, True),
 }
 
+# Memory of an engine that holds all layers, in MB.
+SINGLE_ENGINE_MB: Final = 2.0 * 1000.0 * sites.LAYERS
+
 # Data centres without upstreams.
 FAR: Final = ("pg-hall", "cj-hall")
 
@@ -273,6 +281,7 @@
     patience_s: float = PATIENCE_S,
     tree: pathlib.Path | None = None,
     far: int = 0,
+    engine_mb: float = sites.ENGINE_MB,
 ) -> Play:
     """Starts a site and waits until its hosts serve.
 
@@ -287,6 +296,7 @@
         patience_s: How long a caller waits.
         tree: Checkout whose hosts are played; this one if None.
         far: Hosts that are in two other data centres than the upstreams.
+        engine_mb: Memory of an engine.
     """
     site = sites.start_site(
         hosts,
@@ -299,7 +309,9 @@
     site.keeps_settings = keeps_settings
     site.seed = seed
     site.write(
-        "keyed.op", "config", sites.make_config(["key-1"], 3, MAX_ATTEMPTS)
+        "keyed.op",
+        "config",
+        sites.make_config(["key-1"], 3, MAX_ATTEMPTS, engine_mb),
     )
     for number in range(4, upstreams):
         site.start_upstream(f"e{number}")
@@ -412,12 +424,23 @@
     release(site, held)
 
 
-def play_killed_while_held(site: sites.Site, is_stopped: bool = False) -> None:
-    """All hosts are killed while half of the upstreams read nothing."""
-    held_s = HELD_BEFORE_KILL_S + HELD_AFTER_KILL_S
-    end_s = time.monotonic() + held_s
-    held = hold_half(site, held_s, is_stopped)
-    time.sleep(HELD_BEFORE_KILL_S)
+def play_killed_while_held(
+    site: sites.Site,
+    is_stopped: bool = False,
+    before_s: float = HELD_BEFORE_KILL_S,
+    after_s: float = HELD_AFTER_KILL_S,
+) -> None:
+    """All hosts are killed while half of the upstreams read nothing.
+
+    Args:
+        site: The site.
+        is_stopped: Whether they are stopped; otherwise they answer probes.
+        before_s: How long they have read nothing by then.
+        after_s: How long they read nothing after that.
+    """
+    end_s = time.monotonic() + before_s + after_s
+    held = hold_half(site, before_s + after_s, is_stopped)
+    time.sleep(before_s)
     for ip in list(site.hosts):
         site.stage.processes[ip].popen.kill()
     for ip in list(site.hosts):
@@ -640,6 +663,9 @@
     "all hosts are killed while upstreams read nothing": (
         play_killed_while_held
     ),
+    "all hosts are killed once upstreams read nothing": functools.partial(
+        play_killed_while_held, before_s=SOON_S, after_s=UNTIL_WHOLE_S
+    ),
     "upstreams fail while all hosts stop": play_fail_while_stopped,
     "all hosts stop": play_all_stop,
     "every second host stops": play_half_stop,
@@ -669,6 +695,11 @@
     )
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--patience-s", type=float, default=PATIENCE_S)
+    parser.add_argument(
+        "--single-engines",
+        action="store_true",
+        help="each engine has memory for all layers",
+    )
     parser.add_argument(
         "--far", type=int, default=0, help="hosts in other data centres"
     )
@@ -687,6 +718,7 @@
         args.patience_s,
         args.tree,
         args.far,
+        SINGLE_ENGINE_MB if args.single_engines else sites.ENGINE_MB,
     )
     try:
         for service, window in play.run(args.history).items():
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -36,12 +36,15 @@
 # Time for which a draining upstream continues to serve, in seconds.
 DRAIN_S: Final = 2.5
 
-SPEC: Final = {
+# Memory of an engine: it holds two of the layers, and what requests need.
+ENGINE_MB: Final = 4000.0
+
+SPEC: Final[dict[str, Any]] = {
     **platform_steps.ENGINE,
     "layer_count": LAYERS,
     "layer_mb": 1000.0,
     "kinds": [
-        {"name": "l4", "size_mb": 4000.0, "pace": 16.0, "read_factor": 8.2}
+        {"name": "l4", "size_mb": ENGINE_MB, "pace": 16.0, "read_factor": 8.2}
     ],
     "kv_token_bytes": 80_000,
     "load_s": 0.1,
@@ -216,9 +219,13 @@
 
 
 def make_config(
-    keys: list[str], version: int, max_attempts: int = MAX_ATTEMPTS
+    keys: list[str],
+    version: int,
+    max_attempts: int = MAX_ATTEMPTS,
+    engine_mb: float = ENGINE_MB,
 ) -> dict[str, Any]:
     """Returns a configuration in the form that operators write."""
+    kinds = [{**SPEC["kinds"][0], "size_mb": engine_mb}]
     routes = []
     for prefix, kind, service in (
         ("/notes/", "streaming", "llm"),
@@ -244,7 +251,7 @@
             "name": "llm",
             "health_path": "/healthz",
             "max_conns": 100,
-            "inference_engine": SPEC,
+            "inference_engine": {**SPEC, "kinds": kinds},
         },
         {"name": "desk", "health_path": "/healthz", "max_conns": 100},
     ]
--- /dev/null
+++ b/tests/steps/backlogs_steps.py
@@ -0,0 +1,91 @@
+"""Steps on what upstreams may read of a host's earlier processes."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, Final
+
+import attrs
+from behave import given, then, when
+
+from egretspur.catalog import upstreams
+from tests import fleets
+from tests.steps import broker_steps
+
+SERVICE: Final = "desk"
+KIND: Final = "idempotent"
+
+# Fraction of a share that a host of long standing keeps to itself at least, and
+# that a new one has of the reserve at most.
+WHOLE: Final = 0.5
+RESERVE: Final = 0.1
+
+
+def send(context: Any, name: str) -> str:
+    """Lets a request arrive; returns the upstream that it is sent to."""
+    broker_steps.arrive(context, name, KIND)
+    return str(context.started[name].upstream.id)
+
+
+def list_changed(context: Any, *entries: upstreams.Upstream) -> None:
+    """Replaces the plain replicas of the list."""
+    roster = context.broker.fleet.roster
+    for upstream_id in [i for i in roster.entries if i.startswith("app-")]:
+        del roster.entries[upstream_id]
+    for entry in entries:
+        upstreams.put_entry(roster, entry, context.now_s)
+    broker_steps.take(context, context.broker.refresh(context.now_s))
+
+
+@given("a host that heard the others {seconds:d} s after its start")
+def step_started(context: Any, seconds: int) -> None:
+    since_s = context.now_s + seconds
+    context.budget = attrs.evolve(fleets.BUDGET, since_s=since_s)
+    broker_steps.make_chain(context, fleets.make_upstream("app-0"))
+    context.broker.set_host_count(8)
+
+
+@when("it sends a request, which is {how}, and {seconds:d} s pass")
+def step_send(context: Any, how: str, seconds: int) -> None:
+    context.upstream = send(context, "r0")
+    if how == "answered":
+        context.broker.record_answer_start("r0", context.now_s)
+        context.broker.finish("r0", context.now_s, True)
+    broker_steps.step_pass(context, float(seconds))
+
+
+@when("the upstream {what}, and {seconds:d} s pass")
+def step_then(context: Any, what: str, seconds: int) -> None:
+    if what == "answers":
+        context.broker.record_answer_start("r0", context.now_s)
+        context.broker.finish("r0", context.now_s, True)
+    elif what == "leaves":
+        list_changed(context)
+    elif what == "is replaced":
+        list_changed(context, fleets.make_upstream("app-1"))
+    else:
+        assert what == "does nothing", what
+    broker_steps.step_pass(context, float(seconds))
+
+
+@when(
+    "an upstream joins, and a request to it is not answered for {seconds:d} s"
+)
+def step_joins(context: Any, seconds: int) -> None:
+    broker_steps.step_pass(context, 0.1)
+    list_changed(context, fleets.make_upstream("app-1"))
+    assert send(context, "r0") == "app-1"
+    broker_steps.step_pass(context, float(seconds))
+
+
+@then("its part of the retry budget is {what}")
+def step_part(context: Any, what: str) -> None:
+    budgets = context.broker.retry_budgets
+    balance = budgets.get_balance(SERVICE, context.now_s)
+    share = fleets.BUDGET.allowance / budgets.hosts
+    assert not math.isinf(balance.guaranteed)
+    if what == "whole":
+        assert balance.guaranteed >= WHOLE * share, balance
+    else:
+        # It draws a fraction of one at its start besides.
+        assert balance.guaranteed <= RESERVE * share + 1.0, balance
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -21,6 +21,23 @@
     context.add_cleanup(context.retrying.close)
 
 
+@given(
+    "a site of {hosts:d} hosts and {engines:d} engines that hold all layers,"
+    " with {per_s:d} requests a second and {allowance:d} retries allowed"
+)
+def step_single_engines(
+    context: Any, hosts: int, engines: int, per_s: int, allowance: int
+) -> None:
+    context.retrying = retrying.start(
+        hosts,
+        engines,
+        per_s,
+        allowance,
+        engine_mb=retrying.SINGLE_ENGINE_MB,
+    )
+    context.add_cleanup(context.retrying.close)
+
+
 @given("hosts that start again with the settings of their first start")
 def step_keep_settings(context: Any) -> None:
     context.retrying.site.keeps_settings = True
