Soak: upstreams that read nothing for a while; one table of what soaks inject besides

Callers saw: nothing; no soak held requests up at upstreams.

Cause: the soak's upstreams read each request at once or not at all. A request that its host gave up and its upstream reads later was in no soak; "answered 503, though it ran" could not come about that way.

The extra faults stood in five flags, arguments and dict merges each; they are one table now. The plans of earlier seeds are the same.

--- a/tests/daemons/soak.feature
+++ b/tests/daemons/soak.feature
@@ -65,6 +65,12 @@
     Then no fault is found, and answers of each kind arrived
     And engines stood still
 
+  Scenario: Two hosts under faults, and upstreams that read nothing for a while
+    # Guards against calls refused as not run that an upstream reads later.
+    When a site of 2 hosts is soaked for 12 s with seed 41, and upstreams that read nothing
+    Then no fault is found, and answers of each kind arrived
+    And upstreams read nothing
+
   Scenario: Two hosts under faults, and upstreams that send throttling headers
     # Guards against requests beyond an upstream's rate limit, during its backoff,
     # or long after it announced that it leaves.
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,8 @@
 ``--endless`` has upstreams answer bytes without end; no host may need more
 memory than its settings allow.
 
+``--held`` has upstreams read no request for a while, and all of them then.
+
 In soaks with an odd seed, hosts start again with the settings of their first
 start.
 
@@ -48,7 +50,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any, Final
 
 import attrs
@@ -125,16 +127,8 @@
     starts: int = 0
     # Send time of each fatal request, by its id.
     fatal: dict[str, float] = attrs.Factory(dict)
-    # Whether the store is also restored from copies.
-    has_copies: bool = False
-    # Whether upstreams also request limits, backoffs and drains.
-    has_asking: bool = False
-    # Whether hosts are also cut off from all upstreams.
-    has_links: bool = False
-    # Whether engines also stand still after they broke a stream off.
-    has_stalls: bool = False
-    # Whether upstreams also answer bytes without end.
-    has_endless: bool = False
+    # Names of faults that are injected besides; see `EXTRAS`.
+    extras: frozenset[str] = frozenset()
     # Host of each request, by its id, and start and end times of the faults of
     # each target.
     request_hosts: dict[str, str] = attrs.Factory(dict)
@@ -203,14 +197,9 @@
 
     def inject_fault(self) -> None:
         """Starts one fault in its own thread, which also ends it."""
-        faults = {
-            **FAULTS,
-            **(COPIES if self.has_copies else {}),
-            **(ASKING if self.has_asking else {}),
-            **(LINKS if self.has_links else {}),
-            **(STALLS if self.has_stalls else {}),
-            **(ENDLESS if self.has_endless else {}),
-        }
+        faults = dict(FAULTS)
+        for extra in self.extras:
+            faults.update(EXTRAS[extra].faults)
         name = self.rng.choice(sorted(faults))
         lasts_s = self.rng.uniform(*FAULT_DURATION_S)
         victims = self._list_victims(name)
@@ -283,6 +272,12 @@
             # The engine may have been killed.
             self.site.set_fault(name, {"resumed_status": status})
 
+    def hold(self, name: str, lasts_s: float) -> None:
+        """Has an upstream read no request for a while, and all of them then."""
+        until_s = time.monotonic() + lasts_s
+        self.site.set_fault(name, {"reads_from_s": until_s})
+        time.sleep(lasts_s)
+
     def send_endless(self, name: str, lasts_s: float) -> None:
         """Has an upstream answer bytes without end, at some speed."""
         # Apart from the plan's draws, which other threads go on with.
@@ -354,7 +349,7 @@
                 list(process.lines), self.request_hosts
             )
             found += asking.find_violations(name, arrivals, self.fault_times)
-        if not self.has_links:
+        if "links" not in self.extras:
             found += self._find_spread()
         found += self._find_large()
         late = count_late(self.fatal, runs)
@@ -531,36 +526,57 @@
     f"store_copy{i}": lambda s, n, t: s.copy(n, t) for i in range(3)
 }
 
+# Added by ``--held``; longer than other faults, so that hosts end requests that
+# are read later. Twice as likely at plain replicas.
+HELD: Final[dict[str, Fault]] = {
+    name: lambda s, n, t: s.hold(n, 3 * t)
+    for name in ("engine_held", "plain_held0", "plain_held1")
+}
+
+
+@attrs.frozen
+class Extra:
+    """Faults that a soak injects besides those of all soaks."""
+
+    faults: Mapping[str, Fault]
+    # For the command line.
+    help: str
+
+
+EXTRAS: Final[Mapping[str, Extra]] = {
+    "copies": Extra(COPIES, "have the store come from copies"),
+    "asking": Extra(ASKING, "have upstreams ask for less"),
+    "links": Extra(LINKS, "cut hosts off from upstreams"),
+    "stalls": Extra(STALLS, "have engines stand still"),
+    "endless": Extra(ENDLESS, "have upstreams answer no end"),
+    "held": Extra(HELD, "have upstreams read nothing for a while"),
+}
+
 
 def run(
     seed: int,
     seconds: float,
     hosts: int,
     has_fatal: bool = False,
-    has_copies: bool = False,
-    has_asking: bool = False,
-    has_links: bool = False,
-    has_stalls: bool = False,
-    has_endless: bool = False,
+    extras: Collection[str] = (),
 ) -> tuple[Soak, list[str]]:
-    """Runs a soak; returns its record and the violations."""
+    """Runs a soak; returns its record and the violations.
+
+    Args:
+        seed: Of the faults.
+        seconds: For which faults are injected.
+        hosts: Number of hosts.
+        has_fatal: Whether to send a request that crashes engines.
+        extras: Names of more faults, of `EXTRAS`.
+    """
     site = sites.start_site(hosts)
     site.keeps_settings = seed % 2 == 1
-    if has_stalls:
+    if "stalls" in extras:
         # Three hold each layer, so that a request may reach a third one.
         for number in range(MORE_ENGINES):
             site.start_upstream(f"em{number}")
     rng = random.Random(seed)
-    soak = Soak(
-        site,
-        site.hosts[:hosts],
-        rng,
-        has_copies=has_copies,
-        has_asking=has_asking,
-        has_links=has_links,
-        has_stalls=has_stalls,
-        has_endless=has_endless,
-    )
+    soak = Soak(site, site.hosts[:hosts], rng, extras=frozenset(extras))
     if has_fatal:
         soak.start_fatal(seed)
     callers = [
@@ -610,32 +626,15 @@
     parser.add_argument(
         "--fatal", action="store_true", help="send a request that ends engines"
     )
-    parser.add_argument(
-        "--copies", action="store_true", help="have the store come from copies"
-    )
-    parser.add_argument(
-        "--asking", action="store_true", help="have upstreams ask for less"
-    )
-    parser.add_argument(
-        "--links", action="store_true", help="cut hosts off from upstreams"
-    )
-    parser.add_argument(
-        "--stalls", action="store_true", help="have engines stand still"
-    )
-    parser.add_argument(
-        "--endless", action="store_true", help="have upstreams answer no end"
-    )
+    for name, extra in EXTRAS.items():
+        parser.add_argument(f"--{name}", action="store_true", help=extra.help)
     args = parser.parse_args(argv)
     soak, found = run(
         args.seed,
         args.seconds,
         args.hosts,
         args.fatal,
-        args.copies,
-        args.asking,
-        args.links,
-        args.stalls,
-        args.endless,
+        [name for name in EXTRAS if getattr(args, name)],
     )
     for finding in found:
         print(json.dumps({"finding": finding}))
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -63,7 +63,9 @@
 def step_soaked_links(
     context: Any, hosts: int, seconds: int, seed: int
 ) -> None:
-    context.soak, context.found = soak.run(seed, seconds, hosts, has_links=True)
+    context.soak, context.found = soak.run(
+        seed, seconds, hosts, extras=["links"]
+    )
 
 
 @then("hosts were cut off")
@@ -89,7 +91,7 @@
     context: Any, hosts: int, seconds: int, seed: int
 ) -> None:
     context.soak, context.found = soak.run(
-        seed, seconds, hosts, has_copies=True
+        seed, seconds, hosts, extras=["copies"]
     )
 
 
@@ -101,10 +103,25 @@
     context: Any, hosts: int, seconds: int, seed: int
 ) -> None:
     context.soak, context.found = soak.run(
-        seed, seconds, hosts, has_stalls=True
+        seed, seconds, hosts, extras=["stalls"]
     )
 
 
+@when(
+    "a site of {hosts:d} hosts is soaked for {seconds:d} s with seed {seed:d},"
+    " and upstreams that read nothing"
+)
+def step_soaked_held(context: Any, hosts: int, seconds: int, seed: int) -> None:
+    context.soak, context.found = soak.run(
+        seed, seconds, hosts, extras=["held"]
+    )
+
+
+@then("upstreams read nothing")
+def step_read_nothing(context: Any) -> None:
+    assert set(context.soak.faults) & set(soak.HELD)
+
+
 @then("engines stood still")
 def step_stood_still(context: Any) -> None:
     assert any(n in soak.STALLS for n in context.soak.faults)
@@ -141,7 +158,7 @@
     context: Any, hosts: int, seconds: int, seed: int
 ) -> None:
     context.soak, context.found = soak.run(
-        seed, seconds, hosts, has_asking=True
+        seed, seconds, hosts, extras=["asking"]
     )
 
 
