Don't take an upstream for silent whose callers left early

Callers saw: nothing yet; found while reading the diff. A request whose caller left after 0.3 s stays unanswered, so an idle, sound upstream counted as silent until it had answered another: no retry went there, and a host that had just started kept to the reserve.

Cause: silence was counted from the oldest unread attempt, also of one that was ended long before an answer was due.

Evidence: tests/admission/arrivals.feature, "loses 1 caller" and "loses 2 callers" (the code before says silent by its first condition alone).

Change: besides the time, an attempt must have waited as long, or three must have been ended sooner.

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -25,6 +25,10 @@
 MIN_SILENCE_S: Final = 1.0
 SILENCE_FACTOR: Final = 4.0
 
+# Attempts that show it although each was ended sooner: callers that leave early
+# get no answer from a sound upstream either.
+MIN_GIVEN_UP: Final = 3
+
 
 @attrs.define(eq=False)
 class Sending:
@@ -79,8 +83,12 @@
         """Tells whether it should have answered something by now."""
         if not self.unread:
             return False
-        expected_s = SILENCE_FACTOR * self.unread[0].expected_s
-        return self.get_silent_s(now_s) >= max(MIN_SILENCE_S, expected_s)
+        least_s = max(MIN_SILENCE_S, SILENCE_FACTOR * self.unread[0].expected_s)
+        if self.get_silent_s(now_s) < least_s:
+            return False
+        return len(self.unread) >= MIN_GIVEN_UP or any(
+            min(now_s, s.ended_s) - s.sent_s >= least_s for s in self.unread
+        )
 
     def is_due(self, last_s: float, now_s: float) -> bool:
         """Tells whether it has been silent for twice as long as at a time."""
--- a/tests/admission/arrivals.feature
+++ b/tests/admission/arrivals.feature
@@ -30,3 +30,6 @@
       | answers others         | 3    | is not silent                |
       | takes 1 s for answers  | 3    | is not silent                |
       | takes 1 s for answers  | 5    | is silent and tried          |
+      | loses 1 caller         | 3    | is not silent                |
+      | loses 2 callers        | 3    | is not silent                |
+      | loses 3 callers        | 3    | is silent and tried          |
--- a/tests/steps/arrivals_steps.py
+++ b/tests/steps/arrivals_steps.py
@@ -24,8 +24,10 @@
 # A host of long standing has known of the others for this long.
 LONG_S: Final = 100.0
 
-# When an upstream that answers others does so, in seconds.
+# When an upstream that answers others does so, and when callers leave, in
+# seconds.
 ANSWER_S: Final = 2.5
+LEFT_S: Final = 0.3
 
 
 def make_budgets(age_s: float) -> repeats.RetryBudgets:
@@ -104,7 +106,14 @@
     sent.send(before, UPSTREAM, -1.0)
     sent.settle(before, -0.5)
     expected_s = 1.0 if how.startswith("takes") else 0.05
-    sent.send(arrivals.Sending(), UPSTREAM, 0.0, expected_s)
+    first = arrivals.Sending()
+    sent.send(first, UPSTREAM, 0.0, expected_s)
+    if how.startswith("loses"):
+        sent.give_up(first, LEFT_S)
+        for _ in range(int(how.split()[1]) - 1):
+            other = arrivals.Sending()
+            sent.send(other, UPSTREAM, 0.1)
+            sent.give_up(other, LEFT_S)
     if how == "answers others":
         other = arrivals.Sending()
         sent.send(other, UPSTREAM, 0.1)
