Choose a target by one rule for retries and one for new requests; one restart and one hold in tests

Behaviour stays as it is.

Cause: Targets listed silent upstreams twice for each retry of a plain service, where those to avoid are part of those never used, and once for nothing for each retry of a stream. An attempt at an engine asked for a replica's response time. Arrivals.is_silent was called by a test alone. In tests, a history killed and started all hosts as kill_all did, reads_from_s was set in two places, and two files of steps sent and answered requests in the same way.

Change: each of these stands once: retrying.restart_all, Site.hold, broker_steps.send_to and answer.

Evidence and result: make check's formatter, linter and types clean; 335 scenarios of routing and admission, 0 failed.

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -188,11 +188,6 @@
                 sending.settle(now_s)
         upstream.drop_read()
 
-    def is_silent(self, upstream_id: str, now_s: float) -> bool:
-        """Tells whether an upstream answers nothing of what it is sent."""
-        upstream = self._upstreams.get(upstream_id)
-        return upstream is not None and upstream.is_silent(now_s)
-
     def list_silent(self, now_s: float) -> set[str]:
         """Returns the upstreams that answer nothing of what they are sent."""
         return {i for i, u in self._upstreams.items() if u.is_silent(now_s)}
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -102,9 +102,10 @@
         self._note_over_limit(ticket, attempt, ran)
         self.occupancy.add(ticket.job, attempt, spec, now_s)
         self.counts.started += 1
-        first_s = 0.0
-        answer_s = self._fleet.replicas.get_response_s(entry.id)
-        if spec is not None:
+        if spec is None:
+            first_s = 0.0
+            answer_s = self._fleet.replicas.get_response_s(entry.id)
+        else:
             first_s = answer_s = paths.estimate_first_event_s(
                 attempt.parts, ticket.job.tokens, spec
             )
--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -57,29 +57,28 @@
         """Returns where a request is sent; None if nothing has room for it."""
         if service.engine is None:
             return self._choose_replica(ticket, service.name, now_s)
-        avoided = self._arrivals.list_avoided(now_s)
-        if ticket.attempts or not avoided:
+        if ticket.attempts:
             choices = self._handovers.list_first_choices(
                 ticket, now_s, ticket.is_begun
             )
             return self._find(ticket, service.engine, choices, now_s)
-        rest = frozenset(self._fleet.roster.entries) - avoided
-        return self._find(ticket, service.engine, rest, now_s) or self._find(
-            ticket, service.engine, None, now_s
-        )
+        target = None
+        if avoided := self._arrivals.list_avoided(now_s):
+            rest = frozenset(self._fleet.roster.entries) - avoided
+            target = self._find(ticket, service.engine, rest, now_s)
+        return target or self._find(ticket, service.engine, None, now_s)
 
     def _choose_replica(
         self, ticket: tickets.Ticket, service: str, now_s: float
     ) -> Target | None:
         never = ticket.list_avoided(now_s)
+        silent: set[str] = set()
         if ticket.attempts:
             never |= self._arrivals.list_silent(now_s)
+        else:
+            silent = self._arrivals.list_avoided(now_s)
         entry = self._fleet.replicas.choose(
-            service,
-            ticket.failed,
-            never,
-            now_s,
-            self._arrivals.list_avoided(now_s),
+            service, ticket.failed, never, now_s, silent
         )
         return Target(entry) if entry is not None else None
 
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -381,11 +381,10 @@
 
 def hold(site: sites.Site, names: Sequence[str], for_s: float) -> None:
     """Has upstreams read no request for a while."""
-    until_s = time.monotonic() + for_s
     for name in names:
         with contextlib.suppress(RuntimeError):
             # It may stand still.
-            site.set_fault(name, {"reads_from_s": until_s})
+            site.hold(name, for_s)
 
 
 def hold_half(site: sites.Site, for_s: float, is_stopped: bool) -> list[str]:
@@ -441,10 +440,7 @@
     end_s = time.monotonic() + before_s + after_s
     held = hold_half(site, before_s + after_s, is_stopped)
     time.sleep(before_s)
-    for ip in list(site.hosts):
-        site.stage.processes[ip].popen.kill()
-    for ip in list(site.hosts):
-        restart_host(site, ip)
+    restart_all(site)
     time.sleep(max(0.0, end_s - time.monotonic()))
     release(site, held)
 
@@ -501,14 +497,19 @@
     sites.start_host(site, ip)
 
 
+def restart_all(site: sites.Site) -> None:
+    """Kills all hosts together and starts them again at once."""
+    for ip in list(site.hosts):
+        site.stage.processes[ip].popen.kill()
+    for ip in list(site.hosts):
+        restart_host(site, ip)
+
+
 def kill_all(site: sites.Site, times: int, period_s: float) -> None:
     """Kills all hosts, several times, and starts them again at once."""
     fail(site)
     for _ in range(times):
-        for ip in list(site.hosts):
-            site.stage.processes[ip].popen.kill()
-        for ip in list(site.hosts):
-            restart_host(site, ip)
+        restart_all(site)
         time.sleep(period_s)
 
 
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -170,6 +170,10 @@
         """
         self.stage.call("POST", name, "/faults", faults)
 
+    def hold(self, name: str, for_s: float) -> None:
+        """Has an upstream read no request for a while, and all of them then."""
+        self.set_fault(name, {"reads_from_s": time.monotonic() + for_s})
+
     def set_crash(self, name: str) -> None:
         """Makes an engine crash on requests that contain `crash_on`."""
         self.set_fault(
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -274,8 +274,7 @@
 
     def hold(self, name: str, lasts_s: float) -> None:
         """Has an upstream read no request for a while, and all of them then."""
-        until_s = time.monotonic() + lasts_s
-        self.site.set_fault(name, {"reads_from_s": until_s})
+        self.site.hold(name, lasts_s)
         time.sleep(lasts_s)
 
     def send_endless(self, name: str, lasts_s: float) -> None:
--- a/tests/steps/arrivals_steps.py
+++ b/tests/steps/arrivals_steps.py
@@ -122,7 +122,7 @@
 
 @then("at {at:g} s it is not silent")
 def step_not_silent(context: Any, at: float) -> None:
-    assert not context.sent.is_silent(UPSTREAM, at)
+    assert not context.sent.list_silent(at)
     assert not context.sent.list_avoided(at)
 
 
--- a/tests/steps/backlogs_steps.py
+++ b/tests/steps/backlogs_steps.py
@@ -21,12 +21,6 @@
 RESERVE: Final = 0.1
 
 
-def send(context: Any, name: str) -> str:
-    """Lets a request arrive; returns the upstream that it is sent to."""
-    broker_steps.arrive(context, name, KIND)
-    return str(context.started[name].upstream.id)
-
-
 def list_changed(context: Any, *entries: upstreams.Upstream) -> None:
     """Replaces the plain replicas of the list."""
     roster = context.broker.fleet.roster
@@ -47,18 +41,16 @@
 
 @when("it sends a request, which is {how}, and {seconds:d} s pass")
 def step_send(context: Any, how: str, seconds: int) -> None:
-    context.upstream = send(context, "r0")
+    broker_steps.arrive(context, "r0", KIND)
     if how == "answered":
-        context.broker.record_answer_start("r0", context.now_s)
-        context.broker.finish("r0", context.now_s, True)
+        broker_steps.answer(context, "r0")
     broker_steps.step_pass(context, float(seconds))
 
 
 @when("the upstream {what}, and {seconds:d} s pass")
 def step_then(context: Any, what: str, seconds: int) -> None:
     if what == "answers":
-        context.broker.record_answer_start("r0", context.now_s)
-        context.broker.finish("r0", context.now_s, True)
+        broker_steps.answer(context, "r0")
     elif what == "leaves":
         list_changed(context)
     elif what == "is replaced":
@@ -74,7 +66,7 @@
 def step_joins(context: Any, seconds: int) -> None:
     broker_steps.step_pass(context, 0.1)
     list_changed(context, fleets.make_upstream("app-1"))
-    assert send(context, "r0") == "app-1"
+    assert broker_steps.send_to(context, "r0", KIND) == "app-1"
     broker_steps.step_pass(context, float(seconds))
 
 
--- a/tests/steps/broker_steps.py
+++ b/tests/steps/broker_steps.py
@@ -49,6 +49,18 @@
     take(context, context.broker.arrive(job, context.now_s))
 
 
+def send_to(context: Any, name: str, kind: str) -> str:
+    """Lets a request arrive; returns the upstream that it is sent to."""
+    arrive(context, name, kind)
+    return str(context.started[name].upstream.id)
+
+
+def answer(context: Any, name: str) -> None:
+    """Has a started request be answered completely."""
+    context.broker.record_answer_start(name, context.now_s)
+    take(context, context.broker.finish(name, context.now_s, True))
+
+
 def send_one(context: Any, name: str) -> jobs.Start:
     """Returns where a new request is sent; it ends at once."""
     arrive(context, name)
--- a/tests/steps/targets_steps.py
+++ b/tests/steps/targets_steps.py
@@ -13,17 +13,9 @@
 SHOWN: Final = 40
 
 
-def answer(context: Any, name: str) -> None:
-    """Has a started request be answered completely."""
-    context.broker.record_answer_start(name, context.now_s)
-    effects = context.broker.finish(name, context.now_s, True)
-    broker_steps.take(context, effects)
-
-
 def send(context: Any, name: str) -> str:
     """Lets a request arrive; returns the upstream that it is sent to."""
-    broker_steps.arrive(context, name, context.kind)
-    return str(context.started[name].upstream.id)
+    return broker_steps.send_to(context, name, context.kind)
 
 
 @when(
@@ -39,7 +31,7 @@
         if send(context, name) == context.silent:
             context.unanswered.append(name)
         else:
-            answer(context, name)
+            broker_steps.answer(context, name)
         context.now_s += 0.01
 
 
@@ -55,7 +47,7 @@
         if context.seen[-1] == context.silent:
             context.unanswered.append(name)
         else:
-            answer(context, name)
+            broker_steps.answer(context, name)
 
 
 @then("at most {count:d} of these went to the silent one")
@@ -88,7 +80,7 @@
 @when("the silent one answers what it was sent")
 def step_goes_on(context: Any) -> None:
     for name in context.unanswered:
-        answer(context, name)
+        broker_steps.answer(context, name)
     # Pauses after failures are over by then.
     broker_steps.step_pass(context, 8.0)
 
@@ -98,7 +90,7 @@
     seen = set()
     for number in range(SHOWN):
         seen.add(send(context, f"again{number}"))
-        answer(context, f"again{number}")
+        broker_steps.answer(context, f"again{number}")
         context.now_s += 0.02
     assert context.silent in seen, seen
 
