--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -55,6 +55,19 @@
 HELD_BEFORE_KILL_S: Final = 10.0
 HELD_AFTER_KILL_S: Final = 10.0
 
+# Bursts of callers: how many times as many, for how long, and after one; the
+# same of short ones that follow each other.
+BURST_FACTOR: Final = 5.0
+BURST_S: Final = 10.0
+AFTER_BURST_S: Final = 30.0
+SHORT_BURST_S: Final = 3.0
+BETWEEN_BURSTS_S: Final = 5.0
+BURSTS: Final = 3
+
+# How long each half of the upstreams stands still in turn, and neither does.
+WAVE_S: Final = 5.0
+BETWEEN_WAVES_S: Final = 1.0
+
 # The same where hosts are killed soon, and have their whole part again before
 # upstreams go on.
 SOON_S: Final = 2.0
@@ -126,7 +139,7 @@
 
 @attrs.define
 class Callers:
-    """Callers that send requests at a fixed rate, to all hosts in turn."""
+    """Callers that send requests at a given rate, to all hosts in turn."""
 
     site: sites.Site
     per_s: float
@@ -144,9 +157,10 @@
         self.threads.close()
 
     def _send(self) -> None:
-        began_s = time.monotonic()
+        due_s = time.monotonic()
         for number in itertools.count():
-            left_s = began_s + number / self.per_s - time.monotonic()
+            left_s = due_s - time.monotonic()
+            due_s += 1.0 / (self.per_s * self.site.load)
             if self.threads.stopped.wait(max(0.0, left_s)):
                 return
             service = "llm" if number % 3 == 2 else "desk"
@@ -194,6 +208,7 @@
     site: sites.Site
     callers: Callers
     allowance: float
+    max_attempts: int = MAX_ATTEMPTS
     began_s: float = 0.0
 
     def close(self) -> None:
@@ -247,7 +262,7 @@
         for arrival in self._list_all_arrivals():
             names.setdefault(arrival.request, set()).add(arrival.upstream)
         own = {r.id for r in self.callers.requests}
-        return sum(len(names[i]) > MAX_ATTEMPTS for i in own if i in names)
+        return sum(len(names[i]) > self.max_attempts for i in own if i in names)
 
     def count_long_deadlines(self) -> int:
         """Returns how many attempts were handed more time than was left."""
@@ -282,6 +297,7 @@
     tree: pathlib.Path | None = None,
     far: int = 0,
     engine_mb: float = sites.ENGINE_MB,
+    max_attempts: int = MAX_ATTEMPTS,
 ) -> Play:
     """Starts a site and waits until its hosts serve.
 
@@ -297,6 +313,7 @@
         tree: Checkout whose hosts are played; this one if None.
         far: Hosts that are in two other data centres than the upstreams.
         engine_mb: Memory of an engine.
+        max_attempts: Upstreams that may run a request.
     """
     site = sites.start_site(
         hosts,
@@ -311,7 +328,7 @@
     site.write(
         "keyed.op",
         "config",
-        sites.make_config(["key-1"], 3, MAX_ATTEMPTS, engine_mb),
+        sites.make_config(["key-1"], 3, max_attempts, engine_mb),
     )
     for number in range(4, upstreams):
         site.start_upstream(f"e{number}")
@@ -326,7 +343,8 @@
         30.0,
         "all engines hold layers",
     )
-    return Play(site, Callers(site, per_s, patience_s), allowance)
+    callers = Callers(site, per_s, patience_s)
+    return Play(site, callers, allowance, max_attempts)
 
 
 # Histories. Upstreams fail from their start, or a little later.
@@ -445,6 +463,51 @@
     release(site, held)
 
 
+def play_lapsed(site: sites.Site, play: Callable[[sites.Site], None]) -> None:
+    """Upstreams that stand still are not listed after a while."""
+    site.lapses = True
+    play(site)
+
+
+def play_stop_in_waves(site: sites.Site) -> None:
+    """Each half of the upstreams stands still in turn, and others fail."""
+    set_faults(site, reset_share=RESET_SHARE)
+    names = sorted(site.entries)
+    for number in range(2 * ROUNDS):
+        half = names[number % 2 :: 2]
+        for name in half:
+            site.stage.processes[name].pause()
+        time.sleep(WAVE_S)
+        for name in half:
+            site.stage.processes[name].resume()
+        time.sleep(BETWEEN_WAVES_S)
+    time.sleep(sharing.WINDOW_S)
+
+
+def send_burst(site: sites.Site, for_s: float) -> None:
+    """Has more callers send for a while."""
+    site.load = BURST_FACTOR
+    time.sleep(for_s)
+    site.load = 1.0
+
+
+def play_burst(site: sites.Site) -> None:
+    """A burst of callers comes while upstreams fail, and ends before them."""
+    set_faults(site, reset_share=RESET_SHARE)
+    send_burst(site, BURST_S)
+    time.sleep(AFTER_BURST_S)
+
+
+def play_bursts(site: sites.Site) -> None:
+    """Callers come in short bursts, and upstreams fail after the first one."""
+    for number in range(BURSTS):
+        send_burst(site, SHORT_BURST_S)
+        time.sleep(BETWEEN_BURSTS_S)
+        if not number:
+            set_faults(site, reset_share=RESET_SHARE)
+    time.sleep(sharing.WINDOW_S)
+
+
 def play_fail_while_stopped(site: sites.Site) -> None:
     """All hosts stand still for long while upstreams begin to fail."""
     for ip in site.hosts:
@@ -667,6 +730,20 @@
     "all hosts are killed once upstreams read nothing": functools.partial(
         play_killed_while_held, before_s=SOON_S, after_s=UNTIL_WHOLE_S
     ),
+    "upstreams stop until they are not listed": functools.partial(
+        play_lapsed,
+        play=functools.partial(play_held_for_long, is_stopped=True),
+    ),
+    "all hosts are killed while upstreams are not listed": functools.partial(
+        play_lapsed,
+        play=functools.partial(play_killed_while_held, is_stopped=True),
+    ),
+    "upstreams stop in waves": play_stop_in_waves,
+    "upstreams stop in waves until they are not listed": functools.partial(
+        play_lapsed, play=play_stop_in_waves
+    ),
+    "a burst of callers ends": play_burst,
+    "callers come in bursts": play_bursts,
     "upstreams fail while all hosts stop": play_fail_while_stopped,
     "all hosts stop": play_all_stop,
     "every second host stops": play_half_stop,
@@ -704,6 +781,12 @@
     parser.add_argument(
         "--far", type=int, default=0, help="hosts in other data centres"
     )
+    parser.add_argument(
+        "--max-attempts",
+        type=int,
+        default=MAX_ATTEMPTS,
+        help="upstreams that may run a request",
+    )
     parser.add_argument(
         "--tree", type=pathlib.Path, help="checkout whose hosts are played"
     )
@@ -720,6 +803,7 @@
         args.tree,
         args.far,
         SINGLE_ENGINE_MB if args.single_engines else sites.ENGINE_MB,
+        args.max_attempts,
     )
     try:
         for service, window in play.run(args.history).items():
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -36,6 +36,10 @@
 # Time for which a draining upstream continues to serve, in seconds.
 DRAIN_S: Final = 2.5
 
+# How long the entry of an upstream that stands still stays in the list: three
+# heartbeats, in seconds.
+ENTRY_LIFETIME_S: Final = 3.6
+
 # Memory of an engine: it holds two of the layers, and what requests need.
 ENGINE_MB: Final = 4000.0
 
@@ -78,6 +82,12 @@
     keeps_settings: bool = False
     # Draws what happens at random.
     seed: int = 0
+    # How many times as often as usual callers send.
+    load: float = 1.0
+    # Whether the entry of an upstream that stands still is removed after a
+    # while, until it goes on.
+    lapses: bool = False
+    lapsed: set[str] = attrs.Factory(set)
     # Checkout whose hosts are started; this one if None.
     tree: pathlib.Path | None = None
 
@@ -109,11 +119,15 @@
     def write_entry(self, name: str) -> None:
         """Writes one entry, with the layers that an engine reports."""
         entry = self.entries[name]
+        process = self.stage.processes[name]
+        if self.lapses and process.get_paused_s() >= ENTRY_LIFETIME_S:
+            self._lapse(name)
+            return
+        self.lapsed.discard(name)
         try:
-            # One that stands still keeps its entry; waiting for it would make
-            # those of the others old.
-            is_paused = self.stage.processes[name].is_paused
-            if entry["service"] == "llm" and not is_paused:
+            # One that stands still is not asked; waiting for it would make the
+            # entries of the others old.
+            if entry["service"] == "llm" and not process.is_paused:
                 report = self.stage.call("GET", name, "/egretspur/report")
                 entry["layer_count"] = report["layer_count"]
             self.write("keyed.servers", name, entry)
@@ -121,6 +135,12 @@
             # The upstream was killed: its entry stays until it is removed.
             return
 
+    def _lapse(self, name: str) -> None:
+        """Removes the entry of an upstream that stands still, once."""
+        if name not in self.lapsed:
+            self.lapsed.add(name)
+            self.write("keyed.servers", name, None)
+
     def ask(
         self, path: str, key: str, host: str = "127.0.0.1", **more: Any
     ) -> Any:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -34,7 +34,18 @@
     address: str
     # Lines of its output, the newest last.
     lines: list[str] = attrs.Factory(list)
-    is_paused: bool = False
+    # Monotonic time since which it is frozen; None if it is not.
+    paused_s: float | None = None
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether it is frozen."""
+        return self.paused_s is not None
+
+    def get_paused_s(self) -> float:
+        """Returns for how many seconds it has been frozen."""
+        paused_s = self.paused_s
+        return 0.0 if paused_s is None else time.monotonic() - paused_s
 
     def kill(self) -> None:
         """Kills it and waits for its exit."""
@@ -47,13 +58,13 @@
 
     def pause(self) -> None:
         """Freezes it with SIGSTOP."""
-        self.is_paused = True
+        self.paused_s = time.monotonic()
         self.popen.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Resumes it with SIGCONT."""
         self.popen.send_signal(signal.SIGCONT)
-        self.is_paused = False
+        self.paused_s = None
 
 
 @attrs.define
