Log the pool of the retry budget and what is lent of it

To tell whether hosts keep loans of a time with a larger budget: repeat_taken and budget_empty now have pool, the retries that all hosts may borrow as this host knows, and lent, what they have borrowed. lent beyond pool is an overdrawn pool, which no line showed before. The pool is computed in one place for both.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -105,9 +105,10 @@
 
     def get_balance(self, service: str, now_s: float) -> shared.Balance:
         """Returns this host's balance of a service's budget."""
-        budget = self._get(service)
-        known_s = self._get_known_s(service, now_s)
-        return budget.get_balance(self.hosts, now_s, known_s)
+        others = self._ledger.sum_peers(service, now_s)
+        return self._get(service).get_balance(
+            self.hosts, now_s, others, self._get_known_s(service, now_s)
+        )
 
     def get_heard_s(self, now_s: float) -> float | None:
         """Returns for how long it has known of the other hosts' retries.
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -126,6 +126,9 @@
     # Retries that it may send in a window: guaranteed and borrowed ones.
     guaranteed: float = 0.0
     borrowed: float = 0.0
+    # Retries that all hosts may borrow, and that they have, as far as it knows.
+    pool: float = 0.0
+    lent: float = 0.0
 
 
 @attrs.define
@@ -201,9 +204,14 @@
         return self._summarize(hosts)
 
     def get_balance(
-        self, hosts: int, now_s: float, age_s: float = math.inf
+        self,
+        hosts: int,
+        now_s: float,
+        others: Spent = NOTHING_SPENT,
+        age_s: float = math.inf,
     ) -> Balance:
         """Returns this host's balance as of its last retry."""
+        known = others.add(self._summarize(hosts))
         return Balance(
             len(self._retries),
             sum(r.reached_by_s > now_s for r in self._retries),
@@ -211,6 +219,8 @@
             len(self._requests),
             self._get_guaranteed(hosts, age_s),
             self._borrowed,
+            self._get_pool(known, hosts),
+            known.borrowed,
         )
 
     def _is_new(self, age_s: float) -> bool:
@@ -231,9 +241,7 @@
         # Less than a whole retry is carried over to the next loan.
         self._return_unused(hosts, 1.0)
         known = others.add(self._summarize(hosts))
-        share = self._get_share(known.hosts, hosts, known.requests)
-        pool = USED_FRACTION * (1 - GUARANTEED_FRACTION) * share
-        rest = max(0.0, pool - known.borrowed)
+        rest = max(0.0, self._get_pool(known, hosts) - known.borrowed)
         if self._borrowed > 0:
             self._borrowed += (
                 (1 - NEW_BORROWER_FRACTION) * rest / known.borrowers
@@ -241,6 +249,11 @@
         else:
             self._borrowed += NEW_BORROWER_FRACTION * rest / known.hosts
 
+    def _get_pool(self, known: Spent, hosts: int) -> float:
+        """Returns the retries that all known hosts may borrow."""
+        share = self._get_share(known.hosts, hosts, known.requests)
+        return USED_FRACTION * (1 - GUARANTEED_FRACTION) * share
+
     def _return_unused(self, hosts: int, kept: float) -> None:
         """Returns loans that were not spent, or expired, except `kept`."""
         spent = max(0.0, len(self._retries) - self._get_guaranteed(hosts))
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -386,6 +386,10 @@
     # Retries that it may send: its guaranteed share, and what it has borrowed.
     part: float
     borrowed: float
+    # Retries that all hosts may borrow, and that they have, as far as this host
+    # knows.
+    pool: float
+    lent: float
     # Hosts that share the budget, as far as this host knows.
     hosts: int
     # Seconds since the first update of another host; None if there was none.
--- a/egretspur/routing/retries.py
+++ b/egretspur/routing/retries.py
@@ -115,6 +115,8 @@
         standing.requests,
         standing.guaranteed,
         standing.borrowed,
+        standing.pool,
+        standing.lent,
         budgets.hosts,
         budgets.get_heard_s(now_s),
     )
