--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -40,6 +40,8 @@
     """A fleet, and what is to happen to it when."""
 
     fleet: sharing.Fleet
+    # How many times as often as usual callers send.
+    load: float = 1.0
     due: list[tuple[float, Callable[[], None]]] = attrs.Factory(list)
 
     def plan(self, at_s: float, act: Callable[[], None]) -> None:
@@ -63,7 +65,7 @@
     def _serve(self) -> None:
         fleet = self.fleet
         for host in fleet.rng.sample(fleet.hosts, len(fleet.hosts)):
-            expected = RATE * sharing.UPDATE_INTERVAL_S
+            expected = RATE * self.load * sharing.UPDATE_INTERVAL_S
             count = int(expected) + (fleet.rng.random() < expected % 1)
             for _ in range(count):
                 fleet.send_request(host)
@@ -166,6 +168,18 @@
         host.is_paused = is_paused
 
 
+@when("{factor:d} times as many callers send from {bursts}")
+def step_bursts(context: Any, factor: int, bursts: str) -> None:
+    play = context.starts
+
+    def set_load(load: float) -> None:
+        play.load = load
+
+    for begin, end in re.findall(r"(\d+) s to (\d+) s", bursts):
+        play.plan(float(begin), functools.partial(set_load, float(factor)))
+        play.plan(float(end), functools.partial(set_load, 1.0))
+
+
 @when("a third as many hosts are added at {at:d} s")
 def step_added(context: Any, at: int) -> None:
     context.starts.plan(at, lambda: add_third(context.starts.fleet))
