Shrink loans of the retry budget with the pool

Cause: a host gave back only what it had not spent of its loan. One that sends a retry as soon as an older one expires never has an unspent one, so it kept the loan of a burst, or of a time with fewer hosts, for as long as upstreams failed. Nothing compared what was lent with the pool after the loan.

Change: where more is lent than the pool has, each host uses the same fraction of its loan; what it no longer uses is returned as before.

--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -8,7 +8,8 @@
 host publishes what it has borrowed. Half of what is left in the pool is divided
 evenly among the known borrowers, and half evenly among all hosts, for those
 that start to borrow: if all start at the same time without knowing of each
-other, they take at most that half.
+other, they take at most that half. When the pool shrinks below what is
+borrowed, each uses the same fraction of its loan, and returns the rest.
 
 A host that no longer receives peer updates borrows nothing, since its peers may
 well be alive. A host may spend its whole share at once: when an engine fails,
@@ -177,11 +178,10 @@
             age_s: Seconds for which this host has received peer updates.
         """
         self._drop_expired(now_s)
-        wanted = len(self._retries) + 1
-        firm = self._get_guaranteed(hosts, age_s)
-        if wanted > firm + self._borrowed and not self._is_new(age_s):
+        beyond = len(self._retries) + 1 - self._get_guaranteed(hosts, age_s)
+        if beyond > self._get_loan(hosts, others) and not self._is_new(age_s):
             self._borrow(hosts, now_s, others)
-        if wanted > firm + self._borrowed:
+        if beyond > self._get_loan(hosts, others):
             return None
         retry = Retry()
         self._retries.append(retry)
@@ -254,6 +254,19 @@
         share = self._get_share(known.hosts, hosts, known.requests)
         return USED_FRACTION * (1 - GUARANTEED_FRACTION) * share
 
+    def _get_loan(self, hosts: int, others: Spent) -> float:
+        """Returns what it may use of the retries that it has borrowed.
+
+        The pool shrinks when fewer requests come or hosts are added. All loans
+        then shrink alike; one that is spent again and again is never unused.
+        """
+        own = self._summarize(hosts)
+        known = others.add(own)
+        pool = self._get_pool(known, hosts)
+        if known.borrowed <= pool:
+            return self._borrowed
+        return min(self._borrowed, pool * own.borrowed / known.borrowed)
+
     def _return_unused(self, hosts: int, kept: float) -> None:
         """Returns loans that were not spent, or expired, except `kept`."""
         spent = max(0.0, len(self._retries) - self._get_guaranteed(hosts))
