Count the requests by which retries are judged, not those of the last window

A host let a fifth of the requests of its last window be retried. Its retries are judged by windows that contain them: each by the requests in it, in the one before or half a window before. With two bursts nearly a window apart the last window holds both, and each of the judged ones a single burst.

Change: the fewest requests of all windows that end within the last half window. For each window of retries, one of the three by which it is judged is among them, whichever host counts, so the sum over hosts is no more than allowed. Callers lose: while load rises, the retries of the new requests come half a window later.

--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -54,6 +54,10 @@
 # one of which may be lost.
 LOAN_INTERVAL_S: Final = 0.6
 
+# Windows by which a retry may be judged end at most so much earlier than it, as
+# a fraction of a window.
+JUDGED_FRACTION: Final = 0.5
+
 # How long after its last update a host's share may be lent to others.
 PEER_TIMEOUT_S: Final = 0.9
 
@@ -122,7 +126,7 @@
     # How many have an attempt that this host ended unanswered, and that its
     # upstream may read at any time.
     given_up: int = 0
-    # Requests in the last window.
+    # Requests by which its retries may be judged.
     requests: int = 0
     # Retries that it may send in a window: guaranteed and borrowed ones.
     guaranteed: float = 0.0
@@ -147,6 +151,10 @@
     # Times of this host's requests of the last window, and its retries that
     # may have reached an upstream in it, or may still reach one.
     _requests: collections.deque[float] = attrs.Factory(collections.deque)
+    # Times at which a window had the fewest requests since, and how many.
+    _lows: collections.deque[tuple[float, int]] = attrs.Factory(
+        collections.deque
+    )
     _retries: list[Retry] = attrs.Factory(list)
     # Retries borrowed from the pool, and when the next loan may be taken.
     _borrowed: float = 0.0
@@ -158,9 +166,9 @@
         Args:
             arrived_s: Monotonic time at which it arrived.
         """
+        self._drop_expired_requests(arrived_s)
         # Only those read after a pause are older than others.
         bisect.insort(self._requests, arrived_s)
-        self._drop_expired_requests(arrived_s)
 
     def spend(
         self,
@@ -216,7 +224,7 @@
             len(self._retries),
             sum(r.reached_by_s > now_s for r in self._retries),
             sum(r.is_given_up for r in self._retries),
-            len(self._requests),
+            self._count_judged(),
             self._get_guaranteed(hosts, age_s),
             self._borrowed,
             self._get_pool(known, hosts),
@@ -231,7 +239,7 @@
         # The guaranteed share may have shrunk below what was spent of it.
         beyond = len(self._retries) - self._get_guaranteed(hosts)
         borrowed = max(self._borrowed, beyond)
-        return Spent(1, len(self._requests), borrowed, int(borrowed > 0))
+        return Spent(1, self._count_judged(), borrowed, int(borrowed > 0))
 
     def _borrow(self, hosts: int, now_s: float, others: Spent) -> None:
         """Borrows a share of what is left in the pool."""
@@ -274,7 +282,7 @@
 
     def _get_guaranteed(self, hosts: int, age_s: float = math.inf) -> float:
         """Returns the retries guaranteed to this host."""
-        requests = len(self._requests)
+        requests = self._count_judged()
         if self._is_new(age_s):
             # It may have spent its share before its start.
             part = max(0.0, age_s / self.window_s)
@@ -293,10 +301,26 @@
         allowed = self.allowance * min(1.0, host_count / max(1, hosts))
         return allowed + self.ratio * requests
 
+    def _count_judged(self) -> int:
+        """Returns the fewest requests by which a retry may be judged now.
+
+        Each window of retries is judged by the requests in it, in the one
+        before or half a window before. One of these ends now or at most half
+        a window ago, whichever window of retries it is.
+        """
+        count = len(self._requests)
+        return min(count, self._lows[0][1]) if self._lows else count
+
     def _drop_expired_requests(self, now_s: float) -> None:
-        requests = self._requests
+        requests, lows = self._requests, self._lows
         while requests and now_s - requests[0] >= self.window_s:
             requests.popleft()
+        # Requests are only added after this, so it finds each low.
+        while lows and lows[-1][1] >= len(requests):
+            lows.pop()
+        lows.append((now_s, len(requests)))
+        while now_s - lows[0][0] > JUDGED_FRACTION * self.window_s:
+            lows.popleft()
 
     def _drop_expired(self, now_s: float) -> None:
         self._drop_expired_requests(now_s)
