Bound the retry share by the worst judged requests, as far as these need it

The commit before counted the fewest requests of any window that ends within the last half window.

Cause: the count looked at windows that end now or earlier, and left out the one half a window before, which holds all of a young load.

Change: admission/counts.py finds, for each window that may hold the next retry, the most of its three counts, and the fewest of these. A host's share stays within 0.95 of what these allow, and within 0.85 of what its last window allows as before, so a steady or young load has what it had.

Its test compares it with the oracle. Where hosts' bursts alternate, the sum over hosts may exceed what is judged; it is not played.

--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -25,20 +25,22 @@
 
 from __future__ import annotations
 
-import bisect
-import collections
 import math
 from collections.abc import Mapping
 from typing import Final
 
 import attrs
 
-from egretspur.admission import arrivals
+from egretspur.admission import arrivals, counts
 
 # Fraction of the allowance that is used. The rest is for new hosts, for windows
 # that start at other times than here, and for retries in flight.
 USED_FRACTION: Final = 0.85
 
+# The same of what the requests allow by which retries are judged at worst. New
+# hosts seldom need their reserve at the same time.
+JUDGED_FRACTION: Final = 0.95
+
 # Fraction of the allowance that new hosts may use in addition.
 RESERVE_FRACTION: Final = 0.1
 
@@ -54,10 +56,6 @@
 # one of which may be lost.
 LOAN_INTERVAL_S: Final = 0.6
 
-# Windows by which a retry may be judged end at most so much earlier than it, as
-# a fraction of a window.
-JUDGED_FRACTION: Final = 0.5
-
 # How long after its last update a host's share may be lent to others.
 PEER_TIMEOUT_S: Final = 0.9
 
@@ -66,7 +64,8 @@
 class Spent:
     """What hosts have spent of a service's budget in the last window."""
 
-    # Hosts that have a share, and their requests; new hosts have none to lend.
+    # Hosts that have a share, and the requests that count for it; new hosts
+    # have none to lend.
     hosts: int = 0
     requests: int = 0
     # Retries beyond each host's guaranteed share, and how many hosts have any.
@@ -126,7 +125,8 @@
     # How many have an attempt that this host ended unanswered, and that its
     # upstream may read at any time.
     given_up: int = 0
-    # Requests by which its retries may be judged.
+    # Requests that count for its share: those of the last window, or fewer if
+    # its retries may be judged by fewer.
     requests: int = 0
     # Retries that it may send in a window: guaranteed and borrowed ones.
     guaranteed: float = 0.0
@@ -148,27 +148,27 @@
     # Fraction of a retry that a new host has from its start, drawn at random:
     # many hosts with a share below one retry then get about its sum in total.
     start_credit: float = 0.0
-    # Times of this host's requests of the last window, and its retries that
-    # may have reached an upstream in it, or may still reach one.
-    _requests: collections.deque[float] = attrs.Factory(collections.deque)
-    # Times at which a window had the fewest requests since, and how many.
-    _lows: collections.deque[tuple[float, int]] = attrs.Factory(
-        collections.deque
-    )
+    # This host's requests, and its retries that may have reached an upstream in
+    # the last window, or may still reach one.
+    _requests: counts.RequestCounts = attrs.field(init=False)
+    # Its requests that count for its share, as of the last call.
+    _counted: int = 0
     _retries: list[Retry] = attrs.Factory(list)
     # Retries borrowed from the pool, and when the next loan may be taken.
     _borrowed: float = 0.0
     _next_loan_s: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        self._requests = counts.RequestCounts(self.window_s)
+
     def earn(self, arrived_s: float) -> None:
         """Counts a request.
 
         Args:
             arrived_s: Monotonic time at which it arrived.
         """
-        self._drop_expired_requests(arrived_s)
-        # Only those read after a pause are older than others.
-        bisect.insort(self._requests, arrived_s)
+        self._requests.add(arrived_s)
+        self._requests.advance(arrived_s)
 
     def spend(
         self,
@@ -185,7 +185,7 @@
             others: What the other hosts have published as spent.
             age_s: Seconds for which this host has received peer updates.
         """
-        self._drop_expired(now_s)
+        self._advance(hosts, now_s)
         beyond = len(self._retries) + 1 - self._get_guaranteed(hosts, age_s)
         if beyond > self._get_loan(hosts, others) and not self._is_new(age_s):
             self._borrow(hosts, now_s, others)
@@ -204,7 +204,7 @@
         self, hosts: int, now_s: float, age_s: float = math.inf
     ) -> Spent:
         """Returns what this host has spent, for its peers."""
-        self._drop_expired(now_s)
+        self._advance(hosts, now_s)
         if self._is_new(age_s):
             return NOTHING_SPENT
         if now_s >= self._next_loan_s + LOAN_INTERVAL_S:
@@ -219,12 +219,13 @@
         age_s: float = math.inf,
     ) -> Balance:
         """Returns this host's balance as of its last retry."""
+        self._advance(hosts, now_s)
         known = others.add(self._summarize(hosts))
         return Balance(
             len(self._retries),
             sum(r.reached_by_s > now_s for r in self._retries),
             sum(r.is_given_up for r in self._retries),
-            self._count_judged(),
+            self._counted,
             self._get_guaranteed(hosts, age_s),
             self._borrowed,
             self._get_pool(known, hosts),
@@ -239,7 +240,7 @@
         # The guaranteed share may have shrunk below what was spent of it.
         beyond = len(self._retries) - self._get_guaranteed(hosts)
         borrowed = max(self._borrowed, beyond)
-        return Spent(1, self._count_judged(), borrowed, int(borrowed > 0))
+        return Spent(1, self._counted, borrowed, int(borrowed > 0))
 
     def _borrow(self, hosts: int, now_s: float, others: Spent) -> None:
         """Borrows a share of what is left in the pool."""
@@ -282,7 +283,7 @@
 
     def _get_guaranteed(self, hosts: int, age_s: float = math.inf) -> float:
         """Returns the retries guaranteed to this host."""
-        requests = self._count_judged()
+        requests = self._counted
         if self._is_new(age_s):
             # It may have spent its share before its start.
             part = max(0.0, age_s / self.window_s)
@@ -301,32 +302,20 @@
         allowed = self.allowance * min(1.0, host_count / max(1, hosts))
         return allowed + self.ratio * requests
 
-    def _count_judged(self) -> int:
-        """Returns the fewest requests by which a retry may be judged now.
-
-        Each window of retries is judged by the requests in it, in the one
-        before or half a window before. One of these ends now or at most half
-        a window ago, whichever window of retries it is.
-        """
-        count = len(self._requests)
-        return min(count, self._lows[0][1]) if self._lows else count
-
-    def _drop_expired_requests(self, now_s: float) -> None:
-        requests, lows = self._requests, self._lows
-        while requests and now_s - requests[0] >= self.window_s:
-            requests.popleft()
-        # Requests are only added after this, so it finds each low.
-        while lows and lows[-1][1] >= len(requests):
-            lows.pop()
-        lows.append((now_s, len(requests)))
-        while now_s - lows[0][0] > JUDGED_FRACTION * self.window_s:
-            lows.popleft()
-
-    def _drop_expired(self, now_s: float) -> None:
-        self._drop_expired_requests(now_s)
+    def _advance(self, hosts: int, now_s: float) -> None:
+        """Drops what is too old, and counts the requests."""
         self._retries = [
             r for r in self._retries if now_s - r.reached_by_s < self.window_s
         ]
+        self._requests.advance(now_s)
+        self._counted = self._requests.count_last()
+        if not self._counted or not self.ratio:
+            return
+        # As many as leave the share within what is judged at worst.
+        judged = self._requests.count_judged(now_s)
+        usable = JUDGED_FRACTION * self._get_share(1, hosts, judged)
+        rest = usable / USED_FRACTION - self._get_share(1, hosts, 0)
+        self._counted = min(self._counted, max(0, int(rest / self.ratio)))
 
 
 @attrs.frozen
--- a/tests/admission/bursts.feature
+++ b/tests/admission/bursts.feature
@@ -25,3 +25,8 @@
       | hosts | factor |
       | 15    | 10     |
       | 61    | 20     |
+
+  Scenario: Random requests
+    # Guards against a wrong count of the requests by which retries are judged.
+    When requests come at random
+    Then those that count at worst are the fewest by which any window is judged
--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import functools
+import itertools
+import math
 import random
 import re
 from collections.abc import Callable, Sequence
@@ -12,6 +14,7 @@
 import hypothesis
 from behave import given, then, when
 
+from egretspur.admission import counts
 from tests import fuzz
 from tests.admission import sharing, starts
 
@@ -212,6 +215,32 @@
     context.starts.plan(at, move)
 
 
+@when("requests come at random")
+def step_requests(context: Any) -> None:
+    rng = random.Random(5)
+    context.histories = []
+    for _ in range(100):
+        gaps = [rng.choice((0.0, 0.0, 0.1, 0.5, 3.0)) for _ in range(80)]
+        context.histories.append(list(itertools.accumulate(gaps)))
+
+
+@then("those that count at worst are the fewest by which any window is judged")
+def step_judged(context: Any) -> None:
+    slot_s = sharing.WINDOW_S / counts.SLOTS
+    for times in context.histories:
+        found = counts.RequestCounts(sharing.WINDOW_S)
+        for at_s in times:
+            found.add(at_s)
+            found.advance(at_s)
+        # Windows begin with a slot.
+        first = math.floor((times[-1] - sharing.WINDOW_S) / slot_s) + 1
+        judged = [
+            sharing.count_judged(times, (first + i) * slot_s)
+            for i in range(counts.SLOTS)
+        ]
+        assert found.count_judged(times[-1]) == min(judged), (times, judged)
+
+
 @then("no window has more retries than all hosts together may send")
 def step_kept(context: Any) -> None:
     context.starts.run()
