Take an upstream for ended only if its address refuses connections

Cause: an upstream that left the list, or to which nothing opened for 2.5 s, counted as ended, so what it had been sent left the books of the retry budget. One that stands still leaves the list after three heartbeats, goes on, and reads it.

The row 'leaves, 30 s' of backlogs.feature was red before.

Change: refused connections are proof of an end; after anything else that explains an end, what was sent counts for a minute more.

Backlogs of former processes are dropped as before when an upstream leaves: with hosts killed meanwhile this is a smaller margin, and is left. All features of admission and routing passed.

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -25,6 +25,10 @@
 MIN_SILENCE_S: Final = 1.0
 SILENCE_FACTOR: Final = 4.0
 
+# How long an upstream that left the list, or to which nothing opens, may still
+# read what it was sent: it may stand still or be cut off, and go on.
+LOST_S: Final = 60.0
+
 # Attempts that show it although each was ended sooner: callers that leave early
 # get no answer from a sound upstream either.
 MIN_GIVEN_UP: Final = 3
@@ -180,12 +184,19 @@
 
     def note_end(self, upstream_id: str, now_s: float) -> None:
         """Records that an upstream has ended: it reads nothing any more."""
+        self._settle_given_up(upstream_id, now_s)
+
+    def note_lost(self, upstream_id: str, now_s: float) -> None:
+        """Records that an upstream has ended, or may go on later."""
+        self._settle_given_up(upstream_id, now_s + LOST_S)
+
+    def _settle_given_up(self, upstream_id: str, read_by_s: float) -> None:
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
             return
         for sending in upstream.unread:
             if sending.is_given_up:
-                sending.settle(now_s)
+                sending.settle(read_by_s)
         upstream.drop_read()
 
     def list_silent(self, now_s: float) -> set[str]:
--- a/egretspur/routing/detection.py
+++ b/egretspur/routing/detection.py
@@ -36,6 +36,18 @@
     return found in (_State.CRASHED, _State.SILENT)
 
 
+def has_ended(state: fleets.Fleet, upstream_id: str) -> bool:
+    """Returns whether an upstream's process is sure to have ended.
+
+    One that stands still or is cut off may leave the list, or open no
+    connection, and go on later.
+    """
+    return (
+        state.reach_state is reach.ReachState.SOUND
+        and state.health.is_refusing(upstream_id)
+    )
+
+
 def explain_end(state: fleets.Fleet, upstream_id: str) -> str:
     """Returns what shows that an upstream ended or is cut off; empty if none.
 
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -492,11 +492,9 @@
         Returns:
             Empty if nothing shows it, or it has answered since.
         """
-        failed = self.failed.get(upstream_id)
+        failed = self._find_unanswered(upstream_id)
         if failed is None:
             return ""
-        if self._answered_s.get(upstream_id, -math.inf) > failed.probed_s:
-            return ""
         if failed.is_refused:
             return "refuses connections"
         if failed.unopened_s is None:
@@ -506,6 +504,20 @@
             return ""
         return f"no connection for {unopened_s:.1f} s"
 
+    def is_refusing(self, upstream_id: str) -> bool:
+        """Tells whether nobody listens at an upstream's address."""
+        failed = self._find_unanswered(upstream_id)
+        return failed is not None and failed.is_refused
+
+    def _find_unanswered(self, upstream_id: str) -> Failed | None:
+        """Returns a failed upstream's state unless it has answered since."""
+        failed = self.failed.get(upstream_id)
+        if failed is None:
+            return None
+        if self._answered_s.get(upstream_id, -math.inf) > failed.probed_s:
+            return None
+        return failed
+
     def _advance_dead(self, now_s: float) -> None:
         """Has all dead upstreams probed at once, as one has recovered.
 
--- a/egretspur/routing/unread.py
+++ b/egretspur/routing/unread.py
@@ -46,9 +46,13 @@
             *self._arrivals.list_pending(),
             *self._backlogs.list_upstreams(),
         }:
-            if detection.explain_end(self._fleet, upstream_id):
+            if not detection.explain_end(self._fleet, upstream_id):
+                continue
+            self._backlogs.drop(upstream_id)
+            if detection.has_ended(self._fleet, upstream_id):
                 self._arrivals.note_end(upstream_id, now_s)
-                self._backlogs.drop(upstream_id)
+            else:
+                self._arrivals.note_lost(upstream_id, now_s)
         self._arrivals.remove_unused(listed)
 
     def suspect_silent(self, now_s: float) -> None:
--- a/tests/admission/arrivals.feature
+++ b/tests/admission/arrivals.feature
@@ -16,6 +16,8 @@
       | an answer to a later attempt elsewhere   | 100  | all   | 200 |
       | the end of the upstream                  | 100  | all   | 109 |
       | the end of the upstream                  | 100  | none  | 111 |
+      | the loss of the upstream                 | 100  | all   | 169 |
+      | the loss of the upstream                 | 100  | none  | 171 |
 
   Scenario Outline: An upstream that answers nothing
     # Guards against requests that go to an upstream that reads nothing.
--- a/tests/admission/backlogs.feature
+++ b/tests/admission/backlogs.feature
@@ -25,3 +25,21 @@
     And a host that heard the others 0 s after its start
     When an upstream joins, and a request to it is not answered for 20 s
     Then its part of the retry budget is whole
+
+  Scenario Outline: An upstream <what> that may hold a retry
+    # Guards against an upstream that stands still, and leaves the list, taken for
+    # one that has ended and reads nothing more.
+    Given a chain of engines and two plain replicas
+    And a host that heard the others 0 s after its start
+    When it sends a request, which is answered, and 12 s pass
+    And a caller leaves before a retry is answered
+    And the upstream <what>, and <seconds> s pass
+    Then <count> of its retries count
+
+    Examples:
+      | what               | seconds | count |
+      | does nothing       | 30      | 1     |
+      | leaves             | 30      | 1     |
+      | leaves             | 75      | 0     |
+      | refuses connections | 5      | 1     |
+      | refuses connections | 15     | 0     |
--- a/tests/steps/arrivals_steps.py
+++ b/tests/steps/arrivals_steps.py
@@ -87,6 +87,8 @@
     elif what == "the end of the upstream":
         assert UPSTREAM in sent.list_pending()
         sent.note_end(UPSTREAM, at)
+    elif what == "the loss of the upstream":
+        sent.note_lost(UPSTREAM, at)
     else:
         assert what == "nothing", what
 
--- a/tests/steps/backlogs_steps.py
+++ b/tests/steps/backlogs_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from egretspur.catalog import upstreams
+from egretspur.routing import jobs
 from tests import fleets
 from tests.steps import broker_steps
 
@@ -55,6 +56,12 @@
         list_changed(context)
     elif what == "is replaced":
         list_changed(context, fleets.make_upstream("app-1"))
+    elif what == "refuses connections":
+        refused = upstreams.ProbeFailed("refused", False, True)
+        context.broker.fleet.health.suspect(context.held, context.now_s)
+        context.broker.fleet.record_probe(
+            context.held, False, 1.0, context.now_s, refused
+        )
     else:
         assert what == "does nothing", what
     broker_steps.step_pass(context, float(seconds))
@@ -70,6 +77,25 @@
     broker_steps.step_pass(context, float(seconds))
 
 
+@when("a caller leaves before a retry is answered")
+def step_left(context: Any) -> None:
+    context.held = broker_steps.send_to(context, "r1", KIND)
+    del context.started["r1"]
+    context.now_s += 0.1
+    failure = jobs.Failure("r1", jobs.FailureKind.CUT, "reset")
+    broker_steps.take(context, context.broker.fail(failure, context.now_s))
+    context.held = context.started["r1"].upstream.id
+    broker_steps.take(context, context.broker.finish("r1", context.now_s))
+
+
+@then("{count:d} of its retries count")
+def step_count(context: Any, count: int) -> None:
+    # Drops those that don't count any more.
+    context.broker.retry_budgets.list_spent(context.now_s)
+    budgets = context.broker.retry_budgets
+    assert budgets.get_balance(SERVICE, context.now_s).sent == count
+
+
 @then("its part of the retry budget is {what}")
 def step_part(context: Any, what: str) -> None:
     budgets = context.broker.retry_budgets
