Search for broken budgets under loads that change

A second state machine of the budget's model: all hosts get 0 to 80 requests a second each for 0.5 to 15 s and send 0 to 40 retries a quarter second, hosts are added and restart.

--- a/tests/admission/bursts.feature
+++ b/tests/admission/bursts.feature
@@ -30,3 +30,8 @@
     # Guards against a wrong count of the requests by which retries are judged.
     When requests come at random
     Then those that count at worst are the fewest by which any window is judged
+
+  @fuzz
+  Scenario: Random loads
+    When loads change at random while upstreams fail
+    Then no window of any history has more retries than may be sent
--- a/tests/admission/starts.py
+++ b/tests/admission/starts.py
@@ -1,4 +1,4 @@
-"""Fuzzing of the shared retry budget: hosts restart and are cut off.
+"""Fuzzing of the shared retry budget: loads change, hosts restart, are cut off.
 
 The oracle is that of `tests.admission.sharing`: no window has more retries than
 are allowed for the requests in it or shortly before.
@@ -24,8 +24,8 @@
 HOST = st.integers(0, HOSTS - 1)
 
 
-class SharingMachine(stateful.RuleBasedStateMachine):
-    """Hosts that send all retries they may, under random failures."""
+class Machine(stateful.RuleBasedStateMachine):
+    """Hosts that share a budget."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -41,6 +41,15 @@
                     self.fleet.send_request(host)
             self.fleet.now_s += sharing.UPDATE_INTERVAL_S
 
+    def teardown(self) -> None:
+        """Checks all windows of the history."""
+        worst = self.fleet.find_worst_window()
+        assert worst.use <= 1.0, worst
+
+
+class SharingMachine(Machine):
+    """Hosts that send all retries they may, under random failures."""
+
     @stateful.rule(rounds=st.integers(1, 16), requests=st.integers(0, 2))
     def work(self, rounds: int, requests: int) -> None:
         """Requests arrive and none fails."""
@@ -98,7 +107,30 @@
         """This fraction of updates is lost from now on."""
         self.fleet.loss_rate = loss_rate
 
-    def teardown(self) -> None:
-        """Checks all windows of the history."""
-        worst = self.fleet.find_worst_window()
-        assert worst.use <= 1.0, worst
+
+class LoadMachine(Machine):
+    """Hosts that send all retries they may while loads change."""
+
+    @stateful.rule(
+        rounds=st.sampled_from([2, 20, 60]),
+        requests=st.sampled_from([0, 1, 5, 20]),
+        max_retries=st.sampled_from([0, 5, 40]),
+    )
+    def serve(self, rounds: int, requests: int, max_retries: int) -> None:
+        """All hosts get so many requests, and send all retries they may."""
+        for _ in range(rounds):
+            for host in self.fleet.hosts:
+                self.fleet.send_retries(host, max_retries)
+            self.advance(1, requests)
+
+    @stateful.rule(host=HOST)
+    def add(self, host: int) -> None:
+        """A host is added beside another one."""
+        beside = self.fleet.hosts[host]
+        ip = f"10.9.0.{len(self.fleet.hosts)}"
+        self.fleet.add(ip, beside.data_centre)
+
+    @stateful.rule(host=HOST)
+    def restart(self, host: int) -> None:
+        """A host restarts."""
+        self.fleet.restart([self.fleet.hosts[host]])
--- a/tests/steps/starts_steps.py
+++ b/tests/steps/starts_steps.py
@@ -258,6 +258,11 @@
     context.machine = starts.SharingMachine
 
 
+@when("loads change at random while upstreams fail")
+def step_fuzz_loads(context: Any) -> None:
+    context.machine = starts.LoadMachine
+
+
 @then("no window of any history has more retries than may be sent")
 def step_histories(context: Any) -> None:
     hypothesis.stateful.run_state_machine_as_test(
