--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from tests import retrying
+from tests import histories, retrying
 
 # Engines, and plain replicas, of a small site.
 UPSTREAMS: Final = 4
@@ -53,7 +53,7 @@
     context.windows = context.retrying.run(history)
 
 
-for _history in retrying.HISTORIES:
+for _history in histories.HISTORIES:
     when(_history)(lambda context, history=_history: play(context, history))
 
 
