Count retries that upstreams read late, and those with more time than was left

The play of retries counted each attempt that ends later than its caller by the upstream's clock, first ones too. Both figures are printed now; the old one stays.

--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -196,6 +196,27 @@
             count += is_longer or is_later or arrival.left_s < 0.0
         return count
 
+    def count_late_retries(self) -> tuple[int, int]:
+        """Returns how many retries were read late, and of them with more time.
+
+        Those that upstreams read over `DEADLINE_SLACK_S` after the first
+        attempt; of these, those that end so much later than it and its caller.
+        """
+        sent = {r.id: r.sent_s for r in self.callers.requests}
+        first: dict[str, Arrival] = {}
+        count = count_long = 0
+        for arrival in self._list_all_arrivals():
+            before = first.setdefault(arrival.request, arrival)
+            late_s = arrival.at_s - before.at_s
+            if arrival.request not in sent or late_s <= DEADLINE_SLACK_S:
+                continue
+            count += 1
+            own_s = sent[arrival.request] + self.callers.patience_s
+            end_s = max(own_s, before.at_s + before.left_s)
+            is_long = arrival.at_s + arrival.left_s > end_s + DEADLINE_SLACK_S
+            count_long += is_long
+        return count, count_long
+
     def _list_all_arrivals(self) -> list[Arrival]:
         found = self.list_arrivals("desk") + self.list_arrivals("llm")
         return sorted(found, key=lambda a: a.at_s)
@@ -318,9 +339,11 @@
             )
         statuses = collections.Counter(r.status for r in play.callers.requests)
         print(f"statuses: {dict(statuses)}")
+        late, late_long = play.count_late_retries()
         print(
             f"on more upstreams than allowed: {play.count_over_limit()};"
-            f" attempts with too much time: {play.count_long_deadlines()}"
+            f" attempts with too much time: {play.count_long_deadlines()};"
+            f" of {late} late retries: {late_long}"
         )
         if args.dump:
             dump(play, args.dump)
