--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -218,8 +218,7 @@
         others: Spent = NOTHING_SPENT,
         age_s: float = math.inf,
     ) -> Balance:
-        """Returns this host's balance as of its last retry."""
-        self._advance(hosts, now_s)
+        """Returns this host's balance as of its last retry or report."""
         known = others.add(self._summarize(hosts))
         return Balance(
             len(self._retries),
