--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -20,6 +20,9 @@
 come in as many parts as there are ``events``), ``reset_share`` (share of the
 requests that were read and whose connection is then reset, at random),
 ``read_delay_s`` (a request that was sent is read so much later),
+``late_share`` and ``late_s`` (share of the requests that are read later by a
+random time up to this one; probes are answered), ``turn_s`` (requests and
+probes are read one after the other, each so much after the one before),
 ``reads_from_s`` (monotonic time before which it reads no request; probes are
 answered), ``endless`` (name of the bytes in `ENDLESS` that it answers without
 end, as fast as the connection takes them, or at intervals of
@@ -89,6 +92,9 @@
             "unframed": False,
             "reset_share": 0.0,
             "read_delay_s": 0.0,
+            "late_share": 0.0,
+            "late_s": 0.0,
+            "turn_s": 0.0,
             "reads_from_s": 0.0,
             "endless": "",
             "endless_pause_s": 0.0,
@@ -105,12 +111,30 @@
         # Monotonic time until which it answers nothing.
         self.stalled_until_s = -STALL_GAP_S
         self.lock = threading.Lock()
+        # Held by the request or probe that is read next.
+        self.turn = threading.Lock()
 
     def wait_stalled(self) -> None:
         """Returns once the replica answers again."""
         while (left_s := self.stalled_until_s - time.monotonic()) > 0.0:
             time.sleep(left_s)
 
+    def wait_turn(self) -> None:
+        """Returns once the next request or probe is read."""
+        if self.faults["turn_s"]:
+            with self.turn:
+                time.sleep(self.faults["turn_s"])
+
+    def wait_read(self) -> None:
+        """Returns once a request is read."""
+        faults = self.faults
+        time.sleep(faults["read_delay_s"])
+        if random.random() < faults["late_share"]:
+            time.sleep(random.uniform(0.0, faults["late_s"]))
+        while (held_s := faults["reads_from_s"] - time.monotonic()) > 0.0:
+            time.sleep(held_s)
+        self.wait_turn()
+
     def break_off(self, write: Callable[[bytes], Any]) -> None:
         """Ends a stream within an event; the replica stalls if it is to."""
         write(b"id: 9")
@@ -270,13 +294,13 @@
         replica.wait_stalled()
         return base.reply({}, replica.order(base.read_json(req)))
 
+    def check_health(req: web.Request) -> web.Response:
+        replica.wait_turn()
+        return base.reply({})
+
     def run(req: web.Request) -> web.Response:
         fields = req.get_headers()
-        time.sleep(replica.faults["read_delay_s"])
-        while (
-            held_s := replica.faults["reads_from_s"] - time.monotonic()
-        ) > 0.0:
-            time.sleep(held_s)
+        replica.wait_read()
         replica.arrivals.append(
             (
                 fields.get("Attempt-Id", ""),
@@ -341,7 +365,7 @@
 
     app.add("GET", "/egretspur/report", report)
     app.add("POST", "/egretspur/order", order)
-    app.add("GET", "/healthz", lambda r: base.reply({}))
+    app.add("GET", "/healthz", check_health)
     app.add("GET", "/runs", lambda r: base.reply(replica.runs))
     app.add("GET", "/arrivals", lambda r: base.reply(replica.arrivals))
     app.add("GET", "/left", lambda r: base.reply(replica.left))
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -22,6 +22,7 @@
 
 # Share of the requests that are reset.
 RESET_SHARE: Final = 0.75
+FEW_RESET_SHARE: Final = 0.2
 
 # Seconds for which upstreams have failed when hosts are disturbed.
 BEFORE_S: Final = 9.0
@@ -58,6 +59,13 @@
 SOON_S: Final = 2.0
 UNTIL_WHOLE_S: Final = 13.0
 
+# Share of the requests that some upstreams read late, and how late at most; how
+# often one that reads in turn reads one, in s.
+LATE_SHARE: Final = 0.4
+SOME_LATE_S: Final = 1.5
+VERY_LATE_S: Final = 2.5
+TURN_PERIOD_S: Final = 0.2
+
 # Seconds for which hosts stand still, for short and long, and the time between
 # two stops.
 STOP_S: Final = 1.5
@@ -230,6 +238,28 @@
     time.sleep(sharing.WINDOW_S)
 
 
+def play_some_read_late(
+    site: sites.Site, late_s: float, reset_share: float = RESET_SHARE
+) -> None:
+    """Upstreams read a part of the requests late.
+
+    Args:
+        site: The site.
+        late_s: How late at most.
+        reset_share: Share of the requests that fail.
+    """
+    set_faults(
+        site, reset_share=reset_share, late_share=LATE_SHARE, late_s=late_s
+    )
+    time.sleep(ROUNDS * sharing.WINDOW_S)
+
+
+def play_read_in_turn(site: sites.Site) -> None:
+    """Each upstream reads its requests one after the other, slowly."""
+    set_faults(site, reset_share=RESET_SHARE, turn_s=TURN_PERIOD_S)
+    time.sleep(ROUNDS * sharing.WINDOW_S)
+
+
 def send_burst(site: sites.Site, for_s: float) -> None:
     """Has more callers send for a while."""
     site.load = BURST_FACTOR
@@ -491,6 +521,16 @@
     "upstreams stop in waves until they are not listed": functools.partial(
         play_lapsed, play=play_stop_in_waves
     ),
+    "upstreams read some requests late": functools.partial(
+        play_some_read_late, late_s=SOME_LATE_S
+    ),
+    "upstreams read some requests very late": functools.partial(
+        play_some_read_late, late_s=VERY_LATE_S
+    ),
+    "few fail and upstreams read some late": functools.partial(
+        play_some_read_late, late_s=1.0, reset_share=FEW_RESET_SHARE
+    ),
+    "upstreams read in turn": play_read_in_turn,
     "a burst of callers ends": play_burst,
     "callers come in bursts": play_bursts,
     "upstreams fail while all hosts stop": play_fail_while_stopped,
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -40,6 +40,10 @@
 PATIENCE_S: Final = 9.0
 DEADLINE_SLACK_S: Final = 0.5
 
+# Retries that may be handed more time than is left, and their share.
+MAX_LONG: Final = 20
+MAX_LONG_SHARE: Final = 0.2
+
 
 @attrs.define
 class Request:
@@ -115,6 +119,25 @@
     # Seconds that its caller still waits, as the host says.
     left_s: float
 
+    @property
+    def end_s(self) -> float:
+        """By when the upstream ends its work."""
+        return self.at_s + self.left_s
+
+
+@attrs.frozen
+class LateRetries:
+    """Retries that upstreams read late, by how long they may work for them."""
+
+    # Read late, or handed too much time; and of these, the latter.
+    late: int
+    long: int
+
+    @property
+    def is_allowed(self) -> bool:
+        """Whether few enough were handed too much time."""
+        return self.long <= MAX_LONG or self.long <= MAX_LONG_SHARE * self.late
+
 
 @attrs.define
 class Play:
@@ -196,26 +219,30 @@
             count += is_longer or is_later or arrival.left_s < 0.0
         return count
 
-    def count_late_retries(self) -> tuple[int, int]:
-        """Returns how many retries were read late, and of them with more time.
+    def count_late_retries(self) -> LateRetries:
+        """Returns how many plain retries were read late, or too long.
 
-        Those that upstreams read over `DEADLINE_SLACK_S` after the first
-        attempt; of these, those that end so much later than it and its caller.
+        Late ones are read over `DEADLINE_SLACK_S` after the first attempt; too
+        long ones end so much later than it and its caller.
         """
         sent = {r.id: r.sent_s for r in self.callers.requests}
         first: dict[str, Arrival] = {}
-        count = count_long = 0
-        for arrival in self._list_all_arrivals():
-            before = first.setdefault(arrival.request, arrival)
-            late_s = arrival.at_s - before.at_s
-            if arrival.request not in sent or late_s <= DEADLINE_SLACK_S:
+        late = long = 0
+        for arrival in self.list_arrivals("desk"):
+            if arrival.request not in sent:
                 continue
-            count += 1
-            own_s = sent[arrival.request] + self.callers.patience_s
-            end_s = max(own_s, before.at_s + before.left_s)
-            is_long = arrival.at_s + arrival.left_s > end_s + DEADLINE_SLACK_S
-            count_long += is_long
-        return count, count_long
+            before = first.setdefault(arrival.request, arrival)
+            patience_s = self.callers.patience_s
+            is_longer = arrival.left_s > patience_s + DEADLINE_SLACK_S
+            is_late = arrival.at_s - before.at_s > DEADLINE_SLACK_S
+            end_s = max(sent[arrival.request] + patience_s, before.end_s)
+            is_later = arrival.end_s > end_s + DEADLINE_SLACK_S
+            is_long = (
+                is_longer or arrival.left_s < 0.0 or (is_late and is_later)
+            )
+            late += is_late or is_long
+            long += is_long
+        return LateRetries(late, long)
 
     def _list_all_arrivals(self) -> list[Arrival]:
         found = self.list_arrivals("desk") + self.list_arrivals("llm")
@@ -234,12 +261,13 @@
     far: int = 0,
     engine_mb: float = sites.ENGINE_MB,
     max_attempts: int = MAX_ATTEMPTS,
+    replicas: int | None = None,
 ) -> Play:
     """Starts a site and waits until its hosts serve.
 
     Args:
         hosts: Number of hosts.
-        upstreams: Number of engines, and of plain replicas.
+        upstreams: Number of engines, and of plain replicas if not given.
         per_s: Requests a second, two plain ones for each stream.
         allowance: Retries in a window in addition to those of the requests.
         keeps_settings: Whether a host starts again with the settings of its
@@ -250,6 +278,7 @@
         far: Hosts that are in two other data centres than the upstreams.
         engine_mb: Memory of an engine.
         max_attempts: Upstreams that may run a request.
+        replicas: Number of plain replicas.
     """
     site = sites.start_site(
         hosts,
@@ -264,11 +293,17 @@
     site.write(
         "keyed.op",
         "config",
-        sites.make_config(["key-1"], 3, max_attempts, engine_mb),
+        sites.make_config(
+            ["key-1"],
+            3,
+            max_attempts,
+            engine_mb,
+            max(patience_s, sites.TIMEOUT_S),
+        ),
     )
     for number in range(4, upstreams):
         site.start_upstream(f"e{number}")
-    for number in range(6, 4 + upstreams):
+    for number in range(6, 4 + (replicas or upstreams)):
         site.start_upstream(f"s{number}")
     stage.wait_until(
         lambda: all(
@@ -289,6 +324,7 @@
     parser.add_argument("history", choices=histories.HISTORIES)
     parser.add_argument("--hosts", type=int, default=8)
     parser.add_argument("--upstreams", type=int, default=8)
+    parser.add_argument("--replicas", type=int, help="plain ones")
     parser.add_argument("--per-s", type=float, default=90.0)
     parser.add_argument("--allowance", type=float, default=30.0)
     parser.add_argument(
@@ -329,6 +365,7 @@
         args.far,
         SINGLE_ENGINE_MB if args.single_engines else sites.ENGINE_MB,
         args.max_attempts,
+        args.replicas,
     )
     try:
         for service, window in play.run(args.history).items():
@@ -337,13 +374,16 @@
                 f" {window.allowed:.0f} ({window.use:.2f}) from"
                 f" {window.start_s - play.began_s:.1f} s"
             )
-        statuses = collections.Counter(r.status for r in play.callers.requests)
-        print(f"statuses: {dict(statuses)}")
-        late, late_long = play.count_late_retries()
+        for service in ("desk", "llm"):
+            statuses = collections.Counter(
+                r.status for r in play.callers.requests if r.service == service
+            )
+            print(f"statuses of {service}: {dict(statuses)}")
+        late = play.count_late_retries()
         print(
             f"on more upstreams than allowed: {play.count_over_limit()};"
             f" attempts with too much time: {play.count_long_deadlines()};"
-            f" of {late} late retries: {late_long}"
+            f" of {late.late} late plain retries: {late.long}"
         )
         if args.dump:
             dump(play, args.dump)
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -33,6 +33,9 @@
 # Upstreams that may run a request, by its route.
 MAX_ATTEMPTS: Final = 2
 
+# Longest time of a request, by its route.
+TIMEOUT_S: Final = 9.0
+
 # Time for which a draining upstream continues to serve, in seconds.
 DRAIN_S: Final = 2.5
 
@@ -247,6 +250,7 @@
     version: int,
     max_attempts: int = MAX_ATTEMPTS,
     engine_mb: float = ENGINE_MB,
+    timeout_s: float = TIMEOUT_S,
 ) -> dict[str, Any]:
     """Returns a configuration in the form that operators write."""
     kinds = [{**SPEC["kinds"][0], "size_mb": engine_mb}]
@@ -262,7 +266,7 @@
                 "host": HOST,
                 "path_prefix": prefix,
                 "route_kind": kind,
-                "timeout_ms": 9000,
+                "timeout_ms": int(1000 * timeout_s),
                 "slo_ms": 500,
                 "priority": 1,
                 "service": service,
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from tests import histories, retrying
+from tests import histories, retrying, sites
 
 # Engines, and plain replicas, of a small site.
 UPSTREAMS: Final = 4
@@ -38,6 +38,24 @@
     context.add_cleanup(context.retrying.close)
 
 
+@given(
+    "a site of {hosts:d} hosts and {replicas:d} plain replicas, with {per_s:d}"
+    " requests a second and {allowance:d} retries allowed"
+)
+def step_few_replicas(
+    context: Any, hosts: int, replicas: int, per_s: int, allowance: int
+) -> None:
+    context.retrying = retrying.start(
+        hosts,
+        UPSTREAMS,
+        per_s,
+        allowance,
+        max_attempts=sites.MAX_ATTEMPTS,
+        replicas=replicas,
+    )
+    context.add_cleanup(context.retrying.close)
+
+
 @given("hosts that start again with the settings of their first start")
 def step_keep_settings(context: Any) -> None:
     context.retrying.site.keeps_settings = True
@@ -66,3 +84,9 @@
 @then("no request reaches more upstreams than allowed")
 def step_within_attempts(context: Any) -> None:
     assert context.retrying.count_over_limit() == 0
+
+
+@then("few late retries are handed more time than is left")
+def step_within_time(context: Any) -> None:
+    late = context.retrying.count_late_retries()
+    assert late.is_allowed, late
