Log the time that upstreams are handed and how slowly they answer

path_chosen tells the seconds that an attempt's upstream is handed (handed_s) and the longest that it lately took to answer this host, or has not answered yet (slowest_s).

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -19,6 +19,8 @@
 
 import attrs
 
+from egretspur.admission import reactions
+
 # An upstream is silent if it has answered nothing for this long although it was
 # sent something, or for this many times as long as an answer is expected to
 # take.
@@ -115,6 +117,7 @@
         """
         self._window_s = window_s
         self._upstreams: dict[str, _Upstream] = {}
+        self.reactions = reactions.Reactions()
 
     def send(
         self,
@@ -143,6 +146,10 @@
 
         It has read it then, and reads others as well.
         """
+        if sending.is_unread and sending.upstream_id:
+            self.reactions.record(
+                sending.upstream_id, now_s - sending.sent_s, True, now_s
+            )
         sending.settle(now_s)
         upstream = self._upstreams.get(sending.upstream_id)
         if upstream is None:
@@ -170,7 +177,11 @@
         if upstream is None:
             # It was never sent.
             sending.settle(now_s)
-        elif upstream.read_sent_s >= sending.sent_s:
+            return
+        self.reactions.record(
+            sending.upstream_id, now_s - sending.sent_s, False, now_s
+        )
+        if upstream.read_sent_s >= sending.sent_s:
             sending.settle(now_s + self._window_s)
             upstream.drop_read()
 
@@ -199,6 +210,18 @@
                 sending.settle(read_by_s)
         upstream.drop_read()
 
+    def get_slowest_s(self, upstream_id: str, now_s: float) -> float:
+        """Returns how long an upstream lately took, or takes, to answer.
+
+        It reads what it is sent no later than that, as far as is known.
+        """
+        slowest_s = self.reactions.get_slowest_s(upstream_id, now_s)
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None:
+            return slowest_s
+        waiting = (min(now_s, s.ended_s) - s.sent_s for s in upstream.unread)
+        return max(slowest_s, *waiting, 0.0)
+
     def list_silent(self, now_s: float) -> set[str]:
         """Returns the upstreams that answer nothing of what they are sent."""
         return {i for i, u in self._upstreams.items() if u.is_silent(now_s)}
@@ -238,3 +261,4 @@
         for upstream_id, upstream in list(self._upstreams.items()):
             if upstream_id not in listed and not upstream.unread:
                 del self._upstreams[upstream_id]
+        self.reactions.remove_unlisted(listed)
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -120,6 +120,10 @@
     list_age_s: float
     # Peers whose requests in flight were counted.
     peers: int
+    # Seconds that the upstream is handed, and the longest that it lately took
+    # to answer: it may read the request that late.
+    handed_s: float
+    slowest_s: float
 
 
 @attrs.frozen
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -257,4 +257,6 @@
             free,
             now_s - self.list_read_s,
             self._fleet.memory.count_peers(now_s),
+            ticket.job.deadline_s - now_s,
+            self.arrivals.get_slowest_s(attempt.upstream_id, now_s),
         )
