Hand upstreams less time for retries of plain requests

Callers saw nothing; upstreams worked on retries for up to 5 s after callers had gone. A retry was handed all that its caller had left when it was written, as if it were read at once; one that was read late got the delay on top. Evidence: path_chosen says 1.0 s handed, upstreams read 2.2 to 5.0 s later, 58 of 58.

A retry is now handed a quarter of what is left at most, and so much less than all as its upstream lately took to answer, but as much as an answer takes. It does not go to an upstream that would end it over 0.25 s after the caller if it were as slow again.

--- a/egretspur/admission/reactions.py
+++ b/egretspur/admission/reactions.py
@@ -13,12 +13,15 @@
 
 import attrs
 
-# How long a reaction counts. Upstreams that are slow for a moment must get
-# retries again soon.
+# How long a reaction counts, and how many do. An upstream that was slow for a
+# moment is known to be fast again after as many answers.
 MEMORY_S: Final = 10.0
+MAX_KEPT: Final = 16
 
-# Reactions that are kept for each upstream at most.
-MAX_KEPT: Final = 256
+# How many times as long as this side waited an upstream may take that did not
+# answer until then, so often at least.
+UNANSWERED_FACTOR: Final = 2.0
+MIN_UNANSWERED: Final = 2
 
 
 @attrs.frozen
@@ -54,11 +57,15 @@
         kept.append(_Reaction(now_s, seconds, is_answer))
 
     def get_slowest_s(self, upstream_id: str, now_s: float) -> float:
-        """Returns the longest of an upstream's times; 0 if none is known."""
-        return max(
-            (r.seconds for r in self._list_recent(upstream_id, now_s)),
-            default=0.0,
-        )
+        """Returns the longest that an upstream took; 0 if none is known."""
+        recent = self._list_recent(upstream_id, now_s)
+        answered = [r.seconds for r in recent if r.is_answer]
+        others = sorted(r.seconds for r in recent if not r.is_answer)
+        slowest_s = max((*answered, *others), default=0.0)
+        if len(others) >= MIN_UNANSWERED:
+            waited_s = others[-MIN_UNANSWERED]
+            slowest_s = max(slowest_s, UNANSWERED_FACTOR * waited_s)
+        return slowest_s
 
     def get_fastest_s(self, upstream_id: str, now_s: float) -> float:
         """Returns the shortest time of an answer; 0 if none is known."""
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -99,8 +99,10 @@
         conn.sock = link.sock
         handle = _AbortableConnection(conn)
         abort.set_closer(handle.abort, link.helper)
-        left_s = job.deadline_s - time.monotonic()
-        headers = _make_headers(call, job, start, resume_after, left_s)
+        now_s = time.monotonic()
+        left_s = job.deadline_s - now_s
+        handed_s = min(job.deadline_s, start.deadline_s) - now_s
+        headers = _make_headers(call, job, start, resume_after, handed_s)
         # urllib3 sets this on its socket before it sends and again before it
         # reads the head; a timeout set on the socket itself would be lost.
         conn.timeout = max(MIN_TIMEOUT_S, left_s)
@@ -300,11 +302,11 @@
     job: jobs.Job,
     start: jobs.Start,
     resume_after: str,
-    left_s: float,
+    handed_s: float,
 ) -> dict[str, str]:
     headers = dict(call.headers)
     headers[names.REQUEST_ID] = call.id
-    headers[names.DEADLINE] = str(max(1, int(left_s * 1000)))
+    headers[names.DEADLINE] = str(max(1, int(handed_s * 1000)))
     headers[names.EXPECTED_UPSTREAM] = start.upstream.name
     if job.workspace:
         headers[names.WORKSPACE] = job.workspace
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -27,6 +27,7 @@
     paths,
     retries,
     tickets,
+    timeouts,
     unread,
 )
 
@@ -66,6 +67,7 @@
         self._budgets = budgets
         self.arrivals = budgets.arrivals
         self.unread = unread.UnreadRequests(state, budgets)
+        self.timeouts = timeouts.RetryTimeouts(budgets.arrivals)
 
     def start(
         self,
@@ -97,8 +99,13 @@
             ticket.next = attempt
         else:
             ticket.current = attempt
+        left_s = ticket.job.deadline_s - now_s
+        if ticket.attempts and spec is None:
+            left_s = self.timeouts.compute_s(entry.id, left_s, now_s)
         ticket.attempts += 1
-        self.notes.append(self._describe_start(ticket, attempt, spec, now_s))
+        self.notes.append(
+            self._describe_start(ticket, attempt, spec, left_s, now_s)
+        )
         self._note_over_limit(ticket, attempt, ran)
         self.occupancy.add(ticket.job, attempt, spec, now_s)
         self.counts.started += 1
@@ -111,7 +118,12 @@
             )
         self.arrivals.send(attempt.sending, entry.id, now_s, answer_s)
         return jobs.Start(
-            ticket.job.id, entry, attempt.parts, first_s, ticket.attempts
+            ticket.job.id,
+            entry,
+            attempt.parts,
+            first_s,
+            ticket.attempts,
+            now_s + left_s,
         )
 
     def release(
@@ -243,6 +255,7 @@
         ticket: tickets.Ticket,
         attempt: tickets.Attempt,
         spec: config.EngineSpec | None,
+        left_s: float,
         now_s: float,
     ) -> decisions.PathChosen:
         step_s, free = 0.0, 1.0
@@ -257,6 +270,6 @@
             free,
             now_s - self.list_read_s,
             self._fleet.memory.count_peers(now_s),
-            ticket.job.deadline_s - now_s,
+            left_s,
             self.arrivals.get_slowest_s(attempt.upstream_id, now_s),
         )
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -101,6 +101,7 @@
             self.search,
             self.handovers,
             self.retry_budgets.arrivals,
+            self._attempts.timeouts,
         )
         self.contention = contention.Contention(
             load, self.refusals.promises, self.turns, self.queue
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import Final
 
 import attrs
@@ -98,6 +99,9 @@
     expected_first_s: float = 0.0
     # Counts the request's attempts, from 1.
     number: int = 0
+    # Monotonic time until which the upstream may work on it, if that is before
+    # the request's deadline.
+    deadline_s: float = math.inf
 
 
 @attrs.frozen
--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -15,7 +15,7 @@
 from egretspur.admission import arrivals
 from egretspur.catalog import config, upstreams
 from egretspur.routing import fleet as fleets
-from egretspur.routing import handovers, paths, search, tickets
+from egretspur.routing import handovers, paths, search, tickets, timeouts
 
 
 @attrs.frozen
@@ -37,6 +37,7 @@
         path_search: search.Search,
         second: handovers.Handovers,
         sent: arrivals.Arrivals,
+        retry_timeouts: timeouts.RetryTimeouts,
     ) -> None:
         """Makes it.
 
@@ -45,11 +46,13 @@
             path_search: Finds paths.
             second: Tells which engines an answer that has begun may use.
             sent: Tells which upstreams are silent.
+            retry_timeouts: Tells which are too slow for a retry.
         """
         self._fleet = state
         self._search = path_search
         self._handovers = second
         self._arrivals = sent
+        self._timeouts = retry_timeouts
 
     def choose(
         self, ticket: tickets.Ticket, service: config.Service, now_s: float
@@ -75,6 +78,13 @@
         silent: set[str] = set()
         if ticket.attempts:
             never |= self._arrivals.list_silent(now_s)
+            left_s = ticket.job.deadline_s - now_s
+            never |= {
+                e.id
+                for e in self._fleet.roster.entries.values()
+                if e.service == service
+                and self._timeouts.is_too_slow(e.id, left_s, now_s)
+            }
         else:
             silent = self._arrivals.list_avoided(now_s)
         entry = self._fleet.replicas.choose(
