Check that a plain replica answers before a retry is written to it

A retry is written within milliseconds of a failure, and an upstream that stands still is known as silent after a second: whatever is written in that second is read when it goes on. A request can't be called back, so its upstream is asked first: a health check on a connection of its own, 0.25 s at most. Without an answer nothing is written, the retry stays in the budget and goes elsewhere; the third replica without an answer ends the request. A check counts for rate limits that upstreams name; where none is left, the retry is sent unchecked.

--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -103,6 +103,12 @@
         """Returns a retry to a service's budget that was taken but not sent."""
         self._get(service).refund(retry)
 
+    def reclaim(
+        self, service: str, sending: arrivals.Sending
+    ) -> shared.Retry | None:
+        """Returns the retry of an attempt that was not sent, to be used."""
+        return self._get(service).reclaim(sending)
+
     def get_balance(self, service: str, now_s: float) -> shared.Balance:
         """Returns this host's balance of a service's budget."""
         others = self._ledger.sum_peers(service, now_s)
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -200,6 +200,17 @@
         if retry in self._retries:
             self._retries.remove(retry)
 
+    def reclaim(self, sending: arrivals.Sending) -> Retry | None:
+        """Returns the retry of an attempt that was not sent, to be used.
+
+        None if it was taken too long ago.
+        """
+        for retry in self._retries:
+            if retry.sending is sending:
+                retry.sending = arrivals.Sending()
+                return retry
+        return None
+
     def report_spent(
         self, hosts: int, now_s: float, age_s: float = math.inf
     ) -> Spent:
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -132,7 +132,9 @@
         )
         self._intake = intake.Intake(
             self._desk,
-            upstream.UpstreamClient(self._desk.note_signals, self._dialer),
+            upstream.UpstreamClient(
+                self._desk.note_signals, self._dialer, self._is_responsive
+            ),
             self._watch,
             rng,
             buffers.BodyBuffers(cfg.memory_bytes),
@@ -396,6 +398,14 @@
         failed = self._engines.check(entry.address, service.health_path)
         return failed or upstreams.PLAIN_REPORT
 
+    def _is_responsive(self, entry: upstreams.Upstream) -> bool:
+        """Returns whether a plain replica reads what it is sent."""
+        cfg = self._versions.newest
+        service = cfg.services.get(entry.service) if cfg else None
+        if service is None:
+            return True
+        return self._engines.is_responsive(entry.address, service.health_path)
+
     def _make_update(self, peers: Mapping[str, str]) -> datagrams.PeerUpdate:
         """Returns this host's update for the others of its data centre."""
         self._update_role()
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -12,7 +12,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, Final
 
 import orjson
@@ -37,6 +37,9 @@
 CONTROL_CONNECT_S: Final = 0.3
 CONTROL_READ_S: Final = 0.5
 
+# Longest wait for the answer of a plain service that is to get a retry.
+READINESS_TIMEOUT_S: Final = 0.25
+
 # A live engine returns its report within 2 ms, 1 ms of them to connect; a busy
 # host needs more time to read it.
 PEEK_TIMEOUT_S: Final = 0.03
@@ -67,6 +70,9 @@
             None
         ),
         own: dialer.Dialer | None = None,
+        is_responsive: Callable[[upstreams.Upstream], bool] = (
+            lambda entry: True
+        ),
     ) -> None:
         """Makes a client.
 
@@ -78,9 +84,11 @@
             note_signals: Called with the signals in each response's head.
             own: Opens connections, also through other hosts; None to use this
                 host's own links only.
+            is_responsive: Whether an upstream answers a health check in time.
         """
         self._note_signals = note_signals
         self._dialer = own
+        self._is_responsive = is_responsive
 
     def open(
         self,
@@ -91,6 +99,12 @@
         abort: sending.AbortHandle,
     ) -> UpstreamAnswer | sending.AttemptFailure:
         """Sends a request and returns its response, body unread."""
+        if start.needs_check and not self._is_responsive(start.upstream):
+            return sending.AttemptFailure(
+                jobs.FailureKind.UNRESPONSIVE,
+                f"{start.upstream.id}: no answer to a health check",
+                ended_by=ends.EndedBy.HOST,
+            )
         link = self._connect(job, start)
         if isinstance(link, sending.AttemptFailure):
             return link
@@ -449,10 +463,14 @@
         return _decode_report(address, res)
 
     def _call_anew(
-        self, address: str, path: str, question: str
+        self,
+        address: str,
+        path: str,
+        question: str,
+        read_s: float | None = None,
     ) -> transport.Reply | transport.Failed:
         """Asks an upstream over a new connection; tells the dialer of it."""
-        res = self._probe_transport.call("GET", address, path)
+        res = self._probe_transport.call("GET", address, path, read_s=read_s)
         self._probe_transport.empty_pool(address)
         _log_control_call(address, question, res)
         own = self._dialer
@@ -478,6 +496,16 @@
             return None
         return _make_probe_failed(res)
 
+    def is_responsive(self, address: str, health_path: str) -> bool:
+        """Returns whether a plain service answers within a short time.
+
+        Any answer shows that it reads what it is sent.
+        """
+        res = self._call_anew(
+            address, health_path, "readiness", READINESS_TIMEOUT_S
+        )
+        return not isinstance(res, transport.Failed)
+
     def place(
         self, address: str, layers: upstreams.Layers, expected: int
     ) -> str:
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -15,7 +15,7 @@
 import attrs
 
 from egretspur import decisions, ends
-from egretspur.admission import repeats, throttle
+from egretspur.admission import arrivals, repeats, throttle
 from egretspur.catalog import config, upstreams
 from egretspur.routing import crashes as crash_detector
 from egretspur.routing import (
@@ -35,6 +35,14 @@
 # sooner, the upstream is still as full.
 REFUSAL_DELAY_S: Final = 0.1
 
+# The same after it did not answer a health check: it may stand still.
+UNRESPONSIVE_DELAY_S: Final = 1.0
+
+_REFUSAL_DELAYS_S: Final = {
+    jobs.FailureKind.REFUSED: REFUSAL_DELAY_S,
+    jobs.FailureKind.UNRESPONSIVE: UNRESPONSIVE_DELAY_S,
+}
+
 
 class Attempts:
     """Attempts of one host's requests; see the module's docstring."""
@@ -100,7 +108,8 @@
         else:
             ticket.current = attempt
         left_s = ticket.job.deadline_s - now_s
-        if ticket.attempts and spec is None:
+        is_plain_retry = ticket.attempts > 0 and spec is None
+        if is_plain_retry:
             left_s = self.timeouts.compute_s(entry.id, left_s, now_s)
         ticket.attempts += 1
         self.notes.append(
@@ -117,6 +126,10 @@
                 attempt.parts, ticket.job.tokens, spec
             )
         self.arrivals.send(attempt.sending, entry.id, now_s, answer_s)
+        # The check counts for a rate limit, after the request itself.
+        needs_check = is_plain_retry and (
+            self._fleet.backpressure.try_acquire_probe(entry.id, now_s)
+        )
         return jobs.Start(
             ticket.job.id,
             entry,
@@ -124,6 +137,7 @@
             first_s,
             ticket.attempts,
             now_s + left_s,
+            needs_check,
         )
 
     def release(
@@ -153,10 +167,12 @@
         if attempt is not None:
             if failure.kind is jobs.FailureKind.UNREACHABLE:
                 self.arrivals.cancel(attempt.sending, now_s)
+            elif failure.kind is jobs.FailureKind.UNRESPONSIVE:
+                self._reclaim_retry(ticket, attempt.sending, now_s)
             elif failure.was_read:
                 self.arrivals.settle(attempt.sending, now_s)
         first_id = attempt.upstream_id if attempt else ""
-        if failure.kind is jobs.FailureKind.REFUSED:
+        if failure.kind in _REFUSAL_DELAYS_S:
             ticket.refusals += 1
         elif failure.kind in (jobs.FailureKind.CUT, jobs.FailureKind.FAILED):
             ticket.runs += 1
@@ -169,9 +185,8 @@
         is_cut = failure.kind is jobs.FailureKind.CUT
         blamed = set(failure.blamed) or {first_id} - {""}
         ticket.failed |= blamed
-        if failure.kind is jobs.FailureKind.REFUSED:
-            until_s = now_s + REFUSAL_DELAY_S
-            ticket.refused.update(dict.fromkeys(blamed, until_s))
+        if delay_s := _REFUSAL_DELAYS_S.get(failure.kind):
+            ticket.refused.update(dict.fromkeys(blamed, now_s + delay_s))
         if failure.ended_by is ends.EndedBy.HELPER:
             # It shows nothing of the upstreams.
             return
@@ -198,6 +213,8 @@
             self._fleet.health.mark_down(
                 upstream_id, now_s, "a request found no connection"
             )
+        elif failure.kind is jobs.FailureKind.UNRESPONSIVE:
+            self._fleet.health.suspect(upstream_id, now_s)
         elif is_cut:
             self._fleet.health.record_fault(upstream_id, now_s)
         elif failure.blamed:
@@ -221,6 +238,14 @@
         ticket.is_shortage_noted = is_short
         return not is_short
 
+    def _reclaim_retry(
+        self, ticket: tickets.Ticket, sending: arrivals.Sending, now_s: float
+    ) -> None:
+        """Keeps a retry that was not sent for the request's next attempt."""
+        self.arrivals.cancel(sending, now_s)
+        ticket.sendings.remove(sending)
+        ticket.retry = self._budgets.reclaim(ticket.job.service, sending)
+
     def return_retry(self, ticket: tickets.Ticket) -> None:
         """Returns a retry that was taken and not sent to the budget."""
         if ticket.retry is not None:
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -41,6 +41,8 @@
 
     # No connection could be made; nothing was sent.
     UNREACHABLE = "unreachable"
+    # The upstream did not answer a health check in time; nothing was sent.
+    UNRESPONSIVE = "unresponsive"
     # The upstream reported that it has not run the request.
     REFUSED = "refused"
     # Another upstream has the address, or an engine lacks the layers asked for.
@@ -57,6 +59,7 @@
 # Failures after which no upstream has run the request.
 NOT_RUN: Final = (
     FailureKind.UNREACHABLE,
+    FailureKind.UNRESPONSIVE,
     FailureKind.REFUSED,
     FailureKind.MISDIRECTED,
 )
@@ -102,6 +105,8 @@
     # Monotonic time until which the upstream may work on it, if that is before
     # the request's deadline.
     deadline_s: float = math.inf
+    # Whether the upstream must answer a health check before it is sent.
+    needs_check: bool = False
 
 
 @attrs.frozen
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -34,6 +34,12 @@
     When an upstream's port has no listener
     Then it is taken as "unreachable"
 
+  Scenario: A request that follows a health check
+    # Guards against a request that is written to an upstream which reads nothing.
+    When a request that needs a check is sent to an upstream that reads nothing
+    Then it is taken as "unresponsive" within 1 s
+    And nothing but the check was written to it
+
   Scenario: The stage that is at fault
     When an upstream answers with "HTTP/1.1 503 No\nNot-Executed: 1\nAt-Server: b:80\nContent-Length: 0\n\n" and then closes
     Then it is taken as "refused"
--- a/tests/routing/targets.feature
+++ b/tests/routing/targets.feature
@@ -25,3 +25,11 @@
     Given a chain of engines and two plain replicas
     When 1 requests of kind "idempotent" are sent to one of the two, which answers none
     Then it is probed within 1.5 s
+
+  Scenario: A replica that does not answer a health check gets no retry
+    # Guards against a retry that a replica which stands still reads later, and
+    # against a retry of the budget that is used up by a check.
+    Given a chain of engines and two plain replicas
+    When a request of kind "idempotent" fails and the retry's replica does not answer a check
+    Then the retry goes to the other replica, after a check of that one
+    And one retry is taken from the budget
--- a/tests/steps/targets_steps.py
+++ b/tests/steps/targets_steps.py
@@ -6,6 +6,7 @@
 
 from behave import then, when
 
+from egretspur import ends
 from egretspur.routing import jobs
 from tests.steps import broker_steps
 
@@ -99,3 +100,31 @@
 def step_probed(context: Any, seconds: float) -> None:
     broker_steps.step_pass(context, seconds)
     assert context.silent in context.broker.fleet.health.failed
+
+
+@when(
+    'a request of kind "{kind}" fails and the retry\'s replica does not answer'
+    " a check"
+)
+def step_unresponsive(context: Any, kind: str) -> None:
+    context.kind = kind
+    context.first = send(context, "r")
+    assert not context.started["r"].needs_check
+    for why in (jobs.FailureKind.FAILED, jobs.FailureKind.UNRESPONSIVE):
+        context.asked = context.started.pop("r")
+        context.now_s += 0.01
+        failure = jobs.Failure("r", why, "as told", ended_by=ends.EndedBy.HOST)
+        broker_steps.take(context, context.broker.fail(failure, context.now_s))
+
+
+@then("the retry goes to the other replica, after a check of that one")
+def step_other_replica(context: Any) -> None:
+    start = context.started["r"]
+    assert context.asked.needs_check and start.needs_check
+    assert context.asked.upstream.id != start.upstream.id
+
+
+@then("one retry is taken from the budget")
+def step_one_retry(context: Any) -> None:
+    balance = context.broker.retry_budgets.get_balance("desk", context.now_s)
+    assert balance.sent == 1, balance
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -74,6 +74,7 @@
     is_engine: bool = True,
     own: dialer.Dialer | None = None,
     live_s: float = LIVE_S,
+    needs_check: bool = False,
 ) -> None:
     """Sends a call to an address and reads the answer whole."""
     entry = attrs.evolve(fleets.make_upstream("app-0"), address=address)
@@ -84,13 +85,19 @@
         deadline_s=now_s + live_s,
         priority=priority,
     )
-    start = jobs.Start("ID", entry, parts if is_engine else ())
+    start = jobs.Start(
+        "ID", entry, parts if is_engine else (), needs_check=needs_check
+    )
     context.leaving = sending.AbortHandle()
     context.outcome_of = None
     context.outcome_body = None
     context.backpressure = []
     answer = upstream.UpstreamClient(
-        lambda upstream_id, answer: context.backpressure.append(answer), own
+        lambda upstream_id, answer: context.backpressure.append(answer),
+        own,
+        lambda entry: upstream.EngineClient().is_responsive(
+            entry.address, "/healthz"
+        ),
     ).open(call, job, start, "", context.leaving)
     body = b""
     context.answer = answer
@@ -130,6 +137,29 @@
     send(context, "127.0.0.1:1", own=own)
 
 
+@when("a request that needs a check is sent to an upstream that reads nothing")
+def step_reads_nothing(context: Any) -> None:
+    context.listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(context.listener.close)
+    port = context.listener.getsockname()[1]
+    began_s = time.monotonic()
+    send(context, f"127.0.0.1:{port}", is_engine=False, needs_check=True)
+    context.took_s = time.monotonic() - began_s
+
+
+@then("nothing but the check was written to it")
+def step_only_check(context: Any) -> None:
+    conn, _ = context.listener.accept()
+    with conn:
+        assert conn.recv(65536).startswith(b"GET /healthz")
+    context.listener.setblocking(False)
+    try:
+        context.listener.accept()
+    except BlockingIOError:
+        return
+    raise AssertionError("another connection was opened")
+
+
 @when("an upstream's port has no listener")
 def step_no_listener(context: Any) -> None:
     with socket.socket() as sock:
