Send plain retries where requests are known to be read

A replica whose health checks are answered and that reads no requests counts as silent after 1 s; all hosts together wrote 26 late retries to four such replicas in that second, and each was read up to 28 s later.

A retry now goes to no replica that has left a request of this host unanswered for 0.25 s (or four times as long as an answer is expected), and rather to one that has read something in the last second. The refusal of a retry that finds none tells how many were too slow, silent or refused it.

The scenario is red without the 0.25 s (run).

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -27,6 +27,12 @@
 MIN_SILENCE_S: Final = 1.0
 SILENCE_FACTOR: Final = 4.0
 
+# The same before a retry of a plain request: there may be others to send it to.
+RETRY_SILENCE_S: Final = 0.25
+
+# How long a read shows that an upstream reads.
+PROOF_S: Final = 1.0
+
 # How long an upstream that left the list, or to which nothing opens, may still
 # read what it was sent: it may stand still or be cut off, and go on.
 LOST_S: Final = 60.0
@@ -85,11 +91,13 @@
             return 0.0
         return now_s - max(self.active_s, self.unread[0].sent_s)
 
-    def is_silent(self, now_s: float) -> bool:
+    def is_silent(
+        self, now_s: float, min_silence_s: float = MIN_SILENCE_S
+    ) -> bool:
         """Tells whether it should have answered something by now."""
         if not self.unread:
             return False
-        least_s = max(MIN_SILENCE_S, SILENCE_FACTOR * self.unread[0].expected_s)
+        least_s = max(min_silence_s, SILENCE_FACTOR * self.unread[0].expected_s)
         if self.get_silent_s(now_s) < least_s:
             return False
         return len(self.unread) >= MIN_GIVEN_UP or any(
@@ -222,9 +230,28 @@
         waiting = (min(now_s, s.ended_s) - s.sent_s for s in upstream.unread)
         return max(slowest_s, *waiting, 0.0)
 
-    def list_silent(self, now_s: float) -> set[str]:
-        """Returns the upstreams that answer nothing of what they are sent."""
-        return {i for i, u in self._upstreams.items() if u.is_silent(now_s)}
+    def list_silent(
+        self, now_s: float, min_silence_s: float = MIN_SILENCE_S
+    ) -> set[str]:
+        """Returns the upstreams that answer nothing of what they are sent.
+
+        Args:
+            now_s: Monotonic time.
+            min_silence_s: Least time without an answer.
+        """
+        return {
+            i
+            for i, u in self._upstreams.items()
+            if u.is_silent(now_s, min_silence_s)
+        }
+
+    def list_reading(self, now_s: float) -> set[str]:
+        """Returns the upstreams that have lately read what they were sent."""
+        return {
+            i
+            for i, u in self._upstreams.items()
+            if now_s - u.active_s < PROOF_S
+        }
 
     def list_unproven(self, now_s: float) -> list[str]:
         """Returns the silent upstreams that have never answered anything."""
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -513,7 +513,7 @@
                 return [*effects, start]
         if is_queued:
             return [*effects, *self._enqueue(ticket, item, opening, now_s)]
-        reason = "no upstream is usable"
+        reason = self._targets.explain_none(ticket, service.name, now_s)
         if self.fleet.is_cut_off():
             reason = CUT_OFF_REASON
         return [self._refuse(ticket, now_s, errors.ErrorKind.NO_ROUTE, reason)]
--- a/egretspur/routing/replicas.py
+++ b/egretspur/routing/replicas.py
@@ -231,7 +231,7 @@
             avoid: Replicas to use only if there is no other.
             refused: Replicas never to use.
             now_s: Monotonic time.
-            silent: Replicas that answer nothing, to use only if all do so.
+            silent: Replicas that may read nothing, to use only if all may.
         """
         usable = self._list_usable(service, now_s)
         self._note_usable(service, {e.id for e in usable}, now_s)
--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -74,24 +74,72 @@
     def _choose_replica(
         self, ticket: tickets.Ticket, service: str, now_s: float
     ) -> Target | None:
-        never = ticket.list_avoided(now_s)
-        silent: set[str] = set()
         if ticket.attempts:
-            never |= self._arrivals.list_silent(now_s)
-            left_s = ticket.job.deadline_s - now_s
-            never |= {
-                e.id
-                for e in self._fleet.roster.entries.values()
-                if e.service == service
-                and self._timeouts.is_too_slow(e.id, left_s, now_s)
-            }
-        else:
-            silent = self._arrivals.list_avoided(now_s)
+            return self._choose_for_retry(ticket, service, now_s)
         entry = self._fleet.replicas.choose(
-            service, ticket.failed, never, now_s, silent
+            service,
+            ticket.failed,
+            ticket.list_avoided(now_s),
+            now_s,
+            self._arrivals.list_avoided(now_s),
+        )
+        return Target(entry) if entry is not None else None
+
+    def _choose_for_retry(
+        self, ticket: tickets.Ticket, service: str, now_s: float
+    ) -> Target | None:
+        """Returns a replica that reads a retry soon, as far as is known.
+
+        One that has lately read something is preferred.
+        """
+        too_slow = self._list_too_slow(ticket, service, now_s)
+        listed = self._list_service(service)
+        entry = self._fleet.replicas.choose(
+            service,
+            ticket.failed,
+            ticket.list_avoided(now_s) | too_slow | self._list_mute(now_s),
+            now_s,
+            listed - self._arrivals.list_reading(now_s),
         )
         return Target(entry) if entry is not None else None
 
+    def explain_none(
+        self, ticket: tickets.Ticket, service: str, now_s: float
+    ) -> str:
+        """Returns why no plain replica is usable, for the log and callers."""
+        if not ticket.attempts:
+            return "no upstream is usable"
+        listed = self._list_service(service)
+        too_slow = self._list_too_slow(ticket, service, now_s)
+        return (
+            f"no upstream is usable for a retry; of {len(listed)} listed,"
+            f" {len(too_slow)} too slow for the time left,"
+            f" {len(listed & self._list_mute(now_s))} silent,"
+            f" {len(listed & ticket.list_avoided(now_s))} refused it"
+        )
+
+    def _list_service(self, service: str) -> set[str]:
+        return {
+            e.id
+            for e in self._fleet.roster.entries.values()
+            if e.service == service
+        }
+
+    def _list_too_slow(
+        self, ticket: tickets.Ticket, service: str, now_s: float
+    ) -> set[str]:
+        """Returns the replicas that might work on a retry for too long."""
+        left_s = ticket.job.deadline_s - now_s
+        return {
+            i
+            for i in self._list_service(service)
+            if self._timeouts.is_too_slow(i, left_s, now_s)
+        }
+
+    def _list_mute(self, now_s: float) -> set[str]:
+        """Returns the upstreams that may not read a retry for a while."""
+        return self._arrivals.list_silent(now_s, arrivals.RETRY_SILENCE_S)
+
     def _find(
         self,
         ticket: tickets.Ticket,
--- a/tests/routing/targets.feature
+++ b/tests/routing/targets.feature
@@ -26,6 +26,15 @@
     When 1 requests of kind "idempotent" are sent to one of the two, which answers none
     Then it is probed within 1.5 s
 
+  Scenario: A replica that has not answered for a moment
+    # Guards against a retry that a replica which reads no requests, and answers
+    # health checks, reads much later.
+    Given a chain of engines and two plain replicas
+    When 1 requests of kind "idempotent" are sent to one of the two, which answers none
+    And 0.4 s go by at the host
+    And a request fails at the other one
+    Then it is not sent to the silent one
+
   Scenario: A replica that does not answer a health check gets no retry
     # Guards against a retry that a replica which stands still reads later, and
     # against a retry of the budget that is used up by a check.
