Search for retries that break a limit while replicas read late

A state machine over the real broker: hosts that are killed and forget, replicas that keep what they were sent until they read it, callers with 1, 2.5 and 20 s, loads that change. All three rules on retries are properties: retries in a window, replicas that run a request, time that is handed.

--- /dev/null
+++ b/tests/lateness.py
@@ -0,0 +1,75 @@
+"""Oracle of the time that upstreams are handed for retries."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+# How much later a retry is read than the first attempt to count as late, and
+# how much later than its caller's time it may end, in s.
+SLACK_S: Final = 0.5
+
+# Retries that may be handed more time than is left, and their share.
+MAX_LONG: Final = 20
+MAX_LONG_SHARE: Final = 0.2
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached an upstream."""
+
+    request: str
+    at_s: float
+    upstream: str
+    # Seconds that its caller still waits, as the host says.
+    left_s: float
+
+    @property
+    def end_s(self) -> float:
+        """By when the upstream ends its work."""
+        return self.at_s + self.left_s
+
+
+@attrs.frozen
+class LateRetries:
+    """Retries that upstreams read late, by how long they may work for them."""
+
+    # Read late, or handed too much time; and of these, the latter.
+    late: int
+    long: int
+
+    @property
+    def is_allowed(self) -> bool:
+        """Whether few enough were handed too much time."""
+        return self.long <= MAX_LONG or self.long <= MAX_LONG_SHARE * self.late
+
+
+def count(
+    arrivals: Iterable[Arrival], sent: Mapping[str, float], patience_s: float
+) -> LateRetries:
+    """Returns how many retries were read late, or handed too much time.
+
+    Late ones are read over `SLACK_S` after the first attempt; those that are
+    handed too much time end so much later than it and its caller.
+
+    Args:
+        arrivals: What upstreams read, from earliest to latest.
+        sent: When callers sent their requests; others don't count.
+        patience_s: How long a caller waits.
+    """
+    first: dict[str, Arrival] = {}
+    late = long = 0
+    for arrival in arrivals:
+        if arrival.request not in sent:
+            continue
+        before = first.setdefault(arrival.request, arrival)
+        is_longer = arrival.left_s > patience_s + SLACK_S
+        is_late = arrival.at_s - before.at_s > SLACK_S
+        end_s = max(sent[arrival.request] + patience_s, before.end_s)
+        is_later = arrival.end_s > end_s + SLACK_S
+        is_long = is_longer or arrival.left_s < 0.0 or (is_late and is_later)
+        late += is_late or is_long
+        long += is_long
+    return LateRetries(late, long)
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -20,7 +20,7 @@
 import attrs
 import urllib3
 
-from tests import histories, sites, stage
+from tests import histories, lateness, sites, stage
 from tests.admission import sharing
 
 # Upstreams that may run a request.
@@ -36,13 +36,8 @@
 # Data centres without upstreams.
 FAR: Final = ("pg-hall", "cj-hall")
 
-# How long a caller waits, and how much later an attempt may end, in s.
+# How long a caller waits, in s.
 PATIENCE_S: Final = 9.0
-DEADLINE_SLACK_S: Final = 0.5
-
-# Retries that may be handed more time than is left, and their share.
-MAX_LONG: Final = 20
-MAX_LONG_SHARE: Final = 0.2
 
 
 @attrs.define
@@ -109,36 +104,6 @@
             pool.clear()
 
 
-@attrs.frozen
-class Arrival:
-    """A request that reached an upstream."""
-
-    request: str
-    at_s: float
-    upstream: str
-    # Seconds that its caller still waits, as the host says.
-    left_s: float
-
-    @property
-    def end_s(self) -> float:
-        """By when the upstream ends its work."""
-        return self.at_s + self.left_s
-
-
-@attrs.frozen
-class LateRetries:
-    """Retries that upstreams read late, by how long they may work for them."""
-
-    # Read late, or handed too much time; and of these, the latter.
-    late: int
-    long: int
-
-    @property
-    def is_allowed(self) -> bool:
-        """Whether few enough were handed too much time."""
-        return self.long <= MAX_LONG or self.long <= MAX_LONG_SHARE * self.late
-
-
 @attrs.define
 class Play:
     """A site whose upstreams reset most requests, and its callers."""
@@ -182,10 +147,10 @@
             retry_times, sorted(sent.values()), self.allowance
         )
 
-    def list_arrivals(self, service: str) -> list[Arrival]:
+    def list_arrivals(self, service: str) -> list[lateness.Arrival]:
         """Returns what a service's upstreams got, from earliest to latest."""
         found = [
-            Arrival(request, at_s, name, left_ms / 1000.0)
+            lateness.Arrival(request, at_s, name, left_ms / 1000.0)
             for name, entry in self.site.entries.items()
             if entry["service"] == service
             for request, at_s, left_ms in self.site.stage.call(
@@ -214,37 +179,19 @@
             first_s = first_end_s.setdefault(arrival.request, end_s)
             patience_s = self.callers.patience_s
             own_s = sent[arrival.request] + patience_s
-            is_longer = arrival.left_s > patience_s + DEADLINE_SLACK_S
-            is_later = end_s > max(first_s, own_s) + DEADLINE_SLACK_S
+            is_longer = arrival.left_s > patience_s + lateness.SLACK_S
+            is_later = end_s > max(first_s, own_s) + lateness.SLACK_S
             count += is_longer or is_later or arrival.left_s < 0.0
         return count
 
-    def count_late_retries(self) -> LateRetries:
-        """Returns how many plain retries were read late, or too long.
-
-        Late ones are read over `DEADLINE_SLACK_S` after the first attempt; too
-        long ones end so much later than it and its caller.
-        """
+    def count_late_retries(self) -> lateness.LateRetries:
+        """Returns how many plain retries were read late, or too long."""
         sent = {r.id: r.sent_s for r in self.callers.requests}
-        first: dict[str, Arrival] = {}
-        late = long = 0
-        for arrival in self.list_arrivals("desk"):
-            if arrival.request not in sent:
-                continue
-            before = first.setdefault(arrival.request, arrival)
-            patience_s = self.callers.patience_s
-            is_longer = arrival.left_s > patience_s + DEADLINE_SLACK_S
-            is_late = arrival.at_s - before.at_s > DEADLINE_SLACK_S
-            end_s = max(sent[arrival.request] + patience_s, before.end_s)
-            is_later = arrival.end_s > end_s + DEADLINE_SLACK_S
-            is_long = (
-                is_longer or arrival.left_s < 0.0 or (is_late and is_later)
-            )
-            late += is_late or is_long
-            long += is_long
-        return LateRetries(late, long)
+        return lateness.count(
+            self.list_arrivals("desk"), sent, self.callers.patience_s
+        )
 
-    def _list_all_arrivals(self) -> list[Arrival]:
+    def _list_all_arrivals(self) -> list[lateness.Arrival]:
         found = self.list_arrivals("desk") + self.list_arrivals("llm")
         return sorted(found, key=lambda a: a.at_s)
 
--- /dev/null
+++ b/tests/routing/late.py
@@ -0,0 +1,322 @@
+"""Hosts before plain replicas that read late: a model without network.
+
+Each host has the product's own `Broker`. A replica keeps what it was sent until
+it reads it, also when its sender has ended it or has ended itself. The oracle
+knows only when callers sent requests, and what replicas read when. Read next:
+`tests.lateness` and `tests.admission.sharing`.
+"""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable, Collection
+from typing import Any, Final
+
+import attrs
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from egretspur import ends
+from egretspur.admission import repeats
+from egretspur.routing import broker, jobs, questions
+from tests import fleets, lateness
+from tests.admission import sharing
+
+HOSTS: Final = 4
+REPLICAS: Final = 3
+ALLOWANCE: Final = 200.0
+SERVICE: Final = "desk"
+
+# Interval of peer updates and of ticks, in s.
+UPDATE_PERIOD_S: Final = 0.25
+
+# Work of a request; the answer to a health check, and how long it is awaited.
+WORK_S: Final = 0.045
+CHECK_S: Final = 0.002
+CHECK_TIMEOUT_S: Final = 0.25
+
+# A host ends a request so long before its caller's deadline.
+MARGIN_S: Final = 0.05
+
+# How long everything is sound at the end, so that all is read.
+END_S: Final = 12.0
+
+
+@attrs.define(eq=False)
+class Replica:
+    """A replica that reads requests."""
+
+    id: str
+    # It reads nothing until then.
+    stopped_until_s: float = 0.0
+    # Share of the requests that it reads late, and how late at most.
+    late_share: float = 0.0
+    late_s: float = 0.0
+    # Share of the requests that it resets once it has read them.
+    reset_share: float = 0.0
+
+
+@attrs.define(eq=False)
+class Host:
+    """One start of a host."""
+
+    ip: str
+    state: broker.Broker
+    # Attempt that each request waits for, by its number.
+    running: dict[str, int] = attrs.Factory(dict)
+    is_alive: bool = True
+
+
+class Site:
+    """Hosts, replicas and callers."""
+
+    def __init__(self, patience_s: float, rng: random.Random) -> None:
+        """Starts hosts that have been up for long.
+
+        Args:
+            patience_s: How long a caller waits.
+            rng: Draws how replicas read.
+        """
+        self.now_s = 100.0
+        self.patience_s = patience_s
+        self.rng = rng
+        self.sent: dict[str, float] = {}
+        self.arrivals: list[lateness.Arrival] = []
+        self.replicas = {
+            i: Replica(i) for i in (f"app-{n}" for n in range(REPLICAS))
+        }
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._counter = itertools.count()
+        self.hosts = [
+            self._start(f"10.1.0.{n}", -math.inf) for n in range(HOSTS)
+        ]
+        self._at(0.0, self._update)
+
+    def _start(self, ip: str, since_s: float) -> Host:
+        options = repeats.Options(
+            sharing.RATIO, ALLOWANCE, sharing.WINDOW_S, since_s
+        )
+        seed = self.rng.randrange(1 << 30)
+        state = broker.Broker("kl-hall", options, random.Random(seed), host=ip)
+        state.configure(fleets.make_config(), self.now_s)
+        state.set_host_count(HOSTS)
+        entries = {i: fleets.make_upstream(i) for i in self.replicas}
+        state.replace_upstreams(entries, self.now_s)
+        return Host(ip, state)
+
+    def kill(self, numbers: Collection[int]) -> None:
+        """Kills hosts, which start again at once and know nothing."""
+        for number in numbers:
+            self.hosts[number].is_alive = False
+            self.hosts[number] = self._start(self.hosts[number].ip, math.inf)
+
+    def play(self, seconds: float, rate: float) -> None:
+        """Has callers send requests to all hosts in turn."""
+        end_s = self.now_s + seconds
+        while self.now_s + 1.0 / rate < end_s:
+            self._run_until(self.now_s + 1.0 / rate)
+            number = len(self.sent)
+            self._arrive(f"r{number}", self.hosts[number % HOSTS])
+        self._run_until(end_s)
+
+    def _at(self, delay_s: float, act: Callable[..., None], *args: Any) -> None:
+        run: Callable[[], None] = functools.partial(act, *args)
+        heapq.heappush(
+            self._due, (self.now_s + delay_s, next(self._counter), run)
+        )
+
+    def _run_until(self, end_s: float) -> None:
+        while self._due and self._due[0][0] <= end_s:
+            self.now_s, _, act = heapq.heappop(self._due)
+            act()
+        self.now_s = end_s
+
+    def _update(self) -> None:
+        """Has each host tick and send its update to all others."""
+        self._at(UPDATE_PERIOD_S, self._update)
+        for host in self.hosts:
+            self._apply(host, host.state.tick(self.now_s))
+            own = host.state.retry_budgets
+            spent, is_new = own.list_spent(self.now_s), own.is_new(self.now_s)
+            for other in self.hosts:
+                if other is not host:
+                    other.state.retry_budgets.apply_peer_update(
+                        host.ip, "kl-hall", spent, self.now_s, is_new
+                    )
+
+    def _arrive(self, name: str, host: Host) -> None:
+        self.sent[name] = self.now_s
+        job = attrs.evolve(
+            fleets.make_job(name, "idempotent", now_s=self.now_s),
+            deadline_s=self.now_s + self.patience_s,
+        )
+        self._at(self.patience_s - MARGIN_S, self._expire, host, job)
+        self._apply(host, host.state.arrive(job, self.now_s), job)
+
+    def _expire(self, host: Host, job: jobs.Job) -> None:
+        if host.is_alive and host.running.pop(job.id, None) is not None:
+            self._apply(host, host.state.finish(job.id, self.now_s))
+
+    def _apply(
+        self,
+        host: Host,
+        effects: list[jobs.Effect],
+        job: jobs.Job | None = None,
+    ) -> None:
+        host.state.take_notes()
+        for effect in effects:
+            if isinstance(effect, questions.Refuse):
+                host.running.pop(effect.id, None)
+            else:
+                assert job is not None, effect
+                self._send(host, job, effect)
+
+    def _send(self, host: Host, job: jobs.Job, start: jobs.Start) -> None:
+        host.running[job.id] = start.number
+        replica = self.replicas[start.upstream.id]
+        if not start.needs_check:
+            self._write(host, job, start)
+        elif self.now_s < replica.stopped_until_s:
+            why = jobs.FailureKind.UNRESPONSIVE
+            self._at(CHECK_TIMEOUT_S, self._fail, host, job, start, why)
+        else:
+            self._at(CHECK_S, self._write, host, job, start)
+
+    def _write(self, host: Host, job: jobs.Job, start: jobs.Start) -> None:
+        if not self._is_current(host, job, start):
+            return
+        end_s = min(job.deadline_s, start.deadline_s)
+        replica = self.replicas[start.upstream.id]
+        delay_s = 0.0
+        if self.rng.random() < replica.late_share:
+            delay_s = self.rng.uniform(0.0, replica.late_s)
+        left_s = end_s - self.now_s
+        self._at(delay_s, self._read, host, job, start, left_s)
+
+    def _read(
+        self, host: Host, job: jobs.Job, start: jobs.Start, left_s: float
+    ) -> None:
+        replica = self.replicas[start.upstream.id]
+        if self.now_s < replica.stopped_until_s:
+            delay_s = replica.stopped_until_s - self.now_s
+            self._at(delay_s, self._read, host, job, start, left_s)
+            return
+        self.arrivals.append(
+            lateness.Arrival(job.id, self.now_s, replica.id, left_s)
+        )
+        if self.rng.random() < replica.reset_share:
+            self._fail(host, job, start, jobs.FailureKind.CUT)
+        else:
+            self._at(WORK_S, self._answer, host, job, start)
+
+    def _is_current(self, host: Host, job: jobs.Job, start: jobs.Start) -> bool:
+        is_running = host.running.get(job.id) == start.number
+        return host.is_alive and is_running
+
+    def _fail(
+        self,
+        host: Host,
+        job: jobs.Job,
+        start: jobs.Start,
+        why: jobs.FailureKind,
+    ) -> None:
+        if not self._is_current(host, job, start):
+            return
+        ender = ends.EndedBy.UPSTREAM
+        if why is jobs.FailureKind.UNRESPONSIVE:
+            ender = ends.EndedBy.HOST
+        failure = jobs.Failure(job.id, why, "in the model", ended_by=ender)
+        self._apply(host, host.state.fail(failure, self.now_s), job)
+
+    def _answer(self, host: Host, job: jobs.Job, start: jobs.Start) -> None:
+        if self._is_current(host, job, start):
+            del host.running[job.id]
+            host.state.record_answer_start(job.id, self.now_s)
+            effects = host.state.finish(job.id, self.now_s, True)
+            self._apply(host, effects, job)
+
+    def check(self) -> None:
+        """Checks all rules on retries."""
+        seen: dict[str, set[str]] = {}
+        retry_times = []
+        for arrival in self.arrivals:
+            if arrival.request in seen:
+                retry_times.append(arrival.at_s)
+            seen.setdefault(arrival.request, set()).add(arrival.upstream)
+        window = sharing.find_worst_window(
+            retry_times, sorted(self.sent.values()), ALLOWANCE
+        )
+        assert window.use <= 1.0, window
+        limit = fleets.make_route("status").max_attempts
+        assert all(len(r) <= limit for r in seen.values())
+        late = lateness.count(self.arrivals, self.sent, self.patience_s)
+        assert late.is_allowed, late
+
+
+class LateMachine(stateful.RuleBasedStateMachine):
+    """Replicas read late and fail, hosts are killed, loads change."""
+
+    site: Site
+    rate: float = 40.0
+
+    @stateful.initialize(
+        patience_s=st.sampled_from([1.0, 2.5, 20.0]), seed=st.integers(0, 99)
+    )
+    def start(self, patience_s: float, seed: int) -> None:
+        """Starts a site whose replicas fail most requests."""
+        self.site = Site(patience_s, random.Random(seed))
+        self.fail(0.75)
+        self.site.play(5.0, self.rate)
+
+    @stateful.rule(share=st.sampled_from([0.2, 0.75, 1.0]))
+    def fail(self, share: float) -> None:
+        """All replicas reset so many of the requests that they read."""
+        for replica in self.site.replicas.values():
+            replica.reset_share = share
+
+    @stateful.rule(
+        names=st.sets(st.integers(0, REPLICAS - 1), min_size=1, max_size=2),
+        seconds=st.sampled_from([0.5, 2.0, 5.0]),
+    )
+    def stop(self, names: Collection[int], seconds: float) -> None:
+        """Some replicas stand still for a while."""
+        for name in names:
+            replica = self.site.replicas[f"app-{name}"]
+            replica.stopped_until_s = self.site.now_s + seconds
+        self.site.play(1.0, self.rate)
+
+    @stateful.rule(
+        share=st.sampled_from([0.0, 0.4]), late_s=st.sampled_from([1.0, 2.5])
+    )
+    def read_late(self, share: float, late_s: float) -> None:
+        """Replicas read a part of the requests late."""
+        for replica in self.site.replicas.values():
+            replica.late_share = share
+            replica.late_s = late_s
+
+    @stateful.rule(numbers=st.sets(st.integers(0, HOSTS - 1), min_size=1))
+    def kill(self, numbers: Collection[int]) -> None:
+        """Some hosts are killed and start again."""
+        self.site.kill(numbers)
+
+    @stateful.rule(rate=st.sampled_from([10.0, 40.0, 100.0]))
+    def change_load(self, rate: float) -> None:
+        """Callers send more or fewer requests."""
+        self.rate = rate
+
+    @stateful.rule(seconds=st.sampled_from([2.0, 8.0]))
+    def wait(self, seconds: float) -> None:
+        """Time passes."""
+        self.site.play(seconds, self.rate)
+
+    def teardown(self) -> None:
+        """Checks the whole history once all has been read."""
+        if hasattr(self, "site"):
+            for replica in self.site.replicas.values():
+                replica.late_share = 0.0
+            self.site.play(END_S, self.rate)
+            self.site.check()
