Hand plain retries an eighth of what is left at most

With a quarter, a play with callers of 1 s whose replicas read two of five requests up to 1.5 s late still broke the rule: 24 of 100 late retries had more time than was left. Hosts that know little of a replica hand it most.

--- a/egretspur/routing/timeouts.py
+++ b/egretspur/routing/timeouts.py
@@ -3,7 +3,7 @@
 An upstream works on a request for the time that it is handed, from when it
 reads it. If that is all that the caller has left when the request is written,
 an upstream that reads it late works on after the caller has gone. When it is
-read is not known, so a retry is handed at most a quarter of what is left, and
+read is not known, so a retry is handed at most an eighth of what is left, and
 so much less than all as the upstream lately took to answer, but as much as an
 answer takes. A retry does not go to an upstream that would work on it for too
 long if it were as slow as it lately was. Read next:
@@ -17,7 +17,7 @@
 from egretspur.admission import arrivals
 
 # Largest part of what is left that a retry is handed.
-LARGEST_PART: Final = 0.25
+LARGEST_PART: Final = 0.125
 
 # What a retry is handed at least: this, or so many times the fastest answer.
 MIN_S: Final = 0.1
