--- a/tests/histories.py
+++ b/tests/histories.py
@@ -421,6 +421,19 @@
     time.sleep(sharing.WINDOW_S)
 
 
+def play_hosts_leave(site: sites.Site) -> None:
+    """Every second host leaves for windows, and they start again together."""
+    fail(site)
+    leaving = site.hosts[::2]
+    for ip in leaving:
+        site.stage.processes[ip].kill()
+        site.hosts.remove(ip)
+    time.sleep(2 * sharing.WINDOW_S)
+    for ip in leaving:
+        sites.start_host(site, ip)
+    time.sleep(2 * sharing.WINDOW_S)
+
+
 def play_random_signals(site: sites.Site) -> None:
     """Hosts are killed, stopped and terminated at random."""
     rng = random.Random(site.seed)
@@ -542,6 +555,7 @@
     "a host starts unheard": play_start_unheard,
     "all hosts are killed often": play_all_killed_often,
     "all hosts are down for long": play_down_for_long,
+    "every second host leaves for long": play_hosts_leave,
     "hosts get random signals": play_random_signals,
     "all at random": play_all_at_random,
 }
