--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -48,7 +48,14 @@
     sidechannels,
 )
 from egretspur.orders import ranges
-from egretspur.platform import ingress, names, node, store, upstream
+from egretspur.platform import (
+    control,
+    ingress,
+    names,
+    node,
+    store,
+    upstream,
+)
 from egretspur.routing import broker, choice, desk, fleet, probes
 from egretspur.tunnels import gate, reach, tunnels
 
@@ -121,7 +128,7 @@
             names.REPORT_PATH,
         )
         self._dialer = self._tunnels.dialer
-        self._engines = upstream.EngineClient(self._dialer)
+        self._engines = control.ControlClient(self._dialer)
         self._watch = watch.StreamWatch(
             self._desk,
             self._engines,
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -17,7 +17,7 @@
 
 from egretspur import ends, signals, web
 from egretspur.delivery import sending
-from egretspur.platform import ingress, upstream
+from egretspur.platform import control, ingress, upstream
 from egretspur.routing import jobs, paths
 from egretspur.tunnels import dialer, frames
 from tests import fleets, stage
@@ -95,7 +95,7 @@
     answer = upstream.UpstreamClient(
         lambda upstream_id, answer: context.backpressure.append(answer),
         own,
-        lambda entry: upstream.EngineClient().is_responsive(
+        lambda entry: control.ControlClient().is_responsive(
             entry.address, "/healthz"
         ),
     ).open(call, job, start, "", context.leaving)
@@ -328,7 +328,7 @@
 )
 def step_probed_twice(context: Any, state: str, seconds: float) -> None:
     context.server = server = ReportServer()
-    client = upstream.EngineClient()
+    client = control.ControlClient()
     context.reports = [client.peek(server.address)]
     if state == "falls silent":
         server.silent += server.conns
@@ -342,7 +342,7 @@
 @when("an engine is asked for its report, and then probed twice as failed")
 def step_probed_as_failed(context: Any) -> None:
     context.server = server = ReportServer()
-    client = upstream.EngineClient()
+    client = control.ControlClient()
     assert not isinstance(client.get_report(server.address), str)
     context.reports = [client.probe(server.address) for _ in range(2)]
     client.close()
