--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -57,8 +57,11 @@
 
     site: sites.Site
     per_s: float
-    # How long a caller waits, in seconds.
+    # How long a caller waits, in seconds; of a stream if that differs.
     patience_s: float = PATIENCE_S
+    stream_patience_s: float | None = None
+    # Streams for each plain request; None for half a one.
+    streams_per_plain: int | None = None
     requests: list[Request] = attrs.Factory(list)
     threads: stage.CallerThreads = attrs.Factory(stage.CallerThreads)
 
@@ -77,21 +80,33 @@
             due_s += 1.0 / (self.per_s * self.site.load)
             if self.threads.stopped.wait(max(0.0, left_s)):
                 return
-            service = "llm" if number % 3 == 2 else "desk"
-            # Each host gets requests of both services.
-            host = self.site.hosts[(number // 3) % len(self.site.hosts)]
+            service, turn = self._choose(number)
+            host = self.site.hosts[turn % len(self.site.hosts)]
             request = Request(f"r{number}", service, time.monotonic())
             self.requests.append(request)
             self.threads.start(self._run, request, host)
 
+    def _choose(self, number: int) -> tuple[str, int]:
+        """Returns the service of a request, and whose turn it is.
+
+        Each host gets requests of both services.
+        """
+        if self.streams_per_plain is None:
+            return ("llm" if number % 3 == 2 else "desk"), number // 3
+        period = self.streams_per_plain + 1
+        return ("llm" if number % period else "desk"), number // period
+
     def _run(self, request: Request, host: str) -> None:
+        patience_s = self.patience_s
+        if request.service == "llm" and self.stream_patience_s is not None:
+            patience_s = self.stream_patience_s
         # No pool: a connection that was cut must not be shared.
-        pool = urllib3.PoolManager(retries=False, timeout=self.patience_s)
+        pool = urllib3.PoolManager(retries=False, timeout=patience_s)
         path = "/notes/x" if request.service == "llm" else "/cards/x"
         url = f"http://{host}:{self.site.ports['frontend']}{path}"
         own = {
             "Attempt-Id": request.id,
-            "Deadline-Ms": str(int(self.patience_s * 1000)),
+            "Deadline-Ms": str(int(patience_s * 1000)),
         }
         fields = sites.make_fields("key-1", **own)
         try:
@@ -281,6 +296,8 @@
     )
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--patience-s", type=float, default=PATIENCE_S)
+    parser.add_argument("--stream-patience-s", type=float)
+    parser.add_argument("--streams-per-plain", type=int)
     parser.add_argument(
         "--single-engines",
         action="store_true",
@@ -314,6 +331,8 @@
         args.max_attempts,
         args.replicas,
     )
+    play.callers.stream_patience_s = args.stream_patience_s
+    play.callers.streams_per_plain = args.streams_per_plain
     try:
         for service, window in play.run(args.history).items():
             print(
