Count the time of a retry from when it is written

The health check before a retry took its time from what the retry was handed: of an eighth of a second, a check of 0.1 s left the upstream 25 ms, and one of more left 1 ms, also after the caller's deadline. Found on reading.

A start now tells seconds instead of a point in time; they count from the write, up to the caller's deadline, and nothing is written after that.

--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -78,10 +78,10 @@
         abort: sending.AbortHandle,
     ) -> UpstreamAnswer | sending.AttemptFailure:
         """Sends a request and returns its response, body unread."""
-        if start.needs_check and not self._is_responsive(start.upstream):
+        if start.needs_check and not self._check(job, start):
             return sending.AttemptFailure(
                 jobs.FailureKind.UNRESPONSIVE,
-                f"{start.upstream.id}: no answer to a health check",
+                f"{start.upstream.id}: no answer to a health check in time",
                 ended_by=ends.EndedBy.HOST,
             )
         link = self._connect(job, start)
@@ -92,9 +92,8 @@
         conn.sock = link.sock
         handle = _AbortableConnection(conn)
         abort.set_closer(handle.abort, link.helper)
-        now_s = time.monotonic()
-        left_s = job.deadline_s - now_s
-        handed_s = min(job.deadline_s, start.deadline_s) - now_s
+        left_s = job.deadline_s - time.monotonic()
+        handed_s = min(left_s, start.handed_s)
         headers = _make_headers(call, job, start, resume_after, handed_s)
         # urllib3 sets this on its socket before it sends and again before it
         # reads the head; a timeout set on the socket itself would be lost.
@@ -127,6 +126,11 @@
             return lost
         return UpstreamAnswer(res, handle, job.deadline_s)
 
+    def _check(self, job: jobs.Job, start: jobs.Start) -> bool:
+        """Returns whether an upstream answers before the request's deadline."""
+        is_responsive = self._is_responsive(start.upstream)
+        return is_responsive and time.monotonic() < job.deadline_s
+
     @contextlib.contextmanager
     def _expecting_answer(
         self,
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -136,7 +136,7 @@
             attempt.parts,
             first_s,
             ticket.attempts,
-            now_s + left_s,
+            left_s,
             needs_check,
         )
 
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -102,9 +102,9 @@
     expected_first_s: float = 0.0
     # Counts the request's attempts, from 1.
     number: int = 0
-    # Monotonic time until which the upstream may work on it, if that is before
-    # the request's deadline.
-    deadline_s: float = math.inf
+    # Seconds that the upstream may work on it, from when it is written; no more
+    # than are left until the request's deadline.
+    handed_s: float = math.inf
     # Whether the upstream must answer a health check before it is sent.
     needs_check: bool = False
 
--- a/tests/platform/upstream.feature
+++ b/tests/platform/upstream.feature
@@ -40,6 +40,12 @@
     Then it is taken as "unresponsive" within 1 s
     And nothing but the check was written to it
 
+  Scenario: The time that an upstream is handed
+    # Guards against an upstream that works for as long as its caller waits,
+    # though less is granted, and against a check that uses the time up.
+    When a request that is granted 0.5 s follows a check to an upstream
+    Then the upstream receives a deadline of 500 ms
+
   Scenario: The stage that is at fault
     When an upstream answers with "HTTP/1.1 503 No\nNot-Executed: 1\nAt-Server: b:80\nContent-Length: 0\n\n" and then closes
     Then it is taken as "refused"
--- a/tests/routing/late.py
+++ b/tests/routing/late.py
@@ -189,12 +189,11 @@
     def _write(self, host: Host, job: jobs.Job, start: jobs.Start) -> None:
         if not self._is_current(host, job, start):
             return
-        end_s = min(job.deadline_s, start.deadline_s)
+        left_s = min(job.deadline_s - self.now_s, start.handed_s)
         replica = self.replicas[start.upstream.id]
         delay_s = 0.0
         if self.rng.random() < replica.late_share:
             delay_s = self.rng.uniform(0.0, replica.late_s)
-        left_s = end_s - self.now_s
         self._at(delay_s, self._read, host, job, start, left_s)
 
     def _read(
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -4,6 +4,7 @@
 
 import errno
 import io
+import math
 import socket
 import struct
 import threading
@@ -75,6 +76,7 @@
     own: dialer.Dialer | None = None,
     live_s: float = LIVE_S,
     needs_check: bool = False,
+    handed_s: float = math.inf,
 ) -> None:
     """Sends a call to an address and reads the answer whole."""
     entry = attrs.evolve(fleets.make_upstream("app-0"), address=address)
@@ -86,7 +88,11 @@
         priority=priority,
     )
     start = jobs.Start(
-        "ID", entry, parts if is_engine else (), needs_check=needs_check
+        "ID",
+        entry,
+        parts if is_engine else (),
+        handed_s=handed_s,
+        needs_check=needs_check,
     )
     context.leaving = sending.AbortHandle()
     context.outcome_of = None
@@ -160,6 +166,29 @@
     raise AssertionError("another connection was opened")
 
 
+@when("a request that is granted {seconds:g} s follows a check to an upstream")
+def step_granted(context: Any, seconds: float) -> None:
+    context.play = Listener(b"", "closes")
+    address = context.play.start()
+    with mock.patch.object(
+        control.ControlClient, "is_responsive", return_value=True
+    ):
+        send(
+            context,
+            address,
+            is_engine=False,
+            live_s=60.0,
+            needs_check=True,
+            handed_s=seconds,
+        )
+
+
+@then("the upstream receives a deadline of {count:d} ms")
+def step_deadline(context: Any, count: int) -> None:
+    field = f"Deadline-Ms: {count}\r\n".encode()
+    assert field in context.play.received, context.play.received
+
+
 @when("an upstream's port has no listener")
 def step_no_listener(context: Any) -> None:
     with socket.socket() as sock:
