--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -106,7 +106,7 @@
     def reclaim(
         self, service: str, sending: arrivals.Sending
     ) -> shared.Retry | None:
-        """Returns the retry of an attempt that was not sent, to be used."""
+        """Returns the retry of an attempt that was not sent, for another."""
         return self._get(service).reclaim(sending)
 
     def get_balance(self, service: str, now_s: float) -> shared.Balance:
--- a/egretspur/admission/shared.py
+++ b/egretspur/admission/shared.py
@@ -201,9 +201,9 @@
             self._retries.remove(retry)
 
     def reclaim(self, sending: arrivals.Sending) -> Retry | None:
-        """Returns the retry of an attempt that was not sent, to be used.
+        """Returns the retry of an attempt that was not sent, for another one.
 
-        None if it was taken too long ago.
+        None if it no longer counts.
         """
         for retry in self._retries:
             if retry.sending is sending:
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -50,7 +50,8 @@
     job: jobs.Job
     # Failed attempts that an upstream may have run.
     runs: int = 0
-    # Attempts that an upstream refused without running them.
+    # Attempts that an upstream refused without running them, or that were not
+    # sent since it did not answer a health check.
     refusals: int = 0
     # All attempts.
     attempts: int = 0
