Look a retry's upstream and a replica's service up once

A retry asked twice how slowly each replica answers, and listed the service's replicas twice; the host found the service of an entry in two places. Names: _list_mute is _list_silent, since mute upstreams are another notion of health. Behaviour, bounds and checks are the same.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -398,8 +398,7 @@
     def _probe(
         self, entry: upstreams.Upstream
     ) -> upstreams.EngineReport | upstreams.ProbeFailed:
-        cfg = self._versions.newest
-        service = cfg.services.get(entry.service) if cfg else None
+        service = self._find_service(entry)
         if service is None or service.engine is not None:
             return self._engines.probe(entry.address)
         failed = self._engines.check(entry.address, service.health_path)
@@ -407,12 +406,16 @@
 
     def _is_responsive(self, entry: upstreams.Upstream) -> bool:
         """Returns whether a plain replica reads what it is sent."""
-        cfg = self._versions.newest
-        service = cfg.services.get(entry.service) if cfg else None
+        service = self._find_service(entry)
         if service is None:
             return True
         return self._engines.is_responsive(entry.address, service.health_path)
 
+    def _find_service(self, entry: upstreams.Upstream) -> config.Service | None:
+        """Returns the service of an upstream in the newest configuration."""
+        cfg = self._versions.newest
+        return cfg.services.get(entry.service) if cfg else None
+
     def _make_update(self, peers: Mapping[str, str]) -> datagrams.PeerUpdate:
         """Returns this host's update for the others of its data centre."""
         self._update_role()
--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -92,12 +92,12 @@
 
         One that has lately read something is preferred.
         """
-        too_slow = self._list_too_slow(ticket, service, now_s)
         listed = self._list_service(service)
+        too_slow = self._list_too_slow(ticket, listed, now_s)
         entry = self._fleet.replicas.choose(
             service,
             ticket.failed,
-            ticket.list_avoided(now_s) | too_slow | self._list_mute(now_s),
+            ticket.list_avoided(now_s) | too_slow | self._list_silent(now_s),
             now_s,
             listed - self._arrivals.list_reading(now_s),
         )
@@ -110,11 +110,11 @@
         if not ticket.attempts:
             return "no upstream is usable"
         listed = self._list_service(service)
-        too_slow = self._list_too_slow(ticket, service, now_s)
+        too_slow = self._list_too_slow(ticket, listed, now_s)
         return (
             f"no upstream is usable for a retry; of {len(listed)} listed,"
             f" {len(too_slow)} too slow for the time left,"
-            f" {len(listed & self._list_mute(now_s))} silent,"
+            f" {len(listed & self._list_silent(now_s))} silent,"
             f" {len(listed & ticket.list_avoided(now_s))} refused it"
         )
 
@@ -126,17 +126,15 @@
         }
 
     def _list_too_slow(
-        self, ticket: tickets.Ticket, service: str, now_s: float
+        self, ticket: tickets.Ticket, listed: set[str], now_s: float
     ) -> set[str]:
         """Returns the replicas that might work on a retry for too long."""
         left_s = ticket.job.deadline_s - now_s
         return {
-            i
-            for i in self._list_service(service)
-            if self._timeouts.is_too_slow(i, left_s, now_s)
+            i for i in listed if self._timeouts.is_too_slow(i, left_s, now_s)
         }
 
-    def _list_mute(self, now_s: float) -> set[str]:
+    def _list_silent(self, now_s: float) -> set[str]:
         """Returns the upstreams that may not read a retry for a while."""
         return self._arrivals.list_silent(now_s, arrivals.RETRY_SILENCE_S)
 
--- a/egretspur/routing/timeouts.py
+++ b/egretspur/routing/timeouts.py
@@ -48,6 +48,11 @@
             now_s: Monotonic time.
         """
         slowest_s = self._arrivals.get_slowest_s(upstream_id, now_s)
+        return self._compute_s(upstream_id, left_s, slowest_s, now_s)
+
+    def _compute_s(
+        self, upstream_id: str, left_s: float, slowest_s: float, now_s: float
+    ) -> float:
         fastest_s = self._arrivals.reactions.get_fastest_s(upstream_id, now_s)
         least_s = max(MIN_S, FASTEST_FACTOR * fastest_s)
         spare_s = min(LARGEST_PART * left_s, left_s - slowest_s)
@@ -58,5 +63,5 @@
     ) -> bool:
         """Tells whether an upstream might work on a retry for too long."""
         slowest_s = self._arrivals.get_slowest_s(upstream_id, now_s)
-        end_s = slowest_s + self.compute_s(upstream_id, left_s, now_s)
-        return end_s > left_s + MAX_EXCESS_S
+        handed_s = self._compute_s(upstream_id, left_s, slowest_s, now_s)
+        return slowest_s + handed_s > left_s + MAX_EXCESS_S
