One timeline for models and one oracle of retries in tests

The model of late replicas had written the event queue of the model of replicas again, and counted retries and upstreams of a request as the plays of processes do. Both call one piece now: tests/timeline.py and tests/retry_oracle.py (lateness.py before, since it no longer holds only that). No assertion, bound or seed changed.

--- a/tests/retry_oracle.py
+++ b/tests/retry_oracle.py
@@ -1,8 +1,8 @@
-"""Oracle of the time that upstreams are handed for retries."""
+"""Oracle of retries, by what upstreams read and when."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -73,3 +73,33 @@
         late += is_late or is_long
         long += is_long
     return LateRetries(late, long)
+
+
+def list_retry_times(
+    arrivals: Iterable[Arrival], sent: Container[str]
+) -> list[float]:
+    """Returns when upstreams read requests that had been read before.
+
+    Args:
+        arrivals: What upstreams read, from earliest to latest.
+        sent: Requests of callers; others don't count.
+    """
+    seen: set[str] = set()
+    times = []
+    for arrival in arrivals:
+        if arrival.request in seen:
+            times.append(arrival.at_s)
+        elif arrival.request in sent:
+            seen.add(arrival.request)
+    return times
+
+
+def count_over_limit(
+    arrivals: Iterable[Arrival], sent: Container[str], limit: int
+) -> int:
+    """Returns how many requests were read by more upstreams than a limit."""
+    names: dict[str, set[str]] = {}
+    for arrival in arrivals:
+        if arrival.request in sent:
+            names.setdefault(arrival.request, set()).add(arrival.upstream)
+    return sum(len(found) > limit for found in names.values())
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -20,7 +20,7 @@
 import attrs
 import urllib3
 
-from tests import histories, lateness, sites, stage
+from tests import histories, retry_oracle, sites, stage
 from tests.admission import sharing
 
 # Upstreams that may run a request.
@@ -151,21 +151,17 @@
             for r in self.callers.requests
             if r.service == service
         }
-        seen: set[str] = set()
-        retry_times = []
-        for arrival in self.list_arrivals(service):
-            if arrival.request in seen:
-                retry_times.append(arrival.at_s)
-            elif arrival.request in sent:
-                seen.add(arrival.request)
+        retry_times = retry_oracle.list_retry_times(
+            self.list_arrivals(service), sent
+        )
         return sharing.find_worst_window(
             retry_times, sorted(sent.values()), self.allowance
         )
 
-    def list_arrivals(self, service: str) -> list[lateness.Arrival]:
+    def list_arrivals(self, service: str) -> list[retry_oracle.Arrival]:
         """Returns what a service's upstreams got, from earliest to latest."""
         found = [
-            lateness.Arrival(request, at_s, name, left_ms / 1000.0)
+            retry_oracle.Arrival(request, at_s, name, left_ms / 1000.0)
             for name, entry in self.site.entries.items()
             if entry["service"] == service
             for request, at_s, left_ms in self.site.stage.call(
@@ -176,11 +172,11 @@
 
     def count_over_limit(self) -> int:
         """Returns how many requests reached more upstreams than allowed."""
-        names: dict[str, set[str]] = {}
-        for arrival in self._list_all_arrivals():
-            names.setdefault(arrival.request, set()).add(arrival.upstream)
-        own = {r.id for r in self.callers.requests}
-        return sum(len(names[i]) > self.max_attempts for i in own if i in names)
+        return retry_oracle.count_over_limit(
+            self._list_all_arrivals(),
+            {r.id for r in self.callers.requests},
+            self.max_attempts,
+        )
 
     def count_long_deadlines(self) -> int:
         """Returns how many attempts were handed more time than was left."""
@@ -194,19 +190,19 @@
             first_s = first_end_s.setdefault(arrival.request, end_s)
             patience_s = self.callers.patience_s
             own_s = sent[arrival.request] + patience_s
-            is_longer = arrival.left_s > patience_s + lateness.SLACK_S
-            is_later = end_s > max(first_s, own_s) + lateness.SLACK_S
+            is_longer = arrival.left_s > patience_s + retry_oracle.SLACK_S
+            is_later = end_s > max(first_s, own_s) + retry_oracle.SLACK_S
             count += is_longer or is_later or arrival.left_s < 0.0
         return count
 
-    def count_late_retries(self) -> lateness.LateRetries:
+    def count_late_retries(self) -> retry_oracle.LateRetries:
         """Returns how many plain retries were read late, or too long."""
         sent = {r.id: r.sent_s for r in self.callers.requests}
-        return lateness.count(
+        return retry_oracle.count(
             self.list_arrivals("desk"), sent, self.callers.patience_s
         )
 
-    def _list_all_arrivals(self) -> list[lateness.Arrival]:
+    def _list_all_arrivals(self) -> list[retry_oracle.Arrival]:
         found = self.list_arrivals("desk") + self.list_arrivals("llm")
         return sorted(found, key=lambda a: a.at_s)
 
--- a/tests/routing/late.py
+++ b/tests/routing/late.py
@@ -3,18 +3,15 @@
 Each host has the product's own `Broker`. A replica keeps what it was sent until
 it reads it, also when its sender has ended it or has ended itself. The oracle
 knows only when callers sent requests, and what replicas read when. Read next:
-`tests.lateness` and `tests.admission.sharing`.
+`tests.retry_oracle` and `tests.admission.sharing`.
 """
 
 from __future__ import annotations
 
-import functools
-import heapq
-import itertools
 import math
 import random
-from collections.abc import Callable, Collection
-from typing import Any, Final
+from collections.abc import Collection
+from typing import Final
 
 import attrs
 from hypothesis import stateful
@@ -23,7 +20,7 @@
 from egretspur import ends
 from egretspur.admission import repeats
 from egretspur.routing import broker, jobs, questions
-from tests import fleets, lateness
+from tests import fleets, retry_oracle, timeline
 from tests.admission import sharing
 
 HOSTS: Final = 4
@@ -71,7 +68,7 @@
     is_alive: bool = True
 
 
-class Site:
+class Site(timeline.Timeline):
     """Hosts, replicas and callers."""
 
     def __init__(self, patience_s: float, rng: random.Random) -> None:
@@ -81,16 +78,14 @@
             patience_s: How long a caller waits.
             rng: Draws how replicas read.
         """
-        self.now_s = 100.0
+        super().__init__(100.0)
         self.patience_s = patience_s
         self.rng = rng
         self.sent: dict[str, float] = {}
-        self.arrivals: list[lateness.Arrival] = []
+        self.arrivals: list[retry_oracle.Arrival] = []
         self.replicas = {
             i: Replica(i) for i in (f"app-{n}" for n in range(REPLICAS))
         }
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
-        self._counter = itertools.count()
         self.hosts = [
             self._start(f"10.1.0.{n}", -math.inf) for n in range(HOSTS)
         ]
@@ -123,18 +118,6 @@
             self._arrive(f"r{number}", self.hosts[number % HOSTS])
         self._run_until(end_s)
 
-    def _at(self, delay_s: float, act: Callable[..., None], *args: Any) -> None:
-        run: Callable[[], None] = functools.partial(act, *args)
-        heapq.heappush(
-            self._due, (self.now_s + delay_s, next(self._counter), run)
-        )
-
-    def _run_until(self, end_s: float) -> None:
-        while self._due and self._due[0][0] <= end_s:
-            self.now_s, _, act = heapq.heappop(self._due)
-            act()
-        self.now_s = end_s
-
     def _update(self) -> None:
         """Has each host tick and send its update to all others."""
         self._at(UPDATE_PERIOD_S, self._update)
@@ -205,7 +188,7 @@
             self._at(delay_s, self._read, host, job, start, left_s)
             return
         self.arrivals.append(
-            lateness.Arrival(job.id, self.now_s, replica.id, left_s)
+            retry_oracle.Arrival(job.id, self.now_s, replica.id, left_s)
         )
         if self.rng.random() < replica.reset_share:
             self._fail(host, job, start, jobs.FailureKind.CUT)
@@ -240,19 +223,17 @@
 
     def check(self) -> None:
         """Checks all rules on retries."""
-        seen: dict[str, set[str]] = {}
-        retry_times = []
-        for arrival in self.arrivals:
-            if arrival.request in seen:
-                retry_times.append(arrival.at_s)
-            seen.setdefault(arrival.request, set()).add(arrival.upstream)
         window = sharing.find_worst_window(
-            retry_times, sorted(self.sent.values()), ALLOWANCE
+            retry_oracle.list_retry_times(self.arrivals, self.sent),
+            sorted(self.sent.values()),
+            ALLOWANCE,
         )
         assert window.use <= 1.0, window
         limit = fleets.make_route("status").max_attempts
-        assert all(len(r) <= limit for r in seen.values())
-        late = lateness.count(self.arrivals, self.sent, self.patience_s)
+        assert not retry_oracle.count_over_limit(
+            self.arrivals, self.sent, limit
+        )
+        late = retry_oracle.count(self.arrivals, self.sent, self.patience_s)
         assert late.is_allowed, late
 
 
--- a/tests/routing/replicas.py
+++ b/tests/routing/replicas.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import heapq
 import itertools
 import math
 import random
@@ -20,7 +19,7 @@
 from egretspur.admission import repeats
 from egretspur.catalog import upstreams
 from egretspur.routing import broker, jobs, memory, questions
-from tests import fleets
+from tests import fleets, timeline
 
 UPDATE_PERIOD_S: Final = 0.25
 
@@ -50,13 +49,13 @@
     )
 
 
-class World:
+class World(timeline.Timeline):
     """Hosts in three data centres before some replicas."""
 
     def __init__(self, hosts: int, places: list[str]) -> None:
         """Makes hosts before one replica in each place; nothing is sent yet."""
         self.rng = random.Random(11)
-        self.now_s = 100.0
+        super().__init__(100.0)
         # Time, host and replica of each request sent.
         self.sent: list[tuple[float, broker.Broker, str]] = []
         # Times from arrival to answer.
@@ -64,8 +63,6 @@
         self.refused = 0
         self.replicas: dict[str, Replica] = {}
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
-        self._counter = itertools.count()
         options = repeats.Options(
             0.2, hosts * RETRIES_PER_HOST, 10.0, -math.inf
         )
@@ -109,18 +106,6 @@
         names = [n for t, _, n in self.sent if t >= self.now_s - seconds]
         return names.count(name) / len(names) * len(self.replicas)
 
-    def _at(
-        self, delay_s: float, act: Callable[..., None], *args: object
-    ) -> None:
-        item = (self.now_s + delay_s, next(self._counter), lambda: act(*args))
-        heapq.heappush(self._due, item)
-
-    def _run_until(self, end_s: float) -> None:
-        while self._due and self._due[0][0] <= end_s:
-            self.now_s, _, act = heapq.heappop(self._due)
-            act()
-        self.now_s = end_s
-
     def _update(self, host: broker.Broker) -> None:
         """Sends a host what the others have in flight now."""
         self._at(UPDATE_PERIOD_S, self._update, host)
