Plays in which upstreams refuse, misdirect or take long, and count retries that end too early

Stand-ins refuse or misdirect a share of what they read, or work for a random time and answer 504 at the end of the time that they are handed. Plays print how many plain retries ended so while their callers waited. No check changes.

--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -24,9 +24,12 @@
 random time up to this one; probes are answered), ``turn_s`` (requests and
 probes are read one after the other, each so much after the one before),
 ``reads_from_s`` (monotonic time before which it reads no request; probes are
-answered), ``endless`` (name of the bytes in `ENDLESS` that it answers without
-end, as fast as the connection takes them, or at intervals of
-``endless_pause_s``).
+answered), ``refuse_share`` and ``misdirect_share`` (shares of the requests that
+were read and that it refuses, or takes for another replica's, at random),
+``work_s`` (it works on a plain request for a random time up to this one, and
+answers 504 at the end of the time that it is handed), ``endless`` (name of the
+bytes in `ENDLESS` that it answers without end, as fast as the connection takes
+them, or at intervals of ``endless_pause_s``).
 """
 
 from __future__ import annotations
@@ -59,6 +62,9 @@
     "bytes of trailers": (_CHUNKED + b"2\r\nok\r\n0\r\nX-T: ", b"a"),
 }
 
+# Least time that it works on a plain request if that varies.
+MIN_WORK_S: Final = 0.02
+
 # Requests at once; while it reads nothing, each that arrives takes one.
 THREADS: Final = 256
 
@@ -96,6 +102,9 @@
             "late_s": 0.0,
             "turn_s": 0.0,
             "reads_from_s": 0.0,
+            "refuse_share": 0.0,
+            "misdirect_share": 0.0,
+            "work_s": 0.0,
             "endless": "",
             "endless_pause_s": 0.0,
         }
@@ -106,6 +115,9 @@
         # All requests that arrived: id, when, in monotonic seconds, and how
         # many milliseconds their callers still wait.
         self.arrivals: list[tuple[str, float, int]] = []
+        # Requests that it ended at the end of the time that it was handed: id
+        # and when it read them, in monotonic seconds.
+        self.timed_out: list[tuple[str, float]] = []
         # Number of streams that the caller closed before their end.
         self.left = 0
         # Monotonic time until which it answers nothing.
@@ -135,6 +147,16 @@
             time.sleep(held_s)
         self.wait_turn()
 
+    def work(self, fields: Mapping[str, str], read_s: float) -> bool:
+        """Works on a plain request; returns whether its time is enough."""
+        work_s = random.uniform(MIN_WORK_S, self.faults["work_s"])
+        handed_s = int(fields["Deadline-Ms"]) / 1000.0
+        time.sleep(min(work_s, handed_s))
+        if work_s <= handed_s:
+            return True
+        self.timed_out.append((fields.get("Attempt-Id", ""), read_s))
+        return False
+
     def break_off(self, write: Callable[[bytes], Any]) -> None:
         """Ends a stream within an event; the replica stalls if it is to."""
         write(b"id: 9")
@@ -301,10 +323,11 @@
     def run(req: web.Request) -> web.Response:
         fields = req.get_headers()
         replica.wait_read()
+        read_s = time.monotonic()
         replica.arrivals.append(
             (
                 fields.get("Attempt-Id", ""),
-                time.monotonic(),
+                read_s,
                 int(fields.get("Deadline-Ms") or -1),
             )
         )
@@ -323,9 +346,15 @@
             print_demand(fields.get("Attempt-Id", ""), demand)
         if replica.faults["rest_s"]:
             return web.Response(503, {"Not-Executed": "1", **demand}, b"")
-        if replica.faults["refuse"]:
+        if (
+            replica.faults["refuse"]
+            or random.random() < replica.faults["refuse_share"]
+        ):
             return web.Response(503, {"Not-Executed": "1"}, b"")
-        if fields.get("Target-Replica") != replica.name:
+        if (
+            fields.get("Target-Replica") != replica.name
+            or random.random() < replica.faults["misdirect_share"]
+        ):
             return web.Response(421, {"Replica-Id": replica.name}, b"")
         if replica.faults["endless"]:
             endless = EndlessBody(replica, fields.get("Attempt-Id", ""))
@@ -352,6 +381,8 @@
         time.sleep(replica.faults["delay_s"])
         if not replica.layers:
             status = replica.faults["status"]
+            if replica.faults["work_s"] and not replica.work(fields, read_s):
+                return web.Response(504, head, b"")
             if replica.faults["lose"]:
                 raise ConnectionAbortedError("answer lost on request")
             if replica.faults["unframed"]:
@@ -368,6 +399,7 @@
     app.add("GET", "/healthz", check_health)
     app.add("GET", "/runs", lambda r: base.reply(replica.runs))
     app.add("GET", "/arrivals", lambda r: base.reply(replica.arrivals))
+    app.add("GET", "/timed-out", lambda r: base.reply(replica.timed_out))
     app.add("GET", "/left", lambda r: base.reply(replica.left))
     base.add_faults(app, replica.faults)
     app.add("*", "/{rest*}", run)
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -22,6 +22,7 @@
 
 # Share of the requests that are reset.
 RESET_SHARE: Final = 0.75
+SOME_RESET_SHARE: Final = 0.4
 FEW_RESET_SHARE: Final = 0.2
 
 # Seconds for which upstreams have failed when hosts are disturbed.
@@ -260,6 +261,22 @@
     time.sleep(ROUNDS * sharing.WINDOW_S)
 
 
+def play_fail_otherwise(site: sites.Site, **faults: float) -> None:
+    """Upstreams refuse, misdirect or fail requests, or take long for them."""
+    set_faults(site, **faults)
+    time.sleep(ROUNDS * sharing.WINDOW_S)
+
+
+def play_read_in_waves(site: sites.Site) -> None:
+    """Each half of the upstreams reads nothing in turn, and answers probes."""
+    set_faults(site, reset_share=RESET_SHARE)
+    names = sorted(site.entries)
+    for number in range(2 * ROUNDS):
+        hold(site, names[number % 2 :: 2], WAVE_S)
+        time.sleep(WAVE_S + BETWEEN_WAVES_S)
+    time.sleep(sharing.WINDOW_S)
+
+
 def send_burst(site: sites.Site, for_s: float) -> None:
     """Has more callers send for a while."""
     site.load = BURST_FACTOR
@@ -544,6 +561,34 @@
         play_some_read_late, late_s=1.0, reset_share=FEW_RESET_SHARE
     ),
     "upstreams read in turn": play_read_in_turn,
+    "upstreams read nothing in waves": play_read_in_waves,
+    "upstreams refuse most requests": functools.partial(
+        play_fail_otherwise, refuse_share=RESET_SHARE
+    ),
+    "upstreams refuse a few requests": functools.partial(
+        play_fail_otherwise, refuse_share=FEW_RESET_SHARE
+    ),
+    "upstreams misdirect most requests": functools.partial(
+        play_fail_otherwise, misdirect_share=RESET_SHARE
+    ),
+    "upstreams refuse, misdirect and reset requests": functools.partial(
+        play_fail_otherwise,
+        refuse_share=0.4,
+        misdirect_share=0.3,
+        reset_share=0.3,
+    ),
+    "answers take up to 0.27 s and few fail": functools.partial(
+        play_fail_otherwise, work_s=0.27, reset_share=FEW_RESET_SHARE
+    ),
+    "answers take up to 0.42 s and some fail": functools.partial(
+        play_fail_otherwise, work_s=0.42, reset_share=SOME_RESET_SHARE
+    ),
+    "answers take up to 0.82 s and some fail": functools.partial(
+        play_fail_otherwise, work_s=0.82, reset_share=SOME_RESET_SHARE
+    ),
+    "answers take up to 2 s and some fail": functools.partial(
+        play_fail_otherwise, work_s=2.0, reset_share=SOME_RESET_SHARE
+    ),
     "a burst of callers ends": play_burst,
     "callers come in bursts": play_bursts,
     "upstreams fail while all hosts stop": play_fail_while_stopped,
--- a/tests/retry_oracle.py
+++ b/tests/retry_oracle.py
@@ -11,6 +11,10 @@
 # how much later than its caller's time it may end, in s.
 SLACK_S: Final = 0.5
 
+# How much sooner than its caller's time an upstream's may end, in s: a host
+# needs some to pass its answer on.
+EARLY_S: Final = 0.1
+
 # Retries that may be handed more time than is left, and their share.
 MAX_LONG: Final = 20
 MAX_LONG_SHARE: Final = 0.2
@@ -46,6 +50,16 @@
         return self.long <= MAX_LONG or self.long <= MAX_LONG_SHARE * self.late
 
 
+@attrs.frozen
+class CutRetries:
+    """Retries, by whether their callers waited when their time was over."""
+
+    retries: int
+    # Ended by their upstreams at the end of the time that these were handed,
+    # `EARLY_S` or more before their callers'.
+    cut: int
+
+
 def count(
     arrivals: Iterable[Arrival], sent: Mapping[str, float], patience_s: float
 ) -> LateRetries:
@@ -75,6 +89,36 @@
     return LateRetries(late, long)
 
 
+def count_cut(
+    arrivals: Iterable[Arrival],
+    timed_out: Iterable[tuple[str, float]],
+    sent: Mapping[str, float],
+    patience_s: float,
+) -> CutRetries:
+    """Returns how many retries were ended while their callers waited.
+
+    Args:
+        arrivals: What upstreams read, from earliest to latest.
+        timed_out: What upstreams ended since its time was over: request and
+            when it was read.
+        sent: When callers sent their requests; others don't count.
+        patience_s: How long a caller waits.
+    """
+    ended = set(timed_out)
+    seen: set[str] = set()
+    retries = cut = 0
+    for arrival in arrivals:
+        if arrival.request in seen:
+            retries += 1
+            is_early = (
+                arrival.end_s < sent[arrival.request] + patience_s - EARLY_S
+            )
+            cut += is_early and (arrival.request, arrival.at_s) in ended
+        elif arrival.request in sent:
+            seen.add(arrival.request)
+    return CutRetries(retries, cut)
+
+
 def list_retry_times(
     arrivals: Iterable[Arrival], sent: Container[str]
 ) -> list[float]:
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -202,6 +202,24 @@
             self.list_arrivals("desk"), sent, self.callers.patience_s
         )
 
+    def count_cut_retries(self) -> retry_oracle.CutRetries:
+        """Returns how many plain retries ended with the time they had."""
+        sent = {r.id: r.sent_s for r in self.callers.requests}
+        timed_out = [
+            (request, read_s)
+            for name, entry in self.site.entries.items()
+            if entry["service"] == "desk"
+            for request, read_s in self.site.stage.call(
+                "GET", name, "/timed-out"
+            )
+        ]
+        return retry_oracle.count_cut(
+            self.list_arrivals("desk"),
+            timed_out,
+            sent,
+            self.callers.patience_s,
+        )
+
     def _list_all_arrivals(self) -> list[retry_oracle.Arrival]:
         found = self.list_arrivals("desk") + self.list_arrivals("llm")
         return sorted(found, key=lambda a: a.at_s)
@@ -347,6 +365,8 @@
             f" attempts with too much time: {play.count_long_deadlines()};"
             f" of {late.late} late plain retries: {late.long}"
         )
+        cut = play.count_cut_retries()
+        print(f"of {cut.retries} plain retries ended too early: {cut.cut}")
         if args.dump:
             dump(play, args.dump)
     finally:
