--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -124,6 +124,9 @@
     # to answer: it may read the request that late.
     handed_s: float
     slowest_s: float
+    # Upstreams that the request was sent to so far, with this one; of a path
+    # the first one only.
+    sent_to: int
 
 
 @attrs.frozen
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -15,7 +15,7 @@
 import attrs
 
 from egretspur import decisions, ends
-from egretspur.admission import arrivals, repeats, throttle
+from egretspur.admission import repeats, throttle
 from egretspur.catalog import config, upstreams
 from egretspur.routing import crashes as crash_detector
 from egretspur.routing import (
@@ -103,6 +103,7 @@
             ticket.retry = None
             self.counts.repeats += 1
         ticket.sendings.append(attempt.sending)
+        ticket.sent_to.append(attempt.upstream_id)
         if is_beside:
             ticket.next = attempt
         else:
@@ -166,9 +167,9 @@
         """Records what a failed attempt shows of the upstreams."""
         if attempt is not None:
             if failure.kind is jobs.FailureKind.UNREACHABLE:
-                self.arrivals.cancel(attempt.sending, now_s)
+                self.cancel(ticket, attempt, now_s)
             elif failure.kind is jobs.FailureKind.UNRESPONSIVE:
-                self._reclaim_retry(ticket, attempt.sending, now_s)
+                self._reclaim_retry(ticket, attempt, now_s)
             elif failure.was_read:
                 self.arrivals.settle(attempt.sending, now_s)
         first_id = attempt.upstream_id if attempt else ""
@@ -238,13 +239,22 @@
         ticket.is_shortage_noted = is_short
         return not is_short
 
+    def cancel(
+        self, ticket: tickets.Ticket, attempt: tickets.Attempt, now_s: float
+    ) -> None:
+        """Records that an attempt was not written to its upstream."""
+        self.arrivals.cancel(attempt.sending, now_s)
+        ticket.sent_to.remove(attempt.upstream_id)
+
     def _reclaim_retry(
-        self, ticket: tickets.Ticket, sending: arrivals.Sending, now_s: float
+        self, ticket: tickets.Ticket, attempt: tickets.Attempt, now_s: float
     ) -> None:
         """Keeps a retry that was not sent for the request's next attempt."""
-        self.arrivals.cancel(sending, now_s)
-        ticket.sendings.remove(sending)
-        ticket.retry = self._budgets.reclaim(ticket.job.service, sending)
+        self.cancel(ticket, attempt, now_s)
+        ticket.sendings.remove(attempt.sending)
+        ticket.retry = self._budgets.reclaim(
+            ticket.job.service, attempt.sending
+        )
 
     def return_retry(self, ticket: tickets.Ticket) -> None:
         """Returns a retry that was taken and not sent to the budget."""
@@ -297,4 +307,5 @@
             self._fleet.memory.count_peers(now_s),
             left_s,
             self.arrivals.get_slowest_s(attempt.upstream_id, now_s),
+            len(set(ticket.sent_to)),
         )
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -124,7 +124,7 @@
         if ticket is None or attempt is None:
             return
         if not is_sent:
-            self._attempts.arrivals.cancel(attempt.sending, now_s)
+            self._attempts.cancel(ticket, attempt, now_s)
             return
         if failure is None:
             ticket.ran.append(tickets.Run(attempt.upstream_id, True))
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -55,6 +55,9 @@
     refusals: int = 0
     # All attempts.
     attempts: int = 0
+    # Upstreams that they were written to, of a path the first one only; one
+    # that was tried again stands there again.
+    sent_to: list[str] = attrs.Factory(list)
     # Their ways to upstreams, from the first attempt on.
     sendings: list[arrivals.Sending] = attrs.Factory(list)
     is_begun: bool = False
