Hand plain retries what is left, less how late they may be read

Callers got a 504 of ours with most of their time left: a retry was handed an eighth of what was left, or twice the fastest answer, which is less than a sound answer takes.

Cause: the time handed followed the fastest answer, and failures counted as answers. Besides, each failed attempt was first recorded as given up, which counts for twice its time, and then as ended; one that was never written left such a trace too.

Change: an attempt's end is recorded once, by what it shows: answered, ended, given up, or never written. If all reactions of a service in the last ten seconds were within 0.25 s, a retry is handed all that is left. Otherwise its upstream may read it as late as the slowest reaction, so it is handed that much less, and no more than a slow answer takes; it isn't sent where the usual answer would not fit. With few reactions known it is handed a quarter.

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -149,14 +149,24 @@
         upstream.unread.append(sending)
         upstream.sent_s = now_s
 
-    def settle(self, sending: Sending, now_s: float) -> None:
+    def settle(
+        self, sending: Sending, now_s: float, is_answer: bool = True
+    ) -> None:
         """Records that an upstream answered or ended an attempt.
 
         It has read it then, and reads others as well.
+
+        Args:
+            sending: The attempt.
+            now_s: Monotonic time.
+            is_answer: Whether it succeeded.
         """
         if sending.is_unread and sending.upstream_id:
+            kind = (
+                reactions.Kind.ANSWERED if is_answer else reactions.Kind.ENDED
+            )
             self.reactions.record(
-                sending.upstream_id, now_s - sending.sent_s, True, now_s
+                sending.upstream_id, now_s - sending.sent_s, kind, now_s
             )
         sending.settle(now_s)
         upstream = self._upstreams.get(sending.upstream_id)
@@ -187,7 +197,10 @@
             sending.settle(now_s)
             return
         self.reactions.record(
-            sending.upstream_id, now_s - sending.sent_s, False, now_s
+            sending.upstream_id,
+            now_s - sending.sent_s,
+            reactions.Kind.GIVEN_UP,
+            now_s,
         )
         if upstream.read_sent_s >= sending.sent_s:
             sending.settle(now_s + self._window_s)
--- a/egretspur/admission/reactions.py
+++ b/egretspur/admission/reactions.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Container
+import enum
+import statistics
+from collections.abc import Collection, Container
 from typing import Final
 
 import attrs
@@ -23,18 +25,44 @@
 UNANSWERED_FACTOR: Final = 2.0
 
 
+class Kind(enum.Enum):
+    """What an upstream did with a request."""
+
+    # It succeeded.
+    ANSWERED = "answered"
+    # The upstream ended it otherwise.
+    ENDED = "ended"
+    # Nothing until this side ended it.
+    GIVEN_UP = "given up"
+
+
 @attrs.frozen
 class _Reaction:
     at_s: float
     # Seconds since the request was sent.
     seconds: float
-    # Whether the upstream answered or ended it; otherwise this side ended it.
-    is_answer: bool
+    kind: Kind
 
     @property
     def longest_s(self) -> float:
         """Seconds that the upstream may have taken."""
-        return self.seconds * (1.0 if self.is_answer else UNANSWERED_FACTOR)
+        if self.kind is Kind.GIVEN_UP:
+            return self.seconds * UNANSWERED_FACTOR
+        return self.seconds
+
+
+@attrs.frozen
+class Summary:
+    """How fast upstreams reacted, but for what they left unanswered."""
+
+    # Number of reactions.
+    count: int
+    # Seconds of the slowest one; 0 if there is none.
+    slowest_s: float
+    # Median seconds of the answers, and of the slowest one; None if there is
+    # none.
+    usual_s: float | None
+    longest_s: float | None
 
 
 class Reactions:
@@ -45,20 +73,20 @@
         self._by_upstream: dict[str, collections.deque[_Reaction]] = {}
 
     def record(
-        self, upstream_id: str, seconds: float, is_answer: bool, now_s: float
+        self, upstream_id: str, seconds: float, kind: Kind, now_s: float
     ) -> None:
         """Adds how long an upstream took, or has taken without an answer.
 
         Args:
             upstream_id: The upstream.
             seconds: Since the request was sent.
-            is_answer: Whether the upstream answered or ended it.
+            kind: What the upstream did.
             now_s: Monotonic time.
         """
         kept = self._by_upstream.setdefault(
             upstream_id, collections.deque(maxlen=MAX_KEPT)
         )
-        kept.append(_Reaction(now_s, seconds, is_answer))
+        kept.append(_Reaction(now_s, seconds, kind))
 
     def get_slowest_s(self, upstream_id: str, now_s: float) -> float:
         """Returns the longest that an upstream took; 0 if none is known."""
@@ -67,15 +95,20 @@
             default=0.0,
         )
 
-    def get_fastest_s(self, upstream_id: str, now_s: float) -> float:
-        """Returns the shortest time of an answer; 0 if none is known."""
-        return min(
-            (
-                r.seconds
-                for r in self._list_recent(upstream_id, now_s)
-                if r.is_answer
-            ),
-            default=0.0,
+    def summarize(self, upstream_ids: Collection[str], now_s: float) -> Summary:
+        """Returns how fast some upstreams together have lately been."""
+        seen = [
+            r
+            for i in upstream_ids
+            for r in self._list_recent(i, now_s)
+            if r.kind is not Kind.GIVEN_UP
+        ]
+        answers = [r.seconds for r in seen if r.kind is Kind.ANSWERED]
+        return Summary(
+            len(seen),
+            max((r.seconds for r in seen), default=0.0),
+            statistics.median_high(answers) if answers else None,
+            max(answers, default=None),
         )
 
     def remove_unlisted(self, listed: Container[str]) -> None:
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -111,7 +111,10 @@
         left_s = ticket.job.deadline_s - now_s
         is_plain_retry = ticket.attempts > 0 and spec is None
         if is_plain_retry:
-            left_s = self.timeouts.compute_s(entry.id, left_s, now_s)
+            listed = self._fleet.list_service(entry.service)
+            summary = self.timeouts.summarize(listed, now_s)
+            handed_s = self.timeouts.compute_s(entry.id, summary, left_s, now_s)
+            left_s = timeouts.MIN_S if handed_s is None else handed_s
         ticket.attempts += 1
         self.notes.append(
             self._describe_start(ticket, attempt, spec, left_s, now_s)
@@ -142,21 +145,52 @@
         )
 
     def release(
-        self, ticket: tickets.Ticket, now_s: float
+        self,
+        ticket: tickets.Ticket,
+        now_s: float,
+        failure: jobs.Failure | None = None,
     ) -> tickets.Attempt | None:
-        """Ends the current attempt of a request; returns it."""
+        """Ends the current attempt of a request; returns it.
+
+        Args:
+            ticket: The request.
+            now_s: Monotonic time.
+            failure: How the attempt failed; None if it did not.
+        """
         attempt, ticket.current = ticket.current, None
         if attempt is not None:
-            self.end(ticket, attempt, now_s)
+            self.end(ticket, attempt, now_s, failure)
         return attempt
 
     def end(
-        self, ticket: tickets.Ticket, attempt: tickets.Attempt, now_s: float
+        self,
+        ticket: tickets.Ticket,
+        attempt: tickets.Attempt,
+        now_s: float,
+        failure: jobs.Failure | None = None,
     ) -> None:
-        """Ends an attempt, which may not have been read yet."""
-        self.arrivals.give_up(attempt.sending, now_s)
+        """Ends an attempt; see `release`."""
+        self._note_reading(ticket, attempt, failure, now_s)
         self.occupancy.remove(ticket.job, attempt)
 
+    def _note_reading(
+        self,
+        ticket: tickets.Ticket,
+        attempt: tickets.Attempt,
+        failure: jobs.Failure | None,
+        now_s: float,
+    ) -> None:
+        """Records what the end of an attempt shows of when it was read."""
+        kind = failure.kind if failure is not None else None
+        if kind is jobs.FailureKind.UNREACHABLE:
+            self.cancel(ticket, attempt, now_s)
+        elif kind is jobs.FailureKind.UNRESPONSIVE:
+            self._reclaim_retry(ticket, attempt, now_s)
+        elif failure is not None and failure.was_read:
+            self.arrivals.settle(attempt.sending, now_s, is_answer=False)
+        else:
+            self.arrivals.give_up(attempt.sending, now_s)
+
     def record_failure(
         self,
         ticket: tickets.Ticket,
@@ -165,13 +199,6 @@
         now_s: float,
     ) -> None:
         """Records what a failed attempt shows of the upstreams."""
-        if attempt is not None:
-            if failure.kind is jobs.FailureKind.UNREACHABLE:
-                self.cancel(ticket, attempt, now_s)
-            elif failure.kind is jobs.FailureKind.UNRESPONSIVE:
-                self._reclaim_retry(ticket, attempt, now_s)
-            elif failure.was_read:
-                self.arrivals.settle(attempt.sending, now_s)
         first_id = attempt.upstream_id if attempt else ""
         if failure.kind in _REFUSAL_DELAYS_S:
             ticket.refusals += 1
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -152,7 +152,7 @@
         ticket = self.tickets.get(failure.id)
         if ticket is None:
             return []
-        attempt = self._attempts.release(ticket, now_s)
+        attempt = self._attempts.release(ticket, now_s, failure)
         self.handovers.release(ticket, now_s)
         ticket.is_begun |= failure.is_begun
         self._attempts.record_failure(ticket, attempt, failure, now_s)
@@ -213,7 +213,7 @@
         attempt = ticket.current if ticket else None
         if ticket is None or attempt is None:
             return
-        self._attempts.arrivals.settle(attempt.sending, now_s)
+        self._attempts.arrivals.settle(attempt.sending, now_s, not is_error)
         if is_error:
             self._record_error(attempt.upstream_id, now_s)
             return
--- a/egretspur/routing/handovers.py
+++ b/egretspur/routing/handovers.py
@@ -120,12 +120,14 @@
             is_sent: Whether an upstream may have run it.
         """
         ticket = self._tickets.get(job_id)
-        attempt = self.release(ticket, now_s) if ticket else None
-        if ticket is None or attempt is None:
+        if ticket is None or ticket.next is None:
             return
         if not is_sent:
-            self._attempts.cancel(ticket, attempt, now_s)
+            self._attempts.cancel(ticket, ticket.next, now_s)
+            self.release(ticket, now_s)
             return
+        attempt = self.release(ticket, now_s, failure)
+        assert attempt is not None
         if failure is None:
             ticket.ran.append(tickets.Run(attempt.upstream_id, True))
             return
@@ -142,7 +144,7 @@
         if ticket is None:
             return
         ticket.is_begun = True
-        replaced = self._attempts.release(ticket, now_s)
+        replaced = self._attempts.release(ticket, now_s, failure)
         self._attempts.record_failure(ticket, replaced, failure, now_s)
         ticket.current, ticket.next = ticket.next, None
         if ticket.current is not None:
@@ -150,12 +152,15 @@
         ticket.fruitless = 0
 
     def release(
-        self, ticket: tickets.Ticket, now_s: float
+        self,
+        ticket: tickets.Ticket,
+        now_s: float,
+        failure: jobs.Failure | None = None,
     ) -> tickets.Attempt | None:
         """Ends the second attempt of a request; returns it."""
         attempt, ticket.next = ticket.next, None
         if attempt is not None:
-            self._attempts.end(ticket, attempt, now_s)
+            self._attempts.end(ticket, attempt, now_s, failure)
         return attempt
 
     def list_first_choices(
--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -149,8 +149,11 @@
     ) -> set[str]:
         """Returns the replicas that might work on a retry for too long."""
         left_s = ticket.job.deadline_s - now_s
+        summary = self._timeouts.summarize(listed, now_s)
         return {
-            i for i in listed if self._timeouts.is_too_slow(i, left_s, now_s)
+            i
+            for i in listed
+            if self._timeouts.compute_s(i, summary, left_s, now_s) is None
         }
 
     def _list_silent(self, now_s: float) -> set[str]:
--- a/egretspur/routing/timeouts.py
+++ b/egretspur/routing/timeouts.py
@@ -1,32 +1,36 @@
 """How long an upstream may work on a retry of a plain request: pure.
 
 An upstream works on a request for the time that it is handed, from when it
-reads it. If that is all that the caller has left when the request is written,
-an upstream that reads it late works on after the caller has gone. When it is
-read is not known, so a retry is handed at most an eighth of what is left, and
-so much less than all as the upstream lately took to answer, but as much as an
-answer takes. A retry does not go to an upstream that would work on it for too
-long if it were as slow as it lately was. Read next:
-`egretspur.admission.reactions`.
+reads it. Handed all that its caller has left, one that reads a retry late works
+on after the caller has gone; handed less than an answer takes, it ends a sound
+one. How late it reads is not known. Its reactions bound that from above, since
+they hold the time of reading and the time of work. If all were fast, a retry is
+handed all that is left; otherwise as much less as they were slow, but what a
+slow answer takes at most. It isn't sent where not even the usual answer
+would fit. Read next: `egretspur.admission.reactions`.
 """
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Final
 
-from egretspur.admission import arrivals
-
-# Largest part of what is left that a retry is handed.
-LARGEST_PART: Final = 0.125
-
-# What a retry is handed at least: this, or so many times the fastest answer.
-MIN_S: Final = 0.1
-FASTEST_FACTOR: Final = 2.0
+from egretspur.admission import arrivals, reactions
 
 # How much longer than its caller waits an upstream may work on a retry that it
 # reads as late as it may have read others.
 MAX_EXCESS_S: Final = 0.25
 
+# What a retry is handed if its upstream may read it late: at least this and the
+# usual answer, at most the slowest one or so many times the usual one.
+MIN_S: Final = 0.1
+SLOW_ANSWER_FACTOR: Final = 3.0
+
+# Reactions at a service that show how late its upstreams read; with fewer, the
+# part of what is left that a retry is handed at most.
+MIN_REACTIONS: Final = 4
+UNKNOWN_PART: Final = 0.25
+
 
 class RetryTimeouts:
     """Bounds the time that upstreams are handed for retries."""
@@ -39,29 +43,44 @@
         """
         self._arrivals = sent
 
-    def compute_s(self, upstream_id: str, left_s: float, now_s: float) -> float:
+    def summarize(
+        self, service: Collection[str], now_s: float
+    ) -> reactions.Summary:
+        """Returns how fast the upstreams of a service have lately been."""
+        return self._arrivals.reactions.summarize(service, now_s)
+
+    def compute_s(
+        self,
+        upstream_id: str,
+        service: reactions.Summary,
+        left_s: float,
+        now_s: float,
+    ) -> float | None:
         """Returns the seconds that an upstream is handed for a retry.
 
         Args:
             upstream_id: The upstream.
+            service: How fast all upstreams of its service have been.
             left_s: Seconds that the caller still waits.
             now_s: Monotonic time.
-        """
-        slowest_s = self._arrivals.get_slowest_s(upstream_id, now_s)
-        return self._compute_s(upstream_id, left_s, slowest_s, now_s)
 
-    def _compute_s(
-        self, upstream_id: str, left_s: float, slowest_s: float, now_s: float
-    ) -> float:
-        fastest_s = self._arrivals.reactions.get_fastest_s(upstream_id, now_s)
-        least_s = max(MIN_S, FASTEST_FACTOR * fastest_s)
-        spare_s = min(LARGEST_PART * left_s, left_s - slowest_s)
-        return min(left_s, max(least_s, spare_s))
-
-    def is_too_slow(
-        self, upstream_id: str, left_s: float, now_s: float
-    ) -> bool:
-        """Tells whether an upstream might work on a retry for too long."""
-        slowest_s = self._arrivals.get_slowest_s(upstream_id, now_s)
-        handed_s = self._compute_s(upstream_id, left_s, slowest_s, now_s)
-        return slowest_s + handed_s > left_s + MAX_EXCESS_S
+        Returns:
+            None if it might work on the retry for too long.
+        """
+        slowest_s = max(
+            service.slowest_s, self._arrivals.get_slowest_s(upstream_id, now_s)
+        )
+        is_known = service.count >= MIN_REACTIONS
+        if is_known and slowest_s <= MAX_EXCESS_S:
+            return left_s
+        least_s = max(MIN_S, service.usual_s or 0.0)
+        if not is_known:
+            most_s = max(least_s, UNKNOWN_PART * left_s)
+        elif service.longest_s is None:
+            most_s = left_s
+        else:
+            most_s = max(SLOW_ANSWER_FACTOR * least_s, service.longest_s)
+        spare_s = left_s + MAX_EXCESS_S - slowest_s
+        if spare_s < min(left_s, least_s):
+            return None
+        return min(left_s, most_s, spare_s)
--- a/tests/steps/timeouts_steps.py
+++ b/tests/steps/timeouts_steps.py
@@ -13,22 +13,39 @@
 UPSTREAM = "app-0"
 
 
-def answer(context: Any, seconds: float) -> None:
-    """Has the upstream answer a request that was sent so long ago."""
+def answer(
+    context: Any,
+    seconds: float,
+    upstream: str = UPSTREAM,
+    is_answer: bool = True,
+) -> None:
+    """Has an upstream answer or end a request that was sent so long ago."""
     sending = arrivals.Sending()
     sent_s = context.now_s - seconds
-    context.sent.send(sending, UPSTREAM, sent_s)
-    context.sent.settle(sending, context.now_s)
+    context.sent.send(sending, upstream, sent_s)
+    context.sent.settle(sending, context.now_s, is_answer)
 
 
 @given("an upstream that lately answered within {times} s")
 def step_answered(context: Any, times: str) -> None:
     context.now_s = 100.0
     context.sent = arrivals.Arrivals(10.0)
+    context.others = ["app-1"]
     for seconds in times.split(","):
         answer(context, float(seconds))
 
 
+@given("another one of its service that answered within {seconds:g} s")
+def step_other(context: Any, seconds: float) -> None:
+    answer(context, seconds, "app-1")
+
+
+@given("{count:d} requests that it failed within {seconds:g} s")
+def step_failed(context: Any, count: int, seconds: float) -> None:
+    for _ in range(count):
+        answer(context, seconds, is_answer=False)
+
+
 @given("a request that it has not answered for {seconds:g} s")
 def step_unanswered(context: Any, seconds: float) -> None:
     context.sent.send(arrivals.Sending(), UPSTREAM, context.now_s - seconds)
@@ -58,10 +75,8 @@
 @when("a retry is due whose caller waits for {left_s:g} s")
 def step_due(context: Any, left_s: float) -> None:
     found = timeouts.RetryTimeouts(context.sent)
-    args = (UPSTREAM, left_s, context.now_s)
-    context.handed_s = None
-    if not found.is_too_slow(*args):
-        context.handed_s = found.compute_s(*args)
+    service = found.summarize([UPSTREAM, *context.others], context.now_s)
+    context.handed_s = found.compute_s(UPSTREAM, service, left_s, context.now_s)
 
 
 @then("the upstream is handed {handed} s")
