Hand less where little shows that retries are read at once

Cause: with four reactions known and none of them slow, a retry was handed all that was left, though two of five are read late; and it was handed as much as the slowest answer took, which holds the time until it was read.

Change: twelve reactions show that a service reads at once, with fewer a retry is handed three usual answers or an eighth of what is left, and three usual answers where a reaction was slow.

--- a/egretspur/admission/reactions.py
+++ b/egretspur/admission/reactions.py
@@ -59,10 +59,8 @@
     count: int
     # Seconds of the slowest one; 0 if there is none.
     slowest_s: float
-    # Median seconds of the answers, and of the slowest one; None if there is
-    # none.
+    # Median seconds of the answers; None if there is none.
     usual_s: float | None
-    longest_s: float | None
 
 
 class Reactions:
@@ -108,7 +106,6 @@
             len(seen),
             max((r.seconds for r in seen), default=0.0),
             statistics.median_high(answers) if answers else None,
-            max(answers, default=None),
         )
 
     def remove_unlisted(self, listed: Container[str]) -> None:
--- a/egretspur/routing/timeouts.py
+++ b/egretspur/routing/timeouts.py
@@ -5,8 +5,8 @@
 on after the caller has gone; handed less than an answer takes, it ends a sound
 one. How late it reads is not known. Its reactions bound that from above, since
 they hold the time of reading and the time of work. If all were fast, a retry is
-handed all that is left; otherwise as much less as they were slow, but what a
-slow answer takes at most. It isn't sent where not even the usual answer
+handed all that is left; otherwise as much less as they were slow, but a few
+times the usual answer at most. It isn't sent where not even the usual answer
 would fit. Read next: `egretspur.admission.reactions`.
 """
 
@@ -22,14 +22,14 @@
 MAX_EXCESS_S: Final = 0.25
 
 # What a retry is handed if its upstream may read it late: at least this and the
-# usual answer, at most the slowest one or so many times the usual one.
+# usual answer, at most so many times the usual one.
 MIN_S: Final = 0.1
 SLOW_ANSWER_FACTOR: Final = 3.0
 
 # Reactions at a service that show how late its upstreams read; with fewer, the
-# part of what is left that a retry is handed at most.
-MIN_REACTIONS: Final = 4
-UNKNOWN_PART: Final = 0.25
+# part of what is left that a retry is handed, if that is more.
+MIN_REACTIONS: Final = 12
+UNKNOWN_PART: Final = 0.125
 
 
 class RetryTimeouts:
@@ -73,13 +73,11 @@
         is_known = service.count >= MIN_REACTIONS
         if is_known and slowest_s <= MAX_EXCESS_S:
             return left_s
-        least_s = max(MIN_S, service.usual_s or 0.0)
-        if not is_known:
-            most_s = max(least_s, UNKNOWN_PART * left_s)
-        elif service.longest_s is None:
-            most_s = left_s
-        else:
-            most_s = max(SLOW_ANSWER_FACTOR * least_s, service.longest_s)
+        usual_s = service.usual_s or 0.0
+        least_s = max(MIN_S, usual_s)
+        most_s = max(MIN_S, SLOW_ANSWER_FACTOR * usual_s)
+        if not is_known or service.usual_s is None:
+            most_s = max(most_s, UNKNOWN_PART * left_s)
         spare_s = left_s + MAX_EXCESS_S - slowest_s
         if spare_s < min(left_s, least_s):
             return None
