Distrust health checks of a service that leaves retries unanswered after them

Upstreams that answer health checks by another thread than requests worked on retries whose callers had gone: 38 of 38 and 41 of 41 late plain retries had more time than was left (eight hosts,; each half of the upstreams reads nothing in turn for 5 s and answers checks; callers with 1 s and 2.5 s).

Cause: a retry was written wherever a check was answered and nothing had been unanswered for 0.25 s. Such a check shows nothing, and what a host doesn't send it can't find unanswered.

Change: a retry that is left unanswered for 0.5 s after its check (or for twice the slowest answer) shows that checks of its service show nothing. For a minute its retries go only where a request was read within 0.1 s, if need be to the upstream that has just failed them. `checks_distrusted` in the log names the upstreams.

--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -51,6 +51,8 @@
     sent_s: float = -math.inf
     # Seconds in which an answer is expected.
     expected_s: float = 0.0
+    # Whether the upstream answered a health check before it was written.
+    is_checked: bool = False
     # When this side ended it, unanswered.
     ended_s: float = math.inf
     # By when it has been read, or never will be; infinite until that is known.
@@ -258,12 +260,33 @@
             if u.is_silent(now_s, min_silence_s)
         }
 
-    def list_reading(self, now_s: float) -> set[str]:
-        """Returns the upstreams that have lately read what they were sent."""
+    def list_reading(self, now_s: float, within_s: float = PROOF_S) -> set[str]:
+        """Returns the upstreams that have lately read what they were sent.
+
+        Args:
+            now_s: Monotonic time.
+            within_s: How long ago at most.
+        """
+        return {
+            i
+            for i, u in self._upstreams.items()
+            if now_s - u.active_s < within_s
+        }
+
+    def list_unread_checked(self, min_s: float, now_s: float) -> set[str]:
+        """Returns the upstreams that answered a check and not what followed.
+
+        Args:
+            min_s: For how long at least.
+            now_s: Monotonic time.
+        """
         return {
             i
             for i, u in self._upstreams.items()
-            if now_s - u.active_s < PROOF_S
+            if any(
+                s.is_checked and min(now_s, s.ended_s) - s.sent_s >= min_s
+                for s in u.unread
+            )
         }
 
     def list_unproven(self, now_s: float) -> list[str]:
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -129,6 +129,20 @@
     sent_to: int
 
 
+@attrs.frozen
+class ChecksDistrusted:
+    """Health checks of a service don't show that it reads requests.
+
+    Retries go only to upstreams that have just read another request.
+    """
+
+    service: str
+    # Upstreams that answered a check and not the retry after it.
+    upstreams: tuple[str, ...]
+    # Seconds for which they have left it unanswered, at least.
+    unanswered_s: float
+
+
 @attrs.frozen
 class RunsNotCounted:
     """A request is sent on though more upstreams got it than its route allows.
@@ -537,6 +551,7 @@
     | CallerReturned
     | PathChosen
     | RunsNotCounted
+    | ChecksDistrusted
     | AttemptFailed
     | RequestMoved
     | RequestAnswered
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -134,6 +134,7 @@
         needs_check = is_plain_retry and (
             self._fleet.backpressure.try_acquire_probe(entry.id, now_s)
         )
+        attempt.sending.is_checked = needs_check
         return jobs.Start(
             ticket.job.id,
             entry,
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -128,6 +128,7 @@
             self.fleet.log_events,
             self._crashes.notes,
             self._attempts.notes,
+            self._targets.proofs.notes,
             self.refusals.notes,
         )
         notes = [n for source in sources for n in source]
--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -15,7 +15,14 @@
 from egretspur.admission import arrivals
 from egretspur.catalog import config, upstreams
 from egretspur.routing import fleet as fleets
-from egretspur.routing import handovers, paths, search, tickets, timeouts
+from egretspur.routing import (
+    handovers,
+    paths,
+    proofs,
+    search,
+    tickets,
+    timeouts,
+)
 
 
 @attrs.frozen
@@ -53,6 +60,7 @@
         self._handovers = second
         self._arrivals = sent
         self._timeouts = retry_timeouts
+        self.proofs = proofs.ReadingProofs(sent)
 
     def choose(
         self, ticket: tickets.Ticket, service: config.Service, now_s: float
@@ -98,7 +106,8 @@
             ticket.list_avoided(now_s)
             | too_slow
             | self._list_silent(now_s)
-            | self._list_beyond_limit(ticket, listed),
+            | self._list_beyond_limit(ticket, listed)
+            | self._list_unproven(service, listed, now_s),
             now_s,
             listed - self._arrivals.list_reading(now_s),
         )
@@ -117,7 +126,9 @@
             f" {len(too_slow)} too slow for the time left,"
             f" {len(listed & self._list_silent(now_s))} silent,"
             f" {len(listed & ticket.list_avoided(now_s))} refused it,"
-            f" {len(self._list_beyond_limit(ticket, listed))} beyond its limit"
+            f" {len(self._list_beyond_limit(ticket, listed))} beyond its limit,"
+            f" {len(self._list_unproven(service, listed, now_s))} read nothing"
+            " just before"
         )
 
     def must_wait(
@@ -156,6 +167,13 @@
             if self._timeouts.compute_s(i, summary, left_s, now_s) is None
         }
 
+    def _list_unproven(
+        self, service: str, listed: set[str], now_s: float
+    ) -> set[str]:
+        """Returns the upstreams of which nothing shows that they read."""
+        summary = self._timeouts.summarize(listed, now_s)
+        return self.proofs.list_unproven(service, listed, summary, now_s)
+
     def _list_silent(self, now_s: float) -> set[str]:
         """Returns the upstreams that may not read a retry for a while."""
         return self._arrivals.list_silent(now_s, arrivals.RETRY_SILENCE_S)
