Let a plain request wait only for replicas that it was sent to

Read, not seen: a plain retry whose replicas answered no health check could wait for a second, since their delay counted as a refusal, though nobody could serve it; one refused in turn could be ended before the later of its replicas was tried again, by the earlier one's time; and each new request listed its service to find that nothing had refused it. It waits now only if a replica that it was sent to has refused it, until the first of the delays that still hold is over.

--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -140,13 +140,15 @@
         another one is free, its caller is rather told to return, since a new
         request may be sent there.
         """
-        refused = ticket.list_refused(now_s)
+        refused = ticket.list_refused(now_s) & set(ticket.sent_to)
+        if not refused:
+            return False
         replicas = self._fleet.replicas
         if any(not replicas.is_failing(i) for i in refused):
             return True
         listed = self._fleet.list_service(service)
         beyond = self._list_beyond_limit(ticket, listed)
-        return bool(refused) and not replicas.list_free(service, now_s) & beyond
+        return not replicas.list_free(service, now_s) & beyond
 
     def _list_beyond_limit(
         self, ticket: tickets.Ticket, listed: set[str]
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -97,6 +97,12 @@
         """Returns the upstreams that it may not be sent to again yet."""
         return {i for i, t in self.refused.items() if now_s < t}
 
+    def find_refused_until_s(self, now_s: float) -> float | None:
+        """Returns when it may be sent again to one that refused it, if any."""
+        return min(
+            (t for t in self.refused.values() if now_s < t), default=None
+        )
+
     def is_held_back(self, now_s: float) -> bool:
         """Returns whether others may start before it although it waits."""
         return now_s < self.resume_from_s or bool(self.list_refused(now_s))
--- a/egretspur/routing/waiting.py
+++ b/egretspur/routing/waiting.py
@@ -33,9 +33,10 @@
         due_s = job.deadline_s
     elif ticket.runs or ticket.refusals:
         due_s = now_s + hold_s / 2
-        if ticket.list_refused(now_s):
-            # Until one of those that refused it may be tried once more.
-            due_s = max(due_s, min(ticket.refused.values()) + SEARCH_INTERVAL_S)
+        refused_until_s = ticket.find_refused_until_s(now_s)
+        if refused_until_s is not None:
+            # One of those that refused it may be tried once more by then.
+            due_s = max(due_s, refused_until_s + SEARCH_INTERVAL_S)
     return queues.Waiting(
         job.id,
         job.workspace,
