Sum up a service's reactions once for a retry

A choice of a replica for a retry summed up all reactions of its service twice, once for those that are too slow and once for those that prove nothing, and so did the reason of its refusal; they share one summary now. When a refusal's delay ends is taken from `list_refused`, which has the same condition.

In tests, histories that only set faults for a while are one function with the faults named at each (three had one of their own), and both counts of retries share their bound.

--- a/egretspur/routing/targets.py
+++ b/egretspur/routing/targets.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from egretspur.admission import arrivals
+from egretspur.admission import arrivals, reactions
 from egretspur.catalog import config, upstreams
 from egretspur.routing import fleet as fleets
 from egretspur.routing import (
@@ -99,15 +99,15 @@
         One that has lately read something is preferred.
         """
         listed = self._fleet.list_service(service)
-        too_slow = self._list_too_slow(ticket, listed, now_s)
+        summary = self._timeouts.summarize(listed, now_s)
         entry = self._fleet.replicas.choose(
             service,
             ticket.failed,
             ticket.list_avoided(now_s)
-            | too_slow
+            | self._list_too_slow(ticket, listed, summary, now_s)
             | self._list_silent(now_s)
             | self._list_beyond_limit(ticket, listed)
-            | self._list_unproven(service, listed, now_s),
+            | self.proofs.list_unproven(service, listed, summary, now_s),
             now_s,
             listed - self._arrivals.list_reading(now_s),
         )
@@ -120,15 +120,16 @@
         if not ticket.attempts:
             return "no upstream is usable"
         listed = self._fleet.list_service(service)
-        too_slow = self._list_too_slow(ticket, listed, now_s)
+        summary = self._timeouts.summarize(listed, now_s)
+        too_slow = self._list_too_slow(ticket, listed, summary, now_s)
+        unproven = self.proofs.list_unproven(service, listed, summary, now_s)
         return (
             f"no upstream is usable for a retry; of {len(listed)} listed,"
             f" {len(too_slow)} too slow for the time left,"
             f" {len(listed & self._list_silent(now_s))} silent,"
             f" {len(listed & ticket.list_avoided(now_s))} refused it,"
             f" {len(self._list_beyond_limit(ticket, listed))} beyond its limit,"
-            f" {len(self._list_unproven(service, listed, now_s))} read nothing"
-            " just before"
+            f" {len(unproven)} read nothing just before"
         )
 
     def must_wait(
@@ -158,24 +159,20 @@
         return set() if allowed is None else listed - allowed
 
     def _list_too_slow(
-        self, ticket: tickets.Ticket, listed: set[str], now_s: float
+        self,
+        ticket: tickets.Ticket,
+        listed: set[str],
+        summary: reactions.Summary,
+        now_s: float,
     ) -> set[str]:
         """Returns the replicas that might work on a retry for too long."""
         left_s = ticket.job.deadline_s - now_s
-        summary = self._timeouts.summarize(listed, now_s)
         return {
             i
             for i in listed
             if self._timeouts.compute_s(i, summary, left_s, now_s) is None
         }
 
-    def _list_unproven(
-        self, service: str, listed: set[str], now_s: float
-    ) -> set[str]:
-        """Returns the upstreams of which nothing shows that they read."""
-        summary = self._timeouts.summarize(listed, now_s)
-        return self.proofs.list_unproven(service, listed, summary, now_s)
-
     def _list_silent(self, now_s: float) -> set[str]:
         """Returns the upstreams that may not read a retry for a while."""
         return self._arrivals.list_silent(now_s, arrivals.RETRY_SILENCE_S)
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -99,9 +99,8 @@
 
     def find_refused_until_s(self, now_s: float) -> float | None:
         """Returns when it may be sent again to one that refused it, if any."""
-        return min(
-            (t for t in self.refused.values() if now_s < t), default=None
-        )
+        refused = self.list_refused(now_s)
+        return min((self.refused[i] for i in refused), default=None)
 
     def is_held_back(self, now_s: float) -> bool:
         """Returns whether others may start before it although it waits."""
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -239,30 +239,8 @@
     time.sleep(sharing.WINDOW_S)
 
 
-def play_some_read_late(
-    site: sites.Site, late_s: float, reset_share: float = RESET_SHARE
-) -> None:
-    """Upstreams read a part of the requests late.
-
-    Args:
-        site: The site.
-        late_s: How late at most.
-        reset_share: Share of the requests that fail.
-    """
-    set_faults(
-        site, reset_share=reset_share, late_share=LATE_SHARE, late_s=late_s
-    )
-    time.sleep(ROUNDS * sharing.WINDOW_S)
-
-
-def play_read_in_turn(site: sites.Site) -> None:
-    """Each upstream reads its requests one after the other, slowly."""
-    set_faults(site, reset_share=RESET_SHARE, turn_s=TURN_PERIOD_S)
-    time.sleep(ROUNDS * sharing.WINDOW_S)
-
-
-def play_fail_otherwise(site: sites.Site, **faults: float) -> None:
-    """Upstreams refuse, misdirect or fail requests, or take long for them."""
+def play_faults(site: sites.Site, **faults: float) -> None:
+    """All upstreams have the same faults for a while."""
     set_faults(site, **faults)
     time.sleep(ROUNDS * sharing.WINDOW_S)
 
@@ -552,42 +530,53 @@
         play_lapsed, play=play_stop_in_waves
     ),
     "upstreams read some requests late": functools.partial(
-        play_some_read_late, late_s=SOME_LATE_S
+        play_faults,
+        reset_share=RESET_SHARE,
+        late_share=LATE_SHARE,
+        late_s=SOME_LATE_S,
     ),
     "upstreams read some requests very late": functools.partial(
-        play_some_read_late, late_s=VERY_LATE_S
+        play_faults,
+        reset_share=RESET_SHARE,
+        late_share=LATE_SHARE,
+        late_s=VERY_LATE_S,
     ),
     "few fail and upstreams read some late": functools.partial(
-        play_some_read_late, late_s=1.0, reset_share=FEW_RESET_SHARE
+        play_faults,
+        reset_share=FEW_RESET_SHARE,
+        late_share=LATE_SHARE,
+        late_s=1.0,
+    ),
+    "upstreams read in turn": functools.partial(
+        play_faults, reset_share=RESET_SHARE, turn_s=TURN_PERIOD_S
     ),
-    "upstreams read in turn": play_read_in_turn,
     "upstreams read nothing in waves": play_read_in_waves,
     "upstreams refuse most requests": functools.partial(
-        play_fail_otherwise, refuse_share=RESET_SHARE
+        play_faults, refuse_share=RESET_SHARE
     ),
     "upstreams refuse a few requests": functools.partial(
-        play_fail_otherwise, refuse_share=FEW_RESET_SHARE
+        play_faults, refuse_share=FEW_RESET_SHARE
     ),
     "upstreams misdirect most requests": functools.partial(
-        play_fail_otherwise, misdirect_share=RESET_SHARE
+        play_faults, misdirect_share=RESET_SHARE
     ),
     "upstreams refuse, misdirect and reset requests": functools.partial(
-        play_fail_otherwise,
+        play_faults,
         refuse_share=0.4,
         misdirect_share=0.3,
         reset_share=0.3,
     ),
     "answers take up to 0.27 s and few fail": functools.partial(
-        play_fail_otherwise, work_s=0.27, reset_share=FEW_RESET_SHARE
+        play_faults, work_s=0.27, reset_share=FEW_RESET_SHARE
     ),
     "answers take up to 0.42 s and some fail": functools.partial(
-        play_fail_otherwise, work_s=0.42, reset_share=SOME_RESET_SHARE
+        play_faults, work_s=0.42, reset_share=SOME_RESET_SHARE
     ),
     "answers take up to 0.82 s and some fail": functools.partial(
-        play_fail_otherwise, work_s=0.82, reset_share=SOME_RESET_SHARE
+        play_faults, work_s=0.82, reset_share=SOME_RESET_SHARE
     ),
     "answers take up to 2 s and some fail": functools.partial(
-        play_fail_otherwise, work_s=2.0, reset_share=SOME_RESET_SHARE
+        play_faults, work_s=2.0, reset_share=SOME_RESET_SHARE
     ),
     "a burst of callers ends": play_burst,
     "callers come in bursts": play_bursts,
--- a/tests/retry_oracle.py
+++ b/tests/retry_oracle.py
@@ -48,7 +48,7 @@
     @property
     def is_allowed(self) -> bool:
         """Whether few enough were handed too much time."""
-        return self.long <= MAX_LONG or self.long <= MAX_LONG_SHARE * self.late
+        return _is_few(self.long, self.late)
 
 
 @attrs.frozen
@@ -63,7 +63,11 @@
     @property
     def is_allowed(self) -> bool:
         """Whether few enough ended too early."""
-        return self.cut <= MAX_LONG or self.cut <= MAX_LONG_SHARE * self.retries
+        return _is_few(self.cut, self.retries)
+
+
+def _is_few(count: int, total: int) -> bool:
+    return count <= MAX_LONG or count <= MAX_LONG_SHARE * total
 
 
 def count(
