--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -103,7 +103,7 @@
         # No pool: a connection that was cut must not be shared.
         pool = urllib3.PoolManager(retries=False, timeout=patience_s)
         path = "/notes/x" if request.service == "llm" else "/cards/x"
-        url = f"http://{host}:{self.site.ports['frontend']}{path}"
+        url = f"http://{self.site.get_address(host, 'frontend')}{path}"
         own = {
             "Attempt-Id": request.id,
             "Deadline-Ms": str(int(patience_s * 1000)),
@@ -238,6 +238,7 @@
     engine_mb: float = sites.ENGINE_MB,
     max_attempts: int = MAX_ATTEMPTS,
     replicas: int | None = None,
+    shares_address: bool = False,
 ) -> Play:
     """Starts a site and waits until its hosts serve.
 
@@ -255,11 +256,13 @@
         engine_mb: Memory of an engine.
         max_attempts: Upstreams that may run a request.
         replicas: Number of plain replicas.
+        shares_address: Whether hosts are told apart by their ports alone.
     """
     site = sites.start_site(
         hosts,
         [FAR[i % len(FAR)] for i in range(far)],
         tree=tree,
+        shares_address=shares_address,
         retry_budget_ratio=sharing.RATIO,
         retry_allowance=allowance,
         budget_window_s=sharing.WINDOW_S,
@@ -329,6 +332,11 @@
     parser.add_argument(
         "--tree", type=pathlib.Path, help="checkout whose hosts are played"
     )
+    parser.add_argument(
+        "--one-address",
+        action="store_true",
+        help="hosts are told apart by their ports alone",
+    )
     parser.add_argument("--dump", help="file for arrivals, requests and logs")
     args = parser.parse_args()
     play = start(
@@ -344,6 +352,7 @@
         SINGLE_ENGINE_MB if args.single_engines else sites.ENGINE_MB,
         args.max_attempts,
         args.replicas,
+        args.one_address,
     )
     play.callers.stream_patience_s = args.stream_patience_s
     play.callers.streams_per_plain = args.streams_per_plain
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -27,6 +27,12 @@
 LAYERS: Final = 8
 HOST: Final = "notes.example"
 
+# Address of all hosts where they share one.
+SHARED_IP: Final = "127.0.0.1"
+
+# What hosts serve, as in their settings.
+LISTENING: Final = ("frontend", "ready", "control_plane")
+
 # Data centre of the upstreams, and of hosts unless a test says otherwise.
 HOME: Final = "kl-hall"
 
@@ -63,7 +69,12 @@
     """All processes of a site."""
 
     stage: stage.Stage = attrs.Factory(stage.Stage)
+    # Ports of the hosts that have an address of their own, by what they serve.
     ports: dict[str, int] = attrs.Factory(dict)
+    # The same of hosts that share an address, by host.
+    own_ports: dict[str, dict[str, int]] = attrs.Factory(dict)
+    # Control addresses in the hosts' settings.
+    seeds: list[str] = attrs.Factory(list)
     pool: urllib3.PoolManager = attrs.Factory(
         lambda: urllib3.PoolManager(retries=False, timeout=20.0, maxsize=16)
     )
@@ -94,6 +105,15 @@
     # Checkout whose hosts are started; this one if None.
     tree: pathlib.Path | None = None
 
+    def get_ip(self, host: str) -> str:
+        """Returns a host's address: its name, unless it shares one."""
+        return SHARED_IP if host in self.own_ports else host
+
+    def get_address(self, host: str, served: str) -> str:
+        """Returns the address and port at which a host serves something."""
+        ports = self.own_ports.get(host, self.ports)
+        return f"{self.get_ip(host)}:{ports[served]}"
+
     def leave(self, name: str) -> None:
         """Removes an upstream from the list."""
         with self.entries_lock:
@@ -156,7 +176,7 @@
         """Sends a caller's request with a body; returns the open answer."""
         return self.pool.request(
             "POST",
-            f"http://{host}:{self.ports['frontend']}{path}",
+            f"http://{self.get_address(host, 'frontend')}{path}",
             body=body,
             headers=make_fields(key, **more),
             preload_content=False,
@@ -333,22 +353,33 @@
         return port, socks
 
 
+def reserve_ports(site: Site, ips: tuple[str, ...]) -> dict[str, int]:
+    """Returns the ports of hosts at these addresses, by what they serve."""
+    ports = {}
+    for name in LISTENING:
+        ports[name], socks = reserve_port(ips)
+        site.reserved += socks
+    ports["exchange"], socks = reserve_exchange_port(ips)
+    site.reserved += socks
+    return ports
+
+
 def start_host(site: Site, ip: str) -> None:
-    """Starts a host process at an address."""
-    listen = {
-        name: f"{ip}:{site.ports[name]}"
-        for name in ("frontend", "ready", "control_plane")
-    }
+    """Starts a host process; `ip` is its name if it shares an address."""
+    listen = {name: site.get_address(ip, name) for name in LISTENING}
     path = site.stage.folder / f"{ip}.json"
     zone = site.zones.get(ip, HOME)
     cfg = {
         "node_name": f"host-{ip}",
-        "ip": ip,
+        "ip": site.get_ip(ip),
         "zone": zone,
         "zones": dict.fromkeys((HOME, *site.zones.values()), "my"),
         "listen": listen,
-        "port_range": [site.ports["exchange"], 0],
-        "seeds": ["127.0.0.1:1"],
+        "port_range": [
+            site.own_ports.get(ip, site.ports)["exchange"],
+            0,
+        ],
+        "seeds": site.seeds,
         "bootstrap": site.keeps_settings or not path.exists(),
         "platform": {"address": site.stage.processes["store"].address},
         "bounds": {"grace_s": 7, **site.bounds},
@@ -394,13 +425,20 @@
 
 def is_ready(site: Site, ip: str = "127.0.0.1") -> bool:
     """Returns whether a host is ready."""
-    url = f"http://{ip}:{site.ports['ready']}/egretspur/readyz"
+    url = f"http://{site.get_address(ip, 'ready')}/egretspur/readyz"
     try:
         return bool(site.pool.request("GET", url, timeout=1.0).status == 200)
     except urllib3.exceptions.HTTPError:
         return False
 
 
+def read_state(site: Site, ip: str) -> dict[str, Any]:
+    """Returns the state dump of a host."""
+    url = f"http://{site.get_address(ip, 'control_plane')}/debug/state"
+    state: dict[str, Any] = site.pool.request("GET", url).json()
+    return state
+
+
 def can_stream(site: Site, ip: str = "127.0.0.1") -> bool:
     """Returns whether a host answers a stream completely."""
     try:
@@ -414,6 +452,7 @@
     hosts: int,
     zones: Sequence[str] = (),
     tree: pathlib.Path | None = None,
+    shares_address: bool = False,
     **bounds: float,
 ) -> Site:
     """Starts a site with four engines, two plain replicas and hosts.
@@ -422,16 +461,21 @@
         hosts: Number of hosts.
         zones: Data centres of the last hosts; the others are in `HOME`.
         tree: Checkout whose hosts are started; this one if None.
+        shares_address: Whether all hosts are at one address, told apart by
+            their ports alone.
         **bounds: Bounds in the hosts' settings.
     """
     site = Site(bounds=bounds, tree=tree)
-    ips = tuple(f"127.0.0.{i + 1}" for i in range(max(2, hosts)))
+    count = max(2, hosts)
+    if shares_address:
+        ips = tuple(f"host-{i + 1}" for i in range(count))
+        for name in ips:
+            site.own_ports[name] = reserve_ports(site, (SHARED_IP,))
+    else:
+        ips = tuple(f"127.0.0.{i + 1}" for i in range(count))
+        site.ports.update(reserve_ports(site, ips))
+    site.seeds.append(site.get_address(ips[0], "control_plane"))
     site.zones.update(zip(ips[hosts - len(zones) : hosts], zones, strict=True))
-    for name in ("frontend", "ready", "control_plane"):
-        site.ports[name], socks = reserve_port(ips)
-        site.reserved += socks
-    site.ports["exchange"], socks = reserve_exchange_port(ips)
-    site.reserved += socks
     site.stage.start("store", "tests.fakes.store")
     for i in range(6):
         site.start_upstream(f"e{i}" if i < 4 else f"s{i}")
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -96,3 +96,35 @@
 def step_not_cut(context: Any) -> None:
     cut = context.retrying.count_cut_retries()
     assert cut.is_allowed, cut
+
+
+@given(
+    "a site of {hosts:d} hosts at one address in {places}, with {per_s:d}"
+    " requests a second and {allowance:d} retries allowed"
+)
+def step_one_address(
+    context: Any, hosts: int, places: str, per_s: int, allowance: int
+) -> None:
+    context.retrying = retrying.start(
+        hosts,
+        UPSTREAMS,
+        per_s,
+        allowance,
+        far=2 if places == "three data centres" else 0,
+        shares_address=True,
+    )
+    context.add_cleanup(context.retrying.close)
+
+
+@then("at least a third of the retries that are allowed are sent")
+def step_used(context: Any) -> None:
+    assert all(3 * w.use >= 1.0 for w in context.windows.values()), (
+        context.windows
+    )
+
+
+@then("each host shares the retry budget with the {others:d} others")
+def step_shares(context: Any, others: int) -> None:
+    site = context.retrying.site
+    counts = [sites.read_state(site, host)["hosts"] for host in site.hosts]
+    assert counts == [1 + others] * len(site.hosts), counts
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -112,7 +112,8 @@
     def _run(self, stream: Stream) -> None:
         # No pool: a connection that was cut must not be shared.
         pool = urllib3.PoolManager(retries=False, timeout=20.0)
-        url = f"http://{stream.host}:{self.site.ports['frontend']}/notes/x"
+        address = self.site.get_address(stream.host, "frontend")
+        url = f"http://{address}/notes/x"
         fields = sites.make_fields("key-1", **{"Attempt-Id": stream.id})
         try:
             res = pool.request(
