--- a/tests/sites.py
+++ b/tests/sites.py
@@ -434,7 +434,7 @@
 
 def read_state(site: Site, ip: str) -> dict[str, Any]:
     """Returns the state dump of a host."""
-    url = f"http://{site.get_address(ip, 'control_plane')}/debug/state"
+    url = f"http://{site.get_address(ip, 'control_plane')}/state"
     state: dict[str, Any] = site.pool.request("GET", url).json()
     return state
 
