--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -216,6 +216,7 @@
                 self.is_ready,
                 self._feeds.topics,
                 lambda: self._store.eras.newest,
+                self._exchange.get_contact,
             ),
             cfg.listen_control,
             1,
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -15,6 +15,7 @@
 from egretspur import codec, logs, web
 from egretspur.catalog import positions
 from egretspur.daemons import duties, meters
+from egretspur.membership import contact
 from egretspur.routing import broker, desk
 
 if TYPE_CHECKING:
@@ -36,6 +37,9 @@
     "upstreams_down": "Upstreams that are given no work",
     "upstreams_limited": "Upstreams that name a limit of requests a second",
     "hosts_sharing": "Hosts that share the retry budget",
+    "hosts_heard": "Hosts whose peer updates arrive",
+    "hosts_unheard": "Known hosts whose peer updates do not arrive",
+    "data_centres_unheard": "Data centres whose peer updates do not arrive",
     "list_age_seconds": "Seconds since the list of upstreams was read",
     "configuration_version": "Version of the configuration in force",
     "store_era": "Times that the store has come back from an older copy",
@@ -107,6 +111,7 @@
     is_ready: Callable[[], bool],
     topics: Mapping[str, Snapshots],
     get_era: Callable[[], int],
+    get_contact: Callable[[], contact.Contact],
 ) -> web.App:
     """Returns the application that serves the pages."""
     gauges: list[_Gauges] = []
@@ -115,7 +120,11 @@
         registry = host_meters.collect()
         if not gauges:
             gauges.append(_Gauges(registry))
+        reached = get_contact()
         process_values = {
+            "hosts_heard": reached.heard,
+            "hosts_unheard": len(reached.unheard),
+            "data_centres_unheard": len(reached.silent_data_centres),
             "configuration_version": get_version(),
             "store_era": get_era(),
             "log_lines_dropped": handler.dropped if handler else 0,
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -285,6 +285,28 @@
     address: str
 
 
+@attrs.frozen
+class PeersChanged:
+    """The hosts from which no peer update comes have changed."""
+
+    # Hosts of any data centre from which updates come.
+    heard: int
+    # Hosts of this data centre that are named and not heard: how many, and
+    # up to `MAX_NAMED` of them.
+    unheard: int
+    hosts: tuple[str, ...]
+    # Data centres from which no update comes.
+    data_centres: tuple[str, ...]
+
+
+@attrs.frozen
+class SoleHostAssumed:
+    """No source names another host: this one has the whole retry budget."""
+
+    # Members that the store lists.
+    members: tuple[str, ...]
+
+
 @attrs.frozen
 class RequestHelped:
     """An attempt went over a connection that another host opened."""
@@ -561,6 +583,8 @@
     | UpstreamLimited
     | LinkStalled
     | ReachChanged
+    | PeersChanged
+    | SoleHostAssumed
     | RequestHelped
     | HelpRefused
     | TunnelOpened
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -21,7 +21,7 @@
 from typing import Any, Final
 
 from egretspur import decisions, guard
-from egretspur.membership import datagrams, hosts, sidechannels
+from egretspur.membership import contact, datagrams, hosts, sidechannels
 from egretspur.tunnels import helpers
 
 _LOG: Final = logging.getLogger(__name__)
@@ -95,6 +95,7 @@
         self._channels = [sidechannels.SideChannel(k) for k in kinds]
         self._lock = threading.Lock()
         self._peers = peers
+        self._contact_log = contact.ContactLog()
         self._decoder = datagrams.Decoder()
         # Senders and fields of refused datagrams logged in this period.
         self._refused: set[tuple[str, str]] = set()
@@ -136,6 +137,7 @@
             self._peers.add_members(hosts, time.monotonic())
             is_sole = self._peers.is_sole()
         if is_sole:
+            decisions.record(decisions.SoleHostAssumed(hosts))
             self._handle_sole()
 
     def may_be_deputy(self) -> bool:
@@ -186,6 +188,11 @@
         with self._lock:
             return self._peers.is_alone(time.monotonic())
 
+    def get_contact(self) -> contact.Contact:
+        """Returns which hosts send updates to this one, and which don't."""
+        with self._lock:
+            return self._peers.get_contact(time.monotonic())
+
     def send_soon(self) -> None:
         """Sends the next update early: requests fail until peers have it."""
         self._send_requested.set()
@@ -198,6 +205,8 @@
             turn += 1
             with guard.log_exceptions("news-out"):
                 self._send_once(turn)
+                if turn % PEER_LIST_INTERVAL == 0:
+                    self._contact_log.note(self.get_contact())
 
     def _send_once(self, turn: int) -> None:
         now_s = time.monotonic()
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -9,6 +9,7 @@
 
 import collections
 import ipaddress
+import math
 import random
 import zlib
 from collections.abc import Iterable
@@ -17,7 +18,7 @@
 import attrs
 
 from egretspur.catalog import reading
-from egretspur.membership import contention, datagrams
+from egretspur.membership import contact, contention, datagrams
 from egretspur.tunnels import helpers
 
 # A host is sent no more datagrams after this long without an update from it or
@@ -101,6 +102,9 @@
         self._seeds = frozenset(s for s in seeds if s != me)
         # Time of the last update of, or mention of, each host.
         self._known: dict[str, float] = {}
+        # When each host of these became known.
+        self._known_since: dict[str, float] = {}
+        self._began_s: float | None = None
         # Data centre of each host that sent an update or was listed in one.
         self._host_data_centres: dict[str, str] = {}
         # Time of the last update from each data centre.
@@ -131,12 +135,16 @@
         for host in hosts:
             if host != self._me:
                 self._known[host] = now_s
+                self._known_since.setdefault(host, now_s)
 
     def list_local(self, now_s: float) -> list[str]:
         """Returns the hosts to send to: those not known to be remote."""
         self._known = {
             h: t for h, t in self._known.items() if self._shares_budget(h, t)
         }
+        self._known_since = {
+            h: t for h, t in self._known_since.items() if h in self._known
+        }
         hosts = self._seeds | {
             h for h, t in self._known.items() if now_s - t < PEER_EXPIRY_S
         }
@@ -236,6 +244,40 @@
             if now_s - t.at_s < PEER_LIST_MAX_AGE_S
         }
 
+    def get_contact(self, now_s: float) -> contact.Contact:
+        """Returns which hosts send updates to this one, and which don't."""
+        if self._began_s is None:
+            self._began_s = now_s
+        since_s = now_s - contact.UNHEARD_AFTER_S
+        places = self._data_centres - {self._data_centre}
+        return contact.Contact(
+            len(self.list_recent(now_s)),
+            tuple(
+                h
+                for h in self.list_local(now_s)
+                if self._is_unheard(h, since_s)
+            ),
+            tuple(
+                sorted(
+                    p
+                    for p in places
+                    if self._data_centre_updates.get(p, self._began_s) < since_s
+                )
+            ),
+        )
+
+    def _is_unheard(self, host: str, since_s: float) -> bool:
+        """Returns whether a host is named, and not heard since a time.
+
+        One that is named no longer has probably ended.
+        """
+        status = self._peer_statuses.get(host)
+        if status is None:
+            known_s = self._known_since.get(host, self._began_s)
+            return known_s is not None and known_s < since_s
+        named_s = self._known.get(host, -math.inf)
+        return status.at_s < since_s and named_s >= since_s
+
     def list_helpers(self, now_s: float) -> helpers.Candidates:
         """Returns the hosts that may connect upstreams for this one.
 
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -252,3 +252,16 @@
       | has another seed                        | itself             | is not |
       | knows that there is another data centre | itself             | is not |
       | has been told of another                | itself             | is not |
+
+  Scenario Outline: Hosts from which no peer update comes
+    # Guards against hosts that don't hear each other while no log line or metric
+    # tells an operator.
+    Given a host of kl-hall whose settings name a second host and pg-hall
+    When updates of <heard> reach it for 10 s
+    Then it reports <hosts> unheard and <data centres> silent, once
+
+    Examples:
+      | heard            | hosts    | data centres |
+      | nobody           | 10.1.0.2 | pg-hall      |
+      | 10.1.0.2         | no host  | pg-hall      |
+      | 10.1.0.2 and all | no host  | none         |
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -18,9 +18,11 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 
+from egretspur import decisions
 from egretspur.admission import segments
 from egretspur.catalog import feeds, reading, upstreams
 from egretspur.membership import (
+    contact,
     datagrams,
     duty,
     evidence,
@@ -833,3 +835,36 @@
 @then("it {verb} the only host as far as it knows")
 def step_sole(context: Any, verb: str) -> None:
     assert context.sole == (verb == "is"), context.sole
+
+
+@given("a host of kl-hall whose settings name a second host and pg-hall")
+def step_two_named(context: Any) -> None:
+    context.peers = hosts.Peers(
+        "10.1.0.1",
+        "kl-hall",
+        ["10.1.0.2"],
+        data_centres=("kl-hall", "pg-hall"),
+    )
+
+
+@when("updates of {heard} reach it for 10 s")
+def step_reports(context: Any, heard: str) -> None:
+    context.recorded = []
+    log = contact.ContactLog()
+    with mock.patch.object(decisions, "record", context.recorded.append):
+        for second in range(11):
+            log.note(context.peers.get_contact(float(second)))
+            if heard != "nobody":
+                context.peers.record_update(make_news("10.1.0.2"), second)
+            if heard.endswith("all"):
+                news = make_news("10.2.0.1", "pg-hall")
+                context.peers.record_update(news, second)
+
+
+@then("it reports {unheard} unheard and {places} silent, once")
+def step_reported(context: Any, unheard: str, places: str) -> None:
+    hosts_named = () if unheard == "no host" else (unheard,)
+    places_named = () if places == "none" else (places,)
+    found = [(e.hosts, e.data_centres) for e in context.recorded]
+    expected = [(hosts_named, places_named)]
+    assert found == [e for e in expected if any(e)], context.recorded
