--- a/egretspur/addresses.py
+++ b/egretspur/addresses.py
@@ -32,6 +32,11 @@
             return str(self.ip)
         return f"{self.ip}:{self.exchange_port}/{self.control_port}"
 
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        """Address and port of its peer updates and tunnels, for a socket."""
+        return str(self.ip), self.exchange_port
+
     @property
     def control(self) -> str:
         """Address and port of its pages."""
@@ -70,6 +75,11 @@
     )
 
 
+def is_short(host: str) -> bool:
+    """Returns whether a host is named as older builds do, without ports."""
+    return not parse(host).exchange_port
+
+
 def shorten(host: str) -> str:
     """Returns a host as older builds know it."""
     return str(parse(host).ip)
--- a/egretspur/admission/repeats.py
+++ b/egretspur/admission/repeats.py
@@ -124,8 +124,9 @@
         age_s = self._get_age_s(now_s)
         return age_s if math.isfinite(age_s) else None
 
-    def note_sole(self, now_s: float) -> None:
-        """Records that no other host is there to tell of its retries."""
+    def note_counted(self, hosts: int, now_s: float) -> None:
+        """Records how many hosts there are, and that none tells of retries."""
+        self.hosts = hosts
         self._since_s = min(self._since_s, now_s)
 
     def apply_peer_update(
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -19,6 +19,7 @@
 from typing import Any, Final
 
 from egretspur import (
+    addresses,
     codec,
     decisions,
     errors,
@@ -45,6 +46,8 @@
     evidence,
     exchange,
     hosts,
+    lists,
+    seeds,
     sidechannels,
 )
 from egretspur.orders import ranges
@@ -99,6 +102,8 @@
             enabled: Optional mechanisms that are enabled.
         """
         self._cfg = cfg
+        # This host as others know it.
+        self._host = str(cfg.address)
         self._mechanisms = enabled
         rng = random.Random()
         self._desk = desk.Desk(
@@ -109,7 +114,7 @@
                 ),
                 rng,
                 enabled,
-                cfg.ip,
+                self._host,
             )
         )
         self._listed = listed.ListedAddresses(self._desk)
@@ -120,7 +125,7 @@
             lambda: self._exchange.list_helpers(),
             gate.Sources(
                 self._listed.get,
-                lambda host: self._exchange.is_known(host),
+                lambda ip: self._exchange.is_known(ip),
                 lambda: self._draining.is_set(),
                 self._note_answer,
             ),
@@ -133,7 +138,7 @@
             self._desk,
             self._engines,
             enabled.silence,
-            cfg.ip,
+            self._host,
             self._dialer,
             cfg.bounds.max_silence_s,
         )
@@ -152,22 +157,26 @@
         self._store = store.Store(cfg.store, self._meters.note_store_call)
         self._exchange = exchange.Exchange(
             hosts.Peers(
-                cfg.ip,
+                self._host,
                 cfg.data_centre,
-                _strip_ports(cfg.seeds),
+                cfg.list_seeds(),
                 data_centres=cfg.data_centres,
             ),
-            cfg.ip,
-            cfg.exchange_port,
+            cfg.address,
             self._make_update,
             self._aggregate,
             self._handle_updates,
             self._make_kinds(),
-            lambda: self._desk.tell(desk.SoleHost()),
+            self._handle_counted,
         )
         self._pages_client = transport.Transport(0.3, 1.0)
-        group = store.Group(self._store, f"orders-{cfg.data_centre}", cfg.ip)
-        self._members = duty.Members(group, cfg.ip, rng)
+        self._seed_finder = seeds.SeedFinder(self._exchange, self._fetch_page)
+        groups = {
+            d: store.Group(self._store, f"orders-{d}", self._host)
+            for d in cfg.data_centres
+        }
+        group = groups[cfg.data_centre]
+        self._members = duty.Members(group, self._host, rng)
         self._saver = quarantined.Writer(
             functools.partial(store.write_quarantine, self._store), rng
         )
@@ -187,7 +196,12 @@
             self._exchange.send_soon,
             self._saver.queue_changes,
         )
-        self._duty = duty.Duty(group, self._exchange)
+        member_lists = lists.MemberLists(
+            groups, cfg.data_centre, self._exchange
+        )
+        self._duty = duty.Duty(
+            group, self._exchange, read_lists=member_lists.read
+        )
         self._keeper = ranges.RangeReconciler(self._duty, self._engines, self)
         self._versions = config.CurrentConfig()
         # What this host has read, as last sent to others.
@@ -217,6 +231,7 @@
                 self._feeds.topics,
                 lambda: self._store.eras.newest,
                 self._exchange.get_contact,
+                seeds.Identity(self._host, cfg.data_centre),
             ),
             cfg.listen_control,
             1,
@@ -236,6 +251,7 @@
         self._watch.start()
         self._prober.start()
         self._exchange.start()
+        self._seed_finder.start()
         self._tunnels.start()
         self._duty.start()
         self._keeper.start()
@@ -265,6 +281,7 @@
         self._duty.close()
         self._feeds.close()
         self._saver.close()
+        self._seed_finder.close()
         self._exchange.close()
         self._tunnels.close()
         self._watch.close()
@@ -312,10 +329,14 @@
         self, host: str, topic: str, since: positions.Position | None
     ) -> bytes | None:
         """Returns another host's changes of a topic since a position."""
-        port = self._cfg.listen_control.rpartition(":")[2]
-        res = self._pages_client.call(
-            "GET", f"{host}:{port}", pages.make_snapshot_path(topic, since)
+        to = addresses.parse(self._cfg.address.complete(host))
+        return self._fetch_page(
+            to.control, pages.make_snapshot_path(topic, since)
         )
+
+    def _fetch_page(self, address: str, path: str) -> bytes | None:
+        """Returns a page of another host; None if it does not answer."""
+        res = self._pages_client.call("GET", address, path)
         if isinstance(res, transport.Failed) or res.status != 200:
             return None
         return res.body
@@ -431,7 +452,7 @@
         )
         update: datagrams.PeerUpdate = self._desk.query(
             lambda state: news.make_update(
-                state, self._cfg.ip, view, peers, now_s
+                state, self._host, view, peers, now_s
             )
         )
         self._known = update.known
@@ -468,7 +489,7 @@
         """Returns the contention update of this host or its data centre."""
         update: contention.ContentionUpdate = self._desk.query(
             lambda state: news.make_contention(
-                state, self._cfg.ip, is_speaker, time.monotonic()
+                state, self._host, is_speaker, time.monotonic()
             )
         )
         return update
@@ -483,9 +504,7 @@
         found: segments.Update = self._desk.query(
             lambda state: state.quarantine.make_evidence(time.monotonic())
         )
-        return evidence.EvidenceUpdate(
-            self._cfg.ip, self._cfg.data_centre, found
-        )
+        return evidence.EvidenceUpdate(self._host, self._cfg.data_centre, found)
 
     def _handle_evidence(
         self, updates: Sequence[evidence.EvidenceUpdate]
@@ -518,8 +537,17 @@
             if update.data_centre == self._cfg.data_centre:
                 self._watch.record_peer_usage(update.host, update.usage)
         broker_updates = tuple(news.make_broker_update(u) for u in updates)
-        seeds = len(self._cfg.seeds)
-        self._desk.tell(desk.PeerUpdates(broker_updates, max(hosts, seeds)))
+        self._desk.tell(
+            desk.PeerUpdates(broker_updates, self._count_sharing(hosts))
+        )
+
+    def _handle_counted(self, hosts: int) -> None:
+        """Applies how many hosts there are, by lists."""
+        self._desk.tell(desk.HostsCounted(self._count_sharing(hosts)))
+
+    def _count_sharing(self, known: int) -> int:
+        """Returns how many hosts share the budgets: at least the seeds."""
+        return max(known, len(self._cfg.seeds))
 
     def reload(self) -> None:
         """Requests a reload of the settings; safe in a signal handler."""
@@ -534,7 +562,7 @@
             decisions.record(decisions.Reloaded(str(exc)))
             return
         self._cfg = cfg
-        self._exchange.set_seeds(_strip_ports(cfg.seeds))
+        self._exchange.set_seeds(cfg.list_seeds())
         decisions.record(decisions.Reloaded(""))
 
     def _watch_settings(self) -> None:
@@ -545,11 +573,6 @@
                     self._reload()
 
 
-def _strip_ports(addresses: Sequence[str]) -> list[str]:
-    """Returns the addresses without their ports."""
-    return [a.rpartition(":")[0] for a in addresses]
-
-
 def main(argv: Sequence[str] | None = None) -> int:
     """Entry point of ``egretspur-host``."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -45,7 +45,7 @@
 
 def make_update(
     state: broker.Broker,
-    ip: str,
+    host: str,
     store_view: StoreView,
     peers: Mapping[str, str],
     now_s: float,
@@ -54,14 +54,14 @@
 
     Args:
         state: State of the host's broker.
-        ip: Address of the host.
+        host: The host; see `egretspur.addresses`.
         store_view: What the host has read from the store.
         peers: Other hosts to list, with their data centres.
         now_s: Monotonic time.
     """
     own = state.fleet
     return datagrams.PeerUpdate(
-        host=ip,
+        host=host,
         data_centre=own.data_centre,
         store_age_s=max(0.0, store_view.age_s),
         known=reading.ReadState(
@@ -123,13 +123,13 @@
 
 
 def make_contention(
-    state: broker.Broker, ip: str, is_speaker: bool, now_s: float
+    state: broker.Broker, host: str, is_speaker: bool, now_s: float
 ) -> contention.ContentionUpdate:
     """Returns a host's contention update.
 
     Args:
         state: State of the host's broker.
-        ip: Address of the host.
+        host: The host; see `egretspur.addresses`.
         is_speaker: Whether it goes to other data centres, with the totals of
             this one.
         now_s: Monotonic time.
@@ -139,4 +139,4 @@
         if is_speaker
         else state.contention.make_update
     )
-    return make(ip, state.fleet.data_centre, now_s)
+    return make(host, state.fleet.data_centre, now_s)
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -15,7 +15,7 @@
 from egretspur import codec, logs, web
 from egretspur.catalog import positions
 from egretspur.daemons import duties, meters
-from egretspur.membership import contact
+from egretspur.membership import contact, seeds
 from egretspur.routing import broker, desk
 
 if TYPE_CHECKING:
@@ -112,6 +112,7 @@
     topics: Mapping[str, Snapshots],
     get_era: Callable[[], int],
     get_contact: Callable[[], contact.Contact],
+    identity: seeds.Identity,
 ) -> web.App:
     """Returns the application that serves the pages."""
     gauges: list[_Gauges] = []
@@ -144,6 +145,11 @@
         app, collect, lambda: broker_desk.query(dump_state), is_ready
     )
     app.add("GET", "/v1/snapshot/{topic}", get_snapshot)
+    app.add(
+        "GET",
+        seeds.HOST_PATH,
+        lambda req: web.reply_json(attrs.asdict(identity)),
+    )
     return app
 
 
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -300,11 +300,11 @@
 
 
 @attrs.frozen
-class SoleHostAssumed:
-    """No source names another host: this one has the whole retry budget."""
+class HostsAssumed:
+    """No peer update tells of other hosts, but lists and settings do."""
 
-    # Members that the store lists.
-    members: tuple[str, ...]
+    # Hosts that share the retry budget by them, this one included.
+    hosts: int
 
 
 @attrs.frozen
@@ -584,7 +584,7 @@
     | LinkStalled
     | ReachChanged
     | PeersChanged
-    | SoleHostAssumed
+    | HostsAssumed
     | RequestHelped
     | HelpRefused
     | TunnelOpened
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import functools
-import ipaddress
 from collections.abc import Callable, Mapping
 from typing import Any, Final, TypeVar
 
 import attrs
 import orjson
 
-from egretspur import checks, codec
+from egretspur import addresses, checks, codec
 from egretspur.admission import quarantine, shared, throttle
 from egretspur.catalog import reading, upstreams
 from egretspur.routing import jobs
@@ -41,7 +40,7 @@
 class PeerUpdate:
     """State of a host that it sends to the others."""
 
-    # Address of the sending host.
+    # The sending host; see `egretspur.addresses`.
     host: str
     data_centre: str
     # Seconds since the store last answered the host.
@@ -77,6 +76,18 @@
     failing: tuple[str, ...] = ()
 
 
+@functools.singledispatch
+def map_hosts(update: Any, change: Callable[[str], str]) -> Any:
+    """Returns an update of any kind with its hosts changed."""
+    return attrs.evolve(update, host=change(update.host))
+
+
+@map_hosts.register
+def _(update: PeerUpdate, change: Callable[[str], str]) -> PeerUpdate:
+    peers = {change(h): d for h, d in update.peers.items()}
+    return attrs.evolve(update, host=change(update.host), peers=peers)
+
+
 @attrs.frozen
 class InvalidUpdate:
     """Reason why a datagram is not a valid peer update."""
@@ -282,20 +293,13 @@
 
 
 def check_host(host: Any) -> str:
-    """Returns an address as written; raises `checks.FieldError`."""
+    """Returns a host as written; raises `checks.FieldError`."""
     try:
-        return str(parse_address(checks.check_text(host, "host")))
+        return str(addresses.parse(checks.check_text(host, "host")))
     except ValueError as exc:
         raise checks.FieldError("host", str(exc)) from exc
 
 
-# A host receives datagrams from about a hundred others several times a second.
-@functools.lru_cache(maxsize=1024)
-def parse_address(host: str) -> ipaddress.IPv4Address:
-    """Returns an address, which sorts as a number; may raise ValueError."""
-    return ipaddress.IPv4Address(host)
-
-
 # Decoders of the fields of `PeerUpdate`, in their order in a datagram.
 _FIELD_DECODERS: Final[tuple[Callable[[Any], Any], ...]] = (
     check_host,
--- a/egretspur/membership/duty.py
+++ b/egretspur/membership/duty.py
@@ -19,6 +19,7 @@
 
 from egretspur import decisions, guard
 from egretspur.catalog import feeds
+from egretspur.membership import lists
 
 # A crashed holder's duty passes to another host after this time.
 LEASE_S: Final = 3.0
@@ -44,7 +45,7 @@
     era: int = 0
 
 
-class Group(Protocol):
+class Group(lists.Group, Protocol):
     """A group of the store in which one member has the duty."""
 
     def join(self, ttl_s: float) -> JoinReply | feeds.Unavailable:
@@ -56,9 +57,6 @@
     def get_era(self) -> int:
         """Returns the newest era of the store that this host has seen."""
 
-    def list_members(self) -> tuple[str, ...] | feeds.Unavailable:
-        """Returns the members that own a part of the duty topic."""
-
 
 class Members:
     """The hosts of a data centre that the store lists when this host starts.
@@ -73,7 +71,7 @@
 
         Args:
             group: Group of the duty.
-            me: This host's address.
+            me: This host; see `egretspur.addresses`.
             rng: Shuffles the list, so that starting hosts ask different hosts
                 first.
         """
@@ -88,9 +86,10 @@
         with self._lock:
             if self._hosts is None:
                 found = self._group.list_members()
-                if isinstance(found, feeds.Unavailable):
-                    found = ()
-                self._hosts = [h for h in found if h != self._me]
+                listed = (
+                    () if isinstance(found, feeds.Unavailable) else found.hosts
+                )
+                self._hosts = [h for h in listed if h != self._me]
                 self._rng.shuffle(self._hosts)
             return self._hosts
 
@@ -143,12 +142,6 @@
 class Peers(Protocol):
     """View of the other hosts that the duty needs."""
 
-    def add_members(self, hosts: tuple[str, ...]) -> None:
-        """Receives the members of the group each time that they change."""
-
-    def is_alone(self) -> bool:
-        """Returns whether no local host has sent an update recently."""
-
     def is_candidate(self) -> bool:
         """Returns whether this host is one of those that may hold the duty."""
 
@@ -176,6 +169,7 @@
         group: Group,
         peers: Peers,
         clock: Callable[[], float] = time.monotonic,
+        read_lists: Callable[[int], None] = lambda generation: None,
     ) -> None:
         """Makes a member.
 
@@ -183,6 +177,8 @@
             group: Group in which the store grants the duty.
             peers: View of the other hosts.
             clock: Monotonic time, in seconds.
+            read_lists: Receives the group's generation after each join; see
+                `egretspur.membership.lists`.
         """
         self.group = group
         self._clock = clock
@@ -190,8 +186,7 @@
         # Time of the store's last answer.
         self._answered_s = clock()
         self._is_deputy = False
-        # Generation whose members were read last.
-        self._listed_generation = -1
+        self._read_lists = read_lists
         self._lease = Lease()
         self._stop = threading.Event()
         self._thread = threading.Thread(
@@ -252,18 +247,7 @@
         self._answered_s = self._clock()
         if self._lease.apply_reply(res, asked_s):
             _record(res)
-        if (
-            res.generation == self._listed_generation
-            or not self._peers.is_alone()
-        ):
-            # Hosts that receive each other's updates need no list. If each
-            # read it at each change, calls would grow with the square of the
-            # hosts.
-            return
-        members = self.group.list_members()
-        if not isinstance(members, feeds.Unavailable):
-            self._listed_generation = res.generation
-            self._peers.add_members(members)
+        self._read_lists(res.generation)
 
     def _yield_duty(self, now_s: float) -> None:
         """Leaves the duty to hosts with lower addresses."""
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -20,7 +20,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, Final
 
-from egretspur import decisions, guard
+from egretspur import addresses, decisions, guard
 from egretspur.membership import contact, datagrams, hosts, sidechannels
 from egretspur.tunnels import helpers
 
@@ -39,6 +39,10 @@
 # learned who does. Time for two datagrams, one of which may be lost.
 STARTUP_WAIT_S: Final = 0.6
 
+# Time after which the store's lists tell of all hosts that reach it: longer
+# than a membership, and than the time between two joins.
+LISTED_AFTER_S: Final = 5.0
+
 # Seconds to wait after a datagram for others to arrive; a fifth of the period
 # between two datagrams of one host.
 BATCH_WAIT_S: Final = 0.05
@@ -63,35 +67,39 @@
     def __init__(
         self,
         peers: hosts.Peers,
-        ip: str,
-        port: int,
+        address: addresses.HostAddress,
         make_update: Callable[[Mapping[str, str]], datagrams.PeerUpdate],
         aggregate: Callable[[datagrams.PeerUpdate], datagrams.PeerUpdate],
         handle_updates: Callable[[Sequence[datagrams.PeerUpdate], int], None],
         kinds: Sequence[sidechannels.Kind[Any]] = (),
-        handle_sole: Callable[[], None] = lambda: None,
+        handle_counted: Callable[[int], None] = lambda hosts: None,
     ) -> None:
         """Makes an exchange.
 
         Args:
             peers: State of the other hosts; the exchange owns it from now on.
-            ip: This host's address.
-            port: UDP port of all hosts.
+            address: Where this host listens.
             make_update: Returns this host's update, given the peers to list.
             aggregate: Returns the update of the whole data centre, given this
                 host's; the speaker sends it to the other data centres.
             handle_updates: Receives the updates of others, oldest first, and
                 the number of hosts that share a retry budget.
             kinds: Updates that are exchanged besides.
-            handle_sole: Called if the store lists no other host, and no other
-                source has named one either.
+            handle_counted: Receives the number of hosts that share a retry
+                budget where no update tells of them, but lists do.
         """
-        self._ip = ip
-        self._port = port
+        self._address = address
+        self._host = str(address)
+        # Hosts of older builds, to which this one is known by its IP alone.
+        self._older: set[str] = set()
         self._make_update = make_update
         self._aggregate = aggregate
         self._handle_updates = handle_updates
-        self._handle_sole = handle_sole
+        self._handle_counted = handle_counted
+        # Since when lists tell of the other hosts, and no update does; and how
+        # many there are by them, as logged last.
+        self._listed_s: float | None = None
+        self._counted = 0
         self._channels = [sidechannels.SideChannel(k) for k in kinds]
         self._lock = threading.Lock()
         self._peers = peers
@@ -114,7 +122,7 @@
     def start(self) -> None:
         """Binds the socket and starts the threads."""
         self._began_s = time.monotonic()
-        self._sock.bind((self._ip, self._port))
+        self._sock.bind(self._address.endpoint)
         self._sock.settimeout(1.0)
         self._waiting.setblocking(False)
         for thread in self._threads:
@@ -131,14 +139,56 @@
         with self._lock:
             self._peers.set_seeds(seeds)
 
-    def add_members(self, hosts: tuple[str, ...]) -> None:
-        """Adds hosts that the store lists as members."""
+    def add_members(
+        self, hosts: Iterable[str], data_centre: str | None = None
+    ) -> None:
+        """Adds hosts that the store lists as members, or a seed names."""
+        found = tuple(self._address.complete(h) for h in hosts)
+        with self._lock:
+            self._peers.add_members(found, time.monotonic(), data_centre)
+
+    def note_lists_read(self) -> None:
+        """Receives that the store's lists are complete, and no host was heard.
+
+        The hosts may be cut off from each other, and each alone would serve
+        its callers with next to no retries for as long as that lasts. What the
+        lists name in time for an expired member to be dropped, and a new one
+        to join, is taken for all.
+        """
+        now_s = time.monotonic()
+        if self._listed_s is None:
+            self._listed_s = now_s
         with self._lock:
-            self._peers.add_members(hosts, time.monotonic())
             is_sole = self._peers.is_sole()
-        if is_sole:
-            decisions.record(decisions.SoleHostAssumed(hosts))
-            self._handle_sole()
+            hosts = self._peers.count_budget_sharers()
+        if is_sole or now_s - self._listed_s >= LISTED_AFTER_S:
+            self._assume_hosts(hosts)
+
+    def _assume_hosts(self, hosts: int) -> None:
+        if hosts != self._counted:
+            self._counted = hosts
+            decisions.record(decisions.HostsAssumed(hosts))
+        self._handle_counted(hosts)
+
+    def has_heard(self) -> bool:
+        """Returns whether any host has ever sent an update to this one."""
+        with self._lock:
+            return self._peers.has_heard()
+
+    def list_unknown_data_centres(self) -> list[str]:
+        """Returns the data centres of which no host is known.
+
+        Empty while the first updates may still arrive.
+        """
+        if time.monotonic() - self._began_s < STARTUP_WAIT_S:
+            return []
+        with self._lock:
+            return self._peers.list_unknown_data_centres()
+
+    def list_unheard_seeds(self) -> list[str]:
+        """Returns the control addresses of seeds that are not known yet."""
+        with self._lock:
+            return self._peers.list_unheard_seeds(time.monotonic())
 
     def may_be_deputy(self) -> bool:
         """Returns whether this is the first host while none has the store."""
@@ -178,10 +228,10 @@
         with self._lock:
             return self._peers.list_helpers(time.monotonic())
 
-    def is_known(self, host: str) -> bool:
-        """Returns whether a host is one of the installation's."""
+    def is_known(self, ip: str) -> bool:
+        """Returns whether an IP is that of one of the installation's hosts."""
         with self._lock:
-            return self._peers.is_known(host, time.monotonic())
+            return self._peers.is_known(ip, time.monotonic())
 
     def is_alone(self) -> bool:
         """Returns whether no local host has sent an update recently."""
@@ -226,19 +276,41 @@
     def _send_update(
         self, hosts: Iterable[str], update: datagrams.PeerUpdate
     ) -> None:
-        self._send_to(hosts, datagrams.encode_update(update))
+        self._send_encoded(hosts, update, datagrams.encode_update)
 
     def _send_others(self, hosts: Sequence[str], is_speaker: bool) -> None:
         """Sends the updates of other kinds that have anything to tell."""
         for channel in self._channels:
-            data = channel.make_datagram(is_speaker)
-            if data is not None:
-                self._send_to(hosts, data)
+            update = channel.make_update(is_speaker)
+            if update is not None:
+                self._send_encoded(hosts, update, channel.encode)
+
+    def _send_encoded(
+        self,
+        hosts: Iterable[str],
+        update: datagrams.PeerUpdate | sidechannels.Update,
+        encode: Callable[[Any], bytes],
+        data: bytes = b"",
+    ) -> None:
+        """Sends an update, to hosts of older builds as they read it.
+
+        Args:
+            hosts: The hosts to send to.
+            update: The update.
+            encode: Returns the datagram for an update of its kind.
+            data: The datagram, if there is one already.
+        """
+        older = self._older.intersection(hosts)
+        newer = [h for h in hosts if h not in older]
+        self._send_to(newer, data or encode(update))
+        if older:
+            short = datagrams.map_hosts(update, addresses.shorten)
+            self._send_to(older, encode(short))
 
     def _send_to(self, hosts: Iterable[str], data: bytes) -> None:
         for host in hosts:
             try:
-                self._sock.sendto(data, (host, self._port))
+                self._sock.sendto(data, addresses.parse(host).endpoint)
             except OSError as exc:
                 _LOG.debug("peer update not sent", extra={"reason": str(exc)})
 
@@ -272,20 +344,22 @@
         updates = []
         others: dict[bytes, list[Any]] = {}
         forwarded = []
-        for data, (sender, _) in received:
+        for data, sender in received:
             channel = self._find_channel(data)
-            update = (channel or self._decoder).decode(data)
+            update = self._read_update(data, channel, sender)
             if isinstance(update, datagrams.InvalidUpdate):
-                self._log_refused(sender, update, now_s)
+                self._log_refused(sender[0], update, now_s)
                 continue
-            if update.host == self._ip:
+            if update.host == self._host:
                 continue
+            encode = channel.encode if channel else datagrams.encode_update
             if channel is not None:
                 others.setdefault(channel.prefix, []).append(update)
             else:
                 updates.append(update)
-            if sender == update.host and self._peers.is_remote(update):
-                forwarded.append(data)
+            is_direct = sender == addresses.parse(update.host).endpoint
+            if is_direct and self._peers.is_remote(update):
+                forwarded.append((update, encode, data))
         if not updates and not others:
             return
         with self._lock:
@@ -294,13 +368,34 @@
             host_count = self._peers.count_budget_sharers()
             is_forwarding = bool(forwarded) and self._peers.is_speaker(now_s)
             local = self._peers.list_local(now_s) if is_forwarding else []
-        for data in forwarded:
-            self._send_to(local, data)
+        for remote, encode, data in forwarded:
+            self._send_encoded(local, remote, encode, data)
         if updates:
             self._handle_updates(updates, host_count)
         for channel in self._channels:
             channel.handle(others.get(channel.prefix, ()))
 
+    def _read_update(
+        self,
+        data: bytes,
+        channel: sidechannels.AnyChannel | None,
+        sender: tuple[str, int],
+    ) -> Any:
+        """Returns the update in a datagram, or why it is refused."""
+        update = (channel or self._decoder).decode(data)
+        if isinstance(update, datagrams.InvalidUpdate):
+            return update
+        if addresses.is_short(update.host):
+            update = datagrams.map_hosts(update, self._address.complete)
+            self._older.add(update.host)
+        else:
+            self._older.discard(update.host)
+        if update.host == self._host and sender != self._address.endpoint:
+            return datagrams.InvalidUpdate(
+                "host", "another process sends as this host"
+            )
+        return update
+
     def _find_channel(self, data: bytes) -> sidechannels.AnyChannel | None:
         """Returns the channel of a datagram; None for a peer update."""
         for channel in self._channels:
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import collections
-import ipaddress
+import itertools
 import math
 import random
 import zlib
@@ -17,6 +17,7 @@
 
 import attrs
 
+from egretspur import addresses
 from egretspur.catalog import reading
 from egretspur.membership import contact, contention, datagrams
 from egretspur.tunnels import helpers
@@ -88,9 +89,10 @@
         """Makes a state without any update.
 
         Args:
-            me: This host's address.
+            me: This host; see `egretspur.addresses`.
             data_centre: Its data centre.
-            seeds: Hosts that are known from the settings.
+            seeds: Hosts that the settings name by their control addresses;
+                their other ports are assumed to be this host's.
             rng: Shuffles hosts to ask for the configuration, and spare hosts to
                 send to.
             data_centres: Data centres that are known to have hosts.
@@ -99,7 +101,8 @@
         self._me = me
         self._data_centre = data_centre
         self._data_centres = frozenset(data_centres)
-        self._seeds = frozenset(s for s in seeds if s != me)
+        self._seeds: frozenset[str] = frozenset()
+        self.set_seeds(seeds)
         # Time of the last update of, or mention of, each host.
         self._known: dict[str, float] = {}
         # When each host of these became known.
@@ -113,7 +116,29 @@
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replaces the seed hosts."""
-        self._seeds = frozenset(s for s in seeds if s != self._me)
+        own = addresses.parse(self._me).control
+        self._seeds = frozenset(
+            s for s in seeds if addresses.parse(s).control != own
+        )
+
+    def _list_open_seeds(self) -> set[str]:
+        """Returns the seeds but for those that are known by other ports."""
+        if self._seeds <= self._known.keys():
+            return set(self._seeds)
+        known = {addresses.parse(h).control for h in self._known}
+        return {
+            s
+            for s in self._seeds
+            if s in self._known or addresses.parse(s).control not in known
+        }
+
+    def list_unheard_seeds(self, now_s: float) -> list[str]:
+        """Returns the control addresses of seeds that are not known yet."""
+        return sorted(
+            addresses.parse(s).control
+            for s in self._list_open_seeds()
+            if now_s - self._known.get(s, -math.inf) >= PEER_EXPIRY_S
+        )
 
     def record_update(self, update: datagrams.PeerUpdate, now_s: float) -> None:
         """Records the update of a host."""
@@ -130,12 +155,32 @@
             self._host_data_centres.setdefault(host, data_centre)
         self.add_members((update.host, *update.peers), now_s)
 
-    def add_members(self, hosts: Iterable[str], now_s: float) -> None:
-        """Adds hosts that another source lists, with or without an update."""
+    def add_members(
+        self, hosts: Iterable[str], now_s: float, data_centre: str | None = None
+    ) -> None:
+        """Adds hosts that another source lists, with or without an update.
+
+        Args:
+            hosts: The hosts; this one may be among them.
+            now_s: Monotonic time.
+            data_centre: Their data centre, if that is known.
+        """
         for host in hosts:
-            if host != self._me:
-                self._known[host] = now_s
-                self._known_since.setdefault(host, now_s)
+            if host == self._me:
+                continue
+            self._known[host] = now_s
+            self._known_since.setdefault(host, now_s)
+            if data_centre is not None:
+                self._host_data_centres.setdefault(host, data_centre)
+
+    def list_unknown_data_centres(self) -> list[str]:
+        """Returns the data centres of which no host is known."""
+        known = {self._get_data_centre(h) for h in self._known}
+        return sorted(self._data_centres - known - {self._data_centre})
+
+    def has_heard(self) -> bool:
+        """Returns whether any host has ever sent an update to this one."""
+        return bool(self._peer_statuses)
 
     def list_local(self, now_s: float) -> list[str]:
         """Returns the hosts to send to: those not known to be remote."""
@@ -145,7 +190,7 @@
         self._known_since = {
             h: t for h, t in self._known_since.items() if h in self._known
         }
-        hosts = self._seeds | {
+        hosts = self._list_open_seeds() | {
             h for h, t in self._known.items() if now_s - t < PEER_EXPIRY_S
         }
         return sorted(h for h in hosts if not self._is_remote_host(h))
@@ -291,11 +336,17 @@
         ]
         return helpers.Candidates(sorted(local), sorted(remote))
 
-    def is_known(self, host: str, now_s: float) -> bool:
-        """Returns whether a host is one of the installation's."""
-        known_s = self._known.get(host)
-        return host in self._seeds or (
-            known_s is not None and now_s - known_s < PEER_EXPIRY_S
+    def is_known(self, ip: str, now_s: float) -> bool:
+        """Returns whether an IP is that of one of the installation's hosts.
+
+        A connection's other port says nothing of the host that opened it.
+        """
+        recent = (
+            h for h, t in self._known.items() if now_s - t < PEER_EXPIRY_S
+        )
+        return any(
+            addresses.shorten(h) == ip
+            for h in itertools.chain(self._seeds, recent)
         )
 
     def list_by_freshness(self, now_s: float) -> list[str]:
@@ -305,12 +356,12 @@
         reader, then its other hosts, then remote hosts.
         """
 
-        def rank(host: str) -> tuple[bool, bool, ipaddress.IPv4Address]:
+        def rank(host: str) -> tuple[bool, bool, addresses.HostAddress]:
             status = alive[host]
             return (
                 status.data_centre != self._data_centre,
                 not _is_fresh(status, now_s),
-                datagrams.parse_address(host),
+                addresses.parse(host),
             )
 
         alive = {
@@ -394,13 +445,13 @@
 
     def _precedes(self, hosts: Iterable[str]) -> bool:
         """Returns whether this host's address is the lowest of these."""
-        me = datagrams.parse_address(self._me)
-        return all(me <= datagrams.parse_address(h) for h in hosts)
+        me = addresses.parse(self._me)
+        return all(me <= addresses.parse(h) for h in hosts)
 
     def _count_preceding(self, hosts: Iterable[str]) -> int:
         """Returns how many of these hosts have a lower address."""
-        me = datagrams.parse_address(self._me)
-        return sum(datagrams.parse_address(h) < me for h in hosts)
+        me = addresses.parse(self._me)
+        return sum(addresses.parse(h) < me for h in hosts)
 
 
 def _is_fresh(status: _PeerStatus, now_s: float) -> bool:
--- a/egretspur/membership/sidechannels.py
+++ b/egretspur/membership/sidechannels.py
@@ -21,7 +21,7 @@
 
     @property
     def host(self) -> str:
-        """Address of the sending host."""
+        """The sending host; see `egretspur.addresses`."""
 
     @property
     def data_centre(self) -> str:
@@ -61,14 +61,18 @@
         # speaker to others (True).
         self._left: dict[bool, int] = {}
 
-    def make_datagram(self, is_speaker: bool) -> bytes | None:
-        """Returns the datagram to send now; None if there is none."""
+    def make_update(self, is_speaker: bool) -> U | None:
+        """Returns the update to send now; None if there is none."""
         update = self._kind.make(is_speaker)
         left = self._kind.end_updates
         if update.is_empty():
             left = self._left.get(is_speaker, 0) - 1
         self._left[is_speaker] = left
-        return self._kind.encode(update) if left >= 0 else None
+        return update if left >= 0 else None
+
+    def encode(self, update: U) -> bytes:
+        """Returns the datagram for an update."""
+        return self._kind.encode(update)
 
     def decode(self, data: bytes) -> U | datagrams.InvalidUpdate:
         """Returns the update in a datagram, or why it is refused."""
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -9,7 +9,7 @@
 import attrs
 import orjson
 
-from egretspur import bounds
+from egretspur import addresses, bounds
 from egretspur.platform import names
 
 # For fields that the file omits.
@@ -40,7 +40,7 @@
     listen_ready: str
     # Address for operators: metrics and state dump.
     listen_control: str
-    # Port for peer updates (UDP) and tunnels (TCP), the same on all hosts.
+    # Port for peer updates (UDP) and tunnels (TCP).
     exchange_port: int
     # Addresses of a few hosts to contact first; may be stale.
     seeds: tuple[str, ...]
@@ -56,6 +56,21 @@
     # Memory that the process may use.
     memory_bytes: int
 
+    @property
+    def address(self) -> addresses.HostAddress:
+        """Where this host listens for others."""
+        return addresses.parse_control(
+            f"{self.ip}:{self.listen_control.rpartition(':')[2]}",
+            self.exchange_port,
+        )
+
+    def list_seeds(self) -> list[str]:
+        """Returns the seeds, with this host's own port for peer updates."""
+        return [
+            str(addresses.parse_control(s, self.exchange_port))
+            for s in self.seeds
+        ]
+
 
 class SettingsError(ValueError):
     """The settings file is unreadable, or a field is missing or wrong."""
@@ -101,7 +116,7 @@
     """Decodes the platform's settings."""
     limits = {**_DEFAULT_BOUNDS, **data.get("bounds", {})}
     store = data["platform"]
-    return HostSettings(
+    cfg = HostSettings(
         name=data["node_name"],
         ip=data["ip"],
         data_centre=data["zone"],
@@ -126,3 +141,6 @@
             data.get("limits", {}).get("memory_mb", _DEFAULT_MEMORY_MB) * 1e6
         ),
     )
+    # Raise ValueError if they are malformed.
+    _ = cfg.address, cfg.list_seeds()
+    return cfg
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -13,7 +13,7 @@
 import attrs
 import orjson
 
-from egretspur import checks, codec, decisions, transport
+from egretspur import addresses, checks, codec, decisions, transport
 from egretspur.admission import quarantine
 from egretspur.catalog import (
     config,
@@ -23,7 +23,7 @@
     tables,
     upstreams,
 )
-from egretspur.membership import duty
+from egretspur.membership import duty, lists
 from egretspur.platform import decode, names
 
 T = TypeVar("T")
@@ -492,7 +492,7 @@
         is_held = any(row[:2] == [names.DUTY_TOPIC, 0] for row in rows)
         return duty.JoinReply(is_held, self._generation, read_era(res))
 
-    def list_members(self) -> tuple[str, ...] | feeds.Unavailable:
+    def list_members(self) -> lists.MemberList | feeds.Unavailable:
         """Returns the members that own partitions of the duty topic."""
         res = self._store.get("/egretspur/log-owners", {"group": self._group})
         if isinstance(res, feeds.Unavailable):
@@ -504,7 +504,11 @@
             rows = _read_rows(checks.check_list(data, "owners"), 3)
         except codec.DecodeError as exc:
             return feeds.Unavailable(f"owners: {exc}")
-        return tuple(sorted({str(row[2]) for row in rows if row[2]}))
+        owners = [str(row[2]) for row in rows if _is_host(row[2])]
+        found = tuple(sorted(set(owners)))
+        # Partitions are dealt evenly, so each member has one if any has two.
+        is_dealt = len(owners) == len(rows)
+        return lists.MemberList(found, is_dealt and len(found) < len(rows))
 
     def leave(self) -> None:
         """Gives up the duty; if the call is lost, the membership expires."""
@@ -514,6 +518,20 @@
         )
 
 
+def _is_host(member: Any) -> bool:
+    """Returns whether a member of a group is a host; logs one that is not."""
+    if not member:
+        return False
+    try:
+        addresses.parse(str(member))
+    except ValueError as exc:
+        decisions.record(
+            decisions.EntryLeftOut("owners", str(member), "member", str(exc))
+        )
+        return False
+    return True
+
+
 def _read_rows(rows: Sequence[Any], length: int) -> list[list[Any]]:
     """Returns rows, checked to have a minimum number of fields.
 
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -156,8 +156,10 @@
 
 
 @attrs.frozen
-class SoleHost:
-    """The store lists no other host, and no other source names one."""
+class HostsCounted:
+    """Lists tell how many hosts share the budgets, and no update does."""
+
+    hosts: int
 
 
 @attrs.frozen
@@ -396,8 +398,8 @@
             self._broker.apply_peer_update(update, now_s)
 
     @handle.register
-    def _(self, message: SoleHost) -> None:
-        self._broker.retry_budgets.note_sole(time.monotonic())
+    def _(self, message: HostsCounted) -> None:
+        self._broker.retry_budgets.note_counted(message.hosts, time.monotonic())
 
     @handle.register
     def _(self, message: PeerContention) -> None:
--- a/egretspur/tunnels/dialer.py
+++ b/egretspur/tunnels/dialer.py
@@ -20,7 +20,7 @@
 
 import attrs
 
-from egretspur import decisions, transport
+from egretspur import addresses, decisions, transport
 from egretspur.tunnels import frames, heads, helpers, pending, reach
 
 # Longest wait for a helper's connection. Its own attempt to connect takes less.
@@ -85,7 +85,8 @@
 
         Args:
             ip: This host's address; helpers know it by this.
-            port: TCP port on which all hosts accept tunnels.
+            port: TCP port on which hosts accept tunnels that are known by
+                their IP alone.
             choice: Chooses helpers.
             list_candidates: Returns the hosts that are alive.
             on_change: Receives each new state of this host's links; must not
@@ -370,7 +371,7 @@
         """Asks a host for a connection; returns why there is none, if so."""
         try:
             sock = socket.create_connection(
-                (host, self._port), HELPER_TIMEOUT_S, (self._ip, 0)
+                self._get_endpoint(host), HELPER_TIMEOUT_S, (self._ip, 0)
             )
         except OSError:
             return NoTunnel.UNREACHABLE
@@ -390,6 +391,10 @@
             return NoTunnel.UPSTREAM_DOWN
         return NoTunnel.REFUSED if status else NoTunnel.UNREACHABLE
 
+    def _get_endpoint(self, host: str) -> tuple[str, int]:
+        ip, port = addresses.parse(host).endpoint
+        return ip, port or self._port
+
     def open_through_helper(self, address: str) -> Connection | None:
         """Asks helpers for a connection; None if none of them has one."""
         with self._lock:
--- a/egretspur/tunnels/gate.py
+++ b/egretspur/tunnels/gate.py
@@ -19,7 +19,7 @@
 
     # Returns the ids or names of the listed upstreams by address.
     list_upstreams: Callable[[], Mapping[str, str]]
-    # Returns whether an address is a host's.
+    # Returns whether an IP is that of a host.
     is_known: Callable[[str], bool]
     # Returns whether this host is stopping.
     is_stopping: Callable[[], bool]
--- a/egretspur/tunnels/server.py
+++ b/egretspur/tunnels/server.py
@@ -204,7 +204,7 @@
 
         Args:
             ip: Address to listen on.
-            port: TCP port, the same on all hosts.
+            port: TCP port.
             gate: Decides which tunnels to open.
         """
         self._ip = ip
--- a/egretspur/tunnels/tunnels.py
+++ b/egretspur/tunnels/tunnels.py
@@ -28,7 +28,7 @@
 
         Args:
             ip: This host's address as others know it.
-            port: TCP port of tunnels, the same on all hosts; 0 for none.
+            port: TCP port of tunnels; 0 for none.
             rng: Draws helpers and upstreams to check.
             list_candidates: Returns the hosts that are alive.
             sources: What the gate needs to know.
--- a/tests/daemons/starting.feature
+++ b/tests/daemons/starting.feature
@@ -16,3 +16,12 @@
     When a host starts unheard
     Then no window of a service has more retries than allowed
     And no request reaches more upstreams than allowed
+
+  Scenario: No update passes between any hosts, though the store lists them all
+    # Guards against hosts that have the whole retry budget, or next to none for
+    # good, since they hear nobody.
+    Given a site of 3 hosts, with 36 requests a second and 20 retries allowed
+    When all hosts start unheard
+    Then no window of a service has more retries than allowed
+    And at least a third of the retries that are allowed are sent
+    And each host shares the retry budget with the 2 others
--- a/tests/fakes/partition.py
+++ b/tests/fakes/partition.py
@@ -10,6 +10,7 @@
   partition ends;
 - ``reset``: new connections are refused and open ones reset;
 - ``kept``: new connections are refused, open ones live on;
+- ``mute``: they are not, but no datagram passes to the process or from it;
 - ``opened-silent``, ``opened-reset``, ``opened-kept``: as these, but new
   connections open first, as behind a middlebox that accepts them.
 """
@@ -28,6 +29,9 @@
 import time
 from typing import Any, Final
 
+# How a process is cut off whose datagrams are lost.
+MUTE: Final = "mute"
+
 # Longest delay until an open connection notices a change of the partition.
 POLL_S: Final = 0.02
 
@@ -58,7 +62,13 @@
         with self._lock:
             self._read()
             is_cut = f"{address[0]}:{address[1]}" in self._addresses
-            return self._how if is_cut else ""
+            return self._how if is_cut and self._how != MUTE else ""
+
+    def is_mute(self) -> bool:
+        """Returns whether datagrams are lost."""
+        with self._lock:
+            self._read()
+            return self._how == MUTE
 
     def _read(self) -> None:
         version = os.stat(self._path).st_mtime_ns
@@ -134,6 +144,17 @@
         if self._get_how() != "silent":
             super().sendall(*args)
 
+    def sendto(self, *args: Any) -> int:
+        """Sends a datagram, which may be lost."""
+        return len(args[0]) if self.network.is_mute() else super().sendto(*args)
+
+    def recvfrom(self, *args: Any) -> tuple[bytes, Any]:
+        """Receives a datagram that is not lost."""
+        while True:
+            found = super().recvfrom(*args)
+            if not self.network.is_mute():
+                return found
+
     def _get_how(self) -> str:
         """Returns how this connection is cut off now.
 
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -14,13 +14,16 @@
 import sys
 import threading
 import time
-from typing import Any
+from typing import Any, Final
 
 import orjson
 
 from egretspur import web
 from tests.fakes import base
 
+# Partitions of the duty's topic.
+PARTITIONS: Final = 12
+
 
 class Store:
     """In-memory groups and topics of one partition each."""
@@ -125,8 +128,10 @@
     def list_owners(self, group: str) -> dict[str, Any]:
         """Returns the owner of each partition."""
         with self._changed:
-            names = list(self._members.get(group, {}))
-            rows = [["duty", i, name, 0] for i, name in enumerate(names)]
+            names = list(self._members.get(group, {})) or [""]
+            rows = [
+                ["duty", i, names[i % len(names)], 0] for i in range(PARTITIONS)
+            ]
             return {"generation": 0, "parts": rows}
 
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -394,12 +394,18 @@
 def play_start_unheard(site: sites.Site) -> None:
     """The first host starts again, and no update passes to it or from it."""
     fail(site)
-    shared_port = site.ports["exchange"]
     first = site.hosts[0]
-    site.ports["exchange"], socks = sites.reserve_exchange_port((first,))
-    site.reserved += socks
+    site.mutes.add(first)
     restart_host(site, first)
-    site.ports["exchange"] = shared_port
+    time.sleep(2 * sharing.WINDOW_S)
+
+
+def play_all_unheard(site: sites.Site) -> None:
+    """All hosts start again, and no update passes between any two of them."""
+    site.mutes.update(site.hosts)
+    restart_all(site)
+    time.sleep(sharing.WINDOW_S)
+    fail(site)
     time.sleep(2 * sharing.WINDOW_S)
 
 
@@ -587,6 +593,7 @@
     "all hosts are killed": play_all_killed,
     "hosts are killed in turn": play_killed_in_turn,
     "a host starts unheard": play_start_unheard,
+    "all hosts start unheard": play_all_unheard,
     "all hosts are killed often": play_all_killed_often,
     "all hosts are down for long": play_down_for_long,
     "every second host leaves for long": play_hosts_leave,
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -22,6 +22,7 @@
 import urllib3
 
 from tests import stage
+from tests.fakes import partition
 from tests.steps import platform_steps
 
 LAYERS: Final = 8
@@ -73,6 +74,8 @@
     ports: dict[str, int] = attrs.Factory(dict)
     # The same of hosts that share an address, by host.
     own_ports: dict[str, dict[str, int]] = attrs.Factory(dict)
+    # Hosts that start with a network that loses all datagrams.
+    mutes: set[str] = attrs.Factory(set)
     # Control addresses in the hosts' settings.
     seeds: list[str] = attrs.Factory(list)
     pool: urllib3.PoolManager = attrs.Factory(
@@ -385,7 +388,7 @@
         "bounds": {"grace_s": 7, **site.bounds},
     }
     path.write_text(json.dumps(cfg), "utf-8")
-    site.partition(ip, "")
+    site.partition(ip, partition.MUTE if ip in site.mutes else "")
     popen = subprocess.Popen(
         [
             sys.executable,
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -9,10 +9,10 @@
 
 from behave import given, then, when
 
-from egretspur import errors
+from egretspur import addresses, errors
 from egretspur.catalog import feeds, positions
 from egretspur.delivery import watch
-from egretspur.membership import duty, exchange, hosts
+from egretspur.membership import duty, exchange, hosts, lists
 from egretspur.orders import ranges
 from egretspur.routing import actor as traffics
 from egretspur.routing import (
@@ -57,21 +57,14 @@
         """The store has never come back from a copy."""
         return 0
 
-    def list_members(self) -> tuple[str, ...]:
+    def list_members(self) -> lists.MemberList:
         """Nobody else."""
-        return ()
+        return lists.MemberList((), True)
 
 
 class Peers:
     """Nobody else; see `duty.Peers`."""
 
-    def add_members(self, hosts: tuple[str, ...]) -> None:
-        """Nothing to do."""
-
-    def is_alone(self) -> bool:
-        """Nobody is heard."""
-        return False
-
     def is_candidate(self) -> bool:
         """It may have the duty."""
         return True
@@ -267,10 +260,11 @@
 def make_exchange(context: Any) -> tuple[Any, FailOnce]:
     """Returns an exchange that fails when it first makes its news."""
     make_news = FailOnce(lambda peers: time.sleep(0.01))
+    port = stage.find_udp_port(("127.0.0.1",))
+    address = addresses.parse(f"127.0.0.1:{port}/{port}")
     found = exchange.Exchange(
-        hosts.Peers("127.0.0.1", "kl-hall", ()),
-        "127.0.0.1",
-        stage.find_udp_port(("127.0.0.1",)),
+        hosts.Peers(str(address), "kl-hall", ()),
+        address,
         make_news,
         lambda news: news,
         lambda news, hosts: None,
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -18,7 +18,7 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 
-from egretspur import decisions
+from egretspur import addresses, decisions
 from egretspur.admission import segments
 from egretspur.catalog import feeds, reading, upstreams
 from egretspur.membership import (
@@ -28,6 +28,7 @@
     evidence,
     exchange,
     hosts,
+    lists,
     sidechannels,
 )
 from egretspur.routing import jobs
@@ -179,9 +180,9 @@
         """Answers as told."""
         return self.era
 
-    def list_members(self) -> tuple[str, ...] | feeds.Unavailable:
+    def list_members(self) -> lists.MemberList | feeds.Unavailable:
         """Answers with this host alone."""
-        return ("10.1.0.20",)
+        return lists.MemberList(("10.1.0.20",), True)
 
 
 @attrs.define
@@ -195,13 +196,6 @@
         """Answers as told."""
         return self.may_join
 
-    def is_alone(self) -> bool:
-        """Nobody is heard."""
-        return True
-
-    def add_members(self, hosts: tuple[str, ...]) -> None:
-        """Nothing to do."""
-
     def may_be_deputy(self) -> bool:
         """A host alone is the first."""
         return True
@@ -455,16 +449,15 @@
     patch.start()
     context.add_cleanup(patch.stop)
     context.play = Talkers()
-    ips = tuple(f"127.0.0.{i + 1}" for i in range(5))
-    port = stage.find_udp_port(ips)
-    for ip in ips:
-        place = "kl-hall" if ip == ips[0] else "pg-hall"
+    found = make_addresses([f"127.0.0.{i + 1}" for i in range(5)])
+    for address in found:
+        ip = str(address)
+        place = "kl-hall" if address is found[0] else "pg-hall"
         heard: dict[str, datagrams.PeerUpdate] = {}
         context.play.heard[ip] = heard
         item = exchange.Exchange(
-            hosts.Peers(ip, place, ips),
-            ip,
-            port,
+            hosts.Peers(ip, place, map(str, found)),
+            address,
             make_sender(ip, place),
             lambda news: news,
             make_taker(heard),
@@ -500,12 +493,12 @@
 def step_knows_crash(context: Any) -> None:
     crash = segments.PublishedCrash("start", "req", ("m/s",), True, 0.9, 0.5)
     context.told = segments.Update((crash,), {"m/t": 0.25})
-    context.play.known["127.0.0.1"] = context.told
+    context.play.known[next(iter(context.play.heard))] = context.told
 
 
 @then("all four of pg-hall learn of it")
 def step_learn(context: Any) -> None:
-    others = [f"127.0.0.{i}" for i in range(2, 6)]
+    others = list(context.play.heard)[1:]
     stage.wait_until(
         lambda: all(ip in context.play.learned for ip in others),
         10.0,
@@ -539,12 +532,13 @@
 @then("the host of kl-hall sends to one of pg-hall")
 def step_tells(context: Any) -> None:
     first = context.play.exchanges[0]
-    assert first._peers.list_remote(time.monotonic()) == ["127.0.0.2"]
+    second = list(context.play.heard)[1]
+    assert first._peers.list_remote(time.monotonic()) == [second]
 
 
 @then("all four keep receiving its updates")
 def step_passed_on(context: Any) -> None:
-    first = "127.0.0.1"
+    first = next(iter(context.play.heard))
     others = [h for ip, h in context.play.heard.items() if ip != first]
     for heard in others:
         heard.clear()
@@ -577,15 +571,19 @@
 @given("three hosts on this machine of which two know only the first")
 def step_three(context: Any) -> None:
     context.play = Talkers()
-    port = stage.find_udp_port(IPS)
-    for ip in IPS:
+    start_three(context, make_addresses(IPS))
+
+
+def start_three(context: Any, found: Sequence[addresses.HostAddress]) -> None:
+    """Starts hosts of which each knows the first."""
+    for address in found:
+        ip = str(address)
         heard: dict[str, datagrams.PeerUpdate] = {}
         context.play.heard[ip] = heard
         context.play.exchanges.append(
             exchange.Exchange(
-                hosts.Peers(ip, "kl-hall", [IPS[0]]),
-                ip,
-                port,
+                hosts.Peers(ip, "kl-hall", [str(found[0])]),
+                address,
                 make_sender(ip),
                 lambda news: news,
                 make_taker(heard),
@@ -595,6 +593,12 @@
         item.start()
 
 
+def make_addresses(ips: Sequence[str]) -> list[addresses.HostAddress]:
+    """Returns hosts on this machine, with ports that are the same for all."""
+    port = stage.find_udp_port(ips)
+    return [addresses.parse(f"{ip}:{port}/{port}") for ip in ips]
+
+
 def make_sender(ip: str, place: str = "kl-hall") -> Any:
     """Returns what makes a host's news."""
 
@@ -668,13 +672,12 @@
 def step_taker(context: Any) -> None:
     context.play = Talkers()
     context.goes = []
-    port = stage.find_udp_port([IPS[0]])
-    context.port = port
+    (address,) = make_addresses(IPS[:1])
+    context.port = address.exchange_port
     taker = exchange.Exchange(
-        hosts.Peers(IPS[0], "kl-hall", []),
-        IPS[0],
-        port,
-        make_sender(IPS[0]),
+        hosts.Peers(str(address), "kl-hall", []),
+        address,
+        make_sender(str(address)),
         lambda news: news,
         lambda news, hosts: context.goes.append([n.host for n in news]),
     )
@@ -798,26 +801,27 @@
 
 @given("one host, which {knows}")
 def step_knows(context: Any, knows: str) -> None:
-    seeds = IPS[1:2] if knows == "has another seed" else IPS[:1]
+    (address,) = make_addresses(IPS[:1])
+    seeds = IPS[1:2] if knows == "has another seed" else (str(address),)
     places = ["kl-hall"]
     if knows == "knows that there is another data centre":
         places.append("pg-hall")
-    peers = hosts.Peers(IPS[0], "kl-hall", seeds, data_centres=places)
+    peers = hosts.Peers(str(address), "kl-hall", seeds, data_centres=places)
     if knows == "has been told of another":
         peers.record_update(make_news(IPS[1]), 0.0)
     context.sole = 0
 
-    def count() -> None:
+    def count(hosts_sharing: int) -> None:
+        assert hosts_sharing == 1, hosts_sharing
         context.sole += 1
 
     context.exchange = exchange.Exchange(
         peers,
-        IPS[0],
-        stage.find_udp_port([IPS[0]]),
-        make_sender(IPS[0]),
+        address,
+        make_sender(str(address)),
         lambda news: news,
         lambda news, hosts: None,
-        handle_sole=count,
+        handle_counted=count,
     )
 
 
@@ -828,7 +832,8 @@
         "itself and another": IPS[:2],
         "another": IPS[1:2],
     }
-    context.exchange.add_members(tuple(listed[members]))
+    context.exchange.add_members(listed[members])
+    context.exchange.note_lists_read()
     context.exchange.close()
 
 
