--- a/egretspur/admission/reactions.py
+++ b/egretspur/admission/reactions.py
@@ -10,7 +10,7 @@
 import collections
 import enum
 import statistics
-from collections.abc import Collection, Container
+from collections.abc import Collection, Container, Sequence
 from typing import Final
 
 import attrs
@@ -20,6 +20,9 @@
 MEMORY_S: Final = 10.0
 MAX_KEPT: Final = 16
 
+# The newest answers, by which a service that turns slow is known soon.
+NEWEST_ANSWERS: Final = 8
+
 # How many times as long as this side waited an upstream may take that did not
 # answer until then.
 UNANSWERED_FACTOR: Final = 2.0
@@ -59,7 +62,8 @@
     count: int
     # Seconds of the slowest one; 0 if there is none.
     slowest_s: float
-    # Median seconds of the answers; None if there is none.
+    # Median seconds of the answers, of the newest ones if that is more; None
+    # if there is none.
     usual_s: float | None
 
 
@@ -101,11 +105,13 @@
             for r in self._list_recent(i, now_s)
             if r.kind is not Kind.GIVEN_UP
         ]
-        answers = [r.seconds for r in seen if r.kind is Kind.ANSWERED]
+        answers = sorted(
+            (r for r in seen if r.kind is Kind.ANSWERED), key=lambda r: r.at_s
+        )
         return Summary(
             len(seen),
             max((r.seconds for r in seen), default=0.0),
-            statistics.median_high(answers) if answers else None,
+            _find_usual_s(answers) if answers else None,
         )
 
     def remove_unlisted(self, listed: Container[str]) -> None:
@@ -123,3 +129,16 @@
         while kept and now_s - kept[0].at_s >= MEMORY_S:
             kept.popleft()
         return kept
+
+
+def _find_usual_s(answers: Sequence[_Reaction]) -> float:
+    """Returns the median seconds of answers: all of them, or the newest.
+
+    The larger one counts, so that a retry is handed time enough as soon as
+    answers take longer than before.
+    """
+    seconds = [r.seconds for r in answers]
+    return max(
+        statistics.median_high(seconds),
+        statistics.median_high(seconds[-NEWEST_ANSWERS:]),
+    )
--- a/tests/routing/timeouts.feature
+++ b/tests/routing/timeouts.feature
@@ -51,6 +51,15 @@
     When a retry is due whose caller waits for 2.5 s
     Then the upstream is handed 1.5 s
 
+  Scenario: Answers take longer than before
+    # Guards against an upstream that ends sound retries for as long as faster
+    # answers from before outnumber the newer ones.
+    Given an upstream that lately answered within 0.05 s
+    And 12 answers within 0.05 s since
+    And 6 answers within 0.3 s since
+    When a retry is due whose caller waits for 2.5 s
+    Then the upstream is handed 0.9 s
+
   Scenario: An upstream that has not answered yet
     Given an upstream that lately answered within 0.05 s
     And a request that it has not answered for 1.3 s
