--- a/egretspur/admission/arrivals.py
+++ b/egretspur/admission/arrivals.py
@@ -233,12 +233,22 @@
                 sending.settle(read_by_s)
         upstream.drop_read()
 
-    def get_slowest_s(self, upstream_id: str, now_s: float) -> float:
+    def get_slowest_s(
+        self,
+        upstream_id: str,
+        now_s: float,
+        memory_s: float = reactions.MEMORY_S,
+    ) -> float:
         """Returns how long an upstream lately took, or takes, to answer.
 
         It reads what it is sent no later than that, as far as is known.
+
+        Args:
+            upstream_id: The upstream.
+            now_s: Monotonic time.
+            memory_s: Seconds for which what it took counts.
         """
-        slowest_s = self.reactions.get_slowest_s(upstream_id, now_s)
+        slowest_s = self.reactions.get_slowest_s(upstream_id, now_s, memory_s)
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
             return slowest_s
--- a/egretspur/admission/reactions.py
+++ b/egretspur/admission/reactions.py
@@ -90,10 +90,16 @@
         )
         kept.append(_Reaction(now_s, seconds, kind))
 
-    def get_slowest_s(self, upstream_id: str, now_s: float) -> float:
+    def get_slowest_s(
+        self, upstream_id: str, now_s: float, memory_s: float = MEMORY_S
+    ) -> float:
         """Returns the longest that an upstream took; 0 if none is known."""
         return max(
-            (r.longest_s for r in self._list_recent(upstream_id, now_s)),
+            (
+                r.longest_s
+                for r in self._list_recent(upstream_id, now_s)
+                if now_s - r.at_s < memory_s
+            ),
             default=0.0,
         )
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -49,6 +49,7 @@
     lists,
     seeds,
     sidechannels,
+    slowness,
 )
 from egretspur.orders import ranges
 from egretspur.platform import (
@@ -483,6 +484,13 @@
                 self._make_evidence,
                 self._handle_evidence,
             ),
+            sidechannels.Kind(
+                slowness.PREFIX,
+                slowness.encode,
+                slowness.decode,
+                self._make_slowness,
+                self._handle_slowness,
+            ),
         )
 
     def _make_contention(self, is_speaker: bool) -> contention.ContentionUpdate:
@@ -499,6 +507,20 @@
     ) -> None:
         self._desk.tell(desk.PeerContention(tuple(updates)))
 
+    def _make_slowness(self, is_speaker: bool) -> slowness.SlownessUpdate:
+        """Returns which replicas this host or its data centre finds slow."""
+        update: slowness.SlownessUpdate = self._desk.query(
+            lambda state: news.make_slowness(
+                state, self._host, is_speaker, time.monotonic()
+            )
+        )
+        return update
+
+    def _handle_slowness(
+        self, updates: Sequence[slowness.SlownessUpdate]
+    ) -> None:
+        self._desk.tell(desk.PeerSlowness(tuple(updates)))
+
     def _make_evidence(self, is_speaker: bool) -> evidence.EvidenceUpdate:
         """Returns what this host knows of prompt segments."""
         found: segments.Update = self._desk.query(
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -14,7 +14,7 @@
 import attrs
 
 from egretspur.catalog import reading
-from egretspur.membership import contention, datagrams
+from egretspur.membership import contention, datagrams, slowness
 from egretspur.routing import broker, fleet
 
 # Layers that an engine reported after an order are published to other hosts
@@ -140,3 +140,15 @@
         else state.contention.make_update
     )
     return make(host, state.fleet.data_centre, now_s)
+
+
+def make_slowness(
+    state: broker.Broker, host: str, is_speaker: bool, now_s: float
+) -> slowness.SlownessUpdate:
+    """Returns a host's update on slow replicas; see `make_contention`."""
+    replicas = state.fleet.replicas.list_known()
+    return slowness.SlownessUpdate(
+        host,
+        state.fleet.data_centre,
+        state.timeouts.list_slow(replicas, is_speaker, now_s),
+    )
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -75,7 +75,9 @@
         self._budgets = budgets
         self.arrivals = budgets.arrivals
         self.unread = unread.UnreadRequests(state, budgets)
-        self.timeouts = timeouts.RetryTimeouts(budgets.arrivals)
+        self.timeouts = timeouts.RetryTimeouts(
+            budgets.arrivals, state.data_centre
+        )
 
     def start(
         self,
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -103,6 +103,7 @@
             self.retry_budgets.arrivals,
             self._attempts.timeouts,
         )
+        self.timeouts = self._attempts.timeouts
         self.contention = contention.Contention(
             load, self.refusals.promises, self.turns, self.queue
         )
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -18,7 +18,7 @@
 from egretspur import actors, decisions, errors, signals
 from egretspur.admission import quarantine, segments
 from egretspur.catalog import config, feeds, upstreams
-from egretspur.membership import contention
+from egretspur.membership import contention, slowness
 from egretspur.routing import broker, fleet, jobs, questions, unproductive
 from egretspur.tunnels import reach
 
@@ -169,6 +169,13 @@
     updates: tuple[contention.ContentionUpdate, ...]
 
 
+@attrs.frozen
+class PeerSlowness:
+    """Plain replicas that other hosts find slow, oldest first."""
+
+    updates: tuple[slowness.SlownessUpdate, ...]
+
+
 @attrs.frozen
 class PeerEvidence:
     """What other hosts know of prompt segments, oldest first."""
@@ -407,6 +414,14 @@
         for update in message.updates:
             self._broker.contention.apply_peer_update(update, now_s)
 
+    @handle.register
+    def _(self, message: PeerSlowness) -> None:
+        now_s = time.monotonic()
+        for update in message.updates:
+            self._broker.timeouts.apply_peer_update(
+                update.host, update.data_centre, update.slowest_s, now_s
+            )
+
     @handle.register
     def _(self, message: PeerEvidence) -> None:
         now_s = time.monotonic()
--- a/egretspur/routing/replicas.py
+++ b/egretspur/routing/replicas.py
@@ -224,6 +224,10 @@
             f" {replica.paused_calls} calls",
         )
 
+    def list_known(self) -> list[str]:
+        """Returns the replicas that were usable at some choice."""
+        return list(self._replicas)
+
     def is_failing(self, upstream_id: str) -> bool:
         """Tells whether more than one request in a row failed there."""
         return self._get(upstream_id).failures > 1
--- a/egretspur/routing/timeouts.py
+++ b/egretspur/routing/timeouts.py
@@ -12,10 +12,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import Final
 
 from egretspur.admission import arrivals, reactions
+from egretspur.routing import peer_table
 
 # How much longer than its caller waits an upstream may work on a retry that it
 # reads as late as it may have read others.
@@ -31,17 +32,79 @@
 MIN_REACTIONS: Final = 12
 UNKNOWN_PART: Final = 0.125
 
+# How long it is told to other hosts that an upstream was slow. Many hosts see
+# more of it than one, so one that reads again is believed sooner.
+PUBLISHED_S: Final = 2.5
+
+# How long what another host found counts: three updates, two of which may be
+# lost.
+PEER_TTL_S: Final = 0.9
+
 
 class RetryTimeouts:
     """Bounds the time that upstreams are handed for retries."""
 
-    def __init__(self, sent: arrivals.Arrivals) -> None:
+    def __init__(self, sent: arrivals.Arrivals, data_centre: str) -> None:
         """Makes it.
 
         Args:
             sent: Tells how slowly upstreams answer.
+            data_centre: Of this host.
         """
         self._arrivals = sent
+        self._peers: peer_table.PeerTable[Mapping[str, float]] = (
+            peer_table.PeerTable(data_centre, PEER_TTL_S)
+        )
+
+    def apply_peer_update(
+        self,
+        host: str,
+        data_centre: str,
+        slowest_s: Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """Stores which upstreams another host, or data centre, finds slow.
+
+        Args:
+            host: Host that sent it.
+            data_centre: Data centre of that host.
+            slowest_s: Seconds by upstream.
+            now_s: Monotonic time.
+        """
+        self._peers.replace(host, data_centre, slowest_s, now_s)
+
+    def list_slow(
+        self, upstream_ids: Collection[str], is_speaker: bool, now_s: float
+    ) -> dict[str, float]:
+        """Returns the slow ones of some upstreams, for other hosts.
+
+        Args:
+            upstream_ids: The upstreams.
+            is_speaker: Whether to include what hosts of this data centre sent.
+            now_s: Monotonic time.
+        """
+        found = {
+            i: self._arrivals.get_slowest_s(i, now_s, PUBLISHED_S)
+            for i in upstream_ids
+        }
+        if is_speaker:
+            for report in self._peers.list_current(now_s):
+                if not report.is_local:
+                    continue
+                for i, slowest_s in report.value.items():
+                    found[i] = max(found.get(i, 0.0), slowest_s)
+        return {i: s for i, s in found.items() if s > MAX_EXCESS_S}
+
+    def _get_slowest_s(self, upstream_id: str, now_s: float) -> float:
+        """Returns how long an upstream lately took, as any host knows."""
+        return max(
+            self._arrivals.get_slowest_s(upstream_id, now_s),
+            *(
+                r.value.get(upstream_id, 0.0)
+                for r in self._peers.list_current(now_s)
+            ),
+            0.0,
+        )
 
     def summarize(
         self, service: Collection[str], now_s: float
@@ -68,7 +131,7 @@
             None if it might work on the retry for too long.
         """
         slowest_s = max(
-            service.slowest_s, self._arrivals.get_slowest_s(upstream_id, now_s)
+            service.slowest_s, self._get_slowest_s(upstream_id, now_s)
         )
         is_known = service.count >= MIN_REACTIONS
         if is_known and slowest_s <= MAX_EXCESS_S:
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -188,6 +188,25 @@
       | ["segments", "10.0.0.1", "kl-hall", {"answered": {"s": "x"}}]    | answered    |
       | ["segments", "10.0.0.1", "kl-hall", {"answered": {"s": 1e999}}]  | bytes       |
 
+  Scenario Outline: News of slow replicas from any sender
+    When the datagram <data> of slow replicas is read
+    Then it is refused for its "<field>"
+
+    Examples:
+      | data                                   | field       |
+      | ["slow", "10.0.0.1", "kl-hall"]        | slow        |
+      | ["slow", "x", "kl-hall", {}]           | host        |
+      | ["slow", "10.0.0.1", 5, {}]            | data_centre |
+      | ["slow", "10.0.0.1", "kl-hall", []]    | slow        |
+      | ["slow", "10.0.0.1", "kl-hall", {"i-1": -1}]    | slow  |
+      | ["slow", "10.0.0.1", "kl-hall", {"i-1": "x"}]   | slow  |
+      | ["slow", "10.0.0.1", "kl-hall", {"i-1": 1e999}] | bytes |
+
+  Scenario: News of slow replicas, as many as fit into a packet
+    Given a host that finds 40 replicas slow
+    When its news of them is read
+    Then it names the 32 slowest
+
   Scenario: Datagrams that arrive together
     # Guards against a host that spends most of its time on waking up, at 78
     # hosts.
--- a/tests/routing/late.py
+++ b/tests/routing/late.py
@@ -19,6 +19,7 @@
 
 from egretspur import ends
 from egretspur.admission import repeats
+from egretspur.daemons import news
 from egretspur.routing import broker, jobs, questions
 from tests import fleets, retry_oracle, timeline
 from tests.admission import sharing
@@ -136,11 +137,15 @@
             self._apply(host, host.state.tick(self.now_s))
             own = host.state.retry_budgets
             spent, is_new = own.list_spent(self.now_s), own.is_new(self.now_s)
+            slow = news.make_slowness(host.state, host.ip, False, self.now_s)
             for other in self.hosts:
                 if other is not host:
                     other.state.retry_budgets.apply_peer_update(
                         host.ip, "kl-hall", spent, self.now_s, is_new
                     )
+                    other.state.timeouts.apply_peer_update(
+                        host.ip, "kl-hall", slow.slowest_s, self.now_s
+                    )
 
     def _arrive(self, name: str, host: Host) -> None:
         self.sent[name] = self.now_s
--- a/tests/routing/timeouts.feature
+++ b/tests/routing/timeouts.feature
@@ -60,6 +60,24 @@
     When a retry is due whose caller waits for 2.5 s
     Then the upstream is handed 0.9 s
 
+  Scenario Outline: Another host, of <place>, found it slow <age> s ago
+    # Guards against hosts that each send retries to an upstream that reads late
+    # until each has seen that itself.
+    Given an upstream that lately answered within 0.05 s
+    And 12 answers within 0.05 s since
+    And another host of <place> that finds it slow, <slow> s, <age> s ago
+    When a retry is due whose caller waits for 1 s
+    Then the upstream is handed <handed> s
+    And the slow ones that it tells its data centre are none
+    And the slow ones that it tells other data centres are <told>
+
+    Examples:
+      | place   | slow | age | handed | told     |
+      | kl-hall | 2    | 0.5 | no     | that one |
+      | pg-hall | 2    | 0.5 | no     | none     |
+      | kl-hall | 0.9 | 0.5 | 0.15   | that one |
+      | kl-hall | 2    | 1   | 1      | none     |
+
   Scenario: An upstream that has not answered yet
     Given an upstream that lately answered within 0.05 s
     And a request that it has not answered for 1.3 s
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -30,6 +30,7 @@
     hosts,
     lists,
     sidechannels,
+    slowness,
 )
 from egretspur.routing import jobs
 from tests import stage
@@ -510,6 +511,29 @@
         assert found.data_centre == "kl-hall", found
 
 
+@when("the datagram {data} of slow replicas is read")
+def step_read_slow(context: Any, data: str) -> None:
+    assert data.encode().startswith(slowness.PREFIX)
+    context.read = slowness.decode(data.encode())
+
+
+@given("a host that finds {count:d} replicas slow")
+def step_finds_slow(context: Any, count: int) -> None:
+    context.slow = {f"i-{n}": float(n) for n in range(1, 1 + count)}
+
+
+@when("its news of them is read")
+def step_slow_read(context: Any) -> None:
+    news = slowness.SlownessUpdate("10.0.0.1", "kl-hall", context.slow)
+    context.read = slowness.decode(slowness.encode(news))
+
+
+@then("it names the {count:d} slowest")
+def step_names_slowest(context: Any, count: int) -> None:
+    slowest = dict(sorted(context.slow.items(), key=lambda i: -i[1])[:count])
+    assert context.read.slowest_s == slowest, context.read
+
+
 @when("the datagram {data} of evidence is read")
 def step_read_evidence(context: Any, data: str) -> None:
     assert data.encode().startswith(evidence.PREFIX)
--- a/tests/steps/timeouts_steps.py
+++ b/tests/steps/timeouts_steps.py
@@ -72,9 +72,27 @@
         answer(context, seconds)
 
 
+@given("another host of {place} that finds it slow, {slow:g} s, {age:g} s ago")
+def step_found_slow(context: Any, place: str, slow: float, age: float) -> None:
+    context.timeouts = timeouts.RetryTimeouts(context.sent, "kl-hall")
+    context.timeouts.apply_peer_update(
+        "10.1.0.2", place, {UPSTREAM: slow}, context.now_s - age
+    )
+
+
+@then("the slow ones that it tells {whom} are {what}")
+def step_tells_slow(context: Any, whom: str, what: str) -> None:
+    slow = context.timeouts.list_slow(
+        [UPSTREAM], whom == "other data centres", context.now_s
+    )
+    assert bool(slow) == (what == "that one"), slow
+
+
 @when("a retry is due whose caller waits for {left_s:g} s")
 def step_due(context: Any, left_s: float) -> None:
-    found = timeouts.RetryTimeouts(context.sent)
+    found = getattr(context, "timeouts", None) or timeouts.RetryTimeouts(
+        context.sent, "kl-hall"
+    )
     service = found.summarize([UPSTREAM, *context.others], context.now_s)
     context.handed_s = found.compute_s(UPSTREAM, service, left_s, context.now_s)
 
