--- a/tests/daemons/soak.feature
+++ b/tests/daemons/soak.feature
@@ -46,6 +46,11 @@
     When a site of 2 hosts is soaked for 12 s with seed 7
     Then no fault is found, and answers of each kind arrived
 
+  Scenario: Three hosts under faults, at one address
+    # Guards against the same where hosts are told apart by their ports alone.
+    When a site of 3 hosts at one address is soaked for 12 s with seed 51
+    Then no fault is found, and answers of each kind arrived
+
   Scenario: Two hosts under faults, and a store that is replaced by copies
     When a site of 2 hosts is soaked for 12 s with seed 3, and copies of the store
     Then no fault is found, and answers of each kind arrived
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -558,6 +558,7 @@
     hosts: int,
     has_fatal: bool = False,
     extras: Collection[str] = (),
+    shares_address: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Runs a soak; returns its record and the violations.
 
@@ -567,8 +568,9 @@
         hosts: Number of hosts.
         has_fatal: Whether to send a request that crashes engines.
         extras: Names of more faults, of `EXTRAS`.
+        shares_address: Whether hosts are told apart by their ports alone.
     """
-    site = sites.start_site(hosts)
+    site = sites.start_site(hosts, shares_address=shares_address)
     site.keeps_settings = seed % 2 == 1
     if "stalls" in extras:
         # Three hold each layer, so that a request may reach a third one.
@@ -625,6 +627,11 @@
     parser.add_argument(
         "--fatal", action="store_true", help="send a request that ends engines"
     )
+    parser.add_argument(
+        "--one-address",
+        action="store_true",
+        help="hosts are told apart by their ports alone",
+    )
     for name, extra in EXTRAS.items():
         parser.add_argument(f"--{name}", action="store_true", help=extra.help)
     args = parser.parse_args(argv)
@@ -634,6 +641,7 @@
         args.hosts,
         args.fatal,
         [name for name in EXTRAS if getattr(args, name)],
+        args.one_address,
     )
     for finding in found:
         print(json.dumps({"finding": finding}))
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -48,6 +48,18 @@
     context.soak, context.found = soak.run(seed, seconds, hosts)
 
 
+@when(
+    "a site of {hosts:d} hosts at one address is soaked for {seconds:d} s with"
+    " seed {seed:d}"
+)
+def step_soaked_address(
+    context: Any, hosts: int, seconds: int, seed: int
+) -> None:
+    context.soak, context.found = soak.run(
+        seed, seconds, hosts, shares_address=True
+    )
+
+
 @then("no fault is found, and answers of each kind arrived")
 def step_nothing(context: Any) -> None:
     assert not context.found, context.found
