--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -9,7 +9,7 @@
 import attrs
 import orjson
 
-from egretspur import addresses, bounds
+from egretspur import addresses, bounds, decisions
 from egretspur.platform import names
 
 # For fields that the file omits.
@@ -65,11 +65,21 @@
         )
 
     def list_seeds(self) -> list[str]:
-        """Returns the seeds, with this host's own port for peer updates."""
-        return [
-            str(addresses.parse_control(s, self.exchange_port))
-            for s in self.seeds
-        ]
+        """Returns the seeds, with this host's own port for peer updates.
+
+        A malformed one is left out and logged: others may be sound.
+        """
+        found = []
+        for seed in self.seeds:
+            try:
+                host = addresses.parse_control(seed, self.exchange_port)
+            except ValueError as exc:
+                decisions.record(
+                    decisions.EntryLeftOut("settings", seed, "seeds", str(exc))
+                )
+                continue
+            found.append(str(host))
+        return found
 
 
 class SettingsError(ValueError):
@@ -141,6 +151,6 @@
             data.get("limits", {}).get("memory_mb", _DEFAULT_MEMORY_MB) * 1e6
         ),
     )
-    # Raise ValueError if they are malformed.
-    _ = cfg.address, cfg.list_seeds()
+    # Raises ValueError if it is malformed.
+    _ = cfg.address
     return cfg
--- a/tests/membership/addresses.feature
+++ b/tests/membership/addresses.feature
@@ -11,6 +11,15 @@
       | the ports of updates   |
       | the port of pages      |
 
+  Scenario: Settings with a seed that can't be read
+    # Guards against a host that doesn't start since one of its seeds is malformed.
+    Given settings whose seeds are "localhost:1", "10.0.0.7" and "10.0.0.8:9"
+    Then the host knows the seed "10.0.0.8:7340/9" alone
+
+  Scenario: Settings with an IP that can't be read
+    Given settings whose IP is "localhost"
+    Then the host refuses them
+
   Scenario Outline: A host that is named as <text>
     Given a host "10.1.0.4:7340/8229"
     Then <text> is <host> to it
--- a/tests/steps/addresses_steps.py
+++ b/tests/steps/addresses_steps.py
@@ -58,6 +58,33 @@
     assert peers.count_budget_sharers() == 3
 
 
+@given('settings whose seeds are "{one}", "{other}" and "{third}"')
+def step_seeds(context: Any, one: str, other: str, third: str) -> None:
+    context.settings = {
+        **platform_steps.SETTINGS,
+        "seeds": [one, other, third],
+    }
+
+
+@then('the host knows the seed "{seed}" alone')
+def step_seed(context: Any, seed: str) -> None:
+    assert node.decode_settings(context.settings).list_seeds() == [seed]
+
+
+@given('settings whose IP is "{ip}"')
+def step_ip(context: Any, ip: str) -> None:
+    context.settings = {**platform_steps.SETTINGS, "ip": ip}
+
+
+@then("the host refuses them")
+def step_refused(context: Any) -> None:
+    try:
+        node.decode_settings(context.settings)
+    except ValueError:
+        return
+    raise AssertionError("accepted")
+
+
 @given('a host "{host}"')
 def step_host(context: Any, host: str) -> None:
     context.address = addresses.parse(host)
