--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -168,7 +168,6 @@
             self._aggregate,
             self._handle_updates,
             self._make_kinds(),
-            self._handle_counted,
         )
         self._pages_client = transport.Transport(0.3, 1.0)
         self._seed_finder = seeds.SeedFinder(self._exchange, self._fetch_page)
@@ -198,7 +197,7 @@
             self._saver.queue_changes,
         )
         member_lists = lists.MemberLists(
-            groups, cfg.data_centre, self._exchange
+            groups, cfg.data_centre, self._exchange, self._handle_counted
         )
         self._duty = duty.Duty(
             group, self._exchange, read_lists=member_lists.read
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -39,10 +39,6 @@
 # learned who does. Time for two datagrams, one of which may be lost.
 STARTUP_WAIT_S: Final = 0.6
 
-# Time after which the store's lists tell of all hosts that reach it: longer
-# than a membership, and than the time between two joins.
-LISTED_AFTER_S: Final = 5.0
-
 # Seconds to wait after a datagram for others to arrive; a fifth of the period
 # between two datagrams of one host.
 BATCH_WAIT_S: Final = 0.05
@@ -72,7 +68,6 @@
         aggregate: Callable[[datagrams.PeerUpdate], datagrams.PeerUpdate],
         handle_updates: Callable[[Sequence[datagrams.PeerUpdate], int], None],
         kinds: Sequence[sidechannels.Kind[Any]] = (),
-        handle_counted: Callable[[int], None] = lambda hosts: None,
     ) -> None:
         """Makes an exchange.
 
@@ -85,8 +80,6 @@
             handle_updates: Receives the updates of others, oldest first, and
                 the number of hosts that share a retry budget.
             kinds: Updates that are exchanged besides.
-            handle_counted: Receives the number of hosts that share a retry
-                budget where no update tells of them, but lists do.
         """
         self._address = address
         self._host = str(address)
@@ -95,11 +88,6 @@
         self._make_update = make_update
         self._aggregate = aggregate
         self._handle_updates = handle_updates
-        self._handle_counted = handle_counted
-        # Since when lists tell of the other hosts, and no update does; and how
-        # many there are by them, as logged last.
-        self._listed_s: float | None = None
-        self._counted = 0
         self._channels = [sidechannels.SideChannel(k) for k in kinds]
         self._lock = threading.Lock()
         self._peers = peers
@@ -147,28 +135,15 @@
         with self._lock:
             self._peers.add_members(found, time.monotonic(), data_centre)
 
-    def note_lists_read(self) -> None:
-        """Receives that the store's lists are complete, and no host was heard.
+    def count_sharing(self) -> int:
+        """Returns how many hosts share the retry budget, with this one."""
+        with self._lock:
+            return self._peers.count_budget_sharers()
 
-        The hosts may be cut off from each other, and each alone would serve
-        its callers with next to no retries for as long as that lasts. What the
-        lists name in time for an expired member to be dropped, and a new one
-        to join, is taken for all.
-        """
-        now_s = time.monotonic()
-        if self._listed_s is None:
-            self._listed_s = now_s
+    def is_sole(self) -> bool:
+        """Returns whether no source has named any other host."""
         with self._lock:
-            is_sole = self._peers.is_sole()
-            hosts = self._peers.count_budget_sharers()
-        if is_sole or now_s - self._listed_s >= LISTED_AFTER_S:
-            self._assume_hosts(hosts)
-
-    def _assume_hosts(self, hosts: int) -> None:
-        if hosts != self._counted:
-            self._counted = hosts
-            decisions.record(decisions.HostsAssumed(hosts))
-        self._handle_counted(hosts)
+            return self._peers.is_sole()
 
     def has_heard(self) -> bool:
         """Returns whether any host has ever sent an update to this one."""
--- a/tests/steps/addresses_steps.py
+++ b/tests/steps/addresses_steps.py
@@ -213,7 +213,6 @@
         membership_steps.make_sender(ME),
         lambda news: news,
         lambda news, sharing: None,
-        handle_counted=context.counted.append,
     )
 
 
@@ -228,7 +227,11 @@
         for place, members in (("kl-hall", own), ("pg-hall", other))
     }
     found = lists.MemberLists(
-        groups, "kl-hall", context.exchange, lambda: now_s
+        groups,
+        "kl-hall",
+        context.exchange,
+        context.counted.append,
+        lambda: now_s,
     )
     with mock.patch("time.monotonic", lambda: now_s):
         while now_s <= 100.0 + seconds:
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -167,6 +167,7 @@
     joins: int = 0
     leaves: int = 0
     era: int = 0
+    members: lists.MemberList = lists.MemberList(("10.1.0.20",), True)
 
     def join(self, ttl_s: float) -> duty.JoinReply | feeds.Unavailable:
         """Answers."""
@@ -182,8 +183,8 @@
         return self.era
 
     def list_members(self) -> lists.MemberList | feeds.Unavailable:
-        """Answers with this host alone."""
-        return lists.MemberList(("10.1.0.20",), True)
+        """Answers as told."""
+        return self.members
 
 
 @attrs.define
@@ -845,7 +846,11 @@
         make_sender(str(address)),
         lambda news: news,
         lambda news, hosts: None,
-        handle_counted=count,
+    )
+    context.group = Group(duty.JoinReply(True, 1))
+    groups = {"kl-hall": context.group}
+    context.lists = lists.MemberLists(
+        groups, "kl-hall", context.exchange, count
     )
 
 
@@ -856,8 +861,8 @@
         "itself and another": IPS[:2],
         "another": IPS[1:2],
     }
-    context.exchange.add_members(listed[members])
-    context.exchange.note_lists_read()
+    context.group.members = lists.MemberList(tuple(listed[members]), True)
+    context.lists.read(1)
     context.exchange.close()
 
 
