Make updates of hosts and plays of tests in one place each

Contention and slowness updates were made by two copies of one function of the host; a datagram that goes to hosts of older builds alone was encoded in the newer form as well; four set-ups of a play in tests began and ended alike.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -15,8 +15,8 @@
 import sys
 import threading
 import time
-from collections.abc import Mapping, Sequence
-from typing import Any, Final
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Final, TypeVar
 
 from egretspur import (
     addresses,
@@ -63,6 +63,8 @@
 from egretspur.routing import broker, choice, desk, fleet, probes
 from egretspur.tunnels import gate, reach, tunnels
 
+T = TypeVar("T")
+
 # Limit on concurrent requests; each occupies a thread, started on demand.
 MAX_REQUESTS: Final = 600
 
@@ -472,7 +474,7 @@
                 contention.PREFIX,
                 contention.encode,
                 contention.decode,
-                self._make_contention,
+                self._make_update_of(news.make_contention),
                 self._handle_contention,
                 contention.END_UPDATES,
             ),
@@ -487,34 +489,31 @@
                 slowness.PREFIX,
                 slowness.encode,
                 slowness.decode,
-                self._make_slowness,
+                self._make_update_of(news.make_slowness),
                 self._handle_slowness,
             ),
         )
 
-    def _make_contention(self, is_speaker: bool) -> contention.ContentionUpdate:
-        """Returns the contention update of this host or its data centre."""
-        update: contention.ContentionUpdate = self._desk.query(
-            lambda state: news.make_contention(
-                state, self._host, is_speaker, time.monotonic()
+    def _make_update_of(
+        self, make: Callable[[broker.Broker, str, bool, float], T]
+    ) -> Callable[[bool], T]:
+        """Returns what makes updates of this host, or its data centre."""
+
+        def make_update(is_speaker: bool) -> T:
+            update: T = self._desk.query(
+                lambda state: make(
+                    state, self._host, is_speaker, time.monotonic()
+                )
             )
-        )
-        return update
+            return update
+
+        return make_update
 
     def _handle_contention(
         self, updates: Sequence[contention.ContentionUpdate]
     ) -> None:
         self._desk.tell(desk.PeerContention(tuple(updates)))
 
-    def _make_slowness(self, is_speaker: bool) -> slowness.SlownessUpdate:
-        """Returns which replicas this host or its data centre finds slow."""
-        update: slowness.SlownessUpdate = self._desk.query(
-            lambda state: news.make_slowness(
-                state, self._host, is_speaker, time.monotonic()
-            )
-        )
-        return update
-
     def _handle_slowness(
         self, updates: Sequence[slowness.SlownessUpdate]
     ) -> None:
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -277,7 +277,8 @@
         """
         older = self._older.intersection(hosts)
         newer = [h for h in hosts if h not in older]
-        self._send_to(newer, data or encode(update))
+        if newer:
+            self._send_to(newer, data or encode(update))
         if older:
             short = datagrams.map_hosts(update, addresses.shorten)
             self._send_to(older, encode(short))
--- a/tests/steps/retrying_steps.py
+++ b/tests/steps/retrying_steps.py
@@ -12,13 +12,18 @@
 UPSTREAMS: Final = 4
 
 
+def start(context: Any, *args: Any, **options: Any) -> None:
+    """Starts a site as `retrying.start` does, closed with the scenario."""
+    context.retrying = retrying.start(*args, **options)
+    context.add_cleanup(context.retrying.close)
+
+
 @given(
     "a site of {hosts:d} hosts, with {per_s:d} requests a second and"
     " {allowance:d} retries allowed"
 )
 def step_site(context: Any, hosts: int, per_s: int, allowance: int) -> None:
-    context.retrying = retrying.start(hosts, UPSTREAMS, per_s, allowance)
-    context.add_cleanup(context.retrying.close)
+    start(context, hosts, UPSTREAMS, per_s, allowance)
 
 
 @given(
@@ -28,14 +33,14 @@
 def step_single_engines(
     context: Any, hosts: int, engines: int, per_s: int, allowance: int
 ) -> None:
-    context.retrying = retrying.start(
+    start(
+        context,
         hosts,
         engines,
         per_s,
         allowance,
         engine_mb=retrying.SINGLE_ENGINE_MB,
     )
-    context.add_cleanup(context.retrying.close)
 
 
 @given(
@@ -45,7 +50,8 @@
 def step_few_replicas(
     context: Any, hosts: int, replicas: int, per_s: int, allowance: int
 ) -> None:
-    context.retrying = retrying.start(
+    start(
+        context,
         hosts,
         UPSTREAMS,
         per_s,
@@ -53,7 +59,6 @@
         max_attempts=sites.MAX_ATTEMPTS,
         replicas=replicas,
     )
-    context.add_cleanup(context.retrying.close)
 
 
 @given("hosts that start again with the settings of their first start")
@@ -105,7 +110,8 @@
 def step_one_address(
     context: Any, hosts: int, places: str, per_s: int, allowance: int
 ) -> None:
-    context.retrying = retrying.start(
+    start(
+        context,
         hosts,
         UPSTREAMS,
         per_s,
@@ -113,7 +119,6 @@
         far=2 if places == "three data centres" else 0,
         shares_address=True,
     )
-    context.add_cleanup(context.retrying.close)
 
 
 @then("at least a third of the retries that are allowed are sent")
