--- a/tests/routing/probing.feature
+++ b/tests/routing/probing.feature
@@ -18,6 +18,15 @@
     And all engines answer again
     Then the host uses all engines within 1.7 s
 
+  Scenario: Dead engines answer again while other upstreams fail
+    # Guards against engines that stay unused because the probes of upstreams
+    # that fail now take all that a host sends.
+    Given a host with 8 engines
+    When all engines die for 10 s
+    And all engines answer again
+    And 3 plain replicas lose a connection every 0.1 s and answer each probe
+    Then the host uses all engines within 1.7 s
+
   Scenario: Engines die while others are full
     # Guards against a late repair: probes that find an engine dead must not
     # wait for those of engines that are merely full.
--- a/tests/steps/probing_steps.py
+++ b/tests/steps/probing_steps.py
@@ -57,6 +57,7 @@
     context.now_s = 100.0
     context.host = Host("10.0.0.1")
     context.engines = [f"e{i}" for i in range(count)]
+    context.flaky = []
 
 
 @when(
@@ -199,9 +200,20 @@
     context.began_s = context.now_s
 
 
+@when(
+    "{count:d} plain replicas lose a connection every 0.1 s and answer each"
+    " probe"
+)
+def step_flaky(context: Any, count: int) -> None:
+    context.flaky = [f"s{i}" for i in range(count)]
+
+
 @then("the host uses all engines within {seconds:g} s")
 def step_uses_all(context: Any, seconds: float) -> None:
-    for now_s in list_times(seconds, context.began_s):
-        context.host.tick(context.engines, lambda name: True, now_s)
+    listed = context.engines + context.flaky
+    for i, now_s in enumerate(list_times(seconds, context.began_s)):
+        for name in context.flaky if i % 2 == 0 else ():
+            context.host.state.record_fault(name, now_s)
+        context.host.tick(listed, lambda name: True, now_s)
     down = [i for i in context.engines if context.host.state.is_down(i)]
     assert not down, len(down)
