Probe dead upstreams also while others fail

Callers: streams were refused with 'no capacity' for up to 50 s after engines that had stood still ran again, while plain replicas reset requests. Cause: a host sends four routine probes a second at most, those of dead upstreams among them, and urgent probes counted. Each reset answer makes one, eleven a second in the median, so dead engines were asked only in the two of fifty seconds with fewer than four resets. Class: a limit shared with work that is never held back starves all that is. Change: urgent probes neither wait for the limit nor count towards it.

--- a/egretspur/routing/probing.py
+++ b/egretspur/routing/probing.py
@@ -1,8 +1,9 @@
 """Which health and pace probes a host sends, and when: pure.
 
 Probes that are likely to find an upstream dead or back are sent at once. All
-others share a limit: with hundreds of dead or full engines, control calls took
-a tenth of a host's processor time. Read next: `egretspur.routing.sharing`.
+others share a limit of their own: with hundreds of dead or full engines,
+control calls took a tenth of a host's processor time. Read next:
+`egretspur.routing.sharing`.
 """
 
 from __future__ import annotations
@@ -12,8 +13,9 @@
 
 from egretspur.routing import health, paces, sharing
 
-# Most probes in any second; urgent ones count, but are not held back.
-MAX_PROBES_PER_S: Final = 4
+# Most probes in any second that are not urgent. Urgent ones don't count: they
+# may go on for as long as some upstream fails, and would hold all others back.
+MAX_ROUTINE_PROBES_PER_S: Final = 4
 
 
 class ProbeSchedule:
@@ -32,8 +34,8 @@
         self._health = state
         self._paces = speeds
         self._shares = sharing.CheckShares(host)
-        # Times of the probes within the last second.
-        self._sent_s: list[float] = []
+        # Times of the routine probes within the last second.
+        self._routine_s: list[float] = []
 
     def apply_peer_suspects(
         self, host: str, suspects: Collection[str], now_s: float
@@ -59,7 +61,7 @@
             now_s: Monotonic time.
         """
         self._shares.remove_silent(now_s)
-        self._sent_s = [t for t in self._sent_s if now_s - t < 1.0]
+        self._routine_s = [t for t in self._routine_s if now_s - t < 1.0]
         return [
             *self._take_health_probes(listed, try_acquire, now_s),
             *self._take_pace_probes(listed, try_acquire, now_s),
@@ -82,7 +84,8 @@
                 self._health.postpone_probe(upstream_id, now_s)
             elif try_acquire(upstream_id, now_s):
                 self._health.record_probe_start(upstream_id)
-                self._sent_s.append(now_s)
+                if upstream_id not in urgent:
+                    self._routine_s.append(now_s)
                 taken.append(upstream_id)
         return taken
 
@@ -104,12 +107,12 @@
                 and try_acquire(upstream_id, now_s)
             ):
                 self._paces.record_probe_start(upstream_id, now_s)
-                self._sent_s.append(now_s)
+                self._routine_s.append(now_s)
                 taken.append(upstream_id)
         return taken
 
     def _is_limit_reached(self) -> bool:
-        return len(self._sent_s) >= MAX_PROBES_PER_S
+        return len(self._routine_s) >= MAX_ROUTINE_PROBES_PER_S
 
     def _is_left_to_peers(self, upstream_id: str, now_s: float) -> bool:
         return self._health.may_rely_on_peers(
