Failing test: begun answers that may not be retried count as waiting for capacity

A begun answer that waits for the retry budget is told to other hosts as one that waits for capacity, before all new requests.

--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -5,7 +5,8 @@
 
 Faults: ``events`` (number per stream), ``pause_s`` (interval between them),
 ``cut_after`` (number of events after which a stream is cut off),
-``break_after`` (number of events after which each stream is broken off),
+``break_after`` and ``break_share`` (number of events after which streams are
+broken off, and the share of the streams that are, at random),
 ``stall_s`` (after it has broken one off, it accepts connections and answers
 nothing on any of them for this time, as a process that stands still),
 ``resumed_status`` (status of a resumed stream), ``status`` (of a plain
@@ -83,6 +84,7 @@
             "pause_s": 0.02,
             "cut_after": -1,
             "break_after": -1,
+            "break_share": 1.0,
             "stall_s": 0.0,
             "resumed_status": 200,
             "status": 200,
@@ -220,10 +222,11 @@
             end_with_connection(write)
         sent = 0
         has_halted = False
+        is_broken = random.random() < faults["break_share"]
         try:
             for number in range(self._after + 1, faults["events"] + 1):
                 self._replica.wait_stalled()
-                if sent == faults["break_after"]:
+                if is_broken and sent == faults["break_after"]:
                     self._replica.break_off(write)
                 if sent == faults["cut_after"]:
                     faults["cut_after"] = -1
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -557,6 +557,9 @@
         play_faults, reset_share=RESET_SHARE, turn_s=TURN_PERIOD_S
     ),
     "upstreams read nothing in waves": play_read_in_waves,
+    "upstreams break streams off": functools.partial(
+        play_faults, break_after=4, break_share=RESET_SHARE
+    ),
     "upstreams refuse most requests": functools.partial(
         play_faults, refuse_share=RESET_SHARE
     ),
--- a/tests/routing/begun.feature
+++ b/tests/routing/begun.feature
@@ -23,6 +23,21 @@
     When its attempt is cut by the upstream
     Then a new request starts at once
 
+  Scenario Outline: What other hosts are told of a begun answer, with <trouble>
+    # Guards against new requests at other hosts that wait for capacity which
+    # an answer that may not be retried doesn't use.
+    Given an answer that has begun, with <trouble>
+    When its attempt is cut by the upstream
+    And 1 s go by while the trouble lasts
+    Then other hosts are told of <count> waiting requests
+    And <count> requests count in the expected wait of a new one
+
+    Examples:
+      | trouble                  | count |
+      | no retries left          | 0     |
+      | no engine for its layers | 1     |
+      | too little memory for it | 1     |
+
   Scenario: A begun answer that finds no room does not hold smaller ones up
     # Guards against a queue that stands still for seconds behind an answer that
     # waits for more memory, or for one engine.
--- a/tests/steps/begun_broker_steps.py
+++ b/tests/steps/begun_broker_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from egretspur import ends, errors
+from egretspur.admission import queue as queues
 from egretspur.admission import repeats
 from egretspur.catalog import feeds, upstreams
 from egretspur.routing import jobs
@@ -106,6 +107,21 @@
     assert NAME not in context.refused
 
 
+@then("other hosts are told of {count:d} waiting requests")
+def step_told(context: Any, count: int) -> None:
+    update = context.broker.contention.make_update("h", "dc", context.now_s)
+    told = sum(sum(row.values()) for row in update.waiting.values())
+    assert told == count, update.waiting
+
+
+@then("{count:d} requests count in the expected wait of a new one")
+def step_expected(context: Any, count: int) -> None:
+    waiting = context.broker.queue
+    waiting.intervals_s["llm"] = 1.0
+    item = queues.Waiting("new", "w", "llm", 0, context.now_s, math.inf)
+    assert queues.estimate_wait(waiting, item) == count
+
+
 @when("its attempt is cut by the upstream")
 def step_cut(context: Any) -> None:
     context.started.pop(NAME)
