Count a begun answer as waiting for capacity only where it needs some

Callers: streams were refused with 503, 'no capacity in time' and 'expected wait 0.4 s', while engines were idle and other answers were broken off. Cause: a begun answer that waits for the retry budget, or to learn who ended its attempts, stood in the queue like one that found no engine, and before all others; hosts told each other so, and new requests yielded to it. Class: one list for waits of different kinds. Change: what an answer found missing when it was last tried stands in its entry; those that don't need capacity are told to nobody and count in no expected wait.

--- a/egretspur/admission/queue.py
+++ b/egretspur/admission/queue.py
@@ -40,6 +40,9 @@
     # Its caller has a part of the answer: it goes first, is never evicted and
     # expires only at its deadline.
     is_begun: bool = False
+    # It could use free capacity. A begun answer that waits for the retry
+    # budget can't, and others need not leave any to it.
+    needs_capacity: bool = True
 
 
 @attrs.define
@@ -107,6 +110,8 @@
     for other in queue.waiting.values():
         if other.graph != item.graph or other.id == item.id:
             continue
+        if not other.needs_capacity:
+            continue
         if other.priority > item.priority:
             higher += 1
         elif other.priority < item.priority:
--- a/egretspur/admission/turns.py
+++ b/egretspur/admission/turns.py
@@ -117,10 +117,11 @@
     def list_waiting(
         items: Iterable[queues.Waiting],
     ) -> dict[str, dict[int, int]]:
-        """Returns the number of queued requests by service and priority."""
+        """Returns how many wait for capacity, by service and priority."""
         counts: dict[str, dict[int, int]] = {}
         for item in items:
-            _add(counts, {item.graph: {_get_priority(item): 1}})
+            if item.needs_capacity:
+                _add(counts, {item.graph: {_get_priority(item): 1}})
         return counts
 
     def sum_local(self, own: Counts, now_s: float) -> dict[str, dict[int, int]]:
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -534,7 +534,8 @@
     ) -> list[jobs.Effect]:
         job = ticket.job
         if ticket.is_begun:
-            self.queue.waiting[item.id] = item
+            # The attempt to start it has shown what it waits for.
+            self.queue.waiting[item.id] = waiting.make_item(ticket, now_s)
             return []
         if opening is not None:
             turn_s = opening.estimate_wait_s(self.refusals.count_waiting(job))
@@ -663,11 +664,14 @@
         if service is None or now_s < ticket.resume_from_s:
             return None
         if ticket.is_begun and self._is_undecided(ticket, now_s):
+            ticket.needs_capacity = False
             return None
         target = self._targets.choose(ticket, service, now_s)
+        ticket.needs_capacity = True
         if target is None:
             return None
         if ticket.is_begun and not self._attempts.take_retry(ticket, now_s):
+            ticket.needs_capacity = False
             ticket.postpone(retries.BUDGET_DELAY_S, now_s)
             return None
         attempt = tickets.Attempt(target.entry.id, target.parts, now_s)
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -84,6 +84,9 @@
     verdict_by_s: float = 0.0
     # Whether the log has a line on the empty budget for its next attempt.
     is_shortage_noted: bool = False
+    # Whether it needs capacity when it waits, or something else: the retry
+    # budget, or to learn who ended its attempts.
+    needs_capacity: bool = True
 
     def list_sent_to(self) -> list[str]:
         """Returns each upstream that it was written to, oldest first."""
--- a/egretspur/routing/waiting.py
+++ b/egretspur/routing/waiting.py
@@ -46,6 +46,7 @@
         job.arrived_s,
         min(due_s, job.deadline_s),
         ticket.is_begun,
+        ticket.needs_capacity,
     )
 
 
@@ -157,6 +158,7 @@
                 ticket = self._tickets[item.id]
                 start = self._try_start(ticket, now_s)
                 if start is None:
+                    self._update_item(ticket, now_s)
                     # Upstreams that refused this one may take others, and a
                     # begun answer may need more memory or a certain engine.
                     is_alone = item.is_begun or ticket.is_held_back(now_s)
@@ -166,6 +168,11 @@
                 starts.append(start)
         return starts
 
+    def _update_item(self, ticket: tickets.Ticket, now_s: float) -> None:
+        """Records in the queue what a begun answer waits for now."""
+        if ticket.is_begun:
+            self._queue.waiting[ticket.job.id] = make_item(ticket, now_s)
+
     def _list_candidates(
         self, stuck: Container[str], now_s: float
     ) -> tuple[list[queues.Waiting], set[str]]:
