Split the list's cached views and the explanation of missing paths off fleet.py

Behaviour the same. The groups and the checksum of the upstream list are in catalog/views.py, why no path was found in routing/missing.py; the three kinds of datagrams beside the peer update share their form, in membership/tagged.py (each encoded and decoded its head before).

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -11,6 +11,7 @@
 import functools
 import logging
 import re
+from collections.abc import Iterable
 from typing import Any, Final
 
 import attrs
@@ -647,3 +648,8 @@
     fields = describe(decision)
     fields[ROUTINE_KEY] = isinstance(decision, ROUTINE)
     LOGGER.info(fields[EVENT_KEY].replace("_", " "), extra=fields)
+
+
+def limit_ids(ids: Iterable[str]) -> tuple[str, ...]:
+    """Returns the first ids, as many as a log line may name."""
+    return tuple(sorted(ids)[:MAX_NAMED])
--- a/egretspur/membership/contention.py
+++ b/egretspur/membership/contention.py
@@ -2,8 +2,7 @@
 
 Hosts share what they need to know of each other while capacity is scarce: load
 of the links between data centres, waiting requests, and callers told to return.
-It travels apart from the peer update (`egretspur.membership.sidechannels`). It
-may come from any sender: a field of the wrong type is refused with the reason.
+It has the form of `egretspur.membership.tagged`.
 """
 
 from __future__ import annotations
@@ -13,18 +12,17 @@
 from typing import Any, Final
 
 import attrs
-import orjson
 
-from egretspur import checks, codec
+from egretspur import checks
 from egretspur.admission import turns
-from egretspur.membership import datagrams
+from egretspur.membership import datagrams, tagged
 from egretspur.routing import links, promises
 
 # First element of the list, which tells it from a peer update.
 TAG: Final = "contention"
 
 # How the datagram of an update begins.
-PREFIX: Final = f'["{TAG}"'.encode()
+PREFIX: Final = tagged.make_prefix(TAG)
 
 # Empty updates sent after the last one with content; see `sidechannels.Kind`.
 END_UPDATES: Final = 2
@@ -78,69 +76,47 @@
     update: ContentionUpdate, links_limit: int, services_limit: int
 ) -> bytes:
     busiest = sorted(update.links.items(), key=lambda i: -i[1])[:links_limit]
-    return orjson.dumps(
-        [
-            TAG,
-            update.host,
-            update.data_centre,
-            {
-                "links": {
-                    _SEPARATOR.join(link): round(seconds, 3)
-                    for link, seconds in busiest
-                },
-                "waiting": {
-                    service: [
-                        (p, min(n, MAX_REQUESTS))
-                        for p, n in sorted(counts.items())[:MAX_PRIORITIES]
-                    ]
-                    for service, counts in _limit(
-                        update.waiting, services_limit
-                    )
-                },
-                "returns": {
-                    service: [
-                        min(n, promises.MAX_COUNT)
-                        for n in counts[:MAX_RETURN_SLOTS]
-                    ]
-                    for service, counts in _limit(
-                        update.returns, services_limit
-                    )
-                },
-            },
-        ]
-    )
+    fields = {
+        "links": {
+            _SEPARATOR.join(link): round(seconds, 3)
+            for link, seconds in busiest
+        },
+        "waiting": {
+            service: [
+                (p, min(n, MAX_REQUESTS))
+                for p, n in sorted(counts.items())[:MAX_PRIORITIES]
+            ]
+            for service, counts in _limit(update.waiting, services_limit)
+        },
+        "returns": {
+            service: [
+                min(n, promises.MAX_COUNT) for n in counts[:MAX_RETURN_SLOTS]
+            ]
+            for service, counts in _limit(update.returns, services_limit)
+        },
+    }
+    return tagged.encode(TAG, update.host, update.data_centre, fields)
 
 
 def decode(data: bytes) -> ContentionUpdate | datagrams.InvalidUpdate:
-    """Returns the update in a datagram, or why it is refused.
-
-    Unknown fields are ignored, and a missing one means that there is nothing to
-    report: newer builds may send others.
-    """
-    try:
-        tag, host, data_centre, fields = checks.check_row(
-            codec.load_json(data), "contention", 4
-        )
-        if tag != TAG:
-            raise checks.FieldError("contention", f"begins with {tag!r:.40}")
-        table = checks.Table(fields, "contention")
-        return ContentionUpdate(
-            datagrams.check_host(host),
-            checks.check_text(data_centre, "data_centre"),
-            dict(_decode_link(k, v) for k, v in _get_items(table, "links")),
-            {
-                checks.check_text(k, "waiting"): _decode_waiting(v)
-                for k, v in _get_items(table, "waiting")
-            },
-            {
-                checks.check_text(k, "returns"): _decode_returns(v)
-                for k, v in _get_items(table, "returns")
-            },
-        )
-    except checks.FieldError as exc:
-        return datagrams.InvalidUpdate(exc.field, str(exc))
-    except codec.DecodeError as exc:
-        return datagrams.InvalidUpdate("bytes", str(exc))
+    """Returns the update in a datagram, or why it is refused."""
+    return tagged.decode(data, TAG, _read)
+
+
+def _read(host: str, data_centre: str, table: checks.Table) -> ContentionUpdate:
+    return ContentionUpdate(
+        host,
+        data_centre,
+        dict(_decode_link(k, v) for k, v in _get_items(table, "links")),
+        {
+            checks.check_text(k, "waiting"): _decode_waiting(v)
+            for k, v in _get_items(table, "waiting")
+        },
+        {
+            checks.check_text(k, "returns"): _decode_returns(v)
+            for k, v in _get_items(table, "returns")
+        },
+    )
 
 
 def _limit(table: Mapping[str, Any], most: int) -> list[tuple[str, Any]]:
--- a/egretspur/membership/evidence.py
+++ b/egretspur/membership/evidence.py
@@ -1,8 +1,7 @@
 """Encoding of what a host knows of prompt segments as a datagram.
 
-It travels apart from the peer update (`egretspur.membership.sidechannels`), and
-only while upstreams crash. It may come from any sender: a field of the wrong
-type is refused with the reason. Read next: `egretspur.admission.segments`.
+It is sent only while upstreams crash, in the form of
+`egretspur.membership.tagged`. Read next: `egretspur.admission.segments`.
 """
 
 from __future__ import annotations
@@ -10,17 +9,16 @@
 from typing import Any, Final
 
 import attrs
-import orjson
 
-from egretspur import checks, codec
+from egretspur import checks
 from egretspur.admission import segments
-from egretspur.membership import datagrams
+from egretspur.membership import datagrams, tagged
 
 # First element of the list, which tells it from a peer update.
 TAG: Final = "segments"
 
 # How the datagram of an update begins.
-PREFIX: Final = f'["{TAG}"'.encode()
+PREFIX: Final = tagged.make_prefix(TAG)
 
 # Longest texts that are accepted: ids of segments with their model, and others.
 MAX_SEGMENT_CHARS: Final = 200
@@ -44,68 +42,49 @@
 def encode(update: EvidenceUpdate) -> bytes:
     """Returns the datagram for an update."""
     found = update.evidence
-    return orjson.dumps(
+    crashes = [
         [
-            TAG,
-            update.host,
-            update.data_centre,
-            {
-                "crashes": [
-                    [
-                        c.start,
-                        c.request,
-                        list(c.segments),
-                        c.has_head,
-                        c.sent_age_s,
-                        c.cut_age_s,
-                    ]
-                    for c in found.crashes
-                ],
-                "answered": dict(found.answered),
-            },
+            c.start,
+            c.request,
+            list(c.segments),
+            c.has_head,
+            c.sent_age_s,
+            c.cut_age_s,
         ]
-    )
+        for c in found.crashes
+    ]
+    fields = {"crashes": crashes, "answered": dict(found.answered)}
+    return tagged.encode(TAG, update.host, update.data_centre, fields)
 
 
 def decode(data: bytes) -> EvidenceUpdate | datagrams.InvalidUpdate:
-    """Returns the update in a datagram, or why it is refused.
-
-    Unknown fields are ignored, and a missing one means that there is nothing to
-    report: newer builds may send others.
-    """
-    try:
-        tag, host, data_centre, fields = checks.check_row(
-            codec.load_json(data), TAG, 4
-        )
-        if tag != TAG:
-            raise checks.FieldError(TAG, f"begins with {tag!r:.40}")
-        table = checks.Table(fields, TAG)
-        rows = table.get("crashes") if table.has("crashes") else []
-        answered = (
-            table.get_table("answered").items() if table.has("answered") else ()
-        )
-        return EvidenceUpdate(
-            datagrams.check_host(host),
-            checks.check_text(data_centre, "data_centre"),
-            segments.Update(
-                tuple(
-                    _decode_crash(r)
-                    for r in checks.check_list(rows, "crashes")[
-                        : segments.MAX_PUBLISHED
-                    ]
-                ),
-                {
-                    _check_text(
-                        s, "answered", MAX_SEGMENT_CHARS
-                    ): checks.check_number(age_s, "answered")
-                    for s, age_s in answered
-                },
+    """Returns the update in a datagram, or why it is refused."""
+    return tagged.decode(data, TAG, _read)
+
+
+def _read(host: str, data_centre: str, table: checks.Table) -> EvidenceUpdate:
+    rows = table.get("crashes") if table.has("crashes") else []
+    answered = (
+        table.get_table("answered").items() if table.has("answered") else ()
+    )
+    return EvidenceUpdate(
+        host,
+        data_centre,
+        segments.Update(
+            tuple(
+                _decode_crash(r)
+                for r in checks.check_list(rows, "crashes")[
+                    : segments.MAX_PUBLISHED
+                ]
             ),
-        )
-    except checks.FieldError as exc:
-        return datagrams.InvalidUpdate(exc.field, str(exc))
-    except codec.DecodeError as exc:
-        return datagrams.InvalidUpdate("bytes", str(exc))
+            {
+                _check_text(
+                    s, "answered", MAX_SEGMENT_CHARS
+                ): checks.check_number(age_s, "answered")
+                for s, age_s in answered
+            },
+        ),
+    )
 
 
 def _decode_crash(row: Any) -> segments.PublishedCrash:
--- a/egretspur/routing/fleet.py
+++ b/egretspur/routing/fleet.py
@@ -10,15 +10,14 @@
 
 import contextlib
 import random
-import zlib
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Any, Final
+from typing import Final
 
 import attrs
 
 from egretspur import decisions
 from egretspur.admission import quarantine, room, shared, throttle
-from egretspur.catalog import config, upstreams
+from egretspur.catalog import config, upstreams, views
 from egretspur.routing import (
     backpressure,
     cards,
@@ -111,13 +110,8 @@
         )
         self._probes = probing.ProbeSchedule(self.health, self.paces, host)
         self.layer_changes = moves.LayerChanges(self.roster)
-        # Upstreams by service and data centre, cached until the list changes:
-        # each path search needs them.
-        self._grouped: dict[str, dict[str, list[upstreams.Upstream]]] = {}
-        self._grouped_at = -1
-        # Checksum of the upstream list, and what it was computed from.
-        self._digest = 0
-        self._digest_of: tuple[Any, ...] = ()
+        self._groups = views.Groups(self.roster)
+        self._digest = views.Digest()
         # Suspects at the last call of `check_new_suspects`.
         self._suspects: set[str] = set()
         # Peer updates and probe results applied; each may reveal free memory.
@@ -308,7 +302,9 @@
         entry = self.roster.entries.get(upstream_id)
         if entry is None or not entry.accelerator:
             return
-        near = self._group_by_data_centre(entry.service)[entry.data_centre]
+        near = self._groups.list_by_data_centre(entry.service)[
+            entry.data_centre
+        ]
         ejection_s = self.health.record_error(
             upstream_id, [e.id for e in near], now_s
         )
@@ -364,7 +360,7 @@
         two hundred upstreams would otherwise write forty thousand lines.
         """
         if len(entries) > decisions.MAX_NAMED:
-            names = _limit_ids([e.id for e in entries])
+            names = decisions.limit_ids([e.id for e in entries])
             self.log_events.append(
                 decisions.UpstreamsListed(len(entries), names)
             )
@@ -474,36 +470,8 @@
         return [listed[i] for i in due]
 
     def compute_digest(self) -> int:
-        """Returns a checksum of the upstream list.
-
-        It covers the listed layers rather than those that engines reported
-        since: reports expire, and then all hosts must agree on the list.
-        """
-        roster = self.roster
-        # Four updates a second need it, and the list changes rarely.
-        source = (
-            roster.revision,
-            dict(roster.listed_layers),
-            set(roster.unreadable),
-        )
-        if source != self._digest_of:
-            self._digest = self._compute_digest(roster)
-            self._digest_of = source
-        return self._digest
-
-    @staticmethod
-    def _compute_digest(roster: upstreams.Roster) -> int:
-        rows = []
-        for entry in roster.entries.values():
-            layers = upstreams.get_listed_layers(roster, entry.id)
-            held = f"{layers.first}-{layers.last}" if layers else "none"
-            if entry.id in roster.unreadable:
-                # A host that read the whole list again has no such entry.
-                continue
-            rows.append(
-                f"{entry.id} {entry.address} {entry.is_draining} {held}"
-            )
-        return zlib.crc32("\n".join(sorted(rows)).encode())
+        """Returns a checksum of the upstream list."""
+        return self._digest.compute(self.roster)
 
     def remove_unlisted(self) -> None:
         """Drops the state of upstreams that are no longer listed."""
@@ -532,7 +500,7 @@
             believes_peers: Whether to leave out those that only other hosts
                 suspect.
         """
-        by_data_centre = self._group_by_data_centre(service)
+        by_data_centre = self._groups.list_by_data_centre(service)
 
         def read(data_centre: str) -> list[paths.Candidate]:
             unusable = self.health.list_unusable(now_s, believes_peers)
@@ -549,71 +517,6 @@
 
         return cards.Candidates(by_data_centre, read)
 
-    def _group_by_data_centre(
-        self, service: str
-    ) -> Mapping[str, Sequence[upstreams.Upstream]]:
-        """Returns a service's upstreams by data centre, sorted by its name."""
-        if self._grouped_at != self.roster.revision:
-            self._grouped_at = self.roster.revision
-            self._grouped.clear()
-        groups = self._grouped.get(service)
-        if groups is None:
-            groups = {}
-            for entry in self.roster.entries.values():
-                if entry.service == service:
-                    groups.setdefault(entry.data_centre, []).append(entry)
-            self._grouped[service] = dict(sorted(groups.items()))
-        return self._grouped[service]
-
-    def explain_missing(
-        self,
-        spec: config.EngineSpec,
-        job: jobs.Job,
-        candidates: Sequence[paths.Candidate],
-        now_s: float,
-    ) -> decisions.PathMissing:
-        """Returns why no path was found for a request.
-
-        Args:
-            spec: Of the request's service.
-            job: The request.
-            candidates: Candidates of the last path search.
-            now_s: Monotonic time.
-        """
-        held = [(c.first, c.last) for c in candidates]
-        entries = [
-            e for e in self.roster.entries.values() if e.service == job.service
-        ]
-        full = [
-            c.id for c in candidates if c.free < (c.last - c.first) * job.tokens
-        ]
-        paused = [
-            e.id
-            for e in entries
-            if self.health.is_paused(e.id, now_s)
-            or self.health.is_backing_off(e.id, now_s)
-        ]
-        down = [
-            e.id
-            for e in entries
-            if self.health.is_down(e.id)
-            or self.health.is_suspected(e.id, now_s)
-        ]
-        leaving = [e.id for e in entries if self.backpressure.is_leaving(e)]
-        limited = [e.id for e in entries if e.id in self.throttle.limited]
-        return decisions.PathMissing(
-            request=job.id,
-            layers=" ".join(
-                f"{a}-{b}" for a, b in paths.find_gaps(held, spec.layers)
-            ),
-            full=_limit_ids(full),
-            paused=_limit_ids(paused),
-            down=_limit_ids(down),
-            leaving=_limit_ids(leaving),
-            limited=_limit_ids(limited),
-            cut_off=tuple(sorted(self.list_cut_off(now_s))),
-        )
-
     def list_too_slow(
         self, service: config.Service, max_pass_s: float, now_s: float
     ) -> set[str]:
@@ -662,8 +565,3 @@
             size = room.compute_capacity(spec, entry) * room.USABLE_FRACTION
             free = min(free, candidate.free / size if size else 0.0)
         return step_s, free
-
-
-def _limit_ids(ids: Sequence[str]) -> tuple[str, ...]:
-    """Returns the first ids, as many as a log line may name."""
-    return tuple(sorted(ids)[: decisions.MAX_NAMED])
--- a/egretspur/routing/search.py
+++ b/egretspur/routing/search.py
@@ -16,7 +16,7 @@
 
 from egretspur import decisions, mechanisms
 from egretspur.catalog import config
-from egretspur.routing import cards, choice, fleet, jobs, links, paths
+from egretspur.routing import cards, choice, fleet, jobs, links, missing, paths
 
 # After a search found no path, requests of the same or a larger size are not
 # searched for again for this long, unless this host learns of a change. While
@@ -177,7 +177,7 @@
     ) -> decisions.PathMissing:
         """Returns why no path was found for a request."""
         candidates = self.list_candidates(job, spec, now_s).list_all()
-        return self._fleet.explain_missing(spec, job, candidates, now_s)
+        return missing.explain(self._fleet, spec, job, candidates, now_s)
 
     def find_reroute(
         self,
