Search for streams that are refused once engines run again

A state machine over the model of late replicas: the product's brokers with their probes, engines that stand still, replicas that reset or refuse, hosts that are killed.

--- a/tests/routing/late.py
+++ b/tests/routing/late.py
@@ -19,6 +19,7 @@
 
 from egretspur import ends
 from egretspur.admission import repeats
+from egretspur.catalog import upstreams
 from egretspur.daemons import news
 from egretspur.routing import broker, jobs, questions
 from tests import fleets, retry_oracle, timeline
@@ -111,10 +112,13 @@
         state = broker.Broker("kl-hall", options, random.Random(seed), host=ip)
         state.configure(fleets.make_config(), self.now_s)
         state.set_host_count(HOSTS)
-        entries = {i: fleets.make_upstream(i) for i in self.replicas}
-        state.replace_upstreams(entries, self.now_s)
+        state.replace_upstreams(self._make_entries(), self.now_s)
         return Host(ip, state)
 
+    def _make_entries(self) -> dict[str, upstreams.Upstream]:
+        """Returns the upstream list."""
+        return {i: fleets.make_upstream(i) for i in self.replicas}
+
     def kill(self, numbers: Collection[int]) -> None:
         """Kills hosts, which start again at once and know nothing."""
         for number in numbers:
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -15,7 +15,7 @@
 from tests.intents import machine as intents
 from tests.membership import machine as membership
 from tests.orders import machine as orders
-from tests.routing import late
+from tests.routing import late, recovering
 from tests.routing import machine as routing
 from tests.tunnels import machine as tunnels
 
@@ -25,6 +25,7 @@
     "claims": claims.ClaimsMachine,
     "intents": intents.IntentsMachine,
     "late": late.LateMachine,
+    "recovering": recovering.RecoveringMachine,
     "lease": orders.LeaseMachine,
     "membership": membership.MembershipMachine,
     "quarantine": quarantine.QuarantineMachine,
