Have the known red on two broken attempts say which engine has ended

'Both a silent attempt and the one beside it break' was red once, beside load: event 1 alone, refused after two attempts. Traced: its route allows two replicas, and two had ended the answer. A third attempt follows only where one of them counts as gone. In the test the first one was down, since its stream stood still, and the second one was not, because it had been silent for 0.23 s when it broke, 0.3 s being the bound; 0.1 s later (played with cuts after 0.3 to 0.9 s in place of 1 s: red each time) both were down, nobody probed them in the test, and the answer waited for its deadline. With probes and both engines alive it is refused, as max_attempts asks. So the outcome was a race between two right ones. Changed: the test's desk has its probes answered, as a host does, and the first engine answers none: it has ended, so a third attempt must follow.

--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -167,13 +167,22 @@
     Then the caller gets events 1 to 3 and a whole answer
     And 2 attempts were made
 
-  Scenario: Both a silent attempt and the one beside it break
-    Given a watch, and an engine that is cut 1 s after event 1
+  Scenario Outline: Both a silent attempt and the one beside it break, after <seconds> s
+    # Guards against an answer that is given up though one of its engines ended.
+    Given a watch, and an engine that is cut <seconds> s after event 1
+    And its first engine answers no probe
     And the second attempt is cut 1 s later
     And the third attempt sends events 2, 3 and the end
     When a stream is asked for
     Then the caller gets events 1 to 3 and a whole answer
 
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 0.5     |
+      | 0.9     |
+      | 1       |
+
   Scenario: The caller leaves while two attempts run
     # Guards against engines that work for disconnected callers.
     Given a watch, and an engine that stops responding after event 1
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -235,6 +235,14 @@
             return "no answer"
         return upstreams.PLAIN_REPORT
 
+    def probe(
+        self, address: str
+    ) -> upstreams.EngineReport | upstreams.ProbeFailed:
+        """Answers as `peek` does."""
+        if address in self.dead:
+            return upstreams.ProbeFailed("no answer", is_connected=True)
+        return upstreams.PLAIN_REPORT
+
     def repath(
         self, address: str, request_id: str, parts: Sequence[paths.Part]
     ) -> str:
@@ -259,7 +267,9 @@
 
     def _tick(self) -> None:
         while not self.closed.wait(TICK_S):
-            self.desk.tick()
+            for entry in self.desk.tick().probes:
+                report = self.engines.probe(entry.address)
+                self.desk.tell(desk.Probed(entry.id, report))
 
     def close(self) -> None:
         """Stops the threads."""
@@ -410,6 +420,11 @@
     )
 
 
+@given("its first engine answers no probe")
+def step_dead(context: Any) -> None:
+    context.play.engines.dead.add("a100-0:80")
+
+
 @given("the second attempt is cut {seconds:g} s later")
 def step_second_cut(context: Any, seconds: float) -> None:
     lost = sending.AttemptFailure(jobs.FailureKind.CUT, "reset")
