Make all updates beside the peer update in one place, name ids by one function

Behaviour the same. The update on prompt segments was made by a method of the host beside the function that makes the other two kinds; it is one of daemons/news.py now. contact.py cut its lists off as decisions.limit_ids does.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -29,7 +29,7 @@
     transport,
     web,
 )
-from egretspur.admission import repeats, segments
+from egretspur.admission import repeats
 from egretspur.catalog import (
     config,
     positions,
@@ -482,7 +482,7 @@
                 evidence.PREFIX,
                 evidence.encode,
                 evidence.decode,
-                self._make_evidence,
+                self._make_update_of(news.make_evidence),
                 self._handle_evidence,
             ),
             sidechannels.Kind(
@@ -519,13 +519,6 @@
     ) -> None:
         self._desk.tell(desk.PeerSlowness(tuple(updates)))
 
-    def _make_evidence(self, is_speaker: bool) -> evidence.EvidenceUpdate:
-        """Returns what this host knows of prompt segments."""
-        found: segments.Update = self._desk.query(
-            lambda state: state.quarantine.make_evidence(time.monotonic())
-        )
-        return evidence.EvidenceUpdate(self._host, self._cfg.data_centre, found)
-
     def _handle_evidence(
         self, updates: Sequence[evidence.EvidenceUpdate]
     ) -> None:
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -14,7 +14,7 @@
 import attrs
 
 from egretspur.catalog import reading
-from egretspur.membership import contention, datagrams, slowness
+from egretspur.membership import contention, datagrams, evidence, slowness
 from egretspur.routing import broker, fleet
 
 # Layers that an engine reported after an order are published to other hosts
@@ -152,3 +152,17 @@
         state.fleet.data_centre,
         state.timeouts.list_slow(replicas, is_speaker, now_s),
     )
+
+
+def make_evidence(
+    state: broker.Broker, host: str, is_speaker: bool, now_s: float
+) -> evidence.EvidenceUpdate:
+    """Returns a host's update on prompt segments; see `make_contention`.
+
+    Other data centres get what this one knows by itself too.
+    """
+    return evidence.EvidenceUpdate(
+        host,
+        state.fleet.data_centre,
+        state.quarantine.make_evidence(now_s),
+    )
--- a/egretspur/membership/contact.py
+++ b/egretspur/membership/contact.py
@@ -48,7 +48,7 @@
             decisions.PeersChanged(
                 contact.heard,
                 len(contact.unheard),
-                contact.unheard[: decisions.MAX_NAMED],
-                contact.silent_data_centres[: decisions.MAX_NAMED],
+                decisions.limit_ids(contact.unheard),
+                decisions.limit_ids(contact.silent_data_centres),
             )
         )
