--- a/tests/daemons/crashing.feature
+++ b/tests/daemons/crashing.feature
@@ -32,3 +32,19 @@
     And all hosts are killed and start again
     And it is sent 3 more times, after 0 s
     Then at most 0 more engines crashed
+
+  Scenario: Different requests that share a segment, and engines that crash after two events
+    # Runs the failure of "Engines that bring some output before they crash" in
+    # tests/routing/segments.feature with whole processes.
+    Given a store, four engines, two plain replicas and three hosts
+    And engines that crash after 2 events of an answer to prompts with the segment "bad5"
+    And bodies are sent in chunks
+    When requests with it, no two alike, are sent to the hosts 12 times
+    Then at most 8 engines crashed by then, and at least 3
+    When it is sent 6 more times, after 3 s
+    Then at most 3 more engines crashed
+    And each host answers other streams
+    When the store has it in quarantine
+    And all hosts are killed and start again
+    And it is sent 3 more times, after 0 s
+    Then at most 0 more engines crashed
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -15,10 +15,11 @@
 ``limit``, ``rest_s`` and ``leaving`` (limit, backoff and drain that it requests
 in its answers; it refuses requests during a backoff), ``crash_on`` (the process
 exits when it starts a request whose body or prompt segments contain this text),
-``crash_after_head`` (it sends the head of the answer first), ``halt_s`` (all
-streams pause for this long, counted from when the fault is set), ``unframed``
-(answers have no length and no chunks and end with their connection; plain ones
-come in as many parts as there are ``events``), ``reset_share`` (share of the
+``crash_after_head`` (it sends the head of the answer first, and as many events
+as ``crash_events`` tells), ``halt_s`` (all streams pause for this long, counted
+from when the fault is set), ``unframed`` (answers have no length and no chunks
+and end with their connection; plain ones come in as many parts as there are
+``events``), ``reset_share`` (share of the
 requests that were read and whose connection is then reset, at random),
 ``read_delay_s`` (a request that was sent is read so much later),
 ``late_share`` and ``late_s`` (share of the requests that are read later by a
@@ -96,6 +97,7 @@
             "leaving": False,
             "crash_on": "",
             "crash_after_head": False,
+            "crash_events": 0,
             "halt_s": 0.0,
             "unframed": False,
             "reset_share": 0.0,
@@ -231,7 +233,7 @@
                 if sent == faults["cut_after"]:
                     faults["cut_after"] = -1
                     self._replica.break_off(write)
-                write(f"id: {number}\ndata: text {number}\n\n".encode())
+                write(make_event(number))
                 sent += 1
                 if faults["halt_s"] and not has_halted:
                     has_halted = True
@@ -298,15 +300,28 @@
 
 
 class CrashingBody:
-    """Body before whose first event the process exits."""
+    """Body of an answer under which the process exits."""
+
+    def __init__(self, replica: Replica, after: int) -> None:
+        self._replica = replica
+        self._after = after
 
     def push(self, write: Callable[[bytes], Any]) -> None:
-        """Has the head sent, and exits."""
+        """Has the head and some events sent, and exits."""
+        faults = self._replica.faults
         write(b"")
+        for number in range(1, faults["crash_events"] + 1):
+            write(make_event(self._after + number))
+            time.sleep(faults["pause_s"])
         time.sleep(HEAD_DELAY_S)
         os._exit(1)
 
 
+def make_event(number: int) -> bytes:
+    """Returns an event of a stream."""
+    return f"id: {number}\ndata: text {number}\n\n".encode()
+
+
 def make_app(replica: Replica) -> web.App:
     """Returns the replica's HTTP endpoints."""
     app = web.App()
@@ -378,7 +393,8 @@
         )
         if is_fatal and replica.faults["crash_after_head"]:
             head["Content-Type"] = "text/event-stream"
-            return web.Response(200, head, CrashingBody())
+            crashing = CrashingBody(replica, read_after(fields))
+            return web.Response(200, head, crashing)
         if is_fatal:
             os._exit(1)
         time.sleep(replica.faults["delay_s"])
@@ -391,7 +407,7 @@
             if replica.faults["unframed"]:
                 return web.Response(status, head, Parts(replica))
             return web.Response(status, head, replica.name.encode())
-        after = int(fields.get("Last-Event-Id") or 0)
+        after = read_after(fields)
         if after and replica.faults["resumed_status"] != 200:
             return web.Response(replica.faults["resumed_status"], head, b"")
         head["Content-Type"] = "text/event-stream"
@@ -409,6 +425,11 @@
     return app
 
 
+def read_after(fields: Mapping[str, str]) -> int:
+    """Returns the id of the last event that the caller has; 0 for none."""
+    return int(fields.get("Last-Event-Id") or 0)
+
+
 def read_demand(replica: Replica) -> dict[str, str]:
     """Returns the header fields that request a limit, backoff or drain."""
     faults = replica.faults
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -107,6 +107,8 @@
     sends_head: bool = True
     # Prompt segments that crash engines.
     fatal_segments: set[str] = attrs.Factory(set)
+    # Seconds for which fatal requests bring output before the crash.
+    output_s: float = 0.0
     # Time until which engines stand still, by id.
     still_until_s: dict[str, float] = attrs.Factory(dict)
     # Attempts by request, and when requests arrived and began to be answered.
@@ -246,8 +248,22 @@
             self._fail(job.id, run, failure)
         elif self.is_fatal(job):
             self.reached_s.append(self.now_s)
-            self.schedule(RUN_S, lambda: self.crash_engine(engine))
             run.is_begun = self.crashes_after_output
+            if self.output_s:
+                self.schedule(RUN_S, lambda: self._begin_output(run))
+            self.schedule(
+                RUN_S + self.output_s, lambda: self.crash_engine(engine)
+            )
+
+    def _begin_output(self, run: Run) -> None:
+        """Has an attempt bring the first part of its answer."""
+        if self.runs.get(run.job.id) is not run:
+            return
+        run.is_begun = True
+        self.begun.setdefault(
+            run.job.id, Begun(self.now_s, self.attempts[run.job.id])
+        )
+        run.host.state.record_answer_start(run.job.id, self.now_s)
 
     def _cut(self, name: str, run: Run) -> None:
         """Cuts an attempt whose engine crashed."""
@@ -297,11 +313,7 @@
                 continue
             age_s = self.now_s - run.began_s
             if age_s >= RUN_S and not run.is_begun:
-                run.is_begun = True
-                self.begun.setdefault(
-                    name, Begun(self.now_s, self.attempts[name])
-                )
-                run.host.state.record_answer_start(name, self.now_s)
+                self._begin_output(run)
             if age_s >= ANSWER_S:
                 del self.runs[name]
                 self.answered.add(name)
--- a/tests/routing/segments.feature
+++ b/tests/routing/segments.feature
@@ -39,6 +39,27 @@
     Then such requests reached engines at most 3 times more than 3 s after the fifth crash
     And only segments with "bad" are quarantined
 
+  Scenario Outline: Engines that bring some output before they crash
+    # Guards against a segment that is never quarantined since its requests get
+    # the first part of an answer before each crash.
+    Given 8 hosts in three data centres
+    And engines that crash under the prompt segment "bad"
+    And engines that crash after <output> s of output
+    And 12 sound requests a second with the segments "system"
+    When a request with the segments "<segments>" arrives every <every> s at a random host for <seconds> s
+    Then such requests reached engines at most 3 times more than 3 s after the fifth crash
+    And sound requests begin at their first attempt at least half as often as before
+    And only segments with "bad" are quarantined
+
+    Examples:
+      | segments     | output | every | seconds |
+      | system,bad   | 0.02   | 0.3   | 30      |
+      | system,bad   | 0.1    | 0.3   | 30      |
+      | system,bad   | 0.3    | 0.3   | 30      |
+      | system,bad   | 0.3    | 2     | 60      |
+      | system,bad   | 0.1    | 10    | 120     |
+      | bad          | 0.1    | 0.05  | 20      |
+
   Scenario: A segment that was answered before crashes engines from now on
     Given 8 hosts in three data centres
     And 12 sound requests a second with the segments "system"
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -15,7 +15,7 @@
 import sys
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any, Final
 
 import attrs
@@ -86,9 +86,10 @@
     entries_lock: threading.Lock = attrs.Factory(threading.Lock)
     entries: dict[str, dict[str, Any]] = attrs.Factory(dict)
     # Engines that are started crash on a request that contains this, before or
-    # after the head of the answer.
+    # after the head of the answer, and after so many events.
     crash_on: str = ""
     crash_after_head: bool = False
+    crash_events: int = 0
     # Sockets that reserve the ports of the hosts.
     reserved: list[socket.socket] = attrs.Factory(list)
     # Bounds in the hosts' settings, in addition to those of all sites.
@@ -174,9 +175,22 @@
         return self.post(path, key, host, b"{}", more)
 
     def post(
-        self, path: str, key: str, host: str, body: bytes, more: dict[str, Any]
+        self,
+        path: str,
+        key: str,
+        host: str,
+        body: bytes | Iterator[bytes],
+        more: dict[str, Any],
     ) -> Any:
-        """Sends a caller's request with a body; returns the open answer."""
+        """Sends a caller's request with a body; returns the open answer.
+
+        Args:
+            path: Target of the request.
+            key: Of the caller.
+            host: That it is sent to.
+            body: Sent in chunks if it comes in parts.
+            more: Further header fields.
+        """
         return self.pool.request(
             "POST",
             f"http://{self.get_address(host, 'frontend')}{path}",
@@ -227,6 +241,7 @@
             {
                 "crash_on": self.crash_on,
                 "crash_after_head": self.crash_after_head,
+                "crash_events": self.crash_events,
             },
         )
 
--- a/tests/steps/crashing_site_steps.py
+++ b/tests/steps/crashing_site_steps.py
@@ -25,6 +25,7 @@
     context.ids = []
     context.ended = 0
     context.segment = ""
+    context.in_chunks = False
     context.play.crash_on = text
     for name in list_engines(context):
         context.play.set_crash(name)
@@ -40,6 +41,20 @@
     context.segment = segment
 
 
+@given(
+    "engines that crash after {count:d} events of an answer to prompts with the"
+    ' segment "{segment}"'
+)
+def step_fatal_after_events(context: Any, count: int, segment: str) -> None:
+    context.play.crash_events = count
+    step_fatal_segment(context, segment)
+
+
+@given("bodies are sent in chunks")
+def step_chunks(context: Any) -> None:
+    context.in_chunks = True
+
+
 def list_engines(context: Any) -> list[str]:
     """Returns the names of the engines that are listed."""
     return [n for n in context.play.entries if n.startswith("e")]
@@ -69,8 +84,9 @@
     if context.segment:
         context.body = BODY % context.ids[-1].encode()
         fields["Prefix-Hash"] = f"5a:40,{context.segment}:9,{len(context.ids)}"
+    body = iter([context.body]) if context.in_chunks else context.body
     try:
-        site.post("/notes/x", "key-1", host, context.body, fields).read()
+        site.post("/notes/x", "key-1", host, body, fields).read()
     except urllib3.exceptions.HTTPError:
         # Cut in the middle, as a caller may be.
         pass
--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -142,6 +142,11 @@
     context.world.sends_head = False
 
 
+@given("engines that crash after {seconds:g} s of output")
+def step_late_crash(context: Any, seconds: float) -> None:
+    context.world.output_s = seconds
+
+
 @given('requests with the segments "{segments}" are answered for {seconds:g} s')
 def step_answered_before(context: Any, segments: str, seconds: float) -> None:
     traffic, world = context.traffic, context.world
