Take an answer as proof for its prompt once it is established, not at its first output

What callers saw: requests whose prompts share one segment crash one engine after the other where engines write some events first; sound requests are cut and refused.

Cause: a crash after the first output was no evidence against a segment, and that same output refuted the crashes of all others. So nothing was ever quarantined. Class: evidence of the beginning taken for evidence of the whole.

Change: an attempt's answer is established once it has brought output for a second, or is complete and has some (delivery/output.py). Crashes before that count; only established answers refute. Crashes with some output count half against segments that were answered before, in full against others, since many requests that run beside a fatal one have some. A start that is explained by one segment isn't held against others, whatever crash of the sequence it was. Crashes of requests of which each segment is cleared aren't published. egretspur-router does the same.

Failed trial: each crash with output counted half.

New histories, green: two segments, one answered before, a session beside, each with output; 10 and 12 engines that crash by themselves 0.3 and 0.1 s apart, where no segment is blamed. The fuzzed model draws crashes with output. The test of a session beside fatal requests now counts its two companions for each fatal request, as its step says; before, later ones met them by chance.

--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -104,6 +104,8 @@
     # Whether the head of an answer had arrived, and when it was sent.
     has_head: bool = False
     sent_s: float = 0.0
+    # Whether the answer was established; see `segments`.
+    is_established: bool = False
 
     @property
     def weight(self) -> float:
@@ -258,7 +260,7 @@
         self._suspected = self._evidence.list_suspected(
             _make_crash(c, make_start_id(c.upstreams[0]))
             for c in self._cuts
-            if c.segments and c.has_head and not c.has_output
+            if c.segments and c.has_head and not c.is_established
         )
 
     def _record_crash(self, cut: CutAttempt, start: str, now_s: float) -> None:
@@ -266,7 +268,7 @@
         if cut.fingerprint:
             crashes = {start: cut.weight}
             self._add_crashes(cut.fingerprint, crashes, True, now_s)
-        if not cut.has_output:
+        if not cut.is_established:
             crash = _make_crash(cut, start)
             self._add_blames(self._evidence.record_crash(crash, now_s), now_s)
 
@@ -279,8 +281,8 @@
             if not self._was_answered(key, now_s):
                 self._add_crashes(key, blame.crashes, blame.is_own, now_s)
 
-    def record_output(self, segments: Sequence[str], now_s: float) -> None:
-        """Records the first output of a request with these segments.
+    def record_established(self, segments: Sequence[str], now_s: float) -> None:
+        """Records an established answer to a request with these segments.
 
         They are released if they are quarantined.
         """
@@ -456,6 +458,7 @@
         cut.has_head,
         cut.sent_s,
         cut.at_s,
+        cut.has_output,
     )
 
 
--- a/egretspur/admission/segments.py
+++ b/egretspur/admission/segments.py
@@ -8,14 +8,18 @@
 Evidence against a segment is a sequence of crashes, each under a request with
 it that was sent after the crash before, and none of these requests answered:
 
-- The first output of any request with the segment refutes all crashes of
-  requests that were sent before. So segments of many requests, such as a system
-  prompt, are not blamed while some of these are answered.
+- An answer to any request with the segment refutes all crashes of requests
+  that were sent before, once it is established: it has brought output for
+  `ESTABLISHED_S`, or is complete. So segments of many requests, such as a
+  system prompt, are not blamed while some of these are answered. The first
+  output alone refutes nothing: upstreams may crash some events later.
 - A power loss is one crash in this sense, however many upstreams it ends: the
   requests that it cut were all sent before it.
 - Of the requests that an upstream ran when it crashed, those whose answers had
-  begun with a head but no output come first. The others count only if there are
-  none such, and half.
+  begun with a head but no output come first. Those without a head count only if
+  there are none such, and half. Those with some output count in full against
+  segments that no established answer ever had, and half against others. Those
+  whose answers were established show nothing.
 
 What is blamed is the set of all segments that these requests have in common and
 that no answer speaks for. Requests that have only some of them are sent; their
@@ -40,6 +44,14 @@
 # Weight of a crash before the upstream had sent the head of its answer.
 HEADLESS_WEIGHT: Final = 0.5
 
+# Weight of a crash after the first output, against segments that were answered
+# before. Many requests that only run beside a fatal one have some output.
+OUTPUT_WEIGHT: Final = 0.5
+
+# Output for this long shows that an upstream does not crash under a prompt:
+# several of the longest gaps between two events.
+ESTABLISHED_S: Final = 1.0
+
 # Different requests that must have crashed upstreams: a single one is known by
 # its fingerprint.
 MIN_REQUESTS: Final = 2
@@ -83,7 +95,7 @@
 
 @attrs.frozen
 class Crash:
-    """A crash of an upstream that ran a request, before any of its output."""
+    """A crash under a request whose answer was not established."""
 
     # Start of the upstream, as `quarantine.make_start_id` names it.
     start: str
@@ -95,10 +107,17 @@
     # Monotonic times at which the request was sent, and cut.
     sent_s: float
     cut_s: float
+    # Whether it had brought some output.
+    has_output: bool = False
+
+    def weigh(self, is_answered: bool) -> float:
+        """Returns its weight in a sequence of crashes under a segment.
 
-    @property
-    def weight(self) -> float:
-        """Weight in a sequence of crashes."""
+        Args:
+            is_answered: Whether a request with the segment was ever answered.
+        """
+        if self.has_output and is_answered:
+            return OUTPUT_WEIGHT
         return 1.0 if self.has_head else HEADLESS_WEIGHT
 
 
@@ -112,6 +131,7 @@
     has_head: bool
     sent_age_s: float
     cut_age_s: float
+    has_output: bool = False
 
 
 @attrs.frozen
@@ -134,6 +154,8 @@
     segments: frozenset[str]
     # Weight of each crash by upstream start.
     crashes: Mapping[str, float]
+    # Starts of all upstreams that crashed under these segments.
+    starts: frozenset[str]
     # Monotonic time of the crash that was one too many.
     at_s: float
     # Whether this host itself saw one of the crashes.
@@ -204,7 +226,7 @@
         return self._find_blame(unsettled, now_s)
 
     def record_answer(self, segments: Iterable[str], now_s: float) -> None:
-        """Records the first output of a request with these segments."""
+        """Records an established answer to a request with these segments."""
         for segment in segments:
             self._set_answered(segment, now_s)
 
@@ -223,6 +245,7 @@
                 found.has_head,
                 now_s - found.sent_age_s,
                 now_s - found.cut_age_s,
+                found.has_output,
             )
             self._add(_KnownCrash(crash, now_s, False))
             touched |= crash.segments
@@ -233,7 +256,7 @@
         recent = [
             k.crash
             for k in self._crashes.values()
-            if now_s - k.learned_s < PUBLISH_S
+            if now_s - k.learned_s < PUBLISH_S and not self._is_cleared(k.crash)
         ]
         recent.sort(key=lambda c: (c.has_head, c.cut_s), reverse=True)
         published = recent[:MAX_PUBLISHED]
@@ -267,6 +290,7 @@
             crash.has_head,
             round(now_s - crash.sent_s, 2),
             round(now_s - crash.cut_s, 2),
+            crash.has_output,
         )
 
     def _add(self, known: _KnownCrash) -> None:
@@ -301,6 +325,16 @@
         """Returns whether a request with a segment was answered since."""
         return self._answered_s.get(segment, -math.inf) >= crash.sent_s
 
+    def _is_cleared(self, crash: Crash) -> bool:
+        """Returns whether an answer speaks for each segment of a request.
+
+        Only for requests with output: the others show by their heads which
+        request an upstream had begun last.
+        """
+        return crash.has_output and all(
+            self._is_refuted(s, crash) for s in crash.segments
+        )
+
     def _find_blame(
         self, segments: Collection[str], now_s: float
     ) -> list[Blame]:
@@ -333,7 +367,9 @@
             key=lambda s: (self._answered_s.get(s, -math.inf), s),
         )
         with_head = {
-            k.crash.start for k in self._crashes.values() if k.crash.has_head
+            k.crash.start
+            for k in self._crashes.values()
+            if k.crash.has_head and not k.crash.has_output
         }
         found: list[Blame] = []
         for segment in ranked:
@@ -365,8 +401,10 @@
             key=lambda c: c.cut_s,
         )
         chain = _find_sequence(against)
+        is_answered = self._is_answered([segment])
+        weights = {c.start: c.weigh(is_answered) for c in chain}
         if (
-            sum(c.weight for c in chain) < CRASH_THRESHOLD
+            sum(weights.values()) < CRASH_THRESHOLD
             or len({c.request for c in chain}) < MIN_REQUESTS
         ):
             return None
@@ -379,8 +417,9 @@
         blamed = sorted(unanswered - {segment})[: MAX_BLAMED - 1]
         return Blame(
             frozenset([segment, *blamed]),
-            {c.start: c.weight for c in chain},
-            _find_threshold(chain),
+            weights,
+            frozenset(c.start for c in against),
+            _find_threshold(chain, weights),
             any(self._crashes[c.start, c.request].is_own for c in chain),
         )
 
@@ -432,7 +471,7 @@
 def _is_explained(crash: Crash, known: Iterable[Blame]) -> bool:
     """Returns whether other segments explain why an upstream crashed."""
     return any(
-        crash.start in b.crashes and not b.segments <= crash.segments
+        crash.start in b.starts and not b.segments <= crash.segments
         for b in known
     )
 
@@ -450,11 +489,13 @@
     return chain
 
 
-def _find_threshold(chain: Iterable[Crash]) -> float:
+def _find_threshold(
+    chain: Iterable[Crash], weights: Mapping[str, float]
+) -> float:
     """Returns the time of the crash with which a sequence sufficed."""
     weight = 0.0
     for crash in chain:
-        weight += crash.weight
+        weight += weights[crash.start]
         if weight >= CRASH_THRESHOLD:
             return crash.cut_s
     return math.inf
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -27,6 +27,7 @@
     buffers,
     events,
     handover,
+    output,
     sending,
     silence,
 )
@@ -133,6 +134,7 @@
         # The current attempt has delivered an event, and the time of the first.
         self.has_begun = False
         self.begun_s = 0.0
+        self.output = output.AttemptOutput()
         # First upstream of the current attempt.
         self._upstream = ""
         # That the answer ends after the events delivered; None if no resumed
@@ -261,6 +263,8 @@
                 failure = self._forward_events(write)
             if failure is None:
                 self._is_answered = True
+                if self.output.note_end():
+                    self._tell_established()
                 return None
             if self.is_caller_gone:
                 return errors.Refusal(
@@ -377,6 +381,7 @@
         self.expected_first_s = start.expected_first_s
         self.stalled = set()
         self.has_begun = False
+        self.output.begin()
         self._count_before = self._merge.count
         self._merge.begin()
         # Watched before the request is sent: the response headers arrive with
@@ -435,8 +440,7 @@
             if res is None:
                 break
             self._first_events += res
-        is_empty = not self._first_events
-        self._desk.tell(desk.AnswerStarted(self.job.id, is_empty=is_empty))
+        self._desk.tell(desk.AnswerStarted(self.job.id))
         return answer
 
     def _may_retry(self, answer: sending.Answer) -> bool:
@@ -493,11 +497,18 @@
                 if not self.has_begun:
                     self.begun_s = self.last_activity_s
                 self.has_begun = True
+                if self.output.note(self.last_activity_s):
+                    self._tell_established()
                 self._record_event()
                 if self._handover is not None:
                     self._cancel_handover()
                 return passed
 
+    def _tell_established(self) -> None:
+        """Tells the broker that the prompt does not crash upstreams."""
+        if self.job.segments:
+            self._desk.tell(desk.AnswerEstablished(self.job.id))
+
     def _check_end(
         self, answer: sending.Answer
     ) -> sending.AttemptFailure | None:
@@ -573,6 +584,7 @@
             new_count > 0,
             has_head,
             ended_by,
+            self.output.is_established,
         )
         self._log.record_failure(
             self._upstream, failed, silent_s, count, new_count
--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -18,7 +18,7 @@
 
 from egretspur import decisions, ends, errors, web
 from egretspur.clients import engine
-from egretspur.delivery import answer_log, attempts
+from egretspur.delivery import answer_log, attempts, output
 from egretspur.delivery import pump as pumps
 from egretspur.routing import actor as traffics
 from egretspur.routing import requests
@@ -126,6 +126,7 @@
         self._reported_tokens = 0
         # Position at which the current attempt began.
         self._first_position = 0
+        self._output = output.AttemptOutput()
         # Failure after the tokens that `begin` returned, handled by `run`.
         self._pending_failure: requests.Failure | None = None
         self.pipeline = ""
@@ -156,8 +157,7 @@
                 return self._make_completion()
             if texts:
                 self._pending_failure = failure
-                if prompt.segments:
-                    self._traffic.tell(requests.Begun(prompt.id))
+                self._note_output()
                 return texts
             if failure is not None:
                 fut = self._traffic.fail(failure)
@@ -195,8 +195,18 @@
                 self._caller_error = exc
                 return False
             self._report_progress(-1)
+        if texts or self._merge.finished:
+            self._note_output()
         return self._fault is None and not self._merge.finished
 
+    def _note_output(self) -> None:
+        """Tells the broker once the prompt is shown not to crash engines."""
+        is_new = self._output.note(self._active_s)
+        if self._merge.finished:
+            is_new |= self._output.note_end()
+        if is_new and self._prompt.segments:
+            self._traffic.tell(requests.Established(self._prompt.id))
+
     def _make_completion(self) -> Completion:
         return Completion(len(self._merge.tokens), self.pipeline)
 
@@ -221,6 +231,7 @@
         if isinstance(opened, engine.StreamFailure):
             return self._end_broken(grant, opened)
         self._stream = opened
+        self._output.begin()
         self._reported_s = self._active_s = time.monotonic()
         self._reported_tokens = len(self._merge.tokens)
         self._first_position = len(self._merge.tokens)
@@ -418,6 +429,7 @@
             ),
             has_brought=len(self._merge.tokens) > self._first_position,
             has_head=has_head,
+            is_established=self._output.is_established,
             is_own=broken.ended_by.is_own_side,
         )
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -553,7 +553,12 @@
         rerouted_s = self._rerouted_s.get(stream)
         if rerouted_s is not None:
             return now_s - rerouted_s < _get_abort_silence_s(stream)
-        decision = self._desk.reroute(stream.job.id, stalled, stream.has_begun)
+        decision = self._desk.reroute(
+            stream.job.id,
+            stalled,
+            stream.has_begun,
+            stream.output.is_established,
+        )
         if decision.is_ended:
             if stream.is_delivering:
                 stream.hand_over()
--- a/egretspur/membership/evidence.py
+++ b/egretspur/membership/evidence.py
@@ -20,6 +20,10 @@
 # How the datagram of an update begins.
 PREFIX: Final = tagged.make_prefix(TAG)
 
+# Fields that list crashes before the first output, and after it.
+_CRASHES: Final = "crashes"
+_OUTPUT_CRASHES: Final = "output_crashes"
+
 # Longest texts that are accepted: ids of segments with their model, and others.
 MAX_SEGMENT_CHARS: Final = 200
 MAX_MARK_CHARS: Final = 32
@@ -42,28 +46,33 @@
 def encode(update: EvidenceUpdate) -> bytes:
     """Returns the datagram for an update."""
     found = update.evidence
-    crashes = [
-        [
-            c.start,
-            c.request,
-            list(c.segments),
-            c.has_head,
-            c.sent_age_s,
-            c.cut_age_s,
-        ]
-        for c in found.crashes
-    ]
-    fields = {"crashes": crashes, "answered": dict(found.answered)}
+    fields = {
+        _CRASHES: [_list_crash(c) for c in found.crashes if not c.has_output],
+        _OUTPUT_CRASHES: [
+            _list_crash(c) for c in found.crashes if c.has_output
+        ],
+        "answered": dict(found.answered),
+    }
     return tagged.encode(TAG, update.host, update.data_centre, fields)
 
 
+def _list_crash(crash: segments.PublishedCrash) -> list[Any]:
+    return [
+        crash.start,
+        crash.request,
+        list(crash.segments),
+        crash.has_head,
+        crash.sent_age_s,
+        crash.cut_age_s,
+    ]
+
+
 def decode(data: bytes) -> EvidenceUpdate | datagrams.InvalidUpdate:
     """Returns the update in a datagram, or why it is refused."""
     return tagged.decode(data, TAG, _read)
 
 
 def _read(host: str, data_centre: str, table: checks.Table) -> EvidenceUpdate:
-    rows = table.get("crashes") if table.has("crashes") else []
     answered = (
         table.get_table("answered").items() if table.has("answered") else ()
     )
@@ -71,11 +80,9 @@
         host,
         data_centre,
         segments.Update(
-            tuple(
-                _decode_crash(r)
-                for r in checks.check_list(rows, "crashes")[
-                    : segments.MAX_PUBLISHED
-                ]
+            (
+                *_decode_crashes(table, _CRASHES, False),
+                *_decode_crashes(table, _OUTPUT_CRASHES, True),
             ),
             {
                 _check_text(
@@ -87,21 +94,34 @@
     )
 
 
-def _decode_crash(row: Any) -> segments.PublishedCrash:
+def _decode_crashes(
+    table: checks.Table, field: str, has_output: bool
+) -> list[segments.PublishedCrash]:
+    rows = table.get(field) if table.has(field) else []
+    return [
+        _decode_crash(row, field, has_output)
+        for row in checks.check_list(rows, field)[: segments.MAX_PUBLISHED]
+    ]
+
+
+def _decode_crash(
+    row: Any, field: str, has_output: bool
+) -> segments.PublishedCrash:
     start, request, found, has_head, sent_age_s, cut_age_s = checks.check_row(
-        row, "crashes", 6
+        row, field, 6
     )
-    listed = checks.check_list(found, "crashes")
+    listed = checks.check_list(found, field)
     return segments.PublishedCrash(
-        _check_text(start, "crashes", MAX_MARK_CHARS),
-        _check_text(request, "crashes", MAX_MARK_CHARS),
+        _check_text(start, field, MAX_MARK_CHARS),
+        _check_text(request, field, MAX_MARK_CHARS),
         tuple(
-            _check_text(s, "crashes", MAX_SEGMENT_CHARS)
+            _check_text(s, field, MAX_SEGMENT_CHARS)
             for s in listed[: segments.MAX_PUBLISHED_SEGMENTS]
         ),
-        checks.check_flag(has_head, "crashes"),
-        checks.check_number(sent_age_s, "crashes"),
-        checks.check_number(cut_age_s, "crashes"),
+        checks.check_flag(has_head, field),
+        checks.check_number(sent_age_s, field),
+        checks.check_number(cut_age_s, field),
+        has_output,
     )
 
 
--- a/egretspur/membership/news.py
+++ b/egretspur/membership/news.py
@@ -80,6 +80,8 @@
     """Encodes a crash as name and value of an entry published at its time."""
     ran_s = round(crash.sent_age_s - crash.cut_age_s, 2)
     value = [list(crash.segments), crash.has_head, ran_s]
+    if crash.has_output:
+        value.append(True)
     return (
         f"{crash.request}{_CRASH_SEPARATOR}{crash.start}",
         codec.dump_json(value).decode(),
@@ -95,8 +97,11 @@
         codec.DecodeError: The entry has another form.
     """
     request, _, start = name.partition(_CRASH_SEPARATOR)
-    row = checks.check_row(codec.load_json(value.encode()), "crash", 3)
-    found, has_head, ran_s = row
+    row = checks.check_list(codec.load_json(value.encode()), "crash")
+    # One before the first output has no fourth value.
+    found, has_head, ran_s, has_output = checks.check_row(
+        [*row, False] if len(row) == 3 else row, "crash", 4
+    )
     return segments.PublishedCrash(
         start,
         request,
@@ -107,6 +112,7 @@
         checks.check_flag(has_head, "crash"),
         age_s + checks.check_number(ran_s, "crash"),
         age_s,
+        checks.check_flag(has_output, "crash"),
     )
 
 
--- a/egretspur/routing/actor.py
+++ b/egretspur/routing/actor.py
@@ -212,8 +212,8 @@
         self._dispatcher.progress(message, time.monotonic())
 
     @handle.register
-    def _(self, message: requests.Begun) -> None:
-        self._dispatcher.begin(message, time.monotonic())
+    def _(self, message: requests.Established) -> None:
+        self._dispatcher.record_established(message, time.monotonic())
 
     @handle.register
     def _(self, message: tables.RoutingUpdate) -> None:
@@ -366,7 +366,7 @@
     def tell(
         self,
         message: requests.Progress
-        | requests.Begun
+        | requests.Established
         | tables.RoutingUpdate
         | Tick
         | NoteService
--- a/egretspur/routing/attempts.py
+++ b/egretspur/routing/attempts.py
@@ -230,6 +230,7 @@
                 attempt.list_stages() if attempt else (),
                 failure.has_output,
                 failure.has_head,
+                failure.is_established,
                 now_s,
             )
             self._crashes.note_cut(cut, now_s)
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -201,7 +201,6 @@
         job_id: str,
         now_s: float,
         is_error: bool = False,
-        is_empty: bool = False,
     ) -> None:
         """Records that the upstreams of a request began to answer.
 
@@ -209,7 +208,6 @@
             job_id: The request.
             now_s: Monotonic time.
             is_error: Whether the answer is an error, which the caller gets.
-            is_empty: Whether the answer is complete without any output.
         """
         ticket = self.tickets.get(job_id)
         attempt = ticket.current if ticket else None
@@ -219,8 +217,6 @@
         if is_error:
             self._record_error(attempt.upstream_id, now_s)
             return
-        if not is_empty:
-            self._crashes.note_output(ticket.job, now_s)
         self.refusals.return_times.record_answer_start(
             ticket.job.service, now_s
         )
@@ -233,6 +229,16 @@
             attempt.upstream_id, now_s - attempt.started_s, now_s
         )
 
+    def record_established(self, job_id: str, now_s: float) -> None:
+        """Records that the answer to a request is established.
+
+        It has brought output for `segments.ESTABLISHED_S`, or is complete and
+        has some.
+        """
+        ticket = self.tickets.get(job_id)
+        if ticket is not None:
+            self._crashes.note_established(ticket.job, now_s)
+
     def _record_error(self, upstream_id: str, now_s: float) -> None:
         """Records that a replica or an engine answered with an error."""
         self.fleet.replicas.record_failure(upstream_id, False, now_s)
@@ -251,6 +257,7 @@
         stalled: frozenset[str],
         now_s: float,
         has_output: bool = False,
+        is_established: bool = False,
     ) -> jobs.RerouteDecision:
         """Reroutes a running request around stalled engines.
 
@@ -259,6 +266,7 @@
             stalled: Ids of the engines that delay it.
             now_s: Monotonic time.
             has_output: Whether its attempt has produced part of the answer.
+            is_established: Whether the answer of its attempt is established.
         """
         ticket = self.tickets.get(job_id)
         attempt = ticket.current if ticket else None
@@ -278,6 +286,7 @@
                 tuple(sorted(stalled)),
                 has_output,
                 has_output,
+                is_established,
                 now_s,
             ),
             now_s,
--- a/egretspur/routing/crashes.py
+++ b/egretspur/routing/crashes.py
@@ -41,9 +41,9 @@
         self._quarantine.record_cut(cut, now_s)
         self.settle(now_s)
 
-    def note_output(self, job: jobs.Job, now_s: float) -> None:
-        """Records that upstreams produced the first part of an answer."""
-        self._quarantine.record_output(job.segments, now_s)
+    def note_established(self, job: jobs.Job, now_s: float) -> None:
+        """Records that the answer to a request is established."""
+        self._quarantine.record_established(job.segments, now_s)
         self._note_changes()
 
     def settle(self, now_s: float) -> None:
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -58,8 +58,13 @@
     id: str
     # The answer is an error, which the caller gets.
     is_error: bool = False
-    # It is complete and has no output at all.
-    is_empty: bool = False
+
+
+@attrs.frozen
+class AnswerEstablished:
+    """An answer has brought output for a while, or is complete with some."""
+
+    id: str
 
 
 @attrs.frozen
@@ -78,6 +83,8 @@
     stalled: frozenset[str]
     # Whether its attempt has produced part of the answer.
     has_output: bool
+    # Whether the answer of its attempt is established.
+    is_established: bool
 
 
 @attrs.frozen
@@ -327,9 +334,13 @@
     @handle.register
     def _(self, message: AnswerStarted) -> None:
         self._broker.record_answer_start(
-            message.id, time.monotonic(), message.is_error, message.is_empty
+            message.id, time.monotonic(), message.is_error
         )
 
+    @handle.register
+    def _(self, message: AnswerEstablished) -> None:
+        self._broker.record_established(message.id, time.monotonic())
+
     @handle.register
     def _(self, message: NoteSignals) -> None:
         self._pending.resolve(
@@ -345,6 +356,7 @@
             message.stalled,
             time.monotonic(),
             message.has_output,
+            message.is_established,
         )
 
     @handle.register
@@ -561,11 +573,15 @@
         self._ref.tell(NoteSignals(upstream_id, answer))
 
     def reroute(
-        self, job_id: str, stalled: frozenset[str], has_output: bool
+        self,
+        job_id: str,
+        stalled: frozenset[str],
+        has_output: bool,
+        is_established: bool,
     ) -> jobs.RerouteDecision:
         """Reroutes a running request around stalled engines."""
         found: jobs.RerouteDecision = actors.ask(
-            self._ref, Reroute(job_id, stalled, has_output)
+            self._ref, Reroute(job_id, stalled, has_output, is_established)
         )
         return found
 
--- a/egretspur/routing/dispatch.py
+++ b/egretspur/routing/dispatch.py
@@ -137,6 +137,7 @@
                     ticket.arrival.segments,
                     failure.has_head,
                     ticket.sent_s,
+                    failure.is_established,
                 ),
                 now_s,
             )
@@ -183,11 +184,13 @@
             return
         self.network.note_tokens(ticket.path, message, now_s)
 
-    def begin(self, message: requests.Begun, now_s: float) -> None:
-        """Records that the first tokens of a request arrived."""
+    def record_established(
+        self, message: requests.Established, now_s: float
+    ) -> None:
+        """Records that the answer to a request is established."""
         ticket = self.tickets.get(message.id)
         if ticket is not None:
-            self.quarantine.record_output(ticket.arrival.segments, now_s)
+            self.quarantine.record_established(ticket.arrival.segments, now_s)
             self._log_quarantine_changes()
 
     def finish(
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -82,6 +82,8 @@
     has_head: bool = False
     # Who ended it.
     ended_by: ends.EndedBy = ends.EndedBy.UPSTREAM
+    # Whether this attempt had produced output for `segments.ESTABLISHED_S`.
+    is_established: bool = False
 
     @property
     def was_read(self) -> bool:
--- a/egretspur/routing/requests.py
+++ b/egretspur/routing/requests.py
@@ -45,13 +45,15 @@
     has_brought: bool = False
     # The head of an answer had arrived.
     has_head: bool = False
+    # This attempt had returned tokens for `segments.ESTABLISHED_S`.
+    is_established: bool = False
     # This router or its helper ended it.
     is_own: bool = False
 
 
 @attrs.frozen
-class Begun:
-    """The first tokens of a request arrived."""
+class Established:
+    """An answer has brought tokens for a while, or is complete with some."""
 
     id: str
 
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -120,6 +120,7 @@
     upstream_ids: tuple[str, ...],
     has_output: bool,
     has_head: bool,
+    is_established: bool,
     now_s: float,
 ) -> quarantine.CutAttempt:
     """Returns the cut of a request's attempt, for the quarantine.
@@ -130,6 +131,7 @@
         upstream_ids: Upstreams of which one may have crashed.
         has_output: Whether the attempt had produced part of the answer.
         has_head: Whether the head of an answer had arrived.
+        is_established: Whether the answer was established.
         now_s: Monotonic time.
     """
     return quarantine.CutAttempt(
@@ -140,4 +142,5 @@
         ticket.job.segments,
         has_head,
         attempt.started_s if attempt else 0.0,
+        is_established,
     )
--- a/tests/admission/segments.py
+++ b/tests/admission/segments.py
@@ -46,10 +46,12 @@
             return quarantine.UpstreamState.CRASHED
         return quarantine.UpstreamState.ALIVE
 
-    @stateful.rule(host=HOST, others=OTHERS, has_head=st.booleans())
-    def send_bad(
-        self, host: int, others: frozenset[str], has_head: bool
-    ) -> None:
+    @stateful.rule(
+        host=HOST,
+        others=OTHERS,
+        reached=st.sampled_from(["nothing", "head", "output"]),
+    )
+    def send_bad(self, host: int, others: frozenset[str], reached: str) -> None:
         """A request with the bad segment comes; it crashes an upstream."""
         found = others | {BAD}
         state = self.hosts[host]
@@ -64,10 +66,10 @@
         cut = quarantine.CutAttempt(
             f"{number:06}",
             (upstream,),
-            False,
+            reached == "output",
             self.now_s,
             tuple(sorted(found)),
-            has_head,
+            reached != "nothing",
             sent_s,
         )
         state.record_cut(cut, self.now_s)
@@ -81,7 +83,7 @@
         # No host may refuse it, whatever ran beside it.
         assert not state.is_blocked(name, tuple(others)), others
         self.now_s += RUN_S
-        state.record_output(tuple(others), self.now_s)
+        state.record_established(tuple(others), self.now_s)
 
     @stateful.rule(sender=HOST, receiver=HOST)
     def publish(self, sender: int, receiver: int) -> None:
--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -27,6 +27,21 @@
     Then the caller gets events 1 to 2 and a whole answer
     And attempt 1 is logged with the head of an answer and without events
 
+  Scenario Outline: What an answer shows of the segments of its prompt
+    # Guards against segments that crash engines after some events and count as
+    # harmless by these.
+    Given the first attempt <first>
+    And the second attempt <second>
+    When a stream is asked for
+    Then the segments of its prompt count as <result>
+
+    Examples:
+      | first                         | second                        | result     |
+      | sends events 1, 2 and the end | is cut after events none      | answered   |
+      | is cut after events 1 and 2   | is cut after events 3 and 4   | unanswered |
+      | is cut after events 1 and 2   | sends events 3, 4 and the end | answered   |
+      | is cut after events 1 and 2   | sends events none and the end | unanswered |
+
   Scenario: A stream that ends within an event
     Given the first attempt ends within event 2
     And the second attempt sends events 2, 3 and the end
--- /dev/null
+++ b/tests/delivery/output.feature
@@ -0,0 +1,21 @@
+Feature: Output that shows a prompt to be harmless
+
+  Scenario Outline: Output of one attempt
+    # Guards against engines that crash some events after the first one and
+    # whose prompts count as harmless by then.
+    Given an attempt with output at "<output>" s
+    Then its answer is established by "<by>"
+
+    Examples: times in seconds; the end of a complete answer
+      | output              | by    |
+      | none                | never |
+      | 5.0                 | never |
+      | 5.0 5.2 5.99        | never |
+      | 5.0 5.2 6.0 6.1     | 6.0   |
+      | 5.0 7.5             | 7.5   |
+      | end                 | never |
+      | 5.0 end             | end   |
+      | 5.0 6.5 end         | 6.5   |
+      | 5.0 next 6.5        | never |
+      | 5.0 next end        | never |
+      | 5.0 next 6.5 7.5    | 7.5   |
--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -321,6 +321,7 @@
             if age_s >= ANSWER_S:
                 del self.runs[name]
                 self.answered.add(name)
+                run.host.state.record_established(name, self.now_s)
                 self.finish(run.host, name)
 
     def finish(self, host: peers.Host, name: str) -> None:
--- a/tests/routing/segments.feature
+++ b/tests/routing/segments.feature
@@ -21,15 +21,21 @@
       | system  | bad          | 0.3   | 30      |
       | system  | bad,c,system | 0.3   | 30      |
 
-  Scenario: Two segments crash engines at the same time
+  Scenario Outline: Two segments crash engines at the same time
     Given 8 hosts in three data centres
     And engines that crash under the prompt segment "bad"
+    And engines that crash after <output> s of output
     And engines that crash under the prompt segment "worse"
     And 12 sound requests a second with the segments "system"
     When requests with the segments "system,bad" and "system,worse" arrive in turn every 0.2 s for 30 s
     Then such requests reached engines at most 3 times more than 3 s after the tenth crash
     And sound requests begin at their first attempt at least half as often as before
 
+    Examples:
+      | output |
+      | 0      |
+      | 0.1    |
+
   Scenario: Engines that send no head before they crash
     Given 8 hosts in three data centres
     And engines that crash under the prompt segment "bad"
@@ -60,8 +66,9 @@
       | system,bad   | 0.1    | 10    | 120     |
       | bad          | 0.1    | 0.05  | 20      |
 
-  Scenario: A segment that was answered before crashes engines from now on
+  Scenario Outline: A segment that was answered before crashes engines from now on
     Given 8 hosts in three data centres
+    And engines that crash after <output> s of output
     And 12 sound requests a second with the segments "system"
     And requests with the segments "system,bad" are answered for 10 s
     And engines that crash under the prompt segment "bad"
@@ -70,15 +77,26 @@
     And sound requests begin at their first attempt at least half as often as before
     And only segments with "bad" are quarantined
 
-  Scenario: Engines that crash one after the other by themselves
+    Examples:
+      | output |
+      | 0      |
+      | 0.1    |
+
+  Scenario Outline: Engines that crash one after the other by themselves
     # Guards against a system prompt that is quarantined since all requests have
     # it that run when engines crash.
     Given 8 hosts in three data centres
     And 12 sound requests a second with the segments "system,manual"
-    When 6 engines crash by themselves, one every 1.5 s
+    When <count> engines crash by themselves, one every <every> s
     Then no segment is quarantined
     And no sound request was refused as quarantined
 
+    Examples:
+      | count | every |
+      | 6     | 1.5   |
+      | 10    | 0.3   |
+      | 12    | 0.1   |
+
   Scenario Outline: Engines lose power while requests with a new segment wait
     # Guards against a segment that is quarantined since all its requests were
     # cut by one power loss.
@@ -93,15 +111,21 @@
       | all engines              |
       | the engines of "kl-hall" |
 
-  Scenario: A session that runs beside the fatal requests
+  Scenario Outline: A session that runs beside the fatal requests
     # Guards against a segment that is quarantined since its few requests are
     # cut by the crashes that another segment causes.
     Given 8 hosts in three data centres
     And engines that crash under the prompt segment "bad"
+    And engines that crash after <output> s of output
     And 12 sound requests a second with the segments "system"
     When each fatal request with the segments "system,bad" meets two with "system,session" on its engine, 8 times
     Then only segments with "bad" are quarantined
 
+    Examples:
+      | output |
+      | 0      |
+      | 0.1    |
+
   Scenario: Two segments that came together, of which one is sound
     # Guards against a sound segment that stays quarantined because all requests
     # that crashed engines had it as well.
--- a/tests/steps/crashing_router_steps.py
+++ b/tests/steps/crashing_router_steps.py
@@ -205,7 +205,7 @@
     while effects and isinstance(effects[0], requests.Grant):
         edge = effects[0].path.edges[0].upstream
         if context.fatal not in lines:
-            router.begin(requests.Begun(name), context.now_s)
+            router.record_established(requests.Established(name), context.now_s)
             return effects
         context.reached.append(edge)
         context.now_s += 0.1
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -13,15 +13,19 @@
 from behave import given, then, when
 
 from egretspur import decisions, ends, errors
+from egretspur.admission import segments
 from egretspur.catalog import upstreams
 from egretspur.delivery import buffers, events, forward, sending, watch
-from egretspur.routing import desk, jobs, paths
+from egretspur.routing import broker, desk, jobs, paths
 from tests import fleets, stage
 from tests.steps import broker_steps
 
 # Interval of the desk's timers, in s.
 TICK_S: Final = 0.02
 
+# Segment of the prompts of streams.
+SEGMENT: Final = "m/5a"
+
 
 def make_event(number: int) -> bytes:
     """Returns an event."""
@@ -464,7 +468,9 @@
     """Returns a request that arrives now."""
     now_s = time.monotonic()
     job = attrs.evolve(
-        fleets.make_job("r", kind, now_s=now_s), deadline_s=now_s + live_s
+        fleets.make_job("r", kind, now_s=now_s),
+        deadline_s=now_s + live_s,
+        segments=(SEGMENT,),
     )
     call = sending.Call("r", "POST", "/x/", {}, b"", "")
     play = context.play
@@ -520,6 +526,19 @@
     run(context, "streaming")
 
 
+@then("the segments of its prompt count as {answered}")
+def step_answered(context: Any, answered: str) -> None:
+    crash = segments.PublishedCrash("u", "q", (SEGMENT,), True, 0.2, 0.1)
+
+    def read(state: broker.Broker) -> bool:
+        now_s = time.monotonic()
+        state.apply_evidence(segments.Update((crash,)), now_s)
+        return SEGMENT in state.quarantine.make_evidence(now_s).answered
+
+    found = context.play.desk.query(read)
+    assert found == (answered == "answered"), found
+
+
 @then('attempt {number:d} is logged as {why}: "{reason}"')
 def step_attempt_logged(
     context: Any, number: int, why: str, reason: str
--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -258,12 +258,14 @@
         run = world.runs.get(name)
         if run is not None:
             engine = run.start.upstream.id
+            beside = 0
             for _ in range(100):
                 other = traffic.send_fatal(parse_segments(session))
                 found = world.runs.get(other)
-                met += bool(found and found.start.upstream.id == engine)
-                if met % 2 == 0 and met:
+                beside += bool(found and found.start.upstream.id == engine)
+                if beside == 2:
                     break
+            met += beside
         traffic.play(0.5)
     assert met >= 4, met
 
@@ -400,5 +402,5 @@
             fleets.make_job(name, now_s=world.now_s), segments=("bad",)
         )
         assert host.state.arrive(job, world.now_s)
-        host.state.record_answer_start(name, world.now_s, is_empty=True)
+        host.state.record_answer_start(name, world.now_s)
         host.state.finish(name, world.now_s, True)
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -13,6 +13,7 @@
 
 from egretspur import signals
 from egretspur.catalog import upstreams
+from egretspur.delivery import output as outputs
 from egretspur.delivery import peeks, silence, watch
 from egretspur.routing import desk, jobs, sharing
 from tests import fleets, stage
@@ -52,6 +53,7 @@
     expected_first_s: float = 0.05
     smoothed_gap_s: float = 0.02
     stalled: set[str] = attrs.Factory(set)
+    output: outputs.AttemptOutput = attrs.Factory(outputs.AttemptOutput)
     # Its attempt was ended, or one runs beside it.
     is_ended: bool = False
     # Starts an attempt beside it; see `desk.Desk.start_handover`.
