Tell late versions from those never heard of, in logs and metrics

Callers get 404, 401 or the old service alike where a host is late with a version, was never told of it, or can't read the topic; the only gauge was the version in force. Added: gauges of its age, of the newest version heard of, of the seconds since a newer one was first heard of (behind), and since the topic was last read from anywhere; and the line configuration_heard with the host that has the newer version. The versions have a module of their own.

--- a/egretspur/catalog/config.py
+++ b/egretspur/catalog/config.py
@@ -176,20 +176,6 @@
         ]
 
 
-@attrs.define
-class CurrentConfig:
-    """The newest configuration that was read; its version never decreases."""
-
-    newest: Configuration | None = None
-
-    def update(self, cfg: Configuration) -> bool:
-        """Stores a configuration if it is newer; returns whether it was."""
-        if self.newest is not None and not is_newer(cfg, self.newest):
-            return False
-        self.newest = cfg
-        return True
-
-
 def is_newer(cfg: Configuration, other: Configuration) -> bool:
     """Returns whether a configuration is newer than another one."""
     return cfg.version > other.version
--- /dev/null
+++ b/egretspur/catalog/versions.py
@@ -0,0 +1,102 @@
+"""Which configuration a host has in force, and what it has heard of newer ones.
+
+A version that comes late, one that the host has never heard of and a topic that
+can't be read look the same to callers; see `Status`. Read next:
+`egretspur.daemons.follow`.
+"""
+
+from __future__ import annotations
+
+import math
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+
+from egretspur.catalog import config
+
+
+@attrs.frozen
+class Status:
+    """What a host knows of the configuration's versions."""
+
+    # Version in force, and for how many seconds; 0 and infinite before the
+    # first one.
+    version: int
+    age_s: float
+    # Newest version that was read or that another host named.
+    newest: int
+    # Seconds since a version newer than the one in force was first heard of; 0
+    # if there is none.
+    behind_s: float
+    # Seconds since the topic was last read, from the store or another host;
+    # infinite before the first read.
+    read_age_s: float
+
+
+class Versions:
+    """The versions of the configuration; thread-safe."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """Makes an object without versions.
+
+        Args:
+            clock: Monotonic time, in seconds.
+        """
+        self._clock = clock
+        self._lock = threading.Lock()
+        # In force.
+        self.current: config.Configuration | None = None
+        self._applied_s = -math.inf
+        self._newest = 0
+        # When a version newer than that in force was first heard of.
+        self._behind_since_s: float | None = None
+        self._read_s = -math.inf
+
+    def note_read(self) -> None:
+        """Notes that the topic was read."""
+        with self._lock:
+            self._read_s = self._clock()
+
+    def note_heard(self, version: int) -> bool:
+        """Notes that a version exists; returns whether it is the newest."""
+        with self._lock:
+            if version <= self._newest:
+                return False
+            self._newest = version
+            if self._behind_since_s is None:
+                self._behind_since_s = self._clock()
+            return True
+
+    def update(self, cfg: config.Configuration) -> bool:
+        """Stores a configuration if it is newer; returns whether it was."""
+        self.note_heard(cfg.version)
+        with self._lock:
+            if self.current is not None and not config.is_newer(
+                cfg, self.current
+            ):
+                return False
+            self.current = cfg
+            self._applied_s = self._clock()
+            if cfg.version >= self._newest:
+                self._behind_since_s = None
+            return True
+
+    def get_version(self) -> int:
+        """Returns the version in force; 0 if there is none."""
+        cfg = self.current
+        return cfg.version if cfg else 0
+
+    def get_status(self) -> Status:
+        """Returns what is known now."""
+        with self._lock:
+            now_s = self._clock()
+            since_s = self._behind_since_s
+            return Status(
+                self.get_version(),
+                now_s - self._applied_s,
+                self._newest,
+                0.0 if since_s is None else now_s - since_s,
+                now_s - self._read_s,
+            )
--- a/egretspur/daemons/follow.py
+++ b/egretspur/daemons/follow.py
@@ -49,8 +49,19 @@
 class ConfigSink:
     """Applies configurations from the feed."""
 
-    def __init__(self, apply: Callable[[config.Configuration], None]) -> None:
+    def __init__(
+        self,
+        apply: Callable[[config.Configuration], None],
+        note_read: Callable[[], None],
+    ) -> None:
+        """Makes a sink.
+
+        Args:
+            apply: Puts a configuration in force unless it is older.
+            note_read: Called after each read, from wherever.
+        """
         self._apply = apply
+        self._note_read = note_read
 
     def replace_all(
         self, values: Mapping[str, config.Configuration | feeds.Unreadable]
@@ -68,6 +79,7 @@
         for _, cfg in values:
             if isinstance(cfg, config.Configuration):
                 self._apply(cfg)
+        self._note_read()
 
     def record_answer(self, is_back: bool) -> None:
         """Does nothing: no decision depends on when the store last answered."""
@@ -159,7 +171,7 @@
         store: stores.Store,
         peer_access: PeerAccess,
         broker_desk: desk.Desk,
-        configure: Callable[[config.Configuration], None],
+        config_sink: ConfigSink,
         saver: quarantined.Writer,
         limits: bounds.Bounds,
     ) -> None:
@@ -169,7 +181,7 @@
             store: Store with the topics.
             peer_access: Access to the other hosts.
             broker_desk: Receives upstreams and quarantined requests.
-            configure: Receives configurations.
+            config_sink: Receives configurations.
             saver: Writes quarantined requests to the store.
             limits: Bounds of the host, with the time after which an entry
                 that is missing from the list lapses.
@@ -183,7 +195,7 @@
         self._config_feed = feeds.Feed(
             "config",
             self._make_source(config_topic, hosts.list_newest),
-            ConfigSink(configure),
+            config_sink,
             lambda: reading.get_config_timing(hosts.is_reader()),
         )
         self._upstreams_feed = feeds.Feed(
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -36,6 +36,7 @@
     quarantined,
     reading,
     upstreams,
+    versions,
 )
 from egretspur.daemons import follow, listed, meters, news, pages
 from egretspur.delivery import buffers, intake, watch
@@ -158,6 +159,7 @@
         self._meters = meters.Meters()
         decisions.LOGGER.addHandler(self._meters)
         self._store = store.Store(cfg.store, self._meters.note_store_call)
+        self._versions = versions.Versions()
         self._exchange = exchange.Exchange(
             hosts.Peers(
                 self._host,
@@ -188,7 +190,7 @@
                 self._exchange, self._ask_host, self._members.list_hosts
             ),
             self._desk,
-            self.configure,
+            follow.ConfigSink(self.configure, self._versions.note_read),
             self._saver,
             cfg.bounds,
         )
@@ -205,7 +207,6 @@
             group, self._exchange, read_lists=member_lists.read
         )
         self._keeper = ranges.RangeReconciler(self._duty, self._engines, self)
-        self._versions = config.CurrentConfig()
         # What this host has read, as last sent to others.
         self._known = reading.ReadState(0, 0, math.inf)
         self._was_reader = False
@@ -228,7 +229,7 @@
                 self._desk,
                 self._meters,
                 handler,
-                self._get_version,
+                self._versions.get_status,
                 self.is_ready,
                 self._feeds.topics,
                 lambda: self._store.eras.newest,
@@ -318,15 +319,11 @@
         """Returns whether the load balancer should send new requests here."""
         return (
             not self._draining.is_set()
-            and self._versions.newest is not None
+            and self._versions.current is not None
             and self._feeds.upstreams_sink.has_list
             and self._dialer.get_state() is not reach.ReachState.CUT_OFF
         )
 
-    def _get_version(self) -> int:
-        cfg = self._versions.newest
-        return cfg.version if cfg else 0
-
     def _ask_host(
         self, host: str, topic: str, since: positions.Position | None
     ) -> bytes | None:
@@ -386,7 +383,7 @@
                 and not view.health.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
-            cfg = self._versions.newest
+            cfg = self._versions.current
             return ranges.FleetSnapshot(
                 cfg,
                 tuple(e for e in live if e.data_centre == home),
@@ -406,7 +403,7 @@
         self, view: fleet.Fleet, now_s: float
     ) -> frozenset[str]:
         """Returns the engines that are too slow for the routes' time limits."""
-        cfg = self._versions.newest
+        cfg = self._versions.current
         if cfg is None or not self._mechanisms.replacing_slow:
             return frozenset()
         return frozenset(
@@ -437,7 +434,7 @@
 
     def _find_service(self, entry: upstreams.Upstream) -> config.Service | None:
         """Returns the service of an upstream in the newest configuration."""
-        cfg = self._versions.newest
+        cfg = self._versions.current
         return cfg.services.get(entry.service) if cfg else None
 
     def _make_update(self, peers: Mapping[str, str]) -> datagrams.PeerUpdate:
@@ -446,7 +443,7 @@
         now_s = time.monotonic()
         age_s = now_s - self._store.answered_s
         view = news.StoreView(
-            self._get_version(),
+            self._versions.get_version(),
             age_s,
             now_s - self._feeds.upstreams_sink.answered_s,
             self._exchange.is_store_away(age_s),
@@ -542,6 +539,15 @@
     def _handle_updates(
         self, updates: Sequence[datagrams.PeerUpdate], hosts: int
     ) -> None:
+        for update in updates:
+            if self._versions.note_heard(update.known.version):
+                decisions.record(
+                    decisions.ConfigurationHeard(
+                        update.known.version,
+                        update.host,
+                        self._versions.get_version(),
+                    )
+                )
         self._feeds.wake_outdated(self._known, updates)
         self._watch.record_peer_suspects(
             {i for u in updates for i in u.suspects}
--- a/egretspur/daemons/pages.py
+++ b/egretspur/daemons/pages.py
@@ -13,7 +13,7 @@
 import attrs
 
 from egretspur import codec, logs, web
-from egretspur.catalog import positions
+from egretspur.catalog import positions, versions
 from egretspur.daemons import duties, meters
 from egretspur.membership import contact, seeds
 from egretspur.routing import broker, desk
@@ -42,6 +42,12 @@
     "data_centres_unheard": "Data centres whose peer updates do not arrive",
     "list_age_seconds": "Seconds since the list of upstreams was read",
     "configuration_version": "Version of the configuration in force",
+    "configuration_age_seconds": "Seconds since it was put in force",
+    "configuration_newest_version": "Newest version that was heard of",
+    "configuration_behind_seconds": (
+        "Seconds since a newer version than that in force was heard of"
+    ),
+    "configuration_read_age_seconds": "Seconds since its topic was read",
     "store_era": "Times that the store has come back from an older copy",
     "log_lines_dropped": "Log lines dropped because nobody read them",
 }
@@ -107,7 +113,7 @@
     broker_desk: desk.Desk,
     host_meters: meters.Meters,
     handler: logs.BoundedHandler | None,
-    get_version: Callable[[], int],
+    get_version_status: Callable[[], versions.Status],
     is_ready: Callable[[], bool],
     topics: Mapping[str, Snapshots],
     get_era: Callable[[], int],
@@ -126,7 +132,7 @@
             "hosts_heard": reached.heard,
             "hosts_unheard": len(reached.unheard),
             "data_centres_unheard": len(reached.silent_data_centres),
-            "configuration_version": get_version(),
+            **read_version_gauges(get_version_status()),
             "store_era": get_era(),
             "log_lines_dropped": handler.dropped if handler else 0,
         }
@@ -169,6 +175,17 @@
     return positions.Position(web.get_query_int(req, "era", 0), offset)
 
 
+def read_version_gauges(status: versions.Status) -> dict[str, float]:
+    """Returns the gauges' values of the configuration's versions."""
+    return {
+        "configuration_version": status.version,
+        "configuration_age_seconds": status.age_s,
+        "configuration_newest_version": status.newest,
+        "configuration_behind_seconds": status.behind_s,
+        "configuration_read_age_seconds": status.read_age_s,
+    }
+
+
 def read_gauges(state: broker.Broker) -> GaugeValues:
     """Returns the gauges' values of a broker."""
     now_s = time.monotonic()
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -375,6 +375,16 @@
     workspaces: int
 
 
+@attrs.frozen
+class ConfigurationHeard:
+    """Another host has a newer version than any that was heard of here."""
+
+    version: int
+    host: str
+    # Version in force here.
+    mine: int
+
+
 @attrs.frozen
 class DutyTaken:
     """This host became the duty holder, which gives orders."""
@@ -593,6 +603,7 @@
     | QuestionSent
     | UpstreamsListed
     | ConfigurationApplied
+    | ConfigurationHeard
     | DutyTaken
     | DutyEnded
     | OrderGiven
--- a/tests/catalog/catalog.feature
+++ b/tests/catalog/catalog.feature
@@ -83,6 +83,21 @@
     When configuration 6 is read
     Then configuration 7 is in force
 
+  Scenario Outline: What a host knows of the configuration's versions
+    # Guards against versions that come late, were never heard of or can't be
+    # read, and that look alike to who is on call.
+    Given a host that has configuration 7 in force
+    When <what>, and 3 s pass
+    Then the newest version is <newest>, and it is behind for <behind> s
+    And the topic was read <read> s ago
+
+    Examples:
+      | what                                | newest | behind | read |
+      | another host names configuration 7  | 7      | 0      | 5    |
+      | another host names configuration 9  | 9      | 3      | 5    |
+      | the topic is read                   | 7      | 0      | 3    |
+      | configuration 9 is read             | 9      | 0      | 3    |
+
   Scenario Outline: The snapshot for another host
     # Guards against a removed upstream that stays on another host's list, and
     # against a removal that deletes an entry written again since.
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -19,6 +19,7 @@
     positions,
     reading,
     upstreams,
+    versions,
 )
 from tests import fleets
 from tests.steps import platform_steps
@@ -290,8 +291,10 @@
 
 @given("a host that has configuration {version:d} in force")
 def step_in_force(context: Any, version: int) -> None:
-    context.versions = config.CurrentConfig()
+    context.now_s = 100.0
+    context.versions = versions.Versions(lambda: context.now_s)
     assert context.versions.update(fleets.make_config(version))
+    context.versions.note_read()
 
 
 @when("configuration {version:d} is read")
@@ -299,9 +302,41 @@
     context.versions.update(fleets.make_config(version))
 
 
+@when("another host names configuration {version:d}, and 3 s pass")
+def step_named(context: Any, version: int) -> None:
+    context.now_s += 2.0
+    context.versions.note_heard(version)
+    context.now_s += 3.0
+
+
+@when("the topic is read, and 3 s pass")
+def step_topic_read(context: Any) -> None:
+    context.now_s += 2.0
+    context.versions.note_read()
+    context.now_s += 3.0
+
+
+@when("configuration {version:d} is read, and 3 s pass")
+def step_version_read(context: Any, version: int) -> None:
+    step_read(context, version)
+    step_topic_read(context)
+
+
+@then("the newest version is {newest:d}, and it is behind for {behind_s:g} s")
+def step_status(context: Any, newest: int, behind_s: float) -> None:
+    status = context.versions.get_status()
+    assert status.newest == newest, status
+    assert status.behind_s == behind_s, status
+
+
+@then("the topic was read {read_s:g} s ago")
+def step_read_age(context: Any, read_s: float) -> None:
+    assert context.versions.get_status().read_age_s == read_s
+
+
 @then("configuration {version:d} is in force")
 def step_version(context: Any, version: int) -> None:
-    assert context.versions.newest.version == version
+    assert context.versions.current.version == version
 
 
 @given('a topic that was read whole up to offset {end:d} with keys "{keys}"')
