--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -229,7 +229,7 @@
                 self._desk,
                 self._meters,
                 handler,
-                self._versions.get_status,
+                self.get_version_status,
                 self.is_ready,
                 self._feeds.topics,
                 lambda: self._store.eras.newest,
@@ -315,6 +315,10 @@
             )
         )
 
+    def get_version_status(self) -> versions.Status:
+        """Returns what this host knows of the configuration's versions."""
+        return self._versions.get_status()
+
     def is_ready(self) -> bool:
         """Returns whether the load balancer should send new requests here."""
         return (
