Note a version as in force only once every part of the host has applied it

Callers would get 404 for added routes, and the old service for moved ones, until the next version came; the gauge, the peer updates and the step_failed line said nothing of it. Cause: the version was noted first and applied then, and reading it again was skipped as not newer. Class: state recorded before the change that it stands for.

--- a/egretspur/catalog/versions.py
+++ b/egretspur/catalog/versions.py
@@ -69,19 +69,19 @@
                 self._behind_since_s = self._clock()
             return True
 
-    def update(self, cfg: config.Configuration) -> bool:
-        """Stores a configuration if it is newer; returns whether it was."""
+    def is_newer(self, cfg: config.Configuration) -> bool:
+        """Notes a configuration that was read; returns whether to apply it."""
         self.note_heard(cfg.version)
         with self._lock:
-            if self.current is not None and not config.is_newer(
-                cfg, self.current
-            ):
-                return False
+            return self.current is None or config.is_newer(cfg, self.current)
+
+    def note_applied(self, cfg: config.Configuration) -> None:
+        """Notes that every part of the host has applied a configuration."""
+        with self._lock:
             self.current = cfg
             self._applied_s = self._clock()
             if cfg.version >= self._newest:
                 self._behind_since_s = None
-            return True
 
     def get_version(self) -> int:
         """Returns the version in force; 0 if there is none."""
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -296,8 +296,12 @@
         decisions.record(decisions.Stopped(self._intake.in_flight))
 
     def configure(self, cfg: config.Configuration) -> None:
-        """Puts a configuration in force, unless a newer one already is."""
-        if not self._versions.update(cfg):
+        """Puts a configuration in force, unless a newer one already is.
+
+        It is noted as in force once every part has applied it: after a part has
+        failed, the feed reads the topic again, and the version is applied anew.
+        """
+        if not self._versions.is_newer(cfg):
             return
         # The intake makes requests by its configuration and the broker routes
         # them by its own, so the broker must know a service first.
@@ -308,6 +312,7 @@
             cfg.limits.body_bytes,
             cfg.limits.idle_s + IDLE_SLACK_S,
         )
+        self._versions.note_applied(cfg)
         workspace_names = {w.name for w in (cfg.keys or {}).values()}
         decisions.record(
             decisions.ConfigurationApplied(
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -293,13 +293,16 @@
 def step_in_force(context: Any, version: int) -> None:
     context.now_s = 100.0
     context.versions = versions.Versions(lambda: context.now_s)
-    assert context.versions.update(fleets.make_config(version))
+    step_read(context, version)
+    assert context.versions.get_version() == version
     context.versions.note_read()
 
 
 @when("configuration {version:d} is read")
 def step_read(context: Any, version: int) -> None:
-    context.versions.update(fleets.make_config(version))
+    cfg = fleets.make_config(version)
+    if context.versions.is_newer(cfg):
+        context.versions.note_applied(cfg)
 
 
 @when("another host names configuration {version:d}, and 3 s pass")
