Failing test: versions come late where the store turns hosts away

Now each host of a test may have a door of its own to the store, which passes its calls on, refuses them, resets or keeps silent.

--- a/tests/sites.py
+++ b/tests/sites.py
@@ -22,7 +22,7 @@
 import urllib3
 
 from tests import stage
-from tests.fakes import partition
+from tests.fakes import doors, partition
 from tests.steps import platform_steps
 
 LAYERS: Final = 8
@@ -107,6 +107,13 @@
     lapsed: set[str] = attrs.Factory(set)
     # Checkout whose hosts are started; this one if None.
     tree: pathlib.Path | None = None
+    # Doors to the store of the hosts that have one, by host.
+    doors: dict[str, doors.Door] = attrs.Factory(dict)
+
+    def get_store(self, host: str) -> str:
+        """Returns the address at which a host finds the store."""
+        door = self.doors.get(host)
+        return door.address if door else self.stage.processes["store"].address
 
     def get_ip(self, host: str) -> str:
         """Returns a host's address: its name, unless it shares one."""
@@ -127,6 +134,8 @@
         """Stops all processes."""
         self.closed.set()
         self.stage.close()
+        for door in self.doors.values():
+            door.close()
         for sock in self.reserved:
             sock.close()
 
@@ -384,7 +393,7 @@
         ],
         "seeds": site.seeds,
         "bootstrap": site.keeps_settings or not path.exists(),
-        "platform": {"address": site.stage.processes["store"].address},
+        "platform": {"address": site.get_store(ip)},
         "bounds": {"grace_s": 7, **site.bounds},
     }
     path.write_text(json.dumps(cfg), "utf-8")
@@ -456,6 +465,7 @@
     zones: Sequence[str] = (),
     tree: pathlib.Path | None = None,
     shares_address: bool = False,
+    has_doors: bool = False,
     **bounds: float,
 ) -> Site:
     """Starts a site with four engines, two plain replicas and hosts.
@@ -466,6 +476,7 @@
         tree: Checkout whose hosts are started; this one if None.
         shares_address: Whether all hosts are at one address, told apart by
             their ports alone.
+        has_doors: Whether each host has a door to the store.
         **bounds: Bounds in the hosts' settings.
     """
     site = Site(bounds=bounds, tree=tree)
@@ -479,7 +490,9 @@
         site.ports.update(reserve_ports(site, ips))
     site.seeds.append(site.get_address(ips[0], "control_plane"))
     site.zones.update(zip(ips[hosts - len(zones) : hosts], zones, strict=True))
-    site.stage.start("store", "tests.fakes.store")
+    store = site.stage.start("store", "tests.fakes.store")
+    if has_doors:
+        site.doors.update((ip, doors.Door(store.address)) for ip in ips)
     for i in range(6):
         site.start_upstream(f"e{i}" if i < 4 else f"s{i}")
     site.write("keyed.op", "config", make_config(["key-1"], 2))
--- /dev/null
+++ b/tests/steps/turned_away_steps.py
@@ -0,0 +1,101 @@
+"""Steps on configurations while the store turns some hosts away."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Any, Final
+
+import attrs
+from behave import given, then, when
+
+from egretspur.platform import names
+from tests import sites
+
+# Version of the first configuration that a scenario writes.
+FIRST_VERSION: Final = 3
+
+# Path that the requests for a version's own route begin with.
+PREFIX: Final = "/version-{}/"
+
+# Time from a confirmed version to the requests that must go by it, and for
+# which these are sent, in seconds.
+APPLY_S: Final = 2.0
+ASKED_S: Final = 0.4
+
+
+@attrs.frozen
+class Answer:
+    """The answer of a host to a request for a version's own route."""
+
+    host: str
+    version: int
+    # From the store's acknowledgement to the request, in seconds.
+    after_s: float
+    status: int
+
+
+@given("{count:d} hosts of one data centre, each with a door to the store")
+def step_site(context: Any, count: int) -> None:
+    context.play = sites.start_site(count, has_doors=True)
+    context.answers = []
+
+
+@when(
+    "the doors of all but the last answer {verdict} from {before_s:g} s before on"
+)
+def step_turned_away(context: Any, verdict: str, before_s: float) -> None:
+    for door in list(context.play.doors.values())[:-1]:
+        door.rule = lambda line: verdict
+    time.sleep(before_s)
+
+
+@when(
+    "{count:d} versions are written, one each {period_s:g} s, with a route of"
+    " their own each"
+)
+def step_write(context: Any, count: int, period_s: float) -> None:
+    for version in range(FIRST_VERSION, FIRST_VERSION + count):
+        cfg = sites.make_config(["key-1"], version)
+        cfg["routes"].append(
+            {
+                **cfg["routes"][1],
+                "name": f"version {version}",
+                "path_prefix": PREFIX.format(version),
+            }
+        )
+        context.play.write(names.CONFIG_TOPIC, names.CONFIG_KEY, cfg)
+        acked_s = time.monotonic()
+        time.sleep(APPLY_S)
+        threads = [
+            threading.Thread(target=ask, args=(context, ip, version, acked_s))
+            for ip in context.play.hosts
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(max(0.0, acked_s + period_s - time.monotonic()))
+
+
+def ask(context: Any, host: str, version: int, acked_s: float) -> None:
+    """Asks a host for a version's own route for a while."""
+    path = f"{PREFIX.format(version)}x"
+    while (after_s := time.monotonic() - acked_s) < APPLY_S + ASKED_S:
+        res = context.play.ask(path, "key-1", host)
+        res.read()
+        context.answers.append(Answer(host, version, after_s, res.status))
+        time.sleep(0.05)
+
+
+@then(
+    "each host serves each route {after_s:g} s after the store has confirmed it"
+)
+def step_served(context: Any, after_s: float) -> None:
+    late = [
+        a for a in context.answers if a.after_s > after_s and a.status == 404
+    ]
+    assert not late, late
+    served = {(a.host, a.version) for a in context.answers if a.status == 200}
+    asked = {(a.host, a.version) for a in context.answers}
+    assert served == asked, asked - served
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -144,7 +144,7 @@
 
 def start(hosts: int, engines: int, per_s: float, **bounds: float) -> Streams:
     """Starts a site and its callers; see `sites.start_site`."""
-    site = sites.start_site(hosts, (), None, False, **bounds)
+    site = sites.start_site(hosts, (), None, False, False, **bounds)
     for number in range(4, engines):
         site.start_upstream(f"e{number}")
     for name in list_engines(site):
