Failing test: hosts that the store doesn't answer wait for it before they ask others

Where the store answers one host of five and the calls of the others get no answer, these four serve an added route more than 2 s late: each is the reader of its own accord, since its address precedes that of the only host with a fresh list, and its long poll of the store runs into its time-out of 2.5 s before it asks that host.

--- a/tests/daemons/turned_away.feature
+++ b/tests/daemons/turned_away.feature
@@ -4,6 +4,14 @@
     # Guards against versions that come late at all hosts: the only host that
     # the store serves reads it in the seconds only for which it is drawn.
     Given 5 hosts of one data centre, each with a door to the store
-    When all but the last are answered 503, and 3 s pass
+    When the doors of all but the last are set to "503", and 3 s pass
+    And 6 versions are written, one each 2.5 s, with a route of their own each
+    Then each host serves each route 2 s after the store has confirmed it
+
+  Scenario: The store answers one host alone
+    # Guards against versions that come late at the hosts that the store doesn't
+    # answer: they wait for it before they ask the host that has the version.
+    Given 5 hosts of one data centre, each with a door to the store
+    When the doors of all but the last are set to "silent", and 7 s pass
     And 6 versions are written, one each 2.5 s, with a route of their own each
     Then each host serves each route 2 s after the store has confirmed it
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -41,7 +41,10 @@
     context.answers = []
 
 
-@when("all but the last are answered {verdict}, and {wait_s:g} s pass")
+@when(
+    'the doors of all but the last are set to "{verdict}", and {wait_s:g} s'
+    " pass"
+)
 def step_turned_away(context: Any, verdict: str, wait_s: float) -> None:
     for door in list(context.play.doors.values())[:-1]:
         door.rule = lambda line: verdict
