Leave the reading to a host that the store answers

Callers got 404 for added routes for up to 2.91 s after the store's word on hosts whose calls to the store get no answer, beside one that is answered: a host whose address precedes that of the host with a fresh list counts as the reader, waits 2.5 s for the store in each read, and asks the other host only then. Class: a wait for what is known to be away.

--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -414,13 +414,16 @@
 
         The reader is the first host whose list is fresh. If no list is fresh,
         the former reader may be stuck in a call or refused by the store, and a
-        few other hosts try. The one that the store serves stays the reader.
+        few other hosts try. The one that the store serves stays the reader. A
+        host that has no answer from the store leaves it to one with a fresh
+        list, since it would wait for the store before it asks that one.
         """
         local = self._find_local_alive(now_s)
         fresh = [h for h, t in local.items() if _is_fresh(t, now_s)]
-        if fresh:
-            return self._precedes(fresh)
         own = self._own_status
+        if fresh:
+            is_cut_off = own is not None and _is_cut_off(own, now_s)
+            return self._precedes(fresh) and not is_cut_off
         if own is not None and _is_fresh(own, now_s):
             return True
         return self._count_preceding(local) < FIRST_READERS or self._is_drawn(
@@ -470,6 +473,11 @@
     )
 
 
+def _is_cut_off(status: _PeerStatus, now_s: float) -> bool:
+    """Returns whether a host has had no answer from the store for long."""
+    return status.store_age_s + now_s - status.at_s >= STORE_TIMEOUT_S
+
+
 def _is_fresh(status: _PeerStatus, now_s: float) -> bool:
     """Returns whether a host has read the list recently."""
     return status.list_age_s + now_s - status.at_s < reading.MAX_LIST_AGE_S
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -116,6 +116,20 @@
     When the store answers the last one
     Then it reads for the others in each second of a minute
 
+  Scenario Outline: A host that the store doesn't answer, beside one that it does
+    # Guards against a host that waits for the store before it asks the host
+    # that has the configuration.
+    Given host "10.1.0.20" in "kl-hall"
+    And it heard of host "10.1.0.30" in "kl-hall" 0.3 s ago, whose store answered 0.5 s ago
+    When the store answered it <store> s ago
+    Then it <verdict> read for the others
+
+    Examples:
+      | store | verdict  |
+      | 0.5   | must     |
+      | 2.5   | must     |
+      | 3.5   | need not |
+
   Scenario Outline: When a host that is not the reader reads the store
     # Guards against requests that reach an upstream for six seconds after it
     # left: a host learns of another list and doesn't read it.
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -789,6 +789,12 @@
     assert others <= 1.5 * drawn, others
 
 
+@when("the store answered it {store:g} s ago")
+def step_own_store(context: Any, store: float) -> None:
+    own = make_news("10.1.0.20", "kl-hall", store)
+    context.peers.record_own_update(own, 100.0)
+
+
 @when("the store answers the last one")
 def step_last_served(context: Any) -> None:
     context.me = context.ips[-1]
