Failing test: a reader that can't read the configuration stays the reader

One host of each data centre reads the store for the others, and who does is told by the age of its list of upstreams alone. Where the store refuses this host's reads of configurations and serves those of the list, all hosts of the data centre learn of a version from another data centre or after 12 s.

--- a/tests/daemons/turned_away.feature
+++ b/tests/daemons/turned_away.feature
@@ -8,6 +8,14 @@
     And 6 versions are written, one each 2.5 s, with a route of their own each
     Then each host serves each route 2 s after the store has confirmed it
 
+  Scenario: The store refuses the reader's reads of configurations alone
+    # Guards against versions that come seconds late at all hosts of a data
+    # centre: its reader follows the list of upstreams and nothing else.
+    Given 5 hosts of one data centre, each with a door to the store
+    When the door of the first refuses reads of configurations, and 3 s pass
+    And 4 versions are written, one each 2.5 s, with a route of their own each
+    Then each host serves each route 2 s after the store has confirmed it
+
   Scenario: The store answers one host alone
     # Guards against versions that come late at the hosts that the store doesn't
     # answer: they wait for it before they ask the host that has the version.
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -11,6 +11,7 @@
 
 from egretspur.platform import names
 from tests import sites
+from tests.fakes import doors
 
 # Version of the first configuration that a scenario writes.
 FIRST_VERSION: Final = 3
@@ -79,6 +80,17 @@
         time.sleep(max(0.0, acked_s + period_s - time.monotonic()))
 
 
+@when(
+    "the door of the first refuses reads of configurations, and {wait_s:g} s"
+    " pass"
+)
+def step_no_configurations(context: Any, wait_s: float) -> None:
+    context.play.doors[context.play.hosts[0]].rule = lambda line: (
+        "503" if f"topic={names.CONFIG_TOPIC}" in line else doors.PASS
+    )
+    time.sleep(wait_s)
+
+
 def ask(context: Any, host: str, version: int, acked_s: float) -> None:
     """Asks a host for a version's own route for a while."""
     path = f"{PREFIX.format(version)}x"
