Have another host read the store where the reader can't read the configuration

Callers got 404 for added routes and the old service for moved ones on all hosts of a data centre, up to 5.5 s and at most 12 s late, where the store refused or didn't answer the reader's reads of configurations and served those of the list: who reads for the others was told by the age of the list alone. Class: one sign of health that stands for two. Now a peer update tells that the host's last call for the configuration failed; such a host doesn't count as the reader, and leaves the reading to one that reads both. The flag is in the datagram only while it is set, since hosts of older builds refuse a longer row; they take that host for silent and read themselves.

--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -190,6 +190,10 @@
         """Wakes the thread to read: another host has newer state."""
         self._woken.set()
 
+    def is_store_lost(self) -> bool:
+        """Returns whether the last call to the store failed."""
+        return self._outage_since_s is not None
+
     def _wait(self, seconds: float) -> None:
         if self._woken.wait(seconds):
             self._woken.clear()
--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -46,6 +46,8 @@
     list_age_s: float
     # The store's era when the list was read.
     era: int = 0
+    # Whether its last call to the store for the configuration failed.
+    is_config_lost: bool = False
 
 
 def get_config_timing(is_reader: bool) -> feeds.Timing:
--- a/egretspur/daemons/follow.py
+++ b/egretspur/daemons/follow.py
@@ -242,6 +242,10 @@
         at = self._upstreams_topic.table.get_position()
         return at.era if at else 0
 
+    def is_config_lost(self) -> bool:
+        """Returns whether the last call for the configuration failed."""
+        return self._config_feed.is_store_lost()
+
     def _make_source(
         self, topic: stores.Topic[T], list_hosts: handover.ListHosts
     ) -> handover.HandoverSource[T]:
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -457,6 +457,7 @@
             now_s - self._feeds.upstreams_sink.answered_s,
             self._exchange.is_store_away(age_s),
             self._feeds.get_era(),
+            self._feeds.is_config_lost(),
         )
         update: datagrams.PeerUpdate = self._desk.query(
             lambda state: news.make_update(
--- a/egretspur/daemons/news.py
+++ b/egretspur/daemons/news.py
@@ -41,6 +41,8 @@
     is_away: bool
     # Era of the store when the list was read.
     era: int
+    # Whether the last call to the store for the configuration failed.
+    is_config_lost: bool = False
 
 
 def make_update(
@@ -69,6 +71,7 @@
             own.compute_digest(),
             min(max(0.0, store_view.list_age_s), NEVER_READ_AGE_S),
             store_view.era,
+            store_view.is_config_lost,
         ),
         usage=dict(own.memory.own),
         pace=own.paces.list_slow(),
--- a/egretspur/membership/datagrams.py
+++ b/egretspur/membership/datagrams.py
@@ -21,6 +21,9 @@
 # Limit on upstreams in one datagram, so that it fits into one packet.
 MAX_ENTRIES: Final = 40
 
+# Fields of what a host has read, without the flag that may follow.
+_KNOWN_FIELDS: Final = 4
+
 # Limit on failing upstreams in one datagram, for the same reason; a third of a
 # data centre's upstreams.
 MAX_SUSPECTS: Final = 24
@@ -107,12 +110,7 @@
             update.host,
             update.data_centre,
             round(update.store_age_s, 2),
-            [
-                update.known.version,
-                update.known.digest,
-                round(update.known.list_age_s, 2),
-                update.known.era,
-            ],
+            _encode_known(update.known),
             {i: [u.count, int(u.room)] for i, u in rows},
             dict(update.pace),
             list(update.dead),
@@ -143,6 +141,16 @@
     )
 
 
+def _encode_known(known: reading.ReadState) -> list[Any]:
+    """Returns the field of what a host has read.
+
+    Hosts of older builds refuse a row with a flag at its end, so it is there in
+    the rare case only in which the host should not read for them.
+    """
+    row = [known.version, known.digest, round(known.list_age_s, 2), known.era]
+    return [*row, True] if known.is_config_lost else row
+
+
 class Decoder:
     """Decodes the datagrams of many hosts.
 
@@ -198,12 +206,17 @@
 
 
 def _decode_known(value: Any) -> reading.ReadState:
-    version, digest, list_age_s, era = checks.check_row(value, "known", 4)
+    row = checks.check_list(value, "known")
+    flag = row[_KNOWN_FIELDS:] or [False]
+    version, digest, list_age_s, era, is_config_lost = checks.check_row(
+        [*row[:_KNOWN_FIELDS], *flag], "known", _KNOWN_FIELDS + 1
+    )
     return reading.ReadState(
         checks.check_count(version, "version"),
         checks.check_count(digest, "digest"),
         checks.check_number(list_age_s, "list_age"),
         checks.check_count(era, "era"),
+        checks.check_flag(is_config_lost, "is_config_lost"),
     )
 
 
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -73,6 +73,8 @@
     list_age_s: float
     # Version of the configuration that the host has in force.
     version: int
+    # Whether its last call to the store for the configuration failed.
+    is_config_lost: bool
 
 
 class Peers:
@@ -412,18 +414,21 @@
     def is_reader(self, now_s: float) -> bool:
         """Returns whether this host reads the store for its data centre.
 
-        The reader is the first host whose list is fresh. If no list is fresh,
-        the former reader may be stuck in a call or refused by the store, and a
-        few other hosts try. The one that the store serves stays the reader. A
-        host that has no answer from the store leaves it to one with a fresh
-        list, since it would wait for the store before it asks that one.
+        The reader is the first host whose list is fresh and that can read the
+        configuration too. If there is none, the former reader may be stuck in a
+        call or refused by the store, and a few other hosts try. The one that
+        the store serves stays the reader. A host that has no answer from the
+        store leaves it to such a reader, since it would wait for the store
+        before it asks that one.
         """
         local = self._find_local_alive(now_s)
-        fresh = [h for h, t in local.items() if _is_fresh(t, now_s)]
+        readers = [h for h, t in local.items() if _reads_both(t, now_s)]
         own = self._own_status
-        if fresh:
-            is_cut_off = own is not None and _is_cut_off(own, now_s)
-            return self._precedes(fresh) and not is_cut_off
+        if readers:
+            is_lost = own is not None and (
+                own.is_config_lost or _is_cut_off(own, now_s)
+            )
+            return self._precedes(readers) and not is_lost
         if own is not None and _is_fresh(own, now_s):
             return True
         return self._count_preceding(local) < FIRST_READERS or self._is_drawn(
@@ -470,6 +475,7 @@
         update.store_age_s,
         update.known.list_age_s,
         update.known.version,
+        update.known.is_config_lost,
     )
 
 
@@ -481,3 +487,8 @@
 def _is_fresh(status: _PeerStatus, now_s: float) -> bool:
     """Returns whether a host has read the list recently."""
     return status.list_age_s + now_s - status.at_s < reading.MAX_LIST_AGE_S
+
+
+def _reads_both(status: _PeerStatus, now_s: float) -> bool:
+    """Returns whether a host reads both the list and the configuration."""
+    return _is_fresh(status, now_s) and not status.is_config_lost
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -116,6 +116,19 @@
     When the store answers the last one
     Then it reads for the others in each second of a minute
 
+  Scenario Outline: A reader whose reads of the configuration fail
+    # Guards against a data centre whose hosts all wait for a configuration that
+    # its reader can't read, while it reads the list.
+    Given host "<me>" in "kl-hall"
+    And it heard of hosts "<failing>" and "<other>", of which the first fails to read the configuration
+    Then it <verdict> read for the others
+
+    Examples:
+      | me        | failing   | other     | verdict  |
+      | 10.1.0.20 | 10.1.0.9  | 10.1.0.30 | must     |
+      | 10.1.0.20 | 10.1.0.9  | 10.1.0.10 | need not |
+      | 10.1.0.9  | 10.1.0.9  | 10.1.0.30 | need not |
+
   Scenario Outline: A host that the store doesn't answer, beside one that it does
     # Guards against a host that waits for the store before it asks the host
     # that has the configuration.
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -83,6 +83,7 @@
 @given('host "{ip}" in "{data_centre}"')
 @given('host "{ip}" in "{data_centre}", cut off from the store')
 def step_cut_off(context: Any, ip: str, data_centre: str) -> None:
+    context.me = ip
     context.peers = hosts.Peers(ip, data_centre, [], random.Random(7))
 
 
@@ -789,6 +790,24 @@
     assert others <= 1.5 * drawn, others
 
 
+@given(
+    'it heard of hosts "{failing}" and "{other}", of which the first fails to'
+    " read the configuration"
+)
+def step_fails_to_read(context: Any, failing: str, other: str) -> None:
+    for host in (failing, other):
+        news = make_news(host, "kl-hall", 0.5)
+        known = attrs.evolve(news.known, is_config_lost=host == failing)
+        # As the other host gets it.
+        sent = datagrams.encode_update(attrs.evolve(news, known=known))
+        found = datagrams.Decoder().decode(sent)
+        assert isinstance(found, datagrams.PeerUpdate), found
+        if host == context.me:
+            context.peers.record_own_update(found, 100.0)
+        else:
+            context.peers.record_update(found, 100.0)
+
+
 @when("the store answered it {store:g} s ago")
 def step_own_store(context: Any, store: float) -> None:
     own = make_news("10.1.0.20", "kl-hall", store)
