--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -36,6 +36,7 @@
     quarantined,
     reading,
     upstreams,
+    versions,
 )
 from egretspur.daemons import follow, listed, meters, news, pages
 from egretspur.delivery import buffers, intake, watch
@@ -158,6 +159,7 @@
         self._meters = meters.Meters()
         decisions.LOGGER.addHandler(self._meters)
         self._store = store.Store(cfg.store, self._meters.note_store_call)
+        self._versions = versions.Versions()
         self._exchange = exchange.Exchange(
             hosts.Peers(
                 self._host,
@@ -188,7 +190,7 @@
                 self._exchange, self._ask_host, self._members.list_hosts
             ),
             self._desk,
-            self.configure,
+            follow.ConfigSink(self.configure, self._versions.note_read),
             self._saver,
             cfg.bounds,
         )
@@ -205,7 +207,6 @@
             group, self._exchange, read_lists=member_lists.read
         )
         self._keeper = ranges.RangeReconciler(self._duty, self._engines, self)
-        self._versions = config.CurrentConfig()
         # What this host has read, as last sent to others.
         self._known = reading.ReadState(0, 0, math.inf)
         self._was_reader = False
@@ -228,7 +229,7 @@
                 self._desk,
                 self._meters,
                 handler,
-                self._get_version,
+                self.get_version_status,
                 self.is_ready,
                 self._feeds.topics,
                 lambda: self._store.eras.newest,
@@ -295,8 +296,12 @@
         decisions.record(decisions.Stopped(self._intake.in_flight))
 
     def configure(self, cfg: config.Configuration) -> None:
-        """Puts a configuration in force, unless a newer one already is."""
-        if not self._versions.update(cfg):
+        """Puts a configuration in force, unless a newer one already is.
+
+        It is noted as in force once every part has applied it: after a part has
+        failed, the feed reads the topic again, and the version is applied anew.
+        """
+        if not self._versions.is_newer(cfg):
             return
         # The intake makes requests by its configuration and the broker routes
         # them by its own, so the broker must know a service first.
@@ -307,6 +312,7 @@
             cfg.limits.body_bytes,
             cfg.limits.idle_s + IDLE_SLACK_S,
         )
+        self._versions.note_applied(cfg)
         workspace_names = {w.name for w in (cfg.keys or {}).values()}
         decisions.record(
             decisions.ConfigurationApplied(
@@ -314,19 +320,19 @@
             )
         )
 
+    def get_version_status(self) -> versions.Status:
+        """Returns what this host knows of the configuration's versions."""
+        return self._versions.get_status()
+
     def is_ready(self) -> bool:
         """Returns whether the load balancer should send new requests here."""
         return (
             not self._draining.is_set()
-            and self._versions.newest is not None
+            and self._versions.current is not None
             and self._feeds.upstreams_sink.has_list
             and self._dialer.get_state() is not reach.ReachState.CUT_OFF
         )
 
-    def _get_version(self) -> int:
-        cfg = self._versions.newest
-        return cfg.version if cfg else 0
-
     def _ask_host(
         self, host: str, topic: str, since: positions.Position | None
     ) -> bytes | None:
@@ -386,7 +392,7 @@
                 and not view.health.is_dead(e.id, now_s)
             ]
             home = self._cfg.data_centre
-            cfg = self._versions.newest
+            cfg = self._versions.current
             return ranges.FleetSnapshot(
                 cfg,
                 tuple(e for e in live if e.data_centre == home),
@@ -406,7 +412,7 @@
         self, view: fleet.Fleet, now_s: float
     ) -> frozenset[str]:
         """Returns the engines that are too slow for the routes' time limits."""
-        cfg = self._versions.newest
+        cfg = self._versions.current
         if cfg is None or not self._mechanisms.replacing_slow:
             return frozenset()
         return frozenset(
@@ -437,7 +443,7 @@
 
     def _find_service(self, entry: upstreams.Upstream) -> config.Service | None:
         """Returns the service of an upstream in the newest configuration."""
-        cfg = self._versions.newest
+        cfg = self._versions.current
         return cfg.services.get(entry.service) if cfg else None
 
     def _make_update(self, peers: Mapping[str, str]) -> datagrams.PeerUpdate:
@@ -446,11 +452,12 @@
         now_s = time.monotonic()
         age_s = now_s - self._store.answered_s
         view = news.StoreView(
-            self._get_version(),
+            self._versions.get_version(),
             age_s,
             now_s - self._feeds.upstreams_sink.answered_s,
             self._exchange.is_store_away(age_s),
             self._feeds.get_era(),
+            self._feeds.is_config_lost(),
         )
         update: datagrams.PeerUpdate = self._desk.query(
             lambda state: news.make_update(
@@ -542,6 +549,15 @@
     def _handle_updates(
         self, updates: Sequence[datagrams.PeerUpdate], hosts: int
     ) -> None:
+        for update in updates:
+            if self._versions.note_heard(update.known.version):
+                decisions.record(
+                    decisions.ConfigurationHeard(
+                        update.known.version,
+                        update.host,
+                        self._versions.get_version(),
+                    )
+                )
         self._feeds.wake_outdated(self._known, updates)
         self._watch.record_peer_suspects(
             {i for u in updates for i in u.suspects}
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -109,6 +109,40 @@
       | 28    | 2     | 150     |
       | 195   | 2     | 1500    |
 
+  Scenario: A store that serves one of many hosts
+    # Guards against configurations and lists that are read in those seconds
+    # only for which the host that is served is drawn.
+    Given 28 hosts of a data centre that hear each other and have no answer
+    When the store answers the last one
+    Then it reads for the others in each second of a minute
+
+  Scenario Outline: A reader whose reads of the configuration fail
+    # Guards against a data centre whose hosts all wait for a configuration that
+    # its reader can't read, while it reads the list.
+    Given host "<me>" in "kl-hall"
+    And it heard of hosts "<failing>" and "<other>", of which the first fails to read the configuration
+    Then it <verdict> read for the others
+
+    Examples:
+      | me        | failing   | other     | verdict  |
+      | 10.1.0.20 | 10.1.0.9  | 10.1.0.30 | must     |
+      | 10.1.0.20 | 10.1.0.9  | 10.1.0.10 | need not |
+      | 10.1.0.9  | 10.1.0.9  | 10.1.0.30 | need not |
+
+  Scenario Outline: A host that the store doesn't answer, beside one that it does
+    # Guards against a host that waits for the store before it asks the host
+    # that has the configuration.
+    Given host "10.1.0.20" in "kl-hall"
+    And it heard of host "10.1.0.30" in "kl-hall" 0.3 s ago, whose store answered 0.5 s ago
+    When the store answered it <store> s ago
+    Then it <verdict> read for the others
+
+    Examples:
+      | store | verdict  |
+      | 0.5   | must     |
+      | 2.5   | must     |
+      | 3.5   | need not |
+
   Scenario Outline: When a host that is not the reader reads the store
     # Guards against requests that reach an upstream for six seconds after it
     # left: a host learns of another list and doesn't read it.
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -83,6 +83,7 @@
 @given('host "{ip}" in "{data_centre}"')
 @given('host "{ip}" in "{data_centre}", cut off from the store')
 def step_cut_off(context: Any, ip: str, data_centre: str) -> None:
+    context.me = ip
     context.peers = hosts.Peers(ip, data_centre, [], random.Random(7))
 
 
@@ -789,6 +790,46 @@
     assert others <= 1.5 * drawn, others
 
 
+@given(
+    'it heard of hosts "{failing}" and "{other}", of which the first fails to'
+    " read the configuration"
+)
+def step_fails_to_read(context: Any, failing: str, other: str) -> None:
+    for host in (failing, other):
+        news = make_news(host, "kl-hall", 0.5)
+        known = attrs.evolve(news.known, is_config_lost=host == failing)
+        # As the other host gets it.
+        sent = datagrams.encode_update(attrs.evolve(news, known=known))
+        found = datagrams.Decoder().decode(sent)
+        assert isinstance(found, datagrams.PeerUpdate), found
+        if host == context.me:
+            context.peers.record_own_update(found, 100.0)
+        else:
+            context.peers.record_update(found, 100.0)
+
+
+@when("the store answered it {store:g} s ago")
+def step_own_store(context: Any, store: float) -> None:
+    own = make_news("10.1.0.20", "kl-hall", store)
+    context.peers.record_own_update(own, 100.0)
+
+
+@when("the store answers the last one")
+def step_last_served(context: Any) -> None:
+    context.me = context.ips[-1]
+    context.peers = hosts.Peers(context.me, "kl-hall", ())
+
+
+@then("it reads for the others in each second of a minute")
+def step_reads_on(context: Any) -> None:
+    for second in range(60):
+        now_s = 100.0 + second
+        hear_all(context.peers, context.ips, context.me, now_s)
+        served = make_news(context.me, "kl-hall", reading.LIST_PERIOD_S)
+        context.peers.record_own_update(served, now_s)
+        assert context.peers.is_reader(now_s), second
+
+
 @then(
     "within {seconds:d} s each has read, so that one that is served finds out"
 )
