Take an answer as established after two seconds of output

What callers saw: the same as before where engines crash 1.5 s after their first output, as with six events at the longest usual gap of a quarter of a second.

The price is that an answer speaks for a system prompt a second later.

--- a/egretspur/admission/segments.py
+++ b/egretspur/admission/segments.py
@@ -50,7 +50,7 @@
 
 # Output for this long shows that an upstream does not crash under a prompt:
 # several of the longest gaps between two events.
-ESTABLISHED_S: Final = 1.0
+ESTABLISHED_S: Final = 2.0
 
 # Different requests that must have crashed upstreams: a single one is known by
 # its fingerprint.
--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -142,6 +142,11 @@
     context.world.sends_head = False
 
 
+@given("answers that take {seconds:g} s")
+def step_answers_take(context: Any, seconds: float) -> None:
+    context.world.answer_s = seconds
+
+
 @given("engines that crash after {seconds:g} s of output")
 def step_late_crash(context: Any, seconds: float) -> None:
     context.world.output_s = seconds
