Keep upstreams that other hosts suspect in a module of their own

The watch of streams held two tables and their expiry beside its own work. Now delivery/peer_suspects.py does: recording, the first report, the current ones.

--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -25,7 +25,13 @@
 
 from egretspur import decisions, guard
 from egretspur.catalog import upstreams
-from egretspur.delivery import first_events, forward, peeks, silence
+from egretspur.delivery import (
+    first_events,
+    forward,
+    peeks,
+    peer_suspects,
+    silence,
+)
 from egretspur.routing import desk, paths
 
 # Shortest interval between checks, used when a stream is nearly silent, and
@@ -37,9 +43,6 @@
 # Longest wait for a first stream; `add` ends it early.
 IDLE_WAIT_S: Final = 1.0
 
-# Time for which an upstream that another host reported failing is suspected.
-PEER_SUSPICION_S: Final = 0.6
-
 # Silence after which the first engine of a stream's path is asked for its
 # report, if the stream's route sets no maximum gap. Events arrive every few
 # tens of milliseconds.
@@ -120,10 +123,8 @@
         # When a first engine was last asked for its report, by id.
         self._last_report_s: dict[str, float] = {}
         self._peeks = peeks.PeekSchedule(host)
-        # When another host last reported an upstream failing, by id.
-        self._peer_suspects: dict[str, float] = {}
-        # When these upstreams were first reported.
-        self._suspected_s: dict[str, float] = {}
+        # Used under the lock.
+        self._peer_suspects = peer_suspects.PeerSuspects()
         # When streams without a first event were last compared.
         self._first_events_s = -math.inf
         # Used under the lock.
@@ -167,13 +168,8 @@
     def record_peer_suspects(self, suspects: Collection[str]) -> None:
         """Records upstreams that other hosts report failing."""
         if suspects:
-            now_s = time.monotonic()
             with self._lock:
-                for upstream_id in suspects:
-                    last_s = self._peer_suspects.get(upstream_id)
-                    if last_s is None or now_s - last_s >= PEER_SUSPICION_S:
-                        self._suspected_s[upstream_id] = now_s
-                    self._peer_suspects[upstream_id] = now_s
+                self._peer_suspects.record(suspects, time.monotonic())
 
     def record_peer_usage(
         self, host: str, upstream_ids: Collection[str]
@@ -394,7 +390,7 @@
                 if self._peeks.is_due(
                     i,
                     last_event_s.get(i, -math.inf),
-                    self._suspected_s.get(i, -math.inf),
+                    self._peer_suspects.get_first_s(i),
                     now_s,
                 )
             }
@@ -402,21 +398,9 @@
     def _list_peer_suspects(
         self, streams: Sequence[forward.Forwarder], now_s: float
     ) -> set[str]:
-        """Returns stages of silent streams that other hosts report failing.
-
-        With many hosts, each has only a few streams, too few to find the
-        stalled stage by themselves.
-        """
+        """Returns stages of silent streams that other hosts report failing."""
         with self._lock:
-            self._peer_suspects = {
-                i: t
-                for i, t in self._peer_suspects.items()
-                if now_s - t < PEER_SUSPICION_S
-            }
-            suspects = set(self._peer_suspects)
-            self._suspected_s = {
-                i: t for i, t in self._suspected_s.items() if i in suspects
-            }
+            suspects = self._peer_suspects.list_current(now_s)
         if not suspects:
             return set()
         return {
