Failing test: a stream that is moved counts as established by its pause

What callers see: a segment that crashes the engines of a later stage after some events is found harmless, and its crashes at all hosts are refuted, where the stream is rerouted within its attempt. `AttemptOutput` is begun anew with each attempt, not with new parts of a path, so the second between the first event and the first one from the engine that took over counts as a second of output.

Red on: events 1 and 2, 1.2 s apart with a reroute between, then a cut, and the segment counts as answered.

--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -146,6 +146,16 @@
     When a stream is asked for
     Then the engine is ordered to reroute over the twin within 0.8 s
 
+  Scenario: The engines that a stream is moved to crash after some events
+    # Guards against a segment that crashes engines and counts as harmless by
+    # the time for which its stream waited between two of them.
+    Given a watch, and a stage "a100-1" that stalls after event 1
+    And the engines that take over are cut 0.1 s after event 2, 1.2 s later
+    And a twin of "a100-1" at the desk
+    And every other attempt is refused
+    When a stream is asked for and the engine is ordered to reroute it
+    Then the segments of its prompt count as unanswered
+
   Scenario: The first engine of a path stops responding
     Given a watch, and an engine that stops responding after event 1
     And the second attempt sends events 2, 3 and the end
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -355,6 +355,32 @@
     play.watch.start()
 
 
+@given('a watch, and a stage "{name}" that stalls after event 1')
+def step_stage_stalls(context: Any, name: str) -> None:
+    play = context.play
+    play.sends.scripts.append(Script([make_event(1)]))
+    play.engines.stalled = f"{name}:80"
+    play.watch = watch.StreamWatch(play.desk, play.engines)
+    play.watch.start()
+
+
+@given(
+    "the engines that take over are cut {seconds:g} s after event 2,"
+    " {pause_s:g} s later"
+)
+def step_take_over_cut(context: Any, seconds: float, pause_s: float) -> None:
+    lost = sending.AttemptFailure(jobs.FailureKind.CUT, "reset")
+    (script,) = context.play.sends.scripts
+    script.pieces += [pause_s, make_event(2), seconds, lost]
+
+
+@when("a stream is asked for and the engine is ordered to reroute it")
+def step_asked_and_moved(context: Any) -> None:
+    run(context, "streaming", 3.0)
+    assert len(context.play.engines.moves) == 1, context.play.engines.moves
+    assert context.play.sends.answers[0].closed.is_set()
+
+
 @given("a watch, and an engine that stops responding after event 1")
 def step_dark(context: Any) -> None:
     step_watch(context, "none")
