Have the model of crashing engines tell sound requests apart and establish them

In the model all sound requests had fingerprints that begin with "sound-", of which hosts compare the first six characters, so they counted as one request and no segment could be blamed by sound requests alone (two different ones are needed): "Engines that crash one after the other by themselves" could not fail. They, and those of `send_fatal`, now have digests as fingerprints. Answers last as long as the scenario says, and are established after a second of output, as `delivery.output` does, also where a crash cuts them. The model is stricter; no check was changed.

--- a/tests/routing/crashes.py
+++ b/tests/routing/crashes.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import Final
@@ -17,6 +18,7 @@
 
 from egretspur import errors
 from egretspur.admission import quarantine
+from egretspur.admission import segments as segment_sets
 from egretspur.catalog import upstreams
 from egretspur.routing import broker, jobs, questions
 from tests import fleets
@@ -65,6 +67,9 @@
     start: jobs.Start
     began_s: float
     is_begun: bool = False
+    # When it brought its first output.
+    output_s: float = math.inf
+    is_established: bool = False
 
 
 @attrs.frozen
@@ -109,6 +114,8 @@
     fatal_segments: set[str] = attrs.Factory(set)
     # Seconds for which fatal requests bring output before the crash.
     output_s: float = 0.0
+    # Duration of an undisturbed answer.
+    answer_s: float = ANSWER_S
     # Time until which engines stand still, by id.
     still_until_s: dict[str, float] = attrs.Factory(dict)
     # Attempts by request, and when requests arrived and began to be answered.
@@ -264,6 +271,7 @@
         if self.runs.get(run.job.id) is not run:
             return
         run.is_begun = True
+        run.output_s = self.now_s
         self.begun.setdefault(
             run.job.id, Begun(self.now_s, self.attempts[run.job.id])
         )
@@ -280,6 +288,7 @@
             has_output=run.is_begun,
             has_head=run.is_begun
             or (self.sends_head and self.is_fatal(run.job)),
+            is_established=run.is_established,
         )
         self._fail(name, run, failure)
 
@@ -313,17 +322,25 @@
 
     def _answer(self) -> None:
         for name, run in list(self.runs.items()):
+            if self.now_s - run.output_s >= segment_sets.ESTABLISHED_S:
+                self._establish(run)
             if self.is_fatal(run.job):
                 continue
             age_s = self.now_s - run.began_s
             if age_s >= RUN_S and not run.is_begun:
                 self._begin_output(run)
-            if age_s >= ANSWER_S:
+            if age_s >= self.answer_s:
+                self._establish(run)
                 del self.runs[name]
                 self.answered.add(name)
-                run.host.state.record_established(name, self.now_s)
                 self.finish(run.host, name)
 
+    def _establish(self, run: Run) -> None:
+        """Records that the answer of an attempt is established."""
+        if not run.is_established:
+            run.is_established = True
+            run.host.state.record_established(run.job.id, self.now_s)
+
     def finish(self, host: peers.Host, name: str) -> None:
         """Ends a request that was answered completely."""
         self.apply(host, host.state.finish(name, self.now_s, True))
--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 
 from egretspur import errors
+from egretspur.admission import fingerprint
 from egretspur.admission import segments as segment_sets
 from tests import fleets
 from tests.routing import crashes
@@ -53,7 +54,9 @@
                 self._next_sound_s += 1 / self._rate
                 name = f"sound-{len(self.sound)}"
                 host = self._rng.choice(world.hosts)
-                world.send(host, name, name, self._segments)
+                # Hosts tell requests apart by the begin of their fingerprints.
+                mark = fingerprint.compute(name)
+                world.send(host, mark, name, self._segments)
                 self.sound.append(name)
             world.play(crashes.STEP_S)
 
@@ -61,8 +64,9 @@
         """Sends a request that is like no other."""
         world = self.world
         name = f"odd-{world.arrived}"
+        mark = fingerprint.compute(name)
         return world.send(
-            self._rng.choice(world.hosts), name, name, segments=segments
+            self._rng.choice(world.hosts), mark, name, segments=segments
         )
 
     def get_first_share(self, from_s: float, to_s: float) -> float:
