--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 import random
 from collections.abc import Sequence
@@ -11,6 +12,7 @@
 from behave import given, then, when
 
 from egretspur import errors
+from egretspur.admission import fingerprint
 from egretspur.admission import segments as segment_sets
 from tests import fleets
 from tests.routing import crashes
@@ -53,7 +55,9 @@
                 self._next_sound_s += 1 / self._rate
                 name = f"sound-{len(self.sound)}"
                 host = self._rng.choice(world.hosts)
-                world.send(host, name, name, self._segments)
+                # Hosts tell requests apart by the begin of their fingerprints.
+                mark = fingerprint.compute(name)
+                world.send(host, mark, name, self._segments)
                 self.sound.append(name)
             world.play(crashes.STEP_S)
 
@@ -61,8 +65,9 @@
         """Sends a request that is like no other."""
         world = self.world
         name = f"odd-{world.arrived}"
+        mark = fingerprint.compute(name)
         return world.send(
-            self._rng.choice(world.hosts), name, name, segments=segments
+            self._rng.choice(world.hosts), mark, name, segments=segments
         )
 
     def get_first_share(self, from_s: float, to_s: float) -> float:
@@ -142,11 +147,6 @@
     context.world.sends_head = False
 
 
-@given("answers that take {seconds:g} s")
-def step_answers_take(context: Any, seconds: float) -> None:
-    context.world.answer_s = seconds
-
-
 @given("engines that crash after {seconds:g} s of output")
 def step_late_crash(context: Any, seconds: float) -> None:
     context.world.output_s = seconds
@@ -409,3 +409,53 @@
         assert host.state.arrive(job, world.now_s)
         host.state.record_answer_start(name, world.now_s)
         host.state.finish(name, world.now_s, True)
+
+
+@given("{hosts:d} hosts and {count:d} engines in one data centre")
+def step_small_site(context: Any, hosts: int, count: int) -> None:
+    context.world = crashes.World(random.Random(7))
+    for _ in range(hosts):
+        context.world.add_host("kl-hall")
+    for i in range(count):
+        context.world.start_engine("kl-hall", ("0-40", "40-80")[i % 2])
+    context.world.play(1.0)
+
+
+@given("answers that last {seconds:g} s")
+def step_long_answers(context: Any, seconds: float) -> None:
+    context.world.answer_s = seconds
+
+
+@when(
+    'the engines of "{place}" crash {alive_s:g} s after each start, for'
+    " {seconds:g} s"
+)
+def step_crash_loop(
+    context: Any, place: str, alive_s: float, seconds: float
+) -> None:
+    world = context.world
+    end_s = world.now_s + seconds
+    known: set[str] = set()
+    while world.now_s < end_s:
+        for engine in set(world.live) - known:
+            known.add(engine)
+            if world.live[engine].data_centre == place:
+                # Not all at the same moment.
+                after_s = alive_s * world.rng.uniform(0.7, 1.3)
+                world.schedule(after_s, lambda e=engine: world.crash_engine(e))
+        context.traffic.play(crashes.STEP_S)
+
+
+@when(
+    "{count:d} engines that run most requests crash by themselves, one every"
+    " {every_s:g} s"
+)
+def step_busiest_crash(context: Any, count: int, every_s: float) -> None:
+    world = context.world
+    for _ in range(count):
+        running = collections.Counter(
+            r.start.upstream.id for r in world.runs.values()
+        )
+        if world.live:
+            world.crash_engine(max(sorted(world.live), key=running.__getitem__))
+        context.traffic.play(every_s)
