Blame a segment whose requests bring output only by contrast with other answers

What callers saw: where all engines crash soon after each start, by a fault of their own, the system prompt that all requests share was quarantined, and sound requests were refused until an operator released it.

Cause: with crashes after some output as evidence and nothing established, any segment of all requests fits three to six crashes in sequence. Class: evidence without a comparison.

Change: such a segment is blamed only if an answer without it was established by an engine meanwhile: since the first crash of the sequence, or within the last minute if the segment never was answered. Whole answers of routes that don't stream are told as established too. Segments whose requests bring no output are judged as before.

The fuzzed model's hosts have one answer without the bad segment at first, as the blame now needs; its check is the same.

--- a/egretspur/admission/segments.py
+++ b/egretspur/admission/segments.py
@@ -20,6 +20,9 @@
   there are none such, and half. Those with some output count in full against
   segments that no established answer ever had, and half against others. Those
   whose answers were established show nothing.
+- A segment whose requests bring output is blamed only if answers without it
+  were established meanwhile. Otherwise the upstreams themselves may be at fault,
+  as when all of them crash soon after each start.
 
 What is blamed is the set of all segments that these requests have in common and
 that no answer speaks for. Requests that have only some of them are sent; their
@@ -30,7 +33,7 @@
 
 import collections
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -60,6 +63,13 @@
 # that is needed: until then other hosts may have an answer that refutes it.
 SETTLE_S: Final = 0.6
 
+# Time before the last crash in which an answer without the segment must have
+# been established, if the segment itself never was answered.
+CONTRAST_S: Final = 60.0
+
+# Established answers kept to compare with.
+MAX_ESTABLISHED: Final = 256
+
 # Crashes kept, and segments of which the time of an answer is kept: more than a
 # large site has of either within minutes.
 MAX_CRASHES: Final = 1024
@@ -188,6 +198,10 @@
         )
         # Segments to be looked at again.
         self._unsettled: set[str] = set()
+        # Segments and times of this host's established answers, oldest first.
+        self._established: collections.deque[tuple[frozenset[str], float]] = (
+            collections.deque(maxlen=MAX_ESTABLISHED)
+        )
 
     def record_crash(self, crash: Crash, now_s: float) -> list[Blame]:
         """Adds a crash; returns what is to be blamed now."""
@@ -225,8 +239,9 @@
         unsettled, self._unsettled = self._unsettled, set()
         return self._find_blame(unsettled, now_s)
 
-    def record_answer(self, segments: Iterable[str], now_s: float) -> None:
+    def record_answer(self, segments: Collection[str], now_s: float) -> None:
         """Records an established answer to a request with these segments."""
+        self._established.append((frozenset(segments), now_s))
         for segment in segments:
             self._set_answered(segment, now_s)
 
@@ -406,7 +421,7 @@
         if (
             sum(weights.values()) < CRASH_THRESHOLD
             or len({c.request for c in chain}) < MIN_REQUESTS
-        ):
+        ) or not self._has_contrast(segment, chain):
             return None
         common = frozenset.intersection(*(c.segments for c in against))
         unanswered = {
@@ -423,6 +438,27 @@
             any(self._crashes[c.start, c.request].is_own for c in chain),
         )
 
+    def _has_contrast(self, segment: str, chain: Sequence[Crash]) -> bool:
+        """Returns whether crashes may be due to a segment, not to upstreams.
+
+        Args:
+            segment: The segment.
+            chain: Crashes under it, at least one.
+        """
+        is_answered = self._is_answered([segment])
+        has_output = any(
+            c.has_output for c in self._by_segment[segment].values()
+        )
+        if not (is_answered or has_output):
+            return True
+        since_s = chain[-1].cut_s - CONTRAST_S
+        if is_answered:
+            since_s = chain[0].sent_s
+        return any(
+            at_s >= since_s and segment not in answered
+            for answered, at_s in self._established
+        )
+
 
 def split_text(model: str, text: str) -> tuple[str, ...]:
     """Returns the segments of a prompt that comes as one text.
--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -428,6 +428,8 @@
                 self._desk.tell(
                     desk.AnswerStarted(self.job.id, answer.status >= 500)
                 )
+                if answer.status == 200:
+                    self._tell_established()
                 return complete
             self._error_answer = complete
             return sending.AttemptFailure(
@@ -505,8 +507,8 @@
                 return passed
 
     def _tell_established(self) -> None:
-        """Tells the broker that the prompt does not crash upstreams."""
-        if self.job.segments:
+        """Tells the broker that the prompt does not crash engines."""
+        if self.parts:
             self._desk.tell(desk.AnswerEstablished(self.job.id))
 
     def _check_end(
--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -204,7 +204,7 @@
         is_new = self._output.note(self._active_s)
         if self._merge.finished:
             is_new |= self._output.note_end()
-        if is_new and self._prompt.segments:
+        if is_new:
             self._traffic.tell(requests.Established(self._prompt.id))
 
     def _make_completion(self) -> Completion:
--- a/tests/admission/segments.py
+++ b/tests/admission/segments.py
@@ -36,6 +36,9 @@
         self.now_s = 100.0
         self.numbers = itertools.count()
         self.hosts = [quarantine.Quarantine() for _ in range(HOSTS)]
+        for host in self.hosts:
+            # Upstreams do answer requests without the bad segment.
+            host.record_established((), self.now_s)
         # Crashed upstreams, and the segments of each request that crashed one.
         self.crashed: set[str] = set()
         self.fatal: list[frozenset[str]] = []
