Count as output only what the engines of the current path bring

Cause: the time between two events was taken for output, also where the stream waited in between and went on over other engines, or where the host itself stood still. Class: a difference of two times taken for activity between them.

Change: output is begun anew when a stream is moved; of each gap between two events half a second counts at most; the next crash of a moved stream can follow the one before in a sequence, since it counts as sent when it was moved. A resumed answer of egretspur-router that ends without tokens speaks for nothing.

--- a/egretspur/admission/segments.py
+++ b/egretspur/admission/segments.py
@@ -21,8 +21,8 @@
   segments that no established answer ever had, and half against others. Those
   whose answers were established show nothing.
 - A segment whose requests bring output is blamed only if answers without it
-  were established meanwhile. Otherwise the upstreams themselves may be at fault,
-  as when all of them crash soon after each start.
+  were established meanwhile. Otherwise the upstreams themselves may be at
+  fault, as when all of them crash soon after each start.
 
 What is blamed is the set of all segments that these requests have in common and
 that no answer speaks for. Requests that have only some of them are sent; their
--- a/egretspur/delivery/relay.py
+++ b/egretspur/delivery/relay.py
@@ -157,7 +157,7 @@
                 return self._make_completion()
             if texts:
                 self._pending_failure = failure
-                self._note_output()
+                self._note_output(True)
                 return texts
             if failure is not None:
                 fut = self._traffic.fail(failure)
@@ -195,13 +195,12 @@
                 self._caller_error = exc
                 return False
             self._report_progress(-1)
-        if texts or self._merge.finished:
-            self._note_output()
+        self._note_output(bool(texts))
         return self._fault is None and not self._merge.finished
 
-    def _note_output(self) -> None:
+    def _note_output(self, has_output: bool) -> None:
         """Tells the broker once the prompt is shown not to crash engines."""
-        is_new = self._output.note(self._active_s)
+        is_new = has_output and self._output.note(self._active_s)
         if self._merge.finished:
             is_new |= self._output.note_end()
         if is_new:
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -566,6 +566,8 @@
             return False
         stream.parts = parts
         stream.started_s = now_s
+        # What the former engines brought shows nothing of the new ones.
+        stream.output.begin()
         with self._lock:
             if stream in self._streams:
                 self._rerouted_s[stream] = now_s
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -301,7 +301,9 @@
         if decision.is_ended and not self._attempts.take_retry(ticket, now_s):
             decision = self._find_reroute(ticket, spec, stalled, False, now_s)
         if decision.parts is not None:
-            ticket.current = attrs.evolve(attempt, parts=decision.parts)
+            ticket.current = attrs.evolve(
+                attempt, parts=decision.parts, moved_s=now_s
+            )
             self._attempts.occupancy.move(
                 ticket.job, attempt, ticket.current, spec, now_s
             )
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -23,6 +23,8 @@
     started_s: float
     # Its way to the upstream, for the retry budget.
     sending: arrivals.Sending = attrs.Factory(arrivals.Sending)
+    # Monotonic time at which it was last moved to other engines.
+    moved_s: float = 0.0
 
     def list_stages(self) -> tuple[str, ...]:
         """Returns the upstreams that run it, beginning with the first stage."""
@@ -141,6 +143,6 @@
         now_s,
         ticket.job.segments,
         has_head,
-        attempt.started_s if attempt else 0.0,
+        max(attempt.started_s, attempt.moved_s) if attempt else 0.0,
         is_established,
     )
--- a/tests/delivery/output.feature
+++ b/tests/delivery/output.feature
@@ -7,15 +7,16 @@
     Then its answer is established by "<by>"
 
     Examples: times in seconds; the end of a complete answer
-      | output              | by    |
-      | none                | never |
-      | 5.0                 | never |
-      | 5.0 6.0 6.99        | never |
-      | 5.0 6.0 7.0 7.1     | 7.0   |
-      | 5.0 8.5             | 8.5   |
-      | end                 | never |
-      | 5.0 end             | end   |
-      | 5.0 7.5 end         | 7.5   |
-      | 5.0 next 7.5        | never |
-      | 5.0 next end        | never |
-      | 5.0 next 7.5 9.5    | 9.5   |
+      | output                            | by    |
+      | none                              | never |
+      | 5.0                               | never |
+      | 5.0 5.5 6.0 6.5 6.9               | never |
+      | 5.0 5.5 6.0 6.5 7.0 7.1           | 7.0   |
+      | 5.0 8.5                           | never |
+      | 5.0 8.5 12.0 15.5 19.0            | 19.0  |
+      | end                               | never |
+      | 5.0 end                           | end   |
+      | 5.0 5.5 6.0 6.5 7.0 end           | 7.0   |
+      | 5.0 5.5 6.0 6.5 next 7.0          | never |
+      | 5.0 next end                      | never |
+      | 5.0 5.5 next 7.5 8.0 8.5 9.0 9.5  | 9.5   |
