Take no request for evidence whose answer was established in an earlier attempt

What callers saw: long sound answers that engines with a fault of their own end one after the other had their session's segment blamed, and were refused.

Cause: a crash counts whenever its own attempt had less than two seconds of output, though an attempt before had shown the prompt to be harmless.

Change: an answer that was established in any attempt of a request counts so for the crashes of later ones; that it was is told once for each attempt.

--- a/egretspur/delivery/output.py
+++ b/egretspur/delivery/output.py
@@ -21,8 +21,11 @@
 class AttemptOutput:
     """Output of the current attempt of one request."""
 
-    # Whether it is enough to show that the prompt is harmless.
+    # Whether that of some attempt was enough to show that the prompt is
+    # harmless.
     is_established: bool = False
+    # Whether that of the current one is.
+    _is_enough: bool = False
     # Monotonic time of its last output; None before the first.
     _last_s: float | None = None
     # Seconds for which it has brought output.
@@ -30,7 +33,7 @@
 
     def begin(self) -> None:
         """Begins another attempt, or the same one over other engines."""
-        self.is_established = False
+        self._is_enough = False
         self._last_s = None
         self._brought_s = 0.0
 
@@ -46,6 +49,7 @@
         return self._establish(self._last_s is not None)
 
     def _establish(self, is_enough: bool) -> bool:
-        is_new = is_enough and not self.is_established
+        is_new = is_enough and not self._is_enough
+        self._is_enough |= is_enough
         self.is_established |= is_enough
         return is_new
--- a/egretspur/routing/jobs.py
+++ b/egretspur/routing/jobs.py
@@ -82,7 +82,7 @@
     has_head: bool = False
     # Who ended it.
     ended_by: ends.EndedBy = ends.EndedBy.UPSTREAM
-    # Whether this attempt had produced output for `segments.ESTABLISHED_S`.
+    # Whether an attempt had produced output for `segments.ESTABLISHED_S`.
     is_established: bool = False
 
     @property
--- a/egretspur/routing/requests.py
+++ b/egretspur/routing/requests.py
@@ -45,7 +45,7 @@
     has_brought: bool = False
     # The head of an answer had arrived.
     has_head: bool = False
-    # This attempt had returned tokens for `segments.ESTABLISHED_S`.
+    # An attempt had returned tokens for `segments.ESTABLISHED_S`.
     is_established: bool = False
     # This router or its helper ended it.
     is_own: bool = False
