Known red: requests whose upstreams crash seconds after their first output

Suspected cause, not mended here: a crash after output counts by half, so six are needed, and each resumed attempt takes seconds to crash as well.

--- a/tests/routing/crashing.feature
+++ b/tests/routing/crashing.feature
@@ -18,6 +18,22 @@
     When a request that crashes engines arrives every 0.6 s at a random host for 30 s
     Then it reached engines at most 3 times more than 3 s after the third crash
 
+  Scenario Outline: Engines crash <delay> s after their first event, <hosts> hosts, every <every> s
+    # Guards against a request that goes on crashing engines, since crashes
+    # after a part of the answer count by half.
+    Given <hosts> hosts in three data centres, with seed <seed>
+    And engines that send an event, and crash <delay> s later
+    When a request that crashes engines arrives every <every> s at a random host for 40 s
+    Then it reached engines at most 3 times more than 3 s after the third crash
+
+    Examples:
+      | hosts | delay | every | seed |
+      | 8     | 0.5   | 0.6   | 1    |
+      | 8     | 2     | 2     | 1    |
+      | 8     | 4     | 4.5   | 1    |
+      | 8     | 7     | 1     | 1    |
+      | 1     | 7     | 4.5   | 1    |
+
   Scenario: Other requests that run on the crashed engines
     # Guards against requests that are quarantined only because their answers
     # were cut again and again by crashes that another request caused.
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -21,8 +21,9 @@
 
 
 @given("{count:d} hosts in three data centres")
-def step_hosts(context: Any, count: int) -> None:
-    context.world = crashes.World(random.Random(7))
+@given("{count:d} hosts in three data centres, with seed {seed:d}")
+def step_hosts(context: Any, count: int, seed: int = 7) -> None:
+    context.world = crashes.World(random.Random(seed))
     context.world.add_hosts(count)
     context.world.play(1.0)
 
@@ -61,6 +62,11 @@
     context.world.crashes_after_output = True
 
 
+@given("engines that send an event, and crash {delay_s:g} s later")
+def step_crash_later(context: Any, delay_s: float) -> None:
+    context.world.output_s = delay_s
+
+
 @when(
     "{rate:d} other requests a second arrive beside a request that crashes"
     " engines"
