Plays: updates lost in waves, late refusals, requests that may not run twice

`python -m tests.retrying` could play neither hosts that hear nothing of each other for some seconds, alone or while others are killed, nor replicas that refuse what they read late, nor plain requests that may not run twice (--once).

--- a/tests/histories.py
+++ b/tests/histories.py
@@ -19,6 +19,7 @@
 
 from tests import sites, stage
 from tests.admission import sharing
+from tests.fakes import partition
 
 # Share of the requests that are reset.
 RESET_SHARE: Final = 0.75
@@ -93,6 +94,9 @@
 # How long upstreams read nothing at random, in s.
 RANDOM_HELD_S: Final = (2.0, 20.0)
 
+# For how long hosts get and send no updates, in s.
+MUTED_S: Final = 4.0
+
 # How often each of the random disturbances is drawn.
 WEIGHTS: Final[Mapping[str, int]] = {
     "hosts signalled": 6,
@@ -255,6 +259,47 @@
     time.sleep(sharing.WINDOW_S)
 
 
+def mute(site: sites.Site, hosts: Sequence[str], for_s: float) -> None:
+    """Loses all updates of some hosts for a while, and waits meanwhile."""
+    for ip in hosts:
+        site.partition(ip, partition.MUTE)
+    time.sleep(for_s)
+    for ip in hosts:
+        site.partition(ip, "")
+
+
+def play_muted_in_waves(site: sites.Site) -> None:
+    """Half of the hosts, then the other half, get and send no updates."""
+    fail(site)
+    for number in range(2 * ROUNDS):
+        mute(site, site.hosts[number % 2 :: 2], MUTED_S)
+        time.sleep(BETWEEN_WAVES_S)
+    time.sleep(sharing.WINDOW_S)
+
+
+def play_all_muted(site: sites.Site) -> None:
+    """All hosts get and send no updates, several times."""
+    fail(site)
+    for _ in range(ROUNDS):
+        mute(site, site.hosts, MUTED_S)
+        time.sleep(BETWEEN_WAVES_S)
+    time.sleep(sharing.WINDOW_S)
+
+
+def play_muted_while_killed(site: sites.Site) -> None:
+    """Half of the hosts get no updates while the others are killed."""
+    fail(site)
+    for number in range(ROUNDS):
+        muted = site.hosts[number % 2 :: 2]
+        for ip in muted:
+            site.partition(ip, partition.MUTE)
+        for ip in [h for h in site.hosts if h not in muted]:
+            restart_host(site, ip)
+        mute(site, muted, MUTED_S)
+        time.sleep(BETWEEN_WAVES_S)
+    time.sleep(sharing.WINDOW_S)
+
+
 def send_burst(site: sites.Site, for_s: float) -> None:
     """Has more callers send for a while."""
     site.load = BURST_FACTOR
@@ -566,6 +611,12 @@
     "upstreams refuse a few requests": functools.partial(
         play_faults, refuse_share=FEW_RESET_SHARE
     ),
+    "upstreams read late and refuse most requests": functools.partial(
+        play_faults,
+        refuse_share=RESET_SHARE,
+        late_share=LATE_SHARE,
+        late_s=SOME_LATE_S,
+    ),
     "upstreams misdirect most requests": functools.partial(
         play_faults, misdirect_share=RESET_SHARE
     ),
@@ -600,6 +651,11 @@
     "all hosts are killed often": play_all_killed_often,
     "all hosts are down for long": play_down_for_long,
     "every second host leaves for long": play_hosts_leave,
+    "half of the hosts lose updates in turn": play_muted_in_waves,
+    "all hosts lose updates": play_all_muted,
+    "half of the hosts lose updates and others are killed": (
+        play_muted_while_killed
+    ),
     "hosts get random signals": play_random_signals,
     "all at random": play_all_at_random,
 }
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -62,6 +62,8 @@
     stream_patience_s: float | None = None
     # Streams for each plain request; None for half a one.
     streams_per_plain: int | None = None
+    # Path of plain requests, which tells whether they may run twice.
+    plain_path: str = "/cards/x"
     requests: list[Request] = attrs.Factory(list)
     threads: stage.CallerThreads = attrs.Factory(stage.CallerThreads)
 
@@ -102,7 +104,7 @@
             patience_s = self.stream_patience_s
         # No pool: a connection that was cut must not be shared.
         pool = urllib3.PoolManager(retries=False, timeout=patience_s)
-        path = "/notes/x" if request.service == "llm" else "/cards/x"
+        path = "/notes/x" if request.service == "llm" else self.plain_path
         url = f"http://{self.site.get_address(host, 'frontend')}{path}"
         own = {
             "Attempt-Id": request.id,
@@ -315,6 +317,11 @@
     parser.add_argument("--patience-s", type=float, default=PATIENCE_S)
     parser.add_argument("--stream-patience-s", type=float)
     parser.add_argument("--streams-per-plain", type=int)
+    parser.add_argument(
+        "--once",
+        action="store_true",
+        help="plain requests may not run twice",
+    )
     parser.add_argument(
         "--single-engines",
         action="store_true",
@@ -356,6 +363,8 @@
     )
     play.callers.stream_patience_s = args.stream_patience_s
     play.callers.streams_per_plain = args.streams_per_plain
+    if args.once:
+        play.callers.plain_path = "/orders/x"
     try:
         for service, window in play.run(args.history).items():
             print(
