Known red: an answer without a length hides that its engine has crashed

What callers see: each request that crashes its engine between two events crashes one more, for as long as it comes, if the answer has no length and no chunks and the dead engine's connection ends without a reset. The same crash after two events of an answer in chunks is counted (green).

The stand-in crashes as well if the host has left before its last event.

--- a/tests/daemons/crashing.feature
+++ b/tests/daemons/crashing.feature
@@ -48,3 +48,29 @@
     And all hosts are killed and start again
     And it is sent 3 more times, after 0 s
     Then at most 0 more engines crashed
+
+  Scenario Outline: A request that crashes engines after <count> events of an answer with <end>
+    # Guards against a request that goes on crashing engines, since its answer
+    # looks complete where it ends with the connection of a crashed engine.
+    Given a store, four engines, two plain replicas and three hosts
+    And engines that crash after <count> events of an answer with <end> to a request that contains "stone"
+    When such a request is sent to the hosts in turn until three engines crashed
+    And it is sent 6 more times, after 3 s
+    Then at most 3 more engines crashed
+    And each host answers other streams
+
+    Examples:
+      | count | end       |
+      | 2     | chunks    |
+      | 2     | no length |
+
+  Scenario: Different requests that share a segment, and answers without a length
+    # The same with requests of which no two are alike.
+    Given a store, four engines, two plain replicas and three hosts
+    And engines that crash after 2 events of an answer to prompts with the segment "bad5"
+    And answers have no length, and crashes end them without a reset
+    When requests with it, no two alike, are sent to the hosts 12 times
+    Then at most 8 engines crashed by then, and at least 3
+    When it is sent 6 more times, after 3 s
+    Then at most 3 more engines crashed
+    And each host answers other streams
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -16,8 +16,9 @@
 in its answers; it refuses requests during a backoff), ``crash_on`` (the process
 exits when it starts a request whose body or prompt segments contain this text),
 ``crash_after_head`` (it sends the head of the answer first, and as many events
-as ``crash_events`` tells), ``halt_s`` (all streams pause for this long, counted
-from when the fault is set), ``unframed`` (answers have no length and no chunks
+as ``crash_events`` tells; with ``crash_closes`` its connection ends without a
+reset), ``halt_s`` (all streams pause for this long, counted from when the fault
+is set), ``unframed`` (answers have no length and no chunks
 and end with their connection; plain ones come in as many parts as there are
 ``events``), ``reset_share`` (share of the
 requests that were read and whose connection is then reset, at random),
@@ -98,6 +99,7 @@
             "crash_on": "",
             "crash_after_head": False,
             "crash_events": 0,
+            "crash_closes": False,
             "halt_s": 0.0,
             "unframed": False,
             "reset_share": 0.0,
@@ -308,13 +310,24 @@
 
     def push(self, write: Callable[[bytes], Any]) -> None:
         """Has the head and some events sent, and exits."""
+        try:
+            self._push(write)
+        finally:
+            # Also if the host has left meanwhile.
+            os._exit(1)
+
+    def _push(self, write: Callable[[bytes], Any]) -> None:
         faults = self._replica.faults
+        if faults["unframed"]:
+            end_with_connection(write)
         write(b"")
         for number in range(1, faults["crash_events"] + 1):
             write(make_event(self._after + number))
             time.sleep(faults["pause_s"])
         time.sleep(HEAD_DELAY_S)
-        os._exit(1)
+        if faults["crash_closes"]:
+            sock = write.__self__.channel.socket  # type: ignore[attr-defined]
+            sock.shutdown(socket.SHUT_WR)
 
 
 def make_event(number: int) -> bytes:
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -90,6 +90,8 @@
     crash_on: str = ""
     crash_after_head: bool = False
     crash_events: int = 0
+    # Other faults of such engines.
+    crash_faults: dict[str, Any] = attrs.Factory(dict)
     # Sockets that reserve the ports of the hosts.
     reserved: list[socket.socket] = attrs.Factory(list)
     # Bounds in the hosts' settings, in addition to those of all sites.
@@ -242,6 +244,7 @@
                 "crash_on": self.crash_on,
                 "crash_after_head": self.crash_after_head,
                 "crash_events": self.crash_events,
+                **self.crash_faults,
             },
         )
 
--- a/tests/steps/crashing_site_steps.py
+++ b/tests/steps/crashing_site_steps.py
@@ -50,6 +50,25 @@
     step_fatal_segment(context, segment)
 
 
+@given(
+    "engines that crash after {count:d} events of an answer with {end} to a"
+    ' request that contains "{text}"'
+)
+def step_fatal_end(context: Any, count: int, end: str, text: str) -> None:
+    is_unframed = {"chunks": False, "no length": True}[end]
+    context.play.crash_faults = {"unframed": is_unframed, "crash_closes": True}
+    context.play.crash_after_head = True
+    context.play.crash_events = count
+    step_fatal(context, text)
+
+
+@given("answers have no length, and crashes end them without a reset")
+def step_no_length(context: Any) -> None:
+    context.play.crash_faults = {"unframed": True, "crash_closes": True}
+    for name in list_engines(context):
+        context.play.set_crash(name)
+
+
 @given("bodies are sent in chunks")
 def step_chunks(context: Any) -> None:
     context.in_chunks = True
