Take an answer without a length for complete only while its upstream lives

What callers see: each request that crashes its engine between two events crashes one more, for as long as it comes. An answer with neither a length nor chunks ends with its connection, also where that is the connection of an engine that has just crashed; the host recorded the request as answered, which clears its crashes and keeps all hosts from counting any for 20 s.

Class: a sign that two causes give is taken for the better one. Such an end is now held as doubtful: as a crash once an upstream of its attempt is found to have ended, and as an answer once all have answered something since, or after the 5 s in which the list shows an end. No probe is sent for it. A prompt's segments are cleared by such an end as late as the request.

--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -122,6 +122,9 @@
         self.is_caller_gone = False
         # An upstream's answer completed and was not an error.
         self._is_answered = False
+        # How the attempt has failed if its upstream crashed, where only the end
+        # of a connection told that the answer is complete.
+        self._doubt: jobs.Failure | None = None
         # Read by the stream watch: when the attempt was sent or last received
         # bytes, its path, and the stages of the path that are known to stall.
         self.last_activity_s = 0.0
@@ -263,7 +266,7 @@
                 failure = self._forward_events(write)
             if failure is None:
                 self._is_answered = True
-                if self.output.note_end():
+                if self._doubt is None and self.output.note_end():
                     self._tell_established()
                 return None
             if self.is_caller_gone:
@@ -327,7 +330,9 @@
             self._answer.close()
             self._answer = None
         self._resize_body(0)
-        self._desk.tell(desk.Finish(self.job.id, self._is_answered))
+        self._desk.tell(
+            desk.Finish(self.job.id, self._is_answered, self._doubt)
+        )
 
     def record_end(self, status: int, refusal: errors.Refusal | None) -> None:
         """Logs how the request ended for its caller.
@@ -463,8 +468,7 @@
             if excess:
                 return sending.AttemptFailure(jobs.FailureKind.CUT, excess)
             if not data:
-                answer.close()
-                self._answer = None
+                self._complete(answer)
                 return b"".join(chunks)
             chunks.append(data)
 
@@ -550,11 +554,24 @@
             if isinstance(res, sending.AttemptFailure):
                 return res
             if res is None:
-                answer.close()
-                self._answer = None
+                self._complete(answer)
                 return None
             write(res)
 
+    def _complete(self, answer: sending.Answer) -> None:
+        """Closes an answer that is complete, as far as can be told."""
+        if not answer.has_length:
+            self._doubt = jobs.Failure(
+                self.job.id,
+                jobs.FailureKind.CUT,
+                "ended with its connection",
+                has_output=self._merge.count > self._count_before,
+                has_head=True,
+                is_established=self.output.is_established,
+            )
+        answer.close()
+        self._answer = None
+
     def _end_attempt(self, failure: sending.AttemptFailure) -> None:
         """Closes a failed attempt and reports it to the broker."""
         self._fut = self._desk.fail(self._close_attempt(failure))
--- a/egretspur/delivery/sending.py
+++ b/egretspur/delivery/sending.py
@@ -46,6 +46,9 @@
 
     status: int
     headers: Mapping[str, str]
+    # Whether its head tells where the body ends. Otherwise the connection does,
+    # also that of an upstream that crashes.
+    has_length: bool
 
     def read_some(self) -> bytes | AttemptFailure:
         """Blocks until bytes arrive and returns them; empty at the end."""
--- a/egretspur/platform/upstream.py
+++ b/egretspur/platform/upstream.py
@@ -238,11 +238,11 @@
         self._deadline_s = deadline_s
         # Whether the head tells where the body ends; otherwise the connection
         # ends with it.
-        self._has_length = responses.tells_end(res.status, res.headers)
+        self.has_length = responses.tells_end(res.status, res.headers)
         # Whether the end of the connection is a valid end of the body. It is
         # not while an unannounced body is empty: an upstream that dies right
         # after the head ends its connection in the same way.
-        self._may_end = self._has_length
+        self._may_end = self.has_length
         self.status = res.status
         self.headers: Mapping[str, str] = {
             name: value
@@ -262,7 +262,7 @@
                 repr(exc),
                 ended_by=self._handle.find_ender(exc),
             )
-        if not (data or self._has_length) and self._handle.is_aborted:
+        if not (data or self.has_length) and self._handle.is_aborted:
             return sending.AttemptFailure(
                 jobs.FailureKind.CUT,
                 "ended by this host",
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -170,7 +170,11 @@
         return effects + self._start_queued(now_s)
 
     def finish(
-        self, job_id: str, now_s: float, is_answered: bool = False
+        self,
+        job_id: str,
+        now_s: float,
+        is_answered: bool = False,
+        doubt: jobs.Failure | None = None,
     ) -> list[jobs.Effect]:
         """Ends a request.
 
@@ -179,12 +183,26 @@
             now_s: Monotonic time.
             is_answered: Whether an upstream answered it completely and without
                 a failure; otherwise it was abandoned.
+            doubt: If only the end of a connection told that the answer is
+                complete: how its attempt has failed if its upstream crashed.
         """
         ticket = self.tickets.pop(job_id, None)
         if ticket is None:
             return []
         if is_answered:
-            self.quarantine.record_answer(ticket.job.fingerprint, now_s)
+            if doubt is not None and ticket.current is not None:
+                cut = tickets.make_cut(
+                    ticket,
+                    ticket.current,
+                    ticket.current.list_stages(),
+                    doubt.has_output,
+                    doubt.has_head,
+                    doubt.is_established,
+                    now_s,
+                )
+                self._crashes.note_doubtful(cut)
+            else:
+                self.quarantine.record_answer(ticket.job.fingerprint, now_s)
             if ticket.current is not None:
                 self._attempts.arrivals.settle(ticket.current.sending, now_s)
         queues.remove(self.queue, job_id)
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -49,6 +49,9 @@
     id: str
     # Whether an upstream answered it completely and without a failure.
     is_answered: bool
+    # If only the end of a connection told that the answer is complete: how its
+    # attempt has failed if its upstream crashed.
+    doubt: jobs.Failure | None = None
 
 
 @attrs.frozen
@@ -327,7 +330,10 @@
         self._pending.forget(message.id)
         self._pending.resolve(
             self._broker.finish(
-                message.id, time.monotonic(), message.is_answered
+                message.id,
+                time.monotonic(),
+                message.is_answered,
+                message.doubt,
             )
         )
 
--- a/egretspur/routing/health.py
+++ b/egretspur/routing/health.py
@@ -509,6 +509,10 @@
         failed = self._find_unanswered(upstream_id)
         return failed is not None and failed.is_refused
 
+    def has_answered_since(self, upstream_id: str, since_s: float) -> bool:
+        """Tells whether an upstream answered this host after some time."""
+        return self._answered_s.get(upstream_id, -math.inf) > since_s
+
     def _find_unanswered(self, upstream_id: str) -> Failed | None:
         """Returns a failed upstream's state unless it has answered since."""
         failed = self.failed.get(upstream_id)
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -139,6 +139,7 @@
     script: Script
     status: int = 200
     headers: Mapping[str, str] = attrs.Factory(dict)
+    has_length: bool = True
     closed: threading.Event = attrs.Factory(threading.Event)
     deadline_s: float = 0.0
 
