--- a/tests/routing/crashing.feature
+++ b/tests/routing/crashing.feature
@@ -18,6 +18,22 @@
     When a request that crashes engines arrives every 0.6 s at a random host for 30 s
     Then it reached engines at most 3 times more than 3 s after the third crash
 
+  Scenario Outline: Engines crash <delay> s after their first event, <hosts> hosts, every <every> s
+    # Guards against a request that goes on crashing engines, since crashes
+    # after a part of the answer count by half.
+    Given <hosts> hosts in three data centres, with seed <seed>
+    And engines that send an event, and crash <delay> s later
+    When a request that crashes engines arrives every <every> s at a random host for 40 s
+    Then it reached engines at most 3 times more than 3 s after the third crash
+
+    Examples:
+      | hosts | delay | every | seed |
+      | 8     | 0.5   | 0.6   | 1    |
+      | 8     | 2     | 2     | 1    |
+      | 8     | 4     | 4.5   | 1    |
+      | 8     | 7     | 1     | 1    |
+      | 1     | 7     | 4.5   | 1    |
+
   Scenario: Other requests that run on the crashed engines
     # Guards against requests that are quarantined only because their answers
     # were cut again and again by crashes that another request caused.
@@ -41,6 +57,19 @@
     And it arrives every 0.6 s at a random host for 6 s
     Then no engine was reached since the first restart
 
+  Scenario Outline: All hosts are killed at <kill> s, while engines crash <delay> s after their first event
+    # Guards against a request that goes on crashing engines, since hosts that
+    # are killed forget crashes until these suffice for a quarantine.
+    Given 8 hosts in three data centres, with seed 1
+    And engines that send an event, and crash <delay> s later
+    When a request that crashes engines arrives every <every> s, and all hosts are killed after <kill> s
+    Then it reached engines at most 3 times more than 3 s after the third crash and the kill
+
+    Examples:
+      | delay | every | kill |
+      | 0.2   | 2     | 1.1  |
+      | 1     | 4     | 5    |
+
   Scenario: A data centre that is partitioned from the others
     # Hosts of two data centres receive nothing from the third one, which still
     # serves its callers and has the store.
@@ -85,6 +114,22 @@
     When 4 replicas crash under it
     Then it is not quarantined
 
+  Scenario: Answers without a length, while engines crash under a request
+    # Guards against crashes that are not counted, since the answer ends with
+    # the connection of the crashed engine and so looks complete.
+    Given 8 hosts in three data centres
+    And engines that send an event, and crash 0.5 s later
+    And answers that end with the connection of their engine
+    When a request that crashes engines arrives every 0.6 s at a random host for 30 s
+    Then it reached engines at most 3 times more than 3 s after the third crash
+
+  Scenario: A look-up whose answers have no length, while all replicas crash
+    # Guards against a look-up that works but is quarantined at all hosts.
+    Given 1 hosts in three data centres
+    And a look-up that was answered without a length 8 s ago
+    When 4 replicas crash under it
+    Then it is not quarantined
+
   Scenario: A request whose engines stand still for a second
     # Guards against a sound request that is refused, since engines that were
     # only silent were taken for crashed.
--- a/tests/steps/crashing_steps.py
+++ b/tests/steps/crashing_steps.py
@@ -21,8 +21,9 @@
 
 
 @given("{count:d} hosts in three data centres")
-def step_hosts(context: Any, count: int) -> None:
-    context.world = crashes.World(random.Random(7))
+@given("{count:d} hosts in three data centres, with seed {seed:d}")
+def step_hosts(context: Any, count: int, seed: int = 7) -> None:
+    context.world = crashes.World(random.Random(seed))
     context.world.add_hosts(count)
     context.world.play(1.0)
 
@@ -44,6 +45,39 @@
     send_often(context, every_s, seconds)
 
 
+@when(
+    "a request that crashes engines arrives every {every_s:g} s, and all hosts"
+    " are killed after {kill_s:g} s"
+)
+def step_often_killed(context: Any, every_s: float, kill_s: float) -> None:
+    world = context.world
+    context.killed_s = world.now_s + kill_s
+    due_s = world.now_s
+    end_s = world.now_s + 40.0
+    is_killed = False
+    while world.now_s < end_s:
+        if not is_killed and world.now_s >= context.killed_s:
+            is_killed = True
+            for host in list(world.hosts):
+                world.restart(host)
+        if world.now_s >= due_s:
+            due_s += every_s
+            world.send(world.rng.choice(world.hosts), crashes.FATAL)
+        world.play(crashes.STEP_S)
+
+
+@then(
+    "it reached engines at most {most:d} times more than {after_s:g} s after"
+    " the third crash and the kill"
+)
+def step_bounded_killed(context: Any, most: int, after_s: float) -> None:
+    world = context.world
+    assert len(world.crashed_s) >= 3
+    bound_s = max(world.crashed_s[2], context.killed_s) + after_s
+    late = sum(1 for t in world.reached_s if t > bound_s)
+    assert late <= most, (late, len(world.crashed_s))
+
+
 @then(
     "it reached engines at most {most:d} times more than {after_s:g} s"
     " after the third crash"
@@ -61,6 +95,16 @@
     context.world.crashes_after_output = True
 
 
+@given("engines that send an event, and crash {delay_s:g} s later")
+def step_crash_later(context: Any, delay_s: float) -> None:
+    context.world.output_s = delay_s
+
+
+@given("answers that end with the connection of their engine")
+def step_hidden(context: Any) -> None:
+    context.world.hides_crashes = True
+
+
 @when(
     "{rate:d} other requests a second arrive beside a request that crashes"
     " engines"
@@ -253,7 +297,17 @@
     world.now_s += ago_s
 
 
-def look_up(context: Any, is_answered: bool) -> None:
+@given("a look-up that was answered without a length {ago_s:g} s ago")
+def step_looked_up_unframed(context: Any, ago_s: float) -> None:
+    step_looked_up(context, 0.0)
+    context.world.now_s += quarantine.ANSWER_TTL_S
+    look_up(context, is_answered=True, has_length=False)
+    context.world.now_s += ago_s
+    (host,) = context.world.hosts
+    host.state.tick(context.world.now_s)
+
+
+def look_up(context: Any, is_answered: bool, has_length: bool = True) -> None:
     """Sends the look-up; it is answered, or its replica crashes."""
     world = context.world
     (host,) = world.hosts
@@ -267,7 +321,10 @@
     (start,) = host.state.arrive(job, world.now_s)
     assert isinstance(start, jobs.Start)
     if is_answered:
-        host.state.finish(job.id, world.now_s, True)
+        doubt = crashes.make_doubt(job.id, has_output=False)
+        host.state.finish(
+            job.id, world.now_s, True, None if has_length else doubt
+        )
         return
     failure = jobs.Failure(job.id, jobs.FailureKind.CUT, "reset")
     host.state.fail(failure, world.now_s)
