--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -39,8 +39,8 @@
 CRASH_THRESHOLD: Final = segment_sets.CRASH_THRESHOLD
 
 # Weight of a crash after the attempt had produced a part of the answer. A
-# poison request mostly crashes its upstream before that; four later crashes
-# quarantine it as well, while a request that only ran beside three is still sent.
+# poison request mostly crashes its upstream before that. Four later crashes
+# quarantine it as well; a request that only ran beside three is still sent.
 LATE_CRASH_WEIGHT: Final = 0.75
 
 # An upstream is probed as soon as an attempt there is cut, and again 0.15 s
