Failing test: a data centre that gets no answer from the store waits for it

Where the store answers no host of a data centre, its hosts learn of a version from another data centre within half a second, and ask for it only once their read of the store has run into its time-out of 2.5 s: the feed's long poll can't be woken.

--- a/tests/daemons/turned_away.feature
+++ b/tests/daemons/turned_away.feature
@@ -8,6 +8,14 @@
     And 6 versions are written, one each 2.5 s, with a route of their own each
     Then each host serves each route 2 s after the store has confirmed it
 
+  Scenario: The store answers no host of a data centre
+    # Guards against versions that come late at the hosts of a data centre: they
+    # wait for the store, while they have heard that others have the version.
+    Given 5 hosts, the last 2 in "pg-hall", each with a door to the store
+    When the doors in "pg-hall" are set to "silent", and 7 s pass
+    And 6 versions are written, one each 2.7 s, with a route of their own each
+    Then each host serves each route 2 s after the store has confirmed it
+
   Scenario: The store refuses the reader's reads of configurations alone
     # Guards against versions that come seconds late at all hosts of a data
     # centre: its reader follows the list of upstreams and nothing else.
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -42,6 +42,25 @@
     context.answers = []
 
 
+@given(
+    '{count:d} hosts, the last {far:d} in "{zone}", each with a door to the'
+    " store"
+)
+def step_zones(context: Any, count: int, far: int, zone: str) -> None:
+    context.play = sites.start_site(count, [zone] * far, has_doors=True)
+    context.answers = []
+
+
+@when('the doors in "{zone}" are set to "{verdict}", and {wait_s:g} s pass')
+def step_zone_away(
+    context: Any, zone: str, verdict: str, wait_s: float
+) -> None:
+    for ip, door in context.play.doors.items():
+        if context.play.zones.get(ip) == zone:
+            door.rule = lambda line: verdict
+    time.sleep(wait_s)
+
+
 @when(
     'the doors of all but the last are set to "{verdict}", and {wait_s:g} s'
     " pass"
