Ask other hosts in time where the store answers no host of a data centre

Callers got 404 for added routes for up to 2.5 s after the store's word at hosts of a data centre that the store doesn't answer, though they hear within half a second that others have the version: a reader's long poll ends by its time-out of 2.5 s, and only then is another host asked; the wake-up waits too. Now a reader that the store has not answered for 3 s waits for a change for 0.5 s, which with the time-out of a call is less than the 2 s within which a version must be in force, and asks other hosts before the store once it has heard of a newer version.

--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -20,6 +20,10 @@
 # dead connection is detected after this.
 CONFIG_WAIT_S: Final = 1.5
 
+# The same while the store does not answer. With the time-out of a call it is
+# shorter than the time within which a configuration must be in force.
+CUT_OFF_WAIT_S: Final = 0.5
+
 # Time between the reader's reads of the list. Requests to a draining upstream
 # must stop within two seconds of its report.
 LIST_PERIOD_S: Final = 0.8
@@ -50,8 +54,19 @@
     is_config_lost: bool = False
 
 
-def get_config_timing(is_reader: bool) -> feeds.Timing:
-    """Returns the timing of the feed of the configuration."""
+def get_config_timing(
+    is_reader: bool, is_cut_off: bool = False
+) -> feeds.Timing:
+    """Returns the timing of the feed of the configuration.
+
+    Args:
+        is_reader: Whether this host reads the store for its data centre.
+        is_cut_off: Whether the store no longer answers it. Its reads then are
+            likely to end by their time-out, before which no other host is
+            asked.
+    """
+    if is_reader and is_cut_off:
+        return feeds.Timing(CUT_OFF_WAIT_S, 0.0)
     if is_reader:
         return feeds.Timing(CONFIG_WAIT_S, 0.0)
     return feeds.Timing(0.0, NON_READER_PERIOD_S)
--- a/egretspur/catalog/versions.py
+++ b/egretspur/catalog/versions.py
@@ -83,6 +83,10 @@
             if cfg.version >= self._newest:
                 self._behind_since_s = None
 
+    def is_behind(self) -> bool:
+        """Returns whether a version newer than that in force was heard of."""
+        return self._behind_since_s is not None
+
     def get_version(self) -> int:
         """Returns the version in force; 0 if there is none."""
         cfg = self.current
--- a/egretspur/daemons/follow.py
+++ b/egretspur/daemons/follow.py
@@ -39,6 +39,9 @@
     def is_reader(self) -> bool:
         """Returns whether this host reads the store for its data centre."""
 
+    def is_cut_off(self) -> bool:
+        """Returns whether the store has not answered this host for long."""
+
     def list_newest(self) -> list[str]:
         """Returns the hosts that have the newest configuration."""
 
@@ -53,13 +56,16 @@
         self,
         apply: Callable[[config.Configuration], None],
         note_read: Callable[[], None],
+        is_behind: Callable[[], bool],
     ) -> None:
         """Makes a sink.
 
         Args:
             apply: Puts a configuration in force unless it is older.
             note_read: Called after each read, from wherever.
+            is_behind: Returns whether another host has a newer configuration.
         """
+        self.is_behind = is_behind
         self._apply = apply
         self._note_read = note_read
 
@@ -194,9 +200,15 @@
         quarantine_topic = stores.make_quarantine_topic(store)
         self._config_feed = feeds.Feed(
             "config",
-            self._make_source(config_topic, hosts.list_newest),
+            self._make_source(
+                config_topic,
+                hosts.list_newest,
+                lambda: hosts.is_cut_off() and config_sink.is_behind(),
+            ),
             config_sink,
-            lambda: reading.get_config_timing(hosts.is_reader()),
+            lambda: reading.get_config_timing(
+                hosts.is_reader(), hosts.is_cut_off()
+            ),
         )
         self._upstreams_feed = feeds.Feed(
             "upstreams",
@@ -247,15 +259,24 @@
         return self._config_feed.is_store_lost()
 
     def _make_source(
-        self, topic: stores.Topic[T], list_hosts: handover.ListHosts
+        self,
+        topic: stores.Topic[T],
+        list_hosts: handover.ListHosts,
+        must_ask: Callable[[], bool] = lambda: False,
     ) -> handover.HandoverSource[T]:
-        """Returns a source that reads a topic from other hosts or the store."""
+        """Returns a source that reads a topic from other hosts or the store.
+
+        Args:
+            topic: The topic in the store.
+            list_hosts: Returns the hosts to ask.
+            must_ask: Returns whether even a reader asks them before the store.
+        """
         access = self._peer_access
         return handover.HandoverSource(
             topic,
             list_hosts,
             access.ask,
-            lambda: not access.hosts.is_reader(),
+            lambda: must_ask() or not access.hosts.is_reader(),
             access.list_at_start,
         )
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -190,7 +190,11 @@
                 self._exchange, self._ask_host, self._members.list_hosts
             ),
             self._desk,
-            follow.ConfigSink(self.configure, self._versions.note_read),
+            follow.ConfigSink(
+                self.configure,
+                self._versions.note_read,
+                self._versions.is_behind,
+            ),
             self._saver,
             cfg.bounds,
         )
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -178,6 +178,11 @@
         with self._lock:
             return self._peers.is_reader(now_s)
 
+    def is_cut_off(self) -> bool:
+        """Returns whether the store has not answered this host for long."""
+        with self._lock:
+            return self._peers.is_cut_off(time.monotonic())
+
     def is_candidate(self) -> bool:
         """Returns whether this host asks for its data centre's duty."""
         with self._lock:
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -425,16 +425,23 @@
         readers = [h for h, t in local.items() if _reads_both(t, now_s)]
         own = self._own_status
         if readers:
-            is_lost = own is not None and (
-                own.is_config_lost or _is_cut_off(own, now_s)
+            is_lost = own is not None and own.is_config_lost
+            return self._precedes(readers) and not (
+                is_lost or self.is_cut_off(now_s)
             )
-            return self._precedes(readers) and not is_lost
         if own is not None and _is_fresh(own, now_s):
             return True
         return self._count_preceding(local) < FIRST_READERS or self._is_drawn(
             len(local) + 1, now_s
         )
 
+    def is_cut_off(self, now_s: float) -> bool:
+        """Returns whether the store has not answered this host for long."""
+        own = self._own_status
+        return own is not None and (
+            own.store_age_s + now_s - own.at_s >= STORE_TIMEOUT_S
+        )
+
     def _is_drawn(self, hosts: int, now_s: float) -> bool:
         """Returns whether this host is one of those drawn for this second."""
         draw = f"{self._me} {int(now_s / READER_DRAW_PERIOD_S)}".encode()
@@ -479,11 +486,6 @@
     )
 
 
-def _is_cut_off(status: _PeerStatus, now_s: float) -> bool:
-    """Returns whether a host has had no answer from the store for long."""
-    return status.store_age_s + now_s - status.at_s >= STORE_TIMEOUT_S
-
-
 def _is_fresh(status: _PeerStatus, now_s: float) -> bool:
     """Returns whether a host has read the list recently."""
     return status.list_age_s + now_s - status.at_s < reading.MAX_LIST_AGE_S
