Take whole numbers that are written with a decimal point

A version of the configuration with max_attempts or max_conns written as 2.0 was left out as a whole, so that its routes were never served, with one line entry_left_out: JSON has one kind of number, and writers in other languages write whole numbers so.

--- a/egretspur/checks.py
+++ b/egretspur/checks.py
@@ -17,6 +17,9 @@
 
 _MISSING: Final = object()
 
+# Up to here each whole number is a floating-point number of its own.
+_MAX_EXACT: Final = 2.0**53
+
 _PORTS: Final = range(1, 65536)
 
 
@@ -122,7 +125,9 @@
 
 
 def check_count(value: Any, field: str) -> int:
-    """Returns a whole number, at least 0."""
+    """Returns a whole number, at least 0, also one written as ``2.0``."""
+    if isinstance(value, float) and abs(value) <= _MAX_EXACT:
+        value = int(value) if value.is_integer() else value
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise FieldError(field, f"not a count: {_shorten(value)}")
     return value
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -7,6 +7,12 @@
     When the platform's example configuration is decoded
     Then its routes, services, limits and keys are in the product's terms
 
+  Scenario: A configuration whose whole numbers have a decimal point
+    # Guards against a valid version that is left out as a whole, so that its
+    # routes are never served: JSON has one kind of number.
+    When the example configuration is decoded with each number as "2.0"
+    Then it equals the example configuration
+
   Scenario Outline: A configuration that lacks a field
     When the example configuration without "<field>" is decoded
     Then the error names "<field>"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import attrs
+import orjson
 from behave import given, then, when
 
 import egretspur
@@ -166,6 +167,29 @@
     assert cfg.keys["k2"].name == "t1" and cfg.keys["k2"].priority == 3
 
 
+def add_points(value: Any) -> Any:
+    """Returns a value whose whole numbers are written with a decimal point."""
+    if isinstance(value, dict):
+        return {k: add_points(v) for k, v in value.items()}
+    if isinstance(value, list):
+        return [add_points(v) for v in value]
+    return float(value) if type(value) is int else value
+
+
+@when('the example configuration is decoded with each number as "2.0"')
+def step_points(context: Any) -> None:
+    raw = orjson.dumps(add_points(EXAMPLE))
+    assert b"2.0" in raw, raw
+    context.cfg = decode.decode_config(orjson.loads(raw))
+
+
+@then("it equals the example configuration")
+def step_equals(context: Any) -> None:
+    example = decode.decode_config(EXAMPLE)
+    assert context.cfg == example, context.cfg
+    assert type(context.cfg.version) is int
+
+
 @when('the example configuration without "{field}" is decoded')
 def step_without_field(context: Any, field: str) -> None:
     data = {k: v for k, v in EXAMPLE.items() if k != field}
