Leave out configurations by which nothing can be computed

A version with an engine's kv_token_bytes, stride, read_per_s or chunk of 0 was put in force, and from then on each request of its service failed with an error of the host, by a division. Class: a value checked for its type and not for its use. Such a version is left out now, with the field in entry_left_out, and the one before stays in force.

--- a/egretspur/checks.py
+++ b/egretspur/checks.py
@@ -78,6 +78,18 @@
         """Returns a finite number, at least 0."""
         return check_number(self.get(field, default), field)
 
+    def get_positive(self, field: str, default: Any = _MISSING) -> float:
+        """Returns a finite number over 0, by which may be divided."""
+        value = self.get_number(field, default)
+        _check_positive(value, field)
+        return value
+
+    def get_positive_count(self, field: str, default: Any = _MISSING) -> int:
+        """Returns a whole number over 0."""
+        value = self.get_count(field, default)
+        _check_positive(value, field)
+        return value
+
     def get_flag(self, field: str, default: bool = False) -> bool:
         """Returns true or false."""
         return check_flag(self.get(field, default), field)
@@ -170,6 +182,11 @@
     return str(value)
 
 
+def _check_positive(value: float, field: str) -> None:
+    if value <= 0:
+        raise FieldError(field, f"not over 0: {_shorten(value)}")
+
+
 def _shorten(value: Any) -> str:
     """Returns a value, truncated for error messages and the log."""
     text = repr(value)
--- a/egretspur/platform/decode.py
+++ b/egretspur/platform/decode.py
@@ -253,7 +253,7 @@
         model=model.get_text("name"),
         layers=layers,
         layer_bytes=data.get_number("layer_mb") * 1e6,
-        token_layer_bytes=data.get_number("kv_token_bytes") / layers,
+        token_layer_bytes=data.get_positive("kv_token_bytes") / layers,
         slots=data.get_count("slots"),
         step_s=data.get_number("step_ms")
         * model.get_number("pace", 1.0)
@@ -261,9 +261,9 @@
         per_request_s=data.get_number("per_seq_ms") / 1000,
         # Given in milliseconds per thousand tokens.
         per_token_s=data.get_number("context_per_k") / 1e6,
-        prefill_tokens_per_s=data.get_number("read_per_s"),
-        stride=data.get_count("stride", 1),
-        chunk_tokens=data.get_count("chunk", _DEFAULT_CHUNK_TOKENS),
+        prefill_tokens_per_s=data.get_positive("read_per_s"),
+        stride=data.get_positive_count("stride", 1),
+        chunk_tokens=data.get_positive_count("chunk", _DEFAULT_CHUNK_TOKENS),
         typical_prompt_tokens=int(usual.get_number("prompt")),
         typical_answer_tokens=int(usual.get_number("answer")),
         load_s=model.get_number("load_s"),
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -24,6 +24,19 @@
       | services |
       | limits   |
 
+  Scenario Outline: A configuration by which nothing can be computed
+    # Guards against an invalid version that is put in force, after which each
+    # request of the model's service fails with an error of the host.
+    When the example configuration with an engine's "<field>" of 0 is decoded
+    Then the error names "<field>"
+
+    Examples:
+      | field          |
+      | kv_token_bytes |
+      | stride         |
+      | read_per_s     |
+      | chunk          |
+
   Scenario Outline: An entry of the list of upstreams
     When the entry "<entry>" is decoded
     Then its state is "<state>" and its layers are "<layers>"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -190,6 +190,19 @@
     assert type(context.cfg.version) is int
 
 
+@when('the example configuration with an engine\'s "{field}" of 0 is decoded')
+def step_zero(context: Any, field: str) -> None:
+    example: dict[str, Any] = EXAMPLE
+    first, *others = example["services"]
+    first = {**first, "inference_engine": {**ENGINE, field: 0}}
+    data = {**example, "services": [first, *others]}
+    context.problem = ""
+    try:
+        decode.decode_config(data)
+    except codec.DecodeError as exc:
+        context.problem = str(exc)
+
+
 @when('the example configuration without "{field}" is decoded')
 def step_without_field(context: Any, field: str) -> None:
     data = {k: v for k, v in EXAMPLE.items() if k != field}
