Fetch pages of other hosts over a connection of their own

A host that is told of a newer version asks up to three hosts for it, and then the store. Class: kept connections where one more costs nothing. Closing the pool after each call was tried first and left: a call of another thread could find it closed.

--- /dev/null
+++ b/egretspur/daemons/fetch.py
@@ -0,0 +1,41 @@
+"""Fetches pages of other hosts, such as the snapshot of a topic."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from egretspur import transport
+
+# Longest wait for a connection, and for an answer on it.
+CONNECT_TIMEOUT_S: Final = 0.3
+READ_TIMEOUT_S: Final = 1.0
+
+_FIELDS: Final = {"Connection": "close"}
+
+
+class PageClient:
+    """Fetches pages, each over a connection of its own.
+
+    Pages are fetched rarely, so a kept connection may have gone silent since.
+    Each would cost a time-out before the next host is asked.
+    """
+
+    def __init__(self) -> None:
+        """Makes a client without connections."""
+        self._transport = transport.Transport(CONNECT_TIMEOUT_S, READ_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._transport.close()
+
+    def fetch(self, address: str, path: str) -> bytes | None:
+        """Returns a page of another host; None if it does not answer.
+
+        Args:
+            address: Where the host serves its pages.
+            path: Path with query.
+        """
+        res = self._transport.call("GET", address, path, headers=_FIELDS)
+        if isinstance(res, transport.Failed) or res.status != 200:
+            return None
+        return res.body
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -26,7 +26,6 @@
     guard,
     logs,
     mechanisms,
-    transport,
     web,
 )
 from egretspur.admission import repeats
@@ -38,7 +37,7 @@
     upstreams,
     versions,
 )
-from egretspur.daemons import follow, listed, meters, news, pages
+from egretspur.daemons import fetch, follow, listed, meters, news, pages
 from egretspur.delivery import buffers, intake, watch
 from egretspur.membership import (
     contention,
@@ -173,8 +172,10 @@
             self._handle_updates,
             self._make_kinds(),
         )
-        self._pages_client = transport.Transport(0.3, 1.0)
-        self._seed_finder = seeds.SeedFinder(self._exchange, self._fetch_page)
+        self._page_client = fetch.PageClient()
+        self._seed_finder = seeds.SeedFinder(
+            self._exchange, self._page_client.fetch
+        )
         groups = {
             d: store.Group(self._store, f"orders-{d}", self._host)
             for d in cfg.data_centres
@@ -296,7 +297,7 @@
         self._server.close()
         self._ready_server.close()
         self._pages_server.close()
-        self._pages_client.close()
+        self._page_client.close()
         decisions.record(decisions.Stopped(self._intake.in_flight))
 
     def configure(self, cfg: config.Configuration) -> None:
@@ -342,17 +343,10 @@
     ) -> bytes | None:
         """Returns another host's changes of a topic since a position."""
         to = addresses.parse(self._cfg.address.complete(host))
-        return self._fetch_page(
+        return self._page_client.fetch(
             to.control, pages.make_snapshot_path(topic, since)
         )
 
-    def _fetch_page(self, address: str, path: str) -> bytes | None:
-        """Returns a page of another host; None if it does not answer."""
-        res = self._pages_client.call("GET", address, path)
-        if isinstance(res, transport.Failed) or res.status != 200:
-            return None
-        return res.body
-
     def _make_app(self) -> web.App:
         app = web.App()
         # Routes name no methods; the upstream decides.
--- /dev/null
+++ b/tests/steps/fetch_steps.py
@@ -0,0 +1,53 @@
+"""Steps on pages that a host fetches from another one."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, Final
+
+from behave import given, then, when
+
+from egretspur import web
+from egretspur.daemons import fetch
+from tests.fakes import middlebox
+
+PATH: Final = "/page"
+PAGE: Final = b"page"
+
+
+def start_server(context: Any) -> str:
+    """Starts the pages of a host; returns their address."""
+    app = web.App()
+    app.add("GET", PATH, lambda req: web.Response(200, {}, PAGE))
+    server = web.Server(app, "127.0.0.1:0", 2)
+    server.start()
+    context.add_cleanup(server.close)
+    return server.address
+
+
+@given(
+    "{count:d} other hosts, each behind a middlebox, whose pages were fetched"
+)
+def step_hosts(context: Any, count: int) -> None:
+    context.boxes = [
+        middlebox.Middlebox(start_server(context)) for _ in range(count)
+    ]
+    context.client = fetch.PageClient()
+    context.add_cleanup(context.client.close)
+    for box in context.boxes:
+        assert context.client.fetch(box.address, PATH) == PAGE
+
+
+@when("the middleboxes forget their connections")
+def step_forget(context: Any) -> None:
+    for box in context.boxes:
+        box.set_faults({"forget": True})
+
+
+@then("the page of each is fetched at once")
+def step_fetched(context: Any) -> None:
+    began_s = time.monotonic()
+    for box in context.boxes:
+        assert context.client.fetch(box.address, PATH) == PAGE
+    took_s = time.monotonic() - began_s
+    assert took_s < fetch.READ_TIMEOUT_S, took_s
