--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -60,6 +60,9 @@
         self._address = address
         self._record_call = record_call
         self._transport = transport.Transport(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S)
+        # For reads that wait for a change, each over a new connection: a kept
+        # one may have gone silent, which shows only at the read's end.
+        self._waiting = transport.Transport(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S)
         # Monotonic time of the store's last response.
         self.answered_s = time.monotonic()
         self.eras = positions.Eras()
@@ -67,6 +70,7 @@
     def close(self) -> None:
         """Closes idle connections."""
         self._transport.close()
+        self._waiting.close()
 
     def get(
         self,
@@ -119,10 +123,12 @@
     ) -> transport.Reply | feeds.Unavailable:
         began_s = time.monotonic()
         headers = {"Content-Type": "application/json"} if body else {}
-        res = self._transport.call(
-            method, self._address, target, body, headers, read_s
-        )
-        if read_s <= CALL_TIMEOUT_S:
+        is_waiting = read_s > CALL_TIMEOUT_S
+        if is_waiting:
+            headers["Connection"] = "close"
+        client = self._waiting if is_waiting else self._transport
+        res = client.call(method, self._address, target, body, headers, read_s)
+        if not is_waiting:
             self._record_call(time.monotonic() - began_s)
         if isinstance(res, transport.Failed):
             # The pool's other connections may be dead for the same reason.
--- a/tests/daemons/fetch.feature
+++ b/tests/daemons/fetch.feature
@@ -1,4 +1,4 @@
-Feature: Pages that a host fetches from another one
+Feature: What a host reads from other hosts and from the store
 
   Scenario: Connections that have gone silent
     # Guards against a configuration that comes seconds late: each host that is
@@ -6,3 +6,10 @@
     Given 3 other hosts, each behind a middlebox, whose pages were fetched
     When the middleboxes forget their connections
     Then the page of each is fetched at once
+
+  Scenario: A read that waits for changes, on connections that have gone silent
+    # Guards against a host that takes over the reading, and waits for seconds
+    # on a connection to the store that was kept from before.
+    Given a store behind a middlebox, of which a topic was read
+    When the middlebox forgets its connections
+    Then the next read that waits for changes is answered
--- a/tests/steps/fetch_steps.py
+++ b/tests/steps/fetch_steps.py
@@ -8,8 +8,11 @@
 from behave import given, then, when
 
 from egretspur import web
+from egretspur.catalog import feeds
 from egretspur.daemons import fetch
+from egretspur.platform import store
 from tests.fakes import middlebox
+from tests.fakes import store as fake_stores
 
 PATH: Final = "/page"
 PAGE: Final = b"page"
@@ -39,6 +42,7 @@
 
 
 @when("the middleboxes forget their connections")
+@when("the middlebox forgets its connections")
 def step_forget(context: Any) -> None:
     for box in context.boxes:
         box.set_faults({"forget": True})
@@ -51,3 +55,24 @@
         assert context.client.fetch(box.address, PATH) == PAGE
     took_s = time.monotonic() - began_s
     assert took_s < fetch.READ_TIMEOUT_S, took_s
+
+
+@given("a store behind a middlebox, of which a topic was read")
+def step_store(context: Any) -> None:
+    app = fake_stores.make_app(fake_stores.Store())
+    server = web.Server(app, "127.0.0.1:0", 4)
+    server.start()
+    context.add_cleanup(server.close)
+    context.boxes = [middlebox.Middlebox(server.address)]
+    client = store.Store(context.boxes[0].address)
+    context.add_cleanup(client.close)
+    context.topic = store.make_config_topic(client)
+    res = context.topic.read_newest()
+    assert isinstance(res, feeds.FullState), res
+    context.position = res.next
+
+
+@then("the next read that waits for changes is answered")
+def step_waits(context: Any) -> None:
+    res = context.topic.read_changes(context.position, 0.2)
+    assert isinstance(res, feeds.Changes), res
