--- a/egretspur/checks.py
+++ b/egretspur/checks.py
@@ -17,6 +17,9 @@
 
 _MISSING: Final = object()
 
+# Up to here each whole number is a floating-point number of its own.
+_MAX_EXACT: Final = 2.0**53
+
 _PORTS: Final = range(1, 65536)
 
 
@@ -75,6 +78,18 @@
         """Returns a finite number, at least 0."""
         return check_number(self.get(field, default), field)
 
+    def get_positive(self, field: str, default: Any = _MISSING) -> float:
+        """Returns a finite number over 0, by which may be divided."""
+        value = self.get_number(field, default)
+        _check_positive(value, field)
+        return value
+
+    def get_positive_count(self, field: str, default: Any = _MISSING) -> int:
+        """Returns a whole number over 0."""
+        value = self.get_count(field, default)
+        _check_positive(value, field)
+        return value
+
     def get_flag(self, field: str, default: bool = False) -> bool:
         """Returns true or false."""
         return check_flag(self.get(field, default), field)
@@ -122,7 +137,9 @@
 
 
 def check_count(value: Any, field: str) -> int:
-    """Returns a whole number, at least 0."""
+    """Returns a whole number, at least 0, also one written as ``2.0``."""
+    if isinstance(value, float) and abs(value) <= _MAX_EXACT:
+        value = int(value) if value.is_integer() else value
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise FieldError(field, f"not a count: {_shorten(value)}")
     return value
@@ -165,6 +182,11 @@
     return str(value)
 
 
+def _check_positive(value: float, field: str) -> None:
+    if value <= 0:
+        raise FieldError(field, f"not over 0: {_shorten(value)}")
+
+
 def _shorten(value: Any) -> str:
     """Returns a value, truncated for error messages and the log."""
     text = repr(value)
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -7,6 +7,12 @@
     When the platform's example configuration is decoded
     Then its routes, services, limits and keys are in the product's terms
 
+  Scenario: A configuration whose whole numbers have a decimal point
+    # Guards against a valid version that is left out as a whole, so that its
+    # routes are never served: JSON has one kind of number.
+    When the example configuration is decoded with each number as "2.0"
+    Then it equals the example configuration
+
   Scenario Outline: A configuration that lacks a field
     When the example configuration without "<field>" is decoded
     Then the error names "<field>"
@@ -18,6 +24,19 @@
       | services |
       | limits   |
 
+  Scenario Outline: A configuration by which nothing can be computed
+    # Guards against an invalid version that is put in force, after which each
+    # request of the model's service fails with an error of the host.
+    When the example configuration with an engine's "<field>" of 0 is decoded
+    Then the error names "<field>"
+
+    Examples:
+      | field          |
+      | kv_token_bytes |
+      | stride         |
+      | read_per_s     |
+      | chunk          |
+
   Scenario Outline: An entry of the list of upstreams
     When the entry "<entry>" is decoded
     Then its state is "<state>" and its layers are "<layers>"
