--- a/tests/run.py
+++ b/tests/run.py
@@ -2,8 +2,9 @@
 
 ``python -m tests.run [--jobs N] [FEATURE...]``. Most scenarios wait for
 processes rather than use the processor, so features run in parallel, each in
-its own behave process. A scenario named in KNOWN-RED.txt may fail; it is
-printed. All others must pass.
+its own behave process. One with the tag ``@alone`` runs after all others, with
+nothing beside it. A scenario named in KNOWN-RED.txt may fail; it is printed.
+All others must pass.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 import attrs
@@ -41,6 +42,9 @@
     "bench",
 )
 
+# Tag of features that run one at a time, since they need much of the machine.
+ALONE: Final = "@alone"
+
 _COUNTS: Final = re.compile(
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.MULTILINE
 )
@@ -121,6 +125,22 @@
     return [str(p.relative_to(ROOT)) for p in found]
 
 
+def is_alone(feature: str) -> bool:
+    """Returns whether a feature runs with nothing beside it."""
+    text = (ROOT / feature.partition(":")[0]).read_text("utf-8")
+    return ALONE in text.partition("Feature:")[0].split()
+
+
+def run_all(features: Sequence[str], jobs: int) -> Iterator[Result]:
+    """Runs features, those that run alone last; yields their results."""
+    alone = [f for f in features if is_alone(f)]
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        yield from pool.map(
+            run_feature, [f for f in features if f not in alone]
+        )
+    yield from map(run_feature, alone)
+
+
 def report(results: Sequence[Result], known: set[str]) -> int:
     """Prints the failures and the totals; returns the exit code."""
     red = 0
@@ -148,12 +168,11 @@
     args = parser.parse_args(argv)
     features = args.features or find_features()
     results = []
-    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        for result in pool.map(run_feature, features):
-            results.append(result)
-            state = "failed" if result.failing else "ok"
-            print(f"{result.took_s:6.1f} s  {state:6}  {result.feature}")
-            sys.stdout.flush()
+    for result in run_all(features, args.jobs):
+        results.append(result)
+        state = "failed" if result.failing else "ok"
+        print(f"{result.took_s:6.1f} s  {state:6}  {result.feature}")
+        sys.stdout.flush()
     return report(results, read_known_red())
 
 
