--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -30,7 +30,8 @@
 ``work_s`` (it works on a plain request for a random time up to this one, and
 answers 504 at the end of the time that it is handed), ``endless`` (name of the
 bytes in `ENDLESS` that it answers without end, as fast as the connection takes
-them, or at intervals of ``endless_pause_s``).
+them, or at intervals of ``endless_pause_s``), ``answer_bytes`` (least length of
+a plain answer).
 """
 
 from __future__ import annotations
@@ -109,6 +110,7 @@
             "work_s": 0.0,
             "endless": "",
             "endless_pause_s": 0.0,
+            "answer_bytes": 0,
         }
         self.held: dict[str, int] | None = None
         self.orders = 0
@@ -390,7 +392,9 @@
                 raise ConnectionAbortedError("answer lost on request")
             if replica.faults["unframed"]:
                 return web.Response(status, head, Parts(replica))
-            return web.Response(status, head, replica.name.encode())
+            answer = replica.name.encode()
+            padded = answer.ljust(replica.faults["answer_bytes"])
+            return web.Response(status, head, padded)
         after = int(fields.get("Last-Event-Id") or 0)
         if after and replica.faults["resumed_status"] != 200:
             return web.Response(replica.faults["resumed_status"], head, b"")
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -93,6 +93,8 @@
     reserved: list[socket.socket] = attrs.Factory(list)
     # Bounds in the hosts' settings, in addition to those of all sites.
     bounds: dict[str, float] = attrs.Factory(dict)
+    # Limits of a machine in the hosts' settings; theirs by default if empty.
+    limits: dict[str, float] = attrs.Factory(dict)
     # Data centres of the hosts that are not in `HOME`, by address.
     zones: dict[str, str] = attrs.Factory(dict)
     # Whether a host starts again with the settings of its first start.
@@ -386,6 +388,7 @@
         "bootstrap": site.keeps_settings or not path.exists(),
         "platform": {"address": site.stage.processes["store"].address},
         "bounds": {"grace_s": 7, **site.bounds},
+        "limits": site.limits,
     }
     path.write_text(json.dumps(cfg), "utf-8")
     site.partition(ip, partition.MUTE if ip in site.mutes else "")
