Read bodies in chunks at a cost in proportion to their length

Callers saw: none was answered beside, or after, a crowd that sent chunks of one byte, or the line of a chunk without end.

Cause: the server's library joins an unfinished line, and unfinished trailers, anew with each read, searches them from their begin, and copies what follows each chunk; lines have no limit. Class: work by what was read before instead of by what has come. One thread reads all connections.

Change: inbound.py reads such bodies, by position; the bytes of one read go to the buffer at once. A chunk's line has 4,096 bytes at most (400), trailers those of a head (431); empty lines instead of chunks get 400, as HTTP has it.

--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -21,7 +21,7 @@
 import waitress.server
 import waitress.task
 
-from egretspur import codec, errors
+from egretspur import codec, errors, inbound
 
 if TYPE_CHECKING:
     from aioprometheus import collectors
@@ -285,6 +285,7 @@
 
 class _DrainingChannel(waitress.channel.HTTPChannel):  # type: ignore[misc]
     task_class = _DrainingTask
+    parser_class = inbound.Parser
 
     # Called when the caller disconnects while its request is being served.
     on_disconnect: Callable[[], None] | None = None
