Take bodies of exactly the limit, counted without their framing

Callers saw: 413 for a body of exactly max_body_bytes, by length, slowly, and after Expect; in chunks already below it.

Cause: the server's library refuses what reaches its limit, and in chunks counts the bytes on the connection. Class: a limit counted on other units than those it is stated in. The limit of heads was compared in the same way.

Change: the library gets limits of one more; inbound.py counts the bytes of the body. A request that is refused by its head is not asked for its body any more.

Green: web, inbound and host features.

--- a/egretspur/inbound.py
+++ b/egretspur/inbound.py
@@ -28,16 +28,36 @@
 
     def received(self, data: bytes) -> int:
         """Reads the next bytes; returns how many belong to this request."""
-        is_head = self.body_rcv is None
+        if self.completed:
+            return 0
+        if self.body_rcv is not None:
+            return self._read_body(data)
         consumed: int = super().received(data)
-        if is_head and isinstance(
-            self.body_rcv, waitress.receiver.ChunkedReceiver
-        ):
+        if self.error:
+            # It is refused already; its body is not asked for.
+            self.expect_continue = False
+        elif isinstance(self.body_rcv, waitress.receiver.ChunkedReceiver):
             self.body_rcv = ChunkedBody(
                 self.body_rcv.getbuf(), self.adj.max_request_header_size
             )
         return consumed
 
+    def _read_body(self, data: bytes) -> int:
+        body = self.body_rcv
+        consumed: int = body.received(data)
+        limit = self.adj.max_request_body_size
+        if body.__len__() >= limit:
+            self.error = waitress.utilities.RequestEntityTooLarge(
+                f"exceeds {limit - 1} bytes"
+            )
+        else:
+            self.error = body.error
+        self.completed = bool(self.error) or body.completed
+        if body.completed and self.chunked:
+            # To the application, the request has come with its length.
+            self.headers["CONTENT_LENGTH"] = str(body.__len__())
+        return consumed
+
 
 class ChunkedBody:
     """Reads a body in chunks, as waitress's own receiver does.
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -408,8 +408,9 @@
             channel_request_lookahead=1,
             channel_timeout=max(1, int(idle_s)),
             cleanup_interval=max(1, int(idle_s / 4)),
-            max_request_body_size=body_bytes,
-            max_request_header_size=header_bytes,
+            # The library refuses what reaches its limits.
+            max_request_body_size=body_bytes + 1,
+            max_request_header_size=header_bytes + 1,
             ident="egretspur",
             clear_untrusted_proxy_headers=False,
             backlog=1024,
@@ -434,8 +435,8 @@
     ) -> None:
         """Changes the limits of callers, for requests that begin later."""
         adj = self._server.adj
-        adj.max_request_header_size = header_bytes
-        adj.max_request_body_size = body_bytes
+        adj.max_request_header_size = header_bytes + 1
+        adj.max_request_body_size = body_bytes + 1
         adj.channel_timeout = max(1, int(idle_s))
         adj.cleanup_interval = max(1, int(idle_s / 4))
 
