Bound the bytes of all callers' bodies that a process holds

Callers saw: nothing; the process ran out of memory beside a crowd of clients that send large bodies at once, whole or not, in any form.

Cause: nobody counts the bytes of all connections. Each body has a buffer of its own, beyond 512 KB in a file, which counts as memory and takes a descriptor; beside it the handler's copy, which the connection keeps after the answer, since it keeps whom to tell of a disconnect. Class: a bound on each without one on all.

Change: one budget for the three servers of a process, a fifth of the machine's memory (a setting), counted in the connection layer from the first byte to the end of the answer; 8 KiB of each are free. When it is full, the incomplete body that began first is refused by 503, which has not run; complete ones stay, and then the new one is refused. At least the longest body allowed has room. Bodies stay in memory, once. body_refused is logged.

--- a/bench/duties.py
+++ b/bench/duties.py
@@ -126,6 +126,7 @@
         retry_window_s=10.0,
         bounds=bounds.Bounds(),
         memory_bytes=fleets.MEMORY_BYTES,
+        held_bytes=60_000_000,
     )
 
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -24,6 +24,7 @@
     decisions,
     errors,
     guard,
+    held,
     logs,
     mechanisms,
     transport,
@@ -213,15 +214,17 @@
         self._is_reload_due = False
         self._draining = threading.Event()
         self._stop = threading.Event()
+        budget = held.Budget(cfg.held_bytes)
         self._server = web.Server(
             self._make_app(),
             cfg.listen,
             MAX_REQUESTS,
             starts_on_demand=True,
             connections=MAX_CALLER_CONNECTIONS,
+            budget=budget,
         )
         self._ready_server = web.Server(
-            self._make_ready_app(), cfg.listen_ready, 1
+            self._make_ready_app(), cfg.listen_ready, 1, budget=budget
         )
         self._pages_server = web.Server(
             pages.make_pages(
@@ -237,6 +240,7 @@
             ),
             cfg.listen_control,
             1,
+            budget=budget,
         )
         self._reloader = threading.Thread(
             target=self._watch_settings, name="settings", daemon=True
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -344,6 +344,14 @@
     reason: str
 
 
+@attrs.frozen
+class BodyRefused:
+    """A body was refused before it was complete; all hold too many bytes."""
+
+    # Bytes of it that are given back.
+    freed_bytes: int
+
+
 @attrs.frozen
 class QuestionSent:
     """A query or order was sent to an upstream, and answered or not."""
@@ -590,6 +598,7 @@
     | HelpRefused
     | TunnelOpened
     | TunnelRefused
+    | BodyRefused
     | QuestionSent
     | UpstreamsListed
     | ConfigurationApplied
@@ -623,6 +632,7 @@
     HelpRefused,
     TunnelOpened,
     TunnelRefused,
+    BodyRefused,
     QuestionSent,
 )
 
--- a/egretspur/inbound.py
+++ b/egretspur/inbound.py
@@ -1,7 +1,8 @@
-"""Reads callers' requests at a cost in proportion to their length.
+"""Reads callers' requests, within a budget and at a cost by their length.
 
 Waitress reads heads and bodies of a known length; bodies in chunks are read
-here. Read next: `egretspur.web`, whose server uses this.
+here. Read next: `egretspur.held`, which counts what is held, and
+`egretspur.web`, whose server uses this.
 """
 
 from __future__ import annotations
@@ -14,22 +15,51 @@
 import waitress.rfc7230
 import waitress.utilities
 
+from egretspur import held
+
 # Longest line that announces a chunk, with its extensions.
 MAX_LINE_BYTES: Final = 4096
 
 _LINE_END: Final = b"\r\n"
 
 
+# When a caller that was refused for lack of room may come back, in seconds.
+RETRY_AFTER_S: Final = 1
+
+
+class NoRoom(waitress.utilities.Error):  # type: ignore[misc]
+    """The answer to a request whose body must not be held; it has not run."""
+
+    code = 503
+    reason = "Service Unavailable"
+
+    def to_response(
+        self, ident: str | None = None
+    ) -> tuple[str, list[tuple[str, str]], bytes]:
+        """Returns status, header fields and body."""
+        status, headers, body = super().to_response(ident)
+        return status, [*headers, ("Retry-After", str(RETRY_AFTER_S))], body
+
+
 class Parser(waitress.parser.HTTPRequestParser):  # type: ignore[misc]
     """Reads one request."""
 
     # Reads the body; None before it, and if there is none.
     body_rcv: Any = None
 
+    # Bytes of the body that are taken from the budget.
+    counted = 0
+
+    # Whether the body was dropped.
+    is_closed = False
+
     def received(self, data: bytes) -> int:
         """Reads the next bytes; returns how many belong to this request."""
         if self.completed:
             return 0
+        if self.is_closed:
+            # The connection is closed.
+            return len(data)
         if self.body_rcv is not None:
             return self._read_body(data)
         consumed: int = super().received(data)
@@ -50,14 +80,40 @@
             self.error = waitress.utilities.RequestEntityTooLarge(
                 f"exceeds {limit - 1} bytes"
             )
+        elif not self._bodies.grow(self, body.__len__(), limit):
+            self.error = NoRoom("bodies of too many callers")
         else:
             self.error = body.error
         self.completed = bool(self.error) or body.completed
+        if self.completed:
+            self._bodies.end(self)
         if body.completed and self.chunked:
             # To the application, the request has come with its length.
             self.headers["CONTENT_LENGTH"] = str(body.__len__())
         return consumed
 
+    @property
+    def _bodies(self) -> held.Bodies:
+        bodies: held.Bodies = self.adj.egretspur_bodies
+        return bodies
+
+    def refuse(self) -> None:
+        """Drops what was read of the body, to be answered that it has not run.
+
+        The connection notices that the request is complete.
+        """
+        self.close()
+        self.error = NoRoom("bodies of too many callers")
+        self.completed = True
+
+    def close(self) -> None:
+        """Drops the body."""
+        if not self.is_closed:
+            self.is_closed = True
+            self._bodies.end(self)
+            self._bodies.give_back(self)
+            super().close()
+
 
 class ChunkedBody:
     """Reads a body in chunks, as waitress's own receiver does.
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -9,7 +9,7 @@
 import attrs
 import orjson
 
-from egretspur import addresses, bounds, decisions
+from egretspur import addresses, bounds, decisions, held
 from egretspur.platform import names
 
 # For fields that the file omits.
@@ -55,6 +55,8 @@
     bounds: bounds.Bounds
     # Memory that the process may use.
     memory_bytes: int
+    # Part of it for the bodies of callers.
+    held_bytes: int
 
     @property
     def address(self) -> addresses.HostAddress:
@@ -125,6 +127,9 @@
 def decode_settings(data: dict[str, Any]) -> HostSettings:
     """Decodes the platform's settings."""
     limits = {**_DEFAULT_BOUNDS, **data.get("bounds", {})}
+    machine = data.get("limits", {})
+    memory_mb = machine.get("memory_mb", _DEFAULT_MEMORY_MB)
+    held_mb = machine.get("held_body_mb", memory_mb * held.TOTAL_FRACTION)
     store = data["platform"]
     cfg = HostSettings(
         name=data["node_name"],
@@ -147,9 +152,8 @@
             stall_s=limits["stall_ms"] / 1000,
             heartbeat_s=data.get("heartbeat_ms", _DEFAULT_HEARTBEAT_MS) / 1000,
         ),
-        memory_bytes=int(
-            data.get("limits", {}).get("memory_mb", _DEFAULT_MEMORY_MB) * 1e6
-        ),
+        memory_bytes=int(memory_mb * 1e6),
+        held_bytes=int(held_mb * 1e6),
     )
     # Raises ValueError if it is malformed.
     _ = cfg.address
--- a/egretspur/settings.py
+++ b/egretspur/settings.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from egretspur import held
+
 T = TypeVar("T")
 
 # Exit code of every program when its settings are wrong.
@@ -129,6 +131,10 @@
     """Bounds on what callers may send and how many requests are held."""
 
     body_bytes: int = attrs.field(default=1_000_000, metadata=at_least(1))
+    # Bytes of the bodies of all callers that are held at a time.
+    held_bytes: int = attrs.field(
+        default=held.DEFAULT_BYTES, metadata=at_least(1)
+    )
     header_bytes: int = attrs.field(default=32_768, metadata=at_least(256))
     header_count: int = attrs.field(default=100, metadata=at_least(1))
     # Seconds a caller may take to send a request.
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -10,6 +10,7 @@
 import logging
 import socket
 import struct
+import sys
 import threading
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
@@ -21,7 +22,7 @@
 import waitress.server
 import waitress.task
 
-from egretspur import codec, errors, inbound
+from egretspur import codec, errors, held, inbound
 
 if TYPE_CHECKING:
     from aioprometheus import collectors
@@ -60,7 +61,8 @@
 
     def read_body(self) -> bytes:
         """Returns the whole body."""
-        data: bytes = self.environ["wsgi.input"].read()
+        # The server's own buffer, without a copy.
+        data: bytes = self.environ["wsgi.input"].getvalue()
         return data
 
     def count_unsent(self) -> int:
@@ -262,6 +264,15 @@
             self.channel.break_on_close()
         return header
 
+    def service(self) -> None:
+        """Serves the request; nobody is told of a disconnect any more."""
+        try:
+            super().service()
+        finally:
+            # It holds the request, with its body, and the connection may stay
+            # open for long.
+            self.channel.on_disconnect = None
+
     def finish(self) -> None:
         """Ends a response that is complete."""
         super().finish()
@@ -287,6 +298,9 @@
     task_class = _DrainingTask
     parser_class = inbound.Parser
 
+    # The request that is being read; None before its first byte.
+    request: inbound.Parser | None = None
+
     # Called when the caller disconnects while its request is being served.
     on_disconnect: Callable[[], None] | None = None
 
@@ -316,6 +330,20 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, 0)
             )
 
+    def readable(self) -> bool:
+        """Returns whether to wait for bytes; called before each wait."""
+        if self.request is not None and self.request.completed:
+            self._answer_refused()
+        return bool(super().readable())
+
+    def _answer_refused(self) -> None:
+        """Answers a request that was refused before it was complete."""
+        with self.requests_lock:
+            self.requests.append(self.request)
+            self.request = None
+            if len(self.requests) == 1:
+                self.server.add_task(self)
+
     def handle_read(self) -> None:
         """Reads from the socket; notifies the handler of a disconnect."""
         super().handle_read()
@@ -330,6 +358,8 @@
             and not self.total_outbufs_len
         ):
             self._set_reset(False)
+        if self.request is not None:
+            self.request.close()
         super().handle_close()
         self._notify_disconnect()
 
@@ -379,6 +409,7 @@
         idle_s: float = 120.0,
         starts_on_demand: bool = False,
         connections: int = 0,
+        budget: held.Budget | None = None,
     ) -> None:
         """Binds the address.
 
@@ -391,6 +422,8 @@
             idle_s: Seconds after which an idle connection is closed.
             starts_on_demand: Whether threads are started on demand.
             connections: Maximum open connections; 0 for a multiple of threads.
+            budget: Bounds the bytes of bodies that the process holds; None for
+                one of its own.
         """
         host, _, port = listen.rpartition(":")
         dispatcher = None
@@ -411,6 +444,8 @@
             # The library refuses what reaches its limits.
             max_request_body_size=body_bytes + 1,
             max_request_header_size=header_bytes + 1,
+            # Bodies stay in memory: files count as memory too.
+            inbuf_overflow=sys.maxsize,
             ident="egretspur",
             clear_untrusted_proxy_headers=False,
             backlog=1024,
@@ -420,6 +455,7 @@
             log_socket_errors=False,
         )
         self._server.adj.egretspur_draining = self._draining
+        self._server.adj.egretspur_bodies = held.Bodies(budget or held.Budget())
         self._server.channel_class = _DrainingChannel
         self._thread = threading.Thread(
             target=self._run, name="http", daemon=True
