Bound the bytes of answers that callers don't take

Callers saw: nothing; a host held 1,250 MB beside 100 clients that ask for answers of 3 MB, five each, and read none.

Cause: an answer that its caller does not take stays with its connection, up to 16 MB each, in files beyond 1 MB; nobody counts all. The bound of answers that are read ends when they are handed to the connection. Nor does anything close such a connection: the library closes one when its socket takes bytes, and that of a caller that reads nothing never does. Class: as with bodies, a bound on each without one on all.

Change: unsent.py counts what all connections of a process have not sent; an eighth of the machine's memory (a setting). Beyond it, the connection whose caller has taken nothing for longest is closed, by the server's own thread. Answers stay in memory, in parts that are freed once they are sent. answer_dropped is logged.

--- a/bench/duties.py
+++ b/bench/duties.py
@@ -127,6 +127,7 @@
         bounds=bounds.Bounds(),
         memory_bytes=fleets.MEMORY_BYTES,
         held_bytes=60_000_000,
+        unsent_bytes=37_500_000,
     )
 
 
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -28,6 +28,7 @@
     logs,
     mechanisms,
     transport,
+    unsent,
     web,
 )
 from egretspur.admission import repeats
@@ -215,6 +216,7 @@
         self._draining = threading.Event()
         self._stop = threading.Event()
         budget = held.Budget(cfg.held_bytes)
+        bound = unsent.Unsent(cfg.unsent_bytes)
         self._server = web.Server(
             self._make_app(),
             cfg.listen,
@@ -222,9 +224,14 @@
             starts_on_demand=True,
             connections=MAX_CALLER_CONNECTIONS,
             budget=budget,
+            bound=bound,
         )
         self._ready_server = web.Server(
-            self._make_ready_app(), cfg.listen_ready, 1, budget=budget
+            self._make_ready_app(),
+            cfg.listen_ready,
+            1,
+            budget=budget,
+            bound=bound,
         )
         self._pages_server = web.Server(
             pages.make_pages(
@@ -241,6 +248,7 @@
             cfg.listen_control,
             1,
             budget=budget,
+            bound=bound,
         )
         self._reloader = threading.Thread(
             target=self._watch_settings, name="settings", daemon=True
--- a/egretspur/daemons/router.py
+++ b/egretspur/daemons/router.py
@@ -18,7 +18,7 @@
 import urllib3
 from aioprometheus import collectors
 
-from egretspur import codec, errors, held, settings, web
+from egretspur import codec, errors, held, settings, unsent, web
 from egretspur.claims import actor as claim_actor
 from egretspur.claims import calls
 from egretspur.clients import engine, fields, service
@@ -146,6 +146,7 @@
             cfg.limits.header_bytes,
             cfg.limits.send_s,
             budget=held.Budget(cfg.limits.held_bytes),
+            bound=unsent.Unsent(cfg.limits.unsent_bytes),
         )
         self._ticker = threading.Thread(
             target=self._tick, name="tick", daemon=True
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -352,6 +352,14 @@
     freed_bytes: int
 
 
+@attrs.frozen
+class AnswerDropped:
+    """A caller took nothing of its answer for longest; it was closed."""
+
+    # Bytes that it did not take.
+    freed_bytes: int
+
+
 @attrs.frozen
 class QuestionSent:
     """A query or order was sent to an upstream, and answered or not."""
@@ -599,6 +607,7 @@
     | TunnelOpened
     | TunnelRefused
     | BodyRefused
+    | AnswerDropped
     | QuestionSent
     | UpstreamsListed
     | ConfigurationApplied
@@ -633,6 +642,7 @@
     TunnelOpened,
     TunnelRefused,
     BodyRefused,
+    AnswerDropped,
     QuestionSent,
 )
 
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -9,7 +9,7 @@
 import attrs
 import orjson
 
-from egretspur import addresses, bounds, decisions, held
+from egretspur import addresses, bounds, decisions, held, unsent
 from egretspur.platform import names
 
 # For fields that the file omits.
@@ -57,6 +57,8 @@
     memory_bytes: int
     # Part of it for the bodies of callers.
     held_bytes: int
+    # Part of it for answers that callers have not taken.
+    unsent_bytes: int
 
     @property
     def address(self) -> addresses.HostAddress:
@@ -130,6 +132,7 @@
     machine = data.get("limits", {})
     memory_mb = machine.get("memory_mb", _DEFAULT_MEMORY_MB)
     held_mb = machine.get("held_body_mb", memory_mb * held.TOTAL_FRACTION)
+    unsent_mb = machine.get("unsent_mb", memory_mb * unsent.TOTAL_FRACTION)
     store = data["platform"]
     cfg = HostSettings(
         name=data["node_name"],
@@ -154,6 +157,7 @@
         ),
         memory_bytes=int(memory_mb * 1e6),
         held_bytes=int(held_mb * 1e6),
+        unsent_bytes=int(unsent_mb * 1e6),
     )
     # Raises ValueError if it is malformed.
     _ = cfg.address
--- a/egretspur/settings.py
+++ b/egretspur/settings.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from egretspur import held
+from egretspur import held, unsent
 
 T = TypeVar("T")
 
@@ -135,6 +135,10 @@
     held_bytes: int = attrs.field(
         default=held.DEFAULT_BYTES, metadata=at_least(1)
     )
+    # Bytes of answers that all callers together have not taken.
+    unsent_bytes: int = attrs.field(
+        default=unsent.DEFAULT_BYTES, metadata=at_least(1)
+    )
     header_bytes: int = attrs.field(default=32_768, metadata=at_least(256))
     header_count: int = attrs.field(default=100, metadata=at_least(1))
     # Seconds a caller may take to send a request.
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -22,7 +22,7 @@
 import waitress.server
 import waitress.task
 
-from egretspur import codec, errors, held, inbound
+from egretspur import codec, errors, held, inbound, unsent
 
 if TYPE_CHECKING:
     from aioprometheus import collectors
@@ -307,6 +307,9 @@
     # Whether the last response was written completely.
     is_whole = False
 
+    # Whether it is closed whatever its caller has not taken.
+    is_dropped = False
+
     # Whether a close resets the connection.
     breaks_on_close = False
 
@@ -330,11 +333,34 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, 0)
             )
 
+    def write_soon(self, data: bytes) -> int:
+        """Writes to the caller, or keeps what it does not take yet."""
+        if self.total_outbufs_len + len(data) <= unsent.FREE_BYTES:
+            return int(super().write_soon(data))
+        bound = self.server.adj.egretspur_unsent
+        bound.begin(self, len(data))
+        try:
+            for begin in range(0, len(data), unsent.FREE_BYTES):
+                # A buffer is freed once all of it is sent: each has one part.
+                self.current_outbuf_count = self.adj.outbuf_high_watermark
+                super().write_soon(data[begin : begin + unsent.FREE_BYTES])
+        finally:
+            bound.end(len(data))
+        return len(data)
+
     def readable(self) -> bool:
         """Returns whether to wait for bytes; called before each wait."""
+        if self.is_dropped and self.connected:
+            # A caller that takes nothing never makes the socket writable, at
+            # which the library would close it.
+            self.handle_close()
         if self.request is not None and self.request.completed:
             self._answer_refused()
-        return bool(super().readable())
+        return bool(self.connected and super().readable())
+
+    def writable(self) -> bool:
+        """Returns whether to wait until the caller takes more."""
+        return bool(self.connected and super().writable())
 
     def _answer_refused(self) -> None:
         """Answers a request that was refused before it was complete."""
@@ -410,6 +436,7 @@
         starts_on_demand: bool = False,
         connections: int = 0,
         budget: held.Budget | None = None,
+        bound: unsent.Unsent | None = None,
     ) -> None:
         """Binds the address.
 
@@ -424,6 +451,8 @@
             connections: Maximum open connections; 0 for a multiple of threads.
             budget: Bounds the bytes of bodies that the process holds; None for
                 one of its own.
+            bound: Bounds the bytes of answers that callers don't take; None for
+                one of its own.
         """
         host, _, port = listen.rpartition(":")
         dispatcher = None
@@ -444,8 +473,9 @@
             # The library refuses what reaches its limits.
             max_request_body_size=body_bytes + 1,
             max_request_header_size=header_bytes + 1,
-            # Bodies stay in memory: files count as memory too.
+            # All stays in memory: files count as memory too.
             inbuf_overflow=sys.maxsize,
+            outbuf_overflow=sys.maxsize,
             ident="egretspur",
             clear_untrusted_proxy_headers=False,
             backlog=1024,
@@ -456,6 +486,9 @@
         )
         self._server.adj.egretspur_draining = self._draining
         self._server.adj.egretspur_bodies = held.Bodies(budget or held.Budget())
+        bound = bound or unsent.Unsent()
+        bound.add_server(self._server.active_channels)
+        self._server.adj.egretspur_unsent = bound
         self._server.channel_class = _DrainingChannel
         self._thread = threading.Thread(
             target=self._run, name="http", daemon=True
