Keep a host's connections within its machine's descriptors

Callers saw: nothing beside the default limit; with max_fds 400, 450 clients that send half a head made a host open 478 descriptors. At the limit itself the server accepts nobody until connections end, so that quiet ones keep others out.

Cause: the limit on connections is fixed, for machines of 4,100 descriptors, and is held by accepting no more. Class: a bound that names one machine; a bound that the first to come use up.

Change: the limit is half of the machine's descriptors less 50, at most 2,000 as before. At the limit, each new connection closes the one that has been quiet for longest and waits for no answer; its request was not read. Only if all wait for answers, no new one is accepted.

--- a/bench/duties.py
+++ b/bench/duties.py
@@ -125,6 +125,7 @@
         retry_allowance=574.0,
         retry_window_s=10.0,
         bounds=bounds.Bounds(),
+        max_fds=4100,
         memory_bytes=fleets.MEMORY_BYTES,
         held_bytes=60_000_000,
         unsent_bytes=37_500_000,
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -70,10 +70,12 @@
 # Limit on concurrent requests; each occupies a thread, started on demand.
 MAX_REQUESTS: Final = 600
 
-# Limit on connections of callers, most of which are idle. The remaining file
-# descriptors are for connections to upstreams.
+# Limit on connections of callers, most of which are idle.
 MAX_CALLER_CONNECTIONS: Final = 2000
 
+# File descriptors that the process has open without any connection.
+OWN_FDS: Final = 100
+
 # Seconds between two checks of the settings file for changes.
 SETTINGS_CHECK_PERIOD_S: Final = 1.0
 
@@ -222,7 +224,7 @@
             cfg.listen,
             MAX_REQUESTS,
             starts_on_demand=True,
-            connections=MAX_CALLER_CONNECTIONS,
+            connections=_count_connections(cfg.max_fds),
             budget=budget,
             bound=bound,
         )
@@ -598,6 +600,15 @@
                     self._reload()
 
 
+def _count_connections(max_fds: int) -> int:
+    """Returns the limit on connections of callers.
+
+    As many again are for connections to upstreams, and for those of hosts and
+    operators.
+    """
+    return min(MAX_CALLER_CONNECTIONS, (max_fds - OWN_FDS) // 2)
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Entry point of ``egretspur-host``."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -25,6 +25,7 @@
 
 _DEFAULT_HEARTBEAT_MS: Final = 1200
 _DEFAULT_MEMORY_MB: Final = 300
+_DEFAULT_MAX_FDS: Final = 4100
 
 
 @attrs.frozen(kw_only=True)
@@ -53,6 +54,8 @@
     retry_allowance: float
     retry_window_s: float
     bounds: bounds.Bounds
+    # File descriptors that the process may use.
+    max_fds: int
     # Memory that the process may use.
     memory_bytes: int
     # Part of it for the bodies of callers.
@@ -155,6 +158,7 @@
             stall_s=limits["stall_ms"] / 1000,
             heartbeat_s=data.get("heartbeat_ms", _DEFAULT_HEARTBEAT_MS) / 1000,
         ),
+        max_fds=int(machine.get("max_fds", _DEFAULT_MAX_FDS)),
         memory_bytes=int(memory_mb * 1e6),
         held_bytes=int(held_mb * 1e6),
         unsent_bytes=int(unsent_mb * 1e6),
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -37,6 +37,10 @@
 # Threads that a server with on-demand threads adds at a time.
 _THREADS_STEP: Final = 4
 
+# Sockets that the library counts besides connections: the listening one, that
+# which wakes its thread, and one connection for which none could be closed.
+_OTHER_SOCKETS: Final = 3
+
 JSON_TYPE: Final = "application/json"
 
 
@@ -313,6 +317,13 @@
     # Whether a close resets the connection.
     breaks_on_close = False
 
+    def __init__(
+        self, server: Any, sock: socket.socket, addr: Any, adj: Any, **more: Any
+    ) -> None:
+        """Adds a connection; closes an idle one if there are too many."""
+        _make_room(server.active_channels, adj.egretspur_connections)
+        super().__init__(server, sock, addr, adj, **more)
+
     def break_on_close(self) -> None:
         """Makes each end of the connection a reset, also that by the kernel.
 
@@ -395,6 +406,19 @@
             callback()
 
 
+def _make_room(channels: Mapping[int, Any], limit: int) -> None:
+    """Makes room for a connection.
+
+    Closes the one that has been quiet for longest and waits for no answer. Its
+    request, if there is one, was not read completely.
+    """
+    if len(channels) < limit:
+        return
+    idle = [c for c in channels.values() if not c.requests]
+    if idle:
+        min(idle, key=lambda c: c.last_activity).handle_close()
+
+
 class _OnDemandDispatcher(waitress.task.ThreadedTaskDispatcher):  # type: ignore[misc]
     """Starts threads on demand, up to a limit.
 
@@ -449,6 +473,8 @@
             idle_s: Seconds after which an idle connection is closed.
             starts_on_demand: Whether threads are started on demand.
             connections: Maximum open connections; 0 for a multiple of threads.
+                Beyond it, one that is quiet is closed for each new one; if all
+                wait for answers, no new one is accepted.
             budget: Bounds the bytes of bodies that the process holds; None for
                 one of its own.
             bound: Bounds the bytes of answers that callers don't take; None for
@@ -459,6 +485,7 @@
         if starts_on_demand:
             dispatcher = _OnDemandDispatcher(threads)
             dispatcher.set_thread_count(min(threads, _THREADS_STEP))
+        limit = connections or threads * 4 + 100
         self._draining = threading.Event()
         self._server = waitress.server.create_server(
             app,
@@ -466,7 +493,7 @@
             host=host,
             port=int(port),
             threads=threads,
-            connection_limit=connections or threads * 4 + 100,
+            connection_limit=limit + _OTHER_SOCKETS,
             channel_request_lookahead=1,
             channel_timeout=max(1, int(idle_s)),
             cleanup_interval=max(1, int(idle_s / 4)),
@@ -485,6 +512,7 @@
             log_socket_errors=False,
         )
         self._server.adj.egretspur_draining = self._draining
+        self._server.adj.egretspur_connections = limit
         self._server.adj.egretspur_bodies = held.Bodies(budget or held.Budget())
         bound = bound or unsent.Unsent()
         bound.add_server(self._server.active_channels)
