--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -344,6 +344,22 @@
     reason: str
 
 
+@attrs.frozen
+class BodyRefused:
+    """A body was refused before it was complete; all hold too many bytes."""
+
+    # Bytes of it that are given back.
+    freed_bytes: int
+
+
+@attrs.frozen
+class AnswerDropped:
+    """A caller took nothing of its answer for longest; it was closed."""
+
+    # Bytes that it did not take.
+    freed_bytes: int
+
+
 @attrs.frozen
 class QuestionSent:
     """A query or order was sent to an upstream, and answered or not."""
@@ -600,6 +616,8 @@
     | HelpRefused
     | TunnelOpened
     | TunnelRefused
+    | BodyRefused
+    | AnswerDropped
     | QuestionSent
     | UpstreamsListed
     | ConfigurationApplied
@@ -634,6 +652,8 @@
     HelpRefused,
     TunnelOpened,
     TunnelRefused,
+    BodyRefused,
+    AnswerDropped,
     QuestionSent,
 )
 
--- a/egretspur/platform/node.py
+++ b/egretspur/platform/node.py
@@ -9,7 +9,7 @@
 import attrs
 import orjson
 
-from egretspur import addresses, bounds, decisions
+from egretspur import addresses, bounds, decisions, held, unsent
 from egretspur.platform import names
 
 # For fields that the file omits.
@@ -25,6 +25,7 @@
 
 _DEFAULT_HEARTBEAT_MS: Final = 1200
 _DEFAULT_MEMORY_MB: Final = 300
+_DEFAULT_MAX_FDS: Final = 4100
 
 
 @attrs.frozen(kw_only=True)
@@ -53,8 +54,14 @@
     retry_allowance: float
     retry_window_s: float
     bounds: bounds.Bounds
+    # File descriptors that the process may use.
+    max_fds: int
     # Memory that the process may use.
     memory_bytes: int
+    # Part of it for the bodies of callers.
+    held_bytes: int
+    # Part of it for answers that callers have not taken.
+    unsent_bytes: int
 
     @property
     def address(self) -> addresses.HostAddress:
@@ -125,6 +132,10 @@
 def decode_settings(data: dict[str, Any]) -> HostSettings:
     """Decodes the platform's settings."""
     limits = {**_DEFAULT_BOUNDS, **data.get("bounds", {})}
+    machine = data.get("limits", {})
+    memory_mb = machine.get("memory_mb", _DEFAULT_MEMORY_MB)
+    held_mb = machine.get("held_body_mb", memory_mb * held.TOTAL_FRACTION)
+    unsent_mb = machine.get("unsent_mb", memory_mb * unsent.TOTAL_FRACTION)
     store = data["platform"]
     cfg = HostSettings(
         name=data["node_name"],
@@ -147,9 +158,10 @@
             stall_s=limits["stall_ms"] / 1000,
             heartbeat_s=data.get("heartbeat_ms", _DEFAULT_HEARTBEAT_MS) / 1000,
         ),
-        memory_bytes=int(
-            data.get("limits", {}).get("memory_mb", _DEFAULT_MEMORY_MB) * 1e6
-        ),
+        max_fds=int(machine.get("max_fds", _DEFAULT_MAX_FDS)),
+        memory_bytes=int(memory_mb * 1e6),
+        held_bytes=int(held_mb * 1e6),
+        unsent_bytes=int(unsent_mb * 1e6),
     )
     # Raises ValueError if it is malformed.
     _ = cfg.address
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -10,6 +10,7 @@
 import logging
 import socket
 import struct
+import sys
 import threading
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
@@ -21,7 +22,7 @@
 import waitress.server
 import waitress.task
 
-from egretspur import codec, errors
+from egretspur import codec, errors, held, inbound, unsent
 
 if TYPE_CHECKING:
     from aioprometheus import collectors
@@ -36,6 +37,10 @@
 # Threads that a server with on-demand threads adds at a time.
 _THREADS_STEP: Final = 4
 
+# Sockets that the library counts besides connections: the listening one, that
+# which wakes its thread, and one connection for which none could be closed.
+_OTHER_SOCKETS: Final = 3
+
 JSON_TYPE: Final = "application/json"
 
 
@@ -60,7 +65,8 @@
 
     def read_body(self) -> bytes:
         """Returns the whole body."""
-        data: bytes = self.environ["wsgi.input"].read()
+        # The server's own buffer, without a copy.
+        data: bytes = self.environ["wsgi.input"].getvalue()
         return data
 
     def count_unsent(self) -> int:
@@ -262,6 +268,15 @@
             self.channel.break_on_close()
         return header
 
+    def service(self) -> None:
+        """Serves the request; nobody is told of a disconnect any more."""
+        try:
+            super().service()
+        finally:
+            # It holds the request, with its body, and the connection may stay
+            # open for long.
+            self.channel.on_disconnect = None
+
     def finish(self) -> None:
         """Ends a response that is complete."""
         super().finish()
@@ -285,6 +300,10 @@
 
 class _DrainingChannel(waitress.channel.HTTPChannel):  # type: ignore[misc]
     task_class = _DrainingTask
+    parser_class = inbound.Parser
+
+    # The request that is being read; None before its first byte.
+    request: inbound.Parser | None = None
 
     # Called when the caller disconnects while its request is being served.
     on_disconnect: Callable[[], None] | None = None
@@ -292,9 +311,19 @@
     # Whether the last response was written completely.
     is_whole = False
 
+    # Whether it is closed whatever its caller has not taken.
+    is_dropped = False
+
     # Whether a close resets the connection.
     breaks_on_close = False
 
+    def __init__(
+        self, server: Any, sock: socket.socket, addr: Any, adj: Any, **more: Any
+    ) -> None:
+        """Adds a connection; closes an idle one if there are too many."""
+        _make_room(server.active_channels, adj.egretspur_connections)
+        super().__init__(server, sock, addr, adj, **more)
+
     def break_on_close(self) -> None:
         """Makes each end of the connection a reset, also that by the kernel.
 
@@ -315,6 +344,43 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, 0)
             )
 
+    def write_soon(self, data: bytes) -> int:
+        """Writes to the caller, or keeps what it does not take yet."""
+        if self.total_outbufs_len + len(data) <= unsent.FREE_BYTES:
+            return int(super().write_soon(data))
+        bound = self.server.adj.egretspur_unsent
+        bound.begin(self, len(data))
+        try:
+            for begin in range(0, len(data), unsent.FREE_BYTES):
+                # A buffer is freed once all of it is sent: each has one part.
+                self.current_outbuf_count = self.adj.outbuf_high_watermark
+                super().write_soon(data[begin : begin + unsent.FREE_BYTES])
+        finally:
+            bound.end(len(data))
+        return len(data)
+
+    def readable(self) -> bool:
+        """Returns whether to wait for bytes; called before each wait."""
+        if self.is_dropped and self.connected:
+            # A caller that takes nothing never makes the socket writable, at
+            # which the library would close it.
+            self.handle_close()
+        if self.request is not None and self.request.completed:
+            self._answer_refused()
+        return bool(self.connected and super().readable())
+
+    def writable(self) -> bool:
+        """Returns whether to wait until the caller takes more."""
+        return bool(self.connected and super().writable())
+
+    def _answer_refused(self) -> None:
+        """Answers a request that was refused before it was complete."""
+        with self.requests_lock:
+            self.requests.append(self.request)
+            self.request = None
+            if len(self.requests) == 1:
+                self.server.add_task(self)
+
     def handle_read(self) -> None:
         """Reads from the socket; notifies the handler of a disconnect."""
         super().handle_read()
@@ -329,6 +395,8 @@
             and not self.total_outbufs_len
         ):
             self._set_reset(False)
+        if self.request is not None:
+            self.request.close()
         super().handle_close()
         self._notify_disconnect()
 
@@ -338,6 +406,19 @@
             callback()
 
 
+def _make_room(channels: Mapping[int, Any], limit: int) -> None:
+    """Makes room for a connection.
+
+    Closes the one that has been quiet for longest and waits for no answer. Its
+    request, if there is one, was not read completely.
+    """
+    if len(channels) < limit:
+        return
+    idle = [c for c in channels.values() if not c.requests]
+    if idle:
+        min(idle, key=lambda c: c.last_activity).handle_close()
+
+
 class _OnDemandDispatcher(waitress.task.ThreadedTaskDispatcher):  # type: ignore[misc]
     """Starts threads on demand, up to a limit.
 
@@ -378,6 +459,8 @@
         idle_s: float = 120.0,
         starts_on_demand: bool = False,
         connections: int = 0,
+        budget: held.Budget | None = None,
+        bound: unsent.Unsent | None = None,
     ) -> None:
         """Binds the address.
 
@@ -390,12 +473,19 @@
             idle_s: Seconds after which an idle connection is closed.
             starts_on_demand: Whether threads are started on demand.
             connections: Maximum open connections; 0 for a multiple of threads.
+                Beyond it, one that is quiet is closed for each new one; if all
+                wait for answers, no new one is accepted.
+            budget: Bounds the bytes of bodies that the process holds; None for
+                one of its own.
+            bound: Bounds the bytes of answers that callers don't take; None for
+                one of its own.
         """
         host, _, port = listen.rpartition(":")
         dispatcher = None
         if starts_on_demand:
             dispatcher = _OnDemandDispatcher(threads)
             dispatcher.set_thread_count(min(threads, _THREADS_STEP))
+        limit = connections or threads * 4 + 100
         self._draining = threading.Event()
         self._server = waitress.server.create_server(
             app,
@@ -403,12 +493,16 @@
             host=host,
             port=int(port),
             threads=threads,
-            connection_limit=connections or threads * 4 + 100,
+            connection_limit=limit + _OTHER_SOCKETS,
             channel_request_lookahead=1,
             channel_timeout=max(1, int(idle_s)),
             cleanup_interval=max(1, int(idle_s / 4)),
-            max_request_body_size=body_bytes,
-            max_request_header_size=header_bytes,
+            # The library refuses what reaches its limits.
+            max_request_body_size=body_bytes + 1,
+            max_request_header_size=header_bytes + 1,
+            # All stays in memory: files count as memory too.
+            inbuf_overflow=sys.maxsize,
+            outbuf_overflow=sys.maxsize,
             ident="egretspur",
             clear_untrusted_proxy_headers=False,
             backlog=1024,
@@ -418,6 +512,11 @@
             log_socket_errors=False,
         )
         self._server.adj.egretspur_draining = self._draining
+        self._server.adj.egretspur_connections = limit
+        self._server.adj.egretspur_bodies = held.Bodies(budget or held.Budget())
+        bound = bound or unsent.Unsent()
+        bound.add_server(self._server.active_channels)
+        self._server.adj.egretspur_unsent = bound
         self._server.channel_class = _DrainingChannel
         self._thread = threading.Thread(
             target=self._run, name="http", daemon=True
@@ -433,8 +532,8 @@
     ) -> None:
         """Changes the limits of callers, for requests that begin later."""
         adj = self._server.adj
-        adj.max_request_header_size = header_bytes
-        adj.max_request_body_size = body_bytes
+        adj.max_request_header_size = header_bytes + 1
+        adj.max_request_body_size = body_bytes + 1
         adj.channel_timeout = max(1, int(idle_s))
         adj.cleanup_interval = max(1, int(idle_s / 4))
 
