Log how long a request took to arrive and to be taken up

Requests that come slowly, wait behind others on their connection or for a thread end later than their route's time-out, and no line tells which: the log began with the admission. request_admitted has arriving_s now, the seconds from a request's first byte until then. Limits of time are unchanged.

--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -48,6 +48,8 @@
     fingerprint: str
     # Prompt segments that other requests may share; at most `MAX_NAMED`.
     segments: tuple[str, ...]
+    # Seconds from its first byte until it was admitted.
+    arriving_s: float
 
 
 @attrs.frozen
--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -38,6 +38,8 @@
     path: str
     # API key; empty if the caller sent none.
     key: str
+    # Monotonic time at which its first byte arrived.
+    began_s: float
     # Seconds that the caller waits for its answer; None if not stated.
     caller_timeout_s: float | None
     # Sizes of a request for a model, in tokens; 0 for others: the prompt, the
@@ -104,7 +106,7 @@
         job = self.make_job(inbound, time.monotonic())
         if isinstance(job, errors.Refusal):
             return self.refuse(inbound.call.id, job)
-        self._record_admitted(job)
+        self._record_admitted(job, inbound.began_s)
         forwarder = forward.Forwarder(
             inbound.call,
             job,
@@ -187,7 +189,7 @@
             segments=_scope_segments(cfg.services.get(service), inbound),
         )
 
-    def _record_admitted(self, job: jobs.Job) -> None:
+    def _record_admitted(self, job: jobs.Job, began_s: float) -> None:
         version = self._cfg.version if self._cfg else 0
         decisions.record(
             decisions.RequestAdmitted(
@@ -201,6 +203,7 @@
                 version,
                 job.fingerprint,
                 job.segments[: decisions.MAX_NAMED],
+                job.arrived_s - began_s,
             )
         )
 
--- a/egretspur/platform/ingress.py
+++ b/egretspur/platform/ingress.py
@@ -53,6 +53,7 @@
         host=fields.get("Host", ""),
         path=target.partition("?")[0],
         key=_read_key(fields.get(names.API_KEY, "")),
+        began_s=req.get_began_s(),
         caller_timeout_s=decode.decode_deadline_s(
             fields.get(names.DEADLINE, "")
         ),
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import threading
+import time
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any, Final, Protocol
@@ -18,6 +19,7 @@
 import attrs
 import waitress
 import waitress.channel
+import waitress.parser
 import waitress.server
 import waitress.task
 
@@ -28,10 +30,12 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-# Keys in the WSGI environment: of the connection, and of the request target as
-# it was sent, since WSGI itself only passes the decoded path.
+# Keys in the WSGI environment: of the connection, of the request target as it
+# was sent, since WSGI itself only passes the decoded path, and of the monotonic
+# time of the request's first byte.
 _CHANNEL: Final = "egretspur.channel"
 _TARGET: Final = "egretspur.target"
+_BEGAN: Final = "egretspur.began"
 
 # Threads that a server with on-demand threads adds at a time.
 _THREADS_STEP: Final = 4
@@ -68,6 +72,10 @@
         channel = self.environ.get(_CHANNEL)
         return int(channel.total_outbufs_len) if channel else 0
 
+    def get_began_s(self) -> float:
+        """Returns the monotonic time at which its first byte arrived."""
+        return float(self.environ.get(_BEGAN, time.monotonic()))
+
     def get_target(self) -> str:
         """Returns path and query without decoding."""
         return str(self.environ.get(_TARGET, self.path))
@@ -249,6 +257,21 @@
         return None
 
 
+class _TimedParser(waitress.parser.HTTPRequestParser):  # type: ignore[misc]
+    """Parses a request and notes when it began to arrive."""
+
+    # Monotonic time; None while only blank lines have come, which may follow an
+    # earlier request.
+    began_s: float | None = None
+
+    def received(self, data: bytes) -> int:
+        """Parses bytes; returns how many of them belong to the request."""
+        if self.began_s is None and data.strip(b"\r\n"):
+            self.began_s = time.monotonic()
+        count: int = super().received(data)
+        return count
+
+
 class _DrainingTask(waitress.task.WSGITask):  # type: ignore[misc]
     """Closes keep-alive connections once the server drains."""
 
@@ -277,6 +300,7 @@
         """Returns the WSGI environment, with the connection in it."""
         environ = super().get_environment()
         environ[_CHANNEL] = self.channel
+        environ[_BEGAN] = self.request.began_s
         words = self.request.first_line.split(b" ")
         if len(words) == 3:
             environ[_TARGET] = words[1].decode("latin-1")
@@ -285,6 +309,7 @@
 
 class _DrainingChannel(waitress.channel.HTTPChannel):  # type: ignore[misc]
     task_class = _DrainingTask
+    parser_class = _TimedParser
 
     # Called when the caller disconnects while its request is being served.
     on_disconnect: Callable[[], None] | None = None
