Begin a request's time with its first byte, not when a thread takes it up

Callers saw requests that lasted longer than their route's time-out, by as long as they came slowly, or waited behind others on their connection or for a thread. Cause: the deadline was counted from the call of the handler, which a server makes once the whole request is there and a thread is free. Class: a limit that begins where the program takes notice. Evidence: arriving_s in request_admitted equals the lateness (1.50 s of 1.50 s, 3.0 and 6.05 s). Now the time begins with the first byte, for timeout_ms and Deadline-Ms; what is over when a thread takes it up is refused with 503, as it hasn't run.

--- a/egretspur/delivery/intake.py
+++ b/egretspur/delivery/intake.py
@@ -27,6 +27,10 @@
 # which is ready.
 STOPPING_RETRY_AFTER_S: Final = 0.05
 
+# Retry-After of a request whose time was over before a thread took it up, as it
+# is where all threads are busy.
+LATE_RETRY_AFTER_S: Final = 1.0
+
 
 @attrs.frozen
 class InboundRequest:
@@ -106,6 +110,8 @@
         job = self.make_job(inbound, time.monotonic())
         if isinstance(job, errors.Refusal):
             return self.refuse(inbound.call.id, job)
+        if job.arrived_s >= job.deadline_s:
+            return self.refuse(inbound.call.id, _make_late_refusal(inbound))
         self._record_admitted(job, inbound.began_s)
         forwarder = forward.Forwarder(
             inbound.call,
@@ -172,9 +178,7 @@
                 return errors.Refusal(errors.ErrorKind.UNKNOWN_KEY, "key")
             workspace = found
         service = config.choose_service(route, self._rng)
-        wait_s = route.timeout_s
-        if inbound.caller_timeout_s is not None:
-            wait_s = min(wait_s, inbound.caller_timeout_s)
+        deadline_s = _compute_deadline_s(inbound, route)
         priority = workspace.priority
         return jobs.Job(
             id=inbound.call.id,
@@ -184,7 +188,7 @@
             priority=route.priority if priority is None else priority,
             tokens=_estimate_tokens(cfg.services.get(service), inbound),
             arrived_s=now_s,
-            deadline_s=now_s + wait_s,
+            deadline_s=deadline_s,
             fingerprint=_compute_fingerprint(inbound, workspace),
             segments=_scope_segments(cfg.services.get(service), inbound),
         )
@@ -231,6 +235,28 @@
     )
 
 
+def _make_late_refusal(inbound: InboundRequest) -> errors.Refusal:
+    """Returns the refusal of a request whose time is over already."""
+    held_s = time.monotonic() - inbound.began_s
+    return errors.Refusal(
+        errors.ErrorKind.DEADLINE,
+        f"began to arrive {held_s:.1f} s ago",
+        LATE_RETRY_AFTER_S,
+    )
+
+
+def _compute_deadline_s(inbound: InboundRequest, route: config.Route) -> float:
+    """Returns the monotonic time at which a request ends at the latest.
+
+    Its time begins with its first byte: its caller waits from then on, also
+    while the request comes slowly or waits for a thread.
+    """
+    wait_s = route.timeout_s
+    if inbound.caller_timeout_s is not None:
+        wait_s = min(wait_s, inbound.caller_timeout_s)
+    return inbound.began_s + wait_s
+
+
 def _scope_segments(
     service: config.Service | None, inbound: InboundRequest
 ) -> tuple[str, ...]:
