--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -30,7 +30,8 @@
 ``work_s`` (it works on a plain request for a random time up to this one, and
 answers 504 at the end of the time that it is handed), ``endless`` (name of the
 bytes in `ENDLESS` that it answers without end, as fast as the connection takes
-them, or at intervals of ``endless_pause_s``).
+them, or at intervals of ``endless_pause_s``), ``first_line`` (first line of the
+answer to each request that it has run, in place of its own).
 """
 
 from __future__ import annotations
@@ -109,6 +110,7 @@
             "work_s": 0.0,
             "endless": "",
             "endless_pause_s": 0.0,
+            "first_line": "",
         }
         self.held: dict[str, int] | None = None
         self.orders = 0
@@ -282,6 +284,21 @@
             raise ConnectionAbortedError("the host has closed") from exc
 
 
+class OddAnswer:
+    """An answer with a first line of any kind; closes the connection."""
+
+    def __init__(self, line: str, head: Mapping[str, str]) -> None:
+        fields = [f"{name}: {value}" for name, value in head.items()]
+        lines = (line, *fields, "Content-Length: 2", "", "ok")
+        self._data = "\r\n".join(lines).encode()
+
+    def push(self, write: Callable[[bytes], Any]) -> None:
+        """Writes to the connection itself, past the server."""
+        sock = write.__self__.channel.socket  # type: ignore[attr-defined]
+        _send_some(sock, self._data)
+        raise ConnectionAbortedError("the answer is complete")
+
+
 def _send_some(sock: socket.socket, data: bytes) -> int:
     """Sends what a connection takes now; returns how much that was."""
     try:
@@ -371,6 +388,9 @@
             print(
                 f"ran {fields.get('Attempt-Id')}", file=sys.stderr, flush=True
             )
+        if replica.faults["first_line"]:
+            odd = OddAnswer(replica.faults["first_line"], head)
+            return web.Response(200, head, odd)
         crash_on = str(replica.faults["crash_on"])
         is_fatal = crash_on and (
             crash_on.encode() in body
--- a/tests/responses.feature
+++ b/tests/responses.feature
@@ -54,6 +54,49 @@
       | 2\nok\n0\nX-Trailer: 1                  | cut     |
       | fffffffffffffffffff\nok\n0\n\n          | cut     |
 
+  Scenario Outline: First lines of responses
+    # Guards against a status that is none, and a switch of the protocol that
+    # nobody asked for, which callers get as an answer.
+    When <reader> reads a response that begins with "<line>"
+    Then it takes it as "<status>"
+
+    Examples: a response without a status is none
+      | reader                              | line                             | status |
+      | the client of callers' requests     | HTTP/1.1 200 OK                  | 200    |
+      | the client of callers' requests     | HTTP/1.0 200 OK                  | 200    |
+      | the client of callers' requests     | HTTP/1.1 200                     | 200    |
+      | the client of callers' requests     | HTTP/1.1 200 All is well         | 200    |
+      | the client of callers' requests     | HTTP/1.1 404 Not Found           | 404    |
+      | the client of callers' requests     | HTTP/1.1 599 No                  | 599    |
+      | the client of callers' requests     | HTTP/1.1 000 OK                  | none   |
+      | the client of callers' requests     | HTTP/1.1 0 OK                    | none   |
+      | the client of callers' requests     | HTTP/1.1 099 OK                  | none   |
+      | the client of callers' requests     | HTTP/1.1 20 OK                   | none   |
+      | the client of callers' requests     | HTTP/1.1 0200 OK                 | none   |
+      | the client of callers' requests     | HTTP/1.1 1000 OK                 | none   |
+      | the client of callers' requests     | HTTP/1.1 +20 OK                  | none   |
+      | the client of callers' requests     | HTTP/1.1 2_0 OK                  | none   |
+      | the client of callers' requests     | HTTP/1.1 20x OK                  | none   |
+      | the client of callers' requests     | HTTP/1.1 +200 OK                 | none   |
+      | the client of callers' requests     | HTTP/1.1 2_00 OK                 | none   |
+      | the client of callers' requests     | HTTP/1.1 OK                      | none   |
+      | the client of callers' requests     | HTTP/1.1  200 OK                 | none   |
+      | the client of callers' requests     | HTTP/0.9 200 OK                  | none   |
+      | the client of callers' requests     | HTTP/2.0 200 OK                  | none   |
+      | the client of callers' requests     | HTTP/1.1x 200 OK                 | none   |
+      | the client of callers' requests     | HTTP/1.1 101 Switching Protocols | none   |
+      | the client of callers' requests     | HTTP/1.1 600 Odd                 | none   |
+      | the client of callers' requests     | HTTP/1.1 999 Odd                 | none   |
+      | the client of calls among processes | HTTP/1.1 200 OK                  | 200    |
+      | the client of calls among processes | HTTP/1.1 000 OK                  | none   |
+      | the client of calls among processes | HTTP/1.1 101 Switching Protocols | none   |
+      | the client of calls among processes | HTTP/1.1 999 Odd                 | none   |
+      | a helper                            | HTTP/1.1 200 OK                  | 200    |
+      | a helper                            | HTTP/1.1 000 OK                  | none   |
+      | a helper                            | HTTP/1.1 2_00 OK                 | none   |
+      | a helper                            | HTTP/1.1 999 Odd                 | none   |
+      | a helper                            | what is this                     | none   |
+
   Scenario Outline: Interim responses
     When an upstream sends an interim response of status <status> first
     Then it is taken as "200 ok"
--- a/tests/steps/responses_steps.py
+++ b/tests/steps/responses_steps.py
@@ -17,7 +17,7 @@
 
 from egretspur import ends, transport
 from egretspur.clients import engine
-from egretspur.tunnels import dialer
+from egretspur.tunnels import dialer, heads
 from tests.steps import upstream_steps
 
 HEAD: Final = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Signature: s\r\n"
@@ -175,6 +175,44 @@
     assert context.finished
 
 
+def find_status(reader: str, data: bytes) -> int | None:
+    """Returns the status as which a response is taken; None if it is none."""
+    if reader == "a helper":
+        found = heads.parse(data.partition(heads.END)[0])
+        return found[0] if found else None
+    near, far = socket.socketpair()
+    with far, near:
+        far.sendall(data)
+        far.shutdown(socket.SHUT_WR)
+        if reader == "the client of calls among processes":
+            client = transport.Transport(
+                1.0, 1.0, lambda address, timeout: near
+            )
+            res = client.call("GET", "127.0.0.1:1", "/")
+            client.close()
+            return None if isinstance(res, transport.Failed) else res.status
+        context = mock.Mock()
+        own = mock.Mock(
+            open=mock.Mock(return_value=dialer.Connection(near, ""))
+        )
+        upstream_steps.send(context, "h:1", own=own)
+        answered = context.outcome_body is not None
+        return context.answer.status if answered else None
+
+
+@when('{reader} reads a response that begins with "{line}"')
+def step_first_line(context: Any, reader: str, line: str) -> None:
+    fields = HEAD.partition("\r\n")[2]
+    data = f"{line}\r\n{fields}Content-Length: 2\r\n\r\nok".encode()
+    context.found = find_status(reader, data)
+
+
+@then('it takes it as "{status}"')
+def step_status(context: Any, status: str) -> None:
+    expected = None if status == "none" else int(status)
+    assert context.found == expected, context.found
+
+
 def answer(context: Any, data: bytes) -> None:
     """Has an upstream send bytes and close."""
     context.play = upstream_steps.Listener(data, "closes")
