Take only statuses that HTTP has, and no switch of the protocol, as answers

Callers got a replica's 101 Switching Protocols (24 of 24) and 600 (16 of 24) with its signature, and 200 for 0200, +200 and 2_00. Class: a library's reading taken for a check. Such an answer is a failure of the upstream: retried where allowed, else 502.

--- a/egretspur/responses.py
+++ b/egretspur/responses.py
@@ -3,9 +3,10 @@
 The standard library's reader is lenient: it takes the end of a connection for
 the end of a head or of the last chunk, drops header fields that it can't read,
 and reads on to the end of the connection if a length is no number. Each of
-these turns a response that was broken off into a complete one. `Connection` is
-for all that this program receives over HTTP: answers of upstreams, of the
-platform's store and of other hosts. Framing follows RFC 9112, section 6.3.
+these turns a response that was broken off into a complete one. It also takes
+statuses that HTTP does not have. `Connection` is for all that this program
+receives over HTTP: answers of upstreams, of the platform's store and of other
+hosts. Framing follows RFC 9112, section 6.3; statuses RFC 9110, section 15.
 
 A faulty sender may also send without end. `ReadBounds` ends a read that makes
 progress as surely as one that makes none, and heads and trailers are bounded in
@@ -29,6 +30,12 @@
 import attrs
 import urllib3.connection
 
+# First line of a response; the reason may be absent, with the blank before it.
+_STATUS_LINE: Final = re.compile(
+    rb"(?P<version>HTTP/1\.[0-9]) (?P<status>[1-5][0-9]{2})"
+    rb"(?: (?P<reason>[^\r\n]*))?(?:\r?\n)?"
+)
+
 # Size of a chunk, with extensions, which are ignored.
 _CHUNK_LINE: Final = re.compile(
     rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?\r?\n", re.DOTALL
@@ -65,7 +72,29 @@
 
 
 class ResponseError(http.client.HTTPException):
-    """A response broke off, or it doesn't tell where it ends."""
+    """A response broke off, has no status or doesn't tell where it ends."""
+
+
+@attrs.frozen
+class StatusLine:
+    """The first line of a response."""
+
+    version: str
+    status: int
+    reason: str
+
+
+def parse_status_line(line: bytes) -> StatusLine | None:
+    """Returns the first line of a response; None if it is none."""
+    found = _STATUS_LINE.fullmatch(line)
+    if found is None:
+        return None
+    reason = found["reason"] or b""
+    return StatusLine(
+        found["version"].decode("ascii"),
+        int(found["status"]),
+        reason.decode("latin-1"),
+    )
 
 
 @attrs.define
@@ -232,7 +261,8 @@
         """Reads the head.
 
         Raises:
-            ResponseError: It broke off, or doesn't tell where the body ends.
+            ResponseError: It broke off, has no status, or doesn't tell where
+                the body ends.
         """
         super().begin()
         while self._is_interim():
@@ -249,23 +279,23 @@
     def _read_status(self) -> tuple[str, int, str]:
         """Reads the first line of a head, which may be an interim one."""
         self._bounded.await_head()
-        found: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
-        return found
+        data = self._lines.readline(MAX_HEAD_BYTES)
+        if not data:
+            raise http.client.RemoteDisconnected("closed before a response")
+        line = parse_status_line(data)
+        if line is None:
+            raise ResponseError(f"no status: {data[:40]!r}")
+        if line.status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            raise ResponseError("switch to a protocol that was not asked for")
+        return line.version, line.status, line.reason
 
     def _is_interim(self) -> bool:
         """Returns whether another response follows this one."""
-        return (
-            self.status < http.HTTPStatus.OK
-            and self.status != http.HTTPStatus.SWITCHING_PROTOCOLS
-        )
+        return self.status < http.HTTPStatus.OK
 
     def _set_framing(self) -> None:
         """Sets where the body ends, by the head."""
-        if (
-            self._request_method == "HEAD"
-            or self.status < http.HTTPStatus.OK
-            or self.status in _EMPTY_STATUSES
-        ):
+        if self._request_method == "HEAD" or self.status in _EMPTY_STATUSES:
             self.chunked, self.length = False, 0
             return
         codings = self.headers.get_all("Transfer-Encoding")
--- a/egretspur/tunnels/heads.py
+++ b/egretspur/tunnels/heads.py
@@ -9,19 +9,19 @@
 
 import urllib3
 
+from egretspur import responses
+
 END: Final = b"\r\n\r\n"
 
 
 def parse(head: bytes) -> tuple[int, Mapping[str, str]] | None:
     """Returns status and header fields of an answer; None if it is none."""
-    line, _, rest = head.partition(b"\r\n")
-    words = line.split()
+    first, _, rest = head.partition(b"\r\n")
+    line = responses.parse_status_line(first)
     fields = parse_fields(rest)
-    try:
-        status = int(words[1])
-    except (IndexError, ValueError):
+    if line is None or fields is None:
         return None
-    return None if fields is None else (status, fields)
+    return line.status, fields
 
 
 def parse_fields(lines: bytes) -> Mapping[str, str] | None:
