--- a/egretspur/inbound.py
+++ b/egretspur/inbound.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import io
+import time
 from typing import Any, Final
 
 import waitress.parser
@@ -53,8 +54,14 @@
     # Whether the body was dropped.
     is_closed = False
 
+    # Monotonic time of its first byte; None while only blank lines have come,
+    # which may follow an earlier request.
+    began_s: float | None = None
+
     def received(self, data: bytes) -> int:
         """Reads the next bytes; returns how many belong to this request."""
+        if self.began_s is None and data.strip(_LINE_END):
+            self.began_s = time.monotonic()
         if self.completed:
             return 0
         if self.is_closed:
--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -12,6 +12,7 @@
 import struct
 import sys
 import threading
+import time
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any, Final, Protocol
@@ -29,10 +30,12 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-# Keys in the WSGI environment: of the connection, and of the request target as
-# it was sent, since WSGI itself only passes the decoded path.
+# Keys in the WSGI environment: of the connection, of the request target as it
+# was sent, since WSGI itself only passes the decoded path, and of the monotonic
+# time of the request's first byte.
 _CHANNEL: Final = "egretspur.channel"
 _TARGET: Final = "egretspur.target"
+_BEGAN: Final = "egretspur.began"
 
 # Threads that a server with on-demand threads adds at a time.
 _THREADS_STEP: Final = 4
@@ -74,6 +77,10 @@
         channel = self.environ.get(_CHANNEL)
         return int(channel.total_outbufs_len) if channel else 0
 
+    def get_began_s(self) -> float:
+        """Returns the monotonic time at which its first byte arrived."""
+        return float(self.environ.get(_BEGAN, time.monotonic()))
+
     def get_target(self) -> str:
         """Returns path and query without decoding."""
         return str(self.environ.get(_TARGET, self.path))
@@ -292,6 +299,7 @@
         """Returns the WSGI environment, with the connection in it."""
         environ = super().get_environment()
         environ[_CHANNEL] = self.channel
+        environ[_BEGAN] = self.request.began_s
         words = self.request.first_line.split(b" ")
         if len(words) == 3:
             environ[_TARGET] = words[1].decode("latin-1")
