--- a/tests/steps/segments_steps.py
+++ b/tests/steps/segments_steps.py
@@ -437,7 +437,7 @@
     end_s = world.now_s + seconds
     known: set[str] = set()
     while world.now_s < end_s:
-        for engine in set(world.live) - known:
+        for engine in sorted(set(world.live) - known):
             known.add(engine)
             if world.live[engine].data_centre == place:
                 # Not all at the same moment.
