Set the doors of a test to one verdict in one place

Two steps of turned_away.feature had the same loop over the doors of hosts to the store. Behaviour and checks are the same; formatter, linter and types pass. One blank line too many is gone from inbound.py.

--- a/egretspur/inbound.py
+++ b/egretspur/inbound.py
@@ -23,7 +23,6 @@
 
 _LINE_END: Final = b"\r\n"
 
-
 # When a caller that was refused for lack of room may come back, in seconds.
 RETRY_AFTER_S: Final = 1
 
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections.abc import Sequence
 from typing import Any, Final
 
 import attrs
@@ -55,10 +56,9 @@
 def step_zone_away(
     context: Any, zone: str, verdict: str, wait_s: float
 ) -> None:
-    for ip, door in context.play.doors.items():
-        if context.play.zones.get(ip) == zone:
-            door.rule = lambda line: verdict
-    time.sleep(wait_s)
+    site = context.play
+    far = [d for ip, d in site.doors.items() if site.zones.get(ip) == zone]
+    set_doors(far, verdict, wait_s)
 
 
 @when(
@@ -66,7 +66,12 @@
     " pass"
 )
 def step_turned_away(context: Any, verdict: str, wait_s: float) -> None:
-    for door in list(context.play.doors.values())[:-1]:
+    set_doors(list(context.play.doors.values())[:-1], verdict, wait_s)
+
+
+def set_doors(found: Sequence[doors.Door], verdict: str, wait_s: float) -> None:
+    """Has some doors treat all calls alike, and waits."""
+    for door in found:
         door.rule = lambda line: verdict
     time.sleep(wait_s)
 
