--- a/egretspur/admission/quarantine.py
+++ b/egretspur/admission/quarantine.py
@@ -104,7 +104,7 @@
     # Whether the head of an answer had arrived, and when it was sent.
     has_head: bool = False
     sent_s: float = 0.0
-    # Whether the answer was established; see `segments`.
+    # Whether the answer of some attempt was established; see `segments`.
     is_established: bool = False
 
     @property
--- a/egretspur/delivery/output.py
+++ b/egretspur/delivery/output.py
@@ -19,7 +19,7 @@
 
 @attrs.define
 class AttemptOutput:
-    """Output of the current attempt of one request."""
+    """Output of a request's attempts, one after the other."""
 
     # Whether that of some attempt was enough to show that the prompt is
     # harmless.
--- a/egretspur/routing/broker.py
+++ b/egretspur/routing/broker.py
@@ -284,7 +284,7 @@
             stalled: Ids of the engines that delay it.
             now_s: Monotonic time.
             has_output: Whether its attempt has produced part of the answer.
-            is_established: Whether the answer of its attempt is established.
+            is_established: Whether the answer of some attempt was established.
         """
         ticket = self.tickets.get(job_id)
         attempt = ticket.current if ticket else None
--- a/egretspur/routing/desk.py
+++ b/egretspur/routing/desk.py
@@ -86,7 +86,7 @@
     stalled: frozenset[str]
     # Whether its attempt has produced part of the answer.
     has_output: bool
-    # Whether the answer of its attempt is established.
+    # Whether the answer of some attempt was established.
     is_established: bool
 
 
--- a/egretspur/routing/tickets.py
+++ b/egretspur/routing/tickets.py
@@ -133,7 +133,7 @@
         upstream_ids: Upstreams of which one may have crashed.
         has_output: Whether the attempt had produced part of the answer.
         has_head: Whether the head of an answer had arrived.
-        is_established: Whether the answer was established.
+        is_established: Whether the answer of some attempt was established.
         now_s: Monotonic time.
     """
     return quarantine.CutAttempt(
