Log hosts that did not answer, and how late a configuration is in force

Callers of a late host saw an older version, and its log had the line configuration_heard alone: neither which hosts were asked in vain, nor for how long. host_unanswered names them; configuration_applied has the time since the version was first heard of. No decision changes.

--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -361,8 +361,10 @@
 ListHosts = Callable[[], list[str]]
 
 # Fetches the packed snapshot of a topic since a position from a host; None if
-# the host returned none. Arguments: host, topic, position.
-FetchSnapshot = Callable[[str, str, positions.Position | None], bytes | None]
+# the host has none to send. Arguments: host, topic, position.
+FetchSnapshot = Callable[
+    [str, str, positions.Position | None], bytes | feeds.Unavailable | None
+]
 
 
 class HandoverSource(Generic[T]):
@@ -465,9 +467,18 @@
             None if no host returned a usable snapshot.
         """
         for host in hosts[:MAX_HOSTS_CALLED]:
+            began_s = self._clock()
             data = self._fetch(host, self._topic.name, since)
             if data is None:
                 continue
+            if isinstance(data, feeds.Unavailable):
+                waited_s = self._clock() - began_s
+                decisions.record(
+                    decisions.HostUnanswered(
+                        self._topic.name, host, data.reason, waited_s
+                    )
+                )
+                continue
             found = self._topic.read_snapshot(data)
             if not isinstance(found, feeds.Unavailable):
                 return found
--- a/egretspur/daemons/fetch.py
+++ b/egretspur/daemons/fetch.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from egretspur import transport
+from egretspur.catalog import feeds
 
 # Longest wait for a connection, and for an answer on it.
 CONNECT_TIMEOUT_S: Final = 0.3
@@ -31,11 +32,21 @@
     def fetch(self, address: str, path: str) -> bytes | None:
         """Returns a page of another host; None if it does not answer.
 
+        Args:
+            address: Where the host serves its pages.
+            path: Path with query.
+        """
+        page = self.ask(address, path)
+        return None if isinstance(page, feeds.Unavailable) else page
+
+    def ask(self, address: str, path: str) -> bytes | feeds.Unavailable | None:
+        """Returns a page, why no answer came, or None if there is no page.
+
         Args:
             address: Where the host serves its pages.
             path: Path with query.
         """
         res = self._transport.call("GET", address, path, headers=_FIELDS)
-        if isinstance(res, transport.Failed) or res.status != 200:
-            return None
-        return res.body
+        if isinstance(res, transport.Failed):
+            return feeds.Unavailable(res.reason)
+        return res.body if res.status == 200 else None
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -33,6 +33,7 @@
 from egretspur.admission import repeats
 from egretspur.catalog import (
     config,
+    feeds,
     positions,
     quarantined,
     reading,
@@ -331,11 +332,12 @@
             cfg.limits.body_bytes,
             cfg.limits.idle_s + IDLE_SLACK_S,
         )
+        behind_s = self._versions.get_status().behind_s
         self._versions.note_applied(cfg)
         workspace_names = {w.name for w in (cfg.keys or {}).values()}
         decisions.record(
             decisions.ConfigurationApplied(
-                cfg.version, len(cfg.routes), len(workspace_names)
+                cfg.version, len(cfg.routes), len(workspace_names), behind_s
             )
         )
 
@@ -354,10 +356,10 @@
 
     def _ask_host(
         self, host: str, topic: str, since: positions.Position | None
-    ) -> bytes | None:
+    ) -> bytes | feeds.Unavailable | None:
         """Returns another host's changes of a topic since a position."""
         to = addresses.parse(self._cfg.address.complete(host))
-        return self._page_client.fetch(
+        return self._page_client.ask(
             to.control, pages.make_snapshot_path(topic, since)
         )
 
--- a/egretspur/daemons/meters.py
+++ b/egretspur/daemons/meters.py
@@ -60,6 +60,7 @@
     "store_lost": "topic",
     "store_back": "topic",
     "entry_left_out": "field",
+    "host_unanswered": "topic",
     "step_failed": "where",
 }
 
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -391,6 +391,8 @@
     version: int
     routes: int
     workspaces: int
+    # Seconds since a version newer than the one before was first heard of.
+    behind_s: float
 
 
 @attrs.frozen
@@ -403,6 +405,16 @@
     mine: int
 
 
+@attrs.frozen
+class HostUnanswered:
+    """Another host did not send the state of a topic when it was asked."""
+
+    topic: str
+    host: str
+    reason: str
+    waited_s: float
+
+
 @attrs.frozen
 class DutyTaken:
     """This host became the duty holder, which gives orders."""
@@ -624,6 +636,7 @@
     | UpstreamsListed
     | ConfigurationApplied
     | ConfigurationHeard
+    | HostUnanswered
     | DutyTaken
     | DutyEnded
     | OrderGiven
