Known red: hosts that told of a version stand still

The test reads one version from three hosts that accept connections and answer nothing, as stopped ones do: 3.0 s on.

--- a/tests/daemons/fetch.feature
+++ b/tests/daemons/fetch.feature
@@ -13,3 +13,11 @@
     Given a store behind a middlebox, of which a topic was read
     When the middlebox forgets its connections
     Then the next read that waits for changes is answered
+
+  Scenario: Hosts that told of a version stand still
+    # Guards against a configuration that comes seconds late where hosts have
+    # stopped: each is asked for it for a whole time-out, and the store last.
+    Given a store with a newer version than one that was read
+    And 3 other hosts that accept connections and answer nothing
+    When the configuration is read, from these hosts first
+    Then the newer version is read within 1 s
--- a/tests/steps/fetch_steps.py
+++ b/tests/steps/fetch_steps.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from typing import Any, Final
 
 from behave import given, then, when
 
 from egretspur import web
-from egretspur.catalog import feeds
+from egretspur.catalog import config, feeds, handover
 from egretspur.daemons import fetch
-from egretspur.platform import store
+from egretspur.platform import names, store
+from tests import sites
 from tests.fakes import middlebox
 from tests.fakes import store as fake_stores
 
@@ -76,3 +78,56 @@
 def step_waits(context: Any) -> None:
     res = context.topic.read_changes(context.position, 0.2)
     assert isinstance(res, feeds.Changes), res
+
+
+@given("a store with a newer version than one that was read")
+def step_newer(context: Any) -> None:
+    stand_in = fake_stores.Store()
+    stand_in.write(
+        names.CONFIG_TOPIC, names.CONFIG_KEY, sites.make_config(["k"], 2)
+    )
+    server = web.Server(fake_stores.make_app(stand_in), "127.0.0.1:0", 4)
+    server.start()
+    context.add_cleanup(server.close)
+    client = store.Store(server.address)
+    context.add_cleanup(client.close)
+    context.topic = store.make_config_topic(client)
+    res = context.topic.read_newest()
+    assert isinstance(res, feeds.FullState), res
+    context.position = res.next
+    stand_in.write(
+        names.CONFIG_TOPIC, names.CONFIG_KEY, sites.make_config(["k"], 3)
+    )
+
+
+@given("{count:d} other hosts that accept connections and answer nothing")
+def step_silent(context: Any, count: int) -> None:
+    context.silent = [
+        socket.create_server(("127.0.0.1", 0)) for _ in range(count)
+    ]
+    for sock in context.silent:
+        context.add_cleanup(sock.close)
+
+
+@when("the configuration is read, from these hosts first")
+def step_read_first(context: Any) -> None:
+    client = fetch.PageClient()
+    context.add_cleanup(client.close)
+    hosts = [f"127.0.0.1:{s.getsockname()[1]}" for s in context.silent]
+    source = handover.HandoverSource(
+        context.topic,
+        lambda: hosts,
+        lambda host, topic, since: client.ask(host, PATH),
+        lambda: True,
+    )
+    began_s = time.monotonic()
+    context.res = source.read_changes(context.position, 0.0)
+    context.took_s = time.monotonic() - began_s
+
+
+@then("the newer version is read within {allowed_s:g} s")
+def step_read_within(context: Any, allowed_s: float) -> None:
+    assert isinstance(context.res, feeds.Changes), context.res
+    [(_, cfg)] = context.res.values
+    assert isinstance(cfg, config.Configuration) and cfg.version == 3, cfg
+    assert context.took_s < allowed_s, context.took_s
