Ask the store once hosts have not answered for 0.4 s

Callers of hosts that nothing disturbed got an older configuration for up to 2.98 s after the store had confirmed a newer one, where other hosts stood still.

Cause: a host that is not the reader asked up to three hosts for a version, one after the other and a second each, and the store last. A host that stands still accepts connections, and counts as alive for 1.2 s after its last update. Where three had told of the version and stopped, the host was busy with them for three seconds, also for versions that came meanwhile. Class: waits in a row, whose sum nobody bounds, before the one source that has the answer.

Change: a host waits 0.4 s for each answer, asks no further host after 0.6 s, and then the store. Where the store does not answer either, it asks once more, with a second for each.

--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -29,13 +29,33 @@
 T = TypeVar("T")
 R = TypeVar("R")
 
-# Hosts called for one read; each call may take a full time-out.
+# Hosts called for one read.
 MAX_HOSTS_CALLED: Final = 3
 
 # Time without a read after which the whole state is asked of other hosts first,
 # in seconds: this host stood still, or reached nothing.
 LONG_PAUSE_S: Final = 2.0
 
+
+@attrs.frozen
+class Patience:
+    """How long one read waits for other hosts, in seconds."""
+
+    # For the answer of one host.
+    host_s: float
+    # After this time no further host is called.
+    total_s: float
+
+
+# Before the store is called. A host that stands still accepts connections and
+# answers nothing, and several may do so at once. All of these, a datagram, and
+# the call to the store must fit into the time within which a configuration is
+# in force.
+PATIENCE_BEFORE_STORE: Final = Patience(0.4, 0.6)
+
+# Where the store did not answer: slow hosts are all that is left.
+PATIENCE_WITHOUT_STORE: Final = Patience(1.0, 1.5)
+
 # zlib level of snapshots. A configuration of 1,640 routes has some hundred
 # kilobytes, and a tenth of that compressed; hosts have links of 10 Mbit/s.
 COMPRESSION_LEVEL: Final = 1
@@ -361,9 +381,11 @@
 ListHosts = Callable[[], list[str]]
 
 # Fetches the packed snapshot of a topic since a position from a host; None if
-# the host has none to send. Arguments: host, topic, position.
+# the host has none to send. Arguments: host, topic, position, and the longest
+# silence in seconds.
 FetchSnapshot = Callable[
-    [str, str, positions.Position | None], bytes | feeds.Unavailable | None
+    [str, str, positions.Position | None, float],
+    bytes | feeds.Unavailable | None,
 ]
 
 
@@ -421,7 +443,7 @@
             # What changed while this host stood still is known to the others:
             # a copy of the store, for example, doesn't say how old it is.
             hosts = self._list_hosts() or self._list_initial_hosts()
-        found = self._fetch_from_hosts(hosts, None)
+        found = self._fetch_from_hosts(hosts, None, PATIENCE_BEFORE_STORE)
         if found is not None:
             return self._note(found, began_s)
         res = self._topic.read_newest()
@@ -440,44 +462,46 @@
     ) -> feeds.Result[T]:
         """Returns the changes since a position."""
         began_s = self._clock()
-        is_first = self._is_peers_first()
-        hosts = self._list_hosts() if is_first else []
-        found = self._fetch_from_hosts(hosts, since)
+        hosts = self._list_hosts() if self._is_peers_first() else []
+        found = self._fetch_from_hosts(hosts, since, PATIENCE_BEFORE_STORE)
         if found is not None:
             return self._note(found, began_s)
         res = self._topic.read_changes(since, wait_s)
-        if is_first or not isinstance(res, feeds.Unavailable):
-            return self._note(res, began_s)
-        return self._fall_back(since, res)
+        if isinstance(res, feeds.Unavailable):
+            return self._fall_back(since, res)
+        return self._note(res, began_s)
 
     def _fall_back(
         self, since: positions.Position | None, res: feeds.Unavailable
     ) -> feeds.FullState[T] | feeds.Changes[T] | feeds.Unavailable:
-        found = self._fetch_from_hosts(self._list_hosts(), since)
+        found = self._fetch_from_hosts(
+            self._list_hosts(), since, PATIENCE_WITHOUT_STORE
+        )
         if found is None:
             return res
         return attrs.evolve(found, failure=res.reason)
 
     def _fetch_from_hosts(
-        self, hosts: list[str], since: positions.Position | None
+        self,
+        hosts: list[str],
+        since: positions.Position | None,
+        patience: Patience,
     ) -> feeds.FullState[T] | feeds.Changes[T] | None:
         """Returns the state of the first host that has one to send.
 
         Returns:
             None if no host returned a usable snapshot.
         """
+        end_s = self._clock() + patience.total_s
         for host in hosts[:MAX_HOSTS_CALLED]:
             began_s = self._clock()
-            data = self._fetch(host, self._topic.name, since)
+            if began_s >= end_s:
+                return None
+            data = self._fetch(host, self._topic.name, since, patience.host_s)
             if data is None:
                 continue
             if isinstance(data, feeds.Unavailable):
-                waited_s = self._clock() - began_s
-                decisions.record(
-                    decisions.HostUnanswered(
-                        self._topic.name, host, data.reason, waited_s
-                    )
-                )
+                self._record_unanswered(host, data.reason, began_s)
                 continue
             found = self._topic.read_snapshot(data)
             if not isinstance(found, feeds.Unavailable):
@@ -488,3 +512,11 @@
                 )
             )
         return None
+
+    def _record_unanswered(
+        self, host: str, reason: str, began_s: float
+    ) -> None:
+        waited_s = self._clock() - began_s
+        decisions.record(
+            decisions.HostUnanswered(self._topic.name, host, reason, waited_s)
+        )
--- a/egretspur/daemons/fetch.py
+++ b/egretspur/daemons/fetch.py
@@ -39,14 +39,19 @@
         page = self.ask(address, path)
         return None if isinstance(page, feeds.Unavailable) else page
 
-    def ask(self, address: str, path: str) -> bytes | feeds.Unavailable | None:
+    def ask(
+        self, address: str, path: str, silence_s: float = READ_TIMEOUT_S
+    ) -> bytes | feeds.Unavailable | None:
         """Returns a page, why no answer came, or None if there is no page.
 
         Args:
             address: Where the host serves its pages.
             path: Path with query.
+            silence_s: Longest silence of the host, in seconds.
         """
-        res = self._transport.call("GET", address, path, headers=_FIELDS)
+        res = self._transport.call(
+            "GET", address, path, headers=_FIELDS, read_s=silence_s
+        )
         if isinstance(res, transport.Failed):
             return feeds.Unavailable(res.reason)
         return res.body if res.status == 200 else None
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -355,13 +355,16 @@
         )
 
     def _ask_host(
-        self, host: str, topic: str, since: positions.Position | None
+        self,
+        host: str,
+        topic: str,
+        since: positions.Position | None,
+        silence_s: float,
     ) -> bytes | feeds.Unavailable | None:
         """Returns another host's changes of a topic since a position."""
         to = addresses.parse(self._cfg.address.complete(host))
-        return self._page_client.ask(
-            to.control, pages.make_snapshot_path(topic, since)
-        )
+        path = pages.make_snapshot_path(topic, since)
+        return self._page_client.ask(to.control, path, silence_s)
 
     def _make_app(self) -> web.App:
         app = web.App()
--- a/tests/steps/fetch_steps.py
+++ b/tests/steps/fetch_steps.py
@@ -117,7 +117,7 @@
     source = handover.HandoverSource(
         context.topic,
         lambda: hosts,
-        lambda host, topic, since: client.ask(host, PATH),
+        lambda host, topic, since, silence_s: client.ask(host, PATH, silence_s),
         lambda: True,
     )
     began_s = time.monotonic()
