Wake the feed of configurations by the version in force

Cause: whether another host's update shows a newer version was judged by what this host last told others, up to a quarter of a second ago. Updates that arrive after a version was applied woke the feed again, and the host fetched what it had 0.4 s later. Where the others had stopped meanwhile, that second question, which nobody needed, was the one that kept it busy when the next version came.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -18,6 +18,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, TypeVar
 
+import attrs
+
 from egretspur import (
     addresses,
     codec,
@@ -575,7 +577,9 @@
                         self._versions.get_version(),
                     )
                 )
-        self._feeds.wake_outdated(self._known, updates)
+        # The version may have been applied since the last update was sent.
+        known = attrs.evolve(self._known, version=self._versions.get_version())
+        self._feeds.wake_outdated(known, updates)
         self._watch.record_peer_suspects(
             {i for u in updates for i in u.suspects}
         )
