Ask hosts whose updates are missing after all others

A host counts as alive for 1.2 s after its last update, so that four datagrams may be lost. Stopped hosts were asked like the others meanwhile, also before a host that runs and has the version. Those whose last update is more than 0.6 s old now come last, of any data centre. exchange.feature, "Hosts whose updates are missing": the stopped ones were first before.

--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -42,6 +42,10 @@
 # may be lost.
 ALIVE_TIMEOUT_S: Final = 1.2
 
+# A host whose last update is older than this is asked after the others: two of
+# its datagrams are missing, and it may stand still.
+RECENT_UPDATE_S: Final = 0.6
+
 # Hosts of other data centres that were listed within this time may be asked for
 # help: each datagram that lists them follows two seconds after the last one.
 HELPER_MAX_AGE_S: Final = 5.0
@@ -357,12 +361,14 @@
         """Returns the live hosts in the order in which to ask for the list.
 
         These are this data centre's hosts with a fresh list, beginning with its
-        reader, then its other hosts, then remote hosts.
+        reader, then its other hosts, then remote hosts; and last those whose
+        updates are missing.
         """
 
-        def rank(host: str) -> tuple[bool, bool, addresses.HostAddress]:
+        def rank(host: str) -> tuple[bool, bool, bool, addresses.HostAddress]:
             status = alive[host]
             return (
+                not _is_recent(status, now_s),
                 status.data_centre != self._data_centre,
                 not _is_fresh(status, now_s),
                 addresses.parse(host),
@@ -378,9 +384,9 @@
     def list_newest(self, now_s: float) -> list[str]:
         """Returns the hosts with the newest configuration, local ones first.
 
-        The order is random: each host that fetches the configuration serves it
-        in turn, so that the others of a data centre don't all fill the link of
-        one host.
+        Those whose updates are missing come last. Otherwise the order is
+        random: each host that fetches the configuration serves it in turn, so
+        that the others of a data centre don't all fill the link of one host.
         """
         alive = {
             h: t
@@ -390,7 +396,13 @@
         newest = max((t.version for t in alive.values()), default=0)
         found = [h for h, t in alive.items() if t.version == newest]
         self._rng.shuffle(found)
-        return sorted(found, key=self._is_remote_host)
+        return sorted(
+            found,
+            key=lambda h: (
+                not _is_recent(alive[h], now_s),
+                self._is_remote_host(h),
+            ),
+        )
 
     def is_candidate(self, now_s: float) -> bool:
         """Returns whether this host asks for its data centre's duty."""
@@ -491,6 +503,11 @@
     return status.list_age_s + now_s - status.at_s < reading.MAX_LIST_AGE_S
 
 
+def _is_recent(status: _PeerStatus, now_s: float) -> bool:
+    """Returns whether a host sends its updates as it should."""
+    return now_s - status.at_s < RECENT_UPDATE_S
+
+
 def _reads_both(status: _PeerStatus, now_s: float) -> bool:
     """Returns whether a host reads both the list and the configuration."""
     return _is_fresh(status, now_s) and not status.is_config_lost
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -282,6 +282,14 @@
     And it heard now that 4 hosts have version 4
     Then 4 hosts are asked for the configuration, each as often
 
+  Scenario: Hosts whose updates are missing
+    # Guards against a host that is busy with others that stand still, while
+    # one that runs has what it asks for.
+    Given host "10.1.0.20" in "kl-hall"
+    And it heard 0.9 s ago that 3 hosts have version 4
+    And host "10.2.0.1" in "pg-hall" has sent version 4 0.1 s ago
+    Then it asks "10.2.0.1" first for the configuration, and for the list
+
   Scenario: Hosts that may connect upstreams for another one
     Given host "10.1.0.1" in "kl-hall"
     And it heard of host "10.1.0.2" in "kl-hall" 0.3 s ago, whose store answered 0 s ago
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -117,10 +117,39 @@
 
 @given("it heard now that {count:d} hosts have version {version:d}")
 def step_versions(context: Any, count: int, version: int) -> None:
+    step_heard_versions(context, 0.0, count, version)
+
+
+@given("it heard {age:g} s ago that {count:d} hosts have version {version:d}")
+def step_heard_versions(
+    context: Any, age: float, count: int, version: int
+) -> None:
     for i in range(count):
-        news = make_news(f"10.1.{version}.{i + 1}", "kl-hall", 0.0)
-        known = reading.ReadState(version, 7, 0.5)
-        context.peers.record_update(attrs.evolve(news, known=known), 100.0)
+        peer = f"10.1.{version}.{i + 1}"
+        record_version(context, peer, "kl-hall", version, age)
+
+
+@given(
+    'host "{peer}" in "{data_centre}" has sent version {version:d}'
+    " {age:g} s ago"
+)
+def record_version(
+    context: Any, peer: str, data_centre: str, version: int, age: float
+) -> None:
+    """Has the host hear of another one with a version."""
+    known = reading.ReadState(version, 7, 0.5)
+    news = attrs.evolve(make_news(peer, data_centre, 0.0), known=known)
+    context.peers.record_update(news, 100.0 - age)
+
+
+@then('it asks "{peer}" first for the configuration, and for the list')
+def step_asks_first(context: Any, peer: str) -> None:
+    for hosts_found in (
+        context.peers.list_newest(100.0),
+        context.peers.list_by_freshness(100.0),
+    ):
+        assert hosts_found[0] == peer, hosts_found
+        assert len(hosts_found) == 4, hosts_found
 
 
 @then("{count:d} hosts are asked for the configuration, each as often")
