--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -82,28 +82,44 @@
 )
 def step_write(context: Any, count: int, period_s: float) -> None:
     for version in range(FIRST_VERSION, FIRST_VERSION + count):
-        cfg = sites.make_config(["key-1"], version)
-        cfg["routes"].append(
-            {
-                **cfg["routes"][1],
-                "name": f"version {version}",
-                "path_prefix": PREFIX.format(version),
-            }
-        )
-        context.play.write(names.CONFIG_TOPIC, names.CONFIG_KEY, cfg)
-        acked_s = time.monotonic()
-        time.sleep(APPLY_S)
-        threads = [
-            threading.Thread(target=ask, args=(context, ip, version, acked_s))
-            for ip in context.play.hosts
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        acked_s = write_version(context.play, version)
+        ask_all(context, context.play.hosts, version, acked_s)
         time.sleep(max(0.0, acked_s + period_s - time.monotonic()))
 
 
+def write_version(site: sites.Site, version: int) -> float:
+    """Writes a version with a route of its own.
+
+    Returns:
+        The monotonic time at which the store has confirmed it.
+    """
+    cfg = sites.make_config(["key-1"], version)
+    cfg["routes"].append(
+        {
+            **cfg["routes"][1],
+            "name": f"version {version}",
+            "path_prefix": PREFIX.format(version),
+        }
+    )
+    site.write(names.CONFIG_TOPIC, names.CONFIG_KEY, cfg)
+    return time.monotonic()
+
+
+def ask_all(
+    context: Any, hosts: Sequence[str], version: int, acked_s: float
+) -> None:
+    """Asks hosts for a version's own route, from when it must be served on."""
+    time.sleep(max(0.0, acked_s + APPLY_S - time.monotonic()))
+    threads = [
+        threading.Thread(target=ask, args=(context, ip, version, acked_s))
+        for ip in hosts
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 @when(
     "the door of the first refuses reads of configurations, and {wait_s:g} s"
     " pass"
@@ -129,10 +145,13 @@
     "each host serves each route {after_s:g} s after the store has confirmed it"
 )
 def step_served(context: Any, after_s: float) -> None:
-    late = [
-        a for a in context.answers if a.after_s > after_s and a.status == 404
-    ]
+    check_served(context.answers, after_s)
+
+
+def check_served(answers: Sequence[Answer], after_s: float) -> None:
+    """Checks that each host that was asked serves the route of each version."""
+    late = [a for a in answers if a.after_s > after_s and a.status == 404]
     assert not late, late
-    served = {(a.host, a.version) for a in context.answers if a.status == 200}
-    asked = {(a.host, a.version) for a in context.answers}
+    served = {(a.host, a.version) for a in answers if a.status == 200}
+    asked = {(a.host, a.version) for a in answers}
     assert served == asked, asked - served
