--- a/tests/daemons/turned_away.feature
+++ b/tests/daemons/turned_away.feature
@@ -31,3 +31,10 @@
     When the doors of all but the last are set to "silent", and 7 s pass
     And 6 versions are written, one each 2.5 s, with a route of their own each
     Then each host serves each route 2 s after the store has confirmed it
+
+  Scenario: The store stops to answer a reader as it begins to wait for changes
+    # Guards against versions that come late at a reader: it waits for the
+    # store, though it has heard that others have the version.
+    Given 5 hosts, the last 2 in "pg-hall", each with a door to the store
+    When 3 times the reader in "pg-hall" gets no answer from the store, a version is written at once, and 6 s pass
+    Then each host serves each route 2 s after the store has confirmed it
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -25,6 +25,9 @@
 APPLY_S: Final = 2.0
 ASKED_S: Final = 0.4
 
+# Longest time until a reader begins to wait for the next change, in seconds.
+SILENT_WITHIN_S: Final = 10.0
+
 
 @attrs.frozen
 class Answer:
@@ -87,6 +90,36 @@
         time.sleep(max(0.0, acked_s + period_s - time.monotonic()))
 
 
+@when(
+    '{times:d} times the reader in "{zone}" gets no answer from the store, a'
+    " version is written at once, and {rest_s:g} s pass"
+)
+def step_reader_silent(
+    context: Any, times: int, zone: str, rest_s: float
+) -> None:
+    site = context.play
+    reader = next(ip for ip in site.hosts if site.zones.get(ip) == zone)
+    for version in range(FIRST_VERSION, FIRST_VERSION + times):
+        wait_for_silence(site.doors[reader])
+        acked_s = write_version(site, version)
+        ask_all(context, site.hosts, version, acked_s)
+        site.doors[reader].rule = doors.pass_all
+        time.sleep(rest_s)
+
+
+def wait_for_silence(door: doors.Door) -> None:
+    """Has a door turn silent as its host begins to wait for configurations."""
+    is_silent = threading.Event()
+
+    def rule(line: str) -> str:
+        if f"topic={names.CONFIG_TOPIC}" in line and "wait_ms=0" not in line:
+            is_silent.set()
+        return doors.SILENT if is_silent.is_set() else doors.PASS
+
+    door.rule = rule
+    assert is_silent.wait(SILENT_WITHIN_S)
+
+
 def write_version(site: sites.Site, version: int) -> float:
     """Writes a version with a route of its own.
 
