End a reader's wait for the store once others have a newer version

Callers of a reader that the store stopped to answer got an older configuration for up to 2.5 s: the reader waited out its read, though other hosts had told it of a newer version within a quarter of a second.

Change: where other hosts have had a newer version for 0.3 s, the connection of the waiting read is shut down, once for each version; the read fails and the version is fetched from the others. It costs no call. Readers that the store answers have a version as early as the others.

The scenario now turns the door silent of whichever host of the data centre begins to wait: the one that was silent before may not be the reader in the next round.

--- a/egretspur/catalog/versions.py
+++ b/egretspur/catalog/versions.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Final
 
 import attrs
 
@@ -35,6 +36,11 @@
     read_age_s: float
 
 
+# How long a host waits for its own read of a version that others have. Reads of
+# several hosts end at the same moment, where the store answers all of them.
+OWN_READ_S: Final = 0.3
+
+
 class Versions:
     """The versions of the configuration; thread-safe."""
 
@@ -53,6 +59,9 @@
         # When a version newer than that in force was first heard of.
         self._behind_since_s: float | None = None
         self._read_s = -math.inf
+        # Newest version that others had for so long that the own read was, or
+        # is to be, given up.
+        self._given_up = 0
 
     def note_read(self) -> None:
         """Notes that the topic was read."""
@@ -83,6 +92,19 @@
             if cfg.version >= self._newest:
                 self._behind_since_s = None
 
+    def must_give_up_read(self) -> bool:
+        """Returns whether to give up the own read; once for each version."""
+        with self._lock:
+            since_s = self._behind_since_s
+            if (
+                since_s is None
+                or self._newest <= self._given_up
+                or self._clock() - since_s < OWN_READ_S
+            ):
+                return False
+            self._given_up = self._newest
+            return True
+
     def is_behind(self) -> bool:
         """Returns whether a version newer than that in force was heard of."""
         return self._behind_since_s is not None
--- a/egretspur/daemons/follow.py
+++ b/egretspur/daemons/follow.py
@@ -233,6 +233,7 @@
         self.topics: Mapping[str, stores.Topic[Any]] = {
             t.name: t for t in (config_topic, upstreams_topic, quarantine_topic)
         }
+        self._config_topic = config_topic
         self._copies = CopyReports(len(self.topics))
         self._upstreams_topic = upstreams_topic
         for topic in self.topics.values():
@@ -258,6 +259,14 @@
         """Returns whether the last call for the configuration failed."""
         return self._config_feed.is_store_lost()
 
+    def give_up_config_read(self) -> None:
+        """Ends a wait for the store: other hosts have a newer version.
+
+        The read fails, and the version is read from the others.
+        """
+        if self._config_topic.stop_waiting():
+            decisions.record(decisions.ReadGivenUp(self._config_topic.name))
+
     def _make_source(
         self,
         topic: stores.Topic[T],
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -580,6 +580,8 @@
         # The version may have been applied since the last update was sent.
         known = attrs.evolve(self._known, version=self._versions.get_version())
         self._feeds.wake_outdated(known, updates)
+        if self._versions.must_give_up_read():
+            self._feeds.give_up_config_read()
         self._watch.record_peer_suspects(
             {i for u in updates for i in u.suspects}
         )
--- a/egretspur/decisions.py
+++ b/egretspur/decisions.py
@@ -415,6 +415,13 @@
     waited_s: float
 
 
+@attrs.frozen
+class ReadGivenUp:
+    """The store was still waited for when others had read a newer version."""
+
+    topic: str
+
+
 @attrs.frozen
 class DutyTaken:
     """This host became the duty holder, which gives orders."""
@@ -637,6 +644,7 @@
     | ConfigurationApplied
     | ConfigurationHeard
     | HostUnanswered
+    | ReadGivenUp
     | DutyTaken
     | DutyEnded
     | OrderGiven
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -77,10 +77,11 @@
         path: str,
         query: Mapping[str, Any],
         read_s: float = CALL_TIMEOUT_S,
+        interrupt: transport.Interrupt | None = None,
     ) -> transport.Reply | feeds.Unavailable:
         """Sends a GET; any status but 200 and 410 counts as unavailable."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        return self._call("GET", target, None, read_s, (200, 410))
+        return self._call("GET", target, None, read_s, (200, 410), interrupt)
 
     def post(
         self, path: str, body: Mapping[str, Any]
@@ -120,6 +121,7 @@
         body: bytes | None,
         read_s: float,
         good: tuple[int, ...],
+        interrupt: transport.Interrupt | None = None,
     ) -> transport.Reply | feeds.Unavailable:
         began_s = time.monotonic()
         headers = {"Content-Type": "application/json"} if body else {}
@@ -127,7 +129,9 @@
         if is_waiting:
             headers["Connection"] = "close"
         client = self._waiting if is_waiting else self._transport
-        res = client.call(method, self._address, target, body, headers, read_s)
+        res = client.call(
+            method, self._address, target, body, headers, read_s, interrupt
+        )
         if not is_waiting:
             self._record_call(time.monotonic() - began_s)
         if isinstance(res, transport.Failed):
@@ -175,6 +179,7 @@
         self._topic = topic
         self._decode = decode_value
         self._is_followed = is_followed
+        self._interrupt = transport.Interrupt()
         self.name = topic
         self._clock = clock
         self.table: tables.Table[T] = tables.Table(topic, policy, clock)
@@ -218,7 +223,10 @@
             "wait_ms": int(wait_s * 1000),
         }
         res = self._store.get(
-            "/egretspur/log-read", query, wait_s + CALL_TIMEOUT_S
+            "/egretspur/log-read",
+            query,
+            wait_s + CALL_TIMEOUT_S,
+            self._interrupt if wait_s > 0 else None,
         )
         if isinstance(res, feeds.Unavailable):
             return res
@@ -244,6 +252,10 @@
             self.table.apply_changes(self._decode_records(records), at), at
         )
 
+    def stop_waiting(self) -> bool:
+        """Ends a read that waits for changes; returns whether there was one."""
+        return self._interrupt.fire()
+
     def export(self, since: positions.Position | None) -> bytes | None:
         """Returns a snapshot for a host that has read up to a position."""
         return self.table.export(since)
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import math
 import socket
@@ -73,6 +74,35 @@
     is_refused: bool = False
 
 
+class Interrupt:
+    """Ends a call that waits for its answer, from another thread."""
+
+    def __init__(self) -> None:
+        """Makes an interrupt of no call."""
+        self._lock = threading.Lock()
+        self._sock: socket.socket | None = None
+
+    def attach(self, sock: socket.socket) -> None:
+        """Sets the connection of the call that is running."""
+        with self._lock:
+            self._sock = sock
+
+    def detach(self) -> None:
+        """Ends the call that is running: its connection is left alone."""
+        with self._lock:
+            self._sock = None
+
+    def fire(self) -> bool:
+        """Shuts the connection down; returns whether a call was running."""
+        with self._lock:
+            if self._sock is None:
+                return False
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+            self._sock = None
+            return True
+
+
 class _Opened(threading.local):
     """What a thread's current call sets for its connection, and learns of it.
 
@@ -84,6 +114,8 @@
     # Monotonic times by which its answer, and the head of it, must have come.
     deadline_s = math.inf
     head_by_s = math.inf
+    # Ends the call early.
+    interrupt: Interrupt | None = None
 
 
 class _NotedConnection(responses.Connection):
@@ -101,6 +133,8 @@
         self._opened.is_new = True
         if self._dial is None:
             super().connect()
+            if self._opened.interrupt is not None:
+                self._opened.interrupt.attach(self.sock)
             return
         timeout_s = urllib3.Timeout.resolve_default_timeout(self.timeout)
         try:
@@ -147,6 +181,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         read_s: float | None = None,
+        interrupt: Interrupt | None = None,
     ) -> Reply | Failed:
         """Sends one request and reads the whole answer.
 
@@ -158,11 +193,13 @@
             headers: Header fields to send.
             read_s: Longest silence in seconds; the transport's if None. The
                 whole answer may take `ANSWER_TIME_FACTOR` times as long.
+            interrupt: Ends the call early, where it opens a connection.
         """
         silence_s = self._read_s if read_s is None else read_s
         self._opened.deadline_s = (
             time.monotonic() + ANSWER_TIME_FACTOR * silence_s
         )
+        self._opened.interrupt = interrupt
         try:
             res = self.open(method, address, path, body, headers, silence_s)
             if isinstance(res, Failed):
@@ -170,6 +207,9 @@
             return self._read_whole(address, res)
         finally:
             self._opened.deadline_s = math.inf
+            self._opened.interrupt = None
+            if interrupt is not None:
+                interrupt.detach()
 
     def _read_whole(
         self, address: str, res: urllib3.BaseHTTPResponse
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import queue
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 import attrs
@@ -98,26 +99,36 @@
     context: Any, times: int, zone: str, rest_s: float
 ) -> None:
     site = context.play
-    reader = next(ip for ip in site.hosts if site.zones.get(ip) == zone)
+    near = [d for ip, d in site.doors.items() if site.zones.get(ip) == zone]
     for version in range(FIRST_VERSION, FIRST_VERSION + times):
-        wait_for_silence(site.doors[reader])
+        silence_reader(near)
         acked_s = write_version(site, version)
         ask_all(context, site.hosts, version, acked_s)
-        site.doors[reader].rule = doors.pass_all
+        for door in near:
+            door.rule = doors.pass_all
         time.sleep(rest_s)
 
 
-def wait_for_silence(door: doors.Door) -> None:
-    """Has a door turn silent as its host begins to wait for configurations."""
-    is_silent = threading.Event()
+def silence_reader(near: Sequence[doors.Door]) -> None:
+    """Turns the door silent whose host begins to wait for configurations."""
+    silent = queue.SimpleQueue[doors.Door]()
 
-    def rule(line: str) -> str:
-        if f"topic={names.CONFIG_TOPIC}" in line and "wait_ms=0" not in line:
-            is_silent.set()
-        return doors.SILENT if is_silent.is_set() else doors.PASS
+    def make_rule(door: doors.Door) -> Callable[[str], str]:
+        def rule(line: str) -> str:
+            is_config = f"topic={names.CONFIG_TOPIC}" in line
+            if is_config and "wait_ms=0" not in line:
+                silent.put(door)
+                return doors.SILENT
+            return doors.PASS
 
-    door.rule = rule
-    assert is_silent.wait(SILENT_WITHIN_S)
+        return rule
+
+    for door in near:
+        door.rule = make_rule(door)
+    reader = silent.get(timeout=SILENT_WITHIN_S)
+    for door in near:
+        door.rule = doors.pass_all
+    reader.rule = lambda line: doors.SILENT
 
 
 def write_version(site: sites.Site, version: int) -> float:
