--- a/tests/daemons/turned_away.feature
+++ b/tests/daemons/turned_away.feature
@@ -38,3 +38,10 @@
     Given 5 hosts, the last 2 in "pg-hall", each with a door to the store
     When 3 times the reader in "pg-hall" gets no answer from the store, a version is written at once, and 6 s pass
     Then each host serves each route 2 s after the store has confirmed it
+
+  Scenario: The answers to all waiting reads of configurations are lost
+    # Guards against versions that come late at all hosts: each reader waits for
+    # an answer that is lost, and counts as reading since it reads the list.
+    Given 8 hosts of three data centres, each with a door to the store
+    When 3 times all answers to reads that wait for configurations are lost as a version is written
+    Then each host serves each route 2 s after the store has confirmed it
--- a/tests/fakes/doors.py
+++ b/tests/fakes/doors.py
@@ -44,6 +44,9 @@
         self._store = (host, int(port))
         # Returns what is done with a call, given its request line.
         self.rule: Callable[[str], str] = pass_all
+        # Returns whether the answer to a call is lost, given its request line,
+        # when it comes; its connection returns nothing further.
+        self.loses: Callable[[str], bool] = lambda line: False
         self._closed = threading.Event()
         self._sock = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
@@ -74,7 +77,11 @@
                     verdict = self.rule(line)
                     if verdict == PASS:
                         store.sendall(call)
-                        conn.sendall(_read_message(answers))
+                        answer = _read_message(answers)
+                        if self.loses(line):
+                            self._closed.wait(TIMEOUT_S)
+                            return
+                        conn.sendall(answer)
                     elif verdict == RESET:
                         conn.setsockopt(
                             socket.SOL_SOCKET, socket.SO_LINGER, _LINGER
--- a/tests/steps/still_steps.py
+++ b/tests/steps/still_steps.py
@@ -10,9 +10,6 @@
 from tests import sites
 from tests.steps import turned_away_steps
 
-# Data centres of the last five of eight hosts.
-ZONES: Final = ("pg-hall", "pg-hall", "pg-hall", "cj-hall", "cj-hall")
-
 # Hosts that stand still, by their order: the first of two data centres, which
 # are their readers, and another one.
 STILL: Final = (0, 3, 5)
@@ -29,7 +26,7 @@
 
 @given("8 hosts of three data centres")
 def step_site(context: Any) -> None:
-    context.play = sites.start_site(8, ZONES)
+    context.play = sites.start_site(8, turned_away_steps.ZONES)
     context.answers = []
 
 
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -29,6 +29,15 @@
 # Longest time until a reader begins to wait for the next change, in seconds.
 SILENT_WITHIN_S: Final = 10.0
 
+# Data centres of the last five of eight hosts.
+ZONES: Final = ("pg-hall", "pg-hall", "pg-hall", "cj-hall", "cj-hall")
+
+# Time after an answer from which on answers are lost, for how long, and time
+# until the next round, in seconds.
+LOST_AFTER_S: Final = 0.2
+LOST_S: Final = 0.3
+REST_S: Final = 4.0
+
 
 @attrs.frozen
 class Answer:
@@ -109,14 +118,46 @@
         time.sleep(rest_s)
 
 
+@given("8 hosts of three data centres, each with a door to the store")
+def step_three(context: Any) -> None:
+    context.play = sites.start_site(8, ZONES, has_doors=True)
+    context.answers = []
+
+
+@when(
+    "{times:d} times all answers to reads that wait for configurations are lost"
+    " as a version is written"
+)
+def step_lost(context: Any, times: int) -> None:
+    site = context.play
+    for number in range(times):
+        version = FIRST_VERSION + 2 * number
+        # After an answer all readers wait anew, at the same time.
+        write_version(site, version)
+        time.sleep(LOST_AFTER_S)
+        for door in site.doors.values():
+            door.loses = is_waiting_read
+        acked_s = write_version(site, version + 1)
+        time.sleep(LOST_S)
+        for door in site.doors.values():
+            door.loses = lambda line: False
+        ask_all(context, site.hosts, version + 1, acked_s)
+        time.sleep(REST_S)
+
+
+def is_waiting_read(line: str) -> bool:
+    """Returns whether a call waits for the next configuration."""
+    is_config = f"topic={names.CONFIG_TOPIC}" in line
+    return is_config and "log-read" in line and "wait_ms=0" not in line
+
+
 def silence_reader(near: Sequence[doors.Door]) -> None:
     """Turns the door silent whose host begins to wait for configurations."""
     silent = queue.SimpleQueue[doors.Door]()
 
     def make_rule(door: doors.Door) -> Callable[[str], str]:
         def rule(line: str) -> str:
-            is_config = f"topic={names.CONFIG_TOPIC}" in line
-            if is_config and "wait_ms=0" not in line:
+            if is_waiting_read(line):
                 silent.put(door)
                 return doors.SILENT
             return doors.PASS
