Judge a reader by its reads of configurations too, and notice lost answers sooner

Callers of all hosts got an older configuration for up to 2.8 s where the answers to the readers' waits were lost.

Cause: a reader noticed a lost answer after its wait of 1.5 s and a time-out of 1 s, then asked other hosts, and only then told the others. Meanwhile it counted as reading, since it read the list over another connection, so no host took over. Class: the life of one connection taken from that of another.

Change: the store may wait 0.8 s, and its answer counts as lost 0.5 s after it; the reader then reads again at once, over a new connection, before it asks others. A host that reads the list and has had no answer for configurations for 1.2 s tells so in its updates, in the flag that is there for failed calls, and the others read.

--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -84,6 +84,8 @@
     """The store did not answer, or refused the call."""
 
     reason: str
+    # Nothing was received in time over an open connection.
+    is_timeout: bool = False
 
 
 Result = FullState[T] | Changes[T] | Expired | Unavailable
--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -467,6 +467,10 @@
         if found is not None:
             return self._note(found, began_s)
         res = self._topic.read_changes(since, wait_s)
+        if isinstance(res, feeds.Unavailable) and res.is_timeout and wait_s > 0:
+            # The answer was lost, or the connection has gone silent.
+            began_s = self._clock()
+            res = self._topic.read_changes(since, 0.0)
         if isinstance(res, feeds.Unavailable):
             return self._fall_back(since, res)
         return self._note(res, began_s)
--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -17,8 +17,12 @@
 from egretspur.catalog import feeds, positions
 
 # How long the store may wait for a change in a read of the configuration. A
-# dead connection is detected after this.
-CONFIG_WAIT_S: Final = 1.5
+# dead connection is detected after this and a grace period.
+CONFIG_WAIT_S: Final = 0.8
+
+# Age of a reader's last answer for the configuration from which on it counts as
+# lost: a wait, and an answer that comes late.
+MAX_CONFIG_AGE_S: Final = 1.2
 
 # The same while the store does not answer. With the time-out of a call it is
 # shorter than the time within which a configuration must be in force.
@@ -50,7 +54,8 @@
     list_age_s: float
     # The store's era when the list was read.
     era: int = 0
-    # Whether its last call to the store for the configuration failed.
+    # Whether its last call to the store for the configuration failed, or it
+    # reads the list and no answer for the configuration has come for long.
     is_config_lost: bool = False
 
 
@@ -83,6 +88,19 @@
     return feeds.Timing(0.0, min(period_s, due_s))
 
 
+def is_config_lost(has_failed: bool, age_s: float, list_age_s: float) -> bool:
+    """Returns whether a host can't read the configuration for others.
+
+    Args:
+        has_failed: Whether its last call for the configuration failed.
+        age_s: Seconds since the store's last answer for the configuration.
+        list_age_s: Seconds since the list was read. A host that does not read
+            the list is no reader, and need not read the configuration.
+    """
+    is_reading = list_age_s < MAX_LIST_AGE_S
+    return has_failed or (is_reading and age_s >= MAX_CONFIG_AGE_S)
+
+
 def is_config_stale(mine: ReadState, other: ReadState) -> bool:
     """Returns whether another host has a newer configuration."""
     return other.version > mine.version
--- a/egretspur/daemons/follow.py
+++ b/egretspur/daemons/follow.py
@@ -66,6 +66,8 @@
             is_behind: Returns whether another host has a newer configuration.
         """
         self.is_behind = is_behind
+        # Monotonic time of the store's last answer.
+        self.answered_s = -math.inf
         self._apply = apply
         self._note_read = note_read
 
@@ -88,7 +90,8 @@
         self._note_read()
 
     def record_answer(self, is_back: bool) -> None:
-        """Does nothing: no decision depends on when the store last answered."""
+        """Records when the store last answered."""
+        self.answered_s = time.monotonic()
 
 
 class UpstreamsSink:
@@ -193,6 +196,7 @@
                 that is missing from the list lapses.
         """
         self._peer_access = peer_access
+        self._config_sink = config_sink
         self.upstreams_sink = UpstreamsSink(broker_desk)
         hosts = peer_access.hosts
         config_topic = stores.make_config_topic(store)
@@ -256,8 +260,13 @@
         return at.era if at else 0
 
     def is_config_lost(self) -> bool:
-        """Returns whether the last call for the configuration failed."""
-        return self._config_feed.is_store_lost()
+        """Returns whether this host can't read the configuration for others."""
+        now_s = time.monotonic()
+        return reading.is_config_lost(
+            self._config_feed.is_store_lost(),
+            now_s - self._config_sink.answered_s,
+            now_s - self.upstreams_sink.answered_s,
+        )
 
     def give_up_config_read(self) -> None:
         """Ends a wait for the store: other hosts have a newer version.
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -32,6 +32,11 @@
 CALL_TIMEOUT_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
 
+# Time after the end of a waiting read until its answer counts as lost. With the
+# wait, and the time until other hosts act, it is shorter than the time within
+# which a configuration must be in force.
+WAIT_GRACE_S: Final = 0.5
+
 # Time after the store's return from a copy in which living upstreams write
 # their entries again. The platform says about two seconds.
 REWRITTEN_S: Final = 2.5
@@ -76,20 +81,25 @@
         self,
         path: str,
         query: Mapping[str, Any],
-        read_s: float = CALL_TIMEOUT_S,
+        wait_s: float = 0.0,
         interrupt: transport.Interrupt | None = None,
     ) -> transport.Reply | feeds.Unavailable:
-        """Sends a GET; any status but 200 and 410 counts as unavailable."""
+        """Sends a GET; any status but 200 and 410 counts as unavailable.
+
+        Args:
+            path: Path of the call.
+            query: Its arguments.
+            wait_s: How long the store may wait before it answers.
+            interrupt: Ends a call that the store may let wait.
+        """
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        return self._call("GET", target, None, read_s, (200, 410), interrupt)
+        return self._call("GET", target, None, (200, 410), wait_s, interrupt)
 
     def post(
         self, path: str, body: Mapping[str, Any]
     ) -> transport.Reply | feeds.Unavailable:
         """Sends a POST; any status but 200 and 409 counts as unavailable."""
-        return self._call(
-            "POST", path, orjson.dumps(body), CALL_TIMEOUT_S, (200, 409)
-        )
+        return self._call("POST", path, orjson.dumps(body), (200, 409))
 
     def put(self, topic: str, key: str, value: bytes) -> str:
         """Writes the newest record of a key.
@@ -109,7 +119,6 @@
             "POST",
             f"/egretspur/log-append?{query}",
             _LENGTH.pack(len(content)) + content,
-            CALL_TIMEOUT_S,
             (200,),
         )
         return res.reason if isinstance(res, feeds.Unavailable) else ""
@@ -119,13 +128,14 @@
         method: str,
         target: str,
         body: bytes | None,
-        read_s: float,
         good: tuple[int, ...],
+        wait_s: float = 0.0,
         interrupt: transport.Interrupt | None = None,
     ) -> transport.Reply | feeds.Unavailable:
         began_s = time.monotonic()
         headers = {"Content-Type": "application/json"} if body else {}
-        is_waiting = read_s > CALL_TIMEOUT_S
+        is_waiting = wait_s > 0
+        read_s = wait_s + WAIT_GRACE_S if is_waiting else CALL_TIMEOUT_S
         if is_waiting:
             headers["Connection"] = "close"
         client = self._waiting if is_waiting else self._transport
@@ -137,7 +147,7 @@
         if isinstance(res, transport.Failed):
             # The pool's other connections may be dead for the same reason.
             self._transport.empty_pool(self._address)
-            return feeds.Unavailable(res.reason)
+            return feeds.Unavailable(res.reason, res.is_timeout)
         if res.status not in good:
             return feeds.Unavailable(f"{target}: status {res.status}")
         if self.eras.observe(read_era(res)) is positions.EraOrder.OLDER:
@@ -225,7 +235,7 @@
         res = self._store.get(
             "/egretspur/log-read",
             query,
-            wait_s + CALL_TIMEOUT_S,
+            wait_s,
             self._interrupt if wait_s > 0 else None,
         )
         if isinstance(res, feeds.Unavailable):
--- a/tests/listing.py
+++ b/tests/listing.py
@@ -50,7 +50,11 @@
         self.era += 1
 
     def get(
-        self, path: str, query: dict[str, Any], read_s: float = 1.0
+        self,
+        path: str,
+        query: dict[str, Any],
+        wait_s: float = 0.0,
+        interrupt: transport.Interrupt | None = None,
     ) -> transport.Reply:
         """Answers a read; see `egretspur.platform.store.Store`."""
         head = {"Store-Era": str(self.era)}
