Known red: a host that sends a version in small pieces

PATIENCE_BEFORE_STORE bounds the silence of a host and the time after which no further host is called, not the answer: transport.ANSWER_TIME_FACTOR allows four times the silence for the whole of it.

--- a/tests/steps/fetch_steps.py
+++ b/tests/steps/fetch_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from collections.abc import Callable
 from typing import Any, Final
@@ -119,6 +120,29 @@
         context.add_cleanup(sock.close)
 
 
+@given("another host that sends a byte of its answer each {period_s:g} s")
+def step_trickling(context: Any, period_s: float) -> None:
+    sock = socket.create_server(("127.0.0.1", 0))
+    context.silent = [sock]
+    context.add_cleanup(sock.close)
+    threading.Thread(target=trickle, args=(sock, period_s), daemon=True).start()
+
+
+def trickle(sock: socket.socket, period_s: float) -> None:
+    """Answers one question, a byte at a time."""
+    conn, _ = sock.accept()
+    try:
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+        for _ in range(1000):
+            conn.sendall(b"x")
+            time.sleep(period_s)
+    except OSError:
+        # The host that asked has left.
+        pass
+    finally:
+        conn.close()
+
+
 @when("the configuration is read, from these hosts first")
 def step_read_first(context: Any) -> None:
     client = fetch.PageClient()
