Known red: threads that end for good at one error

One error of a socket ends the thread that receives other hosts' updates, and one error where a feed asks how often to read, or notes an answer, ends the feed: these stand outside the guard that the other threads have. The process goes on: the first hears of no other host, while they count it as alive; the second gets no more versions, or entries of the list, until it is started again, and still says that it is ready.

--- a/tests/guard.feature
+++ b/tests/guard.feature
@@ -40,3 +40,17 @@
       | the prober      |
       | the keeper      |
       | the exchange    |
+
+  Scenario Outline: A thread that reads fails beside its steps
+    # Guards against a host that never hears of a change again, though its
+    # process runs and other hosts count it as alive.
+    Given <thread> whose first step fails
+    When it runs for a while
+    Then later steps were made
+    And the failed step is logged with its cause
+
+    Examples:
+      | thread                             |
+      | the receiver                       |
+      | a feed that asks how often to read |
+      | a feed that notes an answer        |
--- a/tests/steps/guard_steps.py
+++ b/tests/steps/guard_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -32,15 +33,20 @@
 class FailOnce:
     """Raises at its first call, then does what it is made with."""
 
-    def __init__(self, then: Callable[..., Any] = lambda *args: None) -> None:
+    def __init__(
+        self,
+        then: Callable[..., Any] = lambda *args: None,
+        error: type[Exception] = LookupError,
+    ) -> None:
         self._then = then
+        self._error = error
         self.calls = 0
 
     def __call__(self, *args: Any, **kwargs: Any) -> Any:
         """Fails or passes on."""
         self.calls += 1
         if self.calls == 1:
-            raise LookupError(CAUSE)
+            raise self._error(CAUSE)
         return self._then(*args, **kwargs)
 
 
@@ -225,6 +231,9 @@
         "the prober": make_prober,
         "the keeper": make_keeper,
         "the exchange": make_exchange,
+        "the receiver": make_receiver,
+        "a feed that asks how often to read": make_timed_feed,
+        "a feed that notes an answer": make_noting_feed,
     }
     context.thread, context.step = made[thread](context)
 
@@ -272,6 +281,82 @@
     return found, make_news
 
 
+class FailingSocket:
+    """A socket whose first read fails."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        # A read without a datagram ends by its time-out.
+        self.recvfrom = FailOnce(self._time_out, OSError)
+
+    def __getattr__(self, name: str) -> Any:
+        """Returns what the socket has under a name."""
+        return getattr(self._sock, name)
+
+    def _time_out(self, size: int) -> Any:
+        time.sleep(0.01)
+        raise TimeoutError
+
+
+def make_receiver(context: Any) -> tuple[Any, FailOnce]:
+    """Returns an exchange whose socket fails once to read."""
+    found, make_news = make_exchange(context)
+    make_news.calls = 1
+    found._sock = sock = FailingSocket(found._sock)
+    return found, sock.recvfrom
+
+
+class CalmSource:
+    """A topic that never changes; see `feeds.Source`."""
+
+    def read_newest(self) -> feeds.FullState[str]:
+        """Returns an empty state."""
+        return feeds.FullState({}, positions.Position(1, 1))
+
+    def read_changes(
+        self, since: positions.Position, wait_s: float
+    ) -> feeds.Changes[str]:
+        """Returns no changes."""
+        return feeds.Changes((), since)
+
+
+class CalmSink:
+    """Takes nothing; see `feeds.Sink`."""
+
+    def replace_all(self, values: Any) -> None:
+        """Takes the newest state."""
+
+    def apply_changes(self, values: Any) -> None:
+        """Takes changes."""
+
+    def record_answer(self, is_back: bool) -> None:
+        """Takes that the source has answered."""
+
+
+def make_timed_feed(context: Any) -> tuple[Any, FailOnce]:
+    """Returns a feed that fails once to learn when to read next."""
+    pace = FailOnce(lambda: feeds.Timing(0.0, 0.01))
+    # The first question is part of a read.
+    waits = iter([feeds.Timing(0.0, 0.01)])
+    found: feeds.Feed[str] = feeds.Feed(
+        "test",
+        CalmSource(),
+        CalmSink(),
+        lambda: next(waits, None) or pace(),
+    )
+    return found, pace
+
+
+def make_noting_feed(context: Any) -> tuple[Any, FailOnce]:
+    """Returns a feed whose sink fails once to note an answer."""
+    sink = CalmSink()
+    sink.record_answer = FailOnce()  # type: ignore[method-assign]
+    found: feeds.Feed[str] = feeds.Feed(
+        "test", CalmSource(), sink, lambda: feeds.Timing(0.0, 0.01)
+    )
+    return found, sink.record_answer
+
+
 @when("it runs for a while")
 def step_runs(context: Any) -> None:
     context.thread.start()
