Keep threads that read running after an error beside their steps

One error of the socket ended the thread that receives the updates of other hosts, and one in a feed's timing or in noting an answer ended the feed, for good. The host stayed ready, and served what it had until it was started again; no line named the thread. Found by review; nothing is known that raises there today.

The whole round of each thread is guarded now.

--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -201,6 +201,14 @@
             self._woken.clear()
 
     def _run(self) -> None:
+        while not self._stop.is_set():
+            with guard.log_exceptions(f"feed {self._name}") as failure:
+                self._follow()
+            if failure.reason:
+                self._back_off(INITIAL_BACKOFF_S)
+
+    def _follow(self) -> None:
+        """Reads until the feed is closed, beginning with the full state."""
         since: positions.Position | None = None
         backoff_s = INITIAL_BACKOFF_S
         # Limits the calls if the full state can't be read either.
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -43,6 +43,9 @@
 # between two datagrams of one host.
 BATCH_WAIT_S: Final = 0.05
 
+# Wait after an error of the socket, such as a lack of buffers.
+RECEIVE_BACKOFF_S: Final = 0.1
+
 # Limit on datagrams handled together, so that none waits for long.
 MAX_BATCH: Final = 256
 
@@ -299,17 +302,25 @@
 
     def _receive(self) -> None:
         while not self._stop.is_set():
-            try:
-                first: _Datagram = self._sock.recvfrom(_MAX_DATAGRAM)
-            except TimeoutError:
-                continue
-            except OSError:
+            with guard.log_exceptions("news-in") as failure:
+                self._receive_batch()
+            if failure.reason:
+                self._stop.wait(RECEIVE_BACKOFF_S)
+
+    def _receive_batch(self) -> None:
+        try:
+            first: _Datagram = self._sock.recvfrom(_MAX_DATAGRAM)
+        except TimeoutError:
+            return
+        except OSError:
+            if self._stop.is_set():
+                # The socket was closed.
                 return
-            # With many hosts, more datagrams follow at once; waking up for each
-            # costs more than reading it.
-            time.sleep(BATCH_WAIT_S)
-            with guard.log_exceptions("news-in"):
-                self._handle_batch([first, *self._read_waiting()])
+            raise
+        # With many hosts, more datagrams follow at once; waking up for each
+        # costs more than reading it.
+        time.sleep(BATCH_WAIT_S)
+        self._handle_batch([first, *self._read_waiting()])
 
     def _read_waiting(self) -> list[_Datagram]:
         """Returns the datagrams that have arrived, up to a limit."""
