Bound the time of all hosts' answers together, and read the store again sooner

Two findings of the review, red before: a host that sends a version in pieces, each in time, kept the reader of that answer for 1.6 s (2.2 s at worst before the store); and a reader whose wait was reset asked hosts that had stopped for 2.1 s before it called the store again, which had the answer all the time, and told the others that it can't read only then.

--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -41,9 +41,9 @@
 class Patience:
     """How long one read waits for other hosts, in seconds."""
 
-    # For the answer of one host.
-    host_s: float
-    # After this time no further host is called.
+    # Longest silence of one host.
+    silence_s: float
+    # For the whole answers of all hosts.
     total_s: float
 
 
@@ -51,10 +51,13 @@
 # answers nothing, and several may do so at once. All of these, a datagram, and
 # the call to the store must fit into the time within which a configuration is
 # in force.
-PATIENCE_BEFORE_STORE: Final = Patience(0.4, 0.6)
+PATIENCE_BEFORE_STORE: Final = Patience(0.4, 0.9)
 
-# Where the store did not answer: slow hosts are all that is left.
-PATIENCE_WITHOUT_STORE: Final = Patience(1.0, 1.5)
+# Where the store has failed for two reads: slow hosts are all that is left.
+PATIENCE_WITHOUT_STORE: Final = Patience(1.0, 2.0)
+
+# Hosts are not called for less than this time.
+MIN_PATIENCE_S: Final = 0.05
 
 # zlib level of snapshots. A configuration of 1,640 routes has some hundred
 # kilobytes, and a tenth of that compressed; hosts have links of 10 Mbit/s.
@@ -381,10 +384,10 @@
 ListHosts = Callable[[], list[str]]
 
 # Fetches the packed snapshot of a topic since a position from a host; None if
-# the host has none to send. Arguments: host, topic, position, and the longest
-# silence in seconds.
+# the host has none to send. Arguments: host, topic, position, and how long to
+# wait.
 FetchSnapshot = Callable[
-    [str, str, positions.Position | None, float],
+    [str, str, positions.Position | None, Patience],
     bytes | feeds.Unavailable | None,
 ]
 
@@ -419,6 +422,8 @@
         self._is_peers_first = is_peers_first
         self._list_initial_hosts = list_initial_hosts
         self._has_read = False
+        # Whether the last call to the store failed.
+        self._has_failed = False
         self._clock = clock
         # When the last read that succeeded began: this host may have stood
         # still before it received the answer.
@@ -448,6 +453,7 @@
             return self._note(found, began_s)
         res = self._topic.read_newest()
         if isinstance(res, feeds.FullState):
+            self._has_failed = False
             return self._note(res, began_s)
         return self._fall_back(None, res)
 
@@ -473,14 +479,20 @@
             res = self._topic.read_changes(since, 0.0)
         if isinstance(res, feeds.Unavailable):
             return self._fall_back(since, res)
+        self._has_failed = False
         return self._note(res, began_s)
 
     def _fall_back(
         self, since: positions.Position | None, res: feeds.Unavailable
     ) -> feeds.FullState[T] | feeds.Changes[T] | feeds.Unavailable:
-        found = self._fetch_from_hosts(
-            self._list_hosts(), since, PATIENCE_WITHOUT_STORE
+        # At first the store may have lost an answer, and be there at once.
+        patience = (
+            PATIENCE_WITHOUT_STORE
+            if self._has_failed
+            else PATIENCE_BEFORE_STORE
         )
+        self._has_failed = True
+        found = self._fetch_from_hosts(self._list_hosts(), since, patience)
         if found is None:
             return res
         return attrs.evolve(found, failure=res.reason)
@@ -499,9 +511,11 @@
         end_s = self._clock() + patience.total_s
         for host in hosts[:MAX_HOSTS_CALLED]:
             began_s = self._clock()
-            if began_s >= end_s:
+            left_s = end_s - began_s
+            if left_s < MIN_PATIENCE_S:
                 return None
-            data = self._fetch(host, self._topic.name, since, patience.host_s)
+            wait = Patience(min(patience.silence_s, left_s), left_s)
+            data = self._fetch(host, self._topic.name, since, wait)
             if data is None:
                 continue
             if isinstance(data, feeds.Unavailable):
--- a/egretspur/daemons/fetch.py
+++ b/egretspur/daemons/fetch.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from egretspur import transport
-from egretspur.catalog import feeds
+from egretspur.catalog import feeds, handover
 
 # Longest wait for a connection, and for an answer on it.
 CONNECT_TIMEOUT_S: Final = 0.3
@@ -36,21 +36,28 @@
             address: Where the host serves its pages.
             path: Path with query.
         """
-        page = self.ask(address, path)
-        return None if isinstance(page, feeds.Unavailable) else page
+        res = self._transport.call("GET", address, path, headers=_FIELDS)
+        if isinstance(res, transport.Failed) or res.status != 200:
+            return None
+        return res.body
 
     def ask(
-        self, address: str, path: str, silence_s: float = READ_TIMEOUT_S
+        self, address: str, path: str, patience: handover.Patience
     ) -> bytes | feeds.Unavailable | None:
         """Returns a page, why no answer came, or None if there is no page.
 
         Args:
             address: Where the host serves its pages.
             path: Path with query.
-            silence_s: Longest silence of the host, in seconds.
+            patience: How long to wait for it.
         """
         res = self._transport.call(
-            "GET", address, path, headers=_FIELDS, read_s=silence_s
+            "GET",
+            address,
+            path,
+            headers=_FIELDS,
+            read_s=patience.silence_s,
+            whole_s=patience.total_s,
         )
         if isinstance(res, transport.Failed):
             return feeds.Unavailable(res.reason)
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -36,6 +36,7 @@
 from egretspur.catalog import (
     config,
     feeds,
+    handover,
     positions,
     quarantined,
     reading,
@@ -361,12 +362,12 @@
         host: str,
         topic: str,
         since: positions.Position | None,
-        silence_s: float,
+        patience: handover.Patience,
     ) -> bytes | feeds.Unavailable | None:
         """Returns another host's changes of a topic since a position."""
         to = addresses.parse(self._cfg.address.complete(host))
         path = pages.make_snapshot_path(topic, since)
-        return self._page_client.ask(to.control, path, silence_s)
+        return self._page_client.ask(to.control, path, patience)
 
     def _make_app(self) -> web.App:
         app = web.App()
--- a/egretspur/transport.py
+++ b/egretspur/transport.py
@@ -182,6 +182,7 @@
         headers: Mapping[str, str] | None = None,
         read_s: float | None = None,
         interrupt: Interrupt | None = None,
+        whole_s: float = math.inf,
     ) -> Reply | Failed:
         """Sends one request and reads the whole answer.
 
@@ -194,10 +195,11 @@
             read_s: Longest silence in seconds; the transport's if None. The
                 whole answer may take `ANSWER_TIME_FACTOR` times as long.
             interrupt: Ends the call early, where it opens a connection.
+            whole_s: Longest time of the whole call in seconds, if shorter.
         """
         silence_s = self._read_s if read_s is None else read_s
-        self._opened.deadline_s = (
-            time.monotonic() + ANSWER_TIME_FACTOR * silence_s
+        self._opened.deadline_s = time.monotonic() + min(
+            whole_s, ANSWER_TIME_FACTOR * silence_s
         )
         self._opened.interrupt = interrupt
         try:
--- a/tests/steps/neighbours_steps.py
+++ b/tests/steps/neighbours_steps.py
@@ -11,7 +11,13 @@
 from behave import given, then, when
 
 from egretspur import bounds, web
-from egretspur.catalog import feeds, positions, quarantined, reading
+from egretspur.catalog import (
+    feeds,
+    handover,
+    positions,
+    quarantined,
+    reading,
+)
 from egretspur.daemons import follow
 from egretspur.membership import datagrams, hosts
 from egretspur.platform import names, store
@@ -143,10 +149,10 @@
         host: str,
         topic: str,
         since: positions.Position | None,
-        silence_s: float,
+        patience: handover.Patience,
     ) -> bytes | feeds.Unavailable | None:
         if host == READER:
-            time.sleep(silence_s)
+            time.sleep(patience.silence_s)
             return feeds.Unavailable("it stands still")
         if topic != names.UPSTREAMS_TOPIC:
             return None
