Ask only hosts with the newest state before the store

An upstream that drained could get requests for 2.20 to 2.27 s (two seconds allowed) where the reader of a data centre stood still after it had told of a newer list: the host asked the reader for 0.4 s, then a neighbour that knew nothing newer, and took its "no changes" for the answer, until it became the reader itself. Found by review. The like for configurations: if the host that had told of a version was gone, hosts with an older one answered.

Before the store, only hosts that read the list are asked for the list and for the quarantine, and only hosts with the newest version ever heard of for configurations; without any, the store is asked at once. All live hosts are asked where the store fails. neighbours.feature, both scenarios: red before, green now.

--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -403,21 +403,26 @@
         is_peers_first: Callable[[], bool],
         list_initial_hosts: ListHosts = list,
         clock: Callable[[], float] = time.monotonic,
+        list_current_hosts: ListHosts | None = None,
     ) -> None:
         """Makes a source.
 
         Args:
             topic: The topic in the store.
-            list_hosts: Returns the hosts to call.
+            list_hosts: Returns the hosts to call when the store failed.
             fetch: Fetches a snapshot from one of them.
             is_peers_first: Returns whether hosts are called before the store,
                 or only when the store does not answer.
             list_initial_hosts: Returns the hosts to call before the first read
                 of the store, when no peer update has arrived yet.
             clock: Returns the monotonic time in seconds.
+            list_current_hosts: Returns the hosts to call before the store,
+                those with the newest state: the answer of one that knows
+                nothing newer would count. The same hosts if None.
         """
         self._topic = topic
         self._list_hosts = list_hosts
+        self._list_current_hosts = list_current_hosts or list_hosts
         self._fetch = fetch
         self._is_peers_first = is_peers_first
         self._list_initial_hosts = list_initial_hosts
@@ -468,7 +473,7 @@
     ) -> feeds.Result[T]:
         """Returns the changes since a position."""
         began_s = self._clock()
-        hosts = self._list_hosts() if self._is_peers_first() else []
+        hosts = self._list_current_hosts() if self._is_peers_first() else []
         found = self._fetch_from_hosts(hosts, since, PATIENCE_BEFORE_STORE)
         if found is not None:
             return self._note(found, began_s)
--- a/egretspur/daemons/follow.py
+++ b/egretspur/daemons/follow.py
@@ -45,6 +45,9 @@
     def list_newest(self) -> list[str]:
         """Returns the hosts that have the newest configuration."""
 
+    def list_fresh(self) -> list[str]:
+        """Returns the live hosts that read the list of upstreams."""
+
     def list_alive(self) -> list[str]:
         """Returns the live hosts, this data centre's reader first."""
 
@@ -206,6 +209,7 @@
             "config",
             self._make_source(
                 config_topic,
+                lambda: hosts.list_newest() or hosts.list_alive(),
                 hosts.list_newest,
                 lambda: hosts.is_cut_off() and config_sink.is_behind(),
             ),
@@ -216,7 +220,9 @@
         )
         self._upstreams_feed = feeds.Feed(
             "upstreams",
-            self._make_source(upstreams_topic, hosts.list_alive),
+            self._make_source(
+                upstreams_topic, hosts.list_alive, hosts.list_fresh
+            ),
             self.upstreams_sink,
             lambda: reading.get_list_timing(
                 hosts.is_reader(), upstreams_topic.table.get_due_s()
@@ -224,7 +230,9 @@
         )
         self._quarantine_feed = feeds.Feed(
             "quarantine",
-            self._make_source(quarantine_topic, hosts.list_alive),
+            self._make_source(
+                quarantine_topic, hosts.list_alive, hosts.list_fresh
+            ),
             quarantined.Sink(broker_desk, saver),
             lambda: quarantined.get_timing(hosts.is_reader()),
         )
@@ -280,13 +288,15 @@
         self,
         topic: stores.Topic[T],
         list_hosts: handover.ListHosts,
+        list_current_hosts: handover.ListHosts,
         must_ask: Callable[[], bool] = lambda: False,
     ) -> handover.HandoverSource[T]:
         """Returns a source that reads a topic from other hosts or the store.
 
         Args:
             topic: The topic in the store.
-            list_hosts: Returns the hosts to ask.
+            list_hosts: Returns the hosts to ask when the store failed.
+            list_current_hosts: Returns the hosts to ask before the store.
             must_ask: Returns whether even a reader asks them before the store.
         """
         access = self._peer_access
@@ -296,6 +306,7 @@
             access.ask,
             lambda: must_ask() or not access.hosts.is_reader(),
             access.list_at_start,
+            list_current_hosts=list_current_hosts,
         )
 
     def start(self) -> None:
--- a/egretspur/membership/exchange.py
+++ b/egretspur/membership/exchange.py
@@ -201,6 +201,11 @@
         with self._lock:
             return self._peers.list_newest(time.monotonic())
 
+    def list_fresh(self) -> list[str]:
+        """Returns the live hosts that read the list of upstreams."""
+        with self._lock:
+            return self._peers.list_fresh(time.monotonic())
+
     def list_alive(self) -> list[str]:
         """Returns the live hosts, this data centre's reader first."""
         with self._lock:
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -119,6 +119,8 @@
         # Time of the last update from each data centre.
         self._data_centre_updates: dict[str, float] = {}
         self._peer_statuses: dict[str, _PeerStatus] = {}
+        # Newest version of the configuration that a host has told of.
+        self._newest_version = 0
         # Status of this host as it was last sent to others.
         self._own_status: _PeerStatus | None = None
 
@@ -151,6 +153,7 @@
     def record_update(self, update: datagrams.PeerUpdate, now_s: float) -> None:
         """Records the update of a host."""
         self._peer_statuses[update.host] = _make_status(update, now_s)
+        self._newest_version = max(self._newest_version, update.known.version)
         self._host_data_centres[update.host] = update.data_centre
         self._data_centre_updates[update.data_centre] = now_s
         for host, data_centre in update.peers.items():
@@ -381,20 +384,33 @@
         }
         return sorted(alive, key=rank)
 
+    def list_fresh(self, now_s: float) -> list[str]:
+        """Returns the live hosts that have read the list recently, as above.
+
+        The others may know nothing newer than the host that asks them.
+        """
+        return [
+            h
+            for h in self.list_by_freshness(now_s)
+            if _is_fresh(self._peer_statuses[h], now_s)
+        ]
+
     def list_newest(self, now_s: float) -> list[str]:
         """Returns the hosts with the newest configuration, local ones first.
 
-        Those whose updates are missing come last. Otherwise the order is
-        random: each host that fetches the configuration serves it in turn, so
-        that the others of a data centre don't all fill the link of one host.
+        None if the hosts that had the newest one are not alive. Those whose
+        updates are missing come last. Otherwise the order is random: each host
+        that fetches the configuration serves it in turn, so that the others of
+        a data centre don't all fill the link of one host.
         """
         alive = {
             h: t
             for h, t in self._peer_statuses.items()
             if now_s - t.at_s < ALIVE_TIMEOUT_S
         }
-        newest = max((t.version for t in alive.values()), default=0)
-        found = [h for h, t in alive.items() if t.version == newest]
+        found = [
+            h for h, t in alive.items() if t.version >= self._newest_version
+        ]
         self._rng.shuffle(found)
         return sorted(
             found,
--- a/tests/steps/neighbours_steps.py
+++ b/tests/steps/neighbours_steps.py
@@ -85,6 +85,11 @@
         with self._lock:
             return self._peers.list_newest(time.monotonic())
 
+    def list_fresh(self) -> list[str]:
+        """Returns the hosts that read the list."""
+        with self._lock:
+            return self._peers.list_fresh(time.monotonic())
+
     def list_alive(self) -> list[str]:
         """Returns the live hosts in the order in which to ask them."""
         with self._lock:
