Tell of a version at once where a reader has read it

The others of a data centre heard of a version with the next regular update, up to a quarter of a second later, and only if the reader still ran then. A reader now sends its update as soon as it has applied a version. The role of a host is also looked at when updates arrive, since its own ones wait for the broker.

--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -337,6 +337,10 @@
         )
         behind_s = self._versions.get_status().behind_s
         self._versions.note_applied(cfg)
+        if self._exchange.is_reader():
+            # The others of the data centre may know of it from this host only,
+            # which may stop at any time.
+            self._exchange.send_soon()
         workspace_names = {w.name for w in (cfg.keys or {}).values()}
         decisions.record(
             decisions.ConfigurationApplied(
@@ -569,6 +573,8 @@
     def _handle_updates(
         self, updates: Sequence[datagrams.PeerUpdate], hosts: int
     ) -> None:
+        # Also where this host's own updates wait for its broker.
+        self._update_role()
         for update in updates:
             if self._versions.note_heard(update.known.version):
                 decisions.record(
