Known red: an answer counts as a possible crash by the end of an earlier attempt

An error answer without a length that is retried leaves its doubt on the whole answer that follows: neither its request nor the segments of its prompt count as answered before the list of upstreams or a probe clears them, up to 5 s. An error that is followed by an answer which itself ends with its connection stays in doubt (a row of the outline, green before and after).

--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -42,6 +42,16 @@
       | is cut after events 1 and 2   | sends events 3, 4 and the end | answered   |
       | is cut after events 1 and 2   | sends events none and the end | unanswered |
       | sends events 1, 2 and closes  | is cut after events none      | unanswered |
+      | answers 500 and closes        | sends events 1, 2 and closes  | unanswered |
+
+  Scenario: An error that ends with its connection is retried
+    # Guards against a complete answer that counts as a possible crash by the
+    # end of an earlier attempt.
+    Given the first attempt answers 500 and closes
+    And the second attempt sends events 1, 2 and the end
+    When a stream is asked for
+    Then the caller gets events 1 to 2 and a whole answer
+    And the segments of its prompt count as answered
 
   Scenario: A stream that ends within an event
     Given the first attempt ends within event 2
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -317,6 +317,13 @@
     context.play.sends.scripts[-1].has_length = False
 
 
+@given("the {place} attempt answers {status:d} and closes")
+def step_error_closes(context: Any, place: str, status: int) -> None:
+    context.play.sends.scripts.append(
+        Script([b"why"], status, has_length=False)
+    )
+
+
 @given('the {place} attempt answers {status:d} as "{kind}" with "{body}"')
 @given('the {place} attempt answers {status:d} as "" with "{body}"')
 @given('the {place} attempt answers {status:d} as "{kind}" with ""')
