Let each attempt begin without the doubt of the one before it

A whole answer after a retried error whose end only a connection told counted as a possible crash: its request and the segments of its prompt were held as unanswered for up to 5 s. `Forwarder._doubt` was set with the error's body and kept when another attempt began. It now belongs to the current attempt, like its output.

--- a/egretspur/delivery/forward.py
+++ b/egretspur/delivery/forward.py
@@ -122,8 +122,8 @@
         self.is_caller_gone = False
         # An upstream's answer completed and was not an error.
         self._is_answered = False
-        # How the attempt has failed if its upstream crashed, where only the end
-        # of a connection told that the answer is complete.
+        # How the current attempt has failed if its upstream crashed, where only
+        # the end of a connection told that the answer is complete.
         self._doubt: jobs.Failure | None = None
         # Read by the stream watch: when the attempt was sent or last received
         # bytes, its path, and the stages of the path that are known to stall.
@@ -386,6 +386,7 @@
         self.expected_first_s = start.expected_first_s
         self.stalled = set()
         self.has_begun = False
+        self._doubt = None
         self.output.begin()
         self._count_before = self._merge.count
         self._merge.begin()
