Mend a test of handovers that counted on a watch in time

"A silent attempt breaks while another one waits for its engine" once made 3 attempts, 2 wanted. Traced (trials, the steps in a script of their own): the second attempt is sent 0.21 s after event 1, so it is silent for 0.21 s from the break at 1 s, when it takes over, to its events; after 0.25 s without a first event its engine is asked for its report, and the fake of the scenario answers none for any engine, so a third attempt begins beside it.

That is what the router promises: an attempt that took over may be silent as well, and is replaced in turn if its engine does not respond; it goes on until the third brings something, and its caller loses nothing. The test is wrong: it has its engines not respond and wants them to count as sound, which held by 40 ms.

Two more scenarios force the order that gave three attempts, with engines that do not respond as before: the second goes on once the third waits (the caller has each event once, the third's connection is closed), and the second stays silent (the third takes over).

--- a/tests/delivery/forward.feature
+++ b/tests/delivery/forward.feature
@@ -196,13 +196,42 @@
     Then the caller gets events 1 to 3 and a whole answer
     And the first attempt is logged as ended by the host
 
-  Scenario: A silent attempt breaks while another one waits for its engine
+  Scenario Outline: A silent attempt breaks while another one waits for its engine
+    # Guards against an answer that is begun a third time though the engine of
+    # the second attempt only takes <seconds> s.
     Given a watch, and an engine that is cut 1 s after event 1
-    And the second attempt pauses 1 s before events 2 and 3
+    And every other first engine returns its report
+    And the second attempt pauses <seconds> s before events 2 and 3
     When a stream is asked for
     Then the caller gets events 1 to 3 and a whole answer
     And 2 attempts were made
 
+    Examples:
+      | seconds |
+      | 1       |
+      | 2       |
+
+  Scenario: An attempt that took over goes on before another one brings anything
+    # Guards against an answer that is ended or repeated though the engine that
+    # took over was only slow.
+    Given a watch, and an engine that is cut 1 s after event 1
+    And the second attempt sends events 2 and 3 once a third one is silent
+    When a stream is asked for
+    Then the caller gets events 1 to 3 and a whole answer
+    And 3 attempts were made
+    And the connection of attempt 3 is closed
+
+  Scenario: An attempt that took over is silent as well
+    # Guards against a caller that leaves since nothing replaces the second of
+    # two engines that do not respond.
+    Given a watch, and an engine that is cut 1 s after event 1
+    And the second attempt brings nothing for 5 s
+    And the third attempt sends events 2, 3 and the end
+    When a stream is asked for
+    Then the caller gets events 1 to 3 and a whole answer
+    And 3 attempts were made
+    And the connection of attempt 2 is closed
+
   Scenario Outline: Both a silent attempt and the one beside it break, after <seconds> s
     # Guards against an answer that is given up though one of its engines ended.
     Given a watch, and an engine that is cut <seconds> s after event 1
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -23,6 +23,9 @@
 # Interval of the desk's timers, in s.
 TICK_S: Final = 0.02
 
+# Engines for the first layers beside one that does not respond.
+WATCH_TWINS: Final = 3
+
 # Segment of the prompts of streams.
 SEGMENT: Final = "m/5a"
 
@@ -124,14 +127,16 @@
 class Script:
     """What one attempt does."""
 
-    # Bytes, failures, pauses in seconds, or "silence".
-    pieces: list[bytes | sending.AttemptFailure | float | str]
+    # Bytes, failures, pauses in seconds, events to wait for, or "silence".
+    pieces: list[bytes | sending.AttemptFailure | float | threading.Event | str]
     status: int = 200
     content_type: str = ""
     # Whether the head tells where the body ends.
     has_length: bool = True
     # Why it is refused; None if it is not.
     refusal: sending.AttemptFailure | None = None
+    # Set once the attempt has begun.
+    begun: threading.Event = attrs.Factory(threading.Event)
 
 
 @attrs.define
@@ -158,18 +163,22 @@
                     jobs.FailureKind.CUT, "closed or silent"
                 ),
             )
+        if isinstance(piece, threading.Event):
+            while not piece.wait(TICK_S):
+                if self._is_over():
+                    return _make_closed()
+            return self.read_some()
         if isinstance(piece, float):
             left_s = max(0.0, self.deadline_s - time.monotonic())
             if self.closed.wait(min(left_s, piece)):
-                return sending.AttemptFailure(
-                    jobs.FailureKind.CUT,
-                    "closed",
-                    ended_by=ends.EndedBy.HOST,
-                )
+                return _make_closed()
             return self.read_some()
         assert not isinstance(piece, str)
         return piece
 
+    def _is_over(self) -> bool:
+        return self.closed.is_set() or time.monotonic() >= self.deadline_s
+
     def abort(self) -> None:
         """Wakes the reader."""
         self.closed.set()
@@ -179,6 +188,13 @@
         self.closed.set()
 
 
+def _make_closed() -> sending.AttemptFailure:
+    """Returns the failure of an attempt that the host closed."""
+    return sending.AttemptFailure(
+        jobs.FailureKind.CUT, "closed", ended_by=ends.EndedBy.HOST
+    )
+
+
 @attrs.define
 class FakeUpstreams:
     """Attempts by script; see `sending.AttemptSender`."""
@@ -202,6 +218,7 @@
         self.starts.append(start)
         self.afters.append(resume_after)
         script = self.scripts.pop(0) if self.scripts else self.later
+        script.begun.set()
         if script.refusal is not None:
             return script.refusal
         headers = {"X": "1"}
@@ -220,6 +237,8 @@
 
     # Address of a stalled stage; "dark" if the engine does not respond.
     stalled: str = ""
+    # Addresses that return a report though the others are dark.
+    reporting: set[str] = attrs.Factory(set)
     # Addresses that answer no probe.
     dead: set[str] = attrs.Factory(set)
     moves: list[tuple[float, Sequence[paths.Part]]] = attrs.Factory(list)
@@ -229,6 +248,8 @@
     def get_report(self, address: str) -> upstreams.EngineReport | str:
         """Answers as the script says."""
         self.asked.append(address)
+        if address in self.reporting:
+            return upstreams.PLAIN_REPORT
         if self.stalled == "dark":
             return "no answer"
         return upstreams.EngineReport(
@@ -419,11 +440,18 @@
     play.engines.stalled = "dark"
     play.watch = watch.StreamWatch(play.desk, play.engines)
     play.watch.start()
-    for i in range(3):
+    for i in range(WATCH_TWINS):
         twin = fleets.make_upstream(f"a100-twin{i}", "0-25")
         upstreams.put_entry(context.broker.fleet.roster, twin, 0.0)
 
 
+@given("every other first engine returns its report")
+def step_twins_report(context: Any) -> None:
+    context.play.engines.reporting |= {
+        f"a100-twin{i}:80" for i in range(WATCH_TWINS)
+    }
+
+
 @given(
     "a watch, and an engine that pauses {seconds:g} s after event 1 of {last:d}"
 )
@@ -453,6 +481,15 @@
     context.play.sends.scripts.append(Script([float(seconds)]))
 
 
+@given("the second attempt sends events 2 and 3 once a third one is silent")
+def step_once_third(context: Any) -> None:
+    third = threading.Event()
+    context.play.sends.scripts += [
+        Script([third, make_event(2), make_event(3)]),
+        Script([5.0], begun=third),
+    ]
+
+
 @given("every other attempt is refused")
 def step_all_refused(context: Any) -> None:
     refusal = sending.AttemptFailure(jobs.FailureKind.REFUSED, "full")
@@ -480,7 +517,18 @@
 @then("the second attempt's connection is closed")
 def step_second_closed(context: Any) -> None:
     assert len(context.play.sends.answers) == 2, context.play.sends.answers
-    assert context.play.sends.answers[1].closed.wait(1.0)
+    check_closed(context, 2)
+
+
+@then("the connection of attempt {number:d} is closed")
+def step_closed_of(context: Any, number: int) -> None:
+    assert len(context.play.sends.answers) == 3, context.play.sends.answers
+    check_closed(context, number)
+
+
+def check_closed(context: Any, number: int) -> None:
+    """Checks that the connection of an attempt is closed soon."""
+    assert context.play.sends.answers[number - 1].closed.wait(1.0)
 
 
 @then("the connections of {count:d} attempts are closed within {seconds:g} s")
