Have the hosts of a data centre read a store that answers none of them by turns

Cause: the served host reads only once it is drawn, two of five hosts in each second, at random and without end.

Now the hosts beyond the first three have their turns, two a second, so each reads within a bounded time; hosts that the store has not refused have turns of eight a second; in a data centre of up to 8 hosts all read. Nothing changes while any host reads.

Two bounds of an older scenario get closer (150 and 1500 s to 13 and 96 s).

--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -11,7 +11,6 @@
 import itertools
 import math
 import random
-import zlib
 from collections.abc import Iterable
 from typing import Final
 
@@ -51,13 +50,19 @@
 STORE_TIMEOUT_S: Final = 3.0
 
 # Hosts of a data centre that keep reading the store while none of them gets an
-# answer: those with the lowest addresses, and some drawn at random each second.
-# The store may refuse some hosts and serve others, so each host has to be drawn
-# from time to time; if all read, hundreds would call a store that is down once
-# a second.
+# answer: those with the lowest addresses, and some of the others, by turns.
+# The store may refuse some hosts and serve others, so each host has to find
+# out; if all read, hundreds would call a store that is down once a second.
 FIRST_READERS: Final = 3
-RANDOM_READERS: Final = 2
-READER_DRAW_PERIOD_S: Final = 1.0
+TURN_READERS: Final = 2
+READER_TURN_S: Final = 1.0
+
+# The same by turns of their own for hosts that the store has not refused: each
+# calls it once or twice before it counts as refused.
+UNREFUSED_TURN_READERS: Final = 8
+
+# In a data centre of up to this many hosts all of them keep reading.
+MAX_ALL_READ: Final = 8
 
 # Hosts of a data centre that ask the store for the duty: those with the lowest
 # addresses, so that another takes over at once when one or two are lost. Each
@@ -431,8 +436,12 @@
             )
         if own is not None and _is_fresh(own, now_s):
             return True
-        return self._count_preceding(local) < FIRST_READERS or self._is_drawn(
-            len(local) + 1, now_s
+        rank = self._count_preceding(local) - FIRST_READERS
+        others = len(local) + 1 - FIRST_READERS
+        return (
+            rank < 0
+            or len(local) < MAX_ALL_READ
+            or self._has_turn(rank, others, now_s)
         )
 
     def is_cut_off(self, now_s: float) -> bool:
@@ -442,10 +451,19 @@
             own.store_age_s + now_s - own.at_s >= STORE_TIMEOUT_S
         )
 
-    def _is_drawn(self, hosts: int, now_s: float) -> bool:
-        """Returns whether this host is one of those drawn for this second."""
-        draw = f"{self._me} {int(now_s / READER_DRAW_PERIOD_S)}".encode()
-        return zlib.crc32(draw) % hosts < RANDOM_READERS
+    def _has_turn(self, rank: int, others: int, now_s: float) -> bool:
+        """Returns whether it is this host's turn to read the store.
+
+        Args:
+            rank: Of this host among those that read by turns; 0 for the first.
+            others: Number of these hosts.
+            now_s: Monotonic time.
+        """
+        own = self._own_status
+        is_refused = own is None or own.is_config_lost
+        readers = TURN_READERS if is_refused else UNREFUSED_TURN_READERS
+        turns = math.ceil(others / readers)
+        return rank // readers == int(now_s / READER_TURN_S) % turns
 
     def may_be_deputy(self, now_s: float) -> bool:
         """Returns whether this is the first host while none has the store."""
--- a/tests/membership/exchange.feature
+++ b/tests/membership/exchange.feature
@@ -106,8 +106,26 @@
 
     Examples:
       | hosts | drawn | seconds |
-      | 28    | 2     | 150     |
-      | 195   | 2     | 1500    |
+      | 28    | 2     | 13      |
+      | 195   | 2     | 96      |
+
+  Scenario Outline: Hosts of which the store may serve a single one
+    # Guards against versions that come late at all hosts of a data centre: the
+    # only host that the store serves is not drawn to read for long.
+    Given <hosts> hosts of a data centre that hear each other and have no answer
+    Then each reads within <seconds> s from any moment
+    And each that the store has not refused yet reads within <first> s
+
+    Examples:
+      | hosts | seconds | first |
+      | 3     | 0       | 0     |
+      | 4     | 0       | 0     |
+      | 5     | 0       | 0     |
+      | 8     | 0       | 0     |
+      | 9     | 2       | 0     |
+      | 12    | 4       | 1     |
+      | 28    | 12      | 3     |
+      | 195   | 95      | 23    |
 
   Scenario: A store that serves one of many hosts
     # Guards against configurations and lists that are read in those seconds
