Known red: chunks of one byte keep new connections waiting

Crowds of 200 (3.67 MB each) and 600 (400,000 bytes each) in chunks of one byte against a host with usual limits (300 MB, 4 MiB). Ordinary requests alternate between an open and a new connection, each with 9 s of time.

Once each at load 4 to 6: on the open connection answered after 0.2 to 0.6 s (200) and 0.2 to 1.1 s (600); on a new one 4 of 4 unanswered in 9 s, and none 3 s after the crowd had left, with 9 and 64 MB received and not read.

Cost of a read of 8 KiB, once: chunks of one byte 3.17 ms, with a zero or an extension 3.55 and 3.69, of 16 bytes 0.98, of 8 KiB 0.008.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import contextlib
+import http.client
+import math
 import os
 import pathlib
 import select
@@ -34,6 +36,11 @@
 ANSWER_BYTES: Final = 3_000_000
 ASKED: Final = 5
 
+# The same of a usual machine, for a crowd that keeps the host busy.
+USUAL_MEMORY_MB: Final = 300
+USUAL_MAX_FDS: Final = 4096
+USUAL_BODY_BYTES: Final = 4 << 20
+
 # What a client far over the limits sends.
 FAR_BYTES: Final = 4 * MAX_BODY_BYTES
 
@@ -80,6 +87,11 @@
         left -= at_once
 
 
+def send_tiny_chunks(count: int) -> Iterator[bytes]:
+    """Sends a body in chunks of one byte, without the last one."""
+    return _send_chunks(count, 1)
+
+
 def _send_line() -> Iterator[bytes]:
     yield make_head("Transfer-Encoding: chunked") + b"\r\n1;"
     yield from _send_bytes(LEGAL_BYTES, b"x")
@@ -165,18 +177,20 @@
 class Crowd:
     """Connections to one address that all send in the same way."""
 
-    def __init__(self, address: str, count: int, way: str) -> None:
+    def __init__(
+        self, address: str, count: int, way: Callable[[], Iterator[bytes]]
+    ) -> None:
         """Connects nothing yet.
 
         Args:
             address: IP and port.
             count: Number of connections.
-            way: What they send; see `WAYS`.
+            way: What each of them sends; see `WAYS`.
         """
         host, _, port = address.rpartition(":")
         self._address = (host, int(port))
         self._count = count
-        self._way = WAYS[way]
+        self._way = way
         # Each waits for the answer of the one before, so that the host has room
         # for one more.
         self._is_in_turn = self._way is _send_asks
@@ -308,9 +322,13 @@
             self.sample()
 
 
-def start_site() -> sites.Site:
-    """Starts a host with low limits, two plain replicas and a store."""
-    site = sites.Site(limits={"memory_mb": MEMORY_MB, "max_fds": MAX_FDS})
+def start_site(
+    memory_mb: int = MEMORY_MB,
+    max_fds: int = MAX_FDS,
+    body_bytes: int = MAX_BODY_BYTES,
+) -> sites.Site:
+    """Starts a host with these limits, two plain replicas and a store."""
+    site = sites.Site(limits={"memory_mb": memory_mb, "max_fds": max_fds})
     ip = "127.0.0.1"
     site.ports.update(sites.reserve_ports(site, (ip,)))
     site.seeds.append(site.get_address(ip, "control_plane"))
@@ -318,7 +336,7 @@
     for name in ("s1", "s2"):
         site.start_upstream(name)
     cfg = sites.make_config(["key-1"], 2)
-    limits = {**cfg["limits"], "max_body_bytes": MAX_BODY_BYTES}
+    limits = {**cfg["limits"], "max_body_bytes": body_bytes}
     site.write("keyed.op", "config", {**cfg, "limits": limits})
     threading.Thread(target=site.write_entries, daemon=True).start()
     sites.start_host(site, ip)
@@ -343,6 +361,57 @@
     return [make_head("Content-Length: 2", "Connection: close") + b"\r\n{}"]
 
 
+class OpenCaller:
+    """An ordinary caller that keeps its connection, if the host lets it."""
+
+    def __init__(self, address: str) -> None:
+        """Connects nothing yet.
+
+        Args:
+            address: IP and port.
+        """
+        self._address = address
+        self._conn: http.client.HTTPConnection | None = None
+
+    def ask(self, time_s: float) -> float:
+        """Sends a small request, and again if it is refused.
+
+        Args:
+            time_s: The caller's time, for all tries and connecting.
+
+        Returns:
+            The seconds until it was answered; infinity if it was not.
+        """
+        began_s = time.monotonic()
+        while (left_s := began_s + time_s - time.monotonic()) > 0:
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                if self._try(left_s) == 200:
+                    return time.monotonic() - began_s
+                time.sleep(0.5)
+                continue
+            self.close()
+            time.sleep(0.05)
+        return math.inf
+
+    def _try(self, timeout_s: float) -> int:
+        if self._conn is None:
+            self._conn = http.client.HTTPConnection(self._address)
+        self._conn.timeout = timeout_s
+        if self._conn.sock is not None:
+            self._conn.sock.settimeout(timeout_s)
+        fields = sites.make_fields("key-1")
+        self._conn.request("POST", "/cards/x", b"{}", fields)
+        answer = self._conn.getresponse()
+        answer.read()
+        return answer.status
+
+    def close(self) -> None:
+        """Closes its connection."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+
 def send_alone(
     site: sites.Site,
     pieces: list[bytes],
--- a/tests/daemons/crowds.feature
+++ b/tests/daemons/crowds.feature
@@ -27,6 +27,19 @@
       | 100   | send all of a legal body but its last byte         | ready         |
       | 100   | send all of a legal body but its last byte         | control_plane |
 
+  Scenario Outline: <count> clients send <size> bytes each in chunks of one byte
+    # Guards against a host that answers nobody in time, since chunks of one byte
+    # keep the thread busy that reads all connections.
+    Given a host with usual limits
+    When <count> clients send <size> bytes each in chunks of one byte
+    Then ordinary requests beside them are answered within their time
+    And one sent after they have left is answered within 3 s
+
+    Examples:
+      | count | size    |
+      | 200   | 3670016 |
+      | 600   | 400000  |
+
   Scenario Outline: One caller sends a body of <size> bytes <how>
     # Guards against a body at the limit itself that is refused in calm.
     Given a host with low limits
--- a/tests/steps/crowds_steps.py
+++ b/tests/steps/crowds_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -15,6 +17,14 @@
 # Tries of an ordinary caller.
 TRIES: Final = 5
 
+# Time of an ordinary request, as its header says.
+CALLER_TIME_S: Final = 9.0
+
+# Time that a crowd of tiny chunks has sent before ordinary requests, and pairs
+# of these, on an open connection and on a new one.
+CROWD_LEAD_S: Final = 2.0
+PAIRS: Final = 4
+
 # Answers of the replicas come later by this, so that all requests of a crowd
 # are served at once.
 ANSWER_DELAY_S: Final = 3.0
@@ -41,7 +51,9 @@
         {site.get_address(host, name) for name in sites.LISTENING},
     )
     context.meter.start()
-    context.crowd = crowds.Crowd(site.get_address(host, address), count, way)
+    context.crowd = crowds.Crowd(
+        site.get_address(host, address), count, crowds.WAYS[way]
+    )
     context.crowd.start()
     context.add_cleanup(context.crowd.close)
     context.add_cleanup(context.meter.close)
@@ -71,6 +83,59 @@
     assert meter.most_fds <= crowds.MAX_FDS, meter.most_fds
 
 
+@given("a host with usual limits")
+def step_usual_host(context: Any) -> None:
+    context.play = site = crowds.start_site(
+        crowds.USUAL_MEMORY_MB, crowds.USUAL_MAX_FDS, crowds.USUAL_BODY_BYTES
+    )
+    stage.wait_until(lambda: sites.is_ready(site), 20.0, "the host is ready")
+    stage.wait_until(lambda: crowds.is_answered(site, 1), 20.0, "it serves")
+
+
+@when("{count:d} clients send {size:d} bytes each in chunks of one byte")
+def step_tiny_chunks(context: Any, count: int, size: int) -> None:
+    site = context.play
+    address = site.get_address(site.hosts[0], "frontend")
+    context.caller = crowds.OpenCaller(address)
+    context.add_cleanup(context.caller.close)
+    context.caller.ask(CALLER_TIME_S)
+    context.crowd = crowds.Crowd(
+        address, count, lambda: crowds.send_tiny_chunks(size)
+    )
+    context.crowd.start()
+    context.add_cleanup(context.crowd.close)
+    time.sleep(CROWD_LEAD_S)
+
+
+@then("ordinary requests beside them are answered within their time")
+def step_in_time(context: Any) -> None:
+    site = context.play
+    address = site.get_address(site.hosts[0], "frontend")
+    times_s = []
+    for _ in range(PAIRS):
+        times_s.append(context.caller.ask(CALLER_TIME_S))
+        newcomer = crowds.OpenCaller(address)
+        times_s.append(newcomer.ask(CALLER_TIME_S))
+        newcomer.close()
+    print("beside", times_s, "unread", crowds.read_unread({address}))
+    context.beside_s = times_s
+
+
+@then("one sent after they have left is answered within {time_s:d} s")
+def step_after(context: Any, time_s: int) -> None:
+    site = context.play
+    address = site.get_address(site.hosts[0], "frontend")
+    context.crowd.close()
+    newcomer = crowds.OpenCaller(address)
+    after_s = newcomer.ask(time_s)
+    newcomer.close()
+    print("after", after_s, "unread", crowds.read_unread({address}))
+    host = site.stage.processes[site.hosts[0]].popen
+    assert host.poll() is None, "host ended"
+    assert math.isfinite(max(context.beside_s)), context.beside_s
+    assert math.isfinite(after_s), "none after the crowd"
+
+
 @when("one caller sends a body of {what} bytes {how}")
 def step_alone(context: Any, what: str, how: str) -> None:
     size = crowds.MAX_BODY_BYTES + (1 if what.endswith("more") else 0)
