Known red: bodies in a chunk wait behind clients that come anew

600 clients at a time that send a head and 8 KiB in chunks of one byte, reset their connections after 0.3 s and come again.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -15,6 +15,7 @@
 import selectors
 import socket
 import stat
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
@@ -54,6 +55,9 @@
 # Until an answer begins.
 ANSWER_TIMEOUT_S: Final = 10.0
 
+# Time that clients stay which come again.
+STAY_S: Final = 0.3
+
 SAMPLE_PERIOD_S: Final = 0.05
 
 
@@ -361,6 +365,52 @@
     return [make_head("Content-Length: 2", "Connection: close") + b"\r\n{}"]
 
 
+class Comers:
+    """Clients that begin a body, reset their connections and come again."""
+
+    def __init__(self, address: str, count: int, begin: bytes) -> None:
+        """Connects nothing yet.
+
+        Args:
+            address: IP and port.
+            count: Connections at a time.
+            begin: What each of them sends.
+        """
+        host, _, port = address.rpartition(":")
+        self._address = (host, int(port))
+        self._count = count
+        self._begin = begin
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts to connect."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            socks = [self._connect() for _ in range(self._count)]
+            self._stop.wait(STAY_S)
+            for sock in socks:
+                sock.close()
+
+    def _connect(self) -> socket.socket:
+        sock = socket.socket()
+        sock.settimeout(1.0)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        with contextlib.suppress(OSError):
+            sock.connect(self._address)
+            sock.sendall(self._begin)
+        return sock
+
+
 class OpenCaller:
     """An ordinary caller that keeps its connection, if the host lets it."""
 
--- a/tests/daemons/crowds.feature
+++ b/tests/daemons/crowds.feature
@@ -40,6 +40,14 @@
       | 200   | 3670016 |
       | 600   | 400000  |
 
+  Scenario: 600 clients begin bodies in chunks of one byte, leave and come again
+    # Guards against a host that answers no request with a body in chunks, since
+    # each client that comes anew has a long turn.
+    Given a host with usual limits
+    When 600 clients begin bodies in chunks of one byte, leave and come again
+    Then ordinary requests beside them are answered within their time
+    And one sent after they have left is answered within 3 s
+
   Scenario Outline: One caller sends a body of <size> bytes <how>
     # Guards against a body at the limit itself that is refused in calm.
     Given a host with low limits
--- a/tests/steps/crowds_steps.py
+++ b/tests/steps/crowds_steps.py
@@ -20,6 +20,9 @@
 # Time of an ordinary request, as its header says.
 CALLER_TIME_S: Final = 9.0
 
+# What a host reads at once.
+READ_BYTES: Final = 8192
+
 # Time that a crowd of tiny chunks has sent before ordinary requests, and sets
 # of these: on an open connection, on a new one, and with a body in a chunk.
 CROWD_LEAD_S: Final = 2.0
@@ -107,6 +110,22 @@
     time.sleep(CROWD_LEAD_S)
 
 
+@when(
+    "{count:d} clients begin bodies in chunks of one byte, leave and come again"
+)
+def step_come_again(context: Any, count: int) -> None:
+    site = context.play
+    address = site.get_address(site.hosts[0], "frontend")
+    context.caller = crowds.OpenCaller(address)
+    context.add_cleanup(context.caller.close)
+    context.caller.ask(CALLER_TIME_S)
+    begin = b"".join(crowds.send_tiny_chunks(READ_BYTES))[:READ_BYTES]
+    context.crowd = crowds.Comers(address, count, begin)
+    context.crowd.start()
+    context.add_cleanup(context.crowd.close)
+    time.sleep(CROWD_LEAD_S)
+
+
 @then("ordinary requests beside them are answered within their time")
 def step_in_time(context: Any) -> None:
     site = context.play
