--- a/egretspur/web.py
+++ b/egretspur/web.py
@@ -22,8 +22,9 @@
 import waitress.channel
 import waitress.server
 import waitress.task
+import waitress.wasyncore
 
-from egretspur import codec, errors, held, inbound, unsent
+from egretspur import codec, errors, held, inbound, turns, unsent
 
 if TYPE_CHECKING:
     from aioprometheus import collectors
@@ -44,6 +45,14 @@
 # which wakes its thread, and one connection for which none could be closed.
 _OTHER_SOCKETS: Final = 3
 
+# Connections that wait in the system to be accepted, and that are accepted
+# before others are read.
+_BACKLOG: Final = 1024
+
+# Bytes read in a turn of what came with a head: the first turns of clients that
+# come anew would otherwise keep each other waiting.
+_TURN_BYTES: Final = 1024
+
 JSON_TYPE: Final = "application/json"
 
 
@@ -325,6 +334,13 @@
     # Whether a close resets the connection.
     breaks_on_close = False
 
+    # Whether it was there when the server began to wait for events. Others may
+    # be those of an earlier connection with the same descriptor.
+    is_awaited = False
+
+    # Whether it waits for its turn to read more of a body.
+    is_queued = False
+
     def __init__(
         self, server: Any, sock: socket.socket, addr: Any, adj: Any, **more: Any
     ) -> None:
@@ -375,7 +391,10 @@
             self.handle_close()
         if self.request is not None and self.request.completed:
             self._answer_refused()
-        return bool(self.connected and super().readable())
+        self.is_awaited = True
+        return bool(
+            self.connected and not self.is_queued and super().readable()
+        )
 
     def writable(self) -> bool:
         """Returns whether to wait until the caller takes more."""
@@ -391,12 +410,59 @@
 
     def handle_read(self) -> None:
         """Reads from the socket; notifies the handler of a disconnect."""
+        if not self.is_awaited:
+            return
+        work = None if self.request is None else self.request.work
+        if work is None:
+            self._read()
+        else:
+            self._wait_for_turn(work)
+
+    def _wait_for_turn(self, work: int) -> None:
+        self.is_queued = True
+        self.server.adj.egretspur_turns.add(self, work)
+
+    def take_turn(self) -> None:
+        """Reads more of a body in chunks."""
+        self.is_queued = False
+        request = self.request
+        # Meanwhile it may have been closed, or refused for lack of room.
+        if not self.connected or request is None or request.completed:
+            return
+        if not request.rest:
+            self._read()
+            return
+        part, rest = request.rest[:_TURN_BYTES], request.rest[_TURN_BYTES:]
+        request.rest = b""
+        self.received(part)
+        if not rest or request.error:
+            return
+        # Another request may have begun behind the end of the body.
+        current = self.request
+        if current is None or current.work is None:
+            self.received(rest)
+            return
+        current.rest += rest
+        if not self.is_queued:
+            self._wait_for_turn(current.work)
+
+    def received(self, data: bytes) -> bool:
+        """Takes bytes; a body in chunks that began among them waits."""
+        is_taken = bool(super().received(data))
+        request = self.request
+        if request is not None and request.rest and request.work is not None:
+            self._wait_for_turn(request.work)
+        return is_taken
+
+    def _read(self) -> None:
         super().handle_read()
         if not self.connected:
             self._notify_disconnect()
 
     def handle_close(self) -> None:
         """Closes the socket and notifies the handler."""
+        if not self.is_awaited:
+            return
         if (
             self.breaks_on_close
             and self.is_whole
@@ -405,6 +471,9 @@
             self._set_reset(False)
         if self.request is not None:
             self.request.close()
+        if self.is_queued:
+            self.is_queued = False
+            self.server.adj.egretspur_turns.discard(self)
         super().handle_close()
         self._notify_disconnect()
 
@@ -450,6 +519,9 @@
                 )
 
 
+# Longest wait for an event, after which idle connections are looked for.
+WAIT_S: Final = 1.0
+
 # Longest wait for the server's thread on close.
 CLOSE_TIMEOUT_S: Final = 0.3
 
@@ -513,8 +585,7 @@
             outbuf_overflow=sys.maxsize,
             ident="egretspur",
             clear_untrusted_proxy_headers=False,
-            backlog=1024,
-            asyncore_use_poll=True,
+            backlog=_BACKLOG,
             # Answers that are cut deliberately, or whose caller disconnects,
             # end with a socket error; both are logged as decisions.
             log_socket_errors=False,
@@ -522,10 +593,13 @@
         self._server.adj.egretspur_draining = self._draining
         self._server.adj.egretspur_connections = limit
         self._server.adj.egretspur_bodies = held.Bodies(budget or held.Budget())
+        self._turns = turns.Turns()
+        self._server.adj.egretspur_turns = self._turns
         bound = bound or unsent.Unsent()
         bound.add_server(self._server.active_channels)
         self._server.adj.egretspur_unsent = bound
         self._server.channel_class = _DrainingChannel
+        self._server.handle_accept = self._accept_waiting
         self._thread = threading.Thread(
             target=self._run, name="http", daemon=True
         )
@@ -567,9 +641,44 @@
         self._server.close()
         self._thread.join(timeout=CLOSE_TIMEOUT_S)
 
+    def _accept_waiting(self) -> None:
+        """Accepts all connections that wait.
+
+        The library accepts one before it reads each open connection: a crowd
+        would keep those behind it waiting.
+        """
+        server = self._server
+        for _ in range(_BACKLOG):
+            if len(server._map) >= server.adj.connection_limit:
+                return
+            try:
+                accepted = server.accept()
+                if accepted is None:
+                    return
+                sock, address = accepted
+                server.set_socket_options(sock)
+            except OSError:
+                # No descriptor is free, or its caller has left.
+                return
+            server.channel_class(
+                server,
+                sock,
+                server.fix_addr(address),
+                server.adj,
+                map=server._map,
+            )
+
     def _run(self) -> None:
+        channels = self._server._map
         try:
-            self._server.run()
+            while channels:
+                self._turns.run()
+                waitress.wasyncore.loop(
+                    0.0 if self._turns else WAIT_S,
+                    use_poll=True,
+                    map=channels,
+                    count=1,
+                )
         except OSError:
             # The listening socket was closed by `close` under the poll.
             _LOG.debug("server closed")
