Known red: pages of the newest records that are older than their end

The stand-in of the store gets the faults: pages of the first so many records, history dropped with a write, reads of one record, reads from beyond the end.

The pages of 2 in platform_steps named an end of 42 beside offsets 0 and 1. A store has no such log unless the newest keys were removed, so their offsets now end where the log does; the checks are unchanged.

--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -1,10 +1,16 @@
 """Stand-in for the platform's store: keyed topics, reads and groups.
 
 Operators and upstreams write with ``POST /write`` (topic, key and value; null
-removes the key). Faults: ``down`` (answers 503), ``keep`` (number of records
-kept for reads; a read of older ones gets 410). ``POST /copy`` restores the
-store from a copy that is ``back_s`` seconds old and starts the next era;
-``keep`` gives the minimum number of records in the copy by topic.
+removes the key). ``POST /drop`` writes like it, and drops the topic's history
+with the new record. ``POST /copy`` restores the store from a copy that is
+``back_s`` seconds old and starts the next era; ``keep`` gives the minimum
+number of records in the copy by topic.
+
+Faults: ``down`` (answers 503), ``keep`` (number of records kept for reads; a
+read of older ones gets 410), ``newest_records`` (pages of the newest records
+are those of the log's first so many records, while they name the present end;
+null for all), ``short_reads`` (a read returns one record), ``serves_ahead`` (a
+read from beyond the log's end returns nothing instead of 410).
 """
 
 from __future__ import annotations
@@ -29,10 +35,18 @@
     """In-memory groups and topics of one partition each."""
 
     def __init__(self) -> None:
-        self.faults: dict[str, Any] = {"down": False, "keep": 10_000}
+        self.faults: dict[str, Any] = {
+            "down": False,
+            "keep": 10_000,
+            "newest_records": None,
+            "short_reads": False,
+            "serves_ahead": False,
+        }
         # Incremented by each restore from a copy.
         self.era = 1
         self._records: dict[str, list[tuple[str, bytes]]] = {}
+        # First offset of each topic whose history was dropped.
+        self._starts: dict[str, int] = {}
         # Write time of each record.
         self._written_s: dict[str, list[float]] = {}
         self._changed = threading.Condition()
@@ -45,6 +59,16 @@
         raw = b"" if value is None else orjson.dumps(value)
         return self.append(topic, key, raw)
 
+    def count(self, topic: str) -> int:
+        """Returns how many records a topic has had."""
+        with self._changed:
+            return len(self._records.get(topic, []))
+
+    def drop_history(self, topic: str, key: str, value: Any) -> None:
+        """Appends a record and drops the history with it, in one step."""
+        with self._changed:
+            self._starts[topic] = self.write(topic, key, value)
+
     def append(self, topic: str, key: str, raw: bytes) -> int:
         """Appends a record as bytes; returns the end offset."""
         with self._changed:
@@ -70,7 +94,8 @@
         """Returns the newest record of each key."""
         with self._changed:
             records = self._records.get(topic, [])
-            newest = {k: (i, v) for i, (k, v) in enumerate(records)}
+            shown = self.faults["newest_records"]
+            newest = {k: (i, v) for i, (k, v) in enumerate(records[:shown])}
             return {
                 "entries": [
                     {
@@ -91,15 +116,17 @@
         with self._changed:
             while True:
                 records = self._records.get(topic, [])
-                if offset < len(records) - self.faults["keep"]:
+                start = self._starts.get(topic, 0)
+                if offset < max(start, len(records) - self.faults["keep"]):
                     return None
-                if offset > len(records):
+                if offset > len(records) and not self.faults["serves_ahead"]:
                     return None
                 if len(records) > offset or time.monotonic() >= end_s:
                     break
                 self._changed.wait(min(0.1, end_s - time.monotonic()))
-            data = struct.pack(">QQ", len(records), 0)
-            for key, raw in records[offset:]:
+            data = struct.pack(">QQ", len(records), start)
+            end = offset + 1 if self.faults["short_reads"] else None
+            for key, raw in records[offset:end]:
                 body = bytes([len(key)]) + key.encode() + raw
                 data += struct.pack(">I", len(body)) + body
             return data
@@ -205,6 +232,12 @@
         store.copy(data["back_s"], data.get("keep", {}))
         return base.reply({})
 
+    def drop(req: web.Request) -> web.Response:
+        data = base.read_json(req)
+        store.drop_history(data["topic"], data["key"], data["value"])
+        return base.reply({})
+
+    app.add("POST", "/drop", drop)
     app.add("POST", "/write", write)
     app.add("POST", "/copy", copy)
     base.add_faults(app, store.faults)
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -268,9 +268,10 @@
 def encode_newest(entries: list[tuple[str, bytes]], more: bool) -> bytes:
     """Returns a page as the store sends it."""
     rows = [
-        {"key": k, "value": base64.b64encode(v).decode(), "offset": i}
+        {"key": k, "value": base64.b64encode(v).decode(), "offset": 40 + i}
         for i, (k, v) in enumerate(entries)
     ]
+    # The last record of the log is the newest of its key.
     page = {"entries": rows, "has_more": more, "end_offset": 40 + len(rows)}
     return json.dumps(page).encode()
 
