Read on at once where a read of the log ended before its end

A change came up to 12 s late at a host that is not the reader, where the store returned only a part of what it had: the host took one response for all that was written. A position ahead of the log's end was kept for good. Where the history ended at every read, a reader called the store without a pause.

Class: one answer's word for what was read. Each response to a read names the end of the log; nothing looked at it.

Change: a read that ends before the log's end is followed by the next one at once (after 0.1 s if it returned nothing); one from a position ahead of the end counts as expired, and the newest records are read; a full state whose changes have expired again within a second is followed by a pause of 0.4 s.

--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import threading
 import time
@@ -55,6 +56,8 @@
     is_from_peer: bool = False
     # Why the store did not answer, if it was called first and failed.
     failure: str = ""
+    # Seconds after which to read on, however long the feed's period is.
+    due_s: float = math.inf
 
 
 @attrs.frozen
@@ -68,6 +71,8 @@
     is_from_peer: bool = False
     # Why the store did not answer, if it was called first and failed.
     failure: str = ""
+    # Seconds after which to read on, however long the feed's period is.
+    due_s: float = math.inf
 
 
 @attrs.frozen
@@ -201,8 +206,8 @@
     def _run(self) -> None:
         since: positions.Position | None = None
         backoff_s = INITIAL_BACKOFF_S
-        # Limits the calls if the full state can't be read either.
-        was_expired = False
+        # Start of the last read whose changes had expired.
+        expired_s = -math.inf
         while not self._stop.is_set():
             began_s = time.monotonic()
             res, since = self._read(since)
@@ -215,21 +220,31 @@
             if isinstance(res, Expired) or not res.is_from_peer:
                 self._record_answer()
                 backoff_s = INITIAL_BACKOFF_S
-            if isinstance(res, Expired) and not was_expired:
+            if isinstance(res, Expired):
                 # What is believed may be wrong until the full state is read.
-                was_expired = True
+                if began_s - expired_s < MAX_BACKOFF_S:
+                    # A full state whose changes have expired, again.
+                    self._back_off(MIN_READ_INTERVAL_S)
+                expired_s = began_s
                 continue
-            was_expired = False
-            period_s = self._get_timing().period_s
-            wait_s = began_s + period_s - time.monotonic()
-            if wait_s > 0:
-                self._sleep(wait_s)
-            early_s = (
-                began_s + min(period_s, MIN_READ_INTERVAL_S) - time.monotonic()
-            )
-            if early_s > 0:
-                # Several hosts may wake the feed for the same change.
-                self._stop.wait(early_s)
+            self._pause(began_s, res.due_s)
+
+    def _pause(self, began_s: float, due_s: float) -> None:
+        """Waits for the next read after one that succeeded.
+
+        Args:
+            began_s: Monotonic time at which the last read began.
+            due_s: Seconds after which to read on at the latest.
+        """
+        period_s = self._get_timing().period_s
+        end_s = min(began_s + period_s, time.monotonic() + due_s)
+        wait_s = end_s - time.monotonic()
+        if wait_s > 0:
+            self._sleep(wait_s)
+        early_s = min(end_s, began_s + MIN_READ_INTERVAL_S) - time.monotonic()
+        if early_s > 0:
+            # Several hosts may wake the feed for the same change.
+            self._stop.wait(early_s)
 
     def _read(
         self, since: positions.Position | None
--- a/egretspur/platform/store.py
+++ b/egretspur/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import math
 import struct
 import time
 import urllib.parse
@@ -32,6 +33,9 @@
 CALL_TIMEOUT_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
 
+# Pause after a read that returned nothing of a log that goes on, in seconds.
+EMPTY_READ_PAUSE_S: Final = 0.1
+
 # Time after the store's return from a copy in which living upstreams write
 # their entries again. The platform says about two seconds.
 REWRITTEN_S: Final = 2.5
@@ -232,17 +236,20 @@
         if res.status == 410:
             return feeds.Expired()
         try:
-            first, raw = parse_records(res.body, since.offset)
+            records = _read_records(res.body, since.offset)
+            end = read_end(res.body)
         except struct.error as exc:
             return feeds.Unavailable(f"cut short: {exc}")
-        records = [
-            handover.Record(first + i, *split_keyed(r))
-            for i, r in enumerate(raw)
-        ]
-        at = positions.Position(era, first + len(records))
-        return feeds.Changes(
-            self.table.apply_changes(self._decode_records(records), at), at
-        )
+        if end < since.offset:
+            # Of an older log, whose records at the same offsets may differ.
+            return feeds.Expired()
+        at = positions.Position(era, since.offset + len(records))
+        due_s = math.inf
+        if at.offset < end:
+            # A response has a part of a long log. One with nothing is odd.
+            due_s = 0.0 if records else EMPTY_READ_PAUSE_S
+        values = self.table.apply_changes(self._decode_records(records), at)
+        return feeds.Changes(values, at, due_s=due_s)
 
     def export(self, since: positions.Position | None) -> bytes | None:
         """Returns a snapshot for a host that has read up to a position."""
@@ -366,6 +373,24 @@
     )
 
 
+def read_end(data: bytes) -> int:
+    """Returns the end of the log when a read was answered.
+
+    Raises:
+        struct.error: The data ends early.
+    """
+    end: int = _OFFSETS.unpack_from(data)[0]
+    return end
+
+
+def _read_records(data: bytes, offset: int) -> list[handover.Record]:
+    """Returns the records of a response; see `parse_records`."""
+    first, raw = parse_records(data, offset)
+    return [
+        handover.Record(first + i, *split_keyed(r)) for i, r in enumerate(raw)
+    ]
+
+
 def parse_records(data: bytes, offset: int) -> tuple[int, list[bytes]]:
     """Splits the response to a read into its records.
 
--- a/tests/catalog/doubts.feature
+++ b/tests/catalog/doubts.feature
@@ -77,6 +77,13 @@
     When it reads changes from a position ahead of the log
     Then it must read all again
 
+  Scenario: A store whose history ends at every read
+    # Guards against hundreds of calls a second to the store, where the position
+    # of the newest records has expired each time.
+    Given a feed whose source returns the newest state and then no changes
+    When it runs for 1 s
+    Then its source was called at most 10 times
+
   Scenario: A read that ends before the end of the log
     # Guards against a change that comes seconds late at a host that is not the
     # reader: the store returned only a part of what it has.
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -9,7 +9,8 @@
 Faults: ``down`` (answers 503), ``keep`` (number of records kept for reads; a
 read of older ones gets 410), ``newest_records`` (pages of the newest records
 are those of the log's first so many records, while they name the present end;
-null for all), ``short_reads`` (a read returns one record), ``serves_ahead`` (a
+null for all), ``is_end_shown`` (they name the end of what they show instead),
+``short_reads`` (a read returns one record), ``serves_ahead`` (a
 read from beyond the log's end returns nothing instead of 410).
 """
 
@@ -39,6 +40,7 @@
             "down": False,
             "keep": 10_000,
             "newest_records": None,
+            "is_end_shown": False,
             "short_reads": False,
             "serves_ahead": False,
         }
@@ -95,6 +97,7 @@
         with self._changed:
             records = self._records.get(topic, [])
             shown = self.faults["newest_records"]
+            is_end_shown = self.faults["is_end_shown"]
             newest = {k: (i, v) for i, (k, v) in enumerate(records[:shown])}
             return {
                 "entries": [
@@ -107,7 +110,7 @@
                     if v
                 ],
                 "has_more": False,
-                "end_offset": len(records),
+                "end_offset": len(records[:shown] if is_end_shown else records),
             }
 
     def read(self, topic: str, offset: int, wait_s: float) -> bytes | None:
--- a/tests/steps/doubts_steps.py
+++ b/tests/steps/doubts_steps.py
@@ -232,6 +232,8 @@
             clock=lambda: time.monotonic() + float(context.added_s),
         )
         self.values: dict[str, Any] = {}
+        # Keys that it had at any moment.
+        self.had: set[str] = set()
         self.feed = feeds.Feed(
             "test", self.source, self, lambda: feeds.Timing(0.0, 12.0)
         )
@@ -255,6 +257,7 @@
     def replace_all(self, values: Mapping[str, Any]) -> None:
         """Takes the newest state."""
         self.values = dict(values)
+        self.had |= set(values)
 
     def apply_changes(self, values: tuple[tuple[str, Any], ...]) -> None:
         """Takes changes."""
@@ -263,6 +266,7 @@
                 self.values.pop(key, None)
             else:
                 self.values[key] = value
+                self.had.add(key)
 
     def record_answer(self, is_back: bool) -> None:
         """Does nothing."""
@@ -338,6 +342,13 @@
     step_reads(context)
 
 
+@when("{seconds:g} s pass twice, and it reads further after each")
+def step_reads_twice(context: Any, seconds: float) -> None:
+    for _ in range(2):
+        context.added_s += seconds
+        step_reads(context)
+
+
 @then('it has "{keys}"')
 def step_has(context: Any, keys: str) -> None:
     check(context.hosts[0], keys)
@@ -436,6 +447,63 @@
     assert len(context.hosts[0].calls) <= calls, context.hosts[0].calls
 
 
+@when('it reads all while pages and their end are from before "c"')
+def step_end_behind(context: Any) -> None:
+    host = context.hosts[0]
+    show_records(context, 2)
+    context.stand_in.faults.update({"is_end_shown": True, "short_reads": True})
+    host.had.clear()
+    host.at = None
+    host.read()
+    assert host.at.offset == context.stand_in.count(TOPIC), host.at
+
+
+@then('it has "{keys}", and did not have "{gone}" meanwhile')
+def step_did_not_have(context: Any, keys: str, gone: str) -> None:
+    check(context.hosts[0], keys)
+    assert gone not in context.hosts[0].had, context.hosts[0].had
+
+
+class ExpiringSource:
+    """A source whose changes have always expired; see `feeds.Source`."""
+
+    def __init__(self) -> None:
+        """Makes a source that was not called."""
+        self.calls = 0
+
+    def read_newest(self) -> feeds.FullState[int]:
+        """Returns a state."""
+        self.calls += 1
+        return feeds.FullState({"a": 1}, positions.Position(1, 5))
+
+    def read_changes(
+        self, since: positions.Position, wait_s: float
+    ) -> feeds.Expired:
+        """Has no changes."""
+        self.calls += 1
+        return feeds.Expired()
+
+
+@given("a feed whose source returns the newest state and then no changes")
+def step_expiring(context: Any) -> None:
+    start_store(context)
+    context.source = ExpiringSource()
+    context.feed = feeds.Feed(
+        "test",
+        context.source,
+        ListHost(context),
+        lambda: reading.get_config_timing(True),
+    )
+
+
+@when("it runs for {seconds:g} s")
+def step_runs_for(context: Any, seconds: float) -> None:
+    context.feed.start()
+    time.sleep(seconds)
+    context.feed.close()
+    context.feed.join(5.0)
+
+
 @when("it reads changes from a position ahead of the log")
 def step_reads_ahead(context: Any) -> None:
     host = context.hosts[0]
