--- a/egretspur/catalog/feeds.py
+++ b/egretspur/catalog/feeds.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import threading
 import time
@@ -34,6 +35,10 @@
 # Minimum time between the starts of two reads, however often a feed is woken.
 MIN_READ_INTERVAL_S: Final = 0.4
 
+# Reads whose changes had expired that follow one another without a pause: the
+# full state of another host may be from before the history was dropped.
+MAX_EXPIRED_READS: Final = 2
+
 
 @attrs.frozen
 class Unreadable:
@@ -55,6 +60,8 @@
     is_from_peer: bool = False
     # Why the store did not answer, if it was called first and failed.
     failure: str = ""
+    # Seconds after which to read on, however long the feed's period is.
+    due_s: float = math.inf
 
 
 @attrs.frozen
@@ -68,6 +75,8 @@
     is_from_peer: bool = False
     # Why the store did not answer, if it was called first and failed.
     failure: str = ""
+    # Seconds after which to read on, however long the feed's period is.
+    due_s: float = math.inf
 
 
 @attrs.frozen
@@ -211,8 +220,9 @@
         """Reads until the feed is closed, beginning with the full state."""
         since: positions.Position | None = None
         backoff_s = INITIAL_BACKOFF_S
-        # Limits the calls if the full state can't be read either.
-        was_expired = False
+        # Reads whose changes had expired, and the start of the first of them.
+        expired = 0
+        expired_s = -math.inf
         while not self._stop.is_set():
             began_s = time.monotonic()
             res, since = self._read(since)
@@ -225,21 +235,32 @@
             if isinstance(res, Expired) or not res.is_from_peer:
                 self._record_answer()
                 backoff_s = INITIAL_BACKOFF_S
-            if isinstance(res, Expired) and not was_expired:
+            if isinstance(res, Expired):
                 # What is believed may be wrong until the full state is read.
-                was_expired = True
+                if began_s - expired_s >= MAX_BACKOFF_S:
+                    expired, expired_s = 0, began_s
+                expired += 1
+                if expired > MAX_EXPIRED_READS:
+                    self._back_off(MIN_READ_INTERVAL_S)
                 continue
-            was_expired = False
-            period_s = self._get_timing().period_s
-            wait_s = began_s + period_s - time.monotonic()
-            if wait_s > 0:
-                self._sleep(wait_s)
-            early_s = (
-                began_s + min(period_s, MIN_READ_INTERVAL_S) - time.monotonic()
-            )
-            if early_s > 0:
-                # Several hosts may wake the feed for the same change.
-                self._stop.wait(early_s)
+            self._pause(began_s, res.due_s)
+
+    def _pause(self, began_s: float, due_s: float) -> None:
+        """Waits for the next read after one that succeeded.
+
+        Args:
+            began_s: Monotonic time at which the last read began.
+            due_s: Seconds after which to read on at the latest.
+        """
+        period_s = self._get_timing().period_s
+        end_s = min(began_s + period_s, time.monotonic() + due_s)
+        wait_s = end_s - time.monotonic()
+        if wait_s > 0:
+            self._sleep(wait_s)
+        early_s = min(end_s, began_s + MIN_READ_INTERVAL_S) - time.monotonic()
+        if early_s > 0:
+            # Several hosts may wake the feed for the same change.
+            self._stop.wait(early_s)
 
     def _read(
         self, since: positions.Position | None
--- a/tests/steps/turned_away_steps.py
+++ b/tests/steps/turned_away_steps.py
@@ -172,12 +172,49 @@
     reader.rule = lambda line: doors.SILENT
 
 
+@when(
+    "{count:d} versions are written, one each {period_s:g} s, each as history"
+    " is dropped and pages fall {behind_s:g} s behind"
+)
+def step_write_dropped(
+    context: Any, count: int, period_s: float, behind_s: float
+) -> None:
+    for i, version in enumerate(range(FIRST_VERSION, FIRST_VERSION + count)):
+        # The first version is written as the site starts, and each adds one.
+        show_records(context, i + 1)
+        write = {
+            "topic": names.CONFIG_TOPIC,
+            "key": names.CONFIG_KEY,
+            "value": make_version(version),
+        }
+        context.play.stage.call("POST", "store", "/drop", write)
+        acked_s = time.monotonic()
+        current = threading.Timer(behind_s, show_records, (context, None))
+        current.start()
+        ask_all(context, context.play.hosts, version, acked_s)
+        current.join()
+        time.sleep(max(0.0, acked_s + period_s - time.monotonic()))
+
+
+def show_records(context: Any, count: int | None) -> None:
+    """Has pages show so many records of the configuration; None for all."""
+    context.play.set_fault(
+        "store", {"newest_records": {names.CONFIG_TOPIC: count}}
+    )
+
+
 def write_version(site: sites.Site, version: int) -> float:
     """Writes a version with a route of its own.
 
     Returns:
         The monotonic time at which the store has confirmed it.
     """
+    site.write(names.CONFIG_TOPIC, names.CONFIG_KEY, make_version(version))
+    return time.monotonic()
+
+
+def make_version(version: int) -> dict[str, Any]:
+    """Returns a configuration with a route of its own."""
     cfg = sites.make_config(["key-1"], version)
     cfg["routes"].append(
         {
@@ -186,8 +223,7 @@
             "path_prefix": PREFIX.format(version),
         }
     )
-    site.write(names.CONFIG_TOPIC, names.CONFIG_KEY, cfg)
-    return time.monotonic()
+    return cfg
 
 
 def ask_all(
