Give hosts that read by turns two turns at least

A host that waits for a silent store does not ask the hosts that have the version.

So the others read by turns in each data centre, two a turn and two turns at least, and hosts that the store has not refused no longer sooner.

By the model the last of 4 to 7 hosts reads after 1 s at worst (0.3 s in the mean), of 8 or 9 after 2 s, of 12 after 4 s, of 28 after 12 s.

--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -57,12 +57,9 @@
 TURN_READERS: Final = 2
 READER_TURN_S: Final = 1.0
 
-# The same by turns of their own for hosts that the store has not refused: each
-# calls it once or twice before it counts as refused.
-UNREFUSED_TURN_READERS: Final = 8
-
-# In a data centre of up to this many hosts all of them keep reading.
-MAX_ALL_READ: Final = 8
+# Others than the first ones always have turns, since a host that waits for the
+# store does not ask the hosts that have a newer configuration.
+MIN_READER_TURNS: Final = 2
 
 # Hosts of a data centre that ask the store for the duty: those with the lowest
 # addresses, so that another takes over at once when one or two are lost. Each
@@ -438,11 +435,7 @@
             return True
         rank = self._count_preceding(local) - FIRST_READERS
         others = len(local) + 1 - FIRST_READERS
-        return (
-            rank < 0
-            or len(local) < MAX_ALL_READ
-            or self._has_turn(rank, others, now_s)
-        )
+        return rank < 0 or _has_turn(rank, others, now_s)
 
     def is_cut_off(self, now_s: float) -> bool:
         """Returns whether the store has not answered this host for long."""
@@ -451,20 +444,6 @@
             own.store_age_s + now_s - own.at_s >= STORE_TIMEOUT_S
         )
 
-    def _has_turn(self, rank: int, others: int, now_s: float) -> bool:
-        """Returns whether it is this host's turn to read the store.
-
-        Args:
-            rank: Of this host among those that read by turns; 0 for the first.
-            others: Number of these hosts.
-            now_s: Monotonic time.
-        """
-        own = self._own_status
-        is_refused = own is None or own.is_config_lost
-        readers = TURN_READERS if is_refused else UNREFUSED_TURN_READERS
-        turns = math.ceil(others / readers)
-        return rank // readers == int(now_s / READER_TURN_S) % turns
-
     def may_be_deputy(self, now_s: float) -> bool:
         """Returns whether this is the first host while none has the store."""
         local = self._find_local_alive(now_s)
@@ -492,6 +471,18 @@
         return sum(addresses.parse(h) < me for h in hosts)
 
 
+def _has_turn(rank: int, hosts: int, now_s: float) -> bool:
+    """Returns whether it is a host's turn to read the store.
+
+    Args:
+        rank: Of the host among those that read by turns; 0 for the first.
+        hosts: Number of these hosts.
+        now_s: Monotonic time.
+    """
+    turns = max(MIN_READER_TURNS, math.ceil(hosts / TURN_READERS))
+    return rank % turns == int(now_s / READER_TURN_S) % turns
+
+
 def _make_status(update: datagrams.PeerUpdate, now_s: float) -> _PeerStatus:
     """Returns the status of a host that sent an update now."""
     return _PeerStatus(
