--- a/tests/fakes/strangelog.py
+++ b/tests/fakes/strangelog.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import itertools
 import time
 from collections.abc import Iterable
 from typing import Any, Final
@@ -140,7 +139,6 @@
 
     partitions: dict[Row, Partition] = attrs.Factory(dict)
     groups: dict[str, Group] = attrs.Factory(dict)
-    _versions: itertools.count[int] = attrs.Factory(itertools.count)
 
     def get(self, topic: str, part: int) -> Partition:
         """Returns a partition, which is created on first use."""
--- a/tests/fakes/strangestore.py
+++ b/tests/fakes/strangestore.py
@@ -25,6 +25,7 @@
 import base64
 import json
 import random
+import socket
 import struct
 import time
 import urllib.parse
@@ -109,9 +110,11 @@
 
     def reset(self) -> None:
         """Resets it."""
-        sock = self.writer.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(1, 13, struct.pack("ii", 1, 0))
+        if self.writer.is_closing():
+            return
+        self.writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
         self.writer.transport.abort()
 
 
--- a/tests/strange/__main__.py
+++ b/tests/strange/__main__.py
@@ -11,6 +11,7 @@
 import collections
 import datetime
 import json
+import math
 import pathlib
 import sys
 from collections.abc import Sequence
@@ -29,6 +30,12 @@
     return dict(sorted(worst.items()))
 
 
+def count_in_touch(played: play.Play) -> int:
+    """Returns how many answers hosts in touch gave."""
+    by = judge.Judge(played.written, played.troubles)
+    return sum(by.is_in_touch(a) for a in played.answers)
+
+
 def describe(verdict: judge.Verdict, wall_s: float) -> dict[str, Any]:
     """Returns a verdict as a line of the report."""
     answer = verdict.answer
@@ -62,7 +69,7 @@
     played.save_logs(folder)
 
     def get_time(at_s: float) -> str:
-        if at_s == float("inf"):
+        if math.isinf(at_s):
             return "-"
         at = datetime.datetime.fromtimestamp(played.wall_s + at_s)
         return at.strftime("%H:%M:%S.%f")[:-3]
@@ -113,6 +120,7 @@
                 {
                     "seed": seed,
                     "answers": len(played.answers),
+                    "in_touch": count_in_touch(played),
                     "versions": len(played.written),
                     "troubles": len(played.troubles),
                     "breaches": sum(v.is_breach for v in verdicts),
--- a/tests/strange/judge.py
+++ b/tests/strange/judge.py
@@ -21,9 +21,6 @@
 CONTACT_S: Final = 3.0
 ROLLBACK_S: Final = 0.25
 
-# Time of a whole answer after which its host counts as slow, in seconds.
-LONGEST_ANSWER_S: Final = 5.0
-
 
 @attrs.frozen
 class Written:
@@ -127,7 +124,7 @@
             self._written[newest].version.number if allowing else 0,
             max(0.0, late_s),
             regressed_from,
-            self._is_in_touch(answer),
+            self.is_in_touch(answer),
             self._list_kinds(answer),
         )
 
@@ -145,7 +142,8 @@
                 return self._written[oldest].version.number
         return 0
 
-    def _is_in_touch(self, answer: Answer) -> bool:
+    def is_in_touch(self, answer: Answer) -> bool:
+        """Returns whether an answer's host was in touch all the while."""
         from_s = answer.sent_s - CONTACT_S
         return not any(
             t.is_binding and t.affects(answer.host, from_s, answer.ended_s)
--- a/tests/strange/play.py
+++ b/tests/strange/play.py
@@ -4,6 +4,7 @@
 
 import collections
 import http.client
+import math
 import pathlib
 import random
 import threading
@@ -102,13 +103,13 @@
         """
         with self._write_lock:
             if any(
-                t.kind.startswith("down") and t.ended_s == float("inf")
+                t.kind.startswith("down") and math.isinf(t.ended_s)
                 for t in self.troubles
             ):
                 return
             version = self._series.draw()
             sent_s = time.monotonic()
-            written = judge.Written(version, sent_s, float("inf"))
+            written = judge.Written(version, sent_s, math.inf)
             self.written.append(written)
             self._write(version)
             self.written[-1] = attrs.evolve(written, acked_s=time.monotonic())
