--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -38,7 +38,7 @@
 
 
 @attrs.frozen
-class Patience:
+class Timeouts:
     """How long one read waits for other hosts, in seconds."""
 
     # Longest silence of one host.
@@ -51,13 +51,13 @@
 # answers nothing, and several may do so at once. All of these, a datagram, and
 # the call to the store must fit into the time within which a configuration is
 # in force.
-PATIENCE_BEFORE_STORE: Final = Patience(0.4, 0.9)
+TIMEOUTS_BEFORE_STORE: Final = Timeouts(0.4, 0.9)
 
 # Where the store has failed for two reads: slow hosts are all that is left.
-PATIENCE_WITHOUT_STORE: Final = Patience(1.0, 2.0)
+TIMEOUTS_WITHOUT_STORE: Final = Timeouts(1.0, 2.0)
 
 # Hosts are not called for less than this time.
-MIN_PATIENCE_S: Final = 0.05
+MIN_TIMEOUT_S: Final = 0.05
 
 # zlib level of snapshots. A configuration of 1,640 routes has some hundred
 # kilobytes, and a tenth of that compressed; hosts have links of 10 Mbit/s.
@@ -471,7 +471,7 @@
 # the host has none to send. Arguments: host, topic, position, and how long to
 # wait.
 FetchSnapshot = Callable[
-    [str, str, positions.Position | None, Patience],
+    [str, str, positions.Position | None, Timeouts],
     bytes | feeds.Unavailable | None,
 ]
 
@@ -537,7 +537,7 @@
             # What changed while this host stood still is known to the others:
             # a copy of the store, for example, doesn't say how old it is.
             hosts = self._list_hosts() or self._list_initial_hosts()
-        found = self._fetch_from_hosts(hosts, None, PATIENCE_BEFORE_STORE)
+        found = self._fetch_from_hosts(hosts, None, TIMEOUTS_BEFORE_STORE)
         if found is not None:
             return self._note(found, began_s)
         res = self._topic.read_newest()
@@ -574,7 +574,7 @@
             return attrs.evolve(self._note(again, began_s), due_s=0.0)
         wait_s = min(wait_s, recheck_s)
         hosts = self._list_current_hosts() if is_peers_first else []
-        found = self._fetch_from_hosts(hosts, since, PATIENCE_BEFORE_STORE)
+        found = self._fetch_from_hosts(hosts, since, TIMEOUTS_BEFORE_STORE)
         if found is not None:
             return self._note(found, began_s)
         res = self._topic.read_changes(since, wait_s)
@@ -591,13 +591,13 @@
         self, since: positions.Position | None, res: feeds.Unavailable
     ) -> feeds.FullState[T] | feeds.Changes[T] | feeds.Unavailable:
         # At first the store may have lost an answer, and be there at once.
-        patience = (
-            PATIENCE_WITHOUT_STORE
+        timeouts = (
+            TIMEOUTS_WITHOUT_STORE
             if self._has_failed
-            else PATIENCE_BEFORE_STORE
+            else TIMEOUTS_BEFORE_STORE
         )
         self._has_failed = True
-        found = self._fetch_from_hosts(self._list_hosts(), since, patience)
+        found = self._fetch_from_hosts(self._list_hosts(), since, timeouts)
         if found is None:
             return res
         return attrs.evolve(found, failure=res.reason)
@@ -606,20 +606,20 @@
         self,
         hosts: list[str],
         since: positions.Position | None,
-        patience: Patience,
+        timeouts: Timeouts,
     ) -> feeds.FullState[T] | feeds.Changes[T] | None:
         """Returns the state of the first host that has one to send.
 
         Returns:
             None if no host returned a usable snapshot.
         """
-        end_s = self._clock() + patience.total_s
+        end_s = self._clock() + timeouts.total_s
         for host in hosts[:MAX_HOSTS_CALLED]:
             began_s = self._clock()
             left_s = end_s - began_s
-            if left_s < MIN_PATIENCE_S:
+            if left_s < MIN_TIMEOUT_S:
                 return None
-            wait = Patience(min(patience.silence_s, left_s), left_s)
+            wait = Timeouts(min(timeouts.silence_s, left_s), left_s)
             data = self._fetch(host, self._topic.name, since, wait)
             if data is None:
                 continue
--- a/egretspur/daemons/fetch.py
+++ b/egretspur/daemons/fetch.py
@@ -42,22 +42,22 @@
         return res.body
 
     def ask(
-        self, address: str, path: str, patience: handover.Patience
+        self, address: str, path: str, timeouts: handover.Timeouts
     ) -> bytes | feeds.Unavailable | None:
         """Returns a page, why no answer came, or None if there is no page.
 
         Args:
             address: Where the host serves its pages.
             path: Path with query.
-            patience: How long to wait for it.
+            timeouts: How long to wait for it.
         """
         res = self._transport.call(
             "GET",
             address,
             path,
             headers=_FIELDS,
-            read_s=patience.silence_s,
-            whole_s=patience.total_s,
+            read_s=timeouts.silence_s,
+            whole_s=timeouts.total_s,
         )
         if isinstance(res, transport.Failed):
             return feeds.Unavailable(res.reason)
--- a/egretspur/daemons/host.py
+++ b/egretspur/daemons/host.py
@@ -366,12 +366,12 @@
         host: str,
         topic: str,
         since: positions.Position | None,
-        patience: handover.Patience,
+        timeouts: handover.Timeouts,
     ) -> bytes | feeds.Unavailable | None:
         """Returns another host's changes of a topic since a position."""
         to = addresses.parse(self._cfg.address.complete(host))
         path = pages.make_snapshot_path(topic, since)
-        return self._page_client.ask(to.control, path, patience)
+        return self._page_client.ask(to.control, path, timeouts)
 
     def _make_app(self) -> web.App:
         app = web.App()
--- a/egretspur/delivery/first_events.py
+++ b/egretspur/delivery/first_events.py
@@ -30,7 +30,7 @@
 BOUND_FACTOR: Final = 4.0
 MIN_BOUND_S: Final = 0.25
 
-# Fraction of the caller's patience after which a first event is late in any
+# Fraction of the caller's timeouts after which a first event is late in any
 # case: the rest is needed to reroute the request and process its prompt again.
 MAX_BOUND_PATIENCE: Final = 0.5
 
--- a/egretspur/delivery/watch.py
+++ b/egretspur/delivery/watch.py
@@ -51,10 +51,10 @@
 # The same before the first event.
 MAX_FIRST_EVENT_S: Final = first_events.MIN_BOUND_S
 
-# Fraction of the caller's patience after which a silent attempt that can't be
+# Fraction of the caller's timeouts after which a silent attempt that can't be
 # rerouted is ended, so that another one resumes the answer before the caller
 # disconnects.
-ABORT_PATIENCE_FRACTION: Final = 0.55
+ABORT_TIMEOUTS_FRACTION: Final = 0.55
 
 # Minimum interval between two requests for an engine's report.
 REPORT_INTERVAL_S: Final = 0.25
@@ -637,4 +637,4 @@
 
 def _get_abort_silence_s(stream: forward.Forwarder) -> float:
     """Returns the seconds of silence after which an attempt is ended."""
-    return ABORT_PATIENCE_FRACTION * stream.job.route.caller_silence_s
+    return ABORT_TIMEOUTS_FRACTION * stream.job.route.caller_silence_s
--- a/tests/delivery/first_events.feature
+++ b/tests/delivery/first_events.feature
@@ -1,7 +1,7 @@
 Feature: Finding what keeps streams from their first event
 
   Scenario Outline: Streams over paths that share components
-    # Guards against attempts that end after the caller's patience with nobody
+    # Guards against attempts that end after the caller's timeouts with nobody
     # blamed, and against verdicts for long prompts, queues and a busy fleet.
     Given streams without an event "<waiting>" and with one "<begun>"
     Then the suspects are "<suspects>"
--- a/tests/delivery/firstmodel.py
+++ b/tests/delivery/firstmodel.py
@@ -25,7 +25,7 @@
 STEP_S: Final = watch.MAX_CHECK_INTERVAL_S
 END_S: Final = 8.0
 START_INTERVAL_S: Final = 0.35
-PATIENCE_S: Final = 2.0
+TIMEOUTS_S: Final = 2.0
 ANSWER_S: Final = 2.0
 
 # When the fault begins, and the engine that has it.
@@ -67,7 +67,7 @@
             self.path,
             self.started_s,
             0.06,
-            PATIENCE_S,
+            TIMEOUTS_S,
             self.first_s if has_begun else None,
             min(now_s, self.last_s) if has_begun else None,
         )
@@ -108,7 +108,7 @@
             if stream.first_s <= now_s:
                 silent_since_s = min(stream.last_s, now_s)
             if (
-                now_s - silent_since_s > PATIENCE_S
+                now_s - silent_since_s > TIMEOUTS_S
                 or now_s > stream.first_s + ANSWER_S
             ):
                 self._streams.remove(stream)
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -97,10 +97,10 @@
     When settings have stalls of <stall> ms and heartbeats of <beat> ms
     And a route has an objective of <objective> ms and gaps of <gap> ms
     Then a silent stream times out after <silence> s and entries expire after <lapse> s
-    And its caller gives up after <patience> s, and its stages are probed after <asked> s
+    And its caller gives up after <timeouts> s, and its stages are probed after <asked> s
 
     Examples:
-      | stall | beat | objective | gap | silence | lapse | patience | asked |
+      | stall | beat | objective | gap | silence | lapse | timeouts | asked |
       | 2000  | 1200 | 500       | 200 | 2.5     | 4.0   | 2.0      | 0.2   |
       | 3000  | 1200 | 500       | 250 | 3.5     | 4.0   | 2.0      | 0.25  |
       | 3000  | 800  | 900       | 300 | 3.5     | 2.8   | 3.6      | 0.3   |
--- a/tests/retrying.py
+++ b/tests/retrying.py
@@ -37,7 +37,7 @@
 FAR: Final = ("pg-hall", "cj-hall")
 
 # How long a caller waits, in s.
-PATIENCE_S: Final = 9.0
+TIMEOUTS_S: Final = 9.0
 
 
 @attrs.define
@@ -58,7 +58,7 @@
     site: sites.Site
     per_s: float
     # How long a caller waits, in seconds; of a stream if that differs.
-    patience_s: float = PATIENCE_S
+    patience_s: float = TIMEOUTS_S
     stream_patience_s: float | None = None
     # Streams for each plain request; None for half a one.
     streams_per_plain: int | None = None
@@ -234,7 +234,7 @@
     allowance: float,
     keeps_settings: bool = False,
     seed: int = 0,
-    patience_s: float = PATIENCE_S,
+    patience_s: float = TIMEOUTS_S,
     tree: pathlib.Path | None = None,
     far: int = 0,
     engine_mb: float = sites.ENGINE_MB,
@@ -314,8 +314,8 @@
         help="start hosts again with the settings of their first start",
     )
     parser.add_argument("--seed", type=int, default=0)
-    parser.add_argument("--patience-s", type=float, default=PATIENCE_S)
-    parser.add_argument("--stream-patience-s", type=float)
+    parser.add_argument("--timeouts-s", type=float, default=TIMEOUTS_S)
+    parser.add_argument("--stream-timeouts-s", type=float)
     parser.add_argument("--streams-per-plain", type=int)
     parser.add_argument(
         "--once",
--- a/tests/steps/catalog_steps.py
+++ b/tests/steps/catalog_steps.py
@@ -547,7 +547,7 @@
     context.source = handover.HandoverSource(
         context.topic,
         lambda: list(context.handed),
-        lambda host, topic, since, patience: context.handed[host],
+        lambda host, topic, since, timeouts: context.handed[host],
         lambda: first == "other hosts",
     )
 
@@ -566,7 +566,7 @@
     context.source = handover.HandoverSource(
         context.topic,
         list,
-        lambda host, topic, since, patience: context.handed[host],
+        lambda host, topic, since, timeouts: context.handed[host],
         lambda: False,
         lambda: ["h1", "h2"],
         lambda: context.now_s,
--- a/tests/steps/doubts_steps.py
+++ b/tests/steps/doubts_steps.py
@@ -86,7 +86,7 @@
         host: str,
         topic: str,
         since: positions.Position | None,
-        patience: handover.Patience,
+        timeouts: handover.Timeouts,
     ) -> bytes | feeds.Unavailable | None:
         """Returns what the other host has."""
         if self.giver is None or self.giver.is_stopped:
@@ -230,7 +230,7 @@
         self.source = handover.HandoverSource(
             self.topic,
             list,
-            lambda host, topic, since, patience: None,
+            lambda host, topic, since, timeouts: None,
             lambda: False,
             clock=lambda: time.monotonic() + float(context.added_s),
         )
--- a/tests/steps/fetch_steps.py
+++ b/tests/steps/fetch_steps.py
@@ -151,7 +151,7 @@
     source = handover.HandoverSource(
         context.topic,
         lambda: hosts,
-        lambda host, topic, since, patience: client.ask(host, PATH, patience),
+        lambda host, topic, since, timeouts: client.ask(host, PATH, timeouts),
         lambda: True,
     )
     began_s = time.monotonic()
@@ -203,7 +203,7 @@
     source = handover.HandoverSource(
         context.topic,
         lambda: hosts,
-        lambda host, topic, since, patience: client.ask(host, PATH, patience),
+        lambda host, topic, since, timeouts: client.ask(host, PATH, timeouts),
         lambda: False,
     )
     applied: list[float] = []
--- a/tests/steps/neighbours_steps.py
+++ b/tests/steps/neighbours_steps.py
@@ -154,10 +154,10 @@
         host: str,
         topic: str,
         since: positions.Position | None,
-        patience: handover.Patience,
+        timeouts: handover.Timeouts,
     ) -> bytes | feeds.Unavailable | None:
         if host == READER:
-            time.sleep(patience.silence_s)
+            time.sleep(timeouts.silence_s)
             return feeds.Unavailable("it stands still")
         if topic != names.UPSTREAMS_TOPIC:
             return None
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -442,11 +442,11 @@
 
 
 @then(
-    "its caller gives up after {patience:g} s, and its stages are probed after"
+    "its caller gives up after {timeouts:g} s, and its stages are probed after"
     " {asked:g} s"
 )
-def step_patience(context: Any, patience: float, asked: float) -> None:
-    assert abs(context.route.caller_silence_s - patience) < 1e-9
+def step_patience(context: Any, timeouts: float, asked: float) -> None:
+    assert abs(context.route.caller_silence_s - timeouts) < 1e-9
     job = attrs.evolve(fleets.make_job("r"), route=context.route)
     stream: Any = silence_steps.Stream(job, ("part",), last_activity_s=10.0)
     assert not watch.is_silent(stream, 10.0 + asked - 0.01)
