--- a/egretspur/catalog/reading.py
+++ b/egretspur/catalog/reading.py
@@ -20,14 +20,14 @@
 # dead connection is detected after this and a grace period.
 CONFIG_WAIT_S: Final = 0.8
 
-# Age of a reader's last answer for the configuration from which on it counts as
-# lost: a wait, and an answer that comes late.
-MAX_CONFIG_AGE_S: Final = 1.2
-
 # The same while the store does not answer. With the time-out of a call it is
 # shorter than the time within which a configuration must be in force.
 CUT_OFF_WAIT_S: Final = 0.5
 
+# Age of a reader's last answer for the configuration from which on it counts as
+# lost: a wait, and an answer that comes late.
+MAX_CONFIG_AGE_S: Final = 1.2
+
 # Time between the reader's reads of the list. Requests to a draining upstream
 # must stop within two seconds of its report.
 LIST_PERIOD_S: Final = 0.8
--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -387,7 +387,7 @@
         return sorted(alive, key=rank)
 
     def list_fresh(self, now_s: float) -> list[str]:
-        """Returns the live hosts that have read the list recently, as above.
+        """Returns the live hosts with a fresh list; see `list_by_freshness`.
 
         The others may know nothing newer than the host that asks them.
         """
@@ -400,7 +400,7 @@
     def list_newest(self, now_s: float) -> list[str]:
         """Returns the hosts with the newest configuration, local ones first.
 
-        None if the hosts that had the newest one are not alive. Those whose
+        Empty if the hosts that had the newest one are not alive. Those whose
         updates are missing come last. Otherwise the order is random: each host
         that fetches the configuration serves it in turn, so that the others of
         a data centre don't all fill the link of one host.
