--- a/egretspur/membership/hosts.py
+++ b/egretspur/membership/hosts.py
@@ -379,11 +379,7 @@
                 addresses.parse(host),
             )
 
-        alive = {
-            h: t
-            for h, t in self._peer_statuses.items()
-            if now_s - t.at_s < ALIVE_TIMEOUT_S
-        }
+        alive = self._find_alive(now_s)
         return sorted(alive, key=rank)
 
     def list_fresh(self, now_s: float) -> list[str]:
@@ -405,11 +401,7 @@
         that fetches the configuration serves it in turn, so that the others of
         a data centre don't all fill the link of one host.
         """
-        alive = {
-            h: t
-            for h, t in self._peer_statuses.items()
-            if now_s - t.at_s < ALIVE_TIMEOUT_S
-        }
+        alive = self._find_alive(now_s)
         found = [
             h for h, t in alive.items() if t.version >= self._newest_version
         ]
@@ -483,9 +475,16 @@
         """Returns the hosts of this data centre that are alive."""
         return {
             host: status
-            for host, status in self._peer_statuses.items()
+            for host, status in self._find_alive(now_s).items()
             if status.data_centre == self._data_centre
-            and now_s - status.at_s < ALIVE_TIMEOUT_S
+        }
+
+    def _find_alive(self, now_s: float) -> dict[str, _PeerStatus]:
+        """Returns the hosts that are alive."""
+        return {
+            host: status
+            for host, status in self._peer_statuses.items()
+            if now_s - status.at_s < ALIVE_TIMEOUT_S
         }
 
     def _precedes(self, hosts: Iterable[str]) -> bool:
