Fetch a page of a host by the call that asks for a topic

PageClient.fetch and ask made the same call and differed in what they make of no answer, and in their time limits. fetch calls ask now, with its own time-out and no other limit of the whole, as before. fetch.feature and neighbours.feature green.

--- a/egretspur/catalog/handover.py
+++ b/egretspur/catalog/handover.py
@@ -44,7 +44,7 @@
     # Longest silence of one host.
     silence_s: float
     # For the whole answers of all hosts.
-    total_s: float
+    total_s: float = math.inf
 
 
 # Before the store is called. A host that stands still accepts connections and
--- a/egretspur/daemons/fetch.py
+++ b/egretspur/daemons/fetch.py
@@ -36,10 +36,8 @@
             address: Where the host serves its pages.
             path: Path with query.
         """
-        res = self._transport.call("GET", address, path, headers=_FIELDS)
-        if isinstance(res, transport.Failed) or res.status != 200:
-            return None
-        return res.body
+        page = self.ask(address, path, handover.Timeouts(READ_TIMEOUT_S))
+        return None if isinstance(page, feeds.Unavailable) else page
 
     def ask(
         self, address: str, path: str, timeouts: handover.Timeouts
