review: a replica is ordered by an address that another one has by now

Claim: when the address of a crashed engine is assigned to an engine of another service, the host takes that one's report for a restart, and orders it to hold layers that do not fit its memory (LIMIT). The replica crashes.

--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -108,6 +108,7 @@
         name: str,
         answer: Callable[[Replica, Request, socket.socket], None],
         service: str = "desk",
+        address: str = "",
     ) -> None:
         self.record = record
         self.name = name
@@ -121,7 +122,8 @@
         self.is_ended = False
         self._conns: set[socket.socket] = set()
         self._lock = threading.Lock()
-        self._listener = socket.create_server((IP, 0), backlog=128)
+        bound = split(address) if address else (IP, 0)
+        self._listener = socket.create_server(bound, backlog=128)
         self.address = f"{IP}:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -184,6 +186,9 @@
                         b"",
                     )
                     continue
+                if req.target.startswith("/egretspur/"):
+                    self.answer(self, req, sock)
+                    continue
                 self.arrivals.append((req.id, time.monotonic()))
                 if req.fields.get("target-replica") != self.name:
                     send(sock, 421, {}, b"")
@@ -249,7 +254,7 @@
         self.record = Record(folder / "record.txt")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: list[subprocess.Popen[str]] = []
-        self._entries: dict[str, dict[str, Any]] = {}
+        self._listed: dict[str, Replica] = {}
         self._lock = threading.Lock()
         self._closed = threading.Event()
         env = {
@@ -293,30 +298,28 @@
         if status != 200:
             raise RuntimeError(f"store: status {status}")
 
-    def list_replica(self, replica: Replica, state: str = "ready") -> None:
+    def list_replica(self, replica: Replica) -> None:
         """Lists a replica, whose entry is written again at each heartbeat."""
         with self._lock:
-            self._entries[replica.name] = replica.make_entry(state)
-            self.write(
-                "keyed.servers", replica.name, self._entries[replica.name]
-            )
+            self._listed[replica.name] = replica
+            self.write("keyed.servers", replica.name, replica.make_entry())
 
     def stop_heartbeat(self, replica: Replica) -> None:
         """Stops writing the entry of a replica, which stays for now."""
         with self._lock:
-            self._entries.pop(replica.name, None)
+            self._listed.pop(replica.name, None)
 
     def remove_entry(self, replica: Replica) -> None:
         """Removes the entry of a replica."""
         with self._lock:
-            self._entries.pop(replica.name, None)
+            self._listed.pop(replica.name, None)
             self.write("keyed.servers", replica.name, None)
 
     def _write_entries(self) -> None:
         while not self._closed.wait(1.2):
             with self._lock:
-                for name, entry in self._entries.items():
-                    entry["seq_no"] += 1
+                for name, replica in self._listed.items():
+                    entry = replica.make_entry()
                     try:
                         self.write("keyed.servers", name, entry)
                     except (OSError, RuntimeError, http.client.HTTPException):
